--- /dev/null
+++ b/anvil/admin.go
@@ -0,0 +1,268 @@
+package anvil
+
+import (
+	"fmt"
+	"sort"
+
+	jsonpatch "github.com/evanphx/json-patch/v5"
+
+	"tidedeck/chisel"
+	"tidedeck/dowel"
+	"tidedeck/gauge"
+)
+
+// Admin is an operator's request to a core node.
+type Admin struct {
+	Token  uint64
+	Op     string
+	Raw    []byte      // a plan, a merge patch, or a calendar
+	Expect gauge.Epoch // the epoch that the change goes on
+	Any    bool        // no epoch is expected
+	Change string      // id of the change; a repeat of it is answered, not redone
+	Zone   gauge.Zone
+	Old    gauge.Node
+	New    gauge.Node
+}
+
+// Answer answers an Admin.
+type Answer struct {
+	Token  uint64         `json:"-"`
+	Kind   gauge.Kind     `json:"kind,omitempty"`
+	Why    string         `json:"why,omitempty"`
+	Faults chisel.Faults  `json:"faults,omitempty"`
+	Epoch  gauge.Epoch    `json:"epoch,omitempty"`
+	Empty  []gauge.Zone   `json:"empty,omitempty"`
+	Plan   []byte         `json:"-"`
+	Owner  *dowel.Peer    `json:"owner,omitempty"`
+	View   map[string]any `json:"view,omitempty"`
+}
+
+// Which operator's request goes where.
+var admins = map[string]func(*Core, Admin){
+	"put": (*Core).putPlan, "patch": (*Core).patchPlan, "get": (*Core).getPlan,
+	"empty": (*Core).emptyZone, "refill": (*Core).refillZone, "windows": (*Core).putWindows,
+	"replace": (*Core).replaceVoter, "form": (*Core).forceForm,
+	"nodes": (*Core).viewNodes, "servers": (*Core).viewServers, "holds": (*Core).viewHolds, "status": (*Core).viewStatus,
+}
+
+func (c *Core) admin(a Admin) {
+	if f := admins[a.Op]; f != nil {
+		f(c, a)
+		return
+	}
+	c.answer(Answer{Token: a.Token, Kind: gauge.Unknown, Why: "no such request"})
+}
+
+func (c *Core) answer(a Answer) { c.out = append(c.out, a) }
+
+// change carries an operator's change through the register.
+func (c *Core) change(a Admin, apply func(d *dowel.Desired) (gauge.Kind, chisel.Faults)) {
+	if c.config() == nil {
+		c.answer(Answer{Token: a.Token, Kind: gauge.NotReady, Why: "this node knows no core yet"})
+		return
+	}
+	var faults chisel.Faults
+	c.propose(func(d dowel.Desired) (dowel.Desired, gauge.Kind) {
+		faults = nil
+		if a.Change != "" {
+			for _, x := range d.Done {
+				if x.ID == a.Change {
+					return d, gauge.Repeated
+				}
+			}
+		}
+		if !a.Any && d.Epoch != a.Expect && !c.o.BreakEpoch {
+			return d, gauge.Conflict
+		}
+		n := d
+		n.Empty = append([]gauge.Zone{}, d.Empty...)
+		k, f := apply(&n)
+		if k != gauge.None {
+			faults = f
+			return d, k
+		}
+		n.Epoch++
+		n.Done = append(append([]dowel.Change{}, d.Done...), dowel.Change{ID: a.Change, Epoch: n.Epoch})
+		if len(n.Done) > 64 {
+			n.Done = n.Done[len(n.Done)-64:]
+		}
+		return n, gauge.None
+	}, func(v dowel.Desired, k gauge.Kind) {
+		r := Answer{Token: a.Token, Kind: k, Epoch: v.Epoch, Faults: faults, Empty: v.Empty}
+		switch k {
+		case gauge.None:
+			c.tally.Changes++
+		case gauge.Repeated: // it was taken before: say under which epoch
+			r.Kind = gauge.None
+			for _, x := range v.Done {
+				if x.ID == a.Change {
+					r.Epoch = x.Epoch
+				}
+			}
+		case gauge.Conflict:
+			r.Why = fmt.Sprintf("the epoch in force is %d", v.Epoch)
+		case gauge.Unclear:
+			r.Why = "it is not known whether the change was taken; repeat it under the same change id, or read the plan"
+		}
+		c.answer(r)
+	})
+}
+
+func (c *Core) putPlan(a Admin) {
+	if _, f := chisel.ReadPlan(a.Raw); f != nil {
+		c.answer(Answer{Token: a.Token, Kind: gauge.Faulty, Faults: f})
+		return
+	}
+	c.change(a, func(d *dowel.Desired) (gauge.Kind, chisel.Faults) {
+		d.Plan = a.Raw
+		return gauge.None, nil
+	})
+}
+
+func (c *Core) patchPlan(a Admin) {
+	if _, f := chisel.Open(a.Raw); len(*f) > 0 {
+		c.answer(Answer{Token: a.Token, Kind: gauge.Malformed, Faults: *f})
+		return
+	}
+	c.change(a, func(d *dowel.Desired) (gauge.Kind, chisel.Faults) {
+		if len(d.Plan) == 0 {
+			return gauge.Unknown, chisel.Faults{{Path: "$", Why: "there is no plan to change yet"}}
+		}
+		n, err := jsonpatch.MergePatch(d.Plan, a.Raw)
+		if err != nil {
+			return gauge.Malformed, chisel.Faults{{Path: "$", Why: err.Error()}}
+		}
+		if _, f := chisel.ReadPlan(n); f != nil {
+			return gauge.Faulty, f
+		}
+		d.Plan = n
+		return gauge.None, nil
+	})
+}
+
+func (c *Core) getPlan(a Admin) {
+	if c.config() == nil {
+		c.answer(Answer{Token: a.Token, Kind: gauge.NotReady, Why: "this node knows no core yet"})
+		return
+	}
+	c.read(func(v dowel.Desired, k gauge.Kind) {
+		if k == gauge.Unclear { // a read changes nothing, so it only did not come about
+			k = gauge.NotReady
+		}
+		c.answer(Answer{Token: a.Token, Kind: k, Epoch: v.Epoch, Empty: v.Empty, Plan: v.Plan})
+	})
+}
+
+func (c *Core) emptyZone(a Admin) {
+	c.change(a, func(d *dowel.Desired) (gauge.Kind, chisel.Faults) {
+		for _, z := range d.Empty {
+			if z == a.Zone {
+				return gauge.None, nil
+			}
+		}
+		d.Empty = append(d.Empty, a.Zone)
+		sort.Slice(d.Empty, func(i, j int) bool { return d.Empty[i] < d.Empty[j] })
+		return gauge.None, nil
+	})
+}
+
+func (c *Core) refillZone(a Admin) {
+	c.change(a, func(d *dowel.Desired) (gauge.Kind, chisel.Faults) {
+		var l []gauge.Zone
+		for _, z := range d.Empty {
+			if z != a.Zone {
+				l = append(l, z)
+			}
+		}
+		d.Empty = l
+		return gauge.None, nil
+	})
+}
+
+// replaceVoter is an operator's own replacement of a core node.
+func (c *Core) replaceVoter(a Admin) {
+	s, ok := c.reg.lives[a.New]
+	k := c.reg.known
+	if k == nil || !ok || len(k.Prior) > 0 {
+		c.answer(Answer{Token: a.Token, Kind: gauge.NotReady, Why: "the new node is not seen, or a change is under way"})
+		return
+	}
+	for i, v := range k.Voters {
+		if v.ID == a.Old && !sits(k.Voters, a.New) {
+			c.reshape(*k, swap(k.Voters, i, dowel.Voter{Peer: s.peer, Zone: v.Zone, Inc: s.state.Inc}))
+			c.answer(Answer{Token: a.Token})
+			return
+		}
+	}
+	c.answer(Answer{Token: a.Token, Kind: gauge.Unknown, Why: "the old node is no voter, or the new one is one already"})
+}
+
+func (c *Core) forceForm(a Admin) {
+	if c.config() != nil {
+		c.answer(Answer{Token: a.Token, Kind: gauge.Conflict, Why: "this node knows a core"})
+		return
+	}
+	c.reg.force = true
+	c.answer(Answer{Token: a.Token})
+}
+
+func (c *Core) viewNodes(a Admin) {
+	v := map[string]any{"members": c.mates.All()}
+	if k := c.config(); k != nil {
+		v["voters"], v["prior"], v["gen"] = k.Voters, k.Prior, k.Gen
+	}
+	if c.duty.who.ID != "" {
+		v["owner"] = c.duty.who
+	}
+	c.answer(Answer{Token: a.Token, View: v})
+}
+
+// owned answers for what only the duty's owner knows; others name it.
+func (c *Core) owned(a Admin, view func() map[string]any) {
+	if !c.rules() {
+		r := Answer{Token: a.Token, Kind: gauge.NotReady, Why: "this node does not own the duty"}
+		if o := c.duty.who; o.ID != "" && o.ID != c.o.Me.ID {
+			r.Owner = &o
+		}
+		c.answer(r)
+		return
+	}
+	c.answer(Answer{Token: a.Token, View: view()})
+}
+
+func (c *Core) viewServers(a Admin) {
+	c.owned(a, func() map[string]any {
+		var l []map[string]any
+		for _, id := range ordered(c.servers) {
+			s := c.servers[id]
+			var p []map[string]any
+			for _, k := range ordered(s.spots) {
+				x := s.spots[k]
+				p = append(p, map[string]any{"key": k, "stage": x.stage, "size": x.size, "active": x.work})
+			}
+			l = append(l, map[string]any{"id": id, "zone": s.Zone, "state": s.State, "dark": s.dark, "known": s.known,
+				"room": s.room, "used": s.used(), "slots": s.slots, "holds": p, "offered": c.open(s)})
+		}
+		return map[string]any{"servers": l, "duty": c.duty.num}
+	})
+}
+
+func (c *Core) viewHolds(a Admin) {
+	c.owned(a, func() map[string]any {
+		var l []map[string]any
+		for _, x := range c.sorted() {
+			l = append(l, map[string]any{"router": x.ses.Node, "session": x.ses, "callbacks": len(x.holds), "unacknowledged": len(x.items),
+				"left_ms": x.until.Sub(c.now).Milliseconds()})
+		}
+		return map[string]any{"links": l, "duty": c.duty.num}
+	})
+}
+
+func (c *Core) viewStatus(a Admin) {
+	v := map[string]any{"node": c.o.Me, "zone": c.o.Zone, "ready": c.Ready(), "epoch": c.Epoch(), "duty": c.duty.num, "owns": c.rules(),
+		"owner": c.duty.who, "tally": c.tally, "blank": c.vote.safeV == nil, "disk": c.vote.inc}
+	if k := c.reg.known; k != nil {
+		v["gen"], v["empty"] = k.Gen, k.Empty
+	}
+	c.answer(Answer{Token: a.Token, View: v})
+}
--- /dev/null
+++ b/anvil/core.go
@@ -0,0 +1,304 @@
+// Package anvil is a core node: it votes on the desired state, knows its siblings and,
+// while it owns the duty, places models on servers and keeps the routers' callbacks.
+package anvil
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"sort"
+
+	"tidedeck/chisel"
+	"tidedeck/dowel"
+	"tidedeck/gauge"
+	"tidedeck/plumb"
+)
+
+// Options of a core node.
+type Options struct {
+	Me       dowel.Peer
+	Zone     gauge.Zone
+	Inc      gauge.Inc // of this life of the process
+	Seeds    []dowel.Peer
+	Platform string
+	Rand     *rand.Rand
+
+	Hold    gauge.Span // a router's hold, from the moment it sent its renewal
+	Duty    gauge.Span // the duty's hold, from the moment its owner asked for it
+	Margin  gauge.Span // a granter waits longer by this and by Drift
+	Drift   float64
+	Round   gauge.Span // between two reads of the register
+	Poll    gauge.Span // between two reports of a server
+	Wait    gauge.Span // for a server's answer
+	Spare   gauge.Span // a voter gone for so long is replaced by a spare
+	Form    gauge.Span // every seed must be seen blank for so long
+	Most    int        // callbacks kept for one router
+	Pending int        // changes not yet acknowledged, for one router
+	Rest    gauge.Span // a replica is not evicted sooner after it came
+	Lull    gauge.Span // a replica without work for so long may be evicted
+
+	// Guards that tests break on purpose, to see the checkers bite.
+	BreakWait  bool // unload without waiting for acknowledgements
+	BreakVote  bool // an emptied disk votes as if nothing had happened
+	BreakStore bool // load past the store's budget
+	BreakRoom  bool // load past a server's room
+	BreakFence bool // grant holds without a fresh majority read
+	BreakQuiet bool // a new owner unloads at once
+	BreakSync  bool // answer before the disk has synced
+	BreakDuty  bool // take the duty without a majority
+	BreakEpoch bool // take a change whatever epoch it expects
+	BreakDrain bool // unload while work is under way
+	BreakNews  bool // grant holds to routers that have not acknowledged
+}
+
+// Defaults fills what was left out.
+func (o Options) Defaults() Options {
+	span := func(p *gauge.Span, d gauge.Span) {
+		if *p == 0 {
+			*p = d
+		}
+	}
+	span(&o.Hold, 2000e6)
+	span(&o.Duty, 1200e6)
+	span(&o.Margin, 50e6)
+	span(&o.Round, 250e6)
+	span(&o.Poll, 250e6)
+	span(&o.Wait, 600e6)
+	span(&o.Spare, 6000e6)
+	span(&o.Form, 1500e6)
+	span(&o.Rest, 4000e6)
+	span(&o.Lull, 2000e6)
+	if o.Drift == 0 {
+		o.Drift = 0.02
+	}
+	if o.Most == 0 {
+		o.Most = 1024
+	}
+	if o.Pending == 0 {
+		o.Pending = 4096
+	}
+	return o
+}
+
+// Core is a core node without I/O. Step is its only entrance, and it is not safe for
+// use by two at once.
+type Core struct {
+	o     Options
+	now   gauge.Tick
+	out   []any
+	mates *plumb.Core
+
+	vote  vote
+	reg   register
+	duty  reign
+	links map[dowel.Session]*link
+	tombs map[dowel.Session]gauge.Tick
+	wants []dowel.Env
+
+	plan    *chisel.Plan
+	planOf  gauge.Epoch
+	empty   map[gauge.Zone]bool
+	servers map[gauge.Server]*server
+	entries map[gauge.Key]*entry
+	asks    map[uint64]func(dowel.Told)
+	token   uint64
+	saves   map[uint64]func()
+	demand  map[gauge.Key]*need
+	listed  gauge.Tick
+	listing bool
+	tally   Tally
+	began   bool
+}
+
+// Tally counts what a core node did; it is what its metrics show.
+type Tally struct {
+	Rounds, Conflicts, Changes, Reads, Repairs, Reigns      uint64
+	Grants, Withheld, Breaks, Acks, Lapses, Wants, Sames    uint64
+	Removals, Sheds, Loads, Unloads, Fences, Drained, Admit uint64
+}
+
+// New makes a core node.
+func New(o Options) *Core {
+	o = o.Defaults()
+	c := &Core{
+		o:     o,
+		links: map[dowel.Session]*link{}, tombs: map[dowel.Session]gauge.Tick{},
+		servers: map[gauge.Server]*server{}, entries: map[gauge.Key]*entry{},
+		asks: map[uint64]func(dowel.Told){}, saves: map[uint64]func(){},
+		demand: map[gauge.Key]*need{}, empty: map[gauge.Zone]bool{},
+	}
+	c.mates = plumb.New(plumb.Options{
+		Me:    dowel.Member{Peer: o.Me, Role: "anvil", Zone: o.Zone, Inc: o.Inc},
+		Seeds: o.Seeds, Rand: o.Rand,
+	})
+	c.reg.init()
+	return c
+}
+
+// Step takes one input and gives what is to be done.
+func (c *Core) Step(now gauge.Tick, in any) []any {
+	c.now, c.out = now, nil
+	switch v := in.(type) {
+	case dowel.Start:
+		c.start(v)
+	case dowel.Saved:
+		if f := c.saves[v.Token]; f != nil {
+			delete(c.saves, v.Token)
+			f()
+		}
+	case dowel.Told:
+		if f := c.asks[v.Token]; f != nil {
+			delete(c.asks, v.Token)
+			f(v)
+		}
+	case dowel.Env:
+		c.take(v)
+	case Admin:
+		c.admin(v)
+	case dowel.Beat:
+		if c.began {
+			c.beat()
+		}
+	}
+	c.flush()
+	return c.out
+}
+
+func (c *Core) take(e dowel.Env) {
+	if !c.began {
+		return
+	}
+	if e.To.ID != "" && e.To.ID != c.o.Me.ID {
+		return
+	}
+	if l, mine := c.mates.Take(c.now, e); mine {
+		c.post(l...)
+		return
+	}
+	if f := takes[kindOf(e.Body)]; f != nil {
+		f(c, e)
+	}
+}
+
+// Which message goes where: the one table.
+var takes map[string]func(*Core, dowel.Env)
+
+func init() {
+	takes = map[string]func(*Core, dowel.Env){
+		"Prepare": (*Core).onPrepare, "Accept": (*Core).onAccept, "Query": (*Core).onQuery, "Fetch": (*Core).onFetch,
+		"Promise": (*Core).onPromise, "Accepted": (*Core).onAccepted, "State": (*Core).onState, "Value": (*Core).onValue,
+		"Taken": (*Core).onTaken, "Kept": (*Core).onKept,
+		"Renew": (*Core).onRenew, "Heard": (*Core).onHeard, "Want": (*Core).onWant, "Removal": (*Core).onRemoval,
+	}
+}
+
+func kindOf(b any) string {
+	switch b.(type) {
+	case dowel.Prepare:
+		return "Prepare"
+	case dowel.Accept:
+		return "Accept"
+	case dowel.Query:
+		return "Query"
+	case dowel.Fetch:
+		return "Fetch"
+	case dowel.Promise:
+		return "Promise"
+	case dowel.Accepted:
+		return "Accepted"
+	case dowel.State:
+		return "State"
+	case dowel.Value:
+		return "Value"
+	case dowel.Taken:
+		return "Taken"
+	case dowel.Kept:
+		return "Kept"
+	case dowel.Renew:
+		return "Renew"
+	case dowel.Heard:
+		return "Heard"
+	case dowel.Want:
+		return "Want"
+	case dowel.Removal:
+		return "Removal"
+	}
+	return ""
+}
+
+func (c *Core) beat() {
+	c.post(c.mates.Beat(c.now)...)
+	c.beatRegister()
+	c.beatDuty()
+	c.beatLinks()
+	c.beatPlace()
+}
+
+func (c *Core) post(l ...dowel.Env) {
+	for _, e := range l {
+		c.out = append(c.out, e)
+	}
+}
+
+func (c *Core) send(to dowel.Peer, body any) {
+	c.post(dowel.Env{From: c.o.Me, To: to, Body: body})
+}
+
+func (c *Core) reply(e dowel.Env, body any) { c.post(e.Reply(c.o.Me, body)) }
+
+func (c *Core) save(puts map[string][]byte, then func()) {
+	c.token++
+	if c.o.BreakSync {
+		then()
+		then = func() {}
+	}
+	c.saves[c.token] = then
+	c.out = append(c.out, dowel.Save{Token: c.token, Puts: puts})
+}
+
+func (c *Core) ask(addr, path string, body any, wait gauge.Span, then func(dowel.Told)) {
+	c.token++
+	c.asks[c.token] = then
+	c.out = append(c.out, dowel.Ask{Token: c.token, Addr: addr, Path: path, Body: body, Wait: wait})
+}
+
+func (c *Core) note(s string) { c.out = append(c.out, dowel.Note{Text: s}) }
+
+func (c *Core) oops(s string) { c.out = append(c.out, dowel.Oops{Text: s}) }
+
+func jot(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // only our own plain types come here
+	}
+	return b
+}
+
+func ordered[K ~string, V any](m map[K]V) []K {
+	l := make([]K, 0, len(m))
+	for k := range m {
+		l = append(l, k)
+	}
+	sort.Slice(l, func(i, j int) bool { return l[i] < l[j] })
+	return l
+}
+
+// Counts gives the tally so far.
+func (c *Core) Counts() Tally { return c.tally }
+
+// Owns tells whether this node owns the duty now, and its number.
+func (c *Core) Owns() (gauge.Duty, bool) {
+	return c.duty.num, c.duty.mine && c.now <= c.duty.until(c)
+}
+
+// Epoch tells the newest epoch this node knows to be taken.
+func (c *Core) Epoch() gauge.Epoch {
+	if c.reg.known == nil {
+		return 0
+	}
+	return c.reg.known.Epoch
+}
+
+// Ready tells whether this node can serve operators: it knows a voter set and hears a majority.
+func (c *Core) Ready() bool {
+	return c.reg.known != nil && c.reg.heard != 0 && c.now.Sub(c.reg.heard) < 3*c.o.Round+c.o.Duty
+}
--- /dev/null
+++ b/anvil/duty.go
@@ -0,0 +1,104 @@
+package anvil
+
+import (
+	"fmt"
+	"sort"
+
+	"tidedeck/dowel"
+	"tidedeck/gauge"
+)
+
+// reign is this node's view of the duty.
+type reign struct {
+	mine  bool
+	num   gauge.Duty
+	asked gauge.Tick // when the last round that renewed it, and showed nothing newer, began
+	began gauge.Tick
+	top   gauge.Duty // highest number seen
+	who   dowel.Peer // who owns it as far as this node knows
+	free  bool       // the last majority read showed no owner
+}
+
+func (r *reign) until(c *Core) gauge.Tick { return r.asked.Add(c.o.Duty) }
+
+// claims tells whether the next round should ask for the duty: its owner renews it, and
+// with no owner the first live node in the order of the voter set takes it.
+func (c *Core) claims(cfg dowel.Desired) (bool, gauge.Duty) {
+	d := &c.duty
+	if d.mine {
+		return true, d.num
+	}
+	if !seat(cfg.Voters, c.o.Me.ID, c.vote.inc) || !d.free && !c.o.BreakDuty {
+		return false, 0
+	}
+	l := append([]dowel.Voter{}, cfg.Voters...)
+	sort.Slice(l, func(i, j int) bool { return l[i].ID < l[j].ID })
+	for _, v := range l {
+		if v.ID == c.o.Me.ID {
+			break
+		}
+		s, ok := c.reg.lives[v.ID]
+		if ok && s.state.Inc == v.Inc && c.now.Sub(s.at) < 3*c.o.Round {
+			return false, 0
+		}
+	}
+	return true, d.top + 1
+}
+
+// saw draws what a round showed of the duty.
+func (c *Core) saw(q *query) {
+	d := &c.duty
+	d.top = max(d.top, q.dutyN)
+	if d.mine && d.top > d.num {
+		c.lose("a higher duty is known")
+	}
+	if !q.read {
+		return
+	}
+	d.free = q.owner.ID == ""
+	if !d.mine {
+		d.who = q.owner
+	}
+}
+
+// won begins a reign or carries it on.
+func (c *Core) won(q *query) {
+	d := &c.duty
+	if d.mine {
+		if q.num == d.num {
+			d.asked = max(d.asked, q.at)
+		}
+		return
+	}
+	if q.num < d.top || c.now.Sub(q.at) > c.o.Duty/2 {
+		return
+	}
+	*d = reign{mine: true, num: q.num, asked: q.at, began: c.now, top: q.num, who: c.o.Me}
+	c.tally.Reigns++
+	c.note(fmt.Sprintf("duty %d begins", d.num))
+	c.clear()
+}
+
+func (c *Core) lose(why string) {
+	c.oops(fmt.Sprintf("duty %d ends: %s", c.duty.num, why))
+	c.duty.mine, c.duty.who, c.duty.free = false, dowel.Peer{}, false
+	c.clear()
+}
+
+// clear forgets all that belongs to one reign.
+func (c *Core) clear() {
+	c.links, c.tombs, c.wants = map[dowel.Session]*link{}, map[dowel.Session]gauge.Tick{}, nil
+	c.servers, c.entries = map[gauge.Server]*server{}, map[gauge.Key]*entry{}
+	c.demand = map[gauge.Key]*need{}
+	c.listing, c.listed = false, 0
+	c.planned()
+}
+
+func (c *Core) beatDuty() {
+	if c.duty.mine && c.now > c.duty.until(c) {
+		c.lose("its hold ran out")
+	}
+}
+
+// rules tells whether this node may grant and order right now.
+func (c *Core) rules() bool { return c.duty.mine && c.now <= c.duty.until(c) }
--- /dev/null
+++ b/anvil/links.go
@@ -0,0 +1,330 @@
+package anvil
+
+import (
+	"sort"
+
+	"tidedeck/dowel"
+	"tidedeck/gauge"
+)
+
+// link is the owner's side of one router link: what was sent in order, what the router
+// acknowledged, and for which entries it holds a callback.
+type link struct {
+	ses    dowel.Session
+	way    dowel.Env // the last message heard, by which answers go back
+	items  []dowel.Item
+	num    uint64
+	heard  uint64
+	sent   uint64
+	sentAt gauge.Tick
+	until  gauge.Tick // on this node's clock; the router's own ends earlier
+	due    uint64     // a renewal that waits for acknowledgements
+	last   gauge.Tick
+	holds  map[gauge.Key]uint64
+	order  []gauge.Key // oldest first, for shedding
+	burden map[gauge.Key]dowel.Burden
+	full   bool
+}
+
+func (c *Core) linkOf(e dowel.Env, s dowel.Session) *link {
+	if !c.rules() {
+		hint := c.duty.who
+		if hint.ID == c.o.Me.ID {
+			hint = dowel.Peer{}
+		}
+		c.reply(e, dowel.NotOwner{Session: s, Hint: hint, Cores: c.cores()})
+		return nil
+	}
+	l := c.links[s]
+	if l == nil {
+		c.reply(e, dowel.NotOwner{Session: s, Gone: true, Cores: c.cores()})
+		return nil
+	}
+	l.way, l.last = e, c.now
+	return l
+}
+
+func (c *Core) cores() []dowel.Peer {
+	if k := c.config(); k != nil {
+		return electors(*k)
+	}
+	return c.o.Seeds
+}
+
+func (c *Core) onRenew(e dowel.Env) {
+	b := e.Body.(dowel.Renew)
+	if c.rules() && c.links[b.Session] == nil && b.Fresh && c.tombs[b.Session] == 0 && c.reg.known != nil {
+		// Until its first grant a link counts as held, as any new one may be.
+		l := &link{ses: b.Session, until: c.now.Add(c.pad(c.o.Hold)), holds: map[gauge.Key]uint64{}}
+		c.links[b.Session] = l
+		if b.Epoch != c.reg.known.Epoch || b.Epoch == 0 {
+			d := *c.reg.known
+			l.add(dowel.Item{Desired: &d})
+		}
+	}
+	l := c.linkOf(e, b.Session)
+	if l == nil {
+		return
+	}
+	l.burden = b.Burden
+	for _, k := range ordered(b.Burden) {
+		if u := b.Burden[k]; u.Wait > 0 || u.Came > 0 {
+			c.wanted(k, u.Wait, u.Top)
+		}
+	}
+	c.ack(l, b.Heard)
+	l.due = max(l.due, b.Seq)
+	c.grant(l)
+}
+
+// grant extends a link's hold, unless a broken promise or a plan is still unacknowledged:
+// then the hold runs out rather than live on beside them.
+func (c *Core) grant(l *link) {
+	if l.due == 0 || !c.rules() {
+		return
+	}
+	if !c.o.BreakNews && (l.full || l.owes()) {
+		c.tally.Withheld++
+		return
+	}
+	old := c.now.Sub(c.duty.asked)
+	if c.o.BreakFence {
+		old = 0
+	}
+	n := c.o.Hold - old
+	if n <= 0 {
+		return
+	}
+	l.until = max(l.until, c.now.Add(c.pad(n)))
+	c.tally.Grants++
+	c.reply(l.way, dowel.Grant{Session: l.ses, Seq: l.due, Len: n, Duty: c.duty.num, Routers: len(c.links), Owner: c.o.Me})
+	l.due = 0
+}
+
+func (l *link) owes() bool {
+	for _, i := range l.items {
+		if i.Entry == nil {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *link) add(i dowel.Item) uint64 {
+	l.num++
+	i.Num = l.num
+	l.items = append(l.items, i)
+	return l.num
+}
+
+func (c *Core) ack(l *link, num uint64) {
+	if num <= l.heard {
+		return
+	}
+	l.heard = min(num, l.num)
+	n := 0
+	for n < len(l.items) && l.items[n].Num <= l.heard {
+		if l.items[n].Break != "" {
+			c.tally.Acks++
+		}
+		n++
+	}
+	l.items = l.items[n:]
+}
+
+func (c *Core) onHeard(e dowel.Env) {
+	b := e.Body.(dowel.Heard)
+	if l := c.linkOf(e, b.Session); l != nil {
+		c.ack(l, b.Num)
+		c.grant(l)
+	}
+}
+
+// onWant places a callback and sends the entry, or only says that the router's copy is right.
+func (c *Core) onWant(e dowel.Env) {
+	b := e.Body.(dowel.Want)
+	l := c.linkOf(e, b.Session)
+	if l == nil {
+		return
+	}
+	c.wanted(b.Key, b.Waiting, b.Value)
+	if !c.settled() {
+		if len(c.wants) < 10_000 {
+			c.wants = append(c.wants, e)
+		}
+		return
+	}
+	c.tally.Wants++
+	if l.holds[b.Key] > l.heard || l.full {
+		return // its entry is on the way, or the link is left to run out
+	}
+	x := c.entryOf(b.Key)
+	i := dowel.Entry{Key: b.Key, Mark: x.mark}
+	if b.Mark == x.mark && len(x.replicas) > 0 {
+		i.Same = true
+		c.tally.Sames++
+	} else {
+		for _, r := range x.replicas {
+			p := r.rep
+			p.Warm = c.now.Sub(r.spot.ready)
+			i.Replicas = append(i.Replicas, p)
+		}
+	}
+	if _, ok := l.holds[b.Key]; !ok {
+		l.order = append(l.order, b.Key)
+	}
+	l.holds[b.Key] = l.add(dowel.Item{Entry: &i})
+	// Under pressure the oldest callbacks are broken and their state reclaimed (§3.1).
+	for len(l.holds) > c.o.Most {
+		k := l.order[0]
+		l.order = l.order[1:]
+		if _, ok := l.holds[k]; ok {
+			c.tally.Sheds++
+			c.breakOn(l, k)
+		}
+	}
+}
+
+func (c *Core) onRemoval(e dowel.Env) {
+	b := e.Body.(dowel.Removal)
+	l := c.linkOf(e, b.Session)
+	if l == nil {
+		return
+	}
+	for _, d := range b.Drops {
+		// A removal that a newer delivery has overtaken is about an older copy.
+		if n, ok := l.holds[d.Key]; ok && n == d.Num {
+			l.forget(d.Key)
+			c.tally.Removals++
+		}
+	}
+}
+
+func (l *link) forget(k gauge.Key) {
+	delete(l.holds, k)
+	for i, o := range l.order {
+		if o == k {
+			l.order = append(l.order[:i:i], l.order[i+1:]...)
+			return
+		}
+	}
+}
+
+func (c *Core) breakOn(l *link, k gauge.Key) {
+	l.forget(k)
+	l.add(dowel.Item{Break: k})
+	c.tally.Breaks++
+	if len(l.items) > c.o.Pending {
+		l.full = true
+	}
+}
+
+// breakAll breaks a key's callbacks at every holder.
+func (c *Core) breakAll(k gauge.Key) {
+	for _, l := range c.sorted() {
+		if _, ok := l.holds[k]; ok {
+			c.breakOn(l, k)
+		}
+	}
+}
+
+// promised lists the links that may still route by an older entry of a key, and the change
+// that each must acknowledge before it surely does not.
+func (c *Core) promised(k gauge.Key) map[dowel.Session]uint64 {
+	w := map[dowel.Session]uint64{}
+	for s, l := range c.links {
+		for _, i := range l.items {
+			if i.Break == k || i.Entry != nil && i.Entry.Key == k {
+				w[s] = max(w[s], i.Num)
+			}
+		}
+	}
+	return w
+}
+
+// dropped tells whether every link has acknowledged, or lapsed and is gone.
+func (c *Core) dropped(w map[dowel.Session]uint64) bool {
+	for s, n := range w {
+		if l := c.links[s]; l != nil && l.heard < n {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Core) sorted() []*link {
+	l := make([]*link, 0, len(c.links))
+	for _, x := range c.links {
+		l = append(l, x)
+	}
+	sort.Slice(l, func(i, j int) bool {
+		a, b := l[i].ses, l[j].ses
+		if a.Node != b.Node {
+			return a.Node < b.Node
+		}
+		if a.Awl != b.Awl {
+			return a.Awl < b.Awl
+		}
+		return a.N < b.N
+	})
+	return l
+}
+
+// pushAll sends the desired state down every link.
+func (c *Core) pushAll() {
+	for _, l := range c.sorted() {
+		d := *c.reg.known
+		l.add(dowel.Item{Desired: &d})
+	}
+}
+
+func (c *Core) beatLinks() {
+	if !c.rules() {
+		return
+	}
+	for _, l := range c.sorted() {
+		if c.now > l.until {
+			if len(l.items) > 0 {
+				c.tally.Lapses++
+			}
+			delete(c.links, l.ses)
+			c.tombs[l.ses] = c.now
+			continue
+		}
+		if len(l.items) > 0 && c.now.Sub(l.sentAt) > 200e6 {
+			l.sent = l.heard // unacknowledged changes go out again
+		}
+	}
+	for s, t := range c.tombs {
+		if c.now.Sub(t) > 60e9 {
+			delete(c.tombs, s)
+		}
+	}
+	if c.settled() && len(c.wants) > 0 {
+		l := c.wants
+		c.wants = nil
+		for _, e := range l {
+			c.onWant(e)
+		}
+	}
+}
+
+// flush sends what each link has not been sent yet.
+func (c *Core) flush() {
+	if !c.rules() {
+		return
+	}
+	for _, l := range c.sorted() {
+		if l.sent >= l.num || len(l.items) == 0 {
+			continue
+		}
+		n := dowel.News{Session: l.ses, Duty: c.duty.num}
+		for _, i := range l.items {
+			if i.Num > l.sent && len(n.Items) < 128 {
+				n.Items = append(n.Items, i)
+			}
+		}
+		l.sent, l.sentAt = n.Items[len(n.Items)-1].Num, c.now
+		c.reply(l.way, n)
+	}
+}
--- /dev/null
+++ b/anvil/place.go
@@ -0,0 +1,695 @@
+package anvil
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"sort"
+
+	"github.com/qmuntal/stateless"
+
+	"tidedeck/chisel"
+	"tidedeck/dowel"
+	"tidedeck/gauge"
+)
+
+// Stages of a spot, which is one key on one server.
+const (
+	Ordered   = "ordered"   // a load was sent or is about to be
+	Ready     = "ready"     // loaded, and offered to routers
+	Breaking  = "breaking"  // promises on it are being broken
+	Draining  = "draining"  // every promise is gone; work under way ends
+	Unloading = "unloading" // an unload was sent
+	Gone      = "gone"
+)
+
+// What moves a spot.
+const (
+	SeeLoading = "see loading"
+	SeeReady   = "see ready"
+	SeeNone    = "see none"
+	Evict      = "evict"
+	Dropped    = "dropped"
+	Idle       = "idle"
+)
+
+type spot struct {
+	key   gauge.Key
+	size  int
+	stage string
+	num   uint64     // of the order last sent for it
+	ready gauge.Tick // since when it is ready
+	busy  gauge.Tick // when it last had work
+	work  int
+	since gauge.Tick
+	waits map[dowel.Session]uint64
+}
+
+type tag struct{}
+
+// The life of a spot. What a report shows counts only once it answers the last order.
+var spots = func() *stateless.StateMachine {
+	s := stateless.NewStateMachineWithExternalStorage(
+		func(c context.Context) (stateless.State, error) { return c.Value(tag{}).(*spot).stage, nil },
+		func(c context.Context, s stateless.State) error {
+			c.Value(tag{}).(*spot).stage = s.(string)
+			return nil
+		}, stateless.FiringImmediate)
+	s.Configure(Ordered).Permit(SeeReady, Ready).Permit(SeeNone, Gone).Ignore(SeeLoading)
+	s.Configure(Ready).Permit(SeeNone, Gone).Permit(SeeLoading, Ordered).Permit(Evict, Breaking).Ignore(SeeReady)
+	s.Configure(Breaking).Permit(SeeNone, Gone).Permit(Dropped, Draining).Ignore(SeeReady)
+	s.Configure(Draining).Permit(SeeNone, Gone).Permit(Idle, Unloading).Ignore(SeeReady)
+	s.Configure(Unloading).Permit(SeeNone, Gone).Permit(SeeReady, Draining)
+	s.OnUnhandledTrigger(func(context.Context, stateless.State, stateless.Trigger, []string) error { return nil })
+	return s
+}()
+
+func (s *spot) fire(what string, now gauge.Tick) bool {
+	was := s.stage
+	_ = spots.FireCtx(context.WithValue(context.Background(), tag{}, s), what)
+	if s.stage != was {
+		s.since = now
+		if s.stage == Ready {
+			s.ready = now
+		}
+	}
+	return s.stage != was
+}
+
+// server is the owner's view of one model server.
+type server struct {
+	dowel.Listed
+	inc    gauge.Inc
+	room   int
+	slots  int
+	spots  map[gauge.Key]*spot
+	num    uint64
+	asking bool
+	next   gauge.Tick
+	fails  int
+	dark   bool
+	known  bool       // it has reported in this reign
+	ok     gauge.Tick // when the last report that came was asked for
+	first  gauge.Tick
+	orders []dowel.Order
+}
+
+func (s *server) used() int {
+	n := 0
+	for _, p := range s.spots {
+		n += p.size
+	}
+	return n
+}
+
+func (s *server) loading() int {
+	n := 0
+	for _, p := range s.spots {
+		if p.stage == Ordered {
+			n++
+		}
+	}
+	return n
+}
+
+// entry is what the routers are told of a key.
+type entry struct {
+	mark     gauge.Mark
+	replicas []replica
+}
+
+type replica struct {
+	rep  dowel.Replica
+	spot *spot
+}
+
+// need is what is asked of a key.
+type need struct {
+	at    gauge.Tick
+	wait  int
+	value int
+}
+
+func (c *Core) wanted(k gauge.Key, wait, value int) {
+	if c.plan == nil {
+		return
+	}
+	if _, ok := c.plan.Models[k]; !ok {
+		return
+	}
+	n := c.demand[k]
+	if n == nil {
+		n = &need{}
+		c.demand[k] = n
+	}
+	n.at, n.wait, n.value = c.now, wait, value
+}
+
+// planned takes the newest desired state into force at this node.
+func (c *Core) planned() {
+	c.plan, c.empty = nil, map[gauge.Zone]bool{}
+	k := c.reg.known
+	if k == nil {
+		return
+	}
+	for _, z := range k.Empty {
+		c.empty[z] = true
+	}
+	if len(k.Plan) > 0 {
+		c.plan, _ = chisel.ReadPlan(k.Plan)
+	}
+	if c.duty.mine {
+		c.touchAll()
+	}
+}
+
+// settled tells whether the owner knows enough of the servers to answer for them.
+func (c *Core) settled() bool {
+	if !c.rules() || c.listed == 0 {
+		return false
+	}
+	if c.now.Sub(c.duty.began) > c.o.Wait+c.o.Poll {
+		return true
+	}
+	for _, s := range c.servers {
+		if !s.known && s.State == "live" {
+			return false
+		}
+	}
+	return true
+}
+
+// open tells whether a server may be offered new work.
+func (c *Core) open(s *server) bool {
+	return s.State == "live" && !s.dark && s.known && !c.empty[s.Zone] && !c.closed(s.Zone, s.ID)
+}
+
+func (c *Core) entryOf(k gauge.Key) *entry {
+	if e := c.entries[k]; e != nil {
+		return e
+	}
+	e := &entry{}
+	c.entries[k] = e
+	c.fill(k, e)
+	return e
+}
+
+func (c *Core) fill(k gauge.Key, e *entry) {
+	e.replicas = nil
+	h := fnv.New64a()
+	for _, id := range ordered(c.servers) {
+		s := c.servers[id]
+		p := s.spots[k]
+		if p == nil || p.stage != Ready || !c.open(s) {
+			continue
+		}
+		r := dowel.Replica{Server: s.ID, Addr: s.Addr, Zone: s.Zone, Inc: s.inc, Slots: s.slots}
+		e.replicas = append(e.replicas, replica{r, p})
+		fmt.Fprintf(h, "%s|%s|%d|%d;", r.Server, r.Addr, r.Inc, r.Slots)
+	}
+	e.mark = gauge.Mark(h.Sum64())
+}
+
+// touch makes a key's entry anew and, if it changed, breaks every callback on it at once.
+func (c *Core) touch(k gauge.Key) {
+	e := c.entries[k]
+	if e == nil {
+		return
+	}
+	was := e.mark
+	c.fill(k, e)
+	if e.mark != was {
+		c.breakAll(k)
+	}
+}
+
+func (c *Core) touchAll() {
+	for _, k := range ordered(c.entries) {
+		c.touch(k)
+	}
+}
+
+func (c *Core) touchOn(s *server) {
+	for _, k := range ordered(s.spots) {
+		c.touch(k)
+	}
+}
+
+func (c *Core) beatPlace() {
+	if !c.rules() {
+		return
+	}
+	c.watchWindows()
+	c.beatList()
+	for _, id := range ordered(c.servers) {
+		c.beatServer(c.servers[id])
+	}
+	if c.plan != nil && c.settled() {
+		c.choose()
+	}
+	for k, n := range c.demand {
+		if c.now.Sub(n.at) > 30e9 {
+			delete(c.demand, k)
+		}
+	}
+}
+
+func (c *Core) beatList() {
+	if c.listing || c.o.Platform == "" || c.listed != 0 && c.now.Sub(c.listed) < 300e6 {
+		return
+	}
+	c.listing = true
+	num := c.duty.num
+	c.ask(c.o.Platform, "/servers", nil, 1e9, func(t dowel.Told) {
+		if !c.duty.mine || c.duty.num != num {
+			return
+		}
+		c.listing = false
+		var l []dowel.Listed
+		if !t.OK || t.Code != 200 || json.Unmarshal(t.Body, &l) != nil {
+			if c.listed != 0 {
+				c.listed = c.now // the last list stands while the platform is silent
+			}
+			return
+		}
+		c.listed = c.now
+		c.onList(l)
+	})
+}
+
+func (c *Core) onList(l []dowel.Listed) {
+	seen := map[gauge.Server]bool{}
+	for _, x := range l {
+		seen[x.ID] = true
+		s := c.servers[x.ID]
+		if s == nil {
+			c.servers[x.ID] = &server{Listed: x, spots: map[gauge.Key]*spot{}, first: c.now}
+			continue
+		}
+		if s.Listed != x {
+			if s.Addr != x.Addr {
+				s.known = false
+			}
+			s.Listed = x
+			c.touchOn(s)
+		}
+	}
+	for _, id := range ordered(c.servers) {
+		if s := c.servers[id]; !seen[id] && s.State != "gone" {
+			s.State = "gone"
+			c.touchOn(s)
+		}
+	}
+}
+
+// beatServer keeps one question under way at a time: an order, or only for the report.
+func (c *Core) beatServer(s *server) {
+	for _, k := range ordered(s.spots) {
+		c.beatSpot(s, s.spots[k])
+	}
+	if s.State == "gone" && s.fails > 0 {
+		for _, k := range ordered(s.spots) {
+			s.spots[k].fire(SeeNone, c.now)
+			delete(s.spots, k)
+			c.touch(k)
+		}
+		if c.now.Sub(s.ok) > 10e9 {
+			delete(c.servers, s.ID)
+		}
+		return
+	}
+	if s.asking || len(s.orders) == 0 && c.now < s.next {
+		return
+	}
+	s.num++
+	q := dowel.Order{Duty: c.duty.num, Num: s.num, Inc: s.inc}
+	if len(s.orders) > 0 && s.known && !s.dark {
+		o := s.orders[0]
+		s.orders = s.orders[1:]
+		q.Op, q.Key, q.Size = o.Op, o.Key, o.Size
+		if p := s.spots[o.Key]; p != nil {
+			p.num = s.num
+		}
+		switch o.Op {
+		case "load":
+			c.tally.Loads++
+		case "unload":
+			c.tally.Unloads++
+		}
+	}
+	if q.Op == "" {
+		q.Inc = 0
+	}
+	s.asking = true
+	at, num := c.now, c.duty.num
+	c.ask(s.Addr, "/orders", q, c.o.Wait, func(t dowel.Told) {
+		if !c.duty.mine || c.duty.num != num || c.servers[s.ID] != s {
+			return
+		}
+		s.asking = false
+		s.next = c.now.Add(c.o.Poll)
+		var r dowel.Report
+		if !t.OK || json.Unmarshal(t.Body, &r) != nil || r.Server != s.ID {
+			s.fails++
+			// A question cut short at once is asked once more; one that waited in vain is not.
+			if c.now.Sub(at) >= c.o.Wait || s.fails > 1 {
+				if !s.dark && s.known {
+					s.dark = true
+					c.note(fmt.Sprintf("server %s is dark", s.ID))
+					c.touchOn(s)
+				}
+			} else {
+				s.next = c.now
+			}
+			return
+		}
+		c.onReport(s, r, at)
+	})
+}
+
+func (c *Core) onReport(s *server, r dowel.Report, at gauge.Tick) {
+	if r.Drop == gauge.Stale {
+		c.tally.Fences++
+		if r.Duty > c.duty.num {
+			c.duty.top = max(c.duty.top, r.Duty)
+			c.lose("a server obeys a higher duty")
+			return
+		}
+		s.num = max(s.num, r.Num)
+		return
+	}
+	s.fails, s.ok = 0, at
+	changed := s.dark || !s.known
+	s.dark, s.known = false, true
+	if r.Inc != s.inc || r.Room != s.room || r.Slots != s.slots {
+		if r.Inc != s.inc {
+			for _, k := range ordered(s.spots) {
+				s.spots[k].fire(SeeNone, c.now)
+				delete(s.spots, k)
+				c.touch(k)
+			}
+			s.orders = nil
+		}
+		s.inc, s.room, s.slots = r.Inc, r.Room, r.Slots
+		changed = true
+	}
+	held := map[gauge.Key]dowel.Held{}
+	for _, h := range r.Held {
+		held[h.Key] = h
+		p := s.spots[h.Key]
+		if p == nil {
+			p = &spot{key: h.Key, size: h.Size, stage: Ordered, since: c.now}
+			s.spots[h.Key] = p
+		}
+		if p.num > r.Num {
+			continue
+		}
+		p.size, p.work = h.Size, h.Active
+		if h.Active > 0 {
+			p.busy = c.now
+		}
+		was := p.stage
+		if h.Stage == "ready" {
+			if p.fire(SeeReady, c.now) {
+				if was == Ordered {
+					p.ready = c.now - gauge.Tick(h.AgeMs)*1e6
+				}
+				c.touch(h.Key)
+			}
+		} else if p.fire(SeeLoading, c.now) {
+			c.touch(h.Key)
+		}
+	}
+	for _, k := range ordered(s.spots) {
+		p := s.spots[k]
+		if _, ok := held[k]; ok || p.num > r.Num || p.stage == Ordered && p.num == 0 {
+			continue // not there yet because its order has not been sent
+		}
+		p.fire(SeeNone, c.now)
+		delete(s.spots, k)
+		c.touch(k)
+	}
+	if changed {
+		c.touchOn(s)
+	}
+}
+
+// evict begins to take a key off a server: first every router drops its promise.
+func (c *Core) evict(s *server, p *spot) {
+	if !p.fire(Evict, c.now) {
+		return
+	}
+	c.touch(p.key)
+	p.waits = c.promised(p.key)
+}
+
+func (c *Core) beatSpot(s *server, p *spot) {
+	quiet := c.now > c.duty.began.Add(c.pad(c.o.Hold)) || c.o.BreakQuiet
+	switch p.stage {
+	case Breaking:
+		// Promises that the owner before gave are unknown here: they must have run out first.
+		if quiet && c.dropped(p.waits) || c.o.BreakWait {
+			p.fire(Dropped, c.now)
+		}
+	case Draining:
+		// Only a report asked for after the last promise was gone shows that no work is left.
+		if s.ok > p.since && p.work == 0 && !c.adapted(s, p) || c.o.BreakDrain {
+			p.fire(Idle, c.now)
+			s.orders = append(s.orders, dowel.Order{Op: "unload", Key: p.key})
+			p.num = s.num + 1
+			c.tally.Drained++
+		}
+	}
+}
+
+// adapted tells whether a base still carries adapters that must go first.
+func (c *Core) adapted(s *server, p *spot) bool {
+	for k := range s.spots {
+		if k != p.key && k.Base() == p.key {
+			return true
+		}
+	}
+	return false
+}
+
+// wish is a key that wants one more replica.
+type wish struct {
+	m     chisel.Model
+	live  int
+	bare  bool
+	value int
+}
+
+// choose places what is wished for, the most urgent first, within room and the store's budget.
+func (c *Core) choose() {
+	budget := c.plan.Loads
+	for _, s := range c.servers {
+		budget -= s.loading()
+		if !s.known && s.State == "live" && c.now.Sub(s.first) < 10e9 {
+			budget-- // what it may be loading is not known yet
+		}
+	}
+	for _, id := range ordered(c.servers) {
+		s := c.servers[id]
+		for _, k := range ordered(s.spots) {
+			if _, ok := c.plan.Models[k]; !ok && s.spots[k].stage == Ready && s.known && !s.dark {
+				c.evict(s, s.spots[k])
+			}
+		}
+	}
+	for _, w := range c.wishes() {
+		if budget <= 0 && !c.o.BreakStore {
+			return
+		}
+		if c.place(w) {
+			budget--
+		}
+	}
+}
+
+func (c *Core) live(k gauge.Key) (n int, slots int, zones map[gauge.Zone]bool) {
+	zones = map[gauge.Zone]bool{}
+	for _, s := range c.servers {
+		if p := s.spots[k]; p != nil && (p.stage == Ordered || p.stage == Ready) && c.open(s) {
+			n++
+			slots += s.slots
+			zones[s.Zone] = true
+		}
+	}
+	return n, slots, zones
+}
+
+// wants tells how many replicas a key should have.
+func (c *Core) wantsOf(m chisel.Model) (need, live, value int) {
+	live, slots, _ := c.live(m.Key)
+	need = m.Floor
+	d := c.demand[m.Key]
+	if d != nil && c.now.Sub(d.at) < 3e9 {
+		value = d.value
+		need = max(need, 1)
+		b := 0
+		for _, l := range c.links {
+			u := l.burden[m.Key]
+			b += u.Wait + u.Work
+		}
+		if live > 0 && 4*b > 3*slots {
+			need = max(need, live+1)
+		}
+	}
+	return min(need, m.Most), live, value
+}
+
+func (c *Core) wishes() []wish {
+	var l []wish
+	for _, k := range ordered(c.plan.Models) {
+		m := c.plan.Models[k]
+		need, live, value := c.wantsOf(m)
+		if live < need {
+			l = append(l, wish{m, live, live == 0, value})
+		}
+	}
+	sort.SliceStable(l, func(i, j int) bool {
+		a, b := l[i], l[j]
+		if a.bare != b.bare {
+			return a.bare
+		}
+		if a.value != b.value {
+			return a.value > b.value
+		}
+		return !a.m.Key.IsAdapter() && b.m.Key.IsAdapter()
+	})
+	return l
+}
+
+// place orders one load for a wish, or makes room for it; it tells whether a load was ordered.
+func (c *Core) place(w wish) bool {
+	k := w.m.Key
+	if k.IsAdapter() {
+		if n, _, _ := c.live(k.Base()); n == 0 {
+			base := c.plan.Models[k.Base()]
+			return c.place(wish{m: base, bare: true, value: w.value})
+		}
+	}
+	_, _, zones := c.live(k)
+	var best *server
+	score := 0
+	for _, id := range ordered(c.servers) {
+		s := c.servers[id]
+		if !c.mayHold(s, k) || s.loading() > 0 && !c.o.BreakStore {
+			continue
+		}
+		free := s.room - s.used()
+		if free < w.m.Size && !c.o.BreakRoom {
+			continue
+		}
+		n := free + 1
+		if !zones[s.Zone] {
+			n += 1_000_000
+		}
+		if best == nil || n > score {
+			best, score = s, n
+		}
+	}
+	if best == nil {
+		c.clearRoom(w)
+		return false
+	}
+	best.spots[k] = &spot{key: k, size: w.m.Size, stage: Ordered, since: c.now}
+	best.orders = append(best.orders, dowel.Order{Op: "load", Key: k, Size: w.m.Size})
+	return true
+}
+
+func (c *Core) mayHold(s *server, k gauge.Key) bool {
+	if !c.open(s) || s.spots[k] != nil {
+		return false
+	}
+	if k.IsAdapter() {
+		b := s.spots[k.Base()]
+		return b != nil && b.stage == Ready
+	}
+	return true
+}
+
+// clearRoom evicts what is least missed on the server where that suffices with least.
+func (c *Core) clearRoom(w wish) {
+	if !w.bare {
+		return // a further replica is not worth another key's only one
+	}
+	var best []*spot
+	var on *server
+	for _, id := range ordered(c.servers) {
+		s := c.servers[id]
+		if !c.mayHold(s, w.m.Key) {
+			continue
+		}
+		free := s.room - s.used()
+		for _, p := range s.spots {
+			if p.stage == Breaking || p.stage == Draining || p.stage == Unloading {
+				free += p.size
+			}
+		}
+		if free >= w.m.Size {
+			return // room is on its way here already
+		}
+		l := c.idle(s, w)
+		n := 0
+		for n < len(l) && free < w.m.Size {
+			free += l[n].size
+			n++
+		}
+		if free >= w.m.Size && (on == nil || n < len(best)) {
+			best, on = l[:n], s
+		}
+	}
+	for _, p := range best {
+		c.evict(on, p)
+	}
+}
+
+// idle lists what may be evicted from a server, least missed first: adapters before bases.
+func (c *Core) idle(s *server, w wish) []*spot {
+	var l []*spot
+	free := map[gauge.Key]bool{}
+	may := func(p *spot) bool {
+		m := c.plan.Models[p.key]
+		need, live, value := c.wantsOf(m)
+		if p.key == w.m.Key.Base() || p.stage != Ready || c.now.Sub(p.ready) < c.o.Rest || p.work > 0 || c.now.Sub(p.busy) < c.o.Lull {
+			return false
+		}
+		if live > need {
+			return true
+		}
+		// Even a key that is asked for gives way to one that is worth more and has no replica.
+		return live > m.Floor && value < w.value
+	}
+	keys := ordered(s.spots)
+	for _, k := range keys {
+		if p := s.spots[k]; k.IsAdapter() && may(p) {
+			free[k] = true
+			l = append(l, p)
+		}
+	}
+	for _, k := range keys {
+		p := s.spots[k]
+		if k.IsAdapter() || !may(p) {
+			continue
+		}
+		bare := true
+		for _, a := range keys {
+			if a.IsAdapter() && a.Base() == k && !free[a] {
+				bare = false
+			}
+		}
+		if bare {
+			l = append(l, p)
+		}
+	}
+	sort.SliceStable(l, func(i, j int) bool {
+		if l[i].key.IsAdapter() != l[j].key.IsAdapter() {
+			return l[i].key.IsAdapter()
+		}
+		return l[i].busy < l[j].busy
+	})
+	return l
+}
--- /dev/null
+++ b/anvil/register.go
@@ -0,0 +1,773 @@
+package anvil
+
+import (
+	"bytes"
+	"encoding/json"
+	"sort"
+
+	"tidedeck/dowel"
+	"tidedeck/gauge"
+)
+
+// vote is the acceptor's part. What it says of accepted values is always durable already.
+type vote struct {
+	inc      gauge.Inc
+	promised dowel.Ballot
+	accepted dowel.Ballot
+	value    *dowel.Desired
+	// what the disk surely has
+	safeB dowel.Ballot
+	safeV *dowel.Desired
+
+	started gauge.Tick // from when other owners' holds may still run unseen
+	duty    gauge.Duty
+	owner   dowel.Peer
+	until   gauge.Tick
+}
+
+// register is the proposer's and reader's part.
+type register struct {
+	known   *dowel.Desired // newest value known to be chosen
+	at      dowel.Ballot
+	hint    *dowel.Desired // a voter set to try, from a value perhaps not chosen
+	round   uint64
+	top     uint64 // highest ballot number seen anywhere
+	op      *op
+	queue   []*op
+	query   *query
+	next    gauge.Tick
+	heard   gauge.Tick // when the last majority read was asked for
+	lives   map[gauge.Node]sight
+	blank   gauge.Tick // since when every seed is seen blank
+	kept    *dowel.Desired
+	force   bool
+	unequal int
+	odd     int
+	shaped  gauge.Tick // when the voter set now known was first known
+	incs    map[gauge.Node]gauge.Inc
+	gone    map[gauge.Node]gauge.Tick
+}
+
+type sight struct {
+	at    gauge.Tick
+	state dowel.State
+	peer  dowel.Peer
+}
+
+// op is one change or full read in its rounds.
+type op struct {
+	apply  func(dowel.Desired) (dowel.Desired, gauge.Kind)
+	done   func(v dowel.Desired, k gauge.Kind)
+	end    gauge.Tick
+	cfg    dowel.Desired
+	ballot dowel.Ballot
+	round  uint64
+	phase  string // wait, prepare, accept
+	sent   gauge.Tick
+	wake   gauge.Tick
+	yes    map[gauge.Node]gauge.Inc
+	best   dowel.Ballot
+	value  *dowel.Desired
+	next   dowel.Desired
+	kind   gauge.Kind
+	risky  bool // an accept was sent whose fate is not settled
+	fails  int
+}
+
+type query struct {
+	round uint64
+	at    gauge.Tick
+	claim bool
+	num   gauge.Duty
+	cfg   dowel.Desired
+	yes   map[gauge.Node]gauge.Inc
+	grant map[gauge.Node]gauge.Inc
+	acc   map[gauge.Node]dowel.Ballot
+	top   dowel.Ballot // highest accepted among the voters heard
+	asked bool         // the value at top is being fetched
+	read  bool         // a majority was heard
+	won   bool
+	dutyN gauge.Duty
+	owner dowel.Peer
+}
+
+func (r *register) init() {
+	r.lives = map[gauge.Node]sight{}
+	r.gone = map[gauge.Node]gauge.Tick{}
+}
+
+const (
+	diskInc = "inc"
+	diskB   = "promised"
+	diskV   = "accepted"
+	diskD   = "duty"
+)
+
+type safe struct {
+	Ballot dowel.Ballot
+	Value  *dowel.Desired
+}
+
+type pledge struct {
+	Duty  gauge.Duty
+	Owner dowel.Peer
+}
+
+func (c *Core) start(s dowel.Start) {
+	c.vote.started = c.now
+	read := func(k string, p any) bool {
+		b, ok := s.Disk[k]
+		if !ok {
+			return false
+		}
+		if err := json.Unmarshal(b, p); err != nil {
+			c.oops("disk: " + k + ": " + err.Error())
+			return false
+		}
+		return true
+	}
+	if read(diskInc, &c.vote.inc) && c.vote.inc != 0 {
+		var v safe
+		var d pledge
+		read(diskB, &c.vote.promised)
+		read(diskV, &v)
+		read(diskD, &d)
+		c.vote.accepted, c.vote.value = v.Ballot, v.Value
+		c.vote.safeB, c.vote.safeV = v.Ballot, v.Value
+		c.vote.duty, c.vote.owner = d.Duty, d.Owner
+		c.reg.hint = v.Value
+		c.reg.top = max(c.vote.promised.N, v.Ballot.N)
+		c.began = true
+		return
+	}
+	// An empty or damaged disk begins a new life, which no voter set names yet.
+	c.vote.inc = c.o.Inc
+	if c.o.BreakVote {
+		c.vote.inc = 1
+	}
+	c.save(map[string][]byte{diskInc: jot(c.vote.inc)}, func() { c.began = true })
+}
+
+// Acceptor.
+
+func (c *Core) onPrepare(e dowel.Env) {
+	b := e.Body.(dowel.Prepare)
+	c.reg.top = max(c.reg.top, b.Ballot.N)
+	if b.Ballot.Less(c.vote.promised) {
+		c.reply(e, dowel.Promise{Round: b.Round, Inc: c.vote.inc, Promised: c.vote.promised})
+		return
+	}
+	c.vote.promised = b.Ballot
+	a, v := c.vote.accepted, c.vote.value
+	c.save(map[string][]byte{diskB: jot(b.Ballot)}, func() {
+		c.reply(e, dowel.Promise{Round: b.Round, OK: true, Inc: c.vote.inc, Promised: b.Ballot, Accepted: a, Value: v})
+	})
+}
+
+func (c *Core) onAccept(e dowel.Env) {
+	b := e.Body.(dowel.Accept)
+	c.reg.top = max(c.reg.top, b.Ballot.N)
+	if b.Ballot.Less(c.vote.promised) {
+		c.reply(e, dowel.Accepted{Round: b.Round, Inc: c.vote.inc, Promised: c.vote.promised})
+		return
+	}
+	v := b.Value
+	// A voter that joins a set does not know what was pledged before it came.
+	if p := c.vote.value; c.inSet(v, c.o.Me.ID, c.vote.inc) && (p == nil || !c.inSet(*p, c.o.Me.ID, c.vote.inc)) {
+		c.vote.started = c.now
+	}
+	c.vote.promised, c.vote.accepted, c.vote.value = b.Ballot, b.Ballot, &v
+	c.save(map[string][]byte{diskB: jot(b.Ballot), diskV: jot(safe{b.Ballot, &v})}, func() {
+		if c.vote.safeB.Less(b.Ballot) {
+			c.vote.safeB, c.vote.safeV = b.Ballot, &v
+		}
+		c.reply(e, dowel.Accepted{Round: b.Round, OK: true, Inc: c.vote.inc, Promised: b.Ballot})
+	})
+}
+
+func alike(a, b []dowel.Voter) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for _, v := range a {
+		if !seat(b, v.ID, v.Inc) {
+			return false
+		}
+	}
+	return true
+}
+
+func seat(l []dowel.Voter, id gauge.Node, inc gauge.Inc) bool {
+	for _, v := range l {
+		if v.ID == id && v.Inc == inc {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) onQuery(e dowel.Env) {
+	b := e.Body.(dowel.Query)
+	s := dowel.State{Round: b.Round, Inc: c.vote.inc, Blank: c.vote.safeV == nil, Accepted: c.vote.safeB}
+	if c.vote.safeV != nil {
+		s.Epoch, s.Shape = c.vote.safeV.Epoch, c.vote.safeV.Shape
+	}
+	long := c.pad(c.o.Duty)
+	held := c.now < c.vote.until
+	if b.Claim {
+		quiet := c.now.Sub(c.vote.started) < long
+		switch {
+		case b.Duty == c.vote.duty && e.From.ID == c.vote.owner.ID:
+			c.vote.until = c.now.Add(long)
+			s.Granted, held = true, true
+		case b.Duty > c.vote.duty && (!held || c.vote.owner.ID == e.From.ID) && !quiet:
+			c.vote.duty, c.vote.owner, c.vote.until = b.Duty, e.From, c.now.Add(long)
+			s.Granted, s.Duty, s.Owner = true, b.Duty, e.From
+			c.save(map[string][]byte{diskD: jot(pledge{b.Duty, e.From})}, func() { c.reply(e, s) })
+			return
+		}
+	}
+	s.Duty = c.vote.duty
+	if held {
+		s.Owner = c.vote.owner
+	}
+	c.reply(e, s)
+}
+
+func (c *Core) pad(s gauge.Span) gauge.Span {
+	return s + gauge.Span(float64(s)*c.o.Drift) + c.o.Margin
+}
+
+func (c *Core) onFetch(e dowel.Env) {
+	c.reply(e, dowel.Value{Round: e.Body.(dowel.Fetch).Round, Inc: c.vote.inc, Accepted: c.vote.safeB, Value: c.vote.safeV})
+}
+
+// Proposer.
+
+// quorum tells whether those who said yes are a majority of the voter set, each in the life
+// that the set names, and of the set before it while that one is still being left.
+func quorum(v dowel.Desired, yes map[gauge.Node]gauge.Inc) bool {
+	most := func(l []dowel.Voter) bool {
+		n := 0
+		for _, w := range l {
+			if inc, ok := yes[w.ID]; ok && inc == w.Inc {
+				n++
+			}
+		}
+		return n > len(l)/2
+	}
+	return len(v.Voters) > 0 && most(v.Voters) && (len(v.Prior) == 0 || most(v.Prior))
+}
+
+func electors(v dowel.Desired) []dowel.Peer {
+	seen := map[gauge.Node]bool{}
+	var l []dowel.Peer
+	for _, w := range append(append([]dowel.Voter{}, v.Voters...), v.Prior...) {
+		if !seen[w.ID] {
+			seen[w.ID] = true
+			l = append(l, w.Peer)
+		}
+	}
+	return l
+}
+
+func (c *Core) config() *dowel.Desired {
+	k, h := c.reg.known, c.reg.hint
+	if k != nil && (h == nil || h.Shape <= k.Shape) {
+		return k
+	}
+	return h
+}
+
+// propose queues a change; done hears of it exactly once.
+func (c *Core) propose(apply func(dowel.Desired) (dowel.Desired, gauge.Kind), done func(dowel.Desired, gauge.Kind)) {
+	if len(c.reg.queue) > 64 {
+		done(dowel.Desired{}, gauge.Full)
+		return
+	}
+	c.reg.queue = append(c.reg.queue, &op{apply: apply, done: done, end: c.now.Add(4e9), phase: "wait"})
+	c.stir()
+}
+
+// read queues a full read: a round that proposes what it finds, and so mends old copies.
+func (c *Core) read(done func(dowel.Desired, gauge.Kind)) {
+	c.tally.Reads++
+	c.propose(func(d dowel.Desired) (dowel.Desired, gauge.Kind) { return d, gauge.None }, done)
+}
+
+func (c *Core) stir() {
+	r := &c.reg
+	if r.op == nil && len(r.queue) > 0 {
+		r.op, r.queue = r.queue[0], r.queue[1:]
+	}
+	o := r.op
+	if o == nil || o.phase != "wait" || c.now < o.wake {
+		return
+	}
+	cfg := c.config()
+	if cfg == nil {
+		return
+	}
+	c.begin(o, *cfg)
+}
+
+func (c *Core) begin(o *op, cfg dowel.Desired) {
+	r := &c.reg
+	r.top++
+	r.round++
+	o.cfg, o.ballot, o.round = cfg, dowel.Ballot{N: r.top, By: c.o.Me.ID}, r.round
+	o.phase, o.sent = "prepare", c.now
+	o.yes, o.best, o.value = map[gauge.Node]gauge.Inc{}, dowel.Ballot{}, nil
+	c.tally.Rounds++
+	for _, p := range electors(cfg) {
+		c.send(p, dowel.Prepare{Round: o.round, Ballot: o.ballot})
+	}
+}
+
+func (c *Core) again(o *op) {
+	o.fails++
+	o.phase = "wait"
+	back := gauge.Span(20e6) << min(o.fails, 4)
+	o.wake = c.now.Add(back/2 + gauge.Span(c.o.Rand.Int64N(int64(back))))
+	c.tally.Conflicts++
+}
+
+func (c *Core) onPromise(e dowel.Env) {
+	b, o := e.Body.(dowel.Promise), c.reg.op
+	c.reg.top = max(c.reg.top, b.Promised.N)
+	if o == nil || o.phase != "prepare" || b.Round != o.round {
+		return
+	}
+	if !b.OK {
+		if o.ballot.Less(b.Promised) {
+			c.again(o)
+		}
+		return
+	}
+	if b.Value != nil && o.best.Less(b.Accepted) {
+		o.best, o.value = b.Accepted, b.Value
+	}
+	o.yes[e.From.ID] = b.Inc
+	if !quorum(o.cfg, o.yes) {
+		return
+	}
+	now := o.cfg // with nothing accepted anywhere, only the forming of a core proposes a first value
+	if o.value != nil {
+		now = *o.value
+		if now.Shape >= o.cfg.Shape && !(alike(now.Voters, o.cfg.Voters) && alike(now.Prior, o.cfg.Prior)) {
+			c.reg.hint = o.value
+			c.begin(o, now)
+			return
+		}
+	}
+	o.next, o.kind = o.apply(now)
+	if o.kind != gauge.None {
+		o.next = now
+	}
+	o.phase, o.sent, o.yes = "accept", c.now, map[gauge.Node]gauge.Inc{}
+	o.risky = true
+	for _, p := range electors(both(o.cfg, o.next)) {
+		c.send(p, dowel.Accept{Round: o.round, Ballot: o.ballot, Value: o.next})
+	}
+}
+
+func both(a, b dowel.Desired) dowel.Desired {
+	a.Prior = append(append(append([]dowel.Voter{}, a.Prior...), b.Voters...), b.Prior...)
+	return a
+}
+
+func (c *Core) onAccepted(e dowel.Env) {
+	b, o := e.Body.(dowel.Accepted), c.reg.op
+	c.reg.top = max(c.reg.top, b.Promised.N)
+	if o == nil || o.phase != "accept" || b.Round != o.round {
+		return
+	}
+	if !b.OK {
+		if o.ballot.Less(b.Promised) {
+			c.again(o)
+		}
+		return
+	}
+	o.yes[e.From.ID] = b.Inc
+	if !quorum(o.cfg, o.yes) || !quorum(o.next, o.yes) {
+		return
+	}
+	c.reg.op = nil
+	c.learn(o.ballot, o.next)
+	o.done(o.next, o.kind)
+	c.stir()
+}
+
+// learn takes in a value that is known to be chosen.
+func (c *Core) learn(b dowel.Ballot, v dowel.Desired) {
+	r := &c.reg
+	if r.known != nil && b.Less(r.at) {
+		return
+	}
+	r.at = b
+	old := r.known
+	r.known = &v
+	if old == nil || old.Shape != v.Shape {
+		r.shaped = c.now
+	}
+	if r.hint != nil && r.hint.Shape <= v.Shape {
+		r.hint = &v
+	}
+	if old == nil || old.Epoch != v.Epoch || !bytes.Equal(old.Plan, v.Plan) {
+		c.planned()
+		if c.duty.mine {
+			c.pushAll()
+		} else if o := c.duty.who; o.ID != "" && o.ID != c.o.Me.ID {
+			c.send(o, dowel.Taken{Epoch: v.Epoch})
+		}
+	}
+}
+
+func (c *Core) onTaken(e dowel.Env) {
+	if e.Body.(dowel.Taken).Epoch > c.Epoch() && c.reg.op == nil {
+		c.reg.next = c.now // the next read finds it
+		c.beatQuery()
+	}
+}
+
+func (c *Core) beatRegister() {
+	r := &c.reg
+	if o := r.op; o != nil {
+		switch {
+		case c.now > o.end:
+			r.op = nil
+			k := gauge.NotReady
+			if o.risky {
+				k = gauge.Unclear
+			}
+			o.done(dowel.Desired{}, k)
+		case o.phase != "wait" && c.now.Sub(o.sent) > 700e6:
+			c.again(o)
+		}
+	}
+	for len(r.queue) > 0 && c.now > r.queue[0].end {
+		o := r.queue[0]
+		r.queue = r.queue[1:]
+		o.done(dowel.Desired{}, gauge.NotReady)
+	}
+	c.stir()
+	c.beatQuery()
+	c.beatForm()
+	c.beatVoters()
+}
+
+// The regular majority read. With a claim it also takes or renews the duty.
+func (c *Core) beatQuery() {
+	r := &c.reg
+	if c.now < r.next {
+		return
+	}
+	r.next = c.now.Add(c.o.Round)
+	// A majority that shows no one ballot twice running may hold a value that is not chosen:
+	// only a full round can tell, and mends it.
+	if q := r.query; q != nil && q.read && (r.known == nil || r.at.Less(q.top)) {
+		if r.odd++; r.odd >= 2 && r.op == nil && len(r.queue) == 0 {
+			r.odd = 0
+			c.read(func(dowel.Desired, gauge.Kind) {})
+		}
+	} else {
+		r.odd = 0
+	}
+	r.round++
+	q := &query{round: r.round, at: c.now, yes: map[gauge.Node]gauge.Inc{}, grant: map[gauge.Node]gauge.Inc{}, acc: map[gauge.Node]dowel.Ballot{}}
+	to := map[gauge.Node]dowel.Peer{}
+	if cfg := c.config(); cfg != nil {
+		q.cfg = *cfg
+		q.claim, q.num = c.claims(q.cfg)
+		for _, p := range electors(*cfg) {
+			to[p.ID] = p
+		}
+	}
+	r.query = q
+	ask := func(p dowel.Peer) { c.send(p, dowel.Query{Round: q.round, Claim: q.claim, Duty: q.num}) }
+	for _, m := range c.mates.Alive("anvil") {
+		to[m.ID] = m.Peer
+	}
+	for _, id := range ordered(to) {
+		ask(to[id])
+	}
+	if c.config() == nil {
+		for _, s := range c.o.Seeds {
+			known := false
+			for _, p := range to {
+				known = known || p.Addr == s.Addr
+			}
+			if !known {
+				ask(s)
+			}
+		}
+	}
+}
+
+func (c *Core) onState(e dowel.Env) {
+	r, b := &c.reg, e.Body.(dowel.State)
+	r.top = max(r.top, b.Accepted.N)
+	r.lives[e.From.ID] = sight{at: c.now, state: b, peer: e.From}
+	cfg := c.config()
+	if !b.Blank && (cfg == nil || b.Shape > cfg.Shape) {
+		c.send(e.From, dowel.Fetch{})
+	}
+	q := r.query
+	if q == nil || b.Round != q.round {
+		return
+	}
+	q.yes[e.From.ID] = b.Inc
+	if b.Granted {
+		q.grant[e.From.ID] = b.Inc
+	}
+	if b.Duty > q.dutyN {
+		q.dutyN = b.Duty
+	}
+	if b.Owner.ID != "" && b.Duty >= q.dutyN {
+		q.owner = b.Owner
+	}
+	if c.inSet(q.cfg, e.From.ID, b.Inc) {
+		q.acc[e.From.ID] = b.Accepted
+		if q.top.Less(b.Accepted) {
+			q.top = b.Accepted
+		}
+	}
+	if q.claim && (quorum(q.cfg, q.grant) || c.o.BreakDuty) {
+		q.won = true
+	}
+	if quorum(q.cfg, q.yes) {
+		q.read = true
+		c.compare(q)
+	}
+	c.saw(q)
+}
+
+func (c *Core) inSet(v dowel.Desired, id gauge.Node, inc gauge.Inc) bool {
+	return seat(v.Voters, id, inc) || seat(v.Prior, id, inc)
+}
+
+// compare ends a majority read: nothing is newer than what is known, or a majority shows
+// one newer ballot, which is then chosen and its value only needs to be fetched.
+func (c *Core) compare(q *query) {
+	r := &c.reg
+	if r.known != nil && !r.at.Less(q.top) {
+		c.fresh(q)
+		return
+	}
+	have := map[gauge.Node]gauge.Inc{}
+	for id, b := range q.acc {
+		if b == q.top {
+			have[id] = q.yes[id]
+		}
+	}
+	if !q.asked && q.top != (dowel.Ballot{}) && quorum(q.cfg, have) {
+		q.asked = true
+		id := ordered(have)[0]
+		if _, me := have[c.o.Me.ID]; me {
+			id = c.o.Me.ID
+		}
+		c.send(r.lives[id].peer, dowel.Fetch{Round: q.round})
+	}
+}
+
+// fresh notes that, when the round was asked for, nothing newer was chosen than what is known.
+func (c *Core) fresh(q *query) {
+	c.reg.heard = max(c.reg.heard, q.at)
+	if q.won {
+		c.won(q)
+	}
+}
+
+// sweep mends a voter whose copy stays old: a full round brings the copies together.
+func (c *Core) sweep() {
+	r := &c.reg
+	if r.known == nil || r.op != nil {
+		return
+	}
+	old := false
+	for _, v := range r.known.Voters {
+		s, ok := r.lives[v.ID]
+		if ok && c.now.Sub(s.at) < 2*c.o.Round && s.state.Inc == v.Inc && s.state.Accepted.Less(r.at) {
+			old = true
+		}
+	}
+	if !old {
+		r.unequal = 0
+		return
+	}
+	if r.unequal++; r.unequal > 30 {
+		r.unequal = 0
+		c.tally.Repairs++
+		c.read(func(dowel.Desired, gauge.Kind) {})
+	}
+}
+
+func (c *Core) onValue(e dowel.Env) {
+	b := e.Body.(dowel.Value)
+	if b.Value == nil {
+		return
+	}
+	if q := c.reg.query; q != nil && q.asked && b.Round == q.round && b.Accepted == q.top {
+		c.learn(b.Accepted, *b.Value)
+		c.fresh(q)
+	}
+	if cfg := c.config(); cfg == nil || b.Value.Shape > cfg.Shape {
+		c.reg.hint = b.Value
+	}
+}
+
+// Forming of a core where every seed is blank.
+
+func (c *Core) beatForm() {
+	r := &c.reg
+	if c.config() != nil || r.op != nil {
+		return
+	}
+	var l []dowel.Voter
+	for _, s := range c.o.Seeds {
+		for _, id := range ordered(r.lives) {
+			v := r.lives[id]
+			if v.peer.Addr == s.Addr && v.state.Blank && c.now.Sub(v.at) < 2*c.o.Round+c.o.Margin {
+				zone := gauge.Zone("")
+				for _, m := range c.mates.All() {
+					if m.ID == id {
+						zone = m.Zone
+					}
+				}
+				l = append(l, dowel.Voter{Peer: v.peer, Zone: zone, Inc: v.state.Inc})
+			}
+		}
+	}
+	sort.Slice(l, func(i, j int) bool { return l[i].ID < l[j].ID })
+	all := len(l) == len(c.o.Seeds) || r.force && len(l) > 0
+	if !all || l[0].ID != c.o.Me.ID {
+		r.blank = 0
+		return
+	}
+	if r.blank == 0 {
+		r.blank, r.kept = c.now, nil
+	}
+	for _, m := range c.mates.Alive("awl") {
+		c.send(m.Peer, dowel.Keep{Round: uint64(r.blank)})
+	}
+	if c.now.Sub(r.blank) < c.o.Form {
+		return
+	}
+	r.blank = 0
+	d := dowel.Desired{Gen: 1, Voters: l, Shape: 1}
+	if k := r.kept; k != nil {
+		// All that was confirmed is gone but for what agents hold: the newest of it goes on,
+		// under an epoch that leaps past whatever the lost core may have counted to.
+		d.Gen, d.Plan, d.Empty, d.Windows, d.Epoch = k.Gen+1, k.Plan, k.Empty, k.Windows, k.Epoch+1000
+		d.Shape = k.Shape + 1000
+		c.oops("core disks lost: a new generation forms from an agent's copy")
+	}
+	r.hint = &d
+	c.read(func(v dowel.Desired, k gauge.Kind) {
+		if k != gauge.None {
+			r.hint = nil
+		}
+	})
+}
+
+func (c *Core) onKept(e dowel.Env) {
+	b, r := e.Body.(dowel.Kept), &c.reg
+	if b.Value == nil || r.blank == 0 || b.Round != uint64(r.blank) {
+		return
+	}
+	if k := r.kept; k == nil || b.Value.Gen > k.Gen || b.Value.Gen == k.Gen && b.Value.Epoch > k.Epoch {
+		r.kept = b.Value
+	}
+}
+
+// Changes of the voter set: a voter in a new life is admitted again, a voter long gone is
+// replaced by a spare, and the set before is left once the new one has settled.
+func (c *Core) beatVoters() {
+	r := &c.reg
+	if !c.duty.mine || r.known == nil || r.op != nil || len(r.queue) > 0 {
+		return
+	}
+	k := *r.known
+	if len(k.Prior) > 0 {
+		// An owner that the set before still held on to must have lapsed before that set is left.
+		if c.now.Sub(r.shaped) > c.pad(c.o.Duty) {
+			c.reshape(k, nil)
+		}
+		return
+	}
+	var spare []dowel.Voter
+	for _, m := range c.mates.Alive("anvil") {
+		s, ok := r.lives[m.ID]
+		if ok && c.now.Sub(s.at) < 3*c.o.Round && !sits(k.Voters, m.ID) {
+			spare = append(spare, dowel.Voter{Peer: m.Peer, Zone: m.Zone, Inc: s.state.Inc})
+		}
+	}
+	for i, v := range k.Voters {
+		s, ok := r.lives[v.ID]
+		live := ok && c.now.Sub(s.at) < 4*c.o.Round
+		if live {
+			delete(r.gone, v.ID)
+			if s.state.Inc != v.Inc || s.peer.Addr != v.Addr {
+				n := v
+				n.Inc, n.Peer = s.state.Inc, s.peer
+				c.reshape(k, swap(k.Voters, i, n))
+				return
+			}
+			continue
+		}
+		if r.gone[v.ID] == 0 {
+			r.gone[v.ID] = c.now
+		}
+		if c.now.Sub(r.gone[v.ID]) > c.o.Spare && len(spare) > 0 {
+			n := spare[0]
+			for _, x := range spare {
+				if x.Zone == v.Zone {
+					n = x
+					break
+				}
+			}
+			c.reshape(k, swap(k.Voters, i, n))
+			return
+		}
+	}
+	c.sweep()
+}
+
+func sits(l []dowel.Voter, id gauge.Node) bool {
+	for _, v := range l {
+		if v.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+func swap(l []dowel.Voter, i int, n dowel.Voter) []dowel.Voter {
+	m := append([]dowel.Voter{}, l...)
+	m[i] = n
+	sort.Slice(m, func(i, j int) bool { return m[i].ID < m[j].ID })
+	return m
+}
+
+// reshape moves to a new voter set in two changes: first both sets rule together, then
+// (with no set given) the one before is left.
+func (c *Core) reshape(from dowel.Desired, to []dowel.Voter) {
+	shape := from.Shape
+	c.propose(func(d dowel.Desired) (dowel.Desired, gauge.Kind) {
+		if d.Shape != shape || (to == nil) != (len(d.Prior) > 0) {
+			return d, gauge.Conflict
+		}
+		if to != nil {
+			d.Prior, d.Voters = d.Voters, to
+		} else {
+			d.Prior = nil
+		}
+		d.Shape++
+		return d, gauge.None
+	}, func(_ dowel.Desired, k gauge.Kind) {
+		if k == gauge.None && to != nil {
+			c.tally.Admit++
+			c.note("voter set changed")
+		}
+	})
+}
--- /dev/null
+++ b/anvil/serve.go
@@ -0,0 +1,187 @@
+package anvil
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/alexedwards/flow"
+
+	"tidedeck/chisel"
+	"tidedeck/clamp"
+	"tidedeck/dowel"
+	"tidedeck/gauge"
+)
+
+// Settings of a core node.
+type Settings struct {
+	Settings string   `help:"File of settings, JSON; flags go before it." type:"path"`
+	ID       string   `help:"This node's name." required:""`
+	Zone     string   `help:"This node's zone." required:""`
+	Listen   string   `help:"Where siblings reach this node, ip:port." required:""`
+	Admin    string   `help:"Where operators reach this node over HTTP, ip:port." required:""`
+	Seeds    []string `help:"Three seed addresses, ip:port." required:""`
+	Data     string   `help:"Data folder." required:"" type:"path"`
+	Platform string   `help:"The platform's address, ip:port." required:""`
+	HoldMs   int      `help:"A router's hold, in ms." default:"2000"`
+	DutyMs   int      `help:"The duty's hold, in ms." default:"1200"`
+	SpareMs  int      `help:"A voter gone for so long is replaced by a spare, in ms." default:"6000"`
+}
+
+// Check names what is wrong with the settings.
+func (s *Settings) Check() (f chisel.Faults) {
+	f = append(f, clamp.Addr("listen", s.Listen)...)
+	f = append(f, clamp.Addr("admin", s.Admin)...)
+	f = append(f, clamp.Addr("platform", s.Platform)...)
+	f = append(f, clamp.Seeds(s.Seeds)...)
+	for _, n := range []struct {
+		path     string
+		val, low int
+		high     int
+	}{{"hold-ms", s.HoldMs, 200, 60_000}, {"duty-ms", s.DutyMs, 200, 60_000}, {"spare-ms", s.SpareMs, 1000, 86_400_000}} {
+		if n.val < n.low || n.val > n.high {
+			f = append(f, chisel.Fault{Path: n.path, Why: fmt.Sprintf("wants a whole number from %d to %d", n.low, n.high)})
+		}
+	}
+	return f
+}
+
+type desk struct {
+	mu   sync.Mutex // guards waits; taken after the clamp's
+	next uint64
+	wait map[uint64]chan Answer
+	c    *clamp.Clamp
+}
+
+func (d *desk) ask(a Admin) Answer {
+	ch := make(chan Answer, 1)
+	d.mu.Lock()
+	d.next++
+	a.Token = d.next
+	d.wait[a.Token] = ch
+	d.mu.Unlock()
+	d.c.Step(a)
+	select {
+	case r := <-ch:
+		return r
+	case <-time.After(6 * time.Second):
+		d.mu.Lock()
+		delete(d.wait, a.Token)
+		d.mu.Unlock()
+		return Answer{Kind: gauge.Unclear, Why: "no outcome in time"}
+	}
+}
+
+// Main runs a core node until it is told to stop.
+func Main(s Settings) error {
+	ring := clamp.NewRing(s.ID, os.Stderr)
+	core := New(Options{
+		Me: dowel.Peer{ID: gauge.Node(s.ID), Addr: s.Listen}, Zone: gauge.Zone(s.Zone), Inc: clamp.NewInc(),
+		Seeds: clamp.Peers(s.Seeds), Platform: s.Platform, Rand: clamp.NewRand(),
+		Hold: gauge.Span(s.HoldMs) * 1e6, Duty: gauge.Span(s.DutyMs) * 1e6, Spare: gauge.Span(s.SpareMs) * 1e6,
+	})
+	d := &desk{wait: map[uint64]chan Answer{}}
+	d.c = clamp.New(clamp.Options{Core: core, Listen: s.Listen, Data: s.Data, Beat: 20 * time.Millisecond, Ring: ring, Else: func(o any) {
+		a, ok := o.(Answer)
+		if !ok {
+			return
+		}
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if ch := d.wait[a.Token]; ch != nil {
+			ch <- a
+			delete(d.wait, a.Token)
+		}
+	}})
+	if err := d.c.Run(); err != nil {
+		return err
+	}
+	defer d.c.Stop()
+	return clamp.Web(s.Admin, d.routes(core), ring, nil, 10*time.Second)
+}
+
+func (d *desk) routes(core *Core) http.Handler {
+	m := flow.New()
+	show := func(w http.ResponseWriter, a Answer) {
+		if a.Kind == gauge.None {
+			clamp.JSON(w, http.StatusOK, a)
+			return
+		}
+		t := gauge.Answers[a.Kind]
+		if t.Back > 0 {
+			w.Header().Set("Retry-After", fmt.Sprint(int64((t.Back+time.Second-1)/time.Second)))
+		}
+		clamp.JSON(w, t.Status, a)
+	}
+	change := func(op string, body bool) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			a := Admin{Op: op, Zone: gauge.Zone(r.PathValue("zone")), Change: r.Header.Get("X-Change-Id")}
+			if body {
+				b, ok := clamp.Body(w, r, chisel.MostPlan)
+				if !ok {
+					return
+				}
+				a.Raw = b
+			}
+			if a.Zone != "" && len(a.Zone) > 128 || len(a.Change) > 128 {
+				clamp.Error(w, gauge.Malformed, 0, chisel.Faults{{Path: "X-Change-Id", Why: "a name has at most 128 bytes"}})
+				return
+			}
+			switch e := r.Header.Get("X-Expect-Epoch"); e {
+			case "":
+				clamp.Error(w, gauge.Malformed, 0, chisel.Faults{{Path: "X-Expect-Epoch", Why: "is missing: the epoch that the change goes on, or any"}})
+				return
+			case "any":
+				a.Any = true
+			default:
+				n, err := strconv.ParseUint(e, 10, 64)
+				if err != nil {
+					clamp.Error(w, gauge.Malformed, 0, chisel.Faults{{Path: "X-Expect-Epoch", Why: "wants a whole number, or any"}})
+					return
+				}
+				a.Expect = gauge.Epoch(n)
+			}
+			show(w, d.ask(a))
+		}
+	}
+	m.HandleFunc("/plan", change("put", true), http.MethodPut)
+	m.HandleFunc("/plan", change("patch", true), http.MethodPatch)
+	m.HandleFunc("/zones/:zone/empty", change("empty", false), http.MethodPost)
+	m.HandleFunc("/zones/:zone/refill", change("refill", false), http.MethodPost)
+	m.HandleFunc("/windows", change("windows", true), http.MethodPut)
+	m.HandleFunc("/plan", func(w http.ResponseWriter, r *http.Request) {
+		a := d.ask(Admin{Op: "get"})
+		if a.Kind != gauge.None || len(a.Plan) == 0 {
+			if a.Kind == gauge.None {
+				a.Kind, a.Why = gauge.Unknown, "there is no plan yet"
+			}
+			show(w, a)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		w.Header().Set("X-Epoch", fmt.Sprint(a.Epoch))
+		_, _ = w.Write(a.Plan)
+	}, http.MethodGet)
+	for _, op := range []string{"nodes", "servers", "holds", "status"} {
+		m.HandleFunc("/"+op, func(w http.ResponseWriter, r *http.Request) { show(w, d.ask(Admin{Op: op})) }, http.MethodGet)
+	}
+	m.HandleFunc("/core/replace/:old/:new", func(w http.ResponseWriter, r *http.Request) {
+		show(w, d.ask(Admin{Op: "replace", Old: gauge.Node(r.PathValue("old")), New: gauge.Node(r.PathValue("new"))}))
+	}, http.MethodPost)
+	m.HandleFunc("/core/form", func(w http.ResponseWriter, r *http.Request) { show(w, d.ask(Admin{Op: "form"})) }, http.MethodPost)
+	m.HandleFunc("/live", func(w http.ResponseWriter, r *http.Request) { clamp.JSON(w, 200, map[string]bool{"live": true}) }, http.MethodGet)
+	m.HandleFunc("/ready", func(w http.ResponseWriter, r *http.Request) {
+		ok := false
+		d.c.With(func(gauge.Tick) { ok = core.Ready() })
+		code := map[bool]int{true: 200, false: 503}[ok]
+		clamp.JSON(w, code, map[string]bool{"ready": ok})
+	}, http.MethodGet)
+	m.Handle("/metrics", clamp.Metrics(clamp.Tallies{Name: "anvil", Get: func() (t any) {
+		d.c.With(func(gauge.Tick) { t = core.Counts() })
+		return t
+	}}), http.MethodGet)
+	return m
+}
--- /dev/null
+++ b/awl/core.go
@@ -0,0 +1,311 @@
+// Package awl is the agent beside each router: it keeps the link to the core, carries the
+// router's wants and acknowledgements over it, and feeds the router what comes back.
+package awl
+
+import (
+	"math/rand/v2"
+
+	"tidedeck/dowel"
+	"tidedeck/gauge"
+	"tidedeck/plumb"
+)
+
+// Options of an agent.
+type Options struct {
+	Me    dowel.Peer
+	Zone  gauge.Zone
+	Inc   gauge.Inc
+	Seeds []dowel.Peer
+	Lathe dowel.Peer
+	Rand  *rand.Rand
+	Keep  gauge.Span // between two renewals
+	Wait  gauge.Span // for an answer before another way is tried
+}
+
+// Core is an agent without I/O.
+type Core struct {
+	o     Options
+	now   gauge.Tick
+	out   []any
+	mates *plumb.Core
+
+	lathe  gauge.Inc
+	epoch  gauge.Epoch
+	burden map[gauge.Key]dowel.Burden
+
+	ses    dowel.Session
+	seq    uint64
+	sent   map[uint64]gauge.Tick
+	until  gauge.Tick
+	duty   gauge.Duty
+	fresh  bool
+	heard  uint64
+	next   gauge.Tick
+	last   gauge.Tick // when an owner last answered in this session
+	tried  gauge.Tick
+	way    way
+	cores  []dowel.Peer
+	turn   int
+	newest *dowel.Desired
+	tally  Tally
+}
+
+// way is how the owner is reached: straight, or through a sibling.
+type way struct {
+	to  dowel.Peer
+	via dowel.Peer
+}
+
+// Tally counts what an agent did.
+type Tally struct {
+	Renews, Grants, Sessions, Turns, Carried uint64
+}
+
+// New makes an agent.
+func New(o Options) *Core {
+	if o.Keep == 0 {
+		o.Keep = 400e6
+	}
+	if o.Wait == 0 {
+		o.Wait = 350e6
+	}
+	c := &Core{o: o, sent: map[uint64]gauge.Tick{}, cores: o.Seeds}
+	c.mates = plumb.New(plumb.Options{
+		Me:    dowel.Member{Peer: o.Me, Role: "awl", Zone: o.Zone, Inc: o.Inc},
+		Seeds: o.Seeds, Rand: o.Rand,
+	})
+	if len(o.Seeds) > 0 {
+		c.turn = o.Rand.IntN(len(o.Seeds))
+		c.way.to = o.Seeds[c.turn]
+	}
+	return c
+}
+
+// Step takes one input and gives what is to be done.
+func (c *Core) Step(now gauge.Tick, in any) []any {
+	c.now, c.out = now, nil
+	switch v := in.(type) {
+	case dowel.Env:
+		c.take(v)
+	case dowel.Beat:
+		c.beat()
+	}
+	return c.out
+}
+
+func (c *Core) post(l ...dowel.Env) {
+	for _, e := range l {
+		c.out = append(c.out, e)
+	}
+}
+
+func (c *Core) up(body any) {
+	c.post(dowel.Env{From: c.o.Me, To: c.way.to, Via: c.way.via, Body: body})
+}
+
+func (c *Core) down(body any) {
+	c.post(dowel.Env{From: c.o.Me, To: c.o.Lathe, Body: body})
+}
+
+// session begins a new life of the link: whatever the router has is suspect from here on.
+func (c *Core) session() {
+	c.ses = dowel.Session{Node: c.o.Me.ID, Awl: c.o.Inc, Lathe: c.lathe, N: c.ses.N + 1}
+	c.until, c.duty, c.fresh, c.heard = 0, 0, true, 0
+	c.sent = map[uint64]gauge.Tick{}
+	c.next = c.now
+	c.tally.Sessions++
+	c.tell()
+}
+
+func (c *Core) tell() {
+	c.down(dowel.Hold{Session: c.ses, Until: c.until, Duty: c.duty})
+}
+
+func (c *Core) take(e dowel.Env) {
+	// A sibling that is cut off sends through this one; only core traffic is carried.
+	if e.To.ID != "" && e.To.ID != c.o.Me.ID {
+		if e.By.ID == "" {
+			c.tally.Carried++
+			c.post(e.Carry(c.o.Me))
+		}
+		return
+	}
+	if l, mine := c.mates.Take(c.now, e); mine {
+		c.post(l...)
+		return
+	}
+	switch b := e.Body.(type) {
+	case dowel.Hello:
+		c.epoch, c.burden = b.Epoch, b.Burden
+		if b.Lathe != c.lathe {
+			c.lathe = b.Lathe
+			c.session()
+			c.beat()
+		} else if b.Session != c.ses {
+			c.tell()
+		}
+	case dowel.Want:
+		if b.Session == c.ses {
+			c.up(b)
+		}
+	case dowel.Removal:
+		if b.Session == c.ses {
+			c.up(b)
+		}
+	case dowel.Heard:
+		if b.Session == c.ses {
+			c.heard = max(c.heard, b.Num)
+			c.up(b)
+		}
+	case dowel.Grant:
+		c.onGrant(e, b)
+	case dowel.NotOwner:
+		c.onNotOwner(b)
+	case dowel.News:
+		c.onNews(e, b)
+	case dowel.Keep:
+		c.post(e.Reply(c.o.Me, dowel.Kept{Round: b.Round, Value: c.newest}))
+	}
+}
+
+// same tells whether an owner's message belongs to this session; another owner than the
+// one that the session began with ends it.
+func (c *Core) same(s dowel.Session, d gauge.Duty) bool {
+	if s != c.ses {
+		return false
+	}
+	if c.duty != 0 && d != c.duty {
+		if d > c.duty {
+			c.session()
+		}
+		return false
+	}
+	c.duty, c.last, c.fresh = d, c.now, false
+	return true
+}
+
+func (c *Core) onGrant(e dowel.Env, b dowel.Grant) {
+	if !c.same(b.Session, b.Duty) {
+		return
+	}
+	c.way = way{to: e.From, via: e.By}
+	at, ok := c.sent[b.Seq]
+	if !ok {
+		return
+	}
+	for s := range c.sent {
+		if s <= b.Seq {
+			delete(c.sent, s)
+		}
+	}
+	c.tally.Grants++
+	c.until = max(c.until, at.Add(b.Len))
+	c.down(dowel.Hold{Session: c.ses, Until: c.until, Duty: c.duty, Routers: b.Routers})
+}
+
+func (c *Core) onNotOwner(b dowel.NotOwner) {
+	if b.Session != c.ses {
+		return
+	}
+	if len(b.Cores) > 0 {
+		c.cores = b.Cores
+	}
+	if b.Gone {
+		c.session()
+		return
+	}
+	if b.Hint.ID != "" && b.Hint.Addr != c.way.to.Addr {
+		c.way = way{to: b.Hint, via: c.way.via}
+		c.next, c.tried = c.now, c.now
+	}
+}
+
+func (c *Core) onNews(e dowel.Env, b dowel.News) {
+	if !c.same(b.Session, b.Duty) {
+		return
+	}
+	for _, i := range b.Items {
+		if d := i.Desired; d != nil && (c.newest == nil || d.Gen > c.newest.Gen || d.Gen == c.newest.Gen && d.Epoch > c.newest.Epoch) {
+			c.newest = d
+		}
+	}
+	c.down(b)
+}
+
+func (c *Core) beat() {
+	c.post(c.mates.Beat(c.now)...)
+	if c.lathe == 0 {
+		return
+	}
+	if c.until != 0 && c.now > c.until {
+		c.session() // the hold ran out: after a reconnect everything is suspect
+	}
+	if c.now < c.next {
+		return
+	}
+	if c.now.Sub(c.last) > c.o.Keep+c.o.Wait && c.now.Sub(c.tried) > c.o.Wait {
+		c.change()
+	}
+	c.next = c.now.Add(c.o.Keep)
+	if c.now.Sub(c.last) > c.o.Keep+c.o.Wait {
+		c.next = c.now.Add(c.o.Wait / 2)
+	}
+	c.seq++
+	c.sent[c.seq] = c.now
+	for s, t := range c.sent {
+		if c.now.Sub(t) > 5e9 {
+			delete(c.sent, s)
+		}
+	}
+	c.tally.Renews++
+	c.up(dowel.Renew{Session: c.ses, Seq: c.seq, Fresh: c.fresh, Epoch: c.epoch, Heard: c.heard, Burden: c.burden})
+}
+
+// change tries another way: each core node straight, then each through siblings.
+func (c *Core) change() {
+	c.tried = c.now
+	c.tally.Turns++
+	var l []dowel.Peer
+	add := func(p dowel.Peer) {
+		for _, x := range l {
+			if x.Addr == p.Addr {
+				return
+			}
+		}
+		l = append(l, p)
+	}
+	for _, m := range c.mates.Alive("anvil") {
+		add(m.Peer)
+	}
+	for _, p := range append(append([]dowel.Peer{}, c.cores...), c.o.Seeds...) {
+		add(p)
+	}
+	if len(l) == 0 {
+		return
+	}
+	c.turn++
+	w := way{to: l[c.turn%len(l)]}
+	var sib []dowel.Peer
+	for _, m := range c.mates.Alive("awl") {
+		if m.ID != c.o.Me.ID {
+			sib = append(sib, m.Peer)
+		}
+	}
+	// Every second turn goes through a sibling, once the straight ways were tried.
+	if n := c.turn / len(l); n%2 == 1 && len(sib) > 0 && w.to.ID != "" {
+		w.via = sib[c.o.Rand.IntN(len(sib))]
+	}
+	c.way = w
+}
+
+// Session tells the session now in force.
+func (c *Core) Session() dowel.Session { return c.ses }
+
+// Counts gives the tally so far.
+func (c *Core) Counts() Tally { return c.tally }
+
+// Held tells whether the link is held now.
+func (c *Core) Held(now gauge.Tick) bool { return now < c.until }
+
+// Members lists the membership as this agent sees it.
+func (c *Core) Members() []dowel.Member { return c.mates.All() }
--- /dev/null
+++ b/awl/serve.go
@@ -0,0 +1,65 @@
+package awl
+
+import (
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/alexedwards/flow"
+
+	"tidedeck/chisel"
+	"tidedeck/clamp"
+	"tidedeck/dowel"
+	"tidedeck/gauge"
+)
+
+// Settings of an agent.
+type Settings struct {
+	Settings string   `help:"File of settings, JSON; flags go before it." type:"path"`
+	ID       string   `help:"This agent's name." required:""`
+	Zone     string   `help:"This agent's zone." required:""`
+	Listen   string   `help:"Where siblings and the router reach this agent, ip:port." required:""`
+	Lathe    string   `help:"The router's control address on loopback, ip:port." required:""`
+	Admin    string   `help:"Where metrics and liveness are served over HTTP, ip:port." required:""`
+	Seeds    []string `help:"Three seed addresses, ip:port." required:""`
+	KeepMs   int      `help:"Between two renewals of the hold, in ms." default:"400"`
+}
+
+// Check names what is wrong with the settings.
+func (s *Settings) Check() (f chisel.Faults) {
+	f = append(f, clamp.Addr("listen", s.Listen)...)
+	f = append(f, clamp.Addr("lathe", s.Lathe)...)
+	f = append(f, clamp.Addr("admin", s.Admin)...)
+	f = append(f, clamp.Seeds(s.Seeds)...)
+	if s.KeepMs < 50 || s.KeepMs > 10_000 {
+		f = append(f, chisel.Fault{Path: "keep-ms", Why: "wants a whole number from 50 to 10000"})
+	}
+	return f
+}
+
+// Main runs an agent until it is told to stop.
+func Main(s Settings) error {
+	ring := clamp.NewRing(s.ID, os.Stderr)
+	core := New(Options{
+		Me: dowel.Peer{ID: gauge.Node(s.ID), Addr: s.Listen}, Zone: gauge.Zone(s.Zone), Inc: clamp.NewInc(),
+		Seeds: clamp.Peers(s.Seeds), Rand: clamp.NewRand(), Keep: gauge.Span(s.KeepMs) * 1e6,
+		Lathe: dowel.Peer{ID: "lathe", Addr: s.Lathe},
+	})
+	c := clamp.New(clamp.Options{Core: core, Listen: s.Listen, Beat: 20 * time.Millisecond, Ring: ring, Else: func(any) {}})
+	if err := c.Run(); err != nil {
+		return err
+	}
+	defer c.Stop()
+	m := flow.New()
+	m.HandleFunc("/live", func(w http.ResponseWriter, r *http.Request) { clamp.JSON(w, 200, map[string]bool{"live": true}) }, http.MethodGet)
+	m.HandleFunc("/ready", func(w http.ResponseWriter, r *http.Request) {
+		ok := false
+		c.With(func(now gauge.Tick) { ok = core.Held(now) })
+		clamp.JSON(w, map[bool]int{true: 200, false: 503}[ok], map[string]bool{"ready": ok})
+	}, http.MethodGet)
+	m.Handle("/metrics", clamp.Metrics(clamp.Tallies{Name: "awl", Get: func() (t any) {
+		c.With(func(gauge.Tick) { t = core.Counts() })
+		return t
+	}}), http.MethodGet)
+	return clamp.Web(s.Admin, m, ring, nil, 5*time.Second)
+}
--- /dev/null
+++ b/clamp/clamp.go
@@ -0,0 +1,497 @@
+// Package clamp holds a core to the machine: it gives it a clock, sockets, a disk, timers,
+// logs and metrics, and does what the core asks for.
+package clamp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"reflect"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
+
+	"tidedeck/chisel"
+	"tidedeck/dowel"
+	"tidedeck/gauge"
+)
+
+// Now reads CLOCK_BOOTTIME: it never jumps, and it goes on while the machine sleeps.
+func Now() gauge.Tick {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		panic(err) // every Linux has it
+	}
+	return gauge.Tick(t.Nano())
+}
+
+// NewInc draws an incarnation: later lives on the same machine have higher ones, and two
+// machines hardly ever the same.
+func NewInc() gauge.Inc {
+	return gauge.Inc(time.Now().UnixMicro())<<8&(1<<62-1) | gauge.Inc(rand.Uint64()&0xff)
+}
+
+// NewRand makes a source of chance for a core.
+func NewRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+// Core is what a clamp can hold.
+type Core interface {
+	Step(now gauge.Tick, in any) []any
+}
+
+// Options of a clamp.
+type Options struct {
+	Core   Core
+	Listen string // for siblings; empty if the process has none
+	Data   string // data folder; empty if the process has no disk
+	Beat   time.Duration
+	Ring   *Ring
+	Else   func(out any) // what only the program itself can do
+}
+
+// Clamp runs one core. Its lock is taken before that of any queue and never across I/O.
+type Clamp struct {
+	o    Options
+	mu   sync.Mutex
+	post *post
+	disk *disk
+	asks chan dowel.Ask
+	http *http.Client
+	ctx  context.Context
+	stop context.CancelFunc
+	over sync.WaitGroup
+}
+
+// New makes a clamp; nothing runs yet.
+func New(o Options) *Clamp {
+	c := &Clamp{o: o, asks: make(chan dowel.Ask, 1024)}
+	c.ctx, c.stop = context.WithCancel(context.Background())
+	c.post = newPost(c.ctx, func(e dowel.Env) { c.Step(e) })
+	c.http = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, Proxy: nil, DialContext: (&net.Dialer{Timeout: 500 * time.Millisecond}).DialContext}}
+	return c
+}
+
+// Run opens the disk, starts listening and sets the core going.
+func (c *Clamp) Run() error {
+	if c.o.Data != "" {
+		d, m, harm, err := openDisk(c.o.Data, func(err error) {
+			// A disk that refuses a write can no longer be trusted: stop at once.
+			c.o.Ring.Oops(err.Error())
+			os.Exit(3)
+		})
+		if err != nil {
+			return err
+		}
+		if harm {
+			c.o.Ring.Oops("the data folder was damaged: it is set aside, and this node begins anew")
+		}
+		d.done = func(s dowel.Saved) { c.Step(s) }
+		c.disk = d
+		c.over.Add(1)
+		go func() { defer c.over.Done(); d.run() }()
+		c.Step(dowel.Start{Disk: m})
+	}
+	if c.o.Listen != "" {
+		if _, err := c.post.listen(c.o.Listen); err != nil {
+			return err
+		}
+	}
+	for range 32 {
+		go c.asker()
+	}
+	go func() {
+		t := time.NewTicker(c.o.Beat)
+		defer t.Stop()
+		for {
+			select {
+			case <-c.ctx.Done():
+				return
+			case <-t.C:
+				c.Step(dowel.Beat{})
+			}
+		}
+	}()
+	return nil
+}
+
+// Stop ends the core's work and closes its disk.
+func (c *Clamp) Stop() {
+	c.stop()
+	if c.disk != nil {
+		c.disk.close()
+	}
+	c.over.Wait()
+}
+
+// Step gives the core one input and does what it asks for.
+func (c *Clamp) Step(in any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, o := range c.o.Core.Step(Now(), in) {
+		c.act(o)
+	}
+}
+
+// With lets the program look at its core.
+func (c *Clamp) With(f func(now gauge.Tick)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f(Now())
+}
+
+func (c *Clamp) act(o any) {
+	switch v := o.(type) {
+	case dowel.Env:
+		c.post.send(v)
+	case dowel.Save:
+		c.disk.put(v)
+	case dowel.Ask:
+		select {
+		case c.asks <- v:
+		default:
+			go c.Step(dowel.Told{Token: v.Token})
+		}
+	case dowel.Note:
+		c.o.Ring.Info(v.Text)
+	case dowel.Oops:
+		go c.o.Ring.Oops(v.Text)
+	default:
+		c.o.Else(o)
+	}
+}
+
+func (c *Clamp) asker() {
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case a := <-c.asks:
+			c.Step(c.tell(a))
+		}
+	}
+}
+
+func (c *Clamp) tell(a dowel.Ask) dowel.Told {
+	ctx, stop := context.WithTimeout(c.ctx, a.Wait)
+	defer stop()
+	t := dowel.Told{Token: a.Token}
+	how, body := http.MethodGet, io.Reader(nil)
+	if a.Body != nil {
+		b, err := json.Marshal(a.Body)
+		if err != nil {
+			return t
+		}
+		how, body = http.MethodPost, bytes.NewReader(b)
+	}
+	r, err := http.NewRequestWithContext(ctx, how, "http://"+a.Addr+a.Path, body)
+	if err != nil {
+		return t
+	}
+	r.GetBody = nil
+	r.Header.Set("Content-Type", "application/json")
+	w, err := c.http.Do(r)
+	if err != nil {
+		return t
+	}
+	defer w.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(w.Body, mostWire))
+	if err != nil {
+		return t
+	}
+	return dowel.Told{Token: a.Token, OK: true, Code: w.StatusCode, Body: b}
+}
+
+// Ring is the log: a ring in memory, written out when something goes wrong.
+type Ring struct {
+	mu   sync.Mutex
+	log  *logrus.Logger
+	list []string
+	at   int
+	out  io.Writer
+	last time.Time
+}
+
+// NewRing makes a log for one process.
+func NewRing(name string, out io.Writer) *Ring {
+	r := &Ring{list: make([]string, 512), out: out}
+	r.log = logrus.New()
+	r.log.SetOutput(ringWriter{r})
+	r.log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: time.RFC3339Nano})
+	r.log.AddHook(nameHook(name))
+	return r
+}
+
+type nameHook string
+
+// Levels tells that every line is named.
+func (nameHook) Levels() []logrus.Level { return logrus.AllLevels }
+
+// Fire names a line.
+func (h nameHook) Fire(e *logrus.Entry) error {
+	e.Data["who"] = string(h)
+	return nil
+}
+
+type ringWriter struct{ r *Ring }
+
+// Write keeps a line.
+func (w ringWriter) Write(b []byte) (int, error) {
+	w.r.mu.Lock()
+	defer w.r.mu.Unlock()
+	w.r.list[w.r.at%len(w.r.list)] = string(b)
+	w.r.at++
+	return len(b), nil
+}
+
+// Info keeps a line.
+func (r *Ring) Info(s string) { r.log.Info(s) }
+
+// Oops writes the ring out: something went wrong.
+func (r *Ring) Oops(s string) {
+	r.log.Error(s)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if time.Since(r.last) < time.Second {
+		return
+	}
+	r.last = time.Now()
+	var b strings.Builder
+	b.WriteString("---- what led to it ----\n")
+	for i := max(0, r.at-len(r.list)); i < r.at; i++ {
+		b.WriteString(r.list[i%len(r.list)])
+	}
+	r.at = 0
+	_, _ = io.WriteString(r.out, b.String())
+}
+
+// Tallies shows a struct of counts as metrics: every whole number in it is a counter, and
+// every map of them one with a label.
+type Tallies struct {
+	Name string
+	Get  func() any
+}
+
+// Describe leaves the metrics unchecked; they follow the struct.
+func (t Tallies) Describe(chan<- *prometheus.Desc) {}
+
+// Collect reads the counts.
+func (t Tallies) Collect(ch chan<- prometheus.Metric) {
+	v := reflect.ValueOf(t.Get())
+	for i := range v.NumField() {
+		f := v.Field(i)
+		n := "tidedeck_" + t.Name + "_" + strings.ToLower(v.Type().Field(i).Name)
+		switch f.Kind() {
+		case reflect.Uint64:
+			ch <- prometheus.MustNewConstMetric(prometheus.NewDesc(n+"_total", "Count of "+v.Type().Field(i).Name+".", nil, nil), prometheus.CounterValue, float64(f.Uint()))
+		case reflect.Int:
+			ch <- prometheus.MustNewConstMetric(prometheus.NewDesc(n, "Now: "+v.Type().Field(i).Name+".", nil, nil), prometheus.GaugeValue, float64(f.Int()))
+		case reflect.Map:
+			d := prometheus.NewDesc(n+"_total", "Count of "+v.Type().Field(i).Name+" by kind.", []string{"kind"}, nil)
+			for _, k := range f.MapKeys() {
+				ch <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(f.MapIndex(k).Uint()), k.String())
+			}
+		}
+	}
+}
+
+// Metrics makes the handler that shows tallies.
+func Metrics(l ...Tallies) http.Handler {
+	r := prometheus.NewRegistry()
+	for _, t := range l {
+		r.MustRegister(t)
+	}
+	return promhttp.HandlerFor(r, promhttp.HandlerOpts{})
+}
+
+// Parse reads flags and, under --settings, a file of the same names, and checks all of it
+// before anything starts. A fault ends the process with every fault named.
+func Parse(cli any, name, about string, checks ...func() chisel.Faults) {
+	p, err := kong.New(cli, kong.Name(name), kong.Description(about), kong.UsageOnError())
+	if err != nil {
+		panic(err)
+	}
+	args := os.Args[1:]
+	var faults chisel.Faults
+	if f := settingsOf(args); f != "" {
+		raw, err := os.ReadFile(f)
+		if err != nil {
+			faults = append(faults, chisel.Fault{Path: f, Why: err.Error()})
+		} else {
+			r, l := readSettings(p, raw)
+			faults = append(faults, l...)
+			kong.Resolvers(r).Apply(p)
+		}
+	}
+	k, err := p.Parse(args)
+	if err != nil {
+		faults = append(faults, chisel.Fault{Path: "flags", Why: err.Error()})
+	} else {
+		_ = k
+		for _, f := range checks {
+			faults = append(faults, f()...)
+		}
+	}
+	if len(faults) > 0 {
+		for _, f := range faults {
+			fmt.Fprintf(os.Stderr, "%s: %s: %s\n", name, f.Path, f.Why)
+		}
+		os.Exit(2)
+	}
+}
+
+func settingsOf(args []string) string {
+	for i, a := range args {
+		if v, ok := strings.CutPrefix(a, "--settings="); ok {
+			return v
+		}
+		if a == "--settings" && i+1 < len(args) {
+			return args[i+1]
+		}
+	}
+	return ""
+}
+
+func readSettings(p *kong.Kong, raw []byte) (kong.Resolver, chisel.Faults) {
+	pen, all := chisel.Open(raw)
+	var names []string
+	for _, f := range p.Model.AllFlags(true) {
+		for _, g := range f {
+			if g.Name != "help" && g.Name != "settings" {
+				names = append(names, g.Name)
+			}
+		}
+	}
+	pen.Only(names...)
+	m := map[string]any{}
+	_ = json.Unmarshal(raw, &m)
+	var r kong.ResolverFunc = func(_ *kong.Context, _ *kong.Path, f *kong.Flag) (any, error) {
+		v, ok := m[f.Name]
+		if !ok {
+			return nil, nil
+		}
+		if l, ok := v.([]any); ok {
+			var s []string
+			for _, x := range l {
+				s = append(s, fmt.Sprint(x))
+			}
+			return strings.Join(s, ","), nil
+		}
+		return fmt.Sprint(v), nil
+	}
+	return r, *all
+}
+
+// Addr checks an ip:port setting.
+func Addr(path, s string) chisel.Faults {
+	h, p, err := net.SplitHostPort(s)
+	if err != nil || net.ParseIP(h) == nil || p == "" || p == "0" {
+		return chisel.Faults{{Path: path, Why: fmt.Sprintf("wants an ip:port, has %q", s)}}
+	}
+	return nil
+}
+
+// Seeds checks the seeds: three of them, each an ip:port, none twice.
+func Seeds(l []string) (f chisel.Faults) {
+	if len(l) != 3 {
+		f = append(f, chisel.Fault{Path: "seeds", Why: fmt.Sprintf("wants three addresses, has %d", len(l))})
+	}
+	seen := map[string]bool{}
+	for i, s := range l {
+		f = append(f, Addr(fmt.Sprintf("seeds[%d]", i), s)...)
+		if seen[s] {
+			f = append(f, chisel.Fault{Path: fmt.Sprintf("seeds[%d]", i), Why: "is there twice"})
+		}
+		seen[s] = true
+	}
+	return f
+}
+
+// Peers makes seeds into peers; their ids are not known yet.
+func Peers(l []string) (p []dowel.Peer) {
+	for _, s := range l {
+		p = append(p, dowel.Peer{Addr: s})
+	}
+	return p
+}
+
+// Web serves HTTP until the process is told to stop, then lets what is under way finish.
+func Web(addr string, h http.Handler, ring *Ring, before func(), within time.Duration) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 30 * time.Second, MaxHeaderBytes: 64 << 10}
+	got := make(chan os.Signal, 1)
+	signal.Notify(got, syscall.SIGTERM, syscall.SIGINT)
+	end := make(chan error, 1)
+	go func() { end <- s.Serve(l) }()
+	select {
+	case err := <-end:
+		return errors.Wrap(err, "serve")
+	case <-got:
+	}
+	ring.Info("stopping: what is under way finishes")
+	if before != nil {
+		before()
+	}
+	ctx, stop := context.WithTimeout(context.Background(), within)
+	defer stop()
+	return s.Shutdown(ctx)
+}
+
+// JSON writes an answer.
+func JSON(w http.ResponseWriter, code int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// Body reads a request's body within a bound.
+func Body(w http.ResponseWriter, r *http.Request, most int64) ([]byte, bool) {
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	if err != nil {
+		var big *http.MaxBytesError
+		if errors.As(err, &big) {
+			Error(w, gauge.Oversize, 0, chisel.Faults{{Path: "$", Why: fmt.Sprintf("a body has at most %d bytes", most)}})
+			return nil, false
+		}
+		Error(w, gauge.Malformed, 0, chisel.Faults{{Path: "$", Why: "the body broke off"}})
+		return nil, false
+	}
+	return b, true
+}
+
+// Problem is the JSON of an error.
+type Problem struct {
+	Kind    gauge.Kind    `json:"kind"`
+	Dropped bool          `json:"dropped"` // the request provably never ran
+	BackMs  int64         `json:"retry_after_ms,omitempty"`
+	Faults  chisel.Faults `json:"faults,omitempty"`
+}
+
+// Error writes the answer that the one table has for a kind.
+func Error(w http.ResponseWriter, k gauge.Kind, back gauge.Span, f chisel.Faults) {
+	a := gauge.Answers[k]
+	if back == 0 {
+		back = a.Back
+	}
+	if back > 0 {
+		w.Header().Set("Retry-After", fmt.Sprint(int64((back+time.Second-1)/time.Second)))
+	}
+	JSON(w, a.Status, Problem{k, a.Dropped, back.Milliseconds(), f})
+}
--- /dev/null
+++ b/clamp/post.go
@@ -0,0 +1,170 @@
+package clamp
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+
+	"tidedeck/dowel"
+)
+
+const (
+	rpcPost  = "/tidedeck/post"
+	mostWire = 16 << 20
+)
+
+// coding lets drpc carry our envelopes.
+type coding struct{}
+
+// Marshal writes an envelope.
+func (coding) Marshal(m drpc.Message) ([]byte, error) { return dowel.Pack(*m.(*dowel.Env)) }
+
+// Unmarshal reads an envelope.
+func (coding) Unmarshal(b []byte, m drpc.Message) error {
+	e, err := dowel.Unpack(b)
+	if err == nil {
+		*m.(*dowel.Env) = e
+	}
+	return err
+}
+
+var manage = drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: mostWire}}
+
+// post carries envelopes between processes: one held stream to each sibling, a bounded queue
+// before it, and nothing that waits for a sibling that does not read.
+type post struct {
+	mu    sync.Mutex // guards lines; taken last of all locks
+	lines map[string]chan dowel.Env
+	ctx   context.Context
+	take  func(dowel.Env)
+}
+
+func newPost(ctx context.Context, take func(dowel.Env)) *post {
+	return &post{lines: map[string]chan dowel.Env{}, ctx: ctx, take: take}
+}
+
+func (p *post) listen(addr string) (net.Addr, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	s := drpcserver.NewWithOptions(p, drpcserver.Options{Manager: manage})
+	go func() { _ = s.Serve(p.ctx, l) }()
+	return l.Addr(), nil
+}
+
+// HandleRPC reads a sibling's stream to its end.
+func (p *post) HandleRPC(s drpc.Stream, rpc string) error {
+	if rpc != rpcPost {
+		return errors.Errorf("no such call: %s", rpc)
+	}
+	for {
+		var e dowel.Env
+		if err := s.MsgRecv(&e, coding{}); err != nil {
+			return nil
+		}
+		p.take(e)
+	}
+}
+
+// send queues an envelope; a full queue lets go of its oldest.
+func (p *post) send(e dowel.Env) {
+	to := e.Hop().Addr
+	if to == "" {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	q := p.lines[to]
+	if q == nil {
+		q = make(chan dowel.Env, 512)
+		p.lines[to] = q
+		go p.run(to, q)
+	}
+	for {
+		select {
+		case q <- e:
+			return
+		default:
+		}
+		select {
+		case <-q:
+		default:
+		}
+	}
+}
+
+type slowGuard struct{ net.Conn }
+
+// Write bounds the time that a sibling may keep us from writing.
+func (c slowGuard) Write(b []byte) (int, error) {
+	_ = c.SetWriteDeadline(time.Now().Add(2 * time.Second))
+	return c.Conn.Write(b)
+}
+
+func (p *post) run(to string, q chan dowel.Env) {
+	var c *drpcconn.Conn
+	var s drpc.Stream
+	var bad time.Time
+	quit := func() {
+		if c != nil {
+			_ = c.Close()
+		}
+		c, s = nil, nil
+	}
+	defer quit()
+	idle := time.NewTimer(time.Minute)
+	defer idle.Stop()
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case <-idle.C:
+			p.mu.Lock()
+			if len(q) == 0 {
+				delete(p.lines, to)
+				p.mu.Unlock()
+				return
+			}
+			p.mu.Unlock()
+			idle.Reset(time.Minute)
+		case e := <-q:
+			idle.Reset(time.Minute)
+			if c != nil {
+				select {
+				case <-c.Closed():
+					quit()
+				default:
+				}
+			}
+			if c == nil {
+				if time.Since(bad) < 100*time.Millisecond {
+					continue
+				}
+				n, err := net.DialTimeout("tcp", to, 500*time.Millisecond)
+				if err != nil {
+					bad = time.Now()
+					continue
+				}
+				c = drpcconn.NewWithOptions(slowGuard{n}, drpcconn.Options{Manager: manage})
+				if s, err = c.NewStream(p.ctx, rpcPost, coding{}); err != nil {
+					quit()
+					bad = time.Now()
+					continue
+				}
+			}
+			if err := s.MsgSend(&e, coding{}); err != nil {
+				quit()
+				bad = time.Now()
+			}
+		}
+	}
+}
--- /dev/null
+++ b/cmd/jig/main.go
@@ -0,0 +1,100 @@
+// Command jig runs a whole tidedeck fleet on one machine and reports what was seen.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"tidedeck/chisel"
+	"tidedeck/jig"
+	"tidedeck/vise"
+)
+
+func main() {
+	var s struct {
+		Fleet string  `arg:"" enum:"corrib,padana" help:"Which fleet: corrib or padana."`
+		Plan  string  `help:"Plan to hand over; the fleet's example plan if none is named." type:"path"`
+		Calls int     `help:"Requests to send." default:"2000"`
+		Rate  float64 `help:"Requests a second." default:"120"`
+		Seed  uint64  `help:"Seed of the callers." default:"1"`
+		Dir   string  `help:"Folder for data and logs; a temporary one if none is named." type:"path"`
+		Keep  bool    `help:"Leave the fleet running after the report, until interrupted."`
+	}
+	kong.Parse(&s, kong.Name("jig"), kong.Description("jig runs a whole tidedeck fleet on one machine and reports what was seen."))
+	if err := run(s.Fleet, s.Plan, s.Dir, s.Calls, s.Rate, s.Seed, s.Keep); err != nil {
+		fmt.Fprintln(os.Stderr, "jig:", err)
+		os.Exit(1)
+	}
+}
+
+func run(fleet, plan, dir string, calls int, rate float64, seed uint64, keep bool) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	me, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	if plan == "" {
+		plan = filepath.Join("examples", fleet+".json")
+	}
+	raw, err := os.ReadFile(plan)
+	if err != nil {
+		return err
+	}
+	q, faults := chisel.ReadPlan(raw)
+	if faults != nil {
+		return faults
+	}
+	if dir == "" {
+		if dir, err = os.MkdirTemp("", "tidedeck-"); err != nil {
+			return err
+		}
+		defer os.RemoveAll(dir)
+	}
+	f := jig.New(jig.Shapes[fleet], filepath.Dir(me), dir, raw)
+	if err := f.Up(); err != nil {
+		return err
+	}
+	defer f.Down()
+	wait, quit := context.WithTimeout(ctx, 60*time.Second)
+	defer quit()
+	at := time.Now()
+	say := func(what string) { fmt.Printf("%6.2fs  %s\n", time.Since(at).Seconds(), what) }
+	say("every process is started")
+	if err := jig.Until(wait, "a core", func() bool { return f.CoreReady("anvil-1") }); err != nil {
+		return err
+	}
+	say("the core has formed")
+	t, code, err := f.Put("anvil-2", raw, "0", "first")
+	if err != nil || code != 200 {
+		return fmt.Errorf("plan: %d %s %s %v %w", code, t.Kind, t.Why, t.Faults, err)
+	}
+	say(fmt.Sprintf("the plan is taken under epoch %d", t.Epoch))
+	if err := jig.Until(wait, "the plan everywhere", func() bool { return f.Ruled(t.Epoch, f.Routers...) }); err != nil {
+		return err
+	}
+	say("it rules at every router")
+	if err := jig.Until(wait, "floors", f.Floors); err != nil {
+		return err
+	}
+	say("every floor is loaded")
+	mix := vise.NewMix(q, seed)
+	r := vise.Calls(ctx, vise.CallOptions{Routers: f.Routers, Next: mix.Next, Rate: rate, Total: calls, Again: true})
+	say("the callers are done")
+	f.Report(os.Stdout, r)
+	if keep {
+		fmt.Printf("\ncallers: %v\noperators: %v\ninterrupt to end\n", f.Routers, f.Admins)
+		<-ctx.Done()
+	}
+	if len(r.Wrong) > 0 {
+		return fmt.Errorf("%d wrong answers", len(r.Wrong))
+	}
+	return nil
+}
--- /dev/null
+++ b/dowel/dowel.go
@@ -0,0 +1,461 @@
+// Package dowel joins tidedeck's processes: the messages they send each other, and the
+// inputs and outputs through which a core without I/O meets sockets, disks and timers.
+package dowel
+
+import (
+	"encoding/json"
+	"reflect"
+
+	"github.com/go-faster/errors"
+
+	"tidedeck/gauge"
+)
+
+// Peer is a process and where it listens.
+type Peer struct {
+	ID   gauge.Node `json:"id"`
+	Addr string     `json:"addr"`
+}
+
+// Env is one message between two processes. Via, when set, is the sibling that it is sent
+// through; By, when set, is the sibling that it came through, and the way for an answer.
+type Env struct {
+	From Peer
+	To   Peer
+	Via  Peer
+	By   Peer
+	Body any
+}
+
+// Hop tells where the envelope goes next.
+func (e Env) Hop() Peer {
+	if e.Via.ID != "" {
+		return e.Via
+	}
+	return e.To
+}
+
+// Carry turns an envelope that is meant for another into the one to send on.
+func (e Env) Carry(me Peer) Env {
+	return Env{From: e.From, To: e.To, By: me, Body: e.Body}
+}
+
+// Reply makes the envelope that answers e the way it came.
+func (e Env) Reply(me Peer, body any) Env {
+	return Env{From: me, To: e.From, Via: e.By, Body: body}
+}
+
+type wire struct {
+	From Peer            `json:"f"`
+	To   Peer            `json:"t"`
+	By   *Peer           `json:"v,omitempty"`
+	Kind string          `json:"k"`
+	Body json.RawMessage `json:"b"`
+}
+
+var kinds = map[string]reflect.Type{}
+
+func init() {
+	for _, b := range []any{
+		Probe{}, ProbeAck{}, ProbeFor{},
+		Prepare{}, Promise{}, Accept{}, Accepted{}, Query{}, State{}, Fetch{}, Value{},
+		Renew{}, Grant{}, NotOwner{}, News{}, Heard{}, Want{}, Removal{}, Hold{}, Hello{}, Keep{}, Kept{}, Taken{},
+	} {
+		t := reflect.TypeOf(b)
+		kinds[t.Name()] = t
+	}
+}
+
+// Pack writes an envelope as bytes.
+func Pack(e Env) ([]byte, error) {
+	b, err := json.Marshal(e.Body)
+	if err != nil {
+		return nil, errors.Wrap(err, "pack body")
+	}
+	w := wire{From: e.From, To: e.To, Kind: reflect.TypeOf(e.Body).Name(), Body: b}
+	if e.By.ID != "" {
+		w.By = &e.By
+	}
+	return json.Marshal(w)
+}
+
+// Unpack reads an envelope; a kind of message that is not known is an error.
+func Unpack(b []byte) (Env, error) {
+	var w wire
+	if err := json.Unmarshal(b, &w); err != nil {
+		return Env{}, errors.Wrap(err, "unpack envelope")
+	}
+	t, ok := kinds[w.Kind]
+	if !ok {
+		return Env{}, errors.Errorf("unpack: no message is called %q", w.Kind)
+	}
+	p := reflect.New(t)
+	if err := json.Unmarshal(w.Body, p.Interface()); err != nil {
+		return Env{}, errors.Wrapf(err, "unpack %s", w.Kind)
+	}
+	e := Env{From: w.From, To: w.To, Body: p.Elem().Interface()}
+	if w.By != nil {
+		e.By = *w.By
+	}
+	return e, nil
+}
+
+// Membership.
+
+// Member is one line of membership gossip.
+type Member struct {
+	Peer
+	Role string     `json:"role"`
+	Zone gauge.Zone `json:"zone"`
+	Inc  gauge.Inc  `json:"inc"`
+	Life string     `json:"life"`
+}
+
+// Probe asks a sibling whether it is alive.
+type Probe struct {
+	Seq  uint64
+	News []Member
+}
+
+// ProbeAck answers a Probe, or a ProbeFor on its target's behalf.
+type ProbeAck struct {
+	Seq  uint64
+	News []Member
+}
+
+// ProbeFor asks for a second opinion about a third process.
+type ProbeFor struct {
+	Seq    uint64
+	Target Peer
+	News   []Member
+}
+
+// The register.
+
+// Ballot orders the register's rounds.
+type Ballot struct {
+	N  uint64
+	By gauge.Node
+}
+
+// Less orders ballots.
+func (b Ballot) Less(o Ballot) bool { return b.N < o.N || b.N == o.N && b.By < o.By }
+
+// Voter is one voting core node, tied to one life of its disk.
+type Voter struct {
+	Peer
+	Zone gauge.Zone `json:"zone"`
+	Inc  gauge.Inc  `json:"inc"`
+}
+
+// Change remembers a change that was taken, so that its repeat is answered, not redone.
+type Change struct {
+	ID    string      `json:"id"`
+	Epoch gauge.Epoch `json:"epoch"`
+}
+
+// Desired is the whole value of the register: the plan exactly as sent, and what goes with it.
+type Desired struct {
+	Gen     uint64       `json:"gen"`
+	Epoch   gauge.Epoch  `json:"epoch"`
+	Plan    []byte       `json:"plan"`
+	Empty   []gauge.Zone `json:"empty"`
+	Windows []byte       `json:"windows,omitempty"`
+	Voters  []Voter      `json:"voters"`
+	Prior   []Voter      `json:"prior,omitempty"`
+	Shape   uint64       `json:"shape"` // numbers the voter sets
+	Done    []Change     `json:"done"`
+}
+
+// Prepare opens a round.
+type Prepare struct {
+	Round  uint64
+	Ballot Ballot
+}
+
+// Promise answers Prepare.
+type Promise struct {
+	Round    uint64
+	OK       bool
+	Inc      gauge.Inc
+	Promised Ballot
+	Accepted Ballot
+	Value    *Desired
+}
+
+// Accept closes a round.
+type Accept struct {
+	Round  uint64
+	Ballot Ballot
+	Value  Desired
+}
+
+// Accepted answers Accept.
+type Accepted struct {
+	Round    uint64
+	OK       bool
+	Inc      gauge.Inc
+	Promised Ballot
+}
+
+// Query reads a voter's state and, with Claim, asks it for a timed hold on the duty.
+type Query struct {
+	Round uint64
+	Claim bool
+	Duty  gauge.Duty
+}
+
+// State answers Query.
+type State struct {
+	Round    uint64
+	Inc      gauge.Inc
+	Blank    bool
+	Accepted Ballot
+	Epoch    gauge.Epoch
+	Shape    uint64
+	Granted  bool
+	Duty     gauge.Duty // highest duty ever promised
+	Owner    Peer       // who holds it now, if any
+}
+
+// Fetch asks a voter for its accepted value.
+type Fetch struct{ Round uint64 }
+
+// Value answers Fetch.
+type Value struct {
+	Round    uint64
+	Inc      gauge.Inc
+	Accepted Ballot
+	Value    *Desired
+}
+
+// Taken tells the duty's owner that the register has a newer epoch, so that it reads at once.
+type Taken struct{ Epoch gauge.Epoch }
+
+// Keep asks an agent for the newest desired state it holds, after a total loss.
+type Keep struct{ Round uint64 }
+
+// Kept answers Keep.
+type Kept struct {
+	Round uint64
+	Value *Desired
+}
+
+// Router links.
+
+// Session names one life of a router's link; entries live and die with it.
+type Session struct {
+	Node  gauge.Node `json:"node"`
+	Awl   gauge.Inc  `json:"awl"`
+	Lathe gauge.Inc  `json:"lathe"`
+	N     uint64     `json:"n"`
+}
+
+// Burden is what a router reports of one key since its last report.
+type Burden struct {
+	Wait int `json:"w"` // requests waiting
+	Work int `json:"a"` // requests under way
+	Came int `json:"c"` // requests that came
+	Top  int `json:"t"` // highest value among the waiting
+}
+
+// Renew asks for the session's hold to go on.
+type Renew struct {
+	Session Session
+	Seq     uint64
+	Fresh   bool // nothing was heard from an owner in this session yet
+	Epoch   gauge.Epoch
+	Heard   uint64
+	Burden  map[gauge.Key]Burden
+}
+
+// Grant extends the hold: Len counts from the moment the router sent Renew Seq.
+type Grant struct {
+	Session Session
+	Seq     uint64
+	Len     gauge.Span
+	Duty    gauge.Duty
+	Routers int
+	Owner   Peer
+}
+
+// NotOwner answers a router that asked a core node without the duty.
+// Gone says that the owner has let the session lapse and a new one must begin.
+type NotOwner struct {
+	Session Session
+	Hint    Peer
+	Gone    bool
+	Cores   []Peer
+}
+
+// Replica is one server that holds a key loaded and ready.
+type Replica struct {
+	Server gauge.Server `json:"s"`
+	Addr   string       `json:"a"`
+	Zone   gauge.Zone   `json:"z"`
+	Inc    gauge.Inc    `json:"i"`
+	Slots  int          `json:"n"`
+	Warm   gauge.Span   `json:"w"` // how long it had been ready when the entry was made
+}
+
+// Item is one numbered change on a router link: exactly one of its parts is set.
+type Item struct {
+	Num     uint64    `json:"n"`
+	Desired *Desired  `json:"d,omitempty"`
+	Entry   *Entry    `json:"e,omitempty"`
+	Break   gauge.Key `json:"b,omitempty"`
+}
+
+// Entry is a placement entry; its delivery places a callback on it.
+type Entry struct {
+	Key      gauge.Key  `json:"k"`
+	Mark     gauge.Mark `json:"m"`
+	Same     bool       `json:"s,omitempty"` // the holder's copy is still right
+	Replicas []Replica  `json:"r,omitempty"`
+	Coming   gauge.Span `json:"c,omitempty"` // an empty entry: when a replica is looked for
+}
+
+// News carries numbered changes in order.
+type News struct {
+	Session Session
+	Duty    gauge.Duty
+	Items   []Item
+}
+
+// Heard acknowledges every change up to Num.
+type Heard struct {
+	Session Session
+	Num     uint64
+}
+
+// Want asks for an entry and a callback on it; Mark is what the router still has, if anything.
+type Want struct {
+	Session Session
+	Key     gauge.Key
+	Mark    gauge.Mark
+	Waiting int
+	Value   int
+}
+
+// Drop names an entry that a router let go, and the number of its delivery.
+type Drop struct {
+	Key gauge.Key
+	Num uint64
+}
+
+// Removal is a batch of entries that a router let go.
+type Removal struct {
+	Session Session
+	Drops   []Drop
+}
+
+// Hello is lathe's word to its awl: which life it is in and what it has in force.
+type Hello struct {
+	Lathe   gauge.Inc
+	Session Session
+	Epoch   gauge.Epoch
+	Burden  map[gauge.Key]Burden
+}
+
+// Hold is awl's word to its lathe: route under this session until the moment Until
+// on the machine's steady clock, which both share.
+type Hold struct {
+	Session Session
+	Until   gauge.Tick
+	Duty    gauge.Duty
+	Routers int
+}
+
+// Inputs and outputs of cores.
+
+// Beat is a core's timer input.
+type Beat struct{}
+
+// Start is a core's first input: what its disk had.
+type Start struct{ Disk map[string][]byte }
+
+// Save asks for a batch of keys to be written and synced, in the order asked.
+type Save struct {
+	Token uint64
+	Puts  map[string][]byte
+}
+
+// Saved says that a Save is durable.
+type Saved struct{ Token uint64 }
+
+// Ask asks a model server or the platform over HTTP.
+type Ask struct {
+	Token uint64
+	Addr  string
+	Path  string
+	Body  any
+	Wait  gauge.Span
+}
+
+// Told answers an Ask. OK is false when no answer came.
+type Told struct {
+	Token uint64
+	OK    bool
+	Code  int
+	Body  []byte
+}
+
+// Oops says that something went wrong that is worth writing out the ring of logs for.
+type Oops struct{ Text string }
+
+// Note is one line for the ring of logs.
+type Note struct{ Text string }
+
+// Servers, platform and store.
+
+// Order is what a duty owner sends to a model server; an empty Op only asks for the report.
+type Order struct {
+	Duty gauge.Duty `json:"duty"`
+	Num  uint64     `json:"num"`
+	Inc  gauge.Inc  `json:"inc,omitempty"`
+	Op   string     `json:"op,omitempty"`
+	Key  gauge.Key  `json:"key,omitempty"`
+	Size int        `json:"size,omitempty"`
+}
+
+// Held is one line of a server's report.
+type Held struct {
+	Key    gauge.Key `json:"key"`
+	Size   int       `json:"size"`
+	Stage  string    `json:"stage"` // loading, ready
+	Active int       `json:"active"`
+	AgeMs  int64     `json:"age_ms"` // since it came to this stage
+}
+
+// Report is a model server's account of itself.
+type Report struct {
+	Server gauge.Server `json:"server"`
+	Inc    gauge.Inc    `json:"inc"`
+	Duty   gauge.Duty   `json:"duty"`
+	Num    uint64       `json:"num"`
+	Room   int          `json:"room"`
+	Slots  int          `json:"slots"`
+	Held   []Held       `json:"held"`
+	Drop   gauge.Kind   `json:"drop,omitempty"` // why the order was dropped
+}
+
+// Listed is one line of the platform's server list.
+type Listed struct {
+	ID    gauge.Server `json:"id"`
+	Addr  string       `json:"addr"`
+	Zone  gauge.Zone   `json:"zone"`
+	State string       `json:"state"` // live, leaving, gone
+}
+
+// Work is one request as it is sent to a model server.
+type Work struct {
+	Go     string    `json:"go"`
+	ID     string    `json:"id"`
+	Base   string    `json:"model"`
+	Extra  string    `json:"adapter,omitempty"`
+	Inc    gauge.Inc `json:"inc"`
+	Parts  []string  `json:"parts,omitempty"`
+	Prompt string    `json:"prompt"`
+	Max    int       `json:"max_tokens"`
+	Once   bool      `json:"once"` // may not be repeated
+}
--- /dev/null
+++ b/jig/fleet.go
@@ -0,0 +1,385 @@
+// Package jig holds a whole fleet on one machine: it starts every program as a process of its
+// own, sends traffic, makes parts fail, and reports what callers, servers and operators saw.
+package jig
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"tidedeck/chisel"
+)
+
+// Shape is the size of a fleet.
+type Shape struct {
+	Name    string
+	Routers int
+	Servers int
+	Zones   []string
+	Room    int
+	Rate    int // of the weight store
+	Bear    int
+}
+
+// Shapes of today's two deployments.
+var Shapes = map[string]Shape{
+	"corrib": {"corrib", 8, 9, []string{"za", "zb", "zc"}, 80, 60, 3},
+	"padana": {"padana", 7, 9, []string{"za", "zb", "zc"}, 80, 60, 3},
+}
+
+// Proc is one process of a fleet.
+type Proc struct {
+	Name string
+	Bin  string
+	Args []string
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	Shape   Shape
+	Dir     string
+	Bins    string
+	Plan    []byte
+	Procs   map[string]*Proc
+	Order   []string
+	Seeds   []string
+	Admins  map[string]string // of core nodes
+	Routers []string          // where callers go
+	Names   map[string]string // router address by name
+	Servers map[string]string
+	Store   string
+	Home    string // the platform
+	http    *http.Client
+	mu      sync.Mutex // guards used
+	used    map[int]bool
+	Log     io.Writer
+}
+
+// Port finds a free port outside the range that the kernel gives out by itself.
+func (f *Fleet) Port() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for {
+		p := 12000 + rand.IntN(20000)
+		if f.used[p] {
+			continue
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		f.used[p] = true
+		return fmt.Sprintf("127.0.0.1:%d", p)
+	}
+}
+
+// New lays out a fleet; nothing runs yet.
+func New(s Shape, bins, dir string, plan []byte) *Fleet {
+	f := &Fleet{Shape: s, Dir: dir, Bins: bins, Plan: plan, Procs: map[string]*Proc{}, Admins: map[string]string{}, Names: map[string]string{},
+		Servers: map[string]string{}, used: map[int]bool{}, http: &http.Client{Timeout: 8 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
+	zone := func(i int) string { return s.Zones[i%len(s.Zones)] }
+	f.Store, f.Home = f.Port(), f.Port()
+	f.add("store", "vise", "store", "--listen", f.Store, "--rate", fmt.Sprint(s.Rate), "--bear", fmt.Sprint(s.Bear))
+	var list []string
+	for i := range s.Servers {
+		n, a := fmt.Sprintf("server-%d", i+1), f.Port()
+		f.Servers[n] = a
+		list = append(list, fmt.Sprintf("%s=%s=%s", n, a, zone(i)))
+		f.add(n, "vise", "server", "--id", n, "--listen", a, "--store", f.Store, "--room", fmt.Sprint(s.Room))
+	}
+	f.add("platform", "vise", "platform", "--listen", f.Home, "--servers", strings.Join(list, ","))
+	for range 3 {
+		f.Seeds = append(f.Seeds, f.Port())
+	}
+	for i, a := range f.Seeds {
+		f.AddCore(fmt.Sprintf("anvil-%d", i+1), a, zone(i))
+	}
+	for i := range s.Routers {
+		n := fmt.Sprint(i + 1)
+		call, ctl, link, adm := f.Port(), f.Port(), f.Port(), f.Port()
+		f.Routers = append(f.Routers, call)
+		f.Names["lathe-"+n] = call
+		f.add("awl-"+n, "awl", "--id", "awl-"+n, "--zone", zone(i), "--listen", link, "--lathe", ctl, "--admin", adm, "--seeds", strings.Join(f.Seeds, ","))
+		f.add("lathe-"+n, "lathe", "--id", "lathe-"+n, "--listen", call, "--control", ctl, "--awl", link)
+	}
+	return f
+}
+
+// AddCore lays out a core node.
+func (f *Fleet) AddCore(name, listen, zone string) {
+	f.Admins[name] = f.Port()
+	f.add(name, "anvil", "--id", name, "--zone", zone, "--listen", listen, "--admin", f.Admins[name], "--seeds", strings.Join(f.Seeds, ","),
+		"--data", filepath.Join(f.Dir, name), "--platform", f.Home)
+}
+
+func (f *Fleet) add(name, bin string, args ...string) {
+	f.Procs[name] = &Proc{Name: name, Bin: bin, Args: args}
+	f.Order = append(f.Order, name)
+}
+
+// Start starts one process.
+func (f *Fleet) Start(name string) error {
+	p := f.Procs[name]
+	p.cmd = exec.Command(filepath.Join(f.Bins, p.Bin), p.Args...)
+	log, err := os.OpenFile(filepath.Join(f.Dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return errors.Wrap(err, "log")
+	}
+	defer log.Close()
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.cmd.Start(); err != nil {
+		return errors.Wrap(err, name)
+	}
+	p.done = make(chan struct{})
+	go func(c *exec.Cmd, done chan struct{}) {
+		p.err = c.Wait()
+		close(done)
+	}(p.cmd, p.done)
+	return nil
+}
+
+// Up starts every process.
+func (f *Fleet) Up() error {
+	if err := os.MkdirAll(f.Dir, 0o755); err != nil {
+		return errors.Wrap(err, "folder")
+	}
+	for _, n := range f.Order {
+		if err := f.Start(n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Signal sends a signal to a process.
+func (f *Fleet) Signal(name string, s syscall.Signal) {
+	if p := f.Procs[name]; p.cmd != nil {
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+// Kill ends a process at once and waits until it is gone.
+func (f *Fleet) Kill(name string) {
+	f.Signal(name, syscall.SIGKILL)
+	f.Wait(name)
+}
+
+// Wait waits until a process is gone.
+func (f *Fleet) Wait(name string) {
+	if p := f.Procs[name]; p.done != nil {
+		<-p.done
+	}
+}
+
+// Stop asks a process to stop and waits until it has.
+func (f *Fleet) Stop(name string) error {
+	f.Signal(name, syscall.SIGTERM)
+	f.Wait(name)
+	return f.Procs[name].err
+}
+
+// Down ends every process.
+func (f *Fleet) Down() {
+	for _, n := range f.Order {
+		f.Signal(n, syscall.SIGCONT)
+		f.Signal(n, syscall.SIGKILL)
+	}
+	for _, n := range f.Order {
+		f.Wait(n)
+	}
+}
+
+// Get reads a JSON answer and tells its status.
+func (f *Fleet) Get(url string, v any) (int, error) { return f.Do(http.MethodGet, url, nil, nil, v) }
+
+// Do sends a request and reads a JSON answer.
+func (f *Fleet) Do(how, url string, head map[string]string, body []byte, v any) (int, error) {
+	q, err := http.NewRequest(how, "http://"+url, bytes.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	for k, x := range head {
+		q.Header.Set(k, x)
+	}
+	w, err := f.http.Do(q)
+	if err != nil {
+		return 0, err
+	}
+	defer w.Body.Close()
+	b, err := io.ReadAll(w.Body)
+	if err != nil {
+		return w.StatusCode, err
+	}
+	if v == nil {
+		return w.StatusCode, nil
+	}
+	if p, ok := v.(*[]byte); ok {
+		*p = b
+		return w.StatusCode, nil
+	}
+	return w.StatusCode, json.Unmarshal(b, v)
+}
+
+// Until asks again and again until it holds, or the context ends.
+func Until(ctx context.Context, what string, f func() bool) error {
+	for !f() {
+		select {
+		case <-ctx.Done():
+			return errors.Errorf("never came about: %s", what)
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	return nil
+}
+
+// CoreReady tells whether a core node is ready.
+func (f *Fleet) CoreReady(name string) bool {
+	c, err := f.Get(f.Admins[name]+"/ready", nil)
+	return err == nil && c == 200
+}
+
+// Taken is an operator's answer.
+type Taken struct {
+	Kind   string        `json:"kind"`
+	Why    string        `json:"why"`
+	Epoch  uint64        `json:"epoch"`
+	Faults chisel.Faults `json:"faults"`
+}
+
+// Put hands over a plan at a core node.
+func (f *Fleet) Put(core string, plan []byte, expect, id string) (Taken, int, error) {
+	var t Taken
+	c, err := f.Do(http.MethodPut, f.Admins[core]+"/plan", map[string]string{"X-Expect-Epoch": expect, "X-Change-Id": id}, plan, &t)
+	return t, c, err
+}
+
+// EpochAt tells the epoch that a router has in force, zero while it is not ready.
+func (f *Fleet) EpochAt(router string) uint64 {
+	var v struct {
+		Ready bool   `json:"ready"`
+		Epoch uint64 `json:"epoch"`
+	}
+	if _, err := f.Get(router+"/-/ready", &v); err != nil || !v.Ready {
+		return 0
+	}
+	return v.Epoch
+}
+
+// Ruled tells whether every router named is ready under at least an epoch.
+func (f *Fleet) Ruled(epoch uint64, routers ...string) bool {
+	for _, r := range routers {
+		if f.EpochAt(r) < epoch {
+			return false
+		}
+	}
+	return true
+}
+
+// Owner finds the core node that owns the duty, if any.
+func (f *Fleet) Owner() string {
+	for n, a := range f.Admins {
+		var v struct {
+			View struct {
+				Owns bool `json:"owns"`
+			} `json:"view"`
+		}
+		if _, err := f.Get(a+"/status", &v); err == nil && v.View.Owns {
+			return n
+		}
+	}
+	return ""
+}
+
+// ServersView is what the duty's owner tells of the servers.
+type ServersView struct {
+	View struct {
+		Duty    uint64 `json:"duty"`
+		Servers []struct {
+			ID      string `json:"id"`
+			Zone    string `json:"zone"`
+			State   string `json:"state"`
+			Dark    bool   `json:"dark"`
+			Known   bool   `json:"known"`
+			Offered bool   `json:"offered"`
+			Room    int    `json:"room"`
+			Used    int    `json:"used"`
+			Holds   []struct {
+				Key    string `json:"key"`
+				Stage  string `json:"stage"`
+				Active int    `json:"active"`
+			} `json:"holds"`
+		} `json:"servers"`
+	} `json:"view"`
+}
+
+// Placed reads the servers from the duty's owner.
+func (f *Fleet) Placed() (v ServersView, ok bool) {
+	o := f.Owner()
+	if o == "" {
+		return v, false
+	}
+	c, err := f.Get(f.Admins[o]+"/servers", &v)
+	return v, err == nil && c == 200
+}
+
+// Floors tells whether every key has its floor of ready replicas.
+func (f *Fleet) Floors() bool {
+	p, _ := chisel.ReadPlan(f.Plan)
+	v, ok := f.Placed()
+	if !ok || p == nil {
+		return false
+	}
+	n := map[string]int{}
+	for _, s := range v.View.Servers {
+		for _, h := range s.Holds {
+			if h.Stage == "ready" && s.Offered {
+				n[h.Key]++
+			}
+		}
+	}
+	for k, m := range p.Models {
+		if n[string(k)] < m.Floor {
+			return false
+		}
+	}
+	return true
+}
+
+// Metrics reads the counters of a router or core node.
+func (f *Fleet) Metrics(url string) map[string]float64 {
+	var b []byte
+	if _, err := f.Do(http.MethodGet, url, nil, nil, &b); err != nil {
+		return nil
+	}
+	m := map[string]float64{}
+	for _, l := range strings.Split(string(b), "\n") {
+		var v float64
+		i := strings.LastIndex(l, " ")
+		if i < 0 || strings.HasPrefix(l, "#") {
+			continue
+		}
+		if _, err := fmt.Sscan(l[i+1:], &v); err == nil {
+			m[l[:i]] = v
+		}
+	}
+	return m
+}
--- /dev/null
+++ b/lathe/core.go
@@ -0,0 +1,408 @@
+// Package lathe is the router: it takes callers' requests and sends each to a server that
+// a placement entry promises, without asking anyone while the callback on the entry holds.
+package lathe
+
+import (
+	"sort"
+
+	"tidedeck/chisel"
+	"tidedeck/dowel"
+	"tidedeck/gauge"
+)
+
+// Options of a router.
+type Options struct {
+	Me     dowel.Peer
+	Inc    gauge.Inc
+	Awl    dowel.Peer
+	Cache  int        // placement entries kept
+	Queue  int        // requests waiting, in all
+	Line   int        // requests waiting for one key
+	Ramp   gauge.Span // a replica is cold for so long
+	Share  float64    // of first goes that retries may come to
+	Bank   float64    // retries saved up at the most
+	Goes   int        // goes of one request at the most
+	Hello  gauge.Span
+	Batch  gauge.Span // removals are gathered for so long
+	Plain  bool       // no prefix affinity, to measure against
+	Check  bool       // check every entry on every use, to measure against
+	NoRamp bool       // guard for tests to break: no cap on cold servers
+
+	BreakHold   bool // guards for tests to break: route without a hold
+	BreakRetry  bool // repeat what may have run
+	BreakSpend  bool // retries without an allowance
+	BreakBreak  bool // acknowledge a break and keep the entry
+	BreakEpoch  bool // take an older plan for the newest
+	BreakAllow  bool // route what the plan does not allow
+	BreakEmpty  bool // route into emptied zones
+	BreakSend   bool // trust the check made at choosing, without another at sending
+	BreakSplice bool // go on with another server's events after a cut
+}
+
+// Defaults fills what was left out.
+func (o Options) Defaults() Options {
+	def := func(p *int, n int) {
+		if *p == 0 {
+			*p = n
+		}
+	}
+	span := func(p *gauge.Span, n gauge.Span) {
+		if *p == 0 {
+			*p = n
+		}
+	}
+	def(&o.Cache, 512)
+	def(&o.Queue, 2048)
+	def(&o.Line, 512)
+	def(&o.Goes, 4)
+	span(&o.Ramp, 4000e6)
+	span(&o.Hello, 200e6)
+	span(&o.Batch, 500e6)
+	if o.Share == 0 {
+		o.Share = 0.18
+	}
+	if o.Bank == 0 {
+		o.Bank = 20
+	}
+	return o
+}
+
+// Ref names a request inside one router.
+type Ref uint64
+
+// Call is a caller's request coming in.
+type Call struct {
+	Ref   Ref
+	Route string
+	Call  chisel.Call
+}
+
+// Begun says that the first event of a go came.
+type Begun struct {
+	Ref Ref
+	N   int
+}
+
+// Ended says how a go ended.
+type Ended struct {
+	Ref  Ref
+	N    int
+	How  End
+	Kind gauge.Kind // why a server dropped it
+}
+
+// Quit says that the caller left.
+type Quit struct{ Ref Ref }
+
+// Launch asks for a go: check with MaySend, then send the work.
+type Launch struct {
+	Ref    Ref
+	N      int
+	Server gauge.Server
+	Addr   string
+	Work   dowel.Work
+}
+
+// Receipt is the final answer to a request that got no answer of a server's.
+type Receipt struct {
+	Ref  Ref
+	Kind gauge.Kind
+	Back gauge.Span
+}
+
+type entry struct {
+	dowel.Entry
+	num    uint64 // of its delivery
+	held   bool   // a callback is on it
+	got    gauge.Tick
+	used   gauge.Tick
+	asked  gauge.Tick // when it was last wanted
+	asking bool
+}
+
+type bench struct {
+	work  int
+	keys  map[gauge.Key]int
+	avoid gauge.Tick
+	fails int
+}
+
+// Core is a router without I/O.
+type Core struct {
+	o   Options
+	now gauge.Tick
+	out []any
+
+	ses     dowel.Session
+	until   gauge.Tick
+	duty    gauge.Duty
+	routers int
+	num     uint64
+
+	gen   uint64
+	epoch gauge.Epoch
+	plan  *chisel.Plan
+	empty map[gauge.Zone]bool
+
+	entries map[gauge.Key]*entry
+	drops   []dowel.Drop
+	swept   gauge.Tick
+	hello   gauge.Tick
+
+	reqs  map[Ref]*req
+	lines map[gauge.Key][]*req
+	wait  int
+	came  map[gauge.Key]int
+	work  map[gauge.Key]int
+	bench map[gauge.Server]*bench
+	bank  float64
+	tally Tally
+}
+
+// Tally counts what a router did.
+type Tally struct {
+	Calls, Answers, Firsts, Retries, Repeats, Held      uint64
+	Hits, Lookups, Fetches, Sames, Breaks, Removals     uint64
+	Suspects, Refusals, Unsent, Lost, Cuts, SendsHeld   uint64
+	Waited                                              uint64
+	Drops                                               map[gauge.Kind]uint64
+	Dropped, Plans, Sessions, StaleNews, OldPlans, Quit uint64
+}
+
+// New makes a router.
+func New(o Options) *Core {
+	c := &Core{
+		o: o.Defaults(), entries: map[gauge.Key]*entry{}, reqs: map[Ref]*req{}, lines: map[gauge.Key][]*req{},
+		came: map[gauge.Key]int{}, work: map[gauge.Key]int{}, bench: map[gauge.Server]*bench{}, empty: map[gauge.Zone]bool{},
+		routers: 1,
+	}
+	c.tally.Drops = map[gauge.Kind]uint64{}
+	return c
+}
+
+// Step takes one input and gives what is to be done.
+func (c *Core) Step(now gauge.Tick, in any) []any {
+	c.now, c.out = now, nil
+	switch v := in.(type) {
+	case dowel.Env:
+		switch b := v.Body.(type) {
+		case dowel.Hold:
+			c.onHold(b)
+		case dowel.News:
+			c.onNews(b)
+		}
+	case Call:
+		c.onCall(v)
+	case Begun:
+		c.onBegun(v)
+	case Ended:
+		c.onEnded(v)
+	case Quit:
+		c.onQuit(v)
+	case dowel.Beat:
+		c.beat()
+	}
+	return c.out
+}
+
+func (c *Core) send(body any) {
+	c.out = append(c.out, dowel.Env{From: c.o.Me, To: c.o.Awl, Body: body})
+}
+
+func (c *Core) onHold(b dowel.Hold) {
+	if b.Session.Lathe != c.o.Inc {
+		c.hello = 0
+		return
+	}
+	if b.Session != c.ses {
+		if b.Session.Awl < c.ses.Awl || b.Session.Awl == c.ses.Awl && b.Session.N < c.ses.N {
+			return
+		}
+		c.ses, c.until, c.num, c.drops, c.duty = b.Session, 0, 0, nil, 0
+		c.tally.Sessions++
+		for _, e := range c.entries {
+			if e.held {
+				c.tally.Suspects++
+			}
+			e.held, e.asking = false, false
+		}
+	}
+	c.duty = b.Duty
+	if b.Until > c.until {
+		was := c.holds()
+		c.until = b.Until
+		if b.Routers > 0 {
+			c.routers = b.Routers
+		}
+		if !was {
+			c.pump()
+		}
+	}
+}
+
+func (c *Core) holds() bool { return c.now < c.until || c.o.BreakHold }
+
+func (c *Core) onNews(b dowel.News) {
+	if b.Session != c.ses {
+		c.tally.StaleNews++
+		return
+	}
+	for _, i := range b.Items {
+		if i.Num != c.num+1 {
+			continue
+		}
+		c.num = i.Num
+		switch {
+		case i.Desired != nil:
+			c.onDesired(i.Desired)
+		case i.Entry != nil:
+			c.onEntry(i.Num, *i.Entry)
+		case i.Break != "":
+			c.onBreak(i.Break)
+		}
+	}
+	c.send(dowel.Heard{Session: c.ses, Num: c.num})
+	c.pump()
+}
+
+func (c *Core) onDesired(d *dowel.Desired) {
+	if !c.o.BreakEpoch && (d.Gen < c.gen || d.Gen == c.gen && d.Epoch <= c.epoch) {
+		c.tally.OldPlans++
+		return
+	}
+	var p *chisel.Plan
+	if len(d.Plan) > 0 {
+		var f chisel.Faults
+		if p, f = chisel.ReadPlan(d.Plan); f != nil {
+			return // cannot be: the core takes no faulty plan
+		}
+	}
+	c.gen, c.epoch, c.plan, c.empty = d.Gen, d.Epoch, p, map[gauge.Zone]bool{}
+	for _, z := range d.Empty {
+		c.empty[z] = true
+	}
+	c.tally.Plans++
+	// Whoever waits for what the new plan no longer allows is told so at once.
+	for _, k := range c.keys() {
+		for _, r := range append([]*req{}, c.lines[k]...) {
+			if why := c.admit(r); why != gauge.None {
+				c.finish(r, why, 0)
+			}
+		}
+	}
+}
+
+func (c *Core) onEntry(num uint64, n dowel.Entry) {
+	e := c.entries[n.Key]
+	if e == nil {
+		e = &entry{used: c.now}
+		c.entries[n.Key] = e
+	}
+	if n.Same {
+		c.tally.Sames++
+		if e.Mark != n.Mark {
+			e.asking, e.held, e.Mark = false, false, 0
+			return
+		}
+	} else {
+		c.tally.Fetches++
+		e.Entry, e.got = n, c.now
+	}
+	e.num, e.held, e.asking = num, true, false
+	c.trim()
+}
+
+// trim keeps the cache within its bound: the least recently used entries go, and the owner
+// hears of them in batches.
+func (c *Core) trim() {
+	for len(c.entries) > c.o.Cache {
+		var old *entry
+		for _, e := range c.entries {
+			if len(c.lines[e.Key]) == 0 && (old == nil || e.used < old.used || e.used == old.used && e.Key < old.Key) {
+				old = e
+			}
+		}
+		if old == nil {
+			return
+		}
+		delete(c.entries, old.Key)
+		if old.held {
+			c.drops = append(c.drops, dowel.Drop{Key: old.Key, Num: old.num})
+		}
+	}
+}
+
+func (c *Core) onBreak(k gauge.Key) {
+	c.tally.Breaks++
+	if !c.o.BreakBreak {
+		delete(c.entries, k)
+	}
+}
+
+func (c *Core) beat() {
+	if c.now.Sub(c.hello) >= c.o.Hello || c.hello == 0 {
+		c.hello = c.now
+		b := map[gauge.Key]dowel.Burden{}
+		for _, k := range c.keys() {
+			u := dowel.Burden{Wait: len(c.lines[k]), Work: c.work[k], Came: c.came[k]}
+			for _, r := range c.lines[k] {
+				u.Top = max(u.Top, r.class.Value)
+			}
+			b[k] = u
+		}
+		for k, n := range c.work {
+			if _, ok := b[k]; !ok && (n > 0 || c.came[k] > 0) {
+				b[k] = dowel.Burden{Work: n, Came: c.came[k]}
+			}
+		}
+		for k, n := range c.came {
+			if _, ok := b[k]; !ok && n > 0 {
+				b[k] = dowel.Burden{Came: n}
+			}
+		}
+		c.came = map[gauge.Key]int{}
+		c.send(dowel.Hello{Lathe: c.o.Inc, Session: c.ses, Epoch: c.epoch, Burden: b})
+	}
+	if len(c.drops) > 0 && (c.now.Sub(c.swept) >= c.o.Batch || len(c.drops) >= 64) {
+		c.swept = c.now
+		c.tally.Removals++
+		c.send(dowel.Removal{Session: c.ses, Drops: c.drops})
+		c.drops = nil
+	}
+	for _, k := range c.keys() {
+		for _, r := range append([]*req{}, c.lines[k]...) {
+			if c.now >= r.due {
+				c.finish(r, gauge.Expired, 0)
+			}
+		}
+	}
+	c.pump()
+}
+
+// keys lists the keys that requests wait for.
+func (c *Core) keys() []gauge.Key {
+	l := make([]gauge.Key, 0, len(c.lines))
+	for k := range c.lines {
+		l = append(l, k)
+	}
+	sort.Slice(l, func(i, j int) bool { return l[i] < l[j] })
+	return l
+}
+
+// Counts gives the tally so far.
+func (c *Core) Counts() Tally {
+	t := c.tally
+	t.Drops = map[gauge.Kind]uint64{}
+	for k, n := range c.tally.Drops {
+		t.Drops[k] = n
+	}
+	return t
+}
+
+// Rules tells the generation and epoch in force, and whether the router holds its link.
+func (c *Core) Rules(now gauge.Tick) (uint64, gauge.Epoch, bool) {
+	return c.gen, c.epoch, now < c.until
+}
+
+// Size tells how many entries are cached and how many requests wait.
+func (c *Core) Size() (entries, waiting int) { return len(c.entries), c.wait }
--- /dev/null
+++ b/lathe/ledger.go
@@ -0,0 +1,563 @@
+package lathe
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"sort"
+
+	"github.com/qmuntal/stateless"
+
+	"tidedeck/chisel"
+	"tidedeck/dowel"
+	"tidedeck/gauge"
+)
+
+// End is how a go ended.
+type End string
+
+// The ways a go ends.
+const (
+	Pending End = ""        // it has not
+	Kept    End = "kept"    // the hold or the entry was gone when it was to be sent
+	Unsent  End = "unsent"  // the server was not reached
+	Refused End = "refused" // the server dropped it
+	Lost    End = "lost"    // nothing is known of it
+	Split   End = "split"   // its stream broke off
+	Done    End = "done"
+)
+
+// Go is one attempt in a request's ledger.
+type Go struct {
+	Server gauge.Server
+	Inc    gauge.Inc
+	How    End
+	Kind   gauge.Kind
+	Begun  bool
+}
+
+// Stages of a request.
+const (
+	Waiting = "waiting"
+	Going   = "going"
+	Flowing = "flowing"
+	Closed  = "closed"
+)
+
+type req struct {
+	Call
+	key   gauge.Key
+	class chisel.Class
+	came  gauge.Tick
+	due   gauge.Tick
+	goes  []Go
+	stage string
+	spent bool // it has paid for its next go
+}
+
+type tag struct{}
+
+// The life of a request.
+var stages = func() *stateless.StateMachine {
+	s := stateless.NewStateMachineWithExternalStorage(
+		func(c context.Context) (stateless.State, error) { return c.Value(tag{}).(*req).stage, nil },
+		func(c context.Context, s stateless.State) error {
+			c.Value(tag{}).(*req).stage = s.(string)
+			return nil
+		}, stateless.FiringImmediate)
+	s.Configure(Waiting).Permit("launch", Going).Permit("close", Closed)
+	s.Configure(Going).Permit("begin", Flowing).Permit("back", Waiting).Permit("close", Closed)
+	s.Configure(Flowing).Permit("close", Closed)
+	s.Configure(Closed).Ignore("close")
+	s.OnUnhandledTrigger(func(context.Context, stateless.State, stateless.Trigger, []string) error { return nil })
+	return s
+}()
+
+func (r *req) fire(what string) bool {
+	was := r.stage
+	_ = stages.FireCtx(context.WithValue(context.Background(), tag{}, r), what)
+	return r.stage != was
+}
+
+// move is what comes next for a request.
+type move struct {
+	again bool       // wait for another go
+	pay   bool       // which comes out of the allowance
+	kind  gauge.Kind // the answer, when there is no other go
+}
+
+// What follows each end of a go, for requests that may not and that may be repeated.
+var moves = map[End][2]move{
+	Pending: {{again: true}, {again: true}},
+	Kept:    {{again: true}, {again: true}},
+	Unsent:  {{again: true}, {again: true}},
+	Refused: {{again: true, pay: true}, {again: true, pay: true}},
+	Lost:    {{kind: gauge.Unclear}, {again: true, pay: true}},
+	Split:   {{kind: gauge.Cut}, {kind: gauge.Cut}},
+	Done:    {{}, {}},
+}
+
+// next derives the next move from the ledger alone.
+func (r *req) next(most int) move {
+	if len(r.goes) == 0 {
+		return move{again: true}
+	}
+	g := r.goes[len(r.goes)-1]
+	m := moves[g.How][b2i(r.Call.Call.Again)]
+	if g.Begun && g.How == Lost {
+		m = moves[Split][0]
+	}
+	sent := 0
+	for _, g := range r.goes {
+		if g.How != Kept && g.How != Unsent {
+			sent++
+		}
+	}
+	if m.again && sent >= most {
+		return move{kind: gauge.NotReady}
+	}
+	return m
+}
+
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func (c *Core) allowed(r *req) gauge.Kind {
+	if c.o.BreakAllow {
+		return gauge.None
+	}
+	if c.plan == nil {
+		return gauge.None // no plan is known yet: it waits, but is sent nowhere
+	}
+	_, _, why := c.plan.Allows(r.Route, r.Call.Call.Kind, r.Call.Call.Base, r.Call.Call.Extra)
+	return why
+}
+
+// admit takes a request's class and horizon from the plan. While no plan is known yet it may
+// wait a while for one, but is sent nowhere.
+func (c *Core) admit(r *req) gauge.Kind {
+	r.class = chisel.Class{Value: 1, Wait: 5e9}
+	if c.plan != nil && !c.o.BreakAllow {
+		x := r.Call.Call
+		_, class, why := c.plan.Allows(r.Route, x.Kind, x.Base, x.Extra)
+		if why != gauge.None {
+			return why
+		}
+		r.class = class
+	}
+	r.due = r.came.Add(r.class.Wait)
+	if w := r.Call.Call.Wait; w > 0 && w < r.class.Wait {
+		r.due = r.came.Add(w)
+	}
+	return gauge.None
+}
+
+func (c *Core) onCall(v Call) {
+	c.tally.Calls++
+	r := &req{Call: v, came: c.now, stage: Waiting, key: gauge.KeyOf(v.Call.Base, v.Call.Extra)}
+	c.reqs[v.Ref] = r
+	if why := c.admit(r); why != gauge.None {
+		c.finish(r, why, 0)
+		return
+	}
+	if v.Call.Wait < 0 {
+		c.finish(r, gauge.PastDue, 0)
+		return
+	}
+	if v.Call.Repeat {
+		c.tally.Repeats++
+		if !c.pay() {
+			c.finish(r, gauge.Spent, 0)
+			return
+		}
+	}
+	c.came[r.key]++
+	if e := c.entries[r.key]; e != nil && e.held && c.holds() && len(e.Replicas) > 0 && !c.o.Check {
+		c.tally.Hits++
+	}
+	if c.o.Check && c.entries[r.key] != nil {
+		c.entries[r.key].held = false
+	}
+	if !c.join(r) {
+		return
+	}
+	c.serve(r.key)
+	if r.stage == Waiting {
+		c.tally.Waited++
+	}
+}
+
+// pay takes one retry out of the allowance, which first goes fill.
+func (c *Core) pay() bool {
+	if c.o.BreakSpend {
+		return true
+	}
+	if c.bank < 1 {
+		return false
+	}
+	c.bank--
+	return true
+}
+
+// join puts a request in line. A full line lets go of what is worth least.
+func (c *Core) join(r *req) bool {
+	for len(c.lines[r.key]) >= c.o.Line || c.wait >= c.o.Queue {
+		low := r
+		for _, k := range c.keys() {
+			if len(c.lines[r.key]) >= c.o.Line && k != r.key {
+				continue
+			}
+			for _, x := range c.lines[k] {
+				if x.class.Value < low.class.Value || x.class.Value == low.class.Value && low != r && x.came > low.came {
+					low = x
+				}
+			}
+		}
+		c.finish(low, gauge.Full, 0)
+		if low == r {
+			return false
+		}
+	}
+	l := c.lines[r.key]
+	i := sort.Search(len(l), func(i int) bool {
+		return l[i].class.Value < r.class.Value || l[i].class.Value == r.class.Value && l[i].due > r.due
+	})
+	l = append(l, nil)
+	copy(l[i+1:], l[i:])
+	l[i] = r
+	c.lines[r.key] = l
+	c.wait++
+	return true
+}
+
+func (c *Core) leave(r *req) {
+	l := c.lines[r.key]
+	for i, x := range l {
+		if x == r {
+			c.wait--
+			l = append(l[:i:i], l[i+1:]...)
+			break
+		}
+	}
+	if len(l) == 0 {
+		delete(c.lines, r.key)
+		return
+	}
+	c.lines[r.key] = l
+}
+
+// finish closes a request with its final answer.
+func (c *Core) finish(r *req, k gauge.Kind, back gauge.Span) {
+	if r.stage == Waiting {
+		c.leave(r)
+	}
+	r.fire("close")
+	delete(c.reqs, r.Ref)
+	if k == gauge.None {
+		c.tally.Answers++
+		return
+	}
+	if gauge.Answers[k].Dropped && r.ran() {
+		k = gauge.Unclear // a drop would say that it never ran
+	}
+	a := gauge.Answers[k]
+	if back == 0 {
+		back = a.Back
+	}
+	c.tally.Drops[k]++
+	if a.Dropped {
+		c.tally.Dropped++
+	}
+	c.out = append(c.out, Receipt{Ref: r.Ref, Kind: k, Back: back})
+}
+
+// pump serves every line, the most valuable first.
+func (c *Core) pump() {
+	l := c.keys()
+	sort.SliceStable(l, func(i, j int) bool { return c.lines[l[i]][0].class.Value > c.lines[l[j]][0].class.Value })
+	for _, k := range l {
+		c.serve(k)
+	}
+}
+
+// serve launches what waits for a key while the promise on it holds and servers have room.
+func (c *Core) serve(k gauge.Key) {
+	for len(c.lines[k]) > 0 && c.plan != nil {
+		e := c.entries[k]
+		if e == nil || !e.held && !c.o.BreakHold {
+			c.want(k)
+			return
+		}
+		if !c.holds() {
+			return
+		}
+		e.used = c.now
+		r := c.lines[k][0]
+		p := c.pick(e, r)
+		if p == nil {
+			return
+		}
+		c.launch(r, p)
+	}
+}
+
+// want asks for an entry, with the mark of the copy that is suspect, if there is one.
+func (c *Core) want(k gauge.Key) {
+	e := c.entries[k]
+	if e == nil {
+		e = &entry{Entry: dowel.Entry{Key: k}, used: c.now}
+		c.entries[k] = e
+	}
+	if e.asking && c.now.Sub(e.asked) < 400e6 || c.ses.N == 0 {
+		return
+	}
+	e.asking, e.asked = true, c.now
+	c.tally.Lookups++
+	w := dowel.Want{Session: c.ses, Key: k, Waiting: len(c.lines[k]), Value: c.lines[k][0].class.Value}
+	if len(e.Replicas) > 0 {
+		w.Mark = e.Mark
+	}
+	c.send(w)
+}
+
+func (c *Core) seat(s gauge.Server) *bench {
+	b := c.bench[s]
+	if b == nil {
+		b = &bench{keys: map[gauge.Key]int{}}
+		c.bench[s] = b
+	}
+	return b
+}
+
+// caps tells how much this router may have under way at a replica: its share of the server,
+// and of a cold replica only a part that grows.
+func (c *Core) caps(e *entry, p *dowel.Replica) (all, cold int) {
+	n := math.Ceil(2 * float64(p.Slots) / float64(max(1, c.routers)))
+	all = max(1, int(n))
+	age := p.Warm + c.now.Sub(e.got)
+	if age >= c.o.Ramp || c.o.NoRamp {
+		return all, all
+	}
+	return all, max(1, int(n*float64(age)/float64(c.o.Ramp)))
+}
+
+// pick chooses a replica: by rendezvous hash over the prompt's shared parts, as long as the
+// one it names is not burdened beyond its fair share; otherwise the least burdened.
+func (c *Core) pick(e *entry, r *req) *dowel.Replica {
+	var l []*dowel.Replica
+	sum := 0
+	for i := range e.Replicas {
+		p := &e.Replicas[i]
+		b := c.seat(p.Server)
+		if c.empty[p.Zone] && !c.o.BreakEmpty || c.now < b.avoid {
+			continue
+		}
+		all, cold := c.caps(e, p)
+		if !c.o.NoRamp && (b.work >= all || b.keys[r.key] >= cold) {
+			continue
+		}
+		sum += b.work
+		l = append(l, p)
+	}
+	if len(l) == 0 {
+		return nil
+	}
+	rank := func(p *dowel.Replica) uint64 {
+		h := fnv.New64a()
+		fmt.Fprint(h, p.Server, "|", r.key.Base())
+		for _, s := range r.Call.Call.Parts {
+			fmt.Fprint(h, "|", s)
+		}
+		x := h.Sum64()
+		x ^= x >> 33
+		x *= 0xff51afd7ed558ccd
+		return x ^ x>>33
+	}
+	fair := 1.25*float64(sum)/float64(len(l)) + 1
+	hash := len(r.Call.Call.Parts) > 0 && !c.o.Plain
+	sort.SliceStable(l, func(i, j int) bool {
+		a, b := c.seat(l[i].Server).work, c.seat(l[j].Server).work
+		if hash {
+			if fa, fb := float64(a) <= fair, float64(b) <= fair; fa != fb {
+				return fa
+			} else if fa {
+				return rank(l[i]) > rank(l[j])
+			}
+		}
+		if a != b {
+			return a < b
+		}
+		return rank(l[i]) > rank(l[j])
+	})
+	return l[0]
+}
+
+func (c *Core) launch(r *req, p *dowel.Replica) {
+	c.leave(r)
+	r.fire("launch")
+	r.goes = append(r.goes, Go{Server: p.Server, Inc: p.Inc})
+	n := len(r.goes)
+	b := c.seat(p.Server)
+	b.work++
+	b.keys[r.key]++
+	c.work[r.key]++
+	x := r.Call.Call
+	c.out = append(c.out, Launch{Ref: r.Ref, N: n, Server: p.Server, Addr: p.Addr, Work: dowel.Work{
+		Go: fmt.Sprintf("%s-%d-%d-%d", c.o.Me.ID, c.o.Inc, r.Ref, n), ID: x.ID, Base: x.Base, Extra: x.Extra,
+		Inc: p.Inc, Parts: x.Parts, Prompt: x.Prompt, Max: x.Max, Once: !x.Again,
+	}})
+}
+
+// MaySend is asked at the very point of sending: the hold must still run, the callback must
+// still be on the entry, and the entry must still name the server.
+func (c *Core) MaySend(now gauge.Tick, ref Ref, n int) bool {
+	c.now = now
+	r := c.reqs[ref]
+	if r == nil || r.stage != Going || n != len(r.goes) {
+		return false
+	}
+	g := &r.goes[n-1]
+	if !c.o.BreakSend && !c.stands(r, g) {
+		c.tally.SendsHeld++
+		return false
+	}
+	first := true
+	for _, x := range r.goes[:n-1] {
+		first = first && (x.How == Kept || x.How == Unsent)
+	}
+	if first {
+		c.tally.Firsts++
+		if !r.Call.Call.Repeat {
+			c.bank = min(c.bank+c.o.Share, c.o.Bank)
+		}
+	} else {
+		c.tally.Retries++
+	}
+	return true
+}
+
+func (c *Core) stands(r *req, g *Go) bool {
+	e := c.entries[r.key]
+	if !c.holds() || e == nil || !e.held && !c.o.BreakHold || c.allowed(r) != gauge.None || c.plan == nil {
+		return false
+	}
+	for _, p := range e.Replicas {
+		if p.Server == g.Server && p.Inc == g.Inc && (!c.empty[p.Zone] || c.o.BreakEmpty) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) onBegun(v Begun) {
+	r := c.reqs[v.Ref]
+	if r == nil || v.N != len(r.goes) || !r.fire("begin") {
+		return
+	}
+	r.goes[v.N-1].Begun = true
+	c.seat(r.goes[v.N-1].Server).fails = 0
+}
+
+// release takes a go's burden off its server.
+func (c *Core) release(r *req, g *Go) *bench {
+	b := c.seat(g.Server)
+	b.work--
+	if b.keys[r.key]--; b.keys[r.key] <= 0 {
+		delete(b.keys, r.key)
+	}
+	if c.work[r.key]--; c.work[r.key] <= 0 {
+		delete(c.work, r.key)
+	}
+	return b
+}
+
+func (c *Core) onEnded(v Ended) {
+	r := c.reqs[v.Ref]
+	if r == nil || v.N != len(r.goes) || r.goes[v.N-1].How != Pending {
+		return
+	}
+	g := &r.goes[v.N-1]
+	g.How, g.Kind = v.How, v.Kind
+	if g.Begun && v.How == Lost {
+		g.How = Split
+	}
+	b := c.release(r, g)
+	c.mark(r, g, b)
+	m := r.next(c.o.Goes)
+	if c.o.BreakRetry && g.How == Lost || c.o.BreakSplice && g.How == Split {
+		r.stage = Going
+		m = move{again: true}
+	}
+	switch {
+	case m.again && m.pay && !c.pay():
+		c.finish(r, gauge.Spent, 0)
+	case m.again && c.now >= r.due:
+		c.finish(r, gauge.Expired, 0)
+	case m.again:
+		r.fire("back")
+		c.join(r)
+	default:
+		c.finish(r, m.kind, 0)
+	}
+	c.pump()
+}
+
+// ran tells whether any go so far may have run.
+func (r *req) ran() bool {
+	for _, g := range r.goes {
+		if g.How == Lost || g.How == Split {
+			return true
+		}
+	}
+	return false
+}
+
+// mark draws what an end says about the server and the entry.
+func (c *Core) mark(r *req, g *Go, b *bench) {
+	back := func() {
+		b.fails++
+		b.avoid = c.now.Add(gauge.Span(50e6) << min(b.fails, 5))
+	}
+	switch g.How {
+	case Unsent:
+		c.tally.Unsent++
+		back()
+	case Refused:
+		c.tally.Refusals++
+		back()
+		if g.Kind != gauge.Busy {
+			if e := c.entries[r.key]; e != nil {
+				e.held = false // what it says is in doubt: it is checked before it is used again
+			}
+		}
+	case Lost:
+		c.tally.Lost++
+		back()
+	case Split:
+		c.tally.Cuts++
+	case Done:
+		b.fails = 0
+	}
+}
+
+func (c *Core) onQuit(v Quit) {
+	r := c.reqs[v.Ref]
+	if r == nil {
+		return
+	}
+	c.tally.Quit++
+	if r.stage == Waiting {
+		c.leave(r)
+	} else if n := len(r.goes); n > 0 && r.goes[n-1].How == Pending {
+		c.release(r, &r.goes[n-1])
+		r.goes[n-1].How = Done
+	}
+	r.fire("close")
+	delete(c.reqs, v.Ref)
+	c.pump()
+}
--- /dev/null
+++ b/lathe/serve.go
@@ -0,0 +1,306 @@
+package lathe
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/alexedwards/flow"
+
+	"tidedeck/chisel"
+	"tidedeck/clamp"
+	"tidedeck/dowel"
+	"tidedeck/gauge"
+)
+
+// Settings of a router.
+type Settings struct {
+	Settings string `help:"File of settings, JSON; flags go before it." type:"path"`
+	ID       string `help:"This router's name." required:""`
+	Listen   string `help:"Where callers reach this router over HTTP, ip:port." required:""`
+	Control  string `help:"Where the agent reaches this router, on loopback, ip:port." required:""`
+	Awl      string `help:"The agent's address on loopback, ip:port." required:""`
+	Cache    int    `help:"Placement entries kept at the most." default:"512"`
+	RampMs   int    `help:"A replica is cold for so long, in ms." default:"4000"`
+	Record   string `help:"File to record the day's requests in, for the replay tool." type:"path"`
+	Prompts  bool   `help:"Record the prompts' text too."`
+	StopMs   int    `help:"What is under way may take so long to finish at a stop, in ms." default:"600000"`
+}
+
+// Check names what is wrong with the settings.
+func (s *Settings) Check() (f chisel.Faults) {
+	f = append(f, clamp.Addr("listen", s.Listen)...)
+	f = append(f, clamp.Addr("control", s.Control)...)
+	f = append(f, clamp.Addr("awl", s.Awl)...)
+	for _, a := range []struct{ path, val string }{{"control", s.Control}, {"awl", s.Awl}} {
+		if h, _, err := net.SplitHostPort(a.val); err == nil && net.ParseIP(h) != nil && !net.ParseIP(h).IsLoopback() {
+			f = append(f, chisel.Fault{Path: a.path, Why: "wants an address on loopback"})
+		}
+	}
+	if s.Cache < 1 || s.Cache > 1_000_000 {
+		f = append(f, chisel.Fault{Path: "cache", Why: "wants a whole number from 1 to 1000000"})
+	}
+	if s.RampMs < 1 || s.RampMs > 600_000 {
+		f = append(f, chisel.Fault{Path: "ramp-ms", Why: "wants a whole number from 1 to 600000"})
+	}
+	return f
+}
+
+// door is where callers come in.
+type door struct {
+	mu     sync.Mutex // guards calls and next; taken after the clamp's
+	calls  map[Ref]chan any
+	next   Ref
+	c      *clamp.Clamp
+	core   *Core
+	stop   chan struct{}
+	record *Recorder
+}
+
+// Main runs a router until it is told to stop.
+func Main(s Settings) error {
+	ring := clamp.NewRing(s.ID, os.Stderr)
+	core := New(Options{
+		Me: dowel.Peer{ID: gauge.Node(s.ID), Addr: s.Control}, Inc: clamp.NewInc(),
+		Awl: dowel.Peer{ID: "", Addr: s.Awl}, Cache: s.Cache, Ramp: gauge.Span(s.RampMs) * 1e6,
+	})
+	d := &door{calls: map[Ref]chan any{}, core: core, stop: make(chan struct{})}
+	if s.Record != "" {
+		r, err := OpenRecorder(s.Record, s.ID, s.Prompts)
+		if err != nil {
+			return err
+		}
+		defer r.Close()
+		d.record = r
+	}
+	d.c = clamp.New(clamp.Options{Core: core, Listen: s.Control, Beat: 10 * time.Millisecond, Ring: ring, Else: d.act})
+	if err := d.c.Run(); err != nil {
+		return err
+	}
+	defer d.c.Stop()
+	return clamp.Web(s.Listen, d.routes(), ring, func() { close(d.stop) }, time.Duration(s.StopMs)*time.Millisecond)
+}
+
+func (d *door) act(o any) {
+	var ref Ref
+	switch v := o.(type) {
+	case Launch:
+		ref = v.Ref
+	case Receipt:
+		ref = v.Ref
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if ch := d.calls[ref]; ch != nil {
+		ch <- o // room for every launch and the receipt
+	}
+}
+
+func (d *door) routes() http.Handler {
+	m := flow.New()
+	m.HandleFunc("/-/live", func(w http.ResponseWriter, r *http.Request) { clamp.JSON(w, 200, map[string]bool{"live": true}) }, http.MethodGet)
+	m.HandleFunc("/-/ready", func(w http.ResponseWriter, r *http.Request) {
+		ok := false
+		var epoch gauge.Epoch
+		d.c.With(func(now gauge.Tick) {
+			_, e, held := d.core.Rules(now)
+			epoch, ok = e, held && e > 0
+		})
+		select {
+		case <-d.stop:
+			ok = false
+		default:
+		}
+		clamp.JSON(w, map[bool]int{true: 200, false: 503}[ok], map[string]any{"ready": ok, "epoch": epoch})
+	}, http.MethodGet)
+	m.Handle("/-/metrics", clamp.Metrics(clamp.Tallies{Name: "lathe", Get: func() (t any) {
+		d.c.With(func(gauge.Tick) { t = d.core.Counts() })
+		return t
+	}}, clamp.Tallies{Name: "lathe", Get: func() any {
+		var v struct{ Entries, Waiting, Epoch int }
+		d.c.With(func(now gauge.Tick) {
+			v.Entries, v.Waiting = d.core.Size()
+			_, e, _ := d.core.Rules(now)
+			v.Epoch = int(e)
+		})
+		return v
+	}}), http.MethodGet)
+	m.HandleFunc("/...", d.call, http.MethodPost)
+	return m
+}
+
+// call carries one caller's request from its arrival to its last word.
+func (d *door) call(w http.ResponseWriter, r *http.Request) {
+	raw, ok := clamp.Body(w, r, chisel.MostBody)
+	if !ok {
+		return
+	}
+	x, f := chisel.ReadCall(raw)
+	if f != nil {
+		clamp.Error(w, gauge.Malformed, 0, f)
+		return
+	}
+	ch := make(chan any, 8)
+	d.mu.Lock()
+	d.next++
+	ref := d.next
+	d.calls[ref] = ch
+	d.mu.Unlock()
+	defer func() {
+		d.mu.Lock()
+		delete(d.calls, ref)
+		d.mu.Unlock()
+	}()
+	if d.record != nil {
+		d.record.Add(r.URL.Path, x)
+	}
+	d.c.Step(Call{Ref: ref, Route: r.URL.Path, Call: x})
+	s := &stream{w: w}
+	for {
+		select {
+		case <-r.Context().Done():
+			d.c.Step(Quit{ref})
+			return
+		case o := <-ch:
+			switch v := o.(type) {
+			case Receipt:
+				s.refuse(v)
+				return
+			case Launch:
+				how, kind := d.run(r.Context(), v, s)
+				if r.Context().Err() != nil {
+					d.c.Step(Quit{ref})
+					return
+				}
+				d.c.Step(Ended{Ref: ref, N: v.N, How: how, Kind: kind})
+				if how == Done {
+					return
+				}
+			}
+		}
+	}
+}
+
+// run makes one go: it dials first, asks whether it may send at the very point of sending,
+// and sends on a connection of its own, so that nothing below repeats a request unseen.
+func (d *door) run(ctx context.Context, v Launch, s *stream) (End, gauge.Kind) {
+	conn, err := (&net.Dialer{Timeout: 500 * time.Millisecond}).DialContext(ctx, "tcp", v.Addr)
+	if err != nil {
+		return Unsent, gauge.None
+	}
+	defer conn.Close()
+	b, err := json.Marshal(v.Work)
+	if err != nil {
+		return Unsent, gauge.None
+	}
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+v.Addr+"/generate", bytes.NewReader(b))
+	if err != nil {
+		return Unsent, gauge.None
+	}
+	q.GetBody = nil
+	q.Header.Set("Content-Type", "application/json")
+	may := false
+	d.c.With(func(now gauge.Tick) { may = d.core.MaySend(now, v.Ref, v.N) })
+	if !may {
+		return Kept, gauge.None
+	}
+	t := &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: func(context.Context, string, string) (net.Conn, error) { return conn, nil }}
+	defer t.CloseIdleConnections()
+	a, err := t.RoundTrip(q)
+	if err != nil {
+		return Lost, gauge.None
+	}
+	defer a.Body.Close()
+	if a.StatusCode != http.StatusOK {
+		var p clamp.Problem
+		b, _ := io.ReadAll(io.LimitReader(a.Body, 64<<10))
+		if json.Unmarshal(b, &p) == nil && p.Dropped {
+			return Refused, p.Kind
+		}
+		return Lost, gauge.None
+	}
+	return d.flow(a.Body, v, s)
+}
+
+// Line is what a router checks of every event.
+type Line struct {
+	N      int          `json:"n"`
+	Go     string       `json:"go"`
+	Server gauge.Server `json:"server"`
+	Done   bool         `json:"done"`
+}
+
+// Follows tells whether an event is the next one of this go's own stream.
+func (l Line) Follows(v Launch, n int) bool {
+	return l.Go == v.Work.Go && l.Server == v.Server && l.N == n
+}
+
+// flow passes a server's events on, each checked to be the next one of this go.
+func (d *door) flow(body io.Reader, v Launch, s *stream) (End, gauge.Kind) {
+	in := bufio.NewReaderSize(body, 64<<10)
+	n := 0
+	for {
+		l, err := in.ReadBytes('\n')
+		if err != nil {
+			return Lost, gauge.None
+		}
+		data, ok := bytes.CutPrefix(bytes.TrimSpace(l), []byte("data: "))
+		if !ok {
+			continue
+		}
+		var x Line
+		if json.Unmarshal(data, &x) != nil || !x.Follows(v, n) {
+			return Lost, gauge.None
+		}
+		if n == 0 {
+			d.c.Step(Begun{Ref: v.Ref, N: v.N})
+		}
+		n++
+		s.pass(data)
+		if x.Done {
+			return Done, gauge.None
+		}
+	}
+}
+
+// stream is the caller's side of an answer.
+type stream struct {
+	w    http.ResponseWriter
+	open bool
+}
+
+func (s *stream) pass(data []byte) {
+	if !s.open {
+		s.open = true
+		s.w.Header().Set("Content-Type", "text/event-stream")
+		s.w.Header().Set("Cache-Control", "no-store")
+		s.w.WriteHeader(http.StatusOK)
+	}
+	_, _ = fmt.Fprintf(s.w, "data: %s\n\n", data)
+	if f, ok := s.w.(http.Flusher); ok {
+		f.Flush()
+	}
+}
+
+// refuse says the last word when it is not a server's: as a status while nothing was sent
+// yet, as an error event when the stream was already open.
+func (s *stream) refuse(v Receipt) {
+	if !s.open {
+		clamp.Error(s.w, v.Kind, v.Back, nil)
+		return
+	}
+	a := gauge.Answers[v.Kind]
+	b, _ := json.Marshal(clamp.Problem{Kind: v.Kind, Dropped: a.Dropped, BackMs: v.Back.Milliseconds()})
+	_, _ = fmt.Fprintf(s.w, "event: error\ndata: %s\n\n", b)
+	if f, ok := s.w.(http.Flusher); ok {
+		f.Flush()
+	}
+}
--- /dev/null
+++ b/vise/serve.go
@@ -0,0 +1,360 @@
+package vise
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/alexedwards/flow"
+
+	"tidedeck/chisel"
+	"tidedeck/clamp"
+	"tidedeck/dowel"
+	"tidedeck/gauge"
+)
+
+// ServerSettings of a stand-in model server.
+type ServerSettings struct {
+	ID     string `help:"This server's name." required:""`
+	Listen string `help:"Where it serves HTTP, ip:port." required:""`
+	Store  string `help:"The weight store's address, ip:port." required:""`
+	Room   int    `help:"Room for weights." default:"80"`
+	Slots  int    `help:"Requests decoded in one batch." default:"16"`
+	StepMs int    `help:"Between two decode steps, in ms." default:"20"`
+	Fill   int    `help:"Prompt bytes that a step can prefill." default:"4000"`
+}
+
+// Check names what is wrong with the settings.
+func (s *ServerSettings) Check() (f chisel.Faults) {
+	f = append(f, clamp.Addr("listen", s.Listen)...)
+	f = append(f, clamp.Addr("store", s.Store)...)
+	for _, n := range []struct {
+		path string
+		val  int
+	}{{"room", s.Room}, {"slots", s.Slots}, {"step-ms", s.StepMs}, {"fill", s.Fill}} {
+		if n.val < 1 || n.val > 1_000_000 {
+			f = append(f, chisel.Fault{Path: n.path, Why: "wants a whole number from 1 to 1000000"})
+		}
+	}
+	return f
+}
+
+// hall joins HTTP requests to a core by tokens.
+type hall struct {
+	mu   sync.Mutex // guards wait, next and dark; taken after the clamp's
+	next uint64
+	wait map[uint64]chan any
+	c    *clamp.Clamp
+	dark chan struct{} // closed while the server is not dark
+}
+
+func (h *hall) open(n int) (uint64, chan any) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.next++
+	ch := make(chan any, n)
+	h.wait[h.next] = ch
+	return h.next, ch
+}
+
+func (h *hall) shut(t uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.wait, t)
+}
+
+func (h *hall) act(o any) {
+	t := uint64(0)
+	switch v := o.(type) {
+	case OrderOut:
+		t = v.Token
+	case WorkDrop:
+		t = v.Token
+	case Event:
+		t = v.Token
+	case PullOut:
+		t = v.Token
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if ch := h.wait[t]; ch != nil {
+		select {
+		case ch <- o:
+		default: // a reader this far behind is cut off
+			close(ch)
+			delete(h.wait, t)
+		}
+	}
+}
+
+// lit waits while the server is dark.
+func (h *hall) lit(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.mu.Lock()
+		d := h.dark
+		h.mu.Unlock()
+		select {
+		case <-d:
+			next.ServeHTTP(w, r)
+		case <-r.Context().Done():
+		}
+	})
+}
+
+// swap is a core that can be exchanged for one that restarted empty.
+type swap struct{ s *Server }
+
+// Step hands the input to the core in place.
+func (c *swap) Step(now gauge.Tick, in any) []any { return c.s.Step(now, in) }
+
+// ServerMain runs a stand-in model server until it is told to stop.
+func ServerMain(s ServerSettings) error {
+	ring := clamp.NewRing(s.ID, os.Stderr)
+	born := func() *Server {
+		return NewServer(ServerOptions{ID: gauge.Server(s.ID), Inc: clamp.NewInc(), Room: s.Room, Slots: s.Slots, Store: s.Store,
+			Step: gauge.Span(s.StepMs) * 1e6, Fill: s.Fill})
+	}
+	core := &swap{born()}
+	h := &hall{wait: map[uint64]chan any{}, dark: make(chan struct{})}
+	close(h.dark)
+	h.c = clamp.New(clamp.Options{Core: core, Beat: 5 * time.Millisecond, Ring: ring, Else: h.act})
+	if err := h.c.Run(); err != nil {
+		return err
+	}
+	defer h.c.Stop()
+	m := flow.New()
+	m.Group(func(m *flow.Mux) {
+		m.Use(h.lit)
+		m.HandleFunc("/orders", func(w http.ResponseWriter, r *http.Request) {
+			var o dowel.Order
+			if !readInto(w, r, &o) {
+				return
+			}
+			t, ch := h.open(1)
+			defer h.shut(t)
+			h.c.Step(OrderIn{t, o})
+			clamp.JSON(w, 200, (<-ch).(OrderOut).Report)
+		}, http.MethodPost)
+		m.HandleFunc("/generate", h.generate, http.MethodPost)
+	})
+	m.HandleFunc("/count", func(w http.ResponseWriter, r *http.Request) {
+		var t ServerTally
+		var n, u int
+		h.c.With(func(gauge.Tick) { t, n, u = core.s.Counts(), core.s.Active(), core.s.Used() })
+		clamp.JSON(w, 200, map[string]any{"tally": t, "active": n, "used": u, "room": s.Room})
+	}, http.MethodGet)
+	m.HandleFunc("/fault/:kind", func(w http.ResponseWriter, r *http.Request) {
+		f := faults[r.PathValue("kind")]
+		if f == nil {
+			clamp.Error(w, gauge.Unknown, 0, nil)
+			return
+		}
+		f(h, core, born)
+		clamp.JSON(w, 200, map[string]bool{"done": true})
+	}, http.MethodPost)
+	return clamp.Web(s.Listen, m, ring, nil, 10*time.Minute)
+}
+
+// The ways a server can be made to fail.
+var faults = map[string]func(h *hall, c *swap, born func() *Server){
+	"crash": func(*hall, *swap, func() *Server) { os.Exit(1) },
+	"dark": func(h *hall, _ *swap, _ func() *Server) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.dark = make(chan struct{})
+	},
+	"light": func(h *hall, _ *swap, _ func() *Server) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		select {
+		case <-h.dark:
+		default:
+			close(h.dark)
+		}
+	},
+	"empty": func(h *hall, c *swap, born func() *Server) {
+		h.c.With(func(gauge.Tick) { c.s = born() })
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		for t, ch := range h.wait {
+			close(ch)
+			delete(h.wait, t)
+		}
+	},
+	"slow": func(h *hall, c *swap, _ func() *Server) { h.c.With(func(gauge.Tick) { c.s.Slow(9) }) },
+	"fast": func(h *hall, c *swap, _ func() *Server) { h.c.With(func(gauge.Tick) { c.s.Slow(0) }) },
+}
+
+func readInto(w http.ResponseWriter, r *http.Request, v any) bool {
+	b, ok := clamp.Body(w, r, 8<<20)
+	if !ok {
+		return false
+	}
+	if err := json.Unmarshal(b, v); err != nil {
+		clamp.Error(w, gauge.Malformed, 0, chisel.Faults{{Path: "$", Why: err.Error()}})
+		return false
+	}
+	return true
+}
+
+func (h *hall) generate(w http.ResponseWriter, r *http.Request) {
+	var q dowel.Work
+	if !readInto(w, r, &q) {
+		return
+	}
+	t, ch := h.open(1024)
+	defer h.shut(t)
+	h.c.Step(WorkIn{t, q})
+	f, _ := w.(http.Flusher)
+	open := false
+	for {
+		select {
+		case <-r.Context().Done():
+			h.c.Step(WorkQuit{t})
+			return
+		case o, ok := <-ch:
+			if !ok {
+				panic(http.ErrAbortHandler) // the life that ran it is over
+			}
+			switch v := o.(type) {
+			case WorkDrop:
+				clamp.Error(w, v.Kind, 0, nil)
+				return
+			case Event:
+				if !open {
+					open = true
+					w.Header().Set("Content-Type", "text/event-stream")
+				}
+				b, _ := json.Marshal(v)
+				if _, err := fmt.Fprintf(w, "data: %s\n\n", b); err != nil {
+					h.c.Step(WorkQuit{t})
+					return
+				}
+				if f != nil {
+					f.Flush()
+				}
+				if v.Done {
+					return
+				}
+			}
+		}
+	}
+}
+
+// StoreSettings of a stand-in weight store.
+type StoreSettings struct {
+	Listen string `help:"Where it serves HTTP, ip:port." required:""`
+	Rate   int    `help:"Size that it moves in a second, shared by all who pull." default:"60"`
+	Bear   int    `help:"Pulls that it bears at once." default:"3"`
+}
+
+// Check names what is wrong with the settings.
+func (s *StoreSettings) Check() chisel.Faults { return clamp.Addr("listen", s.Listen) }
+
+// StoreMain runs a weight store until it is told to stop.
+func StoreMain(s StoreSettings) error {
+	ring := clamp.NewRing("store", os.Stderr)
+	core := NewStore(float64(s.Rate), s.Bear)
+	h := &hall{wait: map[uint64]chan any{}}
+	h.c = clamp.New(clamp.Options{Core: core, Beat: 10 * time.Millisecond, Ring: ring, Else: h.act})
+	if err := h.c.Run(); err != nil {
+		return err
+	}
+	defer h.c.Stop()
+	m := flow.New()
+	m.HandleFunc("/pull", func(w http.ResponseWriter, r *http.Request) {
+		var p Pull
+		if !readInto(w, r, &p) {
+			return
+		}
+		t, ch := h.open(1)
+		defer h.shut(t)
+		h.c.Step(PullIn{t, p})
+		select {
+		case <-ch:
+			clamp.JSON(w, 200, map[string]bool{"done": true})
+		case <-r.Context().Done():
+			h.c.Step(PullQuit{t})
+		}
+	}, http.MethodPost)
+	m.HandleFunc("/count", func(w http.ResponseWriter, r *http.Request) {
+		var t StoreTally
+		h.c.With(func(gauge.Tick) { t = core.Counts() })
+		clamp.JSON(w, 200, t)
+	}, http.MethodGet)
+	return clamp.Web(s.Listen, m, ring, nil, 10*time.Second)
+}
+
+// PlatformSettings of a stand-in platform.
+type PlatformSettings struct {
+	Listen  string   `help:"Where it serves HTTP, ip:port." required:""`
+	Servers []string `help:"Servers to list, id=ip:port=zone."`
+}
+
+// Check names what is wrong with the settings.
+func (s *PlatformSettings) Check() (f chisel.Faults) {
+	f = clamp.Addr("listen", s.Listen)
+	for i, x := range s.Servers {
+		if _, ok := listedOf(x); !ok {
+			f = append(f, chisel.Fault{Path: fmt.Sprintf("servers[%d]", i), Why: "wants id=ip:port=zone"})
+		}
+	}
+	return f
+}
+
+func listedOf(s string) (dowel.Listed, bool) {
+	var a [3]string
+	n := 0
+	for _, r := range s {
+		if r == '=' && n < 2 {
+			n++
+			continue
+		}
+		a[n] += string(r)
+	}
+	x := dowel.Listed{ID: gauge.Server(a[0]), Addr: a[1], Zone: gauge.Zone(a[2]), State: "live"}
+	return x, a[0] != "" && a[2] != "" && clamp.Addr("", a[1]) == nil
+}
+
+// PlatformMain runs a platform until it is told to stop.
+func PlatformMain(s PlatformSettings) error {
+	ring := clamp.NewRing("platform", os.Stderr)
+	p := NewPlatform()
+	for _, x := range s.Servers {
+		l, _ := listedOf(x)
+		p.Set(l)
+	}
+	var mu sync.Mutex
+	m := flow.New()
+	m.HandleFunc("/servers", func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		l := p.List()
+		mu.Unlock()
+		clamp.JSON(w, 200, l)
+	}, http.MethodGet)
+	m.HandleFunc("/servers", func(w http.ResponseWriter, r *http.Request) {
+		var x dowel.Listed
+		if !readInto(w, r, &x) {
+			return
+		}
+		mu.Lock()
+		p.Set(x)
+		mu.Unlock()
+		clamp.JSON(w, 200, x)
+	}, http.MethodPost)
+	m.HandleFunc("/servers/:id/:state", func(w http.ResponseWriter, r *http.Request) {
+		st := r.PathValue("state")
+		mu.Lock()
+		ok := map[string]bool{"live": true, "leaving": true, "gone": true}[st] && p.Mark(gauge.Server(r.PathValue("id")), st)
+		mu.Unlock()
+		if !ok {
+			clamp.Error(w, gauge.Unknown, 0, nil)
+			return
+		}
+		clamp.JSON(w, 200, map[string]string{"state": st})
+	}, http.MethodPost)
+	return clamp.Web(s.Listen, m, ring, nil, 5*time.Second)
+}
