--- a/anvil/core.go
+++ b/anvil/core.go
@@ -95,7 +95,6 @@
 	wants []dowel.Env
 
 	plan    *chisel.Plan
-	planOf  gauge.Epoch
 	empty   map[gauge.Zone]bool
 	servers map[gauge.Server]*server
 	entries map[gauge.Key]*entry
@@ -286,8 +285,8 @@
 func (c *Core) Counts() Tally { return c.tally }
 
 // Owns tells whether this node owns the duty now, and its number.
-func (c *Core) Owns() (gauge.Duty, bool) {
-	return c.duty.num, c.duty.mine && c.now <= c.duty.until(c)
+func (c *Core) Owns(now gauge.Tick) (gauge.Duty, bool) {
+	return c.duty.num, c.duty.mine && now <= c.duty.until(c)
 }
 
 // Epoch tells the newest epoch this node knows to be taken.
--- a/anvil/register.go
+++ b/anvil/register.go
@@ -44,7 +44,6 @@
 	unequal int
 	odd     int
 	shaped  gauge.Tick // when the voter set now known was first known
-	incs    map[gauge.Node]gauge.Inc
 	gone    map[gauge.Node]gauge.Tick
 }
 
--- /dev/null
+++ b/cmd/treadle/main.go
@@ -0,0 +1,77 @@
+// Command treadle runs scenes of the simulator from seeds.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+
+	"github.com/alecthomas/kong"
+
+	"tidedeck/jig"
+	"tidedeck/treadle"
+)
+
+func main() {
+	var s struct {
+		Scene string `help:"Scene to run, or all." default:"all"`
+		Fleet string `help:"Which fleet: corrib or padana." enum:"corrib,padana" default:"corrib"`
+		Seed  uint64 `help:"First seed." default:"1"`
+		Seeds int    `help:"How many seeds." default:"1"`
+		Trace bool   `help:"Print the trace."`
+		List  bool   `help:"Only list the scenes."`
+		Plans string `help:"Folder of the example plans." default:"examples" type:"path"`
+	}
+	kong.Parse(&s, kong.Name("treadle"), kong.Description("treadle runs the real cores through virtual time, from seeds."))
+	if s.List {
+		for _, c := range treadle.Scenes {
+			fmt.Printf("%-12s %s\n", c.Name, c.About)
+		}
+		return
+	}
+	raw, err := os.ReadFile(filepath.Join(s.Plans, s.Fleet+".json"))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "treadle:", err)
+		os.Exit(1)
+	}
+	pass, fail := 0, 0
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	slot := make(chan struct{}, 8)
+	for _, c := range treadle.Scenes {
+		if s.Scene != "all" && s.Scene != c.Name {
+			continue
+		}
+		for i := range s.Seeds {
+			slot <- struct{}{}
+			all.Add(1)
+			go func() {
+				defer all.Done()
+				defer func() { <-slot }()
+				o := treadle.Options{Seed: s.Seed + uint64(i), Routers: jig.Shapes[s.Fleet].Routers, Servers: jig.Shapes[s.Fleet].Servers, Plan: raw}
+				if s.Trace {
+					o.Trace = os.Stdout
+				}
+				w, seen := c.Run(o)
+				mu.Lock()
+				defer mu.Unlock()
+				fmt.Printf("%-12s seed %d trace %016x: %s\n", c.Name, o.Seed, w.Hash(), seen)
+				if len(w.Check.Bad) == 0 {
+					pass++
+					return
+				}
+				fail++
+				for _, b := range w.Check.Bad {
+					fmt.Println("   BAD", b)
+				}
+				fmt.Printf("   replay: go run ./cmd/treadle --scene %s --fleet %s --seed %d --trace\n", c.Name, s.Fleet, o.Seed)
+			}()
+		}
+	}
+	all.Wait()
+	fmt.Printf("%d passed, %d failed\n", pass, fail)
+	if fail > 0 {
+		os.Exit(1)
+	}
+}
--- a/lathe/core.go
+++ b/lathe/core.go
@@ -406,3 +406,26 @@
 
 // Size tells how many entries are cached and how many requests wait.
 func (c *Core) Size() (entries, waiting int) { return len(c.entries), c.wait }
+
+// Promises tells whether this router would now send work for a key to a server without
+// asking; checkers hold it against what servers are ordered.
+func (c *Core) Promises(now gauge.Tick, k gauge.Key, s gauge.Server, inc gauge.Inc) bool {
+	e := c.entries[k]
+	if e == nil || !e.held || now >= c.until {
+		return false
+	}
+	for _, p := range e.Replicas {
+		if p.Server == s && p.Inc == inc {
+			return true
+		}
+	}
+	return false
+}
+
+// PlanName tells the name of the plan in force.
+func (c *Core) PlanName() string {
+	if c.plan == nil {
+		return ""
+	}
+	return c.plan.Name
+}
--- a/lathe/ledger.go
+++ b/lathe/ledger.go
@@ -53,7 +53,6 @@
 	due   gauge.Tick
 	goes  []Go
 	stage string
-	spent bool // it has paid for its next go
 }
 
 type tag struct{}
--- /dev/null
+++ b/treadle/check.go
@@ -0,0 +1,507 @@
+package treadle
+
+import (
+	"bytes"
+	"fmt"
+	"sort"
+	"strings"
+
+	"tidedeck/anvil"
+	"tidedeck/chisel"
+	"tidedeck/dowel"
+	"tidedeck/gauge"
+	"tidedeck/lathe"
+	"tidedeck/vise"
+)
+
+// Bounds that the checkers hold the fleet to.
+const (
+	boundPlan  = 2100e6
+	boundGone  = 3100e6
+	boundZone  = 5000e6
+	boundCold  = 12000e6
+	boundShare = 0.2
+)
+
+// state is one desired state as operators know it.
+type state struct {
+	epoch gauge.Epoch
+	raw   []byte
+	plan  *chisel.Plan
+	empty map[gauge.Zone]bool
+	sent  gauge.Tick
+	told  gauge.Tick // zero while it is not known to be taken
+	lost  gauge.Tick // when it was surely not taken
+	over  gauge.Tick // when a newer one was told
+}
+
+// Checker watches a world from outside and says what must never be seen.
+type Checker struct {
+	w      *World
+	open   map[lathe.Ref]*call
+	calls  []*call
+	Bad    []string
+	states []*state
+	ranID  map[string]int
+	epochs map[string][2]uint64
+	lives  map[string]int
+	duties map[gauge.Duty]string
+	gone   map[string]gauge.Tick // servers that are leaving, gone or dark, since when
+	unload map[string]gauge.Tick
+	Seen   Seen
+	healed gauge.Tick
+	loose  bool // all core disks were lost: what was confirmed may be gone
+}
+
+// Seen is what a run measured.
+type Seen struct {
+	Asked, Answered, Dropped, Unclear, Cut, Broke, Events int
+	Firsts, Retries, Repeats                              int
+	Kinds                                                 map[string]int
+	PlanLag, GoneLag, ZoneLag                             gauge.Span // worst
+	Back                                                  gauge.Span // from the healing to the first answer
+	NoOwner                                               gauge.Span // longest time without an owner
+	Cold                                                  int
+	Hits, Lookups, Sames, Breaks, Acks, Lapses, Unloads   uint64
+	Prompt, Reused                                        uint64
+	Pulls, Reigns                                         uint64
+	lastOwner                                             gauge.Tick
+}
+
+func newChecker(w *World) *Checker {
+	return &Checker{w: w, open: map[lathe.Ref]*call{}, ranID: map[string]int{}, epochs: map[string][2]uint64{}, lives: map[string]int{},
+		duties: map[gauge.Duty]string{}, gone: map[string]gauge.Tick{}, unload: map[string]gauge.Tick{},
+		Seen: Seen{Kinds: map[string]int{}}}
+}
+
+func (k *Checker) bad(form string, a ...any) {
+	s := fmt.Sprintf("%.3fs %s", float64(k.w.now)/1e9, fmt.Sprintf(form, a...))
+	k.w.tracef("BAD %s", s)
+	if len(k.Bad) < 50 {
+		k.Bad = append(k.Bad, s)
+	}
+}
+
+func (k *Checker) asked(c *call) {
+	k.calls = append(k.calls, c)
+	k.Seen.Asked++
+	if c.repeat {
+		k.Seen.Repeats++
+	}
+}
+
+// Operators.
+
+// PutPlan hands a plan over and keeps the operator's books.
+func (w *World) PutPlan(node string, raw []byte, expect gauge.Epoch, any bool, then func(anvil.Answer)) {
+	w.change(node, anvil.Admin{Op: "put", Raw: raw, Expect: expect, Any: any, Change: fmt.Sprintf("put-%d", w.admin+1)}, then)
+}
+
+// Zone empties or refills a zone.
+func (w *World) Zone(node, op string, z gauge.Zone, then func(anvil.Answer)) {
+	w.change(node, anvil.Admin{Op: op, Zone: z, Any: true, Change: fmt.Sprintf("%s-%d", op, w.admin+1)}, then)
+}
+
+func (w *World) change(node string, a anvil.Admin, then func(anvil.Answer)) {
+	k := w.Check
+	s := &state{sent: w.now, raw: a.Raw, empty: map[gauge.Zone]bool{}}
+	if a.Op == "put" {
+		s.plan, _ = chisel.ReadPlan(a.Raw)
+	}
+	if n := k.newest(w.now); n != nil {
+		for z := range n.empty {
+			s.empty[z] = true
+		}
+		if a.Op != "put" {
+			s.raw, s.plan = n.raw, n.plan
+		}
+	}
+	switch a.Op {
+	case "empty":
+		s.empty[a.Zone] = true
+	case "refill":
+		delete(s.empty, a.Zone)
+	}
+	if s.plan != nil {
+		k.states = append(k.states, s)
+	}
+	w.Admin(node, a, func(r anvil.Answer) {
+		w.tracef("operator: %s at %s: %q epoch %d", a.Op, node, r.Kind, r.Epoch)
+		switch {
+		case r.Kind == gauge.None:
+			s.epoch, s.told = r.Epoch, w.now
+			for _, o := range k.states {
+				if o != s && o.told != 0 && o.epoch < s.epoch && o.over == 0 {
+					o.over = w.now
+				}
+				if o != s && o.told != 0 && o.epoch == s.epoch {
+					k.bad("epoch %d was told twice", s.epoch)
+				}
+			}
+		case r.Kind != gauge.Unclear:
+			s.lost = w.now
+		}
+		if then != nil {
+			then(r)
+		}
+	})
+}
+
+// Read reads the plan back and checks that it is the newest, to the byte.
+func (w *World) Read(node string, then func(anvil.Answer)) {
+	k, at := w.Check, w.now
+	w.Admin(node, anvil.Admin{Op: "get"}, func(r anvil.Answer) {
+		if r.Kind == gauge.None && !k.loose {
+			want := k.newest(at)
+			if want != nil && r.Epoch < want.epoch {
+				k.bad("read gave epoch %d after %d was told as taken", r.Epoch, want.epoch)
+			}
+			fits := len(k.states) == 0 || r.Epoch == 0
+			for _, s := range k.states {
+				if s.lost == 0 && (s.epoch == r.Epoch || s.told == 0) && bytes.Equal(s.raw, r.Plan) {
+					fits = true
+				}
+			}
+			if !fits {
+				k.bad("read under epoch %d gave bytes that were not sent for it", r.Epoch)
+			}
+		}
+		if then != nil {
+			then(r)
+		}
+	})
+}
+
+// newest is the newest state told as taken by a moment.
+func (k *Checker) newest(at gauge.Tick) *state {
+	var n *state
+	for _, s := range k.states {
+		if s.told != 0 && s.told <= at && (n == nil || s.epoch > n.epoch) {
+			n = s
+		}
+	}
+	return n
+}
+
+// ruling lists the states that may rule somewhere at this moment.
+func (k *Checker) ruling() (l []*state) {
+	for _, s := range k.states {
+		if s.lost == 0 && s.sent <= k.w.now && (s.over == 0 || k.w.now.Sub(s.over) <= boundPlan) {
+			l = append(l, s)
+		}
+	}
+	return l
+}
+
+// dropped tells whether every plan of a name was surely not taken.
+func (k *Checker) dropped(name string) bool {
+	for _, s := range k.states {
+		if s.plan.Name == name && s.lost == 0 {
+			return false
+		}
+	}
+	return name != ""
+}
+
+func (k *Checker) allows(s *state, a vise.Ask) bool {
+	_, _, why := s.plan.Allows(a.Route, a.Call.Kind, a.Call.Base, a.Call.Extra)
+	return why == gauge.None
+}
+
+// look holds the routers and the core against what operators were told.
+func (k *Checker) look() {
+	w := k.w
+	for _, p := range w.Lathes() {
+		c := p.core.(*lathe.Core)
+		gen, e, held := c.Rules(p.tick(w.now))
+		was := k.epochs[p.name]
+		if k.lives[p.name] != p.life {
+			k.lives[p.name], was = p.life, [2]uint64{}
+		}
+		if gen < was[0] || gen == was[0] && uint64(e) < was[1] {
+			k.bad("%s slipped back from epoch %d to %d", p.name, was[1], e)
+		}
+		k.epochs[p.name] = [2]uint64{gen, uint64(e)}
+		if held && w.now >= p.froze && !k.loose {
+			for _, s := range k.states {
+				if s.told != 0 && s.epoch > e {
+					lag := w.now.Sub(s.told)
+					k.Seen.PlanLag = max(k.Seen.PlanLag, lag)
+					if lag > boundPlan {
+						k.bad("%s routes under epoch %d, %v after %d was told", p.name, e, lag, s.epoch)
+					}
+				}
+			}
+			if n := c.PlanName(); k.dropped(n) {
+				k.bad("%s rules by plan %q, which was dropped", p.name, n)
+			}
+		}
+	}
+	var own []string
+	for _, p := range w.anvils() {
+		if _, ok := p.core.(*anvil.Core).Owns(p.tick(w.now)); ok {
+			own = append(own, p.name)
+		}
+	}
+	if len(own) > 1 {
+		k.bad("two own the duty: %v", own)
+	}
+	if len(own) == 1 {
+		k.Seen.lastOwner = w.now
+	} else if k.Seen.lastOwner != 0 {
+		k.Seen.NoOwner = max(k.Seen.NoOwner, w.now.Sub(k.Seen.lastOwner))
+	}
+}
+
+// ordered looks at an order as the server took it.
+func (k *Checker) ordered(s *proc, o dowel.Order, from string, r dowel.Report, was map[gauge.Key]dowel.Held) {
+	if r.Drop == gauge.Stale {
+		return
+	}
+	if d, ok := k.duties[o.Duty]; ok && d != from {
+		k.bad("two controllers, %s and %s, order under duty %d", d, from, o.Duty)
+	}
+	k.duties[o.Duty] = from
+	if r.Drop == gauge.NoRoom {
+		k.bad("%s was ordered past its room", s.name)
+	}
+	at := s.name + "|" + string(o.Key)
+	_, had := was[o.Key]
+	switch {
+	case o.Op == "unload" && r.Drop == gauge.Busy:
+		for id, f := range k.w.flows {
+			key := gauge.KeyOf(f.l.Work.Base, f.l.Work.Extra)
+			if id.server == s.name && id.life == s.life && (key == o.Key || key.Base() == o.Key) && !f.dead && k.w.now.Sub(f.c.at) > 3e9 {
+				k.bad("%s was told to unload %s while work was under way", s.name, o.Key)
+				break
+			}
+		}
+	case o.Op == "unload" && r.Drop == gauge.None && had:
+		k.unload[at] = k.w.now
+		k.Seen.Unloads++
+		for _, p := range k.w.Lathes() {
+			if p.core.(*lathe.Core).Promises(p.tick(k.w.now), o.Key, s.server, r.Inc) {
+				k.bad("%s was told to unload %s while %s held a promise on it", s.name, o.Key, p.name)
+			}
+		}
+	case o.Op == "load" && r.Drop == gauge.None:
+		delete(k.unload, at)
+	}
+}
+
+// sent looks at a go at the moment of sending.
+func (k *Checker) sent(f *flow, s *proc) {
+	c, w := f.c, k.w
+	if c == nil {
+		k.bad("a go for no request")
+		return
+	}
+	c.sends++
+	if c.sends == 1 {
+		k.Seen.Firsts++
+	} else {
+		k.Seen.Retries++
+	}
+	key := gauge.KeyOf(f.l.Work.Base, f.l.Work.Extra)
+	if t, ok := k.gone[s.name]; ok {
+		lag := w.now.Sub(t)
+		k.Seen.GoneLag = max(k.Seen.GoneLag, lag)
+		if lag > boundGone {
+			k.bad("%s got new work from %s, %v after it was leaving or gone", s.name, c.router, lag)
+		}
+	}
+	if t, ok := k.unload[s.name+"|"+string(key)]; ok && f.l.Work.Inc != 0 && t <= w.now && s.core.(*vise.Server).Holds()[key].Key == "" {
+		k.bad("%s sent %s to %s after it was unloaded", c.router, key, s.name)
+	}
+	if k.loose {
+		return
+	}
+	if n := k.newest(w.now); n != nil && n.empty[s.zone] {
+		since := n.told
+		for _, o := range k.states {
+			if o.told != 0 && o.epoch < n.epoch && o.empty[s.zone] {
+				since = min(since, o.told)
+			}
+		}
+		lag := w.now.Sub(since)
+		k.Seen.ZoneLag = max(k.Seen.ZoneLag, lag)
+		if lag > boundZone {
+			k.bad("%s in emptied zone %s got new work, %v after", s.name, s.zone, lag)
+		}
+	}
+	ok := false
+	for _, st := range k.ruling() {
+		ok = ok || k.allows(st, c.ask)
+	}
+	if !ok {
+		k.bad("%s sent %s %s, which no plan allows", c.router, c.ask.Route, key)
+	}
+}
+
+// ran looks at a go that a server took in.
+func (k *Checker) ran(f *flow, _ *proc) {
+	id := f.l.Work.ID
+	k.ranID[id]++
+	if f.l.Work.Once && k.ranID[id] > 1 {
+		k.bad("%s may not be repeated and ran %d times", id, k.ranID[id])
+	}
+	if c := f.c; c.over && gauge.Answers[gauge.Kind(c.kind)].Dropped {
+		k.bad("%s was dropped as %s and ran", id, c.kind)
+	}
+}
+
+func (k *Checker) receipt(who string, r lathe.Receipt) {
+	c := k.open[r.Ref]
+	if c == nil || c.over {
+		k.bad("%s answered twice", who)
+		return
+	}
+	c.over, c.kind = true, string(r.Kind)
+	k.w.tracef("%s: %s is told %s", who, c.ask.Call.ID, r.Kind)
+	a := gauge.Answers[r.Kind]
+	if a.Dropped && k.ranID[c.ask.Call.ID] > 0 {
+		k.bad("%s was dropped as %s but had run", c.ask.Call.ID, r.Kind)
+	}
+	if (r.Kind == gauge.NoModel || r.Kind == gauge.NoRoute || r.Kind == gauge.NoKind) && !k.loose {
+		all := true
+		for _, s := range k.ruling() {
+			all = all && k.allows(s, c.ask)
+		}
+		if all {
+			k.bad("%s is allowed and was turned away as %s", c.ask.Call.ID, r.Kind)
+		}
+	}
+	if a.Dropped && r.Back == 0 && a.Status == 503 {
+		k.bad("a drop did not say when to come back")
+	}
+	if r.Back > 0 && c.ask.Call.Again && !c.repeat && k.w.rand.IntN(8) == 0 {
+		n := c.ask
+		n.Call.ID += "-r"
+		n.Call.Repeat = true
+		k.w.After(r.Back, func() { k.w.Ask(n, true) })
+	}
+}
+
+func (k *Checker) event(f *flow, e vise.Event) {
+	c := f.c
+	if c.over {
+		k.bad("%s got an event after its end", c.ask.Call.ID)
+		return
+	}
+	if c.n == 0 {
+		c.server, c.run = e.Server, e.Go
+	}
+	if why := vise.CheckEvent(c.ask, e, c.n, c.server, c.run); why != "" {
+		k.bad("%s: %s", c.ask.Call.ID, why)
+	}
+	c.n++
+	k.Seen.Events++
+}
+
+func (k *Checker) done(f *flow) {
+	f.c.over = true
+	k.Seen.Answered++
+	if k.healed != 0 && k.Seen.Back == 0 && f.c.at >= 0 {
+		k.Seen.Back = k.w.now.Sub(k.healed)
+	}
+}
+
+func (k *Checker) routerGone(name string) {
+	for _, c := range k.calls {
+		if c.router == name && !c.over {
+			c.over, c.kind = true, "router broke off"
+		}
+	}
+}
+
+// Fault notes that a server is leaving, gone or dark from now on.
+func (k *Checker) Fault(server string) { k.gone[server] = k.w.now }
+
+// Mend notes that it is back.
+func (k *Checker) Mend(server string) { delete(k.gone, server) }
+
+// Finish draws up what a run saw, and the lines that hold for a run as a whole.
+func (k *Checker) Finish() Seen {
+	s := &k.Seen
+	for _, c := range k.calls {
+		switch {
+		case !c.over && k.w.now.Sub(c.at) > 45e9:
+			k.bad("%s never got its final answer", c.ask.Call.ID)
+		case c.over && c.kind != "":
+			s.Kinds[c.kind]++
+			switch {
+			case c.kind == string(gauge.Unclear):
+				s.Unclear++
+			case c.kind == string(gauge.Cut):
+				s.Cut++
+			case gauge.Answers[gauge.Kind(c.kind)].Dropped:
+				s.Dropped++
+			default:
+				s.Broke++
+			}
+		}
+	}
+	if n := float64(s.Retries); n > boundShare*float64(s.Firsts) {
+		k.bad("%d retries to %d first goes", s.Retries, s.Firsts)
+	}
+	// What callers themselves repeat comes out of the same allowance: routers let in only so many.
+	in := 0
+	for _, c := range k.calls {
+		if c.repeat && c.kind != string(gauge.Spent) && c.sends > 0 {
+			in++
+		}
+	}
+	if n := float64(s.Retries + in); n > boundShare*float64(s.Firsts) {
+		k.bad("%d retries and repeats to %d first goes", s.Retries+in, s.Firsts)
+	}
+	st := k.w.store.Counts()
+	s.Pulls = st.Pulls
+	if st.Over > 0 {
+		k.bad("loads outran the store: %d pulls beyond its budget", st.Over)
+	}
+	for _, n := range k.w.order {
+		switch c := k.w.procs[n].core.(type) {
+		case *vise.Server:
+			t := c.Counts()
+			s.Cold = max(s.Cold, t.PeakCold)
+			s.Prompt += t.PromptBytes
+			s.Reused += t.Reused
+			if t.PeakCold > k.w.o.Slots {
+				k.bad("%s was flooded while cold: %d at once on %d slots", n, t.PeakCold, k.w.o.Slots)
+			}
+			if c.Used() > k.w.o.Room {
+				k.bad("%s holds more than its room", n)
+			}
+		case *lathe.Core:
+			t := c.Counts()
+			s.Hits += t.Hits
+			s.Lookups += t.Lookups
+			s.Sames += t.Sames
+		case *anvil.Core:
+			t := c.Counts()
+			s.Breaks += t.Breaks
+			s.Acks += t.Acks
+			s.Lapses += t.Lapses
+			s.Reigns += t.Reigns
+		}
+	}
+	if k.healed != 0 && (s.Back == 0 || s.Back > boundCold) {
+		k.bad("service came back %v after the outage", s.Back)
+	}
+	return *s
+}
+
+// String gives the seen figures in a line.
+func (s Seen) String() string {
+	var l []string
+	for k := range s.Kinds {
+		l = append(l, k)
+	}
+	sort.Strings(l)
+	for i, k := range l {
+		l[i] = fmt.Sprintf("%s %d", k, s.Kinds[k])
+	}
+	return fmt.Sprintf("asked %d answered %d dropped %d unclear %d cut %d broke %d | firsts %d retries %d repeats %d | plan %v gone %v zone %v back %v no-owner %v | hits %d lookups %d breaks %d acks %d lapses %d unloads %d cold %d reigns %d [%s]",
+		s.Asked, s.Answered, s.Dropped, s.Unclear, s.Cut, s.Broke, s.Firsts, s.Retries, s.Repeats, s.PlanLag, s.GoneLag, s.ZoneLag, s.Back, s.NoOwner,
+		s.Hits, s.Lookups, s.Breaks, s.Acks, s.Lapses, s.Unloads, s.Cold, s.Reigns, strings.Join(l, ", "))
+}
--- /dev/null
+++ b/treadle/scenes.go
@@ -0,0 +1,520 @@
+package treadle
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strings"
+
+	"tidedeck/anvil"
+	"tidedeck/gauge"
+	"tidedeck/vise"
+)
+
+// Scene is one way for things to fail.
+type Scene struct {
+	Name  string
+	About string
+	Long  gauge.Span
+	Rate  float64 // requests a second
+	Least float64 // of the requests asked, answered at the least
+	Whole bool    // nothing may be cut or unclear: every change in it is planned
+	Set   func(o *Options)
+	Play  func(w *World)
+}
+
+// Run runs a scene from a seed.
+func (s Scene) Run(o Options) (*World, Seen) {
+	if s.Set != nil {
+		s.Set(&o)
+	}
+	w := New(o)
+	w.After(1500e6, func() { w.first(o.Plan) })
+	mix := vise.NewMix(w.plan, o.Seed)
+	rate := s.Rate
+	if rate == 0 {
+		rate = 60
+	}
+	w.Traffic(6e9, s.Long-12e9, rate, mix.Next)
+	s.Play(w)
+	w.Run(s.Long)
+	seen := w.Check.Finish()
+	if a := float64(seen.Answered); a < s.Least*float64(seen.Asked) {
+		w.Check.bad("only %d of %d were answered", seen.Answered, seen.Asked)
+	}
+	if s.Whole && seen.Cut+seen.Unclear > 0 {
+		w.Check.bad("%d answers were cut or unclear though all that happened was planned", seen.Cut+seen.Unclear)
+	}
+	return w, seen
+}
+
+// first hands over the first plan, again and again until it is taken.
+func (w *World) first(raw []byte) {
+	w.PutPlan("anvil-2", raw, 0, true, func(r anvil.Answer) {
+		if r.Kind != gauge.None {
+			w.After(200e6, func() { w.first(raw) })
+		}
+	})
+}
+
+// Traffic asks at a rate from a moment to another.
+func (w *World) Traffic(from, to gauge.Span, rate float64, next func() vise.Ask) {
+	gap := gauge.Span(1e9 / rate)
+	var one func()
+	one = func() {
+		if w.now >= gauge.Tick(to) {
+			return
+		}
+		w.Ask(next(), false)
+		w.After(gap/2+gauge.Span(w.rand.Int64N(int64(gap))), one)
+	}
+	w.At(gauge.Tick(from), one)
+}
+
+// Named gives the plan another name, so that the routers' plans can be told apart.
+func Named(raw []byte, name string, more func(m map[string]any)) []byte {
+	var m map[string]any
+	if err := json.Unmarshal(raw, &m); err != nil {
+		panic(err)
+	}
+	m["name"] = name
+	if more != nil {
+		more(m)
+	}
+	b, err := json.Marshal(m)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+func sec(n float64) gauge.Tick { return gauge.Tick(n * 1e9) }
+
+func (w *World) some(prefix string) string {
+	var l []string
+	for _, n := range w.order {
+		if strings.HasPrefix(n, prefix) {
+			l = append(l, n)
+		}
+	}
+	return l[w.rand.IntN(len(l))]
+}
+
+func (w *World) owner() string {
+	for _, p := range w.anvils() {
+		if _, ok := p.core.(*anvil.Core).Owns(p.tick(w.now)); ok {
+			return p.name
+		}
+	}
+	return "anvil-1"
+}
+
+// mark changes a server's state at the platform.
+func (w *World) mark(s, state string) {
+	w.plat.Mark(gauge.Server(s), state)
+	w.tracef("platform: %s is %s", s, state)
+	if state == "live" {
+		w.Check.Mend(s)
+	} else {
+		w.Check.Fault(s)
+	}
+}
+
+// crash kills a server and starts it, empty, a while later.
+func (w *World) crash(s string, after gauge.Span) {
+	w.Kill(s)
+	w.Check.Fault(s)
+	w.After(after, func() { w.Start(s); w.Check.Mend(s) })
+}
+
+// churn changes what is asked for, so that keys must move: rare ones come in turns.
+func (w *World) churn(from, to float64, rate float64) {
+	m := vise.NewMix(w.plan, w.o.Seed+7)
+	for t := from; t < to; t += 4 {
+		a := []vise.Ask{m.Rare(), m.Rare(), m.Rare()}
+		w.Traffic(gauge.Span(t*1e9), gauge.Span((t+4)*1e9), rate, func() vise.Ask { return m.Of(a[w.rand.IntN(len(a))]) })
+	}
+}
+
+func tight(o *Options) { o.Room = 44 }
+
+// plans hands over a plan every while, each under a name of its own.
+func (w *World) plans(from, to, gap float64) {
+	n := 0
+	for t := from; t < to; t += gap {
+		n++
+		name := fmt.Sprintf("plan-%d", n)
+		w.At(sec(t), func() { w.PutPlan(w.some("anvil-"), Named(w.o.Plan, name, nil), 0, true, nil) })
+		w.At(sec(t+gap/2), func() { w.Read(w.some("anvil-"), nil) })
+	}
+}
+
+// Scenes is every scene, by name.
+var Scenes = []Scene{
+	{Name: "calm", About: "nothing fails", Long: 40e9, Least: 0.99, Whole: true, Play: func(w *World) {}},
+	{Name: "moves", About: "rare models come in turns on tight servers, so that keys are unloaded all the time", Long: 70e9, Least: 0.5, Whole: true, Set: tight,
+		Play: func(w *World) { w.churn(8, 56, 20) }},
+	{Name: "moves-cut", About: "the same, while routers are frozen and cut off with stale holds and messages get lost", Long: 80e9, Least: 0.4,
+		Set: func(o *Options) { tight(o); o.Loss, o.Twice = 0.02, 0.02 },
+		Play: func(w *World) {
+			w.churn(8, 60, 20)
+			for t := 10.0; t < 60; t += 3 {
+				w.At(sec(t), func() {
+					switch w.rand.IntN(3) {
+					case 0:
+						w.Freeze(w.some("lathe-"), gauge.Span(w.rand.Int64N(4e9)))
+					case 1:
+						w.Freeze(w.some("awl-"), gauge.Span(w.rand.Int64N(4e9)))
+					case 2:
+						r := fmt.Sprintf("router-%d", 1+w.rand.IntN(w.o.Routers))
+						for i := 1; i <= 3; i++ {
+							w.Cut(r, fmt.Sprintf("anvil-%d", i), w.rand.IntN(2) == 0)
+							if w.rand.IntN(2) == 0 {
+								w.Cut(fmt.Sprintf("anvil-%d", i), r, false)
+							}
+						}
+						w.After(gauge.Span(1e9+w.rand.Int64N(5e9)), w.Heal)
+					}
+				})
+			}
+		}},
+	{Name: "moves-owner", About: "keys move while the duty's owner is killed, frozen and cut off", Long: 90e9, Least: 0.4, Set: tight,
+		Play: func(w *World) {
+			w.churn(8, 70, 20)
+			for t := 12.0; t < 70; t += 7 {
+				w.At(sec(t), func() {
+					o := w.owner()
+					switch w.rand.IntN(3) {
+					case 0:
+						w.Restart(o, gauge.Span(w.rand.Int64N(3e9)))
+					case 1:
+						w.Freeze(o, gauge.Span(w.rand.Int64N(5e9)))
+					case 2:
+						w.Part(map[string]bool{o: true})
+						w.After(gauge.Span(w.rand.Int64N(5e9)), w.Heal)
+					}
+				})
+			}
+		}},
+	{Name: "servers", About: "servers crash, go dark, restart empty, are withdrawn at little notice", Long: 80e9, Least: 0.9,
+		Play: func(w *World) {
+			for t := 10.0; t < 60; t += 4 {
+				w.At(sec(t), func() {
+					s := w.some("server-")
+					if _, ok := w.Check.gone[s]; ok || !w.procs[s].up {
+						return
+					}
+					switch w.rand.IntN(4) {
+					case 0:
+						w.crash(s, gauge.Span(w.rand.Int64N(6e9)))
+					case 1:
+						d := gauge.Span(2e9 + w.rand.Int64N(6e9))
+						w.Freeze(s, d)
+						w.Check.Fault(s)
+						w.After(d, func() { w.Check.Mend(s) })
+					case 2:
+						w.crash(s, 20e6)
+					case 3:
+						w.mark(s, "leaving")
+						w.After(4e9, func() { w.Kill(s) })
+						w.After(8e9, func() { w.Start(s); w.mark(s, "live") })
+					}
+				})
+			}
+		}},
+	{Name: "roll", About: "servers are replaced one by one, each drained first", Long: 110e9, Least: 0.97, Whole: true,
+		Play: func(w *World) {
+			for i := range w.o.Servers {
+				s := fmt.Sprintf("server-%d", i+1)
+				w.At(sec(10+9*float64(i)), func() { w.mark(s, "leaving") })
+				w.At(sec(17+9*float64(i)), func() { w.Kill(s) })
+				w.At(sec(17.2+9*float64(i)), func() { w.Start(s); w.mark(s, "live") })
+			}
+		}},
+	{Name: "routers", About: "routers, agents and core nodes are killed, singly", Long: 70e9, Least: 0.9,
+		Play: func(w *World) {
+			w.plans(9, 56, 5)
+			for t := 10.0; t < 55; t += 2 {
+				w.At(sec(t), func() {
+					w.Restart(w.some([]string{"lathe-", "awl-", "anvil-"}[w.rand.IntN(3)]), gauge.Span(w.rand.Int64N(2e9)))
+				})
+			}
+		}},
+	{Name: "plans", About: "plans come quickly, two operators race, replies get lost, messages come late and twice", Long: 70e9, Least: 0.98, Whole: true,
+		Set: func(o *Options) { o.Loss, o.Twice = 0.03, 0.05 },
+		Play: func(w *World) {
+			n := 0
+			for t := 10.0; t < 55; t += 3 {
+				w.At(sec(t), func() {
+					n++
+					base := gauge.Epoch(0)
+					if s := w.Check.newest(w.now); s != nil {
+						base = s.epoch
+					}
+					for i, a := range []string{"left", "right"} {
+						name := fmt.Sprintf("%s-%d", a, n)
+						w.PutPlan(fmt.Sprintf("anvil-%d", 1+(n+i)%3), Named(w.o.Plan, name, nil), base, false, nil)
+					}
+				})
+				w.At(sec(t+1.5), func() { w.Read(w.some("anvil-"), nil) })
+			}
+		}},
+	{Name: "grow", About: "the plan grows by many routes and loses a service again, while routers are frozen and cut off", Long: 70e9, Least: 0.85,
+		Play: func(w *World) {
+			grown := func(n int, less bool) func(m map[string]any) {
+				return func(m map[string]any) {
+					r := m["routes"].(map[string]any)
+					for i := range n {
+						r[fmt.Sprintf("/v1/more-%d", i)] = r[w.route(0)]
+					}
+					if less {
+						delete(r, w.route(1))
+					}
+				}
+			}
+			for i, t := 0, 12.0; t < 55; i, t = i+1, t+5 {
+				w.At(sec(t), func() {
+					w.PutPlan(w.some("anvil-"), Named(w.o.Plan, fmt.Sprintf("grown-%d", i), grown(i*40, i%2 == 1)), 0, true, nil)
+				})
+				w.At(sec(t-0.5), func() {
+					if w.rand.IntN(2) == 0 {
+						w.Freeze(w.some("lathe-"), gauge.Span(w.rand.Int64N(4e9)))
+						return
+					}
+					r := fmt.Sprintf("router-%d", 1+w.rand.IntN(w.o.Routers))
+					for j := 1; j <= 3; j++ {
+						w.Cut(fmt.Sprintf("anvil-%d", j), r, false)
+					}
+					for j := 1; j <= w.o.Routers; j++ {
+						if o := fmt.Sprintf("router-%d", j); o != r && w.rand.IntN(2) == 0 {
+							w.Cut(o, r, true)
+						}
+					}
+					w.After(4e9, w.Heal)
+				})
+			}
+		}},
+	{Name: "zones", About: "zones are emptied and refilled, one of them during a roll, routers frozen meanwhile", Long: 80e9, Least: 0.9, Whole: true,
+		Play: func(w *World) {
+			for i, t := 0, 12.0; t < 60; i, t = i+1, t+12 {
+				z := gauge.Zone([]string{"za", "zb", "zc"}[i%3])
+				w.At(sec(t), func() { w.Zone(w.some("anvil-"), "empty", z, nil) })
+				w.At(sec(t+7), func() { w.Zone(w.some("anvil-"), "refill", z, nil) })
+				w.At(sec(t+0.2), func() { w.Freeze(w.some("lathe-"), 1500e6) })
+				s := fmt.Sprintf("server-%d", 1+i%w.o.Servers)
+				w.At(sec(t+1), func() { w.mark(s, "leaving") })
+				w.At(sec(t+9), func() { w.mark(s, "live") })
+			}
+		}},
+	{Name: "core", About: "the core is split every way, one way too, and heals, while plans come", Long: 90e9, Least: 0.8,
+		Set: func(o *Options) { o.Loss, o.Twice = 0.02, 0.02 },
+		Play: func(w *World) {
+			w.plans(9, 70, 2)
+			for t := 10.0; t < 70; t += 5 {
+				w.At(sec(t), func() {
+					a, b := w.some("anvil-"), w.some("anvil-")
+					switch w.rand.IntN(4) {
+					case 0:
+						w.Part(map[string]bool{a: true})
+					case 1:
+						w.Cut(a, b, false)
+					case 2:
+						w.Cut("anvil-1", "anvil-2", true)
+						w.Cut("anvil-2", "anvil-3", true)
+						w.Cut("anvil-1", "anvil-3", true)
+					case 3:
+						w.Freeze(a, gauge.Span(w.rand.Int64N(4e9)))
+					}
+				})
+				w.At(sec(t+3), w.Heal)
+			}
+		}},
+	{Name: "disks", About: "core nodes lose their disks, one at a time, lose power right after a confirmation, and disks stall", Long: 100e9, Least: 0.85,
+		Play: func(w *World) {
+			n := 0
+			var again func()
+			again = func() {
+				if w.now > sec(80) {
+					return
+				}
+				n++
+				w.PutPlan(w.some("anvil-"), Named(w.o.Plan, fmt.Sprintf("kept-%d", n), nil), 0, true, func(r anvil.Answer) {
+					v := w.some("anvil-")
+					switch w.rand.IntN(3) {
+					case 0: // the power goes right after the confirmation
+						w.Restart(v, gauge.Span(w.rand.Int64N(2e9)))
+					case 1: // and the disk with it
+						w.Kill(v)
+						w.Wipe(v)
+						w.After(gauge.Span(w.rand.Int64N(1e9)), func() { w.Start(v) })
+					case 2:
+						w.procs[v].disk.stall = w.now.Add(gauge.Span(w.rand.Int64N(3e9)))
+					}
+					w.After(500e6, func() { w.Read(w.some("anvil-"), nil) })
+					w.After(7e9, again)
+				})
+			}
+			w.At(sec(9), again)
+		}},
+	{Name: "power", About: "power goes everywhere right after a confirmation, and comes back", Long: 60e9, Least: 0.5,
+		Play: func(w *World) {
+			w.At(sec(20), func() {
+				w.PutPlan("anvil-1", Named(w.o.Plan, "last", nil), 0, true, func(r anvil.Answer) { w.blackout(false, 2e9) })
+			})
+			w.At(sec(30), func() { w.Read("anvil-3", nil) })
+			w.At(sec(45), func() { w.Read("anvil-1", nil) })
+		}},
+	{Name: "ruin", About: "every core disk is lost at once; agents still hold the plan", Long: 60e9, Least: 0.7,
+		Play: func(w *World) {
+			w.At(sec(20), func() {
+				w.Check.loose = true
+				for i := 1; i <= 3; i++ {
+					n := fmt.Sprintf("anvil-%d", i)
+					w.Kill(n)
+					w.Wipe(n)
+					w.After(gauge.Span(w.rand.Int64N(1e9)), func() { w.Start(n) })
+				}
+				w.Check.healed = w.now.Add(1e9)
+			})
+			w.At(sec(45), func() {
+				w.Read("anvil-1", func(r anvil.Answer) {
+					if r.Kind != gauge.None || string(r.Plan) != string(w.o.Plan) {
+						w.Check.bad("the agents' plan did not come back: %q %d bytes", r.Kind, len(r.Plan))
+					}
+				})
+			})
+		}},
+	{Name: "replace", About: "a core machine is replaced by an empty one at a new address, then another", Long: 100e9, Least: 0.85,
+		Play: func(w *World) {
+			w.plans(9, 85, 4)
+			for i, t := range []float64{15, 50} {
+				w.At(sec(t), func() {
+					w.Kill(fmt.Sprintf("anvil-%d", 3-i))
+					w.Spare(fmt.Sprintf("anvil-%d", 4+i), gauge.Zone([]string{"zc", "zb"}[i]))
+				})
+			}
+			w.At(sec(85), func() {
+				n := 0
+				for _, p := range w.anvils() {
+					if p.core.(*anvil.Core).Ready() {
+						n++
+					}
+				}
+				if n < 3 {
+					w.Check.bad("only %d core nodes are ready after the replacement", n)
+				}
+			})
+		}},
+	{Name: "crowd", About: "crowds arrive at once, asking for rare models together, and servers are cold", Long: 70e9, Least: 0.3,
+		Play: func(w *World) {
+			m := vise.NewMix(w.plan, w.o.Seed+3)
+			for t := 10.0; t < 50; t += 10 {
+				a := m.Rare()
+				w.Traffic(gauge.Span(t*1e9), gauge.Span((t+2)*1e9), 400, func() vise.Ask { return m.Of(a) })
+				w.At(sec(t+1), func() { w.crash(w.some("server-"), 1e9) })
+			}
+		}},
+	{Name: "storm", About: "servers fail one after another under load, so that retries are wanted everywhere", Long: 60e9, Rate: 200, Least: 0.6,
+		Play: func(w *World) {
+			for t := 10.0; t < 45; t += 1.5 {
+				w.At(sec(t), func() {
+					s := w.some("server-")
+					if w.procs[s].up {
+						w.crash(s, 800e6)
+					}
+				})
+			}
+		}},
+	{Name: "zone-loss", About: "a whole zone is lost: core node, routers and servers", Long: 70e9, Least: 0.8,
+		Play: func(w *World) {
+			w.At(sec(20), func() {
+				for _, n := range w.order {
+					if p := w.procs[n]; p.zone == "zc" {
+						w.Kill(n)
+						if p.server != "" {
+							w.Check.Fault(n)
+						}
+					}
+				}
+			})
+		}},
+	{Name: "lag", About: "routers pause between the last check and the send", Long: 70e9, Least: 0.5, Set: tight,
+		Play: func(w *World) {
+			w.LagOdds, w.Lag = 0.02, 6e9
+			w.churn(8, 56, 20)
+		}},
+	{Name: "all", About: "everything at once", Long: 100e9, Least: 0.3,
+		Set: func(o *Options) { tight(o); o.Loss, o.Twice = 0.02, 0.02 },
+		Play: func(w *World) {
+			w.churn(8, 80, 15)
+			w.plans(9, 80, 6)
+			w.LagOdds, w.Lag = 0.005, 3e9
+			for t := 10.0; t < 80; t += 2 {
+				w.At(sec(t), func() {
+					switch w.rand.IntN(8) {
+					case 0:
+						w.Restart(w.some("lathe-"), gauge.Span(w.rand.Int64N(2e9)))
+					case 1:
+						w.Restart(w.some("awl-"), gauge.Span(w.rand.Int64N(2e9)))
+					case 2:
+						w.Restart(w.some("anvil-"), gauge.Span(w.rand.Int64N(2e9)))
+					case 3:
+						if s := w.some("server-"); w.procs[s].up {
+							w.crash(s, gauge.Span(w.rand.Int64N(3e9)))
+						}
+					case 4:
+						w.Freeze(w.some("lathe-"), gauge.Span(w.rand.Int64N(4e9)))
+					case 5:
+						w.Freeze(w.some("anvil-"), gauge.Span(w.rand.Int64N(4e9)))
+					case 6:
+						w.Part(map[string]bool{w.some("anvil-"): true})
+						w.After(2e9, w.Heal)
+					case 7:
+						z := gauge.Zone([]string{"za", "zb", "zc"}[w.rand.IntN(3)])
+						w.Zone(w.some("anvil-"), "empty", z, nil)
+						w.After(5e9, func() { w.Zone(w.some("anvil-"), "refill", z, nil) })
+					}
+				})
+			}
+		}},
+	{Name: "blackout", About: "everything is killed at once and comes back, model servers empty", Long: 60e9, Least: 0.5,
+		Play: func(w *World) { w.At(sec(20), func() { w.blackout(true, 3e9) }) }},
+}
+
+// route names the plan's first route, or another one.
+func (w *World) route(n int) string {
+	var l []string
+	for r := range w.plan.Routes {
+		l = append(l, r)
+	}
+	sort.Strings(l)
+	return l[n]
+}
+
+// blackout kills every process, and starts all of them again.
+func (w *World) blackout(servers bool, after gauge.Span) {
+	for _, n := range w.order {
+		if n == "store" || !servers && w.procs[n].server != "" {
+			continue
+		}
+		w.Kill(n)
+		w.After(after, func() { w.Start(n) })
+	}
+	w.Check.healed = w.now.Add(after)
+}
+
+// Spare starts an empty core node at a new address.
+func (w *World) Spare(name string, z gauge.Zone) {
+	w.addAnvil(name, z, w.seeds())
+	w.Start(name)
+}
+
+// Find finds a scene by name.
+func Find(name string) (Scene, bool) {
+	for _, s := range Scenes {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return Scene{}, false
+}
--- /dev/null
+++ b/treadle/world.go
@@ -0,0 +1,818 @@
+// Package treadle turns the real cores of every program through virtual time: from a seed,
+// over a faulty network, on faulty disks and drifting clocks, with checkers that watch what
+// callers, servers, the store, the platform and operators see.
+package treadle
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"math/rand/v2"
+	"sort"
+	"strings"
+
+	"tidedeck/anvil"
+	"tidedeck/awl"
+	"tidedeck/chisel"
+	"tidedeck/dowel"
+	"tidedeck/gauge"
+	"tidedeck/lathe"
+	"tidedeck/vise"
+)
+
+// Options of a world.
+type Options struct {
+	Seed    uint64
+	Routers int
+	Servers int
+	Plan    []byte
+	Trace   io.Writer
+	Anvil   anvil.Options // guards and spans; the rest is filled in
+	Lathe   lathe.Options
+	Loss    float64
+	Twice   float64
+	Keep    gauge.Span // of agents
+	Room    int
+	Slots   int
+	Rate    float64 // of the store
+}
+
+type event struct {
+	at  gauge.Tick
+	seq uint64
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	o := *e
+	x := o[len(o)-1]
+	*e = o[:len(o)-1]
+	return x
+}
+
+type core interface {
+	Step(now gauge.Tick, in any) []any
+}
+
+// proc is one process, on a machine with a clock of its own.
+type proc struct {
+	name   string
+	box    string // its machine
+	zone   gauge.Zone
+	beat   gauge.Span
+	core   core
+	up     bool
+	life   int
+	froze  gauge.Tick
+	skew   gauge.Tick
+	rate   float64
+	disk   *plate
+	made   func() core
+	wait   []uint64 // tokens of asks under way
+	server gauge.Server
+}
+
+func (p *proc) tick(now gauge.Tick) gauge.Tick {
+	return p.skew + gauge.Tick(float64(now)*p.rate)
+}
+
+// plate is a disk: what is synced stays, what is not goes with the power.
+type plate struct {
+	safe  map[string][]byte
+	late  gauge.Span
+	stall gauge.Tick
+	last  gauge.Tick
+}
+
+// World is one run.
+type World struct {
+	o      Options
+	now    gauge.Tick
+	seq    uint64
+	q      events
+	rand   *rand.Rand
+	procs  map[string]*proc
+	order  []string
+	cuts   map[[2]string]bool // from machine, to machine
+	plat   *vise.Platform
+	platUp bool
+	store  *vise.Store
+	asks   map[askKey]func(ok bool, body []byte)
+	pulls  map[uint64]func()
+	pull   uint64
+	flows  map[flowKey]*flow
+	serial uint64
+	hash   uint64
+	Check  *Checker
+	plan   *chisel.Plan
+	admins map[uint64]func(anvil.Answer)
+	admin  uint64
+	// Lag is a pause between a router's last check and the send, drawn with chance LagOdds.
+	LagOdds float64
+	Lag     gauge.Span
+}
+
+type askKey struct {
+	who   string
+	life  int
+	token uint64
+}
+
+type flowKey struct {
+	server string
+	life   int
+	token  uint64
+}
+
+// flow is one go on the wire.
+type flow struct {
+	lathe *proc
+	life  int
+	l     lathe.Launch
+	c     *call
+	n     int
+	last  gauge.Tick
+	dead  bool
+}
+
+// call is one request as its caller sees it.
+type call struct {
+	ask    vise.Ask
+	router string
+	at     gauge.Tick
+	n      int
+	server gauge.Server
+	run    string
+	over   bool
+	kind   string
+	sends  int
+	repeat bool
+	ref    lathe.Ref
+}
+
+// New lays out a world: three core nodes, router pairs, servers, a store and a platform.
+func New(o Options) *World {
+	if o.Room == 0 {
+		o.Room = 80
+	}
+	if o.Rate == 0 {
+		o.Rate = 60
+	}
+	if o.Slots == 0 {
+		o.Slots = 16
+	}
+	w := &World{o: o, rand: rand.New(rand.NewPCG(o.Seed, 99)), procs: map[string]*proc{}, cuts: map[[2]string]bool{},
+		asks: map[askKey]func(bool, []byte){}, pulls: map[uint64]func(){}, flows: map[flowKey]*flow{}, admins: map[uint64]func(anvil.Answer){}, platUp: true}
+	w.plan, _ = chisel.ReadPlan(o.Plan)
+	w.Check = newChecker(w)
+	loads := 2
+	if w.plan != nil {
+		loads = w.plan.Loads
+	}
+	w.store = vise.NewStore(o.Rate, loads)
+	zones := []gauge.Zone{"za", "zb", "zc"}
+	seeds := w.seeds()
+	for i := range 3 {
+		w.addAnvil(fmt.Sprintf("anvil-%d", i+1), zones[i], seeds)
+	}
+	var list []dowel.Listed
+	for i := range o.Servers {
+		n := fmt.Sprintf("server-%d", i+1)
+		z := zones[i%3]
+		list = append(list, dowel.Listed{ID: gauge.Server(n), Addr: n, Zone: z, State: "live"})
+		w.addServer(n, z)
+	}
+	w.plat = vise.NewPlatform(list...)
+	for i := range o.Routers {
+		n, z := fmt.Sprint(i+1), zones[i%3]
+		box := "router-" + n
+		a, l := "awl-"+n, "lathe-"+n
+		skew, rate := w.clock()
+		w.add(&proc{name: a, box: box, zone: z, beat: 20e6, skew: skew, rate: rate, made: func() core {
+			return awl.New(awl.Options{Me: dowel.Peer{ID: gauge.Node(a), Addr: a}, Zone: z, Inc: w.inc(a), Seeds: seeds,
+				Lathe: dowel.Peer{ID: gauge.Node(l), Addr: l}, Rand: w.chance(a), Keep: o.Keep})
+		}})
+		w.add(&proc{name: l, box: box, zone: z, beat: 20e6, skew: skew, rate: rate, made: func() core {
+			lo := o.Lathe
+			lo.Me, lo.Awl, lo.Inc = dowel.Peer{ID: gauge.Node(l), Addr: l}, dowel.Peer{ID: gauge.Node(a), Addr: a}, w.inc(l)
+			return lathe.New(lo)
+		}})
+	}
+	w.add(&proc{name: "store", box: "store", beat: 10e6, rate: 1, made: func() core { return w.store }})
+	for _, n := range w.order {
+		w.Start(n)
+	}
+	w.After(100e6, w.watch)
+	return w
+}
+
+func (w *World) seeds() (l []dowel.Peer) {
+	for i := range 3 {
+		l = append(l, dowel.Peer{Addr: fmt.Sprintf("anvil-%d", i+1)})
+	}
+	return l
+}
+
+func (w *World) clock() (gauge.Tick, float64) {
+	return gauge.Tick(w.rand.Int64N(1e15)), 1 + (w.rand.Float64()-0.5)*0.016
+}
+
+func (w *World) chance(name string) *rand.Rand {
+	h := fnv.New64a()
+	fmt.Fprint(h, name, w.procs[name].life)
+	return rand.New(rand.NewPCG(w.o.Seed, h.Sum64()))
+}
+
+// inc gives a process life its incarnation; later lives have higher ones.
+func (w *World) inc(name string) gauge.Inc {
+	return gauge.Inc(uint64(w.now)>>10<<10+uint64(len(w.order)*64)) + gauge.Inc(w.procs[name].life) + 1
+}
+
+func (w *World) addAnvil(name string, z gauge.Zone, seeds []dowel.Peer) {
+	skew, rate := w.clock()
+	w.add(&proc{name: name, box: name, zone: z, beat: 20e6, skew: skew, rate: rate, disk: &plate{safe: map[string][]byte{}, late: 2e6}, made: func() core {
+		ao := w.o.Anvil
+		ao.Me, ao.Zone, ao.Inc, ao.Seeds, ao.Platform, ao.Rand = dowel.Peer{ID: gauge.Node(name), Addr: name}, z, w.inc(name), seeds, "platform", w.chance(name)
+		return anvil.New(ao)
+	}})
+}
+
+func (w *World) addServer(name string, z gauge.Zone) {
+	skew, rate := w.clock()
+	w.add(&proc{name: name, box: name, zone: z, beat: 20e6, skew: skew, rate: rate, server: gauge.Server(name), made: func() core {
+		return vise.NewServer(vise.ServerOptions{ID: gauge.Server(name), Inc: w.inc(name), Room: w.o.Room, Slots: w.o.Slots, Store: "store"})
+	}})
+}
+
+func (w *World) add(p *proc) {
+	w.procs[p.name] = p
+	w.order = append(w.order, p.name)
+}
+
+// At runs a step at a moment.
+func (w *World) At(t gauge.Tick, do func()) {
+	w.seq++
+	heap.Push(&w.q, event{max(t, w.now), w.seq, do})
+}
+
+// After runs a step after a span.
+func (w *World) After(s gauge.Span, do func()) { w.At(w.now.Add(s), do) }
+
+// Run turns the world until a moment.
+func (w *World) Run(until gauge.Span) {
+	for len(w.q) > 0 && w.q[0].at <= gauge.Tick(until) {
+		e := heap.Pop(&w.q).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.now = gauge.Tick(until)
+}
+
+func (w *World) tracef(form string, a ...any) {
+	s := fmt.Sprintf(form, a...)
+	h := fnv.New64a()
+	fmt.Fprint(h, w.hash, w.now, s)
+	w.hash = h.Sum64()
+	if w.o.Trace != nil {
+		fmt.Fprintf(w.o.Trace, "%10.4f %s\n", float64(w.now)/1e9, s)
+	}
+}
+
+// Hash digests the whole trace: the same seed gives the same one.
+func (w *World) Hash() uint64 { return w.hash }
+
+// Start starts a process in a new life.
+func (w *World) Start(name string) {
+	p := w.procs[name]
+	if p.up {
+		return
+	}
+	p.up, p.froze = true, 0
+	p.life++
+	p.core = p.made()
+	w.tracef("start %s", name)
+	life := p.life
+	if p.disk != nil {
+		m := map[string][]byte{}
+		for k, v := range p.disk.safe {
+			m[k] = v
+		}
+		w.After(1e6, func() { w.step(p, life, dowel.Start{Disk: m}) })
+	}
+	var beat func()
+	beat = func() {
+		if !p.up || p.life != life {
+			return
+		}
+		if w.now < p.froze {
+			w.At(p.froze, beat)
+			return
+		}
+		w.step(p, life, dowel.Beat{})
+		w.After(p.beat, beat)
+	}
+	w.After(gauge.Span(w.rand.Int64N(int64(p.beat))), beat)
+}
+
+// Kill ends a process at once; what its disk had not synced is gone.
+func (w *World) Kill(name string) {
+	p := w.procs[name]
+	if !p.up {
+		return
+	}
+	w.tracef("kill %s", name)
+	p.up = false
+	if _, ok := p.core.(*lathe.Core); ok {
+		w.Check.routerGone(name)
+	}
+	for k := range w.asks {
+		if k.who == name {
+			delete(w.asks, k)
+		}
+	}
+	for _, k := range w.flowKeys() {
+		f := w.flows[k]
+		if k.server == name && k.life == p.life {
+			delete(w.flows, k)
+			if !f.dead {
+				f.dead = true
+				w.After(w.delay(), func() { w.ended(f, lathe.Lost, "") })
+			}
+		}
+		if f.lathe == p {
+			delete(w.flows, k)
+			f.dead = true
+			if s := w.procs[k.server]; s.up && s.life == k.life {
+				w.step(s, s.life, vise.WorkQuit{Token: k.token})
+			}
+		}
+	}
+}
+
+func (w *World) flowKeys() []flowKey {
+	l := make([]flowKey, 0, len(w.flows))
+	for k := range w.flows {
+		l = append(l, k)
+	}
+	sort.Slice(l, func(i, j int) bool {
+		return l[i].server < l[j].server || l[i].server == l[j].server && (l[i].life < l[j].life || l[i].life == l[j].life && l[i].token < l[j].token)
+	})
+	return l
+}
+
+// Restart kills a process and starts it anew.
+func (w *World) Restart(name string, after gauge.Span) {
+	w.Kill(name)
+	w.After(after, func() { w.Start(name) })
+}
+
+// Freeze stops a process for a while; what reaches it meanwhile waits.
+func (w *World) Freeze(name string, s gauge.Span) {
+	w.tracef("freeze %s %v", name, s)
+	w.procs[name].froze = w.now.Add(s)
+}
+
+// Wipe takes away what a node's disk had.
+func (w *World) Wipe(name string) {
+	w.tracef("wipe %s", name)
+	w.procs[name].disk.safe = map[string][]byte{}
+}
+
+// Cut stops all that goes from one machine to another; heal undoes it.
+func (w *World) Cut(a, b string, both bool) {
+	w.tracef("cut %s %s %v", a, b, both)
+	w.cuts[[2]string{a, b}] = true
+	if both {
+		w.cuts[[2]string{b, a}] = true
+	}
+}
+
+// Part cuts a set of machines off from all others.
+func (w *World) Part(set map[string]bool) {
+	for _, a := range w.boxes() {
+		for _, b := range w.boxes() {
+			if set[a] != set[b] {
+				w.cuts[[2]string{a, b}] = true
+			}
+		}
+	}
+	w.tracef("part %v", len(set))
+}
+
+// Heal undoes every cut.
+func (w *World) Heal() {
+	w.tracef("heal")
+	w.cuts = map[[2]string]bool{}
+}
+
+func (w *World) boxes() []string {
+	seen := map[string]bool{"platform": true}
+	l := []string{"platform"}
+	for _, n := range w.order {
+		if b := w.procs[n].box; !seen[b] {
+			seen[b] = true
+			l = append(l, b)
+		}
+	}
+	return l
+}
+
+func (w *World) delay() gauge.Span {
+	d := gauge.Span(100e3 + w.rand.Int64N(900e3))
+	if w.rand.IntN(200) == 0 {
+		d += gauge.Span(w.rand.Int64N(40e6))
+	}
+	return d
+}
+
+// step gives a process an input; one that is frozen takes it when it wakes.
+func (w *World) step(p *proc, life int, in any) {
+	if !p.up || p.life != life {
+		return
+	}
+	if w.now < p.froze {
+		w.At(p.froze, func() { w.step(p, life, in) })
+		return
+	}
+	outs := p.core.Step(p.tick(w.now), in)
+	for _, o := range outs {
+		w.act(p, o)
+	}
+}
+
+func (w *World) act(p *proc, o any) {
+	switch v := o.(type) {
+	case dowel.Env:
+		w.mail(p, v)
+	case dowel.Save:
+		w.save(p, v)
+	case dowel.Ask:
+		w.ask(p, v)
+	case lathe.Launch:
+		w.launch(p, v)
+	case lathe.Receipt:
+		w.Check.receipt(p.name, v)
+	case vise.WorkDrop, vise.Event, vise.OrderOut:
+		w.served(p, o)
+	case vise.PullOut:
+		if f := w.pulls[v.Token]; f != nil {
+			delete(w.pulls, v.Token)
+			f()
+		}
+	case anvil.Answer:
+		if f := w.admins[v.Token]; f != nil {
+			delete(w.admins, v.Token)
+			w.After(w.delay(), func() { f(v) })
+		}
+	case dowel.Note:
+		w.tracef("%s: %s", p.name, v.Text)
+	case dowel.Oops:
+		w.tracef("%s: oops: %s", p.name, v.Text)
+	}
+}
+
+func (w *World) mail(p *proc, e dowel.Env) {
+	to := w.procs[e.Hop().Addr]
+	if to == nil {
+		return
+	}
+	local := p.box == to.box
+	if !local {
+		if w.cuts[[2]string{p.box, to.box}] || w.rand.Float64() < w.o.Loss {
+			return
+		}
+		if w.rand.Float64() < w.o.Twice {
+			w.After(w.delay()+gauge.Span(w.rand.Int64N(300e6)), func() { w.step(to, to.life, e) })
+		}
+	}
+	d := w.delay()
+	if local {
+		d = 50e3
+	}
+	w.After(d, func() { w.step(to, to.life, e) })
+}
+
+func (w *World) save(p *proc, s dowel.Save) {
+	d := p.disk
+	at := max(w.now.Add(d.late/2+gauge.Span(w.rand.Int64N(int64(d.late)))), d.last, d.stall)
+	d.last = at
+	life := p.life
+	w.At(at, func() {
+		if !p.up || p.life != life {
+			return // the power went before the sync
+		}
+		for k, v := range s.Puts {
+			d.safe[k] = v
+		}
+		w.step(p, life, dowel.Saved{Token: s.Token})
+	})
+}
+
+func (w *World) ask(p *proc, a dowel.Ask) {
+	k := askKey{p.name, p.life, a.Token}
+	tell := func(ok bool, b []byte) {
+		f := w.asks[k]
+		if f == nil {
+			return
+		}
+		f(ok, b)
+	}
+	life := p.life
+	w.asks[k] = func(ok bool, b []byte) {
+		delete(w.asks, k)
+		w.step(p, life, dowel.Told{Token: a.Token, OK: ok, Code: 200, Body: b})
+	}
+	w.After(a.Wait, func() { tell(false, nil) })
+	box := a.Addr
+	lost := func(from, to string) bool { return w.cuts[[2]string{from, to}] }
+	if lost(p.box, box) {
+		return
+	}
+	back := func(b []byte) {
+		if lost(box, p.box) {
+			return
+		}
+		w.After(w.delay(), func() { tell(true, b) })
+	}
+	d := w.delay()
+	if w.rand.Float64() < w.o.Loss {
+		d += gauge.Span(w.rand.Int64N(2e9)) // comes late, perhaps after the asker gave up
+	}
+	w.After(d, func() {
+		switch a.Path {
+		case "/servers":
+			if w.platUp {
+				b, _ := json.Marshal(w.plat.List())
+				back(b)
+			}
+		case "/pull":
+			w.pull++
+			t := w.pull
+			w.pulls[t] = func() { back([]byte("{}")) }
+			st := w.procs["store"]
+			w.step(st, st.life, vise.PullIn{Token: t, Pull: a.Body.(vise.Pull)})
+		case "/orders":
+			s := w.procs[a.Addr]
+			if s == nil || !s.up {
+				w.After(w.delay(), func() { tell(false, nil) })
+				return
+			}
+			w.order1(s, s.life, a.Body.(dowel.Order), p.name, back)
+		}
+	})
+}
+
+// order1 hands an order to a server, which answers at once unless it is frozen.
+func (w *World) order1(s *proc, life int, o dowel.Order, from string, back func([]byte)) {
+	if !s.up || s.life != life {
+		return
+	}
+	if w.now < s.froze {
+		w.At(s.froze, func() { w.order1(s, life, o, from, back) })
+		return
+	}
+	v := s.core.(*vise.Server)
+	was := v.Holds()
+	for _, x := range v.Step(s.tick(w.now), vise.OrderIn{Order: o}) {
+		if r, ok := x.(vise.OrderOut); ok {
+			w.Check.ordered(s, o, from, r.Report, was)
+			b, _ := json.Marshal(r.Report)
+			back(b)
+			continue
+		}
+		w.act(s, x)
+	}
+}
+
+// Requests on the wire.
+
+// Ask sends a caller's request to a router that is up, as the platform would hand it out.
+func (w *World) Ask(a vise.Ask, repeat bool) {
+	var l []*proc
+	for _, n := range w.order {
+		p := w.procs[n]
+		if _, ok := p.core.(*lathe.Core); ok && p.up && w.now >= p.froze && !w.cuts[[2]string{"platform", p.box}] {
+			l = append(l, p)
+		}
+	}
+	c := &call{ask: a, at: w.now, repeat: repeat}
+	w.Check.asked(c)
+	if len(l) == 0 {
+		c.over, c.kind = true, "no router"
+		return
+	}
+	p := l[w.rand.IntN(len(l))]
+	w.serial++
+	ref := lathe.Ref(w.serial)
+	c.router, c.ref = p.name, ref
+	w.Check.open[ref] = c
+	w.step(p, p.life, lathe.Call{Ref: ref, Route: a.Route, Call: a.Call})
+}
+
+func (w *World) launch(p *proc, v lathe.Launch) {
+	c := w.Check.open[v.Ref]
+	f := &flow{lathe: p, life: p.life, l: v, c: c}
+	s := w.procs[v.Addr]
+	if s == nil || w.cuts[[2]string{p.box, s.box}] || w.cuts[[2]string{s.box, p.box}] {
+		w.After(500e6, func() { w.ended(f, lathe.Unsent, "") })
+		return
+	}
+	w.After(w.delay(), func() {
+		if !s.up {
+			w.ended(f, lathe.Unsent, "")
+			return
+		}
+		w.emit(f, s, s.life)
+	})
+}
+
+// emit is the moment of sending: the router checks once more, then the work is on its way.
+func (w *World) emit(f *flow, s *proc, life int) {
+	p := f.lathe
+	if !p.up || p.life != f.life {
+		return
+	}
+	if w.now < p.froze {
+		w.At(p.froze, func() { w.emit(f, s, life) })
+		return
+	}
+	if !p.core.(*lathe.Core).MaySend(p.tick(w.now), f.l.Ref, f.l.N) {
+		w.ended(f, lathe.Kept, "")
+		return
+	}
+	w.Check.sent(f, s)
+	d := w.delay()
+	if w.LagOdds > 0 && w.rand.Float64() < w.LagOdds {
+		d += gauge.Span(w.rand.Int64N(int64(w.Lag)))
+	}
+	w.After(d, func() { w.land(f, s, life) })
+}
+
+func (w *World) land(f *flow, s *proc, life int) {
+	if !f.lathe.up || f.lathe.life != f.life {
+		return
+	}
+	if !s.up || s.life != life {
+		w.After(w.delay(), func() { w.ended(f, lathe.Lost, "") })
+		return
+	}
+	if w.cuts[[2]string{f.lathe.box, s.box}] {
+		w.After(10e9, func() { w.ended(f, lathe.Lost, "") })
+		return
+	}
+	if w.now < s.froze {
+		w.At(s.froze, func() { w.land(f, s, life) })
+		return
+	}
+	w.serial++
+	k := flowKey{s.name, s.life, w.serial}
+	w.flows[k] = f
+	f.last = w.now
+	w.idle(f, w.now)
+	n := s.core.(*vise.Server).Counts().Works
+	w.step(s, s.life, vise.WorkIn{Token: k.token, Work: f.l.Work})
+	if s.core.(*vise.Server).Counts().Works > n {
+		w.Check.ran(f, s)
+	}
+}
+
+// idle gives a stream up that has been silent for long, as the router's shell does.
+func (w *World) idle(f *flow, at gauge.Tick) {
+	w.At(at.Add(10e9), func() {
+		if f.dead || f.c == nil || f.c.over {
+			return
+		}
+		if f.last > at {
+			w.idle(f, f.last)
+			return
+		}
+		f.dead = true
+		w.ended(f, lathe.Lost, "")
+	})
+}
+
+func (w *World) ended(f *flow, how lathe.End, k gauge.Kind) {
+	w.step(f.lathe, f.life, lathe.Ended{Ref: f.l.Ref, N: f.l.N, How: how, Kind: k})
+}
+
+// served carries what a server says back to the router.
+func (w *World) served(s *proc, o any) {
+	var t uint64
+	switch v := o.(type) {
+	case vise.WorkDrop:
+		t = v.Token
+	case vise.Event:
+		t = v.Token
+	}
+	k := flowKey{s.name, s.life, t}
+	f := w.flows[k]
+	if f == nil || f.dead {
+		return
+	}
+	if w.cuts[[2]string{s.box, f.lathe.box}] {
+		f.dead = true // the stream is broken; the router finds out by its silence
+		delete(w.flows, k)
+		w.After(10e9, func() { w.ended(f, lathe.Lost, "") })
+		return
+	}
+	at := max(w.now.Add(w.delay()), f.last)
+	f.last = at
+	switch v := o.(type) {
+	case vise.WorkDrop:
+		delete(w.flows, k)
+		w.At(at, func() { w.ended(f, lathe.Refused, v.Kind) })
+	case vise.Event:
+		if v.Done {
+			delete(w.flows, k)
+		}
+		w.At(at, func() { w.heard(f, v) })
+	}
+}
+
+func (w *World) heard(f *flow, v vise.Event) {
+	p := f.lathe
+	if !p.up || p.life != f.life || f.dead {
+		return
+	}
+	if w.now < p.froze {
+		w.At(p.froze, func() { w.heard(f, v) })
+		return
+	}
+	x := lathe.Line{N: v.N, Go: v.Go, Server: v.Server, Done: v.Done}
+	if !x.Follows(f.l, f.n) {
+		f.dead = true
+		w.ended(f, lathe.Lost, "")
+		return
+	}
+	if f.n == 0 {
+		w.step(p, p.life, lathe.Begun{Ref: f.l.Ref, N: f.l.N})
+	}
+	f.n++
+	w.Check.event(f, v)
+	if v.Done {
+		f.dead = true
+		w.ended(f, lathe.Done, "")
+		w.Check.done(f)
+	}
+}
+
+// Admin sends an operator's request to a core node; the answer may get lost.
+func (w *World) Admin(node string, a anvil.Admin, then func(anvil.Answer)) {
+	w.admin++
+	a.Token = w.admin
+	done := false
+	once := func(r anvil.Answer) {
+		if !done {
+			done = true
+			then(r)
+		}
+	}
+	w.admins[a.Token] = once
+	p := w.procs[node]
+	w.After(6e9, func() {
+		delete(w.admins, a.Token)
+		once(anvil.Answer{Kind: gauge.Unclear})
+	})
+	w.After(w.delay(), func() {
+		if !p.up {
+			once(anvil.Answer{Kind: gauge.NotReady, Why: "unreached"})
+			return
+		}
+		w.step(p, p.life, a)
+	})
+}
+
+// Lathes lists the routers that are up.
+func (w *World) Lathes() (l []*proc) {
+	for _, n := range w.order {
+		if strings.HasPrefix(n, "lathe-") && w.procs[n].up {
+			l = append(l, w.procs[n])
+		}
+	}
+	return l
+}
+
+func (w *World) anvils() (l []*proc) {
+	for _, n := range w.order {
+		if strings.HasPrefix(n, "anvil-") && w.procs[n].up {
+			l = append(l, w.procs[n])
+		}
+	}
+	return l
+}
+
+// watch looks around a hundred times a second.
+func (w *World) watch() {
+	w.Check.look()
+	w.After(10e6, w.watch)
+}
--- a/vise/server.go
+++ b/vise/server.go
@@ -74,7 +74,6 @@
 	fill int // bytes still to prefill
 	hit  int
 	n    int
-	on   bool
 }
 
 // Server is a stand-in model server without I/O.
