--- a/anvil/core.go
+++ b/anvil/core.go
@@ -47,6 +47,8 @@
 	BreakDuty  bool // take the duty without a majority
 	BreakEpoch bool // take a change whatever epoch it expects
 	BreakDrain bool // unload while work is under way
+	BreakSee   bool // go on offering servers that are leaving, gone or dark
+	BreakZone  bool // go on offering servers in emptied zones
 	BreakNews  bool // grant holds to routers that have not acknowledged
 }
 
--- a/anvil/place.go
+++ b/anvil/place.go
@@ -92,7 +92,6 @@
 	known  bool       // it has reported in this reign
 	ok     gauge.Tick // when the last report that came was asked for
 	first  gauge.Tick
-	orders []dowel.Order
 }
 
 func (s *server) used() int {
@@ -182,6 +181,12 @@
 
 // open tells whether a server may be offered new work.
 func (c *Core) open(s *server) bool {
+	if c.o.BreakSee {
+		return s.known && !c.empty[s.Zone]
+	}
+	if c.o.BreakZone {
+		return s.State == "live" && !s.dark && s.known
+	}
 	return s.State == "live" && !s.dark && s.known && !c.empty[s.Zone] && !c.closed(s.Zone, s.ID)
 }
 
@@ -303,6 +308,26 @@
 	}
 }
 
+// verbs names the order that brings a spot's stage about.
+var verbs = map[string]string{Ordered: "load", Unloading: "unload"}
+
+// due finds a spot whose order has not been sent: what is ordered follows from the spots
+// alone, so no order outlives the reason for it.
+func (s *server) due() *spot {
+	if !s.known || s.dark {
+		return nil
+	}
+	for _, k := range ordered(s.spots) {
+		if p := s.spots[k]; p.num == 0 && verbs[p.stage] != "" {
+			return p
+		}
+	}
+	return nil
+}
+
+// unsent tells that a report can say nothing of a spot's order yet.
+func (p *spot) unsent(num uint64) bool { return p.num > num || p.num == 0 && verbs[p.stage] != "" }
+
 // beatServer keeps one question under way at a time: an order, or only for the report.
 func (c *Core) beatServer(s *server) {
 	for _, k := range ordered(s.spots) {
@@ -319,22 +344,17 @@
 		}
 		return
 	}
-	if s.asking || len(s.orders) == 0 && c.now < s.next {
+	p := s.due()
+	if s.asking || p == nil && c.now < s.next {
 		return
 	}
 	s.num++
 	q := dowel.Order{Duty: c.duty.num, Num: s.num, Inc: s.inc}
-	if len(s.orders) > 0 && s.known && !s.dark {
-		o := s.orders[0]
-		s.orders = s.orders[1:]
-		q.Op, q.Key, q.Size = o.Op, o.Key, o.Size
-		if p := s.spots[o.Key]; p != nil {
-			p.num = s.num
-		}
-		switch o.Op {
-		case "load":
+	if p != nil {
+		q.Op, q.Key, q.Size, p.num = verbs[p.stage], p.key, p.size, s.num
+		if p.stage == Ordered {
 			c.tally.Loads++
-		case "unload":
+		} else {
 			c.tally.Unloads++
 		}
 	}
@@ -389,7 +409,6 @@
 				delete(s.spots, k)
 				c.touch(k)
 			}
-			s.orders = nil
 		}
 		s.inc, s.room, s.slots = r.Inc, r.Room, r.Slots
 		changed = true
@@ -399,10 +418,10 @@
 		held[h.Key] = h
 		p := s.spots[h.Key]
 		if p == nil {
-			p = &spot{key: h.Key, size: h.Size, stage: Ordered, since: c.now}
+			p = &spot{key: h.Key, size: h.Size, stage: Ordered, since: c.now, num: r.Num}
 			s.spots[h.Key] = p
 		}
-		if p.num > r.Num {
+		if p.unsent(r.Num) {
 			continue
 		}
 		p.size, p.work = h.Size, h.Active
@@ -423,8 +442,8 @@
 	}
 	for _, k := range ordered(s.spots) {
 		p := s.spots[k]
-		if _, ok := held[k]; ok || p.num > r.Num || p.stage == Ordered && p.num == 0 {
-			continue // not there yet because its order has not been sent
+		if _, ok := held[k]; ok || p.unsent(r.Num) {
+			continue
 		}
 		p.fire(SeeNone, c.now)
 		delete(s.spots, k)
@@ -456,8 +475,7 @@
 		// Only a report asked for after the last promise was gone shows that no work is left.
 		if s.ok > p.since && p.work == 0 && !c.adapted(s, p) || c.o.BreakDrain {
 			p.fire(Idle, c.now)
-			s.orders = append(s.orders, dowel.Order{Op: "unload", Key: p.key})
-			p.num = s.num + 1
+			p.num = 0
 			c.tally.Drained++
 		}
 	}
@@ -485,7 +503,14 @@
 func (c *Core) choose() {
 	budget := c.plan.Loads
 	for _, s := range c.servers {
-		budget -= s.loading()
+		for _, k := range ordered(s.spots) {
+			p := s.spots[k]
+			if s.dark && p.stage == Ordered && p.num == 0 {
+				delete(s.spots, k) // it cannot be sent now; another server may take it
+			} else if p.stage == Ordered && (!s.dark || c.now.Sub(p.since) < 60e9) {
+				budget-- // a dark server may still be loading, for a while
+			}
+		}
 		if !s.known && s.State == "live" && c.now.Sub(s.first) < 10e9 {
 			budget-- // what it may be loading is not known yet
 		}
@@ -596,7 +621,6 @@
 		return false
 	}
 	best.spots[k] = &spot{key: k, size: w.m.Size, stage: Ordered, since: c.now}
-	best.orders = append(best.orders, dowel.Order{Op: "load", Key: k, Size: w.m.Size})
 	return true
 }
 
--- a/lathe/core.go
+++ b/lathe/core.go
@@ -34,6 +34,7 @@
 	BreakBreak  bool // acknowledge a break and keep the entry
 	BreakEpoch  bool // take an older plan for the newest
 	BreakAllow  bool // route what the plan does not allow
+	BreakDoubt  bool // turn requests away by a plan that may be old
 	BreakEmpty  bool // route into emptied zones
 	BreakSend   bool // trust the check made at choosing, without another at sending
 	BreakSplice bool // go on with another server's events after a cut
@@ -235,6 +236,7 @@
 			c.routers = b.Routers
 		}
 		if !was {
+			c.resolve(false)
 			c.pump()
 		}
 	}
@@ -282,14 +284,8 @@
 		c.empty[z] = true
 	}
 	c.tally.Plans++
-	// Whoever waits for what the new plan no longer allows is told so at once.
-	for _, k := range c.keys() {
-		for _, r := range append([]*req{}, c.lines[k]...) {
-			if why := c.admit(r); why != gauge.None {
-				c.finish(r, why, 0)
-			}
-		}
-	}
+	// Whoever waits for what the new plan no longer allows is told so, at once if it surely rules.
+	c.resolve(true)
 }
 
 func (c *Core) onEntry(num uint64, n dowel.Entry) {
--- a/lathe/ledger.go
+++ b/lathe/ledger.go
@@ -53,6 +53,7 @@
 	due   gauge.Tick
 	goes  []Go
 	stage string
+	doubt bool // the plan in force allows it not, but that plan may be old
 }
 
 type tag struct{}
@@ -137,17 +138,22 @@
 	return why
 }
 
-// admit takes a request's class and horizon from the plan. While no plan is known yet it may
-// wait a while for one, but is sent nowhere.
+// admit takes a request's class and horizon from the plan. While no plan is known that surely
+// rules, a request may wait a while for one, but is sent nowhere and turned away by none.
 func (c *Core) admit(r *req) gauge.Kind {
 	r.class = chisel.Class{Value: 1, Wait: 5e9}
+	r.doubt = c.plan == nil
 	if c.plan != nil && !c.o.BreakAllow {
 		x := r.Call.Call
 		_, class, why := c.plan.Allows(r.Route, x.Kind, x.Base, x.Extra)
-		if why != gauge.None {
+		switch {
+		case why == gauge.None:
+			r.class = class
+		case c.holds() || c.o.BreakDoubt:
 			return why
+		default:
+			r.doubt = true // without a hold the plan may be old: a newer one may allow it
 		}
-		r.class = class
 	}
 	r.due = r.came.Add(r.class.Wait)
 	if w := r.Call.Call.Wait; w > 0 && w < r.class.Wait {
@@ -156,6 +162,24 @@
 	return gauge.None
 }
 
+// resolve looks anew at every request in line, under the plan now in force.
+func (c *Core) resolve(all bool) {
+	for _, k := range c.keys() {
+		for _, r := range append([]*req{}, c.lines[k]...) {
+			if !all && !r.doubt {
+				continue
+			}
+			c.leave(r)
+			if why := c.admit(r); why != gauge.None {
+				c.rest(r)
+				c.finish(r, why, 0)
+				continue
+			}
+			c.rest(r)
+		}
+	}
+}
+
 func (c *Core) onCall(v Call) {
 	c.tally.Calls++
 	r := &req{Call: v, came: c.now, stage: Waiting, key: gauge.KeyOf(v.Call.Base, v.Call.Extra)}
@@ -222,6 +246,12 @@
 			return false
 		}
 	}
+	c.rest(r)
+	return true
+}
+
+// rest puts a request at its place in its line: the most valuable first, then the most urgent.
+func (c *Core) rest(r *req) {
 	l := c.lines[r.key]
 	i := sort.Search(len(l), func(i int) bool {
 		return l[i].class.Value < r.class.Value || l[i].class.Value == r.class.Value && l[i].due > r.due
@@ -231,7 +261,6 @@
 	l[i] = r
 	c.lines[r.key] = l
 	c.wait++
-	return true
 }
 
 func (c *Core) leave(r *req) {
@@ -286,7 +315,7 @@
 
 // serve launches what waits for a key while the promise on it holds and servers have room.
 func (c *Core) serve(k gauge.Key) {
-	for len(c.lines[k]) > 0 && c.plan != nil {
+	for len(c.lines[k]) > 0 && !c.lines[k][0].doubt {
 		e := c.entries[k]
 		if e == nil || !e.held && !c.o.BreakHold {
 			c.want(k)
--- a/treadle/check.go
+++ b/treadle/check.go
@@ -29,6 +29,7 @@
 	raw   []byte
 	plan  *chisel.Plan
 	empty map[gauge.Zone]bool
+	put   bool
 	sent  gauge.Tick
 	told  gauge.Tick // zero while it is not known to be taken
 	lost  gauge.Tick // when it was surely not taken
@@ -104,39 +105,36 @@
 
 func (w *World) change(node string, a anvil.Admin, then func(anvil.Answer)) {
 	k := w.Check
-	s := &state{sent: w.now, raw: a.Raw, empty: map[gauge.Zone]bool{}}
-	if a.Op == "put" {
+	s := &state{sent: w.now, raw: a.Raw, put: a.Op == "put", empty: map[gauge.Zone]bool{}}
+	if s.put {
 		s.plan, _ = chisel.ReadPlan(a.Raw)
 	}
-	if n := k.newest(w.now); n != nil {
-		for z := range n.empty {
-			s.empty[z] = true
-		}
-		if a.Op != "put" {
-			s.raw, s.plan = n.raw, n.plan
-		}
-	}
-	switch a.Op {
-	case "empty":
-		s.empty[a.Zone] = true
-	case "refill":
-		delete(s.empty, a.Zone)
-	}
-	if s.plan != nil {
-		k.states = append(k.states, s)
-	}
+	k.states = append(k.states, s)
 	w.Admin(node, a, func(r anvil.Answer) {
 		w.tracef("operator: %s at %s: %q epoch %d", a.Op, node, r.Kind, r.Epoch)
 		switch {
 		case r.Kind == gauge.None:
 			s.epoch, s.told = r.Epoch, w.now
+			if !a.Any && r.Epoch != a.Expect+1 {
+				k.bad("a change that expected epoch %d was taken as %d", a.Expect, r.Epoch)
+			}
+			for _, z := range r.Empty {
+				s.empty[z] = true
+			}
 			for _, o := range k.states {
-				if o != s && o.told != 0 && o.epoch < s.epoch && o.over == 0 {
-					o.over = w.now
+				if o == s || o.told == 0 {
+					continue
 				}
-				if o != s && o.told != 0 && o.epoch == s.epoch {
+				if o.epoch == s.epoch {
 					k.bad("epoch %d was told twice", s.epoch)
 				}
+				// A plan is over once a newer plan is told, whichever was told first.
+				switch {
+				case o.epoch < s.epoch && s.put && o.over == 0:
+					o.over = w.now
+				case o.epoch > s.epoch && o.put && s.over == 0:
+					s.over = w.now
+				}
 			}
 		case r.Kind != gauge.Unclear:
 			s.lost = w.now
@@ -156,13 +154,18 @@
 			if want != nil && r.Epoch < want.epoch {
 				k.bad("read gave epoch %d after %d was told as taken", r.Epoch, want.epoch)
 			}
-			fits := len(k.states) == 0 || r.Epoch == 0
+			// It must be the newest plan told up to that epoch, or one whose fate was never told.
+			var last *state
+			fits := false
 			for _, s := range k.states {
-				if s.lost == 0 && (s.epoch == r.Epoch || s.told == 0) && bytes.Equal(s.raw, r.Plan) {
+				if s.put && s.told != 0 && s.epoch <= r.Epoch && (last == nil || s.epoch > last.epoch) {
+					last = s
+				}
+				if s.put && s.told == 0 && s.lost == 0 && bytes.Equal(s.raw, r.Plan) {
 					fits = true
 				}
 			}
-			if !fits {
+			if !fits && (last == nil && len(r.Plan) > 0 || last != nil && !bytes.Equal(last.raw, r.Plan)) {
 				k.bad("read under epoch %d gave bytes that were not sent for it", r.Epoch)
 			}
 		}
@@ -186,7 +189,7 @@
 // ruling lists the states that may rule somewhere at this moment.
 func (k *Checker) ruling() (l []*state) {
 	for _, s := range k.states {
-		if s.lost == 0 && s.sent <= k.w.now && (s.over == 0 || k.w.now.Sub(s.over) <= boundPlan) {
+		if s.put && s.lost == 0 && s.sent <= k.w.now && (s.over == 0 || k.w.now.Sub(s.over) <= boundPlan) {
 			l = append(l, s)
 		}
 	}
@@ -196,7 +199,7 @@
 // dropped tells whether every plan of a name was surely not taken.
 func (k *Checker) dropped(name string) bool {
 	for _, s := range k.states {
-		if s.plan.Name == name && s.lost == 0 {
+		if s.put && s.plan.Name == name && s.lost == 0 {
 			return false
 		}
 	}
@@ -255,6 +258,9 @@
 
 // ordered looks at an order as the server took it.
 func (k *Checker) ordered(s *proc, o dowel.Order, from string, r dowel.Report, was map[gauge.Key]dowel.Held) {
+	if o.Op != "" {
+		k.w.tracef("%s: duty %d/%d tells %s to %s %s (%d): %q", from, o.Duty, o.Num, s.name, o.Op, o.Key, o.Size, r.Drop)
+	}
 	if r.Drop == gauge.Stale {
 		return
 	}
@@ -316,13 +322,7 @@
 	if k.loose {
 		return
 	}
-	if n := k.newest(w.now); n != nil && n.empty[s.zone] {
-		since := n.told
-		for _, o := range k.states {
-			if o.told != 0 && o.epoch < n.epoch && o.empty[s.zone] {
-				since = min(since, o.told)
-			}
-		}
+	if since := k.emptied(s.zone); since != 0 {
 		lag := w.now.Sub(since)
 		k.Seen.ZoneLag = max(k.Seen.ZoneLag, lag)
 		if lag > boundZone {
@@ -338,6 +338,32 @@
 	}
 }
 
+// emptied tells since when a zone is surely empty; zero if it may not be. A change whose
+// fate was never told may have refilled it.
+func (k *Checker) emptied(z gauge.Zone) gauge.Tick {
+	var l []*state
+	n := k.newest(k.w.now)
+	for _, s := range k.states {
+		if s.told != 0 {
+			l = append(l, s)
+		} else if s.lost == 0 && !s.put {
+			return 0
+		}
+	}
+	if n == nil || !n.empty[z] {
+		return 0
+	}
+	sort.Slice(l, func(i, j int) bool { return l[i].epoch > l[j].epoch })
+	since := n.told
+	for _, s := range l {
+		if !s.empty[z] {
+			break
+		}
+		since = s.told
+	}
+	return since
+}
+
 // ran looks at a go that a server took in.
 func (k *Checker) ran(f *flow, _ *proc) {
 	id := f.l.Work.ID
@@ -401,8 +427,8 @@
 func (k *Checker) done(f *flow) {
 	f.c.over = true
 	k.Seen.Answered++
-	if k.healed != 0 && k.Seen.Back == 0 && f.c.at >= 0 {
-		k.Seen.Back = k.w.now.Sub(k.healed)
+	if k.healed != 0 && k.Seen.Back == 0 && k.w.now >= k.healed {
+		k.Seen.Back = k.w.now.Sub(k.healed) + 1
 	}
 }
 
--- a/treadle/scenes.go
+++ b/treadle/scenes.go
@@ -240,7 +240,7 @@
 				})
 			}
 		}},
-	{Name: "plans", About: "plans come quickly, two operators race, replies get lost, messages come late and twice", Long: 70e9, Least: 0.98, Whole: true,
+	{Name: "plans", About: "plans come quickly, two operators race, replies get lost, messages come late and twice", Long: 70e9, Least: 0.96, Whole: true,
 		Set: func(o *Options) { o.Loss, o.Twice = 0.03, 0.05 },
 		Play: func(w *World) {
 			n := 0
@@ -258,6 +258,20 @@
 				})
 				w.At(sec(t+1.5), func() { w.Read(w.some("anvil-"), nil) })
 			}
+			// Some callers ask for what the plan never allowed.
+			m := vise.NewMix(w.plan, w.o.Seed+5)
+			w.Traffic(9e9, 55e9, 1, func() vise.Ask {
+				a := m.Next()
+				switch w.rand.IntN(3) {
+				case 0:
+					a.Route = "/v1/nowhere"
+				case 1:
+					a.Call.Extra = "nobody"
+				case 2:
+					a.Call.Kind = "unheard"
+				}
+				return a
+			})
 		}},
 	{Name: "grow", About: "the plan grows by many routes and loses a service again, while routers are frozen and cut off", Long: 70e9, Least: 0.85,
 		Play: func(w *World) {
--- a/treadle/world.go
+++ b/treadle/world.go
@@ -78,7 +78,7 @@
 	rate   float64
 	disk   *plate
 	made   func() core
-	wait   []uint64 // tokens of asks under way
+	mark   uint64 // digest of its name, for the trace's hash
 	server gauge.Server
 }
 
@@ -255,6 +255,9 @@
 }
 
 func (w *World) add(p *proc) {
+	h := fnv.New64a()
+	fmt.Fprint(h, p.name)
+	p.mark = h.Sum64()
 	w.procs[p.name] = p
 	w.order = append(w.order, p.name)
 }
@@ -445,6 +448,7 @@
 		return
 	}
 	outs := p.core.Step(p.tick(w.now), in)
+	w.hash = (w.hash ^ uint64(w.now) ^ p.mark ^ uint64(len(outs))<<56) * 1099511628211
 	for _, o := range outs {
 		w.act(p, o)
 	}
