--- a/clamp/clamp.go
+++ b/clamp/clamp.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/signal"
 	"reflect"
@@ -319,8 +320,9 @@
 }
 
 // Parse reads flags and, under --settings, a file of the same names, and checks all of it
-// before anything starts. A fault ends the process with every fault named.
-func Parse(cli any, name, about string, checks ...func() chisel.Faults) {
+// before anything starts. A fault ends the process with every fault named. It gives the
+// command, where there are several.
+func Parse(cli any, name, about string, checks ...func() chisel.Faults) string {
 	p, err := kong.New(cli, kong.Name(name), kong.Description(about), kong.UsageOnError())
 	if err != nil {
 		panic(err)
@@ -337,11 +339,12 @@
 			kong.Resolvers(r).Apply(p)
 		}
 	}
+	cmd := ""
 	k, err := p.Parse(args)
 	if err != nil {
 		faults = append(faults, chisel.Fault{Path: "flags", Why: err.Error()})
 	} else {
-		_ = k
+		cmd = k.Command()
 		for _, f := range checks {
 			faults = append(faults, f()...)
 		}
@@ -352,6 +355,7 @@
 		}
 		os.Exit(2)
 	}
+	return cmd
 }
 
 func settingsOf(args []string) string {
@@ -398,8 +402,8 @@
 
 // Addr checks an ip:port setting.
 func Addr(path, s string) chisel.Faults {
-	h, p, err := net.SplitHostPort(s)
-	if err != nil || net.ParseIP(h) == nil || p == "" || p == "0" {
+	a, err := netip.ParseAddrPort(s)
+	if err != nil || a.Port() == 0 {
 		return chisel.Faults{{Path: path, Why: fmt.Sprintf("wants an ip:port, has %q", s)}}
 	}
 	return nil
--- /dev/null
+++ b/jig/jig_test.go
@@ -0,0 +1,245 @@
+package jig
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tidedeck/chisel"
+	"tidedeck/vise"
+)
+
+// patience is no bound on the system: it only ends a test that waits for what never comes.
+const patience = 120 * time.Second
+
+var bins string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "tidedeck-bin-")
+	if err == nil {
+		var out []byte
+		out, err = exec.Command("go", "build", "-o", dir+"/", "tidedeck/cmd/...").CombinedOutput()
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "%s\n", out)
+		}
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	bins = dir
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+type rig struct {
+	*Fleet
+	t   *testing.T
+	ctx context.Context
+	q   *chisel.Plan
+}
+
+func raise(t *testing.T, name string) rig {
+	t.Helper()
+	raw, err := os.ReadFile("../examples/" + name + ".json")
+	require.NoError(t, err)
+	q, faults := chisel.ReadPlan(raw)
+	require.Nil(t, faults)
+	ctx, stop := context.WithTimeout(context.Background(), patience)
+	t.Cleanup(stop)
+	f := New(Shapes[name], bins, t.TempDir(), raw)
+	t.Cleanup(f.Down)
+	require.NoError(t, f.Up())
+	r := rig{f, t, ctx, q}
+	r.until("the core is ready", func() bool { return f.CoreReady("anvil-1") && f.CoreReady("anvil-2") && f.CoreReady("anvil-3") })
+	a, code, err := f.Put("anvil-2", raw, "0", "first")
+	require.NoError(t, err)
+	require.Equal(t, 200, code, a.Why)
+	r.until("the plan rules everywhere", func() bool { return f.Ruled(a.Epoch, f.Routers...) })
+	r.until("floors are loaded", f.Floors)
+	return r
+}
+
+func (r rig) until(what string, f func() bool) {
+	r.t.Helper()
+	require.NoError(r.t, Until(r.ctx, what, f))
+}
+
+// calls sends requests while a step goes on, and gives what callers saw.
+func (r rig) calls(n int, rate float64, seed uint64, during func()) *vise.CallReport {
+	var all sync.WaitGroup
+	var rep *vise.CallReport
+	all.Add(1)
+	go func() {
+		defer all.Done()
+		m := vise.NewMix(r.q, seed)
+		rep = vise.Calls(r.ctx, vise.CallOptions{Routers: r.Routers, Next: m.Next, Rate: rate, Total: n})
+	}()
+	during()
+	all.Wait()
+	require.Empty(r.t, rep.Wrong, "no answer may be wrong")
+	return rep
+}
+
+func (r rig) plan(core string) (string, string) {
+	var b []byte
+	c, err := r.Do("GET", r.Admins[core]+"/plan", nil, nil, &b)
+	if err != nil || c != 200 {
+		return "", ""
+	}
+	return string(b), fmt.Sprint(c)
+}
+
+// A server, a router and the duty's owner are killed under traffic; the fleet goes on.
+func TestKills(t *testing.T) {
+	r := raise(t, "corrib")
+	rep := r.calls(1200, 100, 5, func() {
+		r.Kill("server-3")
+		r.Kill("lathe-2")
+		old := r.Owner()
+		require.NotEmpty(t, old)
+		r.Kill(old)
+		r.until("another owns the duty", func() bool { o := r.Owner(); return o != "" && o != old })
+		require.NoError(t, r.Start(old))
+		require.NoError(t, r.Start("lathe-2"))
+		require.NoError(t, r.Start("server-3"))
+	})
+	// What the dead router and server had under way is lost, and said to be; all else is answered.
+	for _, k := range []string{"malformed", "no_route", "no_model", "no_kind", "no kind"} {
+		require.Zero(t, rep.Kinds[k], k)
+	}
+	require.Greater(t, rep.Answers, rep.Sent*2/3, "%v", rep.Kinds)
+	r.until("floors are loaded again", r.Floors)
+	again := r.calls(200, 100, 6, func() {})
+	require.Equal(t, again.Sent, again.Answers, "%v", again.Kinds)
+	raw, _ := r.plan("anvil-1")
+	require.Equal(t, string(r.Plan), raw)
+}
+
+// An owner that is stopped loses the duty; when it goes on it orders nothing.
+func TestFrozenOwner(t *testing.T) {
+	r := raise(t, "padana")
+	old := r.Owner()
+	r.Signal(old, syscall.SIGSTOP)
+	r.until("another owns the duty", func() bool { o := r.Owner(); return o != "" && o != old })
+	rep := r.calls(300, 100, 8, func() { r.Signal(old, syscall.SIGCONT) })
+	require.Equal(t, rep.Sent, rep.Answers, "%v", rep.Kinds)
+	require.NotEqual(t, old, r.Owner())
+	// A router that is stopped past its hold comes back suspicious of all it had.
+	r.Signal("lathe-1", syscall.SIGSTOP)
+	a, _, err := r.Put("anvil-1", []byte(string(r.Plan)+"\n"), "1", "second")
+	require.NoError(t, err)
+	require.EqualValues(t, 2, a.Epoch)
+	var rest []string
+	for n, x := range r.Names {
+		if n != "lathe-1" {
+			rest = append(rest, x)
+		}
+	}
+	r.until("the others rule by the new plan", func() bool { return r.Ruled(2, rest...) })
+	r.Signal("lathe-1", syscall.SIGCONT)
+	r.until("the stopped router too", func() bool { return r.Ruled(2, r.Routers...) })
+}
+
+// Routers are restarted one by one, as planned, while long answers are under way: none is cut.
+func TestRollRouters(t *testing.T) {
+	r := raise(t, "corrib")
+	m := vise.NewMix(r.q, 11)
+	h := vise.Client()
+	for i := 1; i <= r.Shape.Routers; i++ {
+		n := fmt.Sprintf("lathe-%d", i)
+		rep := &vise.CallReport{Kinds: map[string]int{}, ByRouter: map[string]int{}}
+		var mu sync.Mutex
+		var all sync.WaitGroup
+		for range 6 {
+			a := m.Next()
+			a.Call.Max, a.Call.Again = 60, false
+			all.Add(1)
+			go func() { defer all.Done(); vise.Call(h, r.Names[n], a, rep, &mu) }()
+		}
+		r.until("streams are under way", func() bool {
+			return r.Metrics(r.Names[n] + "/-/metrics")["tidedeck_lathe_firsts_total"] >= 6
+		})
+		require.NoError(t, r.Stop(n), "a planned stop ends well")
+		all.Wait()
+		require.Empty(t, rep.Wrong)
+		require.Equal(t, 6, rep.Answers, "%v", rep.Kinds)
+		require.NoError(t, r.Start(n))
+	}
+	r.until("every router is back", func() bool { return r.Ruled(1, r.Routers...) })
+}
+
+// Every process is killed at once and started again: what was confirmed is there.
+func TestAllDownAndBack(t *testing.T) {
+	r := raise(t, "padana")
+	b := []byte(string(r.Plan) + "  \n")
+	a, code, err := r.Put("anvil-3", b, "1", "last")
+	require.NoError(t, err)
+	require.Equal(t, 200, code)
+	r.Down()
+	require.NoError(t, r.Up())
+	r.until("the core is ready", func() bool { return r.CoreReady("anvil-1") })
+	raw, _ := r.plan("anvil-1")
+	require.Equal(t, string(b), raw, "to the byte")
+	r.until("the plan rules everywhere", func() bool { return r.Ruled(a.Epoch, r.Routers...) })
+	rep := r.calls(100, 50, 3, func() {})
+	require.Equal(t, rep.Sent, rep.Answers, "%v", rep.Kinds)
+}
+
+// A core node whose data folder was emptied is admitted anew and may then be relied on;
+// one whose folder is damaged likewise.
+func TestEmptiedCore(t *testing.T) {
+	r := raise(t, "padana")
+	seat := func(id string) (inc uint64) {
+		var v struct {
+			View struct {
+				Voters []struct {
+					ID  string `json:"id"`
+					Inc uint64 `json:"inc"`
+				} `json:"voters"`
+				Prior []any `json:"prior"`
+			} `json:"view"`
+		}
+		if _, err := r.Get(r.Admins["anvil-2"]+"/nodes", &v); err != nil || len(v.View.Prior) > 0 {
+			return 0
+		}
+		for _, x := range v.View.Voters {
+			if x.ID == id {
+				inc = x.Inc
+			}
+		}
+		return inc
+	}
+	for i, harm := range []func(dir string){
+		func(dir string) { require.NoError(t, os.RemoveAll(dir)) },
+		func(dir string) {
+			l, err := filepath.Glob(filepath.Join(dir, "state", "*.log"))
+			require.NoError(t, err)
+			require.NotEmpty(t, l)
+			b, err := os.ReadFile(l[0])
+			require.NoError(t, err)
+			for j := range min(len(b), 64) {
+				b[len(b)-1-j] ^= 0x5a
+			}
+			require.NoError(t, os.WriteFile(l[0], b, 0o644))
+		},
+	} {
+		was := seat("anvil-3")
+		require.NotZero(t, was)
+		r.Kill("anvil-3")
+		harm(filepath.Join(r.Dir, "anvil-3"))
+		require.NoError(t, r.Start("anvil-3"))
+		r.until(fmt.Sprintf("the emptied node is admitted, %d", i), func() bool { n := seat("anvil-3"); return n != 0 && n != was })
+	}
+	r.Kill("anvil-1") // now the emptied node is needed for a majority
+	r.until("a majority with the emptied node serves", func() bool { raw, _ := r.plan("anvil-2"); return raw == string(r.Plan) })
+}
--- a/treadle/check.go
+++ b/treadle/check.go
@@ -277,7 +277,7 @@
 	case o.Op == "unload" && r.Drop == gauge.Busy:
 		for id, f := range k.w.flows {
 			key := gauge.KeyOf(f.l.Work.Base, f.l.Work.Extra)
-			if id.server == s.name && id.life == s.life && (key == o.Key || key.Base() == o.Key) && !f.dead && k.w.now.Sub(f.c.at) > 3e9 {
+			if id.server == s.name && id.life == s.life && (key == o.Key || key.Base() == o.Key) && !f.dead && k.w.now.Sub(f.born) > 1e9 {
 				k.bad("%s was told to unload %s while work was under way", s.name, o.Key)
 				break
 			}
--- a/treadle/scenes.go
+++ b/treadle/scenes.go
@@ -88,6 +88,33 @@
 	return b
 }
 
+// without makes a plan lose a model, its adapters, and what they leave empty.
+func without(base string) func(m map[string]any) {
+	return func(m map[string]any) {
+		gone := map[any]bool{base: true}
+		delete(m["models"].(map[string]any), base)
+		ad := m["adapters"].(map[string]any)
+		for a, v := range ad {
+			if v.(map[string]any)["base"] == base {
+				gone[a] = true
+				delete(ad, a)
+			}
+		}
+		for _, v := range m["services"].(map[string]any) {
+			s := v.(map[string]any)
+			for _, f := range []string{"models", "adapters"} {
+				var l []any
+				for _, x := range s[f].([]any) {
+					if !gone[x] {
+						l = append(l, x)
+					}
+				}
+				s[f] = l
+			}
+		}
+	}
+}
+
 func sec(n float64) gauge.Tick { return gauge.Tick(n * 1e9) }
 
 func (w *World) some(prefix string) string {
@@ -372,6 +399,9 @@
 		}},
 	{Name: "power", About: "power goes everywhere right after a confirmation, and comes back", Long: 60e9, Least: 0.5,
 		Play: func(w *World) {
+			for _, p := range w.anvils() {
+				p.disk.late = 40e6
+			}
 			w.At(sec(20), func() {
 				w.PutPlan("anvil-1", Named(w.o.Plan, "last", nil), 0, true, func(r anvil.Answer) { w.blackout(false, 2e9) })
 			})
@@ -491,6 +521,77 @@
 				})
 			}
 		}},
+	{Name: "unplan", About: "plans drop and bring back models that are in use, under long answers, while routers pause", Long: 90e9, Least: 0.6, Rate: 40, Whole: true,
+		Play: func(w *World) {
+			m := vise.NewMix(w.plan, w.o.Seed+11)
+			w.DialOdds, w.Dial = 0.1, 450e6
+			for i, t := 0, 14.0; t < 70; i, t = i+1, t+8 {
+				a := m.Rare()
+				for a.Call.Extra != "" {
+					a = m.Rare()
+				}
+				w.Traffic(gauge.Span((t-5)*1e9), gauge.Span((t+0.1)*1e9), 60, func() vise.Ask {
+					b := m.Of(a)
+					b.Call.Max = 20 + w.rand.IntN(200)
+					return b
+				})
+				w.At(sec(t), func() {
+					w.PutPlan(w.some("anvil-"), Named(w.o.Plan, fmt.Sprintf("less-%d", i), without(a.Call.Base)), 0, true, nil)
+					w.Freeze(w.some("lathe-"), gauge.Span(w.rand.Int64N(5e9)))
+					w.Freeze(w.some("lathe-"), gauge.Span(w.rand.Int64N(5e9)))
+				})
+				w.At(sec(t+5), func() { w.PutPlan(w.some("anvil-"), Named(w.o.Plan, fmt.Sprintf("again-%d", i), nil), 0, true, nil) })
+			}
+		}},
+	{Name: "flap", About: "servers flap while prompts take long, so that most goes are lost before their first event", Long: 60e9, Least: 0.3, Rate: 60,
+		Set: func(o *Options) { o.Fill = 150 },
+		Play: func(w *World) {
+			for i := range w.o.Servers {
+				s := fmt.Sprintf("server-%d", i+1)
+				for t := 15 + 0.1*float64(i); t < 40; t += 1.3 {
+					w.At(sec(t), func() { w.Restart(s, 100e6) })
+				}
+			}
+		}},
+	{Name: "amnesia", About: "a plan is taken while a core node is cut off, then another loses its disk and both meet", Long: 90e9, Least: 0.6,
+		Play: func(w *World) {
+			for i, t := 0, 12.0; t < 70; i, t = i+1, t+18 {
+				a, b, c := fmt.Sprintf("anvil-%d", 1+i%3), fmt.Sprintf("anvil-%d", 1+(i+1)%3), fmt.Sprintf("anvil-%d", 1+(i+2)%3)
+				w.At(sec(t), func() {
+					w.Cut(c, a, true)
+					w.Cut(c, b, true)
+				})
+				w.At(sec(t+0.2), func() {
+					w.PutPlan(a, Named(w.o.Plan, fmt.Sprintf("known-%d", i), nil), 0, true, func(anvil.Answer) {
+						w.Kill(a)
+						w.Kill(b)
+						w.Wipe(b)
+						w.Heal()
+						w.Start(b)
+						w.After(1e9, func() { w.Read(c, nil) })
+						w.After(2e9, func() { w.Read(b, nil) })
+						w.After(4e9, func() { w.Start(a) })
+						w.After(9e9, func() { w.Read(b, nil) })
+					})
+				})
+			}
+		}},
+	{Name: "fence", About: "the duty's owner is parted from the core, but not from the routers, as a plan is taken", Long: 70e9, Least: 0.8,
+		Play: func(w *World) {
+			for i, t := 0, 12.0; t < 55; i, t = i+1, t+8 {
+				w.At(sec(t), func() {
+					o, other := w.owner(), ""
+					for _, p := range w.anvils() {
+						if p.name != o {
+							w.Cut(o, p.name, true)
+							other = p.name
+						}
+					}
+					w.After(100e6, func() { w.PutPlan(other, Named(w.o.Plan, fmt.Sprintf("past-%d", i), nil), 0, true, nil) })
+				})
+				w.At(sec(t+5), w.Heal)
+			}
+		}},
 	{Name: "blackout", About: "everything is killed at once and comes back, model servers empty", Long: 60e9, Least: 0.5,
 		Play: func(w *World) { w.At(sec(20), func() { w.blackout(true, 3e9) }) }},
 }
--- a/treadle/world.go
+++ b/treadle/world.go
@@ -37,6 +37,7 @@
 	Room    int
 	Slots   int
 	Rate    float64 // of the store
+	Fill    int     // prompt bytes that a server's step can prefill
 }
 
 type event struct {
@@ -110,6 +111,7 @@
 	asks   map[askKey]func(ok bool, body []byte)
 	pulls  map[uint64]func()
 	pull   uint64
+	puller map[uint64]askKey
 	flows  map[flowKey]*flow
 	serial uint64
 	hash   uint64
@@ -120,6 +122,9 @@
 	// Lag is a pause between a router's last check and the send, drawn with chance LagOdds.
 	LagOdds float64
 	Lag     gauge.Span
+	// Dial is how long a connection may take to open, drawn with chance DialOdds.
+	DialOdds float64
+	Dial     gauge.Span
 }
 
 type askKey struct {
@@ -142,6 +147,7 @@
 	c     *call
 	n     int
 	last  gauge.Tick
+	born  gauge.Tick
 	dead  bool
 }
 
@@ -172,7 +178,7 @@
 		o.Slots = 16
 	}
 	w := &World{o: o, rand: rand.New(rand.NewPCG(o.Seed, 99)), procs: map[string]*proc{}, cuts: map[[2]string]bool{},
-		asks: map[askKey]func(bool, []byte){}, pulls: map[uint64]func(){}, flows: map[flowKey]*flow{}, admins: map[uint64]func(anvil.Answer){}, platUp: true}
+		asks: map[askKey]func(bool, []byte){}, pulls: map[uint64]func(){}, puller: map[uint64]askKey{}, flows: map[flowKey]*flow{}, admins: map[uint64]func(anvil.Answer){}, platUp: true}
 	w.plan, _ = chisel.ReadPlan(o.Plan)
 	w.Check = newChecker(w)
 	loads := 2
@@ -250,7 +256,7 @@
 func (w *World) addServer(name string, z gauge.Zone) {
 	skew, rate := w.clock()
 	w.add(&proc{name: name, box: name, zone: z, beat: 20e6, skew: skew, rate: rate, server: gauge.Server(name), made: func() core {
-		return vise.NewServer(vise.ServerOptions{ID: gauge.Server(name), Inc: w.inc(name), Room: w.o.Room, Slots: w.o.Slots, Store: "store"})
+		return vise.NewServer(vise.ServerOptions{ID: gauge.Server(name), Inc: w.inc(name), Room: w.o.Room, Slots: w.o.Slots, Store: "store", Fill: w.o.Fill})
 	}})
 }
 
@@ -343,6 +349,9 @@
 			delete(w.asks, k)
 		}
 	}
+	if p.server != "" {
+		w.After(w.delay(), func() { w.unpull(name, p.life) })
+	}
 	for _, k := range w.flowKeys() {
 		f := w.flows[k]
 		if k.server == name && k.life == p.life {
@@ -362,6 +371,17 @@
 	}
 }
 
+// unpull ends the pulls of a server that is gone, as its broken connections do.
+func (w *World) unpull(name string, life int) {
+	st := w.procs["store"]
+	for t := uint64(1); t <= w.pull; t++ {
+		if k, ok := w.puller[t]; ok && k.who == name && k.life <= life && w.pulls[t] != nil {
+			delete(w.pulls, t)
+			w.step(st, st.life, vise.PullQuit{Token: t})
+		}
+	}
+}
+
 func (w *World) flowKeys() []flowKey {
 	l := make([]flowKey, 0, len(w.flows))
 	for k := range w.flows {
@@ -563,6 +583,7 @@
 			w.pull++
 			t := w.pull
 			w.pulls[t] = func() { back([]byte("{}")) }
+			w.puller[t] = askKey{p.name, life, a.Token}
 			st := w.procs["store"]
 			w.step(st, st.life, vise.PullIn{Token: t, Pull: a.Body.(vise.Pull)})
 		case "/orders":
@@ -631,7 +652,11 @@
 		w.After(500e6, func() { w.ended(f, lathe.Unsent, "") })
 		return
 	}
-	w.After(w.delay(), func() {
+	d := w.delay()
+	if w.DialOdds > 0 && w.rand.Float64() < w.DialOdds {
+		d += gauge.Span(w.rand.Int64N(int64(w.Dial)))
+	}
+	w.After(d, func() {
 		if !s.up {
 			w.ended(f, lathe.Unsent, "")
 			return
@@ -681,7 +706,7 @@
 	w.serial++
 	k := flowKey{s.name, s.life, w.serial}
 	w.flows[k] = f
-	f.last = w.now
+	f.last, f.born = w.now, w.now
 	w.idle(f, w.now)
 	n := s.core.(*vise.Server).Counts().Works
 	w.step(s, s.life, vise.WorkIn{Token: k.token, Work: f.l.Work})
--- a/vise/callers.go
+++ b/vise/callers.go
@@ -121,14 +121,13 @@
 
 // CallReport is what callers saw.
 type CallReport struct {
-	Sent, Answers, Events  int
-	Kinds                  map[string]int
-	Wrong                  []string // what must never be seen
-	Unreached, Reused      int
-	First                  []time.Duration // until the first event
-	Repeats, Backs         int
-	ByRouter               map[string]int
-	AnswersUnderway, Quits int
+	Sent, Answers, Events int
+	Kinds                 map[string]int
+	Wrong                 []string // what must never be seen
+	Unreached, Reused     int
+	First                 []time.Duration // until the first event
+	Repeats, Backs        int
+	ByRouter              map[string]int
 }
 
 // CallOptions of a run of callers.
@@ -150,7 +149,7 @@
 		o.Most = 512
 	}
 	slot := make(chan struct{}, o.Most)
-	h := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext}}
+	h := Client()
 	begin := time.Now()
 	for i := 0; i < o.Total && ctx.Err() == nil; i++ {
 		due := begin.Add(time.Duration(float64(i) / o.Rate * 1e9))
@@ -181,6 +180,11 @@
 	return r
 }
 
+// Client makes the HTTP client of a stand-in caller.
+func Client() *http.Client {
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: 2 * time.Second}).DialContext}}
+}
+
 // Call sends one request and checks its answer to the end. It tells when to come back, if
 // the request was dropped.
 func Call(h *http.Client, to string, a Ask, r *CallReport, mu *sync.Mutex) time.Duration {
