--- a/anvil/links.go
+++ b/anvil/links.go
@@ -328,3 +328,16 @@
 		c.reply(l.way, n)
 	}
 }
+
+// Weigh measures the memory that a node keeps for each of n callbacks of one router.
+func Weigh(c *Core, n int, heap func() uint64) float64 {
+	was := heap()
+	l := &link{holds: map[gauge.Key]uint64{}}
+	c.links[dowel.Session{Node: "weighed"}] = l
+	for i := range n {
+		k := gauge.Key("model-" + string(rune('a'+i%26)) + "+adapter-" + string(rune('a'+i/26%26)) + string(rune('a'+i/676)))
+		l.holds[k] = uint64(i)
+		l.order = append(l.order, k)
+	}
+	return float64(heap()-was) / float64(n)
+}
--- a/cmd/treadle/main.go
+++ b/cmd/treadle/main.go
@@ -15,13 +15,14 @@
 
 func main() {
 	var s struct {
-		Scene string `help:"Scene to run, or all." default:"all"`
-		Fleet string `help:"Which fleet: corrib or padana." enum:"corrib,padana" default:"corrib"`
-		Seed  uint64 `help:"First seed." default:"1"`
-		Seeds int    `help:"How many seeds." default:"1"`
-		Trace bool   `help:"Print the trace."`
-		List  bool   `help:"Only list the scenes."`
-		Plans string `help:"Folder of the example plans." default:"examples" type:"path"`
+		Scene   string `help:"Scene to run, or all." default:"all"`
+		Fleet   string `help:"Which fleet: corrib or padana." enum:"corrib,padana" default:"corrib"`
+		Seed    uint64 `help:"First seed." default:"1"`
+		Seeds   int    `help:"How many seeds." default:"1"`
+		Trace   bool   `help:"Print the trace."`
+		Measure bool   `help:"Measure what docs/measurements.md reports, instead."`
+		List    bool   `help:"Only list the scenes."`
+		Plans   string `help:"Folder of the example plans." default:"examples" type:"path"`
 	}
 	kong.Parse(&s, kong.Name("treadle"), kong.Description("treadle runs the real cores through virtual time, from seeds."))
 	if s.List {
@@ -35,6 +36,10 @@
 		fmt.Fprintln(os.Stderr, "treadle:", err)
 		os.Exit(1)
 	}
+	if s.Measure {
+		treadle.Measure(os.Stdout, treadle.Options{Seed: s.Seed, Routers: jig.Shapes[s.Fleet].Routers, Servers: jig.Shapes[s.Fleet].Servers, Plan: raw}, s.Seeds)
+		return
+	}
 	pass, fail := 0, 0
 	var mu sync.Mutex
 	var all sync.WaitGroup
--- a/gauge/gauge.go
+++ b/gauge/gauge.go
@@ -77,7 +77,6 @@
 	Spent     Kind = "allowance_spent"
 	Expired   Kind = "expired"
 	NotReady  Kind = "not_ready"
-	Leaving   Kind = "leaving"
 	Unclear   Kind = "unclear"
 	Cut       Kind = "cut"
 	Conflict  Kind = "conflict"
@@ -109,7 +108,6 @@
 	Spent:     {503, true, 2 * time.Second},
 	Expired:   {503, true, time.Second},
 	NotReady:  {503, true, time.Second},
-	Leaving:   {503, true, time.Second},
 	Unclear:   {502, false, 0},
 	Cut:       {502, false, 0},
 	Conflict:  {409, true, 0},
--- a/lathe/serve.go
+++ b/lathe/serve.go
@@ -30,6 +30,7 @@
 	Awl      string `help:"The agent's address on loopback, ip:port." required:""`
 	Cache    int    `help:"Placement entries kept at the most." default:"512"`
 	RampMs   int    `help:"A replica is cold for so long, in ms." default:"4000"`
+	IdleMs   int    `help:"A server that sends nothing for so long is given up, in ms." default:"10000"`
 	Record   string `help:"File to record the day's requests in, for the replay tool." type:"path"`
 	Prompts  bool   `help:"Record the prompts' text too."`
 	StopMs   int    `help:"What is under way may take so long to finish at a stop, in ms." default:"600000"`
@@ -48,6 +49,9 @@
 	if s.Cache < 1 || s.Cache > 1_000_000 {
 		f = append(f, chisel.Fault{Path: "cache", Why: "wants a whole number from 1 to 1000000"})
 	}
+	if s.IdleMs < 100 || s.IdleMs > 600_000 {
+		f = append(f, chisel.Fault{Path: "idle-ms", Why: "wants a whole number from 100 to 600000"})
+	}
 	if s.RampMs < 1 || s.RampMs > 600_000 {
 		f = append(f, chisel.Fault{Path: "ramp-ms", Why: "wants a whole number from 1 to 600000"})
 	}
@@ -62,9 +66,22 @@
 	c      *clamp.Clamp
 	core   *Core
 	stop   chan struct{}
+	idle   time.Duration
 	record *Recorder
 }
 
+// patient is a connection to a server that is given up after a silence.
+type patient struct {
+	net.Conn
+	idle time.Duration
+}
+
+// Read waits for the server's next word, for a while.
+func (p patient) Read(b []byte) (int, error) {
+	_ = p.SetReadDeadline(time.Now().Add(p.idle))
+	return p.Conn.Read(b)
+}
+
 // Main runs a router until it is told to stop.
 func Main(s Settings) error {
 	ring := clamp.NewRing(s.ID, os.Stderr)
@@ -72,7 +89,7 @@
 		Me: dowel.Peer{ID: gauge.Node(s.ID), Addr: s.Control}, Inc: clamp.NewInc(),
 		Awl: dowel.Peer{ID: "", Addr: s.Awl}, Cache: s.Cache, Ramp: gauge.Span(s.RampMs) * 1e6,
 	})
-	d := &door{calls: map[Ref]chan any{}, core: core, stop: make(chan struct{})}
+	d := &door{calls: map[Ref]chan any{}, core: core, stop: make(chan struct{}), idle: time.Duration(s.IdleMs) * time.Millisecond}
 	if s.Record != "" {
 		r, err := OpenRecorder(s.Record, s.ID, s.Prompts)
 		if err != nil {
@@ -197,6 +214,7 @@
 		return Unsent, gauge.None
 	}
 	defer conn.Close()
+	conn = patient{conn, d.idle}
 	b, err := json.Marshal(v.Work)
 	if err != nil {
 		return Unsent, gauge.None
--- /dev/null
+++ b/treadle/measure.go
@@ -0,0 +1,238 @@
+package treadle
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"runtime"
+	"sort"
+
+	"tidedeck/anvil"
+	"tidedeck/dowel"
+	"tidedeck/gauge"
+)
+
+// Measure runs what docs/measurements.md reports: counts, ratios and virtual times only.
+func Measure(out io.Writer, o Options, seeds int) {
+	p := func(form string, a ...any) { _, _ = fmt.Fprintf(out, form+"\n", a...) }
+	run := func(scene string, set func(o *Options)) (all []Seen, ws []*World) {
+		s, _ := Find(scene)
+		for i := range seeds {
+			x := o
+			x.Seed = o.Seed + uint64(i)
+			if set != nil {
+				set(&x)
+			}
+			w, seen := s.Run(x)
+			all, ws = append(all, seen), append(ws, w)
+		}
+		return all, ws
+	}
+	sum := func(l []Seen, f func(Seen) float64) (n float64) {
+		for _, s := range l {
+			n += f(s)
+		}
+		return n
+	}
+	worst := func(l []Seen, f func(Seen) gauge.Span) (d gauge.Span) {
+		for _, s := range l {
+			d = max(d, f(s))
+		}
+		return d
+	}
+	asked := func(s Seen) float64 { return float64(s.Asked) }
+
+	p("callbacks against a check on every use (scene calm, %d seeds)", seeds)
+	for _, c := range []struct {
+		name  string
+		check bool
+	}{{"callbacks", false}, {"check on every use", true}} {
+		l, _ := run("calm", func(o *Options) { o.Lathe.Check = c.check })
+		n := sum(l, func(s Seen) float64 { return float64(s.Lookups) })
+		p("  %-20s %6.0f lookups for %6.0f requests: %.3f each", c.name, n, sum(l, asked), n/sum(l, asked))
+	}
+
+	p("breaks for each unload (scene moves)")
+	l, _ := run("moves", nil)
+	u := sum(l, func(s Seen) float64 { return float64(s.Unloads) })
+	p("  %.0f unloads, %.2f breaks, %.2f acknowledged and %.2f lapsed for each; breaks for loads are among them", u,
+		sum(l, func(s Seen) float64 { return float64(s.Breaks) })/u, sum(l, func(s Seen) float64 { return float64(s.Acks) })/u, sum(l, func(s Seen) float64 { return float64(s.Lapses) })/u)
+	l, _ = run("moves-cut", nil)
+	p("  with routers frozen and cut off: %.0f breaks, %.0f acknowledged, %.0f links lapsed with something owed",
+		sum(l, func(s Seen) float64 { return float64(s.Breaks) }), sum(l, func(s Seen) float64 { return float64(s.Acks) }), sum(l, func(s Seen) float64 { return float64(s.Lapses) }))
+
+	p("callback state of one router at the owner")
+	for _, n := range []int{62, 500, 1000} {
+		p("  %4d callbacks: %.0f bytes each", n, weigh(n))
+	}
+
+	p("prefix reuse (scene calm)")
+	for _, plain := range []bool{false, true} {
+		l, _ := run("calm", func(o *Options) { o.Lathe.Plain = plain })
+		p("  affinity %-5v %.1f in 100 prompt bytes reused", !plain, 100*sum(l, func(s Seen) float64 { return float64(s.Reused) })/sum(l, func(s Seen) float64 { return float64(s.Prompt) }))
+	}
+
+	p("takeover and recovery, worst of the seeds")
+	l, _ = run("moves-owner", nil)
+	p("  without an owner after it is killed, frozen or cut off: %v", worst(l, func(s Seen) gauge.Span { return s.NoOwner }))
+	for _, c := range []string{"power", "blackout", "ruin"} {
+		l, _ = run(c, nil)
+		p("  first answer after %-9s %v", c+":", worst(l, func(s Seen) gauge.Span { return s.Back }))
+	}
+
+	p("the hold's length (scenes grow and moves-owner)")
+	for _, h := range []gauge.Span{1e9, 1500e6, 2e9, 3e9, 4e9} {
+		set := func(o *Options) { o.Anvil.Hold = h }
+		a, _ := run("grow", set)
+		b, _ := run("moves-owner", set)
+		k, _ := run("moves-cut", set)
+		f, _ := run("fence", set)
+		lag := func(s Seen) gauge.Span { return s.PlanLag }
+		p("  hold %-5v worst plan lag %v in grow, %v in fence; answered %.4f of grow, %.4f of moves-owner, %.4f of moves-cut", h,
+			worst(a, lag).Round(1e6), worst(f, lag).Round(1e6), share(a), share(b), share(k))
+	}
+	p("renewals (scene calm)")
+	for _, k := range []gauge.Span{200e6, 400e6, 800e6} {
+		l, ws := run("calm", func(o *Options) { o.Keep = k })
+		c, _ := run("moves-cut", func(o *Options) { o.Keep = k })
+		n := 0
+		for _, w := range ws {
+			n += w.mails["Renew"]
+		}
+		p("  every %-5v %.3f renewals for each request; answered %.4f of calm, %.4f of moves-cut", k, float64(n)/sum(l, asked), share(l), share(c))
+	}
+
+	p("cache size of a router (scene moves)")
+	for _, n := range []int{4, 8, 16, 32, 64, 512} {
+		l, ws := run("moves", func(o *Options) { o.Lathe.Cache = n })
+		k := sum(l, func(s Seen) float64 { return float64(s.Lookups) })
+		r := 0
+		for _, w := range ws {
+			r += w.mails["Removal"]
+		}
+		p("  %3d entries: %.3f lookups and %.4f batches of removals for each request, answered %.4f", n, k/sum(l, asked), float64(r)/sum(l, asked), share(l))
+	}
+
+	p("ramp of cold replicas (scene crowd)")
+	for _, r := range []gauge.Span{1, 1e9, 2e9, 4e9, 8e9} {
+		l, _ := run("crowd", func(o *Options) { o.Lathe.Ramp = r; o.Lathe.NoRamp = r == 1 })
+		cold := 0
+		for _, s := range l {
+			cold = max(cold, s.Cold)
+		}
+		p("  ramp %-4v most at once on a server in its first second %3d, answered %.4f", r.Round(1e9), cold, share(l))
+	}
+
+	p("burden of the control plane as the plan grows (scene calm)")
+	for _, n := range []int{1, 4, 16} {
+		x := o
+		x.Plan = Times(o.Plan, n)
+		s, _ := Find("calm")
+		w, seen := s.Run(x)
+		all := 0
+		for _, c := range w.mails {
+			all += c
+		}
+		p("  %2d times today's plan (%d bytes): %.2f messages and %.3f lookups for each request, answered %.4f", n, len(x.Plan), float64(all)/float64(seen.Asked), float64(seen.Lookups)/float64(seen.Asked), float64(seen.Answered)/float64(seen.Asked))
+		if n == 1 {
+			var names []string
+			for k := range w.mails {
+				names = append(names, k)
+			}
+			sort.Slice(names, func(i, j int) bool { return w.mails[names[i]] > w.mails[names[j]] })
+			for _, k := range names[:6] {
+				p("     %-10s %d", k, w.mails[k])
+			}
+		}
+	}
+}
+
+func share(l []Seen) float64 {
+	a, n := 0, 0
+	for _, s := range l {
+		a += s.Answered
+		n += s.Asked
+	}
+	return float64(a) / float64(n)
+}
+
+// weigh tells the memory that an owner keeps for each of a router's callbacks.
+func weigh(n int) float64 {
+	me := dowel.Peer{ID: "a", Addr: "a"}
+	c := anvil.New(anvil.Options{Me: me, Inc: 1, Rand: rand.New(rand.NewPCG(1, 1)), Most: 1 << 20})
+	return anvil.Weigh(c, n, func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	})
+}
+
+// Times makes a plan several times as large: every model, adapter, service and route again
+// under other names, none of the copies kept ready.
+func Times(raw []byte, n int) []byte {
+	var m map[string]map[string]any
+	var whole map[string]any
+	if err := json.Unmarshal(raw, &whole); err != nil {
+		panic(err)
+	}
+	m = map[string]map[string]any{}
+	for _, k := range []string{"models", "adapters", "services", "routes"} {
+		m[k] = whole[k].(map[string]any)
+	}
+	copyOf := func(v any) map[string]any {
+		c := map[string]any{}
+		for k, x := range v.(map[string]any) {
+			c[k] = x
+		}
+		delete(c, "floor")
+		return c
+	}
+	for i := 1; i < n; i++ {
+		tag := fmt.Sprintf("-x%d", i)
+		rename := func(l any) (o []any) {
+			for _, x := range l.([]any) {
+				o = append(o, x.(string)+tag)
+			}
+			return o
+		}
+		add := map[string]map[string]any{"models": {}, "adapters": {}, "services": {}, "routes": {}}
+		for kind, t := range m {
+			for k, v := range t {
+				if len(k) > 3 && containsTag(k) {
+					continue
+				}
+				c := copyOf(v)
+				switch kind {
+				case "adapters":
+					c["base"] = c["base"].(string) + tag
+				case "services":
+					c["models"], c["adapters"] = rename(c["models"]), rename(c["adapters"])
+				case "routes":
+					c["service"] = c["service"].(string) + tag
+				}
+				add[kind][k+tag] = c
+			}
+		}
+		for kind, t := range add {
+			for k, v := range t {
+				m[kind][k] = v
+			}
+		}
+	}
+	b, err := json.Marshal(whole)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+func containsTag(s string) bool {
+	for i := 0; i+2 < len(s); i++ {
+		if s[i] == '-' && s[i+1] == 'x' && s[i+2] >= '0' && s[i+2] <= '9' {
+			return true
+		}
+	}
+	return false
+}
--- a/treadle/scenes.go
+++ b/treadle/scenes.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sort"
 	"strings"
+	"time"
 
 	"tidedeck/anvil"
 	"tidedeck/gauge"
@@ -115,6 +116,9 @@
 	}
 }
 
+// dawn is the wall time at which a world begins.
+var dawn = time.Date(2026, 3, 1, 4, 0, 0, 0, time.UTC)
+
 func sec(n float64) gauge.Tick { return gauge.Tick(n * 1e9) }
 
 func (w *World) some(prefix string) string {
@@ -587,6 +591,28 @@
 				w.At(sec(t+5), w.Heal)
 			}
 		}},
+	{Name: "windows", About: "maintenance windows of a server and a zone are kept, and then wall clocks jump both ways", Long: 90e9, Least: 0.95, Whole: true,
+		Set: func(o *Options) { o.Anvil.Lead = 5e9 },
+		Play: func(w *World) {
+			at := func(n float64) string { return dawn.Add(time.Duration(n * 1e9)).Format("20060102T150405Z") }
+			event := func(uid int, what string, from, to float64) string {
+				return fmt.Sprintf("BEGIN:VEVENT\r\nUID:%d\r\nDTSTAMP:20260101T000000Z\r\nLOCATION:%s\r\nDTSTART:%s\r\nDTEND:%s\r\nEND:VEVENT\r\n", uid, what, at(from), at(to))
+			}
+			cal := "BEGIN:VCALENDAR\r\nVERSION:2.0\r\nPRODID:x\r\n" + event(1, "server server-1", 25, 35) + event(2, "zone zb", 40, 50) + "END:VCALENDAR\r\n"
+			w.At(sec(10), func() { w.change("anvil-2", anvil.Admin{Op: "windows", Raw: []byte(cal), Any: true}, nil) })
+			// The lead is there for draining: at the window's own beginning nothing new may come.
+			shut := func(s string, from, to float64) {
+				w.At(sec(from-boundGone/1e9), func() { w.Check.Fault(s) })
+				w.At(sec(to), func() { w.Check.Mend(s) })
+			}
+			shut("server-1", 25, 35)
+			for i := 2; i <= w.o.Servers; i += 3 {
+				shut(fmt.Sprintf("server-%d", i), 40, 50)
+			}
+			for t := 52.0; t < 75; t += 3 {
+				w.At(sec(t), func() { w.procs[w.some("anvil-")].wall = time.Duration(w.rand.Int64N(4e12) - 2e12) })
+			}
+		}},
 	{Name: "blackout", About: "everything is killed at once and comes back, model servers empty", Long: 60e9, Least: 0.5,
 		Play: func(w *World) { w.At(sec(20), func() { w.blackout(true, 3e9) }) }},
 }
--- a/treadle/world.go
+++ b/treadle/world.go
@@ -10,8 +10,10 @@
 	"hash/fnv"
 	"io"
 	"math/rand/v2"
+	"reflect"
 	"sort"
 	"strings"
+	"time"
 
 	"tidedeck/anvil"
 	"tidedeck/awl"
@@ -77,6 +79,7 @@
 	froze  gauge.Tick
 	skew   gauge.Tick
 	rate   float64
+	wall   time.Duration // how far its wall clock is off
 	disk   *plate
 	made   func() core
 	mark   uint64 // digest of its name, for the trace's hash
@@ -115,6 +118,7 @@
 	flows  map[flowKey]*flow
 	serial uint64
 	hash   uint64
+	mails  map[string]int // messages between machines, by kind
 	Check  *Checker
 	plan   *chisel.Plan
 	admins map[uint64]func(anvil.Answer)
@@ -180,7 +184,7 @@
 		o.Slots = 16
 	}
 	w := &World{o: o, rand: rand.New(rand.NewPCG(o.Seed, 99)), procs: map[string]*proc{}, cuts: map[[2]string]bool{},
-		asks: map[askKey]func(bool, []byte){}, pulls: map[uint64]func(){}, puller: map[uint64]askKey{}, flows: map[flowKey]*flow{}, admins: map[uint64]func(anvil.Answer){}, platUp: true}
+		asks: map[askKey]func(bool, []byte){}, pulls: map[uint64]func(){}, puller: map[uint64]askKey{}, mails: map[string]int{}, flows: map[flowKey]*flow{}, admins: map[uint64]func(anvil.Answer){}, platUp: true}
 	w.plan, _ = chisel.ReadPlan(o.Plan)
 	w.Check = newChecker(w)
 	loads := 2
@@ -251,6 +255,7 @@
 	w.add(&proc{name: name, box: name, zone: z, beat: 20e6, skew: skew, rate: rate, disk: &plate{safe: map[string][]byte{}, late: 2e6}, made: func() core {
 		ao := w.o.Anvil
 		ao.Me, ao.Zone, ao.Inc, ao.Seeds, ao.Platform, ao.Rand = dowel.Peer{ID: gauge.Node(name), Addr: name}, z, w.inc(name), seeds, "platform", w.chance(name)
+		ao.Wall = func() time.Time { return dawn.Add(time.Duration(w.now) + w.procs[name].wall) }
 		return anvil.New(ao)
 	}})
 }
@@ -514,6 +519,7 @@
 	}
 	local := p.box == to.box
 	if !local {
+		w.mails[reflect.TypeOf(e.Body).Name()]++
 		if w.cuts[[2]string{p.box, to.box}] || w.rand.Float64() < w.o.Loss {
 			return
 		}
