Hopeless requests are told at once; HTTP sides tested against bad input and bad servers

A request for a key that no server could hold used to wait until its horizon: now the owner says so in the entry and the router answers at once, with when to come back. A generation's number now passes lost ones, and a renewal names its generation, so that a router cannot take an equal epoch of another generation for the same plan.

--- a/anvil/admin.go
+++ b/anvil/admin.go
@@ -82,7 +82,10 @@
 			return d, k
 		}
 		n.Epoch++
-		n.Done = append(append([]dowel.Change{}, d.Done...), dowel.Change{ID: a.Change, Epoch: n.Epoch})
+		n.Done = append([]dowel.Change{}, d.Done...)
+		if a.Change != "" {
+			n.Done = append(n.Done, dowel.Change{ID: a.Change, Epoch: n.Epoch})
+		}
 		if len(n.Done) > 64 {
 			n.Done = n.Done[len(n.Done)-64:]
 		}
--- a/anvil/anvil_test.go
+++ b/anvil/anvil_test.go
@@ -165,7 +165,7 @@
 	n.run(1e9, func() bool { _, ok := n.asked["s"]; return ok })
 	n.report("s", has("m", "ready"))
 	s := dowel.Session{Node: "r", Awl: 1, Lathe: 1, N: 1}
-	n.mail(dowel.Renew{Session: s, Seq: 1, Fresh: true, Epoch: 1})
+	n.mail(dowel.Renew{Session: s, Seq: 1, Fresh: true, Gen: 1, Epoch: 1})
 	n.mail(dowel.Want{Session: s, Key: "m"})
 	e := n.items(s)
 	require.Len(t, e, 1)
@@ -224,10 +224,10 @@
 		t.Run(fmt.Sprint("acknowledged ", ack), func(t *testing.T) {
 			n, s := ready(t)
 			n.pass(3e9, has("m", "ready")) // the owner before has lapsed for sure
-			n.mail(dowel.Renew{Session: s, Seq: 2, Epoch: 1, Heard: 1})
+			n.mail(dowel.Renew{Session: s, Seq: 2, Gen: 1, Epoch: 1, Heard: 1})
 			if n.links[s] == nil { // its first hold has run out meanwhile: it begins anew
 				s.N = 2
-				n.mail(dowel.Renew{Session: s, Seq: 1, Fresh: true, Epoch: 1})
+				n.mail(dowel.Renew{Session: s, Seq: 1, Fresh: true, Gen: 1, Epoch: 1})
 				n.mail(dowel.Want{Session: s, Key: "m"})
 				n.mail(dowel.Heard{Session: s, Num: 1})
 				n.sent = nil
@@ -238,7 +238,7 @@
 			require.Equal(t, gauge.Key("m"), l[len(l)-1].Break)
 			n.pass(500e6, has("m", "ready"))
 			require.Zero(t, n.unloads(), "neither acknowledged nor lapsed")
-			n.mail(dowel.Renew{Session: s, Seq: 3, Epoch: 1, Heard: 1})
+			n.mail(dowel.Renew{Session: s, Seq: 3, Gen: 1, Epoch: 1, Heard: 1})
 			require.Zero(t, n.grants(), "no hold goes on beside a broken promise")
 			if ack {
 				n.mail(dowel.Heard{Session: s, Num: l[len(l)-1].Num})
@@ -328,8 +328,8 @@
 	n, s := ready(t)
 	n.pass(3e9, has("m", "ready"))
 	n.sent = nil
-	n.mail(dowel.Renew{Session: s, Seq: 9, Epoch: 1, Heard: 1})
-	n.mail(dowel.Renew{Session: s, Seq: 9, Fresh: true, Epoch: 1})
+	n.mail(dowel.Renew{Session: s, Seq: 9, Gen: 1, Epoch: 1, Heard: 1})
+	n.mail(dowel.Renew{Session: s, Seq: 9, Fresh: true, Gen: 1, Epoch: 1})
 	require.Zero(t, n.grants())
 	gone := 0
 	for _, e := range n.sent {
@@ -462,3 +462,28 @@
 	}
 	require.True(t, broke, "the promise is broken")
 }
+
+// A key that no server could hold is given up on, and routers are told; with room it is not.
+func TestNever(t *testing.T) {
+	n, s := ready(t)
+	n.mail(dowel.Want{Session: s, Key: "n"})
+	l := n.items(s)
+	require.False(t, l[len(l)-1].Entry.Never)
+	n.step(Admin{Op: "put", Raw: []byte(strings.Replace(onePlan, `"n":{"size":4}`, `"n":{"size":400}`, 1)), Any: true})
+	n.pass(600e6, has("m", "ready"))
+	n.items(s)
+	n.mail(dowel.Want{Session: s, Key: "n"})
+	l = n.items(s)
+	require.True(t, l[len(l)-1].Entry.Never)
+}
+
+// A router under another generation is sent the plan, whatever epoch it says it has.
+func TestOtherGeneration(t *testing.T) {
+	n, _ := ready(t)
+	for gen, items := range map[uint64]int{1: 0, 7: 1} {
+		s := dowel.Session{Node: "r", Awl: 2, Lathe: 1, N: gen}
+		n.sent = nil
+		n.mail(dowel.Renew{Session: s, Seq: 1, Fresh: true, Gen: gen, Epoch: 1})
+		require.Len(t, n.items(s), items)
+	}
+}
--- a/anvil/core.go
+++ b/anvil/core.go
@@ -110,6 +110,7 @@
 	demand  map[gauge.Key]*need
 	listed  gauge.Tick
 	listing bool
+	swept   gauge.Tick
 	windows []*window
 	shutZ   map[gauge.Zone]bool
 	shutS   map[gauge.Server]bool
--- a/anvil/links.go
+++ b/anvil/links.go
@@ -1,6 +1,7 @@
 package anvil
 
 import (
+	"runtime"
 	"sort"
 
 	"tidedeck/dowel"
@@ -57,7 +58,7 @@
 		// Until its first grant a link counts as held, as any new one may be.
 		l := &link{ses: b.Session, until: c.now.Add(c.pad(c.o.Hold)), holds: map[gauge.Key]uint64{}}
 		c.links[b.Session] = l
-		if b.Epoch != c.reg.known.Epoch || b.Epoch == 0 {
+		if k := c.reg.known; b.Gen != k.Gen || b.Epoch != k.Epoch || b.Epoch == 0 {
 			d := *c.reg.known
 			l.add(dowel.Item{Desired: &d})
 		}
@@ -159,7 +160,7 @@
 		return // its entry is on the way, or the link is left to run out
 	}
 	x := c.entryOf(b.Key)
-	i := dowel.Entry{Key: b.Key, Mark: x.mark}
+	i := dowel.Entry{Key: b.Key, Mark: x.mark, Never: x.never}
 	if b.Mark == x.mark && len(x.replicas) > 0 {
 		i.Same = true
 		c.tally.Sames++
@@ -332,6 +333,7 @@
 // Weigh measures the memory that a node keeps for each of n callbacks of one router.
 func Weigh(c *Core, n int, heap func() uint64) float64 {
 	was := heap()
+	defer runtime.KeepAlive(c)
 	l := &link{holds: map[gauge.Key]uint64{}}
 	c.links[dowel.Session{Node: "weighed"}] = l
 	for i := range n {
@@ -339,5 +341,5 @@
 		l.holds[k] = uint64(i)
 		l.order = append(l.order, k)
 	}
-	return float64(heap()-was) / float64(n)
+	return (float64(heap()) - float64(was)) / float64(n)
 }
--- a/anvil/place.go
+++ b/anvil/place.go
@@ -115,6 +115,7 @@
 // entry is what the routers are told of a key.
 type entry struct {
 	mark     gauge.Mark
+	never    bool // no server could hold it, even if it held nothing else
 	replicas []replica
 }
 
@@ -214,9 +215,31 @@
 		e.replicas = append(e.replicas, replica{r, p})
 		fmt.Fprintf(h, "%s|%s|%d|%d;", r.Server, r.Addr, r.Inc, r.Slots)
 	}
+	e.never = len(e.replicas) == 0 && c.plan != nil && c.settled() && !c.fits(k)
+	if e.never {
+		fmt.Fprint(h, "never")
+	}
 	e.mark = gauge.Mark(h.Sum64())
 }
 
+// fits tells whether some server that is offered has the room for a key at all.
+func (c *Core) fits(k gauge.Key) bool {
+	m, ok := c.plan.Models[k]
+	if !ok {
+		return false
+	}
+	size := m.Size
+	if k.IsAdapter() {
+		size += c.plan.Models[k.Base()].Size
+	}
+	for _, s := range c.servers {
+		if c.open(s) && s.room >= size {
+			return true
+		}
+	}
+	return false
+}
+
 // touch makes a key's entry anew and, if it changed, breaks every callback on it at once.
 func (c *Core) touch(k gauge.Key) {
 	e := c.entries[k]
@@ -254,6 +277,10 @@
 	if c.plan != nil && c.settled() {
 		c.choose()
 	}
+	if c.now.Sub(c.swept) > 500e6 {
+		c.swept = c.now
+		c.touchAll()
+	}
 	for k, n := range c.demand {
 		if c.now.Sub(n.at) > 30e9 {
 			delete(c.demand, k)
--- a/anvil/register.go
+++ b/anvil/register.go
@@ -653,11 +653,12 @@
 		return
 	}
 	r.blank = 0
-	d := dowel.Desired{Gen: 1, Voters: l, Shape: 1}
+	// A generation's number is its former's disk life, so that it passes those that are lost.
+	d := dowel.Desired{Gen: uint64(c.vote.inc), Voters: l, Shape: 1}
 	if k := r.kept; k != nil {
 		// All that was confirmed is gone but for what agents hold: the newest of it goes on,
 		// under an epoch that leaps past whatever the lost core may have counted to.
-		d.Gen, d.Plan, d.Empty, d.Windows, d.Epoch = k.Gen+1, k.Plan, k.Empty, k.Windows, k.Epoch+1000
+		d.Gen, d.Plan, d.Empty, d.Windows, d.Epoch = max(d.Gen, k.Gen+1), k.Plan, k.Empty, k.Windows, k.Epoch+1000
 		d.Shape = k.Shape + 1000
 		c.oops("core disks lost: a new generation forms from an agent's copy")
 	}
--- a/anvil/serve.go
+++ b/anvil/serve.go
@@ -76,6 +76,19 @@
 	}
 }
 
+func (d *desk) act(o any) {
+	a, ok := o.(Answer)
+	if !ok {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if ch := d.wait[a.Token]; ch != nil {
+		ch <- a
+		delete(d.wait, a.Token)
+	}
+}
+
 // Main runs a core node until it is told to stop.
 func Main(s Settings) error {
 	ring := clamp.NewRing(s.ID, os.Stderr)
@@ -86,18 +99,7 @@
 		Lead: gauge.Span(s.LeadMs) * 1e6, Wall: time.Now,
 	})
 	d := &desk{wait: map[uint64]chan Answer{}}
-	d.c = clamp.New(clamp.Options{Core: core, Listen: s.Listen, Data: s.Data, Beat: 20 * time.Millisecond, Ring: ring, Else: func(o any) {
-		a, ok := o.(Answer)
-		if !ok {
-			return
-		}
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		if ch := d.wait[a.Token]; ch != nil {
-			ch <- a
-			delete(d.wait, a.Token)
-		}
-	}})
+	d.c = clamp.New(clamp.Options{Core: core, Listen: s.Listen, Data: s.Data, Beat: 20 * time.Millisecond, Ring: ring, Else: d.act})
 	if err := d.c.Run(); err != nil {
 		return err
 	}
--- a/awl/core.go
+++ b/awl/core.go
@@ -30,6 +30,7 @@
 	mates *plumb.Core
 
 	lathe  gauge.Inc
+	gen    uint64
 	epoch  gauge.Epoch
 	burden map[gauge.Key]dowel.Burden
 
@@ -136,7 +137,7 @@
 	}
 	switch b := e.Body.(type) {
 	case dowel.Hello:
-		c.epoch, c.burden = b.Epoch, b.Burden
+		c.gen, c.epoch, c.burden = b.Gen, b.Epoch, b.Burden
 		if b.Lathe != c.lathe {
 			c.lathe = b.Lathe
 			c.session()
@@ -258,7 +259,7 @@
 		}
 	}
 	c.tally.Renews++
-	c.up(dowel.Renew{Session: c.ses, Seq: c.seq, Fresh: c.fresh, Epoch: c.epoch, Heard: c.heard, Burden: c.burden})
+	c.up(dowel.Renew{Session: c.ses, Seq: c.seq, Fresh: c.fresh, Gen: c.gen, Epoch: c.epoch, Heard: c.heard, Burden: c.burden})
 }
 
 // change tries another way: each core node straight, then each through siblings.
--- a/dowel/dowel.go
+++ b/dowel/dowel.go
@@ -264,6 +264,7 @@
 	Session Session
 	Seq     uint64
 	Fresh   bool // nothing was heard from an owner in this session yet
+	Gen     uint64
 	Epoch   gauge.Epoch
 	Heard   uint64
 	Burden  map[gauge.Key]Burden
@@ -312,7 +313,7 @@
 	Mark     gauge.Mark `json:"m"`
 	Same     bool       `json:"s,omitempty"` // the holder's copy is still right
 	Replicas []Replica  `json:"r,omitempty"`
-	Coming   gauge.Span `json:"c,omitempty"` // an empty entry: when a replica is looked for
+	Never    bool       `json:"x,omitempty"` // an empty entry that no server has room to fill
 }
 
 // News carries numbered changes in order.
@@ -353,6 +354,7 @@
 type Hello struct {
 	Lathe   gauge.Inc
 	Session Session
+	Gen     uint64
 	Epoch   gauge.Epoch
 	Burden  map[gauge.Key]Burden
 }
--- a/lathe/core.go
+++ b/lathe/core.go
@@ -357,7 +357,7 @@
 			}
 		}
 		c.came = map[gauge.Key]int{}
-		c.send(dowel.Hello{Lathe: c.o.Inc, Session: c.ses, Epoch: c.epoch, Burden: b})
+		c.send(dowel.Hello{Lathe: c.o.Inc, Session: c.ses, Gen: c.gen, Epoch: c.epoch, Burden: b})
 	}
 	if len(c.drops) > 0 && (c.now.Sub(c.swept) >= c.o.Batch || len(c.drops) >= 64) {
 		c.swept = c.now
--- a/lathe/lathe_test.go
+++ b/lathe/lathe_test.go
@@ -397,3 +397,13 @@
 		require.Equal(t, c.ok, c.l.Follows(v, 3), "%+v", c.l)
 	}
 }
+
+// What no server could ever hold is given up on at once, not held to its horizon.
+func TestNever(t *testing.T) {
+	b := lay(t, Options{})
+	ref, _ := b.call(chisel.Call{})
+	out := b.news(dowel.Item{Entry: &dowel.Entry{Key: "m", Mark: 5, Never: true}})
+	r, ok := pick[Receipt](out)
+	require.True(t, ok)
+	require.Equal(t, Receipt{ref, gauge.NotReady, 5e9}, r)
+}
--- a/lathe/ledger.go
+++ b/lathe/ledger.go
@@ -326,6 +326,10 @@
 		}
 		e.used = c.now
 		r := c.lines[k][0]
+		if e.Never {
+			c.finish(r, gauge.NotReady, 5e9) // given up on, so told at once
+			continue
+		}
 		p := c.pick(e, r)
 		if p == nil {
 			return
--- /dev/null
+++ b/lathe/serve_test.go
@@ -0,0 +1,169 @@
+package lathe
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tidedeck/chisel"
+	"tidedeck/clamp"
+	"tidedeck/dowel"
+	"tidedeck/gauge"
+)
+
+// front makes a router's HTTP side that holds its link and promises one server.
+func front(t *testing.T, server string, idle time.Duration) (*door, *httptest.Server) {
+	core := New(Options{Inc: 7})
+	d := &door{calls: map[Ref]chan any{}, core: core, stop: make(chan struct{}), idle: idle}
+	d.c = clamp.New(clamp.Options{Core: core, Beat: time.Millisecond, Ring: clamp.NewRing("t", io.Discard), Else: d.act})
+	require.NoError(t, d.c.Run())
+	t.Cleanup(d.c.Stop)
+	e := &dowel.Entry{Key: "m", Mark: 1, Replicas: []dowel.Replica{{Server: "s", Addr: strings.TrimPrefix(server, "http://"), Inc: 1, Slots: 8, Warm: 1e12}}}
+	d.c.Step(dowel.Env{Body: dowel.Hold{Session: ses, Until: clamp.Now().Add(time.Hour), Routers: 1}})
+	d.c.Step(dowel.Env{Body: dowel.News{Session: ses, Items: []dowel.Item{{Num: 1, Desired: &dowel.Desired{Gen: 1, Epoch: 1, Plan: []byte(plan)}}, {Num: 2, Entry: e}}}})
+	s := httptest.NewServer(d.routes())
+	t.Cleanup(s.Close)
+	return d, s
+}
+
+func decode(r *http.Request, v any) error { return json.NewDecoder(r.Body).Decode(v) }
+
+const ask = `{"id":"1","model":"m","kind":"k","max_tokens":2}`
+
+func post(t *testing.T, url, body string) (int, http.Header, string) {
+	w, err := http.Post(url, "application/json", strings.NewReader(body))
+	require.NoError(t, err)
+	defer w.Body.Close()
+	b, _ := io.ReadAll(w.Body)
+	return w.StatusCode, w.Header, string(b)
+}
+
+// Bad input gets its kind at once, and whether it was dropped.
+func TestBadInput(t *testing.T) {
+	_, s := front(t, "http://127.0.0.1:1", time.Second)
+	for _, c := range []struct {
+		name, path, body string
+		code             int
+		kind             gauge.Kind
+	}{
+		{"not JSON", "/r", `{`, 400, gauge.Malformed},
+		{"unknown key", "/r", `{"id":"1","model":"m","kind":"k","x":1}`, 400, gauge.Malformed},
+		{"duplicate key", "/r", `{"id":"1","id":"2","model":"m","kind":"k"}`, 400, gauge.Malformed},
+		{"overflowing", "/r", `{"id":"1","model":"m","kind":"k","max_tokens":9223372036854775808}`, 400, gauge.Malformed},
+		{"too large", "/r", `{"id":"` + strings.Repeat("x", chisel.MostBody) + `"}`, 413, gauge.Oversize},
+		{"no such route", "/q", ask, 404, gauge.NoRoute},
+		{"no such model", "/r", strings.Replace(ask, `"m"`, `"z"`, 1), 404, gauge.NoModel},
+		{"no such adapter", "/r", strings.Replace(ask, `"kind"`, `"adapter":"z","kind"`, 1), 404, gauge.NoModel},
+		{"no such kind", "/r", strings.Replace(ask, `"k"`, `"z"`, 1), 400, gauge.NoKind},
+		{"past its horizon", "/r", strings.Replace(ask, `"kind"`, `"horizon_ms":0,"kind"`, 1), 400, gauge.PastDue},
+		{"repeat without allowance", "/r", strings.Replace(ask, `"kind"`, `"repeat":true,"kind"`, 1), 503, gauge.Spent},
+	} {
+		code, head, body := post(t, s.URL+c.path, c.body)
+		require.Equal(t, c.code, code, c.name)
+		require.Contains(t, body, fmt.Sprintf(`"kind":%q`, c.kind), c.name)
+		require.Contains(t, body, `"dropped":true`, c.name)
+		require.Equal(t, code == 503, head.Get("Retry-After") != "", c.name)
+	}
+	w, err := http.Get(s.URL + "/r")
+	require.NoError(t, err)
+	_ = w.Body.Close()
+	require.Equal(t, http.StatusMethodNotAllowed, w.StatusCode)
+}
+
+// What servers do, and what callers and servers see of it. Nothing below the router's own
+// ledger sends a request twice.
+func TestStreams(t *testing.T) {
+	line := func(w http.ResponseWriter, r *http.Request, n int, more string) {
+		var g dowel.Work
+		if n == 0 {
+			_ = decode(r, &g)
+			w.Header().Set("X-Go", g.Go)
+		}
+		_, _ = fmt.Fprintf(w, "data: {\"n\":%d,\"go\":%q,\"server\":\"s\"%s}\n\n", n, w.Header().Get("X-Go"), more)
+		w.(http.Flusher).Flush()
+	}
+	for _, c := range []struct {
+		name  string
+		serve func(w http.ResponseWriter, r *http.Request)
+		code  int
+		has   string
+		lacks string
+		hits  int64
+	}{
+		{"whole", func(w http.ResponseWriter, r *http.Request) {
+			line(w, r, 0, "")
+			line(w, r, 1, "")
+			line(w, r, 2, `,"done":true`)
+		}, 200, `"done":true`, "event: error", 1},
+		{"broken off", func(w http.ResponseWriter, r *http.Request) {
+			line(w, r, 0, "")
+			panic(http.ErrAbortHandler)
+		}, 200, "event: error\ndata: {\"kind\":\"cut\",\"dropped\":false}", "done", 1},
+		{"skips", func(w http.ResponseWriter, r *http.Request) {
+			line(w, r, 0, "")
+			line(w, r, 2, `,"done":true`)
+		}, 200, `"kind":"cut"`, "done", 1},
+		{"silent", func(w http.ResponseWriter, r *http.Request) {
+			line(w, r, 0, "")
+			<-r.Context().Done()
+		}, 200, `"kind":"cut"`, "done", 1},
+		{"ends before its first event", func(w http.ResponseWriter, r *http.Request) { panic(http.ErrAbortHandler) }, 502, `"kind":"unclear","dropped":false`, "data:", 1},
+		{"fails in a way of its own", func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(500) }, 502, `"kind":"unclear"`, "data:", 1},
+		{"drops it", func(w http.ResponseWriter, r *http.Request) { clamp.Error(w, gauge.Busy, 0, nil) }, 503, `"kind":"allowance_spent","dropped":true`, "data:", 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var hits atomic.Int64
+			back := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				hits.Add(1)
+				c.serve(w, r)
+			}))
+			t.Cleanup(back.Close)
+			_, s := front(t, back.URL, 200*time.Millisecond)
+			code, _, body := post(t, s.URL+"/r", ask)
+			require.Equal(t, c.code, code, body)
+			require.Contains(t, body, c.has)
+			require.NotContains(t, body, c.lacks)
+			require.Equal(t, c.hits, hits.Load())
+		})
+	}
+}
+
+// A caller that leaves takes its request from the server, too.
+func TestCallerLeaves(t *testing.T) {
+	gone := make(chan struct{})
+	back := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var g dowel.Work
+		_ = decode(r, &g)
+		_, _ = fmt.Fprintf(w, "data: {\"n\":0,\"go\":%q,\"server\":\"s\"}\n\n", g.Go)
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+		close(gone)
+	}))
+	t.Cleanup(back.Close)
+	d, s := front(t, back.URL, time.Minute)
+	ctx, leave := context.WithCancel(context.Background())
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, s.URL+"/r", strings.NewReader(ask))
+	require.NoError(t, err)
+	w, err := http.DefaultClient.Do(q)
+	require.NoError(t, err)
+	defer w.Body.Close()
+	_, err = bufio.NewReader(w.Body).ReadString('\n')
+	require.NoError(t, err)
+	leave()
+	<-gone
+	s.Close() // waits for the router's own side
+	d.c.With(func(gauge.Tick) {
+		require.Zero(t, d.core.bench["s"].work)
+		require.Empty(t, d.core.reqs)
+	})
+}
--- a/treadle/measure.go
+++ b/treadle/measure.go
@@ -67,9 +67,9 @@
 		p("  %4d callbacks: %.0f bytes each", n, weigh(n))
 	}
 
-	p("prefix reuse (scene calm)")
+	p("prefix reuse (scene calm, 60 tenants, 64 parts cached at a server)")
 	for _, plain := range []bool{false, true} {
-		l, _ := run("calm", func(o *Options) { o.Lathe.Plain = plain })
+		l, _ := run("calm", func(o *Options) { o.Lathe.Plain = plain; o.Tenants = 60 })
 		p("  affinity %-5v %.1f in 100 prompt bytes reused", !plain, 100*sum(l, func(s Seen) float64 { return float64(s.Reused) })/sum(l, func(s Seen) float64 { return float64(s.Prompt) }))
 	}
 
--- a/treadle/scenes.go
+++ b/treadle/scenes.go
@@ -32,6 +32,7 @@
 	w := New(o)
 	w.After(1500e6, func() { w.first(o.Plan) })
 	mix := vise.NewMix(w.plan, o.Seed)
+	mix.Tenants = o.Tenants
 	rate := s.Rate
 	if rate == 0 {
 		rate = 60
--- a/treadle/world.go
+++ b/treadle/world.go
@@ -39,6 +39,7 @@
 	Room    int
 	Slots   int
 	Rate    float64 // of the store
+	Tenants int     // of callers
 	Fill    int     // prompt bytes that a server's step can prefill
 }
 
--- a/vise/callers.go
+++ b/vise/callers.go
@@ -26,12 +26,13 @@
 
 // Mix draws requests from a plan: few keys are asked for often, most now and then.
 type Mix struct {
-	plan *chisel.Plan
-	asks []Ask
-	sum  []float64
-	rand *rand.Rand
-	tag  string
-	n    int
+	Tenants int // whose shared prompt parts differ
+	plan    *chisel.Plan
+	asks    []Ask
+	sum     []float64
+	rand    *rand.Rand
+	tag     string
+	n       int
 }
 
 // NewMix makes a mix. The same seed draws the same requests.
@@ -94,7 +95,7 @@
 func (m *Mix) Of(a Ask) Ask {
 	m.n++
 	a.Call.ID = fmt.Sprintf("%s-%d", m.tag, m.n)
-	t := m.rand.IntN(6)
+	t := m.rand.IntN(max(6, m.Tenants))
 	a.Call.Parts = []string{strings.Repeat("system ", 60), strings.Repeat(fmt.Sprintf("tenant-%d ", t), 60)}
 	a.Call.Prompt = strings.Repeat("line ", 4+m.rand.IntN(60))
 	a.Call.Max = 4 + m.rand.IntN(28)
