--- a/anvil/serve.go
+++ b/anvil/serve.go
@@ -99,7 +99,7 @@
 		Lead: gauge.Span(s.LeadMs) * 1e6, Wall: time.Now,
 	})
 	d := &desk{wait: map[uint64]chan Answer{}}
-	d.c = clamp.New(clamp.Options{Core: core, Listen: s.Listen, Data: s.Data, Beat: 20 * time.Millisecond, Ring: ring, Else: d.act})
+	d.c = clamp.New(clamp.Options{Core: core, Listen: []string{s.Listen}, Data: s.Data, Beat: 20 * time.Millisecond, Ring: ring, Else: d.act})
 	if err := d.c.Run(); err != nil {
 		return err
 	}
--- a/awl/serve.go
+++ b/awl/serve.go
@@ -18,7 +18,8 @@
 	Settings string   `help:"File of settings, JSON; flags go before it." type:"path"`
 	ID       string   `help:"This agent's name." required:""`
 	Zone     string   `help:"This agent's zone." required:""`
-	Listen   string   `help:"Where siblings and the router reach this agent, ip:port." required:""`
+	Listen   string   `help:"Where siblings reach this agent, ip:port." required:""`
+	Near     string   `help:"Where the router reaches this agent, on loopback, ip:port." required:""`
 	Lathe    string   `help:"The router's control address on loopback, ip:port." required:""`
 	Admin    string   `help:"Where metrics and liveness are served over HTTP, ip:port." required:""`
 	Seeds    []string `help:"Three seed addresses, ip:port." required:""`
@@ -28,7 +29,8 @@
 // Check names what is wrong with the settings.
 func (s *Settings) Check() (f chisel.Faults) {
 	f = append(f, clamp.Addr("listen", s.Listen)...)
-	f = append(f, clamp.Addr("lathe", s.Lathe)...)
+	f = append(f, clamp.Near("near", s.Near)...)
+	f = append(f, clamp.Near("lathe", s.Lathe)...)
 	f = append(f, clamp.Addr("admin", s.Admin)...)
 	f = append(f, clamp.Seeds(s.Seeds)...)
 	if s.KeepMs < 50 || s.KeepMs > 10_000 {
@@ -45,7 +47,7 @@
 		Seeds: clamp.Peers(s.Seeds), Rand: clamp.NewRand(), Keep: gauge.Span(s.KeepMs) * 1e6,
 		Lathe: dowel.Peer{ID: "lathe", Addr: s.Lathe},
 	})
-	c := clamp.New(clamp.Options{Core: core, Listen: s.Listen, Beat: 20 * time.Millisecond, Ring: ring, Else: func(any) {}})
+	c := clamp.New(clamp.Options{Core: core, Listen: []string{s.Listen, s.Near}, Beat: 20 * time.Millisecond, Ring: ring, Else: func(any) {}})
 	if err := c.Run(); err != nil {
 		return err
 	}
--- a/clamp/clamp.go
+++ b/clamp/clamp.go
@@ -58,8 +58,8 @@
 // Options of a clamp.
 type Options struct {
 	Core   Core
-	Listen string // for siblings; empty if the process has none
-	Data   string // data folder; empty if the process has no disk
+	Listen []string // for siblings
+	Data   string   // data folder; empty if the process has no disk
 	Beat   time.Duration
 	Ring   *Ring
 	Else   func(out any) // what only the program itself can do
@@ -107,8 +107,8 @@
 		go func() { defer c.over.Done(); d.run() }()
 		c.Step(dowel.Start{Disk: m})
 	}
-	if c.o.Listen != "" {
-		if _, err := c.post.listen(c.o.Listen); err != nil {
+	for _, a := range c.o.Listen {
+		if err := c.post.listen(a); err != nil {
 			return err
 		}
 	}
@@ -409,6 +409,17 @@
 	return nil
 }
 
+// Near checks an ip:port setting that must be on loopback.
+func Near(path, s string) chisel.Faults {
+	if f := Addr(path, s); f != nil {
+		return f
+	}
+	if a, _ := netip.ParseAddrPort(s); !a.Addr().IsLoopback() {
+		return chisel.Faults{{Path: path, Why: fmt.Sprintf("wants an address on loopback, has %q", s)}}
+	}
+	return nil
+}
+
 // Seeds checks the seeds: three of them, each an ip:port, none twice.
 func Seeds(l []string) (f chisel.Faults) {
 	if len(l) != 3 {
--- a/clamp/post.go
+++ b/clamp/post.go
@@ -51,14 +51,14 @@
 	return &post{lines: map[string]chan dowel.Env{}, ctx: ctx, take: take}
 }
 
-func (p *post) listen(addr string) (net.Addr, error) {
+func (p *post) listen(addr string) error {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
-		return nil, errors.Wrap(err, "listen")
+		return errors.Wrap(err, "listen")
 	}
 	s := drpcserver.NewWithOptions(p, drpcserver.Options{Manager: manage})
 	go func() { _ = s.Serve(p.ctx, l) }()
-	return l.Addr(), nil
+	return nil
 }
 
 // HandleRPC reads a sibling's stream to its end.
--- a/jig/fleet.go
+++ b/jig/fleet.go
@@ -122,11 +122,11 @@
 	}
 	for i := range s.Routers {
 		n := fmt.Sprint(i + 1)
-		call, ctl, link, adm := f.Port(), f.Port(), f.Port(), f.Port()
+		call, ctl, link, near, adm := f.Port(), f.Port(), f.Port(), f.Port(), f.Port()
 		f.Routers = append(f.Routers, call)
 		f.Names["lathe-"+n] = call
-		f.add("awl-"+n, "awl", "--id", "awl-"+n, "--zone", zone(i), "--listen", link, "--lathe", ctl, "--admin", adm, "--seeds", strings.Join(f.Seeds, ","))
-		f.add("lathe-"+n, "lathe", "--id", "lathe-"+n, "--listen", call, "--control", ctl, "--awl", link)
+		f.add("awl-"+n, "awl", "--id", "awl-"+n, "--zone", zone(i), "--listen", link, "--near", near, "--lathe", ctl, "--admin", adm, "--seeds", strings.Join(f.Seeds, ","))
+		f.add("lathe-"+n, "lathe", "--id", "lathe-"+n, "--listen", call, "--control", ctl, "--awl", near)
 	}
 	return f
 }
--- a/lathe/serve.go
+++ b/lathe/serve.go
@@ -27,7 +27,7 @@
 	ID       string `help:"This router's name." required:""`
 	Listen   string `help:"Where callers reach this router over HTTP, ip:port." required:""`
 	Control  string `help:"Where the agent reaches this router, on loopback, ip:port." required:""`
-	Awl      string `help:"The agent's address on loopback, ip:port." required:""`
+	Awl      string `help:"Where the agent is near, on loopback, ip:port." required:""`
 	Cache    int    `help:"Placement entries kept at the most." default:"512"`
 	RampMs   int    `help:"A replica is cold for so long, in ms." default:"4000"`
 	IdleMs   int    `help:"A server that sends nothing for so long is given up, in ms." default:"10000"`
@@ -39,13 +39,8 @@
 // Check names what is wrong with the settings.
 func (s *Settings) Check() (f chisel.Faults) {
 	f = append(f, clamp.Addr("listen", s.Listen)...)
-	f = append(f, clamp.Addr("control", s.Control)...)
-	f = append(f, clamp.Addr("awl", s.Awl)...)
-	for _, a := range []struct{ path, val string }{{"control", s.Control}, {"awl", s.Awl}} {
-		if h, _, err := net.SplitHostPort(a.val); err == nil && net.ParseIP(h) != nil && !net.ParseIP(h).IsLoopback() {
-			f = append(f, chisel.Fault{Path: a.path, Why: "wants an address on loopback"})
-		}
-	}
+	f = append(f, clamp.Near("control", s.Control)...)
+	f = append(f, clamp.Near("awl", s.Awl)...)
 	if s.Cache < 1 || s.Cache > 1_000_000 {
 		f = append(f, chisel.Fault{Path: "cache", Why: "wants a whole number from 1 to 1000000"})
 	}
@@ -98,7 +93,7 @@
 		defer r.Close()
 		d.record = r
 	}
-	d.c = clamp.New(clamp.Options{Core: core, Listen: s.Control, Beat: 10 * time.Millisecond, Ring: ring, Else: d.act})
+	d.c = clamp.New(clamp.Options{Core: core, Listen: []string{s.Control}, Beat: 10 * time.Millisecond, Ring: ring, Else: d.act})
 	if err := d.c.Run(); err != nil {
 		return err
 	}
