--- a/treadle/measure.go
+++ b/treadle/measure.go
@@ -63,7 +63,7 @@
 		sum(l, func(s Seen) float64 { return float64(s.Breaks) }), sum(l, func(s Seen) float64 { return float64(s.Acks) }), sum(l, func(s Seen) float64 { return float64(s.Lapses) }))
 
 	p("callback state of one router at the owner")
-	for _, n := range []int{62, 500, 1000} {
+	for _, n := range []int{500, 2000, 8000} {
 		p("  %4d callbacks: %.0f bytes each", n, weigh(n))
 	}
 
--- a/treadle/scenes.go
+++ b/treadle/scenes.go
@@ -159,6 +159,33 @@
 	w.After(after, func() { w.Start(s); w.Check.Mend(s) })
 }
 
+// wear makes servers fail in every way, one after another.
+func (w *World) wear(from, to float64) {
+	for t := from; t < to; t += 4 {
+		w.At(sec(t), func() {
+			s := w.some("server-")
+			if _, ok := w.Check.gone[s]; ok || !w.procs[s].up {
+				return
+			}
+			switch w.rand.IntN(4) {
+			case 0:
+				w.crash(s, gauge.Span(w.rand.Int64N(6e9)))
+			case 1:
+				d := gauge.Span(2e9 + w.rand.Int64N(6e9))
+				w.Freeze(s, d)
+				w.Check.Fault(s)
+				w.After(d, func() { w.Check.Mend(s) })
+			case 2:
+				w.crash(s, 20e6)
+			case 3:
+				w.mark(s, "leaving")
+				w.After(4e9, func() { w.Kill(s) })
+				w.After(8e9, func() { w.Start(s); w.mark(s, "live") })
+			}
+		})
+	}
+}
+
 // churn changes what is asked for, so that keys must move: rare ones come in turns.
 func (w *World) churn(from, to float64, rate float64) {
 	m := vise.NewMix(w.plan, w.o.Seed+7)
@@ -233,27 +260,26 @@
 			}
 		}},
 	{Name: "servers", About: "servers crash, go dark, restart empty, are withdrawn at little notice", Long: 80e9, Least: 0.9,
+		Play: func(w *World) { w.wear(10, 60) }},
+	{Name: "servers-cut", About: "the same, while routers are cut off from the core and frozen, and the owner dies", Long: 80e9, Least: 0.8,
+		Set: func(o *Options) { o.Loss, o.Twice = 0.01, 0.01 },
 		Play: func(w *World) {
-			for t := 10.0; t < 60; t += 4 {
+			w.wear(10, 60)
+			for t := 9.5; t < 60; t += 4 {
 				w.At(sec(t), func() {
-					s := w.some("server-")
-					if _, ok := w.Check.gone[s]; ok || !w.procs[s].up {
-						return
-					}
 					switch w.rand.IntN(4) {
 					case 0:
-						w.crash(s, gauge.Span(w.rand.Int64N(6e9)))
+						w.Freeze(w.some("lathe-"), gauge.Span(w.rand.Int64N(4e9)))
 					case 1:
-						d := gauge.Span(2e9 + w.rand.Int64N(6e9))
-						w.Freeze(s, d)
-						w.Check.Fault(s)
-						w.After(d, func() { w.Check.Mend(s) })
-					case 2:
-						w.crash(s, 20e6)
-					case 3:
-						w.mark(s, "leaving")
-						w.After(4e9, func() { w.Kill(s) })
-						w.After(8e9, func() { w.Start(s); w.mark(s, "live") })
+						w.Restart(w.owner(), 1e9)
+					default:
+						r := fmt.Sprintf("router-%d", 1+w.rand.IntN(w.o.Routers))
+						for _, b := range w.boxes() {
+							if b != r && !strings.HasPrefix(b, "server-") && b != "platform" {
+								w.Cut(r, b, w.rand.IntN(2) == 0)
+							}
+						}
+						w.After(3500e6, w.Heal)
 					}
 				})
 			}
