--- a/anvil/admin.go
+++ b/anvil/admin.go
@@ -24,8 +24,8 @@
 	New    gauge.Node
 }
 
-// Answer answers an Admin.
-type Answer struct {
+// Receipt answers an Admin.
+type Receipt struct {
 	Token  uint64         `json:"-"`
 	Kind   gauge.Kind     `json:"kind,omitempty"`
 	Why    string         `json:"why,omitempty"`
@@ -33,7 +33,7 @@
 	Epoch  gauge.Epoch    `json:"epoch,omitempty"`
 	Empty  []gauge.Zone   `json:"empty,omitempty"`
 	Plan   []byte         `json:"-"`
-	Owner  *dowel.Peer    `json:"owner,omitempty"`
+	Owner  *dowel.Sibling `json:"owner,omitempty"`
 	View   map[string]any `json:"view,omitempty"`
 }
 
@@ -50,15 +50,15 @@
 		f(c, a)
 		return
 	}
-	c.answer(Answer{Token: a.Token, Kind: gauge.Unknown, Why: "no such request"})
+	c.receipt(Receipt{Token: a.Token, Kind: gauge.Unknown, Why: "no such request"})
 }
 
-func (c *Core) answer(a Answer) { c.out = append(c.out, a) }
+func (c *Core) receipt(a Receipt) { c.out = append(c.out, a) }
 
 // change carries an operator's change through the register.
 func (c *Core) change(a Admin, apply func(d *dowel.Desired) (gauge.Kind, chisel.Faults)) {
-	if c.config() == nil {
-		c.answer(Answer{Token: a.Token, Kind: gauge.NotReady, Why: "this node knows no core yet"})
+	if c.latest() == nil {
+		c.receipt(Receipt{Token: a.Token, Kind: gauge.NotReady, Why: "this node knows no core yet"})
 		return
 	}
 	var faults chisel.Faults
@@ -91,7 +91,7 @@
 		}
 		return n, gauge.None
 	}, func(v dowel.Desired, k gauge.Kind) {
-		r := Answer{Token: a.Token, Kind: k, Epoch: v.Epoch, Faults: faults, Empty: v.Empty}
+		r := Receipt{Token: a.Token, Kind: k, Epoch: v.Epoch, Faults: faults, Empty: v.Empty}
 		switch k {
 		case gauge.None:
 			c.tally.Changes++
@@ -107,13 +107,13 @@
 		case gauge.Unclear:
 			r.Why = "it is not known whether the change was taken; repeat it under the same change id, or read the plan"
 		}
-		c.answer(r)
+		c.receipt(r)
 	})
 }
 
 func (c *Core) putPlan(a Admin) {
 	if _, f := chisel.ReadPlan(a.Raw); f != nil {
-		c.answer(Answer{Token: a.Token, Kind: gauge.Faulty, Faults: f})
+		c.receipt(Receipt{Token: a.Token, Kind: gauge.Faulty, Faults: f})
 		return
 	}
 	c.change(a, func(d *dowel.Desired) (gauge.Kind, chisel.Faults) {
@@ -124,7 +124,7 @@
 
 func (c *Core) patchPlan(a Admin) {
 	if _, f := chisel.Open(a.Raw); len(*f) > 0 {
-		c.answer(Answer{Token: a.Token, Kind: gauge.Malformed, Faults: *f})
+		c.receipt(Receipt{Token: a.Token, Kind: gauge.Malformed, Faults: *f})
 		return
 	}
 	c.change(a, func(d *dowel.Desired) (gauge.Kind, chisel.Faults) {
@@ -144,15 +144,15 @@
 }
 
 func (c *Core) getPlan(a Admin) {
-	if c.config() == nil {
-		c.answer(Answer{Token: a.Token, Kind: gauge.NotReady, Why: "this node knows no core yet"})
+	if c.latest() == nil {
+		c.receipt(Receipt{Token: a.Token, Kind: gauge.NotReady, Why: "this node knows no core yet"})
 		return
 	}
 	c.read(func(v dowel.Desired, k gauge.Kind) {
 		if k == gauge.Unclear { // a read changes nothing, so it only did not come about
 			k = gauge.NotReady
 		}
-		c.answer(Answer{Token: a.Token, Kind: k, Epoch: v.Epoch, Empty: v.Empty, Plan: v.Plan})
+		c.receipt(Receipt{Token: a.Token, Kind: k, Epoch: v.Epoch, Empty: v.Empty, Plan: v.Plan})
 	})
 }
 
@@ -187,50 +187,50 @@
 	s, ok := c.reg.lives[a.New]
 	k := c.reg.known
 	if k == nil || !ok || len(k.Prior) > 0 {
-		c.answer(Answer{Token: a.Token, Kind: gauge.NotReady, Why: "the new node is not seen, or a change is under way"})
+		c.receipt(Receipt{Token: a.Token, Kind: gauge.NotReady, Why: "the new node is not seen, or a change is under way"})
 		return
 	}
 	for i, v := range k.Voters {
 		if v.ID == a.Old && !sits(k.Voters, a.New) {
-			c.reshape(*k, swap(k.Voters, i, dowel.Voter{Peer: s.peer, Zone: v.Zone, Inc: s.state.Inc}))
-			c.answer(Answer{Token: a.Token})
+			c.reshape(*k, swap(k.Voters, i, dowel.Voter{Sibling: s.sib, Zone: v.Zone, Inc: s.state.Inc}))
+			c.receipt(Receipt{Token: a.Token})
 			return
 		}
 	}
-	c.answer(Answer{Token: a.Token, Kind: gauge.Unknown, Why: "the old node is no voter, or the new one is one already"})
+	c.receipt(Receipt{Token: a.Token, Kind: gauge.Unknown, Why: "the old node is no voter, or the new one is one already"})
 }
 
 func (c *Core) forceForm(a Admin) {
-	if c.config() != nil {
-		c.answer(Answer{Token: a.Token, Kind: gauge.Conflict, Why: "this node knows a core"})
+	if c.latest() != nil {
+		c.receipt(Receipt{Token: a.Token, Kind: gauge.Conflict, Why: "this node knows a core"})
 		return
 	}
 	c.reg.force = true
-	c.answer(Answer{Token: a.Token})
+	c.receipt(Receipt{Token: a.Token})
 }
 
 func (c *Core) viewNodes(a Admin) {
 	v := map[string]any{"members": c.mates.All()}
-	if k := c.config(); k != nil {
+	if k := c.latest(); k != nil {
 		v["voters"], v["prior"], v["gen"] = k.Voters, k.Prior, k.Gen
 	}
 	if c.duty.who.ID != "" {
 		v["owner"] = c.duty.who
 	}
-	c.answer(Answer{Token: a.Token, View: v})
+	c.receipt(Receipt{Token: a.Token, View: v})
 }
 
 // owned answers for what only the duty's owner knows; others name it.
 func (c *Core) owned(a Admin, view func() map[string]any) {
 	if !c.rules() {
-		r := Answer{Token: a.Token, Kind: gauge.NotReady, Why: "this node does not own the duty"}
+		r := Receipt{Token: a.Token, Kind: gauge.NotReady, Why: "this node does not own the duty"}
 		if o := c.duty.who; o.ID != "" && o.ID != c.o.Me.ID {
 			r.Owner = &o
 		}
-		c.answer(r)
+		c.receipt(r)
 		return
 	}
-	c.answer(Answer{Token: a.Token, View: view()})
+	c.receipt(Receipt{Token: a.Token, View: view()})
 }
 
 func (c *Core) viewServers(a Admin) {
@@ -267,5 +267,5 @@
 	if k := c.reg.known; k != nil {
 		v["gen"], v["empty"] = k.Gen, k.Empty
 	}
-	c.answer(Answer{Token: a.Token, View: v})
+	c.receipt(Receipt{Token: a.Token, View: v})
 }
--- a/anvil/anvil_test.go
+++ b/anvil/anvil_test.go
@@ -16,7 +16,7 @@
 )
 
 func voter(id string, inc gauge.Inc) dowel.Voter {
-	return dowel.Voter{Peer: dowel.Peer{ID: gauge.Node(id), Addr: id}, Inc: inc}
+	return dowel.Voter{Sibling: dowel.Sibling{ID: gauge.Node(id), Addr: id}, Inc: inc}
 }
 
 func yes(l ...dowel.Voter) map[gauge.Node]gauge.Inc {
@@ -88,10 +88,10 @@
 "services":{"s":{"models":["m","n"]}},"routes":{"/r":{"service":"s","kinds":["k"]}}}`
 
 func owner(t *testing.T, plan string) *node {
-	me := dowel.Peer{ID: "a", Addr: "a"}
+	me := dowel.Sibling{ID: "a", Addr: "a"}
 	v := dowel.Desired{Gen: 1, Epoch: 1, Plan: []byte(plan), Shape: 1, Voters: []dowel.Voter{voter("a", 5)}}
 	n := &node{t: t, at: 1e9, asked: map[string]dowel.Ask{}}
-	n.Core = New(Options{Me: me, Inc: 6, Seeds: []dowel.Peer{{Addr: "a"}}, Platform: "platform", Rand: rand.New(rand.NewPCG(1, 2))})
+	n.Core = New(Options{Me: me, Inc: 6, Seeds: []dowel.Sibling{{Addr: "a"}}, Platform: "platform", Rand: rand.New(rand.NewPCG(1, 2))})
 	n.step(dowel.Start{Disk: map[string][]byte{diskInc: []byte("5"), diskV: jot(safe{dowel.Ballot{N: 1, By: "a"}, &v}), diskB: jot(dowel.Ballot{N: 1, By: "a"})}})
 	n.run(3e9, func() bool { return n.rules() })
 	require.True(t, n.rules())
@@ -175,7 +175,7 @@
 }
 
 func (n *node) mail(body any) {
-	n.step(dowel.Env{From: dowel.Peer{ID: "r", Addr: "r"}, To: dowel.Peer{ID: "a", Addr: "a"}, Body: body})
+	n.step(dowel.Env{From: dowel.Sibling{ID: "r", Addr: "r"}, To: dowel.Sibling{ID: "a", Addr: "a"}, Body: body})
 }
 
 func (n *node) items(dowel.Session) (l []dowel.Item) {
@@ -360,17 +360,17 @@
 // The changes of an operator: expected epochs, repeats, faults.
 func TestChanges(t *testing.T) {
 	n := owner(t, onePlan)
-	ask := func(a Admin) Answer {
+	ask := func(a Admin) Receipt {
 		n.out = nil
 		a.Token = 1
 		n.step(a)
 		for _, o := range n.out {
-			if r, ok := o.(Answer); ok {
+			if r, ok := o.(Receipt); ok {
 				return r
 			}
 		}
 		t.Fatal("no answer")
-		return Answer{}
+		return Receipt{}
 	}
 	two := []byte(strings.Replace(onePlan, `"p"`, `"two"`, 1) + "\n  ")
 	for _, c := range []struct {
@@ -493,10 +493,10 @@
 // reading: a voter that lost power then could have pledged one number to two owners.
 func TestPledgeIsSynced(t *testing.T) {
 	v := dowel.Desired{Gen: 1, Epoch: 1, Shape: 1, Voters: []dowel.Voter{voter("a", 5), voter("b", 5), voter("c", 5)}}
-	c := New(Options{Me: dowel.Peer{ID: "a", Addr: "a"}, Inc: 6, Rand: rand.New(rand.NewPCG(1, 2))})
+	c := New(Options{Me: dowel.Sibling{ID: "a", Addr: "a"}, Inc: 6, Rand: rand.New(rand.NewPCG(1, 2))})
 	c.Step(1e9, dowel.Start{Disk: map[string][]byte{diskInc: []byte("5"), diskV: jot(safe{dowel.Ballot{N: 1, By: "a"}, &v})}})
 	ask := func(from string, d gauge.Duty) (granted bool, save *dowel.Save) {
-		for _, o := range c.Step(9e9, dowel.Env{From: dowel.Peer{ID: gauge.Node(from), Addr: from}, Body: dowel.Query{Claim: true, Duty: d}}) {
+		for _, o := range c.Step(9e9, dowel.Env{From: dowel.Sibling{ID: gauge.Node(from), Addr: from}, Body: dowel.Query{Claim: true, Duty: d}}) {
 			switch x := o.(type) {
 			case dowel.Env:
 				granted = granted || x.Body.(dowel.State).Granted
--- a/anvil/core.go
+++ b/anvil/core.go
@@ -16,10 +16,10 @@
 
 // Options of a core node.
 type Options struct {
-	Me       dowel.Peer
+	Me       dowel.Sibling
 	Zone     gauge.Zone
 	Inc      gauge.Inc // of this life of the process
-	Seeds    []dowel.Peer
+	Seeds    []dowel.Sibling
 	Platform string
 	Rand     *rand.Rand
 
@@ -127,7 +127,7 @@
 		demand: map[gauge.Key]*need{}, empty: map[gauge.Zone]bool{},
 	}
 	c.mates = plumb.New(plumb.Options{
-		Me:    dowel.Member{Peer: o.Me, Role: "anvil", Zone: o.Zone, Inc: o.Inc},
+		Me:    dowel.Member{Sibling: o.Me, Role: "anvil", Zone: o.Zone, Inc: o.Inc},
 		Seeds: o.Seeds, Rand: o.Rand,
 	})
 	c.reg.init()
@@ -243,7 +243,7 @@
 	}
 }
 
-func (c *Core) send(to dowel.Peer, body any) {
+func (c *Core) send(to dowel.Sibling, body any) {
 	c.post(dowel.Env{From: c.o.Me, To: to, Body: body})
 }
 
--- a/anvil/duty.go
+++ b/anvil/duty.go
@@ -14,24 +14,24 @@
 	num   gauge.Duty
 	asked gauge.Tick // when the last round that renewed it, and showed nothing newer, began
 	began gauge.Tick
-	top   gauge.Duty // highest number seen
-	who   dowel.Peer // who owns it as far as this node knows
-	free  bool       // the last majority read showed no owner
+	top   gauge.Duty    // highest number seen
+	who   dowel.Sibling // who owns it as far as this node knows
+	free  bool          // the last majority read showed no owner
 }
 
 func (r *reign) until(c *Core) gauge.Tick { return r.asked.Add(c.o.Duty) }
 
 // claims tells whether the next round should ask for the duty: its owner renews it, and
 // with no owner the first live node in the order of the voter set takes it.
-func (c *Core) claims(cfg dowel.Desired) (bool, gauge.Duty) {
+func (c *Core) claims(set dowel.Desired) (bool, gauge.Duty) {
 	d := &c.duty
 	if d.mine {
 		return true, d.num
 	}
-	if !seat(cfg.Voters, c.o.Me.ID, c.vote.inc) || !d.free && !c.o.BreakDuty {
+	if !seat(set.Voters, c.o.Me.ID, c.vote.inc) || !d.free && !c.o.BreakDuty {
 		return false, 0
 	}
-	l := append([]dowel.Voter{}, cfg.Voters...)
+	l := append([]dowel.Voter{}, set.Voters...)
 	sort.Slice(l, func(i, j int) bool { return l[i].ID < l[j].ID })
 	for _, v := range l {
 		if v.ID == c.o.Me.ID {
@@ -91,7 +91,7 @@
 	}
 	num := c.duty.num
 	c.note(fmt.Sprintf("duty %d is given back", num))
-	c.duty.mine, c.duty.who, c.duty.free = false, dowel.Peer{}, false
+	c.duty.mine, c.duty.who, c.duty.free = false, dowel.Sibling{}, false
 	c.clear()
 	for _, p := range electors(*c.reg.known) {
 		c.send(p, dowel.Release{Duty: num})
@@ -106,7 +106,7 @@
 
 func (c *Core) lose(why string) {
 	c.oops(fmt.Sprintf("duty %d ends: %s", c.duty.num, why))
-	c.duty.mine, c.duty.who, c.duty.free = false, dowel.Peer{}, false
+	c.duty.mine, c.duty.who, c.duty.free = false, dowel.Sibling{}, false
 	c.clear()
 }
 
--- a/anvil/links.go
+++ b/anvil/links.go
@@ -31,7 +31,7 @@
 	if !c.rules() {
 		hint := c.duty.who
 		if hint.ID == c.o.Me.ID {
-			hint = dowel.Peer{}
+			hint = dowel.Sibling{}
 		}
 		c.reply(e, dowel.NotOwner{Session: s, Hint: hint, Cores: c.cores()})
 		return nil
@@ -45,8 +45,8 @@
 	return l
 }
 
-func (c *Core) cores() []dowel.Peer {
-	if k := c.config(); k != nil {
+func (c *Core) cores() []dowel.Sibling {
+	if k := c.latest(); k != nil {
 		return electors(*k)
 	}
 	return c.o.Seeds
--- a/anvil/place.go
+++ b/anvil/place.go
@@ -275,7 +275,7 @@
 		c.beatServer(c.servers[id])
 	}
 	if c.plan != nil && c.settled() {
-		c.choose()
+		c.placeAll()
 	}
 	if c.now.Sub(c.swept) > 500e6 {
 		c.swept = c.now
@@ -527,8 +527,8 @@
 	value int
 }
 
-// choose places what is wished for, the most urgent first, within room and the store's budget.
-func (c *Core) choose() {
+// placeAll places what is wished for, the most urgent first, within room and the store's budget.
+func (c *Core) placeAll() {
 	budget := c.plan.Loads
 	for _, s := range c.servers {
 		for _, k := range ordered(s.spots) {
--- a/anvil/register.go
+++ b/anvil/register.go
@@ -22,7 +22,7 @@
 	started gauge.Tick // from when other owners' holds may still run unseen
 	duty    gauge.Duty
 	sure    gauge.Duty // the highest that the disk has
-	owner   dowel.Peer
+	owner   dowel.Sibling
 	until   gauge.Tick
 }
 
@@ -51,7 +51,7 @@
 type sight struct {
 	at    gauge.Tick
 	state dowel.State
-	peer  dowel.Peer
+	sib   dowel.Sibling
 }
 
 // op is one change or full read in its rounds.
@@ -59,7 +59,7 @@
 	apply  func(dowel.Desired) (dowel.Desired, gauge.Kind)
 	done   func(v dowel.Desired, k gauge.Kind)
 	end    gauge.Tick
-	cfg    dowel.Desired
+	set    dowel.Desired
 	ballot dowel.Ballot
 	round  uint64
 	phase  string // wait, prepare, accept
@@ -79,7 +79,7 @@
 	at    gauge.Tick
 	claim bool
 	num   gauge.Duty
-	cfg   dowel.Desired
+	set   dowel.Desired
 	yes   map[gauge.Node]gauge.Inc
 	grant map[gauge.Node]gauge.Inc
 	acc   map[gauge.Node]dowel.Ballot
@@ -88,7 +88,7 @@
 	read  bool         // a majority was heard
 	won   bool
 	dutyN gauge.Duty
-	owner dowel.Peer
+	owner dowel.Sibling
 }
 
 func (r *register) init() {
@@ -110,7 +110,7 @@
 
 type pledge struct {
 	Duty  gauge.Duty
-	Owner dowel.Peer
+	Owner dowel.Sibling
 }
 
 func (c *Core) start(s dowel.Start) {
@@ -264,19 +264,19 @@
 	return len(v.Voters) > 0 && most(v.Voters) && (len(v.Prior) == 0 || most(v.Prior))
 }
 
-func electors(v dowel.Desired) []dowel.Peer {
+func electors(v dowel.Desired) []dowel.Sibling {
 	seen := map[gauge.Node]bool{}
-	var l []dowel.Peer
+	var l []dowel.Sibling
 	for _, w := range append(append([]dowel.Voter{}, v.Voters...), v.Prior...) {
 		if !seen[w.ID] {
 			seen[w.ID] = true
-			l = append(l, w.Peer)
+			l = append(l, w.Sibling)
 		}
 	}
 	return l
 }
 
-func (c *Core) config() *dowel.Desired {
+func (c *Core) latest() *dowel.Desired {
 	k, h := c.reg.known, c.reg.hint
 	if k != nil && (h == nil || h.Shape <= k.Shape) {
 		return k
@@ -309,22 +309,22 @@
 	if o == nil || o.phase != "wait" || c.now < o.wake {
 		return
 	}
-	cfg := c.config()
-	if cfg == nil {
+	set := c.latest()
+	if set == nil {
 		return
 	}
-	c.begin(o, *cfg)
+	c.begin(o, *set)
 }
 
-func (c *Core) begin(o *op, cfg dowel.Desired) {
+func (c *Core) begin(o *op, set dowel.Desired) {
 	r := &c.reg
 	r.top++
 	r.round++
-	o.cfg, o.ballot, o.round = cfg, dowel.Ballot{N: r.top, By: c.o.Me.ID}, r.round
+	o.set, o.ballot, o.round = set, dowel.Ballot{N: r.top, By: c.o.Me.ID}, r.round
 	o.phase, o.sent = "prepare", c.now
 	o.yes, o.best, o.value = map[gauge.Node]gauge.Inc{}, dowel.Ballot{}, nil
 	c.tally.Rounds++
-	for _, p := range electors(cfg) {
+	for _, p := range electors(set) {
 		c.send(p, dowel.Prepare{Round: o.round, Ballot: o.ballot})
 	}
 }
@@ -353,13 +353,13 @@
 		o.best, o.value = b.Accepted, b.Value
 	}
 	o.yes[e.From.ID] = b.Inc
-	if !quorum(o.cfg, o.yes) {
+	if !quorum(o.set, o.yes) {
 		return
 	}
-	now := o.cfg // with nothing accepted anywhere, only the forming of a core proposes a first value
+	now := o.set // with nothing accepted anywhere, only the forming of a core proposes a first value
 	if o.value != nil {
 		now = *o.value
-		if now.Shape >= o.cfg.Shape && !(alike(now.Voters, o.cfg.Voters) && alike(now.Prior, o.cfg.Prior)) {
+		if now.Shape >= o.set.Shape && !(alike(now.Voters, o.set.Voters) && alike(now.Prior, o.set.Prior)) {
 			c.reg.hint = o.value
 			c.begin(o, now)
 			return
@@ -371,7 +371,7 @@
 	}
 	o.phase, o.sent, o.yes = "accept", c.now, map[gauge.Node]gauge.Inc{}
 	o.risky = true
-	for _, p := range electors(both(o.cfg, o.next)) {
+	for _, p := range electors(both(o.set, o.next)) {
 		c.send(p, dowel.Accept{Round: o.round, Ballot: o.ballot, Value: o.next})
 	}
 }
@@ -394,7 +394,7 @@
 		return
 	}
 	o.yes[e.From.ID] = b.Inc
-	if !quorum(o.cfg, o.yes) || !quorum(o.next, o.yes) {
+	if !quorum(o.set, o.yes) || !quorum(o.next, o.yes) {
 		return
 	}
 	c.reg.op = nil
@@ -480,23 +480,23 @@
 	}
 	r.round++
 	q := &query{round: r.round, at: c.now, yes: map[gauge.Node]gauge.Inc{}, grant: map[gauge.Node]gauge.Inc{}, acc: map[gauge.Node]dowel.Ballot{}}
-	to := map[gauge.Node]dowel.Peer{}
-	if cfg := c.config(); cfg != nil {
-		q.cfg = *cfg
-		q.claim, q.num = c.claims(q.cfg)
-		for _, p := range electors(*cfg) {
+	to := map[gauge.Node]dowel.Sibling{}
+	if set := c.latest(); set != nil {
+		q.set = *set
+		q.claim, q.num = c.claims(q.set)
+		for _, p := range electors(*set) {
 			to[p.ID] = p
 		}
 	}
 	r.query = q
-	ask := func(p dowel.Peer) { c.send(p, dowel.Query{Round: q.round, Claim: q.claim, Duty: q.num}) }
+	ask := func(p dowel.Sibling) { c.send(p, dowel.Query{Round: q.round, Claim: q.claim, Duty: q.num}) }
 	for _, m := range c.mates.Alive("anvil") {
-		to[m.ID] = m.Peer
+		to[m.ID] = m.Sibling
 	}
 	for _, id := range ordered(to) {
 		ask(to[id])
 	}
-	if c.config() == nil {
+	if c.latest() == nil {
 		for _, s := range c.o.Seeds {
 			known := false
 			for _, p := range to {
@@ -512,9 +512,9 @@
 func (c *Core) onState(e dowel.Env) {
 	r, b := &c.reg, e.Body.(dowel.State)
 	r.top = max(r.top, b.Accepted.N)
-	r.lives[e.From.ID] = sight{at: c.now, state: b, peer: e.From}
-	cfg := c.config()
-	if !b.Blank && (cfg == nil || b.Shape > cfg.Shape) {
+	r.lives[e.From.ID] = sight{at: c.now, state: b, sib: e.From}
+	set := c.latest()
+	if !b.Blank && (set == nil || b.Shape > set.Shape) {
 		c.send(e.From, dowel.Fetch{})
 	}
 	q := r.query
@@ -531,16 +531,16 @@
 	if b.Owner.ID != "" && b.Duty >= q.dutyN {
 		q.owner = b.Owner
 	}
-	if c.inSet(q.cfg, e.From.ID, b.Inc) {
+	if c.inSet(q.set, e.From.ID, b.Inc) {
 		q.acc[e.From.ID] = b.Accepted
 		if q.top.Less(b.Accepted) {
 			q.top = b.Accepted
 		}
 	}
-	if q.claim && (quorum(q.cfg, q.grant) || c.o.BreakDuty) {
+	if q.claim && (quorum(q.set, q.grant) || c.o.BreakDuty) {
 		q.won = true
 	}
-	if quorum(q.cfg, q.yes) {
+	if quorum(q.set, q.yes) {
 		q.read = true
 		c.compare(q)
 	}
@@ -565,13 +565,13 @@
 			have[id] = q.yes[id]
 		}
 	}
-	if !q.asked && q.top != (dowel.Ballot{}) && quorum(q.cfg, have) {
+	if !q.asked && q.top != (dowel.Ballot{}) && quorum(q.set, have) {
 		q.asked = true
 		id := ordered(have)[0]
 		if _, me := have[c.o.Me.ID]; me {
 			id = c.o.Me.ID
 		}
-		c.send(r.lives[id].peer, dowel.Fetch{Round: q.round})
+		c.send(r.lives[id].sib, dowel.Fetch{Round: q.round})
 	}
 }
 
@@ -616,7 +616,7 @@
 		c.learn(b.Accepted, *b.Value)
 		c.fresh(q)
 	}
-	if cfg := c.config(); cfg == nil || b.Value.Shape > cfg.Shape {
+	if set := c.latest(); set == nil || b.Value.Shape > set.Shape {
 		c.reg.hint = b.Value
 	}
 }
@@ -625,21 +625,21 @@
 
 func (c *Core) beatForm() {
 	r := &c.reg
-	if c.config() != nil || r.op != nil {
+	if c.latest() != nil || r.op != nil {
 		return
 	}
 	var l []dowel.Voter
 	for _, s := range c.o.Seeds {
 		for _, id := range ordered(r.lives) {
 			v := r.lives[id]
-			if v.peer.Addr == s.Addr && v.state.Blank && c.now.Sub(v.at) < 2*c.o.Round+c.o.Margin {
+			if v.sib.Addr == s.Addr && v.state.Blank && c.now.Sub(v.at) < 2*c.o.Round+c.o.Margin {
 				zone := gauge.Zone("")
 				for _, m := range c.mates.All() {
 					if m.ID == id {
 						zone = m.Zone
 					}
 				}
-				l = append(l, dowel.Voter{Peer: v.peer, Zone: zone, Inc: v.state.Inc})
+				l = append(l, dowel.Voter{Sibling: v.sib, Zone: zone, Inc: v.state.Inc})
 			}
 		}
 	}
@@ -653,7 +653,7 @@
 		r.blank, r.kept = c.now, nil
 	}
 	for _, m := range c.mates.Alive("awl") {
-		c.send(m.Peer, dowel.Keep{Round: uint64(r.blank)})
+		c.send(m.Sibling, dowel.Keep{Round: uint64(r.blank)})
 	}
 	if c.now.Sub(r.blank) < c.o.Form {
 		return
@@ -705,7 +705,7 @@
 	for _, m := range c.mates.Alive("anvil") {
 		s, ok := r.lives[m.ID]
 		if ok && c.now.Sub(s.at) < 3*c.o.Round && !sits(k.Voters, m.ID) {
-			spare = append(spare, dowel.Voter{Peer: m.Peer, Zone: m.Zone, Inc: s.state.Inc})
+			spare = append(spare, dowel.Voter{Sibling: m.Sibling, Zone: m.Zone, Inc: s.state.Inc})
 		}
 	}
 	for i, v := range k.Voters {
@@ -713,9 +713,9 @@
 		live := ok && c.now.Sub(s.at) < 4*c.o.Round
 		if live {
 			delete(r.gone, v.ID)
-			if s.state.Inc != v.Inc || s.peer.Addr != v.Addr {
+			if s.state.Inc != v.Inc || s.sib.Addr != v.Addr {
 				n := v
-				n.Inc, n.Peer = s.state.Inc, s.peer
+				n.Inc, n.Sibling = s.state.Inc, s.sib
 				c.reshape(k, swap(k.Voters, i, n))
 				return
 			}
--- a/anvil/serve.go
+++ b/anvil/serve.go
@@ -53,12 +53,12 @@
 type desk struct {
 	mu   sync.Mutex // guards waits; taken after the clamp's
 	next uint64
-	wait map[uint64]chan Answer
+	wait map[uint64]chan Receipt
 	c    *clamp.Clamp
 }
 
-func (d *desk) ask(a Admin) Answer {
-	ch := make(chan Answer, 1)
+func (d *desk) ask(a Admin) Receipt {
+	ch := make(chan Receipt, 1)
 	d.mu.Lock()
 	d.next++
 	a.Token = d.next
@@ -72,12 +72,12 @@
 		d.mu.Lock()
 		delete(d.wait, a.Token)
 		d.mu.Unlock()
-		return Answer{Kind: gauge.Unclear, Why: "no outcome in time"}
+		return Receipt{Kind: gauge.Unclear, Why: "no outcome in time"}
 	}
 }
 
 func (d *desk) act(o any) {
-	a, ok := o.(Answer)
+	a, ok := o.(Receipt)
 	if !ok {
 		return
 	}
@@ -93,12 +93,12 @@
 func Main(s Settings) error {
 	ring := clamp.NewRing(s.ID, os.Stderr)
 	core := New(Options{
-		Me: dowel.Peer{ID: gauge.Node(s.ID), Addr: s.Listen}, Zone: gauge.Zone(s.Zone), Inc: clamp.NewInc(),
-		Seeds: clamp.Peers(s.Seeds), Platform: s.Platform, Rand: clamp.NewRand(),
+		Me: dowel.Sibling{ID: gauge.Node(s.ID), Addr: s.Listen}, Zone: gauge.Zone(s.Zone), Inc: clamp.NewInc(),
+		Seeds: clamp.Siblings(s.Seeds), Platform: s.Platform, Rand: clamp.NewRand(),
 		Hold: gauge.Span(s.HoldMs) * 1e6, Duty: gauge.Span(s.DutyMs) * 1e6, Spare: gauge.Span(s.SpareMs) * 1e6,
 		Lead: gauge.Span(s.LeadMs) * 1e6, Wall: time.Now,
 	})
-	d := &desk{wait: map[uint64]chan Answer{}}
+	d := &desk{wait: map[uint64]chan Receipt{}}
 	d.c = clamp.New(clamp.Options{Core: core, Listen: []string{s.Listen}, Data: s.Data, Beat: 20 * time.Millisecond, Ring: ring, Else: d.act})
 	if err := d.c.Run(); err != nil {
 		return err
@@ -112,12 +112,12 @@
 
 func (d *desk) routes(core *Core) http.Handler {
 	m := flow.New()
-	show := func(w http.ResponseWriter, a Answer) {
+	show := func(w http.ResponseWriter, a Receipt) {
 		if a.Kind == gauge.None {
 			clamp.JSON(w, http.StatusOK, a)
 			return
 		}
-		t := gauge.Answers[a.Kind]
+		t := gauge.Receipts[a.Kind]
 		if t.Back > 0 {
 			w.Header().Set("Retry-After", fmt.Sprint(int64((t.Back+time.Second-1)/time.Second)))
 		}
--- a/anvil/serve_test.go
+++ b/anvil/serve_test.go
@@ -23,8 +23,8 @@
 func TestAdminAPI(t *testing.T) {
 	dir := t.TempDir()
 	v := dowel.Desired{Gen: 1, Epoch: 1, Plan: []byte(onePlan), Shape: 1, Voters: []dowel.Voter{voter("a", 5)}}
-	core := New(Options{Me: dowel.Peer{ID: "a", Addr: "a"}, Inc: 6, Platform: "127.0.0.1:1", Rand: clamp.NewRand()})
-	d := &desk{wait: map[uint64]chan Answer{}}
+	core := New(Options{Me: dowel.Sibling{ID: "a", Addr: "a"}, Inc: 6, Platform: "127.0.0.1:1", Rand: clamp.NewRand()})
+	d := &desk{wait: map[uint64]chan Receipt{}}
 	// A core of one speaks only to itself: its messages come back as its input.
 	loop := &echo{core: core}
 	d.c = clamp.New(clamp.Options{Core: loop, Beat: time.Millisecond, Ring: clamp.NewRing("a", io.Discard), Data: dir, Else: d.act})
--- a/anvil/windows.go
+++ b/anvil/windows.go
@@ -164,7 +164,7 @@
 
 func (c *Core) putWindows(a Admin) {
 	if _, f := readWindows(a.Raw); f != nil {
-		c.answer(Answer{Token: a.Token, Kind: gauge.Faulty, Faults: f})
+		c.receipt(Receipt{Token: a.Token, Kind: gauge.Faulty, Faults: f})
 		return
 	}
 	c.change(a, func(d *dowel.Desired) (gauge.Kind, chisel.Faults) {
--- a/awl/awl_test.go
+++ b/awl/awl_test.go
@@ -10,7 +10,7 @@
 	"tidedeck/gauge"
 )
 
-func core(id string) dowel.Peer { return dowel.Peer{ID: gauge.Node(id), Addr: id} }
+func core(id string) dowel.Sibling { return dowel.Sibling{ID: gauge.Node(id), Addr: id} }
 
 type rig struct {
 	*Core
@@ -20,12 +20,12 @@
 
 func set() *rig {
 	r := &rig{at: 1e9}
-	r.Core = New(Options{Me: core("awl"), Inc: 3, Seeds: []dowel.Peer{{Addr: "a1"}, {Addr: "a2"}, {Addr: "a3"}}, Lathe: core("lathe"), Rand: rand.New(rand.NewPCG(1, 1))})
+	r.Core = New(Options{Me: core("awl"), Inc: 3, Seeds: []dowel.Sibling{{Addr: "a1"}, {Addr: "a2"}, {Addr: "a3"}}, Lathe: core("lathe"), Rand: rand.New(rand.NewPCG(1, 1))})
 	r.give(core("lathe"), dowel.Hello{Lathe: 7, Epoch: 2})
 	return r
 }
 
-func (r *rig) give(from dowel.Peer, body any) {
+func (r *rig) give(from dowel.Sibling, body any) {
 	for _, o := range r.Step(r.at, dowel.Env{From: from, To: core("awl"), Body: body}) {
 		r.out = append(r.out, o.(dowel.Env))
 	}
@@ -97,9 +97,9 @@
 func TestOtherWays(t *testing.T) {
 	r := set()
 	for _, id := range []string{"a1", "a2", "a3"} {
-		r.give(core(id), dowel.Probe{News: []dowel.Member{{Peer: core(id), Role: "anvil", Inc: 1, Life: "alive"}}})
+		r.give(core(id), dowel.Probe{News: []dowel.Member{{Sibling: core(id), Role: "anvil", Inc: 1, Life: "alive"}}})
 	}
-	r.give(core("sib"), dowel.Probe{News: []dowel.Member{{Peer: core("sib"), Role: "awl", Inc: 1, Life: "alive"}}})
+	r.give(core("sib"), dowel.Probe{News: []dowel.Member{{Sibling: core("sib"), Role: "awl", Inc: 1, Life: "alive"}}})
 	r.out = nil
 	r.pass(6e9)
 	straight, through := map[string]bool{}, map[string]bool{}
--- a/awl/core.go
+++ b/awl/core.go
@@ -12,11 +12,11 @@
 
 // Options of an agent.
 type Options struct {
-	Me    dowel.Peer
+	Me    dowel.Sibling
 	Zone  gauge.Zone
 	Inc   gauge.Inc
-	Seeds []dowel.Peer
-	Lathe dowel.Peer
+	Seeds []dowel.Sibling
+	Lathe dowel.Sibling
 	Rand  *rand.Rand
 	Keep  gauge.Span // between two renewals
 	Wait  gauge.Span // for an answer before another way is tried
@@ -45,7 +45,7 @@
 	last   gauge.Tick // when an owner last answered in this session
 	tried  gauge.Tick
 	way    way
-	cores  []dowel.Peer
+	cores  []dowel.Sibling
 	turn   int
 	newest *dowel.Desired
 	tally  Tally
@@ -53,8 +53,8 @@
 
 // way is how the owner is reached: straight, or through a sibling.
 type way struct {
-	to  dowel.Peer
-	via dowel.Peer
+	to  dowel.Sibling
+	via dowel.Sibling
 }
 
 // Tally counts what an agent did.
@@ -68,7 +68,7 @@
 	gauge.Or(&o.Wait, 350e6)
 	c := &Core{o: o, sent: map[uint64]gauge.Tick{}, cores: o.Seeds}
 	c.mates = plumb.New(plumb.Options{
-		Me:    dowel.Member{Peer: o.Me, Role: "awl", Zone: o.Zone, Inc: o.Inc},
+		Me:    dowel.Member{Sibling: o.Me, Role: "awl", Zone: o.Zone, Inc: o.Inc},
 		Seeds: o.Seeds, Rand: o.Rand,
 	})
 	if len(o.Seeds) > 0 {
@@ -262,8 +262,8 @@
 func (c *Core) change() {
 	c.tried = c.now
 	c.tally.Turns++
-	var l []dowel.Peer
-	add := func(p dowel.Peer) {
+	var l []dowel.Sibling
+	add := func(p dowel.Sibling) {
 		for _, x := range l {
 			if x.Addr == p.Addr {
 				return
@@ -272,9 +272,9 @@
 		l = append(l, p)
 	}
 	for _, m := range c.mates.Alive("anvil") {
-		add(m.Peer)
+		add(m.Sibling)
 	}
-	for _, p := range append(append([]dowel.Peer{}, c.cores...), c.o.Seeds...) {
+	for _, p := range append(append([]dowel.Sibling{}, c.cores...), c.o.Seeds...) {
 		add(p)
 	}
 	if len(l) == 0 {
@@ -282,10 +282,10 @@
 	}
 	c.turn++
 	w := way{to: l[c.turn%len(l)]}
-	var sib []dowel.Peer
+	var sib []dowel.Sibling
 	for _, m := range c.mates.Alive("awl") {
 		if m.ID != c.o.Me.ID {
-			sib = append(sib, m.Peer)
+			sib = append(sib, m.Sibling)
 		}
 	}
 	// Every second turn goes through a sibling, once the straight ways were tried.
--- a/awl/serve.go
+++ b/awl/serve.go
@@ -43,9 +43,9 @@
 func Main(s Settings) error {
 	ring := clamp.NewRing(s.ID, os.Stderr)
 	core := New(Options{
-		Me: dowel.Peer{ID: gauge.Node(s.ID), Addr: s.Listen}, Zone: gauge.Zone(s.Zone), Inc: clamp.NewInc(),
-		Seeds: clamp.Peers(s.Seeds), Rand: clamp.NewRand(), Keep: gauge.Span(s.KeepMs) * 1e6,
-		Lathe: dowel.Peer{ID: "lathe", Addr: s.Lathe},
+		Me: dowel.Sibling{ID: gauge.Node(s.ID), Addr: s.Listen}, Zone: gauge.Zone(s.Zone), Inc: clamp.NewInc(),
+		Seeds: clamp.Siblings(s.Seeds), Rand: clamp.NewRand(), Keep: gauge.Span(s.KeepMs) * 1e6,
+		Lathe: dowel.Sibling{ID: "lathe", Addr: s.Lathe},
 	})
 	c := clamp.New(clamp.Options{Core: core, Listen: []string{s.Listen, s.Near}, Beat: 20 * time.Millisecond, Ring: ring, Else: func(any) {}})
 	if err := c.Run(); err != nil {
--- a/clamp/clamp.go
+++ b/clamp/clamp.go
@@ -92,7 +92,7 @@
 func (c *Clamp) Run() error {
 	if c.o.Data != "" {
 		d, m, harm, err := openDisk(c.o.Data, func(err error) {
-			// A disk that refuses a write can no longer be trusted: stop at once.
+			// A disk that fails a write can no longer be trusted: stop at once.
 			c.o.Ring.Oops(err.Error())
 			os.Exit(3)
 		})
@@ -440,10 +440,10 @@
 	return f
 }
 
-// Peers makes seeds into peers; their ids are not known yet.
-func Peers(l []string) (p []dowel.Peer) {
+// Siblings makes seeds into siblings; their ids are not known yet.
+func Siblings(l []string) (p []dowel.Sibling) {
 	for _, s := range l {
-		p = append(p, dowel.Peer{Addr: s})
+		p = append(p, dowel.Sibling{Addr: s})
 	}
 	return p
 }
@@ -518,7 +518,7 @@
 
 // Error writes the answer that the one table has for a kind.
 func Error(w http.ResponseWriter, k gauge.Kind, back gauge.Span, f chisel.Faults) {
-	a := gauge.Answers[k]
+	a := gauge.Receipts[k]
 	if back == 0 {
 		back = a.Back
 	}
--- a/clamp/clamp_test.go
+++ b/clamp/clamp_test.go
@@ -89,7 +89,7 @@
 
 // Every kind of error has an answer, and what may have run is never called a drop.
 func TestErrors(t *testing.T) {
-	for k, a := range gauge.Answers {
+	for k, a := range gauge.Receipts {
 		w := httptest.NewRecorder()
 		Error(w, k, 0, nil)
 		require.Equal(t, a.Status, w.Code)
--- a/dowel/dowel.go
+++ b/dowel/dowel.go
@@ -11,8 +11,8 @@
 	"tidedeck/gauge"
 )
 
-// Peer is a process and where it listens.
-type Peer struct {
+// Sibling is a process and where it listens.
+type Sibling struct {
 	ID   gauge.Node `json:"id"`
 	Addr string     `json:"addr"`
 }
@@ -20,15 +20,15 @@
 // Env is one message between two processes. Via, when set, is the sibling that it is sent
 // through; By, when set, is the sibling that it came through, and the way for an answer.
 type Env struct {
-	From Peer
-	To   Peer
-	Via  Peer
-	By   Peer
+	From Sibling
+	To   Sibling
+	Via  Sibling
+	By   Sibling
 	Body any
 }
 
 // Hop tells where the envelope goes next.
-func (e Env) Hop() Peer {
+func (e Env) Hop() Sibling {
 	if e.Via.ID != "" {
 		return e.Via
 	}
@@ -36,19 +36,19 @@
 }
 
 // Carry turns an envelope that is meant for another into the one to send on.
-func (e Env) Carry(me Peer) Env {
+func (e Env) Carry(me Sibling) Env {
 	return Env{From: e.From, To: e.To, By: me, Body: e.Body}
 }
 
 // Reply makes the envelope that answers e the way it came.
-func (e Env) Reply(me Peer, body any) Env {
+func (e Env) Reply(me Sibling, body any) Env {
 	return Env{From: me, To: e.From, Via: e.By, Body: body}
 }
 
 type wire struct {
-	From Peer            `json:"f"`
-	To   Peer            `json:"t"`
-	By   *Peer           `json:"v,omitempty"`
+	From Sibling         `json:"f"`
+	To   Sibling         `json:"t"`
+	By   *Sibling        `json:"v,omitempty"`
 	Kind string          `json:"k"`
 	Body json.RawMessage `json:"b"`
 }
@@ -104,7 +104,7 @@
 
 // Member is one line of membership gossip.
 type Member struct {
-	Peer
+	Sibling
 	Role string     `json:"role"`
 	Zone gauge.Zone `json:"zone"`
 	Inc  gauge.Inc  `json:"inc"`
@@ -126,7 +126,7 @@
 // ProbeFor asks for a second opinion about a third process.
 type ProbeFor struct {
 	Seq    uint64
-	Target Peer
+	Target Sibling
 	News   []Member
 }
 
@@ -143,7 +143,7 @@
 
 // Voter is one voting core node, tied to one life of its disk.
 type Voter struct {
-	Peer
+	Sibling
 	Zone gauge.Zone `json:"zone"`
 	Inc  gauge.Inc  `json:"inc"`
 }
@@ -215,7 +215,7 @@
 	Shape    uint64
 	Granted  bool
 	Duty     gauge.Duty // highest duty ever promised
-	Owner    Peer       // who holds it now, if any
+	Owner    Sibling    // who holds it now, if any
 }
 
 // Release gives a duty back to the voters, as its owner stops as planned.
@@ -280,16 +280,16 @@
 	Len     gauge.Span
 	Duty    gauge.Duty
 	Routers int
-	Owner   Peer
+	Owner   Sibling
 }
 
 // NotOwner answers a router that asked a core node without the duty.
 // Gone says that the owner has let the session lapse and a new one must begin.
 type NotOwner struct {
 	Session Session
-	Hint    Peer
+	Hint    Sibling
 	Gone    bool
-	Cores   []Peer
+	Cores   []Sibling
 }
 
 // Replica is one server that holds a key loaded and ready.
--- a/dowel/dowel_test.go
+++ b/dowel/dowel_test.go
@@ -9,7 +9,7 @@
 
 // Every message that is known comes out as it went in.
 func TestPack(t *testing.T) {
-	me, you, by := Peer{"a", "1"}, Peer{"b", "2"}, Peer{"c", "3"}
+	me, you, by := Sibling{"a", "1"}, Sibling{"b", "2"}, Sibling{"c", "3"}
 	for name, typ := range kinds {
 		b := reflect.New(typ).Elem().Interface()
 		raw, err := Pack(Env{From: me, To: you, By: by, Body: b})
@@ -18,7 +18,7 @@
 		require.NoError(t, err, name)
 		require.Equal(t, Env{From: me, To: you, By: by, Body: b}, e)
 	}
-	d := &Desired{Epoch: 3, Plan: []byte("{ }\n"), Voters: []Voter{{Peer: me, Inc: 9}}}
+	d := &Desired{Epoch: 3, Plan: []byte("{ }\n"), Voters: []Voter{{Sibling: me, Inc: 9}}}
 	raw, err := Pack(Env{From: me, To: you, Body: News{Items: []Item{{Num: 1, Desired: d}}}})
 	require.NoError(t, err)
 	e, err := Unpack(raw)
@@ -35,7 +35,7 @@
 
 // A message through a sibling reaches its end, and its answer comes back the same way.
 func TestRelay(t *testing.T) {
-	me, core, sib := Peer{"awl", "1"}, Peer{"anvil", "2"}, Peer{"sib", "3"}
+	me, core, sib := Sibling{"awl", "1"}, Sibling{"anvil", "2"}, Sibling{"sib", "3"}
 	out := Env{From: me, To: core, Via: sib, Body: Renew{}}
 	require.Equal(t, sib, out.Hop())
 	on := out.Carry(sib)
--- a/gauge/gauge.go
+++ b/gauge/gauge.go
@@ -97,15 +97,15 @@
 	Repeated  Kind = "repeated"
 )
 
-// Answer says how a kind is told to the caller.
-type Answer struct {
+// Receipt says how a kind is told to the caller.
+type Receipt struct {
 	Status  int  // HTTP status
 	Dropped bool // the request provably never ran
 	Back    Span // when to come back; zero where coming back is no use
 }
 
-// Answers is the one table from kind to answer.
-var Answers = map[Kind]Answer{
+// Receipts is the one table from kind to answer.
+var Receipts = map[Kind]Receipt{
 	Malformed: {400, true, 0},
 	Oversize:  {413, true, 0},
 	NoRoute:   {404, true, 0},
--- a/jig/jig_test.go
+++ b/jig/jig_test.go
@@ -126,10 +126,10 @@
 	for _, k := range []string{"malformed", "no_route", "no_model", "no_kind", "no kind"} {
 		require.Zero(t, rep.Kinds[k], k)
 	}
-	require.Greater(t, rep.Answers, rep.Sent*2/3, "%v", rep.Kinds)
+	require.Greater(t, rep.Receipts, rep.Sent*2/3, "%v", rep.Kinds)
 	r.until("floors are loaded again", r.Floors)
 	again := r.calls(200, 100, 6, func() {})
-	require.Equal(t, again.Sent, again.Answers, "%v", again.Kinds)
+	require.Equal(t, again.Sent, again.Receipts, "%v", again.Kinds)
 	r.until("the plan is read back", func() bool { raw, ok := r.plan("anvil-1"); return ok && raw == string(r.Plan) })
 }
 
@@ -140,7 +140,7 @@
 	r.Signal(old, syscall.SIGSTOP)
 	r.until("another owns the duty", func() bool { o := r.Owner(); return o != "" && o != old })
 	rep := r.calls(300, 100, 8, func() { r.Signal(old, syscall.SIGCONT) })
-	require.Equal(t, rep.Sent, rep.Answers, "%v", rep.Kinds)
+	require.Equal(t, rep.Sent, rep.Receipts, "%v", rep.Kinds)
 	// A router that is stopped past its hold comes back suspicious of all it had.
 	r.Signal("lathe-1", syscall.SIGSTOP)
 	require.EqualValues(t, 2, r.put("anvil-1", []byte(string(r.Plan)+"\n"), "1", "second"))
@@ -177,7 +177,7 @@
 		require.NoError(t, r.Stop(n), "a planned stop ends well")
 		all.Wait()
 		require.Empty(t, rep.Wrong)
-		require.Equal(t, 6, rep.Answers, "%v", rep.Kinds)
+		require.Equal(t, 6, rep.Receipts, "%v", rep.Kinds)
 		require.NoError(t, r.Start(n))
 	}
 	r.until("every router is back", func() bool { return r.Ruled(1, r.Routers...) })
@@ -191,7 +191,7 @@
 			r.until("the node is back", func() bool { return r.CoreReady(n) })
 		}
 	})
-	require.Equal(t, rep.Sent, rep.Answers, "%v", rep.Kinds)
+	require.Equal(t, rep.Sent, rep.Receipts, "%v", rep.Kinds)
 }
 
 // Every process is killed at once and started again: what was confirmed is there.
@@ -209,7 +209,7 @@
 	})
 	r.until("the plan rules everywhere", func() bool { return r.Ruled(e, r.Routers...) })
 	rep := r.calls(100, 50, 3, func() {})
-	require.Equal(t, rep.Sent, rep.Answers, "%v", rep.Kinds)
+	require.Equal(t, rep.Sent, rep.Receipts, "%v", rep.Kinds)
 }
 
 // A core node whose data folder was emptied is admitted anew and may then be relied on;
--- a/jig/report.go
+++ b/jig/report.go
@@ -15,7 +15,7 @@
 	p := func(form string, a ...any) { _, _ = fmt.Fprintf(w, form+"\n", a...) }
 	p("")
 	p("fleet %s: %d core nodes, %d routers with agents, %d model servers", f.Shape.Name, len(f.Admins), f.Shape.Routers, f.Shape.Servers)
-	p("callers   sent %d, answered %d, events %d, came back when told to %d", r.Sent, r.Answers, r.Events, r.Repeats)
+	p("callers   sent %d, answered %d, events %d, came back when told to %d", r.Sent, r.Receipts, r.Events, r.Repeats)
 	for _, k := range keys(r.Kinds) {
 		p("          %-18s %d", k, r.Kinds[k])
 	}
--- a/lathe/core.go
+++ b/lathe/core.go
@@ -12,9 +12,9 @@
 
 // Options of a router.
 type Options struct {
-	Me     dowel.Peer
+	Me     dowel.Sibling
 	Inc    gauge.Inc
-	Awl    dowel.Peer
+	Awl    dowel.Sibling
 	Cache  int        // placement entries kept
 	Queue  int        // requests waiting, in all
 	Line   int        // requests waiting for one key
@@ -148,9 +148,9 @@
 
 // Tally counts what a router did.
 type Tally struct {
-	Calls, Answers, Firsts, Retries, Repeats, Held      uint64
+	Calls, Receipts, Firsts, Retries, Repeats, Held     uint64
 	Hits, Lookups, Fetches, Sames, Breaks, Removals     uint64
-	Suspects, Refusals, Unsent, Lost, Cuts, SendsHeld   uint64
+	Suspects, Declined, Unsent, Lost, Cuts, SendsHeld   uint64
 	Waited                                              uint64
 	Drops                                               map[gauge.Kind]uint64
 	Dropped, Plans, Sessions, StaleNews, OldPlans, Quit uint64
--- a/lathe/lathe_test.go
+++ b/lathe/lathe_test.go
@@ -93,9 +93,9 @@
 	}{
 		{Kept, "", false, false, 0, gauge.None},
 		{Unsent, "", false, false, 0, gauge.None},
-		{Refused, gauge.Busy, false, false, 1, gauge.None},
-		{Refused, gauge.Busy, true, false, 1, gauge.None},
-		{Refused, gauge.Busy, true, false, 0, gauge.Spent},
+		{Dropped, gauge.Busy, false, false, 1, gauge.None},
+		{Dropped, gauge.Busy, true, false, 1, gauge.None},
+		{Dropped, gauge.Busy, true, false, 0, gauge.Spent},
 		{Lost, "", true, false, 1, gauge.None},
 		{Lost, "", true, false, 0, gauge.Unclear},
 		{Lost, "", false, false, 1, gauge.Unclear},
@@ -284,7 +284,7 @@
 	b.at = b.at.Add(20e6)
 	r, ok = pick[Receipt](b.Step(b.at, dowel.Beat{}))
 	require.True(t, ok)
-	require.Equal(t, Receipt{ref, gauge.Expired, gauge.Answers[gauge.Expired].Back}, r)
+	require.Equal(t, Receipt{ref, gauge.Expired, gauge.Receipts[gauge.Expired].Back}, r)
 }
 
 // Callers' own repeats come out of the same allowance as retries do.
--- a/lathe/ledger.go
+++ b/lathe/ledger.go
@@ -22,13 +22,13 @@
 	Pending End = ""        // it has not
 	Kept    End = "kept"    // the hold or the entry was gone when it was to be sent
 	Unsent  End = "unsent"  // the server was not reached
-	Refused End = "refused" // the server dropped it
+	Dropped End = "dropped" // the server dropped it
 	Lost    End = "lost"    // nothing is known of it
 	Split   End = "split"   // its stream broke off
 	Done    End = "done"
 )
 
-// Go is one attempt in a request's ledger.
+// Go is one try in a request's ledger.
 type Go struct {
 	Server gauge.Server
 	Inc    gauge.Inc
@@ -92,7 +92,7 @@
 	Pending: {{again: true}, {again: true}},
 	Kept:    {{again: true}, {again: true}},
 	Unsent:  {{again: true}, {again: true}},
-	Refused: {{again: true, pay: true}, {again: true, pay: true}},
+	Dropped: {{again: true, pay: true}, {again: true, pay: true}},
 	Lost:    {{kind: gauge.Unclear}, {again: true, pay: true}},
 	Split:   {{kind: gauge.Cut}, {kind: gauge.Cut}},
 	Done:    {{}, {}},
@@ -287,13 +287,13 @@
 	r.fire("close")
 	delete(c.reqs, r.Ref)
 	if k == gauge.None {
-		c.tally.Answers++
+		c.tally.Receipts++
 		return
 	}
-	if gauge.Answers[k].Dropped && r.ran() {
+	if gauge.Receipts[k].Dropped && r.ran() {
 		k = gauge.Unclear // a drop would say that it never ran
 	}
-	a := gauge.Answers[k]
+	a := gauge.Receipts[k]
 	if back == 0 {
 		back = a.Back
 	}
@@ -559,8 +559,8 @@
 	case Unsent:
 		c.tally.Unsent++
 		back()
-	case Refused:
-		c.tally.Refusals++
+	case Dropped:
+		c.tally.Declined++
 		back()
 		if g.Kind != gauge.Busy {
 			if e := c.entries[r.key]; e != nil {
--- a/lathe/serve.go
+++ b/lathe/serve.go
@@ -81,8 +81,8 @@
 func Main(s Settings) error {
 	ring := clamp.NewRing(s.ID, os.Stderr)
 	core := New(Options{
-		Me: dowel.Peer{ID: gauge.Node(s.ID), Addr: s.Control}, Inc: clamp.NewInc(),
-		Awl: dowel.Peer{ID: "", Addr: s.Awl}, Cache: s.Cache, Ramp: gauge.Span(s.RampMs) * 1e6,
+		Me: dowel.Sibling{ID: gauge.Node(s.ID), Addr: s.Control}, Inc: clamp.NewInc(),
+		Awl: dowel.Sibling{ID: "", Addr: s.Awl}, Cache: s.Cache, Ramp: gauge.Span(s.RampMs) * 1e6,
 	})
 	d := &door{calls: map[Ref]chan any{}, core: core, stop: make(chan struct{}), idle: time.Duration(s.IdleMs) * time.Millisecond}
 	if s.Record != "" {
@@ -181,7 +181,7 @@
 		case o := <-ch:
 			switch v := o.(type) {
 			case Receipt:
-				s.refuse(v)
+				s.drop(v)
 				return
 			case Launch:
 				how, kind := d.run(r.Context(), v, s)
@@ -233,7 +233,7 @@
 		var p clamp.Problem
 		b, _ := io.ReadAll(io.LimitReader(a.Body, 64<<10))
 		if json.Unmarshal(b, &p) == nil && p.Dropped {
-			return Refused, p.Kind
+			return Dropped, p.Kind
 		}
 		return Lost, gauge.None
 	}
@@ -300,14 +300,14 @@
 	}
 }
 
-// refuse says the last word when it is not a server's: as a status while nothing was sent
+// drop says the last word when it is not a server's: as a status while nothing was sent
 // yet, as an error event when the stream was already open.
-func (s *stream) refuse(v Receipt) {
+func (s *stream) drop(v Receipt) {
 	if !s.open {
 		clamp.Error(s.w, v.Kind, v.Back, nil)
 		return
 	}
-	a := gauge.Answers[v.Kind]
+	a := gauge.Receipts[v.Kind]
 	b, _ := json.Marshal(clamp.Problem{Kind: v.Kind, Dropped: a.Dropped, BackMs: v.Back.Milliseconds()})
 	_, _ = fmt.Fprintf(s.w, "event: error\ndata: %s\n\n", b)
 	if f, ok := s.w.(http.Flusher); ok {
--- a/plumb/plumb.go
+++ b/plumb/plumb.go
@@ -23,7 +23,7 @@
 // Options of a membership core.
 type Options struct {
 	Me      dowel.Member
-	Seeds   []dowel.Peer
+	Seeds   []dowel.Sibling
 	Rand    *rand.Rand
 	Every   gauge.Span // between two probes
 	Wait    gauge.Span // for an answer before second opinions are asked
@@ -43,8 +43,8 @@
 	to     gauge.Node
 	at     gauge.Tick
 	helped bool
-	asker  dowel.Peer // set when probing on another's behalf
-	seq    uint64     // the asker's number
+	asker  dowel.Sibling // set when probing on another's behalf
+	seq    uint64        // the asker's number
 }
 
 // Core is the membership of one process. It does no I/O and keeps no lock.
@@ -149,8 +149,8 @@
 	return n
 }
 
-func (c *Core) mail(to dowel.Peer, body any) dowel.Env {
-	return dowel.Env{From: c.o.Me.Peer, To: to, Body: body}
+func (c *Core) mail(to dowel.Sibling, body any) dowel.Env {
+	return dowel.Env{From: c.o.Me.Sibling, To: to, Body: body}
 }
 
 // Beat sends what is due.
@@ -166,19 +166,19 @@
 			m := c.mates[p.to]
 			for _, h := range c.pick(c.o.Helpers, p.to) {
 				if m != nil {
-					out = append(out, c.mail(h.Peer, dowel.ProbeFor{Seq: s, Target: m.Peer, News: c.gossip()}))
+					out = append(out, c.mail(h.Sibling, dowel.ProbeFor{Seq: s, Target: m.Sibling, News: c.gossip()}))
 				}
 			}
 		case p.asker.ID == "" && age > 3*c.o.Wait:
 			delete(c.out, s)
 			if m := c.mates[p.to]; m != nil && m.life == Alive {
-				c.hear(now, dowel.Member{Peer: m.Peer, Inc: m.Inc, Life: Suspect})
+				c.hear(now, dowel.Member{Sibling: m.Sibling, Inc: m.Inc, Life: Suspect})
 			}
 		}
 	}
 	for id, m := range c.mates {
 		if m.life == Suspect && now.Sub(m.since) > c.o.Grace {
-			c.hear(now, dowel.Member{Peer: m.Peer, Inc: m.Inc, Life: Dead})
+			c.hear(now, dowel.Member{Sibling: m.Sibling, Inc: m.Inc, Life: Dead})
 		}
 		if m.life == Dead && now.Sub(m.since) > c.o.Forget {
 			delete(c.mates, id)
@@ -191,7 +191,7 @@
 	if t := c.turn(); t != nil {
 		c.seq++
 		c.out[c.seq] = &probe{to: t.ID, at: now}
-		out = append(out, c.mail(t.Peer, dowel.Probe{Seq: c.seq, News: c.gossip()}))
+		out = append(out, c.mail(t.Sibling, dowel.Probe{Seq: c.seq, News: c.gossip()}))
 	}
 	// A seed that is not known alive is asked now and then, so that parted halves meet again.
 	if len(c.o.Seeds) > 0 {
--- a/plumb/plumb_test.go
+++ b/plumb/plumb_test.go
@@ -10,12 +10,12 @@
 	"tidedeck/gauge"
 )
 
-func peer(s string) dowel.Peer { return dowel.Peer{ID: gauge.Node(s), Addr: s} }
+func sib(s string) dowel.Sibling { return dowel.Sibling{ID: gauge.Node(s), Addr: s} }
 
 func born(id string, seeds ...string) *Core {
-	o := Options{Me: dowel.Member{Peer: peer(id), Role: "awl", Inc: 5}, Rand: rand.New(rand.NewPCG(1, uint64(len(id))))}
+	o := Options{Me: dowel.Member{Sibling: sib(id), Role: "awl", Inc: 5}, Rand: rand.New(rand.NewPCG(1, uint64(len(id))))}
 	for _, s := range seeds {
-		o.Seeds = append(o.Seeds, dowel.Peer{Addr: s})
+		o.Seeds = append(o.Seeds, dowel.Sibling{Addr: s})
 	}
 	return New(o)
 }
@@ -23,7 +23,7 @@
 // The life of a member: what is heard of it moves it only as its incarnation allows.
 func TestLife(t *testing.T) {
 	line := func(life string, inc gauge.Inc) dowel.Member {
-		return dowel.Member{Peer: peer("x"), Inc: inc, Life: life}
+		return dowel.Member{Sibling: sib("x"), Inc: inc, Life: life}
 	}
 	for _, c := range []struct {
 		was  string
@@ -100,8 +100,8 @@
 // A process that only one other cannot reach is vouched for by third parties.
 func TestSecondOpinion(t *testing.T) {
 	a := born("a")
-	a.hear(0, dowel.Member{Peer: peer("x"), Role: "awl", Inc: 1, Life: Alive})
-	a.hear(0, dowel.Member{Peer: peer("y"), Role: "awl", Inc: 1, Life: Alive})
+	a.hear(0, dowel.Member{Sibling: sib("x"), Role: "awl", Inc: 1, Life: Alive})
+	a.hear(0, dowel.Member{Sibling: sib("y"), Role: "awl", Inc: 1, Life: Alive})
 	var asked, helped int
 	for now := gauge.Tick(0); now < 3e9; now += 10e6 {
 		for _, e := range a.Beat(now) {
@@ -109,12 +109,12 @@
 			case dowel.Probe:
 				asked++
 				if e.To.ID == "y" { // y answers, x is unreached
-					a.Take(now, dowel.Env{From: peer("y"), Body: dowel.ProbeAck{Seq: b.Seq}})
+					a.Take(now, dowel.Env{From: sib("y"), Body: dowel.ProbeAck{Seq: b.Seq}})
 				}
 			case dowel.ProbeFor:
 				helped++
 				require.EqualValues(t, "x", b.Target.ID)
-				a.Take(now, dowel.Env{From: peer("y"), Body: dowel.ProbeAck{Seq: b.Seq}})
+				a.Take(now, dowel.Env{From: sib("y"), Body: dowel.ProbeAck{Seq: b.Seq}})
 			}
 		}
 	}
--- a/treadle/check.go
+++ b/treadle/check.go
@@ -94,23 +94,23 @@
 // Operators.
 
 // PutPlan hands a plan over and keeps the operator's books.
-func (w *World) PutPlan(node string, raw []byte, expect gauge.Epoch, any bool, then func(anvil.Answer)) {
+func (w *World) PutPlan(node string, raw []byte, expect gauge.Epoch, any bool, then func(anvil.Receipt)) {
 	w.change(node, anvil.Admin{Op: "put", Raw: raw, Expect: expect, Any: any, Change: fmt.Sprintf("put-%d", w.admin+1)}, then)
 }
 
 // Zone empties or refills a zone.
-func (w *World) Zone(node, op string, z gauge.Zone, then func(anvil.Answer)) {
+func (w *World) Zone(node, op string, z gauge.Zone, then func(anvil.Receipt)) {
 	w.change(node, anvil.Admin{Op: op, Zone: z, Any: true, Change: fmt.Sprintf("%s-%d", op, w.admin+1)}, then)
 }
 
-func (w *World) change(node string, a anvil.Admin, then func(anvil.Answer)) {
+func (w *World) change(node string, a anvil.Admin, then func(anvil.Receipt)) {
 	k := w.Check
 	s := &state{sent: w.now, raw: a.Raw, put: a.Op == "put", empty: map[gauge.Zone]bool{}}
 	if s.put {
 		s.plan, _ = chisel.ReadPlan(a.Raw)
 	}
 	k.states = append(k.states, s)
-	w.Admin(node, a, func(r anvil.Answer) {
+	w.Admin(node, a, func(r anvil.Receipt) {
 		w.tracef("operator: %s at %s: %q epoch %d", a.Op, node, r.Kind, r.Epoch)
 		switch {
 		case r.Kind == gauge.None:
@@ -146,9 +146,9 @@
 }
 
 // Read reads the plan back and checks that it is the newest, to the byte.
-func (w *World) Read(node string, then func(anvil.Answer)) {
+func (w *World) Read(node string, then func(anvil.Receipt)) {
 	k, at := w.Check, w.now
-	w.Admin(node, anvil.Admin{Op: "get"}, func(r anvil.Answer) {
+	w.Admin(node, anvil.Admin{Op: "get"}, func(r anvil.Receipt) {
 		if r.Kind == gauge.None && !k.loose {
 			want := k.newest(at)
 			if want != nil && r.Epoch < want.epoch {
@@ -371,7 +371,7 @@
 	if f.l.Work.Once && k.ranID[id] > 1 {
 		k.bad("%s may not be repeated and ran %d times", id, k.ranID[id])
 	}
-	if c := f.c; c.over && gauge.Answers[gauge.Kind(c.kind)].Dropped {
+	if c := f.c; c.over && gauge.Receipts[gauge.Kind(c.kind)].Dropped {
 		k.bad("%s was dropped as %s and ran", id, c.kind)
 	}
 }
@@ -384,7 +384,7 @@
 	}
 	c.over, c.kind = true, string(r.Kind)
 	k.w.tracef("%s: %s is told %s", who, c.ask.Call.ID, r.Kind)
-	a := gauge.Answers[r.Kind]
+	a := gauge.Receipts[r.Kind]
 	if a.Dropped && k.ranID[c.ask.Call.ID] > 0 {
 		k.bad("%s was dropped as %s but had run", c.ask.Call.ID, r.Kind)
 	}
@@ -460,7 +460,7 @@
 				s.Unclear++
 			case c.kind == string(gauge.Cut):
 				s.Cut++
-			case gauge.Answers[gauge.Kind(c.kind)].Dropped:
+			case gauge.Receipts[gauge.Kind(c.kind)].Dropped:
 				s.Dropped++
 			default:
 				s.Broke++
--- a/treadle/measure.go
+++ b/treadle/measure.go
@@ -159,7 +159,7 @@
 
 // weigh tells the memory that an owner keeps for each of a router's callbacks.
 func weigh(n int) float64 {
-	me := dowel.Peer{ID: "a", Addr: "a"}
+	me := dowel.Sibling{ID: "a", Addr: "a"}
 	c := anvil.New(anvil.Options{Me: me, Inc: 1, Rand: rand.New(rand.NewPCG(1, 1)), Most: 1 << 20})
 	return anvil.Weigh(c, n, func() uint64 {
 		runtime.GC()
--- a/treadle/scenes.go
+++ b/treadle/scenes.go
@@ -56,7 +56,7 @@
 
 // first hands over the first plan, again and again until it is taken.
 func (w *World) first(raw []byte) {
-	w.PutPlan("anvil-2", raw, 0, true, func(r anvil.Answer) {
+	w.PutPlan("anvil-2", raw, 0, true, func(r anvil.Receipt) {
 		if r.Kind != gauge.None {
 			w.After(200e6, func() { w.first(raw) })
 		}
@@ -429,7 +429,7 @@
 					return
 				}
 				n++
-				w.PutPlan(w.some("anvil-"), Named(w.o.Plan, fmt.Sprintf("kept-%d", n), nil), 0, true, func(r anvil.Answer) {
+				w.PutPlan(w.some("anvil-"), Named(w.o.Plan, fmt.Sprintf("kept-%d", n), nil), 0, true, func(r anvil.Receipt) {
 					v := w.some("anvil-")
 					switch w.rand.IntN(3) {
 					case 0: // the power goes right after the confirmation
@@ -453,7 +453,7 @@
 				p.disk.late = 40e6
 			}
 			w.At(sec(20), func() {
-				w.PutPlan("anvil-1", Named(w.o.Plan, "last", nil), 0, true, func(r anvil.Answer) { w.blackout(false, 2e9) })
+				w.PutPlan("anvil-1", Named(w.o.Plan, "last", nil), 0, true, func(r anvil.Receipt) { w.blackout(false, 2e9) })
 			})
 			w.At(sec(30), func() { w.Read("anvil-3", nil) })
 			w.At(sec(45), func() { w.Read("anvil-1", nil) })
@@ -471,7 +471,7 @@
 				w.Check.healed = w.now.Add(1e9)
 			})
 			w.At(sec(45), func() {
-				w.Read("anvil-1", func(r anvil.Answer) {
+				w.Read("anvil-1", func(r anvil.Receipt) {
 					if r.Kind != gauge.None || string(r.Plan) != string(w.o.Plan) {
 						w.Check.bad("the agents' plan did not come back: %q %d bytes", r.Kind, len(r.Plan))
 					}
@@ -537,7 +537,7 @@
 			w.LagOdds, w.Lag = 0.02, 6e9
 			w.churn(8, 56, 20)
 		}},
-	{Name: "all", About: "everything at once", Long: 100e9, Least: 0.8,
+	{Name: "medley", About: "everything at once", Long: 100e9, Least: 0.8,
 		Set: func(o *Options) { tight(o); o.Loss, o.Twice = 0.02, 0.02 },
 		Play: func(w *World) {
 			w.churn(8, 80, 15)
@@ -607,7 +607,7 @@
 					w.Cut(c, b, true)
 				})
 				w.At(sec(t+0.2), func() {
-					w.PutPlan(a, Named(w.o.Plan, fmt.Sprintf("known-%d", i), nil), 0, true, func(anvil.Answer) {
+					w.PutPlan(a, Named(w.o.Plan, fmt.Sprintf("known-%d", i), nil), 0, true, func(anvil.Receipt) {
 						w.Kill(a)
 						w.Kill(b)
 						w.Wipe(b)
--- a/treadle/treadle_test.go
+++ b/treadle/treadle_test.go
@@ -34,7 +34,7 @@
 
 // The same seed gives the same trace, to the last step.
 func TestSameSeedSameTrace(t *testing.T) {
-	s, _ := Find("all")
+	s, _ := Find("medley")
 	a, _ := s.Run(fleet(t, "corrib", 7))
 	b, _ := s.Run(fleet(t, "corrib", 7))
 	c, _ := s.Run(fleet(t, "corrib", 8))
--- a/treadle/world.go
+++ b/treadle/world.go
@@ -123,7 +123,7 @@
 	mails  map[string]int // messages between machines, by kind
 	Check  *Checker
 	plan   *chisel.Plan
-	admins map[uint64]func(anvil.Answer)
+	admins map[uint64]func(anvil.Receipt)
 	admin  uint64
 	// Lag is a pause between a router's last check and the send, drawn with chance LagOdds.
 	LagOdds float64
@@ -180,7 +180,7 @@
 	gauge.Or(&o.Rate, 60)
 	gauge.Or(&o.Slots, 16)
 	w := &World{o: o, rand: rand.New(rand.NewPCG(o.Seed, 99)), procs: map[string]*proc{}, cuts: map[[2]string]bool{},
-		asks: map[askKey]func(bool, []byte){}, pulls: map[uint64]func(){}, puller: map[uint64]askKey{}, mails: map[string]int{}, flows: map[flowKey]*flow{}, admins: map[uint64]func(anvil.Answer){}, platUp: true}
+		asks: map[askKey]func(bool, []byte){}, pulls: map[uint64]func(){}, puller: map[uint64]askKey{}, mails: map[string]int{}, flows: map[flowKey]*flow{}, admins: map[uint64]func(anvil.Receipt){}, platUp: true}
 	w.plan, _ = chisel.ReadPlan(o.Plan)
 	w.Check = newChecker(w)
 	loads := 2
@@ -207,12 +207,12 @@
 		a, l := "awl-"+n, "lathe-"+n
 		skew, rate := w.clock()
 		w.add(&proc{name: a, box: box, zone: z, beat: 20e6, skew: skew, rate: rate, made: func() core {
-			return awl.New(awl.Options{Me: dowel.Peer{ID: gauge.Node(a), Addr: a}, Zone: z, Inc: w.inc(a), Seeds: seeds,
-				Lathe: dowel.Peer{ID: gauge.Node(l), Addr: l}, Rand: w.chance(a), Keep: o.Keep})
+			return awl.New(awl.Options{Me: dowel.Sibling{ID: gauge.Node(a), Addr: a}, Zone: z, Inc: w.inc(a), Seeds: seeds,
+				Lathe: dowel.Sibling{ID: gauge.Node(l), Addr: l}, Rand: w.chance(a), Keep: o.Keep})
 		}})
 		w.add(&proc{name: l, box: box, zone: z, beat: 20e6, skew: skew, rate: rate, made: func() core {
 			lo := o.Lathe
-			lo.Me, lo.Awl, lo.Inc = dowel.Peer{ID: gauge.Node(l), Addr: l}, dowel.Peer{ID: gauge.Node(a), Addr: a}, w.inc(l)
+			lo.Me, lo.Awl, lo.Inc = dowel.Sibling{ID: gauge.Node(l), Addr: l}, dowel.Sibling{ID: gauge.Node(a), Addr: a}, w.inc(l)
 			return lathe.New(lo)
 		}})
 	}
@@ -224,9 +224,9 @@
 	return w
 }
 
-func (w *World) seeds() (l []dowel.Peer) {
+func (w *World) seeds() (l []dowel.Sibling) {
 	for i := range 3 {
-		l = append(l, dowel.Peer{Addr: fmt.Sprintf("anvil-%d", i+1)})
+		l = append(l, dowel.Sibling{Addr: fmt.Sprintf("anvil-%d", i+1)})
 	}
 	return l
 }
@@ -246,11 +246,11 @@
 	return gauge.Inc(uint64(w.now)>>10<<10+uint64(len(w.order)*64)) + gauge.Inc(w.procs[name].life) + 1
 }
 
-func (w *World) addAnvil(name string, z gauge.Zone, seeds []dowel.Peer) {
+func (w *World) addAnvil(name string, z gauge.Zone, seeds []dowel.Sibling) {
 	skew, rate := w.clock()
 	w.add(&proc{name: name, box: name, zone: z, beat: 20e6, skew: skew, rate: rate, disk: &plate{safe: map[string][]byte{}, late: 2e6}, made: func() core {
 		ao := w.o.Anvil
-		ao.Me, ao.Zone, ao.Inc, ao.Seeds, ao.Platform, ao.Rand = dowel.Peer{ID: gauge.Node(name), Addr: name}, z, w.inc(name), seeds, "platform", w.chance(name)
+		ao.Me, ao.Zone, ao.Inc, ao.Seeds, ao.Platform, ao.Rand = dowel.Sibling{ID: gauge.Node(name), Addr: name}, z, w.inc(name), seeds, "platform", w.chance(name)
 		ao.Wall = func() time.Time { return dawn.Add(time.Duration(w.now) + w.procs[name].wall) }
 		return anvil.New(ao)
 	}})
@@ -506,7 +506,7 @@
 			delete(w.pulls, v.Token)
 			f()
 		}
-	case anvil.Answer:
+	case anvil.Receipt:
 		if f := w.admins[v.Token]; f != nil {
 			delete(w.admins, v.Token)
 			w.After(w.delay(), func() { f(v) })
@@ -779,7 +779,7 @@
 	switch v := o.(type) {
 	case vise.WorkDrop:
 		delete(w.flows, k)
-		w.At(at, func() { w.ended(f, lathe.Refused, v.Kind) })
+		w.At(at, func() { w.ended(f, lathe.Dropped, v.Kind) })
 	case vise.Event:
 		if v.Done {
 			delete(w.flows, k)
@@ -816,11 +816,11 @@
 }
 
 // Admin sends an operator's request to a core node; the answer may get lost.
-func (w *World) Admin(node string, a anvil.Admin, then func(anvil.Answer)) {
+func (w *World) Admin(node string, a anvil.Admin, then func(anvil.Receipt)) {
 	w.admin++
 	a.Token = w.admin
 	done := false
-	once := func(r anvil.Answer) {
+	once := func(r anvil.Receipt) {
 		if !done {
 			done = true
 			then(r)
@@ -830,11 +830,11 @@
 	p := w.procs[node]
 	w.After(6e9, func() {
 		delete(w.admins, a.Token)
-		once(anvil.Answer{Kind: gauge.Unclear})
+		once(anvil.Receipt{Kind: gauge.Unclear})
 	})
 	w.After(w.delay(), func() {
 		if !p.up {
-			once(anvil.Answer{Kind: gauge.NotReady, Why: "unreached"})
+			once(anvil.Receipt{Kind: gauge.NotReady, Why: "unreached"})
 			return
 		}
 		w.step(p, p.life, a)
--- a/vise/callers.go
+++ b/vise/callers.go
@@ -122,13 +122,13 @@
 
 // CallReport is what callers saw.
 type CallReport struct {
-	Sent, Answers, Events int
-	Kinds                 map[string]int
-	Wrong                 []string // what must never be seen
-	Unreached, Reused     int
-	First                 []time.Duration // until the first event
-	Repeats, Backs        int
-	ByRouter              map[string]int
+	Sent, Receipts, Events int
+	Kinds                  map[string]int
+	Wrong                  []string // what must never be seen
+	Unreached, Reused      int
+	First                  []time.Duration // until the first event
+	Repeats, Backs         int
+	ByRouter               map[string]int
 }
 
 // CallOptions of a run of callers.
@@ -214,7 +214,7 @@
 		r.Wrong = append(r.Wrong, a.Call.ID+": "+o.Wrong)
 	}
 	if o.Kind == "" {
-		r.Answers++
+		r.Receipts++
 	} else {
 		r.Kinds[o.Kind]++
 	}
--- a/vise/server.go
+++ b/vise/server.go
@@ -46,7 +46,7 @@
 // WorkQuit says that whoever sent a request is gone.
 type WorkQuit struct{ Token uint64 }
 
-// WorkDrop refuses a request that never ran.
+// WorkDrop drops a request that never ran.
 type WorkDrop struct {
 	Token uint64
 	Kind  gauge.Kind
