--- a/lathe/ledger.go
+++ b/lathe/ledger.go
@@ -399,9 +399,13 @@
 	if len(l) == 0 {
 		return nil
 	}
+	hash := len(r.Call.Call.Parts) > 0 && !c.o.Plain
 	rank := func(p *dowel.Replica) uint64 {
 		h := fnv.New64a()
 		fmt.Fprint(h, p.Server, "|", r.key.Base())
+		if !hash {
+			fmt.Fprint(h, "|", r.Ref)
+		}
 		for _, s := range r.Call.Call.Parts {
 			fmt.Fprint(h, "|", s)
 		}
@@ -411,7 +415,6 @@
 		return x ^ x>>33
 	}
 	fair := 1.25*float64(sum)/float64(len(l)) + 1
-	hash := len(r.Call.Call.Parts) > 0 && !c.o.Plain
 	sort.SliceStable(l, func(i, j int) bool {
 		a, b := c.seat(l[i].Server).work, c.seat(l[j].Server).work
 		if hash {
