Servers fail on demand in a real fleet; a stand-in's earlier life answers nothing

A stand-in that restarted empty numbered its pulls from 1 again, so that the end of an earlier life's pull could pass for its own; numbers now go on from its life, and what was under way is dropped. Dark, empty, leaving, slow and an emptied zone: seen by the owner, offered no more, offered again.

--- a/clamp/clamp.go
+++ b/clamp/clamp.go
@@ -76,6 +76,8 @@
 	http *http.Client
 	ctx  context.Context
 	stop context.CancelFunc
+	life context.Context // of the questions under way
+	end  context.CancelFunc
 	over sync.WaitGroup
 }
 
@@ -83,6 +85,7 @@
 func New(o Options) *Clamp {
 	c := &Clamp{o: o, asks: make(chan dowel.Ask, 1024)}
 	c.ctx, c.stop = context.WithCancel(context.Background())
+	c.life, c.end = context.WithCancel(c.ctx)
 	c.post = newPost(c.ctx, func(e dowel.Env) { c.Step(e) })
 	c.http = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, Proxy: nil, DialContext: (&net.Dialer{Timeout: 500 * time.Millisecond}).DialContext}}
 	return c
@@ -140,6 +143,14 @@
 	c.over.Wait()
 }
 
+// Forget ends every question under way, as a restart does.
+func (c *Clamp) Forget() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.end()
+	c.life, c.end = context.WithCancel(c.ctx)
+}
+
 // Flush waits, for a while, until what the core has sent has left.
 func (c *Clamp) Flush(most time.Duration) { c.post.flush(most) }
 
@@ -192,7 +203,10 @@
 }
 
 func (c *Clamp) tell(a dowel.Ask) dowel.Told {
-	ctx, stop := context.WithTimeout(c.ctx, a.Wait)
+	c.mu.Lock()
+	life := c.life
+	c.mu.Unlock()
+	ctx, stop := context.WithTimeout(life, a.Wait)
 	defer stop()
 	t := dowel.Told{Token: a.Token}
 	how, body := http.MethodGet, io.Reader(nil)
--- a/jig/jig_test.go
+++ b/jig/jig_test.go
@@ -260,3 +260,62 @@
 	r.Kill("anvil-1") // now the emptied node is needed for a majority
 	r.until("a majority with the emptied node serves", func() bool { raw, _ := r.plan("anvil-2"); return raw == string(r.Plan) })
 }
+
+// Servers are made to fail on demand: one goes dark, one restarts empty, one is withdrawn with
+// notice, one is slow; each is seen, offered no more, and offered again when it is back.
+func TestServerFaults(t *testing.T) {
+	r := raise(t, "padana")
+	offered := func(id string) (offered, known bool) {
+		v, ok := r.Placed()
+		for _, s := range v.View.Servers {
+			if s.ID == id {
+				offered = s.Offered
+			}
+		}
+		return offered, ok
+	}
+	fault := func(id, kind string) {
+		c, err := r.Do("POST", r.Servers[id]+"/fault/"+kind, nil, nil, nil)
+		require.NoError(t, err)
+		require.Equal(t, 200, c)
+	}
+	mark := func(id, state string) {
+		c, err := r.Do("POST", r.Home+"/servers/"+id+"/"+state, nil, nil, nil)
+		require.NoError(t, err)
+		require.Equal(t, 200, c)
+	}
+	until := func(id string, want bool) {
+		r.until(fmt.Sprintf("%s is offered: %v", id, want), func() bool { o, ok := offered(id); return ok && o == want })
+	}
+	rep := r.calls(400, 40, 21, func() {
+		fault("server-1", "dark")
+		until("server-1", false)
+		fault("server-1", "light")
+		until("server-1", true)
+		fault("server-2", "empty")
+		mark("server-3", "leaving")
+		until("server-3", false)
+		mark("server-3", "live")
+		until("server-3", true)
+		fault("server-4", "slow")
+		fault("server-4", "fast")
+	})
+	require.Greater(t, rep.Receipts, rep.Sent*9/10, "%v", rep.Kinds)
+	r.until("floors are loaded", r.Floors)
+	var st vise.StoreTally
+	_, err := r.Get(r.Store+"/count", &st)
+	require.NoError(t, err)
+	require.Zero(t, st.Over, "loads never outran the store")
+	// Emptying a zone takes its servers out, refilling brings them back.
+	for _, c := range []struct {
+		op   string
+		want bool
+	}{{"empty", false}, {"refill", true}} {
+		r.until("the zone is changed", func() bool {
+			code, err := r.Do("POST", r.Admins["anvil-1"]+"/zones/zb/"+c.op, map[string]string{"X-Expect-Epoch": "any", "X-Change-Id": c.op}, nil, nil)
+			return err == nil && code == 200
+		})
+		until("server-2", c.want)
+		until("server-1", true)
+	}
+}
--- a/vise/serve.go
+++ b/vise/serve.go
@@ -177,6 +177,7 @@
 	},
 	"empty": func(h *hall, c *swap, born func() *Server) {
 		h.c.With(func(gauge.Tick) { c.s = born() })
+		h.c.Forget()
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		for t, ch := range h.wait {
--- a/vise/server.go
+++ b/vise/server.go
@@ -113,6 +113,7 @@
 	gauge.Or(&o.Slots, 16)
 	gauge.Or(&o.Pull, 120e9)
 	return &Server{o: o, held: map[gauge.Key]*held{}, cache: map[string]gauge.Tick{}, ran: map[string]bool{}, pulls: map[uint64]gauge.Key{},
+		token: uint64(o.Inc), // no answer to an earlier life's question is taken for one of this life's
 		tally: ServerTally{DropKinds: map[gauge.Kind]uint64{}}}
 }
 
