--- a/anvil/admin.go
+++ b/anvil/admin.go
@@ -64,7 +64,7 @@
 	var faults chisel.Faults
 	c.propose(func(d dowel.Desired) (dowel.Desired, gauge.Kind) {
 		faults = nil
-		if a.Change != "" {
+		if a.Change != "" && !c.o.BreakAgain {
 			for _, x := range d.Done {
 				if x.ID == a.Change {
 					return d, gauge.Repeated
--- a/anvil/core.go
+++ b/anvil/core.go
@@ -49,6 +49,7 @@
 	BreakSync  bool // answer before the disk has synced
 	BreakDuty  bool // take the duty without a majority
 	BreakEpoch bool // take a change whatever epoch it expects
+	BreakAgain bool // redo a change that was taken already
 	BreakDrain bool // unload while work is under way
 	BreakSee   bool // go on offering servers that are leaving, gone or dark
 	BreakZone  bool // go on offering servers in emptied zones
--- a/treadle/check.go
+++ b/treadle/check.go
@@ -110,7 +110,18 @@
 		s.plan, _ = chisel.ReadPlan(a.Raw)
 	}
 	k.states = append(k.states, s)
-	w.Admin(node, a, func(r anvil.Receipt) {
+	tries := 0
+	var settle func(r anvil.Receipt)
+	settle = func(r anvil.Receipt) {
+		// A change whose outcome is not known is asked for again under its id, elsewhere.
+		if r.Kind == gauge.Unclear && tries < 4 {
+			tries++
+			w.After(200e6, func() { w.Admin(w.some("anvil-"), a, settle) })
+			return
+		}
+		if tries > 0 && r.Kind != gauge.None {
+			r.Kind = gauge.Unclear // an earlier try may have been taken
+		}
 		w.tracef("operator: %s at %s: %q epoch %d", a.Op, node, r.Kind, r.Epoch)
 		switch {
 		case r.Kind == gauge.None:
@@ -142,7 +153,8 @@
 		if then != nil {
 			then(r)
 		}
-	})
+	}
+	w.Admin(node, a, settle)
 }
 
 // Read reads the plan back and checks that it is the newest, to the byte.
@@ -480,6 +492,16 @@
 	if n := float64(s.Retries + in); n > boundShare*float64(s.Firsts) {
 		k.bad("%d retries and repeats to %d first goes", s.Retries+in, s.Firsts)
 	}
+	// Every epoch is one change: more epochs than changes means that one was redone.
+	most := gauge.Epoch(0)
+	for _, x := range k.states {
+		if x.lost == 0 {
+			most++
+		}
+	}
+	if n := k.newest(k.w.now); n != nil && !k.loose && n.epoch > most {
+		k.bad("epoch %d was reached by %d changes", n.epoch, most)
+	}
 	st := k.w.store.Counts()
 	s.Pulls = st.Pulls
 	if st.Over > 0 {
--- a/treadle/treadle_test.go
+++ b/treadle/treadle_test.go
@@ -64,6 +64,7 @@
 	{"grant after acknowledgement", "grow", "routes under epoch|held a promise", func(o *Options) { o.Anvil.BreakNews = true }},
 	{"a majority for the duty", "core", "two own the duty|two controllers", func(o *Options) { o.Anvil.BreakDuty = true }},
 	{"expect the epoch", "plans", "that expected epoch", func(o *Options) { o.Anvil.BreakEpoch = true }},
+	{"redo no change", "core", "was reached by", func(o *Options) { o.Anvil.BreakAgain = true }},
 	{"see servers go", "servers", "after it was leaving or gone", func(o *Options) { o.Anvil.BreakSee = true }},
 	{"leave emptied zones", "zones", "in emptied zone", func(o *Options) { o.Anvil.BreakZone, o.Lathe.BreakEmpty = true, true }},
 	{"repeat only what may be", "storm", "may not be repeated", func(o *Options) { o.Lathe.BreakRetry, o.Lathe.BreakSpend = true, true }},
--- a/treadle/world.go
+++ b/treadle/world.go
@@ -128,6 +128,8 @@
 	// Lag is a pause between a router's last check and the send, drawn with chance LagOdds.
 	LagOdds float64
 	Lag     gauge.Span
+	// ReplyLoss is the chance that an operator's reply gets lost on its way back.
+	ReplyLoss float64
 	// ResetOdds is the chance that a connection breaks before the first event.
 	ResetOdds float64
 	// Dial is how long a connection may take to open, drawn with chance DialOdds.
@@ -509,6 +511,10 @@
 	case anvil.Receipt:
 		if f := w.admins[v.Token]; f != nil {
 			delete(w.admins, v.Token)
+			if w.ReplyLoss > 0 && w.rand.Float64() < w.ReplyLoss {
+				w.tracef("%s: a reply to an operator is lost", p.name)
+				return
+			}
 			w.After(w.delay(), func() { f(v) })
 		}
 	case dowel.Note:
