--- a/anvil/links.go
+++ b/anvil/links.go
@@ -98,7 +98,7 @@
 	}
 	l.until = max(l.until, c.now.Add(c.pad(n)))
 	c.tally.Grants++
-	c.reply(l.way, dowel.Grant{Session: l.ses, Seq: l.due, Len: n, Duty: c.duty.num, Routers: len(c.links), Owner: c.o.Me})
+	c.reply(l.way, dowel.Grant{Session: l.ses, Seq: l.due, Len: n, Duty: c.duty.num, Routers: len(c.links)})
 	l.due = 0
 }
 
--- a/dowel/dowel.go
+++ b/dowel/dowel.go
@@ -280,7 +280,6 @@
 	Len     gauge.Span
 	Duty    gauge.Duty
 	Routers int
-	Owner   Sibling
 }
 
 // NotOwner answers a router that asked a core node without the duty.
