Scenes plans and core lose operators' replies only once the first plan is in force

Cause: the reply to the first plan was lost, its repeat came 6 s later, and so every floor was still loading when traffic began; not a fault of the system. Ruled out: servers taken for dark (a lost question each, mended within a second) and a stuck load.

--- a/treadle/scenes.go
+++ b/treadle/scenes.go
@@ -320,7 +320,7 @@
 	{Name: "plans", About: "plans come quickly, two operators race, replies get lost, messages come late and twice", Long: 70e9, Least: 0.99, Whole: true,
 		Set: func(o *Options) { o.Loss, o.Twice = 0.03, 0.05 },
 		Play: func(w *World) {
-			w.ReplyLoss = 0.1
+			w.At(sec(8), func() { w.ReplyLoss = 0.1 }) // the first plan is in force before traffic begins
 			n := 0
 			for t := 10.0; t < 55; t += 3 {
 				w.At(sec(t), func() {
@@ -401,7 +401,7 @@
 	{Name: "core", About: "the core is split every way, one way too, and heals, while plans come", Long: 90e9, Least: 0.94,
 		Set: func(o *Options) { o.Loss, o.Twice = 0.02, 0.02 },
 		Play: func(w *World) {
-			w.ReplyLoss = 0.1
+			w.At(sec(8), func() { w.ReplyLoss = 0.1 }) // the first plan is in force before traffic begins
 			w.plans(9, 70, 2)
 			for t := 10.0; t < 70; t += 5 {
 				w.At(sec(t), func() {
