--- a/anvil/admin.go
+++ b/anvil/admin.go
@@ -267,10 +267,10 @@
 func (c *Core) viewServers(a Admin) {
 	c.owned(a, func() map[string]any {
 		var l []map[string]any
-		for _, id := range ordered(c.servers) {
+		for _, id := range gauge.Keys(c.servers) {
 			s := c.servers[id]
 			var p []map[string]any
-			for _, k := range ordered(s.spots) {
+			for _, k := range gauge.Keys(s.spots) {
 				x := s.spots[k]
 				p = append(p, map[string]any{"key": k, "stage": x.stage, "size": x.size, "active": x.work})
 			}
--- a/anvil/core.go
+++ b/anvil/core.go
@@ -5,7 +5,6 @@
 import (
 	"encoding/json"
 	"math/rand/v2"
-	"sort"
 	"time"
 
 	"tidedeck/chisel"
@@ -181,7 +180,7 @@
 		c.post(l...)
 		return
 	}
-	if f := takes[kindOf(e.Body)]; f != nil {
+	if f := takes[dowel.Kind(e.Body)]; f != nil {
 		f(c, e)
 	}
 }
@@ -198,42 +197,6 @@
 	}
 }
 
-func kindOf(b any) string {
-	switch b.(type) {
-	case dowel.Prepare:
-		return "Prepare"
-	case dowel.Accept:
-		return "Accept"
-	case dowel.Query:
-		return "Query"
-	case dowel.Release:
-		return "Release"
-	case dowel.Fetch:
-		return "Fetch"
-	case dowel.Promise:
-		return "Promise"
-	case dowel.Accepted:
-		return "Accepted"
-	case dowel.State:
-		return "State"
-	case dowel.Value:
-		return "Value"
-	case dowel.Taken:
-		return "Taken"
-	case dowel.Kept:
-		return "Kept"
-	case dowel.Renew:
-		return "Renew"
-	case dowel.Heard:
-		return "Heard"
-	case dowel.Want:
-		return "Want"
-	case dowel.Removal:
-		return "Removal"
-	}
-	return ""
-}
-
 func (c *Core) beat() {
 	c.post(c.mates.Beat(c.now)...)
 	c.beatRegister()
@@ -282,15 +245,6 @@
 	return b
 }
 
-func ordered[K ~string, V any](m map[K]V) []K {
-	l := make([]K, 0, len(m))
-	for k := range m {
-		l = append(l, k)
-	}
-	sort.Slice(l, func(i, j int) bool { return l[i] < l[j] })
-	return l
-}
-
 // Counts gives the tally so far.
 func (c *Core) Counts() Tally { return c.tally }
 
--- a/anvil/links.go
+++ b/anvil/links.go
@@ -68,7 +68,7 @@
 		return
 	}
 	l.burden = b.Burden
-	for _, k := range ordered(b.Burden) {
+	for _, k := range gauge.Keys(b.Burden) {
 		if u := b.Burden[k]; u.Wait > 0 || u.Came > 0 {
 			c.wanted(k, u.Wait, u.Top)
 		}
--- a/anvil/place.go
+++ b/anvil/place.go
@@ -218,7 +218,7 @@
 func (c *Core) fill(k gauge.Key, e *entry) {
 	e.replicas = nil
 	h := fnv.New64a()
-	for _, id := range ordered(c.servers) {
+	for _, id := range gauge.Keys(c.servers) {
 		s := c.servers[id]
 		p := s.spots[k]
 		if p == nil || p.stage != Ready || !c.open(s) {
@@ -267,13 +267,13 @@
 }
 
 func (c *Core) touchAll() {
-	for _, k := range ordered(c.entries) {
+	for _, k := range gauge.Keys(c.entries) {
 		c.touch(k)
 	}
 }
 
 func (c *Core) touchOn(s *server) {
-	for _, k := range ordered(s.spots) {
+	for _, k := range gauge.Keys(s.spots) {
 		c.touch(k)
 	}
 }
@@ -284,7 +284,7 @@
 	}
 	c.watchWindows()
 	c.beatList()
-	for _, id := range ordered(c.servers) {
+	for _, id := range gauge.Keys(c.servers) {
 		c.beatServer(c.servers[id])
 	}
 	if c.plan != nil && c.settled() {
@@ -341,7 +341,7 @@
 			c.touchOn(s)
 		}
 	}
-	for _, id := range ordered(c.servers) {
+	for _, id := range gauge.Keys(c.servers) {
 		if s := c.servers[id]; !seen[id] && s.State != "gone" {
 			s.State = "gone"
 			c.touchOn(s)
@@ -358,7 +358,7 @@
 	if !s.known || s.dark {
 		return nil
 	}
-	for _, k := range ordered(s.spots) {
+	for _, k := range gauge.Keys(s.spots) {
 		if p := s.spots[k]; p.num == 0 && verbs[p.stage] != "" {
 			return p
 		}
@@ -371,11 +371,11 @@
 
 // beatServer keeps one question under way at a time: an order, or only for the report.
 func (c *Core) beatServer(s *server) {
-	for _, k := range ordered(s.spots) {
+	for _, k := range gauge.Keys(s.spots) {
 		c.beatSpot(s, s.spots[k])
 	}
 	if s.State == "gone" && s.fails > 0 {
-		for _, k := range ordered(s.spots) {
+		for _, k := range gauge.Keys(s.spots) {
 			s.spots[k].fire(SeeNone, c.now)
 			delete(s.spots, k)
 			c.touch(k)
@@ -445,7 +445,7 @@
 	s.dark, s.known = false, true
 	if r.Inc != s.inc || r.Room != s.room || r.Slots != s.slots {
 		if r.Inc != s.inc {
-			for _, k := range ordered(s.spots) {
+			for _, k := range gauge.Keys(s.spots) {
 				s.spots[k].fire(SeeNone, c.now)
 				delete(s.spots, k)
 				c.touch(k)
@@ -481,7 +481,7 @@
 			c.touch(h.Key)
 		}
 	}
-	for _, k := range ordered(s.spots) {
+	for _, k := range gauge.Keys(s.spots) {
 		p := s.spots[k]
 		if _, ok := held[k]; ok || p.unsent(r.Num) {
 			continue
@@ -544,7 +544,7 @@
 func (c *Core) placeAll() {
 	budget := c.plan.Loads
 	for _, s := range c.servers {
-		for _, k := range ordered(s.spots) {
+		for _, k := range gauge.Keys(s.spots) {
 			p := s.spots[k]
 			if s.dark && p.stage == Ordered && p.num == 0 {
 				delete(s.spots, k) // it cannot be sent now; another server may take it
@@ -556,9 +556,9 @@
 			budget-- // what it may be loading is not known yet
 		}
 	}
-	for _, id := range ordered(c.servers) {
+	for _, id := range gauge.Keys(c.servers) {
 		s := c.servers[id]
-		for _, k := range ordered(s.spots) {
+		for _, k := range gauge.Keys(s.spots) {
 			if _, ok := c.plan.Models[k]; !ok && s.spots[k].stage == Ready && s.known && !s.dark {
 				c.evict(s, s.spots[k])
 			}
@@ -608,7 +608,7 @@
 
 func (c *Core) wishes() []wish {
 	var l []wish
-	for _, k := range ordered(c.plan.Models) {
+	for _, k := range gauge.Keys(c.plan.Models) {
 		m := c.plan.Models[k]
 		need, live, value := c.wantsOf(m)
 		if live < need {
@@ -640,7 +640,7 @@
 	_, _, zones := c.live(k)
 	var best *server
 	score := 0
-	for _, id := range ordered(c.servers) {
+	for _, id := range gauge.Keys(c.servers) {
 		s := c.servers[id]
 		if !c.mayHold(s, k) || s.loading() > 0 && !c.o.BreakStore {
 			continue
@@ -683,7 +683,7 @@
 	}
 	var best []*spot
 	var on *server
-	for _, id := range ordered(c.servers) {
+	for _, id := range gauge.Keys(c.servers) {
 		s := c.servers[id]
 		if !c.mayHold(s, w.m.Key) {
 			continue
@@ -728,7 +728,7 @@
 		// Even a key that is asked for gives way to one that is worth more and has no replica.
 		return live > m.Floor && value < w.value
 	}
-	keys := ordered(s.spots)
+	keys := gauge.Keys(s.spots)
 	for _, k := range keys {
 		if p := s.spots[k]; k.IsAdapter() && may(p) {
 			free[k] = true
--- a/anvil/register.go
+++ b/anvil/register.go
@@ -495,7 +495,7 @@
 	for _, m := range c.mates.Alive("anvil") {
 		to[m.ID] = m.Sibling
 	}
-	for _, id := range ordered(to) {
+	for _, id := range gauge.Keys(to) {
 		ask(to[id])
 	}
 	if c.latest() == nil {
@@ -569,7 +569,7 @@
 	}
 	if !q.asked && q.top != (dowel.Ballot{}) && quorum(q.set, have) {
 		q.asked = true
-		id := ordered(have)[0]
+		id := gauge.Keys(have)[0]
 		if _, me := have[c.o.Me.ID]; me {
 			id = c.o.Me.ID
 		}
@@ -633,7 +633,7 @@
 	}
 	var l []dowel.Voter
 	for _, s := range c.o.Seeds {
-		for _, id := range ordered(r.lives) {
+		for _, id := range gauge.Keys(r.lives) {
 			v := r.lives[id]
 			if v.sib.Addr == s.Addr && v.state.Blank && c.now.Sub(v.at) < 2*c.o.Round+c.o.Margin {
 				zone := gauge.Zone("")
--- a/chisel/chisel.go
+++ b/chisel/chisel.go
@@ -8,9 +8,10 @@
 	"fmt"
 	"io"
 	"math"
-	"sort"
 	"strconv"
 	"unicode/utf8"
+
+	"tidedeck/gauge"
 )
 
 // Fault is one thing wrong, and where.
@@ -125,7 +126,7 @@
 	if !ok {
 		return p
 	}
-	for _, k := range order(m) {
+	for _, k := range gauge.Keys(m) {
 		known := false
 		for _, w := range keys {
 			known = known || w == k
@@ -153,7 +154,7 @@
 	if !ok {
 		return
 	}
-	for _, k := range order(m) {
+	for _, k := range gauge.Keys(m) {
 		if k == "" || len(k) > 128 {
 			*p.all = append(*p.all, Fault{p.path + "." + k, "a name has 1 to 128 bytes"})
 			continue
@@ -247,12 +248,3 @@
 	}
 	return m, ok
 }
-
-func order(m map[string]any) []string {
-	l := make([]string, 0, len(m))
-	for k := range m {
-		l = append(l, k)
-	}
-	sort.Strings(l)
-	return l
-}
--- a/dowel/dowel.go
+++ b/dowel/dowel.go
@@ -66,13 +66,16 @@
 	}
 }
 
+// Kind names a message's kind.
+func Kind(body any) string { return reflect.TypeOf(body).Name() }
+
 // Pack writes an envelope as bytes.
 func Pack(e Env) ([]byte, error) {
 	b, err := json.Marshal(e.Body)
 	if err != nil {
 		return nil, errors.Wrap(err, "pack body")
 	}
-	w := wire{From: e.From, To: e.To, Kind: reflect.TypeOf(e.Body).Name(), Body: b}
+	w := wire{From: e.From, To: e.To, Kind: Kind(e.Body), Body: b}
 	if e.By.ID != "" {
 		w.By = &e.By
 	}
--- a/gauge/gauge.go
+++ b/gauge/gauge.go
@@ -3,6 +3,9 @@
 package gauge
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 )
@@ -28,6 +31,9 @@
 	}
 }
 
+// Keys lists a map's keys in order.
+func Keys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
+
 // Node names one process of the system.
 type Node string
 
--- a/jig/report.go
+++ b/jig/report.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"tidedeck/gauge"
 	"tidedeck/vise"
 )
 
@@ -16,7 +17,7 @@
 	p("")
 	p("fleet %s: %d core nodes, %d routers with agents, %d model servers", f.Shape.Name, len(f.Admins), f.Shape.Routers, f.Shape.Servers)
 	p("callers   sent %d, answered %d, events %d, came back when told to %d", r.Sent, r.Receipts, r.Events, r.Repeats)
-	for _, k := range keys(r.Kinds) {
+	for _, k := range gauge.Keys(r.Kinds) {
 		p("          %-18s %d", k, r.Kinds[k])
 	}
 	p("          wrong answers      %d", len(r.Wrong))
@@ -42,7 +43,7 @@
 	p("          callback hits %.0f, lookups %.0f (entries fetched %.0f, found the same %.0f)", l("hits"), l("lookups"), l("fetches"), l("sames"))
 	p("          breaks taken %.0f, removals sent %.0f, made suspect %.0f", l("breaks"), l("removals"), l("suspects"))
 	p("          epochs in force: %s", list(epochs))
-	for _, n := range keys(f.Admins) {
+	for _, n := range gauge.Keys(f.Admins) {
 		m := f.Metrics(f.Admins[n] + "/metrics")
 		a := func(k string) float64 { return m["tidedeck_anvil_"+k+"_total"] }
 		p("%-9s reigns %.0f, grants %.0f, breaks %.0f, acknowledged %.0f, lapsed %.0f, loads %.0f, unloads %.0f, rounds %.0f", n, a("reigns"), a("grants"), a("breaks"), a("acks"), a("lapses"), a("loads"), a("unloads"), a("rounds"))
@@ -68,18 +69,9 @@
 	p("servers   ran %d, dropped %s, prompt bytes reused %.0f in 100", works, list(drops), 100*float64(reused)/max(1, float64(bytes)))
 }
 
-func keys[V any](m map[string]V) []string {
-	l := make([]string, 0, len(m))
-	for k := range m {
-		l = append(l, k)
-	}
-	sort.Strings(l)
-	return l
-}
-
 func list(m map[string]int) string {
 	var l []string
-	for _, k := range keys(m) {
+	for _, k := range gauge.Keys(m) {
 		l = append(l, fmt.Sprintf("%s: %d", k, m[k]))
 	}
 	if len(l) == 0 {
--- a/lathe/core.go
+++ b/lathe/core.go
@@ -3,8 +3,6 @@
 package lathe
 
 import (
-	"sort"
-
 	"tidedeck/chisel"
 	"tidedeck/dowel"
 	"tidedeck/gauge"
@@ -122,7 +120,6 @@
 
 	ses     dowel.Session
 	until   gauge.Tick
-	duty    gauge.Duty
 	routers int
 	num     uint64
 
@@ -148,7 +145,7 @@
 
 // Tally counts what a router did.
 type Tally struct {
-	Calls, Receipts, Firsts, Retries, Repeats, Held     uint64
+	Calls, Receipts, Firsts, Retries, Repeats           uint64
 	Hits, Lookups, Fetches, Sames, Breaks, Removals     uint64
 	Suspects, Declined, Unsent, Lost, Cuts, SendsHeld   uint64
 	Waited                                              uint64
@@ -205,7 +202,7 @@
 		if b.Session.Awl < c.ses.Awl || b.Session.Awl == c.ses.Awl && b.Session.N < c.ses.N {
 			return
 		}
-		c.ses, c.until, c.num, c.drops, c.duty = b.Session, 0, 0, nil, 0
+		c.ses, c.until, c.num, c.drops = b.Session, 0, 0, nil
 		c.tally.Sessions++
 		for _, e := range c.entries {
 			if e.held {
@@ -214,7 +211,6 @@
 			e.held, e.asking = false, false
 		}
 	}
-	c.duty = b.Duty
 	if b.Until > c.until {
 		was := c.holds()
 		c.until = b.Until
@@ -325,7 +321,7 @@
 	if c.now.Sub(c.hello) >= c.o.Hello || c.hello == 0 {
 		c.hello = c.now
 		b := map[gauge.Key]dowel.Burden{}
-		for _, k := range c.keys() {
+		for _, k := range gauge.Keys(c.lines) {
 			u := dowel.Burden{Wait: len(c.lines[k]), Work: c.work[k], Came: c.came[k]}
 			for _, r := range c.lines[k] {
 				u.Top = max(u.Top, r.class.Value)
@@ -351,7 +347,7 @@
 		c.send(dowel.Removal{Session: c.ses, Drops: c.drops})
 		c.drops = nil
 	}
-	for _, k := range c.keys() {
+	for _, k := range gauge.Keys(c.lines) {
 		for _, r := range append([]*req{}, c.lines[k]...) {
 			if c.now >= r.due {
 				c.finish(r, gauge.Expired, 0)
@@ -361,16 +357,6 @@
 	c.pump()
 }
 
-// keys lists the keys that requests wait for.
-func (c *Core) keys() []gauge.Key {
-	l := make([]gauge.Key, 0, len(c.lines))
-	for k := range c.lines {
-		l = append(l, k)
-	}
-	sort.Slice(l, func(i, j int) bool { return l[i] < l[j] })
-	return l
-}
-
 // Counts gives the tally so far.
 func (c *Core) Counts() Tally {
 	t := c.tally
--- a/lathe/ledger.go
+++ b/lathe/ledger.go
@@ -164,7 +164,7 @@
 
 // resolve looks anew at every request in line, under the plan now in force.
 func (c *Core) resolve(all bool) {
-	for _, k := range c.keys() {
+	for _, k := range gauge.Keys(c.lines) {
 		for _, r := range append([]*req{}, c.lines[k]...) {
 			if !all && !r.doubt {
 				continue
@@ -231,7 +231,7 @@
 func (c *Core) join(r *req) bool {
 	for len(c.lines[r.key]) >= c.o.Line || c.wait >= c.o.Queue {
 		low := r
-		for _, k := range c.keys() {
+		for _, k := range gauge.Keys(c.lines) {
 			if len(c.lines[r.key]) >= c.o.Line && k != r.key {
 				continue
 			}
@@ -306,7 +306,7 @@
 
 // pump serves every line, the most valuable first.
 func (c *Core) pump() {
-	l := c.keys()
+	l := gauge.Keys(c.lines)
 	sort.SliceStable(l, func(i, j int) bool { return c.lines[l[i]][0].class.Value > c.lines[l[j]][0].class.Value })
 	for _, k := range l {
 		c.serve(k)
--- a/plumb/plumb.go
+++ b/plumb/plumb.go
@@ -156,7 +156,7 @@
 // Beat sends what is due.
 func (c *Core) Beat(now gauge.Tick) (out []dowel.Env) {
 	c.now = now
-	for _, s := range sortedKeys(c.out) {
+	for _, s := range gauge.Keys(c.out) {
 		p := c.out[s]
 		switch age := now.Sub(p.at); {
 		case p.asker.ID != "" && age > 2*c.o.Wait:
@@ -314,12 +314,3 @@
 	}
 	return "", 0
 }
-
-func sortedKeys[V any](m map[uint64]V) []uint64 {
-	l := make([]uint64, 0, len(m))
-	for k := range m {
-		l = append(l, k)
-	}
-	sort.Slice(l, func(i, j int) bool { return l[i] < l[j] })
-	return l
-}
--- a/treadle/world.go
+++ b/treadle/world.go
@@ -10,7 +10,6 @@
 	"hash/fnv"
 	"io"
 	"math/rand/v2"
-	"reflect"
 	"sort"
 	"strings"
 	"time"
@@ -531,7 +530,7 @@
 	}
 	local := p.box == to.box
 	if !local {
-		w.mails[reflect.TypeOf(e.Body).Name()]++
+		w.mails[dowel.Kind(e.Body)]++
 		if w.cuts[[2]string{p.box, to.box}] || w.rand.Float64() < w.o.Loss {
 			return
 		}
--- a/vise/callers.go
+++ b/vise/callers.go
@@ -39,9 +39,9 @@
 func NewMix(p *chisel.Plan, seed uint64) *Mix {
 	m := &Mix{plan: p, rand: rand.New(rand.NewPCG(seed, 17)), tag: fmt.Sprintf("c%x", seed)}
 	seen := map[gauge.Key]int{}
-	for _, r := range sortedKeys(p.Routes) {
-		for _, k := range sortedKeys(p.Services[p.Routes[r].Service].Keys) {
-			for _, c := range sortedKeys(p.Routes[r].Kinds) {
+	for _, r := range gauge.Keys(p.Routes) {
+		for _, k := range gauge.Keys(p.Services[p.Routes[r].Service].Keys) {
+			for _, c := range gauge.Keys(p.Routes[r].Kinds) {
 				if _, ok := seen[k]; !ok {
 					seen[k] = len(seen)
 				}
@@ -64,15 +64,6 @@
 	return m
 }
 
-func sortedKeys[K ~string, V any](m map[K]V) []K {
-	l := make([]K, 0, len(m))
-	for k := range m {
-		l = append(l, k)
-	}
-	sort.Slice(l, func(i, j int) bool { return l[i] < l[j] })
-	return l
-}
-
 // Next draws a request.
 func (m *Mix) Next() Ask {
 	f := m.rand.Float64() * m.sum[len(m.sum)-1]
--- a/vise/server.go
+++ b/vise/server.go
@@ -6,7 +6,6 @@
 import (
 	"fmt"
 	"hash/fnv"
-	"sort"
 
 	"tidedeck/dowel"
 	"tidedeck/gauge"
@@ -157,7 +156,7 @@
 
 func (s *Server) report(drop gauge.Kind) dowel.Report {
 	r := dowel.Report{Server: s.o.ID, Inc: s.o.Inc, Duty: s.duty, Num: s.num, Room: s.o.Room, Slots: s.o.Slots, Drop: drop, Held: []dowel.Held{}}
-	for _, k := range s.keys() {
+	for _, k := range gauge.Keys(s.held) {
 		h := s.held[k]
 		x := h.Held
 		x.AgeMs = s.now.Sub(h.since).Milliseconds()
@@ -171,15 +170,6 @@
 	return r
 }
 
-func (s *Server) keys() []gauge.Key {
-	l := make([]gauge.Key, 0, len(s.held))
-	for k := range s.held {
-		l = append(l, k)
-	}
-	sort.Slice(l, func(i, j int) bool { return l[i] < l[j] })
-	return l
-}
-
 // order obeys only orders that are newer than the last one, by duty and number.
 func (s *Server) order(o dowel.Order) dowel.Report {
 	if o.Duty < s.duty || o.Duty == s.duty && o.Num <= s.num {
