--- a/clamp/clamp.go
+++ b/clamp/clamp.go
@@ -95,8 +95,9 @@
 func (c *Clamp) Run() error {
 	if c.o.Data != "" {
 		d, m, harm, err := openDisk(c.o.Data, func(err error) {
-			// A disk that fails a write can no longer be trusted: stop at once.
+			// A disk that fails a write can no longer be trusted: stop at once, and say so.
 			c.o.Ring.Oops(err.Error())
+			fmt.Fprintf(os.Stderr, "stopped, since the disk failed: %v; what was confirmed before is on it\n", err)
 			os.Exit(3)
 		})
 		if err != nil {
--- a/jig/jig_test.go
+++ b/jig/jig_test.go
@@ -200,6 +200,17 @@
 	b := []byte(string(r.Plan) + "  \n")
 	e := r.put("anvil-3", b, "1", "last")
 	r.Down()
+	// The power went as well: every core disk has a journal that ends in half a record.
+	for n := range r.Admins {
+		l, err := filepath.Glob(filepath.Join(r.Dir, n, "state", "*.log"))
+		require.NoError(t, err)
+		require.NotEmpty(t, l)
+		f, err := os.OpenFile(l[len(l)-1], os.O_APPEND|os.O_WRONLY, 0)
+		require.NoError(t, err)
+		_, err = f.Write([]byte{1, 2, 3, 4, 200, 1, 1, 9, 9, 9, 9, 9, 9})
+		require.NoError(t, err)
+		require.NoError(t, f.Close())
+	}
 	require.NoError(t, r.Up())
 	r.until("the core is ready", func() bool { return r.CoreReady("anvil-1") })
 	r.until("the plan is read back", func() bool {
@@ -208,6 +219,9 @@
 		return ok
 	})
 	r.until("the plan rules everywhere", func() bool { return r.Ruled(e, r.Routers...) })
+	side, err := filepath.Glob(filepath.Join(r.Dir, "anvil-*", "*.damaged-*"))
+	require.NoError(t, err)
+	require.Empty(t, side, "a torn tail is no damage")
 	rep := r.calls(100, 50, 3, func() {})
 	require.Equal(t, rep.Sent, rep.Receipts, "%v", rep.Kinds)
 }
