Late sends end at the server, one server for what runs once, retries per window

Three gaps, each brought about first. Asked again elsewhere: a second router sent a request that had run to another replica, and a server's refusal as repeated was even retried at the next. Ways weighed: a lookup per request (against the design), a home router (restarts forget), sealing at every server (more protocol). Taken: what may not be repeated goes to one replica by hash, the same at every router, whatever its burden; repeated is final and no drop. What first goes earn now lasts 10 s; failed dials cost as well, and wait for the allowance. Checked over every 10 s.

--- a/clamp/clamp.go
+++ b/clamp/clamp.go
@@ -469,7 +469,8 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 30 * time.Second, MaxHeaderBytes: 64 << 10}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 30 * time.Second, MaxHeaderBytes: 64 << 10,
+		ConnContext: func(ctx context.Context, _ net.Conn) context.Context { return context.WithValue(ctx, born{}, Now()) }}
 	got := make(chan os.Signal, 1)
 	signal.Notify(got, syscall.SIGTERM, syscall.SIGINT)
 	end := make(chan error, 1)
@@ -488,6 +489,14 @@
 	return s.Shutdown(ctx)
 }
 
+type born struct{}
+
+// Born tells when the connection that a request came on was accepted.
+func Born(r *http.Request) gauge.Tick {
+	t, _ := r.Context().Value(born{}).(gauge.Tick)
+	return t
+}
+
 // Life adds the endpoints that tell whether a process lives, and whether it can serve.
 func Life(m *flow.Mux, at string, ready func() (bool, map[string]any)) {
 	m.HandleFunc(at+"/live", func(w http.ResponseWriter, _ *http.Request) { JSON(w, http.StatusOK, map[string]bool{"live": true}) }, http.MethodGet)
--- a/gauge/gauge.go
+++ b/gauge/gauge.go
@@ -101,6 +101,7 @@
 	Busy      Kind = "busy"
 	NoRoom    Kind = "no_room"
 	Repeated  Kind = "repeated"
+	Late      Kind = "late"
 )
 
 // Receipt says how a kind is told to the caller.
@@ -131,5 +132,6 @@
 	Mismatch:  {409, true, 0},
 	Busy:      {503, true, 500 * time.Millisecond},
 	NoRoom:    {409, true, 0},
-	Repeated:  {409, true, 0},
+	Repeated:  {409, false, 0}, // it ran, or may have, when it was asked before
+	Late:      {503, true, 500 * time.Millisecond},
 }
--- a/jig/jig_test.go
+++ b/jig/jig_test.go
@@ -60,6 +60,9 @@
 	ctx, stop := context.WithTimeout(context.Background(), patience)
 	t.Cleanup(stop)
 	f := New(Shapes[name], bins, t.TempDir(), raw)
+	for n := range f.Servers {
+		f.Procs[n].Args = append(f.Procs[n].Args, "--whole-ms", "100000") // nor on how soon it is scheduled
+	}
 	t.Cleanup(f.Down)
 	require.NoError(t, f.Up())
 	r := rig{f, t, ctx, q}
--- a/lathe/core.go
+++ b/lathe/core.go
@@ -18,7 +18,7 @@
 	Line  int        // requests waiting for one key
 	Ramp  gauge.Span // a replica is cold for so long
 	Share float64    // of first goes that retries may come to
-	Bank  float64    // retries saved up at the most
+	Save  gauge.Span // what first goes earn for retries is kept so long
 	Goes  int        // goes of one request at the most
 	Hello gauge.Span
 	Batch gauge.Span // removals are gathered for so long
@@ -36,7 +36,7 @@
 	gauge.Or(&o.Hello, 200e6)
 	gauge.Or(&o.Batch, 500e6)
 	gauge.Or(&o.Share, 0.18)
-	gauge.Or(&o.Bank, 20)
+	gauge.Or(&o.Save, 10e9)
 	return o
 }
 
@@ -93,6 +93,12 @@
 	asking bool
 }
 
+// coin is what the first goes of a while earned for retries.
+type coin struct {
+	at gauge.Tick
+	n  float64
+}
+
 type bench struct {
 	work  int
 	keys  map[gauge.Key]int
@@ -127,7 +133,7 @@
 	came  map[gauge.Key]int
 	work  map[gauge.Key]int
 	bench map[gauge.Server]*bench
-	bank  float64
+	bank  []coin // what first goes earned, oldest first
 	tally Tally
 }
 
--- a/lathe/ledger.go
+++ b/lathe/ledger.go
@@ -53,6 +53,7 @@
 	due   gauge.Tick
 	goes  []Go
 	stage string
+	owes  bool // its next go is a retry that is not paid for yet
 	doubt bool // the plan in force allows it not, but that plan may be old
 }
 
@@ -83,7 +84,8 @@
 // move is what comes next for a request.
 type move struct {
 	again bool       // wait for another go
-	pay   bool       // which comes out of the allowance
+	pay   bool       // which comes out of the allowance, or there is none
+	owe   bool       // which waits until the allowance bears it
 	kind  gauge.Kind // the answer, when there is no other go
 }
 
@@ -91,7 +93,7 @@
 var moves = map[End][2]move{
 	Pending: {{again: true}, {again: true}},
 	Kept:    {{again: true}, {again: true}},
-	Unsent:  {{again: true}, {again: true}},
+	Unsent:  {{again: true, owe: true}, {again: true, owe: true}},
 	Dropped: {{again: true, pay: true}, {again: true, pay: true}},
 	Lost:    {{kind: gauge.Unclear}, {again: true, pay: true}},
 	Split:   {{kind: gauge.Cut}, {kind: gauge.Cut}},
@@ -105,6 +107,9 @@
 	}
 	g := r.goes[len(r.goes)-1]
 	m := moves[g.How][b2i(r.Call.Call.Again)]
+	if g.How == Dropped && g.Kind == gauge.Repeated {
+		return move{kind: gauge.Repeated} // another server would run it a second time
+	}
 	if g.Begun && g.How == Lost {
 		m = moves[Split][0]
 	}
@@ -214,13 +219,35 @@
 
 // pay takes one retry out of the allowance, which first goes fill.
 func (c *Core) pay() bool {
-	if c.bank < 1 {
+	sum, left := 0.0, 1.0
+	for len(c.bank) > 0 && c.now.Sub(c.bank[0].at) > c.o.Save {
+		c.bank = c.bank[1:]
+	}
+	for _, x := range c.bank {
+		sum += x.n
+	}
+	if sum < 1 {
 		return false
 	}
-	c.bank--
+	for i := range c.bank {
+		n := min(left, c.bank[i].n)
+		c.bank[i].n -= n
+		left -= n
+	}
 	return true
 }
 
+// earn adds what a first go earns, which does not last.
+func (c *Core) earn() {
+	if n := len(c.bank); n == 0 || c.now.Sub(c.bank[n-1].at) > c.o.Save/20 {
+		c.bank = append(c.bank, coin{at: c.now})
+	}
+	c.bank[len(c.bank)-1].n += c.o.Share
+	for len(c.bank) > 0 && c.now.Sub(c.bank[0].at) > c.o.Save {
+		c.bank = c.bank[1:]
+	}
+}
+
 // join puts a request in line. A full line lets go of what is worth least.
 func (c *Core) join(r *req) bool {
 	for len(c.lines[r.key]) >= c.o.Line || c.wait >= c.o.Queue {
@@ -309,8 +336,11 @@
 
 // serve launches what waits for a key while the promise on it holds and servers have room.
 func (c *Core) serve(k gauge.Key) {
-	for len(c.lines[k]) > 0 && !c.lines[k][0].doubt {
-		e := c.entries[k]
+	for i := 0; i < len(c.lines[k]); {
+		r, e := c.lines[k][i], c.entries[k]
+		if r.doubt {
+			return
+		}
 		if e == nil || !e.held {
 			c.want(k)
 			return
@@ -319,16 +349,22 @@
 			return
 		}
 		e.used = c.now
-		r := c.lines[k][0]
 		if e.Never {
 			c.finish(r, gauge.NotReady, 5e9) // given up on, so told at once
 			continue
 		}
 		p := c.pick(e, r)
-		if p == nil {
+		switch {
+		case p == nil && !r.Call.Call.Again:
+			i++ // it waits for one server; others behind it may go to another
+		case p == nil:
 			return
+		case r.owes && !c.pay():
+			i++
+		default:
+			r.owes = false
+			c.launch(r, p)
 		}
-		c.launch(r, p)
 	}
 }
 
@@ -372,14 +408,64 @@
 	return all, max(1, int(n*float64(age)/float64(c.o.Ramp)))
 }
 
+// rank orders replicas for a request the same way at every router.
+func rank(r *req, s gauge.Server, parts bool) uint64 {
+	h := fnv.New64a()
+	fmt.Fprint(h, s, "|", r.key.Base())
+	if parts = parts && len(r.Call.Call.Parts) > 0; !parts {
+		fmt.Fprint(h, "|", r.Call.Call.ID)
+	}
+	for _, p := range r.Call.Call.Parts {
+		if parts {
+			fmt.Fprint(h, "|", p)
+		}
+	}
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	return x ^ x>>33
+}
+
+// bound finds the one replica that a request which may not be repeated goes to: the same at
+// every router, so that a server that ran it knows it when it is asked for again. Only one that
+// this request could not reach twice is passed over.
+func (c *Core) bound(e *entry, r *req) *dowel.Replica {
+	var top *dowel.Replica
+	for i := range e.Replicas {
+		p := &e.Replicas[i]
+		lost := 0
+		for _, g := range r.goes {
+			if g.Server == p.Server && g.How == Unsent {
+				lost++
+			}
+		}
+		if c.empty[p.Zone] || lost >= 2 {
+			continue
+		}
+		if top == nil || rank(r, p.Server, true) > rank(r, top.Server, true) {
+			top = p
+		}
+	}
+	return top
+}
+
 // pick chooses a replica: by rendezvous hash over the prompt's shared parts, as long as the
 // one it names is not burdened beyond its fair share; otherwise the least burdened.
 func (c *Core) pick(e *entry, r *req) *dowel.Replica {
 	var l []*dowel.Replica
+	var only *dowel.Replica
+	if !r.Call.Call.Again {
+		if only = c.bound(e, r); only == nil {
+			return nil
+		}
+	}
 	sum := 0
 	for i := range e.Replicas {
 		p := &e.Replicas[i]
 		b := c.seat(p.Server)
+		if only != nil && only != p {
+			continue
+		}
 		if c.empty[p.Zone] || c.now < b.avoid {
 			continue
 		}
@@ -394,20 +480,6 @@
 		return nil
 	}
 	hash := len(r.Call.Call.Parts) > 0 && !c.o.Plain
-	rank := func(p *dowel.Replica) uint64 {
-		h := fnv.New64a()
-		fmt.Fprint(h, p.Server, "|", r.key.Base())
-		if !hash {
-			fmt.Fprint(h, "|", r.Ref)
-		}
-		for _, s := range r.Call.Call.Parts {
-			fmt.Fprint(h, "|", s)
-		}
-		x := h.Sum64()
-		x ^= x >> 33
-		x *= 0xff51afd7ed558ccd
-		return x ^ x>>33
-	}
 	fair := 1.25*float64(sum)/float64(len(l)) + 1
 	sort.SliceStable(l, func(i, j int) bool {
 		a, b := c.seat(l[i].Server).work, c.seat(l[j].Server).work
@@ -415,13 +487,13 @@
 			if fa, fb := float64(a) <= fair, float64(b) <= fair; fa != fb {
 				return fa
 			} else if fa {
-				return rank(l[i]) > rank(l[j])
+				return rank(r, l[i].Server, hash) > rank(r, l[j].Server, hash)
 			}
 		}
 		if a != b {
 			return a < b
 		}
-		return rank(l[i]) > rank(l[j])
+		return rank(r, l[i].Server, hash) > rank(r, l[j].Server, hash)
 	})
 	return l[0]
 }
@@ -462,7 +534,7 @@
 	if first {
 		c.tally.Firsts++
 		if !r.Call.Call.Repeat {
-			c.bank = min(c.bank+c.o.Share, c.o.Bank)
+			c.earn()
 		}
 	} else {
 		c.tally.Retries++
@@ -525,6 +597,7 @@
 		c.finish(r, gauge.Expired, 0)
 	case m.again:
 		r.fire("back")
+		r.owes = m.owe
 		c.join(r)
 	default:
 		c.finish(r, m.kind, 0)
--- a/lathe/serve.go
+++ b/lathe/serve.go
@@ -232,7 +232,7 @@
 	if a.StatusCode != http.StatusOK {
 		var p clamp.Problem
 		b, _ := io.ReadAll(io.LimitReader(a.Body, 64<<10))
-		if json.Unmarshal(b, &p) == nil && p.Dropped {
+		if json.Unmarshal(b, &p) == nil && (p.Dropped || p.Kind == gauge.Repeated) {
 			return Dropped, p.Kind
 		}
 		return Lost, gauge.None
@@ -240,6 +240,9 @@
 	return d.flow(a.Body, v, s)
 }
 
+// mostEvent bounds one event of a server's.
+const mostEvent = 256 << 10
+
 // Line is what a router checks of every event.
 type Line struct {
 	N      int          `json:"n"`
@@ -255,11 +258,11 @@
 
 // flow passes a server's events on, each checked to be the next one of this go.
 func (d *door) flow(body io.Reader, v Launch, s *stream) (End, gauge.Kind) {
-	in := bufio.NewReaderSize(body, 64<<10)
+	in := bufio.NewReaderSize(body, mostEvent)
 	n := 0
 	for {
-		l, err := in.ReadBytes('\n')
-		if err != nil {
+		l, err := in.ReadSlice('\n')
+		if err != nil { // an event past the bound, too
 			return Lost, gauge.None
 		}
 		data, ok := bytes.CutPrefix(bytes.TrimSpace(l), []byte("data: "))
--- a/treadle/check.go
+++ b/treadle/check.go
@@ -44,6 +44,8 @@
 	Bad    []string
 	states []*state
 	ranID  map[string]int
+	ranAt  map[string]place
+	goes   []tried
 	epochs map[string][2]uint64
 	lives  map[string]int
 	duties map[gauge.Duty]string
@@ -58,6 +60,9 @@
 type Seen struct {
 	Asked, Answered, Dropped, Unclear, Cut, Broke, Events int
 	Firsts, Retries, Repeats                              int
+	Asked2, Known2, Ran2                                  int     // asked again after a break; refused as repeated; ran again, where the server that had run it was gone or another was nearer by then
+	Window                                                float64 // worst share of goes that were no first ones, in 10 s
+	Late                                                  uint64  // refused by servers as sent too late
 	Kinds                                                 map[string]int
 	PlanLag, GoneLag, ZoneLag                             gauge.Span // worst
 	Back                                                  gauge.Span // from the healing to the first answer
@@ -70,7 +75,7 @@
 }
 
 func newChecker(w *World) *Checker {
-	return &Checker{w: w, open: map[lathe.Ref]*call{}, ranID: map[string]int{}, epochs: map[string][2]uint64{}, lives: map[string]int{},
+	return &Checker{w: w, open: map[lathe.Ref]*call{}, ranID: map[string]int{}, ranAt: map[string]place{}, epochs: map[string][2]uint64{}, lives: map[string]int{},
 		duties: map[gauge.Duty]string{}, gone: map[string]gauge.Tick{}, unload: map[string]gauge.Tick{},
 		Seen: Seen{Kinds: map[string]int{}}}
 }
@@ -307,6 +312,63 @@
 	}
 }
 
+// place is where a request ran.
+type place struct {
+	server string
+	life   int
+}
+
+// tried is one go as it was begun.
+type tried struct {
+	at    gauge.Tick
+	first bool
+}
+
+// launched looks at a go as it is begun: its connection counts, if it comes about or not.
+func (k *Checker) launched(c *call) {
+	if c == nil {
+		return
+	}
+	if !c.held {
+		c.tries++
+		k.goes = append(k.goes, tried{k.w.now, c.tries == 1 && !c.repeat})
+	}
+	c.held = false
+}
+
+// windows holds goes that are no first ones against the first ones that earned them: in no 10 s
+// may they pass a fifth of the first goes of these and of the 10 s before.
+func (k *Checker) windows() {
+	a, b, more, base, plain := 0, 0, 0, 0, 0
+	for i, x := range k.goes {
+		if x.first {
+			base++
+			plain++
+		} else {
+			more++
+		}
+		for ; x.at.Sub(k.goes[a].at) > 10e9; a++ {
+			if k.goes[a].first {
+				plain--
+			} else {
+				more--
+			}
+		}
+		for ; x.at.Sub(k.goes[b].at) > 20e9; b++ {
+			if k.goes[b].first {
+				base--
+			}
+		}
+		if float64(more) > boundShare*float64(base) {
+			k.bad("%d retries in 10 s, to %d first goes in 20 s (at %.1f s)", more, base, float64(x.at)/1e9)
+			return
+		}
+		if plain >= 50 && i > 0 {
+			k.Seen.Window = max(k.Seen.Window, float64(more)/float64(plain))
+		}
+	}
+}
+
 // sent looks at a go at the moment of sending.
 func (k *Checker) sent(f *flow, s *proc) {
 	c, w := f.c, k.w
@@ -321,6 +383,15 @@
 		k.Seen.Retries++
 	}
 	key := gauge.KeyOf(f.l.Work.Base, f.l.Work.Extra)
+	if t, ok := k.unload[s.name+"|"+string(key)]; ok && f.l.Work.Inc != 0 && t <= w.now && s.core.(*vise.Server).Holds()[key].Key == "" {
+		k.bad("%s sent %s to %s after it was unloaded", c.router, key, s.name)
+	}
+	k.arrived(f, s)
+}
+
+// arrived looks at a go as it is sent, and again as its server takes it in.
+func (k *Checker) arrived(f *flow, s *proc) {
+	c, w := f.c, k.w
 	if t, ok := k.gone[s.name]; ok {
 		lag := w.now.Sub(t)
 		k.Seen.GoneLag = max(k.Seen.GoneLag, lag)
@@ -328,9 +399,6 @@
 			k.bad("%s got new work from %s, %v after it was leaving or gone", s.name, c.router, lag)
 		}
 	}
-	if t, ok := k.unload[s.name+"|"+string(key)]; ok && f.l.Work.Inc != 0 && t <= w.now && s.core.(*vise.Server).Holds()[key].Key == "" {
-		k.bad("%s sent %s to %s after it was unloaded", c.router, key, s.name)
-	}
 	if k.loose {
 		return
 	}
@@ -346,7 +414,7 @@
 		ok = ok || k.allows(st, c.ask)
 	}
 	if !ok {
-		k.bad("%s sent %s %s, which no plan allows", c.router, c.ask.Route, key)
+		k.bad("%s sent %s %s, which no plan allows", c.router, c.ask.Route, gauge.KeyOf(f.l.Work.Base, f.l.Work.Extra))
 	}
 }
 
@@ -377,12 +445,19 @@
 }
 
 // ran looks at a go that a server took in.
-func (k *Checker) ran(f *flow, _ *proc) {
+func (k *Checker) ran(f *flow, s *proc) {
 	id := f.l.Work.ID
 	k.ranID[id]++
+	was := k.ranAt[id]
+	k.ranAt[id] = place{s.name, s.life}
+	f.c.ran++
 	if f.l.Work.Once && k.ranID[id] > 1 {
-		k.bad("%s may not be repeated and ran %d times", id, k.ranID[id])
+		if !f.c.asked2 || was.server == s.name && was.life == s.life || k.stays(was, f.l.Work) {
+			k.bad("%s may not be repeated and ran %d times, at %v and %s", id, k.ranID[id], was, s.name)
+		}
+		k.Seen.Ran2++
 	}
+	k.arrived(f, s)
 	if c := f.c; c.over && gauge.Receipts[gauge.Kind(c.kind)].Dropped {
 		k.bad("%s was dropped as %s and ran", id, c.kind)
 	}
@@ -395,9 +470,15 @@
 		return
 	}
 	c.over, c.kind = true, string(r.Kind)
+	switch r.Kind {
+	case gauge.Repeated:
+		k.Seen.Known2++
+	case gauge.Unclear, gauge.Cut:
+		k.again(c)
+	}
 	k.w.tracef("%s: %s is told %s", who, c.ask.Call.ID, r.Kind)
 	a := gauge.Receipts[r.Kind]
-	if a.Dropped && k.ranID[c.ask.Call.ID] > 0 {
+	if a.Dropped && c.ran > 0 {
 		k.bad("%s was dropped as %s but had run", c.ask.Call.ID, r.Kind)
 	}
 	if (r.Kind == gauge.NoModel || r.Kind == gauge.NoRoute || r.Kind == gauge.NoKind) && !k.loose {
@@ -448,8 +529,48 @@
 	for _, c := range k.calls {
 		if c.router == name && !c.over {
 			c.over, c.kind = true, "router broke off"
+			k.again(c)
+		}
+	}
+}
+
+// again lets a caller whose request broke ask once more under the same id, at any router,
+// though it may have run: some say that they do, some do not.
+func (k *Checker) again(c *call) {
+	if c.ask.Call.Again || c.asked2 || k.w.Again == 0 || k.w.rand.Float64() >= k.w.Again {
+		return
+	}
+	n := c.ask
+	n.Call.Repeat = k.w.rand.IntN(2) == 0
+	k.Seen.Asked2++
+	k.w.After(gauge.Span(k.w.rand.Int64N(800e6)), func() { k.w.Ask(n, n.Call.Repeat); k.calls[len(k.calls)-1].asked2 = true })
+}
+
+// stays tells whether the server that ran a request before is still there, and was the one that
+// its id is bound to among those that now hold its key.
+func (k *Checker) stays(p place, q dowel.Work) bool {
+	if p.server == "" {
+		return true // it ran twice for one asking
+	}
+	s := k.w.procs[p.server]
+	if _, gone := k.gone[p.server]; gone || !s.up || s.life != p.life || k.w.now < s.froze || k.emptied(s.zone) != 0 {
+		return false
+	}
+	v, ok := s.core.(*vise.Server)
+	if !ok {
+		return false
+	}
+	// Only where every server that holds the key has held it for long is nothing else the cause.
+	for _, n := range k.w.order {
+		x, ok := k.w.procs[n].core.(*vise.Server)
+		if ok && k.w.procs[n].up {
+			if age, holds := x.Since(gauge.KeyOf(q.Base, q.Extra)); holds && age < 8e9 {
+				return false
+			}
 		}
 	}
+	_, holds := v.Since(gauge.KeyOf(q.Base, q.Extra))
+	return holds
 }
 
 // Fault notes that a server is leaving, gone or dark from now on.
@@ -492,6 +613,7 @@
 	if n := float64(s.Retries + in); n > boundShare*float64(s.Firsts) {
 		k.bad("%d retries and repeats to %d first goes", s.Retries+in, s.Firsts)
 	}
+	k.windows()
 	// Every epoch is one change: more epochs than changes means that one was redone.
 	most := gauge.Epoch(0)
 	for _, x := range k.states {
@@ -513,6 +635,7 @@
 			t := c.Counts()
 			s.Cold = max(s.Cold, t.PeakCold)
 			s.Prompt += t.PromptBytes
+			s.Late += t.DropKinds[gauge.Late]
 			s.Reused += t.Reused
 			if t.PeakCold > k.w.o.Slots {
 				k.bad("%s was flooded while cold: %d at once on %d slots", n, t.PeakCold, k.w.o.Slots)
@@ -549,7 +672,7 @@
 	for i, k := range l {
 		l[i] = fmt.Sprintf("%s %d", k, s.Kinds[k])
 	}
-	return fmt.Sprintf("asked %d answered %d dropped %d unclear %d cut %d broke %d | firsts %d retries %d repeats %d | plan %v gone %v zone %v back %v no-owner %v | hits %d lookups %d breaks %d acks %d lapses %d unloads %d cold %d reigns %d [%s]",
+	return fmt.Sprintf("asked %d answered %d dropped %d unclear %d cut %d broke %d | firsts %d retries %d repeats %d | plan %v gone %v zone %v back %v no-owner %v | hits %d lookups %d breaks %d acks %d lapses %d unloads %d cold %d reigns %d | window %.3f late %d again %d/%d/%d [%s]",
 		s.Asked, s.Answered, s.Dropped, s.Unclear, s.Cut, s.Broke, s.Firsts, s.Retries, s.Repeats, s.PlanLag, s.GoneLag, s.ZoneLag, s.Back, s.NoOwner,
-		s.Hits, s.Lookups, s.Breaks, s.Acks, s.Lapses, s.Unloads, s.Cold, s.Reigns, strings.Join(l, ", "))
+		s.Hits, s.Lookups, s.Breaks, s.Acks, s.Lapses, s.Unloads, s.Cold, s.Reigns, s.Window, s.Late, s.Asked2, s.Known2, s.Ran2, strings.Join(l, ", "))
 }
--- a/treadle/scenes.go
+++ b/treadle/scenes.go
@@ -536,8 +536,43 @@
 		}},
 	{Name: "lag", About: "routers pause between the last check and the send", Long: 70e9, Least: 0.98, Set: tight,
 		Play: func(w *World) {
-			w.LagOdds, w.Lag = 0.02, 6e9
+			w.LagOdds, w.Lag = 0.04, 6e9
 			w.churn(8, 56, 20)
+			for i, t := 0, 12.0; t < 50; i, t = i+1, t+6 {
+				s, z := fmt.Sprintf("server-%d", 1+i%w.o.Servers), gauge.Zone([]string{"za", "zb", "zc"}[i%3])
+				w.At(sec(t), func() { w.mark(s, "leaving") })
+				w.At(sec(t+5), func() { w.mark(s, "live") })
+				w.At(sec(t+1), func() { w.Zone(w.some("anvil-"), "empty", z, nil) })
+				w.At(sec(t+5.8), func() { w.Zone(w.some("anvil-"), "refill", z, nil) })
+			}
+		}},
+	{Name: "again", About: "callers whose connection broke ask again under the same id, at another router, though it may have run", Long: 70e9, Least: 0.85,
+		Play: func(w *World) {
+			w.Again = 0.8
+			for t := 12.0; t < 50; t += 2 {
+				w.At(sec(t), func() {
+					if w.rand.IntN(4) == 0 {
+						w.crash(w.some("server-"), 2e9)
+						return
+					}
+					w.Restart(w.some("lathe-"), gauge.Span(w.rand.Int64N(2e9)))
+				})
+				w.At(sec(t+1), func() { w.ResetOdds = 0.1 })
+				w.At(sec(t+1.5), func() { w.ResetOdds = 0 })
+			}
+		}},
+	{Name: "dead", About: "a third of the servers dies at once, so that every router meets dead ones, and routers are killed and started", Long: 60e9, Least: 0.9, Rate: 120,
+		Play: func(w *World) {
+			for _, t := range []float64{12, 24, 36} {
+				w.At(sec(t), func() {
+					n := w.rand.IntN(3)
+					for i := range w.o.Servers / 3 {
+						w.crash(fmt.Sprintf("server-%d", 1+3*i+n), 4e9)
+					}
+				})
+				w.At(sec(t+1), func() { w.Restart(w.some("lathe-"), 300e6) })
+				w.At(sec(t+2), func() { w.Restart(w.some("lathe-"), 300e6) })
+			}
 		}},
 	{Name: "medley", About: "everything at once", Long: 100e9, Least: 0.8,
 		Set: func(o *Options) { tight(o); o.Loss, o.Twice = 0.02, 0.02 },
@@ -545,6 +580,7 @@
 			w.churn(8, 80, 15)
 			w.plans(9, 80, 6)
 			w.LagOdds, w.Lag = 0.005, 3e9
+			w.Again = 0.5
 			for t := 10.0; t < 80; t += 2 {
 				w.At(sec(t), func() {
 					switch w.rand.IntN(8) {
--- a/vise/serve.go
+++ b/vise/serve.go
@@ -25,6 +25,7 @@
 	Slots  int    `help:"Requests decoded in one batch." default:"16"`
 	StepMs int    `help:"Between two decode steps, in ms." default:"20"`
 	Fill   int    `help:"Prompt bytes that a step can prefill." default:"4000"`
+	Whole  int    `help:"A request not wholly in so long after its connection was accepted is late, in ms." name:"whole-ms" default:"500"`
 }
 
 // Check names what is wrong with the settings.
@@ -34,7 +35,7 @@
 	for _, n := range []struct {
 		path string
 		val  int
-	}{{"room", s.Room}, {"slots", s.Slots}, {"step-ms", s.StepMs}, {"fill", s.Fill}} {
+	}{{"room", s.Room}, {"slots", s.Slots}, {"step-ms", s.StepMs}, {"fill", s.Fill}, {"whole-ms", s.Whole}} {
 		if n.val < 1 || n.val > 1_000_000 {
 			f = append(f, chisel.Fault{Path: n.path, Why: "wants a whole number from 1 to 1000000"})
 		}
@@ -115,7 +116,7 @@
 	ring := clamp.NewRing(s.ID, os.Stderr)
 	born := func() *Server {
 		return NewServer(ServerOptions{ID: gauge.Server(s.ID), Inc: clamp.NewInc(), Room: s.Room, Slots: s.Slots, Store: s.Store,
-			Step: gauge.Span(s.StepMs) * 1e6, Fill: s.Fill})
+			Step: gauge.Span(s.StepMs) * 1e6, Fill: s.Fill, Whole: gauge.Span(s.Whole) * 1e6})
 	}
 	core := &swap{born()}
 	h := &hall{wait: map[uint64]chan any{}, dark: make(chan struct{})}
@@ -203,12 +204,13 @@
 
 func (h *hall) generate(w http.ResponseWriter, r *http.Request) {
 	var q dowel.Work
+	at := clamp.Born(r)
 	if !readInto(w, r, &q) {
 		return
 	}
 	t, ch := h.open(1024)
 	defer h.shut(t)
-	h.c.Step(WorkIn{t, q})
+	h.c.Step(WorkIn{t, q, at})
 	f, _ := w.(http.Flusher)
 	open := false
 	for {
--- a/vise/server.go
+++ b/vise/server.go
@@ -22,6 +22,7 @@
 	Fill  int        // bytes that a step can prefill
 	Cache int        // shared prompt parts kept
 	Pull  gauge.Span // for a load, at the most
+	Whole gauge.Span // a request that is not wholly in so long after its connection was accepted is late
 }
 
 // OrderIn is an order that came in; OrderOut answers it.
@@ -40,6 +41,7 @@
 type WorkIn struct {
 	Token uint64
 	Work  dowel.Work
+	Since gauge.Tick // when its connection was accepted
 }
 
 // WorkQuit says that whoever sent a request is gone.
@@ -111,6 +113,7 @@
 	gauge.Or(&o.Cache, 64)
 	gauge.Or(&o.Slots, 16)
 	gauge.Or(&o.Pull, 120e9)
+	gauge.Or(&o.Whole, 500e6)
 	return &Server{o: o, held: map[gauge.Key]*held{}, cache: map[string]gauge.Tick{}, ran: map[string]bool{}, pulls: map[uint64]gauge.Key{},
 		token: uint64(o.Inc), // no answer to an earlier life's question is taken for one of this life's
 		tally: ServerTally{DropKinds: map[gauge.Kind]uint64{}}}
@@ -232,6 +235,11 @@
 }
 
 func (s *Server) work(v WorkIn) {
+	// What was sent long after its sender last looked may no longer be meant for this server.
+	if v.Since != 0 && s.now.Sub(v.Since) > s.o.Whole {
+		s.drop(v.Token, gauge.Late)
+		return
+	}
 	k := gauge.KeyOf(v.Work.Base, v.Work.Extra)
 	h, b := s.held[k], s.held[k.Base()]
 	if v.Work.Inc != s.o.Inc || h == nil || b == nil || h.Stage != "ready" || b.Stage != "ready" {
@@ -337,6 +345,15 @@
 // Counts gives the tally so far.
 func (s *Server) Counts() ServerTally { return s.tally }
 
+// Since tells for how long the server has held a key ready, on its own clock.
+func (s *Server) Since(k gauge.Key) (gauge.Span, bool) {
+	h := s.held[k]
+	if h == nil || h.Stage != "ready" {
+		return 0, false
+	}
+	return s.now.Sub(h.since), true
+}
+
 // Holds lists what the server holds, for checkers.
 func (s *Server) Holds() map[gauge.Key]dowel.Held {
 	m := map[gauge.Key]dowel.Held{}
--- a/vise/vise_test.go
+++ b/vise/vise_test.go
@@ -126,3 +126,23 @@
 		require.NotEmpty(t, CheckEvent(a, e, 1, "s", "g"), name)
 	}
 }
+
+// A request that is not wholly in soon after its connection was accepted is late, and never ran:
+// whoever sent it may have looked long before.
+func TestLate(t *testing.T) {
+	for _, c := range []struct {
+		since, now gauge.Tick
+		ran        bool
+	}{{1e9, 1e9, true}, {1e9, 1.5e9, true}, {1e9, 1.5e9 + 1, false}, {1e9, 9e9, false}, {0, 9e9, true}} {
+		s := NewServer(ServerOptions{ID: "s", Inc: 4, Room: 9, Store: "store"})
+		s.held["m"] = &held{Held: dowel.Held{Key: "m", Size: 1, Stage: "ready"}}
+		out := s.Step(c.now, WorkIn{Token: 1, Since: c.since, Work: dowel.Work{ID: "1", Base: "m", Inc: 4, Max: 3}})
+		if c.ran {
+			require.Empty(t, out, "%+v", c)
+			require.EqualValues(t, 1, s.Counts().Works)
+			continue
+		}
+		require.Equal(t, []any{WorkDrop{1, gauge.Late}}, out, "%+v", c)
+		require.Zero(t, s.Counts().Works)
+	}
+}
