Moves make before they break; servers are evened out; odd reports and lacks are told

Cause: placement only added replicas and cleared idle ones. A server that came back stayed empty, keys used lately but without a floor went with a server that left, a floor of two could end in one zone, and a report with negative sizes freed room that was not there.

Now: before a window's lead, in emptied zones and on withdrawal, what had work in the last minute and stands nowhere else is loaded elsewhere; unevenness past 0.35 of a room for 5 s begins one move, at least 5 s apart; the old replica is broken only when the new one is warm. A report that contradicts itself is told, its numbers are bounded, and its server is ordered to load nothing. lacks (caliper servers) names the paths of a plan that the servers cannot give. Routers weigh servers by their slots.

Bites: odd reports, spreading, evening.

--- a/anvil/admin.go
+++ b/anvil/admin.go
@@ -275,9 +275,9 @@
 				p = append(p, map[string]any{"key": k, "stage": x.stage, "size": x.size, "active": x.work})
 			}
 			l = append(l, map[string]any{"id": id, "zone": s.Zone, "state": s.State, "dark": s.dark, "known": s.known,
-				"room": s.room, "used": s.used(), "slots": s.slots, "holds": p, "offered": c.open(s)})
+				"odd": s.odd, "room": s.room, "used": s.used(), "slots": s.slots, "holds": p, "offered": c.open(s)})
 		}
-		return map[string]any{"servers": l, "duty": c.duty.num}
+		return map[string]any{"servers": l, "duty": c.duty.num, "lacks": c.lacks(), "moves": len(c.shifts)}
 	})
 }
 
--- a/anvil/core.go
+++ b/anvil/core.go
@@ -37,6 +37,9 @@
 	Lull    gauge.Span // a replica without work for so long may be evicted
 	Blind   gauge.Span // an owner that reaches too little for so long asks its siblings
 	Shy     gauge.Span // and does not take the duty again for so long, if one reaches more
+	Even    gauge.Span // unevenness must last so long before a move, and moves are so far apart
+	Gap     float64    // unevenness that is worth a move, as a part of a server's room
+	Recent  gauge.Span // a key that had work so lately is worth a move
 	Lead    gauge.Span // what a maintenance window closes is drained so long before it
 	Wall    func() time.Time
 }
@@ -54,9 +57,12 @@
 	gauge.Or(&o.Rest, 4000e6)
 	gauge.Or(&o.Lull, 2000e6)
 	gauge.Or(&o.Lead, 60e9)
+	gauge.Or(&o.Even, 5000e6)
+	gauge.Or(&o.Recent, 60e9)
 	gauge.Or(&o.Blind, 4000e6)
 	gauge.Or(&o.Shy, 15e9)
 	gauge.Or(&o.Drift, 0.02)
+	gauge.Or(&o.Gap, 0.35)
 	gauge.Or(&o.Most, 1024)
 	gauge.Or(&o.Pending, 4096)
 	return o
@@ -99,6 +105,11 @@
 	shutZ   map[gauge.Zone]bool
 	shutS   map[gauge.Server]bool
 	shutAt  gauge.Tick
+	soonZ   map[gauge.Zone]bool // closed before long: what is only there is loaded elsewhere first
+	soonS   map[gauge.Server]bool
+	shifts  map[gauge.Key]*shift
+	uneven  gauge.Tick // since when the servers are burdened unevenly
+	shifted gauge.Tick // when a move last began
 	tally   Tally
 	began   bool
 	ending  bool // a planned stop is under way: the duty is not taken any more
@@ -109,6 +120,7 @@
 	Rounds, Conflicts, Changes, Reads, Repairs, Reigns      uint64
 	Grants, Withheld, Breaks, Acks, Lapses, Wants, Sames    uint64
 	Removals, Sheds, Loads, Unloads, Fences, Drained, Admit uint64
+	Moves, Evened, Odd                                      uint64
 	Doubts, Looks, Yields                                   uint64
 }
 
@@ -120,7 +132,7 @@
 		links: map[dowel.Session]*link{}, tombs: map[dowel.Session]gauge.Tick{},
 		servers: map[gauge.Server]*server{}, entries: map[gauge.Key]*entry{},
 		asks: map[uint64]func(dowel.Told){}, saves: map[uint64]func(){},
-		demand: map[gauge.Key]*need{}, empty: map[gauge.Zone]bool{},
+		demand: map[gauge.Key]*need{}, shifts: map[gauge.Key]*shift{}, empty: map[gauge.Zone]bool{},
 	}
 	c.mates = plumb.New(plumb.Options{
 		Me:    dowel.Member{Sibling: o.Me, Role: "anvil", Zone: o.Zone, Inc: o.Inc},
--- a/anvil/duty.go
+++ b/anvil/duty.go
@@ -133,6 +133,7 @@
 	c.links, c.tombs, c.wants = map[dowel.Session]*link{}, map[dowel.Session]gauge.Tick{}, nil
 	c.servers, c.entries = map[gauge.Server]*server{}, map[gauge.Key]*entry{}
 	c.demand = map[gauge.Key]*need{}
+	c.shifts, c.uneven, c.shifted = map[gauge.Key]*shift{}, 0, c.now
 	c.listing, c.listed, c.eye = false, 0, eye{}
 	c.planned()
 	if c.duty.mine {
--- a/anvil/place.go
+++ b/anvil/place.go
@@ -93,6 +93,7 @@
 	known  bool       // it has reported in this reign
 	ok     gauge.Tick // when the last report that came was asked for
 	first  gauge.Tick
+	odd    string // what its report contradicts itself in; it is ordered to load nothing
 }
 
 func (s *server) used() int {
@@ -440,7 +441,7 @@
 	s.fails, s.ok = 0, at
 	changed := s.dark || !s.known
 	s.dark, s.known = false, true
-	if r.Inc != s.inc || r.Room != s.room || r.Slots != s.slots {
+	if r.Inc != s.inc || min(max(r.Room, 0), mostSize) != s.room || min(max(r.Slots, 1), mostSize) != s.slots {
 		if r.Inc != s.inc {
 			for _, k := range gauge.Keys(s.spots) {
 				s.spots[k].fire(SeeNone, c.now)
@@ -448,11 +449,18 @@
 				c.touch(k)
 			}
 		}
-		s.inc, s.room, s.slots = r.Inc, r.Room, r.Slots
+		s.inc, s.room, s.slots = r.Inc, min(max(r.Room, 0), mostSize), min(max(r.Slots, 1), mostSize)
 		changed = true
 	}
+	if odd := oddity(r); odd != s.odd {
+		if s.odd = odd; odd != "" {
+			c.tally.Odd++
+			c.oops(fmt.Sprintf("server %s reports what cannot be: %s", s.ID, odd))
+		}
+	}
 	held := map[gauge.Key]dowel.Held{}
 	for _, h := range r.Held {
+		h.Size, h.Active, h.AgeMs = min(max(h.Size, c.sizeOf(h.Key)), mostSize), max(h.Active, 0), max(h.AgeMs, 0)
 		held[h.Key] = h
 		p := s.spots[h.Key]
 		if p == nil {
@@ -561,7 +569,9 @@
 			}
 		}
 	}
-	for _, w := range c.wishes() {
+	c.beatShifts()
+	wishes := c.wishes()
+	for _, w := range wishes {
 		if budget <= 0 {
 			return
 		}
@@ -569,12 +579,17 @@
 			budget--
 		}
 	}
+	if len(wishes) == 0 && budget > 0 {
+		c.even()
+	} else {
+		c.uneven = 0
+	}
 }
 
 func (c *Core) live(k gauge.Key) (n int, slots int, zones map[gauge.Zone]bool) {
 	zones = map[gauge.Zone]bool{}
 	for _, s := range c.servers {
-		if p := s.spots[k]; p != nil && (p.stage == Ordered || p.stage == Ready) && c.open(s) {
+		if p := s.spots[k]; p != nil && (p.stage == Ordered || p.stage == Ready) && c.stays(s) {
 			n++
 			slots += s.slots
 			zones[s.Zone] = true
@@ -600,6 +615,11 @@
 			need = max(need, live+1)
 		}
 	}
+	if c.shifts[m.Key] != nil {
+		need = max(need, live) // both are kept until the new one can do without the old
+	} else if need == 0 && live == 0 && c.parting(m.Key) {
+		need = 1
+	}
 	return min(need, m.Most), live, value
 }
 
@@ -646,7 +666,7 @@
 		if free < w.m.Size {
 			continue
 		}
-		n := free + 1
+		n := 1000 * (free + 1) / (s.room + 1) // the emptiest for its size
 		if !zones[s.Zone] {
 			n += 1_000_000
 		}
@@ -663,7 +683,7 @@
 }
 
 func (c *Core) mayHold(s *server, k gauge.Key) bool {
-	if !c.open(s) || s.spots[k] != nil {
+	if !c.stays(s) || s.spots[k] != nil || s.odd != "" {
 		return false
 	}
 	if k.IsAdapter() {
--- a/anvil/windows.go
+++ b/anvil/windows.go
@@ -116,7 +116,7 @@
 	if d := now.Sub(w.drawn); w.drawn.IsZero() || d < 0 || d > 12*time.Hour {
 		w.drawn, w.times = now, []time.Time{w.from}
 		if w.again != nil {
-			w.times = w.again.Between(now.Add(-w.long), now.Add(13*time.Hour+lead), true)
+			w.times = w.again.Between(now.Add(-w.long), now.Add(13*time.Hour+2*lead), true)
 		}
 	}
 	for _, t := range w.times {
@@ -136,8 +136,15 @@
 	c.shutAt = c.now.Add(1e9)
 	now := c.o.Wall()
 	zones, servers := map[gauge.Zone]bool{}, map[gauge.Server]bool{}
+	c.soonZ, c.soonS = map[gauge.Zone]bool{}, map[gauge.Server]bool{}
 	for _, w := range c.windows {
 		if !w.runs(now, c.o.Lead) {
+			// As long again before it closes, what is only there is loaded elsewhere.
+			if w.runs(now, 2*c.o.Lead) && w.zone != "" {
+				c.soonZ[w.zone] = true
+			} else if w.runs(now, 2*c.o.Lead) {
+				c.soonS[w.server] = true
+			}
 			continue
 		}
 		if w.zone != "" {
--- a/lathe/ledger.go
+++ b/lathe/ledger.go
@@ -459,7 +459,7 @@
 			return nil
 		}
 	}
-	sum := 0
+	sum, slots := 0, 0
 	for i := range e.Replicas {
 		p := &e.Replicas[i]
 		b := c.seat(p.Server)
@@ -474,17 +474,21 @@
 			continue
 		}
 		sum += b.work
+		slots += max(1, p.Slots)
 		l = append(l, p)
 	}
 	if len(l) == 0 {
 		return nil
 	}
 	hash := len(r.Call.Call.Parts) > 0 && !c.o.Plain
-	fair := 1.25*float64(sum)/float64(len(l)) + 1
+	// Burdens are weighed by what servers can do at once.
+	part := func(p *dowel.Replica) float64 { return float64(c.seat(p.Server).work) / float64(max(1, p.Slots)) }
+	fair := 1.25 * float64(sum) / float64(slots)
+	fits := func(p *dowel.Replica) bool { return part(p) <= fair+1/float64(max(1, p.Slots)) }
 	sort.SliceStable(l, func(i, j int) bool {
-		a, b := c.seat(l[i].Server).work, c.seat(l[j].Server).work
+		a, b := part(l[i]), part(l[j])
 		if hash {
-			if fa, fb := float64(a) <= fair, float64(b) <= fair; fa != fb {
+			if fa, fb := fits(l[i]), fits(l[j]); fa != fb {
 				return fa
 			} else if fa {
 				return rank(r, l[i].Server, hash) > rank(r, l[j].Server, hash)
--- a/treadle/bites_test.go
+++ b/treadle/bites_test.go
@@ -69,6 +69,11 @@
 	{"doubt a list without most servers", "platform", "proper requests were answered", []edit{{"anvil/list.go", "if 2*len(lost) <= there {", "if true {"}}},
 	{"let go of what cannot be served", "blind", "kept the duty", []edit{{"anvil/list.go", "c.eye.since == 0 {\n\t\treturn\n\t}\n\tshould", "c.eye.since != 1 {\n\t\treturn\n\t}\n\tshould"}}},
 	{"check every event", "mangled", "came as number|two goes in one answer|someone else|ended after", []edit{{"lathe/serve.go", "return l.Go == v.Work.Go && l.Server == v.Server && l.N == n", "return true"}}},
+	{"believe no report that contradicts itself", "odd", "past its room", []edit{
+		{"anvil/place.go", "min(max(h.Size, c.sizeOf(h.Key)), mostSize), max(h.Active", "h.Size, max(h.Active"},
+		{"anvil/place.go", "oddity(r); odd != s.odd", "``; odd != s.odd && oddity(r) != ``"}}},
+	{"spread over zones", "return", "ready in 1 zones", []edit{{"anvil/moves.go", "if m.Floor < 2 || live < 2", "if m.Floor >= 0 || live < 2"}, {"anvil/place.go", "n += 1_000_000", "n += 0"}}},
+	{"even out", "return", "unevenly filled", []edit{{"anvil/moves.go", "if c.now.Sub(c.uneven) < c.o.Even {", "if c.uneven != 1 {"}}},
 	{"come back soon", "power", "service came back", []edit{{"anvil/core.go", "gauge.Or(&o.Duty, 1200e6)", "gauge.Or(&o.Duty, 20e9)"}}},
 }
 
--- a/treadle/check.go
+++ b/treadle/check.go
@@ -70,7 +70,9 @@
 	Cold                                                  int
 	Hits, Lookups, Sames, Breaks, Acks, Lapses, Unloads   uint64
 	Prompt, Reused                                        uint64
-	Pulls, Reigns                                         uint64
+	Pulls, Reigns, Moves, Odd                             uint64
+	Held                                                  int        // requests that waited for more than 250 ms
+	HeldFor                                               gauge.Span // and for how long, in all
 	lastOwner                                             gauge.Tick
 }
 
@@ -378,6 +380,7 @@
 	}
 	c.sends++
 	if c.sends == 1 {
+		c.first = w.now
 		k.Seen.Firsts++
 	} else {
 		k.Seen.Retries++
@@ -583,6 +586,10 @@
 func (k *Checker) Finish() Seen {
 	s := &k.Seen
 	for _, c := range k.calls {
+		if d := c.first.Sub(c.at); c.first != 0 && d > 250e6 {
+			s.Held++
+			s.HeldFor += d
+		}
 		switch {
 		case !c.over && k.w.now.Sub(c.at) > 45e9:
 			k.bad("%s never got its final answer", c.ask.Call.ID)
@@ -640,7 +647,7 @@
 			if t.PeakCold > k.w.o.Slots {
 				k.bad("%s was flooded while cold: %d at once on %d slots", n, t.PeakCold, k.w.o.Slots)
 			}
-			if c.Used() > k.w.o.Room {
+			if c.Used() > k.w.room(n) {
 				k.bad("%s holds more than its room", n)
 			}
 		case *lathe.Core:
@@ -654,6 +661,7 @@
 			s.Acks += t.Acks
 			s.Lapses += t.Lapses
 			s.Reigns += t.Reigns
+			s.Odd += t.Odd
 		}
 	}
 	if k.healed != 0 && (s.Back == 0 || s.Back > boundCold) {
@@ -672,7 +680,7 @@
 	for i, k := range l {
 		l[i] = fmt.Sprintf("%s %d", k, s.Kinds[k])
 	}
-	return fmt.Sprintf("asked %d answered %d dropped %d unclear %d cut %d broke %d | firsts %d retries %d repeats %d | plan %v gone %v zone %v back %v no-owner %v | hits %d lookups %d breaks %d acks %d lapses %d unloads %d cold %d reigns %d | window %.3f late %d again %d/%d/%d [%s]",
+	return fmt.Sprintf("asked %d answered %d dropped %d unclear %d cut %d broke %d | firsts %d retries %d repeats %d | plan %v gone %v zone %v back %v no-owner %v | hits %d lookups %d breaks %d acks %d lapses %d unloads %d cold %d reigns %d | window %.3f late %d again %d/%d/%d | moves %d held %d for %v pulls %d [%s]",
 		s.Asked, s.Answered, s.Dropped, s.Unclear, s.Cut, s.Broke, s.Firsts, s.Retries, s.Repeats, s.PlanLag, s.GoneLag, s.ZoneLag, s.Back, s.NoOwner,
-		s.Hits, s.Lookups, s.Breaks, s.Acks, s.Lapses, s.Unloads, s.Cold, s.Reigns, s.Window, s.Late, s.Asked2, s.Known2, s.Ran2, strings.Join(l, ", "))
+		s.Hits, s.Lookups, s.Breaks, s.Acks, s.Lapses, s.Unloads, s.Cold, s.Reigns, s.Window, s.Late, s.Asked2, s.Known2, s.Ran2, s.Moves, s.Held, s.HeldFor.Round(1e8), s.Pulls, strings.Join(l, ", "))
 }
--- a/treadle/scenes.go
+++ b/treadle/scenes.go
@@ -796,6 +796,127 @@
 			w.At(sec(10), func() { w.Mangle = 0.02 })
 			w.At(sec(40), func() { w.Mangle = 0 })
 		}},
+	{Name: "mixed", About: "servers differ in room, slots and speed, and are replaced one by one", Long: 110e9, Least: 0.99, Whole: true, Set: func(o *Options) { o.Mixed = true },
+		Play: func(w *World) {
+			for i := range w.o.Servers {
+				s := fmt.Sprintf("server-%d", i+1)
+				w.At(sec(10+9*float64(i)), func() { w.mark(s, "leaving") })
+				w.At(sec(17+9*float64(i)), func() { w.Kill(s) })
+				w.At(sec(17.2+9*float64(i)), func() { w.Start(s); w.mark(s, "live") })
+			}
+		}},
+	{Name: "shifts", About: "keys move all the time to even servers out, while owners die, freeze and are parted, targets crash, sources are withdrawn, the store slows, plans drop keys and routers freeze", Long: 110e9, Least: 0.95,
+		Set: func(o *Options) { o.Anvil.Even, o.Anvil.Rest, o.Anvil.Gap, o.Room = 300e6, 500e6, 0.1, 80 },
+		Play: func(w *World) {
+			w.churn(8, 90, 10)
+			rate := w.store.Rate
+			for t := 10.0; t < 90; t += 1.5 {
+				w.At(sec(t), func() {
+					s := w.some("server-")
+					_, bad := w.Check.gone[s]
+					o := w.owner()
+					switch w.rand.IntN(9) {
+					case 0:
+						w.Restart(o, gauge.Span(w.rand.Int64N(2e9)))
+					case 1:
+						w.Freeze(o, gauge.Span(w.rand.Int64N(4e9)))
+					case 2:
+						w.Part(map[string]bool{o: true})
+						w.After(gauge.Span(w.rand.Int64N(3e9)), w.Heal)
+					case 3:
+						if !bad && w.procs[s].up {
+							w.crash(s, gauge.Span(w.rand.Int64N(2e9)))
+						}
+					case 4, 5:
+						if !bad && w.procs[s].up {
+							w.mark(s, "leaving")
+							w.After(gauge.Span(2e9+w.rand.Int64N(3e9)), func() { w.mark(s, "live") })
+						}
+					case 6:
+						w.store.Rate = rate / 6
+						w.After(3e9, func() { w.store.Rate = rate })
+					case 7:
+						w.Freeze(w.some("lathe-"), gauge.Span(w.rand.Int64N(4e9)))
+					case 8:
+						m := vise.NewMix(w.plan, w.rand.Uint64()).Rare()
+						w.PutPlan(w.some("anvil-"), Named(w.o.Plan, fmt.Sprintf("less-%d", w.admin), without(m.Call.Base)), 0, true, nil)
+						w.After(3e9, func() {
+							w.PutPlan(w.some("anvil-"), Named(w.o.Plan, fmt.Sprintf("again-%d", w.admin), nil), 0, true, nil)
+						})
+					}
+				})
+			}
+		}},
+	{Name: "return", About: "a zone is lost, comes back empty, and takes its part again: keys with a floor of two are ready in two zones", Long: 120e9, Least: 0.97,
+		Play: func(w *World) {
+			w.At(sec(14), func() {
+				for _, n := range w.order {
+					if p := w.procs[n]; p.zone == "zb" && p.server != "" {
+						w.crash(n, 15e9)
+					}
+				}
+			})
+			w.At(sec(118), func() {
+				zones := map[gauge.Key]map[gauge.Zone]bool{}
+				low, high := 1.0, 0.0
+				for _, n := range w.order {
+					v, ok := w.procs[n].core.(*vise.Server)
+					if !ok {
+						continue
+					}
+					part := float64(v.Used()) / float64(w.room(n))
+					low, high = min(low, part), max(high, part)
+					for k, h := range v.Holds() {
+						if zones[k] == nil {
+							zones[k] = map[gauge.Zone]bool{}
+						}
+						zones[k][w.procs[n].zone] = zones[k][w.procs[n].zone] || h.Stage == "ready"
+					}
+				}
+				for k, m := range w.plan.Models {
+					if m.Floor > 1 && len(zones[k]) < 2 {
+						w.Check.bad("%s has a floor of %d and is ready in %d zones", k, m.Floor, len(zones[k]))
+					}
+				}
+				if high-low > 0.5 {
+					w.Check.bad("servers stay unevenly filled: from %.2f to %.2f", low, high)
+				}
+			})
+		}},
+	{Name: "odd", About: "servers report what contradicts itself: more held than room, sizes below zero or past counting, keys twice and unknown", Long: 70e9, Least: 0.9, Set: tight,
+		Play: func(w *World) {
+			w.churn(8, 56, 15)
+			bends := []func(r *dowel.Report){
+				func(r *dowel.Report) { r.Held[0].Size = -1000 },
+				func(r *dowel.Report) { r.Held[0].Size = 1 << 62 },
+				func(r *dowel.Report) { r.Held = append(r.Held, r.Held[0]) },
+				func(r *dowel.Report) { r.Held[0].Key = "" },
+				func(r *dowel.Report) { r.Room = -r.Room },
+				func(r *dowel.Report) { r.Room, r.Slots = 1, 0 },
+				func(r *dowel.Report) { r.Held[0].Active = -5 },
+				func(r *dowel.Report) { r.Held[0].Stage = "melted" },
+			}
+			w.At(sec(12), func() {
+				w.Bend = func(r dowel.Report) dowel.Report {
+					n := int(w.now/5e9) % len(bends)
+					if int(r.Server[len(r.Server)-1])%3 == n%3 && len(r.Held) > 0 {
+						r.Held = append([]dowel.Held{}, r.Held...)
+						bends[n](&r)
+					}
+					return r
+				}
+			})
+			w.At(sec(52), func() { w.Bend = nil })
+			w.At(sec(60), func() {
+				n := uint64(0)
+				for _, p := range w.anvils() {
+					n += p.core.(*anvil.Core).Counts().Odd
+				}
+				if n == 0 {
+					w.Check.bad("no odd report was told")
+				}
+			})
+		}},
 	{Name: "unplan", About: "plans drop and bring back models that are in use, under long answers, while routers pause", Long: 90e9, Least: 0.9, Rate: 40, Whole: true,
 		Play: func(w *World) {
 			m := vise.NewMix(w.plan, w.o.Seed+11)
--- a/treadle/world.go
+++ b/treadle/world.go
@@ -40,6 +40,7 @@
 	Slots   int
 	Rate    float64 // of the store
 	Tenants int     // of callers
+	Mixed   bool    // servers differ in room, slots and speed
 	Fill    int     // prompt bytes that a server's step can prefill
 	Rates   float64 // how far the rates of any two machines' clocks may differ
 }
@@ -135,6 +136,8 @@
 	Seeds []string
 	// Mangle is the chance that a server's event comes malformed, late, twice, not at all, or is another's.
 	Mangle float64
+	// Bend, if set, is what a server makes of its report.
+	Bend func(r dowel.Report) dowel.Report
 	// Lists, if set, is what the platform makes of its list when it is asked.
 	Lists func(l []dowel.Listed) []dowel.Listed
 	// Again is the chance that a caller whose request broke asks again under the same id.
@@ -184,6 +187,7 @@
 	kind   string
 	sends  int
 	tries  int
+	first  gauge.Tick // when it was first sent
 	ran    int
 	held   bool // its last go was held back, and reached nobody
 	asked2 bool // its caller asks again, after a break
@@ -285,10 +289,24 @@
 func (w *World) addServer(name string, z gauge.Zone) {
 	skew, rate := w.clock()
 	w.add(&proc{name: name, box: name, zone: z, beat: 20e6, skew: skew, rate: rate, server: gauge.Server(name), made: func() core {
-		return vise.NewServer(vise.ServerOptions{ID: gauge.Server(name), Inc: w.inc(name), Room: w.o.Room, Slots: w.o.Slots, Store: "store", Fill: w.o.Fill})
+		s := vise.ServerOptions{ID: gauge.Server(name), Inc: w.inc(name), Room: w.room(name), Slots: w.o.Slots, Store: "store", Fill: w.o.Fill}
+		if w.o.Mixed {
+			s.Slots, s.Step = w.o.Slots*w.part(name)/4, 80e6/gauge.Span(w.part(name))
+		}
+		return vise.NewServer(s)
 	}})
 }
 
+// part tells how large and fast a server is, in quarters, where they differ: old ones and new ones.
+func (w *World) part(name string) int { return 2 + 2*(int(name[len(name)-1])%3) }
+
+func (w *World) room(name string) int {
+	if w.o.Mixed {
+		return w.o.Room * (5 + w.part(name)) / 9
+	}
+	return w.o.Room
+}
+
 func (w *World) add(p *proc) {
 	h := fnv.New64a()
 	fmt.Fprint(h, p.name)
@@ -569,6 +587,9 @@
 		}
 	case dowel.Note:
 		w.tracef("%s: %s", p.name, v.Text)
+		if strings.Contains(v.Text, " moves from ") {
+			w.Check.Seen.Moves++
+		}
 	case dowel.Oops:
 		w.tracef("%s: oops: %s", p.name, v.Text)
 	}
@@ -685,6 +706,9 @@
 	for _, x := range v.Step(s.tick(w.now), vise.OrderIn{Order: o}) {
 		if r, ok := x.(vise.OrderOut); ok {
 			w.Check.ordered(s, o, from, r.Report, was)
+			if w.Bend != nil {
+				r.Report = w.Bend(r.Report)
+			}
 			b, _ := json.Marshal(r.Report)
 			back(b)
 			continue
