Real processes on links of their own: splits, cut-off routers, a lost zone, a blind owner

What the harness could not do: every process shared one address, so no link between two could be cut.

--- a/anvil/serve.go
+++ b/anvil/serve.go
@@ -22,6 +22,7 @@
 	ID       string   `help:"This node's name." required:""`
 	Zone     string   `help:"This node's zone." required:""`
 	Listen   string   `help:"Where siblings reach this node, ip:port." required:""`
+	Bind     string   `help:"Where it listens for siblings, if not at the address that they are told, ip:port."`
 	Admin    string   `help:"Where operators reach this node over HTTP, ip:port." required:""`
 	Seeds    []string `help:"Three seed addresses, ip:port." required:""`
 	Data     string   `help:"Data folder." required:"" type:"path"`
@@ -35,6 +36,8 @@
 // Check names what is wrong with the settings.
 func (s *Settings) Check() (f chisel.Faults) {
 	f = append(f, clamp.Addr("listen", s.Listen)...)
+	_, more := clamp.Bind(s.Bind, s.Listen)
+	f = append(f, more...)
 	f = append(f, clamp.Addr("admin", s.Admin)...)
 	f = append(f, clamp.Addr("platform", s.Platform)...)
 	f = append(f, clamp.Seeds(s.Seeds)...)
@@ -92,6 +95,7 @@
 // Main runs a core node until it is told to stop.
 func Main(s Settings) error {
 	ring := clamp.NewRing(s.ID, os.Stderr)
+	at, _ := clamp.Bind(s.Bind, s.Listen)
 	core := New(Options{
 		Me: dowel.Sibling{ID: gauge.Node(s.ID), Addr: s.Listen}, Zone: gauge.Zone(s.Zone), Inc: clamp.NewInc(),
 		Seeds: clamp.Siblings(s.Seeds), Platform: s.Platform, Rand: clamp.NewRand(),
@@ -99,7 +103,7 @@
 		Lead: gauge.Span(s.LeadMs) * 1e6, Wall: time.Now,
 	})
 	d := &desk{wait: map[uint64]chan Receipt{}}
-	d.c = clamp.New(clamp.Options{Core: core, Listen: []string{s.Listen}, Data: s.Data, Beat: 20 * time.Millisecond, Ring: ring, Else: d.act})
+	d.c = clamp.New(clamp.Options{Core: core, Listen: []string{at}, Told: s.Listen, Data: s.Data, Beat: 20 * time.Millisecond, Ring: ring, Else: d.act})
 	if err := d.c.Run(); err != nil {
 		return err
 	}
--- a/awl/serve.go
+++ b/awl/serve.go
@@ -19,6 +19,7 @@
 	ID       string   `help:"This agent's name." required:""`
 	Zone     string   `help:"This agent's zone." required:""`
 	Listen   string   `help:"Where siblings reach this agent, ip:port." required:""`
+	Bind     string   `help:"Where it listens for siblings, if not at the address that they are told, ip:port."`
 	Near     string   `help:"Where the router reaches this agent, on loopback, ip:port." required:""`
 	Lathe    string   `help:"The router's control address on loopback, ip:port." required:""`
 	Admin    string   `help:"Where metrics and liveness are served over HTTP, ip:port." required:""`
@@ -29,6 +30,8 @@
 // Check names what is wrong with the settings.
 func (s *Settings) Check() (f chisel.Faults) {
 	f = append(f, clamp.Addr("listen", s.Listen)...)
+	_, more := clamp.Bind(s.Bind, s.Listen)
+	f = append(f, more...)
 	f = append(f, clamp.Near("near", s.Near)...)
 	f = append(f, clamp.Near("lathe", s.Lathe)...)
 	f = append(f, clamp.Addr("admin", s.Admin)...)
@@ -42,12 +45,13 @@
 // Main runs an agent until it is told to stop.
 func Main(s Settings) error {
 	ring := clamp.NewRing(s.ID, os.Stderr)
+	at, _ := clamp.Bind(s.Bind, s.Listen)
 	core := New(Options{
 		Me: dowel.Sibling{ID: gauge.Node(s.ID), Addr: s.Listen}, Zone: gauge.Zone(s.Zone), Inc: clamp.NewInc(), Life: gauge.Inc(clamp.Now()),
 		Seeds: clamp.Siblings(s.Seeds), Rand: clamp.NewRand(), Keep: gauge.Span(s.KeepMs) * 1e6,
 		Lathe: dowel.Sibling{ID: "lathe", Addr: s.Lathe},
 	})
-	c := clamp.New(clamp.Options{Core: core, Listen: []string{s.Listen, s.Near}, Beat: 20 * time.Millisecond, Ring: ring, Else: func(any) {}})
+	c := clamp.New(clamp.Options{Core: core, Listen: []string{at, s.Near}, Told: s.Listen, Beat: 20 * time.Millisecond, Ring: ring, Else: func(any) {}})
 	if err := c.Run(); err != nil {
 		return err
 	}
--- a/clamp/clamp.go
+++ b/clamp/clamp.go
@@ -60,6 +60,7 @@
 type Options struct {
 	Core   Core
 	Listen []string // for siblings
+	Told   string   // the address that siblings are told, from whose ip this process connects
 	Data   string   // data folder; empty if the process has no disk
 	Beat   time.Duration
 	Ring   *Ring
@@ -86,8 +87,8 @@
 	c := &Clamp{o: o, asks: make(chan dowel.Ask, 1024)}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	c.life, c.end = context.WithCancel(c.ctx)
-	c.post = newPost(c.ctx, func(e dowel.Env) { c.Step(e) })
-	c.http = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, Proxy: nil, DialContext: (&net.Dialer{Timeout: 500 * time.Millisecond}).DialContext}}
+	c.post = newPost(c.ctx, o.Told, func(e dowel.Env) { c.Step(e) })
+	c.http = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, Proxy: nil, DialContext: Dialer(o.Told, 500*time.Millisecond).DialContext}}
 	return c
 }
 
@@ -419,6 +420,30 @@
 	return r, *all
 }
 
+// Dialer connects from the ip of an address, so that others see who it is. An address that is
+// open to all, or none, leaves the choice to the machine.
+func Dialer(told string, wait time.Duration) *net.Dialer {
+	d := &net.Dialer{Timeout: wait}
+	a, err := netip.ParseAddrPort(told)
+	if err != nil || a.Addr().IsUnspecified() {
+		return d
+	}
+	d.LocalAddr = &net.TCPAddr{IP: a.Addr().AsSlice()}
+	// The port is chosen as it connects, or ports would run out sooner.
+	d.Control = func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_IP, unix.IP_BIND_ADDRESS_NO_PORT, 1) })
+	}
+	return d
+}
+
+// Bind checks where a process listens, if that is not where siblings are told, and picks it.
+func Bind(bind, told string) (string, chisel.Faults) {
+	if bind == "" {
+		return told, nil
+	}
+	return bind, Addr("bind", bind)
+}
+
 // Addr checks an ip:port setting.
 func Addr(path, s string) chisel.Faults {
 	a, err := netip.ParseAddrPort(s)
--- a/clamp/post.go
+++ b/clamp/post.go
@@ -46,10 +46,11 @@
 	busy  int // envelopes being written
 	ctx   context.Context
 	take  func(dowel.Env)
+	dial  *net.Dialer
 }
 
-func newPost(ctx context.Context, take func(dowel.Env)) *post {
-	return &post{lines: map[string]chan dowel.Env{}, ctx: ctx, take: take}
+func newPost(ctx context.Context, told string, take func(dowel.Env)) *post {
+	return &post{dial: Dialer(told, 500*time.Millisecond), lines: map[string]chan dowel.Env{}, ctx: ctx, take: take}
 }
 
 func (p *post) listen(addr string) error {
@@ -155,7 +156,7 @@
 			if time.Since(bad) < 100*time.Millisecond {
 				return
 			}
-			n, err := net.DialTimeout("tcp", to, 500*time.Millisecond)
+			n, err := p.dial.Dial("tcp", to)
 			if err != nil {
 				bad = time.Now()
 				return
--- a/jig/fleet.go
+++ b/jig/fleet.go
@@ -78,10 +78,17 @@
 	mu      sync.Mutex // guards used
 	used    map[int]bool
 	Log     io.Writer
+	Links   *Relays           // between all machines, if the fleet has links of its own
+	IPs     map[string]string // of each machine
+	linked  bool
+	told    string // where core nodes reach the platform
 }
 
 // Port finds a free port outside the range that the kernel gives out by itself.
-func (f *Fleet) Port() string {
+func (f *Fleet) Port() string { return f.PortAt("127.0.0.1") }
+
+// PortAt finds one at an address.
+func (f *Fleet) PortAt(ip string) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for {
@@ -89,43 +96,110 @@
 		if f.used[p] {
 			continue
 		}
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
+		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, p))
 		if err != nil {
 			continue
 		}
 		_ = l.Close()
 		f.used[p] = true
-		return fmt.Sprintf("127.0.0.1:%d", p)
+		return fmt.Sprintf("%s:%d", ip, p)
+	}
+}
+
+// machine gives a machine its address: one of its own on loopback, where the fleet has links.
+func (f *Fleet) machine(name string) string {
+	if !f.linked {
+		return "127.0.0.1"
+	}
+	if f.IPs[name] == "" {
+		f.IPs[name] = fmt.Sprintf("127.0.%d.%d", 1+len(f.IPs)/200, 2+len(f.IPs)%200)
+	}
+	return f.IPs[name]
+}
+
+// ends gives where others reach a process of a machine, and where it listens itself.
+func (f *Fleet) ends(name string) (told, at string) {
+	told = f.PortAt(f.machine(name))
+	if !f.linked {
+		return told, told
+	}
+	return told, f.PortAt("127.0.0.1")
+}
+
+// link puts a relay before a process, which listens at an address of its own.
+func (f *Fleet) link(told, at string) {
+	if f.linked {
+		if err := f.Links.Open(told, at); err != nil {
+			panic(err) // the port was free a moment ago
+		}
+	}
+}
+
+// Cut parts two machines, or with one way only what goes from the first to the second.
+func (f *Fleet) Cut(a, b string, oneWay bool) {
+	f.Links.Cut(f.IPs[a], f.IPs[b])
+	if !oneWay {
+		f.Links.Cut(f.IPs[b], f.IPs[a])
+	}
+}
+
+// Part parts a machine from all others but some.
+func (f *Fleet) Part(a string, but ...string) {
+next:
+	for b := range f.IPs {
+		for _, x := range but {
+			if strings.HasPrefix(b, x) {
+				continue next
+			}
+		}
+		if a != b {
+			f.Cut(a, b, false)
+		}
 	}
 }
 
 // New lays out a fleet; nothing runs yet.
-func New(s Shape, bins, dir string, plan []byte) *Fleet {
-	f := &Fleet{Shape: s, Dir: dir, Bins: bins, Plan: plan, Procs: map[string]*Proc{}, Admins: map[string]string{}, Names: map[string]string{},
+func New(s Shape, bins, dir string, plan []byte) *Fleet { return lay(s, bins, dir, plan, false) }
+
+// NewLinked lays out a fleet whose machines have addresses and links of their own.
+func NewLinked(s Shape, bins, dir string, plan []byte) *Fleet { return lay(s, bins, dir, plan, true) }
+
+func lay(s Shape, bins, dir string, plan []byte, linked bool) *Fleet {
+	f := &Fleet{linked: linked, Links: NewRelays(), IPs: map[string]string{}, Shape: s, Dir: dir, Bins: bins, Plan: plan, Procs: map[string]*Proc{}, Admins: map[string]string{}, Names: map[string]string{},
 		Servers: map[string]string{}, used: map[int]bool{}, http: &http.Client{Timeout: 8 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
 	zone := func(i int) string { return s.Zones[i%len(s.Zones)] }
-	f.Store, f.Home = f.Port(), f.Port()
+	f.Store = f.Port()
+	home, homeAt := f.ends("platform")
+	f.Home = homeAt
+	f.told = home
+	f.link(home, homeAt)
 	f.add("store", "vise", "store", "--listen", f.Store, "--rate", fmt.Sprint(s.Rate), "--bear", fmt.Sprint(s.Bear))
 	var list []string
 	for i := range s.Servers {
-		n, a := fmt.Sprintf("server-%d", i+1), f.Port()
+		n := fmt.Sprintf("server-%d", i+1)
+		told, a := f.ends(n)
+		f.link(told, a)
 		f.Servers[n] = a
-		list = append(list, fmt.Sprintf("%s=%s=%s", n, a, zone(i)))
-		f.add(n, "vise", "server", "--id", n, "--listen", a, "--store", f.Store, "--room", fmt.Sprint(s.Room))
+		list = append(list, fmt.Sprintf("%s=%s=%s", n, told, zone(i)))
+		// Old and new servers differ in room, slots and speed.
+		part := 3 + i%3
+		f.add(n, "vise", "server", "--id", n, "--listen", a, "--store", f.Store, "--room", fmt.Sprint(s.Room*part/4), "--slots", fmt.Sprint(4*part), "--step-ms", fmt.Sprint(80/part))
 	}
 	f.add("platform", "vise", "platform", "--listen", f.Home, "--servers", strings.Join(list, ","))
 	for range 3 {
-		f.Seeds = append(f.Seeds, f.Port())
+		f.Seeds = append(f.Seeds, f.PortAt(f.machine(fmt.Sprintf("anvil-%d", len(f.Seeds)+1))))
 	}
 	for i, a := range f.Seeds {
 		f.AddCore(fmt.Sprintf("anvil-%d", i+1), a, zone(i))
 	}
 	for i := range s.Routers {
 		n := fmt.Sprint(i + 1)
-		call, ctl, link, near, adm := f.Port(), f.Port(), f.Port(), f.Port(), f.Port()
+		call, ctl, near, adm := f.PortAt(f.machine("router-"+n)), f.Port(), f.Port(), f.Port()
+		link, at := f.ends("router-" + n)
+		f.link(link, at)
 		f.Routers = append(f.Routers, call)
 		f.Names["lathe-"+n] = call
-		f.add("awl-"+n, "awl", "--id", "awl-"+n, "--zone", zone(i), "--listen", link, "--near", near, "--lathe", ctl, "--admin", adm, "--seeds", strings.Join(f.Seeds, ","))
+		f.add("awl-"+n, "awl", "--id", "awl-"+n, "--zone", zone(i), "--listen", link, "--bind", at, "--near", near, "--lathe", ctl, "--admin", adm, "--seeds", strings.Join(f.Seeds, ","))
 		f.add("lathe-"+n, "lathe", "--id", "lathe-"+n, "--listen", call, "--control", ctl, "--awl", near)
 	}
 	return f
@@ -134,8 +208,13 @@
 // AddCore lays out a core node.
 func (f *Fleet) AddCore(name, listen, zone string) {
 	f.Admins[name] = f.Port()
-	f.add(name, "anvil", "--id", name, "--zone", zone, "--listen", listen, "--admin", f.Admins[name], "--seeds", strings.Join(f.Seeds, ","),
-		"--data", filepath.Join(f.Dir, name), "--platform", f.Home)
+	at := listen
+	if f.linked {
+		at = f.Port()
+		f.link(listen, at)
+	}
+	f.add(name, "anvil", "--id", name, "--zone", zone, "--listen", listen, "--bind", at, "--admin", f.Admins[name], "--seeds", strings.Join(f.Seeds, ","),
+		"--data", filepath.Join(f.Dir, name), "--platform", f.told)
 }
 
 func (f *Fleet) add(name, bin string, args ...string) {
--- a/jig/jig_test.go
+++ b/jig/jig_test.go
@@ -49,7 +49,12 @@
 	q   *chisel.Plan
 }
 
-func raise(t *testing.T, name string) rig {
+func raise(t *testing.T, name string) rig { return rise(t, name, New) }
+
+// raiseLinked raises a fleet whose machines have links that can be cut.
+func raiseLinked(t *testing.T, name string) rig { return rise(t, name, NewLinked) }
+
+func rise(t *testing.T, name string, lay func(Shape, string, string, []byte) *Fleet) rig {
 	t.Helper()
 	raw, err := os.ReadFile("../examples/" + name + ".json")
 	require.NoError(t, err)
@@ -59,7 +64,8 @@
 	require.Nil(t, faults)
 	ctx, stop := context.WithTimeout(context.Background(), patience)
 	t.Cleanup(stop)
-	f := New(Shapes[name], bins, t.TempDir(), raw)
+	f := lay(Shapes[name], bins, t.TempDir(), raw)
+	t.Cleanup(f.Links.Close)
 	for n := range f.Servers {
 		f.Procs[n].Args = append(f.Procs[n].Args, "--whole-ms", "100000") // nor on how soon it is scheduled
 	}
--- /dev/null
+++ b/jig/links_test.go
@@ -0,0 +1,206 @@
+package jig
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tidedeck/vise"
+)
+
+// racing hands over two plans at once, each again under its id until an answer comes.
+func (r rig) racing(n int, expect string) (told [2]Taken, code [2]int) {
+	var both sync.WaitGroup
+	for i := range 2 {
+		both.Add(1)
+		go func() {
+			defer both.Done()
+			raw := []byte(string(r.Plan) + strings.Repeat(" ", 1+2*n+i))
+			try := 0
+			_ = Until(r.ctx, "an answer", func() bool { // whoever gets none asks elsewhere
+				a, c, err := r.Put(fmt.Sprintf("anvil-%d", 1+(n+i+try)%3), raw, expect, fmt.Sprintf("race-%d-%d", n, i))
+				told[i], code[i] = a, c
+				try++
+				return err == nil && (c == 200 || c == 409)
+			})
+		}()
+	}
+	both.Wait()
+	return told, code
+}
+
+// The core is split every way, one way too, while two operators race and every connection
+// breaks off now and then; one of two wins each time, and what was told is what is read.
+func TestSplits(t *testing.T) {
+	r := raiseLinked(t, "padana")
+	epoch := uint64(1)
+	for n, cut := range []func(){
+		func() { r.Cut("anvil-1", "anvil-2", true) },
+		func() { r.Part("anvil-3") },
+		func() { r.Part(r.Owner(), "router-", "server-", "platform") },
+		func() { r.Links.Slow(5 * time.Millisecond) },
+		func() { r.Cut("anvil-2", "anvil-1", false) },
+	} {
+		cut()
+		stop := make(chan struct{})
+		var breaks sync.WaitGroup
+		breaks.Add(1)
+		go func() { // replies get lost on their way
+			defer breaks.Done()
+			for range 4 {
+				select {
+				case <-stop:
+					return
+				case <-time.After(150 * time.Millisecond):
+					r.Links.Break()
+				}
+			}
+		}()
+		told, code := r.racing(n, fmt.Sprint(epoch))
+		close(stop)
+		breaks.Wait()
+		r.Links.Heal()
+		won := -1
+		for i := range 2 {
+			if code[i] == 200 {
+				require.Equal(t, -1, won, "both were told taken: %v", told)
+				require.Equal(t, epoch+1, told[i].Epoch)
+				won = i
+			}
+		}
+		require.NotEqual(t, -1, won, "%v %v", told, code)
+		epoch++
+		want := string(r.Plan) + strings.Repeat(" ", 1+2*n+won)
+		for i := 1; i <= 3; i++ {
+			r.until("it is read back, to the byte", func() bool {
+				raw, ok := r.plan(fmt.Sprintf("anvil-%d", i))
+				require.True(t, !ok || raw == want, "anvil-%d gives something else", i)
+				return ok
+			})
+		}
+		r.until("it rules everywhere", func() bool { return r.Ruled(epoch, r.Routers...) })
+	}
+	rep := r.calls(100, 50, 31, func() {})
+	require.Equal(t, rep.Sent, rep.Receipts, "%v", rep.Kinds)
+}
+
+// A router is cut off from all of the core, with its promises: it stops routing; meanwhile a
+// plan takes its only route's model away and the model is unloaded. Then it comes back.
+func TestCutOffRouter(t *testing.T) {
+	r := raiseLinked(t, "corrib")
+	r.Part("router-1", "server-")
+	r.until("it knows that it is cut off", func() bool { return r.EpochAt(r.Names["lathe-1"]) == 0 })
+	e := r.put("anvil-1", []byte(string(r.Plan)+"\n"), "1", "without-it")
+	var rest []string
+	for n, a := range r.Names {
+		if n != "lathe-1" {
+			rest = append(rest, a)
+		}
+	}
+	r.until("the others rule by it", func() bool { return r.Ruled(e, rest...) })
+	sends := func() float64 { return r.Metrics(r.Names["lathe-1"] + "/-/metrics")["tidedeck_lathe_firsts_total"] }
+	was := sends()
+	// What comes to it is held, and goes out only once its link is back.
+	m := vise.NewMix(r.q, 33)
+	h := vise.Client()
+	rep := &vise.CallReport{Kinds: map[string]int{}, ByRouter: map[string]int{}}
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	for range 5 {
+		a := m.Next()
+		all.Add(1)
+		go func() { defer all.Done(); vise.Call(h, r.Names["lathe-1"], a, rep, &mu) }()
+	}
+	r.until("they wait there", func() bool {
+		return r.Metrics(r.Names["lathe-1"] + "/-/metrics")["tidedeck_lathe_waiting"] == 5
+	})
+	require.Equal(t, was, sends(), "nothing is sent without a hold")
+	r.Links.Heal()
+	r.until("it rules by the new plan", func() bool { return r.Ruled(e, r.Names["lathe-1"]) })
+	all.Wait()
+	require.Empty(t, rep.Wrong)
+	require.Equal(t, 5, rep.Receipts, "%v", rep.Kinds)
+}
+
+// A whole zone is lost, the owner's, and comes back; the platform is silent meanwhile.
+func TestZoneAndPlatform(t *testing.T) {
+	r := raiseLinked(t, "padana")
+	old := r.Owner()
+	n := int(old[len(old)-1] - '0')
+	var lost []string
+	for i := 1; i <= 9; i++ {
+		for _, p := range []string{"anvil", "server", "lathe", "awl"} {
+			name := fmt.Sprintf("%s-%d", p, i)
+			if r.Procs[name] != nil && (i-1)%3 == (n-1)%3 && (p != "anvil" || i <= 3) {
+				lost = append(lost, name)
+			}
+		}
+	}
+	r.Signal("platform", syscall.SIGSTOP)
+	var left []string
+	for name, a := range r.Names {
+		if int(name[len(name)-1]-'0'-1)%3 != (n-1)%3 {
+			left = append(left, a)
+		}
+	}
+	for _, x := range lost {
+		r.Kill(x)
+	}
+	r.until("another owns the duty", func() bool { o := r.Owner(); return o != "" && o != old })
+	r.until("it knows the servers, though the platform is silent", func() bool {
+		v, ok := r.Placed()
+		here := 0
+		for _, s := range v.View.Servers {
+			if s.Offered {
+				here++
+			}
+		}
+		return ok && here >= 6
+	})
+	m := vise.NewMix(r.q, 35)
+	rep := vise.Calls(r.ctx, vise.CallOptions{Routers: left, Next: m.Next, Rate: 40, Total: 120})
+	require.Empty(t, rep.Wrong)
+	require.Greater(t, rep.Receipts, rep.Sent*9/10, "%v", rep.Kinds)
+	r.Signal("platform", syscall.SIGCONT)
+	for _, x := range lost {
+		require.NoError(t, r.Start(x))
+	}
+	r.until("all is back", func() bool { return r.Ruled(1, r.Routers...) && r.Floors() })
+}
+
+// The owner reaches core and routers, but neither servers nor platform: another takes the duty.
+func TestBlindOwner(t *testing.T) {
+	r := raiseLinked(t, "padana")
+	old := r.Owner()
+	r.Part(old, "anvil-", "router-")
+	r.until("another owns the duty", func() bool { o := r.Owner(); return o != "" && o != old })
+	rep := r.calls(100, 50, 37, func() {})
+	require.Equal(t, rep.Sent, rep.Receipts, "%v", rep.Kinds)
+	r.Links.Heal()
+}
+
+// Crowds ask for rare models at once while the store is slow; loads keep within its budget.
+func TestCrowds(t *testing.T) {
+	r := raise(t, "corrib")
+	m := vise.NewMix(r.q, 39)
+	a := []vise.Ask{m.Rare(), m.Rare(), m.Rare(), m.Rare()}
+	i := 0
+	rep := vise.Calls(r.ctx, vise.CallOptions{Routers: r.Routers, Rate: 200, Total: 400, Next: func() vise.Ask { i++; return m.Of(a[i%4]) }})
+	require.Empty(t, rep.Wrong)
+	require.Greater(t, rep.Receipts, rep.Sent/2, "%v", rep.Kinds)
+	var st vise.StoreTally
+	_, err := r.Get(r.Store+"/count", &st)
+	require.NoError(t, err)
+	require.Zero(t, st.Over)
+	for n, addr := range r.Servers {
+		var c struct{ Tally vise.ServerTally }
+		_, err := r.Get(addr+"/count", &c)
+		require.NoError(t, err)
+		require.Zero(t, c.Tally.NoRoom, n)
+	}
+}
--- /dev/null
+++ b/jig/relay.go
@@ -0,0 +1,161 @@
+package jig
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// Relays are the links of a fleet: whoever connects to a process goes through one, which knows
+// both ends by their addresses and can hold back what goes one way, or both, or break it off.
+type Relays struct {
+	mu    sync.Mutex // guards all below
+	cond  *sync.Cond
+	cuts  map[[2]string]bool // from ip, to ip
+	slow  time.Duration
+	conns map[net.Conn]bool
+	ears  []net.Listener
+	over  bool
+}
+
+// NewRelays makes links that carry everything.
+func NewRelays() *Relays {
+	r := &Relays{cuts: map[[2]string]bool{}, conns: map[net.Conn]bool{}}
+	r.cond = sync.NewCond(&r.mu)
+	return r
+}
+
+// Open listens at one address and carries what comes to another.
+func (r *Relays) Open(from, to string) error {
+	l, err := net.Listen("tcp", from)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.ears = append(r.ears, l)
+	r.mu.Unlock()
+	there, _, _ := net.SplitHostPort(from)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go r.carry(c, there, to)
+		}
+	}()
+	return nil
+}
+
+func (r *Relays) keep(c net.Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.conns[c] = true
+}
+
+func (r *Relays) shut(c net.Conn) {
+	_ = c.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.conns, c)
+}
+
+func (r *Relays) carry(c net.Conn, there, to string) {
+	here, _, _ := net.SplitHostPort(c.RemoteAddr().String())
+	r.keep(c)
+	defer r.shut(c)
+	if !r.pass(here, there) {
+		return
+	}
+	d, err := net.DialTimeout("tcp", to, time.Second)
+	if err != nil {
+		return
+	}
+	r.keep(d)
+	defer r.shut(d)
+	var both sync.WaitGroup
+	pump := func(a, b net.Conn, from, to string) {
+		defer both.Done()
+		defer func() { _, _ = a.Close(), b.Close() }()
+		buf := make([]byte, 32<<10)
+		for {
+			n, err := a.Read(buf)
+			if n > 0 {
+				if !r.pass(from, to) {
+					return
+				}
+				if _, err := b.Write(buf[:n]); err != nil {
+					return
+				}
+			}
+			if err != nil {
+				return
+			}
+		}
+	}
+	both.Add(2)
+	go pump(c, d, here, there)
+	go pump(d, c, there, here)
+	both.Wait()
+}
+
+// pass waits while a way is cut; it tells whether the links are still up.
+func (r *Relays) pass(from, to string) bool {
+	r.mu.Lock()
+	slow := r.slow
+	r.mu.Unlock()
+	if slow > 0 {
+		time.Sleep(slow)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for r.cuts[[2]string{from, to}] && !r.over {
+		r.cond.Wait()
+	}
+	return !r.over
+}
+
+// Cut holds back all that goes one way.
+func (r *Relays) Cut(from, to string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cuts[[2]string{from, to}] = true
+}
+
+// Slow delays every part of what is carried.
+func (r *Relays) Slow(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.slow = d
+}
+
+// Heal carries everything again.
+func (r *Relays) Heal() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cuts, r.slow = map[[2]string]bool{}, 0
+	r.cond.Broadcast()
+}
+
+// Break breaks off every connection there is.
+func (r *Relays) Break() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		_ = c.Close()
+	}
+}
+
+// Close ends the links.
+func (r *Relays) Close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.over = true
+	for _, l := range r.ears {
+		_ = l.Close()
+	}
+	for c := range r.conns {
+		_ = c.Close()
+	}
+	r.cond.Broadcast()
+}
--- a/lathe/serve.go
+++ b/lathe/serve.go
@@ -63,6 +63,7 @@
 	stop   chan struct{}
 	idle   time.Duration
 	record *Recorder
+	dial   *net.Dialer
 }
 
 // patient is a connection to a server that is given up after a silence.
@@ -84,7 +85,7 @@
 		Me: dowel.Sibling{ID: gauge.Node(s.ID), Addr: s.Control}, Inc: clamp.NewInc(),
 		Awl: dowel.Sibling{ID: "", Addr: s.Awl}, Cache: s.Cache, Ramp: gauge.Span(s.RampMs) * 1e6,
 	})
-	d := &door{calls: map[Ref]chan any{}, core: core, stop: make(chan struct{}), idle: time.Duration(s.IdleMs) * time.Millisecond}
+	d := &door{dial: clamp.Dialer(s.Listen, 500*time.Millisecond), calls: map[Ref]chan any{}, core: core, stop: make(chan struct{}), idle: time.Duration(s.IdleMs) * time.Millisecond}
 	if s.Record != "" {
 		r, err := OpenRecorder(s.Record, s.ID, s.Prompts)
 		if err != nil {
@@ -201,7 +202,7 @@
 // run makes one go: it dials first, asks whether it may send at the very point of sending,
 // and sends on a connection of its own, so that nothing below repeats a request unseen.
 func (d *door) run(ctx context.Context, v Launch, s *stream) (End, gauge.Kind) {
-	conn, err := (&net.Dialer{Timeout: 500 * time.Millisecond}).DialContext(ctx, "tcp", v.Addr)
+	conn, err := d.dial.DialContext(ctx, "tcp", v.Addr)
 	if err != nil {
 		return Unsent, gauge.None
 	}
--- a/lathe/serve_test.go
+++ b/lathe/serve_test.go
@@ -24,7 +24,7 @@
 // front makes a router's HTTP side that holds its link and promises one server.
 func front(t *testing.T, server string, idle time.Duration) (*door, *httptest.Server) {
 	core := New(Options{Inc: 7})
-	d := &door{calls: map[Ref]chan any{}, core: core, stop: make(chan struct{}), idle: idle}
+	d := &door{dial: clamp.Dialer("", time.Second), calls: map[Ref]chan any{}, core: core, stop: make(chan struct{}), idle: idle}
 	d.c = clamp.New(clamp.Options{Core: core, Beat: time.Millisecond, Ring: clamp.NewRing("t", io.Discard), Else: d.act})
 	require.NoError(t, d.c.Run())
 	t.Cleanup(d.c.Stop)
