Streams are bounded by event, readers are used again; benchmarks of a hit and of the way

Cause: a server's event had no bound, so one that never ends a line would fill the router's memory (read, then TestStreams: past any size). TestStreams gains malformed, foreign, doubled and late events, and repeated.

--- a/lathe/core.go
+++ b/lathe/core.go
@@ -23,6 +23,7 @@
 	Hello gauge.Span
 	Batch gauge.Span // removals are gathered for so long
 	Plain bool       // no prefix affinity, to measure against
+	Heads int        // leading shared parts that affinity goes by; all, if none is said
 	Check bool       // check every entry on every use, to measure against
 }
 
--- a/lathe/ledger.go
+++ b/lathe/ledger.go
@@ -409,14 +409,14 @@
 }
 
 // rank orders replicas for a request the same way at every router.
-func rank(r *req, s gauge.Server, parts bool) uint64 {
+func rank(r *req, s gauge.Server, parts bool, heads int) uint64 {
 	h := fnv.New64a()
 	fmt.Fprint(h, s, "|", r.key.Base())
 	if parts = parts && len(r.Call.Call.Parts) > 0; !parts {
 		fmt.Fprint(h, "|", r.Call.Call.ID)
 	}
-	for _, p := range r.Call.Call.Parts {
-		if parts {
+	for i, p := range r.Call.Call.Parts {
+		if parts && (heads == 0 || i < heads) {
 			fmt.Fprint(h, "|", p)
 		}
 	}
@@ -442,7 +442,7 @@
 		if c.empty[p.Zone] || lost >= 2 {
 			continue
 		}
-		if top == nil || rank(r, p.Server, true) > rank(r, top.Server, true) {
+		if top == nil || rank(r, p.Server, true, c.o.Heads) > rank(r, top.Server, true, c.o.Heads) {
 			top = p
 		}
 	}
@@ -491,13 +491,13 @@
 			if fa, fb := fits(l[i]), fits(l[j]); fa != fb {
 				return fa
 			} else if fa {
-				return rank(r, l[i].Server, hash) > rank(r, l[j].Server, hash)
+				return rank(r, l[i].Server, hash, c.o.Heads) > rank(r, l[j].Server, hash, c.o.Heads)
 			}
 		}
 		if a != b {
 			return a < b
 		}
-		return rank(r, l[i].Server, hash) > rank(r, l[j].Server, hash)
+		return rank(r, l[i].Server, hash, c.o.Heads) > rank(r, l[j].Server, hash, c.o.Heads)
 	})
 	return l[0]
 }
--- a/lathe/serve.go
+++ b/lathe/serve.go
@@ -244,6 +244,9 @@
 // mostEvent bounds one event of a server's.
 const mostEvent = 256 << 10
 
+// Readers of streams are used again: a new one for each go cost more than the go.
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, mostEvent) }}
+
 // Line is what a router checks of every event.
 type Line struct {
 	N      int          `json:"n"`
@@ -259,7 +262,12 @@
 
 // flow passes a server's events on, each checked to be the next one of this go.
 func (d *door) flow(body io.Reader, v Launch, s *stream) (End, gauge.Kind) {
-	in := bufio.NewReaderSize(body, mostEvent)
+	in := readers.Get().(*bufio.Reader)
+	in.Reset(body)
+	defer func() {
+		in.Reset(nil)
+		readers.Put(in)
+	}()
 	n := 0
 	for {
 		l, err := in.ReadSlice('\n')
--- a/lathe/serve_test.go
+++ b/lathe/serve_test.go
@@ -22,10 +22,10 @@
 )
 
 // front makes a router's HTTP side that holds its link and promises one server.
-func front(t *testing.T, server string, idle time.Duration) (*door, *httptest.Server) {
+func front(t testing.TB, server string, idle time.Duration) (*door, *httptest.Server) {
 	core := New(Options{Inc: 7})
 	d := &door{dial: clamp.Dialer("", time.Second), calls: map[Ref]chan any{}, core: core, stop: make(chan struct{}), idle: idle}
-	d.c = clamp.New(clamp.Options{Core: core, Beat: time.Millisecond, Ring: clamp.NewRing("t", io.Discard), Else: d.act})
+	d.c = clamp.New(clamp.Options{Core: core, Beat: 10 * time.Millisecond, Ring: clamp.NewRing("t", io.Discard), Else: d.act})
 	require.NoError(t, d.c.Run())
 	t.Cleanup(d.c.Stop)
 	e := &dowel.Entry{Key: "m", Mark: 1, Replicas: []dowel.Replica{{Server: "s", Addr: strings.TrimPrefix(server, "http://"), Inc: 1, Slots: 8, Warm: 1e12}}}
@@ -113,6 +113,27 @@
 			line(w, r, 0, "")
 			line(w, r, 2, `,"done":true`)
 		}, 200, `"kind":"cut"`, "done", 1},
+		{"past any size", func(w http.ResponseWriter, r *http.Request) {
+			line(w, r, 0, "")
+			line(w, r, 1, `,"text":"`+strings.Repeat("x", mostEvent)+`"`)
+		}, 200, `"kind":"cut"`, "xxx", 1},
+		{"not JSON", func(w http.ResponseWriter, r *http.Request) {
+			line(w, r, 0, "")
+			_, _ = io.WriteString(w, "data: {\"n\":1,\n\n")
+		}, 200, `"kind":"cut"`, "done", 1},
+		{"another's", func(w http.ResponseWriter, r *http.Request) {
+			line(w, r, 0, "")
+			_, _ = io.WriteString(w, "data: {\"n\":1,\"go\":\"another\",\"server\":\"s\",\"done\":true}\n\n")
+		}, 200, `"kind":"cut"`, "done", 1},
+		{"twice", func(w http.ResponseWriter, r *http.Request) {
+			line(w, r, 0, "")
+			line(w, r, 0, "")
+		}, 200, `"kind":"cut"`, "done", 1},
+		{"late, after its end", func(w http.ResponseWriter, r *http.Request) {
+			line(w, r, 0, `,"done":true`)
+			line(w, r, 1, `,"text":"late"`)
+		}, 200, `"done":true`, "late", 1},
+		{"ran it before", func(w http.ResponseWriter, r *http.Request) { clamp.Error(w, gauge.Repeated, 0, nil) }, 409, `"kind":"repeated","dropped":false`, "data:", 1},
 		{"silent", func(w http.ResponseWriter, r *http.Request) {
 			line(w, r, 0, "")
 			<-r.Context().Done()
@@ -167,3 +188,45 @@
 		require.Empty(t, d.core.reqs)
 	})
 }
+
+// What a hit costs the core: routing under a callback, checked and ended.
+func BenchmarkHit(b *testing.B) {
+	b.ReportAllocs()
+	c := New(Options{Inc: 7})
+	c.Step(1e9, dowel.Env{Body: dowel.Hold{Session: ses, Until: 1e18, Routers: 1}})
+	c.Step(1e9, dowel.Env{Body: dowel.News{Session: ses, Items: []dowel.Item{{Num: 1, Desired: &dowel.Desired{Gen: 1, Epoch: 1, Plan: []byte(plan)}},
+		{Num: 2, Entry: &dowel.Entry{Key: "m", Mark: 1, Replicas: []dowel.Replica{{Server: "s", Addr: "s", Inc: 1, Slots: 8, Warm: 1e12}, {Server: "r", Addr: "r", Inc: 1, Slots: 8, Warm: 1e12}}}}}}})
+	x := chisel.Call{ID: "1", Base: "m", Kind: "k", Parts: []string{"system", "tenant"}, Again: true}
+	for i := range b.N {
+		ref := Ref(i + 1)
+		c.Step(2e9, Call{Ref: ref, Route: "/r", Call: x})
+		c.MaySend(2e9, ref, 1)
+		c.Step(2e9, Begun{ref, 1})
+		c.Step(2e9, Ended{Ref: ref, N: 1, How: Done})
+	}
+}
+
+// A request straight to a server, and the same through the router: only the ratio says something.
+func BenchmarkWay(b *testing.B) {
+	back := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var g dowel.Work
+		_ = decode(r, &g)
+		for n := range 9 {
+			_, _ = fmt.Fprintf(w, "data: {\"n\":%d,\"go\":%q,\"server\":\"s\",\"done\":%v}\n\n", n, g.Go, n == 8)
+			w.(http.Flusher).Flush()
+		}
+	}))
+	defer back.Close()
+	_, s := front(b, back.URL, time.Minute)
+	h := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for name, url := range map[string]string{"straight": back.URL + "/generate", "through": s.URL + "/r"} {
+		b.Run(name, func(b *testing.B) {
+			for range b.N {
+				w, err := h.Post(url, "application/json", strings.NewReader(ask))
+				require.NoError(b, err)
+				_, _ = io.Copy(io.Discard, w.Body)
+				_ = w.Body.Close()
+			}
+		})
+	}
+}
--- a/treadle/measure.go
+++ b/treadle/measure.go
@@ -68,9 +68,33 @@
 	}
 
 	p("prefix reuse (scene calm, 60 tenants, 64 parts cached at a server)")
-	for _, plain := range []bool{false, true} {
-		l, _ := run("calm", func(o *Options) { o.Lathe.Plain = plain; o.Tenants = 60 })
-		p("  affinity %-5v %.1f in 100 prompt bytes reused", !plain, 100*sum(l, func(s Seen) float64 { return float64(s.Reused) })/sum(l, func(s Seen) float64 { return float64(s.Prompt) }))
+	for _, c := range []struct {
+		name  string
+		plain bool
+		heads int
+	}{{"all shared parts", false, 0}, {"the leading part", false, 1}, {"none", true, 0}} {
+		for _, scene := range []string{"calm", "storm", "servers"} {
+			l, _ := run(scene, func(o *Options) { o.Lathe.Plain, o.Lathe.Heads, o.Tenants = c.plain, c.heads, 60 })
+			p("  affinity by %-17s %-8s %.1f in 100 prompt bytes reused, answered %.4f", c.name, scene, 100*sum(l, func(s Seen) float64 { return float64(s.Reused) })/sum(l, func(s Seen) float64 { return float64(s.Prompt) }), share(l))
+		}
+	}
+
+	p("moves, and requests that waited for more than 250 ms")
+	for _, scene := range []string{"calm", "roll", "zones", "windows", "servers", "zone-loss", "return", "mixed"} {
+		l, _ := run(scene, nil)
+		p("  %-10s %.1f moves, %.1f pulls a run; %.2f in 100 waited, %.2f s each", scene, sum(l, func(s Seen) float64 { return float64(s.Moves) })/float64(len(l)),
+			sum(l, func(s Seen) float64 { return float64(s.Pulls) })/float64(len(l)), 100*sum(l, func(s Seen) float64 { return float64(s.Held) })/sum(l, asked),
+			sum(l, func(s Seen) float64 { return s.HeldFor.Seconds() })/max(1, sum(l, func(s Seen) float64 { return float64(s.Held) })))
+	}
+
+	p("goes that were no first ones, worst 10 s with 50 first goes, in 100")
+	for _, scene := range []string{"flap", "storm", "dead", "again", "zone-each", "medley"} {
+		l, _ := run(scene, nil)
+		top := 0.0
+		for _, s := range l {
+			top = max(top, s.Window)
+		}
+		p("  %-10s %.1f", scene, 100*top)
 	}
 
 	p("takeover and recovery, worst of the seeds")
