A caller that stops reading is given up, and a body that trickles in ends

A gap that nobody had named: events were written to callers with no bound, so a caller that stops reading held its server's slot, the drain of its model and a planned stop for ever. Bodies have 30 s.

--- a/clamp/clamp.go
+++ b/clamp/clamp.go
@@ -544,7 +544,11 @@
 
 // Body reads a request's body within a bound.
 func Body(w http.ResponseWriter, r *http.Request, most int64) ([]byte, bool) {
+	// A body that trickles in holds nobody for ever; the answer may then take as long as it must.
+	to := http.NewResponseController(w)
+	_ = to.SetReadDeadline(time.Now().Add(30 * time.Second))
 	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	_ = to.SetReadDeadline(time.Time{})
 	if err != nil {
 		var big *http.MaxBytesError
 		if errors.As(err, &big) {
--- a/lathe/serve.go
+++ b/lathe/serve.go
@@ -173,7 +173,7 @@
 		d.record.Add(r.URL.Path, x)
 	}
 	d.c.Step(Call{Ref: ref, Route: r.URL.Path, Call: x})
-	s := &stream{w: w}
+	s := &stream{w: w, to: http.NewResponseController(w), idle: d.idle}
 	for {
 		select {
 		case <-r.Context().Done():
@@ -186,7 +186,7 @@
 				return
 			case Launch:
 				how, kind := d.run(r.Context(), v, s)
-				if r.Context().Err() != nil {
+				if s.gone || r.Context().Err() != nil {
 					d.c.Step(Quit{ref})
 					return
 				}
@@ -286,7 +286,9 @@
 			d.c.Step(Begun{Ref: v.Ref, N: v.N})
 		}
 		n++
-		s.pass(data)
+		if s.pass(data); s.gone {
+			return Lost, gauge.None // nobody reads it any more
+		}
 		if x.Done {
 			return Done, gauge.None
 		}
@@ -296,7 +298,10 @@
 // stream is the caller's side of an answer.
 type stream struct {
 	w    http.ResponseWriter
+	to   *http.ResponseController
+	idle time.Duration // a caller that takes nothing for so long is given up
 	open bool
+	gone bool
 }
 
 func (s *stream) pass(data []byte) {
@@ -306,15 +311,15 @@
 		s.w.Header().Set("Cache-Control", "no-store")
 		s.w.WriteHeader(http.StatusOK)
 	}
-	_, _ = fmt.Fprintf(s.w, "data: %s\n\n", data)
-	if f, ok := s.w.(http.Flusher); ok {
-		f.Flush()
-	}
+	_ = s.to.SetWriteDeadline(time.Now().Add(s.idle))
+	_, err := fmt.Fprintf(s.w, "data: %s\n\n", data)
+	s.gone = err != nil || s.to.Flush() != nil
 }
 
 // drop says the last word when it is not a server's: as a status while nothing was sent
 // yet, as an error event when the stream was already open.
 func (s *stream) drop(v Receipt) {
+	_ = s.to.SetWriteDeadline(time.Now().Add(s.idle))
 	if !s.open {
 		clamp.Error(s.w, v.Kind, v.Back, nil)
 		return
--- a/lathe/serve_test.go
+++ b/lathe/serve_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -230,3 +231,32 @@
 		})
 	}
 }
+
+// A caller that stops reading is given up: it holds neither the server's slot nor a planned stop.
+func TestCallerStopsReading(t *testing.T) {
+	gone := make(chan struct{})
+	back := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var g dowel.Work
+		_ = decode(r, &g)
+		for n := 0; r.Context().Err() == nil; n++ {
+			if _, err := fmt.Fprintf(w, "data: {\"n\":%d,\"go\":%q,\"server\":\"s\",\"text\":%q}\n\n", n, g.Go, strings.Repeat("x", 100_000)); err != nil {
+				break
+			}
+			w.(http.Flusher).Flush()
+		}
+		close(gone)
+	}))
+	t.Cleanup(back.Close)
+	d, s := front(t, back.URL, 200*time.Millisecond)
+	c, err := net.Dial("tcp", strings.TrimPrefix(s.URL, "http://"))
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = fmt.Fprintf(c, "POST /r HTTP/1.1\r\nHost: r\r\nContent-Length: %d\r\n\r\n%s", len(ask), ask)
+	require.NoError(t, err)
+	<-gone
+	s.Close()
+	d.c.With(func(gauge.Tick) {
+		require.Zero(t, d.core.bench["s"].work)
+		require.Empty(t, d.core.reqs)
+	})
+}
