--- a/treadle/bites_test.go
+++ b/treadle/bites_test.go
@@ -74,6 +74,8 @@
 		{"anvil/place.go", "oddity(r); odd != s.odd", "``; odd != s.odd && oddity(r) != ``"}}},
 	{"spread over zones", "return", "ready in 1 zones", []edit{{"anvil/moves.go", "if m.Floor < 2 || live < 2", "if m.Floor >= 0 || live < 2"}, {"anvil/place.go", "n += 1_000_000", "n += 0"}}},
 	{"even out", "return", "unevenly filled", []edit{{"anvil/moves.go", "if c.now.Sub(c.uneven) < c.o.Even {", "if c.uneven != 1 {"}}},
+	{"sweep what reads do not mend", "sweep", "still has epoch", []edit{{"anvil/register.go", "if r.unequal++; r.unequal > 30 {", "if r.unequal > 30 {"}}},
+	{"a seat outlives a restart", "spare", "a seat was given away", []edit{{"anvil/register.go", "if r.gone[v.ID] == 0 {", "if r.gone[v.ID] != 0 {"}}},
 	{"come back soon", "power", "service came back", []edit{{"anvil/core.go", "gauge.Or(&o.Duty, 1200e6)", "gauge.Or(&o.Duty, 20e9)"}}},
 }
 
--- a/treadle/check.go
+++ b/treadle/check.go
@@ -62,6 +62,7 @@
 	Firsts, Retries, Repeats                              int
 	Asked2, Known2, Ran2                                  int     // asked again after a break; refused as repeated; ran again, where the server that had run it was gone or another was nearer by then
 	Window                                                float64 // worst share of goes that were no first ones, in 10 s
+	Admits                                                int     // changes of the voter set
 	Needless                                              int     // dropped though, as they were, a server had long held the key and had room
 	Late                                                  uint64  // refused by servers as sent too late
 	Kinds                                                 map[string]int
--- a/treadle/scenes.go
+++ b/treadle/scenes.go
@@ -923,6 +923,48 @@
 				}
 			})
 		}},
+	{Name: "sweep", About: "a core node is cut off as a plan is taken, and comes back: its disk has the plan soon, though nobody changes anything", Long: 60e9, Least: 0.99,
+		Play: func(w *World) {
+			last := func(n string) (e gauge.Epoch) {
+				var v struct{ Value dowel.Desired }
+				_ = json.Unmarshal(w.procs[n].disk.safe["accepted"], &v)
+				return v.Value.Epoch
+			}
+			for i, t := range []float64{12, 34} {
+				n := fmt.Sprintf("anvil-%d", 3-i)
+				w.At(sec(t), func() { w.Part(map[string]bool{n: true}) })
+				w.At(sec(t+1), func() {
+					w.PutPlan("anvil-1", Named(w.o.Plan, fmt.Sprintf("missed-%d", i), nil), 0, true, nil)
+				})
+				w.At(sec(t+4), w.Heal)
+				w.At(sec(t+20), func() {
+					if a, b := last(n), last("anvil-1"); a != b {
+						w.Check.bad("the disk of %s still has epoch %d, not %d", n, a, b)
+					}
+				})
+			}
+		}},
+	{Name: "spare", About: "a spare core node runs while core nodes are restarted, as planned and not: none loses its seat by that", Long: 80e9, Least: 0.99,
+		Play: func(w *World) {
+			w.At(sec(9), func() { w.Spare("anvil-4", "za") })
+			w.plans(10, 60, 6)
+			for i, t := 0, 14.0; t < 60; i, t = i+1, t+9 {
+				n := fmt.Sprintf("anvil-%d", 1+i%3)
+				w.At(sec(t), func() {
+					if w.rand.IntN(2) == 0 {
+						w.Restart(n, gauge.Span(1e9+w.rand.Int64N(3e9)))
+						return
+					}
+					w.Stop(n)
+					w.After(3e9, func() { w.Start(n) })
+				})
+			}
+			w.At(sec(79), func() {
+				if w.Check.Seen.Admits > 0 {
+					w.Check.bad("a seat was given away for a restart")
+				}
+			})
+		}},
 	{Name: "unplan", About: "plans drop and bring back models that are in use, under long answers, while routers pause", Long: 90e9, Least: 0.9, Rate: 40, Whole: true,
 		Play: func(w *World) {
 			m := vise.NewMix(w.plan, w.o.Seed+11)
--- a/treadle/world.go
+++ b/treadle/world.go
@@ -588,6 +588,9 @@
 		}
 	case dowel.Note:
 		w.tracef("%s: %s", p.name, v.Text)
+		if v.Text == "voter set changed" {
+			w.Check.Seen.Admits++
+		}
 		if strings.Contains(v.Text, " moves from ") {
 			w.Check.Seen.Moves++
 		}
