--- a/treadle/scenes.go
+++ b/treadle/scenes.go
@@ -291,14 +291,7 @@
 			}
 		}},
 	{Name: "roll", About: "servers are replaced one by one, each drained first", Long: 110e9, Least: 0.995, Whole: true,
-		Play: func(w *World) {
-			for i := range w.o.Servers {
-				s := fmt.Sprintf("server-%d", i+1)
-				w.At(sec(10+9*float64(i)), func() { w.mark(s, "leaving") })
-				w.At(sec(17+9*float64(i)), func() { w.Kill(s) })
-				w.At(sec(17.2+9*float64(i)), func() { w.Start(s); w.mark(s, "live") })
-			}
-		}},
+		Play: (*World).replaceServers},
 	{Name: "roll-core", About: "core nodes and agents are restarted one by one, as planned, while keys move and plans come", Long: 80e9, Least: 0.99, Whole: true, Set: tight,
 		Play: func(w *World) {
 			w.churn(8, 60, 15)
@@ -803,14 +796,7 @@
 			w.At(sec(40), func() { w.Mangle = 0 })
 		}},
 	{Name: "mixed", About: "servers differ in room, slots and speed, and are replaced one by one", Long: 110e9, Least: 0.99, Whole: true, Set: func(o *Options) { o.Mixed = true },
-		Play: func(w *World) {
-			for i := range w.o.Servers {
-				s := fmt.Sprintf("server-%d", i+1)
-				w.At(sec(10+9*float64(i)), func() { w.mark(s, "leaving") })
-				w.At(sec(17+9*float64(i)), func() { w.Kill(s) })
-				w.At(sec(17.2+9*float64(i)), func() { w.Start(s); w.mark(s, "live") })
-			}
-		}},
+		Play: (*World).replaceServers},
 	{Name: "shifts", About: "keys move all the time to even servers out, while owners die, freeze and are parted, targets crash, sources are withdrawn, the store slows, plans drop keys and routers freeze", Long: 110e9, Least: 0.95,
 		Set: func(o *Options) { o.Anvil.Even, o.Anvil.Rest, o.Anvil.Gap, o.Room = 300e6, 500e6, 0.1, 80 },
 		Play: func(w *World) {
@@ -1078,6 +1064,16 @@
 		Play: func(w *World) { w.At(sec(20), func() { w.blackout(true, 3e9) }) }},
 }
 
+// replaceServers replaces every server, one after another, each drained first.
+func (w *World) replaceServers() {
+	for i := range w.o.Servers {
+		s := fmt.Sprintf("server-%d", i+1)
+		w.At(sec(10+9*float64(i)), func() { w.mark(s, "leaving") })
+		w.At(sec(17+9*float64(i)), func() { w.Kill(s) })
+		w.At(sec(17.2+9*float64(i)), func() { w.Start(s); w.mark(s, "live") })
+	}
+}
+
 // route names the plan's first route, or another one.
 func (w *World) route(n int) string {
 	var l []string
