--- a/treadle/bites_test.go
+++ b/treadle/bites_test.go
@@ -76,6 +76,7 @@
 	{"even out", "return", "unevenly filled", []edit{{"anvil/moves.go", "if c.now.Sub(c.uneven) < c.o.Even {", "if c.uneven != 1 {"}}},
 	{"sweep what reads do not mend", "sweep", "still has epoch", []edit{{"anvil/register.go", "if r.unequal++; r.unequal > 30 {", "if r.unequal > 30 {"}}},
 	{"a seat outlives a restart", "spare", "a seat was given away", []edit{{"anvil/register.go", "if r.gone[v.ID] == 0 {", "if r.gone[v.ID] != 0 {"}}},
+	{"hear agents before a core forms anew", "ruin", "plan did not come back", []edit{{"anvil/register.go", "if c.now.Sub(r.blank) < c.o.Form {", "if c.now.Sub(r.blank) >= c.o.Form {"}}},
 	{"come back soon", "power", "service came back", []edit{{"anvil/core.go", "gauge.Or(&o.Duty, 1200e6)", "gauge.Or(&o.Duty, 20e9)"}}},
 }
 
