--- a/jig/links_test.go
+++ b/jig/links_test.go
@@ -245,3 +245,64 @@
 		require.NotContains(t, string(b), "DATA RACE", l)
 	}
 }
+
+// Servers, agents and core nodes are rolled as planned under long streams, while plans change:
+// nothing is cut, nothing is unclear, nobody is turned away.
+func TestRolls(t *testing.T) {
+	r := raise(t, "padana")
+	m := vise.NewMix(r.q, 43)
+	next := func() vise.Ask {
+		a := m.Next()
+		a.Call.Max += 60
+		return a
+	}
+	var all sync.WaitGroup
+	var rep *vise.CallReport
+	all.Add(1)
+	go func() {
+		defer all.Done()
+		rep = vise.Calls(r.ctx, vise.CallOptions{Routers: r.Routers, Next: next, Rate: 20, Total: 400})
+	}()
+	mark := func(s, state string) {
+		c, err := r.Do("POST", r.Home+"/servers/"+s+"/"+state, nil, nil, nil)
+		require.NoError(t, err)
+		require.Equal(t, 200, c)
+	}
+	offered := func(id string, want bool) func() bool {
+		return func() bool {
+			v, ok := r.Placed()
+			for _, s := range v.View.Servers {
+				if s.ID == id {
+					return ok && s.Offered == want
+				}
+			}
+			return false
+		}
+	}
+	for i := 1; i <= 3; i++ {
+		s, a, n := fmt.Sprintf("server-%d", i), fmt.Sprintf("awl-%d", i), fmt.Sprintf("anvil-%d", i)
+		mark(s, "leaving")
+		r.until(s+" is offered no more", offered(s, false))
+		e := r.put(fmt.Sprintf("anvil-%d", 1+i%3), []byte(string(r.Plan)+strings.Repeat("\n", i)), "any", fmt.Sprint("roll-", i))
+		r.until("the plan rules everywhere", func() bool { return r.Ruled(e, r.Routers...) })
+		r.until(s+" has nothing under way", func() bool {
+			var c struct{ Active int }
+			_, err := r.Get(r.Servers[s]+"/count", &c)
+			return err == nil && c.Active == 0
+		})
+		require.NoError(t, r.Stop(s))
+		require.NoError(t, r.Start(s))
+		mark(s, "live")
+		r.until(s+" is offered again", offered(s, true))
+		require.NoError(t, r.Stop(a))
+		require.NoError(t, r.Start(a))
+		r.until("its router is back", func() bool { return r.Ruled(e, r.Names[fmt.Sprintf("lathe-%d", i)]) })
+		require.NoError(t, r.Stop(n))
+		r.until("somebody owns the duty", func() bool { return r.Owner() != "" })
+		require.NoError(t, r.Start(n))
+		r.until("the node is back", func() bool { return r.CoreReady(n) })
+	}
+	all.Wait()
+	require.Empty(t, rep.Wrong)
+	require.Equal(t, rep.Sent, rep.Receipts, "%v", rep.Kinds)
+}
