--- a/anvil/moves.go
+++ b/anvil/moves.go
@@ -127,8 +127,8 @@
 		return false
 	}
 	live, _, zones := c.live(p.key)
-	if live >= m.Most && m.Most > 0 && live+1 > m.Most {
-		return false
+	if live >= m.Most {
+		return false // for a while there would be one too many
 	}
 	return len(zones) == 1 || s.Zone == to.Zone || !zones[to.Zone]
 }
--- a/jig/links_test.go
+++ b/jig/links_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -306,3 +307,61 @@
 	require.Empty(t, rep.Wrong)
 	require.Equal(t, rep.Sent, rep.Receipts, "%v", rep.Kinds)
 }
+
+// Callers leave halfway or never read while links to servers break: everybody else gets only
+// what is their own, and nothing of the rude ones stays under way.
+func TestRudeCallers(t *testing.T) {
+	r := raiseLinked(t, "corrib")
+	m := vise.NewMix(r.q, 47)
+	stop := make(chan struct{})
+	var all sync.WaitGroup
+	all.Add(1)
+	go func() {
+		defer all.Done()
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(1500 * time.Millisecond):
+				r.Links.Break()
+			}
+		}
+	}()
+	for i := range 40 {
+		a := m.Next()
+		a.Call.ID, a.Call.Max = fmt.Sprint("rude-", i), 400
+		c, err := net.Dial("tcp", r.Routers[i%len(r.Routers)])
+		require.NoError(t, err)
+		b := a.Body()
+		_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: r\r\nContent-Length: %d\r\n\r\n%s", a.Route, len(b), b)
+		require.NoError(t, err)
+		if i%4 == 0 {
+			defer c.Close() // it never reads
+			continue
+		}
+		all.Add(1)
+		go func() { // it leaves after the first word, whatever that is
+			defer all.Done()
+			_, _ = c.Read(make([]byte, 200))
+			_ = c.Close()
+		}()
+	}
+	rep := r.calls(300, 60, 49, func() {})
+	t.Log(rep.Receipts, rep.Kinds)
+	close(stop)
+	all.Wait()
+	for k := range rep.Kinds {
+		require.Contains(t, []string{"cut", "unclear", "allowance_spent", "expired"}, k, "%v", rep.Kinds)
+	}
+	require.NotZero(t, rep.Receipts, "%v", rep.Kinds)
+	require.NotZero(t, rep.Kinds["cut"], "links broke under streams: %v", rep.Kinds)
+	r.until("nothing is under way", func() bool {
+		for _, a := range r.Servers {
+			var c struct{ Active int }
+			if _, err := r.Get(a+"/count", &c); err != nil || c.Active > 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
