One check, loop or comparison where the change had written it twice

Read again: fits repeated what open asks of the platform and operators (now meant), pay and earn both let old coins go (lapse), awl and the register compared desired states in the same words (Desired.Newer), onReport bounded room and slots twice, two scenes counted ready core nodes, and bound hashed the leader anew for every replica. Two bites follow the moved lines.

--- a/anvil/place.go
+++ b/anvil/place.go
@@ -197,7 +197,12 @@
 
 // open tells whether a server may be offered new work.
 func (c *Core) open(s *server) bool {
-	return s.State == "live" && !s.dark && s.known && !c.empty[s.Zone] && !c.closed(s.Zone, s.ID)
+	return !s.dark && s.known && c.meant(s)
+}
+
+// meant tells whether platform and operators mean a server to work, whether it answers or not.
+func (c *Core) meant(s *server) bool {
+	return s.State == "live" && !c.empty[s.Zone] && !c.closed(s.Zone, s.ID)
 }
 
 func (c *Core) entryOf(k gauge.Key) *entry {
@@ -242,7 +247,7 @@
 	}
 	for _, s := range c.servers {
 		// One that is dark, or has not reported yet, may be back at once.
-		if s.State == "live" && !c.empty[s.Zone] && !c.closed(s.Zone, s.ID) && (s.room >= size || !s.known) {
+		if c.meant(s) && (s.room >= size || !s.known) {
 			return true
 		}
 	}
@@ -441,7 +446,8 @@
 	s.fails, s.ok = 0, at
 	changed := s.dark || !s.known
 	s.dark, s.known = false, true
-	if r.Inc != s.inc || min(max(r.Room, 0), mostSize) != s.room || min(max(r.Slots, 1), mostSize) != s.slots {
+	room, slots := min(max(r.Room, 0), mostSize), min(max(r.Slots, 1), mostSize)
+	if r.Inc != s.inc || room != s.room || slots != s.slots {
 		if r.Inc != s.inc {
 			for _, k := range gauge.Keys(s.spots) {
 				s.spots[k].fire(SeeNone, c.now)
@@ -449,7 +455,7 @@
 				c.touch(k)
 			}
 		}
-		s.inc, s.room, s.slots = r.Inc, min(max(r.Room, 0), mostSize), min(max(r.Slots, 1), mostSize)
+		s.inc, s.room, s.slots = r.Inc, room, slots
 		changed = true
 	}
 	if odd := oddity(r); odd != s.odd {
--- a/anvil/register.go
+++ b/anvil/register.go
@@ -684,7 +684,7 @@
 	if b.Value == nil || r.blank == 0 || b.Round != uint64(r.blank) {
 		return
 	}
-	if k := r.kept; k == nil || b.Value.Gen > k.Gen || b.Value.Gen == k.Gen && b.Value.Epoch > k.Epoch {
+	if b.Value.Newer(r.kept) {
 		r.kept = b.Value
 	}
 }
--- a/awl/core.go
+++ b/awl/core.go
@@ -232,7 +232,7 @@
 
 // keep remembers the newest desired state seen, for a core that has lost everything.
 func (c *Core) keep(d *dowel.Desired) {
-	if d != nil && (c.newest == nil || d.Gen > c.newest.Gen || d.Gen == c.newest.Gen && d.Epoch > c.newest.Epoch) {
+	if d != nil && d.Newer(c.newest) {
 		c.newest = d
 	}
 }
--- a/clamp/disk.go
+++ b/clamp/disk.go
@@ -189,8 +189,7 @@
 	}
 	d.shops = append(d.shops, s)
 	// Journals and manifests may end in what was never synced; the seal tells whether more is missing.
-	db, err := leveldb.Open(&sure{s, v.sync, map[storage.FileDesc]*sureFile{}}, &opt.Options{Strict: opt.StrictAll &^ (opt.StrictJournal | opt.StrictManifest)})
-	return db, err
+	return leveldb.Open(&sure{s, v.sync, map[storage.FileDesc]*sureFile{}}, &opt.Options{Strict: opt.StrictAll &^ (opt.StrictJournal | opt.StrictManifest)})
 }
 
 func openBoth(v vaults) (d *disk, m map[string][]byte, err error) {
--- a/dowel/dowel.go
+++ b/dowel/dowel.go
@@ -170,6 +170,11 @@
 	Done    []Change     `json:"done"`
 }
 
+// Newer tells whether a desired state is newer than another, if there is another.
+func (d *Desired) Newer(o *Desired) bool {
+	return o == nil || d.Gen > o.Gen || d.Gen == o.Gen && d.Epoch > o.Epoch
+}
+
 // Prepare opens a round.
 type Prepare struct {
 	Round  uint64
--- a/lathe/ledger.go
+++ b/lathe/ledger.go
@@ -224,9 +224,7 @@
 // pay takes one retry out of the allowance, which first goes fill.
 func (c *Core) pay() bool {
 	sum, left := 0.0, 1.0
-	for len(c.bank) > 0 && c.now.Sub(c.bank[0].at) > c.o.Save {
-		c.bank = c.bank[1:]
-	}
+	c.lapse()
 	for _, x := range c.bank {
 		sum += x.n
 	}
@@ -247,6 +245,11 @@
 		c.bank = append(c.bank, coin{at: c.now})
 	}
 	c.bank[len(c.bank)-1].n += c.o.Share
+	c.lapse()
+}
+
+// lapse lets go of what was earned too long ago.
+func (c *Core) lapse() {
 	for len(c.bank) > 0 && c.now.Sub(c.bank[0].at) > c.o.Save {
 		c.bank = c.bank[1:]
 	}
@@ -435,6 +438,7 @@
 // this request could not reach twice is passed over.
 func (c *Core) bound(e *entry, r *req) *dowel.Replica {
 	var top *dowel.Replica
+	high := uint64(0)
 	for i := range e.Replicas {
 		p := &e.Replicas[i]
 		lost := 0
@@ -446,8 +450,8 @@
 		if c.empty[p.Zone] || lost >= 2 {
 			continue
 		}
-		if top == nil || rank(r, p.Server, false, 0) > rank(r, top.Server, false, 0) {
-			top = p
+		if n := rank(r, p.Server, false, 0); top == nil || n > high {
+			top, high = p, n
 		}
 	}
 	return top
--- a/treadle/bites_test.go
+++ b/treadle/bites_test.go
@@ -45,9 +45,11 @@
 		{"anvil/duty.go", " || !d.free {", " {"}, {"anvil/register.go", "q.claim && quorum(q.set, q.grant)", "q.claim"}}},
 	{"expect the epoch", "plans", "that expected epoch", []edit{{"anvil/admin.go", "if !a.Any && d.Epoch != a.Expect {", "if false {"}}},
 	{"redo no change", "core", "was reached by", []edit{{"anvil/admin.go", "if x.ID == a.Change {\n\t\t\t\t\treturn d, gauge.Repeated", "if x.ID == `no` {\n\t\t\t\t\treturn d, gauge.Repeated"}}},
-	{"see servers go", "servers", "after it was leaving or gone", []edit{{"anvil/place.go", `return s.State == "live" && !s.dark && s.known && !c.empty`, "return s.known && !c.empty"}}},
+	{"see servers go", "servers", "after it was leaving or gone", []edit{
+		{"anvil/place.go", "return !s.dark && s.known && c.meant(s)", "return s.known && c.meant(s)"},
+		{"anvil/place.go", `return s.State == "live" && !c.empty`, "return !c.empty"}}},
 	{"leave emptied zones", "zones", "in emptied zone", []edit{
-		{"anvil/place.go", "s.known && !c.empty[s.Zone] && !c.closed", "s.known && !c.closed"},
+		{"anvil/place.go", `"live" && !c.empty[s.Zone] && !c.closed`, `"live" && !c.closed`},
 		{"lathe/ledger.go", "if c.empty[p.Zone] || c.now", "if c.now"}, {"lathe/ledger.go", " && !c.empty[p.Zone] {", " {"}}},
 	{"repeat only what may be", "storm", "may not be repeated", []edit{
 		{"lathe/ledger.go", "Lost:    {{kind: gauge.Unclear}, {again: true, pay: true}}", "Lost:    {{again: true}, {again: true}}"},
--- a/treadle/scenes.go
+++ b/treadle/scenes.go
@@ -484,17 +484,7 @@
 					w.Spare(fmt.Sprintf("anvil-%d", 4+i), gauge.Zone([]string{"zc", "zb"}[i]))
 				})
 			}
-			w.At(sec(85), func() {
-				n := 0
-				for _, p := range w.anvils() {
-					if p.core.(*anvil.Core).Ready() {
-						n++
-					}
-				}
-				if n < 3 {
-					w.Check.bad("only %d core nodes are ready after the replacement", n)
-				}
-			})
+			w.At(sec(85), func() { w.coreReady("the replacement") })
 		}},
 	{Name: "crowd", About: "crowds arrive at once, asking for rare models together, and servers are cold", Long: 70e9, Least: 0.5,
 		Play: func(w *World) {
@@ -719,17 +709,7 @@
 					w.Restart(fmt.Sprintf("awl-%d", i), 200e6)
 				})
 			}
-			w.At(sec(118), func() {
-				n := 0
-				for _, p := range w.anvils() {
-					if p.core.(*anvil.Core).Ready() {
-						n++
-					}
-				}
-				if n < 3 {
-					w.Check.bad("only %d core nodes are ready after the exchange", n)
-				}
-			})
+			w.At(sec(118), func() { w.coreReady("the exchange") })
 		}},
 	{Name: "zone-each", About: "each zone is lost in turn, the owner's included, as a plan is in flight or another zone is being emptied, and comes back", Long: 110e9, Least: 0.9,
 		Play: func(w *World) {
@@ -1074,6 +1054,19 @@
 	}
 }
 
+// coreReady looks whether three core nodes are ready after something.
+func (w *World) coreReady(after string) {
+	n := 0
+	for _, p := range w.anvils() {
+		if p.core.(*anvil.Core).Ready() {
+			n++
+		}
+	}
+	if n < 3 {
+		w.Check.bad("only %d core nodes are ready after %s", n, after)
+	}
+}
+
 // route names the plan's first route, or another one.
 func (w *World) route(n int) string {
 	var l []string
