--- a/chisel/plan.go
+++ b/chisel/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"strings"
 
 	"tidedeck/gauge"
@@ -20,25 +21,60 @@
 type Model struct {
 	Key   gauge.Key
 	Size  int
-	Floor int // replicas kept ready at all times
-	Most  int // replicas at the most
+	Floor int        // replicas kept ready at all times
+	Most  int        // replicas at the most
+	Load  gauge.Span // how long a load takes at full speed, if that is known
 }
 
 // Class is a kind of request: its worth and how long it may wait.
 type Class struct {
 	Value int
 	Wait  gauge.Span
+	Aim   gauge.Span // an answer that begins within it is worth the most, if that is said
+	Pause gauge.Span // between two events, likewise
 }
 
-// Service is what a route leads to: the keys that may be asked of it, by name.
+// Service is what a route leads to: the keys that may be asked of it, by name. A plain service has
+// servers without models; the others' servers are all of one make.
 type Service struct {
-	Keys map[gauge.Key]bool
+	Keys   map[gauge.Key]bool
+	Plain  bool
+	Probe  string  // the path at which a server tells whether it is well
+	Conns  int     // connections that one server takes from all callers together
+	Slots  int     // requests that one server runs at once
+	Tokens int     // that its running requests and kept prompts share
+	Room   int     // for weights, in the unit of sizes
+	Places int     // for adapters
+	Loads  float64 // a second, over all its servers, that the store bears
 }
 
-// Route is a path that callers use.
+// Modes of a route: what may be repeated, and how answers come.
+const (
+	Once       = "once"       // runs at most once
+	Idempotent = "idempotent" // may run again
+	Continuous = "continuous" // runs at most once and answers with a stream of events
+)
+
+// Share is one service's part of a route.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// Route is a path that callers use. Routes with a host are found by it and the longest prefix of
+// the path; the others by the whole path.
 type Route struct {
 	Service string
 	Kinds   map[string]bool
+
+	Name   string
+	Host   string
+	Prefix string
+	Mode   string
+	Resume bool // a stream may be taken up at another server
+	Class  Class
+	Tries  int // servers that one request may be sent to
+	Split  []Share
 }
 
 // Plan is a checked fleet plan.
@@ -49,6 +85,87 @@
 	Kinds    map[string]Class
 	Services map[string]Service
 	Routes   map[string]Route
+	Hosts    map[string]map[string]*Route // by host and prefix
+	Idle     gauge.Span                   // a caller's connection may be idle for so long, if that is said
+	HeadMost int                          // bytes of a request's head, likewise
+	BodyMost int                          // bytes of its body
+	HeadWait gauge.Span                   // for its head
+}
+
+// Query is what of a request decides where it may go.
+type Query struct {
+	ID, Host, Path, Kind, Base, Extra string
+}
+
+// Match is where a request may go, and under which terms.
+type Match struct {
+	Key   gauge.Key
+	Class Class
+	Route *Route // of those found by host; nil for the others
+}
+
+// Match finds what a plan allows a request.
+func (q *Plan) Match(x Query) (Match, gauge.Kind) {
+	if x.Host == "" {
+		k, c, why := q.Allows(x.Path, x.Kind, x.Base, x.Extra)
+		return Match{Key: k, Class: c}, why
+	}
+	r := q.Find(x.Host, x.Path)
+	if r == nil {
+		return Match{}, gauge.NoRoute
+	}
+	name := r.choose(x.ID)
+	s := q.Services[name]
+	if s.Plain {
+		return Match{gauge.Key("").In(name), r.Class, r}, gauge.None
+	}
+	k := gauge.KeyOf(x.Base, x.Extra).In(name)
+	if !s.Keys[k] {
+		return Match{}, gauge.NoModel
+	}
+	return Match{k, r.Class, r}, gauge.None
+}
+
+// Find gives the route of a host with the longest prefix that begins the path.
+func (q *Plan) Find(host, path string) *Route {
+	l := q.Hosts[host]
+	if l == nil {
+		return nil
+	}
+	for i := len(path); i > 0; i-- {
+		if path[i-1] != '/' {
+			continue
+		}
+		if r := l[path[:i]]; r != nil {
+			return r
+		}
+	}
+	return nil
+}
+
+// choose gives the service that a request goes to: by its id, so that the choice lasts.
+func (r *Route) choose(id string) string {
+	if len(r.Split) == 0 {
+		return r.Service
+	}
+	sum := 0
+	for _, s := range r.Split {
+		sum += s.Weight
+	}
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(id))
+	_, _ = h.Write([]byte(r.Name))
+	n := h.Sum64()
+	n ^= n >> 33
+	n *= 0xff51afd7ed558ccd
+	n ^= n >> 33
+	at := int(n % uint64(max(1, sum)))
+	for _, s := range r.Split {
+		if at -= s.Weight; at < 0 {
+			return s.Service
+		}
+	}
+	return r.Service
 }
 
 // ReadPlan reads and checks a plan in full; with any fault there is no plan.
@@ -191,6 +308,15 @@
 	Wait   gauge.Span // how long from now it may wait; zero leaves it to its kind
 	Again  bool       // it may be repeated: running it twice does no harm
 	Repeat bool       // it is itself a repeat of an earlier request
+	Host   string     // that it was sent to, where routes go by hosts
+	Tokens int        // of its prompt, if that is known
+	Sizes  []int      // tokens of each of its parts, likewise
+	Seen   uint64     // it takes up a stream after the event of this number
+}
+
+// Query gives what of the call decides where it may go.
+func (c Call) Query(path string) Query {
+	return Query{ID: c.ID, Host: c.Host, Path: path, Kind: c.Kind, Base: c.Base, Extra: c.Extra}
 }
 
 // ReadCall reads and checks a caller's request.
--- a/dowel/dowel.go
+++ b/dowel/dowel.go
@@ -60,6 +60,7 @@
 		Probe{}, ProbeAck{}, ProbeFor{},
 		Prepare{}, Promise{}, Accept{}, Accepted{}, Query{}, State{}, Release{}, Fetch{}, Value{},
 		Renew{}, Grant{}, NotOwner{}, News{}, Heard{}, Want{}, Removal{}, Hold{}, Hello{}, Keep{}, Kept{}, Taken{}, Listing{}, Look{}, Looked{},
+		Beacons{}, BeaconsHeard{},
 	} {
 		t := reflect.TypeOf(b)
 		kinds[t.Name()] = t
@@ -455,6 +456,9 @@
 	Op   string     `json:"op,omitempty"`
 	Key  gauge.Key  `json:"key,omitempty"`
 	Size int        `json:"size,omitempty"`
+	// Of servers that check no fence: who orders, and how many orders they must have taken before.
+	Owner    gauge.Node `json:"owner,omitempty"`
+	Expected uint64     `json:"expected,omitempty"`
 }
 
 // Held is one line of a server's report.
@@ -466,7 +470,8 @@
 	AgeMs  int64     `json:"age_ms"` // since it came to this stage
 }
 
-// Report is a model server's account of itself.
+// Report is a model server's account of itself. Of servers that check no fence, Num is how many orders
+// they have taken, and Busy says that one is still under way.
 type Report struct {
 	Server gauge.Server `json:"server"`
 	Inc    gauge.Inc    `json:"inc"`
@@ -476,6 +481,7 @@
 	Slots  int          `json:"slots"`
 	Held   []Held       `json:"held"`
 	Drop   gauge.Kind   `json:"drop,omitempty"` // why the order was dropped
+	Busy   bool         `json:"busy,omitempty"`
 }
 
 // Listed is one line of the platform's server list.
@@ -484,6 +490,32 @@
 	Addr  string       `json:"addr"`
 	Zone  gauge.Zone   `json:"zone"`
 	State string       `json:"state"` // live, leaving, gone
+	// Of servers that announce themselves: what they belong to, and what they can do at once.
+	Service string `json:"service,omitempty"`
+	Slots   int    `json:"slots,omitempty"`
+}
+
+// Beacon is a server's own announcement of itself. Every start of a server has an id of its own;
+// Count orders its beacons, which may come late and to any core node.
+type Beacon struct {
+	Listed
+	Count uint64      `json:"count"`
+	Left  gauge.Span  `json:"left,omitempty"` // it is gone after so long, whatever it runs
+	Cold  gauge.Span  `json:"cold,omitempty"` // it is slow for so long from its start
+	Held  []gauge.Key `json:"held,omitempty"` // what it holds ready
+}
+
+// Beacons carries announcements between core nodes. Mark, when set, wants an answer.
+type Beacons struct {
+	Mark uint64
+	List []Beacon
+}
+
+// BeaconsHeard answers Beacons: they are known here. Ruled says more: the sender owns the duty, and no
+// router's promise to send to any of them outlives the hold.
+type BeaconsHeard struct {
+	Mark  uint64
+	Ruled bool
 }
 
 // Work is one request as it is sent to a model server.
--- a/gauge/gauge.go
+++ b/gauge/gauge.go
@@ -72,6 +72,30 @@
 	return Key(b)
 }
 
+// In puts a key of a service's own models under the service, so that two services may each have a
+// model of that name.
+func (k Key) In(service string) Key { return Key(service + "|" + string(k)) }
+
+// Service gives the service that a key is under, if it is under one.
+func (k Key) Service() string {
+	s, _, ok := strings.Cut(string(k), "|")
+	if !ok {
+		return ""
+	}
+	return s
+}
+
+// Name gives the key as its service calls it.
+func (k Key) Name() Key {
+	if _, n, ok := strings.Cut(string(k), "|"); ok {
+		return Key(n)
+	}
+	return k
+}
+
+// Plain tells whether the key stands for a whole service, whose servers hold no models.
+func (k Key) Plain() bool { return strings.HasSuffix(string(k), "|") }
+
 // IsAdapter tells whether the key names an adapter.
 func (k Key) IsAdapter() bool { return strings.Contains(string(k), "+") }
 
--- a/lathe/core.go
+++ b/lathe/core.go
@@ -54,7 +54,7 @@
 	Call  chisel.Call
 }
 
-// Begun says that the first event of a go came.
+// Begun says that the answer of a go began to come.
 type Begun struct {
 	Ref Ref
 	N   int
@@ -78,6 +78,10 @@
 	Server gauge.Server
 	Addr   string
 	Work   dowel.Work
+	Left   gauge.Span // how much longer the caller waits
+	Rank   int        // how urgent it is among what the server runs
+	Again  bool       // it may be sent again, so that its answer may be begun anew elsewhere
+	Resume bool       // its stream may be taken up elsewhere, after the last event passed on
 }
 
 // Receipt is the final answer to a request that got no answer of a server's.
--- /dev/null
+++ b/lathe/dialect.go
@@ -0,0 +1,40 @@
+package lathe
+
+import (
+	"net/http"
+
+	"tidedeck/chisel"
+	"tidedeck/gauge"
+)
+
+// Attempt is what one attempt's request at a server says beside the caller's own words.
+type Attempt struct {
+	Server gauge.Server // the only one that may run it
+	Left   gauge.Span   // how much longer the caller waits
+	Seen   uint64       // the stream is taken up after the event of this number; zero begins it
+	Rank   int          // how urgent it is: 0 comes first
+}
+
+// Said is what the head of a server's answer says.
+type Said struct {
+	ID     string     // of the request that it answers
+	NotRun bool       // the server did not run the request and never will
+	Kind   gauge.Kind // why, when it did not
+	Sealed bool       // it is marked as the server's own
+}
+
+// Dialect is how a deployment's callers and servers speak HTTP. It holds names and formats and
+// decides nothing.
+type Dialect interface {
+	// Read gives the facts of a caller's request; the fault says what of its head cannot be read.
+	Read(r *http.Request) (chisel.Call, *chisel.Fault)
+	// Write adds to the head of an attempt's request what the attempt says; the caller's own
+	// headers are in it already.
+	Write(h http.Header, a Attempt)
+	// Answer reads the head of a server's answer.
+	Answer(status int, h http.Header) Said
+	// Event gives the number of an event of a stream, from one line of it.
+	Event(line []byte) (n uint64, ok bool)
+	// Ready is the path at which a router tells whether it can be given callers.
+	Ready() string
+}
