The thin path on the users' platform: enrolment, unfenced orders, hosted programs

Cause: the platform lists no servers, checks no fence, and tells a process only its settings file. Ruled out on the way: a plan that comes after servers were known left them unadopted; an order count of zero was read as never ordered; plain services' servers were evicted as models of no plan.

--- a/anvil/admin.go
+++ b/anvil/admin.go
@@ -18,6 +18,7 @@
 	Raw    []byte      // a plan, a merge patch, or a calendar
 	Expect gauge.Epoch // the epoch that the change goes on
 	Any    bool        // no epoch is expected
+	Number gauge.Epoch // that the operator gives the change; zero counts on
 	Change string      // id of the change; a repeat of it is answered, not redone
 	Zone   gauge.Zone
 	Old    gauge.Node
@@ -74,6 +75,10 @@
 		if !a.Any && d.Epoch != a.Expect {
 			return d, gauge.Conflict
 		}
+		if a.Number != 0 && a.Number <= d.Epoch {
+			faults = chisel.Faults{{Path: "$", Why: fmt.Sprintf("its number is %d, and %d is in force", a.Number, d.Epoch)}}
+			return d, gauge.Faulty
+		}
 		n := d
 		n.Empty = append([]gauge.Zone{}, d.Empty...)
 		k, f := apply(&n)
@@ -81,7 +86,9 @@
 			faults = f
 			return d, k
 		}
-		n.Epoch++
+		if n.Epoch++; a.Number != 0 {
+			n.Epoch = a.Number
+		}
 		n.Done = append([]dowel.Change{}, d.Done...)
 		if a.Change != "" {
 			n.Done = append(n.Done, dowel.Change{ID: a.Change, Epoch: n.Epoch})
@@ -131,9 +138,9 @@
 		if len(d.Plan) == 0 {
 			return gauge.Unknown, chisel.Faults{{Path: "$", Why: "there is no plan to change yet"}}
 		}
-		n, err := jsonpatch.MergePatch(d.Plan, a.Raw)
-		if err != nil {
-			return gauge.Malformed, chisel.Faults{{Path: "$", Why: err.Error()}}
+		n, f := c.o.Merge(d.Plan, a.Raw)
+		if f != nil {
+			return gauge.Malformed, f
 		}
 		if _, f := c.parse(n); f != nil {
 			return gauge.Faulty, f
@@ -143,6 +150,15 @@
 	})
 }
 
+// mergePatch is RFC 7396's.
+func mergePatch(plan, patch []byte) ([]byte, chisel.Faults) {
+	n, err := jsonpatch.MergePatch(plan, patch)
+	if err != nil {
+		return nil, chisel.Faults{{Path: "$", Why: err.Error()}}
+	}
+	return n, nil
+}
+
 func (c *Core) getPlan(a Admin) {
 	if c.latest() == nil {
 		c.receipt(Receipt{Token: a.Token, Kind: gauge.NotReady, Why: "this node knows no core yet"})
--- a/anvil/core.go
+++ b/anvil/core.go
@@ -42,6 +42,15 @@
 	Recent  gauge.Span // a key that had work so lately is worth a move
 	Lead    gauge.Span // what a maintenance window closes is drained so long before it
 	Wall    func() time.Time
+
+	Read     func([]byte) (*chisel.Plan, chisel.Faults)                // of plans
+	Merge    func(plan, patch []byte) (merged []byte, f chisel.Faults) // of changes into plans
+	Enrolled bool                                                      // servers announce themselves; no platform lists them
+	Silence  gauge.Span                                                // an announced server is dark after so long without a word
+	Unfenced bool                                                      // servers check no fence: they count orders
+	Settle   gauge.Span                                                // an owner of unfenced servers waits so long before it orders
+	Rate     gauge.Span                                                // the store's rate is kept in every while of this length
+	Joined   bool                                                      // this core is there already: an empty disk forms none
 }
 
 // Defaults fills what was left out.
@@ -65,6 +74,15 @@
 	gauge.Or(&o.Gap, 0.35)
 	gauge.Or(&o.Most, 1024)
 	gauge.Or(&o.Pending, 4096)
+	gauge.Or(&o.Silence, 3600e6)
+	gauge.Or(&o.Settle, o.Wait+400e6)
+	gauge.Or(&o.Rate, 5e9)
+	if o.Read == nil {
+		o.Read = chisel.ReadPlan
+	}
+	if o.Merge == nil {
+		o.Merge = mergePatch
+	}
 	return o
 }
 
@@ -108,8 +126,14 @@
 	soonZ   map[gauge.Zone]bool // closed before long: what is only there is loaded elsewhere first
 	soonS   map[gauge.Server]bool
 	shifts  map[gauge.Key]*shift
-	uneven  gauge.Tick // since when the servers are burdened unevenly
-	shifted gauge.Tick // when a move last began
+	uneven  gauge.Tick                 // since when the servers are burdened unevenly
+	shifted gauge.Tick                 // when a move last began
+	roll    map[gauge.Server]*enrolled // every server that announced itself, known at every core node
+	relays  []dowel.Beacon             // announcements that other core nodes have not been sent yet
+	relayed gauge.Tick
+	acks    map[uint64]*leaving
+	mark    uint64
+	begun   []gauge.Tick // when the loads of late began
 	tally   Tally
 	began   bool
 	ending  bool // a planned stop is under way: the duty is not taken any more
@@ -122,6 +146,8 @@
 	Removals, Sheds, Loads, Unloads, Fences, Drained, Admit uint64
 	Moves, Evened, Odd                                      uint64
 	Doubts, Looks, Yields                                   uint64
+	Beacons, Enrolments, Leaves, LeavesUnheard              uint64
+	Orders, OrdersRefused, OrdersUnanswered, Reports        uint64
 }
 
 // New makes a core node.
@@ -133,6 +159,7 @@
 		servers: map[gauge.Server]*server{}, entries: map[gauge.Key]*entry{},
 		asks: map[uint64]func(dowel.Told){}, saves: map[uint64]func(){},
 		demand: map[gauge.Key]*need{}, shifts: map[gauge.Key]*shift{}, empty: map[gauge.Zone]bool{},
+		roll: map[gauge.Server]*enrolled{}, acks: map[uint64]*leaving{},
 	}
 	c.mates = plumb.New(plumb.Options{
 		Me:    dowel.Member{Sibling: o.Me, Role: "anvil", Zone: o.Zone, Inc: o.Inc},
@@ -162,6 +189,8 @@
 		c.take(v)
 	case Admin:
 		c.admin(v)
+	case Announce:
+		c.onAnnounce(v)
 	case dowel.Stop:
 		c.release()
 	case dowel.Beat:
@@ -198,6 +227,7 @@
 		"Promise": (*Core).onPromise, "Accepted": (*Core).onAccepted, "State": (*Core).onState, "Value": (*Core).onValue,
 		"Listing": (*Core).onListing, "Look": (*Core).onLook, "Looked": (*Core).onLooked,
 		"Taken": (*Core).onTaken, "Kept": (*Core).onKept,
+		"Beacons": (*Core).onBeacons, "BeaconsHeard": (*Core).onBeaconsHeard,
 		"Renew": (*Core).onRenew, "Heard": (*Core).onHeard, "Want": (*Core).onWant, "Removal": (*Core).onRemoval,
 	}
 }
@@ -207,6 +237,7 @@
 	c.beatRegister()
 	c.beatDuty()
 	c.beatLinks()
+	c.beatRoll()
 	c.beatPlace()
 }
 
@@ -231,7 +262,11 @@
 func (c *Core) ask(addr, path string, body any, wait gauge.Span, then func(dowel.Told)) {
 	c.token++
 	c.asks[c.token] = then
-	c.out = append(c.out, dowel.Ask{Token: c.token, Addr: addr, Path: path, Body: body, Wait: wait})
+	a := dowel.Ask{Token: c.token, Addr: addr, Path: path, Body: body, Wait: wait}
+	if c.duty.mine {
+		a.Until = c.duty.until(c) // an owner that froze must not order when its duty is over
+	}
+	c.out = append(c.out, a)
 }
 
 func (c *Core) note(s string) { c.out = append(c.out, dowel.Note{Text: s}) }
--- a/anvil/duty.go
+++ b/anvil/duty.go
@@ -135,9 +135,11 @@
 	c.servers, c.entries = map[gauge.Server]*server{}, map[gauge.Key]*entry{}
 	c.demand = map[gauge.Key]*need{}
 	c.shifts, c.uneven, c.shifted = map[gauge.Key]*shift{}, 0, c.now
-	c.listing, c.listed, c.eye = false, 0, eye{}
+	c.listing, c.listed, c.eye, c.begun = false, 0, eye{}, nil
 	c.planned()
-	if c.duty.mine {
+	if c.duty.mine && c.o.Enrolled {
+		c.callRoll()
+	} else if c.duty.mine {
 		c.onList(c.list.List) // until the platform says otherwise
 	}
 }
--- /dev/null
+++ b/anvil/enrol.go
@@ -0,0 +1,329 @@
+package anvil
+
+import (
+	"fmt"
+
+	"tidedeck/dowel"
+	"tidedeck/gauge"
+)
+
+// Announce is a server's own word to a core node.
+type Announce struct {
+	Token  uint64
+	Beacon dowel.Beacon
+}
+
+// Announced answers Announce. A leaving that is not OK is not known where it must be.
+type Announced struct {
+	Token uint64
+	OK    bool
+}
+
+// enrolled is what a core node knows of a server that announced itself.
+type enrolled struct {
+	dowel.Beacon
+	heard gauge.Tick // when its last word came, by whatever way
+}
+
+// leaving is an announced leaving, or a going, that is not answered yet: the owner must have broken
+// every promise on the server, and a majority of the core must know, or the next owner would not.
+type leaving struct {
+	token uint64
+	at    gauge.Tick
+	sent  gauge.Tick
+	list  []dowel.Beacon
+	yes   map[gauge.Node]gauge.Inc
+	ruled bool
+}
+
+// Stages of a server's life, in the only order that they come in.
+var stagesOf = map[string]int{"live": 0, "leaving": 1, "gone": 2}
+
+const (
+	relayEvery   = 100e6
+	rollForget   = 60e9 // ended servers are remembered for so long, should a late word of theirs come
+	leaveWait    = 900e6
+	leaveResend  = 200e6
+	rollSyncTime = 2e9
+)
+
+// enrol takes in a server's word, which may be late; it tells whether it says anything new.
+func (c *Core) enrol(b dowel.Beacon) bool {
+	if b.ID == "" || stagesOf[b.State] == 0 && b.State != "live" {
+		return false
+	}
+	e := c.roll[b.ID]
+	if e == nil {
+		if b.Addr == "" && b.State != "gone" {
+			return false
+		}
+		// An address that another start of a server had is no longer its.
+		for _, id := range gauge.Keys(c.roll) {
+			if o := c.roll[id]; b.Addr != "" && o.Addr == b.Addr && o.State != "gone" && b.State != "gone" {
+				o.State = "gone"
+				c.applyRoll(o)
+			}
+		}
+		c.tally.Enrolments++
+		e = &enrolled{Beacon: b, heard: c.now}
+		c.roll[b.ID] = e
+		c.applyRoll(e)
+		return true
+	}
+	if b.State == "gone" {
+		if e.State == "gone" {
+			return false
+		}
+		e.State, e.heard = "gone", c.now
+		c.applyRoll(e)
+		return true
+	}
+	if b.Count <= e.Count || e.State == "gone" {
+		return false
+	}
+	if stagesOf[b.State] < stagesOf[e.State] {
+		b.State = e.State
+	}
+	was := e.Beacon
+	e.Beacon, e.heard = b, c.now
+	if was.State != b.State || was.Listed != b.Listed {
+		c.applyRoll(e)
+	} else if s := c.servers[b.ID]; s != nil && s.dark && !s.silent(c) {
+		c.lighten(s)
+	}
+	return true
+}
+
+// silent tells whether nothing was heard of an announced server for too long.
+func (s *server) silent(c *Core) bool {
+	e := c.roll[s.ID]
+	return e != nil && c.now.Sub(e.heard) > c.o.Silence
+}
+
+// lighten takes a server back that was dark and has spoken.
+func (c *Core) lighten(s *server) {
+	if s.plain {
+		s.dark, s.fails = false, 0
+		c.touchOn(s)
+		return
+	}
+	s.next = c.now // its report tells what it holds
+}
+
+// applyRoll takes what is known of one server into the owner's view at once.
+func (c *Core) applyRoll(e *enrolled) {
+	if !c.duty.mine || !c.o.Enrolled {
+		return
+	}
+	s := c.servers[e.ID]
+	if s == nil {
+		if e.State == "gone" {
+			return
+		}
+		s = &server{Listed: e.Listed, spots: map[gauge.Key]*spot{}, first: c.now}
+		c.servers[e.ID] = s
+		c.adopt(s)
+		c.touchAll()
+		return
+	}
+	if s.Listed == e.Listed {
+		return
+	}
+	if s.Addr != e.Addr {
+		s.known = false
+	}
+	s.Listed = e.Listed
+	c.adopt(s)
+	c.touchOn(s)
+}
+
+// adopt draws from a server's announcement what it is.
+func (c *Core) adopt(s *server) {
+	if !c.o.Enrolled || c.plan == nil {
+		return
+	}
+	v, ok := c.plan.Services[s.Service]
+	if !ok {
+		return
+	}
+	if s.slots = s.Slots; s.slots <= 0 {
+		s.slots = max(1, v.Slots)
+	}
+	s.room, s.places, s.plain = v.Room, v.Places, v.Plain
+	if s.plain {
+		s.known, s.room = true, 0
+		k := gauge.Key("").In(s.Service)
+		if s.spots[k] == nil {
+			s.spots[k] = &spot{key: k, stage: Ready, ready: c.now, since: c.now}
+			c.touch(k)
+		}
+	}
+}
+
+func (c *Core) onAnnounce(a Announce) {
+	b := a.Beacon
+	c.tally.Beacons++
+	if !c.began || c.ending {
+		c.out = append(c.out, Announced{Token: a.Token})
+		return
+	}
+	known := c.roll[b.ID]
+	first := known == nil || known.State != b.State
+	if b.State == "gone" && known != nil {
+		b.Listed, b.Count = known.Listed, known.Count
+		b.State = "gone"
+	}
+	if c.enrol(b) {
+		c.relays = append(c.relays, b)
+	}
+	if b.State == "live" {
+		if first {
+			c.relayRoll()
+		}
+		c.out = append(c.out, Announced{Token: a.Token, OK: true})
+		return
+	}
+	// Repeats of a leaving are answered like the first: their answer may be the one that is heard.
+	c.tally.Leaves++
+	c.mark++
+	e := c.roll[b.ID]
+	if e == nil {
+		c.out = append(c.out, Announced{Token: a.Token, OK: true}) // nobody was ever told of it
+		return
+	}
+	l := &leaving{token: a.Token, at: c.now, list: []dowel.Beacon{e.Beacon}, yes: map[gauge.Node]gauge.Inc{}}
+	c.acks[c.mark] = l
+	l.yes[c.o.Me.ID] = c.vote.inc
+	l.ruled = c.rules()
+	c.tellLeaving(c.mark, l)
+	c.settleLeaving(c.mark, l)
+}
+
+func (c *Core) tellLeaving(mark uint64, l *leaving) {
+	l.sent = c.now
+	for _, p := range c.others() {
+		c.send(p, dowel.Beacons{Mark: mark, List: l.list})
+	}
+}
+
+// others lists the core nodes beside this one.
+func (c *Core) others() (l []dowel.Sibling) {
+	to := map[gauge.Node]dowel.Sibling{}
+	if k := c.latest(); k != nil {
+		for _, p := range electors(*k) {
+			to[p.ID] = p
+		}
+	}
+	for _, m := range c.mates.Alive("anvil") {
+		to[m.ID] = m.Sibling
+	}
+	for _, id := range gauge.Keys(to) {
+		if id != c.o.Me.ID {
+			l = append(l, to[id])
+		}
+	}
+	return l
+}
+
+// settleLeaving answers a leaving once the owner and a majority know of it.
+func (c *Core) settleLeaving(mark uint64, l *leaving) {
+	k := c.latest()
+	if !l.ruled || k == nil || !quorum(*k, l.yes) {
+		return
+	}
+	delete(c.acks, mark)
+	c.out = append(c.out, Announced{Token: l.token, OK: true})
+}
+
+func (c *Core) onBeacons(e dowel.Env) {
+	b := e.Body.(dowel.Beacons)
+	for _, x := range b.List {
+		c.enrol(x)
+	}
+	if b.Mark != 0 && !c.ending {
+		c.reply(e, dowel.BeaconsHeard{Mark: b.Mark, Ruled: c.rules()})
+	}
+}
+
+func (c *Core) onBeaconsHeard(e dowel.Env) {
+	b := e.Body.(dowel.BeaconsHeard)
+	l := c.acks[b.Mark]
+	if l == nil {
+		return
+	}
+	if s, ok := c.reg.lives[e.From.ID]; ok {
+		l.yes[e.From.ID] = s.state.Inc
+	}
+	l.ruled = l.ruled || b.Ruled
+	c.settleLeaving(b.Mark, l)
+}
+
+func (c *Core) relayRoll() {
+	c.relayed = c.now
+	if len(c.relays) == 0 {
+		return
+	}
+	l := c.relays
+	c.relays = nil
+	for _, p := range c.others() {
+		c.send(p, dowel.Beacons{List: l})
+	}
+}
+
+// beatRoll passes announcements on, gives up on leavings that nobody could be told of, and, at the
+// owner, draws consequences from silence.
+func (c *Core) beatRoll() {
+	if !c.o.Enrolled {
+		return
+	}
+	if c.now.Sub(c.relayed) > relayEvery {
+		c.relayRoll()
+	}
+	for _, m := range gauge.Keys(c.acks) {
+		l := c.acks[m]
+		switch {
+		case c.now.Sub(l.at) > leaveWait:
+			delete(c.acks, m)
+			c.tally.LeavesUnheard++
+			c.out = append(c.out, Announced{Token: l.token})
+		case c.now.Sub(l.sent) > leaveResend:
+			l.ruled = l.ruled || c.rules()
+			c.tellLeaving(m, l)
+			c.settleLeaving(m, l)
+		}
+	}
+	for _, id := range gauge.Keys(c.roll) {
+		e := c.roll[id]
+		if e.State == "gone" && c.now.Sub(e.heard) > rollForget {
+			delete(c.roll, id)
+		} else if e.State != "gone" && c.now.Sub(e.heard) > 8*c.o.Silence {
+			e.State, e.heard = "gone", c.now
+			c.applyRoll(e)
+		}
+	}
+	if !c.rules() {
+		return
+	}
+	for _, id := range gauge.Keys(c.servers) {
+		s := c.servers[id]
+		if !s.dark && s.State != "gone" && s.silent(c) {
+			s.dark = true
+			c.note(fmt.Sprintf("server %s is silent", s.ID))
+			c.touchOn(s)
+		}
+	}
+}
+
+// callRoll makes the owner's view anew from what is enrolled, and from the last list of the owner
+// before for servers that this node has not heard of in this life.
+func (c *Core) callRoll() {
+	for _, x := range c.list.List {
+		if c.roll[x.ID] == nil && x.State != "gone" {
+			c.roll[x.ID] = &enrolled{Beacon: dowel.Beacon{Listed: x}, heard: c.now}
+		}
+	}
+	for _, id := range gauge.Keys(c.roll) {
+		c.applyRoll(c.roll[id])
+	}
+	c.listed = c.now
+}
--- /dev/null
+++ b/anvil/host.go
@@ -0,0 +1,236 @@
+package anvil
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"tidedeck/chisel"
+	"tidedeck/clamp"
+	"tidedeck/dowel"
+	"tidedeck/gauge"
+)
+
+// Dialect is how a deployment's servers and operators speak to core nodes. It holds names and
+// formats and decides nothing.
+type Dialect struct {
+	Servers  string // the path under which servers announce themselves by their ids
+	Plan     string // the path of the plan
+	Beacon   func(id string, raw []byte) (dowel.Beacon, error)
+	Revision func(raw []byte) (uint64, error)
+	Target   func(addr string) []byte
+	Read     func([]byte) (*chisel.Plan, chisel.Faults)
+	Merge    func(plan, patch []byte) ([]byte, chisel.Faults)
+	Tell     func(context.Context, *http.Client, dowel.Ask) dowel.Told
+}
+
+// HostOptions of a core node that runs under a hosting platform.
+type HostOptions struct {
+	ID      string
+	Zone    string
+	Post    string // where other nodes reach this one
+	Control string // where servers and operators reach it
+	Admin   string // where the product's own operators' interface is
+	Seeds   []string
+	Data    string
+	First   bool // the whole system starts for the first time
+	Logs    io.Writer
+	Dialect Dialect
+	Timing  Timing
+	Fenced  bool
+}
+
+// Timing is what a deployment promises and asks for; holds and lapses follow from it.
+type Timing struct {
+	Apply   gauge.Span // a confirmed plan is in force everywhere after so long
+	Drain   gauge.Span // a leaving server is sent nothing after so long
+	CatchUp gauge.Span // a new core node counts as there after so long
+	Period  gauge.Span // between two announcements of a server
+	Rate    gauge.Span // the store's rate is kept in every while of this length
+}
+
+// Hold derives a router's hold: it must have run out, on the owner's clock too, before anything that
+// it may not outlive.
+func (t Timing) Hold() gauge.Span {
+	return max(200e6, min(2000e6, min(t.Apply, t.Drain)*7/10))
+}
+
+// Spare derives how long a voter is gone before a spare node takes its place: a new node must be a
+// voter, with the set before it left, by the time that it counts as there.
+func (t Timing) Spare() gauge.Span { return max(800e6, min(6000e6, t.CatchUp*3/10)) }
+
+// Silence derives how long a server says nothing before it is taken for dark.
+func (t Timing) Silence() gauge.Span { return t.Period*3 + t.Period/4 }
+
+func hosted(h HostOptions) Options {
+	return Options{
+		Me: dowel.Sibling{ID: gauge.Node(h.ID), Addr: h.Post}, Zone: gauge.Zone(h.Zone), Inc: clamp.NewInc(),
+		Seeds: clamp.Siblings(h.Seeds), Rand: clamp.NewRand(), Wall: time.Now,
+		Hold: h.Timing.Hold(), Spare: h.Timing.Spare(), Silence: h.Timing.Silence(), Rate: h.Timing.Rate,
+		Read: h.Dialect.Read, Merge: h.Dialect.Merge, Enrolled: true, Unfenced: true, Joined: !h.First,
+	}
+}
+
+// Host runs a core node under a hosting platform until it is told to stop.
+func Host(h HostOptions) error {
+	ring := clamp.NewRing(h.ID, os.Stderr)
+	core := New(hosted(h))
+	d := &desk{wait: map[uint64]chan Receipt{}}
+	a := &announcer{wait: map[uint64]chan bool{}, desk: d, o: h}
+	d.c = clamp.New(clamp.Options{Core: core, Listen: []string{h.Post}, Told: h.Post, Data: h.Data, Beat: 25 * time.Millisecond, Ring: ring,
+		Tell: h.Dialect.Tell, Else: func(o any) {
+			d.act(o)
+			a.act(o)
+		}})
+	if err := d.c.Run(); err != nil {
+		return err
+	}
+	defer d.c.Stop()
+	own := &http.Server{Addr: h.Admin, Handler: d.routes(core), ReadHeaderTimeout: 10 * time.Second}
+	go func() { _ = own.ListenAndServe() }()
+	defer own.Close()
+	err := clamp.Web(h.Control, a, ring, nil, 2*time.Second)
+	d.c.Step(dowel.Stop{})
+	d.c.Flush(300 * time.Millisecond)
+	return err
+}
+
+// announcer is the door through which servers and the platform's operators come in.
+type announcer struct {
+	mu   sync.Mutex // guards wait and next; taken after the clamp's
+	next uint64
+	wait map[uint64]chan bool
+	desk *desk
+	o    HostOptions
+}
+
+func (a *announcer) act(o any) {
+	v, ok := o.(Announced)
+	if !ok {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if ch := a.wait[v.Token]; ch != nil {
+		ch <- v.OK
+		delete(a.wait, v.Token)
+	}
+}
+
+// ServeHTTP takes announcements of servers, and operators' changes.
+func (a *announcer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if id, ok := strings.CutPrefix(r.URL.Path, a.o.Dialect.Servers); ok {
+		a.server(w, r, id)
+		return
+	}
+	if r.URL.Path != a.o.Dialect.Plan {
+		http.NotFound(w, r)
+		return
+	}
+	switch r.Method {
+	case http.MethodGet:
+		a.read(w)
+	case http.MethodPut:
+		a.change(w, r, "put")
+	case http.MethodPatch:
+		a.change(w, r, "patch")
+	default:
+		w.WriteHeader(http.StatusMethodNotAllowed)
+	}
+}
+
+func (a *announcer) server(w http.ResponseWriter, r *http.Request, id string) {
+	b := dowel.Beacon{Listed: dowel.Listed{ID: gauge.Server(id), State: "gone"}}
+	switch r.Method {
+	case http.MethodPut:
+		raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 1<<20))
+		if err != nil {
+			return
+		}
+		if b, err = a.o.Dialect.Beacon(id, raw); err != nil {
+			clamp.Error(w, gauge.Malformed, 0, chisel.Faults{{Path: "$", Why: err.Error()}})
+			return
+		}
+	case http.MethodDelete:
+	default:
+		w.WriteHeader(http.StatusMethodNotAllowed)
+		return
+	}
+	ch := make(chan bool, 1)
+	a.mu.Lock()
+	a.next++
+	token := a.next
+	a.wait[token] = ch
+	a.mu.Unlock()
+	a.desk.c.Step(Announce{Token: token, Beacon: b})
+	ok := false
+	select {
+	case ok = <-ch:
+	case <-r.Context().Done():
+		a.mu.Lock()
+		delete(a.wait, token)
+		a.mu.Unlock()
+		return
+	}
+	if !ok {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(a.o.Dialect.Target(""))
+}
+
+func (a *announcer) read(w http.ResponseWriter) {
+	v := a.desk.ask(Admin{Op: "get"})
+	switch {
+	case v.Kind != gauge.None:
+		clamp.Error(w, gauge.NotReady, 0, nil)
+	case len(v.Plan) == 0:
+		clamp.Error(w, gauge.Unknown, 0, nil)
+	default:
+		w.Header().Set("Content-Type", "application/json")
+		w.Header().Set("ETag", fmt.Sprint(v.Epoch))
+		_, _ = w.Write(v.Plan)
+	}
+}
+
+// change takes an operator's change. Its id is a digest of what was sent, so that a repeat of it is
+// known, at whatever node it comes.
+func (a *announcer) change(w http.ResponseWriter, r *http.Request, op string) {
+	raw, ok := clamp.Body(w, r, 2*chisel.MostPlan)
+	if !ok {
+		return
+	}
+	n, err := a.o.Dialect.Revision(raw)
+	if err != nil {
+		clamp.Error(w, gauge.Malformed, 0, chisel.Faults{{Path: "$", Why: err.Error()}})
+		return
+	}
+	on, err := strconv.ParseUint(strings.Trim(strings.TrimSpace(r.Header.Get("If-Match")), `"`), 10, 64)
+	if err != nil {
+		clamp.Error(w, gauge.Malformed, 0, chisel.Faults{{Path: "If-Match", Why: "wants the number of the plan that the change goes on"}})
+		return
+	}
+	h := sha256.New()
+	_, _ = fmt.Fprintf(h, "%s %d\n", op, on)
+	_, _ = h.Write(raw)
+	v := a.desk.ask(Admin{Op: op, Raw: raw, Expect: gauge.Epoch(on), Number: gauge.Epoch(n), Change: hex.EncodeToString(h.Sum(nil)[:12])})
+	switch v.Kind {
+	case gauge.None:
+		clamp.JSON(w, http.StatusOK, v)
+	case gauge.Conflict:
+		clamp.JSON(w, http.StatusPreconditionFailed, v)
+	case gauge.Faulty, gauge.Malformed, gauge.Unknown:
+		clamp.JSON(w, http.StatusBadRequest, v)
+	default:
+		clamp.JSON(w, http.StatusServiceUnavailable, v)
+	}
+}
--- a/anvil/list.go
+++ b/anvil/list.go
@@ -75,7 +75,7 @@
 		}
 	}
 	n := Roll{c.duty.num, l}
-	if string(jot(n)) == string(jot(c.list)) && c.now.Sub(c.eye.told) < 3e9 {
+	if string(jot(n)) == string(jot(c.list)) && (c.o.Enrolled || c.now.Sub(c.eye.told) < 3e9) {
 		return
 	}
 	c.eye.told = c.now
@@ -119,6 +119,9 @@
 // beatEye asks siblings what they reach, once this owner has for long reached too little to
 // serve the duty: not the platform, or less than half of the servers.
 func (c *Core) beatEye() {
+	if c.o.Enrolled {
+		return // the core is where servers announce themselves: it is not blind beside its siblings
+	}
 	should, do := c.reach()
 	if c.now.Sub(c.seenAt) < c.o.Blind && 2*do >= should {
 		c.eye.since = 0
--- /dev/null
+++ b/anvil/orders.go
@@ -0,0 +1,224 @@
+package anvil
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"tidedeck/dowel"
+	"tidedeck/gauge"
+)
+
+// Servers that check no fence count the orders that they have taken. An order names the count that
+// it goes on, so that it is taken once or not at all, however often it is sent; and what a report
+// shows is known to be from before or after an order by the count that it carries.
+
+const (
+	pollBusy  = 150e6 // between two reports while an order is under way
+	pollIdle  = 10e9  // otherwise: announcements tell that the server lives
+	reportLag = 500e6 // a report is at most so old
+)
+
+// steer keeps one question under way at a time at a server that checks no fence.
+func (c *Core) steer(s *server) {
+	if s.plain || s.asking || s.State == "gone" {
+		return
+	}
+	if s.dark && c.now < s.next {
+		return
+	}
+	p := s.due()
+	if p != nil && s.unsure == nil && !s.busy && c.mayOrder() {
+		c.order(s, p)
+		return
+	}
+	if c.now >= s.next || !s.known && c.now.Sub(s.asked) > pollBusy {
+		c.survey(s)
+	}
+}
+
+// mayOrder tells whether orders of the owner before can no longer be on their way.
+func (c *Core) mayOrder() bool { return c.now.Sub(c.duty.began) > c.o.Settle }
+
+func (c *Core) order(s *server, p *spot) {
+	q := dowel.Order{Duty: c.duty.num, Num: s.num, Op: verbs[p.stage], Key: p.key, Size: p.size, Owner: c.o.Me.ID, Expected: s.num - 1}
+	s.asking, s.asked = true, c.now
+	p.num = s.num + 1
+	c.tally.Orders++
+	if p.stage == Ordered {
+		c.tally.Loads++
+		if !p.key.IsAdapter() && !s.had[p.key] {
+			c.begun = append(c.begun, c.now)
+		}
+	} else {
+		c.tally.Unloads++
+	}
+	num := c.duty.num
+	c.ask(s.Addr, "/orders", q, c.o.Wait, func(t dowel.Told) {
+		if !c.duty.mine || c.duty.num != num || c.servers[s.ID] != s {
+			return
+		}
+		s.asking, s.next = false, c.now.Add(pollBusy)
+		switch {
+		case !t.OK: // it may have been taken: the count will tell
+			c.tally.OrdersUnanswered++
+			s.unsure, s.next = p, c.now
+		case t.Code == 202:
+			s.num, s.busy = max(s.num, p.num), true
+		case t.Code == 200:
+			p.num = s.num // it holds so already
+			s.busy = true // until its report shows it
+		case t.Code == 412:
+			c.tally.OrdersRefused++
+			c.lose("a server obeys a higher duty")
+		default:
+			c.tally.OrdersRefused++
+			c.note(fmt.Sprintf("server %s refused to %s %s: %d", s.ID, q.Op, q.Key, t.Code))
+			p.num = 0
+			s.busy = true // until its report shows why
+			if t.Code == 421 {
+				s.known = false
+			}
+		}
+	})
+}
+
+// survey asks a server for its report.
+func (c *Core) survey(s *server) {
+	s.asking, s.asked = true, c.now
+	c.tally.Reports++
+	at, num := c.now, c.duty.num
+	c.ask(s.Addr, "/orders", dowel.Order{Key: gauge.Key("").In(s.Service)}, c.o.Wait, func(t dowel.Told) {
+		if !c.duty.mine || c.duty.num != num || c.servers[s.ID] != s {
+			return
+		}
+		s.asking = false
+		var r dowel.Report
+		if !t.OK || t.Code != 200 || json.Unmarshal(t.Body, &r) != nil {
+			s.next = c.now.Add(c.o.Poll)
+			if s.fails++; s.fails > 1 && !s.dark {
+				s.dark = true
+				c.note(fmt.Sprintf("server %s does not answer", s.ID))
+				c.touchOn(s)
+			}
+			if s.dark {
+				s.next = c.now.Add(4 * c.o.Poll)
+			}
+			return
+		}
+		c.onSurvey(s, r, at)
+	})
+}
+
+// onSurvey holds a server's report against what it was ordered.
+func (c *Core) onSurvey(s *server, r dowel.Report, at gauge.Tick) {
+	s.next = c.now.Add(pollBusy)
+	r.Num++ // zero stands for what was never ordered
+	if r.Num < s.num {
+		return // it is from before an order that was taken
+	}
+	if p := s.unsure; p != nil {
+		switch {
+		case r.Num >= p.num:
+			s.unsure = nil // it was taken
+		case at.Sub(s.asked) >= 0 && c.now.Sub(s.since(p)) > c.o.Wait+reportLag:
+			s.unsure, p.num = nil, 0 // it was not; sent again it names the same count
+		default:
+			return
+		}
+	}
+	changed := s.dark || !s.known
+	s.num, s.busy, s.fails, s.ok = r.Num, r.Busy, 0, at
+	s.dark, s.known = false, true
+	if s.had == nil {
+		s.had = map[gauge.Key]bool{}
+	}
+	held := map[gauge.Key]bool{}
+	for _, h := range r.Held {
+		held[h.Key] = true
+		s.had[h.Key] = true
+		p := s.spots[h.Key]
+		if p == nil {
+			p = &spot{key: h.Key, size: c.sizeOf(h.Key), stage: Ordered, since: c.now, num: r.Num}
+			s.spots[h.Key] = p
+		}
+		if p.num == 0 && p.stage == Ordered && !r.Busy {
+			p.num = r.Num // it holds so already
+		}
+		if p.unsent(r.Num) || p.stage == Unloading && r.Busy {
+			continue
+		}
+		if p.fire(SeeReady, c.now) {
+			c.touch(h.Key)
+		}
+	}
+	waits := false
+	for _, k := range gauge.Keys(s.spots) {
+		p := s.spots[k]
+		if !held[k] && !p.unsent(r.Num) && !(p.stage == Ordered && r.Busy) {
+			p.fire(SeeNone, c.now)
+			delete(s.spots, k)
+			c.touch(k)
+			continue
+		}
+		waits = waits || verbs[p.stage] != ""
+	}
+	if !waits && !r.Busy {
+		s.next = c.now.Add(pollIdle)
+	}
+	if changed {
+		c.touchOn(s)
+	}
+}
+
+// since tells when a spot's order was sent last.
+func (s *server) since(*spot) gauge.Tick { return s.asked }
+
+// undone tells whether adapters on a base may still be promised to routers.
+func (c *Core) undone(s *server, p *spot) bool {
+	for k, a := range s.spots {
+		if k != p.key && k.Base() == p.key && a.stage != Draining && a.stage != Unloading {
+			return true
+		}
+	}
+	return false
+}
+
+// free tells whether a spot's own unload is due: an adapter whose base goes too leaves with it.
+func (c *Core) free(s *server, p *spot) bool {
+	if !p.key.IsAdapter() {
+		return true
+	}
+	b := s.spots[p.key.Base()]
+	return b == nil || b.stage == Ready || b.stage == Ordered
+}
+
+// budget tells how many loads the store bears at once, and how many more may begin now: it admits so
+// many in every while.
+func (c *Core) budget() (once, now int) {
+	if !c.o.Unfenced {
+		return c.plan.Loads, c.plan.Loads
+	}
+	rate, load, n := 0.0, gauge.Span(0), 0
+	for _, v := range c.plan.Services {
+		rate += v.Loads
+	}
+	for _, m := range c.plan.Models {
+		if !m.Key.IsAdapter() {
+			load += m.Load
+			n++
+		}
+	}
+	for len(c.begun) > 0 && c.now.Sub(c.begun[0]) > c.o.Rate {
+		c.begun = c.begun[1:]
+	}
+	most := int(rate * c.o.Rate.Seconds())
+	left := most - len(c.begun)
+	if c.now.Sub(c.duty.began) < c.o.Rate {
+		left -= most / 2 // what the owner before began is not known
+	}
+	at := c.plan.Loads
+	if n > 0 {
+		at = max(2, int(rate*(load/gauge.Span(n)).Seconds()+0.5))
+	}
+	return at, left
+}
--- a/anvil/place.go
+++ b/anvil/place.go
@@ -94,6 +94,12 @@
 	ok     gauge.Tick // when the last report that came was asked for
 	first  gauge.Tick
 	odd    string // what its report contradicts itself in; it is ordered to load nothing
+	plain  bool   // it holds no models and takes no orders
+	places int    // for adapters; zero where they are not counted
+	busy   bool   // it carries out an order
+	unsure *spot  // the spot whose order got no answer
+	asked  gauge.Tick
+	had    map[gauge.Key]bool // what it is known to have held, and so has on its own disk
 }
 
 func (s *server) used() int {
@@ -163,6 +169,9 @@
 		c.plan, _ = c.parse(k.Plan)
 	}
 	if c.duty.mine {
+		for _, id := range gauge.Keys(c.servers) {
+			c.adopt(c.servers[id])
+		}
 		c.touchAll()
 	}
 }
@@ -170,7 +179,7 @@
 // parse reads a plan, unless it is the one that was read last: large ones take a while.
 func (c *Core) parse(raw []byte) (*chisel.Plan, chisel.Faults) {
 	if c.lastPlan == nil || !bytes.Equal(raw, c.lastRaw) {
-		p, f := chisel.ReadPlan(raw)
+		p, f := c.o.Read(raw)
 		if f != nil {
 			return nil, f
 		}
@@ -237,6 +246,9 @@
 
 // fits tells whether some server that is offered has the room for a key at all.
 func (c *Core) fits(k gauge.Key) bool {
+	if k.Plain() {
+		return c.plan.Services[k.Service()].Plain // its servers may come at any moment
+	}
 	m, ok := c.plan.Models[k]
 	if !ok {
 		return false
@@ -304,6 +316,13 @@
 }
 
 func (c *Core) beatList() {
+	if c.o.Enrolled {
+		if c.now.Sub(c.listed) > 300e6 {
+			c.listed = c.now
+			c.tellList()
+		}
+		return
+	}
 	if c.listing || c.o.Platform == "" || c.listed != 0 && c.now.Sub(c.listed) < 300e6 {
 		return
 	}
@@ -377,7 +396,7 @@
 	for _, k := range gauge.Keys(s.spots) {
 		c.beatSpot(s, s.spots[k])
 	}
-	if s.State == "gone" && s.fails > 0 {
+	if s.State == "gone" && (s.fails > 0 || c.o.Enrolled) {
 		for _, k := range gauge.Keys(s.spots) {
 			s.spots[k].fire(SeeNone, c.now)
 			delete(s.spots, k)
@@ -388,6 +407,10 @@
 		}
 		return
 	}
+	if c.o.Unfenced {
+		c.steer(s)
+		return
+	}
 	p := s.due()
 	if s.asking || p == nil && c.now < s.next {
 		return
@@ -508,6 +531,13 @@
 
 // evict begins to take a key off a server: first every router drops its promise.
 func (c *Core) evict(s *server, p *spot) {
+	if c.o.Unfenced && !p.key.IsAdapter() {
+		for _, k := range gauge.Keys(s.spots) {
+			if k != p.key && k.Base() == p.key {
+				c.evict(s, s.spots[k]) // they go with their base
+			}
+		}
+	}
 	if !p.fire(Evict, c.now) {
 		return
 	}
@@ -525,7 +555,13 @@
 		}
 	case Draining:
 		// Only a report asked for after the last promise was gone shows that no work is left.
-		if s.ok > p.since && p.work == 0 && !c.adapted(s, p) {
+		if c.o.Unfenced {
+			if c.free(s, p) && !c.undone(s, p) {
+				p.fire(Idle, c.now)
+				p.num = 0
+				c.tally.Drained++
+			}
+		} else if s.ok > p.since && p.work == 0 && !c.adapted(s, p) {
 			p.fire(Idle, c.now)
 			p.num = 0
 			c.tally.Drained++
@@ -553,7 +589,7 @@
 
 // placeAll places what is wished for, the most urgent first, within room and the store's budget.
 func (c *Core) placeAll() {
-	budget := c.plan.Loads
+	budget, rate := c.budget()
 	for _, s := range c.servers {
 		for _, k := range gauge.Keys(s.spots) {
 			p := s.spots[k]
@@ -570,12 +606,13 @@
 	for _, id := range gauge.Keys(c.servers) {
 		s := c.servers[id]
 		for _, k := range gauge.Keys(s.spots) {
-			if _, ok := c.plan.Models[k]; !ok && s.spots[k].stage == Ready && s.known && !s.dark {
+			if _, ok := c.plan.Models[k]; !ok && !k.Plain() && s.spots[k].stage == Ready && s.known && !s.dark {
 				c.evict(s, s.spots[k])
 			}
 		}
 	}
 	c.beatShifts()
+	budget = min(budget, rate)
 	wishes := c.wishes()
 	for _, w := range wishes {
 		if budget <= 0 {
@@ -692,13 +729,27 @@
 	if !c.stays(s) || s.spots[k] != nil || s.odd != "" {
 		return false
 	}
+	if s.plain || s.Service != k.Service() {
+		return false
+	}
 	if k.IsAdapter() {
 		b := s.spots[k.Base()]
-		return b != nil && b.stage == Ready
+		return b != nil && b.stage == Ready && (s.places == 0 || s.adapters() < s.places)
 	}
 	return true
 }
 
+// adapters counts the places for adapters that are taken or promised.
+func (s *server) adapters() int {
+	n := 0
+	for k := range s.spots {
+		if k.IsAdapter() {
+			n++
+		}
+	}
+	return n
+}
+
 // clearRoom evicts what is least missed on the server where that suffices with least.
 func (c *Core) clearRoom(w wish) {
 	if !w.bare {
--- a/anvil/register.go
+++ b/anvil/register.go
@@ -628,7 +628,7 @@
 
 func (c *Core) beatForm() {
 	r := &c.reg
-	if c.latest() != nil || r.op != nil {
+	if c.latest() != nil || r.op != nil || c.o.Joined && !r.force {
 		return
 	}
 	var l []dowel.Voter
--- a/clamp/clamp.go
+++ b/clamp/clamp.go
@@ -64,7 +64,9 @@
 	Data   string   // data folder; empty if the process has no disk
 	Beat   time.Duration
 	Ring   *Ring
-	Else   func(out any) // what only the program itself can do
+	Else   func(out any)                                             // what only the program itself can do
+	Local  map[string]func(dowel.Env)                                // cores in this very process, by the address that they are told under
+	Tell   func(context.Context, *http.Client, dowel.Ask) dowel.Told // how servers are asked, if not the product's own way
 }
 
 // Clamp runs one core. Its lock is taken before that of any queue and never across I/O.
@@ -88,7 +90,18 @@
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	c.life, c.end = context.WithCancel(c.ctx)
 	c.post = newPost(c.ctx, o.Told, func(e dowel.Env) { c.Step(e) })
-	c.http = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, Proxy: nil, DialContext: Dialer(o.Told, 500*time.Millisecond).DialContext}}
+	c.post.local = o.Local
+	dial := Dialer(o.Told, 500*time.Millisecond).DialContext
+	c.http = &http.Client{
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, Proxy: nil, DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			n, err := dial(ctx, network, addr)
+			if t, ok := n.(*net.TCPConn); ok {
+				_ = t.SetLinger(0) // what a cut holds up is not delivered after it was given up
+			}
+			return n, err
+		}},
+	}
 	return c
 }
 
@@ -211,6 +224,14 @@
 	ctx, stop := context.WithTimeout(life, a.Wait)
 	defer stop()
 	t := dowel.Told{Token: a.Token}
+	if a.Until != 0 && Now() > a.Until {
+		return t
+	}
+	if c.o.Tell != nil {
+		t = c.o.Tell(ctx, c.http, a)
+		t.Token = a.Token
+		return t
+	}
 	how, body := http.MethodGet, io.Reader(nil)
 	if a.Body != nil {
 		b, err := json.Marshal(a.Body)
--- a/clamp/post.go
+++ b/clamp/post.go
@@ -47,6 +47,7 @@
 	ctx   context.Context
 	take  func(dowel.Env)
 	dial  *net.Dialer
+	local map[string]func(dowel.Env)
 }
 
 func newPost(ctx context.Context, told string, take func(dowel.Env)) *post {
@@ -191,7 +192,11 @@
 		case e := <-q:
 			idle.Reset(time.Minute)
 			p.work(1)
-			put(e)
+			if f := p.local[to]; f != nil {
+				f(e)
+			} else {
+				put(e)
+			}
 			p.work(-1)
 		}
 	}
--- a/dowel/dowel.go
+++ b/dowel/dowel.go
@@ -430,6 +430,7 @@
 	Path  string
 	Body  any
 	Wait  gauge.Span
+	Until gauge.Tick // it is not sent any more after this moment, if one is set
 }
 
 // Told answers an Ask. OK is false when no answer came.
--- a/gauge/gauge.go
+++ b/gauge/gauge.go
@@ -126,6 +126,7 @@
 	NoRoom    Kind = "no_room"
 	Repeated  Kind = "repeated"
 	Late      Kind = "late"
+	Moved     Kind = "moved"
 )
 
 // Receipt says how a kind is told to the caller.
@@ -158,4 +159,5 @@
 	NoRoom:    {409, true, 0},
 	Repeated:  {409, false, 0}, // it ran, or may have, when it was asked before
 	Late:      {503, true, 500 * time.Millisecond},
+	Moved:     {503, true, 20 * time.Millisecond}, // what was known of a server was old
 }
--- a/lathe/core.go
+++ b/lathe/core.go
@@ -28,6 +28,12 @@
 	Plain bool       // no prefix affinity, to measure against
 	Heads int        // leading shared parts that affinity goes by; all, if none is said
 	Check bool       // check every entry on every use, to measure against
+
+	Read   func([]byte) (*chisel.Plan, chisel.Faults) // of plans
+	Free   bool                                       // servers remember no ids: what may not be repeated goes to any replica
+	Guards bool                                       // servers refuse what they do not hold: without a hold a router goes by what it knew
+	Lend   float64                                    // arrivals beyond the first that the whole fleet is lent in each Window
+	Window gauge.Span
 }
 
 // Defaults fills what was left out.
@@ -41,6 +47,10 @@
 	gauge.Or(&o.Batch, 500e6)
 	gauge.Or(&o.Share, 0.16)
 	gauge.Or(&o.Save, 5e9)
+	gauge.Or(&o.Window, 10e9)
+	if o.Read == nil {
+		o.Read = chisel.ReadPlan
+	}
 	return o
 }
 
@@ -142,7 +152,8 @@
 	came  map[gauge.Key]int
 	work  map[gauge.Key]int
 	bench map[gauge.Server]*bench
-	bank  []coin // what first goes earned, oldest first
+	bank  []coin       // what first goes earned, oldest first
+	lent  []gauge.Tick // when what is lent was taken
 	tally Tally
 }
 
@@ -232,6 +243,15 @@
 
 func (c *Core) holds() bool { return c.now < c.until }
 
+// alone tells whether the router has no hold and may go by what it knew all the same: it is parted
+// from the core, and servers refuse by themselves what they do not hold or are not meant by.
+func (c *Core) alone() bool { return c.o.Guards && c.plan != nil && !c.holds() }
+
+// usable tells whether work may be sent by an entry as it stands.
+func (c *Core) usable(e *entry) bool {
+	return e != nil && (e.held && c.holds() || c.alone() && len(e.Replicas) > 0)
+}
+
 func (c *Core) onNews(b dowel.News) {
 	if b.Session != c.ses {
 		c.tally.StaleNews++
@@ -263,7 +283,7 @@
 	var p *chisel.Plan
 	if len(d.Plan) > 0 {
 		var f chisel.Faults
-		if p, f = chisel.ReadPlan(d.Plan); f != nil {
+		if p, f = c.o.Read(d.Plan); f != nil {
 			return // cannot be: the core takes no faulty plan
 		}
 	}
--- a/lathe/ledger.go
+++ b/lathe/ledger.go
@@ -55,8 +55,17 @@
 	stage string
 	owes  gauge.Tick // since when its next go is a retry that is not paid for yet
 	doubt bool       // the plan in force allows it not, but that plan may be old
+	route *chisel.Route
 }
 
+// again tells whether the request may run a second time.
+func (r *req) again() bool {
+	return r.Call.Call.Again || r.route != nil && (r.route.Mode == chisel.Idempotent || r.route.Resume)
+}
+
+// resumes tells whether its stream may be taken up at another server.
+func (r *req) resumes() bool { return r.route != nil && r.route.Resume }
+
 type tag struct{}
 
 // The life of a request.
@@ -69,7 +78,7 @@
 		}, stateless.FiringImmediate)
 	s.Configure(Waiting).Permit("launch", Going).Permit("close", Closed)
 	s.Configure(Going).Permit("begin", Flowing).Permit("back", Waiting).Permit("close", Closed)
-	s.Configure(Flowing).Permit("close", Closed)
+	s.Configure(Flowing).Permit("back", Waiting).Permit("close", Closed)
 	s.Configure(Closed).Ignore("close")
 	s.OnUnhandledTrigger(func(context.Context, stateless.State, stateless.Trigger, []string) error { return nil })
 	return s
@@ -110,13 +119,19 @@
 		return move{again: true}
 	}
 	g := r.goes[len(r.goes)-1]
-	m := moves[g.How][b2i(r.Call.Call.Again)]
+	m := moves[g.How][b2i(r.again())]
 	if g.How == Dropped && g.Kind == gauge.Repeated {
 		return move{kind: gauge.Repeated} // another server would run it a second time
 	}
 	if g.Begun && g.How == Lost {
 		m = moves[Split][0]
 	}
+	if g.How == Split && r.resumes() {
+		m = move{again: true, pay: true}
+	}
+	if r.route != nil {
+		most = r.route.Tries
+	}
 	sent := 0
 	for _, g := range r.goes {
 		if g.How != Kept && g.How != Unsent {
@@ -124,6 +139,9 @@
 		}
 	}
 	if m.again && sent >= most {
+		if g.How == Dropped && g.Kind == gauge.Mismatch {
+			return move{kind: gauge.Moved} // what was known of the server was old: it is asked anew at once
+		}
 		return move{kind: gauge.NotReady}
 	}
 	return m
@@ -140,7 +158,10 @@
 	if c.plan == nil {
 		return gauge.None // no plan is known yet: it waits, but is sent nowhere
 	}
-	_, _, why := c.plan.Allows(r.Route, r.Call.Call.Kind, r.Call.Call.Base, r.Call.Call.Extra)
+	m, why := c.plan.Match(r.Call.Call.Query(r.Route))
+	if why == gauge.None && m.Key != r.key {
+		return gauge.Moved // the plan sends it elsewhere now
+	}
 	return why
 }
 
@@ -150,11 +171,10 @@
 	r.class = chisel.Class{Value: 1, Wait: 5e9}
 	r.doubt = c.plan == nil
 	if c.plan != nil {
-		x := r.Call.Call
-		_, class, why := c.plan.Allows(r.Route, x.Kind, x.Base, x.Extra)
+		m, why := c.plan.Match(r.Call.Call.Query(r.Route))
 		switch {
 		case why == gauge.None:
-			r.class = class
+			r.class, r.key, r.route = m.Class, m.Key, m.Route
 		case c.holds():
 			return why
 		default:
@@ -229,7 +249,7 @@
 		sum += x.n
 	}
 	if sum < 1 {
-		return false
+		return c.borrow()
 	}
 	for i := range c.bank {
 		n := min(left, c.bank[i].n)
@@ -239,6 +259,18 @@
 	return true
 }
 
+// borrow takes one of the arrivals that the fleet is lent whatever it earned; this router has its share.
+func (c *Core) borrow() bool {
+	for len(c.lent) > 0 && c.now.Sub(c.lent[0]) > c.o.Window {
+		c.lent = c.lent[1:]
+	}
+	if float64(len(c.lent)+1) > c.o.Lend/float64(max(1, c.routers)) {
+		return false
+	}
+	c.lent = append(c.lent, c.now)
+	return true
+}
+
 // earn adds what a first go earns, which does not last.
 func (c *Core) earn() {
 	if n := len(c.bank); n == 0 || c.now.Sub(c.bank[n-1].at) > c.o.Save/20 {
@@ -350,9 +382,8 @@
 		}
 		if e == nil || !e.held {
 			c.want(k)
-			return
 		}
-		if !c.holds() {
+		if !c.usable(e) {
 			return
 		}
 		e.used = c.now
@@ -362,7 +393,7 @@
 		}
 		p := c.pick(e, r)
 		switch {
-		case p == nil && !r.Call.Call.Again:
+		case p == nil && !r.again():
 			i++ // it waits for one server; others behind it may go to another
 		case p == nil:
 			return
@@ -462,7 +493,7 @@
 func (c *Core) pick(e *entry, r *req) *dowel.Replica {
 	var l []*dowel.Replica
 	var only *dowel.Replica
-	if !r.Call.Call.Again {
+	if !r.again() && !c.o.Free {
 		if only = c.bound(e, r); only == nil {
 			return nil
 		}
@@ -510,6 +541,12 @@
 	return l[0]
 }
 
+// rank tells how urgent a request is: 0 comes first.
+func (r *req) rank() int { return min(max(mostValue-r.class.Value, 0), 9) }
+
+// mostValue is the value of the most urgent class.
+const mostValue = 1000
+
 func (c *Core) launch(r *req, p *dowel.Replica) {
 	c.leave(r)
 	r.fire("launch")
@@ -523,7 +560,7 @@
 	c.out = append(c.out, Launch{Ref: r.Ref, N: n, Server: p.Server, Addr: p.Addr, Work: dowel.Work{
 		Go: fmt.Sprintf("%s-%d-%d-%d", c.o.Me.ID, c.o.Inc, r.Ref, n), ID: x.ID, Base: x.Base, Extra: x.Extra,
 		Inc: p.Inc, Parts: x.Parts, Prompt: x.Prompt, Max: x.Max, Once: !x.Again,
-	}})
+	}, Left: r.due.Sub(c.now), Rank: r.rank(), Again: r.again(), Resume: r.resumes()})
 }
 
 // MaySend is asked at the very point of sending: the hold must still run, the callback must
@@ -556,7 +593,7 @@
 
 func (c *Core) stands(r *req, g *Go) bool {
 	e := c.entries[r.key]
-	if !c.holds() || e == nil || !e.held || c.allowed(r) != gauge.None || c.plan == nil {
+	if !c.usable(e) || c.plan == nil || c.allowed(r) != gauge.None {
 		return false
 	}
 	for _, p := range e.Replicas {
@@ -612,6 +649,11 @@
 		if m.owe {
 			r.owes = c.now
 		}
+		if why := c.admit(r); why != gauge.None { // the plan may have changed under way
+			c.rest(r)
+			c.finish(r, why, 0)
+			break
+		}
 		c.join(r)
 	default:
 		c.finish(r, m.kind, 0)
--- a/lathe/serve.go
+++ b/lathe/serve.go
@@ -131,20 +131,25 @@
 		}
 		return ok, v
 	})
-	m.Handle("/-/metrics", clamp.Metrics(clamp.Tallies{Name: "lathe", Get: func() (t any) {
-		d.c.With(func(gauge.Tick) { t = d.core.Counts() })
+	m.Handle("/-/metrics", metrics(d.c, d.core), http.MethodGet)
+	m.HandleFunc("/...", d.call, http.MethodPost)
+	return m
+}
+
+// metrics shows what a router did and has.
+func metrics(c *clamp.Clamp, core *Core) http.Handler {
+	return clamp.Metrics(clamp.Tallies{Name: "lathe", Get: func() (t any) {
+		c.With(func(gauge.Tick) { t = core.Counts() })
 		return t
 	}}, clamp.Tallies{Name: "lathe", Get: func() any {
 		var v struct{ Entries, Waiting, Epoch int }
-		d.c.With(func(now gauge.Tick) {
-			v.Entries, v.Waiting = d.core.Size()
-			_, e, _ := d.core.Rules(now)
+		c.With(func(now gauge.Tick) {
+			v.Entries, v.Waiting = core.Size()
+			_, e, _ := core.Rules(now)
 			v.Epoch = int(e)
 		})
 		return v
-	}}), http.MethodGet)
-	m.HandleFunc("/...", d.call, http.MethodPost)
-	return m
+	}})
 }
 
 // call carries one caller's request from its arrival to its last word.
