--- /dev/null
+++ b/lathe/relay.go
@@ -0,0 +1,856 @@
+package lathe
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"mime"
+	"net"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"tidedeck/chisel"
+	"tidedeck/clamp"
+	"tidedeck/gauge"
+)
+
+// Decider decides what becomes of requests.
+type Decider interface {
+	// Step takes what happened: Call, Begun, Ended, Quit. What follows comes to Relay.Act.
+	Step(in any)
+	// MaySend is asked at the very point of sending.
+	MaySend(ref Ref, n int) bool
+}
+
+type held struct {
+	c    *clamp.Clamp
+	core *Core
+}
+
+// Held makes a decider of a core in its clamp.
+func Held(c *clamp.Clamp, core *Core) Decider { return held{c, core} }
+
+// Step gives the core one input.
+func (h held) Step(in any) { h.c.Step(in) }
+
+// MaySend asks the core.
+func (h held) MaySend(ref Ref, n int) (may bool) {
+	h.c.With(func(now gauge.Tick) { may = h.core.MaySend(now, ref, n) })
+	return may
+}
+
+// RelayOptions of a relay.
+type RelayOptions struct {
+	Decider Decider // may be set later, with Relay.Use
+	Dialect Dialect
+	Conns   ConnOptions
+	// Limits gives the bytes that a request's body may have and how long it may take to come, by the
+	// plan in force. Zeros, or no function, leave it to the defaults: 4 MiB and 15 s.
+	Limits    func() (bodyMost int64, bodyWait time.Duration)
+	Wait      time.Duration // an attempt that says no time left may take so long; 60 s
+	Slack     time.Duration // an answer's head may come so long after the time left; 200 ms
+	Tail      time.Duration // the rest of an answer may come so long after it; 2 s
+	WriteWait time.Duration // a client that takes nothing for so long is given up; 10 s
+	KeepAlive time.Duration // told to clients as the time for which their idle connections stay; none
+}
+
+// Defaults fills what was left out.
+func (o RelayOptions) Defaults() RelayOptions {
+	gauge.Or(&o.Wait, 60*time.Second)
+	gauge.Or(&o.Slack, 200*time.Millisecond)
+	gauge.Or(&o.Tail, 2*time.Second)
+	gauge.Or(&o.WriteWait, 10*time.Second)
+	return o
+}
+
+// RelayTally counts what a relay did.
+type RelayTally struct {
+	Surplus, Foreign, Broken, Aborts, Refusals, Smuggled uint64
+	ConnTally
+}
+
+// Relay passes requests on to servers as they are, and the servers' answers back. A Decider
+// decides everything.
+type Relay struct {
+	o     RelayOptions
+	core  Decider
+	conns *conns
+	close func() bool // whether answers end their connections
+
+	mu    sync.Mutex // guards what follows; taken after the clamp's
+	calls map[Ref]chan any
+	next  Ref
+	tally RelayTally
+}
+
+// NewRelay makes a relay.
+func NewRelay(o RelayOptions) *Relay {
+	o = o.Defaults()
+	return &Relay{o: o, core: o.Decider, conns: newConns(o.Conns), close: func() bool { return false }, calls: map[Ref]chan any{}}
+}
+
+// Use sets who decides, before the first request comes.
+func (r *Relay) Use(d Decider) { r.core = d }
+
+// Act takes what was decided: a Launch or a Receipt. It is the Else of a clamp.
+func (r *Relay) Act(o any) {
+	var ref Ref
+	switch v := o.(type) {
+	case Launch:
+		ref = v.Ref
+	case Receipt:
+		ref = v.Ref
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if ch := r.calls[ref]; ch != nil {
+		ch <- o // at most one launch is open, and one receipt follows it
+	}
+}
+
+// Forget closes the idle connections to a server's address.
+func (r *Relay) Forget(addr string) { r.conns.closeIdle(addr) }
+
+// Close closes the idle connections to servers.
+func (r *Relay) Close() { r.conns.close() }
+
+// Counts gives the tally so far.
+func (r *Relay) Counts() RelayTally {
+	r.mu.Lock()
+	t := r.tally
+	r.mu.Unlock()
+	t.ConnTally = r.conns.tally()
+	return t
+}
+
+// Open tells how many requests are under way.
+func (r *Relay) Open() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.calls)
+}
+
+func (r *Relay) count(f func(t *RelayTally)) {
+	r.mu.Lock()
+	f(&r.tally)
+	r.mu.Unlock()
+}
+
+// hop tells whether a header concerns one connection only.
+func hop(name string) bool {
+	switch name {
+	case "Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length", "Host":
+		return true
+	}
+	return strings.HasPrefix(name, "Proxy-")
+}
+
+// through copies the headers that go through, and room for a few more.
+func through(h http.Header) http.Header {
+	c := make(http.Header, len(h)+6)
+	for k, v := range h {
+		if !hop(k) {
+			c[k] = v
+		}
+	}
+	for _, l := range h["Connection"] {
+		for f := range strings.SplitSeq(l, ",") {
+			delete(c, textproto.CanonicalMIMEHeaderKey(textproto.TrimString(f)))
+		}
+	}
+	return c
+}
+
+const (
+	mostKept   = 256 << 10 // of an answer that is read whole before it is passed on
+	mostDrain  = 64 << 10  // of an answer that is read to be thrown away
+	mostPiece  = 16 << 10  // of a request's body that goes with its head in one write
+	mostEvents = 1 << 20   // of one event
+)
+
+var (
+	buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+	pieces  = sync.Pool{New: func() any { b := make([]byte, 32<<10); return &b }}
+)
+
+func borrow() *bytes.Buffer { return buffers.Get().(*bytes.Buffer) }
+
+func giveBack(b *bytes.Buffer) {
+	if b.Cap() <= mostKept {
+		b.Reset()
+		buffers.Put(b)
+	}
+}
+
+// exchange is one client's request and its answer.
+type exchange struct {
+	r     *Relay
+	w     http.ResponseWriter
+	to    *http.ResponseController
+	req   *http.Request
+	facts chisel.Call
+	head  http.Header // what goes through
+	body  []byte
+	armed time.Time // when the deadline of writes was set
+
+	reply *reply // a whole answer that is still to be written
+	open  bool   // the client has bytes of an answer
+	units bool   // they are whole events
+	gone  bool   // the client takes no more
+
+	seen bool   // an event with a number was passed on
+	last uint64 // the number of the last
+}
+
+// reply is a whole answer.
+type reply struct {
+	status int
+	head   http.Header
+	body   *bytes.Buffer
+}
+
+// ServeHTTP carries one client's request from its arrival to its last word.
+func (r *Relay) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	x := &exchange{r: r, w: w, to: http.NewResponseController(w), req: q}
+	came := time.Now()
+	if g := guardOf(q); g != nil {
+		defer g.next()
+	}
+	if !unambiguous(q) {
+		r.count(func(t *RelayTally) { t.Smuggled++ })
+		x.refuse(gauge.Malformed, 0, true, chisel.Faults{{Path: "$", Why: "where the body ends is not clear"}})
+		return
+	}
+	facts, fault := r.o.Dialect.Read(q)
+	if fault != nil {
+		x.refuse(gauge.Malformed, 0, q.Body != http.NoBody, chisel.Faults{*fault})
+		return
+	}
+	b := borrow()
+	defer giveBack(b)
+	if !x.read(b) {
+		return
+	}
+	x.body = b.Bytes()
+	if facts.Wait > 0 {
+		facts.Wait = max(1, facts.Wait-time.Since(came))
+	}
+	x.facts, x.head, x.last, x.seen = facts, through(q.Header), facts.Seen, facts.Seen > 0
+	x.run()
+	if x.reply != nil {
+		x.answer()
+	}
+}
+
+// read reads the request's body.
+func (x *exchange) read(b *bytes.Buffer) bool {
+	q := x.req
+	if q.Body == nil || q.Body == http.NoBody {
+		return true
+	}
+	most, wait := int64(0), time.Duration(0)
+	if x.r.o.Limits != nil {
+		most, wait = x.r.o.Limits()
+	}
+	gauge.Or(&most, 4<<20)
+	gauge.Or(&wait, 15*time.Second)
+	big := chisel.Faults{{Path: "$", Why: "the body has more bytes than are allowed"}}
+	if q.ContentLength > most {
+		x.refuse(gauge.Oversize, 0, true, big)
+		return false
+	}
+	if q.ContentLength > 0 {
+		b.Grow(int(q.ContentLength) + bytes.MinRead)
+	}
+	_ = x.to.SetReadDeadline(time.Now().Add(wait))
+	_, err := b.ReadFrom(http.MaxBytesReader(x.w, q.Body, most))
+	_ = x.to.SetReadDeadline(time.Time{})
+	var over *http.MaxBytesError
+	var late net.Error
+	switch {
+	case err == nil:
+		return true
+	case errors.As(err, &over):
+		x.refuse(gauge.Oversize, 0, true, big)
+	case errors.As(err, &late) && late.Timeout():
+		x.say(http.StatusRequestTimeout, clamp.Problem{Kind: gauge.Expired, Dropped: true}, 0, true)
+	default:
+		x.abort()
+	}
+	return false
+}
+
+// run asks the decider and does what it says until the request has its end.
+func (x *exchange) run() {
+	r := x.r
+	ch := make(chan any, 4)
+	r.mu.Lock()
+	r.next++
+	ref := r.next
+	r.calls[ref] = ch
+	r.mu.Unlock()
+	settled := false
+	defer func() {
+		if !settled {
+			r.core.Step(Quit{ref})
+		}
+		r.mu.Lock()
+		delete(r.calls, ref)
+		r.mu.Unlock()
+	}()
+	r.core.Step(Call{Ref: ref, Route: x.req.URL.Path, Call: x.facts})
+	ctx := x.req.Context()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case o := <-ch:
+			switch v := o.(type) {
+			case Receipt:
+				settled = true
+				x.receipt(v)
+				return
+			case Launch:
+				if x.open && !(x.units && v.Resume) {
+					x.abort() // its stream cannot be taken up
+				}
+				how, kind := x.attempt(ctx, v)
+				if how != Done && (x.gone || ctx.Err() != nil) {
+					return
+				}
+				settled = how == Done
+				r.core.Step(Ended{Ref: ref, N: v.N, How: how, Kind: kind})
+				if settled {
+					return
+				}
+			}
+		}
+	}
+}
+
+// receipt says the last word when it is not a server's.
+func (x *exchange) receipt(v Receipt) {
+	if x.open {
+		x.abort()
+	}
+	x.refuse(v.Kind, v.Back, false, nil)
+}
+
+// abort breaks the client's connection visibly: an answer that ends early must not look whole.
+func (x *exchange) abort() {
+	x.r.count(func(t *RelayTally) { t.Aborts++ })
+	panic(http.ErrAbortHandler)
+}
+
+// refuse writes the answer that the one table has for a kind.
+func (x *exchange) refuse(k gauge.Kind, back gauge.Span, end bool, f chisel.Faults) {
+	a, ok := gauge.Receipts[k]
+	if !ok {
+		a = gauge.Receipts[gauge.Unclear]
+	}
+	if back == 0 {
+		back = a.Back
+	}
+	x.say(a.Status, clamp.Problem{Kind: k, Dropped: a.Dropped, BackMs: back.Milliseconds(), Faults: f}, back, end)
+}
+
+func (x *exchange) say(status int, p clamp.Problem, back gauge.Span, end bool) {
+	x.r.count(func(t *RelayTally) { t.Refusals++ })
+	x.arm()
+	h := x.w.Header()
+	b, _ := json.Marshal(p)
+	h["Content-Type"] = []string{"application/json"}
+	h["Content-Length"] = []string{strconv.Itoa(len(b))}
+	if back > 0 {
+		h["Retry-After"] = []string{strconv.FormatFloat(back.Round(time.Millisecond).Seconds(), 'f', -1, 64)}
+	}
+	x.ends(end)
+	x.w.WriteHeader(status)
+	_, _ = x.w.Write(b)
+}
+
+// ends adds what the head of an answer says about the client's connection.
+func (x *exchange) ends(end bool) {
+	if end || x.r.close() {
+		x.w.Header()["Connection"] = []string{"close"}
+	} else if s := int(x.r.o.KeepAlive / time.Second); s > 0 {
+		x.w.Header()["Keep-Alive"] = []string{"timeout=" + strconv.Itoa(s)}
+	}
+}
+
+// arm bounds how long a client may take nothing.
+func (x *exchange) arm() {
+	if now := time.Now(); now.Sub(x.armed) > x.r.o.WriteWait/8 {
+		x.armed = now
+		_ = x.to.SetWriteDeadline(now.Add(x.r.o.WriteWait))
+	}
+}
+
+// begin writes the head of a server's answer.
+func (x *exchange) begin(status int, head http.Header) {
+	x.arm()
+	h := x.w.Header()
+	for k, v := range through(head) {
+		h[k] = v
+	}
+	for _, k := range []string{"Date", "Content-Type"} {
+		if _, ok := h[k]; !ok {
+			h[k] = nil // nothing is made up
+		}
+	}
+	x.ends(false)
+	x.open = true
+	x.w.WriteHeader(status)
+}
+
+// pass writes bytes of an answer's body.
+func (x *exchange) pass(b []byte, flush bool) {
+	if len(b) == 0 || x.gone {
+		return
+	}
+	x.arm()
+	if _, err := x.w.Write(b); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+		x.gone = true
+		return
+	}
+	if flush && x.to.Flush() != nil {
+		x.gone = true
+	}
+}
+
+// answer writes a whole answer.
+func (x *exchange) answer() {
+	a := x.reply
+	if a.body == nil {
+		x.begin(a.status, a.head)
+		return
+	}
+	defer giveBack(a.body)
+	x.w.Header()["Content-Length"] = []string{strconv.Itoa(a.body.Len())}
+	x.begin(a.status, a.head)
+	if x.pass(a.body.Bytes(), false); x.gone {
+		x.abort()
+	}
+}
+
+// attempt sends the request to one server and passes its answer on.
+func (x *exchange) attempt(ctx context.Context, v Launch) (End, gauge.Kind) {
+	r := x.r
+	left := v.Left
+	gauge.Or(&left, r.o.Wait)
+	due := time.Now().Add(left)
+	c, _, err := r.conns.get(ctx, v.Addr)
+	if err != nil {
+		return Unsent, gauge.None
+	}
+	l := &lease{r: r, c: c, stop: context.AfterFunc(ctx, c.cut)}
+	defer l.end(false)
+	if left = time.Until(due); left <= 0 {
+		l.end(true)
+		return Kept, gauge.None
+	}
+	if !r.core.MaySend(v.Ref, v.N) {
+		l.end(true)
+		return Kept, gauge.None
+	}
+	a := Attempt{Server: v.Server, Left: left, Rank: v.Rank}
+	if x.seen {
+		a.Seen = x.last
+	}
+	r.o.Dialect.Write(x.head, a)
+	if sent, err := x.send(c, due); err != nil {
+		if sent == 0 && ctx.Err() == nil {
+			return Unsent, gauge.None // not one byte of it left
+		}
+		return x.broken()
+	}
+	return x.receive(v, l, due)
+}
+
+// lease is the use of a connection by one attempt.
+type lease struct {
+	r    *Relay
+	c    *conn
+	stop func() bool
+}
+
+// end gives the connection back, or closes it.
+func (l *lease) end(keep bool) {
+	if l.c == nil {
+		return
+	}
+	if l.stop() && keep {
+		l.r.conns.put(l.c)
+	} else {
+		l.c.close()
+	}
+	l.c = nil
+}
+
+// broken says what a broken connection means.
+func (x *exchange) broken() (End, gauge.Kind) {
+	x.r.count(func(t *RelayTally) { t.Broken++ })
+	if x.open {
+		return Split, gauge.None
+	}
+	return Lost, gauge.None
+}
+
+// send writes the request, in one write if it is small. It tells how many bytes left.
+func (x *exchange) send(c *conn, due time.Time) (int64, error) {
+	q := x.req
+	b := borrow()
+	defer giveBack(b)
+	target := q.RequestURI
+	if !strings.HasPrefix(target, "/") && target != "*" {
+		target = q.URL.RequestURI()
+	}
+	b.WriteString(q.Method)
+	b.WriteByte(' ')
+	b.WriteString(target)
+	b.WriteString(" HTTP/1.1\r\nHost: ")
+	b.WriteString(q.Host)
+	b.WriteString("\r\n")
+	if _, ok := q.Header["Content-Length"]; ok || len(x.body) > 0 || len(q.TransferEncoding) > 0 {
+		b.WriteString("Content-Length: ")
+		b.WriteString(strconv.Itoa(len(x.body)))
+		b.WriteString("\r\n")
+	}
+	if err := x.head.Write(b); err != nil {
+		return 0, err
+	}
+	b.WriteString("\r\n")
+	if err := c.SetWriteDeadline(due); err != nil {
+		return 0, err
+	}
+	if len(x.body) <= mostPiece {
+		b.Write(x.body)
+		n, err := c.Conn.Write(b.Bytes())
+		return int64(n), err
+	}
+	l := net.Buffers{b.Bytes(), x.body}
+	return l.WriteTo(c.Conn)
+}
+
+// receive reads the answer to this attempt, past those that belong to earlier ones.
+func (x *exchange) receive(v Launch, l *lease, due time.Time) (End, gauge.Kind) {
+	r, c := x.r, l.c
+	if c.SetReadDeadline(due.Add(r.o.Slack)) != nil {
+		return x.broken()
+	}
+	for n := 0; ; n++ {
+		a, err := c.answer(x.req, r.conns.o.MaxHeadSize)
+		if err != nil {
+			return x.broken()
+		}
+		said := r.o.Dialect.Answer(a.StatusCode, a.Header)
+		if said.ID == x.facts.ID && said.ID != "" {
+			if n > 0 {
+				c.keep = 0 // who knows what else comes on it
+			}
+			return x.take(v, l, a, said, due)
+		}
+		if said.ID == "" || n == 2 || until(a) {
+			r.count(func(t *RelayTally) { t.Foreign++ })
+			return x.broken()
+		}
+		r.count(func(t *RelayTally) { t.Surplus++ })
+		if m, err := io.CopyN(io.Discard, a.Body, 1<<20); err != io.EOF || m == 1<<20 {
+			return x.broken()
+		}
+	}
+}
+
+// until tells whether nothing but the end of the connection ends an answer's body.
+func until(a *http.Response) bool {
+	return a.ContentLength < 0 && len(a.TransferEncoding) == 0 && a.Body != http.NoBody
+}
+
+// take passes on the answer to this attempt, or tells why it cannot.
+func (x *exchange) take(v Launch, l *lease, a *http.Response, said Said, due time.Time) (End, gauge.Kind) {
+	good := a.StatusCode >= 200 && a.StatusCode < 300
+	stream := false
+	if t, _, err := mime.ParseMediaType(a.Header.Get("Content-Type")); err == nil {
+		stream = t == "text/event-stream"
+	}
+	switch {
+	case said.NotRun:
+		x.drain(l, a)
+		return Dropped, said.Kind
+	case good && !said.Sealed:
+		return Lost, gauge.None
+	case x.open && !(good && stream):
+		return Lost, gauge.None
+	case !good && promises(a.StatusCode):
+		x.drain(l, a)
+		return Lost, gauge.None // its status would say that it did not run, and it may have
+	case a.StatusCode >= 500 && v.Again:
+		x.drain(l, a)
+		return Lost, gauge.None
+	}
+	if l.c.SetReadDeadline(due.Add(x.r.o.Tail)) != nil {
+		return x.broken()
+	}
+	if stream && x.req.Method != http.MethodHead {
+		return x.flow(v, l, a)
+	}
+	return x.whole(v, l, a)
+}
+
+// promises tells whether a status says that a request did not run and never will.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// drain reads a small body off, so that the connection can be kept; nobody waits long for that.
+func (x *exchange) drain(l *lease, a *http.Response) {
+	if a.ContentLength > mostDrain || until(a) || l.c.SetReadDeadline(time.Now().Add(100*time.Millisecond)) != nil {
+		l.end(false)
+		return
+	}
+	n, err := io.CopyN(io.Discard, a.Body, mostDrain)
+	l.end(err == io.EOF && n < mostDrain)
+}
+
+// whole passes an answer on that is no stream. A small one is read whole first: if it breaks off,
+// the client has no byte of it yet.
+func (x *exchange) whole(v Launch, l *lease, a *http.Response) (End, gauge.Kind) {
+	if a.Body == http.NoBody {
+		l.end(true)
+		// There is no body by the request's method or the status; the length then stands for itself.
+		if n, ok := a.Header["Content-Length"]; ok {
+			x.w.Header()["Content-Length"] = n
+		}
+		x.reply = &reply{status: a.StatusCode, head: a.Header}
+		return Done, gauge.None
+	}
+	b := borrow()
+	if a.ContentLength <= mostKept {
+		if a.ContentLength > 0 {
+			b.Grow(int(a.ContentLength) + bytes.MinRead)
+		}
+		switch _, err := io.CopyN(b, a.Body, mostKept+1); err {
+		case io.EOF:
+			l.end(!until(a))
+			x.reply = &reply{a.StatusCode, a.Header, b}
+			return Done, gauge.None
+		case nil:
+		default:
+			giveBack(b)
+			return x.broken()
+		}
+	}
+	defer giveBack(b)
+	if a.ContentLength > 0 {
+		x.w.Header()["Content-Length"] = a.Header["Content-Length"]
+	}
+	x.r.core.Step(Begun{Ref: v.Ref, N: v.N})
+	x.begin(a.StatusCode, a.Header)
+	x.pass(b.Bytes(), false)
+	how, kind := x.pump(a, func(p []byte) bool {
+		x.pass(p, false)
+		return true
+	})
+	if how == Done {
+		l.end(!until(a))
+	}
+	return how, kind
+}
+
+// pump reads an answer's body to its end and hands on each piece as it comes.
+func (x *exchange) pump(a *http.Response, f func(p []byte) bool) (End, gauge.Kind) {
+	p := pieces.Get().(*[]byte)
+	defer pieces.Put(p)
+	for {
+		n, err := a.Body.Read(*p)
+		if n > 0 && !f((*p)[:n]) {
+			return Lost, gauge.None
+		}
+		if x.gone {
+			return Lost, gauge.None // nobody reads it any more
+		}
+		switch err {
+		case nil:
+		case io.EOF:
+			return Done, gauge.None
+		default:
+			return x.broken()
+		}
+	}
+}
+
+// flow passes a stream on as it comes.
+func (x *exchange) flow(v Launch, l *lease, a *http.Response) (End, gauge.Kind) {
+	f := &events{x: x, resumed: x.open, begin: func() {
+		x.r.core.Step(Begun{Ref: v.Ref, N: v.N})
+		if !x.open {
+			if a.ContentLength >= 0 && !v.Resume {
+				x.w.Header()["Content-Length"] = a.Header["Content-Length"]
+			}
+			x.units = v.Resume
+			x.begin(a.StatusCode, a.Header)
+		}
+	}}
+	defer f.free()
+	each := f.bytes
+	if v.Resume {
+		each = f.whole
+	}
+	how, kind := x.pump(a, each)
+	if how != Done {
+		return how, kind
+	}
+	if until(a) {
+		return x.broken()
+	}
+	if !f.end() {
+		return Lost, gauge.None
+	}
+	l.end(true)
+	if !f.begun {
+		f.start()
+	}
+	return Done, gauge.None
+}
+
+// events follows the events of one attempt's stream.
+type events struct {
+	x       *exchange
+	begin   func()
+	begun   bool
+	resumed bool // it continues what an earlier attempt began
+
+	buf  *bytes.Buffer // of an event that is not whole yet
+	out  *bytes.Buffer // whole events to be passed on
+	wait *bytes.Buffer // events without a number before the first new one of a resumed stream
+}
+
+func (f *events) free() {
+	for _, b := range []*bytes.Buffer{f.buf, f.out, f.wait} {
+		if b != nil {
+			giveBack(b)
+		}
+	}
+}
+
+func (f *events) start() {
+	f.begun = true
+	f.begin()
+}
+
+func (f *events) pass(b []byte) {
+	if len(b) == 0 {
+		return
+	}
+	if !f.begun {
+		f.start()
+	}
+	f.x.pass(b, true)
+}
+
+// bytes passes a stream on that cannot be taken up: every byte as it comes.
+func (f *events) bytes(p []byte) bool {
+	f.pass(p)
+	return true
+}
+
+// whole passes on the events that are whole, and keeps the rest.
+func (f *events) whole(p []byte) bool {
+	if f.buf == nil {
+		f.buf, f.out, f.wait = borrow(), borrow(), borrow()
+	}
+	f.buf.Write(p)
+	ok := true
+	for ok {
+		n := eventEnd(f.buf.Bytes())
+		if n == 0 {
+			break
+		}
+		ok = f.event(f.buf.Next(n))
+	}
+	f.pass(f.out.Bytes())
+	f.out.Reset()
+	return ok && f.buf.Len() <= mostEvents
+}
+
+// end takes what stands behind the last whole event of a stream that ended cleanly.
+func (f *events) end() bool {
+	if f.buf == nil {
+		return true
+	}
+	ok := f.buf.Len() == 0 || f.event(f.buf.Bytes())
+	if f.resumed && ok {
+		f.out.Write(f.wait.Bytes())
+	}
+	f.pass(f.out.Bytes())
+	f.out.Reset()
+	return ok
+}
+
+// event takes one event; false tells that it does not follow what the client has.
+func (f *events) event(b []byte) bool {
+	x := f.x
+	id, ok := x.r.number(b)
+	if f.resumed {
+		switch {
+		case !ok:
+			f.wait.Write(b)
+			return true
+		case x.seen && id <= x.last:
+			f.wait.Reset()
+			return true
+		case x.seen && id != x.last+1:
+			return false
+		}
+		f.resumed = false
+		f.out.Write(f.wait.Bytes())
+		f.wait.Reset()
+	}
+	if ok {
+		x.seen, x.last = true, id
+	}
+	f.out.Write(b)
+	return true
+}
+
+// number gives the number of an event.
+func (r *Relay) number(b []byte) (id uint64, ok bool) {
+	for len(b) > 0 {
+		l := b
+		if i := bytes.IndexByte(b, '\n'); i >= 0 {
+			l, b = b[:i], b[i+1:]
+		} else {
+			b = nil
+		}
+		if n, is := r.o.Dialect.Event(bytes.TrimSuffix(l, []byte("\r"))); is {
+			id, ok = n, true
+		}
+	}
+	return id, ok
+}
+
+// eventEnd gives the length of the first event with the empty line behind it; 0 if it is not whole.
+func eventEnd(b []byte) int {
+	for i := 0; i < len(b); {
+		n := bytes.IndexByte(b[i:], '\n')
+		if n < 0 {
+			return 0
+		}
+		if n == 0 || n == 1 && b[i] == '\r' {
+			return i + n + 1
+		}
+		i += n + 1
+	}
+	return 0
+}
--- /dev/null
+++ b/lathe/relay_serve.go
@@ -0,0 +1,237 @@
+package lathe
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"tidedeck/gauge"
+)
+
+// RelayServe says where a relay is reached and how it stops.
+type RelayServe struct {
+	Relay     *Relay
+	Ingress   string        // where clients come in, ip:port
+	Readiness string        // where a router tells whether it can be given clients, ip:port
+	Ready     func() bool   // whether it can
+	HeadWait  time.Duration // for a request's head; 10 s
+	HeadMost  int           // bytes of it; 64 KiB
+	Idle      time.Duration // a client's connection may be idle for so long; 30 s
+	Lame      time.Duration // after the stop, clients are still served for so long; 2.5 s
+	Grace     time.Duration // in all, what is under way may take so long after the stop; 7 s
+}
+
+// Defaults fills what was left out.
+func (o RelayServe) Defaults() RelayServe {
+	if o.Ready == nil {
+		o.Ready = func() bool { return true }
+	}
+	gauge.Or(&o.HeadWait, 10*time.Second)
+	gauge.Or(&o.HeadMost, 64<<10)
+	gauge.Or(&o.Idle, 30*time.Second)
+	gauge.Or(&o.Lame, 2500*time.Millisecond)
+	gauge.Or(&o.Grace, 7*time.Second)
+	return o
+}
+
+// ServeRelay serves a relay until it is told to stop and then ends in order: it is unready at once,
+// serves on for a while in which clients are led to other routers, and lets what is under way finish.
+func ServeRelay(stop <-chan struct{}, o RelayServe) error {
+	o = o.Defaults()
+	in, err := net.Listen("tcp", o.Ingress)
+	if err != nil {
+		return errors.Wrap(err, "listen for clients")
+	}
+	told, err := net.Listen("tcp", o.Readiness)
+	if err != nil {
+		_ = in.Close()
+		return errors.Wrap(err, "listen for readiness")
+	}
+	return serveRelay(stop, o, in, told)
+}
+
+func serveRelay(stop <-chan struct{}, o RelayServe, in, told net.Listener) error {
+	o = o.Defaults()
+	var turn atomic.Bool
+	o.Relay.close = turn.Load
+	quiet := log.New(io.Discard, "", 0)
+	front := &http.Server{
+		Handler: o.Relay, ReadHeaderTimeout: o.HeadWait, IdleTimeout: o.Idle, MaxHeaderBytes: o.HeadMost,
+		ErrorLog: quiet, DisableGeneralOptionsHandler: true,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, guarded{}, c) },
+	}
+	side := &http.Server{ReadHeaderTimeout: o.HeadWait, IdleTimeout: o.Idle, MaxHeaderBytes: 8 << 10, ErrorLog: quiet,
+		Handler: readiness(o.Relay.o.Dialect.Ready(), func() bool {
+			select {
+			case <-stop:
+				return false
+			default:
+				return o.Ready()
+			}
+		})}
+	end := make(chan error, 2)
+	go func() { end <- front.Serve(guardListener{in}) }()
+	go func() { end <- side.Serve(told) }()
+	defer o.Relay.Close()
+	defer side.Close()
+	select {
+	case err := <-end:
+		_ = front.Close()
+		return errors.Wrap(err, "serve")
+	case <-stop:
+	}
+	ctx, done := context.WithTimeout(context.Background(), o.Grace)
+	defer done()
+	time.Sleep(min(o.Lame/2, o.Grace))
+	turn.Store(true) // clients that are still here go elsewhere with their next request
+	t := time.NewTimer(o.Lame - o.Lame/2)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	if front.Shutdown(ctx) == nil {
+		return nil
+	}
+	_ = front.Close() // whoever is still served by then is cut off
+	for range 50 {
+		if o.Relay.Open() == 0 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return nil
+}
+
+// readiness answers whether a router can be given clients.
+func readiness(path string, ready func() bool) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		switch {
+		case q.URL.Path != path:
+			w.WriteHeader(http.StatusNotFound)
+		case ready():
+			w.WriteHeader(http.StatusOK)
+		default:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+type guarded struct{}
+
+// guardListener watches the heads of requests on the connections it accepts.
+type guardListener struct{ net.Listener }
+
+// Accept waits for a client.
+func (l guardListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &guard{Conn: c}, nil
+}
+
+// guard watches a request's head for two ways of telling where its body ends: net/http settles on
+// one and forgets that there was another, and what is behind may be a request that nobody sent.
+type guard struct {
+	net.Conn
+	mu   sync.Mutex
+	off  bool   // the head is over
+	line []byte // of a line that is not whole yet
+	head guardedHead
+}
+
+// guardedHead is what a guard saw of a head.
+type guardedHead struct {
+	lines  int
+	first  bool // its first line
+	length bool // a Content-Length
+	chunks bool // a Transfer-Encoding
+}
+
+// Read reads from the client.
+func (g *guard) Read(b []byte) (int, error) {
+	n, err := g.Conn.Read(b)
+	if n > 0 {
+		g.mu.Lock()
+		g.watch(b[:n])
+		g.mu.Unlock()
+	}
+	return n, err
+}
+
+func (g *guard) watch(b []byte) {
+	for !g.off && len(b) > 0 {
+		i := bytes.IndexByte(b, '\n')
+		if i < 0 {
+			g.line = append(g.line, b...)
+			return
+		}
+		l := b[:i]
+		if b = b[i+1:]; len(g.line) > 0 {
+			l = append(g.line, l...)
+			g.line = l[:0]
+		}
+		g.see(bytes.TrimSuffix(l, []byte("\r")))
+	}
+}
+
+func (g *guard) see(l []byte) {
+	h := &g.head
+	switch h.lines++; {
+	case h.lines == 1:
+		h.first = bytes.HasSuffix(l, []byte(" HTTP/1.1")) || bytes.HasSuffix(l, []byte(" HTTP/1.0"))
+	case len(l) == 0:
+		g.off = true
+	case named(l, "content-length"):
+		h.length = true
+	case named(l, "transfer-encoding"):
+		h.chunks = true
+	}
+}
+
+func named(l []byte, name string) bool {
+	return len(l) > len(name) && l[len(name)] == ':' && bytes.EqualFold(l[:len(name)], []byte(name))
+}
+
+// next begins to watch for the next head.
+func (g *guard) next() {
+	g.mu.Lock()
+	g.off, g.head, g.line = false, guardedHead{}, g.line[:0]
+	g.mu.Unlock()
+}
+
+func (g *guard) saw() guardedHead {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.head
+}
+
+func guardOf(q *http.Request) *guard {
+	g, _ := q.Context().Value(guarded{}).(*guard)
+	return g
+}
+
+// unambiguous tells whether the head of a request says in one way only where its body ends.
+func unambiguous(q *http.Request) bool {
+	if q.ProtoMajor != 1 {
+		return false
+	}
+	g := guardOf(q)
+	if g == nil {
+		return true
+	}
+	h := g.saw()
+	if h.chunks && (h.length || !q.ProtoAtLeast(1, 1)) {
+		return false
+	}
+	return len(q.TransferEncoding) == 0 || h.first
+}
