--- a/anvil/core.go
+++ b/anvil/core.go
@@ -131,6 +131,7 @@
 	roll    map[gauge.Server]*enrolled // every server that announced itself, known at every core node
 	relays  []dowel.Beacon             // announcements that other core nodes have not been sent yet
 	relayed gauge.Tick
+	summed  gauge.Tick
 	acks    map[uint64]*leaving
 	mark    uint64
 	begun   []gauge.Tick // when the loads of late began
--- a/anvil/links.go
+++ b/anvil/links.go
@@ -24,6 +24,7 @@
 	holds  map[gauge.Key]uint64
 	order  []gauge.Key // oldest first, for shedding
 	burden map[gauge.Key]dowel.Burden
+	seats  map[gauge.Server]int
 	full   bool
 }
 
@@ -70,10 +71,11 @@
 	if l == nil {
 		return
 	}
-	l.burden = b.Burden
+	l.burden, l.seats = b.Burden, b.Seats
 	for _, k := range gauge.Keys(b.Burden) {
 		if u := b.Burden[k]; u.Wait > 0 || u.Came > 0 {
 			c.wanted(k, u.Wait, u.Top)
+			c.came(k, u)
 		}
 	}
 	c.ack(l, b.Heard)
@@ -98,7 +100,7 @@
 	}
 	l.until = max(l.until, c.now.Add(c.pad(n)))
 	c.tally.Grants++
-	c.reply(l.way, dowel.Grant{Session: l.ses, Seq: l.due, Len: n, Duty: c.duty.num, Routers: len(c.links)})
+	c.reply(l.way, dowel.Grant{Session: l.ses, Seq: l.due, Len: n, Duty: c.duty.num, Routers: len(c.links), Seats: c.seatsOf(l)})
 	l.due = 0
 }
 
--- a/anvil/orders.go
+++ b/anvil/orders.go
@@ -13,7 +13,7 @@
 // shows is known to be from before or after an order by the count that it carries.
 
 const (
-	pollBusy  = 150e6 // between two reports while an order is under way
+	pollBusy  = 100e6 // between two reports while an order is under way
 	pollIdle  = 10e9  // otherwise: announcements tell that the server lives
 	reportLag = 500e6 // a report is at most so old
 )
@@ -151,7 +151,7 @@
 			c.touch(h.Key)
 		}
 	}
-	waits := false
+	waits, ours := false, false
 	for _, k := range gauge.Keys(s.spots) {
 		p := s.spots[k]
 		if !held[k] && !p.unsent(r.Num) && !(p.stage == Ordered && r.Busy) {
@@ -161,7 +161,9 @@
 			continue
 		}
 		waits = waits || verbs[p.stage] != ""
+		ours = ours || verbs[p.stage] != "" && p.num != 0
 	}
+	s.alien = r.Busy && !ours
 	if !waits && !r.Busy {
 		s.next = c.now.Add(pollIdle)
 	}
--- a/anvil/place.go
+++ b/anvil/place.go
@@ -97,6 +97,7 @@
 	plain  bool   // it holds no models and takes no orders
 	places int    // for adapters; zero where they are not counted
 	busy   bool   // it carries out an order
+	alien  bool   // that is not of this reign: what it comes to is not known
 	unsure *spot  // the spot whose order got no answer
 	asked  gauge.Tick
 	had    map[gauge.Key]bool // what it is known to have held, and so has on its own disk
@@ -137,6 +138,12 @@
 	at    gauge.Tick
 	wait  int
 	value int
+
+	came float64 // requests since the last sum
+	took float64 // seconds of a server's time that they take
+	rate float64 // requests a second, of late
+	slow float64 // and over a longer while
+	load float64 // servers' worth of work, of late
 }
 
 func (c *Core) wanted(k gauge.Key, wait, value int) {
@@ -308,8 +315,9 @@
 		c.swept = c.now
 		c.touchAll()
 	}
+	c.sumDemand()
 	for k, n := range c.demand {
-		if c.now.Sub(n.at) > 30e9 {
+		if c.now.Sub(n.at) > 60e9 {
 			delete(c.demand, k)
 		}
 	}
@@ -380,12 +388,27 @@
 	if !s.known || s.dark {
 		return nil
 	}
+	var next *spot
+	over := s.room > 0 && s.used() > s.room
 	for _, k := range gauge.Keys(s.spots) {
-		if p := s.spots[k]; p.num == 0 && verbs[p.stage] != "" {
-			return p
+		p := s.spots[k]
+		if p.num != 0 || verbs[p.stage] == "" {
+			continue
+		}
+		if p.stage == Ordered && (over || p.key.IsAdapter() && !s.based(p.key)) {
+			continue // what makes way for it is not gone yet, or its base is not there
+		}
+		if next == nil || p.stage == Unloading && next.stage != Unloading {
+			next = p
 		}
 	}
-	return nil
+	return next
+}
+
+// based tells whether the base of an adapter is ready.
+func (s *server) based(k gauge.Key) bool {
+	b := s.spots[k.Base()]
+	return b != nil && b.stage == Ready
 }
 
 // unsent tells that a report can say nothing of a spot's order yet.
@@ -611,8 +634,12 @@
 			}
 		}
 	}
-	c.beatShifts()
 	budget = min(budget, rate)
+	if c.o.Unfenced {
+		c.weighAll(budget)
+		return
+	}
+	c.beatShifts()
 	wishes := c.wishes()
 	for _, w := range wishes {
 		if budget <= 0 {
@@ -729,7 +756,7 @@
 	if !c.stays(s) || s.spots[k] != nil || s.odd != "" {
 		return false
 	}
-	if s.plain || s.Service != k.Service() {
+	if s.plain || s.alien || s.Service != k.Service() {
 		return false
 	}
 	if k.IsAdapter() {
--- /dev/null
+++ b/anvil/weigh.go
@@ -0,0 +1,348 @@
+package anvil
+
+import (
+	"math"
+	"sort"
+
+	"tidedeck/chisel"
+	"tidedeck/dowel"
+	"tidedeck/gauge"
+)
+
+// Placement by weight: what a key is worth at a server is what it would cost to be without it. Busy
+// bases get as many replicas as their work asks for; all other room keeps as many different keys as it
+// holds, and what is let go is what will be missed least for the time that it takes to be back.
+
+const (
+	sumEvery  = 250e6
+	lateSpan  = 3.0  // seconds that rates of late look back
+	slowSpan  = 20.0 // and the longer ones
+	goodLoad  = 0.3  // of a server's time that one key's replica should take
+	fullLoad  = 0.55 // past which another replica is worth a rarer key's only one
+	warmPart  = 0.25 // of a load's time that it takes from a server's own disk
+	freshSpan = 1500e6
+)
+
+// came takes in what a router was asked for since its last renewal.
+func (c *Core) came(k gauge.Key, u dowel.Burden) {
+	if n := c.demand[k]; n != nil {
+		n.came += float64(u.Came)
+		n.took += u.Load
+	}
+}
+
+// sumDemand turns what came into rates.
+func (c *Core) sumDemand() {
+	d := c.now.Sub(c.summed)
+	if d < sumEvery {
+		return
+	}
+	c.summed = c.now
+	t := math.Min(d.Seconds(), 2)
+	late, slow := 1-math.Exp(-t/lateSpan), 1-math.Exp(-t/slowSpan)
+	for _, n := range c.demand {
+		n.rate += (n.came/t - n.rate) * late
+		n.slow += (n.came/t - n.slow) * slow
+		n.load += (n.took/t - n.load) * late
+		n.came, n.took = 0, 0
+	}
+}
+
+// seatsOf adds up what all routers have under way at the servers of a link's entries.
+func (c *Core) seatsOf(l *link) map[gauge.Server]int {
+	if !c.o.Unfenced {
+		return nil
+	}
+	m := map[gauge.Server]int{}
+	for _, x := range c.links {
+		for s, n := range x.seats {
+			m[s] += n
+		}
+	}
+	return m
+}
+
+// family is a base with all of its adapters, as placement sees it.
+type family struct {
+	m     chisel.Model
+	live  int
+	load  float64
+	slow  float64
+	wait  int
+	value int
+	want  int
+}
+
+func (c *Core) families() map[gauge.Key]*family {
+	l := map[gauge.Key]*family{}
+	for k, m := range c.plan.Models {
+		if !k.IsAdapter() {
+			l[k] = &family{m: m}
+		}
+	}
+	for k, n := range c.demand {
+		f := l[k.Base()]
+		if f == nil {
+			continue
+		}
+		f.load += n.load
+		f.slow += n.slow
+		if c.now.Sub(n.at) < freshSpan && n.wait > 0 {
+			f.wait += n.wait
+			f.value = max(f.value, n.value)
+		}
+	}
+	for _, s := range c.servers {
+		if !c.stays(s) {
+			continue
+		}
+		for k, p := range s.spots {
+			if f := l[k]; f != nil && (p.stage == Ordered || p.stage == Ready) {
+				f.live++
+			}
+		}
+	}
+	for _, f := range l {
+		f.want = min(max(f.m.Floor, int(math.Ceil(f.load/goodLoad))), f.m.Most)
+		if f.wait > 0 {
+			f.want = max(f.want, 1)
+		}
+	}
+	return l
+}
+
+// loadOf sums the work of what a server holds, as its replicas share it.
+func (c *Core) loadOf(s *server, l map[gauge.Key]*family) float64 {
+	sum := 0.0
+	for k, p := range s.spots {
+		if f := l[k]; f != nil && (p.stage == Ready || p.stage == Ordered) {
+			sum += f.load / float64(max(1, f.live))
+		}
+	}
+	return sum
+}
+
+// weighAll places what is asked for.
+func (c *Core) weighAll(budget int) {
+	l := c.families()
+	var todo []*family
+	for _, k := range gauge.Keys(l) {
+		f := l[k]
+		if f.live < f.want {
+			todo = append(todo, f)
+		}
+	}
+	sort.SliceStable(todo, func(i, j int) bool {
+		a, b := todo[i], todo[j]
+		if (a.live == 0) != (b.live == 0) {
+			return a.live == 0
+		}
+		if a.value != b.value {
+			return a.value > b.value
+		}
+		return a.load/float64(max(1, a.live)) > b.load/float64(max(1, b.live))
+	})
+	for _, f := range todo {
+		if budget <= 0 {
+			break
+		}
+		if c.settle(f, l) {
+			budget--
+		}
+	}
+	c.weighAdapters(l)
+}
+
+// settle finds the server where one more replica of a family costs least, and begins it there; what
+// must make way is broken first.
+func (c *Core) settle(f *family, l map[gauge.Key]*family) bool {
+	var best *server
+	var gone []*spot
+	cost := math.Inf(1)
+	_, _, zones := c.live(f.m.Key)
+	for _, id := range gauge.Keys(c.servers) {
+		s := c.servers[id]
+		if !c.mayHold(s, f.m.Key) || s.room < f.m.Size {
+			continue
+		}
+		free := s.room - s.used()
+		if s.pending() > 0 && free < f.m.Size {
+			continue // what is under way there comes first
+		}
+		n := f.m.Load.Seconds()
+		if s.had[f.m.Key] {
+			n *= warmPart
+		}
+		n += float64(s.pending()) * 1.5
+		n += 4 * c.loadOf(s, l)
+		if zones[s.Zone] {
+			n += 0.2
+		}
+		var out []*spot
+		if free < f.m.Size {
+			var price float64
+			out, price = c.makeWay(s, f, l, f.m.Size-free)
+			if out == nil {
+				continue
+			}
+			n += price + 0.5
+		}
+		if n < cost {
+			best, gone, cost = s, out, n
+		}
+	}
+	if best == nil {
+		return false
+	}
+	for _, p := range gone {
+		c.evict(best, p)
+	}
+	best.spots[f.m.Key] = &spot{key: f.m.Key, size: f.m.Size, stage: Ordered, since: c.now}
+	f.live++
+	return true
+}
+
+// pending counts the orders that a server still has to carry out.
+func (s *server) pending() int {
+	n := 0
+	for _, p := range s.spots {
+		if p.stage != Ready {
+			n++
+		}
+	}
+	return n
+}
+
+// makeWay lists what is cheapest to let go of a server for a family, and what it will cost: the
+// requests that will miss it, for the time that it takes to be back.
+func (c *Core) makeWay(s *server, f *family, l map[gauge.Key]*family, size int) ([]*spot, float64) {
+	type way struct {
+		p    *spot
+		cost float64
+	}
+	var ways []way
+	for _, k := range gauge.Keys(s.spots) {
+		p := s.spots[k]
+		if k.IsAdapter() || p.stage != Ready || c.now.Sub(p.ready) < freshSpan || c.shifts[k] != nil {
+			continue
+		}
+		g := l[k]
+		if g == nil {
+			ways = append(ways, way{p, 0})
+			continue
+		}
+		if g.wait > 0 && g.live <= g.want {
+			continue
+		}
+		n := 0.0
+		switch {
+		case g.live > max(1, g.want):
+			n = 0.05 + g.load // spare
+		case g.live > 1:
+			if f.live > 0 && f.load/float64(f.live) < 1.5*g.load/float64(g.live) {
+				continue // its own work asks for all of its replicas
+			}
+			n = 2 + 10*g.load
+		default:
+			if f.live > 0 && f.load/float64(f.live) < fullLoad {
+				continue // a further replica is not worth another key's only one
+			}
+			n = 0.2 + 4*g.slow*g.m.Load.Seconds() + 10*g.load
+		}
+		ways = append(ways, way{p, n})
+	}
+	sort.SliceStable(ways, func(i, j int) bool {
+		return ways[i].cost*float64(ways[j].p.size) < ways[j].cost*float64(ways[i].p.size)
+	})
+	var out []*spot
+	sum := 0.0
+	for _, w := range ways {
+		if size <= 0 {
+			break
+		}
+		out = append(out, w.p)
+		size -= c.weightOn(s, w.p)
+		sum += w.cost
+	}
+	if size > 0 {
+		return nil, 0
+	}
+	return out, sum
+}
+
+// weightOn tells what goes with a base: its adapters leave with it.
+func (c *Core) weightOn(s *server, p *spot) int {
+	n := p.size
+	for k, a := range s.spots {
+		if k != p.key && k.Base() == p.key {
+			n += a.size
+		}
+	}
+	return n
+}
+
+// weighAdapters brings adapters that are asked for to replicas of their bases. They come in no time
+// and take little room, but a server has few places for them.
+func (c *Core) weighAdapters(l map[gauge.Key]*family) {
+	for _, k := range gauge.Keys(c.demand) {
+		n := c.demand[k]
+		m, ok := c.plan.Models[k]
+		if !ok || !k.IsAdapter() || c.now.Sub(n.at) > freshSpan {
+			continue
+		}
+		live, _, _ := c.live(k)
+		want := max(1, min(int(math.Ceil(n.load/goodLoad)), m.Most))
+		if live >= want {
+			continue
+		}
+		c.settleAdapter(m, n, l)
+	}
+}
+
+func (c *Core) settleAdapter(m chisel.Model, n *need, l map[gauge.Key]*family) {
+	var best *server
+	var out *spot
+	cost := math.Inf(1)
+	for _, id := range gauge.Keys(c.servers) {
+		s := c.servers[id]
+		if !c.stays(s) || s.alien || s.spots[m.Key] != nil || !s.based(m.Key) || s.odd != "" {
+			continue
+		}
+		x := c.loadOf(s, l) + 0.3*float64(s.pending())
+		var victim *spot
+		if s.places > 0 && s.adapters() >= s.places || s.room-s.used() < m.Size {
+			low := math.Inf(1)
+			for _, k := range gauge.Keys(s.spots) {
+				p := s.spots[k]
+				if !k.IsAdapter() || p.stage != Ready || c.now.Sub(p.ready) < freshSpan {
+					continue
+				}
+				v := 0.0
+				if d := c.demand[k]; d != nil {
+					v = d.slow
+					if d.wait > 0 && c.now.Sub(d.at) < freshSpan {
+						continue
+					}
+				}
+				if v < low {
+					low, victim = v, p
+				}
+			}
+			if victim == nil {
+				continue
+			}
+			x += 0.3 + low
+		}
+		if x < cost {
+			best, out, cost = s, victim, x
+		}
+	}
+	if best == nil {
+		return
+	}
+	if out != nil {
+		c.evict(best, out)
+		return // its place is free before long
+	}
+	best.spots[m.Key] = &spot{key: m.Key, size: m.Size, stage: Ordered, since: c.now}
+}
--- a/awl/core.go
+++ b/awl/core.go
@@ -34,6 +34,7 @@
 	gen    uint64
 	epoch  gauge.Epoch
 	burden map[gauge.Key]dowel.Burden
+	seats  map[gauge.Server]int
 
 	ses    dowel.Session
 	seq    uint64
@@ -134,7 +135,8 @@
 	}
 	switch b := e.Body.(type) {
 	case dowel.Hello:
-		c.gen, c.epoch, c.burden = b.Gen, b.Epoch, b.Burden
+		c.gen, c.epoch, c.seats = b.Gen, b.Epoch, b.Seats
+		c.gather(b.Burden)
 		if b.Lathe != c.lathe {
 			c.lathe = b.Lathe
 			c.session()
@@ -200,7 +202,7 @@
 	}
 	c.tally.Grants++
 	c.until = max(c.until, at.Add(b.Len))
-	c.down(dowel.Hold{Session: c.ses, Until: c.until, Duty: c.duty, Routers: b.Routers})
+	c.down(dowel.Hold{Session: c.ses, Until: c.until, Duty: c.duty, Routers: b.Routers, Seats: b.Seats})
 }
 
 func (c *Core) onNotOwner(b dowel.NotOwner) {
@@ -263,7 +265,28 @@
 		}
 	}
 	c.tally.Renews++
-	c.up(dowel.Renew{Session: c.ses, Seq: c.seq, Fresh: c.fresh, Gen: c.gen, Epoch: c.epoch, Heard: c.heard, Burden: c.burden})
+	c.up(dowel.Renew{Session: c.ses, Seq: c.seq, Fresh: c.fresh, Gen: c.gen, Epoch: c.epoch, Heard: c.heard, Burden: c.burden, Seats: c.seats})
+	for k, u := range c.burden {
+		u.Came, u.Load = 0, 0
+		if c.burden[k] = u; u.Wait == 0 && u.Work == 0 {
+			delete(c.burden, k)
+		}
+	}
+}
+
+// gather takes in what the router bears now, and adds up what came since the last renewal.
+func (c *Core) gather(b map[gauge.Key]dowel.Burden) {
+	n := map[gauge.Key]dowel.Burden{}
+	for k, u := range b {
+		u.Came, u.Load = u.Came+c.burden[k].Came, u.Load+c.burden[k].Load
+		n[k] = u
+	}
+	for k, u := range c.burden {
+		if _, ok := n[k]; !ok && u.Came > 0 {
+			n[k] = dowel.Burden{Came: u.Came, Load: u.Load}
+		}
+	}
+	c.burden = n
 }
 
 // change tries another way: each core node straight, then each through siblings.
--- a/dowel/dowel.go
+++ b/dowel/dowel.go
@@ -289,10 +289,11 @@
 
 // Burden is what a router reports of one key since its last report.
 type Burden struct {
-	Wait int `json:"w"` // requests waiting
-	Work int `json:"a"` // requests under way
-	Came int `json:"c"` // requests that came
-	Top  int `json:"t"` // highest value among the waiting
+	Wait int     `json:"w"`           // requests waiting
+	Work int     `json:"a"`           // requests under way
+	Came int     `json:"c"`           // requests that came
+	Top  int     `json:"t"`           // highest value among the waiting
+	Load float64 `json:"l,omitempty"` // seconds of a server's time that those which came take
 }
 
 // Renew asks for the session's hold to go on.
@@ -304,6 +305,7 @@
 	Epoch   gauge.Epoch
 	Heard   uint64
 	Burden  map[gauge.Key]Burden
+	Seats   map[gauge.Server]int // tokens that this router has under way at each server
 }
 
 // Grant extends the hold: Len counts from the moment the router sent Renew Seq.
@@ -313,6 +315,7 @@
 	Len     gauge.Span
 	Duty    gauge.Duty
 	Routers int
+	Seats   map[gauge.Server]int // tokens that all routers have under way at each server that this one uses
 }
 
 // NotOwner answers a router that asked a core node without the duty.
@@ -392,6 +395,7 @@
 	Gen     uint64
 	Epoch   gauge.Epoch
 	Burden  map[gauge.Key]Burden
+	Seats   map[gauge.Server]int
 }
 
 // Hold is awl's word to its lathe: route under this session until the moment Until
@@ -401,6 +405,7 @@
 	Until   gauge.Tick
 	Duty    gauge.Duty
 	Routers int
+	Seats   map[gauge.Server]int
 }
 
 // Inputs and outputs of cores.
