--- /dev/null
+++ b/lathe/conns_test.go
@@ -0,0 +1,257 @@
+package lathe
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// soon is how long a test waits at the most for what has to come.
+const soon = 30 * time.Second
+
+// standIn is a server of a test: it hands each connection, with its number from 0, to a function.
+type standIn struct {
+	net.Listener
+	mu    sync.Mutex
+	conns []net.Conn
+	got   []*http.Request // with their bodies read
+	body  []string
+}
+
+func newStandIn(t testing.TB, serve func(s *standIn, n int, c net.Conn, br *bufio.Reader)) *standIn {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &standIn{Listener: l}
+	var over sync.WaitGroup
+	over.Add(1)
+	go func() {
+		defer over.Done()
+		for n := 0; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.conns = append(s.conns, c)
+			s.mu.Unlock()
+			over.Add(1)
+			go func() {
+				defer over.Done()
+				defer c.Close()
+				serve(s, n, c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	t.Cleanup(func() {
+		_ = l.Close()
+		s.mu.Lock()
+		for _, c := range s.conns {
+			_ = c.Close()
+		}
+		s.mu.Unlock()
+		over.Wait()
+	})
+	return s
+}
+
+func (s *standIn) addr() string { return s.Addr().String() }
+
+// next reads a request whole and notes it; nil when the connection has ended.
+func (s *standIn) next(br *bufio.Reader) *http.Request {
+	q, err := http.ReadRequest(br)
+	if err != nil {
+		return nil
+	}
+	b, err := io.ReadAll(q.Body)
+	if err != nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.got = append(s.got, q)
+	s.body = append(s.body, string(b))
+	return q
+}
+
+func (s *standIn) requests() []*http.Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]*http.Request{}, s.got...)
+}
+
+func (s *standIn) bodies() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string{}, s.body...)
+}
+
+func (s *standIn) accepted() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+func idleConns(p *conns) (n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.idle {
+		n += len(l)
+	}
+	return n
+}
+
+// ask sends a request on a connection and reads the answer to its end.
+func askConn(t *testing.T, c *conn) string {
+	_, err := io.WriteString(c.Conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	a, err := c.answer(&http.Request{Method: http.MethodGet}, 1<<16)
+	require.NoError(t, err)
+	b, err := io.ReadAll(a.Body)
+	require.NoError(t, err)
+	return string(b)
+}
+
+// Which connections are used again, by what the server's answer says and does.
+func TestConnsKept(t *testing.T) {
+	for _, c := range []struct {
+		name, answer string
+		kept         bool
+	}{
+		{"plain", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", true},
+		{"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", true},
+		{"after an interim answer", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", true},
+		{"kept for seconds", "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok", true},
+		{"kept for no time", "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\nok", false},
+		{"closes", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", false},
+		{"old", "HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok", false},
+		{"surplus bytes", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok and more", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newStandIn(t, func(s *standIn, _ int, conn net.Conn, br *bufio.Reader) {
+				for s.next(br) != nil {
+					_, _ = io.WriteString(conn, c.answer)
+				}
+			})
+			p := newConns(ConnOptions{})
+			defer p.close()
+			for i := range 3 {
+				x, reused, err := p.get(context.Background(), s.addr())
+				require.NoError(t, err)
+				require.Equal(t, c.kept && i > 0, reused)
+				require.Equal(t, "ok", askConn(t, x))
+				p.put(x)
+			}
+			if c.kept {
+				require.Equal(t, ConnTally{Opens: 1, Reuses: 2}, p.tally())
+			} else {
+				require.Equal(t, uint64(3), p.tally().Opens)
+			}
+		})
+	}
+}
+
+// An idle connection that its server closed, or on which bytes came, is not used again.
+func TestConnsStale(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		do   func(net.Conn)
+	}{
+		{"closed", func(c net.Conn) { _ = c.Close() }},
+		{"reset", func(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0); _ = c.Close() }},
+		{"surplus", func(c net.Conn) { _, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n") }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newStandIn(t, func(s *standIn, _ int, conn net.Conn, br *bufio.Reader) {
+				for s.next(br) != nil {
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				}
+			})
+			p := newConns(ConnOptions{})
+			defer p.close()
+			x, _, err := p.get(context.Background(), s.addr())
+			require.NoError(t, err)
+			askConn(t, x)
+			p.put(x)
+			s.mu.Lock()
+			c.do(s.conns[0])
+			s.mu.Unlock()
+			require.Eventually(t, func() bool { return !x.fresh() }, soon, time.Millisecond)
+			y, reused, err := p.get(context.Background(), s.addr())
+			require.NoError(t, err)
+			require.False(t, reused)
+			require.NotSame(t, x, y)
+			require.Equal(t, "ok", askConn(t, y))
+			p.put(y)
+			require.Equal(t, uint64(1), p.tally().Discards)
+		})
+	}
+}
+
+// The connection used last is used first, no more than allowed are idle, and the reaper and
+// closeIdle close them.
+func TestConnsBounds(t *testing.T) {
+	s := newStandIn(t, func(s *standIn, _ int, _ net.Conn, br *bufio.Reader) {
+		for s.next(br) != nil {
+		}
+	})
+	p := newConns(ConnOptions{MaxIdle: 2, Idle: time.Hour})
+	defer p.close()
+	var l []*conn
+	for range 4 {
+		c, reused, err := p.get(context.Background(), s.addr())
+		require.NoError(t, err)
+		require.False(t, reused)
+		l = append(l, c)
+	}
+	for _, c := range l {
+		p.put(c)
+	}
+	require.Equal(t, 2, idleConns(p))
+	for _, want := range []*conn{l[3], l[2]} {
+		c, reused, err := p.get(context.Background(), s.addr())
+		require.NoError(t, err)
+		require.True(t, reused)
+		require.Same(t, want, c)
+	}
+	p.put(l[2])
+	p.closeIdle(s.addr())
+	require.Zero(t, idleConns(p))
+
+	l[3].keep = time.Nanosecond
+	p.put(l[3])
+	p.reap()
+	require.Zero(t, idleConns(p))
+	require.False(t, p.armed)
+
+	_, _, err := p.get(context.Background(), "127.0.0.1:1")
+	require.Error(t, err)
+	require.Equal(t, uint64(1), p.tally().Failures)
+}
+
+// A head without an end is given up at its bound.
+func TestConnsHeadBound(t *testing.T) {
+	s := newStandIn(t, func(_ *standIn, _ int, c net.Conn, _ *bufio.Reader) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+		for i := 0; ; i++ {
+			if _, err := fmt.Fprintf(c, "H-%d: v\r\n", i); err != nil {
+				return
+			}
+		}
+	})
+	p := newConns(ConnOptions{})
+	defer p.close()
+	c, _, err := p.get(context.Background(), s.addr())
+	require.NoError(t, err)
+	defer c.close()
+	_, err = c.answer(&http.Request{Method: http.MethodGet}, 4096)
+	require.Error(t, err)
+	require.Zero(t, c.room)
+}
--- /dev/null
+++ b/lathe/relay_test.go
@@ -0,0 +1,1017 @@
+package lathe
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tidedeck/chisel"
+	"tidedeck/clamp"
+	"tidedeck/gauge"
+)
+
+// fakeDialect speaks with made-up names.
+type fakeDialect struct{}
+
+func (fakeDialect) Read(r *http.Request) (chisel.Call, *chisel.Fault) {
+	id := r.Header.Get("X-Try")
+	if id == "" {
+		return chisel.Call{}, &chisel.Fault{Path: "x-try", Why: "is missing"}
+	}
+	n, _ := strconv.ParseUint(r.Header.Get("X-After"), 10, 64)
+	return chisel.Call{ID: id, Host: r.Host, Seen: n}, nil
+}
+
+func (fakeDialect) Write(h http.Header, a Attempt) {
+	h.Set("X-Only", string(a.Server))
+	if a.Seen > 0 {
+		h.Set("X-After", strconv.FormatUint(a.Seen, 10))
+	}
+}
+
+func (fakeDialect) Answer(_ int, h http.Header) Said {
+	s := Said{ID: h.Get("X-Try"), Sealed: h.Get("X-Seal") != ""}
+	if k := h.Get("X-Not-Run"); k != "" {
+		s.NotRun, s.Kind = true, gauge.Kind(k)
+	}
+	return s
+}
+
+func (fakeDialect) Event(line []byte) (uint64, bool) {
+	v, ok := bytes.CutPrefix(line, []byte("id: "))
+	if !ok {
+		return 0, false
+	}
+	n, err := strconv.ParseUint(string(v), 10, 64)
+	return n, err == nil
+}
+
+func (fakeDialect) Ready() string { return "/there" }
+
+// script decides as a test wants it: it launches at one server after another while the ends of
+// attempts allow that, and notes all it is told.
+type script struct {
+	relay  *Relay
+	mu     sync.Mutex
+	to     []string // servers, in order
+	again  bool
+	resume bool
+	left   gauge.Span
+	refuse *Receipt // the answer to each call, where no server is to be asked
+	deny   int      // so many sends are not allowed
+
+	at    map[Ref]int
+	calls []Call
+	ends  []Ended
+	begun []Begun
+	quits []Quit
+	given []Receipt
+}
+
+func (s *script) Step(in any) {
+	s.mu.Lock()
+	var out any
+	switch v := in.(type) {
+	case Call:
+		s.calls = append(s.calls, v)
+		if s.refuse != nil {
+			a := *s.refuse
+			a.Ref = v.Ref
+			out = a
+			break
+		}
+		out = s.launch(v.Ref, gauge.NotReady)
+	case Begun:
+		s.begun = append(s.begun, v)
+	case Quit:
+		s.quits = append(s.quits, v)
+	case Ended:
+		s.ends = append(s.ends, v)
+		switch v.How {
+		case Done:
+		case Lost:
+			if out = any(Receipt{Ref: v.Ref, Kind: gauge.Unclear}); s.again {
+				out = s.launch(v.Ref, gauge.Unclear)
+			}
+		case Split:
+			if out = any(Receipt{Ref: v.Ref, Kind: gauge.Cut}); s.resume {
+				out = s.launch(v.Ref, gauge.Cut)
+			}
+		default:
+			k := v.Kind
+			gauge.Or(&k, gauge.NotReady)
+			out = s.launch(v.Ref, k)
+		}
+	}
+	if r, ok := out.(Receipt); ok {
+		s.given = append(s.given, r)
+	}
+	s.mu.Unlock()
+	if out != nil {
+		s.relay.Act(out)
+	}
+}
+
+func (s *script) launch(ref Ref, or gauge.Kind) any {
+	n := s.at[ref]
+	if n >= len(s.to) {
+		return Receipt{Ref: ref, Kind: or, Back: 250 * time.Millisecond}
+	}
+	s.at[ref] = n + 1
+	return Launch{Ref: ref, N: n + 1, Server: gauge.Server(fmt.Sprint("s", n)), Addr: s.to[n], Left: s.left, Again: s.again, Resume: s.resume}
+}
+
+func (s *script) MaySend(Ref, int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.deny--
+	return s.deny < 0
+}
+
+func (s *script) hows() (l []End) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.ends {
+		l = append(l, e.How)
+	}
+	return l
+}
+
+// settled checks that every request had exactly one end.
+func (s *script) settled(t testing.TB) {
+	require.Eventually(t, func() bool { return s.relay.Open() == 0 }, soon, time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := map[Ref]int{}
+	for _, v := range s.ends {
+		if v.How == Done {
+			n[v.Ref]++
+		}
+	}
+	for _, v := range s.quits {
+		n[v.Ref]++
+	}
+	for _, v := range s.given {
+		n[v.Ref]++
+	}
+	for _, v := range s.calls {
+		require.Equal(t, 1, n[v.Ref], "ends of request %d", v.Ref)
+	}
+}
+
+type bench1 struct {
+	*script
+	addr string
+}
+
+// relayFor serves a relay before a script.
+func relayFor(t testing.TB, s *script, o RelayOptions) *bench1 {
+	gauge.Or(&s.left, time.Minute)
+	s.at = map[Ref]int{}
+	o.Dialect, o.Decider = fakeDialect{}, s
+	s.relay = NewRelay(o)
+	in, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	told, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	stop, end := make(chan struct{}), make(chan error, 1)
+	go func() {
+		end <- serveRelay(stop, RelayServe{Relay: s.relay, Lame: time.Nanosecond}, in, told)
+	}()
+	t.Cleanup(func() {
+		close(stop)
+		require.NoError(t, <-end)
+		s.settled(t)
+	})
+	return &bench1{s, in.Addr().String()}
+}
+
+// client is a client's connection.
+type client struct {
+	net.Conn
+	br *bufio.Reader
+	t  testing.TB
+}
+
+func (b *bench1) dial(t testing.TB) *client {
+	c, err := net.Dial("tcp", b.addr)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	require.NoError(t, c.SetDeadline(time.Now().Add(soon)))
+	return &client{c, bufio.NewReader(c), t}
+}
+
+func (c *client) send(s string) {
+	_, err := io.WriteString(c, s)
+	require.NoError(c.t, err)
+}
+
+// answer reads an answer; the error is that of its body.
+func (c *client) answer(method string) (*http.Response, string, error) {
+	a, err := http.ReadResponse(c.br, &http.Request{Method: method})
+	if err != nil {
+		return nil, "", err
+	}
+	b, err := io.ReadAll(a.Body)
+	return a, string(b), err
+}
+
+func get(id string) string { return "GET /a/b HTTP/1.1\r\nHost: h\r\nX-Try: " + id + "\r\n\r\n" }
+
+// plain is a sealed answer with a body.
+func plain(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Try: %s\r\nX-Seal: s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+const streamHead = "HTTP/1.1 200 OK\r\nX-Try: 1\r\nX-Seal: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+func chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+
+func event(n int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n) }
+
+// says makes a server that answers each request on its connections with the same bytes and then
+// closes, if the bytes are those of a break.
+func says(t testing.TB, answer string, end bool) *standIn {
+	return newStandIn(t, func(s *standIn, _ int, c net.Conn, br *bufio.Reader) {
+		for s.next(br) != nil {
+			if _, _ = io.WriteString(c, answer); end {
+				return
+			}
+		}
+	})
+}
+
+// Requests reach the server, and answers the client, as they were sent.
+func TestRelayUnchanged(t *testing.T) {
+	for _, c := range []struct {
+		name, send, method, target, body string
+		head                             http.Header
+	}{
+		{"get", "GET /a/b HTTP/1.1\r\nHost: h.example\r\nX-Try: 1\r\n\r\n", "GET", "/a/b", "", nil},
+		{"odd escapes and query", "GET /a%2fb/../%7e//c;x?q=%41+b&&=%zz HTTP/1.1\r\nHost: h.example\r\nX-Try: 1\r\n\r\n", "GET", "/a%2fb/../%7e//c;x?q=%41+b&&=%zz", "", nil},
+		{"two slashes", "GET //a/b? HTTP/1.1\r\nHost: h.example\r\nX-Try: 1\r\n\r\n", "GET", "//a/b?", "", nil},
+		{"with a length", "POST /p HTTP/1.1\r\nHost: h.example\r\nX-Try: 1\r\nContent-Length: 5\r\n\r\na\r\nbc", "POST", "/p", "a\r\nbc", nil},
+		{"in chunks", "PUT /p HTTP/1.1\r\nHost: h.example\r\nX-Try: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n", "PUT", "/p", "abcde", nil},
+		{"empty, with a length", "POST /p HTTP/1.1\r\nHost: h.example\r\nX-Try: 1\r\nContent-Length: 0\r\n\r\n", "POST", "/p", "", nil},
+		{"big", "POST /p HTTP/1.1\r\nHost: h.example\r\nX-Try: 1\r\nContent-Length: 300000\r\n\r\n" + strings.Repeat("0123456789", 30000), "POST", "/p", strings.Repeat("0123456789", 30000), nil},
+		{"own method", "FETCH /p HTTP/1.1\r\nHost: h.example\r\nX-Try: 1\r\n\r\n", "FETCH", "/p", "", nil},
+		{
+			"headers", "GET /p HTTP/1.1\r\nHost: h.example\r\nX-Try: 1\r\nX-Many: a\r\nX-Many: b\r\nAccept-Encoding: identity\r\nUser-Agent: mine\r\n" +
+				"Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\nKeep-Alive: timeout=3\r\nTE: trailers\r\nUpgrade: x\r\nProxy-Authorization: p\r\nProxy-Connection: p\r\nExpect: 100-continue\r\n\r\n",
+			"GET", "/p", "", http.Header{"X-Many": {"a", "b"}, "Accept-Encoding": {"identity"}, "User-Agent": {"mine"}},
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			srv := says(t, "HTTP/1.1 200 Fine\r\nX-Try: 1\r\nX-Seal: s\r\nX-Two: a\r\nX-Two: b\r\nConnection: X-Hop\r\nX-Hop: 1\r\nKeep-Alive: timeout=9\r\nContent-Length: 4\r\n\r\n\x00\xff\r\n", false)
+			b := relayFor(t, &script{to: []string{srv.addr()}}, RelayOptions{})
+			cl := b.dial(t)
+			cl.send(c.send)
+			a, body, err := cl.answer(c.method)
+			require.NoError(t, err)
+			require.Equal(t, 200, a.StatusCode)
+			require.Equal(t, "\x00\xff\r\n", body)
+			require.Equal(t, http.Header{"X-Try": {"1"}, "X-Seal": {"s"}, "X-Two": {"a", "b"}, "Content-Length": {"4"}}, a.Header)
+
+			q := srv.requests()[0]
+			require.Equal(t, c.method, q.Method)
+			require.Equal(t, c.target, q.RequestURI)
+			require.Equal(t, "h.example", q.Host)
+			require.Equal(t, c.body, srv.bodies()[0])
+			require.Empty(t, q.TransferEncoding)
+			want := http.Header{"X-Try": {"1"}, "X-Only": {"s0"}}
+			for k, v := range c.head {
+				want[k] = v
+			}
+			h := q.Header.Clone()
+			h.Del("Content-Length")
+			require.Equal(t, want, h)
+		})
+	}
+}
+
+// Answers without a body, of failures and in chunks come as the server gave them.
+func TestRelayAnswers(t *testing.T) {
+	big := strings.Repeat("x", 700_000)
+	for _, c := range []struct {
+		name, method, answer string
+		status               int
+		body                 string
+	}{
+		{"head", "HEAD", "HTTP/1.1 200 OK\r\nX-Try: 1\r\nX-Seal: s\r\nContent-Length: 12\r\n\r\n", 200, ""},
+		{"no content", "GET", "HTTP/1.1 204 No Content\r\nX-Try: 1\r\nX-Seal: s\r\n\r\n", 204, ""},
+		{"chunks", "GET", "HTTP/1.1 200 OK\r\nX-Try: 1\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", 200, "abc"},
+		{"big", "GET", plain("1", big), 200, big},
+		{"big in chunks", "GET", "HTTP/1.1 200 OK\r\nX-Try: 1\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(big) + "0\r\n\r\n", 200, big},
+		{"moved", "GET", "HTTP/1.1 302 Found\r\nX-Try: 1\r\nLocation: /x\r\nContent-Length: 0\r\n\r\n", 302, ""},
+		{"own 404", "GET", "HTTP/1.1 404 Not Found\r\nX-Try: 1\r\nContent-Length: 2\r\n\r\nno", 404, "no"},
+		{"own 500", "GET", "HTTP/1.1 500 Oops\r\nX-Try: 1\r\nContent-Length: 2\r\n\r\nno", 500, "no"},
+		{"own 504", "GET", "HTTP/1.1 504 Late\r\nX-Try: 1\r\nContent-Length: 2\r\n\r\nno", 504, "no"},
+		{"encoded", "GET", "HTTP/1.1 200 OK\r\nX-Try: 1\r\nX-Seal: s\r\nContent-Encoding: gzip\r\nContent-Length: 3\r\n\r\nabc", 200, "abc"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			srv := says(t, c.answer, false)
+			b := relayFor(t, &script{to: []string{srv.addr()}}, RelayOptions{})
+			cl := b.dial(t)
+			for range 2 { // the second on kept connections
+				cl.send(c.method + " / HTTP/1.1\r\nHost: h\r\nX-Try: 1\r\n\r\n")
+				a, body, err := cl.answer(c.method)
+				require.NoError(t, err)
+				require.Equal(t, c.status, a.StatusCode)
+				require.Equal(t, c.body, body)
+				require.NotContains(t, a.Header, "Date")
+				require.NotContains(t, a.Header, "Content-Type")
+				require.False(t, a.Close)
+				if c.method == "HEAD" {
+					require.Equal(t, "12", a.Header.Get("Content-Length"))
+				}
+			}
+			b.settled(t)
+			require.Equal(t, []End{Done, Done}, b.hows())
+			require.Equal(t, 1, srv.accepted())
+		})
+	}
+}
+
+// What servers do with a request, and what comes of it: the ends told, and the client's answer.
+func TestRelayEnds(t *testing.T) {
+	good := plain("1", "good")
+	notRun := "HTTP/1.1 503 Full\r\nX-Try: 1\r\nX-Not-Run: busy\r\nContent-Length: 4\r\n\r\nfull"
+	for _, c := range []struct {
+		name   string
+		first  string // answer of the first server, which then closes
+		again  bool
+		ends   []End
+		status int
+		body   string // of a server's answer
+	}{
+		{"not run", notRun, false, []End{Dropped, Done}, 200, "good"},
+		{"broken before the head", "", false, []End{Lost}, 502, ""},
+		{"broken before the head, repeatable", "", true, []End{Lost, Done}, 200, "good"},
+		{"broken head", "HTTP/1.1 200 OK\r\nX-T", false, []End{Lost}, 502, ""},
+		{"broken body", "HTTP/1.1 200 OK\r\nX-Try: 1\r\nX-Seal: s\r\nContent-Length: 9\r\n\r\nhalf", false, []End{Lost}, 502, ""},
+		{"broken body, repeatable", "HTTP/1.1 200 OK\r\nX-Try: 1\r\nX-Seal: s\r\nContent-Length: 9\r\n\r\nhalf", true, []End{Lost, Done}, 200, "good"},
+		{"broken chunks, repeatable", "HTTP/1.1 200 OK\r\nX-Try: 1\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", true, []End{Lost, Done}, 200, "good"},
+		{"no HTTP", "\x16\x03\x01 what is this?\r\n\r\n", false, []End{Lost}, 502, ""},
+		{"no HTTP, repeatable", "\x16\x03\x01 what is this?\r\n\r\n", true, []End{Lost, Done}, 200, "good"},
+		{"two lengths", "HTTP/1.1 200 OK\r\nX-Try: 1\r\nX-Seal: s\r\nContent-Length: 4\r\nContent-Length: 2\r\n\r\nhalf", false, []End{Lost}, 502, ""},
+		{"other protocol", "HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n", false, []End{Lost}, 502, ""},
+		{"no seal", "HTTP/1.1 200 OK\r\nX-Try: 1\r\nContent-Length: 4\r\n\r\nfake", false, []End{Lost}, 502, ""},
+		{"other id", plain("2", "not yours"), false, []End{Lost}, 502, ""},
+		{"other id, repeatable", plain("2", "not yours"), true, []End{Lost, Done}, 200, "good"},
+		{"no id", "HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Length: 9\r\n\r\nnot yours", false, []End{Lost}, 502, ""},
+		{"not run, of another", strings.Replace(notRun, "X-Try: 1", "X-Try: 2", 1), false, []End{Lost}, 502, ""},
+		{"surplus before", plain("2", "not yours") + plain("1", "mine"), false, []End{Done}, 200, "mine"},
+		{"two surplus before", plain("2", "not yours") + plain("3", "nor this") + plain("1", "mine"), false, []End{Done}, 200, "mine"},
+		{"three surplus before", plain("2", "x") + plain("3", "x") + plain("4", "x") + plain("1", "mine"), false, []End{Lost}, 502, ""},
+		{"surplus behind", plain("1", "mine") + plain("2", "not yours"), false, []End{Done}, 200, "mine"},
+		{"own 500", "HTTP/1.1 500 Oops\r\nX-Try: 1\r\nContent-Length: 2\r\n\r\nno", false, []End{Done}, 500, "no"},
+		{"own 500, repeatable", "HTTP/1.1 500 Oops\r\nX-Try: 1\r\nContent-Length: 2\r\n\r\nno", true, []End{Lost, Done}, 200, "good"},
+		{"a promise that is none", "HTTP/1.1 503 Full\r\nX-Try: 1\r\nContent-Length: 2\r\n\r\nno", false, []End{Lost}, 502, ""},
+		{"a 429 that is none", "HTTP/1.1 429 Full\r\nX-Try: 1\r\nContent-Length: 2\r\n\r\nno", false, []End{Lost}, 502, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			first, second := says(t, c.first, true), says(t, good, false)
+			b := relayFor(t, &script{to: []string{first.addr(), second.addr()}, again: c.again}, RelayOptions{})
+			cl := b.dial(t)
+			cl.send(get("1"))
+			a, body, err := cl.answer("GET")
+			require.NoError(t, err)
+			require.Equal(t, c.status, a.StatusCode)
+			if c.body != "" {
+				require.Equal(t, c.body, body)
+				require.Equal(t, "1", a.Header.Get("X-Try"))
+			} else {
+				require.Contains(t, body, `"kind":"unclear"`)
+				require.NotContains(t, body, "yours")
+			}
+			b.settled(t)
+			require.Equal(t, c.ends, b.hows())
+			require.Len(t, first.requests(), 1)
+			require.Equal(t, len(c.ends)-1, len(second.requests()))
+			if len(c.ends) > 1 {
+				require.Equal(t, "s1", second.requests()[0].Header.Get("X-Only"))
+			}
+		})
+	}
+}
+
+// A server that cannot be reached, and a send that is not allowed: nothing was sent.
+func TestRelayNotSent(t *testing.T) {
+	srv := says(t, plain("1", "good"), false)
+	b := relayFor(t, &script{to: []string{"127.0.0.1:1", srv.addr(), srv.addr()}, deny: 1}, RelayOptions{})
+	cl := b.dial(t)
+	cl.send(get("1"))
+	a, body, err := cl.answer("GET")
+	require.NoError(t, err)
+	require.Equal(t, 200, a.StatusCode)
+	require.Equal(t, "good", body)
+	b.settled(t)
+	require.Equal(t, []End{Unsent, Kept, Done}, b.hows())
+	require.Len(t, srv.requests(), 1)
+	require.Equal(t, 1, srv.accepted(), "the connection that was not used is kept")
+
+	cl.send(strings.Replace(get("2"), "X-Try", "X-Other", 1))
+	a, body, err = cl.answer("GET")
+	require.NoError(t, err)
+	require.Equal(t, 400, a.StatusCode)
+	require.Contains(t, body, `"kind":"malformed"`)
+}
+
+// Final answers of the router's own follow the table, with the time to come back in fractions.
+func TestRelayReceipts(t *testing.T) {
+	for k, want := range gauge.Receipts {
+		t.Run(string(k), func(t *testing.T) {
+			b := relayFor(t, &script{refuse: &Receipt{Kind: k, Back: 250 * time.Millisecond}}, RelayOptions{})
+			cl := b.dial(t)
+			cl.send(get("1"))
+			a, body, err := cl.answer("GET")
+			require.NoError(t, err)
+			require.Equal(t, want.Status, a.StatusCode)
+			require.Equal(t, "0.25", a.Header.Get("Retry-After"))
+			require.Contains(t, body, fmt.Sprintf(`"dropped":%t`, want.Dropped))
+			require.NotContains(t, a.Header, "X-Seal")
+		})
+	}
+}
+
+// Many requests go over one kept connection, and a stale one is not used.
+func TestRelayReuse(t *testing.T) {
+	srv := newStandIn(t, func(s *standIn, _ int, c net.Conn, br *bufio.Reader) {
+		for {
+			q := s.next(br)
+			if q == nil {
+				return
+			}
+			_, _ = io.WriteString(c, plain(q.Header.Get("X-Try"), "good"))
+			if len(s.requests()) == 5 {
+				return // closed while it is idle
+			}
+		}
+	})
+	var to []string
+	for range 10 {
+		to = append(to, srv.addr())
+	}
+	b := relayFor(t, &script{to: to}, RelayOptions{})
+	cl := b.dial(t)
+	for i := range 10 {
+		if i == 5 {
+			require.Eventually(t, func() bool {
+				b.relay.conns.mu.Lock()
+				defer b.relay.conns.mu.Unlock()
+				l := b.relay.conns.idle[srv.addr()]
+				return len(l) == 1 && !l[0].fresh()
+			}, soon, time.Millisecond)
+		}
+		cl.send(get(fmt.Sprint("id", i)))
+		a, body, err := cl.answer("GET")
+		require.NoError(t, err)
+		require.Equal(t, 200, a.StatusCode)
+		require.Equal(t, "good", body)
+	}
+	require.Equal(t, 2, srv.accepted())
+	require.Equal(t, ConnTally{Opens: 2, Reuses: 8, Discards: 1}, b.relay.Counts().ConnTally)
+}
+
+// A request is never sent again by itself when a kept connection breaks under it.
+func TestRelayKeptBreaks(t *testing.T) {
+	srv := newStandIn(t, func(s *standIn, n int, c net.Conn, br *bufio.Reader) {
+		if s.next(br) != nil {
+			_, _ = io.WriteString(c, plain("1", "good"))
+		}
+		s.next(br) // and ends with no answer
+	})
+	b := relayFor(t, &script{to: []string{srv.addr()}}, RelayOptions{})
+	cl := b.dial(t)
+	for _, want := range []int{200, 502} {
+		cl.send(get("1"))
+		a, _, err := cl.answer("GET")
+		require.NoError(t, err)
+		require.Equal(t, want, a.StatusCode)
+	}
+	require.Equal(t, []End{Done, Lost}, b.hows())
+	require.Len(t, srv.requests(), 2)
+}
+
+// An answer after its time is lost, and its bytes are seen by nobody.
+func TestRelayLate(t *testing.T) {
+	free := make(chan struct{})
+	srv := newStandIn(t, func(s *standIn, n int, c net.Conn, br *bufio.Reader) {
+		for s.next(br) != nil {
+			if n == 0 {
+				<-free
+			}
+			_, _ = io.WriteString(c, plain("1", "good"))
+		}
+	})
+	t.Cleanup(func() { close(free) })
+	b := relayFor(t, &script{to: []string{srv.addr()}, left: 50 * time.Millisecond}, RelayOptions{Slack: 10 * time.Millisecond})
+	cl := b.dial(t)
+	cl.send(get("1"))
+	a, _, err := cl.answer("GET")
+	require.NoError(t, err)
+	require.Equal(t, 502, a.StatusCode)
+	require.Equal(t, []End{Lost}, b.hows())
+}
+
+// Bodies: too long, broken off, too slow.
+func TestRelayBodies(t *testing.T) {
+	limits := func() (int64, time.Duration) { return 10, 50 * time.Millisecond }
+	for _, c := range []struct {
+		name, send string
+		half       bool // the client says that it sends no more
+		status     int  // 0 if the connection is closed with no answer
+	}{
+		{"at the bound", "Content-Length: 10\r\n\r\n0123456789", false, 200},
+		{"too long", "Content-Length: 11\r\n\r\n0123456789a", false, 413},
+		{"too long in chunks", "Transfer-Encoding: chunked\r\n\r\nb\r\n0123456789a\r\n0\r\n\r\n", false, 413},
+		{"too slow", "Content-Length: 10\r\n\r\n0123", false, 408},
+		{"broken off", "Content-Length: 10\r\n\r\n0123", true, 0},
+		{"bad chunks", "Transfer-Encoding: chunked\r\n\r\nzz\r\n0123", false, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			srv := says(t, plain("1", "good"), false)
+			o := RelayOptions{Limits: limits}
+			if c.half {
+				o.Limits = func() (int64, time.Duration) { return 10, soon }
+			}
+			b := relayFor(t, &script{to: []string{srv.addr()}}, o)
+			cl := b.dial(t)
+			cl.send("POST / HTTP/1.1\r\nHost: h\r\nX-Try: 1\r\n" + c.send)
+			if c.half {
+				require.NoError(t, cl.Conn.(*net.TCPConn).CloseWrite())
+			}
+			a, _, err := cl.answer("POST")
+			if c.status == 0 {
+				require.Error(t, err)
+				require.Empty(t, srv.requests())
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, c.status, a.StatusCode)
+			require.Equal(t, c.status != 200, a.Close)
+			require.Equal(t, c.status == 200, len(srv.requests()) == 1)
+		})
+	}
+}
+
+// A request with two ways of telling where its body ends reaches no server, and neither does
+// what is hidden in it.
+func TestRelaySmuggling(t *testing.T) {
+	hidden := "GET /hidden HTTP/1.1\r\nHost: h\r\nX-Try: 2\r\n\r\n"
+	for _, c := range []struct{ name, head, body string }{
+		{"length and chunks", fmt.Sprintf("Content-Length: %d\r\nTransfer-Encoding: chunked\r\n", 5+len(hidden)), "0\r\n\r\n" + hidden},
+		{"chunks and length, other case", fmt.Sprintf("tRANSFER-eNCODING: chunked\r\ncONTENT-lENGTH: %d\r\n", 5+len(hidden)), "0\r\n\r\n" + hidden},
+		{"two lengths", fmt.Sprintf("Content-Length: 0\r\nContent-Length: %d\r\n", len(hidden)), hidden},
+		{"unknown coding", "Transfer-Encoding: xchunked\r\n", hidden},
+		{"two codings", "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n", "0\r\n\r\n" + hidden},
+		{"blank before the colon", "Transfer-Encoding : chunked\r\n", "0\r\n\r\n" + hidden},
+		{"length with a sign", "Content-Length: +0\r\n", hidden},
+	} {
+		for _, split := range []int{1 << 20, 1, 7} {
+			t.Run(fmt.Sprint(c.name, " ", split), func(t *testing.T) {
+				srv := says(t, plain("1", "good"), false)
+				b := relayFor(t, &script{to: []string{srv.addr()}}, RelayOptions{})
+				cl := b.dial(t)
+				s := "POST / HTTP/1.1\r\nHost: h\r\nX-Try: 1\r\n" + c.head + "\r\n" + c.body
+				for len(s) > 0 {
+					n := min(split, len(s))
+					if _, err := io.WriteString(cl, s[:n]); err != nil {
+						break // it was turned away already
+					}
+					s = s[n:]
+				}
+				a, _, err := cl.answer("POST")
+				if err == nil {
+					require.Contains(t, []int{400, 501}, a.StatusCode)
+					_, _, err = cl.answer("GET")
+				}
+				require.Error(t, err)
+				require.Empty(t, srv.requests())
+			})
+		}
+	}
+
+	t.Run("old version with chunks", func(t *testing.T) {
+		srv := says(t, plain("1", "good"), false)
+		b := relayFor(t, &script{to: []string{srv.addr()}}, RelayOptions{})
+		cl := b.dial(t)
+		cl.send("POST / HTTP/1.0\r\nHost: h\r\nX-Try: 1\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden)
+		a, _, err := cl.answer("POST")
+		require.NoError(t, err)
+		require.Equal(t, 400, a.StatusCode)
+		_, _, err = cl.answer("GET")
+		require.Error(t, err)
+		require.Empty(t, srv.requests())
+	})
+
+	t.Run("chunks after chunks", func(t *testing.T) {
+		srv := says(t, plain("1", "good"), false)
+		b := relayFor(t, &script{to: []string{srv.addr()}}, RelayOptions{})
+		cl := b.dial(t)
+		for i := range 3 {
+			cl.send("POST / HTTP/1.1\r\nHost: h\r\nX-Try: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n")
+			a, _, err := cl.answer("POST")
+			require.NoError(t, err)
+			require.Equal(t, 200, a.StatusCode, i)
+			b.settled(t)
+		}
+		require.Equal(t, []string{"ab", "ab", "ab"}, srv.bodies())
+	})
+}
+
+// parts writes a stream in parts, each once the one before it was taken.
+func parts(c net.Conn, l ...string) {
+	for _, p := range l {
+		if _, err := io.WriteString(c, p); err != nil {
+			return
+		}
+	}
+}
+
+// Streams come as the server sends them, one event after the other, and end whole.
+func TestRelayStream(t *testing.T) {
+	for _, resume := range []bool{false, true} {
+		t.Run(fmt.Sprint(resume), func(t *testing.T) {
+			step := make(chan struct{})
+			srv := newStandIn(t, func(s *standIn, _ int, c net.Conn, br *bufio.Reader) {
+				for s.next(br) != nil {
+					parts(c, fmt.Sprintf(streamHead, "s"))
+					for i := 1; i <= 3; i++ {
+						parts(c, chunk(event(i)))
+						<-step // the client has it
+					}
+					parts(c, chunk("data: last\n\n"), "0\r\n\r\n")
+				}
+			})
+			b := relayFor(t, &script{to: []string{srv.addr()}, resume: resume}, RelayOptions{})
+			cl := b.dial(t)
+			for range 2 {
+				cl.send(get("1"))
+				a, err := http.ReadResponse(cl.br, &http.Request{Method: "GET"})
+				require.NoError(t, err)
+				require.Equal(t, "text/event-stream", a.Header.Get("Content-Type"))
+				for i := 1; i <= 3; i++ {
+					p := make([]byte, len(event(i)))
+					_, err := io.ReadFull(a.Body, p)
+					require.NoError(t, err)
+					require.Equal(t, event(i), string(p))
+					step <- struct{}{}
+				}
+				rest, err := io.ReadAll(a.Body)
+				require.NoError(t, err)
+				require.Equal(t, "data: last\n\n", string(rest))
+				b.settled(t)
+				b.at[1], b.at[2] = 0, 0
+			}
+			require.Equal(t, []End{Done, Done}, b.hows())
+			require.Len(t, b.begun, 2)
+			require.Equal(t, 1, srv.accepted())
+		})
+	}
+}
+
+// Streams that break off: the client sees it, or gets the rest from another server with nothing
+// missing and nothing twice.
+func TestRelayStreamBreaks(t *testing.T) {
+	head := fmt.Sprintf(streamHead, "s")
+	cut := head + chunk(event(1)) + chunk(event(2)) + chunk("id: 3\ndata: pie")
+	rest := func(l ...int) string {
+		s := fmt.Sprintf(streamHead, "other")
+		for _, n := range l {
+			s += chunk(event(n))
+		}
+		return s + "0\r\n\r\n"
+	}
+	all := event(1) + event(2) + event(3) + event(4)
+	for _, c := range []struct {
+		name          string
+		resume        bool
+		first, second string
+		ends          []End
+		body          string
+		whole         bool
+	}{
+		{"cut, not to be taken up", false, cut, rest(3, 4), []End{Split}, event(1) + event(2) + "id: 3\ndata: pie", false},
+		{"cut without an end", false, head + chunk(event(1)), rest(2), []End{Split}, event(1), false},
+		{"ended by the connection", false, "HTTP/1.1 200 OK\r\nX-Try: 1\r\nX-Seal: s\r\nContent-Type: text/event-stream\r\n\r\n" + event(1), rest(2), []End{Split}, event(1), false},
+		{"short of its length", false, "HTTP/1.1 200 OK\r\nX-Try: 1\r\nX-Seal: s\r\nContent-Type: text/event-stream\r\nContent-Length: 999\r\n\r\n" + event(1), rest(2), []End{Split}, event(1), false},
+		{"taken up", true, cut, rest(3, 4), []End{Split, Done}, all, true},
+		{"taken up, with the last again", true, cut, rest(1, 2, 3, 4), []End{Split, Done}, all, true},
+		{"taken up in the middle of an event", true, head + chunk(event(1)[:4]) + chunk(event(1)[4:]+event(2)) + chunk("id: 3\n"), rest(3, 4), []End{Split, Done}, all, true},
+		{"taken up, with no number", true, cut, fmt.Sprintf(streamHead, "o") + chunk(": hello\n\n"+event(3)) + chunk(event(4)+"data: end\n\n") + "0\r\n\r\n", []End{Split, Done}, event(1) + event(2) + ": hello\n\n" + event(3) + event(4) + "data: end\n\n", true},
+		{"taken up at its last", true, cut, fmt.Sprintf(streamHead, "o") + chunk(event(2)) + chunk("data: end\n\n") + "0\r\n\r\n", []End{Split, Done}, event(1) + event(2) + "data: end\n\n", true},
+		{"taken up with a gap", true, cut, rest(4), []End{Split, Lost}, event(1) + event(2), false},
+		{"taken up by no stream", true, cut, plain("1", event(3)), []End{Split, Lost}, event(1) + event(2), false},
+		{"taken up unsealed", true, cut, strings.Replace(rest(3, 4), "X-Seal: other", "X-Unsealed: x", 1), []End{Split, Lost}, event(1) + event(2), false},
+		{"taken up by a failure", true, cut, "HTTP/1.1 500 Oops\r\nX-Try: 1\r\nContent-Length: 0\r\n\r\n", []End{Split, Lost}, event(1) + event(2), false},
+		{"not taken up", true, cut, "HTTP/1.1 503 Full\r\nX-Try: 1\r\nX-Not-Run: busy\r\nContent-Length: 0\r\n\r\n", []End{Split, Dropped}, event(1) + event(2), false},
+		{"cut twice", true, cut, fmt.Sprintf(streamHead, "o") + chunk(event(3)), []End{Split, Split}, event(1) + event(2) + event(3), false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			first, second := says(t, c.first, true), says(t, c.second, true)
+			b := relayFor(t, &script{to: []string{first.addr(), second.addr()}, resume: c.resume}, RelayOptions{})
+			cl := b.dial(t)
+			cl.send(get("1"))
+			a, body, err := cl.answer("GET")
+			require.NotNil(t, a)
+			require.Equal(t, c.whole, err == nil)
+			require.Equal(t, c.body, body)
+			require.Equal(t, "s", a.Header.Get("X-Seal"))
+			b.settled(t)
+			require.Equal(t, c.ends, b.hows())
+			if len(c.ends) > 1 {
+				require.Equal(t, "2", second.requests()[0].Header.Get("X-After"))
+			} else {
+				require.Empty(t, second.requests())
+			}
+		})
+	}
+}
+
+// A stream that breaks before its first byte is as any answer that never came.
+func TestRelayStreamEarly(t *testing.T) {
+	for _, again := range []bool{false, true} {
+		first, second := says(t, fmt.Sprintf(streamHead, "s"), true), says(t, fmt.Sprintf(streamHead, "o")+chunk(event(1))+"0\r\n\r\n", false)
+		b := relayFor(t, &script{to: []string{first.addr(), second.addr()}, again: again}, RelayOptions{})
+		cl := b.dial(t)
+		cl.send(get("1"))
+		a, body, err := cl.answer("GET")
+		require.NoError(t, err)
+		if again {
+			require.Equal(t, event(1), body)
+			require.Equal(t, "o", a.Header.Get("X-Seal"))
+		} else {
+			require.Equal(t, 502, a.StatusCode)
+		}
+	}
+}
+
+// The client's own place in a stream is where it is taken up if nothing was passed on yet.
+func TestRelaySeen(t *testing.T) {
+	first, second := says(t, fmt.Sprintf(streamHead, "s")+chunk(event(8))+chunk("id"), true), says(t, fmt.Sprintf(streamHead, "o")+chunk(event(9))+"0\r\n\r\n", false)
+	b := relayFor(t, &script{to: []string{first.addr(), second.addr()}, resume: true}, RelayOptions{})
+	cl := b.dial(t)
+	cl.send("GET / HTTP/1.1\r\nHost: h\r\nX-Try: 1\r\nX-After: 7\r\n\r\n")
+	_, body, err := cl.answer("GET")
+	require.NoError(t, err)
+	require.Equal(t, event(8)+event(9), body)
+	require.Equal(t, "7", first.requests()[0].Header.Get("X-After"))
+	require.Equal(t, "8", second.requests()[0].Header.Get("X-After"))
+}
+
+// A big answer that breaks off once the client has some of it is broken visibly.
+func TestRelayBigBreaks(t *testing.T) {
+	for _, head := range []string{"Content-Length: 900000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n", 900000)} {
+		first, second := says(t, "HTTP/1.1 200 OK\r\nX-Try: 1\r\nX-Seal: s\r\n"+head+strings.Repeat("x", 500_000), true), says(t, plain("1", "good"), false)
+		b := relayFor(t, &script{to: []string{first.addr(), second.addr()}, again: true, resume: true}, RelayOptions{})
+		cl := b.dial(t)
+		cl.send(get("1"))
+		_, body, err := cl.answer("GET")
+		require.Error(t, err)
+		require.NotContains(t, body, "good")
+		require.Empty(t, second.requests())
+		b.settled(t)
+		require.Equal(t, []End{Split}, b.hows())
+		require.Len(t, b.quits, 1)
+	}
+}
+
+// A client that leaves takes its server's connection with it, whatever stage it left in.
+func TestRelayClientLeaves(t *testing.T) {
+	for _, c := range []struct {
+		name, answer string
+	}{
+		{"before the head", ""},
+		{"in a body", "HTTP/1.1 200 OK\r\nX-Try: 1\r\nX-Seal: s\r\nContent-Length: 9\r\n\r\nhalf"},
+		{"in a stream", fmt.Sprintf(streamHead, "s") + chunk(event(1))},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			left := make(chan struct{})
+			reached := make(chan struct{})
+			srv := newStandIn(t, func(s *standIn, _ int, conn net.Conn, br *bufio.Reader) {
+				s.next(br)
+				_, _ = io.WriteString(conn, c.answer)
+				close(reached)
+				_, _ = br.ReadByte() // until the relay closes it
+				close(left)
+			})
+			b := relayFor(t, &script{to: []string{srv.addr()}, again: true}, RelayOptions{})
+			cl := b.dial(t)
+			cl.send(get("1"))
+			<-reached
+			if strings.Contains(c.answer, "chunked") {
+				_, err := http.ReadResponse(cl.br, &http.Request{Method: "GET"})
+				require.NoError(t, err)
+			}
+			_ = cl.Close()
+			<-left
+			b.settled(t)
+			require.Len(t, b.quits, 1)
+			require.Empty(t, b.ends)
+		})
+	}
+	t.Run("while it waits", func(t *testing.T) {
+		quiet := &mute{script: &script{}}
+		b := relayFor(t, quiet.script, RelayOptions{})
+		quiet.relay.Use(quiet)
+		cl := b.dial(t)
+		cl.send(get("1"))
+		require.Eventually(t, func() bool { return b.relay.Open() == 1 }, soon, time.Millisecond)
+		_ = cl.Close()
+		b.settled(t)
+		require.Len(t, b.quits, 1)
+	})
+}
+
+// mute launches nothing.
+type mute struct{ *script }
+
+func (m *mute) Step(in any) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if v, ok := in.(Quit); ok {
+		m.quits = append(m.quits, v)
+	}
+}
+
+// A client that stops reading is given up.
+func TestRelayClientStalls(t *testing.T) {
+	srv := newStandIn(t, func(s *standIn, _ int, c net.Conn, br *bufio.Reader) {
+		s.next(br)
+		parts(c, fmt.Sprintf(streamHead, "s"))
+		for i := 1; ; i++ {
+			if _, err := io.WriteString(c, chunk(event(i)+strings.Repeat(":\n", 8000)+"\n")); err != nil {
+				return
+			}
+		}
+	})
+	b := relayFor(t, &script{to: []string{srv.addr()}, resume: true}, RelayOptions{WriteWait: 100 * time.Millisecond})
+	cl := b.dial(t)
+	cl.send(get("1"))
+	b2 := make([]byte, 16)
+	_, err := io.ReadFull(cl, b2)
+	require.NoError(t, err)
+	b.settled(t)
+	require.Len(t, b.quits, 1)
+}
+
+// After many requests of all kinds, nothing is left behind.
+func TestRelayLeavesNothing(t *testing.T) {
+	was := runtime.NumGoroutine()
+	t.Run("day", func(t *testing.T) {
+		srv := newStandIn(t, func(s *standIn, n int, c net.Conn, br *bufio.Reader) {
+			for k := n; ; k++ {
+				q := s.next(br)
+				if q == nil {
+					return
+				}
+				id := q.Header.Get("X-Try")
+				switch k % 6 {
+				case 0:
+					_, _ = io.WriteString(c, strings.Replace(fmt.Sprintf(streamHead, "s"), "X-Try: 1", "X-Try: "+id, 1)+chunk(event(1)))
+					return
+				case 1:
+					return
+				case 2:
+					_, _ = io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Try: "+id+"\r\nX-Not-Run: busy\r\nContent-Length: 0\r\n\r\n")
+				case 3:
+					_, _ = io.WriteString(c, plain("none", "surplus")+plain(id, "good"))
+				default:
+					_, _ = io.WriteString(c, plain(id, "good"))
+				}
+			}
+		})
+		b := relayFor(t, &script{to: []string{srv.addr(), srv.addr(), srv.addr()}, again: true, resume: true}, RelayOptions{})
+		var over sync.WaitGroup
+		for w := range 8 {
+			over.Add(1)
+			go func() {
+				defer over.Done()
+				for i := range 40 {
+					c, err := net.Dial("tcp", b.addr)
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					_ = c.SetDeadline(time.Now().Add(soon))
+					id := fmt.Sprint(w, "-", i)
+					_, _ = io.WriteString(c, get(id))
+					if i%5 > 0 {
+						a, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: "GET"})
+						if err != nil {
+							t.Error(err)
+						} else if a.StatusCode == 200 {
+							if got := a.Header.Get("X-Try"); got != id {
+								t.Errorf("%s got the answer of %s", id, got)
+							}
+							_, _ = io.Copy(io.Discard, a.Body)
+						}
+					}
+					_ = c.Close()
+				}
+			}()
+		}
+		over.Wait()
+		b.settled(t)
+	})
+	for end := time.Now().Add(soon); runtime.NumGoroutine() > was && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	p := make([]byte, 1<<20)
+	require.LessOrEqual(t, runtime.NumGoroutine(), was, "%s", p[:runtime.Stack(p, true)])
+}
+
+// At a stop the router is unready at once, still serves, tells clients to go elsewhere, and lets
+// what is under way finish.
+func TestRelayStops(t *testing.T) {
+	free := make(chan struct{})
+	srv := newStandIn(t, func(s *standIn, n int, c net.Conn, br *bufio.Reader) {
+		for {
+			q := s.next(br)
+			if q == nil {
+				return
+			}
+			if q.Header.Get("X-Try") == "slow" {
+				<-free
+			}
+			_, _ = io.WriteString(c, plain(q.Header.Get("X-Try"), "good"))
+		}
+	})
+	s := &script{to: []string{srv.addr()}, at: map[Ref]int{}, left: time.Minute}
+	s.relay = NewRelay(RelayOptions{Dialect: fakeDialect{}, Decider: s})
+	in, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	told, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	stop, end := make(chan struct{}), make(chan error, 1)
+	go func() {
+		end <- serveRelay(stop, RelayServe{Relay: s.relay, Lame: 2 * time.Second, Grace: soon}, in, told)
+	}()
+	ready := func() int {
+		c, err := net.Dial("tcp", told.Addr().String())
+		require.NoError(t, err)
+		defer c.Close()
+		_, _ = io.WriteString(c, "GET /there HTTP/1.1\r\nHost: h\r\n\r\n")
+		a, err := http.ReadResponse(bufio.NewReader(c), nil)
+		require.NoError(t, err)
+		return a.StatusCode
+	}
+	require.Equal(t, 200, ready())
+	b := &bench1{s, in.Addr().String()}
+	slow, kept := b.dial(t), b.dial(t)
+	slow.send(get("slow"))
+	require.Eventually(t, func() bool { return len(srv.requests()) == 1 }, soon, time.Millisecond)
+	close(stop)
+	require.Equal(t, 503, ready())
+	for { // until the answers tell to go elsewhere
+		kept.send(get("1"))
+		a, _, err := kept.answer("GET")
+		require.NoError(t, err)
+		require.Equal(t, 200, a.StatusCode)
+		if a.Close {
+			break
+		}
+	}
+	require.Eventually(t, func() bool {
+		c, err := net.Dial("tcp", b.addr)
+		if err == nil {
+			_ = c.Close()
+		}
+		return err != nil
+	}, soon, time.Millisecond)
+	close(free)
+	a, body, err := slow.answer("GET")
+	require.NoError(t, err)
+	require.Equal(t, "good", body)
+	require.True(t, a.Close)
+	require.NoError(t, <-end)
+	s.settled(t)
+}
+
+// The relay works before the real core in its clamp.
+func TestRelayCore(t *testing.T) {
+	core := New(Options{Inc: 7})
+	r := NewRelay(RelayOptions{Dialect: fakeDialect{}})
+	c := clamp.New(clamp.Options{Core: core, Beat: 10 * time.Millisecond, Ring: clamp.NewRing("t", io.Discard), Else: r.Act})
+	r.Use(Held(c, core))
+	require.NoError(t, c.Run())
+	t.Cleanup(c.Stop)
+	require.False(t, Held(c, core).MaySend(1, 1))
+	ch := make(chan any, 4)
+	r.calls[1] = ch
+	r.core.Step(Call{Ref: 1, Call: chisel.Call{ID: "1", Wait: -1}})
+	require.Equal(t, gauge.PastDue, (<-ch).(Receipt).Kind)
+	r.Act("what is not for it")
+}
