--- a/lathe/core.go
+++ b/lathe/core.go
@@ -30,6 +30,7 @@
 	Check bool       // check every entry on every use, to measure against
 
 	Read   func([]byte) (*chisel.Plan, chisel.Faults) // of plans
+	Zone   gauge.Zone                                 // this router's own
 	Free   bool                                       // servers remember no ids: what may not be repeated goes to any replica
 	Guards bool                                       // servers refuse what they do not hold: without a hold a router goes by what it knew
 	Lend   float64                                    // arrivals beyond the first that the whole fleet is lent in each Window
@@ -118,10 +119,13 @@
 }
 
 type bench struct {
-	work  int
-	keys  map[gauge.Key]int
-	avoid gauge.Tick
-	fails int
+	work   int
+	tokens int // of what is under way
+	others int // of other routers, when last told
+	told   int // of its own, when last told
+	keys   map[gauge.Key]int
+	avoid  gauge.Tick
+	fails  int
 }
 
 // Core is a router without I/O.
@@ -152,8 +156,11 @@
 	came  map[gauge.Key]int
 	work  map[gauge.Key]int
 	bench map[gauge.Server]*bench
-	bank  []coin       // what first goes earned, oldest first
-	lent  []gauge.Tick // when what is lent was taken
+	bank  []coin                // what first goes earned, oldest first
+	lent  []gauge.Tick          // when what is lent was taken
+	loads map[gauge.Key]float64 // seconds of a server's time that what came since the last word takes
+	paces map[gauge.Key]float64 // ns that a token takes at best, by base
+	dice  uint64
 	tally Tally
 }
 
@@ -172,7 +179,7 @@
 	c := &Core{
 		o: o.Defaults(), entries: map[gauge.Key]*entry{}, reqs: map[Ref]*req{}, lines: map[gauge.Key][]*req{},
 		came: map[gauge.Key]int{}, work: map[gauge.Key]int{}, bench: map[gauge.Server]*bench{}, empty: map[gauge.Zone]bool{},
-		routers: 1,
+		routers: 1, loads: map[gauge.Key]float64{}, paces: map[gauge.Key]float64{}, dice: uint64(o.Inc),
 	}
 	c.tally.Drops = map[gauge.Kind]uint64{}
 	return c
@@ -228,6 +235,9 @@
 			e.held, e.asking = false, false
 		}
 	}
+	if b.Seats != nil {
+		c.heardSeats(b.Seats)
+	}
 	if b.Until > c.until {
 		was := c.holds()
 		c.until = b.Until
@@ -363,8 +373,17 @@
 				b[k] = dowel.Burden{Came: n}
 			}
 		}
-		c.came = map[gauge.Key]int{}
-		c.send(dowel.Hello{Lathe: c.o.Inc, Session: c.ses, Gen: c.gen, Epoch: c.epoch, Burden: b})
+		for k, n := range c.loads {
+			u := b[k]
+			u.Load = n
+			b[k] = u
+		}
+		c.came, c.loads = map[gauge.Key]int{}, map[gauge.Key]float64{}
+		h := dowel.Hello{Lathe: c.o.Inc, Session: c.ses, Gen: c.gen, Epoch: c.epoch, Burden: b}
+		if c.o.Free {
+			h.Seats = c.seats()
+		}
+		c.send(h)
 	}
 	if len(c.drops) > 0 && (c.now.Sub(c.swept) >= c.o.Batch || len(c.drops) >= 64) {
 		c.swept = c.now
--- a/lathe/host.go
+++ b/lathe/host.go
@@ -43,7 +43,7 @@
 	me := dowel.Sibling{ID: gauge.Node(h.ID), Addr: h.Post}
 	core := New(Options{
 		Me: dowel.Sibling{ID: nearLathe, Addr: nearLathe}, Inc: clamp.NewInc(), Awl: dowel.Sibling{Addr: nearAwl},
-		Read: h.Read, Free: true, Guards: true, Lend: h.Lend, Window: h.Window, Share: h.Earn, Heads: 2,
+		Read: h.Read, Zone: gauge.Zone(h.Zone), Free: true, Guards: true, Lend: h.Lend, Window: h.Window, Share: h.Earn,
 	})
 	agent := awl.New(awl.Options{
 		Me: me, Zone: gauge.Zone(h.Zone), Inc: clamp.NewInc(), Life: gauge.Inc(clamp.Now()),
--- a/lathe/ledger.go
+++ b/lathe/ledger.go
@@ -35,6 +35,9 @@
 	How    End
 	Kind   gauge.Kind
 	Begun  bool
+
+	at     gauge.Tick // when it was launched
+	weight int        // tokens that it still counts for at its server
 }
 
 // Stages of a request.
@@ -226,6 +229,9 @@
 		}
 	}
 	c.came[r.key]++
+	if c.o.Free {
+		c.loads[r.key] += c.loadOf(r)
+	}
 	if e := c.entries[r.key]; e != nil && e.held && c.holds() && len(e.Replicas) > 0 && !c.o.Check {
 		c.tally.Hits++
 	}
@@ -491,6 +497,9 @@
 // pick chooses a replica: by rendezvous hash over the prompt's shared parts, as long as the
 // one it names is not burdened beyond its fair share; otherwise the least burdened.
 func (c *Core) pick(e *entry, r *req) *dowel.Replica {
+	if c.o.Free {
+		return c.weigh(e, r)
+	}
 	var l []*dowel.Replica
 	var only *dowel.Replica
 	if !r.again() && !c.o.Free {
@@ -550,10 +559,11 @@
 func (c *Core) launch(r *req, p *dowel.Replica) {
 	c.leave(r)
 	r.fire("launch")
-	r.goes = append(r.goes, Go{Server: p.Server, Inc: p.Inc})
+	r.goes = append(r.goes, Go{Server: p.Server, Inc: p.Inc, at: c.now, weight: r.weight()})
 	n := len(r.goes)
 	b := c.seat(p.Server)
 	b.work++
+	b.tokens += r.weight()
 	b.keys[r.key]++
 	c.work[r.key]++
 	x := r.Call.Call
@@ -609,14 +619,23 @@
 	if r == nil || v.N != len(r.goes) || !r.fire("begin") {
 		return
 	}
-	r.goes[v.N-1].Begun = true
-	c.seat(r.goes[v.N-1].Server).fails = 0
+	g := &r.goes[v.N-1]
+	g.Begun = true
+	b := c.seat(g.Server)
+	b.fails = 0
+	if c.o.Free && !r.key.Plain() {
+		c.pace(r, g)
+		left := min(g.weight, r.Call.Call.Max) // the prompt is read
+		b.tokens -= g.weight - left
+		g.weight = left
+	}
 }
 
 // release takes a go's burden off its server.
 func (c *Core) release(r *req, g *Go) *bench {
 	b := c.seat(g.Server)
 	b.work--
+	b.tokens -= g.weight
 	if b.keys[r.key]--; b.keys[r.key] <= 0 {
 		delete(b.keys, r.key)
 	}
--- /dev/null
+++ b/lathe/weigh.go
@@ -0,0 +1,187 @@
+package lathe
+
+import (
+	"hash/fnv"
+	"math"
+
+	"tidedeck/dowel"
+	"tidedeck/gauge"
+)
+
+// Where servers tell nothing of their load as they answer, a router weighs them itself: by what it has
+// under way there, what all routers together had a moment ago, and how fast servers were found to be.
+
+const (
+	firstPace  = 0.04e6 // ns for a token, before anything was measured
+	paceRise   = 0.02   // how fast a pace that was never met again is forgotten
+	paceBase   = 150    // tokens' worth of time that any answer takes to begin
+	partGain   = 0.6    // of shared tokens that a server which likely kept them need not read
+	otherZone  = 250    // tokens' worth of time that an answer from another zone costs
+	flatWeight = 1      // of a request that names no tokens
+)
+
+// weight is what a request asks of a server, in tokens.
+func (r *req) weight() int {
+	if r.key.Plain() {
+		return flatWeight
+	}
+	return max(flatWeight, r.Call.Call.Tokens+r.Call.Call.Max)
+}
+
+// shared counts the tokens of a prompt that other requests have too: all parts but the last.
+func (r *req) shared() int {
+	n := 0
+	for i := 0; i+1 < len(r.Call.Call.Sizes); i++ {
+		n += r.Call.Call.Sizes[i]
+	}
+	return n
+}
+
+// mix spreads a hash.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// home is the hash by which shared parts have a server where they are likely kept; it is the same at
+// every router.
+func home(r *req, s gauge.Server) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(s))
+	_, _ = h.Write([]byte(r.key))
+	l := r.Call.Call.Parts
+	for i := 0; i+1 < len(l); i++ {
+		_, _ = h.Write([]byte(l[i]))
+	}
+	return mix(h.Sum64())
+}
+
+// under tells what all routers have under way at a server, as far as this one knows.
+func (b *bench) under() int { return b.tokens + b.others }
+
+// weigh chooses the replica that a request is likely to be answered by first.
+func (c *Core) weigh(e *entry, r *req) *dowel.Replica {
+	var best, kept *dowel.Replica
+	cost, top := math.Inf(1), uint64(0)
+	gain := float64(r.shared()) * partGain
+	if gain > 0 {
+		for i := range e.Replicas {
+			if n := home(r, e.Replicas[i].Server); kept == nil || n > top {
+				kept, top = &e.Replicas[i], n
+			}
+		}
+	}
+	own := r.weight()
+	for i := range e.Replicas {
+		p := &e.Replicas[i]
+		b := c.seat(p.Server)
+		if c.empty[p.Zone] || c.now < b.avoid || r.met(p) {
+			continue
+		}
+		if !c.fits(r, p, b, own) {
+			continue
+		}
+		n := float64(b.under())
+		if r.key.Plain() {
+			n /= float64(max(1, p.Slots))
+		} else if p == kept {
+			n -= gain
+		}
+		if c.o.Zone != "" && p.Zone != c.o.Zone {
+			if r.key.Plain() {
+				n += 0.1
+			} else {
+				n += otherZone
+			}
+		}
+		c.dice = mix(c.dice + 0x9e3779b97f4a7c15)
+		n += float64(c.dice%1000) / 1000 * c.spread(r)
+		if n < cost {
+			best, cost = p, n
+		}
+	}
+	return best
+}
+
+// spread blurs the choice, so that routers which know the same do not all choose the same.
+func (c *Core) spread(r *req) float64 {
+	if r.key.Plain() {
+		return 0.3
+	}
+	return 600
+}
+
+// met tells whether a request was at a replica already and got nothing there.
+func (r *req) met(p *dowel.Replica) bool {
+	for _, g := range r.goes {
+		if g.Server == p.Server && g.How != Kept {
+			return true
+		}
+	}
+	return false
+}
+
+// fits tells whether a server can take a request on: its places, and the memory that its requests share.
+func (c *Core) fits(r *req, p *dowel.Replica, b *bench, own int) bool {
+	v := c.plan.Services[r.key.Service()]
+	if r.key.Plain() {
+		return b.under() < 3*max(1, p.Slots)
+	}
+	if b.work >= p.Slots {
+		return false
+	}
+	return v.Tokens == 0 || b.under() == 0 || b.under()+own <= v.Tokens
+}
+
+// pace learns how long a token takes at best for a key: others before it only make it longer.
+func (c *Core) pace(r *req, g *Go) {
+	if r.key.Plain() || r.Call.Call.Tokens == 0 {
+		return
+	}
+	x := float64(c.now.Sub(g.at)) / float64(r.Call.Call.Tokens+paceBase)
+	p, ok := c.paces[r.key.Base()]
+	if !ok || x < p {
+		p = x
+	} else {
+		p += (x - p) * paceRise
+	}
+	c.paces[r.key.Base()] = p
+}
+
+// loadOf tells how many seconds of a server's time a request takes.
+func (c *Core) loadOf(r *req) float64 {
+	if r.key.Plain() {
+		return 0
+	}
+	p, ok := c.paces[r.key.Base()]
+	if !ok {
+		p = firstPace
+	}
+	return p * float64(r.weight()) / 1e9
+}
+
+// heardSeats takes in what all routers have under way.
+func (c *Core) heardSeats(m map[gauge.Server]int) {
+	for s, b := range c.bench {
+		b.others = max(0, m[s]-b.told)
+	}
+	for s, n := range m {
+		if c.bench[s] == nil && n > 0 {
+			c.seat(s).others = n
+		}
+	}
+}
+
+// seats tells what this router has under way.
+func (c *Core) seats() map[gauge.Server]int {
+	m := map[gauge.Server]int{}
+	for s, b := range c.bench {
+		if b.told = b.tokens; b.tokens > 0 {
+			m[s] = b.tokens
+		}
+	}
+	return m
+}
