--- a/awl/core.go
+++ b/awl/core.go
@@ -266,12 +266,13 @@
 	}
 	c.tally.Renews++
 	c.up(dowel.Renew{Session: c.ses, Seq: c.seq, Fresh: c.fresh, Gen: c.gen, Epoch: c.epoch, Heard: c.heard, Burden: c.burden, Seats: c.seats})
+	left := map[gauge.Key]dowel.Burden{} // what was sent is not touched any more
 	for k, u := range c.burden {
-		u.Came, u.Load = 0, 0
-		if c.burden[k] = u; u.Wait == 0 && u.Work == 0 {
-			delete(c.burden, k)
+		if u.Came, u.Load = 0, 0; u.Wait > 0 || u.Work > 0 {
+			left[k] = u
 		}
 	}
+	c.burden = left
 }
 
 // gather takes in what the router bears now, and adds up what came since the last renewal.
