Paces are measured on servers that were free; replicas follow forecast work and crowding

Cause: a busy model that moved had one replica for 20 s: its work was underrated, since waiting behind others was counted as its own time, and rare keys' loads always came first.

--- a/anvil/place.go
+++ b/anvil/place.go
@@ -144,6 +144,7 @@
 	rate float64 // requests a second, of late
 	slow float64 // and over a longer while
 	load float64 // servers' worth of work, of late
+	now  float64 // and just now
 }
 
 func (c *Core) wanted(k gauge.Key, wait, value int) {
--- a/anvil/weigh.go
+++ b/anvil/weigh.go
@@ -15,10 +15,12 @@
 
 const (
 	sumEvery  = 250e6
-	lateSpan  = 3.0  // seconds that rates of late look back
+	nowSpan   = 1.2  // seconds that the work of just now looks back
+	lateSpan  = 4.0  // and that of late
 	slowSpan  = 20.0 // and the longer ones
 	goodLoad  = 0.3  // of a server's time that one key's replica should take
 	fullLoad  = 0.55 // past which another replica is worth a rarer key's only one
+	goodBatch = 0.15 // of a server's places that one key's requests should take
 	warmPart  = 0.25 // of a load's time that it takes from a server's own disk
 	freshSpan = 1500e6
 )
@@ -44,6 +46,7 @@
 		n.rate += (n.came/t - n.rate) * late
 		n.slow += (n.came/t - n.slow) * slow
 		n.load += (n.took/t - n.load) * late
+		n.now += (n.took/t - n.now) * (1 - math.Exp(-t/nowSpan))
 		n.came, n.took = 0, 0
 	}
 }
@@ -62,6 +65,10 @@
 	return m
 }
 
+// coming forecasts a key's work by when a load that begins now is done: what rises goes on rising for
+// a while, what falls is trusted to fall more slowly.
+func (n *need) coming() float64 { return math.Max(n.load, n.now+(n.now-n.load)) }
+
 // family is a base with all of its adapters, as placement sees it.
 type family struct {
 	m     chisel.Model
@@ -69,6 +76,7 @@
 	load  float64
 	slow  float64
 	wait  int
+	work  int // under way or waiting, at all routers
 	value int
 	want  int
 }
@@ -85,13 +93,20 @@
 		if f == nil {
 			continue
 		}
-		f.load += n.load
+		f.load += n.coming()
 		f.slow += n.slow
 		if c.now.Sub(n.at) < freshSpan && n.wait > 0 {
 			f.wait += n.wait
 			f.value = max(f.value, n.value)
 		}
 	}
+	for _, x := range c.links {
+		for k, u := range x.burden {
+			if f := l[k.Base()]; f != nil {
+				f.work += u.Work + u.Wait
+			}
+		}
+	}
 	for _, s := range c.servers {
 		if !c.stays(s) {
 			continue
@@ -103,7 +118,8 @@
 		}
 	}
 	for _, f := range l {
-		f.want = min(max(f.m.Floor, int(math.Ceil(f.load/goodLoad))), f.m.Most)
+		good := float64(max(1, c.plan.Services[f.m.Key.Service()].Slots)) * goodBatch
+		f.want = min(max(f.m.Floor, int(math.Ceil(f.load/goodLoad)), int(float64(f.work)/good+0.5)), f.m.Most)
 		if f.wait > 0 {
 			f.want = max(f.want, 1)
 		}
@@ -111,6 +127,9 @@
 	return l
 }
 
+// over tells whether a family's replicas are past what they bear: that holds up all of its requests.
+func (f *family) over() bool { return f.live > 0 && f.load/float64(f.live) > fullLoad }
+
 // loadOf sums the work of what a server holds, as its replicas share it.
 func (c *Core) loadOf(s *server, l map[gauge.Key]*family) float64 {
 	sum := 0.0
@@ -134,6 +153,9 @@
 	}
 	sort.SliceStable(todo, func(i, j int) bool {
 		a, b := todo[i], todo[j]
+		if a.over() != b.over() {
+			return a.over()
+		}
 		if (a.live == 0) != (b.live == 0) {
 			return a.live == 0
 		}
--- a/lathe/ledger.go
+++ b/lathe/ledger.go
@@ -38,6 +38,7 @@
 
 	at     gauge.Tick // when it was launched
 	weight int        // tokens that it still counts for at its server
+	ahead  int        // and those that were under way there before it
 }
 
 // Stages of a request.
@@ -559,9 +560,9 @@
 func (c *Core) launch(r *req, p *dowel.Replica) {
 	c.leave(r)
 	r.fire("launch")
-	r.goes = append(r.goes, Go{Server: p.Server, Inc: p.Inc, at: c.now, weight: r.weight()})
-	n := len(r.goes)
 	b := c.seat(p.Server)
+	r.goes = append(r.goes, Go{Server: p.Server, Inc: p.Inc, at: c.now, weight: r.weight(), ahead: b.under()})
+	n := len(r.goes)
 	b.work++
 	b.tokens += r.weight()
 	b.keys[r.key]++
--- a/lathe/weigh.go
+++ b/lathe/weigh.go
@@ -13,7 +13,7 @@
 
 const (
 	firstPace  = 0.04e6 // ns for a token, before anything was measured
-	paceRise   = 0.02   // how fast a pace that was never met again is forgotten
+	paceRise   = 0.01   // how fast a pace that was never met again is forgotten
 	paceBase   = 150    // tokens' worth of time that any answer takes to begin
 	partGain   = 0.6    // of shared tokens that a server which likely kept them need not read
 	otherZone  = 250    // tokens' worth of time that an answer from another zone costs
@@ -143,9 +143,12 @@
 	}
 	x := float64(c.now.Sub(g.at)) / float64(r.Call.Call.Tokens+paceBase)
 	p, ok := c.paces[r.key.Base()]
-	if !ok || x < p {
+	switch {
+	case g.ahead > r.Call.Call.Tokens/2:
+		return // others were before it
+	case !ok || x < p:
 		p = x
-	} else {
+	default:
 		p += (x - p) * paceRise
 	}
 	c.paces[r.key.Base()] = p
@@ -158,11 +161,23 @@
 	}
 	p, ok := c.paces[r.key.Base()]
 	if !ok {
-		p = firstPace
+		p = c.usual()
 	}
 	return p * float64(r.weight()) / 1e9
 }
 
+// usual is the pace of what was not measured yet: the mean of what was.
+func (c *Core) usual() float64 {
+	sum := 0.0
+	for _, p := range c.paces {
+		sum += p
+	}
+	if len(c.paces) == 0 {
+		return firstPace
+	}
+	return sum / float64(len(c.paces))
+}
+
 // heardSeats takes in what all routers have under way.
 func (c *Core) heardSeats(m map[gauge.Server]int) {
 	for s, b := range c.bench {
