--- a/lathe/conns_test.go
+++ b/lathe/conns_test.go
@@ -108,7 +108,7 @@
 	return n
 }
 
-// ask sends a request on a connection and reads the answer to its end.
+// askConn sends a request on a connection and reads the answer to its end.
 func askConn(t *testing.T, c *conn) string {
 	_, err := io.WriteString(c.Conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 	require.NoError(t, err)
--- a/lathe/relay.go
+++ b/lathe/relay.go
@@ -152,9 +152,8 @@
 	return strings.HasPrefix(name, "Proxy-")
 }
 
-// through copies the headers that go through, and room for a few more.
-func through(h http.Header) http.Header {
-	c := make(http.Header, len(h)+6)
+// through copies the headers that go through to c.
+func through(c, h http.Header) {
 	for k, v := range h {
 		if !hop(k) {
 			c[k] = v
@@ -165,7 +164,6 @@
 			delete(c, textproto.CanonicalMIMEHeaderKey(textproto.TrimString(f)))
 		}
 	}
-	return c
 }
 
 const (
@@ -242,7 +240,9 @@
 	if facts.Wait > 0 {
 		facts.Wait = max(1, facts.Wait-time.Since(came))
 	}
-	x.facts, x.head, x.last, x.seen = facts, through(q.Header), facts.Seen, facts.Seen > 0
+	x.facts, x.last, x.seen = facts, facts.Seen, facts.Seen > 0
+	x.head = make(http.Header, len(q.Header)+6)
+	through(x.head, q.Header)
 	x.run()
 	if x.reply != nil {
 		x.answer()
@@ -397,9 +397,7 @@
 func (x *exchange) begin(status int, head http.Header) {
 	x.arm()
 	h := x.w.Header()
-	for k, v := range through(head) {
-		h[k] = v
-	}
+	through(h, head)
 	for _, k := range []string{"Date", "Content-Type"} {
 		if _, ok := h[k]; !ok {
 			h[k] = nil // nothing is made up
--- a/lathe/relay_test.go
+++ b/lathe/relay_test.go
@@ -170,13 +170,13 @@
 	}
 }
 
-type bench1 struct {
+type served struct {
 	*script
 	addr string
 }
 
 // relayFor serves a relay before a script.
-func relayFor(t testing.TB, s *script, o RelayOptions) *bench1 {
+func relayFor(t testing.TB, s *script, o RelayOptions) *served {
 	gauge.Or(&s.left, time.Minute)
 	s.at = map[Ref]int{}
 	o.Dialect, o.Decider = fakeDialect{}, s
@@ -194,7 +194,7 @@
 		require.NoError(t, <-end)
 		s.settled(t)
 	})
-	return &bench1{s, in.Addr().String()}
+	return &served{s, in.Addr().String()}
 }
 
 // client is a client's connection.
@@ -204,7 +204,7 @@
 	t  testing.TB
 }
 
-func (b *bench1) dial(t testing.TB) *client {
+func (b *served) dial(t testing.TB) *client {
 	c, err := net.Dial("tcp", b.addr)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = c.Close() })
@@ -969,7 +969,7 @@
 		return a.StatusCode
 	}
 	require.Equal(t, 200, ready())
-	b := &bench1{s, in.Addr().String()}
+	b := &served{s, in.Addr().String()}
 	slow, kept := b.dial(t), b.dial(t)
 	slow.send(get("slow"))
 	require.Eventually(t, func() bool { return len(srv.requests()) == 1 }, soon, time.Millisecond)
@@ -1015,3 +1015,35 @@
 	require.Equal(t, gauge.PastDue, (<-ch).(Receipt).Kind)
 	r.Act("what is not for it")
 }
+
+// BenchmarkRelay measures small requests over kept connections, with the client and the server.
+func BenchmarkRelay(b *testing.B) {
+	answer := plain("1", strings.Repeat("x", 200))
+	srv := newStandIn(b, func(_ *standIn, _ int, c net.Conn, br *bufio.Reader) {
+		for {
+			for {
+				l, err := br.ReadSlice('\n')
+				if err != nil {
+					return
+				}
+				if len(l) == 2 {
+					break
+				}
+			}
+			_, _ = io.WriteString(c, answer)
+		}
+	})
+	s := &script{to: []string{srv.addr()}}
+	x := relayFor(b, s, RelayOptions{})
+	c := x.dial(b)
+	p := make([]byte, 4096)
+	b.ReportAllocs()
+	for b.Loop() {
+		c.send(get("1"))
+		for n := 0; n < len(answer); {
+			m, err := c.Read(p)
+			require.NoError(b, err)
+			n += m
+		}
+	}
+}
