--- a/lathe/core.go
+++ b/lathe/core.go
@@ -150,18 +150,19 @@
 	swept   gauge.Tick
 	hello   gauge.Tick
 
-	reqs  map[Ref]*req
-	lines map[gauge.Key][]*req
-	wait  int
-	came  map[gauge.Key]int
-	work  map[gauge.Key]int
-	bench map[gauge.Server]*bench
-	bank  []coin                // what first goes earned, oldest first
-	lent  []gauge.Tick          // when what is lent was taken
-	loads map[gauge.Key]float64 // seconds of a server's time that what came since the last word takes
-	paces map[gauge.Key]float64 // ns that a token takes at best, by base
-	dice  uint64
-	tally Tally
+	reqs   map[Ref]*req
+	lines  map[gauge.Key][]*req
+	wait   int
+	came   map[gauge.Key]int
+	work   map[gauge.Key]int
+	bench  map[gauge.Server]*bench
+	bank   []coin                // what first goes earned, oldest first
+	lent   []gauge.Tick          // when what is lent was taken
+	loads  map[gauge.Key]float64 // seconds of a server's time that what came since the last word takes
+	paces  map[gauge.Key]float64 // ns that a token takes at best, by base
+	dice   uint64
+	ending bool // it stops: nobody waits here any more
+	tally  Tally
 }
 
 // Tally counts what a router did.
@@ -204,12 +205,24 @@
 		c.onEnded(v)
 	case Quit:
 		c.onQuit(v)
+	case dowel.Stop:
+		c.ending = true
+		c.turnAway()
 	case dowel.Beat:
 		c.beat()
 	}
 	return c.out
 }
 
+// turnAway tells everyone who waits to come back, elsewhere: this router stops, and what waits has not run.
+func (c *Core) turnAway() {
+	for _, k := range gauge.Keys(c.lines) {
+		for _, r := range append([]*req{}, c.lines[k]...) {
+			c.finish(r, gauge.Moved, 0)
+		}
+	}
+}
+
 func (c *Core) send(body any) {
 	c.out = append(c.out, dowel.Env{From: c.o.Me, To: c.o.Awl, Body: body})
 }
@@ -399,6 +412,9 @@
 		}
 	}
 	c.pump()
+	if c.ending {
+		c.turnAway()
+	}
 }
 
 // Counts gives the tally so far.
--- a/lathe/host.go
+++ b/lathe/host.go
@@ -74,6 +74,12 @@
 	own := &http.Server{Addr: h.Admin, ReadHeaderTimeout: 10 * time.Second, Handler: metrics(router, core)}
 	go func() { _ = own.ListenAndServe() }()
 	defer own.Close()
-	return ServeRelay(clamp.Stopping(), RelayServe{Relay: relay, Ingress: h.Ingress, Readiness: h.Readiness, Ready: ready,
+	stop := clamp.Stopping()
+	go func() {
+		<-stop
+		time.Sleep(h.Grace / 2)
+		router.Step(dowel.Stop{})
+	}()
+	return ServeRelay(stop, RelayServe{Relay: relay, Ingress: h.Ingress, Readiness: h.Readiness, Ready: ready,
 		Lame: h.Lame, Grace: h.Grace * 7 / 8})
 }
