Loads by gain, seeds on servers' own disks, early refusals with a true time to come back

Cause: on the second site the store's rate was the bound: hot replicas and rare models competed for cold loads, each new owner forgot what servers had on their disks, and waiting requests were held in vain. Change: what a server has held is known at every core node; loads from there are not held to the store's rate; the store's idle time seeds models that no disk has; a key's gain (requests that wait, and those that come) decides the order; an empty entry says when it is likely filled, and who can't wait is told.

--- a/anvil/core.go
+++ b/anvil/core.go
@@ -132,6 +132,8 @@
 	relays  []dowel.Beacon             // announcements that other core nodes have not been sent yet
 	relayed gauge.Tick
 	summed  gauge.Tick
+	seeded  gauge.Tick
+	line    map[gauge.Key]int // keys without a replica that the store has no room for yet, by turn
 	acks    map[uint64]*leaving
 	mark    uint64
 	begun   []gauge.Tick // when the loads of late began
--- a/anvil/enrol.go
+++ b/anvil/enrol.go
@@ -22,7 +22,15 @@
 // enrolled is what a core node knows of a server that announced itself.
 type enrolled struct {
 	dowel.Beacon
-	heard gauge.Tick // when its last word came, by whatever way
+	heard gauge.Tick         // when its last word came, by whatever way
+	had   map[gauge.Key]bool // what it has held, and so has on its own disk
+}
+
+// keeps adds what a server says that it holds to what it has had.
+func (e *enrolled) keeps(l []gauge.Key) {
+	for _, k := range l {
+		e.had[k] = true
+	}
 }
 
 // leaving is an announced leaving, or a going, that is not answered yet: the owner must have broken
@@ -57,15 +65,23 @@
 		if b.Addr == "" && b.State != "gone" {
 			return false
 		}
-		// An address that another start of a server had is no longer its.
+		e = &enrolled{Beacon: b, heard: c.now, had: map[gauge.Key]bool{}}
+		// An address that another start of a server had is no longer its; its disk may still be there.
 		for _, id := range gauge.Keys(c.roll) {
-			if o := c.roll[id]; b.Addr != "" && o.Addr == b.Addr && o.State != "gone" && b.State != "gone" {
+			o := c.roll[id]
+			if b.Addr == "" || o.Addr != b.Addr || b.State == "gone" {
+				continue
+			}
+			if o.Service == b.Service && o.Zone == b.Zone {
+				e.keeps(gauge.Keys(o.had))
+			}
+			if o.State != "gone" {
 				o.State = "gone"
 				c.applyRoll(o)
 			}
 		}
 		c.tally.Enrolments++
-		e = &enrolled{Beacon: b, heard: c.now}
+		e.keeps(b.Held)
 		c.roll[b.ID] = e
 		c.applyRoll(e)
 		return true
@@ -86,6 +102,7 @@
 	}
 	was := e.Beacon
 	e.Beacon, e.heard = b, c.now
+	e.keeps(b.Held)
 	if was.State != b.State || was.Listed != b.Listed {
 		c.applyRoll(e)
 	} else if s := c.servers[b.ID]; s != nil && s.dark && !s.silent(c) {
@@ -319,7 +336,7 @@
 func (c *Core) callRoll() {
 	for _, x := range c.list.List {
 		if c.roll[x.ID] == nil && x.State != "gone" {
-			c.roll[x.ID] = &enrolled{Beacon: dowel.Beacon{Listed: x}, heard: c.now}
+			c.roll[x.ID] = &enrolled{Beacon: dowel.Beacon{Listed: x}, heard: c.now, had: map[gauge.Key]bool{}}
 		}
 	}
 	for _, id := range gauge.Keys(c.roll) {
@@ -327,3 +344,9 @@
 	}
 	c.listed = c.now
 }
+
+// has tells whether a server likely has a model on its own disk.
+func (c *Core) has(s *server, k gauge.Key) bool {
+	e := c.roll[s.ID]
+	return e != nil && e.had[k]
+}
--- a/anvil/links.go
+++ b/anvil/links.go
@@ -175,6 +175,9 @@
 	}
 	x := c.entryOf(b.Key)
 	i := dowel.Entry{Key: b.Key, Mark: x.mark, Never: x.never}
+	if len(x.replicas) == 0 {
+		i.Soon = c.soon(b.Key)
+	}
 	if b.Mark == x.mark && len(x.replicas) > 0 {
 		i.Same = true
 		c.tally.Sames++
--- a/anvil/orders.go
+++ b/anvil/orders.go
@@ -46,7 +46,7 @@
 	c.tally.Orders++
 	if p.stage == Ordered {
 		c.tally.Loads++
-		if !p.key.IsAdapter() && !s.had[p.key] {
+		if p.cold = !p.key.IsAdapter() && !c.has(s, p.key); p.cold {
 			c.begun = append(c.begun, c.now)
 		}
 	} else {
@@ -129,13 +129,12 @@
 	changed := s.dark || !s.known
 	s.num, s.busy, s.fails, s.ok = r.Num, r.Busy, 0, at
 	s.dark, s.known = false, true
-	if s.had == nil {
-		s.had = map[gauge.Key]bool{}
-	}
 	held := map[gauge.Key]bool{}
 	for _, h := range r.Held {
 		held[h.Key] = true
-		s.had[h.Key] = true
+		if e := c.roll[s.ID]; e != nil {
+			e.had[h.Key] = true
+		}
 		p := s.spots[h.Key]
 		if p == nil {
 			p = &spot{key: h.Key, size: c.sizeOf(h.Key), stage: Ordered, since: c.now, num: r.Num}
@@ -213,7 +212,7 @@
 	for len(c.begun) > 0 && c.now.Sub(c.begun[0]) > c.o.Rate {
 		c.begun = c.begun[1:]
 	}
-	most := int(rate * c.o.Rate.Seconds())
+	most := int(rate*c.o.Rate.Seconds()) + 1
 	left := most - len(c.begun)
 	if c.now.Sub(c.duty.began) < c.o.Rate {
 		left -= most / 2 // what the owner before began is not known
--- a/anvil/place.go
+++ b/anvil/place.go
@@ -45,6 +45,7 @@
 	work  int
 	since gauge.Tick
 	waits map[dowel.Session]uint64
+	cold  bool // its load comes from the store
 }
 
 type tag struct{}
@@ -100,7 +101,6 @@
 	alien  bool   // that is not of this reign: what it comes to is not known
 	unsure *spot  // the spot whose order got no answer
 	asked  gauge.Tick
-	had    map[gauge.Key]bool // what it is known to have held, and so has on its own disk
 }
 
 func (s *server) used() int {
@@ -136,6 +136,7 @@
 // need is what is asked of a key.
 type need struct {
 	at    gauge.Tick
+	since gauge.Tick // since when somebody waits
 	wait  int
 	value int
 
@@ -159,6 +160,12 @@
 		n = &need{}
 		c.demand[k] = n
 	}
+	if wait == 0 || c.now.Sub(n.at) > freshSpan {
+		n.since = 0
+	}
+	if wait > 0 && n.since == 0 {
+		n.since = c.now
+	}
 	n.at, n.wait, n.value = c.now, wait, value
 }
 
@@ -637,7 +644,7 @@
 	}
 	budget = min(budget, rate)
 	if c.o.Unfenced {
-		c.weighAll(budget)
+		c.weighAll(rate)
 		return
 	}
 	c.beatShifts()
--- a/anvil/weigh.go
+++ b/anvil/weigh.go
@@ -13,15 +13,23 @@
 // bases get as many replicas as their work asks for; all other room keeps as many different keys as it
 // holds, and what is let go is what will be missed least for the time that it takes to be back.
 
+// mostValue is the value of the most urgent class.
+const mostValue = 1000
+
 const (
 	sumEvery  = 250e6
 	nowSpan   = 1.2  // seconds that the work of just now looks back
 	lateSpan  = 4.0  // and that of late
 	slowSpan  = 20.0 // and the longer ones
-	goodLoad  = 0.3  // of a server's time that one key's replica should take
-	fullLoad  = 0.55 // past which another replica is worth a rarer key's only one
+	goodLoad  = 0.4  // of a server's time that one key's replica should take
+	fullLoad  = 0.6  // past which another replica is worth a rarer key's only one
+	riseTrust = 0.5  // of a rise that is taken to go on
 	goodBatch = 0.15 // of a server's places that one key's requests should take
 	warmPart  = 0.25 // of a load's time that it takes from a server's own disk
+	seedEvery = 300e6
+	orderLag  = 400e6 // from an order's end until routers know of it
+	longAge   = 3.0   // seconds of waiting from which on it counts for no more
+	crowded   = 6000  // tokens under way at a server from which on others are better
 	freshSpan = 1500e6
 )
 
@@ -67,16 +75,19 @@
 
 // coming forecasts a key's work by when a load that begins now is done: what rises goes on rising for
 // a while, what falls is trusted to fall more slowly.
-func (n *need) coming() float64 { return math.Max(n.load, n.now+(n.now-n.load)) }
+func (n *need) coming() float64 { return math.Max(n.load, n.now+(n.now-n.load)*riseTrust) }
 
 // family is a base with all of its adapters, as placement sees it.
 type family struct {
 	m     chisel.Model
 	live  int
 	load  float64
+	rate  float64
 	slow  float64
 	wait  int
-	work  int // under way or waiting, at all routers
+	work  int     // under way or waiting, at all routers
+	line  int     // waiting, at all routers
+	age   float64 // seconds that somebody has waited
 	value int
 	want  int
 }
@@ -95,15 +106,18 @@
 		}
 		f.load += n.coming()
 		f.slow += n.slow
+		f.rate += n.rate
 		if c.now.Sub(n.at) < freshSpan && n.wait > 0 {
-			f.wait += n.wait
+			f.wait = max(f.wait, n.wait)
 			f.value = max(f.value, n.value)
+			f.age = math.Max(f.age, math.Min(c.now.Sub(n.since).Seconds(), longAge))
 		}
 	}
 	for _, x := range c.links {
 		for k, u := range x.burden {
 			if f := l[k.Base()]; f != nil {
 				f.work += u.Work + u.Wait
+				f.line += u.Wait
 			}
 		}
 	}
@@ -120,6 +134,7 @@
 	for _, f := range l {
 		good := float64(max(1, c.plan.Services[f.m.Key.Service()].Slots)) * goodBatch
 		f.want = min(max(f.m.Floor, int(math.Ceil(f.load/goodLoad)), int(float64(f.work)/good+0.5)), f.m.Most)
+		f.wait = max(f.wait, f.line)
 		if f.wait > 0 {
 			f.want = max(f.want, 1)
 		}
@@ -127,6 +142,16 @@
 	return l
 }
 
+// gain is what one more replica is worth: the requests that wait for it, and those that come while it
+// is being loaded, as far as they could not be served well without.
+func (f *family) gain() float64 {
+	weight := 2 / float64(1+max(0, mostValue-f.value))
+	if f.live == 0 {
+		return (float64(f.wait)+f.age)*weight + 2*f.rate
+	}
+	return 2 * f.rate * math.Max(0, 1-float64(f.live)*fullLoad/math.Max(f.load, 1e-9))
+}
+
 // over tells whether a family's replicas are past what they bear: that holds up all of its requests.
 func (f *family) over() bool { return f.live > 0 && f.load/float64(f.live) > fullLoad }
 
@@ -142,8 +167,20 @@
 }
 
 // weighAll places what is asked for.
-func (c *Core) weighAll(budget int) {
+func (c *Core) weighAll(rate int) {
 	l := c.families()
+	once, _ := c.budget()
+	for _, s := range c.servers {
+		for k, p := range s.spots {
+			if p.stage == Ordered && !k.IsAdapter() && !c.has(s, k) && (!s.dark || c.now.Sub(p.since) < 60e9) {
+				once--
+				if p.num == 0 {
+					rate-- // it begins before long
+				}
+			}
+		}
+	}
+	store := min(once, rate)
 	var todo []*family
 	for _, k := range gauge.Keys(l) {
 		f := l[k]
@@ -153,31 +190,53 @@
 	}
 	sort.SliceStable(todo, func(i, j int) bool {
 		a, b := todo[i], todo[j]
-		if a.over() != b.over() {
-			return a.over()
+		if x, y := a.gain(), b.gain(); x != y {
+			return x > y
 		}
-		if (a.live == 0) != (b.live == 0) {
-			return a.live == 0
-		}
-		if a.value != b.value {
-			return a.value > b.value
-		}
-		return a.load/float64(max(1, a.live)) > b.load/float64(max(1, b.live))
+		return a.value > b.value
 	})
+	c.line = map[gauge.Key]int{}
 	for _, f := range todo {
-		if budget <= 0 {
-			break
+		if c.settle(f, l, store > 0) {
+			store--
+		}
+		if f.live == 0 {
+			c.line[f.m.Key] = len(c.line) + 1
+		}
+	}
+	if len(todo) == 0 && store > 1 {
+		c.seed(l)
+	}
+	c.weighAdapters()
+}
+
+// seed loads, while the store has nothing better to do, a model that no server has on its own disk:
+// from there it comes in a part of the time, and asks nothing of the store.
+func (c *Core) seed(l map[gauge.Key]*family) {
+	if c.now.Sub(c.seeded) < seedEvery {
+		return
+	}
+	c.seeded = c.now
+	for _, k := range gauge.Keys(l) {
+		f := l[k]
+		if f.live > 0 {
+			continue
+		}
+		known := false
+		for _, s := range c.servers {
+			known = known || c.has(s, k)
 		}
-		if c.settle(f, l) {
-			budget--
+		if !known {
+			c.settle(f, l, true)
+			return
 		}
 	}
-	c.weighAdapters(l)
 }
 
 // settle finds the server where one more replica of a family costs least, and begins it there; what
-// must make way is broken first.
-func (c *Core) settle(f *family, l map[gauge.Key]*family) bool {
+// must make way is broken first. It tells whether the load comes from the store, which is only asked if
+// it bears another one.
+func (c *Core) settle(f *family, l map[gauge.Key]*family, store bool) bool {
 	var best *server
 	var gone []*spot
 	cost := math.Inf(1)
@@ -191,8 +250,11 @@
 		if s.pending() > 0 && free < f.m.Size {
 			continue // what is under way there comes first
 		}
+		if !store && !c.has(s, f.m.Key) {
+			continue
+		}
 		n := f.m.Load.Seconds()
-		if s.had[f.m.Key] {
+		if c.has(s, f.m.Key) {
 			n *= warmPart
 		}
 		n += float64(s.pending()) * 1.5
@@ -221,7 +283,7 @@
 	}
 	best.spots[f.m.Key] = &spot{key: f.m.Key, size: f.m.Size, stage: Ordered, since: c.now}
 	f.live++
-	return true
+	return !c.has(best, f.m.Key)
 }
 
 // pending counts the orders that a server still has to carry out.
@@ -305,7 +367,8 @@
 
 // weighAdapters brings adapters that are asked for to replicas of their bases. They come in no time
 // and take little room, but a server has few places for them.
-func (c *Core) weighAdapters(l map[gauge.Key]*family) {
+func (c *Core) weighAdapters() {
+	seats := c.seatsOf(nil)
 	for _, k := range gauge.Keys(c.demand) {
 		n := c.demand[k]
 		m, ok := c.plan.Models[k]
@@ -314,23 +377,34 @@
 		}
 		live, _, _ := c.live(k)
 		want := max(1, min(int(math.Ceil(n.load/goodLoad)), m.Most))
+		most := math.Inf(1)
 		if live >= want {
-			continue
+			// Where its servers are crowded and another replica of its base is not, it goes there too.
+			low := math.MaxInt
+			for id, s := range c.servers {
+				if p := s.spots[k]; p != nil && c.stays(s) {
+					low = min(low, seats[id])
+				}
+			}
+			if low < crowded || live >= m.Most {
+				continue
+			}
+			most = float64(low) / crowded / 2
 		}
-		c.settleAdapter(m, n, l)
+		c.settleAdapter(m, seats, most)
 	}
 }
 
-func (c *Core) settleAdapter(m chisel.Model, n *need, l map[gauge.Key]*family) {
+func (c *Core) settleAdapter(m chisel.Model, seats map[gauge.Server]int, most float64) {
 	var best *server
 	var out *spot
-	cost := math.Inf(1)
+	cost := most
 	for _, id := range gauge.Keys(c.servers) {
 		s := c.servers[id]
 		if !c.stays(s) || s.alien || s.spots[m.Key] != nil || !s.based(m.Key) || s.odd != "" {
 			continue
 		}
-		x := c.loadOf(s, l) + 0.3*float64(s.pending())
+		x := float64(seats[id])/crowded + 0.3*float64(s.pending())
 		var victim *spot
 		if s.places > 0 && s.adapters() >= s.places || s.room-s.used() < m.Size {
 			low := math.Inf(1)
@@ -368,3 +442,50 @@
 	}
 	best.spots[m.Key] = &spot{key: m.Key, size: m.Size, stage: Ordered, since: c.now}
 }
+
+// soon estimates when a key without a replica will have one: the load under way, or its turn in the
+// line for the store.
+func (c *Core) soon(k gauge.Key) gauge.Span {
+	if !c.o.Unfenced || c.plan == nil || k.Plain() {
+		return 0
+	}
+	m, ok := c.plan.Models[k.Base()]
+	if !ok {
+		return 0
+	}
+	best := gauge.Span(0)
+	for _, s := range c.servers {
+		p := s.spots[m.Key]
+		if p == nil || !c.stays(s) {
+			continue
+		}
+		n := gauge.Span(orderLag)
+		if p.stage == Ordered {
+			load := m.Load
+			if c.has(s, m.Key) {
+				load = gauge.Span(float64(load) * warmPart)
+			}
+			n += max(0, load-c.now.Sub(p.since))
+			if p.num == 0 {
+				n += orderLag
+			}
+		} else if p.stage != Ready {
+			continue
+		}
+		if best == 0 || n < best {
+			best = n
+		}
+	}
+	if best > 0 {
+		return best
+	}
+	rate := 0.0
+	for _, v := range c.plan.Services {
+		rate += v.Loads
+	}
+	n := m.Load + 2*orderLag
+	if i := c.line[m.Key]; i > 0 && rate > 0 {
+		n += gauge.Span(float64(i-1) / rate * 1e9)
+	}
+	return n
+}
--- a/chisel/plan.go
+++ b/chisel/plan.go
@@ -32,6 +32,7 @@
 	Wait  gauge.Span
 	Aim   gauge.Span // an answer that begins within it is worth the most, if that is said
 	Pause gauge.Span // between two events, likewise
+	Quit  gauge.Span // callers give up when an answer has not begun by then, if that is said
 }
 
 // Service is what a route leads to: the keys that may be asked of it, by name. A plain service has
--- a/dowel/dowel.go
+++ b/dowel/dowel.go
@@ -352,6 +352,7 @@
 	Same     bool       `json:"s,omitempty"` // the holder's copy is still right
 	Replicas []Replica  `json:"r,omitempty"`
 	Never    bool       `json:"x,omitempty"` // an empty entry that no server has room to fill
+	Soon     gauge.Span `json:"o,omitempty"` // when an empty entry is likely filled, from when it was made
 }
 
 // News carries numbered changes in order.
--- a/lathe/ledger.go
+++ b/lathe/ledger.go
@@ -54,7 +54,8 @@
 	key   gauge.Key
 	class chisel.Class
 	came  gauge.Tick
-	due   gauge.Tick
+	due   gauge.Tick // it waits here until then
+	end   gauge.Tick // and its answer is over by then
 	goes  []Go
 	stage string
 	owes  gauge.Tick // since when its next go is a retry that is not paid for yet
@@ -67,6 +68,16 @@
 	return r.Call.Call.Again || r.route != nil && (r.route.Mode == chisel.Idempotent || r.route.Resume)
 }
 
+// begun tells whether anything of its answer has come.
+func (r *req) begun() bool {
+	for _, g := range r.goes {
+		if g.Begun {
+			return true
+		}
+	}
+	return false
+}
+
 // resumes tells whether its stream may be taken up at another server.
 func (r *req) resumes() bool { return r.route != nil && r.route.Resume }
 
@@ -189,6 +200,10 @@
 	if w := r.Call.Call.Wait; w > 0 && w < r.class.Wait {
 		r.due = r.came.Add(w)
 	}
+	r.end = r.due
+	if q := r.class.Quit; q > 0 && !r.begun() {
+		r.due = min(r.due, r.came.Add(q))
+	}
 	return gauge.None
 }
 
@@ -398,6 +413,10 @@
 			c.finish(r, gauge.NotReady, 5e9) // given up on, so told at once
 			continue
 		}
+		if back := e.got.Add(e.Soon).Sub(c.now); e.Soon > 0 && len(e.Replicas) == 0 && c.now.Add(back) > r.due {
+			c.finish(r, gauge.NotReady, back) // its turn can't come in time: told at once, and when it may
+			continue
+		}
 		p := c.pick(e, r)
 		switch {
 		case p == nil && !r.again():
@@ -571,7 +590,7 @@
 	c.out = append(c.out, Launch{Ref: r.Ref, N: n, Server: p.Server, Addr: p.Addr, Work: dowel.Work{
 		Go: fmt.Sprintf("%s-%d-%d-%d", c.o.Me.ID, c.o.Inc, r.Ref, n), ID: x.ID, Base: x.Base, Extra: x.Extra,
 		Inc: p.Inc, Parts: x.Parts, Prompt: x.Prompt, Max: x.Max, Once: !x.Again,
-	}, Left: r.due.Sub(c.now), Rank: r.rank(), Again: r.again(), Resume: r.resumes()})
+	}, Left: r.end.Sub(c.now), Rank: r.rank(), Again: r.again(), Resume: r.resumes()})
 }
 
 // MaySend is asked at the very point of sending: the hold must still run, the callback must
@@ -626,7 +645,7 @@
 	b.fails = 0
 	if c.o.Free && !r.key.Plain() {
 		c.pace(r, g)
-		left := min(g.weight, r.Call.Call.Max) // the prompt is read
+		left := min(g.weight, r.Call.Call.Max, mostOut) // the prompt is read
 		b.tokens -= g.weight - left
 		g.weight = left
 	}
--- a/lathe/weigh.go
+++ b/lathe/weigh.go
@@ -15,8 +15,10 @@
 	firstPace  = 0.04e6 // ns for a token, before anything was measured
 	paceRise   = 0.01   // how fast a pace that was never met again is forgotten
 	paceBase   = 150    // tokens' worth of time that any answer takes to begin
+	slowest    = 2.0    // times the fastest key's pace
 	partGain   = 0.6    // of shared tokens that a server which likely kept them need not read
 	otherZone  = 250    // tokens' worth of time that an answer from another zone costs
+	mostOut    = 64     // tokens put out that count: they come many requests at a time
 	flatWeight = 1      // of a request that names no tokens
 )
 
@@ -25,7 +27,7 @@
 	if r.key.Plain() {
 		return flatWeight
 	}
-	return max(flatWeight, r.Call.Call.Tokens+r.Call.Call.Max)
+	return max(flatWeight, r.Call.Call.Tokens+min(r.Call.Call.Max, mostOut))
 }
 
 // shared counts the tokens of a prompt that other requests have too: all parts but the last.
@@ -159,23 +161,27 @@
 	if r.key.Plain() {
 		return 0
 	}
+	best := c.fastest()
 	p, ok := c.paces[r.key.Base()]
 	if !ok {
-		p = c.usual()
+		p = best * 1.5
 	}
-	return p * float64(r.weight()) / 1e9
+	return min(p, best*slowest) * float64(r.weight()) / 1e9
 }
 
-// usual is the pace of what was not measured yet: the mean of what was.
-func (c *Core) usual() float64 {
-	sum := 0.0
+// fastest is the pace of the fastest key; none is slower than it by more than models differ, so what
+// looks slower has waited behind others.
+func (c *Core) fastest() float64 {
+	best := 0.0
 	for _, p := range c.paces {
-		sum += p
+		if best == 0 || p < best {
+			best = p
+		}
 	}
-	if len(c.paces) == 0 {
+	if best == 0 {
 		return firstPace
 	}
-	return sum / float64(len(c.paces))
+	return best
 }
 
 // heardSeats takes in what all routers have under way.
