--- a/anvil/core.go
+++ b/anvil/core.go
@@ -133,6 +133,7 @@
 	relayed gauge.Tick
 	summed  gauge.Tick
 	seeded  gauge.Tick
+	asked   gauge.Tick        // when routers first told this owner what they are asked for
 	line    map[gauge.Key]int // keys without a replica that the store has no room for yet, by turn
 	acks    map[uint64]*leaving
 	mark    uint64
--- a/anvil/duty.go
+++ b/anvil/duty.go
@@ -135,7 +135,7 @@
 	c.servers, c.entries = map[gauge.Server]*server{}, map[gauge.Key]*entry{}
 	c.demand = map[gauge.Key]*need{}
 	c.shifts, c.uneven, c.shifted = map[gauge.Key]*shift{}, 0, c.now
-	c.listing, c.listed, c.eye, c.begun = false, 0, eye{}, nil
+	c.listing, c.listed, c.eye, c.begun, c.asked = false, 0, eye{}, nil, 0
 	c.planned()
 	if c.duty.mine && c.o.Enrolled {
 		c.callRoll()
--- a/anvil/orders.go
+++ b/anvil/orders.go
@@ -223,3 +223,15 @@
 	}
 	return at, left
 }
+
+// worked tells whether routers have requests under way for a base or an adapter on it.
+func (c *Core) worked(k gauge.Key) bool {
+	for _, l := range c.links {
+		for x, u := range l.burden {
+			if u.Work > 0 && x.Base() == k.Base() {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/anvil/place.go
+++ b/anvil/place.go
@@ -587,7 +587,7 @@
 	case Draining:
 		// Only a report asked for after the last promise was gone shows that no work is left.
 		if c.o.Unfenced {
-			if c.free(s, p) && !c.undone(s, p) {
+			if c.free(s, p) && !c.undone(s, p) && (c.now.Sub(p.since) > drainSpan || !c.worked(p.key)) {
 				p.fire(Idle, c.now)
 				p.num = 0
 				c.tally.Drained++
--- a/anvil/weigh.go
+++ b/anvil/weigh.go
@@ -27,6 +27,8 @@
 	goodBatch = 0.15 // of a server's places that one key's requests should take
 	warmPart  = 0.25 // of a load's time that it takes from a server's own disk
 	seedEvery = 300e6
+	firstSpan = 4e9
+	drainSpan = 800e6 // what was sent to a server may begin there for so long before a model is unloaded
 	orderLag  = 400e6 // from an order's end until routers know of it
 	longAge   = 3.0   // seconds of waiting from which on it counts for no more
 	crowded   = 6000  // tokens under way at a server from which on others are better
@@ -35,6 +37,9 @@
 
 // came takes in what a router was asked for since its last renewal.
 func (c *Core) came(k gauge.Key, u dowel.Burden) {
+	if c.asked == 0 && u.Came > 0 {
+		c.asked = c.now
+	}
 	if n := c.demand[k]; n != nil {
 		n.came += float64(u.Came)
 		n.took += u.Load
@@ -90,6 +95,7 @@
 	age   float64 // seconds that somebody has waited
 	value int
 	want  int
+	spare bool // nobody asks for it: it takes no room from what somebody may ask for
 }
 
 func (c *Core) families() map[gauge.Key]*family {
@@ -131,7 +137,12 @@
 			}
 		}
 	}
+	young := c.asked == 0 || c.now.Sub(c.asked) < firstSpan
 	for _, f := range l {
+		if young && f.live > 1 {
+			// What is asked for is not known yet: how many replicas there are tells what was meant to be busy.
+			f.load = math.Max(f.load, goodLoad*float64(f.live))
+		}
 		good := float64(max(1, c.plan.Services[f.m.Key.Service()].Slots)) * goodBatch
 		f.want = min(max(f.m.Floor, int(math.Ceil(f.load/goodLoad)), int(float64(f.work)/good+0.5)), f.m.Most)
 		f.wait = max(f.wait, f.line)
@@ -145,6 +156,9 @@
 // gain is what one more replica is worth: the requests that wait for it, and those that come while it
 // is being loaded, as far as they could not be served well without.
 func (f *family) gain() float64 {
+	if f.spare {
+		return 0.5
+	}
 	weight := 2 / float64(1+max(0, mostValue-f.value))
 	if f.live == 0 {
 		return (float64(f.wait)+f.age)*weight + 2*f.rate
@@ -227,6 +241,7 @@
 			known = known || c.has(s, k)
 		}
 		if !known {
+			f.spare = true
 			c.settle(f, l, true)
 			return
 		}
@@ -266,7 +281,7 @@
 		if free < f.m.Size {
 			var price float64
 			out, price = c.makeWay(s, f, l, f.m.Size-free)
-			if out == nil {
+			if out == nil || price > f.gain() {
 				continue
 			}
 			n += price + 0.5
@@ -315,23 +330,12 @@
 			ways = append(ways, way{p, 0})
 			continue
 		}
-		if g.wait > 0 && g.live <= g.want {
+		if g.wait > 0 && g.live <= g.want || f.spare && (g.live > 1 || g.slow > 0.05 || !c.has(s, k)) {
 			continue
 		}
-		n := 0.0
-		switch {
-		case g.live > max(1, g.want):
-			n = 0.05 + g.load // spare
-		case g.live > 1:
-			if f.live > 0 && f.load/float64(f.live) < 1.5*g.load/float64(g.live) {
-				continue // its own work asks for all of its replicas
-			}
-			n = 2 + 10*g.load
-		default:
-			if f.live > 0 && f.load/float64(f.live) < fullLoad {
-				continue // a further replica is not worth another key's only one
-			}
-			n = 0.2 + 4*g.slow*g.m.Load.Seconds() + 10*g.load
+		n := c.miss(g)
+		if f.live > 0 && g.live == 1 && !f.over() {
+			continue // a further replica is not worth another key's only one
 		}
 		ways = append(ways, way{p, n})
 	}
@@ -354,6 +358,21 @@
 	return out, sum
 }
 
+// miss is what one replica less of a family costs: the requests that suffer before it could be back.
+func (c *Core) miss(g *family) float64 {
+	if g.live <= 1 {
+		return 0.2 + (2*g.rate+4*g.slow)*g.m.Load.Seconds()
+	}
+	switch left := g.load / float64(g.live-1); {
+	case left > fullLoad:
+		return 1 + 2*g.rate
+	case left > goodLoad:
+		return 0.3 + 0.5*g.rate
+	default:
+		return 0.05 + 0.1*g.rate
+	}
+}
+
 // weightOn tells what goes with a base: its adapters leave with it.
 func (c *Core) weightOn(s *server, p *spot) int {
 	n := p.size
