After a restart the owner before takes the duty back at once; links come up in 200 ms or not

Cause: after a total loss of power no owner for 3.1 s: a voter that restarts grants the duty to nobody for a hold, a claim that won no majority kept its own maker from asking again, and a dial to a machine that was still without power held up the queue to it for 500 ms. Ruled out: slow disks (the fault was there without), the forming of the core (its disks were sound). Change: a voter whose record says that the asker owned last grants at once: any majority has a voter that knows the last owner, and that owner's life is over; others leave it to it while it answers.

--- a/anvil/duty.go
+++ b/anvil/duty.go
@@ -40,6 +40,17 @@
 	if d.next != "" && c.now.Sub(d.left) < 2e9 {
 		return d.next == c.o.Me.ID, d.top + 1
 	}
+	// Who owned it last may have it back at once, after a restart of its own or of the whole core:
+	// the voters know that it holds nothing any more. The others leave it to it for a moment.
+	last, top := gauge.Node(""), gauge.Duty(0)
+	for _, id := range gauge.Keys(c.reg.lives) {
+		if s := c.reg.lives[id]; s.state.Last != "" && s.state.Duty >= top && c.now.Sub(s.at) < 3*c.o.Round {
+			last, top = s.state.Last, s.state.Duty
+		}
+	}
+	if s, ok := c.reg.lives[last]; ok && seat(set.Voters, last, s.state.Inc) && !s.state.Shy && c.now.Sub(s.at) < 3*c.o.Round {
+		return last == c.o.Me.ID, d.top + 1
+	}
 	l := append([]dowel.Voter{}, set.Voters...)
 	sort.Slice(l, func(i, j int) bool { return l[i].ID < l[j].ID })
 	for _, v := range l {
@@ -64,7 +75,8 @@
 	if !q.read {
 		return
 	}
-	d.free = q.owner.ID == ""
+	// A grant of this node's own that won no majority keeps nobody but others from asking again.
+	d.free = q.owner.ID == "" || q.owner.ID == c.o.Me.ID
 	if !d.mine {
 		d.who = q.owner
 	}
@@ -115,7 +127,7 @@
 func (c *Core) onRelease(e dowel.Env) {
 	b := e.Body.(dowel.Release)
 	if b.Duty == c.vote.duty && e.From.ID == c.vote.owner.ID {
-		c.vote.until = c.now
+		c.vote.until, c.vote.owner = c.now, dowel.Sibling{}
 		c.duty.next, c.duty.left = b.Next, c.now
 		if b.Next != "" {
 			c.reg.next = min(c.reg.next, c.now.Add(50e6))
--- a/anvil/host.go
+++ b/anvil/host.go
@@ -48,6 +48,10 @@
 	Fenced  bool
 }
 
+// dialWait is for a connection to another machine to come up: one that lost its power says nothing, and
+// the next try must not wait long for it.
+const dialWait = 200 * time.Millisecond
+
 // Timing is what a deployment promises and asks for; holds and lapses follow from it.
 type Timing struct {
 	Apply   gauge.Span // a confirmed plan is in force everywhere after so long
@@ -63,6 +67,10 @@
 	return max(200e6, min(2000e6, min(t.Apply, t.Drain)*7/10))
 }
 
+// Duty derives the duty's hold: short, so that a lost owner is soon replaced, and long enough for four
+// rounds.
+func (t Timing) Duty() gauge.Span { return max(400e6, min(1200e6, t.Hold()*4/7)) }
+
 // Spare derives how long a voter is gone before a spare node takes its place: a new node must be a
 // voter, with the set before it left, by the time that it counts as there.
 func (t Timing) Spare() gauge.Span { return max(800e6, min(6000e6, t.CatchUp*3/10)) }
@@ -74,7 +82,7 @@
 	return Options{
 		Me: dowel.Sibling{ID: gauge.Node(h.ID), Addr: h.Post}, Zone: gauge.Zone(h.Zone), Inc: clamp.NewInc(),
 		Seeds: clamp.Siblings(h.Seeds), Rand: clamp.NewRand(), Wall: time.Now,
-		Hold: h.Timing.Hold(), Spare: h.Timing.Spare(), Silence: h.Timing.Silence(), Rate: h.Timing.Rate,
+		Duty: h.Timing.Duty(), Round: h.Timing.Duty() / 4, Hold: h.Timing.Hold(), Spare: h.Timing.Spare(), Silence: h.Timing.Silence(), Rate: h.Timing.Rate,
 		Read: h.Dialect.Read, Merge: h.Dialect.Merge, Enrolled: true, Unfenced: true, Joined: !h.First,
 	}
 }
@@ -85,7 +93,7 @@
 	core := New(hosted(h))
 	d := &desk{wait: map[uint64]chan Receipt{}}
 	a := &announcer{wait: map[uint64]chan bool{}, desk: d, o: h}
-	d.c = clamp.New(clamp.Options{Core: core, Listen: []string{h.Post}, Told: h.Post, Data: h.Data, Beat: 25 * time.Millisecond, Ring: ring,
+	d.c = clamp.New(clamp.Options{Core: core, Listen: []string{h.Post}, Told: h.Post, Data: h.Data, Beat: 25 * time.Millisecond, Dial: dialWait, Ring: ring,
 		Tell: h.Dialect.Tell, Else: func(o any) {
 			d.act(o)
 			a.act(o)
--- a/anvil/register.go
+++ b/anvil/register.go
@@ -209,7 +209,7 @@
 
 func (c *Core) onQuery(e dowel.Env) {
 	b := e.Body.(dowel.Query)
-	s := dowel.State{Round: b.Round, Inc: c.vote.inc, Shy: c.now < c.duty.shy, Blank: c.vote.safeV == nil, Accepted: c.vote.safeB}
+	s := dowel.State{Round: b.Round, Inc: c.vote.inc, Last: c.vote.owner.ID, Shy: c.ending || c.now < c.duty.shy, Blank: c.vote.safeV == nil, Accepted: c.vote.safeB}
 	if c.vote.safeV != nil {
 		s.Epoch, s.Shape = c.vote.safeV.Epoch, c.vote.safeV.Shape
 	}
@@ -223,7 +223,7 @@
 		case b.Duty == c.vote.duty && e.From.ID == c.vote.owner.ID:
 			c.vote.until = c.now.Add(long)
 			s.Granted, held = true, true
-		case b.Duty > c.vote.duty && (!held || c.vote.owner.ID == e.From.ID) && !quiet:
+		case b.Duty > c.vote.duty && (c.vote.owner.ID == e.From.ID || !held && !quiet):
 			c.vote.duty, c.vote.owner, c.vote.until = b.Duty, e.From, c.now.Add(long)
 			s.Granted, s.Duty, s.Owner = true, b.Duty, e.From
 			c.save(map[string][]byte{diskD: jot(pledge{b.Duty, e.From})}, func() {
--- a/clamp/clamp.go
+++ b/clamp/clamp.go
@@ -65,6 +65,7 @@
 	Beat   time.Duration
 	Ring   *Ring
 	Else   func(out any)                                             // what only the program itself can do
+	Dial   time.Duration                                             // for a connection to come up; 500 ms, if none is said
 	Local  map[string]func(dowel.Env)                                // cores in this very process, by the address that they are told under
 	Tell   func(context.Context, *http.Client, dowel.Ask) dowel.Told // how servers are asked, if not the product's own way
 }
@@ -86,12 +87,13 @@
 
 // New makes a clamp; nothing runs yet.
 func New(o Options) *Clamp {
+	gauge.Or(&o.Dial, 500*time.Millisecond)
 	c := &Clamp{o: o, asks: make(chan dowel.Ask, 1024)}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	c.life, c.end = context.WithCancel(c.ctx)
-	c.post = newPost(c.ctx, o.Told, func(e dowel.Env) { c.Step(e) })
+	c.post = newPost(c.ctx, o.Told, o.Dial, func(e dowel.Env) { c.Step(e) })
 	c.post.local = o.Local
-	dial := Dialer(o.Told, 500*time.Millisecond).DialContext
+	dial := Dialer(o.Told, o.Dial).DialContext
 	c.http = &http.Client{
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, Proxy: nil, DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
--- a/clamp/post.go
+++ b/clamp/post.go
@@ -50,8 +50,8 @@
 	local map[string]func(dowel.Env)
 }
 
-func newPost(ctx context.Context, told string, take func(dowel.Env)) *post {
-	return &post{dial: Dialer(told, 500*time.Millisecond), lines: map[string]chan dowel.Env{}, ctx: ctx, take: take}
+func newPost(ctx context.Context, told string, wait time.Duration, take func(dowel.Env)) *post {
+	return &post{dial: Dialer(told, wait), lines: map[string]chan dowel.Env{}, ctx: ctx, take: take}
 }
 
 func (p *post) listen(addr string) error {
--- a/dowel/dowel.go
+++ b/dowel/dowel.go
@@ -225,6 +225,7 @@
 	Granted  bool
 	Duty     gauge.Duty // highest duty ever promised
 	Owner    Sibling    // who holds it now, if any
+	Last     gauge.Node // to whom this voter gave it last
 	Shy      bool       // it gave the duty back, and does not want it for a while
 }
 
--- a/lathe/host.go
+++ b/lathe/host.go
@@ -53,7 +53,7 @@
 	relay := NewRelay(RelayOptions{Dialect: h.Dialect, Conns: ConnOptions{Dialer: clamp.Dialer(h.Ingress, 400*time.Millisecond)}})
 	router = clamp.New(clamp.Options{Core: core, Beat: 20 * time.Millisecond, Ring: ring, Else: relay.Act,
 		Local: map[string]func(dowel.Env){nearAwl: func(e dowel.Env) { beside.Step(e) }}})
-	beside = clamp.New(clamp.Options{Core: agent, Listen: []string{h.Post}, Told: h.Post, Beat: 25 * time.Millisecond, Ring: ring, Else: func(any) {},
+	beside = clamp.New(clamp.Options{Core: agent, Listen: []string{h.Post}, Told: h.Post, Beat: 25 * time.Millisecond, Dial: 200 * time.Millisecond, Ring: ring, Else: func(any) {},
 		Local: map[string]func(dowel.Env){nearLathe: func(e dowel.Env) { router.Step(e) }}})
 	relay.Use(Held(router, core))
 	if err := beside.Run(); err != nil {
