Plans of the own format: routes by host, modes, splits, and what servers are

Cause: chisel.Plan had grown routes by host, plain services and what servers hold, but only the platform's configuration could say so; the product's own format could not. Change: optional keys in chisel.ReadPlan, checked strictly and named by path (chisel/hosts.go). Models of services found by host stand under their service, as with the platform's configuration; such a service has no routes by path. room and loads_per_s must be there for services with models, since without them nothing is ever loaded. Old plans read as before: TestHostsAbsent, and chisel_test.go untouched. examples/hosts.json has every key. Ruled out: both kinds of key for a service found both ways (each model would be placed twice).

--- /dev/null
+++ b/chisel/hosts_test.go
@@ -0,0 +1,222 @@
+package chisel
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tidedeck/gauge"
+)
+
+const soundHosts = `{"name":"p","store":{"loads":2},"models":{"m":{"size":4,"floor":1,"most":2,"load_ms":950},"n":{"size":3}},
+"adapters":{"a":{"base":"m","size":1}},"kinds":{"k":{"value":3,"wait_ms":500}},
+"services":{"s":{"models":["m"],"adapters":["a"],"probe":"/well","connections":9,"slots":6,"tokens":500,"room":8,"places":3,"loads_per_s":2.5},
+"t":{"plain":true,"slots":2},"u":{"models":["m","n"],"adapters":["a"]}},
+"routes":{"/r":{"service":"u","kinds":["k"]},
+"one":{"host":"h.example","prefix":"/a/","service":"s","mode":"continuous","resume":true,"tries":2,"value":7,"wait_ms":4000,"aim_ms":600,"pause_ms":400},
+"two":{"host":"h.example","prefix":"/a/b/","split":[{"service":"t","weight":3},{"service":"s","weight":1}]}}}`
+
+// Everything that a plan says of routes by host and of servers is read, and what a service found by
+// host holds is under its name.
+func TestHosts(t *testing.T) {
+	p, f := ReadPlan([]byte(soundHosts))
+	require.Nil(t, f)
+	const ms = time.Millisecond
+	m := Model{Size: 4, Floor: 1, Most: 2, Load: 950 * ms}
+	a := Model{Size: 1, Most: 1000}
+	n := Model{Size: 3, Most: 1000}
+	want := map[gauge.Key]Model{}
+	for k, x := range map[gauge.Key]Model{"m": m, "n": n, "m+a": a, "s|m": m, "s|m+a": a} {
+		x.Key = k
+		want[k] = x
+	}
+	require.Equal(t, want, p.Models)
+	require.Equal(t, map[string]Service{
+		"s": {Keys: map[gauge.Key]bool{"s|m": true, "s|m+a": true}, Probe: "/well", Conns: 9, Slots: 6, Tokens: 500, Room: 8, Places: 3, Loads: 2.5},
+		"t": {Keys: map[gauge.Key]bool{"t|": true}, Plain: true, Slots: 2},
+		"u": {Keys: map[gauge.Key]bool{"m": true, "n": true, "m+a": true}},
+	}, p.Services)
+	require.Equal(t, map[string]Route{"/r": {Service: "u", Kinds: map[string]bool{"k": true}}}, p.Routes)
+	require.Equal(t, map[string]map[string]*Route{"h.example": {
+		"/a/": {Name: "one", Host: "h.example", Prefix: "/a/", Service: "s", Mode: Continuous, Resume: true, Tries: 2,
+			Class: Class{Value: 7, Wait: 4000 * ms, Aim: 600 * ms, Pause: 400 * ms}},
+		"/a/b/": {Name: "two", Host: "h.example", Prefix: "/a/b/", Mode: Once, Tries: 1,
+			Split: []Share{{"t", 3}, {"s", 1}}, Class: Class{Value: 1, Wait: 10_000 * ms}},
+	}}, p.Hosts)
+}
+
+// A plan without any of it gives what it gave before.
+func TestHostsAbsent(t *testing.T) {
+	p, f := ReadPlan([]byte(sound))
+	require.Nil(t, f)
+	require.Nil(t, p.Hosts)
+	require.Equal(t, map[string]Service{"s": {Keys: map[gauge.Key]bool{"m": true, "m+a": true}}}, p.Services)
+	require.Equal(t, map[string]Route{"/r": {Service: "s", Kinds: map[string]bool{"k": true}}}, p.Routes)
+	require.Len(t, p.Models, 3)
+}
+
+// A model that only services found by host name stands under them alone.
+func TestHostsOnly(t *testing.T) {
+	raw := strings.Replace(soundHosts, `"u":{"models":["m","n"],"adapters":["a"]}`, `"u":{"models":["n"]}`, 1)
+	p, f := ReadPlan([]byte(raw))
+	require.Nil(t, f)
+	require.Equal(t, []gauge.Key{"n", "s|m", "s|m+a"}, gauge.Keys(p.Models))
+}
+
+// What such a plan allows: the longest prefix decides, within the models of the service it leads to.
+func TestHostsMatch(t *testing.T) {
+	p, f := ReadPlan([]byte(soundHosts))
+	require.Nil(t, f)
+	for _, c := range []struct {
+		host, path, base, extra string
+		route                   string
+		key                     gauge.Key
+		why                     gauge.Kind
+	}{
+		{"h.example", "/a/x", "m", "", "one", "s|m", gauge.None},
+		{"h.example", "/a/", "m", "a", "one", "s|m+a", gauge.None},
+		{"h.example", "/a/x", "n", "", "", "", gauge.NoModel},
+		{"h.example", "/a", "m", "", "", "", gauge.NoRoute},
+		{"h.example", "/r", "m", "", "", "", gauge.NoRoute},
+		{"x.example", "/a/x", "m", "", "", "", gauge.NoRoute},
+	} {
+		m, why := p.Match(Query{ID: "1", Host: c.host, Path: c.path, Base: c.base, Extra: c.extra})
+		require.Equal(t, c.why, why, fmt.Sprint(c))
+		require.Equal(t, c.key, m.Key, fmt.Sprint(c))
+		if c.route != "" {
+			require.Equal(t, c.route, m.Route.Name, fmt.Sprint(c))
+		}
+	}
+	met := map[gauge.Key]int{}
+	for i := range 400 {
+		m, why := p.Match(Query{ID: fmt.Sprint(i), Host: "h.example", Path: "/a/b/c", Base: "m"})
+		require.Equal(t, gauge.None, why)
+		require.Equal(t, "two", m.Route.Name)
+		met[m.Key]++
+	}
+	require.Len(t, met, 2)
+	require.Greater(t, met["t|"], 2*met["s|m"])
+}
+
+// Every fault is named by its path, and with any fault there is no plan.
+func TestHostFaults(t *testing.T) {
+	for _, c := range []struct {
+		name, old, new string
+		paths          []string
+	}{
+		{"sound", "", "", nil},
+		{"a host that is none", `"host":"h.example","prefix":"/a/",`, `"host":"H.example:80","prefix":"/a/",`, []string{"$.routes.one.host"}},
+		{"no host", `"host":"h.example","prefix":"/a/",`, `"prefix":"/a/",`, []string{"$.routes.one.host"}},
+		{"no prefix", `"prefix":"/a/",`, ``, []string{"$.routes.one.prefix"}},
+		{"a prefix that does not end", `"/a/"`, `"/a"`, []string{"$.routes.one.prefix"}},
+		{"a prefix that does not begin", `"/a/"`, `"a/"`, []string{"$.routes.one.prefix"}},
+		{"a prefix twice", `"/a/b/"`, `"/a/"`, []string{"$.routes.two.prefix"}},
+		{"kinds", `"tries":2`, `"tries":2,"kinds":["k"]`, []string{"$.routes.one.kinds"}},
+		{"a mode that is none", `"continuous"`, `"twice"`, []string{"$.routes.one.mode", "$.routes.one.resume", "$.routes.one.pause_ms"}},
+		{"a mode that is no text", `"continuous","resume":true`, `1`, []string{"$.routes.one.mode", "$.routes.one.pause_ms"}},
+		{"no stream to take up", `"mode":"continuous",`, `"mode":"idempotent",`, []string{"$.routes.one.resume", "$.routes.one.pause_ms"}},
+		{"no tries", `"tries":2`, `"tries":0`, []string{"$.routes.one.tries"}},
+		{"no wait", `"wait_ms":4000`, `"wait_ms":0`, []string{"$.routes.one.wait_ms"}},
+		{"too long a wait", `"wait_ms":4000`, `"wait_ms":600001`, []string{"$.routes.one.wait_ms"}},
+		{"an aim of null", `"aim_ms":600`, `"aim_ms":null`, []string{"$.routes.one.aim_ms"}},
+		{"a value below 0", `"value":7`, `"value":-7`, []string{"$.routes.one.value"}},
+		{"no target", `"service":"s","mode"`, `"mode"`, []string{"$.routes.one.service"}},
+		{"two targets", `"service":"s","mode"`, `"service":"s","split":[],"mode"`, []string{"$.routes.one.service"}},
+		{"a service that dangles", `"service":"s","mode"`, `"service":"x","mode"`, []string{"$.routes.one.service"}},
+		{"a split that dangles", `{"service":"t"`, `{"service":"x"`, []string{"$.routes.two.split[0].service"}},
+		{"a service twice in a split", `{"service":"t"`, `{"service":"s"`, []string{"$.routes.two.split[1].service"}},
+		{"a share without weight", `"t","weight":3`, `"t"`, []string{"$.routes.two.split[0].weight"}},
+		{"a weight below 0", `"weight":3`, `"weight":-3`, []string{"$.routes.two.split[0].weight"}},
+		{"weights of 0", `[{"service":"t","weight":3},{"service":"s","weight":1}]`, `[{"service":"t","weight":0}]`, []string{"$.routes.two.split"}},
+		{"an empty split", `[{"service":"t","weight":3},{"service":"s","weight":1}]`, `[]`, []string{"$.routes.two.split"}},
+		{"an unknown key of a share", `"weight":3`, `"weight":3,"gain":3`, []string{"$.routes.two.split[0].gain"}},
+		{"an unknown key of a service", `"slots":6`, `"slots":6,"slot":6`, []string{"$.services.s.slot"}},
+		{"a plain service with models", `"plain":true`, `"plain":true,"models":["m"],"room":4`, []string{"$.services.t.models", "$.services.t.room"}},
+		{"plain that is no truth", `"plain":true`, `"plain":1`, []string{"$.services.t.plain", "$.services.t", "$.services.t.room", "$.services.t.loads_per_s"}},
+		{"a probe that is no path", `"/well"`, `"well"`, []string{"$.services.s.probe"}},
+		{"an empty probe", `"/well"`, `""`, []string{"$.services.s.probe"}},
+		{"a fraction of a slot", `"slots":6`, `"slots":6.5`, []string{"$.services.s.slots"}},
+		{"too many tokens", `"tokens":500`, `"tokens":1000000001`, []string{"$.services.s.tokens"}},
+		{"no places", `"places":3`, `"places":0`, []string{"$.services.s.places"}},
+		{"no connections", `"connections":9`, `"connections":"9"`, []string{"$.services.s.connections"}},
+		{"no room", `"room":8,`, ``, []string{"$.services.s.room"}},
+		{"no loads", `,"loads_per_s":2.5`, ``, []string{"$.services.s.loads_per_s"}},
+		{"loads below 0", `2.5`, `-2.5`, []string{"$.services.s.loads_per_s"}},
+		{"loads past counting", `2.5`, `1e999`, []string{"$.services.s.loads_per_s"}},
+		{"loads that are no number", `2.5`, `"2.5"`, []string{"$.services.s.loads_per_s"}},
+		{"a load in no time", `"load_ms":950`, `"load_ms":0`, []string{"$.models.m.load_ms"}},
+		{"an adapter's load", `"base":"m","size":1`, `"base":"m","size":1,"load_ms":5`, []string{"$.adapters.a.load_ms"}},
+		{"an adapter without its base", `"s":{"models":["m"]`, `"s":{"models":["n"]`, []string{"$.services.s.adapters"}},
+		{"by host and by path", `{"service":"u"`, `{"service":"s"`, []string{"$.services.s"}},
+		{"described and by path", `"u":{`, `"u":{"slots":1,"room":1,"loads_per_s":1,`, []string{"$.services.u"}},
+		{"a service's name", `"t"`, `"t|"`, []string{"$.services.t|"}},
+		{"a model's name", `"n"`, `"n|"`, nil}, // as before, by path
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			raw := soundHosts
+			if c.name == "a service's name" || c.name == "a model's name" {
+				raw = strings.ReplaceAll(raw, c.old, c.new)
+			} else if c.old != "" {
+				raw = strings.Replace(raw, c.old, c.new, 1)
+				require.NotEqual(t, soundHosts, raw)
+			}
+			p, f := ReadPlan([]byte(raw))
+			var paths []string
+			for _, x := range f {
+				paths = append(paths, x.Path)
+				require.NotEmpty(t, x.Why)
+			}
+			require.Equal(t, c.paths, paths)
+			require.Equal(t, c.paths == nil, p != nil)
+		})
+	}
+}
+
+func TestHostsExample(t *testing.T) {
+	raw, err := os.ReadFile("../examples/hosts.json")
+	require.NoError(t, err)
+	p, f := ReadPlan(raw)
+	require.Nil(t, f)
+	require.Equal(t, []gauge.Key{"engines|grouper-s", "engines|triage-m", "engines|triage-m+acme"}, gauge.Keys(p.Models))
+	require.Equal(t, 2.6, p.Services["engines"].Loads)
+	m, why := p.Match(Query{ID: "1", Host: "notes.example", Path: "/triage/tags/7", Base: "triage-m", Extra: "acme"})
+	require.Equal(t, gauge.None, why)
+	require.Equal(t, gauge.Key("engines|triage-m+acme"), m.Key)
+	require.Equal(t, "tags", m.Route.Name)
+	m, why = p.Match(Query{ID: "1", Host: "notes.example", Path: "/receipts/7"})
+	require.Equal(t, gauge.None, why)
+	require.True(t, m.Key.Plain())
+}
+
+func FuzzReadPlan(f *testing.F) {
+	f.Add([]byte(sound))
+	f.Add([]byte(soundHosts))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		p, faults := ReadPlan(raw)
+		require.Equal(t, p == nil, len(faults) > 0)
+		if p == nil {
+			return
+		}
+		for k, m := range p.Models {
+			require.Equal(t, k, m.Key)
+		}
+		for _, l := range p.Hosts {
+			for _, r := range l {
+				require.Positive(t, r.Tries)
+				require.Positive(t, r.Class.Wait)
+				require.Contains(t, p.Services, r.choose("1"))
+			}
+		}
+		for name, s := range p.Services {
+			require.NotEmpty(t, s.Keys)
+			for k := range s.Keys {
+				require.True(t, k.Plain() || p.Models[k].Key == k)
+				require.True(t, !s.Plain || k.Service() == name)
+			}
+		}
+	})
+}
--- a/chisel/plan.go
+++ b/chisel/plan.go
@@ -192,8 +192,10 @@
 			n.Fault("a model's name has no +")
 			return
 		}
-		n.Only("size", "floor", "most")
-		q.Models[gauge.Key(k)] = sizes(n, gauge.Key(k))
+		n.Only("size", "floor", "most", "load_ms")
+		m := sizes(n, gauge.Key(k))
+		m.Load = n.At("load_ms").ms(0)
+		q.Models[m.Key] = m
 	})
 	names := map[string]gauge.Key{}
 	p.At("adapters").Keys(func(k string, n Pen) {
@@ -217,9 +219,11 @@
 			Wait:  gauge.Span(n.At("wait_ms").Int(1, MostWait, 10_000)) * 1_000_000,
 		}
 	})
+	h := newHosts(q)
 	p.At("services").Keys(func(k string, n Pen) {
-		n.Only("models", "adapters")
+		n.Only("models", "adapters", "plain", "probe", "connections", "slots", "tokens", "room", "places", "loads_per_s")
 		s := Service{Keys: map[gauge.Key]bool{}}
+		h.servers(k, n, &s)
 		n.At("models").List(100_000, func(n Pen) {
 			if m := gauge.Key(n.Text(true, 128)); m != "" {
 				if _, ok := q.Models[m]; !ok || m.IsAdapter() {
@@ -237,12 +241,16 @@
 				s.Keys[key] = true
 			}
 		})
-		if len(s.Keys) == 0 {
+		if len(s.Keys) == 0 && !s.Plain {
 			n.Fault("a service names at least one model or adapter")
 		}
 		q.Services[k] = s
 	})
 	p.At("routes").Keys(func(k string, n Pen) {
+		if byHost(n) {
+			h.route(k, n)
+			return
+		}
 		n.Only("service", "kinds")
 		if !strings.HasPrefix(k, "/") {
 			n.Fault("a route begins with /")
@@ -262,8 +270,10 @@
 		if len(r.Kinds) == 0 {
 			n.At("kinds").Fault("a route names at least one kind")
 		}
+		h.paths[r.Service] = true
 		q.Routes[k] = r
 	})
+	h.settle(p.At("services"))
 	if len(*all) > 0 {
 		return nil, *all
 	}
