--- a/chisel/hosts_test.go
+++ b/chisel/hosts_test.go
@@ -17,7 +17,7 @@
 "services":{"s":{"models":["m"],"adapters":["a"],"probe":"/well","connections":9,"slots":6,"tokens":500,"room":8,"places":3,"loads_per_s":2.5},
 "t":{"plain":true,"slots":2},"u":{"models":["m","n"],"adapters":["a"]}},
 "routes":{"/r":{"service":"u","kinds":["k"]},
-"one":{"host":"h.example","prefix":"/a/","service":"s","mode":"continuous","resume":true,"tries":2,"value":7,"wait_ms":4000,"aim_ms":600,"pause_ms":400},
+"one":{"host":"h.example","prefix":"/a/","service":"s","mode":"continuous","resume":true,"tries":2,"value":7,"wait_ms":4000,"aim_ms":600,"pause_ms":400,"quit_ms":3200},
 "two":{"host":"h.example","prefix":"/a/b/","split":[{"service":"t","weight":3},{"service":"s","weight":1}]}}}`
 
 // Everything that a plan says of routes by host and of servers is read, and what a service found by
@@ -43,7 +43,7 @@
 	require.Equal(t, map[string]Route{"/r": {Service: "u", Kinds: map[string]bool{"k": true}}}, p.Routes)
 	require.Equal(t, map[string]map[string]*Route{"h.example": {
 		"/a/": {Name: "one", Host: "h.example", Prefix: "/a/", Service: "s", Mode: Continuous, Resume: true, Tries: 2,
-			Class: Class{Value: 7, Wait: 4000 * ms, Aim: 600 * ms, Pause: 400 * ms}},
+			Class: Class{Value: 7, Wait: 4000 * ms, Aim: 600 * ms, Pause: 400 * ms, Quit: 3200 * ms}},
 		"/a/b/": {Name: "two", Host: "h.example", Prefix: "/a/b/", Mode: Once, Tries: 1,
 			Split: []Share{{"t", 3}, {"s", 1}}, Class: Class{Value: 1, Wait: 10_000 * ms}},
 	}}, p.Hosts)
@@ -123,6 +123,7 @@
 		{"no wait", `"wait_ms":4000`, `"wait_ms":0`, []string{"$.routes.one.wait_ms"}},
 		{"too long a wait", `"wait_ms":4000`, `"wait_ms":600001`, []string{"$.routes.one.wait_ms"}},
 		{"an aim of null", `"aim_ms":600`, `"aim_ms":null`, []string{"$.routes.one.aim_ms"}},
+		{"quitting at once", `"quit_ms":3200`, `"quit_ms":0`, []string{"$.routes.one.quit_ms"}},
 		{"a value below 0", `"value":7`, `"value":-7`, []string{"$.routes.one.value"}},
 		{"no target", `"service":"s","mode"`, `"mode"`, []string{"$.routes.one.service"}},
 		{"two targets", `"service":"s","mode"`, `"service":"s","split":[],"mode"`, []string{"$.routes.one.service"}},
