--- /dev/null
+++ b/awl/gather_test.go
@@ -0,0 +1,121 @@
+package awl
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"tidedeck/dowel"
+	"tidedeck/gauge"
+)
+
+type burdens = map[gauge.Key]dowel.Burden
+
+// renewals lists what was sent up since the last call.
+func (r *rig) renewals() (l []dowel.Renew) {
+	for _, e := range r.out {
+		if b, ok := e.Body.(dowel.Renew); ok {
+			l = append(l, b)
+		}
+	}
+	r.out = nil
+	return l
+}
+
+// What a renewal says of each key after the router's reports: counts add up, gauges are the latest.
+func TestRenewalCarriesCounts(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		reports []burdens
+		first   burdens // of the renewal that follows them
+		second  burdens // and of the one after it, with no report between
+	}{
+		{"nothing", nil, burdens{}, burdens{}},
+		{"one report", []burdens{{"m": {Came: 3, Load: 0.5}}}, burdens{"m": {Came: 3, Load: 0.5}}, burdens{}},
+		{"counts add up", []burdens{{"m": {Came: 3, Load: 0.5}}, {"m": {Came: 4, Load: 0.25}}}, burdens{"m": {Came: 7, Load: 0.75}}, burdens{}},
+		{"gauges are the latest", []burdens{{"m": {Wait: 9, Work: 9, Top: 9}}, {"m": {Wait: 1, Work: 2, Top: 3}}}, burdens{"m": {Wait: 1, Work: 2, Top: 3}}, burdens{"m": {Wait: 1, Work: 2, Top: 3}}},
+		{"a key that is not told of again keeps its count", []burdens{{"m": {Came: 3, Load: 0.5, Wait: 2, Work: 1}}, {"n": {Came: 1}}}, burdens{"m": {Came: 3, Load: 0.5}, "n": {Came: 1}}, burdens{}},
+		{"nor does an empty report lose it", []burdens{{"m": {Came: 3, Load: 0.5}}, {}, {}}, burdens{"m": {Came: 3, Load: 0.5}}, burdens{}},
+		{"gauges stay until the next report", []burdens{{"m": {Came: 3, Load: 0.5, Wait: 2, Work: 1, Top: 4}}}, burdens{"m": {Came: 3, Load: 0.5, Wait: 2, Work: 1, Top: 4}}, burdens{"m": {Wait: 2, Work: 1, Top: 4}}},
+	} {
+		r := set()
+		r.pass(20e6)
+		r.renewals()
+		for _, b := range c.reports {
+			r.give(core("lathe"), dowel.Hello{Lathe: 7, Session: r.Session(), Epoch: 2, Burden: b})
+		}
+		for i, want := range []burdens{c.first, c.second} {
+			var l []dowel.Renew
+			for len(l) == 0 {
+				r.pass(20e6)
+				l = r.renewals()
+			}
+			require.Len(t, l, 1, c.name)
+			got := burdens{}
+			for k, u := range l[0].Burden {
+				got[k] = u
+			}
+			require.Equal(t, want, got, "%s: renewal %d", c.name, i+1)
+		}
+	}
+}
+
+// Whatever the order of reports, renewals, grants and new sessions, what the renewals say that came is
+// what the router said, and a renewal that was sent does not change afterwards.
+func TestCountsAddUp(t *testing.T) {
+	for seed := range uint64(20) {
+		r, dice := set(), rand.New(rand.NewPCG(seed, 1))
+		came, load := map[gauge.Key]int{}, map[gauge.Key]float64{}
+		var sent []dowel.Renew
+		var copies []string
+		drain := func() {
+			for _, n := range r.renewals() {
+				sent, copies = append(sent, n), append(copies, fmt.Sprint(n.Burden))
+			}
+		}
+		drain()
+		for range 400 {
+			switch dice.IntN(8) {
+			case 0, 1, 2:
+				b := burdens{}
+				for _, k := range []gauge.Key{"m", "n", "o"} {
+					if dice.IntN(2) == 0 {
+						continue
+					}
+					n := dice.IntN(4)
+					b[k] = dowel.Burden{Came: n, Load: float64(n) / 4, Wait: dice.IntN(2), Work: dice.IntN(2)}
+					came[k] += n
+					load[k] += float64(n) / 4
+				}
+				r.give(core("lathe"), dowel.Hello{Lathe: 7, Session: r.Session(), Epoch: 2, Burden: b})
+			case 3:
+				if len(sent) > 0 {
+					n := sent[len(sent)-1]
+					r.give(core("a1"), dowel.Grant{Session: n.Session, Seq: n.Seq, Len: 1e9, Duty: 1})
+				}
+			case 4:
+				if dice.IntN(10) == 0 {
+					r.give(core("a1"), dowel.NotOwner{Session: r.Session(), Gone: true})
+				}
+			default:
+				r.pass(gauge.Span(dice.IntN(300)) * 1e6)
+			}
+			drain()
+		}
+		r.pass(5e9)
+		drain()
+		for i, n := range sent {
+			require.Equal(t, copies[i], fmt.Sprint(n.Burden), "seed %d: renewal %d changed after it was sent", seed, i)
+			for k, u := range n.Burden {
+				came[k] -= u.Came
+				load[k] -= u.Load
+			}
+		}
+		for _, k := range []gauge.Key{"m", "n", "o"} {
+			require.Zero(t, came[k], "seed %d: %s", seed, k)
+			require.InDelta(t, 0, load[k], 1e-9, "seed %d: %s", seed, k)
+		}
+	}
+}
