--- a/anvil/cluster_test.go
+++ b/anvil/cluster_test.go
@@ -23,11 +23,21 @@
 	routers map[string]*router
 	out     []any // what nodes gave to neither of these
 	asks    []ask
+	delay   gauge.Span // of what nodes send each other: up to twice as long
+	mail    []letter
+	dice    *rand.Rand
 	ops     []sentOrder
 	begun   []gauge.Tick // when loads from the store began
 	token   uint64
 }
 
+// letter is an envelope on its way.
+type letter struct {
+	at       gauge.Tick
+	from, to string
+	dowel.Env
+}
+
 type ask struct {
 	node string
 	at   gauge.Tick // when it is answered
@@ -47,7 +57,7 @@
 func newCluster(t *testing.T, plan *chisel.Plan, ids ...string) *cluster {
 	c := &cluster{
 		t: t, at: 1e9, plans: map[string]*chisel.Plan{}, nodes: map[string]*Core{}, parted: map[string]bool{},
-		models: map[string]*modelServer{}, routers: map[string]*router{},
+		models: map[string]*modelServer{}, routers: map[string]*router{}, dice: rand.New(rand.NewPCG(3, 4)),
 	}
 	v := dowel.Desired{Gen: 1, Shape: 1}
 	if plan != nil {
@@ -120,6 +130,8 @@
 			to := v.Hop().Addr
 			switch {
 			case to != x.id && (c.parted[x.id] || c.parted[to]):
+			case c.nodes[to] != nil && to != x.id && c.delay > 0:
+				c.mail = append(c.mail, letter{c.at.Add(c.delay/2 + gauge.Span(c.dice.Int64N(int64(2*c.delay)))), x.id, to, v})
 			case c.nodes[to] != nil:
 				put(to, v)
 			case c.routers[to] != nil:
@@ -171,6 +183,16 @@
 
 func (c *cluster) tick() {
 	c.at = c.at.Add(20e6)
+	mail := c.mail
+	c.mail = nil
+	for _, e := range mail {
+		switch {
+		case e.at > c.at:
+			c.mail = append(c.mail, e)
+		case !c.parted[e.from] && !c.parted[e.to]:
+			c.step(e.to, e.Env)
+		}
+	}
 	for _, id := range gauge.Keys(c.models) {
 		c.models[id].live()
 	}
@@ -280,7 +302,16 @@
 	return m
 }
 
-func (m *modelServer) service() chisel.Service { return m.c.lead().plan.Services["llm"] }
+// plan is the newest that a node knows.
+func (c *cluster) plan() *chisel.Plan {
+	var k *Core
+	for _, id := range gauge.Keys(c.nodes) {
+		if n := c.nodes[id]; n.plan != nil && (k == nil || n.Epoch() > k.Epoch()) {
+			k = n
+		}
+	}
+	return k.plan
+}
 
 func (m *modelServer) snap() {
 	r := dowel.Report{Num: m.count, Busy: m.doing.Op != ""}
@@ -330,12 +361,12 @@
 
 // limits fails the test if an order brings the server past its room or its places for adapters.
 func (m *modelServer) limits(o dowel.Order) {
-	v, size, adapters := m.service(), m.c.lead().plan.Models[o.Key].Size, 0
+	v, size, adapters := m.c.plan().Services["llm"], m.c.plan().Models[o.Key].Size, 0
 	if o.Key.IsAdapter() {
 		adapters++
 	}
 	add := func(k gauge.Key) {
-		size += m.c.lead().plan.Models[k].Size
+		size += m.c.plan().Models[k].Size
 		if k.IsAdapter() {
 			adapters++
 		}
@@ -371,7 +402,7 @@
 	case o.Op == "load":
 		m.limits(o)
 		if !o.Key.IsAdapter() {
-			took = m.c.lead().plan.Models[o.Key].Load
+			took = m.c.plan().Models[o.Key].Load
 			if !m.had[o.Key] {
 				m.c.begun = append(m.c.begun, m.c.at)
 			}
--- /dev/null
+++ b/anvil/weigh_test.go
@@ -0,0 +1,230 @@
+package anvil
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"tidedeck/chisel"
+	"tidedeck/dowel"
+	"tidedeck/gauge"
+)
+
+// weighed is an owner's core over servers that hold keys, each from long ago.
+func weighed(p *chisel.Plan, holds keys) *Core {
+	c := New(Options{Enrolled: true, Unfenced: true})
+	c.plan, c.now, c.listed = p, 100e9, 1
+	c.duty.mine, c.duty.asked, c.duty.began = true, c.now, 1
+	for id, l := range holds {
+		s := &server{Listed: beacon(string(id), "live", 1).Listed, known: true, slots: 8, spots: map[gauge.Key]*spot{}, had: map[gauge.Key]bool{}}
+		s.room, s.places = p.Services["llm"].Room, p.Services["llm"].Places
+		for _, k := range l {
+			s.spots[k] = &spot{key: k, size: p.Models[k].Size, stage: Ready, num: 1, ready: 1}
+		}
+		c.servers[id] = s
+	}
+	return c
+}
+
+// changes lists what is ordered (+) and what is being taken away (-).
+func (c *Core) changes() string {
+	var l []string
+	for _, id := range gauge.Keys(c.servers) {
+		for k, p := range c.servers[id].spots {
+			switch {
+			case p.stage == Ordered && p.num == 0:
+				l = append(l, fmt.Sprintf("+%s@%s", k.Name(), id))
+			case p.stage == Breaking:
+				l = append(l, fmt.Sprintf("-%s@%s", k.Name(), id))
+			}
+		}
+	}
+	sort.Strings(l)
+	return strings.Join(l, " ")
+}
+
+// What is placed first, where, and what makes way for it.
+func TestWeighing(t *testing.T) {
+	const m, n, o, x, y, z = "llm|m", "llm|n", "llm|o", "llm|x", "llm|y", "llm|z"
+	type demand = map[gauge.Key]need
+	waits := func(w int) need { return need{wait: w, load: 0.01, now: 0.01} }
+	rises := need{load: 0.6, now: 1.2, slow: 3}
+	for _, c := range []struct {
+		name   string
+		room   int
+		budget int
+		holds  keys
+		demand demand
+		do     func(c *Core)
+		is     string
+	}{
+		{"nothing is asked for", 8, 9, keys{"s1": {m}, "s2": {}}, nil, nil, ""},
+		{"a waiting key without a replica", 8, 9, keys{"s1": {m}, "s2": {m, x}}, demand{n: waits(1)}, nil, "+n@s1"},
+		{"on the server with less work", 8, 9, keys{"s1": {x}, "s2": {y}}, demand{n: waits(1), x: {load: 0.25, now: 0.25}}, nil, "+n@s2"},
+		{"on the one that held it before", 8, 9, keys{"s1": {x}, "s2": {y}}, demand{n: waits(1)}, func(c *Core) { c.servers["s2"].had[n] = true }, "+n@s2"},
+		{"not on one that carries out another's order", 8, 9, keys{"s1": {x}, "s2": {y}}, demand{n: waits(1)}, func(c *Core) { c.servers["s1"].alien = true }, "+n@s2"},
+		{"not on a dark one", 8, 9, keys{"s1": {x}, "s2": {y}}, demand{n: waits(1)}, func(c *Core) { c.servers["s1"].dark = true }, "+n@s2"},
+		{"not on one that leaves", 8, 9, keys{"s1": {x}, "s2": {y}}, demand{n: waits(1)}, func(c *Core) { c.servers["s1"].State = "leaving" }, "+n@s2"},
+		{"not on one that has not reported", 8, 9, keys{"s1": {x}, "s2": {y}}, demand{n: waits(1)}, func(c *Core) { c.servers["s1"].known = false }, "+n@s2"},
+		{"not on one of another service", 8, 9, keys{"s1": {x}, "s2": {y}}, demand{n: waits(1)}, func(c *Core) { c.servers["s1"].Service = "more" }, "+n@s2"},
+		{"there is no room for it anywhere", 3, 9, keys{"s1": {}, "s2": {}}, demand{n: waits(1)}, nil, ""},
+		{"nothing may begin now", 8, 0, keys{"s1": {}}, demand{n: waits(1)}, nil, ""},
+
+		{"a rising key before a rarer one", 8, 1, keys{"s1": {m, x}, "s2": {y}}, demand{m: rises, n: waits(3)}, nil, "+m@s2"},
+		{"and then the rarer one", 8, 2, keys{"s1": {m, x}, "s2": {y}, "s3": {z}}, demand{m: rises, n: waits(3)}, nil, "+m@s2 +n@s3"},
+		{"one that only could do with more comes after it", 8, 1, keys{"s1": {m, x}, "s2": {y}}, demand{m: {load: 0.4, now: 0.4}, n: waits(3)}, nil, "+n@s2"},
+		{"what rises is met before its work is there", 8, 9, keys{"s1": {m, x}, "s2": {y}}, demand{m: {load: 0.2, now: 0.5}}, nil, "+m@s2"},
+		{"what falls is not", 8, 9, keys{"s1": {m, x}, "s2": {y}}, demand{m: {load: 0.29, now: 0.1}}, nil, ""},
+		{"the most valuable of those that wait", 8, 1, keys{"s1": {m, x}, "s2": {y}}, demand{n: {wait: 9, value: 1}, o: {wait: 1, value: 2}}, nil, "+o@s2"},
+		{"a crowd asks for more replicas", 8, 9, keys{"s1": {m, x}, "s2": {y}}, demand{m: {load: 0.1, now: 0.1}}, func(c *Core) {
+			c.links[dowel.Session{N: 1}] = &link{burden: map[gauge.Key]dowel.Burden{m: {Work: 2}}}
+		}, "+m@s2"},
+
+		{"what is least missed makes way", 8, 9, keys{"s1": {x, y}}, demand{n: waits(1), x: {slow: 0.3}, y: {slow: 0.02}}, nil, "+n@s1 -y@s1"},
+		{"on any server", 8, 9, keys{"s1": {x, m}, "s2": {y, z}}, demand{n: waits(1), m: {slow: 1}, x: {slow: 0.8}, y: {slow: 0.7}, z: {slow: 0.1}}, nil, "+n@s2 -z@s2"},
+		{"a spare one before an only one", 8, 9, keys{"s1": {x, y}, "s2": {x, z}}, demand{n: waits(1), x: {slow: 0.3}, y: {slow: 0.3}, z: {slow: 0.3}}, nil, "+n@s1 -x@s1"},
+		{"what is not in the plan before all", 8, 9, keys{"s1": {x, "llm|lost"}}, demand{n: waits(1)}, func(c *Core) { c.servers["s1"].spots["llm|lost"].size = 4 }, "+n@s1 -lost@s1"},
+		{"not what is waited for", 8, 9, keys{"s1": {x, y}}, demand{n: waits(1), x: {wait: 1}, y: {slow: 3}}, nil, "+n@s1 -y@s1"},
+		{"not what has only come", 8, 9, keys{"s1": {x, y}}, demand{n: waits(1), y: {slow: 3}}, func(c *Core) { c.servers["s1"].spots[x].ready = c.now - 1e9 }, "+n@s1 -y@s1"},
+		{"no only one for a replica that is not needed badly", 8, 9, keys{"s1": {m, x}, "s2": {y, z}}, demand{m: {load: 0.4, now: 0.4}}, nil, ""},
+		{"but for one that is", 8, 9, keys{"s1": {m, x}, "s2": {y, z}}, demand{m: {load: 0.7, now: 0.7}, x: {slow: 1}, y: {slow: 1}}, nil, "+m@s2 -z@s2"},
+
+		{"a floor", 8, 9, keys{"s1": {"llm|f"}, "s2": {x}}, nil, nil, "+f@s2"},
+		{"a floor that is kept", 8, 9, keys{"s1": {"llm|f"}, "s2": {"llm|f"}, "s3": {}}, nil, nil, ""},
+		{"not past the most", 8, 9, keys{"s1": {"llm|f"}, "s2": {"llm|f"}, "s3": {"llm|f"}, "s4": {}}, demand{"llm|f": {load: 4, now: 4, slow: 9}}, nil, ""},
+
+		{"an adapter to its base", 10, 9, keys{"s1": {m}, "s2": {n}}, demand{"llm|n+1": waits(1)}, nil, "+n+1@s2"},
+		{"its base first", 10, 9, keys{"s1": {m}}, demand{"llm|n+1": waits(1)}, nil, "+n@s1"},
+		{"where there is a place", 20, 9, keys{"s1": {m, "llm|m+1", "llm|m+2", "llm|m+3"}, "s2": {m, x, y}}, demand{"llm|m+4": waits(1), x: {load: 0.1, now: 0.1}, y: {load: 0.1, now: 0.1}}, nil, "+m+4@s2"},
+		{"or room", 8, 9, keys{"s1": {m, x}, "s2": {m}}, demand{"llm|m+4": waits(1), m: {load: 0.5, now: 0.5}}, nil, "+m+4@s2"},
+		{"with no place the adapter that is least missed goes first", 20, 9, keys{"s1": {m, "llm|m+1", "llm|m+2", "llm|m+3"}}, demand{"llm|m+4": waits(1), "llm|m+1": {slow: 1}, "llm|m+2": {slow: 0.5}, "llm|m+3": {slow: 2}}, nil, "-m+2@s1"},
+		{"none that is waited for", 20, 9, keys{"s1": {m, "llm|m+1", "llm|m+2", "llm|m+3"}}, demand{"llm|m+4": waits(1), "llm|m+1": waits(1), "llm|m+2": waits(1), "llm|m+3": waits(1)}, nil, ""},
+		{"one that is there", 20, 9, keys{"s1": {m, "llm|m+1"}, "s2": {m}}, demand{"llm|m+1": {load: 0.2, now: 0.2}}, nil, ""},
+	} {
+		p := modelPlan(c.room, m, n, o, x, y, z, "llm|f", "llm|n+1", "llm|m+1", "llm|m+2", "llm|m+3", "llm|m+4")
+		p.Models["llm|f"] = chisel.Model{Key: "llm|f", Size: 4, Floor: 2, Most: 3, Load: 1e9}
+		if !strings.Contains(c.name, "floor") && !strings.Contains(c.name, "most") {
+			delete(p.Models, "llm|f")
+		}
+		k := weighed(p, c.holds)
+		for key, d := range c.demand {
+			d.at = k.now
+			k.demand[key] = &d
+		}
+		if c.do != nil {
+			c.do(k)
+		}
+		k.weighAll(c.budget)
+		require.Equal(t, c.is, k.changes(), c.name)
+	}
+}
+
+// Rates follow what came: of late, over a longer while, and what rises is seen ahead.
+func TestDemandRates(t *testing.T) {
+	c := weighed(modelPlan(8, "llm|m"), keys{"s1": {"llm|m"}})
+	c.wanted("llm|m", 0, 0)
+	n := c.demand["llm|m"]
+	step := func(s gauge.Span, rate float64) {
+		for end := c.now.Add(s); c.now < end; {
+			c.now = c.now.Add(250e6)
+			c.came("llm|m", dowel.Burden{Came: int(rate / 4), Load: rate / 4 / 20})
+			c.sumDemand()
+		}
+	}
+	step(120e9, 8)
+	require.InDelta(t, 8, n.rate, 0.1)
+	require.InDelta(t, 8, n.slow, 0.1)
+	require.InDelta(t, 0.4, n.load, 0.01)
+	require.InDelta(t, 0.4, n.coming(), 0.01, "what is steady is forecast as it is")
+	step(2e9, 80)
+	require.Greater(t, n.coming(), n.now)
+	require.Greater(t, n.now, n.load)
+	require.Greater(t, n.load, 0.4)
+	require.Less(t, n.slow, n.rate)
+	step(120e9, 80)
+	require.InDelta(t, 4, n.coming(), 0.1)
+	step(2e9, 0)
+	require.Less(t, n.now, n.load)
+	require.InDelta(t, n.load, n.coming(), 1e-9, "what falls is trusted to fall slowly")
+	step(200e9, 0)
+	require.InDelta(t, 0, n.rate+n.slow+n.load+n.now, 0.1)
+}
+
+// With demand that is steady and calm, orders end: whatever it is made of.
+func TestCalm(t *testing.T) {
+	for _, x := range []struct {
+		name    string
+		servers int
+		room    int
+		burden  map[gauge.Key]dowel.Burden // of each renewal of either router
+	}{
+		{"a few that fit", 3, 8, map[gauge.Key]dowel.Burden{"llm|m0": {Came: 4, Work: 1, Load: 0.05}, "llm|m1": {Came: 1, Load: 0.01}}},
+		{"a busy one and all that fit beside it", 4, 8, map[gauge.Key]dowel.Burden{"llm|m0": {Came: 20, Work: 2, Load: 0.2}, "llm|m1": {Came: 4, Load: 0.03}, "llm|m2": {Came: 1, Load: 0.01}, "llm|m3": {Came: 1, Load: 0.01}}},
+		{"two busy ones", 6, 8, map[gauge.Key]dowel.Burden{"llm|m0": {Came: 20, Work: 2, Load: 0.2}, "llm|m1": {Came: 20, Work: 2, Load: 0.15}, "llm|m2": {Came: 1, Load: 0.01}}},
+		{"more than the servers bear", 2, 8, map[gauge.Key]dowel.Burden{"llm|m0": {Came: 40, Work: 9, Load: 0.6}, "llm|m1": {Came: 40, Work: 9, Load: 0.6}}},
+		{"adapters", 2, 10, map[gauge.Key]dowel.Burden{"llm|m0+a": {Came: 4, Load: 0.02}, "llm|m0+b": {Came: 4, Load: 0.02}, "llm|m1": {Came: 4, Load: 0.02}}},
+	} {
+		var all []gauge.Key
+		for i := range 8 {
+			all = append(all, gauge.Key(fmt.Sprint("llm|m", i)))
+		}
+		c := newCluster(t, modelPlan(x.room, append(all, "llm|m0+a", "llm|m0+b")...), "a", "b", "c")
+		for i := range x.servers {
+			c.serve(fmt.Sprint("s", i), all[(2*i)%8], all[(2*i+1)%8])
+		}
+		r, s := c.route("r"), c.route("s")
+		r.burden, s.burden = x.burden, x.burden
+		c.run(40e9)
+		was := len(c.ops)
+		c.run(60e9)
+		t.Logf("%s: %d orders in the first 40 s, %d in the 60 s after", x.name, was, len(c.ops)-was)
+		require.Empty(t, c.ops[was:], x.name)
+		for k := range x.burden {
+			n := 0
+			for _, m := range c.models {
+				if m.holds[k] {
+					n++
+				}
+			}
+			require.Positive(t, n, "%s: %s is served", x.name, k)
+		}
+	}
+}
+
+// A key whose work rises gets its replicas, and loses what it no longer needs only to others that do.
+func TestRise(t *testing.T) {
+	c := newCluster(t, modelPlan(8, "llm|m", "llm|n", "llm|o", "llm|p", "llm|q"), "a")
+	c.serve("s1", "llm|m", "llm|n")
+	c.serve("s2", "llm|o", "llm|p")
+	c.serve("s3", "llm|q")
+	r := c.route("r")
+	r.burden = map[gauge.Key]dowel.Burden{"llm|m": {Came: 4, Load: 0.04}, "llm|n": {Came: 1, Load: 0.01}, "llm|q": {Came: 1, Load: 0.01}}
+	c.run(20e9)
+	require.Empty(t, c.ops)
+	r.burden["llm|m"] = dowel.Burden{Came: 40, Work: 3, Load: 0.4}
+	require.True(t, c.until(9e9, func() bool { return c.models["at-s3"].holds["llm|m"] }), "one that has room")
+	require.True(t, c.until(20e9, func() bool { return c.models["at-s2"].holds["llm|m"] }), "and one where something makes way")
+	for _, o := range c.orders("unload") {
+		require.Contains(t, []gauge.Key{"llm|o", "llm|p"}, o.Key, "nobody asked for these")
+	}
+	r.burden["llm|m"] = dowel.Burden{Came: 1, Load: 0.01}
+	was := len(c.ops)
+	c.run(60e9)
+	require.Empty(t, c.ops[was:], "nothing goes where nothing else is wanted")
+	r.burden["llm|o"], r.burden["llm|p"] = dowel.Burden{Came: 1, Wait: 1, Load: 0.01}, dowel.Burden{Came: 1, Wait: 1, Load: 0.01}
+	c.run(20e9)
+	n := 0
+	for _, m := range c.models {
+		require.True(t, !m.holds["llm|n"] || m.ID == "s1")
+		if m.holds["llm|m"] {
+			n++
+		}
+	}
+	require.Positive(t, n)
+	for _, k := range []gauge.Key{"llm|n", "llm|o", "llm|p", "llm|q"} {
+		require.Len(t, c.lead().entryOf(k).replicas, 1, "%s", k)
+	}
+}
