--- a/anvil/cluster_test.go
+++ b/anvil/cluster_test.go
@@ -18,7 +18,7 @@
 	at      gauge.Tick
 	plans   map[string]*chisel.Plan
 	nodes   map[string]*Core
-	parted  map[string]bool // nodes that reach nothing and that nothing reaches
+	parted  map[string]bool // nodes and routers that reach no node and that none reaches
 	models  map[string]*modelServer
 	routers map[string]*router
 	out     []any // what nodes gave to neither of these
@@ -463,7 +463,7 @@
 	if r.until != 0 && r.c.at > r.until {
 		r.anew()
 	}
-	if r.c.owner() == "" {
+	if r.c.owner() == "" || r.c.parted[r.id] {
 		return
 	}
 	if r.c.at >= r.next {
--- a/anvil/orders_test.go
+++ b/anvil/orders_test.go
@@ -295,6 +295,32 @@
 	}
 }
 
+// A new owner does not know who holds promises of the old one: it unloads nothing before they have run
+// out, and a router that reached nobody meanwhile is not surprised.
+func TestPromisesOfTheOwnerBefore(t *testing.T) {
+	for _, hold := range []gauge.Span{2e9, 5e9, 9e9} {
+		c := newCluster(t, modelPlan(4, "llm|m", "llm|n"), "a", "b", "c")
+		for _, k := range c.nodes {
+			k.o.Hold = hold
+		}
+		m := c.serve("s", "llm|m")
+		r := c.route("r")
+		r.burden["llm|m"] = dowel.Burden{Came: 1}
+		require.True(t, c.until(9e9, func() bool { return r.sends("llm|m", "s") }))
+		c.run(1e9)
+		c.parted["r"], c.parted[c.owner()] = true, true
+		require.True(t, c.until(6e9, func() bool { return c.owner() != "" }))
+		require.True(t, c.until(3e9, func() bool { s := c.lead().servers["s"]; return s.known && s.spots["llm|m"] != nil }))
+		k := c.lead()
+		k.now, k.out = c.at, nil
+		k.evict(k.servers["s"], k.servers["s"].spots["llm|m"])
+		require.True(t, r.sends("llm|m", "s"), "%v", hold)
+		require.True(t, c.until(2*hold, func() bool { return !m.holds["llm|m"] }), "%v", hold)
+		require.False(t, r.sends("llm|m", "s"), "%v", hold)
+		require.Len(t, c.orders("unload"), 1, "%v", hold)
+	}
+}
+
 // A load waits until what makes way for it is gone, by a report.
 func TestLoadWaitsForRoom(t *testing.T) {
 	c := newCluster(t, modelPlan(4, "llm|m", "llm|n"), "a")
--- a/anvil/weigh_test.go
+++ b/anvil/weigh_test.go
@@ -87,6 +87,8 @@
 		{"on any server", 8, 9, keys{"s1": {x, m}, "s2": {y, z}}, demand{n: waits(1), m: {slow: 1}, x: {slow: 0.8}, y: {slow: 0.7}, z: {slow: 0.1}}, nil, "+n@s2 -z@s2"},
 		{"a spare one before an only one", 8, 9, keys{"s1": {x, y}, "s2": {x, z}}, demand{n: waits(1), x: {slow: 0.3}, y: {slow: 0.3}, z: {slow: 0.3}}, nil, "+n@s1 -x@s1"},
 		{"what is not in the plan before all", 8, 9, keys{"s1": {x, "llm|lost"}}, demand{n: waits(1)}, func(c *Core) { c.servers["s1"].spots["llm|lost"].size = 4 }, "+n@s1 -lost@s1"},
+		{"two for a large one", 8, 9, keys{"s1": {x, y}}, demand{"llm|big": waits(1)}, nil, "+big@s1 -x@s1 -y@s1"},
+		{"with a base go its adapters", 8, 9, keys{"s1": {m, "llm|m+1", "llm|m+2"}}, demand{"llm|big": waits(1)}, nil, "+big@s1 -m+1@s1 -m+2@s1 -m@s1"},
 		{"not what is waited for", 8, 9, keys{"s1": {x, y}}, demand{n: waits(1), x: {wait: 1}, y: {slow: 3}}, nil, "+n@s1 -y@s1"},
 		{"not what has only come", 8, 9, keys{"s1": {x, y}}, demand{n: waits(1), y: {slow: 3}}, func(c *Core) { c.servers["s1"].spots[x].ready = c.now - 1e9 }, "+n@s1 -y@s1"},
 		{"no only one for a replica that is not needed badly", 8, 9, keys{"s1": {m, x}, "s2": {y, z}}, demand{m: {load: 0.4, now: 0.4}}, nil, ""},
@@ -106,6 +108,7 @@
 	} {
 		p := modelPlan(c.room, m, n, o, x, y, z, "llm|f", "llm|n+1", "llm|m+1", "llm|m+2", "llm|m+3", "llm|m+4")
 		p.Models["llm|f"] = chisel.Model{Key: "llm|f", Size: 4, Floor: 2, Most: 3, Load: 1e9}
+		p.Models["llm|big"] = chisel.Model{Key: "llm|big", Size: 8, Most: 3, Load: 1e9}
 		if !strings.Contains(c.name, "floor") && !strings.Contains(c.name, "most") {
 			delete(p.Models, "llm|f")
 		}
