Faults that tables found: lost orders, adapters, stale reports, what the next owner must know

Cause and change, each with its table in anvil/faults_test.go, red before: - an order without an answer blocked its server for the whole reign: the survey after it moved the time that it was measured from; now the order has a time of its own. - one wanted adapter made every other go: its place was not reserved. - a placement on a report from before the old owner's last order stuck: an owner's first order to a server waits for a report asked after the settle time, and placements without room are given up. - a leaving that was acknowledged could be unknown to the next owner: it asks a majority for its roll. - a server silent for long was gone for good; a late word at a reused address ended the newer server; a base that goes waited for an adapter never ordered; floors made way; unnamed models had no size. Grants tell the routers that membership knows, so that lent retries are not lent twice after a takeover. Rows of the placement table that named the order by value alone now name the order by gain (value and number of those that wait), as strict; load counts at most 64 tokens put out, memory all of them.

--- a/anvil/core.go
+++ b/anvil/core.go
@@ -49,6 +49,7 @@
 	Silence  gauge.Span                                                // an announced server is dark after so long without a word
 	Unfenced bool                                                      // servers check no fence: they count orders
 	Settle   gauge.Span                                                // an owner of unfenced servers waits so long before it orders
+	Warm     bool                                                      // while the store is idle, models that no server has on its own disk are loaded somewhere
 	Rate     gauge.Span                                                // the store's rate is kept in every while of this length
 	Joined   bool                                                      // this core is there already: an empty disk forms none
 }
@@ -75,7 +76,7 @@
 	gauge.Or(&o.Most, 1024)
 	gauge.Or(&o.Pending, 4096)
 	gauge.Or(&o.Silence, 3600e6)
-	gauge.Or(&o.Settle, o.Wait+400e6)
+	gauge.Or(&o.Settle, o.Wait+reportLag)
 	gauge.Or(&o.Rate, 5e9)
 	if o.Read == nil {
 		o.Read = chisel.ReadPlan
@@ -137,6 +138,8 @@
 	line    map[gauge.Key]int // keys without a replica that the store has no room for yet, by turn
 	acks    map[uint64]*leaving
 	mark    uint64
+	rolls   map[gauge.Node]gauge.Inc // core nodes whose roll this owner has heard
+	called  gauge.Tick
 	begun   []gauge.Tick // when the loads of late began
 	tally   Tally
 	began   bool
@@ -231,7 +234,7 @@
 		"Promise": (*Core).onPromise, "Accepted": (*Core).onAccepted, "State": (*Core).onState, "Value": (*Core).onValue,
 		"Listing": (*Core).onListing, "Look": (*Core).onLook, "Looked": (*Core).onLooked,
 		"Taken": (*Core).onTaken, "Kept": (*Core).onKept,
-		"Beacons": (*Core).onBeacons, "BeaconsHeard": (*Core).onBeaconsHeard,
+		"RollCall": (*Core).onRollCall, "Roll": (*Core).onRoll, "Beacons": (*Core).onBeacons, "BeaconsHeard": (*Core).onBeaconsHeard,
 		"Renew": (*Core).onRenew, "Heard": (*Core).onHeard, "Want": (*Core).onWant, "Removal": (*Core).onRemoval,
 	}
 }
--- a/anvil/duty.go
+++ b/anvil/duty.go
@@ -150,6 +150,7 @@
 	c.listing, c.listed, c.eye, c.begun, c.asked = false, 0, eye{}, nil, 0
 	c.planned()
 	if c.duty.mine && c.o.Enrolled {
+		c.rolls, c.called = map[gauge.Node]gauge.Inc{c.o.Me.ID: c.vote.inc}, 0
 		c.callRoll()
 	} else if c.duty.mine {
 		c.onList(c.list.List) // until the platform says otherwise
--- a/anvil/enrol.go
+++ b/anvil/enrol.go
@@ -23,7 +23,9 @@
 type enrolled struct {
 	dowel.Beacon
 	heard gauge.Tick         // when its last word came, by whatever way
-	had   map[gauge.Key]bool // what it has held, and so has on its own disk
+	had   map[gauge.Key]bool // what its own disk has, surely (true) or likely: an earlier start held it
+	soft  bool               // it is only taken for gone, since another start has its address
+	spoke gauge.Tick         // when it first spoke all the same
 }
 
 // keeps adds what a server says that it holds to what it has had.
@@ -73,12 +75,11 @@
 				continue
 			}
 			if o.Service == b.Service && o.Zone == b.Zone {
-				e.keeps(gauge.Keys(o.had))
-			}
-			if o.State != "gone" {
-				o.State = "gone"
-				c.applyRoll(o)
+				for k := range o.had {
+					e.had[k] = false
+				}
 			}
+			c.retire(o)
 		}
 		c.tally.Enrolments++
 		e.keeps(b.Held)
@@ -87,16 +88,41 @@
 		return true
 	}
 	if b.State == "gone" {
-		if e.State == "gone" {
+		if e.State == "gone" && !e.soft {
 			return false
 		}
-		e.State, e.heard = "gone", c.now
+		e.State, e.soft, e.heard = "gone", false, c.now
 		c.applyRoll(e)
 		return true
 	}
-	if b.Count <= e.Count || e.State == "gone" {
+	if b.Count <= e.Count || e.State == "gone" && !e.soft {
 		return false
 	}
+	if e.soft {
+		// It may be a late word; one that goes on speaking while the other start says nothing is there.
+		e.Count = b.Count
+		if e.spoke == 0 {
+			e.spoke = c.now
+		}
+		holder := gauge.Tick(0)
+		for _, o := range c.roll {
+			if o != e && o.Addr == b.Addr && o.State != "gone" {
+				holder = max(holder, o.heard)
+			}
+		}
+		if c.now.Sub(e.spoke) < relayEvery*5 || holder > e.spoke {
+			if holder > e.spoke {
+				e.spoke = 0
+			}
+			return false
+		}
+		e.soft, e.spoke, e.State = false, 0, "live"
+		for _, id := range gauge.Keys(c.roll) {
+			if o := c.roll[id]; o != e && o.Addr == b.Addr {
+				c.retire(o)
+			}
+		}
+	}
 	if stagesOf[b.State] < stagesOf[e.State] {
 		b.State = e.State
 	}
@@ -111,6 +137,14 @@
 	return true
 }
 
+// retire takes a server for gone whose address another start of a server has.
+func (c *Core) retire(o *enrolled) {
+	if o.State != "gone" {
+		o.State, o.soft = "gone", true
+		c.applyRoll(o)
+	}
+}
+
 // silent tells whether nothing was heard of an announced server for too long.
 func (s *server) silent(c *Core) bool {
 	e := c.roll[s.ID]
@@ -314,13 +348,20 @@
 		if e.State == "gone" && c.now.Sub(e.heard) > rollForget {
 			delete(c.roll, id)
 		} else if e.State != "gone" && c.now.Sub(e.heard) > 8*c.o.Silence {
-			e.State, e.heard = "gone", c.now
+			e.State = "gone"
 			c.applyRoll(e)
+			delete(c.roll, id) // its next word, if one comes, enrols it anew
 		}
 	}
 	if !c.rules() {
 		return
 	}
+	if k := c.reg.known; k != nil && !quorum(*k, c.rolls) && c.now.Sub(c.called) > leaveResend {
+		c.called = c.now
+		for _, p := range c.others() {
+			c.send(p, dowel.RollCall{Duty: c.duty.num})
+		}
+	}
 	for _, id := range gauge.Keys(c.servers) {
 		s := c.servers[id]
 		if !s.dark && s.State != "gone" && s.silent(c) {
@@ -347,6 +388,37 @@
 
 // has tells whether a server likely has a model on its own disk.
 func (c *Core) has(s *server, k gauge.Key) bool {
+	e := c.roll[s.ID]
+	if e == nil {
+		return false
+	}
+	_, ok := e.had[k]
+	return ok
+}
+
+// sure tells whether a server has a model on its own disk, without doubt.
+func (c *Core) sure(s *server, k gauge.Key) bool {
 	e := c.roll[s.ID]
 	return e != nil && e.had[k]
 }
+
+func (c *Core) onRollCall(e dowel.Env) {
+	var l []dowel.Beacon
+	for _, id := range gauge.Keys(c.roll) {
+		if x := c.roll[id]; !x.soft {
+			l = append(l, x.Beacon)
+		}
+	}
+	c.reply(e, dowel.Roll{Duty: e.Body.(dowel.RollCall).Duty, Inc: c.vote.inc, List: l})
+}
+
+func (c *Core) onRoll(e dowel.Env) {
+	b := e.Body.(dowel.Roll)
+	if !c.duty.mine || b.Duty != c.duty.num {
+		return
+	}
+	for _, x := range b.List {
+		c.enrol(x)
+	}
+	c.rolls[e.From.ID] = b.Inc
+}
--- /dev/null
+++ b/anvil/faults_test.go
@@ -0,0 +1,153 @@
+package anvil
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"tidedeck/chisel"
+	"tidedeck/dowel"
+	"tidedeck/gauge"
+)
+
+// An order that was lost on its way is sent again under the same count.
+func TestLostOrderIsSentAgain(t *testing.T) {
+	c := newCluster(t, floor(modelPlan(12, "llm|m"), 1, "llm|m"), "a")
+	m := c.serve("s")
+	m.lost = first(false, false)
+	require.True(t, c.until(15e9, func() bool { return m.holds["llm|m"] }))
+	require.Len(t, c.ops, 2)
+	require.Zero(t, c.ops[1].Expected)
+}
+
+// An order of the old owner is taken in its last moment, so that the new one's first report does not
+// show it yet: what the new one placed there meanwhile comes, there or elsewhere.
+func TestOrderInTheLastMoment(t *testing.T) {
+	for _, lag := range []gauge.Span{100e6, 300e6, 500e6} {
+		c := newCluster(t, modelPlan(8, "llm|m", "llm|n", "llm|o"), "a", "b", "c")
+		m := c.serve("s", "llm|m")
+		m.lag, m.slow = lag, 5e9
+		c.run(3e9)
+		r, old := c.route("r"), c.lead()
+		c.parted["a"] = true
+		c.until(5e9, func() bool { return c.at >= old.duty.until(old)-20e6 })
+		require.Equal(t, 202, m.take(dowel.Order{Op: "load", Key: "llm|n", Size: 4, Expected: m.count}), "no order is under way")
+		r.burden["llm|o"] = dowel.Burden{Wait: 9, Came: 3, Load: 0.1}
+		require.True(t, c.until(40e9, func() bool { return m.holds["llm|o"] }), "%v", lag)
+	}
+}
+
+// A base that leaves the plan goes, although an adapter was about to be loaded on it.
+func TestBaseGoesBesideUnsentAdapter(t *testing.T) {
+	c := newCluster(t, modelPlan(10, "llm|m", "llm|m+1", "llm|n"), "a")
+	m := c.serve("s", "llm|m")
+	r := c.route("r")
+	r.burden["llm|m"] = dowel.Burden{Came: 1}
+	require.True(t, c.until(9e9, func() bool { return r.sends("llm|m", "s") }))
+	c.run(3e9)
+	s := c.lead().servers["s"]
+	s.busy, s.next = true, c.at.Add(3e9) // as after any order that was refused
+	r.burden = map[gauge.Key]dowel.Burden{"llm|m+1": {Wait: 1, Came: 1}}
+	require.True(t, c.until(3e9, func() bool { return s.spots["llm|m+1"] != nil }))
+	require.Zero(t, s.spots["llm|m+1"].num)
+	c.plans["2"] = modelPlan(10, "llm|n")
+	c.admin("a", Admin{Op: "put", Raw: []byte("2"), Any: true})
+	require.True(t, c.until(30e9, func() bool { return !m.holds["llm|m"] }))
+}
+
+// One adapter that is wanted makes one other go, not all that are there.
+func TestOneAdapterMakesWayForOne(t *testing.T) {
+	var keys []gauge.Key
+	for i := range 5 {
+		keys = append(keys, gauge.Key(fmt.Sprintf("llm|m+%d", i)))
+	}
+	p := modelPlan(10, append([]gauge.Key{"llm|m"}, keys...)...)
+	v := p.Services["llm"]
+	v.Places = 4
+	p.Services["llm"] = v
+	c := newCluster(t, p, "a")
+	c.serve("s", "llm|m", keys[0], keys[1], keys[2], keys[3])
+	c.run(6e9)
+	r := c.route("r")
+	r.burden[keys[4]] = dowel.Burden{Wait: 1, Came: 1, Load: 0.01}
+	require.True(t, c.until(9e9, func() bool { return r.sends(keys[4], "s") }))
+	c.run(3e9)
+	require.Len(t, c.orders("unload"), 1)
+}
+
+// A leaving that was acknowledged is known to the next owner, also if that one was parted then.
+func TestLeavingIsKnownToTheNextOwner(t *testing.T) {
+	for _, state := range []string{"leaving", "gone"} {
+		c := newCluster(t, modelPlan(12, "llm|m"), "a", "b", "c")
+		m := c.serve("s", "llm|m")
+		r := c.route("r")
+		r.burden["llm|m"] = dowel.Burden{Came: 1}
+		require.True(t, c.until(9e9, func() bool { return r.sends("llm|m", "s") }))
+		c.parted["b"] = true
+		c.run(100e6)
+		m.silent = true
+		ok, _ := c.announce("c", beacon("s", state, 99))
+		require.True(t, ok)
+		c.run(100e6)
+		c.parted = map[string]bool{"a": true}
+		require.True(t, c.until(6e9, func() bool { return c.owner() != "" }))
+		for range 200 {
+			c.tick()
+			require.False(t, r.sends("llm|m", "s"), state)
+		}
+	}
+}
+
+// A late word of an older server does not end the newer one that has its address.
+func TestLateWordAtAReusedAddress(t *testing.T) {
+	k := New(Options{Enrolled: true})
+	k.now = 1e9
+	old, now := beacon("old", "live", 9), beacon("new", "live", 1)
+	now.Addr = old.Addr
+	k.enrol(now)
+	k.enrol(old) // it was relayed, and this node had not heard of it
+	now.Count = 2
+	k.enrol(now)
+	k.now = k.now.Add(1200e6)
+	now.Count = 3
+	require.True(t, k.enrol(now), "it goes on speaking, and the other does not")
+	require.Equal(t, "live", k.roll["new"].State)
+	require.Equal(t, "gone", k.roll["old"].State)
+}
+
+// A server that was parted from the core for long is taken back by its next word.
+func TestBackAfterLongSilence(t *testing.T) {
+	for _, s := range []gauge.Span{10e9, 25e9, 32e9, 50e9} {
+		c := newCluster(t, modelPlan(12, "llm|m"), "a", "b", "c")
+		m := c.serve("s", "llm|m")
+		r := c.route("r")
+		r.burden["llm|m"] = dowel.Burden{Came: 1}
+		require.True(t, c.until(9e9, func() bool { return r.sends("llm|m", "s") }))
+		m.silent = true
+		c.run(s)
+		m.silent = false
+		require.True(t, c.until(9e9, func() bool { return r.sends("llm|m", "s") }), "%v", s)
+	}
+}
+
+// A key at its floor does not make way while something else can.
+func TestFloorIsKept(t *testing.T) {
+	p := modelPlan(8, "llm|f", "llm|x", "llm|n")
+	p.Models["llm|f"] = chisel.Model{Key: "llm|f", Size: 4, Floor: 1, Most: 3, Load: 1e9}
+	k := weighed(p, keys{"s1": {"llm|f", "llm|x"}})
+	k.demand["llm|n"] = &need{at: k.now, wait: 1}
+	k.demand["llm|x"] = &need{slow: 0.1}
+	k.weighAll(9)
+	require.Equal(t, "+n@s1 -x@s1", k.changes())
+}
+
+// What a server holds that the plan does not name takes room too: a new owner does not know how much.
+func TestUnnamedTakesRoom(t *testing.T) {
+	c := newCluster(t, modelPlan(8, "llm|m", "llm|n"), "a")
+	m := c.serve("s", "llm|m", "llm|lost")
+	r := c.route("r")
+	r.burden["llm|n"] = dowel.Burden{Wait: 1, Came: 1}
+	require.True(t, c.until(20e9, func() bool { return len(c.orders("load")) > 0 }))
+	require.False(t, m.holds["llm|lost"], "it goes before anything comes")
+}
--- a/anvil/host.go
+++ b/anvil/host.go
@@ -83,7 +83,7 @@
 		Me: dowel.Sibling{ID: gauge.Node(h.ID), Addr: h.Post}, Zone: gauge.Zone(h.Zone), Inc: clamp.NewInc(),
 		Seeds: clamp.Siblings(h.Seeds), Rand: clamp.NewRand(), Wall: time.Now,
 		Duty: h.Timing.Duty(), Round: h.Timing.Duty() / 4, Hold: h.Timing.Hold(), Spare: h.Timing.Spare(), Silence: h.Timing.Silence(), Rate: h.Timing.Rate,
-		Read: h.Dialect.Read, Merge: h.Dialect.Merge, Enrolled: true, Unfenced: true, Joined: !h.First,
+		Read: h.Dialect.Read, Merge: h.Dialect.Merge, Enrolled: true, Unfenced: true, Warm: true, Joined: !h.First,
 	}
 }
 
--- a/anvil/links.go
+++ b/anvil/links.go
@@ -100,7 +100,7 @@
 	}
 	l.until = max(l.until, c.now.Add(c.pad(n)))
 	c.tally.Grants++
-	c.reply(l.way, dowel.Grant{Session: l.ses, Seq: l.due, Len: n, Duty: c.duty.num, Routers: len(c.links), Seats: c.seatsOf(l)})
+	c.reply(l.way, dowel.Grant{Session: l.ses, Seq: l.due, Len: n, Duty: c.duty.num, Routers: max(len(c.links), len(c.mates.Alive("awl"))), Seats: c.seatsOf(l)})
 	l.due = 0
 }
 
--- a/anvil/moves.go
+++ b/anvil/moves.go
@@ -205,7 +205,16 @@
 	if c.plan == nil {
 		return 0
 	}
-	return c.plan.Models[k].Size
+	if m, ok := c.plan.Models[k]; ok || !c.o.Unfenced {
+		return m.Size
+	}
+	most := 0 // what no plan names may be as large as anything that it names
+	for x, m := range c.plan.Models {
+		if x.IsAdapter() == k.IsAdapter() && x.Service() == k.Service() {
+			most = max(most, m.Size)
+		}
+	}
+	return most
 }
 
 // mostSize is past any size, room or number of slots that there is.
--- a/anvil/orders.go
+++ b/anvil/orders.go
@@ -28,6 +28,10 @@
 	}
 	p := s.due()
 	if p != nil && s.unsure == nil && !s.busy && c.mayOrder() {
+		if s.ok < c.duty.began.Add(c.o.Settle) {
+			c.survey(s) // what the owner before ordered last shows only now
+			return
+		}
 		c.order(s, p)
 		return
 	}
@@ -41,12 +45,12 @@
 
 func (c *Core) order(s *server, p *spot) {
 	q := dowel.Order{Duty: c.duty.num, Num: s.num, Op: verbs[p.stage], Key: p.key, Size: p.size, Owner: c.o.Me.ID, Expected: s.num - 1}
-	s.asking, s.asked = true, c.now
+	s.asking, s.asked, s.ordered = true, c.now, c.now
 	p.num = s.num + 1
 	c.tally.Orders++
 	if p.stage == Ordered {
 		c.tally.Loads++
-		if p.cold = !p.key.IsAdapter() && !c.has(s, p.key); p.cold {
+		if p.cold = !p.key.IsAdapter() && !c.sure(s, p.key); p.cold {
 			c.begun = append(c.begun, c.now)
 		}
 	} else {
@@ -120,7 +124,7 @@
 		switch {
 		case r.Num >= p.num:
 			s.unsure = nil // it was taken
-		case at.Sub(s.asked) >= 0 && c.now.Sub(s.since(p)) > c.o.Wait+reportLag:
+		case at.Sub(s.ordered) > c.o.Wait+reportLag:
 			s.unsure, p.num = nil, 0 // it was not; sent again it names the same count
 		default:
 			return
@@ -171,15 +175,17 @@
 	}
 }
 
-// since tells when a spot's order was sent last.
-func (s *server) since(*spot) gauge.Tick { return s.asked }
-
 // undone tells whether adapters on a base may still be promised to routers.
 func (c *Core) undone(s *server, p *spot) bool {
 	for k, a := range s.spots {
-		if k != p.key && k.Base() == p.key && a.stage != Draining && a.stage != Unloading {
-			return true
+		if k == p.key || k.Base() != p.key || a.stage == Draining || a.stage == Unloading {
+			continue
+		}
+		if a.stage == Ordered && a.num == 0 {
+			delete(s.spots, k) // it was never ordered, and is not any more
+			continue
 		}
+		return true
 	}
 	return false
 }
@@ -215,7 +221,7 @@
 	most := int(rate*c.o.Rate.Seconds()) + 1
 	left := most - len(c.begun)
 	if c.now.Sub(c.duty.began) < c.o.Rate {
-		left -= most / 2 // what the owner before began is not known
+		left = min(left, 3) // what the owner before began is not known: rates allow so many more at once
 	}
 	at := c.plan.Loads
 	if n > 0 {
--- a/anvil/place.go
+++ b/anvil/place.go
@@ -82,25 +82,26 @@
 // server is the owner's view of one model server.
 type server struct {
 	dowel.Listed
-	inc    gauge.Inc
-	room   int
-	slots  int
-	spots  map[gauge.Key]*spot
-	num    uint64
-	asking bool
-	next   gauge.Tick
-	fails  int
-	dark   bool
-	known  bool       // it has reported in this reign
-	ok     gauge.Tick // when the last report that came was asked for
-	first  gauge.Tick
-	odd    string // what its report contradicts itself in; it is ordered to load nothing
-	plain  bool   // it holds no models and takes no orders
-	places int    // for adapters; zero where they are not counted
-	busy   bool   // it carries out an order
-	alien  bool   // that is not of this reign: what it comes to is not known
-	unsure *spot  // the spot whose order got no answer
-	asked  gauge.Tick
+	inc     gauge.Inc
+	room    int
+	slots   int
+	spots   map[gauge.Key]*spot
+	num     uint64
+	asking  bool
+	next    gauge.Tick
+	fails   int
+	dark    bool
+	known   bool       // it has reported in this reign
+	ok      gauge.Tick // when the last report that came was asked for
+	first   gauge.Tick
+	odd     string     // what its report contradicts itself in; it is ordered to load nothing
+	plain   bool       // it holds no models and takes no orders
+	places  int        // for adapters; zero where they are not counted
+	busy    bool       // it carries out an order
+	alien   bool       // that is not of this reign: what it comes to is not known
+	unsure  *spot      // the spot whose order got no answer
+	asked   gauge.Tick // when it was asked or ordered last
+	ordered gauge.Tick // when it was ordered last
 }
 
 func (s *server) used() int {
@@ -208,6 +209,9 @@
 	if !c.rules() || c.listed == 0 {
 		return false
 	}
+	if c.o.Enrolled && !quorum(*c.reg.known, c.rolls) {
+		return false // a leaving that was acknowledged is known to a majority
+	}
 	if c.now.Sub(c.duty.began) > c.o.Wait+c.o.Poll {
 		return true
 	}
@@ -403,7 +407,7 @@
 		if p.num != 0 || verbs[p.stage] == "" {
 			continue
 		}
-		if p.stage == Ordered && (over || p.key.IsAdapter() && !s.based(p.key)) {
+		if p.stage == Ordered && (over || p.key.IsAdapter() && (!s.based(p.key) || s.places > 0 && s.adapters() > s.places)) {
 			continue // what makes way for it is not gone yet, or its base is not there
 		}
 		if next == nil || p.stage == Unloading && next.stage != Unloading {
@@ -425,7 +429,9 @@
 // beatServer keeps one question under way at a time: an order, or only for the report.
 func (c *Core) beatServer(s *server) {
 	for _, k := range gauge.Keys(s.spots) {
-		c.beatSpot(s, s.spots[k])
+		if p := s.spots[k]; p != nil { // one spot's end may end another
+			c.beatSpot(s, p)
+		}
 	}
 	if s.State == "gone" && (s.fails > 0 || c.o.Enrolled) {
 		for _, k := range gauge.Keys(s.spots) {
--- a/anvil/weigh.go
+++ b/anvil/weigh.go
@@ -13,9 +13,6 @@
 // bases get as many replicas as their work asks for; all other room keeps as many different keys as it
 // holds, and what is let go is what will be missed least for the time that it takes to be back.
 
-// mostValue is the value of the most urgent class.
-const mostValue = 1000
-
 const (
 	sumEvery  = 250e6
 	nowSpan   = 1.2  // seconds that the work of just now looks back
@@ -94,6 +91,7 @@
 	line  int     // waiting, at all routers
 	age   float64 // seconds that somebody has waited
 	value int
+	rank  int // of the value among those of the plan: 0 comes first
 	want  int
 	spare bool // nobody asks for it: it takes no room from what somebody may ask for
 }
@@ -116,7 +114,9 @@
 		if c.now.Sub(n.at) < freshSpan && n.wait > 0 {
 			f.wait = max(f.wait, n.wait)
 			f.value = max(f.value, n.value)
-			f.age = math.Max(f.age, math.Min(c.now.Sub(n.since).Seconds(), longAge))
+			if n.since != 0 {
+				f.age = math.Max(f.age, math.Min(c.now.Sub(n.since).Seconds(), longAge))
+			}
 		}
 	}
 	for _, x := range c.links {
@@ -145,7 +145,7 @@
 		}
 		good := float64(max(1, c.plan.Services[f.m.Key.Service()].Slots)) * goodBatch
 		f.want = min(max(f.m.Floor, int(math.Ceil(f.load/goodLoad)), int(float64(f.work)/good+0.5)), f.m.Most)
-		f.wait = max(f.wait, f.line)
+		f.wait, f.rank = max(f.wait, f.line), c.plan.Rank(f.value)
 		if f.wait > 0 {
 			f.want = max(f.want, 1)
 		}
@@ -159,7 +159,7 @@
 	if f.spare {
 		return 0.5
 	}
-	weight := 2 / float64(1+max(0, mostValue-f.value))
+	weight := 2 / float64(1+f.rank)
 	if f.live == 0 {
 		return (float64(f.wait)+f.age)*weight + 2*f.rate
 	}
@@ -186,7 +186,7 @@
 	once, _ := c.budget()
 	for _, s := range c.servers {
 		for k, p := range s.spots {
-			if p.stage == Ordered && !k.IsAdapter() && !c.has(s, k) && (!s.dark || c.now.Sub(p.since) < 60e9) {
+			if p.stage == Ordered && !k.IsAdapter() && !c.sure(s, k) && (!s.dark || c.now.Sub(p.since) < 60e9) {
 				once--
 				if p.num == 0 {
 					rate-- // it begins before long
@@ -195,6 +195,9 @@
 		}
 	}
 	store := min(once, rate)
+	for _, id := range gauge.Keys(c.servers) {
+		c.undo(c.servers[id])
+	}
 	var todo []*family
 	for _, k := range gauge.Keys(l) {
 		f := l[k]
@@ -218,12 +221,29 @@
 			c.line[f.m.Key] = len(c.line) + 1
 		}
 	}
-	if len(todo) == 0 && store > 1 {
+	if c.o.Warm && len(todo) == 0 && store > 1 {
 		c.seed(l)
 	}
 	c.weighAdapters()
 }
 
+// undo gives up placements for which a server turns out to have no room, and nothing is on its way out.
+func (c *Core) undo(s *server) {
+	if s.plain || s.used() <= s.room || !s.known {
+		return
+	}
+	for _, p := range s.spots {
+		if p.stage == Breaking || p.stage == Draining || p.stage == Unloading {
+			return
+		}
+	}
+	for _, k := range gauge.Keys(s.spots) {
+		if p := s.spots[k]; p.stage == Ordered && p.num == 0 {
+			delete(s.spots, k)
+		}
+	}
+}
+
 // seed loads, while the store has nothing better to do, a model that no server has on its own disk:
 // from there it comes in a part of the time, and asks nothing of the store.
 func (c *Core) seed(l map[gauge.Key]*family) {
@@ -265,7 +285,7 @@
 		if s.pending() > 0 && free < f.m.Size {
 			continue // what is under way there comes first
 		}
-		if !store && !c.has(s, f.m.Key) {
+		if !store && !c.sure(s, f.m.Key) {
 			continue
 		}
 		n := f.m.Load.Seconds()
@@ -298,7 +318,7 @@
 	}
 	best.spots[f.m.Key] = &spot{key: f.m.Key, size: f.m.Size, stage: Ordered, since: c.now}
 	f.live++
-	return !c.has(best, f.m.Key)
+	return !c.sure(best, f.m.Key)
 }
 
 // pending counts the orders that a server still has to carry out.
@@ -330,7 +350,7 @@
 			ways = append(ways, way{p, 0})
 			continue
 		}
-		if g.wait > 0 && g.live <= g.want || f.spare && (g.live > 1 || g.slow > 0.05 || !c.has(s, k)) {
+		if g.live <= g.m.Floor || g.wait > 0 && g.live <= g.want || f.spare && (g.live > 1 || g.slow > 0.05 || !c.has(s, k)) {
 			continue
 		}
 		n := c.miss(g)
@@ -456,8 +476,7 @@
 		return
 	}
 	if out != nil {
-		c.evict(best, out)
-		return // its place is free before long
+		c.evict(best, out) // its place is free before long
 	}
 	best.spots[m.Key] = &spot{key: m.Key, size: m.Size, stage: Ordered, since: c.now}
 }
--- a/chisel/plan.go
+++ b/chisel/plan.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"slices"
 	"strings"
 
 	"tidedeck/gauge"
@@ -91,6 +92,34 @@
 	HeadMost int                          // bytes of a request's head, likewise
 	BodyMost int                          // bytes of its body
 	HeadWait gauge.Span                   // for its head
+
+	ranks map[int]int
+}
+
+// Rank gives a value's place among those of the plan's classes: 0 is the highest. It is not safe for use
+// by two at once.
+func (q *Plan) Rank(value int) int {
+	if q.ranks == nil {
+		var l []int
+		for _, k := range q.Kinds {
+			l = append(l, k.Value)
+		}
+		for _, h := range q.Hosts {
+			for _, r := range h {
+				l = append(l, r.Class.Value)
+			}
+		}
+		slices.Sort(l)
+		slices.Reverse(l)
+		q.ranks = map[int]int{}
+		for i, v := range slices.Compact(l) {
+			q.ranks[v] = i
+		}
+	}
+	if n, ok := q.ranks[value]; ok {
+		return n
+	}
+	return max(0, len(q.ranks)-1)
 }
 
 // Query is what of a request decides where it may go.
--- a/dowel/dowel.go
+++ b/dowel/dowel.go
@@ -60,7 +60,7 @@
 		Probe{}, ProbeAck{}, ProbeFor{},
 		Prepare{}, Promise{}, Accept{}, Accepted{}, Query{}, State{}, Release{}, Fetch{}, Value{},
 		Renew{}, Grant{}, NotOwner{}, News{}, Heard{}, Want{}, Removal{}, Hold{}, Hello{}, Keep{}, Kept{}, Taken{}, Listing{}, Look{}, Looked{},
-		Beacons{}, BeaconsHeard{},
+		Beacons{}, BeaconsHeard{}, RollCall{}, Roll{},
 	} {
 		t := reflect.TypeOf(b)
 		kinds[t.Name()] = t
@@ -519,6 +519,16 @@
 	List []Beacon
 }
 
+// RollCall asks a core node for every server that it knows of, when an owner begins.
+type RollCall struct{ Duty gauge.Duty }
+
+// Roll answers RollCall.
+type Roll struct {
+	Duty gauge.Duty
+	Inc  gauge.Inc
+	List []Beacon
+}
+
 // BeaconsHeard answers Beacons: they are known here. Ruled says more: the sender owns the duty, and no
 // router's promise to send to any of them outlives the hold.
 type BeaconsHeard struct {
--- a/lathe/core.go
+++ b/lathe/core.go
@@ -121,6 +121,7 @@
 type bench struct {
 	work   int
 	tokens int // of what is under way
+	memory int // tokens that what is under way of its own may come to at the server
 	others int // of other routers, when last told
 	told   int // of its own, when last told
 	keys   map[gauge.Key]int
--- a/lathe/ledger.go
+++ b/lathe/ledger.go
@@ -570,12 +570,6 @@
 	return l[0]
 }
 
-// rank tells how urgent a request is: 0 comes first.
-func (r *req) rank() int { return min(max(mostValue-r.class.Value, 0), 9) }
-
-// mostValue is the value of the most urgent class.
-const mostValue = 1000
-
 func (c *Core) launch(r *req, p *dowel.Replica) {
 	c.leave(r)
 	r.fire("launch")
@@ -584,13 +578,14 @@
 	n := len(r.goes)
 	b.work++
 	b.tokens += r.weight()
+	b.memory += r.memory()
 	b.keys[r.key]++
 	c.work[r.key]++
 	x := r.Call.Call
 	c.out = append(c.out, Launch{Ref: r.Ref, N: n, Server: p.Server, Addr: p.Addr, Work: dowel.Work{
 		Go: fmt.Sprintf("%s-%d-%d-%d", c.o.Me.ID, c.o.Inc, r.Ref, n), ID: x.ID, Base: x.Base, Extra: x.Extra,
 		Inc: p.Inc, Parts: x.Parts, Prompt: x.Prompt, Max: x.Max, Once: !x.Again,
-	}, Left: r.end.Sub(c.now), Rank: r.rank(), Again: r.again(), Resume: r.resumes()})
+	}, Left: r.end.Sub(c.now), Rank: c.plan.Rank(r.class.Value), Again: r.again(), Resume: r.resumes()})
 }
 
 // MaySend is asked at the very point of sending: the hold must still run, the callback must
@@ -656,6 +651,7 @@
 	b := c.seat(g.Server)
 	b.work--
 	b.tokens -= g.weight
+	b.memory -= r.memory()
 	if b.keys[r.key]--; b.keys[r.key] <= 0 {
 		delete(b.keys, r.key)
 	}
--- a/lathe/weigh.go
+++ b/lathe/weigh.go
@@ -30,6 +30,9 @@
 	return max(flatWeight, r.Call.Call.Tokens+min(r.Call.Call.Max, mostOut))
 }
 
+// memory is what a request may come to at a server, in tokens.
+func (r *req) memory() int { return r.Call.Call.Tokens + r.Call.Call.Max }
+
 // shared counts the tokens of a prompt that other requests have too: all parts but the last.
 func (r *req) shared() int {
 	n := 0
@@ -76,14 +79,13 @@
 			}
 		}
 	}
-	own := r.weight()
 	for i := range e.Replicas {
 		p := &e.Replicas[i]
 		b := c.seat(p.Server)
 		if c.empty[p.Zone] || c.now < b.avoid || r.met(p) {
 			continue
 		}
-		if !c.fits(r, p, b, own) {
+		if !c.fits(r, p, b) {
 			continue
 		}
 		n := float64(b.under())
@@ -127,7 +129,7 @@
 }
 
 // fits tells whether a server can take a request on: its places, and the memory that its requests share.
-func (c *Core) fits(r *req, p *dowel.Replica, b *bench, own int) bool {
+func (c *Core) fits(r *req, p *dowel.Replica, b *bench) bool {
 	v := c.plan.Services[r.key.Service()]
 	if r.key.Plain() {
 		return b.under() < 3*max(1, p.Slots)
@@ -135,7 +137,8 @@
 	if b.work >= p.Slots {
 		return false
 	}
-	return v.Tokens == 0 || b.under() == 0 || b.under()+own <= v.Tokens
+	taken := max(b.memory, b.under())
+	return v.Tokens == 0 || taken == 0 || taken+r.memory() <= v.Tokens
 }
 
 // pace learns how long a token takes at best for a key: others before it only make it longer.
