The log can also write every line at once as JSON lines

Cause: the ring is written out only on trouble, so that standard output says nothing of a calm process. Ruled out: a second logger (each line would be made at two places), and logrus' own writer hook (it uses the logger's text format). Change: NewRingWith(RingOptions{Name, Out, Lines}); a hook after the one that names lines writes each as JSON, whole though many write. NewRing calls it without Lines; the ring itself is as it was. Before: no such switch. Conclusion: no program uses it yet. A reader that does not read holds up whoever logs.

--- a/clamp/clamp.go
+++ b/clamp/clamp.go
@@ -249,12 +249,7 @@
 
 // NewRing makes a log for one process.
 func NewRing(name string, out io.Writer) *Ring {
-	r := &Ring{list: make([]string, 512), out: out}
-	r.log = logrus.New()
-	r.log.SetOutput(ringWriter{r})
-	r.log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: time.RFC3339Nano})
-	r.log.AddHook(nameHook(name))
-	return r
+	return NewRingWith(RingOptions{Name: name, Out: out})
 }
 
 type nameHook string
