A disk that refuses writes is tried again; only lost confirmed state ends the node

Cause: a core node whose disk refused one write ended itself with code 3, and one that started on a full disk ended with an error. Disks get full, stall and come back, and a process that ends by itself is a fault. Change: - A failed write is not confirmed. What is found must be, by number and digest, the last state found or confirmed, or the one whose write was tried last, and the mark no older than what was confirmed. Anything else is damage, and only that still ends the process. - What waits is one batch: the last value of each key, and all tokens in order. - At the start the folder is opened for as long as it takes; damage found before the disk filled up is still told. - A naming of a manifest that failed may have taken effect (rename done, folder not synced). goleveldb then removes that manifest, so that nothing names a manifest any more: taken for damage. Ruled out: writing on in the same store (the error stays), trusting that a failed write is not there (it may be), skipping what is found of an unconfirmed batch (it would need a second way to confirm). Conclusion: a full or refusing disk costs time, not the node; it votes only with what is durable.

--- a/clamp/clamp.go
+++ b/clamp/clamp.go
@@ -95,11 +95,14 @@
 // Run opens the disk, starts listening and sets the core going.
 func (c *Clamp) Run() error {
 	if c.o.Data != "" {
-		d, m, harm, err := openDisk(c.o.Data, func(err error) {
-			// A disk that fails a write can no longer be trusted: stop at once, and say so.
+		fail := func(err error) {
+			// A disk that lost what was confirmed must not vote: stop at once, and say so.
 			c.o.Ring.Oops(err.Error())
-			fmt.Fprintf(os.Stderr, "stopped, since the disk failed: %v; what was confirmed before is on it\n", err)
+			fmt.Fprintf(os.Stderr, "stopped, since the disk lost what was confirmed on it: %v\n", err)
 			os.Exit(3)
+		}
+		d, m, harm, err := awaitDisk(c.ctx, retry, func() (*disk, map[string][]byte, bool, error) { return openDisk(c.o.Data, fail) }, func(err error) {
+			c.o.Ring.Oops("the data folder does not open, and is tried again until it does: " + err.Error())
 		})
 		if err != nil {
 			return err
@@ -107,7 +110,7 @@
 		if harm {
 			c.o.Ring.Oops("the data folder was damaged: it is set aside, and this node begins anew")
 		}
-		d.done = func(s dowel.Saved) { c.Step(s) }
+		d.done, d.note = func(s dowel.Saved) { c.Step(s) }, c.o.Ring.Info
 		c.disk = d
 		c.over.Add(1)
 		go func() { defer c.over.Done(); d.run() }()
--- a/clamp/disk.go
+++ b/clamp/disk.go
@@ -1,14 +1,17 @@
 package clamp
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"hash/crc32"
 	"hash/fnv"
+	"maps"
 	"os"
 	"path/filepath"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/syndtr/goleveldb/leveldb"
@@ -27,20 +30,55 @@
 // that the store then has; once it is synced the number goes to the second, and only then is
 // the batch confirmed. So a tail that the power took can be told from damage: what is found
 // must fit its own digest, and be no older than what was confirmed.
+//
+// A write that fails is not confirmed: the stores are opened anew, as they take no more after
+// it, until the disk takes what is due. It may be found there or not; what is found must be
+// either the last state found or confirmed, or the one whose write failed.
 type disk struct {
+	*stores
+	v     vaults
+	firm  uint64     // the last number confirmed
+	held  seal       // the last state found or confirmed
+	tried seal       // the state whose write was tried last
+	mu    sync.Mutex // guards next and stop
+	next  batch
+	stop  bool
+	more  chan struct{} // next has something
+	quit  chan struct{} // closed with stop
+	done  func(dowel.Saved)
+	note  func(string)
+	fail  func(error) // hears of damage
+}
+
+// stores are both stores while they are open, and what the first has in it.
+type stores struct {
 	db    *leveldb.DB
 	mark  *leveldb.DB
 	shops []storage.Storage
 	num   uint64
+	told  uint64 // the number that the second store has
 	sums  map[string]uint32
-	mu    sync.Mutex // guards list and stop
-	cond  *sync.Cond
-	list  []dowel.Save
-	done  func(dowel.Saved)
-	fail  func(error)
-	stop  bool
 }
 
+// batch is what waits to be written: of each key the last value, and whom to tell.
+type batch struct {
+	puts   map[string][]byte
+	tokens []uint64
+}
+
+func (b *batch) add(puts map[string][]byte, tokens ...uint64) {
+	if b.puts == nil {
+		b.puts = make(map[string][]byte, len(puts))
+	}
+	maps.Copy(b.puts, puts)
+	b.tokens = append(b.tokens, tokens...)
+}
+
+// pause is how long to wait between tries, at first and at most.
+type pause struct{ least, most time.Duration }
+
+func (p pause) longer(w time.Duration) time.Duration { return max(p.least, min(2*w, p.most)) }
+
 const (
 	sealKey = "\x00seal"
 	markKey = "confirmed"
@@ -52,15 +90,18 @@
 	Sum uint64
 }
 
-// vault is where one store lies: how it is opened, and how its folder is synced.
+// vault is where one store lies: how it is opened, how its folder is synced, and how it is
+// emptied of a store that was never quite begun.
 type vault struct {
 	open func() (storage.Storage, error)
 	sync func() error
+	bare func() error
 }
 
 type vaults struct {
 	state, mark vault
 	aside       func() error // puts both away, whole
+	pause       pause
 }
 
 // sure is a storage whose new files have their names synced with them, and whose manifest is
@@ -70,8 +111,12 @@
 	storage.Storage
 	sync func() error
 	last map[storage.FileDesc]*sureFile // manifests not yet named
+	half map[storage.FileDesc]bool      // manifests whose naming failed, and which may be named
 }
 
+// Log drops what goleveldb tells of its work: it would cost the disk writes.
+func (s *sure) Log(string) {}
+
 type sureFile struct {
 	storage.Writer
 	sync func() error
@@ -99,7 +144,20 @@
 		}
 		delete(s.last, fd)
 	}
-	return s.Storage.SetMeta(fd)
+	err := s.Storage.SetMeta(fd)
+	if err != nil {
+		s.half[fd] = true
+	}
+	return err
+}
+
+// Remove keeps a manifest that may be the current one: goleveldb takes a naming that failed
+// for one that did nothing.
+func (s *sure) Remove(fd storage.FileDesc) error {
+	if s.half[fd] {
+		return nil
+	}
+	return s.Storage.Remove(fd)
 }
 
 // Sync syncs the file and, the first time, its name.
@@ -136,13 +194,30 @@
 		path := filepath.Join(dir, name)
 		return vault{sync: func() error { return syncDir(path) }, open: func() (storage.Storage, error) {
 			s, err := storage.OpenFile(path, false)
-			if err == nil {
-				err = syncDir(dir)
+			if err != nil {
+				return nil, err
 			}
-			return s, err
+			if err := syncDir(dir); err != nil {
+				_ = s.Close() // or its lock would stay
+				return nil, err
+			}
+			return s, nil
+		}, bare: func() error {
+			for _, n := range []string{"CURRENT*", "MANIFEST-*"} {
+				l, err := filepath.Glob(filepath.Join(path, n))
+				if err != nil {
+					return err
+				}
+				for _, f := range l {
+					if err := os.Remove(f); err != nil {
+						return err
+					}
+				}
+			}
+			return syncDir(path)
 		}}
 	}
-	return openVaults(vaults{state: v("state"), mark: v("mark"), aside: func() error {
+	return openVaults(vaults{pause: retry, state: v("state"), mark: v("mark"), aside: func() error {
 		for i := 1; ; i++ {
 			side := func(n string) string { return filepath.Join(dir, fmt.Sprintf("%s.damaged-%d", n, i)) }
 			if _, err := os.Stat(side("state")); !os.IsNotExist(err) {
@@ -159,20 +234,48 @@
 	}}, fail)
 }
 
+// retry is the pause between tries of a disk that refuses.
+var retry = pause{50 * time.Millisecond, time.Second}
+
+// awaitDisk opens a disk, for as long as it takes one that is full or refuses to come back;
+// note hears of the first fault.
+func awaitDisk(ctx context.Context, p pause, open func() (*disk, map[string][]byte, bool, error), note func(error)) (*disk, map[string][]byte, bool, error) {
+	harm := false
+	for wait := p.least; ; wait = p.longer(wait) {
+		d, m, h, err := open()
+		harm = harm || h
+		if err == nil {
+			return d, m, harm, nil
+		}
+		if note != nil {
+			note(err)
+			note = nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, nil, harm, err
+		case <-time.After(wait):
+		}
+	}
+}
+
 func openVaults(v vaults, fail func(error)) (*disk, map[string][]byte, bool, error) {
-	d, m, err := openBoth(v)
+	m := map[string][]byte{}
+	each := func(k string, b []byte) { m[k] = append([]byte{}, b...) }
+	s, err := openBoth(v, each)
 	harm := false
 	if err != nil && harmed(err) {
 		harm = true
 		if err = v.aside(); err != nil {
 			return nil, nil, true, errors.Wrap(err, "set the damaged store aside")
 		}
-		d, m, err = openBoth(v)
+		clear(m)
+		s, err = openBoth(v, each)
 	}
 	if err != nil {
 		return nil, nil, harm, errors.Wrap(err, "data folder")
 	}
-	d.fail = fail
+	d := &disk{stores: s, v: v, firm: s.num, held: s.seal(), more: make(chan struct{}, 1), quit: make(chan struct{}), note: func(string) {}, fail: fail}
 	return d, m, harm, nil
 }
 
@@ -182,134 +285,213 @@
 // harmed tells damage from a passing fault of the machine, which leaves the disk as it is.
 func harmed(err error) bool { return errors.Is(err, errHarm) || dberrors.IsCorrupted(err) }
 
-func (d *disk) openOne(v vault) (*leveldb.DB, error) {
-	s, err := v.open()
+// small keeps what is written beside the values little: a disk that is almost full has room
+// for what must be written to open the stores, and little memory goes to files that are read
+// only then.
+var small = opt.Options{
+	// Journals and manifests may end in what was never synced; the seal tells whether more is missing.
+	Strict:                       opt.StrictAll &^ (opt.StrictJournal | opt.StrictManifest),
+	WriteBuffer:                  256 * opt.KiB,
+	CompactionTableSize:          256 * opt.KiB,
+	CompactionTotalSize:          opt.MiB,
+	BlockCacheCapacity:           -1,
+	OpenFilesCacheCapacity:       8,
+	DisableLargeBatchTransaction: true, // which would take several syncs where a journal takes one
+}
+
+func (s *stores) openOne(v vault) (*leveldb.DB, error) {
+	x, err := v.open()
 	if err != nil {
 		return nil, err
 	}
-	d.shops = append(d.shops, s)
-	// Journals and manifests may end in what was never synced; the seal tells whether more is missing.
-	return leveldb.Open(&sure{s, v.sync, map[storage.FileDesc]*sureFile{}}, &opt.Options{Strict: opt.StrictAll &^ (opt.StrictJournal | opt.StrictManifest)})
+	s.shops = append(s.shops, x)
+	if err := begun(x, v); err != nil {
+		return nil, err
+	}
+	return leveldb.Open(&sure{x, v.sync, map[storage.FileDesc]*sureFile{}, map[storage.FileDesc]bool{}}, &small)
+}
+
+// begun empties a vault that has neither journals nor tables, and so never had anything
+// confirmed, if no manifest is named in it: its beginning broke off.
+func begun(x storage.Storage, v vault) error {
+	l, err := x.List(storage.TypeJournal | storage.TypeTable)
+	if err != nil || len(l) > 0 {
+		return err
+	}
+	if _, err = x.GetMeta(); os.IsNotExist(err) || dberrors.IsCorrupted(err) {
+		return v.bare()
+	}
+	return err
 }
 
-func openBoth(v vaults) (d *disk, m map[string][]byte, err error) {
-	x := &disk{sums: map[string]uint32{}}
-	x.cond = sync.NewCond(&x.mu)
-	d = x
+// openBoth opens the stores and shows each value in the first.
+func openBoth(v vaults, each func(k string, b []byte)) (_ *stores, err error) {
+	s := &stores{sums: map[string]uint32{}}
 	defer func() {
 		if err != nil {
-			x.shut()
+			s.shut()
 		}
 	}()
-	if d.db, err = d.openOne(v.state); err != nil {
-		return nil, nil, err
-	}
-	if d.mark, err = d.openOne(v.mark); err != nil {
-		return nil, nil, err
+	if s.db, err = s.openOne(v.state); err != nil {
+		return nil, err
 	}
-	if m, err = readAll(d.db); err != nil {
-		return nil, nil, err
+	if s.mark, err = s.openOne(v.mark); err != nil {
+		return nil, err
 	}
-	var s seal
-	raw, sealed := m[sealKey]
-	delete(m, sealKey)
-	if sealed {
-		if json.Unmarshal(raw, &s) != nil {
-			return nil, nil, errHarm
+	var found seal
+	sealed := false
+	if err = readAll(s.db, func(k string, b []byte) error {
+		if k == sealKey {
+			sealed = true
+			if json.Unmarshal(b, &found) != nil {
+				return errHarm
+			}
+			return nil
 		}
+		s.sums[k] = crc32.ChecksumIEEE(b)
+		each(k, b)
+		return nil
+	}); err != nil {
+		return nil, err
 	}
-	for k, b := range m {
-		d.sums[k] = crc32.ChecksumIEEE(b)
-	}
-	told := uint64(0)
-	switch b, e := d.mark.Get([]byte(markKey), nil); {
+	switch b, e := s.mark.Get([]byte(markKey), nil); {
 	case e == nil:
-		if told, e = strconv.ParseUint(string(b), 10, 64); e != nil {
-			return nil, nil, errHarm
+		if s.told, e = strconv.ParseUint(string(b), 10, 64); e != nil {
+			return nil, errHarm
 		}
 	case !errors.Is(e, leveldb.ErrNotFound):
-		return nil, nil, e
+		return nil, e
 	}
-	if s.Num < told || sealed && s.Sum != d.sum() {
-		return nil, nil, errHarm
+	s.num = found.Num
+	if s.num < s.told || sealed && found != s.seal() {
+		return nil, errHarm
 	}
-	d.num = s.Num
-	return d, m, nil
+	return s, nil
 }
 
-// sum is a digest of all that the store has.
-func (d *disk) sum() uint64 {
+// seal says what the first store has now.
+func (s *stores) seal() seal {
 	h := fnv.New64a()
-	for _, k := range gauge.Keys(d.sums) {
-		fmt.Fprintf(h, "%q:%d;", k, d.sums[k])
+	for _, k := range gauge.Keys(s.sums) {
+		fmt.Fprintf(h, "%q:%d;", k, s.sums[k])
 	}
-	return h.Sum64()
+	return seal{s.num, h.Sum64()}
 }
 
-func (d *disk) shut() {
-	for _, b := range []*leveldb.DB{d.db, d.mark} {
+func (s *stores) shut() {
+	for _, b := range []*leveldb.DB{s.db, s.mark} {
 		if b != nil {
 			_ = b.Close()
 		}
 	}
-	for _, s := range d.shops {
-		_ = s.Close()
+	for _, x := range s.shops {
+		_ = x.Close()
 	}
+	*s = stores{}
 }
 
-func readAll(db *leveldb.DB) (map[string][]byte, error) {
-	m := map[string][]byte{}
+func readAll(db *leveldb.DB, each func(k string, b []byte) error) error {
 	i := db.NewIterator(nil, &opt.ReadOptions{Strict: opt.StrictAll})
 	defer i.Release()
 	for i.Next() {
-		m[string(i.Key())] = append([]byte{}, i.Value()...)
+		if err := each(string(i.Key()), i.Value()); err != nil {
+			return err
+		}
 	}
-	return m, i.Error()
+	return i.Error()
 }
 
 func (d *disk) put(s dowel.Save) {
 	d.mu.Lock()
-	d.list = append(d.list, s)
+	d.next.add(s.Puts, s.Token)
 	d.mu.Unlock()
-	d.cond.Signal()
+	select {
+	case d.more <- struct{}{}:
+	default:
+	}
 }
 
-// run writes what is queued; what came meanwhile goes into one batch.
+// run writes what is queued; what came meanwhile goes into one batch. What the disk refuses
+// is tried again until it is taken, or the end is asked for.
 func (d *disk) run() {
+	var due batch
+	tries, wait, ending := 0, d.v.pause.least, false
 	for {
 		d.mu.Lock()
-		for len(d.list) == 0 && !d.stop {
-			d.cond.Wait()
-		}
-		l := d.list
-		d.list = nil
-		end := d.stop && len(l) == 0
+		due.add(d.next.puts, d.next.tokens...)
+		d.next = batch{}
 		d.mu.Unlock()
-		if end {
-			d.shut()
-			return
+		if len(due.tokens) == 0 {
+			if ending {
+				d.shut()
+				return
+			}
+			select {
+			case <-d.more:
+			case <-d.quit:
+				ending = true
+			}
+			continue
 		}
-		if err := d.write(l); err != nil {
+		err := d.try(due.puts, tries > 0)
+		switch {
+		case err == nil:
+			if tries > 0 {
+				d.note(fmt.Sprintf("the disk takes writes again, at try %d", tries+1))
+			}
+			tries, wait = 0, d.v.pause.least
+			for _, t := range due.tokens {
+				d.done(dowel.Saved{Token: t})
+			}
+			due = batch{}
+			continue
+		case harmed(err):
 			d.shut()
 			d.fail(errors.Wrap(err, "disk"))
 			return
+		case ending:
+			d.shut()
+			return
 		}
-		for _, s := range l {
-			d.done(dowel.Saved{Token: s.Token})
+		if tries++; tries == 1 {
+			d.note(fmt.Sprintf("the disk refuses, and nothing is confirmed until it takes writes again: %v", err))
 		}
+		select {
+		case <-time.After(wait):
+		case <-d.quit:
+			ending = true
+		}
+		wait = d.v.pause.longer(wait)
 	}
 }
 
-func (d *disk) write(l []dowel.Save) error {
-	b := new(leveldb.Batch)
-	for _, s := range l {
-		for k, v := range s.Puts {
-			b.Put([]byte(k), v)
-			d.sums[k] = crc32.ChecksumIEEE(v)
+// try writes a batch, to stores opened anew if the last try failed.
+func (d *disk) try(puts map[string][]byte, anew bool) error {
+	if anew {
+		d.shut()
+		s, err := openBoth(d.v, func(string, []byte) {})
+		if err != nil {
+			return err
+		}
+		d.stores = s
+		found := s.seal()
+		if found != d.held && found != d.tried || s.told < d.firm {
+			return errHarm
 		}
+		d.held = found
+	}
+	return d.write(puts)
+}
+
+func (d *disk) write(puts map[string][]byte) error {
+	b := new(leveldb.Batch)
+	for k, v := range puts {
+		b.Put([]byte(k), v)
+		d.sums[k] = crc32.ChecksumIEEE(v)
 	}
 	d.num++
-	s, err := json.Marshal(seal{d.num, d.sum()})
+	d.tried = d.seal()
+	s, err := json.Marshal(d.tried)
 	if err != nil {
 		return err
 	}
@@ -317,12 +499,18 @@
 	if err := d.db.Write(b, &opt.WriteOptions{Sync: true}); err != nil {
 		return err
 	}
-	return d.mark.Put([]byte(markKey), strconv.AppendUint(nil, d.num, 10), &opt.WriteOptions{Sync: true})
+	if err := d.mark.Put([]byte(markKey), strconv.AppendUint(nil, d.num, 10), &opt.WriteOptions{Sync: true}); err != nil {
+		return err
+	}
+	d.held, d.firm = d.tried, d.num
+	return nil
 }
 
 func (d *disk) close() {
 	d.mu.Lock()
-	d.stop = true
-	d.mu.Unlock()
-	d.cond.Signal()
+	defer d.mu.Unlock()
+	if !d.stop {
+		d.stop = true
+		close(d.quit)
+	}
 }
