--- a/anvil/host.go
+++ b/anvil/host.go
@@ -89,7 +89,7 @@
 
 // Host runs a core node under a hosting platform until it is told to stop.
 func Host(h HostOptions) error {
-	ring := clamp.NewRing(h.ID, os.Stderr)
+	ring := clamp.NewRingWith(clamp.RingOptions{Name: h.ID, Out: os.Stderr, Lines: h.Logs})
 	core := New(hosted(h))
 	d := &desk{wait: map[uint64]chan Receipt{}}
 	a := &announcer{wait: map[uint64]chan bool{}, desk: d, o: h}
--- a/lathe/host.go
+++ b/lathe/host.go
@@ -39,7 +39,7 @@
 
 // Host runs a router and its agent under a hosting platform until it is told to stop.
 func Host(h HostOptions) error {
-	ring := clamp.NewRing(h.ID, os.Stderr)
+	ring := clamp.NewRingWith(clamp.RingOptions{Name: h.ID, Out: os.Stderr, Lines: h.Logs})
 	me := dowel.Sibling{ID: gauge.Node(h.ID), Addr: h.Post}
 	core := New(Options{
 		Me: dowel.Sibling{ID: nearLathe, Addr: nearLathe}, Inc: clamp.NewInc(), Awl: dowel.Sibling{Addr: nearAwl},
@@ -50,7 +50,15 @@
 		Seeds: clamp.Siblings(h.Seeds), Rand: clamp.NewRand(), Lathe: dowel.Sibling{ID: nearLathe, Addr: nearLathe},
 	})
 	var router, beside *clamp.Clamp
-	relay := NewRelay(RelayOptions{Dialect: h.Dialect, Conns: ConnOptions{Dialer: clamp.Dialer(h.Ingress, 400*time.Millisecond)}})
+	limits := func() (most int64, wait time.Duration) {
+		router.With(func(gauge.Tick) {
+			if p := core.plan; p != nil {
+				most, wait = int64(p.BodyMost), p.Idle
+			}
+		})
+		return most, wait
+	}
+	relay := NewRelay(RelayOptions{Dialect: h.Dialect, Limits: limits, Conns: ConnOptions{Dialer: clamp.Dialer(h.Ingress, 400*time.Millisecond)}})
 	router = clamp.New(clamp.Options{Core: core, Beat: 20 * time.Millisecond, Ring: ring, Else: relay.Act,
 		Local: map[string]func(dowel.Env){nearAwl: func(e dowel.Env) { beside.Step(e) }}})
 	beside = clamp.New(clamp.Options{Core: agent, Listen: []string{h.Post}, Told: h.Post, Beat: 25 * time.Millisecond, Dial: 200 * time.Millisecond, Ring: ring, Else: func(any) {},
