--- a/anvil/core.go
+++ b/anvil/core.go
@@ -270,6 +270,9 @@
 	c.token++
 	c.asks[c.token] = then
 	a := dowel.Ask{Token: c.token, Addr: addr, Path: path, Body: body, Wait: wait}
+	if o, ok := body.(dowel.Order); ok {
+		a.Kept = o.Op == "" && c.o.Unfenced
+	}
 	if c.duty.mine {
 		a.Until = c.duty.until(c) // an owner that froze must not order when its duty is over
 	}
--- a/anvil/orders.go
+++ b/anvil/orders.go
@@ -13,9 +13,11 @@
 // shows is known to be from before or after an order by the count that it carries.
 
 const (
-	pollBusy  = 100e6 // between two reports while an order is under way
-	pollIdle  = 10e9  // otherwise: announcements tell that the server lives
-	reportLag = 500e6 // a report is at most so old
+	pollBusy    = 100e6 // between two reports while an order is under way
+	unloadSpan  = 50e6  // an unload, or an adapter, takes about so long
+	freshReport = 100e6 // a report is rarely fresher
+	pollIdle    = 10e9  // otherwise: announcements tell that the server lives
+	reportLag   = 500e6 // a report is at most so old
 )
 
 // steer keeps one question under way at a time at a server that checks no fence.
@@ -61,7 +63,7 @@
 		if !c.duty.mine || c.duty.num != num || c.servers[s.ID] != s {
 			return
 		}
-		s.asking, s.next = false, c.now.Add(pollBusy)
+		s.asking, s.next = false, c.now.Add(c.expected(s, p))
 		switch {
 		case !t.OK: // it may have been taken: the count will tell
 			c.tally.OrdersUnanswered++
@@ -86,6 +88,18 @@
 	})
 }
 
+// expected is how long an order will take until a report may show it done: none is asked for before.
+func (c *Core) expected(s *server, p *spot) gauge.Span {
+	n := gauge.Span(unloadSpan)
+	if p.stage == Ordered && !p.key.IsAdapter() {
+		n = c.plan.Models[p.key].Load
+		if c.has(s, p.key) {
+			n = gauge.Span(float64(n) * warmPart)
+		}
+	}
+	return max(pollBusy, n*9/10+freshReport)
+}
+
 // survey asks a server for its report.
 func (c *Core) survey(s *server) {
 	s.asking, s.asked = true, c.now
--- a/anvil/weigh.go
+++ b/anvil/weigh.go
@@ -23,6 +23,7 @@
 	riseTrust = 0.5  // of a rise that is taken to go on
 	goodBatch = 0.15 // of a server's places that one key's requests should take
 	warmPart  = 0.25 // of a load's time that it takes from a server's own disk
+	busyRate  = 1.0  // requests a second from which on a base is busy
 	seedEvery = 300e6
 	firstSpan = 4e9
 	drainSpan = 800e6 // what was sent to a server may begin there for so long before a model is unloaded
--- a/awl/core.go
+++ b/awl/core.go
@@ -21,6 +21,7 @@
 	Rand  *rand.Rand
 	Keep  gauge.Span // between two renewals
 	Wait  gauge.Span // for an answer before another way is tried
+	Brisk bool       // renewals come the sooner the fewer routers there are: they tell what each has under way
 }
 
 // Core is an agent without I/O.
@@ -30,11 +31,12 @@
 	out   []any
 	mates *plumb.Core
 
-	lathe  gauge.Inc
-	gen    uint64
-	epoch  gauge.Epoch
-	burden map[gauge.Key]dowel.Burden
-	seats  map[gauge.Server]int
+	lathe   gauge.Inc
+	gen     uint64
+	epoch   gauge.Epoch
+	burden  map[gauge.Key]dowel.Burden
+	seats   map[gauge.Server]int
+	routers int
 
 	ses    dowel.Session
 	seq    uint64
@@ -201,6 +203,7 @@
 		}
 	}
 	c.tally.Grants++
+	c.routers = b.Routers
 	c.until = max(c.until, at.Add(b.Len))
 	c.down(dowel.Hold{Session: c.ses, Until: c.until, Duty: c.duty, Routers: b.Routers, Seats: b.Seats})
 }
@@ -253,7 +256,7 @@
 	if c.now.Sub(c.last) > c.o.Keep+c.o.Wait && c.now.Sub(c.tried) > c.o.Wait {
 		c.change()
 	}
-	c.next = c.now.Add(c.o.Keep)
+	c.next = c.now.Add(c.keepFor())
 	if c.now.Sub(c.last) > c.o.Keep+c.o.Wait {
 		c.next = c.now.Add(c.o.Wait / 2)
 	}
@@ -275,6 +278,14 @@
 	c.burden = left
 }
 
+// keepFor is the time to the next renewal.
+func (c *Core) keepFor() gauge.Span {
+	if !c.o.Brisk || c.routers == 0 {
+		return c.o.Keep
+	}
+	return min(c.o.Keep, max(c.o.Keep*3/8, c.o.Keep/60*gauge.Span(c.routers)))
+}
+
 // gather takes in what the router bears now, and adds up what came since the last renewal.
 func (c *Core) gather(b map[gauge.Key]dowel.Burden) {
 	n := map[gauge.Key]dowel.Burden{}
--- a/clamp/clamp.go
+++ b/clamp/clamp.go
@@ -78,6 +78,7 @@
 	disk *disk
 	asks chan dowel.Ask
 	http *http.Client
+	kept *http.Client // whose connections are used again, for questions that change nothing
 	ctx  context.Context
 	stop context.CancelFunc
 	life context.Context // of the questions under way
@@ -104,6 +105,9 @@
 			return n, err
 		}},
 	}
+	t := c.http.Transport.(*http.Transport).Clone()
+	t.DisableKeepAlives, t.MaxIdleConnsPerHost, t.IdleConnTimeout = false, 1, 4*time.Second
+	c.kept = &http.Client{CheckRedirect: c.http.CheckRedirect, Transport: t}
 	return c
 }
 
@@ -233,7 +237,11 @@
 		return t
 	}
 	if c.o.Tell != nil {
-		t = c.o.Tell(ctx, c.http, a)
+		w := c.http
+		if a.Kept {
+			w = c.kept
+		}
+		t = c.o.Tell(ctx, w, a)
 		t.Token = a.Token
 		return t
 	}
--- a/dowel/dowel.go
+++ b/dowel/dowel.go
@@ -437,6 +437,7 @@
 	Path  string
 	Body  any
 	Wait  gauge.Span
+	Kept  bool       // it changes nothing, so that a connection may serve it that served before
 	Until gauge.Tick // it is not sent any more after this moment, if one is set
 }
 
--- a/lathe/core.go
+++ b/lathe/core.go
@@ -162,6 +162,7 @@
 	loads  map[gauge.Key]float64 // seconds of a server's time that what came since the last word takes
 	paces  map[gauge.Key]float64 // ns that a token takes at best, by base
 	dice   uint64
+	flows  map[gauge.Key]*inflow
 	ending bool // it stops: nobody waits here any more
 	tally  Tally
 }
@@ -181,7 +182,7 @@
 	c := &Core{
 		o: o.Defaults(), entries: map[gauge.Key]*entry{}, reqs: map[Ref]*req{}, lines: map[gauge.Key][]*req{},
 		came: map[gauge.Key]int{}, work: map[gauge.Key]int{}, bench: map[gauge.Server]*bench{}, empty: map[gauge.Zone]bool{},
-		routers: 1, loads: map[gauge.Key]float64{}, paces: map[gauge.Key]float64{}, dice: uint64(o.Inc),
+		routers: 1, loads: map[gauge.Key]float64{}, paces: map[gauge.Key]float64{}, flows: map[gauge.Key]*inflow{}, dice: uint64(o.Inc),
 	}
 	c.tally.Drops = map[gauge.Kind]uint64{}
 	return c
--- a/lathe/host.go
+++ b/lathe/host.go
@@ -43,11 +43,11 @@
 	me := dowel.Sibling{ID: gauge.Node(h.ID), Addr: h.Post}
 	core := New(Options{
 		Me: dowel.Sibling{ID: nearLathe, Addr: nearLathe}, Inc: clamp.NewInc(), Awl: dowel.Sibling{Addr: nearAwl},
-		Read: h.Read, Zone: gauge.Zone(h.Zone), Free: true, Guards: true, Lend: h.Lend, Window: h.Window, Share: h.Earn,
+		Read: h.Read, Zone: gauge.Zone(h.Zone), Free: true, Guards: true, Hello: 100e6, Lend: h.Lend, Window: h.Window, Share: h.Earn,
 	})
 	agent := awl.New(awl.Options{
 		Me: me, Zone: gauge.Zone(h.Zone), Inc: clamp.NewInc(), Life: gauge.Inc(clamp.Now()),
-		Seeds: clamp.Siblings(h.Seeds), Rand: clamp.NewRand(), Lathe: dowel.Sibling{ID: nearLathe, Addr: nearLathe},
+		Seeds: clamp.Siblings(h.Seeds), Rand: clamp.NewRand(), Brisk: true, Lathe: dowel.Sibling{ID: nearLathe, Addr: nearLathe},
 	})
 	var router, beside *clamp.Clamp
 	limits := func() (most int64, wait time.Duration) {
--- a/lathe/ledger.go
+++ b/lathe/ledger.go
@@ -579,6 +579,7 @@
 	b.work++
 	b.tokens += r.weight()
 	b.memory += r.memory()
+	c.sent(r)
 	b.keys[r.key]++
 	c.work[r.key]++
 	x := r.Call.Call
--- a/lathe/weigh.go
+++ b/lathe/weigh.go
@@ -12,14 +12,17 @@
 // under way there, what all routers together had a moment ago, and how fast servers were found to be.
 
 const (
-	firstPace  = 0.04e6 // ns for a token, before anything was measured
-	paceRise   = 0.01   // how fast a pace that was never met again is forgotten
-	paceBase   = 150    // tokens' worth of time that any answer takes to begin
-	slowest    = 2.0    // times the fastest key's pace
-	partGain   = 0.6    // of shared tokens that a server which likely kept them need not read
-	otherZone  = 250    // tokens' worth of time that an answer from another zone costs
-	mostOut    = 64     // tokens put out that count: they come many requests at a time
-	flatWeight = 1      // of a request that names no tokens
+	firstPace   = 0.04e6            // ns for a token, before anything was measured
+	paceRise    = 0.01              // how fast a pace that was never met again is forgotten
+	paceBase    = 150               // tokens' worth of time that any answer takes to begin
+	slowest     = 2.0               // times the fastest key's pace
+	partGain    = 0.6               // of shared tokens that a server which likely kept them need not read
+	otherZone   = 250               // tokens' worth of time that an answer from another zone costs
+	leastSpread = 600               // tokens by which a choice is blurred at least
+	staleSpan   = gauge.Span(200e6) // what is known of other routers is about so old
+	flowSpan    = 2.0               // seconds that flows look back
+	mostOut     = 64                // tokens put out that count: they come many requests at a time
+	flatWeight  = 1                 // of a request that names no tokens
 )
 
 // weight is what a request asks of a server, in tokens.
@@ -79,6 +82,7 @@
 			}
 		}
 	}
+	blur := c.spread(r, len(e.Replicas))
 	for i := range e.Replicas {
 		p := &e.Replicas[i]
 		b := c.seat(p.Server)
@@ -102,7 +106,7 @@
 			}
 		}
 		c.dice = mix(c.dice + 0x9e3779b97f4a7c15)
-		n += float64(c.dice%1000) / 1000 * c.spread(r)
+		n += float64(c.dice%1000) / 1000 * blur
 		if n < cost {
 			best, cost = p, n
 		}
@@ -110,12 +114,37 @@
 	return best
 }
 
-// spread blurs the choice, so that routers which know the same do not all choose the same.
-func (c *Core) spread(r *req) float64 {
+// spread blurs the choice, so that routers which know the same do not all choose the same: by as much as
+// all of them may have sent to one replica since they last heard of each other.
+func (c *Core) spread(r *req, replicas int) float64 {
 	if r.key.Plain() {
 		return 0.3
 	}
-	return 600
+	f := c.flows[r.key.Base()]
+	if f == nil {
+		return leastSpread
+	}
+	others := f.rate * float64(c.routers-1) * staleSpan.Seconds()
+	return max(leastSpread, others/float64(max(1, replicas)))
+}
+
+// inflow is how many tokens a second a router sends to the replicas of a base, of late.
+type inflow struct {
+	at   gauge.Tick
+	rate float64
+}
+
+func (c *Core) sent(r *req) {
+	if r.key.Plain() {
+		return
+	}
+	f := c.flows[r.key.Base()]
+	if f == nil {
+		f = &inflow{at: c.now}
+		c.flows[r.key.Base()] = f
+	}
+	f.rate = f.rate*math.Exp(-c.now.Sub(f.at).Seconds()/flowSpan) + float64(r.weight())/flowSpan
+	f.at = c.now
 }
 
 // met tells whether a request was at a replica already and got nothing there.
