--- a/anvil/enrol.go
+++ b/anvil/enrol.go
@@ -364,11 +364,45 @@
 	}
 	for _, id := range gauge.Keys(c.servers) {
 		s := c.servers[id]
-		if !s.dark && s.State != "gone" && s.silent(c) {
+		if !s.dark && !s.asking && s.State != "gone" && s.silent(c) && c.now.Sub(s.asked) > c.o.Poll {
+			c.inquire(s)
+		}
+	}
+}
+
+// inquire asks a server that has been silent: its words may come to a core node that is parted from this
+// one. Only one that does not answer, either, is taken for dark.
+func (c *Core) inquire(s *server) {
+	if !s.plain {
+		c.survey(s)
+		return
+	}
+	s.asking, s.asked = true, c.now
+	num := c.duty.num
+	c.ask(s.Addr, c.plan.Services[s.Service].Probe, dowel.Order{Key: gauge.Key("").In(s.Service)}, c.o.Wait, func(t dowel.Told) {
+		if !c.duty.mine || c.duty.num != num || c.servers[s.ID] != s {
+			return
+		}
+		s.asking = false
+		if t.OK {
+			c.spoke(s)
+			return
+		}
+		if s.fails++; s.fails > 1 && !s.dark {
 			s.dark = true
-			c.note(fmt.Sprintf("server %s is silent", s.ID))
+			c.note(fmt.Sprintf("server %s is silent and does not answer", s.ID))
 			c.touchOn(s)
 		}
+	})
+}
+
+// spoke notes that a server has answered this owner, which is as good as its own word.
+func (c *Core) spoke(s *server) {
+	if e := c.roll[s.ID]; e != nil {
+		e.heard = c.now
+	}
+	if s.plain {
+		s.fails = 0
 	}
 }
 
--- a/anvil/host.go
+++ b/anvil/host.go
@@ -75,8 +75,8 @@
 // voter, with the set before it left, by the time that it counts as there.
 func (t Timing) Spare() gauge.Span { return max(800e6, min(6000e6, t.CatchUp*3/10)) }
 
-// Silence derives how long a server says nothing before it is taken for dark.
-func (t Timing) Silence() gauge.Span { return t.Period*3 + t.Period/4 }
+// Silence derives how long a server says nothing before it is asked whether it is there.
+func (t Timing) Silence() gauge.Span { return t.Period*2 + t.Period/4 }
 
 func hosted(h HostOptions) Options {
 	return Options{
--- a/anvil/orders.go
+++ b/anvil/orders.go
@@ -129,6 +129,7 @@
 
 // onSurvey holds a server's report against what it was ordered.
 func (c *Core) onSurvey(s *server, r dowel.Report, at gauge.Tick) {
+	c.spoke(s)
 	s.next = c.now.Add(pollBusy)
 	r.Num++ // zero stands for what was never ordered
 	if r.Num < s.num {
