--- a/treadle/check.go
+++ b/treadle/check.go
@@ -34,6 +34,8 @@
 	told  gauge.Tick // zero while it is not known to be taken
 	lost  gauge.Tick // when it was surely not taken
 	over  gauge.Tick // when a newer one was told
+
+	number, base gauge.Epoch // that the operator gave it, and that it goes on
 }
 
 // Checker watches a world from outside and says what must never be seen.
@@ -53,6 +55,7 @@
 	unload map[string]gauge.Tick
 	Seen   Seen
 	healed gauge.Tick
+	batch  batchBooks
 	loose  bool // all core disks were lost: what was confirmed may be gone
 }
 
@@ -73,6 +76,8 @@
 	Hits, Lookups, Sames, Breaks, Acks, Lapses, Unloads   uint64
 	Prompt, Reused                                        uint64
 	Pulls, Reigns, Moves, Odd                             uint64
+	Orders, Turned                                        int        // orders taken and turned away by servers that check no fence
+	Began                                                 int        // most loads from the store that began in 5 s
 	Held                                                  int        // requests that waited for more than 250 ms
 	HeldFor                                               gauge.Span // and for how long, in all
 	lastOwner                                             gauge.Tick
@@ -80,7 +85,7 @@
 
 func newChecker(w *World) *Checker {
 	return &Checker{w: w, open: map[lathe.Ref]*call{}, ranID: map[string]int{}, ranAt: map[string]place{}, epochs: map[string][2]uint64{}, lives: map[string]int{},
-		duties: map[gauge.Duty]string{}, gone: map[string]gauge.Tick{}, unload: map[string]gauge.Tick{},
+		duties: map[gauge.Duty]string{}, gone: map[string]gauge.Tick{}, unload: map[string]gauge.Tick{}, batch: newBooks(),
 		Seen: Seen{Kinds: map[string]int{}}}
 }
 
@@ -114,9 +119,9 @@
 
 func (w *World) change(node string, a anvil.Admin, then func(anvil.Receipt)) {
 	k := w.Check
-	s := &state{sent: w.now, raw: a.Raw, put: a.Op == "put", empty: map[gauge.Zone]bool{}}
+	s := &state{sent: w.now, raw: a.Raw, put: a.Op == "put", empty: map[gauge.Zone]bool{}, number: a.Number, base: a.Expect}
 	if s.put {
-		s.plan, _ = chisel.ReadPlan(a.Raw)
+		s.plan, _ = w.read(a.Raw)
 	}
 	k.states = append(k.states, s)
 	tries := 0
@@ -135,7 +140,10 @@
 		switch {
 		case r.Kind == gauge.None:
 			s.epoch, s.told = r.Epoch, w.now
-			if !a.Any && r.Epoch != a.Expect+1 {
+			if a.Number != 0 && r.Epoch != a.Number {
+				k.bad("a change of number %d was taken as %d", a.Number, r.Epoch)
+			}
+			if a.Number == 0 && !a.Any && r.Epoch != a.Expect+1 {
 				k.bad("a change that expected epoch %d was taken as %d", a.Expect, r.Epoch)
 			}
 			for _, z := range r.Empty {
@@ -228,7 +236,7 @@
 }
 
 func (k *Checker) allows(s *state, a vise.Ask) bool {
-	_, _, why := s.plan.Allows(a.Route, a.Call.Kind, a.Call.Base, a.Call.Extra)
+	_, why := s.plan.Match(a.Call.Query(a.Route))
 	return why == gauge.None
 }
 
@@ -261,6 +269,9 @@
 			}
 		}
 	}
+	if w.host != nil {
+		k.lookHosted()
+	}
 	var own []string
 	for _, p := range w.anvils() {
 		if _, ok := p.core.(*anvil.Core).Owns(p.tick(w.now)); ok {
@@ -390,7 +401,7 @@
 		k.Seen.Retries++
 	}
 	key := gauge.KeyOf(f.l.Work.Base, f.l.Work.Extra)
-	if t, ok := k.unload[s.name+"|"+string(key)]; ok && f.l.Work.Inc != 0 && t <= w.now && s.core.(*vise.Server).Holds()[key].Key == "" {
+	if t, ok := k.unload[s.name+"|"+string(key)]; ok && f.l.Work.Inc != 0 && t <= w.now && w.host == nil && s.core.(*vise.Server).Holds()[key].Key == "" {
 		k.bad("%s sent %s to %s after it was unloaded", c.router, key, s.name)
 	}
 	k.arrived(f, s)
@@ -409,6 +420,9 @@
 	if k.loose {
 		return
 	}
+	if w.host != nil {
+		return // it is held against what the server makes of it
+	}
 	if since := k.emptied(s.zone); since != 0 {
 		lag := w.now.Sub(since)
 		k.Seen.ZoneLag = max(k.Seen.ZoneLag, lag)
@@ -459,7 +473,12 @@
 	known := fmt.Sprint(f.lathe.core.(*lathe.Core).Places(gauge.KeyOf(f.l.Work.Base, f.l.Work.Extra)))
 	k.ranAt[id] = place{s.name, s.life, known}
 	f.c.ran++
-	if f.l.Work.Once && k.ranID[id] > 1 {
+	if k.w.host != nil {
+		k.meant(f, s)
+		if k.ranID[id] > 1 && !again(f.c.ask) {
+			k.bad("%s may not be repeated and ran %d times, at %v and %s", id, k.ranID[id], was, s.name)
+		}
+	} else if f.l.Work.Once && k.ranID[id] > 1 {
 		if !f.c.asked2 || was.server == s.name && was.life == s.life || was.known == known && f.c.missed[was.server] < 2 {
 			k.bad("%s may not be repeated and ran %d times, at %v and %s", id, k.ranID[id], was, s.name)
 		}
@@ -613,7 +632,7 @@
 			}
 		}
 	}
-	if n := float64(s.Retries); n > boundShare*float64(s.Firsts) {
+	if n := float64(s.Retries); k.w.host == nil && n > boundShare*float64(s.Firsts) {
 		k.bad("%d retries to %d first goes", s.Retries, s.Firsts)
 	}
 	// What callers themselves repeat comes out of the same allowance: routers let in only so many.
@@ -623,10 +642,14 @@
 			in++
 		}
 	}
-	if n := float64(s.Retries + in); n > boundShare*float64(s.Firsts) {
+	if n := float64(s.Retries + in); k.w.host == nil && n > boundShare*float64(s.Firsts) {
 		k.bad("%d retries and repeats to %d first goes", s.Retries+in, s.Firsts)
 	}
-	k.windows()
+	if k.w.host != nil {
+		k.finishHosted()
+	} else {
+		k.windows()
+	}
 	// What is dropped must follow from the servers and the room that a scene leaves.
 	if float64(s.Needless) > 0.01*float64(s.Asked) && !k.loose {
 		k.bad("%d of %d requests were dropped though a server could have served them", s.Needless, s.Asked)
@@ -635,7 +658,7 @@
 	most := gauge.Epoch(0)
 	for _, x := range k.states {
 		if x.lost == 0 {
-			most++
+			most = max(most+1, x.number)
 		}
 	}
 	if n := k.newest(k.w.now); n != nil && !k.loose && n.epoch > most {
--- /dev/null
+++ b/treadle/hosted_check.go
@@ -0,0 +1,221 @@
+package treadle
+
+import (
+	"tidedeck/anvil"
+	"tidedeck/dowel"
+	"tidedeck/gauge"
+	"tidedeck/lathe"
+	"tidedeck/vise"
+)
+
+// handed is one order as it reached a server.
+type handed struct {
+	at   gauge.Tick
+	from string
+}
+
+// batchBooks is what the checkers keep of announced servers.
+type batchBooks struct {
+	owners map[gauge.Duty]string
+	high   map[string]gauge.Duty
+	hands  map[string][]handed
+	sends  []tried
+	looked gauge.Tick
+	lates  map[string]bool
+}
+
+func newBooks() batchBooks {
+	return batchBooks{owners: map[gauge.Duty]string{}, high: map[string]gauge.Duty{}, hands: map[string][]handed{}, lates: map[string]bool{}}
+}
+
+// orderedBatch looks at an order as it reached a server that checks no fence.
+func (k *Checker) orderedBatch(p, s *proc, o dowel.Order, r vise.BatchAnswer) {
+	w, b := k.w, &k.batch
+	w.tracef("%s: duty %d tells %s to %s %s (expects %d): %d", p.name, o.Duty, s.name, o.Op, o.Key, o.Expected, r.Code)
+	if r.Over {
+		k.bad("%s was ordered past its room or places by %s", s.name, o.Key)
+	}
+	if r.Code == 400 {
+		k.bad("%s was given an order that is none: %s %s", s.name, o.Op, o.Key)
+	}
+	if r.Code == 202 {
+		k.Seen.Orders++
+		if o.Op == "unload" {
+			k.Seen.Unloads++
+			for _, l := range w.Lathes() {
+				if l.core.(*lathe.Core).Promises(l.tick(w.now), o.Key, s.server, 0) {
+					k.bad("%s was told to unload %s while %s held a promise on it", s.name, o.Key, l.name)
+				}
+			}
+		}
+	} else {
+		k.Seen.Turned++
+	}
+	if was, ok := b.owners[o.Duty]; ok && was != p.name {
+		k.bad("two controllers, %s and %s, order under duty %d", was, p.name, o.Duty)
+	}
+	b.owners[o.Duty] = p.name
+	if w.now.Sub(w.harm.box[p.box]) < w.o.Hosted.Thaw || !w.linked(p.box, s.box, w.o.Hosted.Thaw) {
+		return // what trouble held up is not counted
+	}
+	if o.Duty < b.high[s.name] {
+		k.bad("%s was given an order of duty %d after one of %d", s.name, o.Duty, b.high[s.name])
+	}
+	b.high[s.name] = max(b.high[s.name], o.Duty)
+	l := b.hands[s.name]
+	other := false
+	for i := len(l) - 1; i >= 0 && w.now.Sub(l[i].at) < w.o.Hosted.Tenure; i-- {
+		if l[i].from != p.name {
+			other = true
+		} else if other {
+			k.bad("%s was ordered by %s, by another and by %s again within %v", s.name, p.name, p.name, w.o.Hosted.Tenure)
+			break
+		}
+	}
+	b.hands[s.name] = append(l, handed{w.now, p.name})
+}
+
+// ceiling holds the loads that began at the store against its rate.
+func (k *Checker) ceiling() {
+	h := k.w.host
+	rate := 0.0
+	for _, v := range h.plan.Services {
+		rate += v.Loads
+	}
+	n := 0
+	for i := len(h.began) - 1; i >= 0 && k.w.now.Sub(h.began[i].at) <= 5e9; i-- {
+		n += b2i(h.began[i].counted)
+	}
+	k.Seen.Began = max(k.Seen.Began, n)
+	if float64(n) > rate*5*1.1+3 {
+		k.bad("%d loads from the store began in 5 s, which bears %.1f a second", n, rate)
+	}
+}
+
+// reached looks at a request as it reached an announced server that did not refuse it as not its.
+func (k *Checker) reached(f *flow, s *proc) {
+	w := k.w
+	a := w.host.of[s.name]
+	k.batch.sends = append(k.batch.sends, tried{w.now, f.c != nil && f.c.sends == 1})
+	if a == nil || a.sure == 0 {
+		return
+	}
+	lag := w.now.Sub(a.sure)
+	if !w.inTouch(f.lathe) || !w.linked(f.lathe.box, s.box, w.o.Hosted.Contact) {
+		return
+	}
+	k.Seen.GoneLag = max(k.Seen.GoneLag, lag)
+	if lag > w.o.Hosted.Timing.Drain {
+		k.bad("%s got a request from %s %v after its leaving was acknowledged", s.name, f.lathe.name, lag)
+	}
+}
+
+// meant looks at whether a plan that may be in force at a router allows what it sends, and there.
+func (k *Checker) meant(f *flow, s *proc) {
+	c, w := f.c, k.w
+	touch := w.inTouch(f.lathe)
+	a := w.host.of[s.name]
+	for _, st := range k.states {
+		if !st.put || st.lost != 0 || st.sent > w.now || st.plan == nil {
+			continue
+		}
+		if touch && st.over != 0 && w.now.Sub(st.over) > w.o.Hosted.Timing.Apply+100e6 {
+			continue
+		}
+		m, why := st.plan.Match(c.ask.Call.Query(c.ask.Route))
+		if why == gauge.None && (a == nil || m.Key.Service() == a.Service) {
+			return
+		}
+	}
+	k.bad("%s sent %s %s to %s, which ran it, though no plan allows it", f.lathe.name, c.ask.Route, gauge.KeyOf(f.l.Work.Base, f.l.Work.Extra), s.name)
+}
+
+// lookHosted holds the owner's view against what servers were told, and routers in touch against
+// what operators were told.
+func (k *Checker) lookHosted() {
+	w := k.w
+	if w.now.Sub(k.batch.looked) < 50e6 {
+		return
+	}
+	k.batch.looked = w.now
+	for _, p := range w.Lathes() {
+		if w.now < p.froze || !w.inTouch(p) {
+			continue
+		}
+		_, e, _ := p.core.(*lathe.Core).Rules(p.tick(w.now))
+		for _, s := range k.states {
+			if s.told != 0 && s.epoch > e && w.now.Sub(s.told) > w.o.Hosted.Timing.Apply {
+				k.bad("%s routes under epoch %d, %v after %d was told", p.name, e, w.now.Sub(s.told), s.epoch)
+			}
+		}
+	}
+	for _, p := range w.anvils() {
+		c := p.core.(*anvil.Core)
+		if _, ok := c.Owns(p.tick(w.now)); !ok || w.now < p.froze {
+			continue
+		}
+		for _, o := range c.Step(p.tick(w.now), anvil.Admin{Op: "servers", Token: 1 << 60}) {
+			r, ok := o.(anvil.Receipt)
+			if !ok || r.Token != 1<<60 {
+				w.act(p, o)
+				continue
+			}
+			k.view(p, r)
+		}
+	}
+	for _, id := range gauge.Keys(w.host.of) {
+		a := w.host.of[id]
+		if a.said != 0 && a.acked == 0 && a.p.up && w.now.Sub(a.said) > 4e9 && w.now.Sub(w.harm.core) > 4e9+w.o.Hosted.Contact && w.settled() && !k.batch.lates[id] {
+			k.batch.lates[id] = true
+			k.bad("%s said that it leaves and was not acknowledged", id)
+		}
+	}
+}
+
+func (k *Checker) view(p *proc, r anvil.Receipt) {
+	l, _ := r.View["servers"].([]map[string]any)
+	for _, x := range l {
+		id, _ := x["id"].(gauge.Server)
+		a := k.w.host.of[string(id)]
+		if a != nil && a.acked != 0 && x["state"] == "live" && !k.batch.lates[p.name+string(id)] {
+			k.batch.lates[p.name+string(id)] = true
+			k.bad("%s was acknowledged as leaving, and owner %s takes it to stay", id, p.name)
+		}
+	}
+}
+
+// finishHosted holds what arrived beyond the first against what was asked.
+func (k *Checker) finishHosted() {
+	l := k.batch.sends
+	most := k.w.o.Hosted.Lend
+	a, more, base := 0, 0, 0
+	for _, x := range l {
+		if x.first {
+			base++
+		} else {
+			more++
+		}
+		for ; x.at.Sub(l[a].at) > 10e9; a++ {
+			if l[a].first {
+				base--
+			} else {
+				more--
+			}
+		}
+		k.Seen.Window = max(k.Seen.Window, float64(more)/float64(max(1, base)))
+		if float64(more) > boundShare*float64(base)+most {
+			k.bad("%d arrivals beyond the first in 10 s, to %d first ones (at %.1f s)", more, base, float64(x.at)/1e9)
+			return
+		}
+	}
+	on := map[gauge.Epoch]string{}
+	for _, s := range k.states {
+		if s.number == 0 || s.told == 0 {
+			continue
+		}
+		if was, ok := on[s.base]; ok && was != string(s.raw) {
+			k.bad("two changes that go on epoch %d were both taken", s.base)
+		}
+		on[s.base] = string(s.raw)
+	}
+}
--- /dev/null
+++ b/treadle/hosted_scenes.go
@@ -0,0 +1,175 @@
+package treadle
+
+import (
+	"fmt"
+
+	"tidedeck/gauge"
+)
+
+// hosted sets a world of announced servers up.
+func hosted(more func(h *Hosted)) func(o *Options) {
+	return func(o *Options) {
+		o.Plan, o.Routers, o.Rates = hostedPlan(), 5, 0.016
+		o.Hosted = HostedDefaults()
+		if more != nil {
+			more(o.Hosted)
+		}
+	}
+}
+
+// leaves makes servers leave one after another, each followed by another one.
+func (w *World) leaves(from, to, gap float64) {
+	for t := from; t < to; t += gap {
+		w.At(sec(t), func() {
+			m := w.host.some()
+			switch w.rand.IntN(4) {
+			case 0:
+				w.host.leave(m, 400e6+gauge.Span(w.rand.Int64N(2e9)), 1500e6) // at short notice
+			case 1:
+				w.host.crash(m, gauge.Span(w.rand.Int64N(4e9)))
+			default:
+				w.host.leave(m, 0, gauge.Span(500e6+w.rand.Int64N(3e9)))
+			}
+		})
+	}
+}
+
+// epochs races two operators: both build on the newest plan that is known, under numbers of their own.
+func (w *World) epochs(from, to, gap float64) {
+	n := 0
+	for t := from; t < to; t += gap {
+		w.At(sec(t), func() {
+			n++
+			on := gauge.Epoch(0)
+			if s := w.Check.newest(w.now); s != nil {
+				on = s.epoch
+			}
+			for i, a := range []string{"left", "right"} {
+				number := on + 1 + gauge.Epoch(w.rand.IntN(3))
+				w.PutNumber(fmt.Sprintf("anvil-%d", 1+(n+i)%3), Named(w.o.Plan, fmt.Sprintf("%s-%d", a, n), nil), on, number, nil)
+			}
+		})
+		w.At(sec(t+gap/2), func() { w.Read(w.some("anvil-"), nil) })
+	}
+}
+
+// acknowledged calls back once, as soon as a server's leaving is acknowledged.
+func (w *World) acknowledged(m *machine, then func()) {
+	a := m.now
+	var look func()
+	look = func() {
+		switch {
+		case a.acked != 0:
+			then()
+		case !a.ended:
+			w.After(1e6, look)
+		}
+	}
+	look()
+}
+
+func init() { Scenes = append(Scenes, hostedScenes...) }
+
+// hostedScenes are those with servers that announce themselves to the core and check no fence.
+var hostedScenes = []Scene{
+	{Name: "announced", About: "servers announce themselves and check no fence; nothing fails", Long: 50e9, Least: 0.97, Whole: true, Set: hosted(nil),
+		Play: func(w *World) {}},
+	{Name: "announced-leave", About: "the same, and servers leave in order, at short notice, crash and come back under new ids, at used addresses too", Long: 80e9, Least: 0.85, Set: hosted(nil),
+		Play: func(w *World) { w.leaves(10, 62, 2.5) }},
+	{Name: "announced-shift", About: "what is asked for moves, so that models are loaded and unloaded all the time", Long: 80e9, Least: 0.8,
+		Set: hosted(func(h *Hosted) { h.Shift = 6e9 }), Play: func(w *World) {}},
+	{Name: "announced-owner", About: "the owner is killed right after it acknowledged a leaving, or while one is under way", Long: 90e9, Least: 0.8,
+		Set: hosted(func(h *Hosted) { h.Shift = 15e9 }),
+		Play: func(w *World) {
+			for t := 10.0; t < 74; t += 9 {
+				w.At(sec(t), func() {
+					m := w.host.some()
+					w.host.leave(m, 0, 2e9)
+					if w.rand.IntN(2) == 0 {
+						w.After(gauge.Span(w.rand.Int64N(200e6)), func() { w.Restart(w.owner(), gauge.Span(w.rand.Int64N(3e9))) })
+						return
+					}
+					w.acknowledged(m, func() { w.Restart(w.owner(), gauge.Span(w.rand.Int64N(3e9))) })
+				})
+				w.At(sec(t+4), func() { w.host.crash(w.host.some(), 1e9) })
+			}
+		}},
+	{Name: "announced-cut", About: "the core is split every way while servers leave and models move", Long: 90e9, Least: 0.7,
+		Set: hosted(func(h *Hosted) { h.Shift = 10e9 }),
+		Play: func(w *World) {
+			w.leaves(10, 70, 4)
+			for t := 10.0; t < 70; t += 8 {
+				w.At(sec(t), func() {
+					a, b := w.some("anvil-"), w.some("anvil-")
+					switch w.rand.IntN(4) {
+					case 0:
+						w.Part(map[string]bool{a: true})
+					case 1:
+						w.Cut(a, b, false)
+					case 2:
+						w.Freeze(w.owner(), gauge.Span(w.rand.Int64N(4e9)))
+					case 3:
+						w.Part(map[string]bool{w.owner(): true})
+					}
+				})
+				w.At(sec(t+3), w.Heal)
+			}
+		}},
+	{Name: "announced-wipe", About: "core nodes lose their disks one at a time, right after they acknowledged a leaving or a plan", Long: 100e9, Least: 0.8, Set: hosted(nil),
+		Play: func(w *World) {
+			w.epochs(9, 85, 9)
+			wipe := func() {
+				v := w.some("anvil-")
+				w.Kill(v)
+				w.Wipe(v)
+				w.After(gauge.Span(w.rand.Int64N(1e9)), func() { w.Start(v) })
+			}
+			for t := 12.0; t < 80; t += 12 {
+				w.At(sec(t), func() {
+					m := w.host.some()
+					w.host.leave(m, 0, 2e9)
+					w.acknowledged(m, wipe)
+				})
+			}
+		}},
+	{Name: "announced-late", About: "announcements come late, twice and out of order, order answers get lost, reports lag", Long: 80e9, Least: 0.7,
+		Set: func(o *Options) {
+			hosted(func(h *Hosted) { h.LateOdds, h.OrderLoss, h.ReportLag, h.Shift = 0.5, 0.15, 450e6, 8e9 })(o)
+			o.Loss, o.Twice = 0.01, 0.02
+		},
+		Play: func(w *World) { w.leaves(10, 62, 3) }},
+	{Name: "announced-all", About: "all of the core is killed at once, and comes back with its disks", Long: 70e9, Least: 0.7, Set: hosted(nil),
+		Play: func(w *World) {
+			w.leaves(10, 52, 4)
+			for _, t := range []float64{20, 38} {
+				w.At(sec(t), func() {
+					for i := 1; i <= 3; i++ {
+						w.Restart(fmt.Sprintf("anvil-%d", i), gauge.Span(w.rand.Int64N(1e9)))
+					}
+				})
+			}
+			w.At(sec(60), func() { w.Read("anvil-1", nil) })
+		}},
+	{Name: "announced-alone", About: "routers are cut off from the core and go on by what they knew, while servers leave", Long: 80e9, Least: 0.7, Set: hosted(nil),
+		Play: func(w *World) {
+			w.leaves(10, 62, 4)
+			for t := 11.0; t < 62; t += 9 {
+				w.At(sec(t), func() {
+					r := fmt.Sprintf("router-%d", 1+w.rand.IntN(w.o.Routers))
+					for _, b := range w.boxes() {
+						if isCore(b) || w.rand.IntN(2) == 0 && b != r && len(b) > 6 && b[:6] == "router" {
+							w.Cut(r, b, true)
+						}
+					}
+				})
+				w.At(sec(t+5), w.Heal)
+			}
+		}},
+	{Name: "announced-plans", About: "two operators race plans under numbers of their own, and replies get lost", Long: 80e9, Least: 0.95,
+		Set: func(o *Options) { hosted(nil)(o); o.Loss, o.Twice = 0.01, 0.02 },
+		Play: func(w *World) {
+			w.At(sec(8), func() { w.ReplyLoss = 0.1 })
+			w.epochs(10, 65, 3)
+			w.At(sec(30), func() { w.Restart(w.owner(), 1e9) })
+		}},
+}
--- a/treadle/scenes.go
+++ b/treadle/scenes.go
@@ -33,13 +33,12 @@
 	}
 	w := New(o)
 	w.After(1500e6, func() { w.first(o.Plan) })
-	mix := vise.NewMix(w.plan, o.Seed)
-	mix.Tenants = o.Tenants
+	next := w.mix()
 	rate := s.Rate
 	if rate == 0 {
 		rate = 60
 	}
-	w.Traffic(6e9, s.Long-12e9, rate, mix.Next)
+	w.Traffic(6e9, s.Long-12e9, rate, next)
 	s.Play(w)
 	w.Run(s.Long)
 	seen := w.Check.Finish()
@@ -58,11 +57,16 @@
 
 // first hands over the first plan, again and again until it is taken.
 func (w *World) first(raw []byte) {
-	w.PutPlan("anvil-2", raw, 0, true, func(r anvil.Receipt) {
+	then := func(r anvil.Receipt) {
 		if r.Kind != gauge.None {
 			w.After(200e6, func() { w.first(raw) })
 		}
-	})
+	}
+	if w.host != nil {
+		w.PutNumber("anvil-2", raw, 0, 1, then)
+		return
+	}
+	w.PutPlan("anvil-2", raw, 0, true, then)
 }
 
 // Traffic asks at a rate from a moment to another.
--- /dev/null
+++ b/treadle/sheet.go
@@ -0,0 +1,107 @@
+package treadle
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"tidedeck/chisel"
+	"tidedeck/gauge"
+)
+
+// sheet is a plan for announced servers, as these scenes write it down.
+type sheet struct {
+	Name     string                  `json:"name"`
+	Services map[string]sheetService `json:"services"`
+	Routes   []sheetRoute            `json:"routes"`
+}
+
+type sheetService struct {
+	Plain    bool    `json:"plain,omitempty"`
+	Slots    int     `json:"slots"`
+	Room     int     `json:"room,omitempty"`
+	Places   int     `json:"places,omitempty"`
+	Loads    float64 `json:"loads,omitempty"`
+	Bases    int     `json:"bases,omitempty"`
+	Adapters int     `json:"adapters,omitempty"`
+	LoadMs   int     `json:"load_ms,omitempty"`
+}
+
+type sheetRoute struct {
+	Host    string `json:"host"`
+	Prefix  string `json:"prefix"`
+	Service string `json:"service"`
+	Mode    string `json:"mode"`
+	Value   int    `json:"value"`
+	WaitMs  int    `json:"wait_ms"`
+	Tries   int    `json:"tries"`
+}
+
+const adapterSize = 1
+
+// base names a service's n-th base model. Every third is large.
+func base(n int) string { return fmt.Sprintf("m%02d", n) }
+
+func baseSize(n int) int { return 10 + 10*b2i(n%3 == 0) }
+
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// ReadSheet reads a plan for announced servers.
+func ReadSheet(raw []byte) (*chisel.Plan, chisel.Faults) {
+	var s sheet
+	if err := json.Unmarshal(raw, &s); err != nil {
+		return nil, chisel.Faults{{Path: "$", Why: err.Error()}}
+	}
+	p := &chisel.Plan{Name: s.Name, Loads: 1000, Models: map[gauge.Key]chisel.Model{}, Kinds: map[string]chisel.Class{},
+		Services: map[string]chisel.Service{}, Routes: map[string]chisel.Route{}, Hosts: map[string]map[string]*chisel.Route{}}
+	for _, n := range gauge.Keys(s.Services) {
+		v := s.Services[n]
+		x := chisel.Service{Keys: map[gauge.Key]bool{}, Plain: v.Plain, Slots: v.Slots, Room: v.Room, Places: v.Places, Loads: v.Loads}
+		for i := range v.Bases {
+			k := gauge.Key(base(i)).In(n)
+			x.Keys[k] = true
+			p.Models[k] = chisel.Model{Key: k, Size: baseSize(i), Most: 1000, Load: gauge.Span(v.LoadMs) * 1e6}
+			for a := range v.Adapters {
+				e := gauge.KeyOf(base(i), fmt.Sprintf("a%d", a+1)).In(n)
+				x.Keys[e] = true
+				p.Models[e] = chisel.Model{Key: e, Size: adapterSize, Most: 1000}
+			}
+		}
+		p.Services[n] = x
+	}
+	for i, r := range s.Routes {
+		if _, ok := p.Services[r.Service]; !ok {
+			return nil, chisel.Faults{{Path: fmt.Sprintf("routes[%d]", i), Why: "no service is called " + r.Service}}
+		}
+		if p.Hosts[r.Host] == nil {
+			p.Hosts[r.Host] = map[string]*chisel.Route{}
+		}
+		p.Hosts[r.Host][r.Prefix] = &chisel.Route{Service: r.Service, Name: r.Host + r.Prefix, Host: r.Host, Prefix: r.Prefix, Mode: r.Mode, Tries: r.Tries,
+			Class: chisel.Class{Value: r.Value, Wait: gauge.Span(r.WaitMs) * 1e6}}
+	}
+	return p, nil
+}
+
+// hostedPlan is the first plan of these scenes.
+func hostedPlan() []byte {
+	b, err := json.Marshal(sheet{Name: "first",
+		Services: map[string]sheetService{
+			"chat":  {Slots: 16, Room: 60, Places: 3, Loads: 1, Bases: 18, Adapters: 2, LoadMs: 1500},
+			"plain": {Plain: true, Slots: 8},
+		},
+		Routes: []sheetRoute{
+			{"a.example", "/flow/", "chat", chisel.Continuous, 990, 8000, 3},
+			{"a.example", "/idem/", "chat", chisel.Idempotent, 980, 8000, 3},
+			{"a.example", "/once/", "chat", chisel.Once, 980, 8000, 2},
+			{"a.example", "/plain/idem/", "plain", chisel.Idempotent, 990, 3000, 3},
+			{"a.example", "/plain/once/", "plain", chisel.Once, 990, 3000, 2},
+		}})
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
--- /dev/null
+++ b/vise/batch.go
@@ -0,0 +1,281 @@
+package vise
+
+import (
+	"net/http"
+
+	"tidedeck/dowel"
+	"tidedeck/gauge"
+)
+
+// BatchOptions of a stand-in batch server that announces itself and checks no fence.
+type BatchOptions struct {
+	ID      gauge.Server
+	Service string
+	Plain   bool // it holds no models and takes no orders
+	Slots   int
+	Room    int
+	Places  int        // for adapters
+	Step    gauge.Span // between two steps of the batch, when it is nearly empty
+	Fill    int        // prompt tokens that a step reads
+	Lag     gauge.Span // reports are so old
+	Held    []gauge.Key
+	Disk    map[gauge.Key]bool // what it held in this life or an earlier one
+	Weight  func(gauge.Key) int
+	Load    func(k gauge.Key, disk bool) gauge.Span // how long a load that begins now takes
+}
+
+// BatchOrder is an order, or a question for the report, that came in.
+type BatchOrder struct {
+	Token uint64
+	Order dowel.Order
+}
+
+// BatchAnswer answers a BatchOrder. Over says that the order would pass the room or the places.
+type BatchAnswer struct {
+	Token  uint64
+	Code   int
+	Over   bool
+	Report dowel.Report
+}
+
+// LoadDone says that a load ended.
+type LoadDone struct{ Key gauge.Key }
+
+type reported struct {
+	at gauge.Tick
+	r  dowel.Report
+}
+
+// Batch is a stand-in batch server that announces itself, without I/O. It counts the orders that it
+// took, and carries out one at a time.
+type Batch struct {
+	o     BatchOptions
+	now   gauge.Tick
+	out   []any
+	held  map[gauge.Key]gauge.Tick // since when
+	op    *dowel.Order             // under way
+	ready gauge.Tick               // when its load ends
+	num   uint64
+	past  []reported
+	jobs  []*job
+	next  gauge.Tick
+	tally ServerTally
+}
+
+// NewBatch makes a stand-in batch server.
+func NewBatch(o BatchOptions) *Batch {
+	gauge.Or(&o.Step, 20e6)
+	gauge.Or(&o.Fill, 4000)
+	gauge.Or(&o.Slots, 16)
+	gauge.Or(&o.Lag, 200e6)
+	s := &Batch{o: o, held: map[gauge.Key]gauge.Tick{}, tally: ServerTally{DropKinds: map[gauge.Kind]uint64{}}}
+	for _, k := range o.Held {
+		s.held[k] = 0
+		s.o.Disk[k] = true
+	}
+	return s
+}
+
+// Step takes one input and gives what is to be done.
+func (s *Batch) Step(now gauge.Tick, in any) []any {
+	s.now, s.out = now, nil
+	s.settle()
+	switch v := in.(type) {
+	case BatchOrder:
+		if v.Order.Op == "" {
+			s.out = append(s.out, BatchAnswer{Token: v.Token, Code: http.StatusOK, Report: s.late()})
+			break
+		}
+		code, over := s.order(v.Order)
+		s.out = append(s.out, BatchAnswer{Token: v.Token, Code: code, Over: over})
+	case WorkIn:
+		s.work(v)
+	case WorkQuit:
+		for i, j := range s.jobs {
+			if j.Token == v.Token {
+				s.jobs = append(s.jobs[:i:i], s.jobs[i+1:]...)
+				s.tally.Quit++
+				break
+			}
+		}
+	case dowel.Beat:
+		if now >= s.next {
+			n := gauge.Span(min(len(s.jobs), s.o.Slots))
+			s.next = now.Add(s.o.Step + s.o.Step*n/gauge.Span(s.o.Slots))
+			s.batch()
+		}
+	}
+	s.settle()
+	s.keep()
+	return s.out
+}
+
+// settle ends the order under way when it is done.
+func (s *Batch) settle() {
+	if s.op == nil || s.now < s.ready {
+		return
+	}
+	k := s.op.Key
+	if s.op.Op == "load" {
+		s.held[k], s.o.Disk[k] = s.now, true
+		s.op = nil
+		s.out = append(s.out, LoadDone{k})
+		return
+	}
+	var left []*job
+	runs := false
+	for i, j := range s.jobs {
+		switch {
+		case j.key != k && (k.IsAdapter() || j.key.Base() != k):
+			left = append(left, j)
+		case i < s.o.Slots || j.n > 0:
+			runs = true
+			left = append(left, j)
+		default:
+			s.drop(j.Token, gauge.Busy) // it has not begun
+		}
+	}
+	s.jobs = left
+	if runs {
+		return // an unload waits for its runs
+	}
+	for x := range s.held {
+		if x == k || !k.IsAdapter() && x.Base() == k {
+			delete(s.held, x)
+		}
+	}
+	s.tally.Unloads++
+	s.op = nil
+}
+
+func (s *Batch) used() (room, places int) {
+	for k := range s.held {
+		room += s.o.Weight(k)
+		if k.IsAdapter() {
+			places++
+		}
+	}
+	return room, places
+}
+
+func (s *Batch) order(o dowel.Order) (code int, over bool) {
+	_, has := s.held[o.Key]
+	_, base := s.held[o.Key.Base()]
+	switch {
+	case s.o.Plain || o.Owner == "" || o.Duty == 0 || o.Key.Service() != s.o.Service || o.Op != "load" && o.Op != "unload":
+		return http.StatusBadRequest, false
+	case o.Expected != s.num || s.op != nil:
+		s.tally.Stale++
+		return http.StatusConflict, false
+	case o.Op == "load" && has || o.Op == "unload" && !has:
+		return http.StatusOK, false
+	case o.Op == "load" && o.Key.IsAdapter() && !base:
+		return http.StatusBadRequest, false
+	}
+	room, places := s.used()
+	s.num++
+	s.op, s.ready = &o, s.now
+	if o.Op == "load" {
+		over = room+s.o.Weight(o.Key) > s.o.Room || o.Key.IsAdapter() && s.o.Places > 0 && places >= s.o.Places
+		s.tally.Loads++
+		s.ready = s.now.Add(s.o.Load(o.Key, s.o.Disk[o.Key]))
+	}
+	return http.StatusAccepted, over
+}
+
+func (s *Batch) report() dowel.Report {
+	r := dowel.Report{Server: s.o.ID, Num: s.num, Busy: s.op != nil, Held: []dowel.Held{}}
+	for _, k := range gauge.Keys(s.held) {
+		r.Held = append(r.Held, dowel.Held{Key: k, Stage: "ready"})
+	}
+	return r
+}
+
+// keep remembers a report for as long as one may be given late.
+func (s *Batch) keep() {
+	s.past = append(s.past, reported{s.now, s.report()})
+	for len(s.past) > 1 && s.now.Sub(s.past[1].at) >= s.o.Lag {
+		s.past = s.past[1:]
+	}
+}
+
+func (s *Batch) late() dowel.Report {
+	r := s.report()
+	if len(s.past) > 0 {
+		r = s.past[0].r
+	}
+	for _, x := range s.past {
+		if s.now.Sub(x.at) >= s.o.Lag {
+			r = x.r
+		}
+	}
+	return r
+}
+
+func (s *Batch) drop(t uint64, k gauge.Kind) {
+	s.tally.Dropped++
+	s.tally.DropKinds[k]++
+	s.out = append(s.out, WorkDrop{t, k})
+}
+
+func (s *Batch) work(v WorkIn) {
+	k := gauge.KeyOf(v.Work.Base, v.Work.Extra).In(s.o.Service)
+	if s.o.Plain {
+		k = gauge.Key("").In(s.o.Service)
+	} else if _, ok := s.held[k]; !ok {
+		s.drop(v.Token, gauge.Mismatch)
+		return
+	}
+	goes := s.op != nil && s.op.Op == "unload" && (s.op.Key == k || s.op.Key == k.Base())
+	if goes || len(s.jobs) >= s.o.Slots+max(2, s.o.Slots/4) {
+		s.drop(v.Token, gauge.Busy)
+		return
+	}
+	s.tally.Works++
+	n := len(v.Work.Prompt)
+	for _, p := range v.Work.Parts {
+		n += len(p)
+	}
+	s.tally.PromptBytes += uint64(n)
+	s.jobs = append(s.jobs, &job{WorkIn: v, key: k, fill: n})
+}
+
+// batch is one step: some of the prompts, and one token for all that run.
+func (s *Batch) batch() {
+	fill := s.o.Fill
+	var left []*job
+	for i, j := range s.jobs {
+		if i >= s.o.Slots {
+			left = append(left, j)
+			continue
+		}
+		if n := min(fill, j.fill); j.fill > 0 {
+			j.fill -= n
+			fill -= n
+			if j.fill > 0 {
+				left = append(left, j)
+				continue
+			}
+		}
+		w := j.Work
+		e := Event{Token: j.Token, N: j.n, Go: w.Go, Server: s.o.ID, Text: Word(w.ID, w.Base, w.Extra, j.n)}
+		if j.n >= w.Max {
+			e.Text, e.Done = "", true
+			s.tally.Done++
+		} else {
+			left = append(left, j)
+		}
+		j.n++
+		s.out = append(s.out, e)
+	}
+	s.jobs = left
+}
+
+// Counts gives the tally so far.
+func (s *Batch) Counts() ServerTally { return s.tally }
+
+// Keys lists what the server holds ready.
+func (s *Batch) Keys() []gauge.Key { return gauge.Keys(s.held) }
+
+// Active tells how many requests are under way.
+func (s *Batch) Active() int { return len(s.jobs) }
