--- a/treadle/hosted_scenes.go
+++ b/treadle/hosted_scenes.go
@@ -77,13 +77,13 @@
 
 // hostedScenes are those with servers that announce themselves to the core and check no fence.
 var hostedScenes = []Scene{
-	{Name: "announced", About: "servers announce themselves and check no fence; nothing fails", Long: 50e9, Least: 0.97, Whole: true, Set: hosted(nil),
+	{Name: "announced", About: "servers announce themselves and check no fence; nothing fails", Long: 50e9, Least: 0.99, Whole: true, Set: hosted(nil),
 		Play: func(w *World) {}},
-	{Name: "announced-leave", About: "the same, and servers leave in order, at short notice, crash and come back under new ids, at used addresses too", Long: 80e9, Least: 0.85, Set: hosted(nil),
+	{Name: "announced-leave", About: "the same, and servers leave in order, at short notice, crash and come back under new ids, at used addresses too", Long: 80e9, Least: 0.95, Set: hosted(nil),
 		Play: func(w *World) { w.leaves(10, 62, 2.5) }},
-	{Name: "announced-shift", About: "what is asked for moves, so that models are loaded and unloaded all the time", Long: 80e9, Least: 0.8,
+	{Name: "announced-shift", About: "what is asked for moves, so that models are loaded and unloaded all the time", Long: 80e9, Least: 0.97,
 		Set: hosted(func(h *Hosted) { h.Shift = 6e9 }), Play: func(w *World) {}},
-	{Name: "announced-owner", About: "the owner is killed right after it acknowledged a leaving, or while one is under way", Long: 90e9, Least: 0.8,
+	{Name: "announced-owner", About: "the owner is killed right after it acknowledged a leaving, or while one is under way", Long: 90e9, Least: 0.85,
 		Set: hosted(func(h *Hosted) { h.Shift = 15e9 }),
 		Play: func(w *World) {
 			for t := 10.0; t < 74; t += 9 {
@@ -99,7 +99,7 @@
 				w.At(sec(t+4), func() { w.host.crash(w.host.some(), 1e9) })
 			}
 		}},
-	{Name: "announced-split", About: "the core is split every way while models move; servers leave while it is whole", Long: 90e9, Least: 0.7,
+	{Name: "announced-split", About: "the core is split every way while models move; servers leave while it is whole", Long: 90e9, Least: 0.95,
 		Set: hosted(func(h *Hosted) { h.Shift = 10e9 }),
 		Play: func(w *World) {
 			w.leaves(14.5, 70, 8)
@@ -129,7 +129,7 @@
 				w.At(sec(t+3), w.Heal)
 			}
 		}},
-	{Name: "announced-roll", About: "core nodes are restarted as planned, one by one, while models move", Long: 90e9, Least: 0.8,
+	{Name: "announced-roll", About: "core nodes are restarted as planned, one by one, while models move", Long: 90e9, Least: 0.97,
 		Set: hosted(func(h *Hosted) { h.Shift = 3e9 }),
 		Play: func(w *World) {
 			for t := 10.0; t < 72; t += 4.5 {
@@ -140,7 +140,7 @@
 				})
 			}
 		}},
-	{Name: "announced-minority", About: "servers leave while a core node other than the owner is cut off from the rest", Long: 80e9, Least: 0.9, Set: hosted(nil),
+	{Name: "announced-minority", About: "servers leave while a core node other than the owner is cut off from the rest", Long: 80e9, Least: 0.98, Set: hosted(nil),
 		Play: func(w *World) {
 			for t := 10.0; t < 62; t += 9 {
 				w.At(sec(t), func() {
@@ -161,7 +161,7 @@
 				w.At(sec(t+4), w.Heal)
 			}
 		}},
-	{Name: "announced-wipe", About: "core nodes lose their disks one at a time, right after they acknowledged a leaving or a plan", Long: 100e9, Least: 0.8, Set: hosted(nil),
+	{Name: "announced-wipe", About: "core nodes lose their disks one at a time, right after they acknowledged a leaving or a plan", Long: 100e9, Least: 0.95, Set: hosted(nil),
 		Play: func(w *World) {
 			w.epochs(9, 85, 9)
 			wipe := func() {
@@ -178,20 +178,20 @@
 				})
 			}
 		}},
-	{Name: "announced-late", About: "announcements come late, twice and out of order, order answers get lost, reports lag", Long: 80e9, Least: 0.7,
+	{Name: "announced-late", About: "announcements come late, twice and out of order, order answers get lost, reports lag", Long: 80e9, Least: 0.8,
 		Set: func(o *Options) {
 			hosted(func(h *Hosted) { h.LateOdds, h.OrderLoss, h.ReportLag, h.Shift = 0.5, 0.15, 450e6, 8e9 })(o)
 			o.Loss, o.Twice = 0.01, 0.02
 		},
 		Play: func(w *World) { w.leaves(10, 62, 3) }},
-	{Name: "announced-reuse", About: "servers crash all the time, and others take their addresses soon", Long: 70e9, Least: 0.7,
+	{Name: "announced-reuse", About: "servers crash all the time, and others take their addresses soon", Long: 70e9, Least: 0.75,
 		Set: hosted(func(h *Hosted) { h.Reuse = 200e6 }),
 		Play: func(w *World) {
 			for t := 10.0; t < 52; t += 2 {
 				w.At(sec(t), func() { w.host.crash(w.host.some(), 200e6+gauge.Span(w.rand.Int64N(1e9))) })
 			}
 		}},
-	{Name: "announced-all", About: "all of the core is killed at once, right after it acknowledged a plan, and comes back with its disks", Long: 70e9, Least: 0.7, Set: hosted(nil),
+	{Name: "announced-all", About: "all of the core is killed at once, right after it acknowledged a plan, and comes back with its disks", Long: 70e9, Least: 0.95, Set: hosted(nil),
 		Play: func(w *World) {
 			w.leaves(10, 17, 3)
 			w.leaves(27, 33, 3)
@@ -214,7 +214,7 @@
 			w.At(sec(32), func() { w.Read("anvil-2", nil) })
 			w.At(sec(60), func() { w.Read("anvil-1", nil) })
 		}},
-	{Name: "announced-alone", About: "routers are cut off from the core and go on by what they knew, while servers leave", Long: 80e9, Least: 0.7, Set: hosted(nil),
+	{Name: "announced-alone", About: "routers are cut off from the core and go on by what they knew, while servers leave", Long: 80e9, Least: 0.97, Set: hosted(nil),
 		Play: func(w *World) {
 			w.leaves(10, 62, 4)
 			for t := 11.0; t < 62; t += 9 {
@@ -229,7 +229,7 @@
 				w.At(sec(t+5), w.Heal)
 			}
 		}},
-	{Name: "announced-plans", About: "two operators race plans under numbers of their own, and replies get lost", Long: 80e9, Least: 0.95,
+	{Name: "announced-plans", About: "two operators race plans under numbers of their own, and replies get lost", Long: 80e9, Least: 0.97,
 		Set: func(o *Options) { hosted(nil)(o); o.Loss, o.Twice = 0.01, 0.02 },
 		Play: func(w *World) {
 			w.At(sec(8), func() { w.ReplyLoss = 0.1 })
