--- a/anvil/duty.go
+++ b/anvil/duty.go
@@ -12,6 +12,7 @@
 type reign struct {
 	mine  bool
 	num   gauge.Duty
+	again bool       // this node owned it before, and nobody since
 	asked gauge.Tick // when the last round that renewed it, and showed nothing newer, began
 	began gauge.Tick
 	top   gauge.Duty    // highest number seen
@@ -98,7 +99,7 @@
 		return
 	}
 	c.seenAt = c.now
-	*d = reign{mine: true, num: q.num, asked: q.at, began: c.now, top: q.num, who: c.o.Me}
+	*d = reign{mine: true, again: q.again, num: q.num, asked: q.at, began: c.now, top: q.num, who: c.o.Me}
 	c.tally.Reigns++
 	c.note(fmt.Sprintf("duty %d begins", d.num))
 	c.clear()
--- a/anvil/host.go
+++ b/anvil/host.go
@@ -58,6 +58,7 @@
 	Drain   gauge.Span // a leaving server is sent nothing after so long
 	CatchUp gauge.Span // a new core node counts as there after so long
 	Period  gauge.Span // between two announcements of a server
+	Tenure  gauge.Span // two core nodes do not order a server by turns within so long
 	Rate    gauge.Span // the store's rate is kept in every while of this length
 }
 
@@ -82,7 +83,7 @@
 	return Options{
 		Me: dowel.Sibling{ID: gauge.Node(h.ID), Addr: h.Post}, Zone: gauge.Zone(h.Zone), Inc: clamp.NewInc(),
 		Seeds: clamp.Siblings(h.Seeds), Rand: clamp.NewRand(), Wall: time.Now,
-		Duty: h.Timing.Duty(), Round: h.Timing.Duty() / 4, Hold: h.Timing.Hold(), Spare: h.Timing.Spare(), Silence: h.Timing.Silence(), Rate: h.Timing.Rate,
+		Duty: h.Timing.Duty(), Round: h.Timing.Duty() / 4, Hold: h.Timing.Hold(), Spare: h.Timing.Spare(), Silence: h.Timing.Silence(), Rate: h.Timing.Rate, Tenure: h.Timing.Tenure,
 		Read: h.Dialect.Read, Merge: h.Dialect.Merge, Enrolled: true, Unfenced: true, Warm: true, Joined: !h.First,
 	}
 }
--- a/anvil/orders.go
+++ b/anvil/orders.go
@@ -30,7 +30,7 @@
 	}
 	p := s.due()
 	if p != nil && s.unsure == nil && !s.busy && c.mayOrder() {
-		if s.ok < c.duty.began.Add(c.o.Settle) {
+		if s.ok < c.duty.began.Add(c.settle()) {
 			c.survey(s) // what the owner before ordered last shows only now
 			return
 		}
@@ -43,7 +43,16 @@
 }
 
 // mayOrder tells whether orders of the owner before can no longer be on their way.
-func (c *Core) mayOrder() bool { return c.now.Sub(c.duty.began) > c.o.Settle }
+func (c *Core) mayOrder() bool { return c.now.Sub(c.duty.began) > c.settle() }
+
+// settle is how long an owner waits before it orders. Where another node owned the duty before, two such
+// waits are longer than the time within which they must not order by turns.
+func (c *Core) settle() gauge.Span {
+	if c.duty.again {
+		return c.o.Settle
+	}
+	return max(c.o.Settle, c.o.Tenure/2+100e6)
+}
 
 func (c *Core) order(s *server, p *spot) {
 	q := dowel.Order{Duty: c.duty.num, Num: s.num, Op: verbs[p.stage], Key: p.key, Size: p.size, Owner: c.o.Me.ID, Expected: s.num - 1}
--- a/anvil/place.go
+++ b/anvil/place.go
@@ -636,7 +636,7 @@
 				budget-- // a dark server may still be loading, for a while
 			}
 		}
-		if !s.known && s.State == "live" && c.now.Sub(s.first) < 10e9 {
+		if !s.known && !s.dark && s.State == "live" && c.now.Sub(s.first) < 10e9 {
 			budget-- // what it may be loading is not known yet
 		}
 	}
--- a/anvil/register.go
+++ b/anvil/register.go
@@ -81,6 +81,7 @@
 	at    gauge.Tick
 	claim bool
 	num   gauge.Duty
+	again bool // no voter of a majority has given the duty to another since this node had it
 	set   dowel.Desired
 	yes   map[gauge.Node]gauge.Inc
 	grant map[gauge.Node]gauge.Inc
@@ -209,7 +210,7 @@
 
 func (c *Core) onQuery(e dowel.Env) {
 	b := e.Body.(dowel.Query)
-	s := dowel.State{Round: b.Round, Inc: c.vote.inc, Last: c.vote.owner.ID, Shy: c.ending || c.now < c.duty.shy, Blank: c.vote.safeV == nil, Accepted: c.vote.safeB}
+	s := dowel.State{Round: b.Round, Inc: c.vote.inc, Last: c.vote.owner.ID, Prior: c.vote.owner.ID, Shy: c.ending || c.now < c.duty.shy, Blank: c.vote.safeV == nil, Accepted: c.vote.safeB}
 	if c.vote.safeV != nil {
 		s.Epoch, s.Shape = c.vote.safeV.Epoch, c.vote.safeV.Shape
 	}
@@ -481,7 +482,7 @@
 		r.odd = 0
 	}
 	r.round++
-	q := &query{round: r.round, at: c.now, yes: map[gauge.Node]gauge.Inc{}, grant: map[gauge.Node]gauge.Inc{}, acc: map[gauge.Node]dowel.Ballot{}}
+	q := &query{round: r.round, again: true, at: c.now, yes: map[gauge.Node]gauge.Inc{}, grant: map[gauge.Node]gauge.Inc{}, acc: map[gauge.Node]dowel.Ballot{}}
 	to := map[gauge.Node]dowel.Sibling{}
 	if set := c.latest(); set != nil {
 		q.set = *set
@@ -539,6 +540,9 @@
 			q.top = b.Accepted
 		}
 	}
+	if b.Prior != c.o.Me.ID {
+		q.again = false
+	}
 	if q.claim && quorum(q.set, q.grant) {
 		q.won = true
 	}
--- a/anvil/weigh.go
+++ b/anvil/weigh.go
@@ -215,7 +215,7 @@
 	})
 	c.line = map[gauge.Key]int{}
 	for _, f := range todo {
-		if c.settle(f, l, store > 0) {
+		if c.placeAt(f, l, store > 0) {
 			store--
 		}
 		if f.live == 0 {
@@ -230,7 +230,8 @@
 
 // undo gives up placements for which a server turns out to have no room, and nothing is on its way out.
 func (c *Core) undo(s *server) {
-	if s.plain || s.used() <= s.room || !s.known {
+	crowd := s.places > 0 && s.adapters() > s.places
+	if s.plain || s.used() <= s.room && !crowd || !s.known {
 		return
 	}
 	for _, p := range s.spots {
@@ -263,16 +264,16 @@
 		}
 		if !known {
 			f.spare = true
-			c.settle(f, l, true)
+			c.placeAt(f, l, true)
 			return
 		}
 	}
 }
 
-// settle finds the server where one more replica of a family costs least, and begins it there; what
+// placeAt finds the server where one more replica of a family costs least, and begins it there; what
 // must make way is broken first. It tells whether the load comes from the store, which is only asked if
 // it bears another one.
-func (c *Core) settle(f *family, l map[gauge.Key]*family, store bool) bool {
+func (c *Core) placeAt(f *family, l map[gauge.Key]*family, store bool) bool {
 	var best *server
 	var gone []*spot
 	cost := math.Inf(1)
--- a/cmd/anvil/main.go
+++ b/cmd/anvil/main.go
@@ -21,7 +21,7 @@
 			Dialect: anvil.Dialect{Servers: platform.PathServers, Plan: platform.PathConfiguration, Beacon: platform.ReadBeacon,
 				Revision: platform.Revision, Target: platform.Target, Read: platform.ReadPlan, Merge: platform.Merge, Tell: platform.Tell},
 			Timing: anvil.Timing{Apply: boot.Bounds.Apply, Drain: boot.Bounds.Drain, CatchUp: boot.Bounds.CatchUp, Period: boot.Period,
-				Rate: boot.Bounds.PeakWindow},
+				Rate: boot.Bounds.PeakWindow, Tenure: boot.Bounds.Tenure},
 		}))
 		return
 	}
--- a/dowel/dowel.go
+++ b/dowel/dowel.go
@@ -226,6 +226,7 @@
 	Duty     gauge.Duty // highest duty ever promised
 	Owner    Sibling    // who holds it now, if any
 	Last     gauge.Node // to whom this voter gave it last
+	Prior    gauge.Node // and to whom before this answer
 	Shy      bool       // it gave the duty back, and does not want it for a while
 }
 
