--- a/anvil/enrol.go
+++ b/anvil/enrol.go
@@ -231,7 +231,8 @@
 		if first {
 			c.relayRoll()
 		}
-		c.out = append(c.out, Announced{Token: a.Token, OK: true})
+		// A node that is parted from the core sends servers on to one that is not.
+		c.out = append(c.out, Announced{Token: a.Token, OK: c.reg.known == nil || c.Ready()})
 		return
 	}
 	// Repeats of a leaving are answered like the first: their answer may be the one that is heard.
