--- a/anvil/weigh.go
+++ b/anvil/weigh.go
@@ -18,8 +18,8 @@
 	nowSpan   = 1.2  // seconds that the work of just now looks back
 	lateSpan  = 4.0  // and that of late
 	slowSpan  = 20.0 // and the longer ones
-	goodLoad  = 0.3  // of a server's time that one key's replica should take
-	fullLoad  = 0.5  // past which another replica is worth a rarer key's only one
+	goodLoad  = 0.4  // of a server's time that one key's replica should take
+	fullLoad  = 0.6  // past which another replica is worth a rarer key's only one
 	riseTrust = 0.5  // of a rise that is taken to go on
 	goodBatch = 0.15 // of a server's places that one key's requests should take
 	warmPart  = 0.25 // of a load's time that it takes from a server's own disk
