--- a/anvil/cluster_test.go
+++ b/anvil/cluster_test.go
@@ -1,6 +1,7 @@
 package anvil
 
 import (
+	"maps"
 	"math/rand/v2"
 	"testing"
 
@@ -18,6 +19,8 @@
 	at      gauge.Tick
 	plans   map[string]*chisel.Plan
 	nodes   map[string]*Core
+	disks   map[string]map[string][]byte
+	make    func(id string) *Core
 	parted  map[string]bool // nodes and routers that reach no node and that none reaches
 	models  map[string]*modelServer
 	routers map[string]*router
@@ -56,7 +59,7 @@
 
 func newCluster(t *testing.T, plan *chisel.Plan, ids ...string) *cluster {
 	c := &cluster{
-		t: t, at: 1e9, plans: map[string]*chisel.Plan{}, nodes: map[string]*Core{}, parted: map[string]bool{},
+		t: t, at: 1e9, plans: map[string]*chisel.Plan{}, nodes: map[string]*Core{}, disks: map[string]map[string][]byte{}, parted: map[string]bool{},
 		models: map[string]*modelServer{}, routers: map[string]*router{}, dice: rand.New(rand.NewPCG(3, 4)),
 	}
 	v := dowel.Desired{Gen: 1, Shape: 1}
@@ -69,9 +72,11 @@
 		v.Voters = append(v.Voters, voter(id, 5))
 		seeds = append(seeds, dowel.Sibling{Addr: id})
 	}
-	for i, id := range ids {
-		c.nodes[id] = New(Options{
-			Me: dowel.Sibling{ID: gauge.Node(id), Addr: id}, Inc: 6, Seeds: seeds, Rand: rand.New(rand.NewPCG(uint64(i), 2)),
+	lives := uint64(0)
+	c.make = func(id string) *Core {
+		lives++
+		return New(Options{
+			Me: dowel.Sibling{ID: gauge.Node(id), Addr: id}, Inc: gauge.Inc(5 + lives), Seeds: seeds, Rand: rand.New(rand.NewPCG(lives-1, 2)),
 			Enrolled: true, Unfenced: true, Joined: true,
 			Read: func(raw []byte) (*chisel.Plan, chisel.Faults) {
 				if p := c.plans[string(raw)]; p != nil {
@@ -81,13 +86,26 @@
 			},
 			Merge: func(_, patch []byte) ([]byte, chisel.Faults) { return patch, nil },
 		})
-		c.step(id, dowel.Start{Disk: map[string][]byte{diskInc: []byte("5"), diskV: jot(safe{dowel.Ballot{N: 1, By: "a"}, &v}), diskB: jot(dowel.Ballot{N: 1, By: "a"})}})
+	}
+	for _, id := range ids {
+		c.disks[id] = map[string][]byte{diskInc: []byte("5"), diskV: jot(safe{dowel.Ballot{N: 1, By: "a"}, &v}), diskB: jot(dowel.Ballot{N: 1, By: "a"})}
+		c.reboot(id)
 	}
 	c.until(6e9, func() bool { return c.owner() != "" })
 	require.NotEmpty(t, c.owner())
 	return c
 }
 
+// reboot starts nodes anew, all at the same moment, from what their disks have.
+func (c *cluster) reboot(ids ...string) {
+	for _, id := range ids {
+		c.nodes[id] = c.make(id)
+	}
+	for _, id := range ids {
+		c.step(id, dowel.Start{Disk: maps.Clone(c.disks[id])})
+	}
+}
+
 // owner names the node that owns the duty.
 func (c *cluster) owner() string {
 	for _, id := range gauge.Keys(c.nodes) {
@@ -140,6 +158,7 @@
 				}
 			}
 		case dowel.Save:
+			maps.Copy(c.disks[x.id], v.Puts)
 			put(x.id, dowel.Saved{Token: v.Token})
 		case dowel.Ask:
 			c.send(x.id, v)
--- /dev/null
+++ b/anvil/mends_test.go
@@ -0,0 +1,86 @@
+package anvil
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"tidedeck/dowel"
+	"tidedeck/gauge"
+)
+
+// A voter that has just started does not know what it granted before: to the node that owned the duty
+// last it grants at once, since whatever that one held is over, and to others only when a hold that it
+// may have forgotten has run out.
+func TestVoterAfterItsRestart(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		owner string // on the voter's disk
+		asks  string
+		after gauge.Span
+		grant bool
+	}{
+		{"the last owner at once", "a", "a", 0, true},
+		{"another at once", "a", "b", 0, false},
+		{"another a little before the hold's end", "a", "b", -20e6, false},
+		{"another after the hold's end", "a", "b", 20e6, true},
+		{"anybody, where nobody is on record, at once", "", "b", 0, false},
+		{"anybody, where nobody is on record, after it", "", "b", 20e6, true},
+	} {
+		k := New(Options{Me: dowel.Sibling{ID: "v", Addr: "v"}, Inc: 2})
+		k.Step(1e9, dowel.Start{Disk: map[string][]byte{
+			diskInc: []byte("5"), diskD: jot(pledge{Duty: 7, Owner: dowel.Sibling{ID: gauge.Node(c.owner)}}),
+		}})
+		at := gauge.Tick(1e9)
+		if c.after != 0 {
+			at = at.Add(k.pad(k.o.Duty) + c.after)
+		}
+		granted := false
+		out := k.Step(at, dowel.Env{From: dowel.Sibling{ID: gauge.Node(c.asks), Addr: c.asks}, To: dowel.Sibling{ID: "v"}, Body: dowel.Query{Round: 1, Claim: true, Duty: 8}})
+		for len(out) > 0 {
+			var next []any
+			for _, o := range out {
+				switch v := o.(type) {
+				case dowel.Save:
+					next = append(next, k.Step(at, dowel.Saved{Token: v.Token})...)
+				case dowel.Env:
+					if s, ok := v.Body.(dowel.State); ok {
+						granted = granted || s.Granted
+					}
+				}
+			}
+			out = next
+		}
+		require.Equal(t, c.grant, granted, c.name)
+	}
+}
+
+// When the whole core loses power, the last owner has the duty again well within one hold.
+func TestDutyBackAfterPower(t *testing.T) {
+	c := newCluster(t, modelPlan(12, "llm|m"), "a", "b", "c")
+	c.run(2e9)
+	was := c.owner()
+	c.reboot("a", "b", "c")
+	require.Empty(t, c.owner())
+	at := c.at
+	require.True(t, c.until(9e9, func() bool { return c.owner() != "" }))
+	require.Equal(t, was, c.owner())
+	require.Less(t, c.at.Sub(at), c.lead().o.Duty)
+}
+
+// What was meant to be busy, by the replicas that servers came with, keeps them until demand is known.
+func TestReplicasUntilDemandIsKnown(t *testing.T) {
+	p := modelPlan(8, "llm|hot", "llm|x", "llm|y", "llm|n")
+	k := weighed(p, keys{"s1": {"llm|hot", "llm|x"}, "s2": {"llm|hot", "llm|y"}})
+	k.asked = k.now - 1e9
+	k.demand["llm|n"] = &need{at: k.now, wait: 9}
+	k.weighAll(9)
+	require.NotContains(t, k.changes(), "-hot")
+	k = weighed(p, keys{"s1": {"llm|hot", "llm|x"}, "s2": {"llm|hot", "llm|y"}})
+	k.asked = k.now - 9e9
+	k.demand["llm|n"] = &need{at: k.now, wait: 9}
+	k.demand["llm|x"] = &need{slow: 1, rate: 1, load: 0.3, now: 0.3}
+	k.demand["llm|y"] = &need{slow: 1, rate: 1, load: 0.3, now: 0.3}
+	k.weighAll(9)
+	require.Contains(t, k.changes(), "-hot", "and gives one up when nobody asks for it")
+}
