A replica that eases a family past its good load is worth something too

Ruled out: room (single copies were to be had for less), the store's rate (its copies were on disks).

--- a/anvil/weigh.go
+++ b/anvil/weigh.go
@@ -164,12 +164,12 @@
 	if f.live == 0 {
 		return (float64(f.wait)+f.age)*weight + 2*f.rate
 	}
-	return 2 * f.rate * math.Max(0, 1-float64(f.live)*fullLoad/math.Max(f.load, 1e-9))
+	part := func(bears float64) float64 {
+		return math.Max(0, 1-float64(f.live)*bears/math.Max(f.load, 1e-9))
+	}
+	return f.rate * (part(goodLoad) + part(fullLoad))
 }
 
-// over tells whether a family's replicas are past what they bear: that holds up all of its requests.
-func (f *family) over() bool { return f.live > 0 && f.load/float64(f.live) > fullLoad }
-
 // loadOf sums the work of what a server holds, as its replicas share it.
 func (c *Core) loadOf(s *server, l map[gauge.Key]*family) float64 {
 	sum := 0.0
@@ -356,9 +356,6 @@
 			continue
 		}
 		n := c.miss(g)
-		if f.live > 0 && g.live == 1 && !f.over() {
-			continue // a further replica is not worth another key's only one
-		}
 		ways = append(ways, way{p, n})
 	}
 	sort.SliceStable(ways, func(i, j int) bool {
