A router goes by what it knew only when no owner is heard; plans travel squeezed and once

Ruled out: the register (changes were acknowledged in 0.3 s), the owner's duty (it was held all along).

--- a/anvil/links.go
+++ b/anvil/links.go
@@ -290,9 +290,12 @@
 
 // pushAll sends the desired state down every link.
 func (c *Core) pushAll() {
+	d, bytes := *c.reg.known, &dowel.Packed{}
 	for _, l := range c.sorted() {
-		d := *c.reg.known
-		l.add(dowel.Item{Desired: &d})
+		for i := range l.items {
+			l.items[i].Desired = nil // what a newer one follows need not come: its number alone does
+		}
+		l.add(dowel.Item{Desired: &d, Packed: bytes})
 	}
 }
 
--- a/awl/core.go
+++ b/awl/core.go
@@ -46,6 +46,8 @@
 	fresh  bool
 	heard  uint64
 	next   gauge.Tick
+	owned  gauge.Tick // when an owner was last heard, in whatever session
+	parted bool       // none has been for a while, though it was asked
 	last   gauge.Tick // when an owner last answered in this session
 	tried  gauge.Tick
 	way    way
@@ -119,7 +121,7 @@
 }
 
 func (c *Core) tell() {
-	c.down(dowel.Hold{Session: c.ses, Until: c.until, Duty: c.duty})
+	c.down(dowel.Hold{Session: c.ses, Until: c.until, Duty: c.duty, Parted: c.parted})
 }
 
 func (c *Core) take(e dowel.Env) {
@@ -189,6 +191,7 @@
 }
 
 func (c *Core) onGrant(e dowel.Env, b dowel.Grant) {
+	c.owned = c.now
 	if !c.same(b.Session, b.Duty) {
 		return
 	}
@@ -205,6 +208,7 @@
 	c.tally.Grants++
 	c.routers = b.Routers
 	c.until = max(c.until, at.Add(b.Len))
+	c.parted = false
 	c.down(dowel.Hold{Session: c.ses, Until: c.until, Duty: c.duty, Routers: b.Routers, Seats: b.Seats})
 }
 
@@ -216,6 +220,7 @@
 		c.cores = b.Cores
 	}
 	if b.Gone {
+		c.owned = c.now
 		c.session()
 		return
 	}
@@ -226,6 +231,7 @@
 }
 
 func (c *Core) onNews(e dowel.Env, b dowel.News) {
+	c.owned = c.now
 	if !c.same(b.Session, b.Duty) {
 		return
 	}
@@ -250,6 +256,10 @@
 	if c.until != 0 && c.now > c.until {
 		c.session() // the hold ran out: after a reconnect everything is suspect
 	}
+	if p := c.apart(); p != c.parted {
+		c.parted = p
+		c.tell()
+	}
 	if c.now < c.next {
 		return
 	}
@@ -301,6 +311,22 @@
 	c.burden = n
 }
 
+// apart tells whether no owner is heard though one was asked for a while ago: an owner that is heard and
+// grants nothing waits for this machine to take in what it was sent.
+func (c *Core) apart() bool {
+	if c.now.Sub(c.owned) < partedSpan {
+		return false
+	}
+	for _, t := range c.sent {
+		if c.now.Sub(t) > c.o.Wait*6/7 {
+			return true
+		}
+	}
+	return false
+}
+
+const partedSpan = gauge.Span(1e9)
+
 // change tries another way: each core node straight, then each through siblings.
 func (c *Core) change() {
 	c.tried = c.now
--- /dev/null
+++ b/dowel/desired.go
@@ -0,0 +1,93 @@
+package dowel
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/json"
+	"io"
+	"sync"
+
+	"github.com/go-faster/errors"
+
+	"tidedeck/gauge"
+)
+
+// mostDesired bounds what a desired state may come to when it is unpacked.
+const mostDesired = 64 << 20
+
+// Packed keeps the bytes of something that does not change and is sent to many.
+type Packed struct {
+	once  sync.Once
+	bytes []byte
+	err   error
+}
+
+// MarshalJSON writes an item; a desired state that goes to many routers is written as bytes only once.
+func (i Item) MarshalJSON() ([]byte, error) {
+	v := struct {
+		Num     uint64          `json:"n"`
+		Desired json.RawMessage `json:"d,omitempty"`
+		Entry   *Entry          `json:"e,omitempty"`
+		Break   gauge.Key       `json:"b,omitempty"`
+	}{Num: i.Num, Entry: i.Entry, Break: i.Break}
+	if i.Desired != nil {
+		p := i.Packed
+		if p == nil {
+			p = &Packed{}
+		}
+		p.once.Do(func() { p.bytes, p.err = json.Marshal(i.Desired) })
+		if p.err != nil {
+			return nil, p.err
+		}
+		v.Desired = p.bytes
+	}
+	return json.Marshal(v)
+}
+
+// plainDesired has a desired state's fields and none of its methods.
+type plainDesired Desired
+
+type squeezed struct {
+	Z []byte `json:"z"`
+}
+
+// MarshalJSON writes a desired state squeezed.
+func (d Desired) MarshalJSON() ([]byte, error) {
+	raw, err := json.Marshal(plainDesired(d))
+	if err != nil {
+		return nil, err
+	}
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(raw); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return json.Marshal(squeezed{b.Bytes()})
+}
+
+// UnmarshalJSON reads a desired state, squeezed or as earlier versions wrote it.
+func (d *Desired) UnmarshalJSON(raw []byte) error {
+	var z squeezed
+	if err := json.Unmarshal(raw, &z); err != nil {
+		return err
+	}
+	if z.Z != nil {
+		b, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(z.Z)), mostDesired))
+		if err != nil {
+			return errors.Wrap(err, "unpack desired state")
+		}
+		raw = b
+	}
+	var p plainDesired
+	if err := json.Unmarshal(raw, &p); err != nil {
+		return err
+	}
+	*d = Desired(p)
+	return nil
+}
--- a/dowel/dowel.go
+++ b/dowel/dowel.go
@@ -345,6 +345,7 @@
 	Desired *Desired  `json:"d,omitempty"`
 	Entry   *Entry    `json:"e,omitempty"`
 	Break   gauge.Key `json:"b,omitempty"`
+	Packed  *Packed   `json:"-"` // the desired state as bytes, shared by all that it goes to
 }
 
 // Entry is a placement entry; its delivery places a callback on it.
@@ -409,6 +410,7 @@
 	Duty    gauge.Duty
 	Routers int
 	Seats   map[gauge.Server]int
+	Parted  bool // no owner is heard: there is none, or this machine is cut off from it
 }
 
 // Inputs and outputs of cores.
--- a/lathe/core.go
+++ b/lathe/core.go
@@ -163,6 +163,7 @@
 	paces  map[gauge.Key]float64 // ns that a token takes at best, by base
 	dice   uint64
 	flows  map[gauge.Key]*inflow
+	parted bool // its agent hears no owner
 	ending bool // it stops: nobody waits here any more
 	tally  Tally
 }
@@ -250,6 +251,9 @@
 			e.held, e.asking = false, false
 		}
 	}
+	if c.parted = b.Parted; c.parted {
+		defer c.pump()
+	}
 	if b.Seats != nil {
 		c.heardSeats(b.Seats)
 	}
@@ -270,7 +274,7 @@
 
 // alone tells whether the router has no hold and may go by what it knew all the same: it is parted
 // from the core, and servers refuse by themselves what they do not hold or are not meant by.
-func (c *Core) alone() bool { return c.o.Guards && c.plan != nil && !c.holds() }
+func (c *Core) alone() bool { return c.o.Guards && c.parted && c.plan != nil && !c.holds() }
 
 // usable tells whether work may be sent by an entry as it stands.
 func (c *Core) usable(e *entry) bool {
--- a/lathe/free_test.go
+++ b/lathe/free_test.go
@@ -276,19 +276,32 @@
 		{"held", false, func(*bed) {}, true},
 		{"held, and guarded", true, func(*bed) {}, true},
 		{"the hold ran out", false, func(b *bed) { b.at = b.at.Add(61e9) }, false},
-		{"the hold ran out, and guarded", true, func(b *bed) { b.at = b.at.Add(61e9) }, true},
+		{"the hold ran out, and guarded, but an owner is heard", true, func(b *bed) { b.at = b.at.Add(61e9) }, false},
+		{"the hold ran out, guarded and parted", true, func(b *bed) {
+			b.at = b.at.Add(61e9)
+			b.mail(dowel.Hold{Session: ses, Parted: true})
+		}, true},
+		{"the hold ran out, parted, but not guarded", false, func(b *bed) {
+			b.at = b.at.Add(61e9)
+			b.mail(dowel.Hold{Session: ses, Parted: true})
+		}, false},
 		{"a new session without a hold", false, func(b *bed) { b.mail(dowel.Hold{Session: dowel.Session{Node: "awl", Awl: 1, Lathe: 7, N: 2}}) }, false},
-		{"a new session without a hold, and guarded", true, func(b *bed) { b.mail(dowel.Hold{Session: dowel.Session{Node: "awl", Awl: 1, Lathe: 7, N: 2}}) }, true},
+		{"a new session without a hold, guarded, but an owner is heard", true, func(b *bed) { b.mail(dowel.Hold{Session: dowel.Session{Node: "awl", Awl: 1, Lathe: 7, N: 2}}) }, false},
+		{"a new session without a hold, guarded and parted", true, func(b *bed) {
+			b.mail(dowel.Hold{Session: dowel.Session{Node: "awl", Awl: 1, Lathe: 7, N: 2}, Parted: true})
+		}, true},
 		{"a new session with a hold checks first", true, func(b *bed) {
 			b.mail(dowel.Hold{Session: dowel.Session{Node: "awl", Awl: 1, Lathe: 7, N: 2}, Until: b.at.Add(60e9)})
 		}, false},
 		{"the promise was broken, then the hold ran out", true, func(b *bed) {
 			b.news(dowel.Item{Break: "web|"})
 			b.at = b.at.Add(61e9)
+			b.mail(dowel.Hold{Session: ses, Parted: true})
 		}, false},
 		{"its zone was emptied, then the hold ran out", true, func(b *bed) {
 			b.news(dowel.Item{Desired: &dowel.Desired{Gen: 1, Epoch: 2, Plan: []byte{0}, Empty: []gauge.Zone{"z"}}})
 			b.at = b.at.Add(61e9)
+			b.mail(dowel.Hold{Session: ses, Parted: true})
 		}, false},
 	} {
 		for _, when := range []string{"before it is launched", "before it is sent"} {
