--- a/awl/core.go
+++ b/awl/core.go
@@ -47,6 +47,7 @@
 	heard  uint64
 	next   gauge.Tick
 	owned  gauge.Tick // when an owner was last heard, in whatever session
+	waits  gauge.Tick // when the first renewal was sent that no owner has been heard since
 	parted bool       // none has been for a while, though it was asked
 	last   gauge.Tick // when an owner last answered in this session
 	tried  gauge.Tick
@@ -277,6 +278,9 @@
 			delete(c.sent, s)
 		}
 	}
+	if c.waits <= c.owned {
+		c.waits = c.now
+	}
 	c.tally.Renews++
 	c.up(dowel.Renew{Session: c.ses, Seq: c.seq, Fresh: c.fresh, Gen: c.gen, Epoch: c.epoch, Heard: c.heard, Burden: c.burden, Seats: c.seats})
 	left := map[gauge.Key]dowel.Burden{} // what was sent is not touched any more
@@ -314,15 +318,7 @@
 // apart tells whether no owner is heard though one was asked for a while ago: an owner that is heard and
 // grants nothing waits for this machine to take in what it was sent.
 func (c *Core) apart() bool {
-	if c.now.Sub(c.owned) < partedSpan {
-		return false
-	}
-	for _, t := range c.sent {
-		if c.now.Sub(t) > c.o.Wait*6/7 {
-			return true
-		}
-	}
-	return false
+	return c.now.Sub(c.owned) > partedSpan && c.waits > c.owned && c.now.Sub(c.waits) > c.o.Wait*6/7
 }
 
 const partedSpan = gauge.Span(1e9)
