The owner keeps sums of what is under way, and looks at placement less often the more there is

Change: sums are kept per server and a grant names the servers of its link's entries only; placement is looked at each 20 ms per 200 models and adapters; flush sorts only links that have something to send.

--- a/anvil/core.go
+++ b/anvil/core.go
@@ -139,6 +139,8 @@
 	asked    gauge.Tick        // when routers first told this owner what they are asked for
 	line     map[gauge.Key]int // keys without a replica that the store has no room for yet, by turn
 	acks     map[uint64]*leaving
+	weighed  gauge.Tick
+	seats    map[gauge.Server]int // tokens that all routers have under way, by server
 	mark     uint64
 	rolls    map[gauge.Node]gauge.Inc // core nodes whose roll this owner has heard
 	called   gauge.Tick
@@ -168,7 +170,7 @@
 		servers: map[gauge.Server]*server{}, entries: map[gauge.Key]*entry{},
 		asks: map[uint64]func(dowel.Told){}, saves: map[uint64]func(){},
 		demand: map[gauge.Key]*need{}, shifts: map[gauge.Key]*shift{}, empty: map[gauge.Zone]bool{},
-		roll: map[gauge.Server]*enrolled{}, acks: map[uint64]*leaving{},
+		seats: map[gauge.Server]int{}, roll: map[gauge.Server]*enrolled{}, acks: map[uint64]*leaving{},
 	}
 	c.mates = plumb.New(plumb.Options{
 		Me:    dowel.Member{Sibling: o.Me, Role: "anvil", Zone: o.Zone, Inc: o.Inc},
--- a/anvil/duty.go
+++ b/anvil/duty.go
@@ -144,6 +144,7 @@
 
 // clear forgets all that belongs to one reign.
 func (c *Core) clear() {
+	c.seats = map[gauge.Server]int{}
 	c.links, c.tombs, c.wants = map[dowel.Session]*link{}, map[dowel.Session]gauge.Tick{}, nil
 	c.servers, c.entries = map[gauge.Server]*server{}, map[gauge.Key]*entry{}
 	c.demand = map[gauge.Key]*need{}
--- a/anvil/links.go
+++ b/anvil/links.go
@@ -71,7 +71,8 @@
 	if l == nil {
 		return
 	}
-	l.burden, l.seats = b.Burden, b.Seats
+	c.count(l, b.Seats)
+	l.burden = b.Burden
 	for _, k := range gauge.Keys(b.Burden) {
 		if u := b.Burden[k]; u.Wait > 0 || u.Came > 0 {
 			c.wanted(k, u.Wait, u.Top)
@@ -275,6 +276,10 @@
 	for _, x := range c.links {
 		l = append(l, x)
 	}
+	return inOrder(l)
+}
+
+func inOrder(l []*link) []*link {
 	sort.Slice(l, func(i, j int) bool {
 		a, b := l[i].ses, l[j].ses
 		if a.Node != b.Node {
@@ -308,6 +313,7 @@
 			if len(l.items) > 0 {
 				c.tally.Lapses++
 			}
+			c.count(l, nil)
 			delete(c.links, l.ses)
 			c.tombs[l.ses] = c.now
 			continue
@@ -335,10 +341,13 @@
 	if !c.rules() {
 		return
 	}
-	for _, l := range c.sorted() {
-		if l.sent >= l.num || len(l.items) == 0 {
-			continue
+	var due []*link
+	for _, l := range c.links {
+		if l.sent < l.num && len(l.items) > 0 {
+			due = append(due, l)
 		}
+	}
+	for _, l := range inOrder(due) {
 		n := dowel.News{Session: l.ses, Duty: c.duty.num}
 		for _, i := range l.items {
 			if i.Num > l.sent && len(n.Items) < 128 {
--- a/anvil/weigh.go
+++ b/anvil/weigh.go
@@ -14,23 +14,25 @@
 // holds, and what is let go is what will be missed least for the time that it takes to be back.
 
 const (
-	sumEvery  = 250e6
-	nowSpan   = 1.2  // seconds that the work of just now looks back
-	lateSpan  = 4.0  // and that of late
-	slowSpan  = 20.0 // and the longer ones
-	goodLoad  = 0.4  // of a server's time that one key's replica should take
-	fullLoad  = 0.6  // past which another replica is worth a rarer key's only one
-	riseTrust = 0.5  // of a rise that is taken to go on
-	goodBatch = 0.15 // of a server's places that one key's requests should take
-	warmPart  = 0.25 // of a load's time that it takes from a server's own disk
-	busyRate  = 1.0  // requests a second from which on a base is busy
-	seedEvery = 300e6
-	firstSpan = 4e9
-	drainSpan = 800e6 // what was sent to a server may begin there for so long before a model is unloaded
-	orderLag  = 400e6 // from an order's end until routers know of it
-	longAge   = 3.0   // seconds of waiting from which on it counts for no more
-	crowded   = 6000  // tokens under way at a server from which on others are better
-	freshSpan = 1500e6
+	sumEvery   = 250e6
+	nowSpan    = 1.2  // seconds that the work of just now looks back
+	lateSpan   = 4.0  // and that of late
+	slowSpan   = 20.0 // and the longer ones
+	goodLoad   = 0.4  // of a server's time that one key's replica should take
+	fullLoad   = 0.6  // past which another replica is worth a rarer key's only one
+	riseTrust  = 0.5  // of a rise that is taken to go on
+	goodBatch  = 0.15 // of a server's places that one key's requests should take
+	warmPart   = 0.25 // of a load's time that it takes from a server's own disk
+	busyRate   = 1.0  // requests a second from which on a base is busy
+	seedEvery  = 300e6
+	weighEvery = 20e6
+	weighMany  = 200 // models and adapters
+	firstSpan  = 4e9
+	drainSpan  = 800e6 // what was sent to a server may begin there for so long before a model is unloaded
+	orderLag   = 400e6 // from an order's end until routers know of it
+	longAge    = 3.0   // seconds of waiting from which on it counts for no more
+	crowded    = 6000  // tokens under way at a server from which on others are better
+	freshSpan  = 1500e6
 )
 
 // came takes in what a router was asked for since its last renewal.
@@ -62,15 +64,32 @@
 	}
 }
 
-// seatsOf adds up what all routers have under way at the servers of a link's entries.
+// count takes in what a link's router has under way at servers, in place of what it had.
+func (c *Core) count(l *link, seats map[gauge.Server]int) {
+	for s, n := range l.seats {
+		if c.seats[s] -= n; c.seats[s] <= 0 {
+			delete(c.seats, s)
+		}
+	}
+	for s, n := range seats {
+		c.seats[s] += n
+	}
+	l.seats = seats
+}
+
+// seatsOf tells what all routers have under way at the servers that a link's entries name.
 func (c *Core) seatsOf(l *link) map[gauge.Server]int {
 	if !c.o.Unfenced {
 		return nil
 	}
 	m := map[gauge.Server]int{}
-	for _, x := range c.links {
-		for s, n := range x.seats {
-			m[s] += n
+	for k := range l.holds {
+		if e := c.entries[k]; e != nil {
+			for _, r := range e.replicas {
+				if n := c.seats[r.rep.Server]; n > 0 {
+					m[r.rep.Server] = n
+				}
+			}
 		}
 	}
 	return m
@@ -183,6 +202,11 @@
 
 // weighAll places what is asked for.
 func (c *Core) weighAll(rate int) {
+	// The more there is to look at, the more seldom: a load takes seconds anyhow.
+	if c.now.Sub(c.weighed) < weighEvery*gauge.Span(1+len(c.plan.Models)/weighMany) {
+		return
+	}
+	c.weighed = c.now
 	l := c.families()
 	once, _ := c.budget()
 	for _, s := range c.servers {
@@ -406,7 +430,7 @@
 // weighAdapters brings adapters that are asked for to replicas of their bases. They come in no time
 // and take little room, but a server has few places for them.
 func (c *Core) weighAdapters() {
-	seats := c.seatsOf(nil)
+	seats := c.seats
 	for _, k := range gauge.Keys(c.demand) {
 		n := c.demand[k]
 		m, ok := c.plan.Models[k]
