--- a/lathe/relay.go
+++ b/lathe/relay.go
@@ -84,37 +84,20 @@
 	conns *conns
 	close func() bool // whether answers end their connections
 
-	mu    sync.Mutex // guards what follows; taken after the clamp's
-	calls map[Ref]chan any
-	next  Ref
+	opened
+	told  sync.Mutex // guards tally
 	tally RelayTally
 }
 
 // NewRelay makes a relay.
 func NewRelay(o RelayOptions) *Relay {
 	o = o.Defaults()
-	return &Relay{o: o, core: o.Decider, conns: newConns(o.Conns), close: func() bool { return false }, calls: map[Ref]chan any{}}
+	return &Relay{o: o, core: o.Decider, conns: newConns(o.Conns), close: func() bool { return false }}
 }
 
 // Use sets who decides, before the first request comes.
 func (r *Relay) Use(d Decider) { r.core = d }
 
-// Act takes what was decided: a Launch or a Receipt. It is the Else of a clamp.
-func (r *Relay) Act(o any) {
-	var ref Ref
-	switch v := o.(type) {
-	case Launch:
-		ref = v.Ref
-	case Receipt:
-		ref = v.Ref
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if ch := r.calls[ref]; ch != nil {
-		ch <- o // at most one launch is open, and one receipt follows it
-	}
-}
-
 // Forget closes the idle connections to a server's address.
 func (r *Relay) Forget(addr string) { r.conns.closeIdle(addr) }
 
@@ -123,24 +106,17 @@
 
 // Counts gives the tally so far.
 func (r *Relay) Counts() RelayTally {
-	r.mu.Lock()
+	r.told.Lock()
 	t := r.tally
-	r.mu.Unlock()
+	r.told.Unlock()
 	t.ConnTally = r.conns.tally()
 	return t
 }
 
-// Open tells how many requests are under way.
-func (r *Relay) Open() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return len(r.calls)
-}
-
 func (r *Relay) count(f func(t *RelayTally)) {
-	r.mu.Lock()
+	r.told.Lock()
 	f(&r.tally)
-	r.mu.Unlock()
+	r.told.Unlock()
 }
 
 // hop tells whether a header concerns one connection only.
@@ -290,20 +266,13 @@
 // run asks the decider and does what it says until the request has its end.
 func (x *exchange) run() {
 	r := x.r
-	ch := make(chan any, 4)
-	r.mu.Lock()
-	r.next++
-	ref := r.next
-	r.calls[ref] = ch
-	r.mu.Unlock()
+	ref, ch, done := r.add()
 	settled := false
 	defer func() {
 		if !settled {
 			r.core.Step(Quit{ref})
 		}
-		r.mu.Lock()
-		delete(r.calls, ref)
-		r.mu.Unlock()
+		done()
 	}()
 	r.core.Step(Call{Ref: ref, Route: x.req.URL.Path, Call: x.facts})
 	ctx := x.req.Context()
--- a/lathe/relay_test.go
+++ b/lathe/relay_test.go
@@ -1009,9 +1009,9 @@
 	require.NoError(t, c.Run())
 	t.Cleanup(c.Stop)
 	require.False(t, Held(c, core).MaySend(1, 1))
-	ch := make(chan any, 4)
-	r.calls[1] = ch
-	r.core.Step(Call{Ref: 1, Call: chisel.Call{ID: "1", Wait: -1}})
+	ref, ch, done := r.add()
+	defer done()
+	r.core.Step(Call{Ref: ref, Call: chisel.Call{ID: "1", Wait: -1}})
 	require.Equal(t, gauge.PastDue, (<-ch).(Receipt).Kind)
 	r.Act("what is not for it")
 }
--- a/lathe/serve.go
+++ b/lathe/serve.go
@@ -55,9 +55,7 @@
 
 // door is where callers come in.
 type door struct {
-	mu     sync.Mutex // guards calls and next; taken after the clamp's
-	calls  map[Ref]chan any
-	next   Ref
+	opened
 	c      *clamp.Clamp
 	core   *Core
 	stop   chan struct{}
@@ -85,7 +83,7 @@
 		Me: dowel.Sibling{ID: gauge.Node(s.ID), Addr: s.Control}, Inc: clamp.NewInc(),
 		Awl: dowel.Sibling{ID: "", Addr: s.Awl}, Cache: s.Cache, Ramp: gauge.Span(s.RampMs) * 1e6,
 	})
-	d := &door{dial: clamp.Dialer(s.Listen, 500*time.Millisecond), calls: map[Ref]chan any{}, core: core, stop: make(chan struct{}), idle: time.Duration(s.IdleMs) * time.Millisecond}
+	d := &door{dial: clamp.Dialer(s.Listen, 500*time.Millisecond), core: core, stop: make(chan struct{}), idle: time.Duration(s.IdleMs) * time.Millisecond}
 	if s.Record != "" {
 		r, err := OpenRecorder(s.Record, s.ID, s.Prompts)
 		if err != nil {
@@ -94,7 +92,7 @@
 		defer r.Close()
 		d.record = r
 	}
-	d.c = clamp.New(clamp.Options{Core: core, Listen: []string{s.Control}, Beat: 10 * time.Millisecond, Ring: ring, Else: d.act})
+	d.c = clamp.New(clamp.Options{Core: core, Listen: []string{s.Control}, Beat: 10 * time.Millisecond, Ring: ring, Else: d.Act})
 	if err := d.c.Run(); err != nil {
 		return err
 	}
@@ -102,21 +100,6 @@
 	return clamp.Web(s.Listen, d.routes(), ring, func() { close(d.stop) }, time.Duration(s.StopMs)*time.Millisecond)
 }
 
-func (d *door) act(o any) {
-	var ref Ref
-	switch v := o.(type) {
-	case Launch:
-		ref = v.Ref
-	case Receipt:
-		ref = v.Ref
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if ch := d.calls[ref]; ch != nil {
-		ch <- o // room for every launch and the receipt
-	}
-}
-
 func (d *door) routes() http.Handler {
 	m := flow.New()
 	clamp.Life(m, "/-", func() (ok bool, v map[string]any) {
@@ -163,17 +146,8 @@
 		clamp.Error(w, gauge.Malformed, 0, f)
 		return
 	}
-	ch := make(chan any, 8)
-	d.mu.Lock()
-	d.next++
-	ref := d.next
-	d.calls[ref] = ch
-	d.mu.Unlock()
-	defer func() {
-		d.mu.Lock()
-		delete(d.calls, ref)
-		d.mu.Unlock()
-	}()
+	ref, ch, done := d.add()
+	defer done()
 	if d.record != nil {
 		d.record.Add(r.URL.Path, x)
 	}
--- a/lathe/serve_test.go
+++ b/lathe/serve_test.go
@@ -25,8 +25,8 @@
 // front makes a router's HTTP side that holds its link and promises one server.
 func front(t testing.TB, server string, idle time.Duration) (*door, *httptest.Server) {
 	core := New(Options{Inc: 7})
-	d := &door{dial: clamp.Dialer("", time.Second), calls: map[Ref]chan any{}, core: core, stop: make(chan struct{}), idle: idle}
-	d.c = clamp.New(clamp.Options{Core: core, Beat: 10 * time.Millisecond, Ring: clamp.NewRing("t", io.Discard), Else: d.act})
+	d := &door{dial: clamp.Dialer("", time.Second), core: core, stop: make(chan struct{}), idle: idle}
+	d.c = clamp.New(clamp.Options{Core: core, Beat: 10 * time.Millisecond, Ring: clamp.NewRing("t", io.Discard), Else: d.Act})
 	require.NoError(t, d.c.Run())
 	t.Cleanup(d.c.Stop)
 	e := &dowel.Entry{Key: "m", Mark: 1, Replicas: []dowel.Replica{{Server: "s", Addr: strings.TrimPrefix(server, "http://"), Inc: 1, Slots: 8, Warm: 1e12}}}
