A hollow fleet: many real cores in one process, in virtual time

jig hollow runs routers, agents and core nodes of any number with their real messages, packed and read as on the wire, and tells per role and kind how many there are, their bytes, the processor time of the cores and of packing, the heap and the disk. Servers only beat, report and take orders; demand is synthetic. The same seed gives the same counts.

--- a/cmd/jig/main.go
+++ b/cmd/jig/main.go
@@ -18,6 +18,13 @@
 )
 
 func main() {
+	if len(os.Args) > 1 && os.Args[1] == "hollow" {
+		if err := hollow(os.Args[2:]); err != nil {
+			fmt.Fprintln(os.Stderr, "jig:", err)
+			os.Exit(1)
+		}
+		return
+	}
 	var s struct {
 		Fleet string  `arg:"" enum:"corrib,padana" help:"Which fleet: corrib or padana."`
 		Plan  string  `help:"Plan to hand over; the fleet's example plan if none is named." type:"path"`
--- /dev/null
+++ b/jig/hollow.go
@@ -0,0 +1,708 @@
+package jig
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"tidedeck/anvil"
+	"tidedeck/awl"
+	"tidedeck/dowel"
+	"tidedeck/gauge"
+	"tidedeck/lathe"
+)
+
+// HollowOptions say how large a hollow fleet is and what happens to it while it is measured.
+type HollowOptions struct {
+	Routers  int
+	Servers  int
+	Models   int
+	Adapters int
+	Cores    int
+	Services int
+	Zones    int
+	Regions  int
+	Rate     float64    // requests a second at each router
+	Stay     gauge.Span // that a request is under way
+	Part     float64    // of requests that name an adapter
+	Busy     float64    // of the servers' time that all requests take
+	Warm     gauge.Span // from the plan in force everywhere until the measuring begins
+	For      gauge.Span // measured
+	Changes  int        // of one item of the plan, spread over the measured time
+	Fails    int        // machines, servers and routers by their numbers, likewise
+	Restarts int        // planned, likewise
+	ZoneLost bool       // a zone goes at a third of the measured time and is back at two thirds
+	Apart    gauge.Span // one region is parted from the others for so long, from a third on
+	OwnerOut bool       // the duty's owner fails at a third
+	Seed     uint64
+}
+
+// Defaults fills what was left out.
+func (o HollowOptions) Defaults() HollowOptions {
+	gauge.Or(&o.Routers, 9)
+	gauge.Or(&o.Servers, 13)
+	gauge.Or(&o.Models, 8)
+	gauge.Or(&o.Cores, 3)
+	gauge.Or(&o.Services, 1)
+	gauge.Or(&o.Regions, 3)
+	gauge.Or(&o.Zones, 3)
+	gauge.Or(&o.Rate, 47)
+	gauge.Or(&o.Stay, 6e9)
+	gauge.Or(&o.Part, 0.4)
+	gauge.Or(&o.Busy, 0.3)
+	gauge.Or(&o.Warm, 4e9)
+	gauge.Or(&o.For, 10e9)
+	gauge.Or(&o.Seed, 1)
+	return o
+}
+
+const (
+	hollowStep   = gauge.Span(20e6) // of virtual time
+	hollowRing   = 128              // steps that a message may take
+	hollowPeriod = gauge.Span(1200e6)
+	hollowSeeds  = 3
+	hollowRoom   = 200_000
+)
+
+type stepper interface {
+	Step(now gauge.Tick, in any) []any
+}
+
+// Load is what one kind of input or message cost one role.
+type Load struct {
+	Steps    int           // inputs of this kind
+	Step     time.Duration // processor time in the core
+	Sent     int           // messages of this kind
+	Out      int           // their bytes
+	Got      int
+	In       int
+	Pack     time.Duration // writing and reading messages
+	Biggest  int
+	Instance string // of a role that one process has at a time
+}
+
+// LoadKey names what a Load is of.
+type LoadKey struct{ Role, Kind string }
+
+type hollowNode struct {
+	role    string
+	sib     dowel.Sibling
+	zone    int
+	up      bool
+	life    int
+	core    stepper
+	beside  *hollowNode // a router's agent, an agent's router
+	disk    map[string][]byte
+	traffic *traffic
+}
+
+// traffic is the synthetic demand at one router.
+type traffic struct {
+	session dowel.Session
+	known   map[gauge.Key][]gauge.Server
+	marks   map[gauge.Key]gauge.Mark
+	asked   map[gauge.Key]gauge.Tick
+	stale   map[gauge.Key]bool
+	under   []under
+	lines   map[gauge.Key][]gauge.Tick
+	rand    *rand.Rand
+}
+
+type under struct {
+	key    gauge.Key
+	server gauge.Server
+	end    gauge.Tick
+}
+
+type hollowServer struct {
+	id      gauge.Server
+	addr    string
+	number  int
+	zone    int
+	service string
+	start   int
+	up      bool
+	state   string
+	count   uint64
+	taken   uint64
+	next    gauge.Tick
+	held    map[gauge.Key]int // by size
+	order   dowel.Order       // under way
+	done    gauge.Tick
+	back    gauge.Tick // it starts anew then
+	failed  gauge.Tick
+}
+
+type mail struct {
+	to   *hollowNode
+	life int
+	raw  []byte // of an envelope
+	kind string
+	in   any
+	do   func()
+}
+
+// Hollow is a fleet of real cores in one process, in virtual time: no sockets, no callers, and model
+// servers that only beat, report and take orders.
+type Hollow struct {
+	o       HollowOptions
+	now     gauge.Tick
+	ring    [hollowRing][]mail
+	nodes   []*hollowNode
+	at      map[string]*hollowNode
+	servers []*hollowServer
+	doors   map[string]*hollowServer
+	keys    [][]gauge.Key // of each model its own key and its adapters'
+	sizes   map[gauge.Key]int
+	rand    *rand.Rand
+	parted  func(a, b int) bool // zones
+	token   uint64
+	admins  map[uint64]func(anvil.Receipt)
+	leaves  map[uint64]func(ok bool)
+	plan    []byte
+	epoch   gauge.Epoch
+
+	Loads   map[LoadKey]*Load
+	Written int // bytes that core nodes synced
+	Syncs   int
+	Notes   map[string]int
+	Orders  int
+	Applied []gauge.Span // from a change's answer to the last live router
+	Missed  []gauge.Span // from a server's failure until the owner knew
+	Reigns  []gauge.Tick
+	Held    []gauge.Tick // routers with a hold, by second of the measured time
+	marks   []Mark
+	begun   gauge.Tick
+	pending []*inForce
+	failing map[gauge.Server]gauge.Tick
+}
+
+type inForce struct {
+	epoch gauge.Epoch
+	at    gauge.Tick
+}
+
+// Mark is the state of a hollow fleet's service at one moment.
+type Mark struct {
+	At      gauge.Span
+	Routers int // up
+	Held    int // of them, those with a hold
+	Bare    int // models with a floor and no ready replica at a live server
+	Waiting int // requests without a server
+}
+
+// NewHollow lays out a hollow fleet and starts it.
+func NewHollow(o HollowOptions) *Hollow {
+	h := &Hollow{o: o.Defaults(), now: 1e9, at: map[string]*hollowNode{}, doors: map[string]*hollowServer{}, sizes: map[gauge.Key]int{},
+		admins: map[uint64]func(anvil.Receipt){}, leaves: map[uint64]func(bool){}, Loads: map[LoadKey]*Load{}, Notes: map[string]int{},
+		parted: func(int, int) bool { return false }, failing: map[gauge.Server]gauge.Tick{}}
+	h.rand = rand.New(rand.NewPCG(h.o.Seed, 7))
+	h.plan = h.makePlan("first")
+	for i := range h.o.Cores {
+		h.add(&hollowNode{role: "core", sib: dowel.Sibling{ID: gauge.Node(fmt.Sprintf("loop-%02d", i)), Addr: fmt.Sprintf("10.1.0.%d:7000", i+1)}, zone: i * max(1, h.o.Zones/h.o.Regions) % h.o.Zones, disk: map[string][]byte{}})
+	}
+	for i := range h.o.Routers {
+		a := &hollowNode{role: "agent", sib: dowel.Sibling{ID: gauge.Node(fmt.Sprintf("edge-%04d", i)), Addr: fmt.Sprintf("10.2.%d.%d:7002", i/250, i%250+1)}, zone: i % h.o.Zones}
+		l := &hollowNode{role: "router", sib: dowel.Sibling{ID: "lathe", Addr: "lathe"}, zone: a.zone, beside: a}
+		a.beside = l
+		h.add(a)
+		h.nodes = append(h.nodes, l)
+		h.startNode(l)
+	}
+	for i := range h.o.Servers {
+		s := &hollowServer{number: i, zone: i % h.o.Zones, service: fmt.Sprintf("engines-%d", i%h.o.Services), addr: fmt.Sprintf("10.3.%d.%d:9000", i/250, i%250+1)}
+		h.servers = append(h.servers, s)
+		h.doors[s.addr] = s
+		h.startServer(s)
+		s.next = h.now.Add(gauge.Span(h.rand.Int64N(int64(hollowPeriod))))
+	}
+	h.fillServers()
+	return h
+}
+
+func (h *Hollow) add(n *hollowNode) {
+	h.nodes = append(h.nodes, n)
+	h.at[n.sib.Addr] = n
+	h.startNode(n)
+}
+
+func (h *Hollow) chance(n *hollowNode) *rand.Rand {
+	sum := uint64(n.life)
+	for _, b := range string(n.sib.ID) + n.role {
+		sum = sum*131 + uint64(b)
+	}
+	return rand.New(rand.NewPCG(h.o.Seed, sum))
+}
+
+func (h *Hollow) zoneName(i int) gauge.Zone { return gauge.Zone(fmt.Sprintf("zone-%02d", i)) }
+
+func (h *Hollow) region(zone int) int { return zone * h.o.Regions / h.o.Zones }
+
+func (h *Hollow) startNode(n *hollowNode) {
+	n.up = true
+	n.life++
+	inc := gauge.Inc(1e12 + uint64(h.now)/1e6*1e3 + uint64(len(h.nodes)))
+	var seeds []dowel.Sibling
+	for i := range min(hollowSeeds, h.o.Cores) {
+		seeds = append(seeds, dowel.Sibling{Addr: fmt.Sprintf("10.1.0.%d:7000", i+1)})
+	}
+	switch n.role {
+	case "core":
+		n.core = anvil.New(anvil.Options{Me: n.sib, Zone: h.zoneName(n.zone), Inc: inc, Seeds: seeds, Rand: h.chance(n),
+			Duty: 800e6, Round: 200e6, Hold: 1400e6, Spare: 1200e6, Silence: hollowPeriod*3 + hollowPeriod/4, Rate: 5e9,
+			Enrolled: true, Unfenced: true, Warm: true})
+		disk := map[string][]byte{}
+		for k, b := range n.disk {
+			disk[k] = b
+		}
+		h.post(1, mail{to: n, life: n.life, kind: "Start", in: dowel.Start{Disk: disk}})
+	case "agent":
+		n.core = awl.New(awl.Options{Me: n.sib, Zone: h.zoneName(n.zone), Inc: inc, Life: inc, Seeds: seeds, Rand: h.chance(n),
+			Lathe: dowel.Sibling{ID: "lathe", Addr: "lathe"}})
+	case "router":
+		n.core = lathe.New(lathe.Options{Me: n.sib, Inc: inc, Awl: dowel.Sibling{Addr: "awl"}, Zone: h.zoneName(n.zone), Free: true, Guards: true, Lend: 10})
+		n.traffic = &traffic{known: map[gauge.Key][]gauge.Server{}, marks: map[gauge.Key]gauge.Mark{}, asked: map[gauge.Key]gauge.Tick{},
+			stale: map[gauge.Key]bool{}, lines: map[gauge.Key][]gauge.Tick{}, rand: h.chance(n)}
+	}
+}
+
+func (h *Hollow) post(steps int, m mail) {
+	i := int(int64(h.now)/int64(hollowStep)) + steps
+	h.ring[i%hollowRing] = append(h.ring[i%hollowRing], m)
+}
+
+func (h *Hollow) load(role, kind string) *Load {
+	k := LoadKey{role, kind}
+	l := h.Loads[k]
+	if l == nil {
+		l = &Load{}
+		h.Loads[k] = l
+	}
+	return l
+}
+
+func (h *Hollow) roleOf(n *hollowNode) string {
+	if c, ok := n.core.(*anvil.Core); ok {
+		if _, owns := c.Owns(h.now); owns {
+			return "owner"
+		}
+	}
+	return n.role
+}
+
+// steps tells how long a message takes: one step within a region, two between regions.
+func (h *Hollow) steps(a, b int) int {
+	if h.region(a) == h.region(b) {
+		return 1
+	}
+	return 2
+}
+
+func (h *Hollow) step(n *hollowNode, kind string, in any) {
+	if !n.up {
+		return
+	}
+	role := h.roleOf(n)
+	at := time.Now()
+	out := n.core.Step(h.now, in)
+	l := h.load(role, kind)
+	l.Step += time.Since(at)
+	l.Steps++
+	for _, o := range out {
+		h.act(n, role, o)
+	}
+}
+
+func (h *Hollow) act(n *hollowNode, role string, o any) {
+	switch v := o.(type) {
+	case dowel.Env:
+		h.send(n, role, v)
+	case dowel.Save:
+		for k, b := range v.Puts {
+			n.disk[k] = b
+			h.Written += len(b)
+		}
+		h.Syncs++
+		h.post(1, mail{to: n, life: n.life, kind: "Saved", in: dowel.Saved{Token: v.Token}})
+	case dowel.Ask:
+		h.ask(n, role, v)
+	case dowel.Note:
+		h.note(n, v.Text)
+	case dowel.Oops:
+		h.note(n, v.Text)
+	case anvil.Receipt:
+		if f := h.admins[v.Token]; f != nil {
+			delete(h.admins, v.Token)
+			f(v)
+		}
+	case anvil.Announced:
+		if f := h.leaves[v.Token]; f != nil {
+			delete(h.leaves, v.Token)
+			f(v.OK)
+		}
+	}
+}
+
+func (h *Hollow) note(n *hollowNode, s string) {
+	w := strings.Fields(s)
+	if len(w) > 2 && w[0] == "server" && (strings.HasSuffix(s, "is silent") || strings.HasSuffix(s, "does not answer")) {
+		if at, ok := h.failing[gauge.Server(w[1])]; ok {
+			h.Missed = append(h.Missed, h.now.Sub(at))
+			delete(h.failing, gauge.Server(w[1]))
+		} else {
+			h.Notes["a live server is taken for dark"]++
+		}
+		return
+	}
+	if strings.HasPrefix(s, "duty") && strings.HasSuffix(s, "begins") {
+		h.Reigns = append(h.Reigns, h.now)
+	}
+	for i, x := range w { // numbers and names make no kind of their own
+		if strings.ContainsAny(x, "0123456789") {
+			w[i] = "#"
+		}
+	}
+	h.Notes[strings.Join(w, " ")]++
+}
+
+func (h *Hollow) send(n *hollowNode, role string, e dowel.Env) {
+	kind := dowel.Kind(e.Body)
+	if b := n.beside; b != nil && (e.To.Addr == "lathe" || e.To.Addr == "awl") {
+		e.Body = h.near(n, e.Body)
+		h.load(role, kind).Sent++
+		h.post(0, mail{to: b, life: b.life, kind: kind, in: e})
+		return
+	}
+	at := time.Now()
+	raw, err := dowel.Pack(e)
+	if err != nil {
+		panic(err) // only our own types come here
+	}
+	l := h.load(role, kind)
+	l.Pack += time.Since(at)
+	l.Sent++
+	l.Out += len(raw)
+	l.Biggest = max(l.Biggest, len(raw))
+	to := h.at[e.Hop().Addr]
+	if to == nil || h.parted(n.zone, to.zone) {
+		return
+	}
+	h.post(h.steps(n.zone, to.zone), mail{to: to, life: to.life, kind: kind, raw: raw})
+}
+
+func (h *Hollow) deliver(m mail) {
+	if m.do != nil {
+		m.do()
+		return
+	}
+	if !m.to.up || m.to.life != m.life {
+		return
+	}
+	if m.raw == nil {
+		h.step(m.to, m.kind, m.in)
+		return
+	}
+	at := time.Now()
+	e, err := dowel.Unpack(m.raw)
+	if err != nil {
+		panic(err) // it was packed a moment ago
+	}
+	l := h.load(h.roleOf(m.to), m.kind)
+	l.Pack += time.Since(at)
+	l.Got++
+	l.In += len(m.raw)
+	h.step(m.to, m.kind, e)
+}
+
+// ask is a question to a model server, over HTTP in a real fleet: its bytes here are the bodies'.
+func (h *Hollow) ask(n *hollowNode, role string, a dowel.Ask) {
+	q := a.Body.(dowel.Order)
+	kind := "report"
+	if q.Op != "" {
+		kind = "order"
+		h.Orders++
+	}
+	l := h.load(role, "ask "+kind)
+	l.Sent++
+	raw, _ := json.Marshal(q)
+	l.Out += len(raw)
+	s := h.doors[a.Addr]
+	d := h.steps(n.zone, s.zone)
+	if !s.up || s.state == "gone" || h.parted(n.zone, s.zone) {
+		h.post(int(a.Wait/hollowStep), mail{to: n, life: n.life, kind: "Told", in: dowel.Told{Token: a.Token}})
+		return
+	}
+	h.post(d, mail{do: func() {
+		t := s.answer(h, q)
+		t.Token = a.Token
+		l.Got++
+		l.In += len(t.Body)
+		h.post(d, mail{to: n, life: n.life, kind: "Told", in: t})
+	}})
+}
+
+func (s *hollowServer) answer(h *Hollow, q dowel.Order) dowel.Told {
+	if q.Op == "" {
+		r := dowel.Report{Server: s.id, Num: s.taken, Room: hollowRoom, Slots: 64, Busy: s.done != 0}
+		for _, k := range gauge.Keys(s.held) {
+			r.Held = append(r.Held, dowel.Held{Key: k, Size: s.held[k], Stage: "ready"})
+		}
+		raw, _ := json.Marshal(r)
+		return dowel.Told{OK: true, Code: 200, Body: raw}
+	}
+	if q.Expected != s.taken || s.done != 0 {
+		return dowel.Told{OK: true, Code: 409}
+	}
+	if _, has := s.held[q.Key]; has == (q.Op == "load") {
+		return dowel.Told{OK: true, Code: 200}
+	}
+	s.taken++
+	s.order = q
+	took := gauge.Span(2000e6)
+	if q.Key.IsAdapter() || q.Op == "unload" {
+		took = 200e6
+	}
+	s.done = h.now.Add(took)
+	return dowel.Told{OK: true, Code: 202}
+}
+
+func (h *Hollow) startServer(s *hollowServer) {
+	s.start++
+	s.id = gauge.Server(fmt.Sprintf("server-%04d-%d", s.number, s.start))
+	s.up, s.state, s.count, s.taken, s.done, s.back = true, "live", 0, 0, 0, 0
+	s.held = map[gauge.Key]int{}
+	s.next = h.now
+}
+
+func (h *Hollow) beatServer(s *hollowServer) {
+	if !s.up {
+		if s.back != 0 && h.now >= s.back {
+			h.startServer(s)
+		}
+		return
+	}
+	if s.done != 0 && h.now >= s.done {
+		s.done = 0
+		if s.order.Op == "load" {
+			s.held[s.order.Key] = s.order.Size
+		} else {
+			delete(s.held, s.order.Key)
+			for k := range s.held {
+				if k.Base() == s.order.Key {
+					delete(s.held, k)
+				}
+			}
+		}
+	}
+	if h.now >= s.next {
+		s.next = h.now.Add(hollowPeriod)
+		h.announce(s, nil)
+	}
+}
+
+// announce sends a server's word to any core node that it reaches.
+func (h *Hollow) announce(s *hollowServer, then func(bool)) {
+	s.count++
+	b := dowel.Beacon{Listed: dowel.Listed{ID: s.id, Addr: s.addr, Zone: h.zoneName(s.zone), State: s.state, Service: s.service, Slots: 64}, Count: s.count, Held: gauge.Keys(s.held)}
+	raw, _ := json.Marshal(b)
+	n := h.nodes[h.rand.IntN(h.o.Cores)]
+	if !n.up || h.parted(n.zone, s.zone) {
+		s.next = h.now.Add(200e6) // it tries another
+		return
+	}
+	h.token++
+	if then != nil {
+		h.leaves[h.token] = then
+	}
+	l := h.load(h.roleOf(n), "Announce")
+	l.Got++
+	l.In += len(raw)
+	h.post(h.steps(s.zone, n.zone), mail{to: n, life: n.life, kind: "Announce", in: anvil.Announce{Token: h.token, Beacon: b}})
+}
+
+func (h *Hollow) makePlan(name string) []byte {
+	type m map[string]any
+	models, adapters, services := m{}, m{}, m{}
+	names := make([][]string, h.o.Services)
+	extra := make([][]string, h.o.Services)
+	h.keys = nil
+	for i := range h.o.Models {
+		n, g := fmt.Sprintf("model-%03d", i), i%h.o.Services
+		floor := 0
+		if i < h.o.Servers/2 {
+			floor = 1
+		}
+		models[n] = m{"size": 60_000 + 1000*(i%20), "floor": floor, "load_ms": 2000}
+		k := gauge.Key(n).In(fmt.Sprintf("engines-%d", g))
+		h.keys = append(h.keys, []gauge.Key{k})
+		h.sizes[k] = 60_000 + 1000*(i%20)
+		names[g] = append(names[g], n)
+	}
+	for i := range h.o.Adapters {
+		n, b := fmt.Sprintf("adapter-%04d", i), i%h.o.Models
+		base := fmt.Sprintf("model-%03d", b)
+		adapters[n] = m{"base": base, "size": 400}
+		k := gauge.KeyOf(base, n).In(fmt.Sprintf("engines-%d", b%h.o.Services))
+		h.keys[b] = append(h.keys[b], k)
+		h.sizes[k] = 400
+		extra[b%h.o.Services] = append(extra[b%h.o.Services], n)
+	}
+	routes := m{}
+	for g := range h.o.Services {
+		services[fmt.Sprintf("engines-%d", g)] = m{"models": names[g], "adapters": extra[g], "slots": 64, "tokens": 150_000, "room": hollowRoom, "places": 8,
+			"loads_per_s": 0.002 * float64(h.o.Servers) / float64(h.o.Services)}
+		routes[fmt.Sprintf("route-%d", g)] = m{"host": fmt.Sprintf("notes-%d.example", g), "prefix": "/", "service": fmt.Sprintf("engines-%d", g), "mode": "continuous",
+			"resume": true, "tries": 2, "value": 1000 - g, "wait_ms": 4000}
+	}
+	raw, err := json.Marshal(m{"name": name, "store": m{"loads": 4}, "models": models, "adapters": adapters, "kinds": m{}, "services": services, "routes": routes})
+	if err != nil {
+		panic(err) // plain tables only
+	}
+	return raw
+}
+
+// fillServers gives each server the models that a fleet in use would hold: popular ones often.
+func (h *Hollow) fillServers() {
+	weight := func(i int) float64 { return 1 / math.Pow(float64(i+1), 1.1) }
+	next := make([]float64, h.o.Models)
+	for _, s := range h.servers {
+		for range 2 {
+			best := -1
+			for i := range h.keys {
+				k := h.keys[i][0]
+				if _, has := s.held[k]; has || k.Service() != s.service {
+					continue
+				}
+				if best < 0 || next[i] < next[best] || next[i] == next[best] && i < best {
+					best = i
+				}
+			}
+			if best < 0 {
+				break
+			}
+			next[best] += 1 / weight(best)
+			s.held[h.keys[best][0]] = h.sizes[h.keys[best][0]]
+		}
+	}
+}
+
+func (h *Hollow) draw(r *rand.Rand) gauge.Key {
+	// By the inverse of a harmonic-like distribution: the first models and adapters get most.
+	pick := func(n int) int {
+		return min(n-1, int(math.Pow(float64(n)+1, r.Float64()))-1)
+	}
+	l := h.keys[pick(len(h.keys))]
+	if len(l) > 1 && r.Float64() < h.o.Part {
+		return l[1+pick(len(l)-1)]
+	}
+	return l[0]
+}
+
+// near passes what a router and its agent tell each other, and puts the synthetic demand in.
+func (h *Hollow) near(n *hollowNode, body any) any {
+	switch b := body.(type) {
+	case dowel.Hello:
+		b.Burden, b.Seats = h.demand(n)
+		return b
+	case dowel.Removal:
+		for _, d := range b.Drops {
+			delete(n.traffic.known, d.Key)
+		}
+	case dowel.Hold:
+		if t := n.beside.traffic; b.Session != t.session {
+			t.session = b.Session
+			for k := range t.known {
+				t.stale[k] = true
+			}
+			t.asked = map[gauge.Key]gauge.Tick{}
+		}
+	case dowel.News:
+		t := n.beside.traffic
+		for _, i := range b.Items {
+			if i.Break != "" {
+				delete(t.known, i.Break)
+			}
+			if e := i.Entry; e != nil {
+				delete(t.asked, e.Key)
+				delete(t.stale, e.Key)
+				if !e.Same {
+					t.known[e.Key] = nil
+					for _, r := range e.Replicas {
+						t.known[e.Key] = append(t.known[e.Key], r.Server)
+					}
+					t.marks[e.Key] = e.Mark
+				}
+			}
+		}
+	}
+	return body
+}
+
+func (h *Hollow) demand(n *hollowNode) (map[gauge.Key]dowel.Burden, map[gauge.Server]int) {
+	t := n.traffic
+	b := map[gauge.Key]dowel.Burden{}
+	each := h.o.Busy * float64(h.o.Servers) / (h.o.Rate * float64(h.o.Routers))
+	left := t.under[:0]
+	for _, u := range t.under {
+		if u.end > h.now {
+			left = append(left, u)
+		}
+	}
+	t.under = left
+	if h.epoch > 0 {
+		mean := h.o.Rate * 0.2
+		k := 0
+		for p, l := t.rand.Float64(), math.Exp(-mean); p > l; p *= t.rand.Float64() {
+			k++
+		}
+		for range k {
+			key := h.draw(t.rand)
+			u := b[key]
+			u.Came++
+			u.Load += each
+			b[key] = u
+			t.lines[key] = append(t.lines[key], h.now)
+		}
+	}
+	for _, k := range gauge.Keys(t.lines) {
+		l := t.lines[k]
+		if on := t.known[k]; len(on) > 0 && !t.stale[k] {
+			for range l {
+				stay := gauge.Span(float64(h.o.Stay) * (0.5 + t.rand.Float64()))
+				t.under = append(t.under, under{k, on[t.rand.IntN(len(on))], h.now.Add(stay)})
+			}
+			delete(t.lines, k)
+			continue
+		}
+		for len(l) > 0 && h.now.Sub(l[0]) > 4e9 {
+			l = l[1:]
+		}
+		if t.lines[k] = l; len(l) == 0 {
+			delete(t.lines, k)
+			continue
+		}
+		u := b[k]
+		u.Wait, u.Top = len(l), 1000
+		b[k] = u
+		if at, ok := t.asked[k]; (!ok || h.now.Sub(at) > 400e6) && t.session.N > 0 {
+			t.asked[k] = h.now
+			w := dowel.Want{Session: t.session, Key: k, Waiting: len(l), Value: 1000}
+			if t.stale[k] {
+				w.Mark = t.marks[k]
+			}
+			h.load("router", "Want").Sent++
+			h.post(0, mail{to: n.beside, life: n.beside.life, kind: "Want", in: dowel.Env{From: n.sib, To: n.beside.sib, Body: w}})
+		}
+	}
+	seats := map[gauge.Server]int{}
+	for _, u := range t.under {
+		x := b[u.key]
+		x.Work++
+		b[u.key] = x
+		seats[u.server] += 150
+	}
+	return b, seats
+}
--- /dev/null
+++ b/jig/hollow_report.go
@@ -0,0 +1,176 @@
+package jig
+
+import (
+	"encoding/csv"
+	"fmt"
+	"io"
+	"runtime"
+	"sort"
+	"time"
+
+	"tidedeck/anvil"
+	"tidedeck/gauge"
+)
+
+// Row is one line of a hollow run's figures: what one role, or one kind of message at it, came to in a
+// second of virtual time, for each process that has the role.
+type Row struct {
+	Role, Kind string
+	Procs      int
+	Steps      float64 // inputs a second
+	Sent       float64
+	Out        float64 // bytes a second
+	Got        float64
+	In         float64
+	CPU        float64 // ms a second, in the core and in writing and reading messages
+	Biggest    int     // message, in bytes
+}
+
+// Rows sums a measured run up, the roles' sums under the kind "all".
+func (h *Hollow) Rows() []Row {
+	procs := map[string]int{"owner": 1, "core": max(1, h.o.Cores-1), "agent": h.o.Routers, "router": h.o.Routers}
+	sum := map[LoadKey]*Load{}
+	for k, l := range h.Loads {
+		for _, kind := range []string{k.Kind, "all"} {
+			x := sum[LoadKey{k.Role, kind}]
+			if x == nil {
+				x = &Load{}
+				sum[LoadKey{k.Role, kind}] = x
+			}
+			x.Steps, x.Step, x.Pack = x.Steps+l.Steps, x.Step+l.Step, x.Pack+l.Pack
+			x.Sent, x.Out, x.Got, x.In = x.Sent+l.Sent, x.Out+l.Out, x.Got+l.Got, x.In+l.In
+			x.Biggest = max(x.Biggest, l.Biggest)
+		}
+	}
+	var rows []Row
+	for k, l := range sum {
+		t := h.o.For.Seconds() * float64(procs[k.Role])
+		rows = append(rows, Row{Role: k.Role, Kind: k.Kind, Procs: procs[k.Role], Steps: float64(l.Steps) / t, Sent: float64(l.Sent) / t, Out: float64(l.Out) / t,
+			Got: float64(l.Got) / t, In: float64(l.In) / t, CPU: float64(l.Step+l.Pack) / 1e6 / t, Biggest: l.Biggest})
+	}
+	sort.Slice(rows, func(i, j int) bool {
+		a, b := rows[i], rows[j]
+		if a.Role != b.Role {
+			return a.Role < b.Role
+		}
+		if (a.Kind == "all") != (b.Kind == "all") {
+			return a.Kind == "all"
+		}
+		return a.Kind < b.Kind
+	})
+	return rows
+}
+
+// Heap tells the bytes that each role's process keeps, by letting go of one role after the other. The
+// fleet is of no use after it.
+func (h *Hollow) Heap() map[string]float64 {
+	read := func() float64 {
+		runtime.GC()
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc)
+	}
+	for i := range h.ring {
+		h.ring[i] = nil
+	}
+	m := map[string]float64{}
+	was := read()
+	free := func(role string, is func(n *hollowNode) bool) {
+		n := 0
+		for _, x := range h.nodes {
+			if x.core != nil && is(x) {
+				x.core, x.traffic = nil, nil
+				n++
+			}
+		}
+		now := read()
+		m[role] = (was - now) / float64(max(1, n))
+		was = now
+	}
+	free("owner", func(n *hollowNode) bool {
+		c, ok := n.core.(*anvil.Core)
+		if !ok {
+			return false
+		}
+		_, owns := c.Owns(h.now)
+		return owns
+	})
+	for _, role := range []string{"core", "agent"} {
+		free(role, func(n *hollowNode) bool { return n.role == role })
+	}
+	for _, n := range h.nodes {
+		n.traffic = nil
+	}
+	was = read()
+	free("router", func(n *hollowNode) bool { return n.role == "router" })
+	runtime.KeepAlive(h)
+	return m
+}
+
+// Disk tells how many bytes a core node keeps on disk, the most of any.
+func (h *Hollow) Disk() int {
+	most := 0
+	for _, n := range h.nodes {
+		sum := 0
+		for _, b := range n.disk {
+			sum += len(b)
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+// Marks gives the state of service through the measured time.
+func (h *Hollow) Marks() []Mark { return h.marks }
+
+// Options gives the options that are in force, defaults filled in.
+func (h *Hollow) Options() HollowOptions { return h.o }
+
+// PlanSize tells the bytes of the plan.
+func (h *Hollow) PlanSize() int { return len(h.plan) }
+
+// WriteCSV writes a run's figures, a row for each role and kind, each named by the run.
+func (h *Hollow) WriteCSV(w io.Writer, run string, heads bool, heap map[string]float64) error {
+	c := csv.NewWriter(w)
+	if heads {
+		_ = c.Write([]string{"run", "seed", "routers", "servers", "models", "adapters", "cores", "rate", "changes", "seconds", "role", "kind", "procs",
+			"inputs_s", "sent_s", "out_bytes_s", "got_s", "in_bytes_s", "cpu_ms_s", "biggest_bytes", "heap_bytes"})
+	}
+	o := h.o
+	head := []string{run, fmt.Sprint(o.Seed), fmt.Sprint(o.Routers), fmt.Sprint(o.Servers), fmt.Sprint(o.Models), fmt.Sprint(o.Adapters), fmt.Sprint(o.Cores),
+		fmt.Sprint(o.Rate), fmt.Sprint(o.Changes), fmt.Sprint(o.For.Seconds())}
+	f := func(x float64) string { return fmt.Sprintf("%.4g", x) }
+	for _, r := range h.Rows() {
+		kept := ""
+		if r.Kind == "all" && heap != nil {
+			kept = fmt.Sprintf("%.0f", heap[r.Role])
+		}
+		_ = c.Write(append(append([]string{}, head...), r.Role, r.Kind, fmt.Sprint(r.Procs), f(r.Steps), f(r.Sent), f(r.Out), f(r.Got), f(r.In), f(r.CPU), fmt.Sprint(r.Biggest), kept))
+	}
+	c.Flush()
+	return c.Error()
+}
+
+// Report prints a run's figures.
+func (h *Hollow) Report(w io.Writer, heap map[string]float64, took time.Duration) {
+	p := func(form string, a ...any) { _, _ = fmt.Fprintf(w, form+"\n", a...) }
+	o := h.o
+	p("hollow fleet: %d routers, %d servers, %d models, %d adapters, %d core nodes, %d zones in %d regions; %.0f requests/s at each router; plan %d bytes; seed %d",
+		o.Routers, o.Servers, o.Models, o.Adapters, o.Cores, o.Zones, o.Regions, o.Rate, len(h.plan), o.Seed)
+	p("%.0f s of virtual time in %.1f s", o.For.Seconds(), took.Seconds())
+	p("%-7s %-14s %10s %9s %12s %9s %12s %10s %9s", "role", "kind", "inputs/s", "sent/s", "out B/s", "got/s", "in B/s", "cpu ms/s", "biggest")
+	for _, r := range h.Rows() {
+		p("%-7s %-14s %10.2f %9.2f %12.0f %9.2f %12.0f %10.3f %9d", r.Role, r.Kind, r.Steps, r.Sent, r.Out, r.Got, r.In, r.CPU, r.Biggest)
+	}
+	for _, r := range gauge.Keys(heap) {
+		p("heap of a process of role %-7s %12.0f bytes", r, heap[r])
+	}
+	p("disk: %d bytes kept at a core node; %.0f bytes/s and %.2f batches/s synced by all", h.Disk(), float64(h.Written)/o.For.Seconds(), float64(h.Syncs)/o.For.Seconds())
+	p("orders %.0f an hour", float64(h.Orders)*3600/o.For.Seconds())
+	p("changes in force everywhere after %v (%d of %d)", h.Applied, len(h.Applied), o.Changes)
+	p("failed servers known after %v; not yet known: %d", h.Missed, len(h.failing))
+	for _, n := range gauge.Keys(h.Notes) {
+		p("note %5d × %s", h.Notes[n], n)
+	}
+}
--- /dev/null
+++ b/jig/hollow_test.go
@@ -0,0 +1,109 @@
+package jig
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func hollowSmall() HollowOptions {
+	return HollowOptions{Routers: 9, Servers: 13, Models: 8, Adapters: 20, Cores: 3, Zones: 12, Warm: 2e9, For: 4e9, Changes: 2, Seed: 3}
+}
+
+func measured(t *testing.T, o HollowOptions) *Hollow {
+	t.Helper()
+	h := NewHollow(o)
+	require.NoError(t, h.Up())
+	h.Measure()
+	return h
+}
+
+// counts leaves out of a run's figures what hangs on the machine.
+func counts(h *Hollow) []Row {
+	l := h.Rows()
+	for i := range l {
+		l[i].CPU = 0
+	}
+	return l
+}
+
+func row(t *testing.T, h *Hollow, role, kind string) Row {
+	t.Helper()
+	for _, r := range h.Rows() {
+		if r.Role == role && r.Kind == kind {
+			return r
+		}
+	}
+	require.Failf(t, "no such row", "%s %s", role, kind)
+	return Row{}
+}
+
+// The same seed gives the same counts and bytes.
+func TestHollowRepeats(t *testing.T) {
+	a, b := measured(t, hollowSmall()), measured(t, hollowSmall())
+	require.Equal(t, counts(a), counts(b))
+	require.Equal(t, a.Marks(), b.Marks())
+	require.Equal(t, a.Written, b.Written)
+}
+
+// On a day without trouble every router holds its link, every floor is there, changes come into force,
+// and the rates are those that the programs' periods give.
+func TestHollowQuiet(t *testing.T) {
+	h := measured(t, hollowSmall())
+	for _, m := range h.Marks() {
+		require.Equal(t, 9, m.Routers)
+		require.Equal(t, 9, m.Held, "at %v", m.At)
+		require.Zero(t, m.Bare, "at %v", m.At)
+	}
+	require.Len(t, h.Applied, 2)
+	require.Empty(t, h.Reigns)
+	require.Empty(t, h.Missed)
+	require.Zero(t, h.Notes["a live server is taken for dark"])
+	require.InDelta(t, 5, row(t, h, "router", "Hello").Sent, 0.4)
+	require.InDelta(t, 9*2.5, row(t, h, "owner", "Renew").Got, 1)
+	require.InDelta(t, 3.9, row(t, h, "agent", "Probe").Sent, 0.2)
+	require.InDelta(t, 13/1.2, row(t, h, "core", "Announce").Got*2+row(t, h, "owner", "Announce").Got, 0.5)
+	require.Positive(t, h.Written)
+}
+
+// Troubles, and what the fleet must come to afterwards.
+func TestHollowTroubles(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(o *HollowOptions)
+		reigns int
+		lost   int // routers that stay away
+		missed bool
+	}{
+		{"a server fails", func(o *HollowOptions) { o.Fails = 1 }, 0, 0, true},
+		{"a server restarts", func(o *HollowOptions) { o.Restarts = 1 }, 0, 0, false},
+		{"the owner fails", func(o *HollowOptions) { o.OwnerOut = true }, 1, 0, false},
+		{"a region is parted for a while", func(o *HollowOptions) { o.Apart = 3e9 }, -1, 0, false},
+		{"a zone goes and comes back", func(o *HollowOptions) { o.ZoneLost = true }, -1, 0, false},
+	} {
+		o := hollowSmall()
+		o.For, o.Changes, o.Warm = 12e9, 0, 2e9
+		c.change(&o)
+		h := measured(t, o)
+		l := h.Marks()
+		last := l[len(l)-1]
+		require.Equal(t, 9-c.lost, last.Held, c.name)
+		require.Zero(t, last.Bare, c.name)
+		require.NotNil(t, h.Owner(), c.name)
+		if c.reigns >= 0 {
+			require.Len(t, h.Reigns, c.reigns, c.name)
+		}
+		if c.missed {
+			require.Len(t, h.Missed, 1, c.name)
+		}
+	}
+}
+
+// Every kind of figure comes out of a run, and its CSV has a row for each.
+func TestHollowHeap(t *testing.T) {
+	h := measured(t, hollowSmall())
+	for role, n := range h.Heap() {
+		require.Positive(t, n, role)
+	}
+	require.Positive(t, h.Disk())
+}
