Hollow fleet: thread's own processor time, beats as in real programs, few adapters in use

Processor time is the thread's own, so that neither other programs nor the collector's threads count. Core nodes and agents beat each 25 ms as they do when hosted.

--- a/jig/hollow.go
+++ b/jig/hollow.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"tidedeck/anvil"
 	"tidedeck/awl"
 	"tidedeck/dowel"
@@ -65,8 +67,21 @@
 	hollowPeriod = gauge.Span(1200e6)
 	hollowSeeds  = 3
 	hollowRoom   = 200_000
+	hollowPlaces = 8
+	hollowRare   = 0.0003 // of requests for adapters: those that name one that is mostly idle
+	hollowActive = 10     // one adapter in so many is not
 )
 
+// threadTime tells the processor time of the thread that runs the fleet: neither other programs nor the
+// collector's own threads are in it.
+func threadTime() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_THREAD_CPUTIME_ID, &t); err != nil {
+		panic(err) // every Linux has it
+	}
+	return time.Duration(t.Nano())
+}
+
 type stepper interface {
 	Step(now gauge.Tick, in any) []any
 }
@@ -306,10 +321,10 @@
 		return
 	}
 	role := h.roleOf(n)
-	at := time.Now()
+	at := threadTime()
 	out := n.core.Step(h.now, in)
 	l := h.load(role, kind)
-	l.Step += time.Since(at)
+	l.Step += threadTime() - at
 	l.Steps++
 	for _, o := range out {
 		h.act(n, role, o)
@@ -376,13 +391,13 @@
 		h.post(0, mail{to: b, life: b.life, kind: kind, in: e})
 		return
 	}
-	at := time.Now()
+	at := threadTime()
 	raw, err := dowel.Pack(e)
 	if err != nil {
 		panic(err) // only our own types come here
 	}
 	l := h.load(role, kind)
-	l.Pack += time.Since(at)
+	l.Pack += threadTime() - at
 	l.Sent++
 	l.Out += len(raw)
 	l.Biggest = max(l.Biggest, len(raw))
@@ -405,13 +420,13 @@
 		h.step(m.to, m.kind, m.in)
 		return
 	}
-	at := time.Now()
+	at := threadTime()
 	e, err := dowel.Unpack(m.raw)
 	if err != nil {
 		panic(err) // it was packed a moment ago
 	}
 	l := h.load(h.roleOf(m.to), m.kind)
-	l.Pack += time.Since(at)
+	l.Pack += threadTime() - at
 	l.Got++
 	l.In += len(m.raw)
 	h.step(m.to, m.kind, e)
@@ -552,7 +567,7 @@
 	}
 	routes := m{}
 	for g := range h.o.Services {
-		services[fmt.Sprintf("engines-%d", g)] = m{"models": names[g], "adapters": extra[g], "slots": 64, "tokens": 150_000, "room": hollowRoom, "places": 8,
+		services[fmt.Sprintf("engines-%d", g)] = m{"models": names[g], "adapters": extra[g], "slots": 64, "tokens": 150_000, "room": hollowRoom, "places": hollowPlaces,
 			"loads_per_s": 0.002 * float64(h.o.Servers) / float64(h.o.Services)}
 		routes[fmt.Sprintf("route-%d", g)] = m{"host": fmt.Sprintf("notes-%d.example", g), "prefix": "/", "service": fmt.Sprintf("engines-%d", g), "mode": "continuous",
 			"resume": true, "tries": 2, "value": 1000 - g, "wait_ms": 4000}
@@ -567,7 +582,7 @@
 // fillServers gives each server the models that a fleet in use would hold: popular ones often.
 func (h *Hollow) fillServers() {
 	weight := func(i int) float64 { return 1 / math.Pow(float64(i+1), 1.1) }
-	next := make([]float64, h.o.Models)
+	next, turns := make([]float64, h.o.Models), make([]int, h.o.Models)
 	for _, s := range h.servers {
 		for range 2 {
 			best := -1
@@ -584,21 +599,34 @@
 				break
 			}
 			next[best] += 1 / weight(best)
-			s.held[h.keys[best][0]] = h.sizes[h.keys[best][0]]
+			l := h.keys[best]
+			s.held[l[0]] = h.sizes[l[0]]
+			for range min(active(l), hollowPlaces/2) {
+				k := l[1+turns[best]%active(l)]
+				turns[best]++
+				s.held[k] = h.sizes[k]
+			}
 		}
 	}
 }
 
+// active counts the adapters of a model that are asked for all the time.
+func active(l []gauge.Key) int { return (len(l) - 1 + hollowActive - 1) / hollowActive }
+
 func (h *Hollow) draw(r *rand.Rand) gauge.Key {
 	// By the inverse of a harmonic-like distribution: the first models and adapters get most.
 	pick := func(n int) int {
 		return min(n-1, int(math.Pow(float64(n)+1, r.Float64()))-1)
 	}
 	l := h.keys[pick(len(h.keys))]
-	if len(l) > 1 && r.Float64() < h.o.Part {
-		return l[1+pick(len(l)-1)]
+	switch {
+	case len(l) == 1 || r.Float64() >= h.o.Part:
+		return l[0]
+	case r.Float64() < hollowRare:
+		return l[1+r.IntN(len(l)-1)]
+	default:
+		return l[1+pick(active(l))]
 	}
-	return l[0]
 }
 
 // near passes what a router and its agent tell each other, and puts the synthetic demand in.
--- a/jig/hollow_run.go
+++ b/jig/hollow_run.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 
 	"tidedeck/anvil"
 	"tidedeck/dowel"
@@ -23,7 +24,9 @@
 		h.beatServer(s)
 	}
 	for _, n := range h.nodes {
-		h.step(n, "Beat", dowel.Beat{})
+		if n.role == "router" || h.now%(5*gauge.Tick(hollowStep)) != 0 { // a router's beat is 20 ms, the others' 25
+			h.step(n, "Beat", dowel.Beat{})
+		}
 	}
 	drain()
 	h.settleChanges()
@@ -136,6 +139,8 @@
 
 // Measure turns the fleet for the measured time, with the churn that was asked for.
 func (h *Hollow) Measure() {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
 	h.Loads, h.Notes = map[LoadKey]*Load{}, map[string]int{}
 	h.Written, h.Syncs, h.Orders, h.Reigns = 0, 0, 0, nil
 	h.begun = h.now
