--- a/awl/core.go
+++ b/awl/core.go
@@ -38,24 +38,25 @@
 	seats   map[gauge.Server]int
 	routers int
 
-	ses    dowel.Session
-	seq    uint64
-	sent   map[uint64]gauge.Tick
-	until  gauge.Tick
-	duty   gauge.Duty
-	fresh  bool
-	heard  uint64
-	next   gauge.Tick
-	owned  gauge.Tick // when an owner was last heard, in whatever session
-	waits  gauge.Tick // when the first renewal was sent that no owner has been heard since
-	parted bool       // none has been for a while, though it was asked
-	last   gauge.Tick // when an owner last answered in this session
-	tried  gauge.Tick
-	way    way
-	cores  []dowel.Sibling
-	turn   int
-	newest *dowel.Desired
-	tally  Tally
+	ses      dowel.Session
+	seq      uint64
+	sent     map[uint64]gauge.Tick
+	until    gauge.Tick
+	duty     gauge.Duty
+	fresh    bool
+	heard    uint64
+	next     gauge.Tick
+	owned    gauge.Tick // when an owner was last heard, in whatever session
+	waits    gauge.Tick // when the first renewal was sent that no owner has been heard since
+	parted   bool       // none has been for a while, though it was asked
+	last     gauge.Tick // when an owner last answered in this session
+	tried    gauge.Tick
+	way      way
+	straight gauge.Tick // when a way without a sibling was last tried on a detour
+	cores    []dowel.Sibling
+	turn     int
+	newest   *dowel.Desired
+	tally    Tally
 }
 
 // way is how the owner is reached: straight, or through a sibling.
@@ -267,6 +268,9 @@
 	if c.now.Sub(c.last) > c.o.Keep+c.o.Wait && c.now.Sub(c.tried) > c.o.Wait {
 		c.change()
 	}
+	if c.way.via.ID != "" && c.now.Sub(c.straight) > detourSpan {
+		c.straight, c.way.via = c.now, dowel.Sibling{} // a detour is for as long as it is needed
+	}
 	c.next = c.now.Add(c.keepFor())
 	if c.now.Sub(c.last) > c.o.Keep+c.o.Wait {
 		c.next = c.now.Add(c.o.Wait / 2)
@@ -321,7 +325,10 @@
 	return c.now.Sub(c.owned) > partedSpan && c.waits > c.owned && c.now.Sub(c.waits) > c.o.Wait*6/7
 }
 
-const partedSpan = gauge.Span(1e9)
+const (
+	partedSpan = gauge.Span(1e9)
+	detourSpan = gauge.Span(5e9) // the straight way is tried again after so long on a detour
+)
 
 // change tries another way: each core node straight, then each through siblings.
 func (c *Core) change() {
