A duty that ran out is taken up again if nobody else had it; an entry that grows breaks no promise

Change: a reign whose hold ran out grants and orders nothing, but keeps what it knows for four holds; a majority's renewal of the same number proves that nobody had it in between. An entry that has gained replicas is sent to its holders as it is: nothing that they believe is wrong.

--- a/anvil/duty.go
+++ b/anvil/duty.go
@@ -159,11 +159,16 @@
 	}
 }
 
+// beatDuty ends a reign whose hold ran out long ago. Before, nothing is granted or ordered, but all is
+// kept: if a majority renews the very same duty, nobody else had it in between.
 func (c *Core) beatDuty() {
-	if c.duty.mine && c.now > c.duty.until(c) {
+	if c.duty.mine && c.now > c.duty.until(c).Add(lapseSpans*c.o.Duty) {
 		c.lose("its hold ran out")
 	}
 }
 
+// lapseSpans is how many holds a reign that ran out may be taken up again for.
+const lapseSpans = 4
+
 // rules tells whether this node may grant and order right now.
 func (c *Core) rules() bool { return c.duty.mine && c.now <= c.duty.until(c) }
--- a/anvil/links.go
+++ b/anvil/links.go
@@ -175,19 +175,13 @@
 		return // its entry is on the way, or the link is left to run out
 	}
 	x := c.entryOf(b.Key)
-	i := dowel.Entry{Key: b.Key, Mark: x.mark, Never: x.never}
+	i := c.itemOf(b.Key, x)
 	if len(x.replicas) == 0 {
 		i.Soon = c.soon(b.Key)
 	}
 	if b.Mark == x.mark && len(x.replicas) > 0 {
-		i.Same = true
+		i.Same, i.Replicas = true, nil
 		c.tally.Sames++
-	} else {
-		for _, r := range x.replicas {
-			p := r.rep
-			p.Warm = c.now.Sub(r.spot.ready)
-			i.Replicas = append(i.Replicas, p)
-		}
 	}
 	if _, ok := l.holds[b.Key]; !ok {
 		l.order = append(l.order, b.Key)
@@ -238,6 +232,28 @@
 	}
 }
 
+// extendAll sends an entry that has grown to every holder: what they have is not wrong, so no promise is
+// broken, and nobody need ask.
+func (c *Core) extendAll(k gauge.Key, e *entry) {
+	i := c.itemOf(k, e)
+	for _, l := range c.sorted() {
+		if _, ok := l.holds[k]; ok && !l.full {
+			l.holds[k] = l.add(dowel.Item{Entry: &i})
+		}
+	}
+}
+
+// itemOf writes an entry as routers are told it.
+func (c *Core) itemOf(k gauge.Key, e *entry) dowel.Entry {
+	i := dowel.Entry{Key: k, Mark: e.mark, Never: e.never}
+	for _, r := range e.replicas {
+		p := r.rep
+		p.Warm = c.now.Sub(r.spot.ready)
+		i.Replicas = append(i.Replicas, p)
+	}
+	return i
+}
+
 // breakAll breaks a key's callbacks at every holder.
 func (c *Core) breakAll(k gauge.Key) {
 	for _, l := range c.sorted() {
--- a/anvil/place.go
+++ b/anvil/place.go
@@ -291,13 +291,35 @@
 	if e == nil {
 		return
 	}
-	was := e.mark
+	was, old := e.mark, e.replicas
 	c.fill(k, e)
-	if e.mark != was {
+	switch {
+	case e.mark == was:
+	case c.o.Unfenced && !e.never && covers(e.replicas, old):
+		c.extendAll(k, e)
+	default:
 		c.breakAll(k)
 	}
 }
 
+// covers tells whether one list of replicas has all that another has: then the other is not wrong, only
+// short.
+func covers(l, old []replica) bool {
+	if len(l) == 0 {
+		return false
+	}
+	has := map[gauge.Server]dowel.Replica{}
+	for _, r := range l {
+		has[r.rep.Server] = r.rep
+	}
+	for _, r := range old {
+		if has[r.rep.Server] != r.rep {
+			return false
+		}
+	}
+	return true
+}
+
 func (c *Core) touchAll() {
 	for _, k := range gauge.Keys(c.entries) {
 		c.touch(k)
