--- a/anvil/links.go
+++ b/anvil/links.go
@@ -71,7 +71,8 @@
 	if l == nil {
 		return
 	}
-	l.burden, l.seats = b.Burden, b.Seats
+	c.count(l, b.Seats)
+	l.burden = b.Burden
 	for _, k := range gauge.Keys(b.Burden) {
 		if u := b.Burden[k]; u.Wait > 0 || u.Came > 0 {
 			c.wanted(k, u.Wait, u.Top)
@@ -174,19 +175,13 @@
 		return // its entry is on the way, or the link is left to run out
 	}
 	x := c.entryOf(b.Key)
-	i := dowel.Entry{Key: b.Key, Mark: x.mark, Never: x.never}
+	i := c.itemOf(b.Key, x)
 	if len(x.replicas) == 0 {
 		i.Soon = c.soon(b.Key)
 	}
 	if b.Mark == x.mark && len(x.replicas) > 0 {
-		i.Same = true
+		i.Same, i.Replicas = true, nil
 		c.tally.Sames++
-	} else {
-		for _, r := range x.replicas {
-			p := r.rep
-			p.Warm = c.now.Sub(r.spot.ready)
-			i.Replicas = append(i.Replicas, p)
-		}
 	}
 	if _, ok := l.holds[b.Key]; !ok {
 		l.order = append(l.order, b.Key)
@@ -237,6 +232,28 @@
 	}
 }
 
+// extendAll sends an entry that has grown to every holder: what they have is not wrong, so no promise is
+// broken, and nobody need ask.
+func (c *Core) extendAll(k gauge.Key, e *entry) {
+	i := c.itemOf(k, e)
+	for _, l := range c.sorted() {
+		if _, ok := l.holds[k]; ok && !l.full {
+			l.holds[k] = l.add(dowel.Item{Entry: &i})
+		}
+	}
+}
+
+// itemOf writes an entry as routers are told it.
+func (c *Core) itemOf(k gauge.Key, e *entry) dowel.Entry {
+	i := dowel.Entry{Key: k, Mark: e.mark, Never: e.never}
+	for _, r := range e.replicas {
+		p := r.rep
+		p.Warm = c.now.Sub(r.spot.ready)
+		i.Replicas = append(i.Replicas, p)
+	}
+	return i
+}
+
 // breakAll breaks a key's callbacks at every holder.
 func (c *Core) breakAll(k gauge.Key) {
 	for _, l := range c.sorted() {
@@ -275,6 +292,10 @@
 	for _, x := range c.links {
 		l = append(l, x)
 	}
+	return inOrder(l)
+}
+
+func inOrder(l []*link) []*link {
 	sort.Slice(l, func(i, j int) bool {
 		a, b := l[i].ses, l[j].ses
 		if a.Node != b.Node {
@@ -308,6 +329,7 @@
 			if len(l.items) > 0 {
 				c.tally.Lapses++
 			}
+			c.count(l, nil)
 			delete(c.links, l.ses)
 			c.tombs[l.ses] = c.now
 			continue
@@ -335,10 +357,13 @@
 	if !c.rules() {
 		return
 	}
-	for _, l := range c.sorted() {
-		if l.sent >= l.num || len(l.items) == 0 {
-			continue
+	var due []*link
+	for _, l := range c.links {
+		if l.sent < l.num && len(l.items) > 0 {
+			due = append(due, l)
 		}
+	}
+	for _, l := range inOrder(due) {
 		n := dowel.News{Session: l.ses, Duty: c.duty.num}
 		for _, i := range l.items {
 			if i.Num > l.sent && len(n.Items) < 128 {
