--- /dev/null
+++ b/cmd/controller/main.go
@@ -0,0 +1,38 @@
+// Command controller is a core node of tidedeck.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"tidedeck/internal/controller"
+	"tidedeck/internal/host"
+	"tidedeck/platform"
+)
+
+func main() {
+	if logs, ok := host.Hosted(os.Args[1:], "controller"); ok {
+		boot, err := platform.Load()
+		end(err)
+		host.Confine(boot.MemoryMB, boot.Processors)
+		end(controller.Host(controller.HostOptions{
+			ID: string(boot.Node), Zone: string(boot.Zone), Post: boot.Post(0), Control: boot.Controller, Admin: boot.Post(1),
+			Seeds: boot.SeedPosts(0), Data: boot.Data, First: boot.First, Logs: logs, Fenced: boot.Bounds.Fenced, Losses: boot.Losses,
+			Dialect: controller.Dialect{Servers: platform.PathServers, Plan: platform.PathConfiguration, Beacon: platform.ReadBeacon,
+				Revision: platform.Revision, Target: platform.Target, Read: platform.ReadPlan, Merge: platform.Merge, Tell: platform.Tell},
+			Timing: controller.Timing{Apply: boot.Bounds.Apply, Drain: boot.Bounds.Drain, CatchUp: boot.Bounds.CatchUp, Period: boot.Period,
+				Rate: boot.Bounds.PeakWindow, Tenure: boot.Bounds.Tenure},
+		}))
+		return
+	}
+	var s controller.Settings
+	host.Parse(&s, "controller", "controller is a core node of tidedeck.", s.Check)
+	end(controller.Main(s))
+}
+
+func end(err error) {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "controller:", err)
+		os.Exit(1)
+	}
+}
--- a/cmd/jig/hollow.go
+++ b/cmd/localfleet/hollow.go
@@ -7,7 +7,7 @@
 
 	"github.com/alecthomas/kong"
 
-	"tidedeck/jig"
+	"tidedeck/internal/localfleet"
 )
 
 // hollow runs a fleet of real cores in this one process, in virtual time, and prints what each role costs.
@@ -38,14 +38,14 @@
 		Heap     bool          `help:"Tell each role's memory too."`
 		Course   bool          `help:"Print the state of service each second."`
 	}
-	k, err := kong.New(&s, kong.Name("jig hollow"), kong.Description("jig hollow runs a fleet of real cores in one process, in virtual time."))
+	k, err := kong.New(&s, kong.Name("localfleet hollow"), kong.Description("localfleet hollow runs a fleet of real cores in one process, in virtual time."))
 	if err != nil {
 		return err
 	}
 	if _, err := k.Parse(args); err != nil {
 		return err
 	}
-	h := jig.NewHollow(jig.HollowOptions{Routers: s.Routers, Servers: s.Servers, Models: s.Models, Adapters: s.Adapters, Cores: s.Cores, Services: s.Services,
+	h := localfleet.NewHollow(localfleet.HollowOptions{Routers: s.Routers, Servers: s.Servers, Models: s.Models, Adapters: s.Adapters, Cores: s.Cores, Services: s.Services,
 		Zones: s.Zones, Regions: s.Regions, Rate: s.Rate, Stay: s.Stay, Busy: s.Busy, Warm: s.Warm, For: s.For, Changes: s.Changes, Fails: s.Fails,
 		Restarts: s.Restarts, ZoneLost: s.Zone, Apart: s.Apart, OwnerOut: s.Owner, Seed: s.Seed})
 	if err := h.Up(); err != nil {
--- a/cmd/jig/main.go
+++ b/cmd/localfleet/main.go
@@ -1,4 +1,4 @@
-// Command jig runs a whole tidedeck fleet on one machine and reports what was seen.
+// Command localfleet runs a whole tidedeck fleet on one machine and reports what was seen.
 package main
 
 import (
@@ -12,15 +12,15 @@
 
 	"github.com/alecthomas/kong"
 
-	"tidedeck/chisel"
-	"tidedeck/jig"
-	"tidedeck/vise"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/localfleet"
+	"tidedeck/internal/standin"
 )
 
 func main() {
 	if len(os.Args) > 1 && os.Args[1] == "hollow" {
 		if err := hollow(os.Args[2:]); err != nil {
-			fmt.Fprintln(os.Stderr, "jig:", err)
+			fmt.Fprintln(os.Stderr, "localfleet:", err)
 			os.Exit(1)
 		}
 		return
@@ -35,9 +35,9 @@
 		Day   bool    `help:"Let every router record its day, as NAME.day in the folder."`
 		Keep  bool    `help:"Leave the fleet running after the report, until interrupted."`
 	}
-	kong.Parse(&s, kong.Name("jig"), kong.Description("jig runs a whole tidedeck fleet on one machine and reports what was seen."))
+	kong.Parse(&s, kong.Name("localfleet"), kong.Description("localfleet runs a whole tidedeck fleet on one machine and reports what was seen."))
 	if err := run(s.Fleet, s.Plan, s.Dir, s.Calls, s.Rate, s.Seed, s.Keep, s.Day); err != nil {
-		fmt.Fprintln(os.Stderr, "jig:", err)
+		fmt.Fprintln(os.Stderr, "localfleet:", err)
 		os.Exit(1)
 	}
 }
@@ -56,7 +56,7 @@
 	if err != nil {
 		return err
 	}
-	q, faults := chisel.ReadPlan(raw)
+	q, faults := fleetplan.ReadPlan(raw)
 	if faults != nil {
 		return faults
 	}
@@ -66,7 +66,7 @@
 		}
 		defer os.RemoveAll(dir)
 	}
-	f := jig.New(jig.Shapes[fleet], filepath.Dir(me), dir, raw)
+	f := localfleet.New(localfleet.Shapes[fleet], filepath.Dir(me), dir, raw)
 	if day {
 		f.Record()
 	}
@@ -79,31 +79,31 @@
 	at := time.Now()
 	say := func(what string) { fmt.Printf("%6.2fs  %s\n", time.Since(at).Seconds(), what) }
 	say("every process is started")
-	if err := jig.Until(wait, "a core", func() bool {
-		return f.CoreReady("anvil-1") && f.CoreReady("anvil-2") && f.CoreReady("anvil-3")
+	if err := localfleet.Until(wait, "a core", func() bool {
+		return f.CoreReady("controller-1") && f.CoreReady("controller-2") && f.CoreReady("controller-3")
 	}); err != nil {
 		return err
 	}
 	say("the core has formed")
-	var t jig.Taken
-	if err := jig.Until(wait, "the plan is taken", func() bool {
+	var t localfleet.Taken
+	if err := localfleet.Until(wait, "the plan is taken", func() bool {
 		var code int
-		t, code, err = f.Put("anvil-2", raw, "0", "first") // under one id, asking again is safe
+		t, code, err = f.Put("controller-2", raw, "0", "first") // under one id, asking again is safe
 		return err == nil && code == 200
 	}); err != nil {
 		return fmt.Errorf("%w: %s %s %v", err, t.Kind, t.Why, t.Faults)
 	}
 	say(fmt.Sprintf("the plan is taken under epoch %d", t.Epoch))
-	if err := jig.Until(wait, "the plan everywhere", func() bool { return f.Ruled(t.Epoch, f.Routers...) }); err != nil {
+	if err := localfleet.Until(wait, "the plan everywhere", func() bool { return f.Ruled(t.Epoch, f.Routers...) }); err != nil {
 		return err
 	}
 	say("it rules at every router")
-	if err := jig.Until(wait, "floors", f.Floors); err != nil {
+	if err := localfleet.Until(wait, "floors", f.Floors); err != nil {
 		return err
 	}
 	say("every floor is loaded")
-	mix := vise.NewMix(q, seed)
-	r := vise.Calls(ctx, vise.CallOptions{Routers: f.Routers, Next: mix.Next, Rate: rate, Total: calls, Again: true})
+	mix := standin.NewMix(q, seed)
+	r := standin.Calls(ctx, standin.CallOptions{Routers: f.Routers, Next: mix.Next, Rate: rate, Total: calls, Again: true})
 	say("the callers are done")
 	f.Report(os.Stdout, r)
 	for n := range f.Names {
--- a/cmd/planer/main.go
+++ b/cmd/replay/main.go
@@ -1,12 +1,12 @@
-// Command planer replays recorded days against a fleet.
+// Command replay replays recorded days against a fleet.
 package main
 
 import (
 	"fmt"
 	"os"
 
-	"tidedeck/clamp"
-	"tidedeck/planer"
+	"tidedeck/internal/host"
+	"tidedeck/internal/replay"
 )
 
 func main() {
@@ -28,18 +28,18 @@
 			Second string `arg:"" help:"Another run's file."`
 		} `cmd:"" help:"Compare two runs."`
 	}
-	cmd := clamp.Parse(&s, "planer", "planer replays recorded days against a fleet.")
+	cmd := host.Parse(&s, "replay", "replay replays recorded days against a fleet.")
 	fail := func(err error) {
 		if err != nil {
-			fmt.Fprintln(os.Stderr, "planer:", err)
+			fmt.Fprintln(os.Stderr, "replay:", err)
 			os.Exit(1)
 		}
 	}
-	read := func(path string) *planer.Day {
+	read := func(path string) *replay.Day {
 		f, err := os.Open(path)
 		fail(err)
 		defer f.Close()
-		d := planer.Read(f)
+		d := replay.Read(f)
 		for _, p := range d.Bad {
 			fmt.Fprintf(os.Stderr, "%s: %v\n", path, p)
 		}
@@ -57,7 +57,7 @@
 		}
 	case "replay <file>":
 		for i, a := range s.Replay.Routers {
-			for _, f := range clamp.Addr(fmt.Sprintf("routers[%d]", i), a) {
+			for _, f := range host.Addr(fmt.Sprintf("routers[%d]", i), a) {
 				fail(fmt.Errorf("%s: %s", f.Path, f.Why))
 			}
 		}
@@ -73,18 +73,18 @@
 		}
 		tag := s.Replay.Tag
 		if tag == "" {
-			tag = fmt.Sprintf("%x-", clamp.NewInc())
+			tag = fmt.Sprintf("%x-", host.NewInc())
 		}
-		r := planer.Replay(d, s.Replay.Routers, s.Replay.Speed, tag)
+		r := replay.Replay(d, s.Replay.Routers, s.Replay.Speed, tag)
 		r.Record = s.Replay.File
 		fail(r.Save(s.Replay.Out))
 		kinds, _ := r.Sum()
 		fmt.Printf("replayed %d: %v\n", len(r.Seen), kinds)
 	case "compare <first> <second>":
-		a, err := planer.Load(s.Compare.First)
+		a, err := replay.Load(s.Compare.First)
 		fail(err)
-		b, err := planer.Load(s.Compare.Second)
+		b, err := replay.Load(s.Compare.Second)
 		fail(err)
-		planer.Compare(os.Stdout, a, b)
+		replay.Compare(os.Stdout, a, b)
 	}
 }
--- a/cmd/lathe/main.go
+++ b/cmd/router/main.go
@@ -1,22 +1,22 @@
-// Command lathe is a tidedeck router.
+// Command router is a tidedeck router.
 package main
 
 import (
 	"fmt"
 	"os"
 
-	"tidedeck/clamp"
-	"tidedeck/lathe"
+	"tidedeck/internal/host"
+	"tidedeck/internal/router"
 	"tidedeck/platform"
 )
 
 func main() {
-	if logs, ok := clamp.Hosted(os.Args[1:], "lathe"); ok {
+	if logs, ok := host.Hosted(os.Args[1:], "router"); ok {
 		boot, err := platform.Load()
 		end(err)
-		clamp.Confine(boot.MemoryMB, boot.Processors)
+		host.Confine(boot.MemoryMB, boot.Processors)
 		b := boot.Bounds
-		end(lathe.Host(lathe.HostOptions{
+		end(router.Host(router.HostOptions{
 			ID: string(boot.Node), Zone: string(boot.Zone), Ingress: boot.Ingress, Readiness: boot.Readiness,
 			Post: boot.Post(2), Admin: boot.Post(3), Seeds: boot.SeedPosts(0), Logs: logs,
 			Dialect: platform.Dialect{}, Read: platform.ReadPlan, Grace: b.Grace,
@@ -24,14 +24,14 @@
 		}))
 		return
 	}
-	var s lathe.Settings
-	clamp.Parse(&s, "lathe", "lathe is a tidedeck router.", s.Check)
-	end(lathe.Main(s))
+	var s router.Settings
+	host.Parse(&s, "router", "router is a tidedeck router.", s.Check)
+	end(router.Main(s))
 }
 
 func end(err error) {
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "lathe:", err)
+		fmt.Fprintln(os.Stderr, "router:", err)
 		os.Exit(1)
 	}
 }
--- a/cmd/treadle/main.go
+++ b/cmd/simulator/main.go
@@ -1,4 +1,4 @@
-// Command treadle runs scenes of the simulator from seeds.
+// Command simulator runs scenes of the simulator from seeds.
 package main
 
 import (
@@ -9,8 +9,8 @@
 
 	"github.com/alecthomas/kong"
 
-	"tidedeck/jig"
-	"tidedeck/treadle"
+	"tidedeck/internal/localfleet"
+	"tidedeck/internal/simulator"
 )
 
 func main() {
@@ -24,31 +24,31 @@
 		List    bool   `help:"Only list the scenes."`
 		Plans   string `help:"Folder of the example plans." default:"examples" type:"path"`
 	}
-	kong.Parse(&s, kong.Name("treadle"), kong.Description("treadle runs the real cores through virtual time, from seeds."))
+	kong.Parse(&s, kong.Name("simulator"), kong.Description("simulator runs the real cores through virtual time, from seeds."))
 	if s.List {
-		for _, c := range treadle.Scenes {
+		for _, c := range simulator.Scenes {
 			fmt.Printf("%-12s %s\n", c.Name, c.About)
 		}
 		return
 	}
 	raw, err := os.ReadFile(filepath.Join(s.Plans, s.Fleet+".json"))
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "treadle:", err)
+		fmt.Fprintln(os.Stderr, "simulator:", err)
 		os.Exit(1)
 	}
 	if s.Measure {
-		treadle.Measure(os.Stdout, treadle.Options{Seed: s.Seed, Routers: jig.Shapes[s.Fleet].Routers, Servers: jig.Shapes[s.Fleet].Servers, Plan: raw}, s.Seeds)
+		simulator.Measure(os.Stdout, simulator.Options{Seed: s.Seed, Routers: localfleet.Shapes[s.Fleet].Routers, Servers: localfleet.Shapes[s.Fleet].Servers, Plan: raw}, s.Seeds)
 		return
 	}
-	if _, ok := treadle.Find(s.Scene); !ok && s.Scene != "all" || s.Seeds < 1 {
-		fmt.Fprintln(os.Stderr, "treadle: no such scene, or no seed; --list names the scenes")
+	if _, ok := simulator.Find(s.Scene); !ok && s.Scene != "all" || s.Seeds < 1 {
+		fmt.Fprintln(os.Stderr, "simulator: no such scene, or no seed; --list names the scenes")
 		os.Exit(2)
 	}
 	pass, fail := 0, 0
 	var mu sync.Mutex
 	var all sync.WaitGroup
 	slot := make(chan struct{}, 8)
-	for _, c := range treadle.Scenes {
+	for _, c := range simulator.Scenes {
 		if s.Scene != "all" && s.Scene != c.Name {
 			continue
 		}
@@ -58,7 +58,7 @@
 			go func() {
 				defer all.Done()
 				defer func() { <-slot }()
-				o := treadle.Options{Seed: s.Seed + uint64(i), Routers: jig.Shapes[s.Fleet].Routers, Servers: jig.Shapes[s.Fleet].Servers, Plan: raw}
+				o := simulator.Options{Seed: s.Seed + uint64(i), Routers: localfleet.Shapes[s.Fleet].Routers, Servers: localfleet.Shapes[s.Fleet].Servers, Plan: raw}
 				if s.Trace {
 					o.Trace = os.Stdout
 				}
@@ -74,7 +74,7 @@
 				for _, b := range w.Check.Bad {
 					fmt.Println("   BAD", b)
 				}
-				fmt.Printf("   replay: go run ./cmd/treadle --scene %s --fleet %s --seed %d --trace\n", c.Name, s.Fleet, o.Seed)
+				fmt.Printf("   replay: go run ./cmd/simulator --scene %s --fleet %s --seed %d --trace\n", c.Name, s.Fleet, o.Seed)
 			}()
 		}
 	}
--- a/awl/core.go
+++ b/internal/agent/core.go
@@ -1,68 +1,70 @@
-// Package awl is the agent beside each router: it keeps the link to the core, carries the
+// Package agent is the agent beside each router: it keeps the link to the core, carries the
 // router's wants and acknowledgements over it, and feeds the router what comes back.
-package awl
+package agent
 
 import (
 	"math/rand/v2"
 
-	"tidedeck/dowel"
-	"tidedeck/gauge"
-	"tidedeck/plumb"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/membership"
+	"tidedeck/internal/protocol"
 )
 
 // Options of an agent.
 type Options struct {
-	Me    dowel.Sibling
-	Zone  gauge.Zone
-	Inc   gauge.Inc
-	Life  gauge.Inc // names this life to the router: later ones on this machine have higher ones
-	Seeds []dowel.Sibling
-	Lathe dowel.Sibling
-	Rand  *rand.Rand
-	Keep  gauge.Span // between two renewals
-	Wait  gauge.Span // for an answer before another way is tried
-	Brisk bool       // renewals come the sooner the fewer routers there are: they tell what each has under way
+	Me     protocol.Sibling
+	Zone   ident.Zone
+	Inc    ident.Inc
+	Life   ident.Inc // names this life to the router: later ones on this machine have higher ones
+	Seeds  []protocol.Sibling
+	Router protocol.Sibling
+	Rand   *rand.Rand
+	Keep   clock.Span // between two renewals
+	Wait   clock.Span // for an answer before another way is tried
+	Brisk  bool       // renewals come the sooner the fewer routers there are: they tell what each has under way
 }
 
 // Core is an agent without I/O.
 type Core struct {
 	o     Options
-	now   gauge.Tick
+	now   clock.Tick
 	out   []any
-	mates *plumb.Core
+	mates *membership.Core
 
-	lathe   gauge.Inc
+	router  ident.Inc
 	gen     uint64
-	epoch   gauge.Epoch
-	burden  map[gauge.Key]dowel.Burden
-	seats   map[gauge.Server]int
+	epoch   ident.Epoch
+	burden  map[ident.Key]protocol.Burden
+	seats   map[ident.Server]int
 	routers int
 
-	ses      dowel.Session
+	ses      protocol.Session
 	seq      uint64
-	sent     map[uint64]gauge.Tick
-	until    gauge.Tick
-	duty     gauge.Duty
+	sent     map[uint64]clock.Tick
+	until    clock.Tick
+	duty     ident.Duty
 	fresh    bool
 	heard    uint64
-	next     gauge.Tick
-	owned    gauge.Tick // when an owner was last heard, in whatever session
-	waits    gauge.Tick // when the first renewal was sent that no owner has been heard since
+	next     clock.Tick
+	owned    clock.Tick // when an owner was last heard, in whatever session
+	waits    clock.Tick // when the first renewal was sent that no owner has been heard since
 	parted   bool       // none has been for a while, though it was asked
-	last     gauge.Tick // when an owner last answered in this session
-	tried    gauge.Tick
+	last     clock.Tick // when an owner last answered in this session
+	tried    clock.Tick
 	way      way
-	straight gauge.Tick // when a way without a sibling was last tried on a detour
-	cores    []dowel.Sibling
+	straight clock.Tick // when a way without a sibling was last tried on a detour
+	cores    []protocol.Sibling
 	turn     int
-	newest   *dowel.Desired
+	newest   *protocol.Desired
 	tally    Tally
 }
 
 // way is how the owner is reached: straight, or through a sibling.
 type way struct {
-	to  dowel.Sibling
-	via dowel.Sibling
+	to  protocol.Sibling
+	via protocol.Sibling
 }
 
 // Tally counts what an agent did.
@@ -72,11 +74,11 @@
 
 // New makes an agent.
 func New(o Options) *Core {
-	gauge.Or(&o.Keep, 400e6)
-	gauge.Or(&o.Wait, 350e6)
-	c := &Core{o: o, sent: map[uint64]gauge.Tick{}, cores: o.Seeds}
-	c.mates = plumb.New(plumb.Options{
-		Me:    dowel.Member{Sibling: o.Me, Role: "awl", Zone: o.Zone, Inc: o.Inc},
+	generic.SetDefault(&o.Keep, 400e6)
+	generic.SetDefault(&o.Wait, 350e6)
+	c := &Core{o: o, sent: map[uint64]clock.Tick{}, cores: o.Seeds}
+	c.mates = membership.New(membership.Options{
+		Me:    protocol.Member{Sibling: o.Me, Role: "agent", Zone: o.Zone, Inc: o.Inc},
 		Seeds: o.Seeds, Rand: o.Rand,
 	})
 	if len(o.Seeds) > 0 {
@@ -87,46 +89,46 @@
 }
 
 // Step takes one input and gives what is to be done.
-func (c *Core) Step(now gauge.Tick, in any) []any {
+func (c *Core) Step(now clock.Tick, in any) []any {
 	c.now, c.out = now, nil
 	switch v := in.(type) {
-	case dowel.Env:
+	case protocol.Env:
 		c.take(v)
-	case dowel.Beat:
+	case protocol.Beat:
 		c.beat()
 	}
 	return c.out
 }
 
-func (c *Core) post(l ...dowel.Env) {
+func (c *Core) post(l ...protocol.Env) {
 	for _, e := range l {
 		c.out = append(c.out, e)
 	}
 }
 
 func (c *Core) up(body any) {
-	c.post(dowel.Env{From: c.o.Me, To: c.way.to, Via: c.way.via, Body: body})
+	c.post(protocol.Env{From: c.o.Me, To: c.way.to, Via: c.way.via, Body: body})
 }
 
 func (c *Core) down(body any) {
-	c.post(dowel.Env{From: c.o.Me, To: c.o.Lathe, Body: body})
+	c.post(protocol.Env{From: c.o.Me, To: c.o.Router, Body: body})
 }
 
 // session begins a new life of the link: whatever the router has is suspect from here on.
 func (c *Core) session() {
-	c.ses = dowel.Session{Node: c.o.Me.ID, Awl: c.o.Life, Lathe: c.lathe, N: c.ses.N + 1}
+	c.ses = protocol.Session{Node: c.o.Me.ID, Agent: c.o.Life, Router: c.router, N: c.ses.N + 1}
 	c.until, c.duty, c.fresh, c.heard = 0, 0, true, 0
-	c.sent = map[uint64]gauge.Tick{}
+	c.sent = map[uint64]clock.Tick{}
 	c.next = c.now
 	c.tally.Sessions++
 	c.tell()
 }
 
 func (c *Core) tell() {
-	c.down(dowel.Hold{Session: c.ses, Until: c.until, Duty: c.duty, Parted: c.parted})
+	c.down(protocol.Hold{Session: c.ses, Until: c.until, Duty: c.duty, Parted: c.parted})
 }
 
-func (c *Core) take(e dowel.Env) {
+func (c *Core) take(e protocol.Env) {
 	// A sibling that is cut off sends through this one; only core traffic is carried.
 	if e.To.ID != "" && e.To.ID != c.o.Me.ID {
 		if e.By.ID == "" {
@@ -140,45 +142,45 @@
 		return
 	}
 	switch b := e.Body.(type) {
-	case dowel.Hello:
+	case protocol.Hello:
 		c.gen, c.epoch, c.seats = b.Gen, b.Epoch, b.Seats
 		c.gather(b.Burden)
-		if b.Lathe != c.lathe {
-			c.lathe = b.Lathe
+		if b.Router != c.router {
+			c.router = b.Router
 			c.session()
 			c.beat()
 		} else if b.Session != c.ses {
 			c.tell()
 		}
-	case dowel.Want:
+	case protocol.Want:
 		if b.Session == c.ses {
 			c.up(b)
 		}
-	case dowel.Removal:
+	case protocol.Removal:
 		if b.Session == c.ses {
 			c.up(b)
 		}
-	case dowel.Heard:
+	case protocol.Heard:
 		if b.Session == c.ses {
 			c.heard = max(c.heard, b.Num)
 			c.up(b)
 		}
-	case dowel.Grant:
+	case protocol.Grant:
 		c.onGrant(e, b)
-	case dowel.NotOwner:
+	case protocol.NotOwner:
 		c.onNotOwner(b)
-	case dowel.News:
+	case protocol.News:
 		c.onNews(e, b)
-	case dowel.Kept:
+	case protocol.Kept:
 		c.keep(b.Value)
-	case dowel.Keep:
-		c.post(e.Reply(c.o.Me, dowel.Kept{Round: b.Round, Value: c.newest}))
+	case protocol.Keep:
+		c.post(e.Reply(c.o.Me, protocol.Kept{Round: b.Round, Value: c.newest}))
 	}
 }
 
 // same tells whether an owner's message belongs to this session; another owner than the
 // one that the session began with ends it.
-func (c *Core) same(s dowel.Session, d gauge.Duty) bool {
+func (c *Core) same(s protocol.Session, d ident.Duty) bool {
 	if s != c.ses {
 		return false
 	}
@@ -192,7 +194,7 @@
 	return true
 }
 
-func (c *Core) onGrant(e dowel.Env, b dowel.Grant) {
+func (c *Core) onGrant(e protocol.Env, b protocol.Grant) {
 	c.owned = c.now
 	if !c.same(b.Session, b.Duty) {
 		return
@@ -211,10 +213,10 @@
 	c.routers = b.Routers
 	c.until = max(c.until, at.Add(b.Len))
 	c.parted = false
-	c.down(dowel.Hold{Session: c.ses, Until: c.until, Duty: c.duty, Routers: b.Routers, Seats: b.Seats})
+	c.down(protocol.Hold{Session: c.ses, Until: c.until, Duty: c.duty, Routers: b.Routers, Seats: b.Seats})
 }
 
-func (c *Core) onNotOwner(b dowel.NotOwner) {
+func (c *Core) onNotOwner(b protocol.NotOwner) {
 	if b.Session != c.ses {
 		return
 	}
@@ -232,7 +234,7 @@
 	}
 }
 
-func (c *Core) onNews(e dowel.Env, b dowel.News) {
+func (c *Core) onNews(e protocol.Env, b protocol.News) {
 	c.owned = c.now
 	if !c.same(b.Session, b.Duty) {
 		return
@@ -244,7 +246,7 @@
 }
 
 // keep remembers the newest desired state seen, for a core that has lost everything.
-func (c *Core) keep(d *dowel.Desired) {
+func (c *Core) keep(d *protocol.Desired) {
 	if d != nil && d.Newer(c.newest) {
 		c.newest = d
 	}
@@ -252,7 +254,7 @@
 
 func (c *Core) beat() {
 	c.post(c.mates.Beat(c.now)...)
-	if c.lathe == 0 {
+	if c.router == 0 {
 		return
 	}
 	if c.until != 0 && c.now > c.until {
@@ -269,7 +271,7 @@
 		c.change()
 	}
 	if c.way.via.ID != "" && c.now.Sub(c.straight) > detourSpan {
-		c.straight, c.way.via = c.now, dowel.Sibling{} // a detour is for as long as it is needed
+		c.straight, c.way.via = c.now, protocol.Sibling{} // a detour is for as long as it is needed
 	}
 	c.next = c.now.Add(c.keepFor())
 	if c.now.Sub(c.last) > c.o.Keep+c.o.Wait {
@@ -286,8 +288,8 @@
 		c.waits = c.now
 	}
 	c.tally.Renews++
-	c.up(dowel.Renew{Session: c.ses, Seq: c.seq, Fresh: c.fresh, Gen: c.gen, Epoch: c.epoch, Heard: c.heard, Burden: c.burden, Seats: c.seats})
-	left := map[gauge.Key]dowel.Burden{} // what was sent is not touched any more
+	c.up(protocol.Renew{Session: c.ses, Seq: c.seq, Fresh: c.fresh, Gen: c.gen, Epoch: c.epoch, Heard: c.heard, Burden: c.burden, Seats: c.seats})
+	left := map[ident.Key]protocol.Burden{} // what was sent is not touched any more
 	for k, u := range c.burden {
 		if u.Came, u.Load = 0, 0; u.Wait > 0 || u.Work > 0 {
 			left[k] = u
@@ -297,23 +299,23 @@
 }
 
 // keepFor is the time to the next renewal.
-func (c *Core) keepFor() gauge.Span {
+func (c *Core) keepFor() clock.Span {
 	if !c.o.Brisk || c.routers == 0 {
 		return c.o.Keep
 	}
-	return min(c.o.Keep, max(c.o.Keep*3/8, c.o.Keep/60*gauge.Span(c.routers)))
+	return min(c.o.Keep, max(c.o.Keep*3/8, c.o.Keep/60*clock.Span(c.routers)))
 }
 
 // gather takes in what the router bears now, and adds up what came since the last renewal.
-func (c *Core) gather(b map[gauge.Key]dowel.Burden) {
-	n := map[gauge.Key]dowel.Burden{}
+func (c *Core) gather(b map[ident.Key]protocol.Burden) {
+	n := map[ident.Key]protocol.Burden{}
 	for k, u := range b {
 		u.Came, u.Load = u.Came+c.burden[k].Came, u.Load+c.burden[k].Load
 		n[k] = u
 	}
 	for k, u := range c.burden {
 		if _, ok := n[k]; !ok && u.Came > 0 {
-			n[k] = dowel.Burden{Came: u.Came, Load: u.Load}
+			n[k] = protocol.Burden{Came: u.Came, Load: u.Load}
 		}
 	}
 	c.burden = n
@@ -326,16 +328,16 @@
 }
 
 const (
-	partedSpan = gauge.Span(1e9)
-	detourSpan = gauge.Span(5e9) // the straight way is tried again after so long on a detour
+	partedSpan = clock.Span(1e9)
+	detourSpan = clock.Span(5e9) // the straight way is tried again after so long on a detour
 )
 
 // change tries another way: each core node straight, then each through siblings.
 func (c *Core) change() {
 	c.tried = c.now
 	c.tally.Turns++
-	var l []dowel.Sibling
-	add := func(p dowel.Sibling) {
+	var l []protocol.Sibling
+	add := func(p protocol.Sibling) {
 		for _, x := range l {
 			if x.Addr == p.Addr {
 				return
@@ -343,10 +345,10 @@
 		}
 		l = append(l, p)
 	}
-	for _, m := range c.mates.Alive("anvil") {
+	for _, m := range c.mates.Alive("controller") {
 		add(m.Sibling)
 	}
-	for _, p := range append(append([]dowel.Sibling{}, c.cores...), c.o.Seeds...) {
+	for _, p := range append(append([]protocol.Sibling{}, c.cores...), c.o.Seeds...) {
 		add(p)
 	}
 	if len(l) == 0 {
@@ -354,8 +356,8 @@
 	}
 	c.turn++
 	w := way{to: l[c.turn%len(l)]}
-	var sib []dowel.Sibling
-	for _, m := range c.mates.Alive("awl") {
+	var sib []protocol.Sibling
+	for _, m := range c.mates.Alive("agent") {
 		if m.ID != c.o.Me.ID {
 			sib = append(sib, m.Sibling)
 		}
@@ -368,13 +370,13 @@
 }
 
 // Session tells the session now in force.
-func (c *Core) Session() dowel.Session { return c.ses }
+func (c *Core) Session() protocol.Session { return c.ses }
 
 // Counts gives the tally so far.
 func (c *Core) Counts() Tally { return c.tally }
 
 // Held tells whether the link is held now.
-func (c *Core) Held(now gauge.Tick) bool { return now < c.until }
+func (c *Core) Held(now clock.Tick) bool { return now < c.until }
 
 // Members lists the membership as this agent sees it.
-func (c *Core) Members() []dowel.Member { return c.mates.All() }
+func (c *Core) Members() []protocol.Member { return c.mates.All() }
--- a/awl/gather_test.go
+++ b/internal/agent/gather_test.go
@@ -1,4 +1,4 @@
-package awl
+package agent
 
 import (
 	"fmt"
@@ -7,16 +7,17 @@
 
 	"github.com/stretchr/testify/require"
 
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
-type burdens = map[gauge.Key]dowel.Burden
+type burdens = map[ident.Key]protocol.Burden
 
 // renewals lists what was sent up since the last call.
-func (r *rig) renewals() (l []dowel.Renew) {
+func (r *rig) renewals() (l []protocol.Renew) {
 	for _, e := range r.out {
-		if b, ok := e.Body.(dowel.Renew); ok {
+		if b, ok := e.Body.(protocol.Renew); ok {
 			l = append(l, b)
 		}
 	}
@@ -44,10 +45,10 @@
 		r.pass(20e6)
 		r.renewals()
 		for _, b := range c.reports {
-			r.give(core("lathe"), dowel.Hello{Lathe: 7, Session: r.Session(), Epoch: 2, Burden: b})
+			r.give(core("router"), protocol.Hello{Router: 7, Session: r.Session(), Epoch: 2, Burden: b})
 		}
 		for i, want := range []burdens{c.first, c.second} {
-			var l []dowel.Renew
+			var l []protocol.Renew
 			for len(l) == 0 {
 				r.pass(20e6)
 				l = r.renewals()
@@ -67,8 +68,8 @@
 func TestCountsAddUp(t *testing.T) {
 	for seed := range uint64(20) {
 		r, dice := set(), rand.New(rand.NewPCG(seed, 1))
-		came, load := map[gauge.Key]int{}, map[gauge.Key]float64{}
-		var sent []dowel.Renew
+		came, load := map[ident.Key]int{}, map[ident.Key]float64{}
+		var sent []protocol.Renew
 		var copies []string
 		drain := func() {
 			for _, n := range r.renewals() {
@@ -80,27 +81,27 @@
 			switch dice.IntN(8) {
 			case 0, 1, 2:
 				b := burdens{}
-				for _, k := range []gauge.Key{"m", "n", "o"} {
+				for _, k := range []ident.Key{"m", "n", "o"} {
 					if dice.IntN(2) == 0 {
 						continue
 					}
 					n := dice.IntN(4)
-					b[k] = dowel.Burden{Came: n, Load: float64(n) / 4, Wait: dice.IntN(2), Work: dice.IntN(2)}
+					b[k] = protocol.Burden{Came: n, Load: float64(n) / 4, Wait: dice.IntN(2), Work: dice.IntN(2)}
 					came[k] += n
 					load[k] += float64(n) / 4
 				}
-				r.give(core("lathe"), dowel.Hello{Lathe: 7, Session: r.Session(), Epoch: 2, Burden: b})
+				r.give(core("router"), protocol.Hello{Router: 7, Session: r.Session(), Epoch: 2, Burden: b})
 			case 3:
 				if len(sent) > 0 {
 					n := sent[len(sent)-1]
-					r.give(core("a1"), dowel.Grant{Session: n.Session, Seq: n.Seq, Len: 1e9, Duty: 1})
+					r.give(core("a1"), protocol.Grant{Session: n.Session, Seq: n.Seq, Len: 1e9, Duty: 1})
 				}
 			case 4:
 				if dice.IntN(10) == 0 {
-					r.give(core("a1"), dowel.NotOwner{Session: r.Session(), Gone: true})
+					r.give(core("a1"), protocol.NotOwner{Session: r.Session(), Gone: true})
 				}
 			default:
-				r.pass(gauge.Span(dice.IntN(300)) * 1e6)
+				r.pass(clock.Span(dice.IntN(300)) * 1e6)
 			}
 			drain()
 		}
@@ -113,7 +114,7 @@
 				load[k] -= u.Load
 			}
 		}
-		for _, k := range []gauge.Key{"m", "n", "o"} {
+		for _, k := range []ident.Key{"m", "n", "o"} {
 			require.Zero(t, came[k], "seed %d: %s", seed, k)
 			require.InDelta(t, 0, load[k], 1e-9, "seed %d: %s", seed, k)
 		}
--- a/awl/parted_test.go
+++ b/internal/agent/parted_test.go
@@ -1,12 +1,12 @@
-package awl
+package agent
 
 import (
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/protocol"
 )
 
 // An agent says that it is parted only when no owner is heard, though one was asked: an owner that is
@@ -15,24 +15,24 @@
 	r := set()
 	parted := func() (is bool) {
 		for _, e := range r.out {
-			if h, ok := e.Body.(dowel.Hold); ok {
+			if h, ok := e.Body.(protocol.Hold); ok {
 				is = h.Parted
 			}
 		}
 		return is
 	}
 	grant := func() {
-		r.give(core("anvil-1"), dowel.Grant{Session: r.Session(), Seq: r.seq, Len: 1400e6, Duty: 1})
+		r.give(core("controller-1"), protocol.Grant{Session: r.Session(), Seq: r.seq, Len: 1400e6, Duty: 1})
 	}
 	r.pass(20e6)
 	grant()
 	for range 100 { // news, but no grant: its hold runs out
 		r.pass(50e6)
-		r.give(core("anvil-1"), dowel.News{Session: r.Session(), Duty: 1})
+		r.give(core("controller-1"), protocol.News{Session: r.Session(), Duty: 1})
 		require.False(t, parted())
 	}
 	r.out = nil
-	for s := gauge.Span(0); s < 800e6; s += 50e6 { // a pass is up to 60 ms
+	for s := clock.Span(0); s < 800e6; s += 50e6 { // a pass is up to 60 ms
 		require.False(t, parted(), "%v", s)
 		r.pass(50e6)
 	}
--- a/anvil/admin.go
+++ b/internal/controller/admin.go
@@ -1,4 +1,4 @@
-package anvil
+package controller
 
 import (
 	"fmt"
@@ -6,9 +6,12 @@
 
 	jsonpatch "github.com/evanphx/json-patch/v5"
 
-	"tidedeck/chisel"
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
 // Admin is an operator's request to a core node.
@@ -16,26 +19,26 @@
 	Token  uint64
 	Op     string
 	Raw    []byte      // a plan, a merge patch, or a calendar
-	Expect gauge.Epoch // the epoch that the change goes on
+	Expect ident.Epoch // the epoch that the change goes on
 	Any    bool        // no epoch is expected
-	Number gauge.Epoch // that the operator gives the change; zero counts on
+	Number ident.Epoch // that the operator gives the change; zero counts on
 	Change string      // id of the change; a repeat of it is answered, not redone
-	Zone   gauge.Zone
-	Old    gauge.Node
-	New    gauge.Node
+	Zone   ident.Zone
+	Old    ident.Node
+	New    ident.Node
 }
 
 // Receipt answers an Admin.
 type Receipt struct {
-	Token  uint64         `json:"-"`
-	Kind   gauge.Kind     `json:"kind,omitempty"`
-	Why    string         `json:"why,omitempty"`
-	Faults chisel.Faults  `json:"faults,omitempty"`
-	Epoch  gauge.Epoch    `json:"epoch,omitempty"`
-	Empty  []gauge.Zone   `json:"empty,omitempty"`
-	Plan   []byte         `json:"-"`
-	Owner  *dowel.Sibling `json:"owner,omitempty"`
-	View   map[string]any `json:"view,omitempty"`
+	Token  uint64            `json:"-"`
+	Kind   failure.Kind      `json:"kind,omitempty"`
+	Why    string            `json:"why,omitempty"`
+	Faults fleetplan.Faults  `json:"faults,omitempty"`
+	Epoch  ident.Epoch       `json:"epoch,omitempty"`
+	Empty  []ident.Zone      `json:"empty,omitempty"`
+	Plan   []byte            `json:"-"`
+	Owner  *protocol.Sibling `json:"owner,omitempty"`
+	View   map[string]any    `json:"view,omitempty"`
 }
 
 // Which operator's request goes where.
@@ -51,67 +54,67 @@
 		f(c, a)
 		return
 	}
-	c.receipt(Receipt{Token: a.Token, Kind: gauge.Unknown, Why: "no such request"})
+	c.receipt(Receipt{Token: a.Token, Kind: failure.Unknown, Why: "no such request"})
 }
 
 func (c *Core) receipt(a Receipt) { c.out = append(c.out, a) }
 
 // change carries an operator's change through the register.
-func (c *Core) change(a Admin, apply func(d *dowel.Desired) (gauge.Kind, chisel.Faults)) {
+func (c *Core) change(a Admin, apply func(d *protocol.Desired) (failure.Kind, fleetplan.Faults)) {
 	if c.latest() == nil {
-		c.receipt(Receipt{Token: a.Token, Kind: gauge.NotReady, Why: "this node knows no core yet"})
+		c.receipt(Receipt{Token: a.Token, Kind: failure.NotReady, Why: "this node knows no core yet"})
 		return
 	}
-	var faults chisel.Faults
-	c.propose(func(d dowel.Desired) (dowel.Desired, gauge.Kind) {
+	var faults fleetplan.Faults
+	c.propose(func(d protocol.Desired) (protocol.Desired, failure.Kind) {
 		faults = nil
 		if a.Change != "" {
 			for _, x := range d.Done {
 				if x.ID == a.Change {
-					return d, gauge.Repeated
+					return d, failure.Repeated
 				}
 			}
 		}
 		if !a.Any && d.Epoch != a.Expect {
-			return d, gauge.Conflict
+			return d, failure.Conflict
 		}
 		if a.Number != 0 && a.Number <= d.Epoch {
-			faults = chisel.Faults{{Path: "$", Why: fmt.Sprintf("its number is %d, and %d is in force", a.Number, d.Epoch)}}
-			return d, gauge.Faulty
+			faults = fleetplan.Faults{{Path: "$", Why: fmt.Sprintf("its number is %d, and %d is in force", a.Number, d.Epoch)}}
+			return d, failure.Faulty
 		}
 		n := d
-		n.Empty = append([]gauge.Zone{}, d.Empty...)
+		n.Empty = append([]ident.Zone{}, d.Empty...)
 		k, f := apply(&n)
-		if k != gauge.None {
+		if k != failure.None {
 			faults = f
 			return d, k
 		}
 		if n.Epoch++; a.Number != 0 {
 			n.Epoch = a.Number
 		}
-		n.Done = append([]dowel.Change{}, d.Done...)
+		n.Done = append([]protocol.Change{}, d.Done...)
 		if a.Change != "" {
-			n.Done = append(n.Done, dowel.Change{ID: a.Change, Epoch: n.Epoch})
+			n.Done = append(n.Done, protocol.Change{ID: a.Change, Epoch: n.Epoch})
 		}
 		if len(n.Done) > 64 {
 			n.Done = n.Done[len(n.Done)-64:]
 		}
-		return n, gauge.None
-	}, func(v dowel.Desired, k gauge.Kind) {
+		return n, failure.None
+	}, func(v protocol.Desired, k failure.Kind) {
 		r := Receipt{Token: a.Token, Kind: k, Epoch: v.Epoch, Faults: faults, Empty: v.Empty}
 		switch k {
-		case gauge.None:
+		case failure.None:
 			c.tally.Changes++
-		case gauge.Repeated: // it was taken before: say under which epoch
-			r.Kind = gauge.None
+		case failure.Repeated: // it was taken before: say under which epoch
+			r.Kind = failure.None
 			for _, x := range v.Done {
 				if x.ID == a.Change {
 					r.Epoch = x.Epoch
 				}
 			}
-		case gauge.Conflict:
+		case failure.Conflict:
 			r.Why = fmt.Sprintf("the epoch in force is %d", v.Epoch)
-		case gauge.Unclear:
+		case failure.Unclear:
 			r.Why = "it is not known whether the change was taken; repeat it under the same change id, or read the plan"
 		}
 		c.receipt(r)
@@ -120,48 +123,48 @@
 
 func (c *Core) putPlan(a Admin) {
 	if _, f := c.parse(a.Raw); f != nil {
-		c.receipt(Receipt{Token: a.Token, Kind: gauge.Faulty, Faults: f})
+		c.receipt(Receipt{Token: a.Token, Kind: failure.Faulty, Faults: f})
 		return
 	}
-	c.change(a, func(d *dowel.Desired) (gauge.Kind, chisel.Faults) {
+	c.change(a, func(d *protocol.Desired) (failure.Kind, fleetplan.Faults) {
 		d.Plan = a.Raw
-		return gauge.None, nil
+		return failure.None, nil
 	})
 }
 
 func (c *Core) patchPlan(a Admin) {
-	if _, f := chisel.Open(a.Raw); len(*f) > 0 {
-		c.receipt(Receipt{Token: a.Token, Kind: gauge.Malformed, Faults: *f})
+	if _, f := fleetplan.Open(a.Raw); len(*f) > 0 {
+		c.receipt(Receipt{Token: a.Token, Kind: failure.Malformed, Faults: *f})
 		return
 	}
-	c.change(a, func(d *dowel.Desired) (gauge.Kind, chisel.Faults) {
+	c.change(a, func(d *protocol.Desired) (failure.Kind, fleetplan.Faults) {
 		if len(d.Plan) == 0 {
-			return gauge.Unknown, chisel.Faults{{Path: "$", Why: "there is no plan to change yet"}}
+			return failure.Unknown, fleetplan.Faults{{Path: "$", Why: "there is no plan to change yet"}}
 		}
 		n, f := c.o.Merge(d.Plan, a.Raw)
 		if f != nil {
-			return gauge.Malformed, f
+			return failure.Malformed, f
 		}
 		if _, f := c.parse(n); f != nil {
-			return gauge.Faulty, f
+			return failure.Faulty, f
 		}
 		d.Plan = n
-		return gauge.None, nil
+		return failure.None, nil
 	})
 }
 
 // mergePatch is RFC 7396's.
-func mergePatch(plan, patch []byte) ([]byte, chisel.Faults) {
+func mergePatch(plan, patch []byte) ([]byte, fleetplan.Faults) {
 	n, err := jsonpatch.MergePatch(plan, patch)
 	if err != nil {
-		return nil, chisel.Faults{{Path: "$", Why: err.Error()}}
+		return nil, fleetplan.Faults{{Path: "$", Why: err.Error()}}
 	}
 	return n, nil
 }
 
 func (c *Core) getPlan(a Admin) {
 	if c.latest() == nil {
-		c.receipt(Receipt{Token: a.Token, Kind: gauge.NotReady, Why: "this node knows no core yet"})
+		c.receipt(Receipt{Token: a.Token, Kind: failure.NotReady, Why: "this node knows no core yet"})
 		return
 	}
 	// A majority read that begins now will tell whether what is known is the newest.
@@ -173,11 +176,11 @@
 // reader is an operator who waits for a majority read.
 type reader struct {
 	token uint64
-	at    gauge.Tick
+	at    clock.Tick
 }
 
 // serveReads answers those who came before a majority read that showed nothing newer.
-func (c *Core) serveReads(at gauge.Tick) {
+func (c *Core) serveReads(at clock.Tick) {
 	l := c.reg.reads
 	c.reg.reads = nil
 	for _, r := range l {
@@ -196,7 +199,7 @@
 	c.reg.reads = nil
 	for _, r := range l {
 		if c.now.Sub(r.at) > 4e9 {
-			c.receipt(Receipt{Token: r.token, Kind: gauge.NotReady, Why: "no majority of the core answers"})
+			c.receipt(Receipt{Token: r.token, Kind: failure.NotReady, Why: "no majority of the core answers"})
 			continue
 		}
 		c.reg.reads = append(c.reg.reads, r)
@@ -204,28 +207,28 @@
 }
 
 func (c *Core) emptyZone(a Admin) {
-	c.change(a, func(d *dowel.Desired) (gauge.Kind, chisel.Faults) {
+	c.change(a, func(d *protocol.Desired) (failure.Kind, fleetplan.Faults) {
 		for _, z := range d.Empty {
 			if z == a.Zone {
-				return gauge.None, nil
+				return failure.None, nil
 			}
 		}
 		d.Empty = append(d.Empty, a.Zone)
 		sort.Slice(d.Empty, func(i, j int) bool { return d.Empty[i] < d.Empty[j] })
-		return gauge.None, nil
+		return failure.None, nil
 	})
 }
 
 func (c *Core) refillZone(a Admin) {
-	c.change(a, func(d *dowel.Desired) (gauge.Kind, chisel.Faults) {
-		var l []gauge.Zone
+	c.change(a, func(d *protocol.Desired) (failure.Kind, fleetplan.Faults) {
+		var l []ident.Zone
 		for _, z := range d.Empty {
 			if z != a.Zone {
 				l = append(l, z)
 			}
 		}
 		d.Empty = l
-		return gauge.None, nil
+		return failure.None, nil
 	})
 }
 
@@ -234,22 +237,22 @@
 	s, ok := c.reg.lives[a.New]
 	k := c.reg.known
 	if k == nil || !ok || len(k.Prior) > 0 {
-		c.receipt(Receipt{Token: a.Token, Kind: gauge.NotReady, Why: "the new node is not seen, or a change is under way"})
+		c.receipt(Receipt{Token: a.Token, Kind: failure.NotReady, Why: "the new node is not seen, or a change is under way"})
 		return
 	}
 	for i, v := range k.Voters {
 		if v.ID == a.Old && !sits(k.Voters, a.New) {
-			c.reshape(*k, swap(k.Voters, i, dowel.Voter{Sibling: s.sib, Zone: v.Zone, Inc: s.state.Inc}))
+			c.reshape(*k, swap(k.Voters, i, protocol.Voter{Sibling: s.sib, Zone: v.Zone, Inc: s.state.Inc}))
 			c.receipt(Receipt{Token: a.Token})
 			return
 		}
 	}
-	c.receipt(Receipt{Token: a.Token, Kind: gauge.Unknown, Why: "the old node is no voter, or the new one is one already"})
+	c.receipt(Receipt{Token: a.Token, Kind: failure.Unknown, Why: "the old node is no voter, or the new one is one already"})
 }
 
 func (c *Core) forceForm(a Admin) {
 	if c.latest() != nil {
-		c.receipt(Receipt{Token: a.Token, Kind: gauge.Conflict, Why: "this node knows a core"})
+		c.receipt(Receipt{Token: a.Token, Kind: failure.Conflict, Why: "this node knows a core"})
 		return
 	}
 	c.reg.force = true
@@ -270,7 +273,7 @@
 // owned answers for what only the duty's owner knows; others name it.
 func (c *Core) owned(a Admin, view func() map[string]any) {
 	if !c.rules() {
-		r := Receipt{Token: a.Token, Kind: gauge.NotReady, Why: "this node does not own the duty"}
+		r := Receipt{Token: a.Token, Kind: failure.NotReady, Why: "this node does not own the duty"}
 		if o := c.duty.who; o.ID != "" && o.ID != c.o.Me.ID {
 			r.Owner = &o
 		}
@@ -282,15 +285,15 @@
 
 func (c *Core) viewServers(a Admin) {
 	if c.rules() && !c.rolled() {
-		c.receipt(Receipt{Token: a.Token, Kind: gauge.NotReady, Why: "the owner has not heard yet what a majority of the core knows of servers"})
+		c.receipt(Receipt{Token: a.Token, Kind: failure.NotReady, Why: "the owner has not heard yet what a majority of the core knows of servers"})
 		return
 	}
 	c.owned(a, func() map[string]any {
 		var l []map[string]any
-		for _, id := range gauge.Keys(c.servers) {
+		for _, id := range generic.SortedKeys(c.servers) {
 			s := c.servers[id]
 			var p []map[string]any
-			for _, k := range gauge.Keys(s.spots) {
+			for _, k := range generic.SortedKeys(s.spots) {
 				x := s.spots[k]
 				p = append(p, map[string]any{"key": k, "stage": x.stage, "size": x.size, "active": x.work})
 			}
--- a/anvil/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -1,4 +1,4 @@
-package anvil
+package controller
 
 import (
 	"maps"
@@ -7,17 +7,19 @@
 
 	"github.com/stretchr/testify/require"
 
-	"tidedeck/chisel"
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
 // cluster is a core of some nodes, with the model servers that announce themselves to it and the
 // routers that ask it, all on one clock and without I/O.
 type cluster struct {
 	t       *testing.T
-	at      gauge.Tick
-	plans   map[string]*chisel.Plan
+	at      clock.Tick
+	plans   map[string]*fleetplan.Plan
 	nodes   map[string]*Core
 	disks   map[string]map[string][]byte
 	make    func(id string) *Core
@@ -26,69 +28,69 @@
 	routers map[string]*router
 	out     []any // what nodes gave to neither of these
 	asks    []ask
-	delay   gauge.Span // of what nodes send each other: up to twice as long
+	delay   clock.Span // of what nodes send each other: up to twice as long
 	mail    []letter
 	dice    *rand.Rand
 	ops     []sentOrder
-	begun   []gauge.Tick // when loads from the store began
+	begun   []clock.Tick // when loads from the store began
 	token   uint64
 }
 
 // letter is an envelope on its way.
 type letter struct {
-	at       gauge.Tick
+	at       clock.Tick
 	from, to string
-	dowel.Env
+	protocol.Env
 }
 
 type ask struct {
 	node string
-	at   gauge.Tick // when it is answered
-	ask  dowel.Ask
-	told *dowel.Told // unless the server is met when the time has come
+	at   clock.Tick // when it is answered
+	ask  protocol.Ask
+	told *protocol.Told // unless the server is met when the time has come
 }
 
 // sentOrder is an order as it was sent.
 type sentOrder struct {
-	at   gauge.Tick
+	at   clock.Tick
 	node string
 	addr string
-	dowel.Order
+	protocol.Order
 	code int // what the server said; zero if it never got it
 }
 
-func newCluster(t *testing.T, plan *chisel.Plan, ids ...string) *cluster {
+func newCluster(t *testing.T, plan *fleetplan.Plan, ids ...string) *cluster {
 	c := &cluster{
-		t: t, at: 1e9, plans: map[string]*chisel.Plan{}, nodes: map[string]*Core{}, disks: map[string]map[string][]byte{}, parted: map[string]bool{},
+		t: t, at: 1e9, plans: map[string]*fleetplan.Plan{}, nodes: map[string]*Core{}, disks: map[string]map[string][]byte{}, parted: map[string]bool{},
 		models: map[string]*modelServer{}, routers: map[string]*router{}, dice: rand.New(rand.NewPCG(3, 4)),
 	}
-	v := dowel.Desired{Gen: 1, Shape: 1}
+	v := protocol.Desired{Gen: 1, Shape: 1}
 	if plan != nil {
 		c.plans["1"] = plan
 		v.Epoch, v.Plan = 1, []byte("1")
 	}
-	var seeds []dowel.Sibling
+	var seeds []protocol.Sibling
 	for _, id := range ids {
 		v.Voters = append(v.Voters, voter(id, 5))
-		seeds = append(seeds, dowel.Sibling{Addr: id})
+		seeds = append(seeds, protocol.Sibling{Addr: id})
 	}
 	lives := uint64(0)
 	c.make = func(id string) *Core {
 		lives++
 		return New(Options{
-			Me: dowel.Sibling{ID: gauge.Node(id), Addr: id}, Inc: gauge.Inc(5 + lives), Seeds: seeds, Rand: rand.New(rand.NewPCG(lives-1, 2)),
+			Me: protocol.Sibling{ID: ident.Node(id), Addr: id}, Inc: ident.Inc(5 + lives), Seeds: seeds, Rand: rand.New(rand.NewPCG(lives-1, 2)),
 			Enrolled: true, Unfenced: true, Joined: true,
-			Read: func(raw []byte) (*chisel.Plan, chisel.Faults) {
+			Read: func(raw []byte) (*fleetplan.Plan, fleetplan.Faults) {
 				if p := c.plans[string(raw)]; p != nil {
 					return p, nil
 				}
-				return nil, chisel.Faults{{Path: "$", Why: "is no plan"}}
+				return nil, fleetplan.Faults{{Path: "$", Why: "is no plan"}}
 			},
-			Merge: func(_, patch []byte) ([]byte, chisel.Faults) { return patch, nil },
+			Merge: func(_, patch []byte) ([]byte, fleetplan.Faults) { return patch, nil },
 		})
 	}
 	for _, id := range ids {
-		c.disks[id] = map[string][]byte{diskInc: []byte("5"), diskV: jot(safe{dowel.Ballot{N: 1, By: "a"}, &v}), diskB: jot(dowel.Ballot{N: 1, By: "a"})}
+		c.disks[id] = map[string][]byte{diskInc: []byte("5"), diskV: jot(safe{protocol.Ballot{N: 1, By: "a"}, &v}), diskB: jot(protocol.Ballot{N: 1, By: "a"})}
 		c.reboot(id)
 	}
 	c.until(6e9, func() bool { return c.owner() != "" })
@@ -102,13 +104,13 @@
 		c.nodes[id] = c.make(id)
 	}
 	for _, id := range ids {
-		c.step(id, dowel.Start{Disk: maps.Clone(c.disks[id])})
+		c.step(id, protocol.Start{Disk: maps.Clone(c.disks[id])})
 	}
 }
 
 // owner names the node that owns the duty.
 func (c *cluster) owner() string {
-	for _, id := range gauge.Keys(c.nodes) {
+	for _, id := range generic.SortedKeys(c.nodes) {
 		if c.nodes[id].rules() && !c.parted[id] {
 			return id
 		}
@@ -120,7 +122,7 @@
 
 // other names a node that does not own the duty.
 func (c *cluster) other() string {
-	for _, id := range gauge.Keys(c.nodes) {
+	for _, id := range generic.SortedKeys(c.nodes) {
 		if id != c.owner() && !c.parted[id] {
 			return id
 		}
@@ -144,12 +146,12 @@
 		x := l[0]
 		l = l[1:]
 		switch v := x.o.(type) {
-		case dowel.Env:
+		case protocol.Env:
 			to := v.Hop().Addr
 			switch {
 			case to != x.id && (c.parted[x.id] || c.parted[to]):
 			case c.nodes[to] != nil && to != x.id && c.delay > 0:
-				c.mail = append(c.mail, letter{c.at.Add(c.delay/2 + gauge.Span(c.dice.Int64N(int64(2*c.delay)))), x.id, to, v})
+				c.mail = append(c.mail, letter{c.at.Add(c.delay/2 + clock.Span(c.dice.Int64N(int64(2*c.delay)))), x.id, to, v})
 			case c.nodes[to] != nil:
 				put(to, v)
 			case c.routers[to] != nil:
@@ -157,10 +159,10 @@
 					put(e.To.Addr, e)
 				}
 			}
-		case dowel.Save:
+		case protocol.Save:
 			maps.Copy(c.disks[x.id], v.Puts)
-			put(x.id, dowel.Saved{Token: v.Token})
-		case dowel.Ask:
+			put(x.id, protocol.Saved{Token: v.Token})
+		case protocol.Ask:
 			c.send(x.id, v)
 		default:
 			c.out = append(c.out, x.o)
@@ -169,13 +171,13 @@
 }
 
 // send brings an ask to its server, which answers a little later.
-func (c *cluster) send(node string, v dowel.Ask) {
-	o := v.Body.(dowel.Order)
+func (c *cluster) send(node string, v protocol.Ask) {
+	o := v.Body.(protocol.Order)
 	k := c.nodes[node]
 	require.Equal(c.t, k.duty.until(k), v.Until, "no ask outlives the duty")
 	require.Greater(c.t, v.Until, c.at)
 	m := c.models[v.Addr]
-	a := ask{node: node, at: c.at.Add(v.Wait), ask: v, told: &dowel.Told{Token: v.Token}}
+	a := ask{node: node, at: c.at.Add(v.Wait), ask: v, told: &protocol.Told{Token: v.Token}}
 	if m != nil && !m.mute && !c.parted[node] {
 		a.at = c.at.Add(20e6)
 		a.told = nil
@@ -190,9 +192,9 @@
 			if taken {
 				x.code = m.take(o)
 			}
-			a.told = &dowel.Told{Token: v.Token, OK: true, Code: x.code}
+			a.told = &protocol.Told{Token: v.Token, OK: true, Code: x.code}
 			if !taken || !heard {
-				a.at, a.told = c.at.Add(v.Wait), &dowel.Told{Token: v.Token}
+				a.at, a.told = c.at.Add(v.Wait), &protocol.Told{Token: v.Token}
 			}
 		}
 		c.ops = append(c.ops, x)
@@ -212,13 +214,13 @@
 			c.step(e.to, e.Env)
 		}
 	}
-	for _, id := range gauge.Keys(c.models) {
+	for _, id := range generic.SortedKeys(c.models) {
 		c.models[id].live()
 	}
-	for _, id := range gauge.Keys(c.nodes) {
-		c.step(id, dowel.Beat{})
+	for _, id := range generic.SortedKeys(c.nodes) {
+		c.step(id, protocol.Beat{})
 	}
-	for _, id := range gauge.Keys(c.routers) {
+	for _, id := range generic.SortedKeys(c.routers) {
 		c.routers[id].live()
 	}
 	l := c.asks
@@ -229,7 +231,7 @@
 			continue
 		}
 		if a.told == nil {
-			a.told = &dowel.Told{Token: a.ask.Token, OK: true, Code: 200, Body: jot(c.models[a.ask.Addr].report())}
+			a.told = &protocol.Told{Token: a.ask.Token, OK: true, Code: 200, Body: jot(c.models[a.ask.Addr].report())}
 		}
 		if !c.parted[a.node] {
 			c.step(a.node, *a.told)
@@ -237,10 +239,10 @@
 	}
 }
 
-func (c *cluster) run(s gauge.Span) { c.until(s, func() bool { return false }) }
+func (c *cluster) run(s clock.Span) { c.until(s, func() bool { return false }) }
 
 // until lets time go by until something is so; it tells whether it came to be.
-func (c *cluster) until(s gauge.Span, is func() bool) bool {
+func (c *cluster) until(s clock.Span, is func() bool) bool {
 	for end := c.at.Add(s); c.at < end; c.tick() {
 		if is() {
 			return true
@@ -250,7 +252,7 @@
 }
 
 // announce brings a word of a server to a node, and gives whether it was acknowledged at once, if so.
-func (c *cluster) announce(node string, b dowel.Beacon) (ok, answered bool) {
+func (c *cluster) announce(node string, b protocol.Beacon) (ok, answered bool) {
 	c.token++
 	c.step(node, Announce{Token: c.token, Beacon: b})
 	return c.answer(c.token)
@@ -280,39 +282,39 @@
 	}
 }
 
-func beacon(id, state string, count uint64) dowel.Beacon {
-	return dowel.Beacon{Listed: dowel.Listed{ID: gauge.Server(id), Addr: "at-" + id, Zone: "z", State: state, Service: "llm", Slots: 8}, Count: count}
+func beacon(id, state string, count uint64) protocol.Beacon {
+	return protocol.Beacon{Listed: protocol.Listed{ID: ident.Server(id), Addr: "at-" + id, Zone: "z", State: state, Service: "llm", Slots: 8}, Count: count}
 }
 
 // modelServer holds models, takes one order at a time, counts those that it took, and reports what was
 // so some time ago.
 type modelServer struct {
 	c *cluster
-	dowel.Listed
+	protocol.Listed
 	silent bool // it announces nothing
 	mute   bool // it answers nothing
-	lag    gauge.Span
-	slow   gauge.Span // of every order
+	lag    clock.Span
+	slow   clock.Span // of every order
 	count  uint64     // of orders taken
 	beats  uint64
-	next   gauge.Tick
-	holds  map[gauge.Key]bool
-	had    map[gauge.Key]bool
-	doing  dowel.Order
-	until  gauge.Tick
+	next   clock.Tick
+	holds  map[ident.Key]bool
+	had    map[ident.Key]bool
+	doing  protocol.Order
+	until  clock.Tick
 	past   []past
-	lost   func(dowel.Order) (taken, heard bool) // of an order, its way there and back
-	strict bool                                  // an order that it refuses must fit, too
+	lost   func(protocol.Order) (taken, heard bool) // of an order, its way there and back
+	strict bool                                     // an order that it refuses must fit, too
 }
 
 type past struct {
-	at gauge.Tick
-	r  dowel.Report
+	at clock.Tick
+	r  protocol.Report
 }
 
 // serve begins a model server that holds some keys.
-func (c *cluster) serve(id string, holds ...gauge.Key) *modelServer {
-	m := &modelServer{c: c, Listed: beacon(id, "live", 0).Listed, lag: 300e6, holds: map[gauge.Key]bool{}, had: map[gauge.Key]bool{}}
+func (c *cluster) serve(id string, holds ...ident.Key) *modelServer {
+	m := &modelServer{c: c, Listed: beacon(id, "live", 0).Listed, lag: 300e6, holds: map[ident.Key]bool{}, had: map[ident.Key]bool{}}
 	for _, k := range holds {
 		m.holds[k], m.had[k] = true, true
 	}
@@ -322,9 +324,9 @@
 }
 
 // plan is the newest that a node knows.
-func (c *cluster) plan() *chisel.Plan {
+func (c *cluster) plan() *fleetplan.Plan {
 	var k *Core
-	for _, id := range gauge.Keys(c.nodes) {
+	for _, id := range generic.SortedKeys(c.nodes) {
 		if n := c.nodes[id]; n.plan != nil && (k == nil || n.Epoch() > k.Epoch()) {
 			k = n
 		}
@@ -333,14 +335,14 @@
 }
 
 func (m *modelServer) snap() {
-	r := dowel.Report{Num: m.count, Busy: m.doing.Op != ""}
-	for _, k := range gauge.Keys(m.holds) {
-		r.Held = append(r.Held, dowel.Held{Key: k, Stage: "ready"})
+	r := protocol.Report{Num: m.count, Busy: m.doing.Op != ""}
+	for _, k := range generic.SortedKeys(m.holds) {
+		r.Held = append(r.Held, protocol.Held{Key: k, Stage: "ready"})
 	}
 	m.past = append(m.past, past{m.c.at, r})
 }
 
-func (m *modelServer) report() dowel.Report {
+func (m *modelServer) report() protocol.Report {
 	r := m.past[0].r
 	for _, x := range m.past {
 		if m.c.at.Sub(x.at) >= m.lag {
@@ -356,13 +358,13 @@
 		if m.doing.Op == "load" {
 			m.holds[k], m.had[k] = true, true
 		} else {
-			for _, x := range gauge.Keys(m.holds) {
+			for _, x := range generic.SortedKeys(m.holds) {
 				if x == k || x.Base() == k {
 					delete(m.holds, x)
 				}
 			}
 		}
-		m.doing = dowel.Order{}
+		m.doing = protocol.Order{}
 	}
 	m.snap()
 	if len(m.past) > 100 {
@@ -371,20 +373,20 @@
 	if !m.silent && m.c.at >= m.next {
 		m.beats++
 		m.next = m.c.at.Add(1000e6)
-		l := gauge.Keys(m.c.nodes)
+		l := generic.SortedKeys(m.c.nodes)
 		if id := l[int(m.beats)%len(l)]; !m.c.parted[id] {
-			m.c.announce(id, dowel.Beacon{Listed: m.Listed, Count: m.beats})
+			m.c.announce(id, protocol.Beacon{Listed: m.Listed, Count: m.beats})
 		}
 	}
 }
 
 // limits fails the test if an order brings the server past its room or its places for adapters.
-func (m *modelServer) limits(o dowel.Order) {
+func (m *modelServer) limits(o protocol.Order) {
 	v, size, adapters := m.c.plan().Services["llm"], m.c.plan().Models[o.Key].Size, 0
 	if o.Key.IsAdapter() {
 		adapters++
 	}
-	add := func(k gauge.Key) {
+	add := func(k ident.Key) {
 		size += m.c.plan().Models[k].Size
 		if k.IsAdapter() {
 			adapters++
@@ -398,21 +400,21 @@
 	if m.doing.Op == "load" && m.doing.Key != o.Key {
 		add(m.doing.Key)
 	}
-	require.LessOrEqual(m.c.t, size, v.Room, "%s is ordered to load %s beside %v and %v", m.ID, o.Key, gauge.Keys(m.holds), m.doing)
+	require.LessOrEqual(m.c.t, size, v.Room, "%s is ordered to load %s beside %v and %v", m.ID, o.Key, generic.SortedKeys(m.holds), m.doing)
 	if v.Places > 0 {
-		require.LessOrEqual(m.c.t, adapters, v.Places, "%s is ordered to load %s beside %v", m.ID, o.Key, gauge.Keys(m.holds))
+		require.LessOrEqual(m.c.t, adapters, v.Places, "%s is ordered to load %s beside %v", m.ID, o.Key, generic.SortedKeys(m.holds))
 	}
 }
 
 // take is how a model server meets an order.
-func (m *modelServer) take(o dowel.Order) int {
+func (m *modelServer) take(o protocol.Order) int {
 	if o.Op == "load" && m.strict {
 		m.limits(o)
 	}
 	if m.doing.Op != "" || o.Expected != m.count {
 		return 409
 	}
-	took := gauge.Span(60e6)
+	took := clock.Span(60e6)
 	switch {
 	case m.holds[o.Key] == (o.Op == "load"):
 		return 200
@@ -427,9 +429,9 @@
 			}
 		}
 	default:
-		for _, id := range gauge.Keys(m.c.routers) {
+		for _, id := range generic.SortedKeys(m.c.routers) {
 			r := m.c.routers[id]
-			for _, k := range gauge.Keys(r.entries) {
+			for _, k := range generic.SortedKeys(r.entries) {
 				if k == o.Key || k.Base() == o.Key {
 					require.False(m.c.t, r.sends(k, m.ID), "%s is ordered to unload %s while %s may send to %s there", m.ID, o.Key, id, k)
 				}
@@ -446,22 +448,22 @@
 type router struct {
 	c       *cluster
 	id      string
-	ses     dowel.Session
+	ses     protocol.Session
 	seq     uint64
 	heard   uint64
 	fresh   bool
-	sent    map[uint64]gauge.Tick
-	until   gauge.Tick
-	next    gauge.Tick
-	entries map[gauge.Key][]dowel.Replica
-	asked   map[gauge.Key]gauge.Tick
-	burden  map[gauge.Key]dowel.Burden // of every renewal
-	holdup  bool                       // it acknowledges nothing
-	grants  []dowel.Grant
+	sent    map[uint64]clock.Tick
+	until   clock.Tick
+	next    clock.Tick
+	entries map[ident.Key][]protocol.Replica
+	asked   map[ident.Key]clock.Tick
+	burden  map[ident.Key]protocol.Burden // of every renewal
+	holdup  bool                          // it acknowledges nothing
+	grants  []protocol.Grant
 }
 
 func (c *cluster) route(id string) *router {
-	r := &router{c: c, id: id, burden: map[gauge.Key]dowel.Burden{}, ses: dowel.Session{Node: gauge.Node(id), Awl: 1, Lathe: 1}}
+	r := &router{c: c, id: id, burden: map[ident.Key]protocol.Burden{}, ses: protocol.Session{Node: ident.Node(id), Agent: 1, Router: 1}}
 	r.anew()
 	c.routers[id] = r
 	return r
@@ -470,12 +472,12 @@
 func (r *router) anew() {
 	r.ses.N++
 	r.until, r.heard, r.fresh, r.next = 0, 0, true, r.c.at
-	r.sent, r.entries, r.asked = map[uint64]gauge.Tick{}, map[gauge.Key][]dowel.Replica{}, map[gauge.Key]gauge.Tick{}
+	r.sent, r.entries, r.asked = map[uint64]clock.Tick{}, map[ident.Key][]protocol.Replica{}, map[ident.Key]clock.Tick{}
 }
 
-func (r *router) mail(body any) dowel.Env {
+func (r *router) mail(body any) protocol.Env {
 	to := r.c.owner()
-	return dowel.Env{From: dowel.Sibling{ID: gauge.Node(r.id), Addr: r.id}, To: dowel.Sibling{ID: gauge.Node(to), Addr: to}, Body: body}
+	return protocol.Env{From: protocol.Sibling{ID: ident.Node(r.id), Addr: r.id}, To: protocol.Sibling{ID: ident.Node(to), Addr: to}, Body: body}
 }
 
 func (r *router) live() {
@@ -490,36 +492,36 @@
 		r.seq++
 		r.sent[r.seq] = r.c.at
 		k := r.c.lead().reg.known
-		b := map[gauge.Key]dowel.Burden{}
+		b := map[ident.Key]protocol.Burden{}
 		for k, u := range r.burden {
 			b[k] = u
 		}
-		r.c.step(r.c.owner(), r.mail(dowel.Renew{Session: r.ses, Seq: r.seq, Fresh: r.fresh, Gen: k.Gen, Epoch: k.Epoch, Heard: r.heard, Burden: b}))
+		r.c.step(r.c.owner(), r.mail(protocol.Renew{Session: r.ses, Seq: r.seq, Fresh: r.fresh, Gen: k.Gen, Epoch: k.Epoch, Heard: r.heard, Burden: b}))
 	}
 	if r.fresh || r.c.owner() == "" {
 		return
 	}
-	for _, k := range gauge.Keys(r.burden) {
+	for _, k := range generic.SortedKeys(r.burden) {
 		if _, ok := r.entries[k]; !ok && r.c.at.Sub(r.asked[k]) > 400e6 {
 			r.asked[k] = r.c.at
-			r.c.step(r.c.owner(), r.mail(dowel.Want{Session: r.ses, Key: k, Waiting: r.burden[k].Wait, Value: 1}))
+			r.c.step(r.c.owner(), r.mail(protocol.Want{Session: r.ses, Key: k, Waiting: r.burden[k].Wait, Value: 1}))
 		}
 	}
 }
 
-func (r *router) take(e dowel.Env) []dowel.Env {
+func (r *router) take(e protocol.Env) []protocol.Env {
 	switch b := e.Body.(type) {
-	case dowel.Grant:
+	case protocol.Grant:
 		if b.Session == r.ses {
 			r.fresh = false
 			r.grants = append(r.grants, b)
 			r.until = max(r.until, r.sent[b.Seq].Add(b.Len))
 		}
-	case dowel.NotOwner:
+	case protocol.NotOwner:
 		if b.Session == r.ses && b.Gone {
 			r.anew()
 		}
-	case dowel.News:
+	case protocol.News:
 		if b.Session != r.ses || r.holdup {
 			return nil
 		}
@@ -533,13 +535,13 @@
 			}
 			delete(r.entries, i.Break)
 		}
-		return []dowel.Env{r.mail(dowel.Heard{Session: r.ses, Num: r.heard})}
+		return []protocol.Env{r.mail(protocol.Heard{Session: r.ses, Num: r.heard})}
 	}
 	return nil
 }
 
 // sends tells whether the router may send work for a key to a server.
-func (r *router) sends(k gauge.Key, s gauge.Server) bool {
+func (r *router) sends(k ident.Key, s ident.Server) bool {
 	if r.c.at >= r.until {
 		return false
 	}
@@ -553,12 +555,12 @@
 
 // modelPlan is a plan of the service "llm", whose servers hold models of size 4 and adapters of size 1
 // in the given room, and of the plain service "web".
-func modelPlan(room int, models ...gauge.Key) *chisel.Plan {
-	p := &chisel.Plan{Loads: 2, Models: map[gauge.Key]chisel.Model{}, Services: map[string]chisel.Service{
-		"llm": {Keys: map[gauge.Key]bool{}, Slots: 8, Tokens: 10_000, Room: room, Places: 3, Loads: 2}, "web": {Plain: true, Slots: 3},
+func modelPlan(room int, models ...ident.Key) *fleetplan.Plan {
+	p := &fleetplan.Plan{Loads: 2, Models: map[ident.Key]fleetplan.Model{}, Services: map[string]fleetplan.Service{
+		"llm": {Keys: map[ident.Key]bool{}, Slots: 8, Tokens: 10_000, Room: room, Places: 3, Loads: 2}, "web": {Plain: true, Slots: 3},
 	}}
 	for _, k := range models {
-		m := chisel.Model{Key: k, Size: 4, Most: 9, Load: 1000e6}
+		m := fleetplan.Model{Key: k, Size: 4, Most: 9, Load: 1000e6}
 		if k.IsAdapter() {
 			m.Size, m.Load = 1, 0
 		}
--- a/anvil/anvil_test.go
+++ b/internal/controller/controller_test.go
@@ -1,4 +1,4 @@
-package anvil
+package controller
 
 import (
 	"context"
@@ -11,16 +11,18 @@
 
 	"github.com/stretchr/testify/require"
 
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
-func voter(id string, inc gauge.Inc) dowel.Voter {
-	return dowel.Voter{Sibling: dowel.Sibling{ID: gauge.Node(id), Addr: id}, Inc: inc}
+func voter(id string, inc ident.Inc) protocol.Voter {
+	return protocol.Voter{Sibling: protocol.Sibling{ID: ident.Node(id), Addr: id}, Inc: inc}
 }
 
-func yes(l ...dowel.Voter) map[gauge.Node]gauge.Inc {
-	m := map[gauge.Node]gauge.Inc{}
+func yes(l ...protocol.Voter) map[ident.Node]ident.Inc {
+	m := map[ident.Node]ident.Inc{}
 	for _, v := range l {
 		m[v.ID] = v.Inc
 	}
@@ -32,12 +34,12 @@
 func TestQuorum(t *testing.T) {
 	a, b, c, d := voter("a", 1), voter("b", 1), voter("c", 1), voter("d", 1)
 	reborn := voter("b", 2)
-	one := dowel.Desired{Voters: []dowel.Voter{a, b, c}}
-	two := dowel.Desired{Voters: []dowel.Voter{a, b, d}, Prior: []dowel.Voter{a, b, c}}
+	one := protocol.Desired{Voters: []protocol.Voter{a, b, c}}
+	two := protocol.Desired{Voters: []protocol.Voter{a, b, d}, Prior: []protocol.Voter{a, b, c}}
 	for _, x := range []struct {
 		name string
-		set  dowel.Desired
-		yes  map[gauge.Node]gauge.Inc
+		set  protocol.Desired
+		yes  map[ident.Node]ident.Inc
 		is   bool
 	}{
 		{"two of three", one, yes(a, b), true},
@@ -48,7 +50,7 @@
 		{"only the new set", two, yes(a, d), false},
 		{"only the old set", two, yes(a, c), false},
 		{"each by another pair", two, yes(a, c, d), true},
-		{"no set at all", dowel.Desired{}, yes(a, b, c), false},
+		{"no set at all", protocol.Desired{}, yes(a, b, c), false},
 	} {
 		require.Equal(t, x.is, quorum(x.set, x.yes), x.name)
 	}
@@ -77,22 +79,22 @@
 type node struct {
 	*Core
 	t     *testing.T
-	at    gauge.Tick
+	at    clock.Tick
 	out   []any
-	asked map[string]dowel.Ask
-	sent  []dowel.Env
-	ops   []dowel.Order
+	asked map[string]protocol.Ask
+	sent  []protocol.Env
+	ops   []protocol.Order
 }
 
 const onePlan = `{"name":"p","store":{"loads":1},"models":{"m":{"size":4,"floor":1},"n":{"size":4}},"kinds":{"k":{"value":3}},
 "services":{"s":{"models":["m","n"]}},"routes":{"/r":{"service":"s","kinds":["k"]}}}`
 
 func owner(t *testing.T, plan string) *node {
-	me := dowel.Sibling{ID: "a", Addr: "a"}
-	v := dowel.Desired{Gen: 1, Epoch: 1, Plan: []byte(plan), Shape: 1, Voters: []dowel.Voter{voter("a", 5)}}
-	n := &node{t: t, at: 1e9, asked: map[string]dowel.Ask{}}
-	n.Core = New(Options{Me: me, Inc: 6, Seeds: []dowel.Sibling{{Addr: "a"}}, Platform: "platform", Rand: rand.New(rand.NewPCG(1, 2))})
-	n.step(dowel.Start{Disk: map[string][]byte{diskInc: []byte("5"), diskV: jot(safe{dowel.Ballot{N: 1, By: "a"}, &v}), diskB: jot(dowel.Ballot{N: 1, By: "a"})}})
+	me := protocol.Sibling{ID: "a", Addr: "a"}
+	v := protocol.Desired{Gen: 1, Epoch: 1, Plan: []byte(plan), Shape: 1, Voters: []protocol.Voter{voter("a", 5)}}
+	n := &node{t: t, at: 1e9, asked: map[string]protocol.Ask{}}
+	n.Core = New(Options{Me: me, Inc: 6, Seeds: []protocol.Sibling{{Addr: "a"}}, Platform: "platform", Rand: rand.New(rand.NewPCG(1, 2))})
+	n.step(protocol.Start{Disk: map[string][]byte{diskInc: []byte("5"), diskV: jot(safe{protocol.Ballot{N: 1, By: "a"}, &v}), diskB: jot(protocol.Ballot{N: 1, By: "a"})}})
 	n.run(3e9, func() bool { return n.rules() })
 	require.True(t, n.rules())
 	return n
@@ -113,17 +115,17 @@
 		o := q[0]
 		q = q[1:]
 		switch v := o.(type) {
-		case dowel.Env:
+		case protocol.Env:
 			if v.To.Addr == "a" {
 				q = append(q, n.Step(n.at, v)...)
 			} else {
 				n.sent = append(n.sent, v)
 			}
-		case dowel.Save:
-			q = append(q, n.Step(n.at, dowel.Saved{Token: v.Token})...)
-		case dowel.Ask:
+		case protocol.Save:
+			q = append(q, n.Step(n.at, protocol.Saved{Token: v.Token})...)
+		case protocol.Ask:
 			n.asked[v.Addr] = v
-			if p, ok := v.Body.(dowel.Order); ok && p.Op != "" {
+			if p, ok := v.Body.(protocol.Order); ok && p.Op != "" {
 				n.ops = append(n.ops, p)
 			}
 		default:
@@ -132,9 +134,9 @@
 	}
 }
 
-func (n *node) run(s gauge.Span, until func() bool) {
+func (n *node) run(s clock.Span, until func() bool) {
 	for end := n.at.Add(s); n.at < end && !until(); n.at = n.at.Add(20e6) {
-		n.step(dowel.Beat{})
+		n.step(protocol.Beat{})
 	}
 }
 
@@ -145,42 +147,44 @@
 	delete(n.asked, addr)
 	b, err := json.Marshal(body)
 	require.NoError(n.t, err)
-	n.step(dowel.Told{Token: a.Token, OK: true, Code: 200, Body: b})
+	n.step(protocol.Told{Token: a.Token, OK: true, Code: 200, Body: b})
 }
 
-func (n *node) order(addr string) dowel.Order { return n.asked[addr].Body.(dowel.Order) }
+func (n *node) order(addr string) protocol.Order { return n.asked[addr].Body.(protocol.Order) }
 
-func (n *node) report(addr string, h ...dowel.Held) {
+func (n *node) report(addr string, h ...protocol.Held) {
 	o := n.order(addr)
-	n.tell(addr, dowel.Report{Server: gauge.Server(addr), Inc: 3, Duty: o.Duty, Num: o.Num, Room: 10, Slots: 4, Held: h})
+	n.tell(addr, protocol.Report{Server: ident.Server(addr), Inc: 3, Duty: o.Duty, Num: o.Num, Room: 10, Slots: 4, Held: h})
 }
 
-func has(k gauge.Key, stage string) dowel.Held { return dowel.Held{Key: k, Size: 4, Stage: stage} }
+func has(k ident.Key, stage string) protocol.Held {
+	return protocol.Held{Key: k, Size: 4, Stage: stage}
+}
 
 // ready is an owner with one server, on which m is ready, and one router that holds m.
-func ready(t *testing.T) (*node, dowel.Session) {
+func ready(t *testing.T) (*node, protocol.Session) {
 	n := owner(t, onePlan)
 	n.run(1e9, func() bool { _, ok := n.asked["platform"]; return ok })
-	n.tell("platform", []dowel.Listed{{ID: "s", Addr: "s", Zone: "z", State: "live"}})
+	n.tell("platform", []protocol.Listed{{ID: "s", Addr: "s", Zone: "z", State: "live"}})
 	n.run(1e9, func() bool { _, ok := n.asked["s"]; return ok })
 	n.report("s", has("m", "ready"))
-	s := dowel.Session{Node: "r", Awl: 1, Lathe: 1, N: 1}
-	n.mail(dowel.Renew{Session: s, Seq: 1, Fresh: true, Gen: 1, Epoch: 1})
-	n.mail(dowel.Want{Session: s, Key: "m"})
+	s := protocol.Session{Node: "r", Agent: 1, Router: 1, N: 1}
+	n.mail(protocol.Renew{Session: s, Seq: 1, Fresh: true, Gen: 1, Epoch: 1})
+	n.mail(protocol.Want{Session: s, Key: "m"})
 	e := n.items(s)
 	require.Len(t, e, 1)
 	require.Len(t, e[0].Entry.Replicas, 1)
-	n.mail(dowel.Heard{Session: s, Num: e[0].Num})
+	n.mail(protocol.Heard{Session: s, Num: e[0].Num})
 	return n, s
 }
 
 func (n *node) mail(body any) {
-	n.step(dowel.Env{From: dowel.Sibling{ID: "r", Addr: "r"}, To: dowel.Sibling{ID: "a", Addr: "a"}, Body: body})
+	n.step(protocol.Env{From: protocol.Sibling{ID: "r", Addr: "r"}, To: protocol.Sibling{ID: "a", Addr: "a"}, Body: body})
 }
 
-func (n *node) items(dowel.Session) (l []dowel.Item) {
+func (n *node) items(protocol.Session) (l []protocol.Item) {
 	for _, e := range n.sent {
-		if b, ok := e.Body.(dowel.News); ok {
+		if b, ok := e.Body.(protocol.News); ok {
 			l = append(l, b.Items...)
 		}
 	}
@@ -190,7 +194,7 @@
 
 func (n *node) grants() (c int) {
 	for _, e := range n.sent {
-		if _, ok := e.Body.(dowel.Grant); ok {
+		if _, ok := e.Body.(protocol.Grant); ok {
 			c++
 		}
 	}
@@ -208,9 +212,9 @@
 }
 
 // pass lets time go by, the server answering every question with what it has.
-func (n *node) pass(s gauge.Span, h ...dowel.Held) {
+func (n *node) pass(s clock.Span, h ...protocol.Held) {
 	for end := n.at.Add(s); n.at < end; n.at = n.at.Add(20e6) {
-		n.step(dowel.Beat{})
+		n.step(protocol.Beat{})
 		if _, ok := n.asked["s"]; ok {
 			n.report("s", h...)
 		}
@@ -224,24 +228,24 @@
 		t.Run(fmt.Sprint("acknowledged ", ack), func(t *testing.T) {
 			n, s := ready(t)
 			n.pass(3e9, has("m", "ready")) // the owner before has lapsed for sure
-			n.mail(dowel.Renew{Session: s, Seq: 2, Gen: 1, Epoch: 1, Heard: 1})
+			n.mail(protocol.Renew{Session: s, Seq: 2, Gen: 1, Epoch: 1, Heard: 1})
 			if n.links[s] == nil { // its first hold has run out meanwhile: it begins anew
 				s.N = 2
-				n.mail(dowel.Renew{Session: s, Seq: 1, Fresh: true, Gen: 1, Epoch: 1})
-				n.mail(dowel.Want{Session: s, Key: "m"})
-				n.mail(dowel.Heard{Session: s, Num: 1})
+				n.mail(protocol.Renew{Session: s, Seq: 1, Fresh: true, Gen: 1, Epoch: 1})
+				n.mail(protocol.Want{Session: s, Key: "m"})
+				n.mail(protocol.Heard{Session: s, Num: 1})
 				n.sent = nil
 			}
 			n.drop()
 			l := n.items(s)
 			require.NotEmpty(t, l)
-			require.Equal(t, gauge.Key("m"), l[len(l)-1].Break)
+			require.Equal(t, ident.Key("m"), l[len(l)-1].Break)
 			n.pass(500e6, has("m", "ready"))
 			require.Zero(t, n.unloads(), "neither acknowledged nor lapsed")
-			n.mail(dowel.Renew{Session: s, Seq: 3, Gen: 1, Epoch: 1, Heard: 1})
+			n.mail(protocol.Renew{Session: s, Seq: 3, Gen: 1, Epoch: 1, Heard: 1})
 			require.Zero(t, n.grants(), "no hold goes on beside a broken promise")
 			if ack {
-				n.mail(dowel.Heard{Session: s, Num: l[len(l)-1].Num})
+				n.mail(protocol.Heard{Session: s, Num: l[len(l)-1].Num})
 				n.pass(400e6, has("m", "ready"))
 			} else {
 				n.pass(1200e6, has("m", "ready"))
@@ -274,9 +278,9 @@
 		held bool
 	}{{1, true}, {2, false}} {
 		n, s := ready(t)
-		n.mail(dowel.Want{Session: s, Key: "m"}) // the router has let the first copy go
-		n.mail(dowel.Heard{Session: s, Num: 2})
-		n.mail(dowel.Removal{Session: s, Drops: []dowel.Drop{{Key: "m", Num: c.num}}})
+		n.mail(protocol.Want{Session: s, Key: "m"}) // the router has let the first copy go
+		n.mail(protocol.Heard{Session: s, Num: 2})
+		n.mail(protocol.Removal{Session: s, Drops: []protocol.Drop{{Key: "m", Num: c.num}}})
 		_, ok := n.links[s].holds["m"]
 		require.Equal(t, c.held, ok)
 	}
@@ -311,7 +315,7 @@
 	n, s := ready(t)
 	n.o.Most = 3
 	for i := range 5 {
-		n.mail(dowel.Want{Session: s, Key: gauge.Key(fmt.Sprint("x", i))})
+		n.mail(protocol.Want{Session: s, Key: ident.Key(fmt.Sprint("x", i))})
 	}
 	require.Len(t, n.links[s].holds, 3)
 	broken := 0
@@ -328,12 +332,12 @@
 	n, s := ready(t)
 	n.pass(3e9, has("m", "ready"))
 	n.sent = nil
-	n.mail(dowel.Renew{Session: s, Seq: 9, Gen: 1, Epoch: 1, Heard: 1})
-	n.mail(dowel.Renew{Session: s, Seq: 9, Fresh: true, Gen: 1, Epoch: 1})
+	n.mail(protocol.Renew{Session: s, Seq: 9, Gen: 1, Epoch: 1, Heard: 1})
+	n.mail(protocol.Renew{Session: s, Seq: 9, Fresh: true, Gen: 1, Epoch: 1})
 	require.Zero(t, n.grants())
 	gone := 0
 	for _, e := range n.sent {
-		if b, ok := e.Body.(dowel.NotOwner); ok && b.Gone {
+		if b, ok := e.Body.(protocol.NotOwner); ok && b.Gone {
 			gone++
 		}
 	}
@@ -344,7 +348,7 @@
 func TestLoadsKeepWithin(t *testing.T) {
 	n := owner(t, strings.Replace(onePlan, `"n":{"size":4}`, `"n":{"size":4,"floor":1},"o":{"size":4,"floor":1}`, 1))
 	n.run(1e9, func() bool { _, ok := n.asked["platform"]; return ok })
-	n.tell("platform", []dowel.Listed{{ID: "s", Addr: "s", Zone: "z", State: "live"}})
+	n.tell("platform", []protocol.Listed{{ID: "s", Addr: "s", Zone: "z", State: "live"}})
 	n.run(1e9, func() bool { _, ok := n.asked["s"]; return ok })
 	n.report("s")
 	n.run(1e9, func() bool { return len(n.ops) == 1 })
@@ -376,21 +380,21 @@
 	for _, c := range []struct {
 		name  string
 		a     Admin
-		kind  gauge.Kind
-		epoch gauge.Epoch
+		kind  failure.Kind
+		epoch ident.Epoch
 		plan  string
 	}{
-		{"stale epoch", Admin{Op: "put", Raw: two, Expect: 0, Change: "x"}, gauge.Conflict, 1, onePlan},
-		{"taken", Admin{Op: "put", Raw: two, Expect: 1, Change: "x"}, gauge.None, 2, string(two)},
-		{"its repeat is answered, not redone", Admin{Op: "put", Raw: two, Expect: 1, Change: "x"}, gauge.None, 2, string(two)},
-		{"faulty", Admin{Op: "put", Raw: []byte(`{}`), Any: true}, gauge.Faulty, 0, string(two)},
-		{"patch", Admin{Op: "patch", Raw: []byte(`{"name":"three"}`), Expect: 2, Change: "y"}, gauge.None, 3, ""},
-		{"patch that leaves a fault", Admin{Op: "patch", Raw: []byte(`{"services":null}`), Any: true}, gauge.Faulty, 3, ""},
-		{"patch with a duplicate key", Admin{Op: "patch", Raw: []byte(`{"name":"a","name":"b"}`), Any: true}, gauge.Malformed, 0, ""},
-		{"empty", Admin{Op: "empty", Zone: "z", Any: true}, gauge.None, 4, ""},
-		{"refill", Admin{Op: "refill", Zone: "z", Expect: 4}, gauge.None, 5, ""},
-		{"bad calendar", Admin{Op: "windows", Raw: []byte("BEGIN:NOTHING"), Any: true}, gauge.Faulty, 0, ""},
-		{"nothing such", Admin{Op: "dance"}, gauge.Unknown, 0, ""},
+		{"stale epoch", Admin{Op: "put", Raw: two, Expect: 0, Change: "x"}, failure.Conflict, 1, onePlan},
+		{"taken", Admin{Op: "put", Raw: two, Expect: 1, Change: "x"}, failure.None, 2, string(two)},
+		{"its repeat is answered, not redone", Admin{Op: "put", Raw: two, Expect: 1, Change: "x"}, failure.None, 2, string(two)},
+		{"faulty", Admin{Op: "put", Raw: []byte(`{}`), Any: true}, failure.Faulty, 0, string(two)},
+		{"patch", Admin{Op: "patch", Raw: []byte(`{"name":"three"}`), Expect: 2, Change: "y"}, failure.None, 3, ""},
+		{"patch that leaves a fault", Admin{Op: "patch", Raw: []byte(`{"services":null}`), Any: true}, failure.Faulty, 3, ""},
+		{"patch with a duplicate key", Admin{Op: "patch", Raw: []byte(`{"name":"a","name":"b"}`), Any: true}, failure.Malformed, 0, ""},
+		{"empty", Admin{Op: "empty", Zone: "z", Any: true}, failure.None, 4, ""},
+		{"refill", Admin{Op: "refill", Zone: "z", Expect: 4}, failure.None, 5, ""},
+		{"bad calendar", Admin{Op: "windows", Raw: []byte("BEGIN:NOTHING"), Any: true}, failure.Faulty, 0, ""},
+		{"nothing such", Admin{Op: "dance"}, failure.Unknown, 0, ""},
 	} {
 		r := ask(c.a)
 		require.Equal(t, c.kind, r.Kind, c.name)
@@ -449,12 +453,12 @@
 	at := time.Date(2026, 1, 5, 9, 0, 0, 0, time.UTC)
 	n.o.Wall = func() time.Time { return at }
 	n.step(Admin{Op: "windows", Raw: []byte(calendar), Any: true})
-	n.step(dowel.Beat{})
+	n.step(protocol.Beat{})
 	require.Len(t, n.entryOf("m").replicas, 1)
 	n.items(s)
 	at = time.Date(2026, 1, 5, 9, 59, 30, 0, time.UTC)
 	n.at = n.at.Add(1100e6)
-	n.step(dowel.Beat{})
+	n.step(protocol.Beat{})
 	require.Empty(t, n.entryOf("m").replicas)
 	broke := false
 	for _, i := range n.items(s) {
@@ -466,13 +470,13 @@
 // A key that no server could hold is given up on, and routers are told; with room it is not.
 func TestNever(t *testing.T) {
 	n, s := ready(t)
-	n.mail(dowel.Want{Session: s, Key: "n"})
+	n.mail(protocol.Want{Session: s, Key: "n"})
 	l := n.items(s)
 	require.False(t, l[len(l)-1].Entry.Never)
 	n.step(Admin{Op: "put", Raw: []byte(strings.Replace(onePlan, `"n":{"size":4}`, `"n":{"size":400}`, 1)), Any: true})
 	n.pass(600e6, has("m", "ready"))
 	n.items(s)
-	n.mail(dowel.Want{Session: s, Key: "n"})
+	n.mail(protocol.Want{Session: s, Key: "n"})
 	l = n.items(s)
 	require.True(t, l[len(l)-1].Entry.Never)
 }
@@ -480,11 +484,11 @@
 // A router under another generation is sent the plan, whatever epoch it says it has.
 func TestOtherGeneration(t *testing.T) {
 	n, _ := ready(t)
-	s := dowel.Session{Node: "r", Awl: 2, Lathe: 1, N: 1}
+	s := protocol.Session{Node: "r", Agent: 2, Router: 1, N: 1}
 	for _, c := range []struct{ has, gets uint64 }{{1, 0}, {0, 1}, {7, 8}} {
 		s.N++
 		n.sent = nil
-		n.mail(dowel.Renew{Session: s, Seq: 1, Fresh: true, Gen: c.has, Epoch: 1})
+		n.mail(protocol.Renew{Session: s, Seq: 1, Fresh: true, Gen: c.has, Epoch: 1})
 		l := n.items(s)
 		if c.gets == 0 {
 			require.Empty(t, l)
@@ -497,38 +501,38 @@
 
 // Which lists are believed. What is not listed any more is doubted only where most that answer are missing.
 func TestLists(t *testing.T) {
-	x := func(id, state string) dowel.Listed {
-		return dowel.Listed{ID: gauge.Server(id), Addr: id, Zone: "z", State: state}
+	x := func(id, state string) protocol.Listed {
+		return protocol.Listed{ID: ident.Server(id), Addr: id, Zone: "z", State: state}
 	}
 	for _, c := range []struct {
 		name  string
-		list  []dowel.Listed
+		list  []protocol.Listed
 		sound bool
 	}{
-		{"one", []dowel.Listed{x("a", "live")}, true}, {"none", nil, true}, {"leaving and gone", []dowel.Listed{x("a", "leaving"), x("b", "gone")}, true},
-		{"twice", []dowel.Listed{x("a", "live"), x("a", "gone")}, false}, {"no such state", []dowel.Listed{x("a", "asleep")}, false},
-		{"no id", []dowel.Listed{x("", "live")}, false}, {"no zone", []dowel.Listed{{ID: "a", Addr: "a", State: "live"}}, false},
-		{"no address", []dowel.Listed{{ID: "a", Zone: "z", State: "live"}}, false},
+		{"one", []protocol.Listed{x("a", "live")}, true}, {"none", nil, true}, {"leaving and gone", []protocol.Listed{x("a", "leaving"), x("b", "gone")}, true},
+		{"twice", []protocol.Listed{x("a", "live"), x("a", "gone")}, false}, {"no such state", []protocol.Listed{x("a", "asleep")}, false},
+		{"no id", []protocol.Listed{x("", "live")}, false}, {"no zone", []protocol.Listed{{ID: "a", Addr: "a", State: "live"}}, false},
+		{"no address", []protocol.Listed{{ID: "a", Zone: "z", State: "live"}}, false},
 	} {
 		require.Equal(t, c.sound, sound(c.list), c.name)
 	}
 	for _, c := range []struct {
 		name  string
 		dark  string
-		list  []dowel.Listed
+		list  []protocol.Listed
 		stays string
 	}{
-		{"all", "", []dowel.Listed{x("a", "live"), x("b", "live"), x("c", "live"), x("d", "live")}, "abcd"},
-		{"one is missing", "", []dowel.Listed{x("a", "live"), x("b", "live"), x("c", "live")}, "abc"},
-		{"half are missing", "", []dowel.Listed{x("a", "live"), x("b", "live")}, "ab"},
-		{"most are missing", "", []dowel.Listed{x("a", "live")}, "abcd"},
-		{"most are missing, and dark", "bcd", []dowel.Listed{x("a", "live")}, "a"},
+		{"all", "", []protocol.Listed{x("a", "live"), x("b", "live"), x("c", "live"), x("d", "live")}, "abcd"},
+		{"one is missing", "", []protocol.Listed{x("a", "live"), x("b", "live"), x("c", "live")}, "abc"},
+		{"half are missing", "", []protocol.Listed{x("a", "live"), x("b", "live")}, "ab"},
+		{"most are missing", "", []protocol.Listed{x("a", "live")}, "abcd"},
+		{"most are missing, and dark", "bcd", []protocol.Listed{x("a", "live")}, "a"},
 		{"an empty list", "", nil, "abcd"},
-		{"said to be gone", "", []dowel.Listed{x("a", "gone"), x("b", "gone"), x("c", "gone"), x("d", "live")}, "d"},
+		{"said to be gone", "", []protocol.Listed{x("a", "gone"), x("b", "gone"), x("c", "gone"), x("d", "live")}, "d"},
 	} {
 		k := New(Options{})
 		for _, id := range []string{"a", "b", "c", "d"} {
-			k.servers[gauge.Server(id)] = &server{Listed: x(id, "live"), known: true, dark: strings.Contains(c.dark, id)}
+			k.servers[ident.Server(id)] = &server{Listed: x(id, "live"), known: true, dark: strings.Contains(c.dark, id)}
 		}
 		got := ""
 		for _, y := range k.believe(c.list) {
@@ -544,15 +548,15 @@
 // that comes while the first is being written gets no grant ahead of the disk. Found by
 // reading: a voter that lost power then could have pledged one number to two owners.
 func TestPledgeIsSynced(t *testing.T) {
-	v := dowel.Desired{Gen: 1, Epoch: 1, Shape: 1, Voters: []dowel.Voter{voter("a", 5), voter("b", 5), voter("c", 5)}}
-	c := New(Options{Me: dowel.Sibling{ID: "a", Addr: "a"}, Inc: 6, Rand: rand.New(rand.NewPCG(1, 2))})
-	c.Step(1e9, dowel.Start{Disk: map[string][]byte{diskInc: []byte("5"), diskV: jot(safe{dowel.Ballot{N: 1, By: "a"}, &v})}})
-	ask := func(from string, d gauge.Duty) (granted bool, save *dowel.Save) {
-		for _, o := range c.Step(9e9, dowel.Env{From: dowel.Sibling{ID: gauge.Node(from), Addr: from}, Body: dowel.Query{Claim: true, Duty: d}}) {
+	v := protocol.Desired{Gen: 1, Epoch: 1, Shape: 1, Voters: []protocol.Voter{voter("a", 5), voter("b", 5), voter("c", 5)}}
+	c := New(Options{Me: protocol.Sibling{ID: "a", Addr: "a"}, Inc: 6, Rand: rand.New(rand.NewPCG(1, 2))})
+	c.Step(1e9, protocol.Start{Disk: map[string][]byte{diskInc: []byte("5"), diskV: jot(safe{protocol.Ballot{N: 1, By: "a"}, &v})}})
+	ask := func(from string, d ident.Duty) (granted bool, save *protocol.Save) {
+		for _, o := range c.Step(9e9, protocol.Env{From: protocol.Sibling{ID: ident.Node(from), Addr: from}, Body: protocol.Query{Claim: true, Duty: d}}) {
 			switch x := o.(type) {
-			case dowel.Env:
-				granted = granted || x.Body.(dowel.State).Granted
-			case dowel.Save:
+			case protocol.Env:
+				granted = granted || x.Body.(protocol.State).Granted
+			case protocol.Save:
 				save = &x
 			}
 		}
@@ -567,9 +571,9 @@
 	granted, _ = ask("c", 4)
 	require.False(t, granted, "the hold of another runs")
 	granted = false
-	for _, o := range c.Step(9e9, dowel.Saved{Token: first.Token}) {
-		if x, ok := o.(dowel.Env); ok {
-			granted = x.Body.(dowel.State).Granted
+	for _, o := range c.Step(9e9, protocol.Saved{Token: first.Token}) {
+		if x, ok := o.(protocol.Env); ok {
+			granted = x.Body.(protocol.State).Granted
 		}
 	}
 	require.True(t, granted)
@@ -583,7 +587,7 @@
 func TestLargePlanIsNotRepeated(t *testing.T) {
 	for size, most := range map[int]int{0: 6, 2_000_000: 1} {
 		n, s := ready(t)
-		n.mail(dowel.Renew{Session: s, Seq: 2, Gen: 1, Epoch: 1, Heard: 1})
+		n.mail(protocol.Renew{Session: s, Seq: 2, Gen: 1, Epoch: 1, Heard: 1})
 		big := strings.Replace(onePlan, `"kinds"`, strings.Repeat(" ", size)+`"kinds"`, 1)
 		n.step(Admin{Op: "put", Raw: []byte(big), Any: true})
 		n.pass(900e6, has("m", "ready"))
@@ -620,7 +624,7 @@
 	require.True(t, q.claim)
 	n.giveBack("it is blind", "b")
 	n.duty.shy = n.at.Add(15e9)
-	n.Step(n.at, dowel.Env{From: dowel.Sibling{ID: "a", Addr: "a"}, Body: dowel.State{Round: q.round, Inc: 5, Granted: true, Duty: q.num, Accepted: n.reg.at}})
+	n.Step(n.at, protocol.Env{From: protocol.Sibling{ID: "a", Addr: "a"}, Body: protocol.State{Round: q.round, Inc: 5, Granted: true, Duty: q.num, Accepted: n.reg.at}})
 	require.False(t, n.rules())
 	n.run(9e9, func() bool { return n.rules() })
 	require.False(t, n.rules(), "it does not want it for a while")
--- /dev/null
+++ b/internal/controller/core.go
@@ -0,0 +1,320 @@
+// Package controller is a core node: it votes on the desired state, knows its siblings and,
+// while it owns the duty, places models on servers and keeps the routers' callbacks.
+package controller
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"tidedeck/internal/clock"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/membership"
+	"tidedeck/internal/protocol"
+)
+
+// Options of a core node.
+type Options struct {
+	Me       protocol.Sibling
+	Zone     ident.Zone
+	Inc      ident.Inc // of this life of the process
+	Seeds    []protocol.Sibling
+	Platform string
+	Rand     *rand.Rand
+
+	Hold    clock.Span // a router's hold, from the moment it sent its renewal
+	Duty    clock.Span // the duty's hold, from the moment its owner asked for it
+	Margin  clock.Span // a granter waits longer by this and by Drift
+	Drift   float64
+	Round   clock.Span // between two reads of the register
+	Poll    clock.Span // between two reports of a server
+	Wait    clock.Span // for a server's answer
+	Spare   clock.Span // a voter gone for so long is replaced by a spare
+	Form    clock.Span // every seed must be seen blank for so long
+	Most    int        // callbacks kept for one router
+	Pending int        // changes not yet acknowledged, for one router
+	Rest    clock.Span // a replica is not evicted sooner after it came
+	Lull    clock.Span // a replica without work for so long may be evicted
+	Blind   clock.Span // an owner that reaches too little for so long asks its siblings
+	Shy     clock.Span // and does not take the duty again for so long, if one reaches more
+	Even    clock.Span // unevenness must last so long before a move, and moves are so far apart
+	Gap     float64    // unevenness that is worth a move, as a part of a server's room
+	Recent  clock.Span // a key that had work so lately is worth a move
+	Lead    clock.Span // what a maintenance window closes is drained so long before it
+	Wall    func() time.Time
+
+	Read     func([]byte) (*fleetplan.Plan, fleetplan.Faults)             // of plans
+	Merge    func(plan, patch []byte) (merged []byte, f fleetplan.Faults) // of changes into plans
+	Enrolled bool                                                         // servers announce themselves; no platform lists them
+	Silence  clock.Span                                                   // an announced server is dark after so long without a word
+	Unfenced bool                                                         // servers check no fence: they count orders
+	Settle   clock.Span                                                   // an owner of unfenced servers waits so long before it orders
+	Tenure   clock.Span                                                   // two nodes do not order a server by turns within so long
+	Voters   int                                                          // the voter set grows to so many as core nodes are there; it stays as it formed if none is said
+	Warm     bool                                                         // while the store is idle, models that no server has on its own disk are loaded somewhere
+	Rate     clock.Span                                                   // the store's rate is kept in every while of this length
+	Joined   bool                                                         // this core is there already: an empty disk forms none
+}
+
+// Defaults fills what was left out.
+func (o Options) Defaults() Options {
+	generic.SetDefault(&o.Hold, 2000e6)
+	generic.SetDefault(&o.Duty, 1200e6)
+	generic.SetDefault(&o.Margin, 50e6)
+	generic.SetDefault(&o.Round, 250e6)
+	generic.SetDefault(&o.Poll, 250e6)
+	generic.SetDefault(&o.Wait, 600e6)
+	generic.SetDefault(&o.Spare, 6000e6)
+	generic.SetDefault(&o.Form, 1500e6)
+	generic.SetDefault(&o.Rest, 4000e6)
+	generic.SetDefault(&o.Lull, 2000e6)
+	generic.SetDefault(&o.Lead, 60e9)
+	generic.SetDefault(&o.Even, 5000e6)
+	generic.SetDefault(&o.Recent, 60e9)
+	generic.SetDefault(&o.Blind, 4000e6)
+	generic.SetDefault(&o.Shy, 15e9)
+	generic.SetDefault(&o.Drift, 0.02)
+	generic.SetDefault(&o.Gap, 0.35)
+	generic.SetDefault(&o.Most, 1024)
+	generic.SetDefault(&o.Pending, 4096)
+	generic.SetDefault(&o.Silence, 3600e6)
+	generic.SetDefault(&o.Settle, o.Wait+reportLag)
+	generic.SetDefault(&o.Rate, 5e9)
+	if o.Read == nil {
+		o.Read = fleetplan.ReadPlan
+	}
+	if o.Merge == nil {
+		o.Merge = mergePatch
+	}
+	return o
+}
+
+// Core is a core node without I/O. Step is its only entrance, and it is not safe for
+// use by two at once.
+type Core struct {
+	o     Options
+	now   clock.Tick
+	out   []any
+	mates *membership.Core
+
+	vote  vote
+	reg   register
+	duty  reign
+	links map[protocol.Session]*link
+	tombs map[protocol.Session]clock.Tick
+	wants []protocol.Env
+
+	plan *fleetplan.Plan
+
+	lastRaw  []byte // the plan read last, and what it came to
+	lastPlan *fleetplan.Plan
+
+	empty    map[ident.Zone]bool
+	servers  map[ident.Server]*server
+	entries  map[ident.Key]*entry
+	asks     map[uint64]func(protocol.Told)
+	token    uint64
+	saves    map[uint64]func()
+	demand   map[ident.Key]*need
+	listed   clock.Tick
+	listing  bool
+	list     Roll       // the last server list that an owner had
+	seenAt   clock.Tick // when the platform last gave a list
+	eye      eye
+	swept    clock.Tick
+	windows  []*window
+	shutZ    map[ident.Zone]bool
+	shutS    map[ident.Server]bool
+	shutAt   clock.Tick
+	soonZ    map[ident.Zone]bool // closed before long: what is only there is loaded elsewhere first
+	soonS    map[ident.Server]bool
+	shifts   map[ident.Key]*shift
+	uneven   clock.Tick                 // since when the servers are burdened unevenly
+	shifted  clock.Tick                 // when a move last began
+	roll     map[ident.Server]*enrolled // every server that announced itself, known at every core node
+	leavings []byte                     // what the disk has of those that leave
+	relays   []protocol.Beacon          // announcements that other core nodes have not been sent yet
+	relayed  clock.Tick
+	summed   clock.Tick
+	seeded   clock.Tick
+	asked    clock.Tick        // when routers first told this owner what they are asked for
+	line     map[ident.Key]int // keys without a replica that the store has no room for yet, by turn
+	acks     map[uint64]*leaving
+	weighed  clock.Tick
+	seats    map[ident.Server]int // tokens that all routers have under way, by server
+	mark     uint64
+	rolls    map[ident.Node]ident.Inc // core nodes whose roll this owner has heard
+	called   clock.Tick
+	begun    []clock.Tick // when the loads of late began
+	tally    Tally
+	began    bool
+	ending   bool // a planned stop is under way: the duty is not taken any more
+}
+
+// Tally counts what a core node did; it is what its metrics show.
+type Tally struct {
+	Rounds, Conflicts, Changes, Reads, Repairs, Reigns      uint64
+	Grants, Withheld, Breaks, Acks, Lapses, Wants, Sames    uint64
+	Removals, Sheds, Loads, Unloads, Fences, Drained, Admit uint64
+	Moves, Evened, Odd                                      uint64
+	Doubts, Looks, Yields                                   uint64
+	Beacons, Enrolments, Leaves, LeavesUnheard              uint64
+	Orders, OrdersRefused, OrdersUnanswered, Reports        uint64
+}
+
+// New makes a core node.
+func New(o Options) *Core {
+	o = o.Defaults()
+	c := &Core{
+		o:     o,
+		links: map[protocol.Session]*link{}, tombs: map[protocol.Session]clock.Tick{},
+		servers: map[ident.Server]*server{}, entries: map[ident.Key]*entry{},
+		asks: map[uint64]func(protocol.Told){}, saves: map[uint64]func(){},
+		demand: map[ident.Key]*need{}, shifts: map[ident.Key]*shift{}, empty: map[ident.Zone]bool{},
+		seats: map[ident.Server]int{}, roll: map[ident.Server]*enrolled{}, acks: map[uint64]*leaving{},
+	}
+	c.mates = membership.New(membership.Options{
+		Me:    protocol.Member{Sibling: o.Me, Role: "controller", Zone: o.Zone, Inc: o.Inc},
+		Seeds: o.Seeds, Rand: o.Rand,
+	})
+	c.reg.init()
+	return c
+}
+
+// Step takes one input and gives what is to be done.
+func (c *Core) Step(now clock.Tick, in any) []any {
+	c.now, c.out = now, nil
+	switch v := in.(type) {
+	case protocol.Start:
+		c.start(v)
+	case protocol.Saved:
+		if f := c.saves[v.Token]; f != nil {
+			delete(c.saves, v.Token)
+			f()
+		}
+	case protocol.Told:
+		if f := c.asks[v.Token]; f != nil {
+			delete(c.asks, v.Token)
+			f(v)
+		}
+	case protocol.Env:
+		c.take(v)
+	case Admin:
+		c.admin(v)
+	case Announce:
+		c.onAnnounce(v)
+	case protocol.Stop:
+		c.release()
+	case protocol.Beat:
+		if c.began && !c.ending {
+			c.beat()
+		}
+	}
+	c.flush()
+	return c.out
+}
+
+func (c *Core) take(e protocol.Env) {
+	if !c.began {
+		return
+	}
+	if e.To.ID != "" && e.To.ID != c.o.Me.ID {
+		return
+	}
+	if l, mine := c.mates.Take(c.now, e); mine {
+		c.post(l...)
+		return
+	}
+	if f := takes[protocol.Kind(e.Body)]; f != nil {
+		f(c, e)
+	}
+}
+
+// Which message goes where: the one table.
+var takes map[string]func(*Core, protocol.Env)
+
+func init() {
+	takes = map[string]func(*Core, protocol.Env){
+		"Prepare": (*Core).onPrepare, "Accept": (*Core).onAccept, "Query": (*Core).onQuery, "Release": (*Core).onRelease, "Fetch": (*Core).onFetch,
+		"Promise": (*Core).onPromise, "Accepted": (*Core).onAccepted, "State": (*Core).onState, "Value": (*Core).onValue,
+		"Listing": (*Core).onListing, "Look": (*Core).onLook, "Looked": (*Core).onLooked,
+		"Taken": (*Core).onTaken, "Kept": (*Core).onKept,
+		"RollCall": (*Core).onRollCall, "Roll": (*Core).onRoll, "Beacons": (*Core).onBeacons, "BeaconsHeard": (*Core).onBeaconsHeard,
+		"Renew": (*Core).onRenew, "Heard": (*Core).onHeard, "Want": (*Core).onWant, "Removal": (*Core).onRemoval,
+	}
+}
+
+func (c *Core) beat() {
+	c.post(c.mates.Beat(c.now)...)
+	c.beatRegister()
+	c.beatDuty()
+	c.beatLinks()
+	c.beatRoll()
+	c.beatPlace()
+}
+
+func (c *Core) post(l ...protocol.Env) {
+	for _, e := range l {
+		c.out = append(c.out, e)
+	}
+}
+
+func (c *Core) send(to protocol.Sibling, body any) {
+	c.post(protocol.Env{From: c.o.Me, To: to, Body: body})
+}
+
+func (c *Core) reply(e protocol.Env, body any) { c.post(e.Reply(c.o.Me, body)) }
+
+func (c *Core) save(puts map[string][]byte, then func()) {
+	c.token++
+	c.saves[c.token] = then
+	c.out = append(c.out, protocol.Save{Token: c.token, Puts: puts})
+}
+
+func (c *Core) ask(addr, path string, body any, wait clock.Span, then func(protocol.Told)) {
+	c.token++
+	c.asks[c.token] = then
+	a := protocol.Ask{Token: c.token, Addr: addr, Path: path, Body: body, Wait: wait}
+	if o, ok := body.(protocol.Order); ok {
+		a.Kept = o.Op == "" && c.o.Unfenced
+	}
+	if c.duty.mine {
+		a.Until = c.duty.until(c) // an owner that froze must not order when its duty is over
+	}
+	c.out = append(c.out, a)
+}
+
+func (c *Core) note(s string) { c.out = append(c.out, protocol.Note{Text: s}) }
+
+func (c *Core) oops(s string) { c.out = append(c.out, protocol.Oops{Text: s}) }
+
+func jot(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // only our own plain types come here
+	}
+	return b
+}
+
+// Counts gives the tally so far.
+func (c *Core) Counts() Tally { return c.tally }
+
+// Owns tells whether this node owns the duty now, and its number.
+func (c *Core) Owns(now clock.Tick) (ident.Duty, bool) {
+	return c.duty.num, c.duty.mine && now <= c.duty.until(c)
+}
+
+// Epoch tells the newest epoch this node knows to be taken.
+func (c *Core) Epoch() ident.Epoch {
+	if c.reg.known == nil {
+		return 0
+	}
+	return c.reg.known.Epoch
+}
+
+// Ready tells whether this node can serve operators: it knows a voter set and hears a majority.
+func (c *Core) Ready() bool {
+	return c.reg.known != nil && c.reg.heard != 0 && c.now.Sub(c.reg.heard) < 3*c.o.Round+c.o.Duty
+}
--- a/anvil/duty.go
+++ b/internal/controller/duty.go
@@ -1,33 +1,35 @@
-package anvil
+package controller
 
 import (
 	"fmt"
 	"sort"
 
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
 // reign is this node's view of the duty.
 type reign struct {
 	mine  bool
-	num   gauge.Duty
+	num   ident.Duty
 	again bool       // this node owned it before, and nobody since
-	asked gauge.Tick // when the last round that renewed it, and showed nothing newer, began
-	began gauge.Tick
-	top   gauge.Duty    // highest number seen
-	who   dowel.Sibling // who owns it as far as this node knows
-	free  bool          // the last majority read showed no owner
-	shy   gauge.Tick    // until when this node does not want it
-	next  gauge.Node    // whom the last owner left it to
-	left  gauge.Tick    // and when
+	asked clock.Tick // when the last round that renewed it, and showed nothing newer, began
+	began clock.Tick
+	top   ident.Duty       // highest number seen
+	who   protocol.Sibling // who owns it as far as this node knows
+	free  bool             // the last majority read showed no owner
+	shy   clock.Tick       // until when this node does not want it
+	next  ident.Node       // whom the last owner left it to
+	left  clock.Tick       // and when
 }
 
-func (r *reign) until(c *Core) gauge.Tick { return r.asked.Add(c.o.Duty) }
+func (r *reign) until(c *Core) clock.Tick { return r.asked.Add(c.o.Duty) }
 
 // claims tells whether the next round should ask for the duty: its owner renews it, and
 // with no owner the first live node in the order of the voter set takes it.
-func (c *Core) claims(set dowel.Desired) (bool, gauge.Duty) {
+func (c *Core) claims(set protocol.Desired) (bool, ident.Duty) {
 	d := &c.duty
 	if d.mine {
 		return true, d.num
@@ -43,8 +45,8 @@
 	}
 	// Who owned it last may have it back at once, after a restart of its own or of the whole core:
 	// the voters know that it holds nothing any more. The others leave it to it for a moment.
-	last, top := gauge.Node(""), gauge.Duty(0)
-	for _, id := range gauge.Keys(c.reg.lives) {
+	last, top := ident.Node(""), ident.Duty(0)
+	for _, id := range generic.SortedKeys(c.reg.lives) {
 		if s := c.reg.lives[id]; s.state.Last != "" && s.state.Duty >= top && c.now.Sub(s.at) < 3*c.o.Round {
 			last, top = s.state.Last, s.state.Duty
 		}
@@ -52,7 +54,7 @@
 	if s, ok := c.reg.lives[last]; ok && seat(set.Voters, last, s.state.Inc) && !s.state.Shy && c.now.Sub(s.at) < 3*c.o.Round {
 		return last == c.o.Me.ID, d.top + 1
 	}
-	l := append([]dowel.Voter{}, set.Voters...)
+	l := append([]protocol.Voter{}, set.Voters...)
 	sort.Slice(l, func(i, j int) bool { return l[i].ID < l[j].ID })
 	for _, v := range l {
 		if v.ID == c.o.Me.ID {
@@ -114,21 +116,21 @@
 	}
 }
 
-func (c *Core) giveBack(why string, next gauge.Node) {
+func (c *Core) giveBack(why string, next ident.Node) {
 	num := c.duty.num
 	c.reg.query = nil // a round under way must not win back what is given back
 	c.note(fmt.Sprintf("duty %d is given back: %s", num, why))
-	c.duty.mine, c.duty.who, c.duty.free = false, dowel.Sibling{}, false
+	c.duty.mine, c.duty.who, c.duty.free = false, protocol.Sibling{}, false
 	c.clear()
 	for _, p := range electors(*c.reg.known) {
-		c.send(p, dowel.Release{Duty: num, Next: next})
+		c.send(p, protocol.Release{Duty: num, Next: next})
 	}
 }
 
-func (c *Core) onRelease(e dowel.Env) {
-	b := e.Body.(dowel.Release)
+func (c *Core) onRelease(e protocol.Env) {
+	b := e.Body.(protocol.Release)
 	if b.Duty == c.vote.duty && e.From.ID == c.vote.owner.ID {
-		c.vote.until, c.vote.owner = c.now, dowel.Sibling{}
+		c.vote.until, c.vote.owner = c.now, protocol.Sibling{}
 		c.duty.next, c.duty.left = b.Next, c.now
 		if b.Next != "" {
 			c.reg.next = min(c.reg.next, c.now.Add(50e6))
@@ -138,21 +140,21 @@
 
 func (c *Core) lose(why string) {
 	c.oops(fmt.Sprintf("duty %d ends: %s", c.duty.num, why))
-	c.duty.mine, c.duty.who, c.duty.free = false, dowel.Sibling{}, false
+	c.duty.mine, c.duty.who, c.duty.free = false, protocol.Sibling{}, false
 	c.clear()
 }
 
 // clear forgets all that belongs to one reign.
 func (c *Core) clear() {
-	c.seats = map[gauge.Server]int{}
-	c.links, c.tombs, c.wants = map[dowel.Session]*link{}, map[dowel.Session]gauge.Tick{}, nil
-	c.servers, c.entries = map[gauge.Server]*server{}, map[gauge.Key]*entry{}
-	c.demand = map[gauge.Key]*need{}
-	c.shifts, c.uneven, c.shifted = map[gauge.Key]*shift{}, 0, c.now
+	c.seats = map[ident.Server]int{}
+	c.links, c.tombs, c.wants = map[protocol.Session]*link{}, map[protocol.Session]clock.Tick{}, nil
+	c.servers, c.entries = map[ident.Server]*server{}, map[ident.Key]*entry{}
+	c.demand = map[ident.Key]*need{}
+	c.shifts, c.uneven, c.shifted = map[ident.Key]*shift{}, 0, c.now
 	c.listing, c.listed, c.eye, c.begun, c.asked = false, 0, eye{}, nil, 0
 	c.planned()
 	if c.duty.mine && c.o.Enrolled {
-		c.rolls, c.called = map[gauge.Node]gauge.Inc{c.o.Me.ID: c.vote.inc}, 0
+		c.rolls, c.called = map[ident.Node]ident.Inc{c.o.Me.ID: c.vote.inc}, 0
 		c.callRoll()
 	} else if c.duty.mine {
 		c.onList(c.list.List) // until the platform says otherwise
--- a/anvil/enrol.go
+++ b/internal/controller/enrol.go
@@ -1,16 +1,18 @@
-package anvil
+package controller
 
 import (
 	"fmt"
 
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
 // Announce is a server's own word to a core node.
 type Announce struct {
 	Token  uint64
-	Beacon dowel.Beacon
+	Beacon protocol.Beacon
 }
 
 // Announced answers Announce. A leaving that is not OK is not known where it must be.
@@ -21,15 +23,15 @@
 
 // enrolled is what a core node knows of a server that announced itself.
 type enrolled struct {
-	dowel.Beacon
-	heard gauge.Tick         // when its last word came, by whatever way
-	had   map[gauge.Key]bool // what its own disk has, surely (true) or likely: an earlier start held it
+	protocol.Beacon
+	heard clock.Tick         // when its last word came, by whatever way
+	had   map[ident.Key]bool // what its own disk has, surely (true) or likely: an earlier start held it
 	soft  bool               // it is only taken for gone, since another start has its address
-	spoke gauge.Tick         // when it first spoke all the same
+	spoke clock.Tick         // when it first spoke all the same
 }
 
 // keeps adds what a server says that it holds to what it has had.
-func (e *enrolled) keeps(l []gauge.Key) {
+func (e *enrolled) keeps(l []ident.Key) {
 	for _, k := range l {
 		e.had[k] = true
 	}
@@ -39,10 +41,10 @@
 // every promise on the server, and a majority of the core must know, or the next owner would not.
 type leaving struct {
 	token uint64
-	at    gauge.Tick
-	sent  gauge.Tick
-	list  []dowel.Beacon
-	yes   map[gauge.Node]gauge.Inc
+	at    clock.Tick
+	sent  clock.Tick
+	list  []protocol.Beacon
+	yes   map[ident.Node]ident.Inc
 	ruled bool
 }
 
@@ -58,7 +60,7 @@
 )
 
 // enrol takes in a server's word, which may be late; it tells whether it says anything new.
-func (c *Core) enrol(b dowel.Beacon) bool {
+func (c *Core) enrol(b protocol.Beacon) bool {
 	if b.ID == "" || stagesOf[b.State] == 0 && b.State != "live" {
 		return false
 	}
@@ -67,9 +69,9 @@
 		if b.Addr == "" && b.State != "gone" {
 			return false
 		}
-		e = &enrolled{Beacon: b, heard: c.now, had: map[gauge.Key]bool{}}
+		e = &enrolled{Beacon: b, heard: c.now, had: map[ident.Key]bool{}}
 		// An address that another start of a server had is no longer its; its disk may still be there.
-		for _, id := range gauge.Keys(c.roll) {
+		for _, id := range generic.SortedKeys(c.roll) {
 			o := c.roll[id]
 			if b.Addr == "" || o.Addr != b.Addr || b.State == "gone" {
 				continue
@@ -104,7 +106,7 @@
 		if e.spoke == 0 {
 			e.spoke = c.now
 		}
-		holder := gauge.Tick(0)
+		holder := clock.Tick(0)
 		for _, o := range c.roll {
 			if o != e && o.Addr == b.Addr && o.State != "gone" {
 				holder = max(holder, o.heard)
@@ -117,7 +119,7 @@
 			return false
 		}
 		e.soft, e.spoke, e.State = false, 0, "live"
-		for _, id := range gauge.Keys(c.roll) {
+		for _, id := range generic.SortedKeys(c.roll) {
 			if o := c.roll[id]; o != e && o.Addr == b.Addr {
 				c.retire(o)
 			}
@@ -171,7 +173,7 @@
 		if e.State == "gone" {
 			return
 		}
-		s = &server{Listed: e.Listed, spots: map[gauge.Key]*spot{}, first: c.now}
+		s = &server{Listed: e.Listed, spots: map[ident.Key]*spot{}, first: c.now}
 		c.servers[e.ID] = s
 		c.adopt(s)
 		c.touchAll()
@@ -203,7 +205,7 @@
 	s.room, s.places, s.plain = v.Room, v.Places, v.Plain
 	if s.plain {
 		s.known, s.room = true, 0
-		k := gauge.Key("").In(s.Service)
+		k := ident.Key("").In(s.Service)
 		if s.spots[k] == nil {
 			s.spots[k] = &spot{key: k, stage: Ready, ready: c.now, since: c.now}
 			c.touch(k)
@@ -243,7 +245,7 @@
 		c.out = append(c.out, Announced{Token: a.Token, OK: true}) // nobody was ever told of it
 		return
 	}
-	l := &leaving{token: a.Token, at: c.now, list: []dowel.Beacon{e.Beacon}, yes: map[gauge.Node]gauge.Inc{}}
+	l := &leaving{token: a.Token, at: c.now, list: []protocol.Beacon{e.Beacon}, yes: map[ident.Node]ident.Inc{}}
 	mark := c.mark
 	c.acks[mark] = l
 	l.ruled = c.rules()
@@ -258,8 +260,8 @@
 
 // keepLeavings has the disk know who leaves and who is gone, before anybody is told that it is known.
 func (c *Core) keepLeavings(then func()) {
-	var l []dowel.Beacon
-	for _, id := range gauge.Keys(c.roll) {
+	var l []protocol.Beacon
+	for _, id := range generic.SortedKeys(c.roll) {
 		if e := c.roll[id]; e.State != "live" && !e.soft {
 			l = append(l, e.Beacon)
 		}
@@ -276,10 +278,10 @@
 }
 
 // recall takes in what the disk knows of servers that leave.
-func (c *Core) recall(l []dowel.Beacon) {
+func (c *Core) recall(l []protocol.Beacon) {
 	for _, b := range l {
 		if b.ID != "" {
-			c.roll[b.ID] = &enrolled{Beacon: b, heard: c.now, had: map[gauge.Key]bool{}}
+			c.roll[b.ID] = &enrolled{Beacon: b, heard: c.now, had: map[ident.Key]bool{}}
 		}
 	}
 }
@@ -287,22 +289,22 @@
 func (c *Core) tellLeaving(mark uint64, l *leaving) {
 	l.sent = c.now
 	for _, p := range c.others() {
-		c.send(p, dowel.Beacons{Mark: mark, List: l.list})
+		c.send(p, protocol.Beacons{Mark: mark, List: l.list})
 	}
 }
 
 // others lists the core nodes beside this one.
-func (c *Core) others() (l []dowel.Sibling) {
-	to := map[gauge.Node]dowel.Sibling{}
+func (c *Core) others() (l []protocol.Sibling) {
+	to := map[ident.Node]protocol.Sibling{}
 	if k := c.latest(); k != nil {
 		for _, p := range electors(*k) {
 			to[p.ID] = p
 		}
 	}
-	for _, m := range c.mates.Alive("anvil") {
+	for _, m := range c.mates.Alive("controller") {
 		to[m.ID] = m.Sibling
 	}
-	for _, id := range gauge.Keys(to) {
+	for _, id := range generic.SortedKeys(to) {
 		if id != c.o.Me.ID {
 			l = append(l, to[id])
 		}
@@ -320,18 +322,18 @@
 	c.out = append(c.out, Announced{Token: l.token, OK: true})
 }
 
-func (c *Core) onBeacons(e dowel.Env) {
-	b := e.Body.(dowel.Beacons)
+func (c *Core) onBeacons(e protocol.Env) {
+	b := e.Body.(protocol.Beacons)
 	for _, x := range b.List {
 		c.enrol(x)
 	}
 	if b.Mark != 0 && !c.ending {
-		c.keepLeavings(func() { c.reply(e, dowel.BeaconsHeard{Mark: b.Mark, Ruled: c.rules()}) })
+		c.keepLeavings(func() { c.reply(e, protocol.BeaconsHeard{Mark: b.Mark, Ruled: c.rules()}) })
 	}
 }
 
-func (c *Core) onBeaconsHeard(e dowel.Env) {
-	b := e.Body.(dowel.BeaconsHeard)
+func (c *Core) onBeaconsHeard(e protocol.Env) {
+	b := e.Body.(protocol.BeaconsHeard)
 	l := c.acks[b.Mark]
 	if l == nil {
 		return
@@ -351,7 +353,7 @@
 	l := c.relays
 	c.relays = nil
 	for _, p := range c.others() {
-		c.send(p, dowel.Beacons{List: l})
+		c.send(p, protocol.Beacons{List: l})
 	}
 }
 
@@ -364,7 +366,7 @@
 	if c.now.Sub(c.relayed) > relayEvery {
 		c.relayRoll()
 	}
-	for _, m := range gauge.Keys(c.acks) {
+	for _, m := range generic.SortedKeys(c.acks) {
 		l := c.acks[m]
 		switch {
 		case c.now.Sub(l.at) > leaveWait:
@@ -377,7 +379,7 @@
 			c.settleLeaving(m, l)
 		}
 	}
-	for _, id := range gauge.Keys(c.roll) {
+	for _, id := range generic.SortedKeys(c.roll) {
 		e := c.roll[id]
 		if e.State == "gone" && c.now.Sub(e.heard) > rollForget {
 			delete(c.roll, id)
@@ -393,10 +395,10 @@
 	if !c.rolled() && c.now.Sub(c.called) > leaveResend {
 		c.called = c.now
 		for _, p := range c.others() {
-			c.send(p, dowel.RollCall{Duty: c.duty.num})
+			c.send(p, protocol.RollCall{Duty: c.duty.num})
 		}
 	}
-	for _, id := range gauge.Keys(c.servers) {
+	for _, id := range generic.SortedKeys(c.servers) {
 		s := c.servers[id]
 		if !s.dark && !s.asking && s.State != "gone" && s.silent(c) && c.now.Sub(s.asked) > c.o.Poll {
 			c.inquire(s)
@@ -413,7 +415,7 @@
 	}
 	s.asking, s.asked = true, c.now
 	num := c.duty.num
-	c.ask(s.Addr, c.plan.Services[s.Service].Probe, dowel.Order{Key: gauge.Key("").In(s.Service)}, c.o.Wait, func(t dowel.Told) {
+	c.ask(s.Addr, c.plan.Services[s.Service].Probe, protocol.Order{Key: ident.Key("").In(s.Service)}, c.o.Wait, func(t protocol.Told) {
 		if !c.duty.mine || c.duty.num != num || c.servers[s.ID] != s {
 			return
 		}
@@ -445,17 +447,17 @@
 func (c *Core) callRoll() {
 	for _, x := range c.list.List {
 		if c.roll[x.ID] == nil && x.State != "gone" {
-			c.roll[x.ID] = &enrolled{Beacon: dowel.Beacon{Listed: x}, heard: c.now, had: map[gauge.Key]bool{}}
+			c.roll[x.ID] = &enrolled{Beacon: protocol.Beacon{Listed: x}, heard: c.now, had: map[ident.Key]bool{}}
 		}
 	}
-	for _, id := range gauge.Keys(c.roll) {
+	for _, id := range generic.SortedKeys(c.roll) {
 		c.applyRoll(c.roll[id])
 	}
 	c.listed = c.now
 }
 
 // has tells whether a server likely has a model on its own disk.
-func (c *Core) has(s *server, k gauge.Key) bool {
+func (c *Core) has(s *server, k ident.Key) bool {
 	e := c.roll[s.ID]
 	if e == nil {
 		return false
@@ -465,19 +467,19 @@
 }
 
 // sure tells whether a server has a model on its own disk, without doubt.
-func (c *Core) sure(s *server, k gauge.Key) bool {
+func (c *Core) sure(s *server, k ident.Key) bool {
 	e := c.roll[s.ID]
 	return e != nil && e.had[k]
 }
 
-func (c *Core) onRollCall(e dowel.Env) {
-	var l []dowel.Beacon
-	for _, id := range gauge.Keys(c.roll) {
+func (c *Core) onRollCall(e protocol.Env) {
+	var l []protocol.Beacon
+	for _, id := range generic.SortedKeys(c.roll) {
 		if x := c.roll[id]; !x.soft {
 			l = append(l, x.Beacon)
 		}
 	}
-	c.reply(e, dowel.Roll{Duty: e.Body.(dowel.RollCall).Duty, Inc: c.vote.inc, List: l})
+	c.reply(e, protocol.Roll{Duty: e.Body.(protocol.RollCall).Duty, Inc: c.vote.inc, List: l})
 }
 
 // rolled tells whether the owner has heard a majority's roll: a leaving that was acknowledged is in it.
@@ -485,8 +487,8 @@
 	return !c.o.Enrolled || c.reg.known != nil && quorum(*c.reg.known, c.rolls)
 }
 
-func (c *Core) onRoll(e dowel.Env) {
-	b := e.Body.(dowel.Roll)
+func (c *Core) onRoll(e protocol.Env) {
+	b := e.Body.(protocol.Roll)
 	if !c.duty.mine || b.Duty != c.duty.num {
 		return
 	}
--- a/anvil/enrol_test.go
+++ b/internal/controller/enrol_test.go
@@ -1,13 +1,16 @@
-package anvil
+package controller
 
 import (
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
-	"tidedeck/chisel"
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
 // What a node knows of a server after some words of it, in the order that they came.
@@ -62,7 +65,7 @@
 	c := newCluster(t, modelPlan(12, "llm|m"), "a", "b", "c")
 	m := c.serve("old", "llm|m")
 	r := c.route("r")
-	r.burden["llm|m"] = dowel.Burden{Came: 1}
+	r.burden["llm|m"] = protocol.Burden{Came: 1}
 	require.True(t, c.until(9e9, func() bool { return r.sends("llm|m", "old") }))
 	delete(c.models, m.Addr)
 	n := c.serve("new")
@@ -85,8 +88,8 @@
 // A word that comes to any node reaches the owner, and every other node.
 func TestBeaconsSpread(t *testing.T) {
 	c := newCluster(t, modelPlan(12, "llm|m"), "a", "b", "c")
-	for i, id := range gauge.Keys(c.nodes) {
-		s := gauge.Server("s" + id)
+	for i, id := range generic.SortedKeys(c.nodes) {
+		s := ident.Server("s" + id)
 		ok, answered := c.announce(id, beacon(string(s), "live", 1))
 		require.True(t, ok && answered)
 		require.NotNil(t, c.lead().servers[s], "the owner knows of a new server at once")
@@ -107,10 +110,10 @@
 		name   string
 		told   string // the node that the server calls
 		parted []string
-		heal   gauge.Span // when they are back, if they are
+		heal   clock.Span // when they are back, if they are
 		ok     bool
-		within gauge.Span // of the answer
-		least  gauge.Span
+		within clock.Span // of the answer
+		least  clock.Span
 	}{
 		{"all are there", "c", nil, 0, true, 1, 0},
 		{"the owner does not hear", "c", []string{"a"}, 0, false, 1100e6, 800e6},
@@ -163,8 +166,8 @@
 // A going of what nobody was told of is acknowledged; nothing comes of it.
 func TestUnknownGoing(t *testing.T) {
 	c := newCluster(t, modelPlan(12, "llm|m"), "a", "b", "c")
-	for _, id := range gauge.Keys(c.nodes) {
-		b := dowel.Beacon{Listed: dowel.Listed{ID: "nobody", State: "gone"}}
+	for _, id := range generic.SortedKeys(c.nodes) {
+		b := protocol.Beacon{Listed: protocol.Listed{ID: "nobody", State: "gone"}}
 		ok, answered := c.announce(id, b)
 		if !answered {
 			c.run(1e9)
@@ -182,7 +185,7 @@
 	m := c.serve("s", "llm|m")
 	r, stuck := c.route("r"), c.route("stuck")
 	for _, x := range []*router{r, stuck} {
-		x.burden["llm|m"] = dowel.Burden{Came: 1}
+		x.burden["llm|m"] = protocol.Burden{Came: 1}
 	}
 	require.True(t, c.until(9e9, func() bool { return r.sends("llm|m", "s") && stuck.sends("llm|m", "s") }))
 	stuck.holdup = true
@@ -202,7 +205,7 @@
 	m, w := c.serve("s", "llm|m"), c.serve("w")
 	w.Service = "web"
 	r := c.route("r")
-	r.burden["llm|m"], r.burden["web|"] = dowel.Burden{Came: 1}, dowel.Burden{Came: 1}
+	r.burden["llm|m"], r.burden["web|"] = protocol.Burden{Came: 1}, protocol.Burden{Came: 1}
 	require.True(t, c.until(9e9, func() bool { return r.sends("llm|m", "s") && r.sends("web|", "w") }))
 	m.silent, w.silent = true, true
 	for range 1000 {
@@ -217,7 +220,7 @@
 	c := newCluster(t, modelPlan(12, "llm|m"), "a", "b", "c")
 	m := c.serve("s", "llm|m")
 	r := c.route("r")
-	r.burden["llm|m"] = dowel.Burden{Came: 1}
+	r.burden["llm|m"] = protocol.Burden{Came: 1}
 	require.True(t, c.until(9e9, func() bool { return r.sends("llm|m", "s") }))
 	c.run(10e9)
 	require.True(t, r.sends("llm|m", "s"), "it speaks")
@@ -241,13 +244,13 @@
 	require.Len(t, c.lead().servers, 2)
 	require.Empty(t, c.ops)
 	p := modelPlan(12, "llm|m", "llm|n")
-	p.Models["llm|n"] = chisel.Model{Key: "llm|n", Size: 4, Floor: 1, Most: 1, Load: 1e9}
+	p.Models["llm|n"] = fleetplan.Model{Key: "llm|n", Size: 4, Floor: 1, Most: 1, Load: 1e9}
 	c.plans["new"] = p
 	got := c.admin("b", Admin{Op: "put", Raw: []byte("new"), Expect: 0, Number: 7})
 	require.True(t, c.until(2e9, func() bool { return got() != nil }))
-	require.Equal(t, gauge.None, got().Kind)
+	require.Equal(t, failure.None, got().Kind)
 	r := c.route("r")
-	r.burden["llm|m"], r.burden["web|"] = dowel.Burden{Came: 1}, dowel.Burden{Came: 1}
+	r.burden["llm|m"], r.burden["web|"] = protocol.Burden{Came: 1}, protocol.Burden{Came: 1}
 	require.True(t, c.until(3e9, func() bool { return r.sends("llm|m", "s") && r.sends("web|", "w") }))
 	require.True(t, c.until(9e9, func() bool { return m.holds["llm|n"] }), "its floor is kept")
 }
@@ -259,7 +262,7 @@
 	s, w := c.serve("s", "llm|m"), c.serve("w")
 	w.Service = "web"
 	r := c.route("r")
-	r.burden["llm|m"], r.burden["web|"] = dowel.Burden{Came: 1}, dowel.Burden{Came: 1}
+	r.burden["llm|m"], r.burden["web|"] = protocol.Burden{Came: 1}, protocol.Burden{Came: 1}
 	require.True(t, c.until(9e9, func() bool { return r.sends("llm|m", "s") && r.sends("web|", "w") }))
 	c.run(1e9)
 	for _, id := range []string{"b", "c"} {
@@ -267,8 +270,8 @@
 	}
 	for _, known := range []bool{true, false} {
 		if !known {
-			for _, id := range gauge.Keys(c.nodes) {
-				c.nodes[id].roll = map[gauge.Server]*enrolled{} // as after a restart
+			for _, id := range generic.SortedKeys(c.nodes) {
+				c.nodes[id].roll = map[ident.Server]*enrolled{} // as after a restart
 			}
 		}
 		s.silent, w.silent = true, true
@@ -288,16 +291,16 @@
 func TestPlainServers(t *testing.T) {
 	c := newCluster(t, modelPlan(8, "llm|m", "llm|n", "llm|o"), "a")
 	r := c.route("r")
-	r.burden["web|"] = dowel.Burden{Came: 5, Load: 1}
+	r.burden["web|"] = protocol.Burden{Came: 5, Load: 1}
 	c.run(2e9)
 	w := c.serve("w")
 	w.Service = "web"
 	require.True(t, c.until(600e6, func() bool { return r.sends("web|", "w") }))
 	c.serve("s", "llm|m", "llm|n")
-	r.burden["llm|o"] = dowel.Burden{Wait: 5, Came: 5, Load: 1}
+	r.burden["llm|o"] = protocol.Burden{Wait: 5, Came: 5, Load: 1}
 	delete(r.burden, "web|")
 	c.run(20e9)
-	r.burden["web|"] = dowel.Burden{Came: 1}
+	r.burden["web|"] = protocol.Burden{Came: 1}
 	c.run(1e9)
 	require.True(t, r.sends("web|", "w"))
 	require.NotEmpty(t, c.ops)
--- a/anvil/faults_test.go
+++ b/internal/controller/faults_test.go
@@ -1,4 +1,4 @@
-package anvil
+package controller
 
 import (
 	"fmt"
@@ -6,9 +6,10 @@
 
 	"github.com/stretchr/testify/require"
 
-	"tidedeck/chisel"
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
 // An order that was lost on its way is sent again under the same count.
@@ -24,7 +25,7 @@
 // An order of the old owner is taken in its last moment, so that the new one's first report does not
 // show it yet: what the new one placed there meanwhile comes, there or elsewhere.
 func TestOrderInTheLastMoment(t *testing.T) {
-	for _, lag := range []gauge.Span{100e6, 300e6, 500e6} {
+	for _, lag := range []clock.Span{100e6, 300e6, 500e6} {
 		c := newCluster(t, modelPlan(8, "llm|m", "llm|n", "llm|o"), "a", "b", "c")
 		m := c.serve("s", "llm|m")
 		m.lag, m.slow = lag, 5e9
@@ -32,8 +33,8 @@
 		r, old := c.route("r"), c.lead()
 		c.parted["a"] = true
 		c.until(5e9, func() bool { return c.at >= old.duty.until(old)-20e6 })
-		require.Equal(t, 202, m.take(dowel.Order{Op: "load", Key: "llm|n", Size: 4, Expected: m.count}), "no order is under way")
-		r.burden["llm|o"] = dowel.Burden{Wait: 9, Came: 3, Load: 0.1}
+		require.Equal(t, 202, m.take(protocol.Order{Op: "load", Key: "llm|n", Size: 4, Expected: m.count}), "no order is under way")
+		r.burden["llm|o"] = protocol.Burden{Wait: 9, Came: 3, Load: 0.1}
 		require.True(t, c.until(40e9, func() bool { return m.holds["llm|o"] }), "%v", lag)
 	}
 }
@@ -43,12 +44,12 @@
 	c := newCluster(t, modelPlan(10, "llm|m", "llm|m+1", "llm|n"), "a")
 	m := c.serve("s", "llm|m")
 	r := c.route("r")
-	r.burden["llm|m"] = dowel.Burden{Came: 1}
+	r.burden["llm|m"] = protocol.Burden{Came: 1}
 	require.True(t, c.until(9e9, func() bool { return r.sends("llm|m", "s") }))
 	c.run(3e9)
 	s := c.lead().servers["s"]
 	s.busy, s.next = true, c.at.Add(3e9) // as after any order that was refused
-	r.burden = map[gauge.Key]dowel.Burden{"llm|m+1": {Wait: 1, Came: 1}}
+	r.burden = map[ident.Key]protocol.Burden{"llm|m+1": {Wait: 1, Came: 1}}
 	require.True(t, c.until(3e9, func() bool { return s.spots["llm|m+1"] != nil }))
 	require.Zero(t, s.spots["llm|m+1"].num)
 	c.plans["2"] = modelPlan(10, "llm|n")
@@ -58,11 +59,11 @@
 
 // One adapter that is wanted makes one other go, not all that are there.
 func TestOneAdapterMakesWayForOne(t *testing.T) {
-	var keys []gauge.Key
+	var keys []ident.Key
 	for i := range 5 {
-		keys = append(keys, gauge.Key(fmt.Sprintf("llm|m+%d", i)))
+		keys = append(keys, ident.Key(fmt.Sprintf("llm|m+%d", i)))
 	}
-	p := modelPlan(10, append([]gauge.Key{"llm|m"}, keys...)...)
+	p := modelPlan(10, append([]ident.Key{"llm|m"}, keys...)...)
 	v := p.Services["llm"]
 	v.Places = 4
 	p.Services["llm"] = v
@@ -70,7 +71,7 @@
 	c.serve("s", "llm|m", keys[0], keys[1], keys[2], keys[3])
 	c.run(6e9)
 	r := c.route("r")
-	r.burden[keys[4]] = dowel.Burden{Wait: 1, Came: 1, Load: 0.01}
+	r.burden[keys[4]] = protocol.Burden{Wait: 1, Came: 1, Load: 0.01}
 	require.True(t, c.until(9e9, func() bool { return r.sends(keys[4], "s") }))
 	c.run(3e9)
 	require.Len(t, c.orders("unload"), 1)
@@ -82,7 +83,7 @@
 		c := newCluster(t, modelPlan(12, "llm|m"), "a", "b", "c")
 		m := c.serve("s", "llm|m")
 		r := c.route("r")
-		r.burden["llm|m"] = dowel.Burden{Came: 1}
+		r.burden["llm|m"] = protocol.Burden{Came: 1}
 		require.True(t, c.until(9e9, func() bool { return r.sends("llm|m", "s") }))
 		c.parted["b"] = true
 		c.run(100e6)
@@ -118,11 +119,11 @@
 
 // A server that was parted from the core for long is taken back by its next word.
 func TestBackAfterLongSilence(t *testing.T) {
-	for _, s := range []gauge.Span{10e9, 25e9, 32e9, 50e9} {
+	for _, s := range []clock.Span{10e9, 25e9, 32e9, 50e9} {
 		c := newCluster(t, modelPlan(12, "llm|m"), "a", "b", "c")
 		m := c.serve("s", "llm|m")
 		r := c.route("r")
-		r.burden["llm|m"] = dowel.Burden{Came: 1}
+		r.burden["llm|m"] = protocol.Burden{Came: 1}
 		require.True(t, c.until(9e9, func() bool { return r.sends("llm|m", "s") }))
 		m.silent = true
 		c.run(s)
@@ -134,7 +135,7 @@
 // A key at its floor does not make way while something else can.
 func TestFloorIsKept(t *testing.T) {
 	p := modelPlan(8, "llm|f", "llm|x", "llm|n")
-	p.Models["llm|f"] = chisel.Model{Key: "llm|f", Size: 4, Floor: 1, Most: 3, Load: 1e9}
+	p.Models["llm|f"] = fleetplan.Model{Key: "llm|f", Size: 4, Floor: 1, Most: 3, Load: 1e9}
 	k := weighed(p, keys{"s1": {"llm|f", "llm|x"}})
 	k.demand["llm|n"] = &need{at: k.now, wait: 1}
 	k.demand["llm|x"] = &need{slow: 0.1}
@@ -147,7 +148,7 @@
 	c := newCluster(t, modelPlan(8, "llm|m", "llm|n"), "a")
 	m := c.serve("s", "llm|m", "llm|lost")
 	r := c.route("r")
-	r.burden["llm|n"] = dowel.Burden{Wait: 1, Came: 1}
+	r.burden["llm|n"] = protocol.Burden{Wait: 1, Came: 1}
 	require.True(t, c.until(20e9, func() bool { return len(c.orders("load")) > 0 }))
 	require.False(t, m.holds["llm|lost"], "it goes before anything comes")
 }
--- a/anvil/host.go
+++ b/internal/controller/host.go
@@ -1,4 +1,4 @@
-package anvil
+package controller
 
 import (
 	"context"
@@ -13,10 +13,12 @@
 	"sync"
 	"time"
 
-	"tidedeck/chisel"
-	"tidedeck/clamp"
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/host"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
 // Dialect is how a deployment's servers and operators speak to core nodes. It holds names and
@@ -24,12 +26,12 @@
 type Dialect struct {
 	Servers  string // the path under which servers announce themselves by their ids
 	Plan     string // the path of the plan
-	Beacon   func(id string, raw []byte) (dowel.Beacon, error)
+	Beacon   func(id string, raw []byte) (protocol.Beacon, error)
 	Revision func(raw []byte) (uint64, error)
 	Target   func(addr string) []byte
-	Read     func([]byte) (*chisel.Plan, chisel.Faults)
-	Merge    func(plan, patch []byte) ([]byte, chisel.Faults)
-	Tell     func(context.Context, *http.Client, dowel.Ask) dowel.Told
+	Read     func([]byte) (*fleetplan.Plan, fleetplan.Faults)
+	Merge    func(plan, patch []byte) ([]byte, fleetplan.Faults)
+	Tell     func(context.Context, *http.Client, protocol.Ask) protocol.Told
 }
 
 // HostOptions of a core node that runs under a hosting platform.
@@ -55,35 +57,35 @@
 
 // Timing is what a deployment promises and asks for; holds and lapses follow from it.
 type Timing struct {
-	Apply   gauge.Span // a confirmed plan is in force everywhere after so long
-	Drain   gauge.Span // a leaving server is sent nothing after so long
-	CatchUp gauge.Span // a new core node counts as there after so long
-	Period  gauge.Span // between two announcements of a server
-	Tenure  gauge.Span // two core nodes do not order a server by turns within so long
-	Rate    gauge.Span // the store's rate is kept in every while of this length
+	Apply   clock.Span // a confirmed plan is in force everywhere after so long
+	Drain   clock.Span // a leaving server is sent nothing after so long
+	CatchUp clock.Span // a new core node counts as there after so long
+	Period  clock.Span // between two announcements of a server
+	Tenure  clock.Span // two core nodes do not order a server by turns within so long
+	Rate    clock.Span // the store's rate is kept in every while of this length
 }
 
 // Hold derives a router's hold: it must have run out, on the owner's clock too, before anything that
 // it may not outlive.
-func (t Timing) Hold() gauge.Span {
+func (t Timing) Hold() clock.Span {
 	return max(200e6, min(2000e6, min(t.Apply, t.Drain)*7/10))
 }
 
 // Duty derives the duty's hold: short, so that a lost owner is soon replaced, and long enough for four
 // rounds.
-func (t Timing) Duty() gauge.Span { return max(400e6, min(1200e6, t.Hold()*4/7)) }
+func (t Timing) Duty() clock.Span { return max(400e6, min(1200e6, t.Hold()*4/7)) }
 
 // Spare derives how long a voter is gone before a spare node takes its place: a new node must be a
 // voter, with the set before it left, by the time that it counts as there.
-func (t Timing) Spare() gauge.Span { return max(800e6, min(6000e6, t.CatchUp*3/10)) }
+func (t Timing) Spare() clock.Span { return max(800e6, min(6000e6, t.CatchUp*3/10)) }
 
 // Silence derives how long a server says nothing before it is asked whether it is there.
-func (t Timing) Silence() gauge.Span { return t.Period*2 + t.Period/4 }
+func (t Timing) Silence() clock.Span { return t.Period*2 + t.Period/4 }
 
 func hosted(h HostOptions) Options {
 	return Options{
-		Me: dowel.Sibling{ID: gauge.Node(h.ID), Addr: h.Post}, Zone: gauge.Zone(h.Zone), Inc: clamp.NewInc(),
-		Seeds: clamp.Siblings(h.Seeds), Rand: clamp.NewRand(), Wall: time.Now,
+		Me: protocol.Sibling{ID: ident.Node(h.ID), Addr: h.Post}, Zone: ident.Zone(h.Zone), Inc: host.NewInc(),
+		Seeds: host.Siblings(h.Seeds), Rand: host.NewRand(), Wall: time.Now,
 		Duty: h.Timing.Duty(), Round: h.Timing.Duty() / 4, Hold: h.Timing.Hold(), Spare: h.Timing.Spare(), Silence: h.Timing.Silence(), Rate: h.Timing.Rate, Tenure: h.Timing.Tenure,
 		Read: h.Dialect.Read, Merge: h.Dialect.Merge, Enrolled: true, Unfenced: true, Warm: true, Voters: 2*h.Losses + 1, Joined: !h.First,
 	}
@@ -91,11 +93,11 @@
 
 // Host runs a core node under a hosting platform until it is told to stop.
 func Host(h HostOptions) error {
-	ring := clamp.NewRingWith(clamp.RingOptions{Name: h.ID, Out: os.Stderr, Lines: h.Logs})
+	ring := host.NewRingWith(host.RingOptions{Name: h.ID, Out: os.Stderr, Lines: h.Logs})
 	core := New(hosted(h))
 	d := &desk{wait: map[uint64]chan Receipt{}}
 	a := &announcer{wait: map[uint64]chan bool{}, desk: d, o: h}
-	d.c = clamp.New(clamp.Options{Core: core, Listen: []string{h.Post}, Told: h.Post, Data: h.Data, Beat: 25 * time.Millisecond, Dial: dialWait, Ring: ring,
+	d.c = host.New(host.Options{Core: core, Listen: []string{h.Post}, Told: h.Post, Data: h.Data, Beat: 25 * time.Millisecond, Dial: dialWait, Ring: ring,
 		Tell: h.Dialect.Tell, Else: func(o any) {
 			d.act(o)
 			a.act(o)
@@ -107,15 +109,15 @@
 	own := &http.Server{Addr: h.Admin, Handler: d.routes(core), ReadHeaderTimeout: 10 * time.Second}
 	go func() { _ = own.ListenAndServe() }()
 	defer own.Close()
-	err := clamp.Web(h.Control, a, ring, nil, 2*time.Second)
-	d.c.Step(dowel.Stop{})
+	err := host.Web(h.Control, a, ring, nil, 2*time.Second)
+	d.c.Step(protocol.Stop{})
 	d.c.Flush(300 * time.Millisecond)
 	return err
 }
 
 // announcer is the door through which servers and the platform's operators come in.
 type announcer struct {
-	mu   sync.Mutex // guards wait and next; taken after the clamp's
+	mu   sync.Mutex // guards wait and next; taken after the host's
 	next uint64
 	wait map[uint64]chan bool
 	desk *desk
@@ -158,7 +160,7 @@
 }
 
 func (a *announcer) server(w http.ResponseWriter, r *http.Request, id string) {
-	b := dowel.Beacon{Listed: dowel.Listed{ID: gauge.Server(id), State: "gone"}}
+	b := protocol.Beacon{Listed: protocol.Listed{ID: ident.Server(id), State: "gone"}}
 	switch r.Method {
 	case http.MethodPut:
 		raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 1<<20))
@@ -166,7 +168,7 @@
 			return
 		}
 		if b, err = a.o.Dialect.Beacon(id, raw); err != nil {
-			clamp.Error(w, gauge.Malformed, 0, chisel.Faults{{Path: "$", Why: err.Error()}})
+			host.Error(w, failure.Malformed, 0, fleetplan.Faults{{Path: "$", Why: err.Error()}})
 			return
 		}
 	case http.MethodDelete:
@@ -201,10 +203,10 @@
 func (a *announcer) read(w http.ResponseWriter) {
 	v := a.desk.ask(Admin{Op: "get"})
 	switch {
-	case v.Kind != gauge.None:
-		clamp.Error(w, gauge.NotReady, 0, nil)
+	case v.Kind != failure.None:
+		host.Error(w, failure.NotReady, 0, nil)
 	case len(v.Plan) == 0:
-		clamp.Error(w, gauge.Unknown, 0, nil)
+		host.Error(w, failure.Unknown, 0, nil)
 	default:
 		w.Header().Set("Content-Type", "application/json")
 		w.Header().Set("ETag", fmt.Sprint(v.Epoch))
@@ -215,32 +217,32 @@
 // change takes an operator's change. Its id is a digest of what was sent, so that a repeat of it is
 // known, at whatever node it comes.
 func (a *announcer) change(w http.ResponseWriter, r *http.Request, op string) {
-	raw, ok := clamp.Body(w, r, 2*chisel.MostPlan)
+	raw, ok := host.Body(w, r, 2*fleetplan.MostPlan)
 	if !ok {
 		return
 	}
 	n, err := a.o.Dialect.Revision(raw)
 	if err != nil {
-		clamp.Error(w, gauge.Malformed, 0, chisel.Faults{{Path: "$", Why: err.Error()}})
+		host.Error(w, failure.Malformed, 0, fleetplan.Faults{{Path: "$", Why: err.Error()}})
 		return
 	}
 	on, err := strconv.ParseUint(strings.Trim(strings.TrimSpace(r.Header.Get("If-Match")), `"`), 10, 64)
 	if err != nil {
-		clamp.Error(w, gauge.Malformed, 0, chisel.Faults{{Path: "If-Match", Why: "wants the number of the plan that the change goes on"}})
+		host.Error(w, failure.Malformed, 0, fleetplan.Faults{{Path: "If-Match", Why: "wants the number of the plan that the change goes on"}})
 		return
 	}
 	h := sha256.New()
 	_, _ = fmt.Fprintf(h, "%s %d\n", op, on)
 	_, _ = h.Write(raw)
-	v := a.desk.ask(Admin{Op: op, Raw: raw, Expect: gauge.Epoch(on), Number: gauge.Epoch(n), Change: hex.EncodeToString(h.Sum(nil)[:12])})
+	v := a.desk.ask(Admin{Op: op, Raw: raw, Expect: ident.Epoch(on), Number: ident.Epoch(n), Change: hex.EncodeToString(h.Sum(nil)[:12])})
 	switch v.Kind {
-	case gauge.None:
-		clamp.JSON(w, http.StatusOK, v)
-	case gauge.Conflict:
-		clamp.JSON(w, http.StatusPreconditionFailed, v)
-	case gauge.Faulty, gauge.Malformed, gauge.Unknown:
-		clamp.JSON(w, http.StatusBadRequest, v)
+	case failure.None:
+		host.JSON(w, http.StatusOK, v)
+	case failure.Conflict:
+		host.JSON(w, http.StatusPreconditionFailed, v)
+	case failure.Faulty, failure.Malformed, failure.Unknown:
+		host.JSON(w, http.StatusBadRequest, v)
 	default:
-		clamp.JSON(w, http.StatusServiceUnavailable, v)
+		host.JSON(w, http.StatusServiceUnavailable, v)
 	}
 }
--- a/anvil/links.go
+++ b/internal/controller/links.go
@@ -1,67 +1,69 @@
-package anvil
+package controller
 
 import (
 	"runtime"
 	"sort"
 
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
 // link is the owner's side of one router link: what was sent in order, what the router
 // acknowledged, and for which entries it holds a callback.
 type link struct {
-	ses    dowel.Session
-	way    dowel.Env // the last message heard, by which answers go back
-	items  []dowel.Item
+	ses    protocol.Session
+	way    protocol.Env // the last message heard, by which answers go back
+	items  []protocol.Item
 	num    uint64
 	heard  uint64
 	sent   uint64
-	sentAt gauge.Tick
-	until  gauge.Tick // on this node's clock; the router's own ends earlier
+	sentAt clock.Tick
+	until  clock.Tick // on this node's clock; the router's own ends earlier
 	due    uint64     // a renewal that waits for acknowledgements
-	last   gauge.Tick
-	holds  map[gauge.Key]uint64
-	order  []gauge.Key // oldest first, for shedding
-	burden map[gauge.Key]dowel.Burden
-	seats  map[gauge.Server]int
+	last   clock.Tick
+	holds  map[ident.Key]uint64
+	order  []ident.Key // oldest first, for shedding
+	burden map[ident.Key]protocol.Burden
+	seats  map[ident.Server]int
 	full   bool
 }
 
-func (c *Core) linkOf(e dowel.Env, s dowel.Session) *link {
+func (c *Core) linkOf(e protocol.Env, s protocol.Session) *link {
 	if !c.rules() {
 		hint := c.duty.who
 		if hint.ID == c.o.Me.ID {
-			hint = dowel.Sibling{}
+			hint = protocol.Sibling{}
 		}
-		c.reply(e, dowel.NotOwner{Session: s, Hint: hint, Cores: c.cores()})
+		c.reply(e, protocol.NotOwner{Session: s, Hint: hint, Cores: c.cores()})
 		return nil
 	}
 	l := c.links[s]
 	if l == nil {
-		c.reply(e, dowel.NotOwner{Session: s, Gone: true, Cores: c.cores()})
+		c.reply(e, protocol.NotOwner{Session: s, Gone: true, Cores: c.cores()})
 		return nil
 	}
 	l.way, l.last = e, c.now
 	return l
 }
 
-func (c *Core) cores() []dowel.Sibling {
+func (c *Core) cores() []protocol.Sibling {
 	if k := c.latest(); k != nil {
 		return electors(*k)
 	}
 	return c.o.Seeds
 }
 
-func (c *Core) onRenew(e dowel.Env) {
-	b := e.Body.(dowel.Renew)
+func (c *Core) onRenew(e protocol.Env) {
+	b := e.Body.(protocol.Renew)
 	if c.rules() && c.links[b.Session] == nil && b.Fresh && c.tombs[b.Session] == 0 && c.reg.known != nil {
 		// Until its first grant a link counts as held, as any new one may be.
-		l := &link{ses: b.Session, until: c.now.Add(c.pad(c.o.Hold)), holds: map[gauge.Key]uint64{}}
+		l := &link{ses: b.Session, until: c.now.Add(c.pad(c.o.Hold)), holds: map[ident.Key]uint64{}}
 		c.links[b.Session] = l
 		if k := c.reg.known; b.Gen != k.Gen || b.Epoch != k.Epoch || b.Epoch == 0 {
 			d := *c.reg.known
-			l.add(dowel.Item{Desired: &d})
+			l.add(protocol.Item{Desired: &d})
 		}
 	}
 	if c.rules() && c.reg.known != nil && b.Gen > c.reg.known.Gen {
@@ -73,7 +75,7 @@
 	}
 	c.count(l, b.Seats)
 	l.burden = b.Burden
-	for _, k := range gauge.Keys(b.Burden) {
+	for _, k := range generic.SortedKeys(b.Burden) {
 		if u := b.Burden[k]; u.Wait > 0 || u.Came > 0 {
 			c.wanted(k, u.Wait, u.Top)
 			c.came(k, u)
@@ -101,7 +103,7 @@
 	}
 	l.until = max(l.until, c.now.Add(c.pad(n)))
 	c.tally.Grants++
-	c.reply(l.way, dowel.Grant{Session: l.ses, Seq: l.due, Len: n, Duty: c.duty.num, Routers: max(len(c.links), len(c.mates.Alive("awl"))), Seats: c.seatsOf(l)})
+	c.reply(l.way, protocol.Grant{Session: l.ses, Seq: l.due, Len: n, Duty: c.duty.num, Routers: max(len(c.links), len(c.mates.Alive("agent"))), Seats: c.seatsOf(l)})
 	l.due = 0
 }
 
@@ -116,17 +118,17 @@
 
 // patience tells how long to wait for an acknowledgement before sending again: the larger
 // what was sent, the longer, or repeats of a large plan would crowd out all else.
-func (l *link) patience() gauge.Span {
+func (l *link) patience() clock.Span {
 	n := 0
 	for _, i := range l.items {
 		if i.Desired != nil {
 			n += len(i.Desired.Plan)
 		}
 	}
-	return 200e6 + gauge.Span(n)*500
+	return 200e6 + clock.Span(n)*500
 }
 
-func (l *link) add(i dowel.Item) uint64 {
+func (l *link) add(i protocol.Item) uint64 {
 	l.num++
 	i.Num = l.num
 	l.items = append(l.items, i)
@@ -148,8 +150,8 @@
 	l.items = l.items[n:]
 }
 
-func (c *Core) onHeard(e dowel.Env) {
-	b := e.Body.(dowel.Heard)
+func (c *Core) onHeard(e protocol.Env) {
+	b := e.Body.(protocol.Heard)
 	if l := c.linkOf(e, b.Session); l != nil {
 		c.ack(l, b.Num)
 		c.grant(l)
@@ -157,8 +159,8 @@
 }
 
 // onWant places a callback and sends the entry, or only says that the router's copy is right.
-func (c *Core) onWant(e dowel.Env) {
-	b := e.Body.(dowel.Want)
+func (c *Core) onWant(e protocol.Env) {
+	b := e.Body.(protocol.Want)
 	l := c.linkOf(e, b.Session)
 	if l == nil {
 		return
@@ -186,7 +188,7 @@
 	if _, ok := l.holds[b.Key]; !ok {
 		l.order = append(l.order, b.Key)
 	}
-	l.holds[b.Key] = l.add(dowel.Item{Entry: &i})
+	l.holds[b.Key] = l.add(protocol.Item{Entry: &i})
 	// Under pressure the oldest callbacks are broken and their state reclaimed (§3.1).
 	for len(l.holds) > c.o.Most {
 		k := l.order[0]
@@ -198,8 +200,8 @@
 	}
 }
 
-func (c *Core) onRemoval(e dowel.Env) {
-	b := e.Body.(dowel.Removal)
+func (c *Core) onRemoval(e protocol.Env) {
+	b := e.Body.(protocol.Removal)
 	l := c.linkOf(e, b.Session)
 	if l == nil {
 		return
@@ -213,7 +215,7 @@
 	}
 }
 
-func (l *link) forget(k gauge.Key) {
+func (l *link) forget(k ident.Key) {
 	delete(l.holds, k)
 	for i, o := range l.order {
 		if o == k {
@@ -223,9 +225,9 @@
 	}
 }
 
-func (c *Core) breakOn(l *link, k gauge.Key) {
+func (c *Core) breakOn(l *link, k ident.Key) {
 	l.forget(k)
-	l.add(dowel.Item{Break: k})
+	l.add(protocol.Item{Break: k})
 	c.tally.Breaks++
 	if len(l.items) > c.o.Pending {
 		l.full = true
@@ -234,18 +236,18 @@
 
 // extendAll sends an entry that has grown to every holder: what they have is not wrong, so no promise is
 // broken, and nobody need ask.
-func (c *Core) extendAll(k gauge.Key, e *entry) {
+func (c *Core) extendAll(k ident.Key, e *entry) {
 	i := c.itemOf(k, e)
 	for _, l := range c.sorted() {
 		if _, ok := l.holds[k]; ok && !l.full {
-			l.holds[k] = l.add(dowel.Item{Entry: &i})
+			l.holds[k] = l.add(protocol.Item{Entry: &i})
 		}
 	}
 }
 
 // itemOf writes an entry as routers are told it.
-func (c *Core) itemOf(k gauge.Key, e *entry) dowel.Entry {
-	i := dowel.Entry{Key: k, Mark: e.mark, Never: e.never}
+func (c *Core) itemOf(k ident.Key, e *entry) protocol.Entry {
+	i := protocol.Entry{Key: k, Mark: e.mark, Never: e.never}
 	for _, r := range e.replicas {
 		p := r.rep
 		p.Warm = c.now.Sub(r.spot.ready)
@@ -255,7 +257,7 @@
 }
 
 // breakAll breaks a key's callbacks at every holder.
-func (c *Core) breakAll(k gauge.Key) {
+func (c *Core) breakAll(k ident.Key) {
 	for _, l := range c.sorted() {
 		if _, ok := l.holds[k]; ok {
 			c.breakOn(l, k)
@@ -265,8 +267,8 @@
 
 // promised lists the links that may still route by an older entry of a key, and the change
 // that each must acknowledge before it surely does not.
-func (c *Core) promised(k gauge.Key) map[dowel.Session]uint64 {
-	w := map[dowel.Session]uint64{}
+func (c *Core) promised(k ident.Key) map[protocol.Session]uint64 {
+	w := map[protocol.Session]uint64{}
 	for s, l := range c.links {
 		for _, i := range l.items {
 			if i.Break == k || i.Entry != nil && i.Entry.Key == k {
@@ -278,7 +280,7 @@
 }
 
 // dropped tells whether every link has acknowledged, or lapsed and is gone.
-func (c *Core) dropped(w map[dowel.Session]uint64) bool {
+func (c *Core) dropped(w map[protocol.Session]uint64) bool {
 	for s, n := range w {
 		if l := c.links[s]; l != nil && l.heard < n {
 			return false
@@ -301,8 +303,8 @@
 		if a.Node != b.Node {
 			return a.Node < b.Node
 		}
-		if a.Awl != b.Awl {
-			return a.Awl < b.Awl
+		if a.Agent != b.Agent {
+			return a.Agent < b.Agent
 		}
 		return a.N < b.N
 	})
@@ -311,12 +313,12 @@
 
 // pushAll sends the desired state down every link.
 func (c *Core) pushAll() {
-	d, bytes := *c.reg.known, &dowel.Packed{}
+	d, bytes := *c.reg.known, &protocol.Packed{}
 	for _, l := range c.sorted() {
 		for i := range l.items {
 			l.items[i].Desired = nil // what a newer one follows need not come: its number alone does
 		}
-		l.add(dowel.Item{Desired: &d, Packed: bytes})
+		l.add(protocol.Item{Desired: &d, Packed: bytes})
 	}
 }
 
@@ -364,7 +366,7 @@
 		}
 	}
 	for _, l := range inOrder(due) {
-		n := dowel.News{Session: l.ses, Duty: c.duty.num}
+		n := protocol.News{Session: l.ses, Duty: c.duty.num}
 		for _, i := range l.items {
 			if i.Num > l.sent && len(n.Items) < 128 {
 				n.Items = append(n.Items, i)
@@ -379,10 +381,10 @@
 func Weigh(c *Core, n int, heap func() uint64) float64 {
 	was := heap()
 	defer runtime.KeepAlive(c)
-	l := &link{holds: map[gauge.Key]uint64{}}
-	c.links[dowel.Session{Node: "weighed"}] = l
+	l := &link{holds: map[ident.Key]uint64{}}
+	c.links[protocol.Session{Node: "weighed"}] = l
 	for i := range n {
-		k := gauge.Key("model-" + string(rune('a'+i%26)) + "+adapter-" + string(rune('a'+i/26%26)) + string(rune('a'+i/676)))
+		k := ident.Key("model-" + string(rune('a'+i%26)) + "+adapter-" + string(rune('a'+i/26%26)) + string(rune('a'+i/676)))
 		l.holds[k] = uint64(i)
 		l.order = append(l.order, k)
 	}
--- a/anvil/list.go
+++ b/internal/controller/list.go
@@ -1,33 +1,35 @@
-package anvil
+package controller
 
 import (
 	"encoding/json"
 	"fmt"
 
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
 // Roll is a server list as an owner of the duty had it; every core node keeps the last one, on
 // disk, so that a takeover or a restart under a silent platform begins with it.
 type Roll struct {
-	Duty gauge.Duty
-	List []dowel.Listed
+	Duty ident.Duty
+	List []protocol.Listed
 }
 
 // eye is how an owner that reaches too little finds out whether a sibling reaches more.
 type eye struct {
-	since gauge.Tick // since when it reaches too little
-	asked gauge.Tick
+	since clock.Tick // since when it reaches too little
+	asked clock.Tick
 	round uint64
-	told  gauge.Tick // when siblings were last sent the list
+	told  clock.Tick // when siblings were last sent the list
 }
 
 var states = map[string]bool{"live": true, "leaving": true, "gone": true}
 
 // sound tells whether a list can be what the platform means.
-func sound(l []dowel.Listed) bool {
-	seen := map[gauge.Server]bool{}
+func sound(l []protocol.Listed) bool {
+	seen := map[ident.Server]bool{}
 	for _, x := range l {
 		if x.ID == "" || x.Addr == "" || x.Zone == "" || !states[x.State] || seen[x.ID] {
 			return false
@@ -39,14 +41,14 @@
 
 // believe doubts a list that says nothing of more than half of the servers that are there: those
 // stay as they were, for as long as they answer. What a list does say is always believed.
-func (c *Core) believe(l []dowel.Listed) []dowel.Listed {
-	seen := map[gauge.Server]bool{}
+func (c *Core) believe(l []protocol.Listed) []protocol.Listed {
+	seen := map[ident.Server]bool{}
 	for _, x := range l {
 		seen[x.ID] = true
 	}
 	there := 0
-	var lost []dowel.Listed
-	for _, id := range gauge.Keys(c.servers) {
+	var lost []protocol.Listed
+	for _, id := range generic.SortedKeys(c.servers) {
 		s := c.servers[id]
 		if s.State == "gone" || s.dark {
 			continue
@@ -63,13 +65,13 @@
 	if c.tally.Doubts%100 == 1 {
 		c.oops(fmt.Sprintf("the platform no longer lists %d of %d servers that answer: they are kept", len(lost), there))
 	}
-	return append(append([]dowel.Listed{}, l...), lost...)
+	return append(append([]protocol.Listed{}, l...), lost...)
 }
 
 // tellList gives the list in use to every core node, when it changes and now and then.
 func (c *Core) tellList() {
-	var l []dowel.Listed
-	for _, id := range gauge.Keys(c.servers) {
+	var l []protocol.Listed
+	for _, id := range generic.SortedKeys(c.servers) {
 		if s := c.servers[id]; s.State != "gone" {
 			l = append(l, s.Listed)
 		}
@@ -80,9 +82,9 @@
 	}
 	c.eye.told = c.now
 	c.keepList(n)
-	for _, m := range c.mates.Alive("anvil") {
+	for _, m := range c.mates.Alive("controller") {
 		if m.ID != c.o.Me.ID {
-			c.send(m.Sibling, dowel.Listing{Duty: n.Duty, List: n.List})
+			c.send(m.Sibling, protocol.Listing{Duty: n.Duty, List: n.List})
 		}
 	}
 }
@@ -95,8 +97,8 @@
 	c.save(map[string][]byte{diskL: jot(n)}, func() {})
 }
 
-func (c *Core) onListing(e dowel.Env) {
-	b := e.Body.(dowel.Listing)
+func (c *Core) onListing(e protocol.Env) {
+	b := e.Body.(protocol.Listing)
 	if !c.duty.mine && sound(b.List) {
 		c.keepList(Roll{b.Duty, b.List})
 	}
@@ -138,32 +140,32 @@
 	c.tally.Looks++
 	for _, v := range c.reg.known.Voters {
 		if v.ID != c.o.Me.ID {
-			c.send(v.Sibling, dowel.Look{Round: c.eye.round, List: c.list.List})
+			c.send(v.Sibling, protocol.Look{Round: c.eye.round, List: c.list.List})
 		}
 	}
 }
 
 // onLook finds out what this node reaches. An order under duty 0 is none: servers only report.
-func (c *Core) onLook(e dowel.Env) {
-	b := e.Body.(dowel.Look)
+func (c *Core) onLook(e protocol.Env) {
+	b := e.Body.(protocol.Look)
 	if len(b.List) > 1000 {
 		return
 	}
 	left := len(b.List) + 1
-	r := dowel.Looked{Round: b.Round}
+	r := protocol.Looked{Round: b.Round}
 	end := func() {
 		if left--; left == 0 {
 			c.reply(e, r)
 		}
 	}
-	c.ask(c.o.Platform, "/servers", nil, c.o.Wait, func(t dowel.Told) {
-		var l []dowel.Listed
+	c.ask(c.o.Platform, "/servers", nil, c.o.Wait, func(t protocol.Told) {
+		var l []protocol.Listed
 		r.Platform = t.OK && t.Code == 200 && json.Unmarshal(t.Body, &l) == nil && sound(l)
 		end()
 	})
 	for _, x := range b.List {
-		c.ask(x.Addr, "/orders", dowel.Order{}, c.o.Wait, func(t dowel.Told) {
-			var p dowel.Report
+		c.ask(x.Addr, "/orders", protocol.Order{}, c.o.Wait, func(t protocol.Told) {
+			var p protocol.Report
 			if t.OK && json.Unmarshal(t.Body, &p) == nil && p.Server == x.ID {
 				r.Servers++
 			}
@@ -173,8 +175,8 @@
 }
 
 // onLooked gives the duty to a sibling that reaches clearly more.
-func (c *Core) onLooked(e dowel.Env) {
-	b := e.Body.(dowel.Looked)
+func (c *Core) onLooked(e protocol.Env) {
+	b := e.Body.(protocol.Looked)
 	if !c.rules() || b.Round != c.eye.round || c.eye.since == 0 {
 		return
 	}
--- a/anvil/mends_test.go
+++ b/internal/controller/mends_test.go
@@ -1,12 +1,13 @@
-package anvil
+package controller
 
 import (
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
 // A voter that has just started does not know what it granted before: to the node that owned the duty
@@ -17,7 +18,7 @@
 		name  string
 		owner string // on the voter's disk
 		asks  string
-		after gauge.Span
+		after clock.Span
 		grant bool
 	}{
 		{"the last owner at once", "a", "a", 0, true},
@@ -27,24 +28,24 @@
 		{"anybody, where nobody is on record, at once", "", "b", 0, false},
 		{"anybody, where nobody is on record, after it", "", "b", 20e6, true},
 	} {
-		k := New(Options{Me: dowel.Sibling{ID: "v", Addr: "v"}, Inc: 2})
-		k.Step(1e9, dowel.Start{Disk: map[string][]byte{
-			diskInc: []byte("5"), diskD: jot(pledge{Duty: 7, Owner: dowel.Sibling{ID: gauge.Node(c.owner)}}),
+		k := New(Options{Me: protocol.Sibling{ID: "v", Addr: "v"}, Inc: 2})
+		k.Step(1e9, protocol.Start{Disk: map[string][]byte{
+			diskInc: []byte("5"), diskD: jot(pledge{Duty: 7, Owner: protocol.Sibling{ID: ident.Node(c.owner)}}),
 		}})
-		at := gauge.Tick(1e9)
+		at := clock.Tick(1e9)
 		if c.after != 0 {
 			at = at.Add(k.pad(k.o.Duty) + c.after)
 		}
 		granted := false
-		out := k.Step(at, dowel.Env{From: dowel.Sibling{ID: gauge.Node(c.asks), Addr: c.asks}, To: dowel.Sibling{ID: "v"}, Body: dowel.Query{Round: 1, Claim: true, Duty: 8}})
+		out := k.Step(at, protocol.Env{From: protocol.Sibling{ID: ident.Node(c.asks), Addr: c.asks}, To: protocol.Sibling{ID: "v"}, Body: protocol.Query{Round: 1, Claim: true, Duty: 8}})
 		for len(out) > 0 {
 			var next []any
 			for _, o := range out {
 				switch v := o.(type) {
-				case dowel.Save:
-					next = append(next, k.Step(at, dowel.Saved{Token: v.Token})...)
-				case dowel.Env:
-					if s, ok := v.Body.(dowel.State); ok {
+				case protocol.Save:
+					next = append(next, k.Step(at, protocol.Saved{Token: v.Token})...)
+				case protocol.Env:
+					if s, ok := v.Body.(protocol.State); ok {
 						granted = granted || s.Granted
 					}
 				}
--- a/anvil/moves.go
+++ b/internal/controller/moves.go
@@ -1,16 +1,17 @@
-package anvil
+package controller
 
 import (
 	"fmt"
 	"sort"
 
-	"tidedeck/chisel"
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
 // shift is a move under way: the key is loaded at one server before it leaves the other.
-type shift struct{ from, to gauge.Server }
+type shift struct{ from, to ident.Server }
 
 // stays tells whether what a server holds can be counted on for a while.
 func (c *Core) stays(s *server) bool {
@@ -19,7 +20,7 @@
 
 // parting tells whether a key that had work lately is only held where it cannot stay: it is
 // loaded elsewhere before it is asked for again.
-func (c *Core) parting(k gauge.Key) bool {
+func (c *Core) parting(k ident.Key) bool {
 	for _, s := range c.servers {
 		if p := s.spots[k]; p != nil && s.known && !c.stays(s) && p.busy != 0 && c.now.Sub(p.busy) < c.o.Recent {
 			return true
@@ -31,7 +32,7 @@
 // beatShifts carries moves on: once the new replica is ready the old one's promises are broken,
 // and a move whose target or source is gone is over.
 func (c *Core) beatShifts() {
-	for _, k := range gauge.Keys(c.shifts) {
+	for _, k := range generic.SortedKeys(c.shifts) {
 		m := c.shifts[k]
 		var a, b *spot
 		s, t := c.servers[m.from], c.servers[m.to]
@@ -75,7 +76,7 @@
 	}
 	// What the other end can take, most worked at first, and not so large that it tips the scales.
 	var best *spot
-	for _, k := range gauge.Keys(full.spots) {
+	for _, k := range generic.SortedKeys(full.spots) {
 		p := full.spots[k]
 		if !c.movable(full, p, free) || float64(p.size)/float64(full.room)+float64(p.size)/float64(free.room) > fill(full)-fill(free) {
 			continue
@@ -89,7 +90,7 @@
 	}
 }
 
-func (c *Core) shift(k gauge.Key, from, to *server) {
+func (c *Core) shift(k ident.Key, from, to *server) {
 	c.shifts[k], c.shifted, c.uneven = &shift{from.ID, to.ID}, c.now, 0
 	to.spots[k] = &spot{key: k, size: c.sizeOf(k), stage: Ordered, since: c.now}
 	c.tally.Moves++
@@ -101,7 +102,7 @@
 
 // ends finds the fullest and the emptiest of the servers that stay.
 func (c *Core) ends() (full, free *server) {
-	for _, id := range gauge.Keys(c.servers) {
+	for _, id := range generic.SortedKeys(c.servers) {
 		s := c.servers[id]
 		if !c.stays(s) || s.odd != "" || s.room <= 0 {
 			continue
@@ -135,20 +136,20 @@
 
 // spread finds a key with a floor of two or more that one zone's loss would leave without any
 // replica, and a server of another zone that has the room for it.
-func (c *Core) spread() (gauge.Key, *server, *server) {
-	for _, k := range gauge.Keys(c.plan.Models) {
+func (c *Core) spread() (ident.Key, *server, *server) {
+	for _, k := range generic.SortedKeys(c.plan.Models) {
 		m := c.plan.Models[k]
 		live, _, zones := c.live(k)
 		if m.Floor < 2 || live < 2 || len(zones) > 1 {
 			continue
 		}
-		for _, id := range gauge.Keys(c.servers) {
+		for _, id := range generic.SortedKeys(c.servers) {
 			s := c.servers[id]
 			p := s.spots[k]
 			if p == nil {
 				continue
 			}
-			for _, to := range gauge.Keys(c.servers) {
+			for _, to := range generic.SortedKeys(c.servers) {
 				if t := c.servers[to]; t.Zone != s.Zone && c.movable(s, p, t) {
 					return k, s, t
 				}
@@ -159,12 +160,12 @@
 }
 
 // lacks tells operators what of the plan the servers cannot give.
-func (c *Core) lacks() (l []chisel.Fault) {
+func (c *Core) lacks() (l []fleetplan.Fault) {
 	if c.plan == nil || !c.settled() {
 		return nil
 	}
 	room, need, most, servers := 0, 0, 0, 0
-	all := map[gauge.Zone]bool{}
+	all := map[ident.Zone]bool{}
 	for _, s := range c.servers {
 		if c.stays(s) {
 			room += s.room
@@ -173,35 +174,35 @@
 			all[s.Zone] = true
 		}
 	}
-	path := func(k gauge.Key) string {
+	path := func(k ident.Key) string {
 		if k.IsAdapter() {
 			return "$.adapters." + string(k)[len(k.Base())+1:]
 		}
 		return "$.models." + string(k)
 	}
-	for _, k := range gauge.Keys(c.plan.Models) {
+	for _, k := range generic.SortedKeys(c.plan.Models) {
 		m := c.plan.Models[k]
 		need += m.Floor * m.Size
 		live, _, zones := c.live(k)
 		switch {
 		case m.Floor > servers:
-			l = append(l, chisel.Fault{Path: path(k) + ".floor", Why: fmt.Sprintf("%d replicas, but %d servers", m.Floor, servers)})
+			l = append(l, fleetplan.Fault{Path: path(k) + ".floor", Why: fmt.Sprintf("%d replicas, but %d servers", m.Floor, servers)})
 		case m.Size > most:
-			l = append(l, chisel.Fault{Path: path(k) + ".size", Why: fmt.Sprintf("%d, but no server has more room than %d", m.Size, most)})
+			l = append(l, fleetplan.Fault{Path: path(k) + ".size", Why: fmt.Sprintf("%d, but no server has more room than %d", m.Size, most)})
 		case live < m.Floor:
-			l = append(l, chisel.Fault{Path: path(k) + ".floor", Why: fmt.Sprintf("%d of %d replicas are there", live, m.Floor)})
+			l = append(l, fleetplan.Fault{Path: path(k) + ".floor", Why: fmt.Sprintf("%d of %d replicas are there", live, m.Floor)})
 		case m.Floor > 1 && len(zones) < 2 && len(all) > 1:
-			l = append(l, chisel.Fault{Path: path(k) + ".floor", Why: "every replica is in one zone"})
+			l = append(l, fleetplan.Fault{Path: path(k) + ".floor", Why: "every replica is in one zone"})
 		}
 	}
 	if need > room {
-		l = append(l, chisel.Fault{Path: "$", Why: fmt.Sprintf("floors come to %d, but all room to %d", need, room)})
+		l = append(l, fleetplan.Fault{Path: "$", Why: fmt.Sprintf("floors come to %d, but all room to %d", need, room)})
 	}
 	return l
 }
 
 // sizeOf tells the size that the plan gives a key, if it knows it.
-func (c *Core) sizeOf(k gauge.Key) int {
+func (c *Core) sizeOf(k ident.Key) int {
 	if c.plan == nil {
 		return 0
 	}
@@ -221,13 +222,13 @@
 const mostSize = 1 << 30
 
 // oddity finds what in a report contradicts itself. Numbers past any bound are no numbers.
-func oddity(r dowel.Report) string {
+func oddity(r protocol.Report) string {
 	if r.Room < 0 || r.Room > mostSize || r.Slots < 1 || r.Slots > mostSize {
 		return fmt.Sprintf("room %d, slots %d", r.Room, r.Slots)
 	}
 	sum := 0
-	seen := map[gauge.Key]bool{}
-	l := append([]dowel.Held{}, r.Held...)
+	seen := map[ident.Key]bool{}
+	l := append([]protocol.Held{}, r.Held...)
 	sort.Slice(l, func(i, j int) bool { return l[i].Key < l[j].Key })
 	for _, h := range l {
 		switch {
--- a/anvil/moves_test.go
+++ b/internal/controller/moves_test.go
@@ -1,25 +1,25 @@
-package anvil
+package controller
 
 import (
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
-	"tidedeck/chisel"
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
 // yard is an owner's core over servers of 10, one in each of two zones and two in a third.
-func yard(t *testing.T, holds map[gauge.Server][]gauge.Key) *Core {
+func yard(t *testing.T, holds map[ident.Server][]ident.Key) *Core {
 	c := New(Options{})
-	c.plan = &chisel.Plan{Loads: 2, Models: map[gauge.Key]chisel.Model{}}
-	for _, k := range []gauge.Key{"a", "b", "c", "d", "a+x"} {
-		c.plan.Models[k] = chisel.Model{Key: k, Size: 2, Most: 3}
+	c.plan = &fleetplan.Plan{Loads: 2, Models: map[ident.Key]fleetplan.Model{}}
+	for _, k := range []ident.Key{"a", "b", "c", "d", "a+x"} {
+		c.plan.Models[k] = fleetplan.Model{Key: k, Size: 2, Most: 3}
 	}
-	c.plan.Models["f"] = chisel.Model{Key: "f", Size: 2, Floor: 2, Most: 3}
-	for id, z := range map[gauge.Server]gauge.Zone{"s1": "za", "s2": "zb", "s3": "zc", "s4": "zc"} {
-		s := &server{Listed: dowel.Listed{ID: id, Addr: string(id), Zone: z, State: "live"}, known: true, room: 10, slots: 4, spots: map[gauge.Key]*spot{}}
+	c.plan.Models["f"] = fleetplan.Model{Key: "f", Size: 2, Floor: 2, Most: 3}
+	for id, z := range map[ident.Server]ident.Zone{"s1": "za", "s2": "zb", "s3": "zc", "s4": "zc"} {
+		s := &server{Listed: protocol.Listed{ID: id, Addr: string(id), Zone: z, State: "live"}, known: true, room: 10, slots: 4, spots: map[ident.Key]*spot{}}
 		for _, k := range holds[id] {
 			s.spots[k] = &spot{key: k, size: 2, stage: Ready, num: 1, ready: 1}
 		}
@@ -29,7 +29,7 @@
 	return c
 }
 
-type keys = map[gauge.Server][]gauge.Key
+type keys = map[ident.Server][]ident.Key
 
 // When a move begins, and of what. A steady fleet makes none.
 func TestEven(t *testing.T) {
@@ -37,8 +37,8 @@
 		name  string
 		holds keys
 		more  func(c *Core)
-		moves gauge.Key
-		to    gauge.Server
+		moves ident.Key
+		to    ident.Server
 	}{
 		{"even", keys{"s1": {"a"}, "s2": {"b"}, "s3": {"c"}, "s4": {"d"}}, nil, "", ""},
 		{"a little uneven", keys{"s1": {"a"}, "s2": {"b"}, "s3": {"c"}}, nil, "", ""},
@@ -48,7 +48,7 @@
 		{"not right after another", keys{"s1": {"a", "b", "c"}}, func(c *Core) { c.shifted = c.now }, "", ""},
 		{"not for a moment's unevenness", keys{"s1": {"a", "b", "c"}}, func(c *Core) { c.uneven = c.now }, "", ""},
 		{"not to one that leaves", keys{"s1": {"a", "b", "c"}, "s2": {"d"}, "s3": {"d"}}, func(c *Core) { c.servers["s4"].State = "leaving" }, "", ""},
-		{"not to one that is closed before long", keys{"s1": {"a", "b", "c"}, "s2": {"d"}, "s3": {"d"}}, func(c *Core) { c.soonS = map[gauge.Server]bool{"s4": true} }, "", ""},
+		{"not to one that is closed before long", keys{"s1": {"a", "b", "c"}, "s2": {"d"}, "s3": {"d"}}, func(c *Core) { c.soonS = map[ident.Server]bool{"s4": true} }, "", ""},
 		{"not to one whose report is odd", keys{"s1": {"a", "b", "c"}, "s2": {"d"}, "s3": {"d"}}, func(c *Core) { c.servers["s4"].odd = "?" }, "", ""},
 		{"no base under its adapters", keys{"s1": {"a", "a+x", "b"}, "s2": {"d"}, "s3": {"d"}}, nil, "b", "s4"},
 		{"a floor in one zone spreads", keys{"s1": {"a"}, "s2": {"b"}, "s3": {"f"}, "s4": {"f"}}, nil, "f", "s1"},
@@ -113,8 +113,8 @@
 		{"all stays", func(*Core) {}, 0},
 		{"its server leaves", func(c *Core) { c.servers["s1"].State = "leaving" }, 1},
 		{"its zone is emptied", func(c *Core) { c.empty["za"] = true }, 1},
-		{"its server is closed before long", func(c *Core) { c.soonS = map[gauge.Server]bool{"s1": true} }, 1},
-		{"its zone is, too", func(c *Core) { c.soonZ = map[gauge.Zone]bool{"za": true} }, 1},
+		{"its server is closed before long", func(c *Core) { c.soonS = map[ident.Server]bool{"s1": true} }, 1},
+		{"its zone is, too", func(c *Core) { c.soonZ = map[ident.Zone]bool{"za": true} }, 1},
 		{"no work for long", func(c *Core) { c.servers["s1"].State, c.servers["s1"].spots["a"].busy = "leaving", 1 }, 0},
 		{"another replica stays", func(c *Core) {
 			c.servers["s1"].State = "leaving"
@@ -131,24 +131,24 @@
 
 // A report that contradicts itself is told, and its numbers free no room.
 func TestOddity(t *testing.T) {
-	ok := dowel.Held{Key: "a", Size: 2, Stage: "ready"}
-	with := func(f func(h *dowel.Held)) dowel.Held { h := ok; f(&h); return h }
+	ok := protocol.Held{Key: "a", Size: 2, Stage: "ready"}
+	with := func(f func(h *protocol.Held)) protocol.Held { h := ok; f(&h); return h }
 	for _, x := range []struct {
 		name string
-		r    dowel.Report
+		r    protocol.Report
 		odd  bool
 	}{
-		{"sound", dowel.Report{Room: 10, Slots: 4, Held: []dowel.Held{ok}}, false},
-		{"more than its room", dowel.Report{Room: 1, Slots: 4, Held: []dowel.Held{ok}}, true},
-		{"room below zero", dowel.Report{Room: -1, Slots: 4}, true},
-		{"no slots", dowel.Report{Room: 10}, true},
-		{"room past counting", dowel.Report{Room: 1 << 62, Slots: 4}, true},
-		{"a key twice", dowel.Report{Room: 10, Slots: 4, Held: []dowel.Held{ok, ok}}, true},
-		{"a size below zero", dowel.Report{Room: 10, Slots: 4, Held: []dowel.Held{with(func(h *dowel.Held) { h.Size = -9 })}}, true},
-		{"sizes that overflow", dowel.Report{Room: 10, Slots: 4, Held: []dowel.Held{with(func(h *dowel.Held) { h.Size = 1 << 62 }), with(func(h *dowel.Held) { h.Key, h.Size = "b", 1<<62 })}}, true},
-		{"work below zero", dowel.Report{Room: 10, Slots: 4, Held: []dowel.Held{with(func(h *dowel.Held) { h.Active = -1 })}}, true},
-		{"no name", dowel.Report{Room: 10, Slots: 4, Held: []dowel.Held{with(func(h *dowel.Held) { h.Key = "" })}}, true},
-		{"no such stage", dowel.Report{Room: 10, Slots: 4, Held: []dowel.Held{with(func(h *dowel.Held) { h.Stage = "gone" })}}, true},
+		{"sound", protocol.Report{Room: 10, Slots: 4, Held: []protocol.Held{ok}}, false},
+		{"more than its room", protocol.Report{Room: 1, Slots: 4, Held: []protocol.Held{ok}}, true},
+		{"room below zero", protocol.Report{Room: -1, Slots: 4}, true},
+		{"no slots", protocol.Report{Room: 10}, true},
+		{"room past counting", protocol.Report{Room: 1 << 62, Slots: 4}, true},
+		{"a key twice", protocol.Report{Room: 10, Slots: 4, Held: []protocol.Held{ok, ok}}, true},
+		{"a size below zero", protocol.Report{Room: 10, Slots: 4, Held: []protocol.Held{with(func(h *protocol.Held) { h.Size = -9 })}}, true},
+		{"sizes that overflow", protocol.Report{Room: 10, Slots: 4, Held: []protocol.Held{with(func(h *protocol.Held) { h.Size = 1 << 62 }), with(func(h *protocol.Held) { h.Key, h.Size = "b", 1<<62 })}}, true},
+		{"work below zero", protocol.Report{Room: 10, Slots: 4, Held: []protocol.Held{with(func(h *protocol.Held) { h.Active = -1 })}}, true},
+		{"no name", protocol.Report{Room: 10, Slots: 4, Held: []protocol.Held{with(func(h *protocol.Held) { h.Key = "" })}}, true},
+		{"no such stage", protocol.Report{Room: 10, Slots: 4, Held: []protocol.Held{with(func(h *protocol.Held) { h.Stage = "gone" })}}, true},
 	} {
 		require.Equal(t, x.odd, oddity(x.r) != "", x.name)
 		c := yard(t, nil)
@@ -167,14 +167,14 @@
 	c.duty.mine, c.duty.asked, c.listed = true, c.now, 1
 	require.Empty(t, c.lacks())
 	for _, x := range []struct {
-		key  gauge.Key
-		m    chisel.Model
+		key  ident.Key
+		m    fleetplan.Model
 		path string
 	}{
-		{"d", chisel.Model{Size: 2, Floor: 5, Most: 9}, "$.models.d.floor"},
-		{"d", chisel.Model{Size: 11, Floor: 0, Most: 9}, "$.models.d.size"},
-		{"a+x", chisel.Model{Size: 2, Floor: 1, Most: 9}, "$.adapters.x.floor"},
-		{"d", chisel.Model{Size: 10, Floor: 4, Most: 9}, "$"},
+		{"d", fleetplan.Model{Size: 2, Floor: 5, Most: 9}, "$.models.d.floor"},
+		{"d", fleetplan.Model{Size: 11, Floor: 0, Most: 9}, "$.models.d.size"},
+		{"a+x", fleetplan.Model{Size: 2, Floor: 1, Most: 9}, "$.adapters.x.floor"},
+		{"d", fleetplan.Model{Size: 10, Floor: 4, Most: 9}, "$"},
 	} {
 		c := yard(t, keys{"s1": {"f"}, "s2": {"f"}})
 		c.duty.mine, c.duty.asked, c.listed = true, c.now, 1
@@ -186,5 +186,5 @@
 	}
 	c = yard(t, keys{"s3": {"f"}, "s4": {"f"}})
 	c.duty.mine, c.duty.asked, c.listed = true, c.now, 1
-	require.Equal(t, chisel.Faults{{Path: "$.models.f.floor", Why: "every replica is in one zone"}}, chisel.Faults(c.lacks()))
+	require.Equal(t, fleetplan.Faults{{Path: "$.models.f.floor", Why: "every replica is in one zone"}}, fleetplan.Faults(c.lacks()))
 }
--- a/anvil/orders.go
+++ b/internal/controller/orders.go
@@ -1,11 +1,13 @@
-package anvil
+package controller
 
 import (
 	"encoding/json"
 	"fmt"
 
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
 // Servers that check no fence count the orders that they have taken. An order names the count that
@@ -47,7 +49,7 @@
 
 // settle is how long an owner waits before it orders. Where another node owned the duty before, two such
 // waits are longer than the time within which they must not order by turns.
-func (c *Core) settle() gauge.Span {
+func (c *Core) settle() clock.Span {
 	if c.duty.again {
 		return c.o.Settle
 	}
@@ -55,7 +57,7 @@
 }
 
 func (c *Core) order(s *server, p *spot) {
-	q := dowel.Order{Duty: c.duty.num, Num: s.num, Op: verbs[p.stage], Key: p.key, Size: p.size, Owner: c.o.Me.ID, Expected: s.num - 1}
+	q := protocol.Order{Duty: c.duty.num, Num: s.num, Op: verbs[p.stage], Key: p.key, Size: p.size, Owner: c.o.Me.ID, Expected: s.num - 1}
 	s.asking, s.asked, s.ordered = true, c.now, c.now
 	p.num = s.num + 1
 	c.tally.Orders++
@@ -68,7 +70,7 @@
 		c.tally.Unloads++
 	}
 	num := c.duty.num
-	c.ask(s.Addr, "/orders", q, c.o.Wait, func(t dowel.Told) {
+	c.ask(s.Addr, "/orders", q, c.o.Wait, func(t protocol.Told) {
 		if !c.duty.mine || c.duty.num != num || c.servers[s.ID] != s {
 			return
 		}
@@ -98,12 +100,12 @@
 }
 
 // expected is how long an order will take until a report may show it done: none is asked for before.
-func (c *Core) expected(s *server, p *spot) gauge.Span {
-	n := gauge.Span(unloadSpan)
+func (c *Core) expected(s *server, p *spot) clock.Span {
+	n := clock.Span(unloadSpan)
 	if p.stage == Ordered && !p.key.IsAdapter() {
 		n = c.plan.Models[p.key].Load
 		if c.has(s, p.key) {
-			n = gauge.Span(float64(n) * warmPart)
+			n = clock.Span(float64(n) * warmPart)
 		}
 	}
 	return max(pollBusy, n*9/10+freshReport)
@@ -114,12 +116,12 @@
 	s.asking, s.asked = true, c.now
 	c.tally.Reports++
 	at, num := c.now, c.duty.num
-	c.ask(s.Addr, "/orders", dowel.Order{Key: gauge.Key("").In(s.Service)}, c.o.Wait, func(t dowel.Told) {
+	c.ask(s.Addr, "/orders", protocol.Order{Key: ident.Key("").In(s.Service)}, c.o.Wait, func(t protocol.Told) {
 		if !c.duty.mine || c.duty.num != num || c.servers[s.ID] != s {
 			return
 		}
 		s.asking = false
-		var r dowel.Report
+		var r protocol.Report
 		if !t.OK || t.Code != 200 || json.Unmarshal(t.Body, &r) != nil {
 			s.next = c.now.Add(c.o.Poll)
 			if s.fails++; s.fails > 1 && !s.dark {
@@ -137,7 +139,7 @@
 }
 
 // onSurvey holds a server's report against what it was ordered.
-func (c *Core) onSurvey(s *server, r dowel.Report, at gauge.Tick) {
+func (c *Core) onSurvey(s *server, r protocol.Report, at clock.Tick) {
 	c.spoke(s)
 	s.next = c.now.Add(pollBusy)
 	r.Num++ // zero stands for what was never ordered
@@ -157,7 +159,7 @@
 	changed := s.dark || !s.known
 	s.num, s.busy, s.fails, s.ok = r.Num, r.Busy, 0, at
 	s.dark, s.known = false, true
-	held := map[gauge.Key]bool{}
+	held := map[ident.Key]bool{}
 	for _, h := range r.Held {
 		held[h.Key] = true
 		if e := c.roll[s.ID]; e != nil {
@@ -179,7 +181,7 @@
 		}
 	}
 	waits, ours := false, false
-	for _, k := range gauge.Keys(s.spots) {
+	for _, k := range generic.SortedKeys(s.spots) {
 		p := s.spots[k]
 		if !held[k] && !p.unsent(r.Num) && !(p.stage == Ordered && r.Busy) {
 			p.fire(SeeNone, c.now)
@@ -229,7 +231,7 @@
 	if !c.o.Unfenced {
 		return c.plan.Loads, c.plan.Loads
 	}
-	rate, load, n := 0.0, gauge.Span(0), 0
+	rate, load, n := 0.0, clock.Span(0), 0
 	for _, v := range c.plan.Services {
 		rate += v.Loads
 	}
@@ -249,13 +251,13 @@
 	}
 	at := c.plan.Loads
 	if n > 0 {
-		at = max(2, int(rate*(load/gauge.Span(n)).Seconds()+0.5))
+		at = max(2, int(rate*(load/clock.Span(n)).Seconds()+0.5))
 	}
 	return at, left
 }
 
 // worked tells whether routers have requests under way for a base or an adapter on it.
-func (c *Core) worked(k gauge.Key) bool {
+func (c *Core) worked(k ident.Key) bool {
 	for _, l := range c.links {
 		for x, u := range l.burden {
 			if u.Work > 0 && x.Base() == k.Base() {
--- a/anvil/orders_test.go
+++ b/internal/controller/orders_test.go
@@ -1,17 +1,18 @@
-package anvil
+package controller
 
 import (
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
-	"tidedeck/chisel"
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
 // floor has the plan keep so many replicas of keys.
-func floor(p *chisel.Plan, n int, keys ...gauge.Key) *chisel.Plan {
+func floor(p *fleetplan.Plan, n int, keys ...ident.Key) *fleetplan.Plan {
 	for _, k := range keys {
 		m := p.Models[k]
 		m.Floor = n
@@ -57,7 +58,7 @@
 		{"another's order came between", func(m *modelServer) {
 			once := true
 			m.lag = 0
-			m.lost = func(dowel.Order) (bool, bool) {
+			m.lost = func(protocol.Order) (bool, bool) {
 				if once {
 					m.count++
 				}
@@ -67,7 +68,7 @@
 		}, []uint64{0, 1}, []int{409, 202}},
 		{"held already", func(m *modelServer) {
 			m.lag = 0
-			m.lost = func(dowel.Order) (bool, bool) {
+			m.lost = func(protocol.Order) (bool, bool) {
 				m.holds["llm|m"] = true
 				return true, true
 			}
@@ -77,7 +78,7 @@
 		m := c.serve("s")
 		x.do(m)
 		r := c.route("r")
-		r.burden["llm|m"] = dowel.Burden{Came: 1}
+		r.burden["llm|m"] = protocol.Burden{Came: 1}
 		require.True(t, c.until(15e9, func() bool { return r.sends("llm|m", "s") }), x.name)
 		c.run(5e9)
 		var ops []uint64
@@ -91,9 +92,9 @@
 }
 
 // first loses the first order, or only its answer.
-func first(taken, heard bool) func(dowel.Order) (bool, bool) {
+func first(taken, heard bool) func(protocol.Order) (bool, bool) {
 	n := 0
-	return func(dowel.Order) (bool, bool) {
+	return func(protocol.Order) (bool, bool) {
 		n++
 		return taken || n > 1, heard || n > 1
 	}
@@ -101,12 +102,12 @@
 
 // An order that comes late, after its sender gave up on it, is still taken at most once.
 func TestLateOrder(t *testing.T) {
-	for _, late := range []gauge.Span{700e6, 1000e6, 1500e6, 2500e6} {
+	for _, late := range []clock.Span{700e6, 1000e6, 1500e6, 2500e6} {
 		c := newCluster(t, floor(modelPlan(8, "llm|m", "llm|n"), 1, "llm|m", "llm|n"), "a")
 		m := c.serve("s")
-		var held *dowel.Order
-		var at gauge.Tick
-		m.lost = func(o dowel.Order) (bool, bool) {
+		var held *protocol.Order
+		var at clock.Tick
+		m.lost = func(o protocol.Order) (bool, bool) {
 			if at == 0 {
 				held, at = &o, c.at
 				return false, false
@@ -138,9 +139,9 @@
 		num := k.duty.num
 		require.True(t, c.until(9e9, func() bool { return len(c.ops) == 1 }))
 		for i, a := range c.asks {
-			if a.ask.Body.(dowel.Order).Op != "" {
+			if a.ask.Body.(protocol.Order).Op != "" {
 				c.asks = append(c.asks[:i:i], c.asks[i+1:]...)
-				c.step("a", dowel.Told{Token: a.ask.Token, OK: true, Code: x.code})
+				c.step("a", protocol.Told{Token: a.ask.Token, OK: true, Code: x.code})
 				break
 			}
 		}
@@ -158,18 +159,18 @@
 func TestOldReports(t *testing.T) {
 	for _, x := range []struct {
 		name  string
-		r     dowel.Report
+		r     protocol.Report
 		stage string
 	}{
-		{"from before it", dowel.Report{Num: 4}, Ordered},
-		{"from before it, with what it held then", dowel.Report{Num: 4, Held: []dowel.Held{{Key: "llm|n"}}}, Ordered},
-		{"under way", dowel.Report{Num: 5, Busy: true}, Ordered},
-		{"done", dowel.Report{Num: 5, Held: []dowel.Held{{Key: "llm|m"}}}, Ready},
-		{"it came to nothing", dowel.Report{Num: 5}, ""},
+		{"from before it", protocol.Report{Num: 4}, Ordered},
+		{"from before it, with what it held then", protocol.Report{Num: 4, Held: []protocol.Held{{Key: "llm|n"}}}, Ordered},
+		{"under way", protocol.Report{Num: 5, Busy: true}, Ordered},
+		{"done", protocol.Report{Num: 5, Held: []protocol.Held{{Key: "llm|m"}}}, Ready},
+		{"it came to nothing", protocol.Report{Num: 5}, ""},
 	} {
 		c := newCluster(t, modelPlan(12, "llm|m", "llm|n"), "a")
 		k := c.lead()
-		s := &server{Listed: beacon("s", "live", 1).Listed, known: true, room: 12, slots: 4, num: 6, spots: map[gauge.Key]*spot{}}
+		s := &server{Listed: beacon("s", "live", 1).Listed, known: true, room: 12, slots: 4, num: 6, spots: map[ident.Key]*spot{}}
 		s.spots["llm|m"] = &spot{key: "llm|m", size: 4, stage: Ordered, num: 6}
 		k.servers["s"] = s
 		k.now = c.at
@@ -190,22 +191,22 @@
 // places, no model leaves while a router may send to it, and loads from the store keep to their rate.
 func TestLimits(t *testing.T) {
 	for seed := range uint64(6) {
-		keys := []gauge.Key{"llm|a", "llm|b", "llm|c", "llm|d", "llm|e", "llm|f", "llm|g", "llm|h", "llm|a+1", "llm|a+2", "llm|b+1", "llm|b+2", "llm|c+1", "llm|d+1"}
+		keys := []ident.Key{"llm|a", "llm|b", "llm|c", "llm|d", "llm|e", "llm|f", "llm|g", "llm|h", "llm|a+1", "llm|a+2", "llm|b+1", "llm|b+2", "llm|c+1", "llm|d+1"}
 		p := modelPlan(10, keys...)
 		c := newCluster(t, p, "a", "b", "c")
 		dice := c.nodes["a"].o.Rand
 		for i, id := range []string{"s1", "s2", "s3", "s4"} {
 			m := c.serve(id, keys[i])
-			m.lost = func(dowel.Order) (bool, bool) { return dice.IntN(12) > 0, dice.IntN(12) > 0 }
-			m.lag = gauge.Span(200+50*i) * 1e6
+			m.lost = func(protocol.Order) (bool, bool) { return dice.IntN(12) > 0, dice.IntN(12) > 0 }
+			m.lag = clock.Span(200+50*i) * 1e6
 		}
 		r := c.route("r")
 		for round := range 12 {
-			r.burden = map[gauge.Key]dowel.Burden{}
+			r.burden = map[ident.Key]protocol.Burden{}
 			for range 3 {
 				k := keys[dice.IntN(len(keys))]
 				n := 1 + dice.IntN(9)
-				r.burden[k] = dowel.Burden{Wait: n, Came: n, Load: float64(n) / 20}
+				r.burden[k] = protocol.Burden{Wait: n, Came: n, Load: float64(n) / 20}
 			}
 			r.holdup = dice.IntN(4) == 0
 			if round%5 == 4 {
@@ -234,18 +235,18 @@
 // A new owner finds an order of the old one under way, which its own reports do not show yet: it
 // orders nothing that would not fit beside it.
 func TestTakeoverWithOrderUnderWay(t *testing.T) {
-	for _, slow := range []gauge.Span{1e9, 4e9, 12e9} {
-		for _, lag := range []gauge.Span{100e6, 300e6, 500e6} {
+	for _, slow := range []clock.Span{1e9, 4e9, 12e9} {
+		for _, lag := range []clock.Span{100e6, 300e6, 500e6} {
 			c := newCluster(t, modelPlan(8, "llm|m", "llm|n", "llm|o"), "a", "b", "c")
 			m := c.serve("s", "llm|m")
 			m.strict, m.slow, m.lag = true, slow, lag
 			c.run(3e9)
 			r := c.route("r")
-			r.burden["llm|n"] = dowel.Burden{Wait: 2, Came: 1, Load: 0.01}
+			r.burden["llm|n"] = protocol.Burden{Wait: 2, Came: 1, Load: 0.01}
 			require.True(t, c.until(9e9, func() bool { return m.doing.Op == "load" }))
 			c.parted[c.owner()] = true
 			delete(r.burden, "llm|n")
-			r.burden["llm|o"] = dowel.Burden{Wait: 9, Came: 3, Load: 0.1}
+			r.burden["llm|o"] = protocol.Burden{Wait: 9, Came: 3, Load: 0.1}
 			require.True(t, c.until(6e9, func() bool { return c.owner() != "" }))
 			for end := c.at.Add(3*slow + 10e9); c.at < end && !m.holds["llm|o"]; {
 				c.tick()
@@ -262,18 +263,18 @@
 func TestBaseGoesWithAdapters(t *testing.T) {
 	for _, x := range []struct {
 		name  string
-		key   gauge.Key // that a router holds up its promise on
-		holds []gauge.Key
+		key   ident.Key // that a router holds up its promise on
+		holds []ident.Key
 	}{
-		{"the base is promised", "llm|m", []gauge.Key{"llm|m"}},
-		{"an adapter is promised", "llm|m+1", []gauge.Key{"llm|m", "llm|m+1"}},
-		{"one of two is", "llm|m+2", []gauge.Key{"llm|m", "llm|m+1", "llm|m+2"}},
-		{"the base is, beside its adapters", "llm|m", []gauge.Key{"llm|m", "llm|m+1", "llm|m+2"}},
+		{"the base is promised", "llm|m", []ident.Key{"llm|m"}},
+		{"an adapter is promised", "llm|m+1", []ident.Key{"llm|m", "llm|m+1"}},
+		{"one of two is", "llm|m+2", []ident.Key{"llm|m", "llm|m+1", "llm|m+2"}},
+		{"the base is, beside its adapters", "llm|m", []ident.Key{"llm|m", "llm|m+1", "llm|m+2"}},
 	} {
 		c := newCluster(t, modelPlan(10, "llm|m", "llm|m+1", "llm|m+2", "llm|n"), "a")
 		m := c.serve("s", x.holds...)
 		r := c.route("r")
-		r.burden[x.key] = dowel.Burden{Came: 1}
+		r.burden[x.key] = protocol.Burden{Came: 1}
 		require.True(t, c.until(9e9, func() bool { return r.sends(x.key, "s") }), x.name)
 		c.run(3e9)
 		r.holdup = true
@@ -286,11 +287,11 @@
 		at := c.at
 		// That the promise is gone by then is looked at where the server takes the order.
 		require.True(t, c.until(9e9, func() bool { return len(c.orders("unload")) > 0 }), x.name)
-		require.Greater(t, c.at.Sub(at), 1000e6+gauge.Span(0), "%s: it waits for the hold to run out", x.name)
+		require.Greater(t, c.at.Sub(at), 1000e6+clock.Span(0), "%s: it waits for the hold to run out", x.name)
 		require.False(t, r.sends(x.key, "s"), x.name)
 		c.run(3e9)
 		require.Len(t, c.orders("unload"), 1, x.name)
-		require.Equal(t, gauge.Key("llm|m"), c.orders("unload")[0].Key, x.name)
+		require.Equal(t, ident.Key("llm|m"), c.orders("unload")[0].Key, x.name)
 		require.Empty(t, m.holds, x.name)
 	}
 }
@@ -298,14 +299,14 @@
 // A new owner does not know who holds promises of the old one: it unloads nothing before they have run
 // out, and a router that reached nobody meanwhile is not surprised.
 func TestPromisesOfTheOwnerBefore(t *testing.T) {
-	for _, hold := range []gauge.Span{2e9, 5e9, 9e9} {
+	for _, hold := range []clock.Span{2e9, 5e9, 9e9} {
 		c := newCluster(t, modelPlan(4, "llm|m", "llm|n"), "a", "b", "c")
 		for _, k := range c.nodes {
 			k.o.Hold = hold
 		}
 		m := c.serve("s", "llm|m")
 		r := c.route("r")
-		r.burden["llm|m"] = dowel.Burden{Came: 1}
+		r.burden["llm|m"] = protocol.Burden{Came: 1}
 		require.True(t, c.until(9e9, func() bool { return r.sends("llm|m", "s") }))
 		c.run(1e9)
 		c.parted["r"], c.parted[c.owner()] = true, true
@@ -328,25 +329,25 @@
 	m.strict, m.slow = true, 2e9
 	c.run(4e9)
 	r := c.route("r")
-	r.burden["llm|n"] = dowel.Burden{Wait: 3, Came: 3, Load: 0.1}
+	r.burden["llm|n"] = protocol.Burden{Wait: 3, Came: 3, Load: 0.1}
 	require.True(t, c.until(20e9, func() bool { return r.sends("llm|n", "s") }))
 	var got []string
 	for _, o := range c.ops {
 		got = append(got, o.Op+" "+string(o.Key))
 	}
 	require.Equal(t, []string{"unload llm|m", "load llm|n"}, got)
-	require.GreaterOrEqual(t, c.ops[1].at.Sub(c.ops[0].at), gauge.Span(2e9))
+	require.GreaterOrEqual(t, c.ops[1].at.Sub(c.ops[0].at), clock.Span(2e9))
 }
 
 // Many models that are wanted at once come from the store no faster than it bears, and about as fast.
 func TestStoreRate(t *testing.T) {
-	var keys []gauge.Key
+	var keys []ident.Key
 	for i := range 40 {
-		keys = append(keys, gauge.Key("llm|m"+string(rune('a'+i%26))+string(rune('a'+i/26))))
+		keys = append(keys, ident.Key("llm|m"+string(rune('a'+i%26))+string(rune('a'+i/26))))
 	}
 	for _, x := range []struct {
 		rate float64
-		load gauge.Span
+		load clock.Span
 	}{{0.5, 1e9}, {1, 2e9}, {2.1, 2e9}, {2.1, 200e6}, {4, 1e9}} {
 		p := floor(modelPlan(8, keys...), 1, keys...)
 		v := p.Services["llm"]
--- a/anvil/place.go
+++ b/internal/controller/place.go
@@ -1,4 +1,4 @@
-package anvil
+package controller
 
 import (
 	"bytes"
@@ -10,9 +10,12 @@
 
 	"github.com/qmuntal/stateless"
 
-	"tidedeck/chisel"
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
 // Stages of a spot, which is one key on one server.
@@ -36,15 +39,15 @@
 )
 
 type spot struct {
-	key   gauge.Key
+	key   ident.Key
 	size  int
 	stage string
 	num   uint64     // of the order last sent for it
-	ready gauge.Tick // since when it is ready
-	busy  gauge.Tick // when it last had work
+	ready clock.Tick // since when it is ready
+	busy  clock.Tick // when it last had work
 	work  int
-	since gauge.Tick
-	waits map[dowel.Session]uint64
+	since clock.Tick
+	waits map[protocol.Session]uint64
 	cold  bool // its load comes from the store
 }
 
@@ -67,7 +70,7 @@
 	return s
 }()
 
-func (s *spot) fire(what string, now gauge.Tick) bool {
+func (s *spot) fire(what string, now clock.Tick) bool {
 	was := s.stage
 	_ = spots.FireCtx(context.WithValue(context.Background(), tag{}, s), what)
 	if s.stage != was {
@@ -81,27 +84,27 @@
 
 // server is the owner's view of one model server.
 type server struct {
-	dowel.Listed
-	inc     gauge.Inc
+	protocol.Listed
+	inc     ident.Inc
 	room    int
 	slots   int
-	spots   map[gauge.Key]*spot
+	spots   map[ident.Key]*spot
 	num     uint64
 	asking  bool
-	next    gauge.Tick
+	next    clock.Tick
 	fails   int
 	dark    bool
 	known   bool       // it has reported in this reign
-	ok      gauge.Tick // when the last report that came was asked for
-	first   gauge.Tick
+	ok      clock.Tick // when the last report that came was asked for
+	first   clock.Tick
 	odd     string     // what its report contradicts itself in; it is ordered to load nothing
 	plain   bool       // it holds no models and takes no orders
 	places  int        // for adapters; zero where they are not counted
 	busy    bool       // it carries out an order
 	alien   bool       // that is not of this reign: what it comes to is not known
 	unsure  *spot      // the spot whose order got no answer
-	asked   gauge.Tick // when it was asked or ordered last
-	ordered gauge.Tick // when it was ordered last
+	asked   clock.Tick // when it was asked or ordered last
+	ordered clock.Tick // when it was ordered last
 }
 
 func (s *server) used() int {
@@ -124,20 +127,20 @@
 
 // entry is what the routers are told of a key.
 type entry struct {
-	mark     gauge.Mark
+	mark     ident.Mark
 	never    bool // no server could hold it, even if it held nothing else
 	replicas []replica
 }
 
 type replica struct {
-	rep  dowel.Replica
+	rep  protocol.Replica
 	spot *spot
 }
 
 // need is what is asked of a key.
 type need struct {
-	at    gauge.Tick
-	since gauge.Tick // since when somebody waits
+	at    clock.Tick
+	since clock.Tick // since when somebody waits
 	wait  int
 	value int
 
@@ -149,7 +152,7 @@
 	now  float64 // and just now
 }
 
-func (c *Core) wanted(k gauge.Key, wait, value int) {
+func (c *Core) wanted(k ident.Key, wait, value int) {
 	if c.plan == nil {
 		return
 	}
@@ -172,7 +175,7 @@
 
 // planned takes the newest desired state into force at this node.
 func (c *Core) planned() {
-	c.plan, c.empty, c.windows, c.shutAt = nil, map[gauge.Zone]bool{}, nil, 0
+	c.plan, c.empty, c.windows, c.shutAt = nil, map[ident.Zone]bool{}, nil, 0
 	k := c.reg.known
 	if k == nil {
 		return
@@ -185,7 +188,7 @@
 		c.plan, _ = c.parse(k.Plan)
 	}
 	if c.duty.mine {
-		for _, id := range gauge.Keys(c.servers) {
+		for _, id := range generic.SortedKeys(c.servers) {
 			c.adopt(c.servers[id])
 		}
 		c.touchAll()
@@ -193,7 +196,7 @@
 }
 
 // parse reads a plan, unless it is the one that was read last: large ones take a while.
-func (c *Core) parse(raw []byte) (*chisel.Plan, chisel.Faults) {
+func (c *Core) parse(raw []byte) (*fleetplan.Plan, fleetplan.Faults) {
 	if c.lastPlan == nil || !bytes.Equal(raw, c.lastRaw) {
 		p, f := c.o.Read(raw)
 		if f != nil {
@@ -233,7 +236,7 @@
 	return s.State == "live" && !c.empty[s.Zone] && !c.closed(s.Zone, s.ID)
 }
 
-func (c *Core) entryOf(k gauge.Key) *entry {
+func (c *Core) entryOf(k ident.Key) *entry {
 	if e := c.entries[k]; e != nil {
 		return e
 	}
@@ -243,16 +246,16 @@
 	return e
 }
 
-func (c *Core) fill(k gauge.Key, e *entry) {
+func (c *Core) fill(k ident.Key, e *entry) {
 	e.replicas = nil
 	h := fnv.New64a()
-	for _, id := range gauge.Keys(c.servers) {
+	for _, id := range generic.SortedKeys(c.servers) {
 		s := c.servers[id]
 		p := s.spots[k]
 		if p == nil || p.stage != Ready || !c.open(s) {
 			continue
 		}
-		r := dowel.Replica{Server: s.ID, Addr: s.Addr, Zone: s.Zone, Inc: s.inc, Slots: s.slots}
+		r := protocol.Replica{Server: s.ID, Addr: s.Addr, Zone: s.Zone, Inc: s.inc, Slots: s.slots}
 		e.replicas = append(e.replicas, replica{r, p})
 		fmt.Fprintf(h, "%s|%s|%d|%d;", r.Server, r.Addr, r.Inc, r.Slots)
 	}
@@ -260,11 +263,11 @@
 	if e.never {
 		fmt.Fprint(h, "never")
 	}
-	e.mark = gauge.Mark(h.Sum64())
+	e.mark = ident.Mark(h.Sum64())
 }
 
 // fits tells whether some server that is offered has the room for a key at all.
-func (c *Core) fits(k gauge.Key) bool {
+func (c *Core) fits(k ident.Key) bool {
 	if k.Plain() {
 		return c.plan.Services[k.Service()].Plain // its servers may come at any moment
 	}
@@ -286,7 +289,7 @@
 }
 
 // touch makes a key's entry anew and, if it changed, breaks every callback on it at once.
-func (c *Core) touch(k gauge.Key) {
+func (c *Core) touch(k ident.Key) {
 	e := c.entries[k]
 	if e == nil {
 		return
@@ -308,7 +311,7 @@
 	if len(l) == 0 {
 		return false
 	}
-	has := map[gauge.Server]dowel.Replica{}
+	has := map[ident.Server]protocol.Replica{}
 	for _, r := range l {
 		has[r.rep.Server] = r.rep
 	}
@@ -321,13 +324,13 @@
 }
 
 func (c *Core) touchAll() {
-	for _, k := range gauge.Keys(c.entries) {
+	for _, k := range generic.SortedKeys(c.entries) {
 		c.touch(k)
 	}
 }
 
 func (c *Core) touchOn(s *server) {
-	for _, k := range gauge.Keys(s.spots) {
+	for _, k := range generic.SortedKeys(s.spots) {
 		c.touch(k)
 	}
 }
@@ -339,7 +342,7 @@
 	c.watchWindows()
 	c.beatList()
 	c.beatEye()
-	for _, id := range gauge.Keys(c.servers) {
+	for _, id := range generic.SortedKeys(c.servers) {
 		c.beatServer(c.servers[id])
 	}
 	if c.plan != nil && c.settled() {
@@ -370,12 +373,12 @@
 	}
 	c.listing = true
 	num := c.duty.num
-	c.ask(c.o.Platform, "/servers", nil, c.o.Wait, func(t dowel.Told) {
+	c.ask(c.o.Platform, "/servers", nil, c.o.Wait, func(t protocol.Told) {
 		if !c.duty.mine || c.duty.num != num {
 			return
 		}
 		c.listing = false
-		var l []dowel.Listed
+		var l []protocol.Listed
 		if !t.OK || t.Code != 200 || json.Unmarshal(t.Body, &l) != nil || !sound(l) {
 			if c.listed != 0 || len(c.servers) > 0 {
 				c.listed = c.now // the last list stands while the platform is silent
@@ -388,13 +391,13 @@
 	})
 }
 
-func (c *Core) onList(l []dowel.Listed) {
-	seen := map[gauge.Server]bool{}
+func (c *Core) onList(l []protocol.Listed) {
+	seen := map[ident.Server]bool{}
 	for _, x := range l {
 		seen[x.ID] = true
 		s := c.servers[x.ID]
 		if s == nil {
-			c.servers[x.ID] = &server{Listed: x, spots: map[gauge.Key]*spot{}, first: c.now}
+			c.servers[x.ID] = &server{Listed: x, spots: map[ident.Key]*spot{}, first: c.now}
 			continue
 		}
 		if s.Listed != x {
@@ -405,7 +408,7 @@
 			c.touchOn(s)
 		}
 	}
-	for _, id := range gauge.Keys(c.servers) {
+	for _, id := range generic.SortedKeys(c.servers) {
 		if s := c.servers[id]; !seen[id] && s.State != "gone" {
 			s.State = "gone"
 			c.touchOn(s)
@@ -424,7 +427,7 @@
 	}
 	var next *spot
 	over := s.room > 0 && s.used() > s.room
-	for _, k := range gauge.Keys(s.spots) {
+	for _, k := range generic.SortedKeys(s.spots) {
 		p := s.spots[k]
 		if p.num != 0 || verbs[p.stage] == "" {
 			continue
@@ -440,7 +443,7 @@
 }
 
 // based tells whether the base of an adapter is ready.
-func (s *server) based(k gauge.Key) bool {
+func (s *server) based(k ident.Key) bool {
 	b := s.spots[k.Base()]
 	return b != nil && b.stage == Ready
 }
@@ -450,13 +453,13 @@
 
 // beatServer keeps one question under way at a time: an order, or only for the report.
 func (c *Core) beatServer(s *server) {
-	for _, k := range gauge.Keys(s.spots) {
+	for _, k := range generic.SortedKeys(s.spots) {
 		if p := s.spots[k]; p != nil { // one spot's end may end another
 			c.beatSpot(s, p)
 		}
 	}
 	if s.State == "gone" && (s.fails > 0 || c.o.Enrolled) {
-		for _, k := range gauge.Keys(s.spots) {
+		for _, k := range generic.SortedKeys(s.spots) {
 			s.spots[k].fire(SeeNone, c.now)
 			delete(s.spots, k)
 			c.touch(k)
@@ -475,7 +478,7 @@
 		return
 	}
 	s.num++
-	q := dowel.Order{Duty: c.duty.num, Num: s.num, Inc: s.inc}
+	q := protocol.Order{Duty: c.duty.num, Num: s.num, Inc: s.inc}
 	if p != nil {
 		q.Op, q.Key, q.Size, p.num = verbs[p.stage], p.key, p.size, s.num
 		if p.stage == Ordered {
@@ -489,13 +492,13 @@
 	}
 	s.asking = true
 	at, num := c.now, c.duty.num
-	c.ask(s.Addr, "/orders", q, c.o.Wait, func(t dowel.Told) {
+	c.ask(s.Addr, "/orders", q, c.o.Wait, func(t protocol.Told) {
 		if !c.duty.mine || c.duty.num != num || c.servers[s.ID] != s {
 			return
 		}
 		s.asking = false
 		s.next = c.now.Add(c.o.Poll)
-		var r dowel.Report
+		var r protocol.Report
 		if !t.OK || json.Unmarshal(t.Body, &r) != nil || r.Server != s.ID {
 			s.fails++
 			// A question cut short at once is asked once more; one that waited in vain is not.
@@ -514,8 +517,8 @@
 	})
 }
 
-func (c *Core) onReport(s *server, r dowel.Report, at gauge.Tick) {
-	if r.Drop == gauge.Stale {
+func (c *Core) onReport(s *server, r protocol.Report, at clock.Tick) {
+	if r.Drop == failure.Stale {
 		c.tally.Fences++
 		if r.Duty > c.duty.num {
 			c.duty.top = max(c.duty.top, r.Duty)
@@ -531,7 +534,7 @@
 	room, slots := min(max(r.Room, 0), mostSize), min(max(r.Slots, 1), mostSize)
 	if r.Inc != s.inc || room != s.room || slots != s.slots {
 		if r.Inc != s.inc {
-			for _, k := range gauge.Keys(s.spots) {
+			for _, k := range generic.SortedKeys(s.spots) {
 				s.spots[k].fire(SeeNone, c.now)
 				delete(s.spots, k)
 				c.touch(k)
@@ -546,7 +549,7 @@
 			c.oops(fmt.Sprintf("server %s reports what cannot be: %s", s.ID, odd))
 		}
 	}
-	held := map[gauge.Key]dowel.Held{}
+	held := map[ident.Key]protocol.Held{}
 	for _, h := range r.Held {
 		h.Size, h.Active, h.AgeMs = min(max(h.Size, c.sizeOf(h.Key)), mostSize), max(h.Active, 0), max(h.AgeMs, 0)
 		held[h.Key] = h
@@ -566,7 +569,7 @@
 		if h.Stage == "ready" {
 			if p.fire(SeeReady, c.now) {
 				if was == Ordered {
-					p.ready = c.now - gauge.Tick(h.AgeMs)*1e6
+					p.ready = c.now - clock.Tick(h.AgeMs)*1e6
 				}
 				c.touch(h.Key)
 			}
@@ -574,7 +577,7 @@
 			c.touch(h.Key)
 		}
 	}
-	for _, k := range gauge.Keys(s.spots) {
+	for _, k := range generic.SortedKeys(s.spots) {
 		p := s.spots[k]
 		if _, ok := held[k]; ok || p.unsent(r.Num) {
 			continue
@@ -591,7 +594,7 @@
 // evict begins to take a key off a server: first every router drops its promise.
 func (c *Core) evict(s *server, p *spot) {
 	if c.o.Unfenced && !p.key.IsAdapter() {
-		for _, k := range gauge.Keys(s.spots) {
+		for _, k := range generic.SortedKeys(s.spots) {
 			if k != p.key && k.Base() == p.key {
 				c.evict(s, s.spots[k]) // they go with their base
 			}
@@ -640,7 +643,7 @@
 
 // wish is a key that wants one more replica.
 type wish struct {
-	m     chisel.Model
+	m     fleetplan.Model
 	live  int
 	bare  bool
 	value int
@@ -650,7 +653,7 @@
 func (c *Core) placeAll() {
 	budget, rate := c.budget()
 	for _, s := range c.servers {
-		for _, k := range gauge.Keys(s.spots) {
+		for _, k := range generic.SortedKeys(s.spots) {
 			p := s.spots[k]
 			if s.dark && p.stage == Ordered && p.num == 0 {
 				delete(s.spots, k) // it cannot be sent now; another server may take it
@@ -662,9 +665,9 @@
 			budget-- // what it may be loading is not known yet
 		}
 	}
-	for _, id := range gauge.Keys(c.servers) {
+	for _, id := range generic.SortedKeys(c.servers) {
 		s := c.servers[id]
-		for _, k := range gauge.Keys(s.spots) {
+		for _, k := range generic.SortedKeys(s.spots) {
 			if _, ok := c.plan.Models[k]; !ok && !k.Plain() && s.spots[k].stage == Ready && s.known && !s.dark {
 				c.evict(s, s.spots[k])
 			}
@@ -692,8 +695,8 @@
 	}
 }
 
-func (c *Core) live(k gauge.Key) (n int, slots int, zones map[gauge.Zone]bool) {
-	zones = map[gauge.Zone]bool{}
+func (c *Core) live(k ident.Key) (n int, slots int, zones map[ident.Zone]bool) {
+	zones = map[ident.Zone]bool{}
 	for _, s := range c.servers {
 		if p := s.spots[k]; p != nil && (p.stage == Ordered || p.stage == Ready) && c.stays(s) {
 			n++
@@ -705,7 +708,7 @@
 }
 
 // wants tells how many replicas a key should have.
-func (c *Core) wantsOf(m chisel.Model) (need, live, value int) {
+func (c *Core) wantsOf(m fleetplan.Model) (need, live, value int) {
 	live, slots, _ := c.live(m.Key)
 	need = m.Floor
 	d := c.demand[m.Key]
@@ -731,7 +734,7 @@
 
 func (c *Core) wishes() []wish {
 	var l []wish
-	for _, k := range gauge.Keys(c.plan.Models) {
+	for _, k := range generic.SortedKeys(c.plan.Models) {
 		m := c.plan.Models[k]
 		need, live, value := c.wantsOf(m)
 		if live < need {
@@ -763,7 +766,7 @@
 	_, _, zones := c.live(k)
 	var best *server
 	score := 0
-	for _, id := range gauge.Keys(c.servers) {
+	for _, id := range generic.SortedKeys(c.servers) {
 		s := c.servers[id]
 		if !c.mayHold(s, k) || s.loading() > 0 {
 			continue
@@ -788,7 +791,7 @@
 	return true
 }
 
-func (c *Core) mayHold(s *server, k gauge.Key) bool {
+func (c *Core) mayHold(s *server, k ident.Key) bool {
 	if !c.stays(s) || s.spots[k] != nil || s.odd != "" {
 		return false
 	}
@@ -820,7 +823,7 @@
 	}
 	var best []*spot
 	var on *server
-	for _, id := range gauge.Keys(c.servers) {
+	for _, id := range generic.SortedKeys(c.servers) {
 		s := c.servers[id]
 		if !c.mayHold(s, w.m.Key) {
 			continue
@@ -852,7 +855,7 @@
 // idle lists what may be evicted from a server, least missed first: adapters before bases.
 func (c *Core) idle(s *server, w wish) []*spot {
 	var l []*spot
-	free := map[gauge.Key]bool{}
+	free := map[ident.Key]bool{}
 	may := func(p *spot) bool {
 		m := c.plan.Models[p.key]
 		need, live, value := c.wantsOf(m)
@@ -865,7 +868,7 @@
 		// Even a key that is asked for gives way to one that is worth more and has no replica.
 		return live > m.Floor && value < w.value
 	}
-	keys := gauge.Keys(s.spots)
+	keys := generic.SortedKeys(s.spots)
 	for _, k := range keys {
 		if p := s.spots[k]; k.IsAdapter() && may(p) {
 			free[k] = true
