--- a/anvil/register.go
+++ b/internal/controller/register.go
@@ -1,4 +1,4 @@
-package anvil
+package controller
 
 import (
 	"bytes"
@@ -6,97 +6,100 @@
 	"fmt"
 	"sort"
 
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
 // vote is the acceptor's part. What it says of accepted values is always durable already.
 type vote struct {
-	inc      gauge.Inc
-	promised dowel.Ballot
-	accepted dowel.Ballot
-	value    *dowel.Desired
+	inc      ident.Inc
+	promised protocol.Ballot
+	accepted protocol.Ballot
+	value    *protocol.Desired
 	// what the disk surely has
-	safeB dowel.Ballot
-	safeV *dowel.Desired
+	safeB protocol.Ballot
+	safeV *protocol.Desired
 
-	started gauge.Tick // from when other owners' holds may still run unseen
-	duty    gauge.Duty
-	sure    gauge.Duty // the highest that the disk has
-	owner   dowel.Sibling
-	until   gauge.Tick
+	started clock.Tick // from when other owners' holds may still run unseen
+	duty    ident.Duty
+	sure    ident.Duty // the highest that the disk has
+	owner   protocol.Sibling
+	until   clock.Tick
 }
 
 // register is the proposer's and reader's part.
 type register struct {
-	known   *dowel.Desired // newest value known to be chosen
-	at      dowel.Ballot
-	hint    *dowel.Desired // a voter set to try, from a value perhaps not chosen
+	known   *protocol.Desired // newest value known to be chosen
+	at      protocol.Ballot
+	hint    *protocol.Desired // a voter set to try, from a value perhaps not chosen
 	round   uint64
 	top     uint64 // highest ballot number seen anywhere
 	op      *op
 	queue   []*op
 	reads   []reader
 	query   *query
-	next    gauge.Tick
-	heard   gauge.Tick // when the last majority read was asked for
-	lives   map[gauge.Node]sight
-	blank   gauge.Tick // since when every seed is seen blank
-	kept    *dowel.Desired
+	next    clock.Tick
+	heard   clock.Tick // when the last majority read was asked for
+	lives   map[ident.Node]sight
+	blank   clock.Tick // since when every seed is seen blank
+	kept    *protocol.Desired
 	force   bool
 	unequal int
 	odd     int
-	shaped  gauge.Tick // when the voter set now known was first known
-	gone    map[gauge.Node]gauge.Tick
+	shaped  clock.Tick // when the voter set now known was first known
+	gone    map[ident.Node]clock.Tick
 }
 
 type sight struct {
-	at    gauge.Tick
-	state dowel.State
-	sib   dowel.Sibling
+	at    clock.Tick
+	state protocol.State
+	sib   protocol.Sibling
 }
 
 // op is one change or full read in its rounds.
 type op struct {
-	apply  func(dowel.Desired) (dowel.Desired, gauge.Kind)
-	done   func(v dowel.Desired, k gauge.Kind)
-	end    gauge.Tick
-	set    dowel.Desired
-	ballot dowel.Ballot
+	apply  func(protocol.Desired) (protocol.Desired, failure.Kind)
+	done   func(v protocol.Desired, k failure.Kind)
+	end    clock.Tick
+	set    protocol.Desired
+	ballot protocol.Ballot
 	round  uint64
 	phase  string // wait, prepare, accept
-	sent   gauge.Tick
-	wake   gauge.Tick
-	yes    map[gauge.Node]gauge.Inc
-	best   dowel.Ballot
-	value  *dowel.Desired
-	next   dowel.Desired
-	kind   gauge.Kind
+	sent   clock.Tick
+	wake   clock.Tick
+	yes    map[ident.Node]ident.Inc
+	best   protocol.Ballot
+	value  *protocol.Desired
+	next   protocol.Desired
+	kind   failure.Kind
 	risky  bool // an accept was sent whose fate is not settled
 	fails  int
 }
 
 type query struct {
 	round uint64
-	at    gauge.Tick
+	at    clock.Tick
 	claim bool
-	num   gauge.Duty
+	num   ident.Duty
 	again bool // no voter of a majority has given the duty to another since this node had it
-	set   dowel.Desired
-	yes   map[gauge.Node]gauge.Inc
-	grant map[gauge.Node]gauge.Inc
-	acc   map[gauge.Node]dowel.Ballot
-	top   dowel.Ballot // highest accepted among the voters heard
-	asked bool         // the value at top is being fetched
-	read  bool         // a majority was heard
+	set   protocol.Desired
+	yes   map[ident.Node]ident.Inc
+	grant map[ident.Node]ident.Inc
+	acc   map[ident.Node]protocol.Ballot
+	top   protocol.Ballot // highest accepted among the voters heard
+	asked bool            // the value at top is being fetched
+	read  bool            // a majority was heard
 	won   bool
-	dutyN gauge.Duty
-	owner dowel.Sibling
+	dutyN ident.Duty
+	owner protocol.Sibling
 }
 
 func (r *register) init() {
-	r.lives = map[gauge.Node]sight{}
-	r.gone = map[gauge.Node]gauge.Tick{}
+	r.lives = map[ident.Node]sight{}
+	r.gone = map[ident.Node]clock.Tick{}
 }
 
 const (
@@ -109,16 +112,16 @@
 )
 
 type safe struct {
-	Ballot dowel.Ballot
-	Value  *dowel.Desired
+	Ballot protocol.Ballot
+	Value  *protocol.Desired
 }
 
 type pledge struct {
-	Duty  gauge.Duty
-	Owner dowel.Sibling
+	Duty  ident.Duty
+	Owner protocol.Sibling
 }
 
-func (c *Core) start(s dowel.Start) {
+func (c *Core) start(s protocol.Start) {
 	c.vote.started = c.now
 	read := func(k string, p any) bool {
 		b, ok := s.Disk[k]
@@ -138,7 +141,7 @@
 		read(diskV, &v)
 		read(diskD, &d)
 		read(diskL, &c.list)
-		var gone []dowel.Beacon
+		var gone []protocol.Beacon
 		read(diskR, &gone)
 		c.recall(gone)
 		c.vote.accepted, c.vote.value = v.Ballot, v.Value
@@ -156,25 +159,25 @@
 
 // Acceptor.
 
-func (c *Core) onPrepare(e dowel.Env) {
-	b := e.Body.(dowel.Prepare)
+func (c *Core) onPrepare(e protocol.Env) {
+	b := e.Body.(protocol.Prepare)
 	c.reg.top = max(c.reg.top, b.Ballot.N)
 	if b.Ballot.Less(c.vote.promised) {
-		c.reply(e, dowel.Promise{Round: b.Round, Inc: c.vote.inc, Promised: c.vote.promised})
+		c.reply(e, protocol.Promise{Round: b.Round, Inc: c.vote.inc, Promised: c.vote.promised})
 		return
 	}
 	c.vote.promised = b.Ballot
 	a, v := c.vote.accepted, c.vote.value
 	c.save(map[string][]byte{diskB: jot(b.Ballot)}, func() {
-		c.reply(e, dowel.Promise{Round: b.Round, OK: true, Inc: c.vote.inc, Promised: b.Ballot, Accepted: a, Value: v})
+		c.reply(e, protocol.Promise{Round: b.Round, OK: true, Inc: c.vote.inc, Promised: b.Ballot, Accepted: a, Value: v})
 	})
 }
 
-func (c *Core) onAccept(e dowel.Env) {
-	b := e.Body.(dowel.Accept)
+func (c *Core) onAccept(e protocol.Env) {
+	b := e.Body.(protocol.Accept)
 	c.reg.top = max(c.reg.top, b.Ballot.N)
 	if b.Ballot.Less(c.vote.promised) {
-		c.reply(e, dowel.Accepted{Round: b.Round, Inc: c.vote.inc, Promised: c.vote.promised})
+		c.reply(e, protocol.Accepted{Round: b.Round, Inc: c.vote.inc, Promised: c.vote.promised})
 		return
 	}
 	v := b.Value
@@ -187,11 +190,11 @@
 		if c.vote.safeB.Less(b.Ballot) {
 			c.vote.safeB, c.vote.safeV = b.Ballot, &v
 		}
-		c.reply(e, dowel.Accepted{Round: b.Round, OK: true, Inc: c.vote.inc, Promised: b.Ballot})
+		c.reply(e, protocol.Accepted{Round: b.Round, OK: true, Inc: c.vote.inc, Promised: b.Ballot})
 	})
 }
 
-func alike(a, b []dowel.Voter) bool {
+func alike(a, b []protocol.Voter) bool {
 	if len(a) != len(b) {
 		return false
 	}
@@ -203,7 +206,7 @@
 	return true
 }
 
-func seat(l []dowel.Voter, id gauge.Node, inc gauge.Inc) bool {
+func seat(l []protocol.Voter, id ident.Node, inc ident.Inc) bool {
 	for _, v := range l {
 		if v.ID == id && v.Inc == inc {
 			return true
@@ -212,9 +215,9 @@
 	return false
 }
 
-func (c *Core) onQuery(e dowel.Env) {
-	b := e.Body.(dowel.Query)
-	s := dowel.State{Round: b.Round, Inc: c.vote.inc, Last: c.vote.owner.ID, Prior: c.vote.owner.ID, Shy: c.ending || c.now < c.duty.shy, Blank: c.vote.safeV == nil, Accepted: c.vote.safeB}
+func (c *Core) onQuery(e protocol.Env) {
+	b := e.Body.(protocol.Query)
+	s := protocol.State{Round: b.Round, Inc: c.vote.inc, Last: c.vote.owner.ID, Prior: c.vote.owner.ID, Shy: c.ending || c.now < c.duty.shy, Blank: c.vote.safeV == nil, Accepted: c.vote.safeB}
 	if c.vote.safeV != nil {
 		s.Epoch, s.Shape = c.vote.safeV.Epoch, c.vote.safeV.Shape
 	}
@@ -245,20 +248,20 @@
 	c.reply(e, s)
 }
 
-func (c *Core) pad(s gauge.Span) gauge.Span {
-	return s + gauge.Span(float64(s)*c.o.Drift) + c.o.Margin
+func (c *Core) pad(s clock.Span) clock.Span {
+	return s + clock.Span(float64(s)*c.o.Drift) + c.o.Margin
 }
 
-func (c *Core) onFetch(e dowel.Env) {
-	c.reply(e, dowel.Value{Round: e.Body.(dowel.Fetch).Round, Inc: c.vote.inc, Accepted: c.vote.safeB, Value: c.vote.safeV})
+func (c *Core) onFetch(e protocol.Env) {
+	c.reply(e, protocol.Value{Round: e.Body.(protocol.Fetch).Round, Inc: c.vote.inc, Accepted: c.vote.safeB, Value: c.vote.safeV})
 }
 
 // Proposer.
 
 // quorum tells whether those who said yes are a majority of the voter set, each in the life
 // that the set names, and of the set before it while that one is still being left.
-func quorum(v dowel.Desired, yes map[gauge.Node]gauge.Inc) bool {
-	most := func(l []dowel.Voter) bool {
+func quorum(v protocol.Desired, yes map[ident.Node]ident.Inc) bool {
+	most := func(l []protocol.Voter) bool {
 		n := 0
 		for _, w := range l {
 			if inc, ok := yes[w.ID]; ok && inc == w.Inc {
@@ -270,10 +273,10 @@
 	return len(v.Voters) > 0 && most(v.Voters) && (len(v.Prior) == 0 || most(v.Prior))
 }
 
-func electors(v dowel.Desired) []dowel.Sibling {
-	seen := map[gauge.Node]bool{}
-	var l []dowel.Sibling
-	for _, w := range append(append([]dowel.Voter{}, v.Voters...), v.Prior...) {
+func electors(v protocol.Desired) []protocol.Sibling {
+	seen := map[ident.Node]bool{}
+	var l []protocol.Sibling
+	for _, w := range append(append([]protocol.Voter{}, v.Voters...), v.Prior...) {
 		if !seen[w.ID] {
 			seen[w.ID] = true
 			l = append(l, w.Sibling)
@@ -282,7 +285,7 @@
 	return l
 }
 
-func (c *Core) latest() *dowel.Desired {
+func (c *Core) latest() *protocol.Desired {
 	k, h := c.reg.known, c.reg.hint
 	if k != nil && (h == nil || h.Shape <= k.Shape) {
 		return k
@@ -291,9 +294,9 @@
 }
 
 // propose queues a change; done hears of it exactly once.
-func (c *Core) propose(apply func(dowel.Desired) (dowel.Desired, gauge.Kind), done func(dowel.Desired, gauge.Kind)) {
+func (c *Core) propose(apply func(protocol.Desired) (protocol.Desired, failure.Kind), done func(protocol.Desired, failure.Kind)) {
 	if len(c.reg.queue) > 64 {
-		done(dowel.Desired{}, gauge.Full)
+		done(protocol.Desired{}, failure.Full)
 		return
 	}
 	c.reg.queue = append(c.reg.queue, &op{apply: apply, done: done, end: c.now.Add(4e9), phase: "wait"})
@@ -301,9 +304,9 @@
 }
 
 // read queues a full read: a round that proposes what it finds, and so mends old copies.
-func (c *Core) read(done func(dowel.Desired, gauge.Kind)) {
+func (c *Core) read(done func(protocol.Desired, failure.Kind)) {
 	c.tally.Reads++
-	c.propose(func(d dowel.Desired) (dowel.Desired, gauge.Kind) { return d, gauge.None }, done)
+	c.propose(func(d protocol.Desired) (protocol.Desired, failure.Kind) { return d, failure.None }, done)
 }
 
 func (c *Core) stir() {
@@ -322,29 +325,29 @@
 	c.begin(o, *set)
 }
 
-func (c *Core) begin(o *op, set dowel.Desired) {
+func (c *Core) begin(o *op, set protocol.Desired) {
 	r := &c.reg
 	r.top++
 	r.round++
-	o.set, o.ballot, o.round = set, dowel.Ballot{N: r.top, By: c.o.Me.ID}, r.round
+	o.set, o.ballot, o.round = set, protocol.Ballot{N: r.top, By: c.o.Me.ID}, r.round
 	o.phase, o.sent = "prepare", c.now
-	o.yes, o.best, o.value = map[gauge.Node]gauge.Inc{}, dowel.Ballot{}, nil
+	o.yes, o.best, o.value = map[ident.Node]ident.Inc{}, protocol.Ballot{}, nil
 	c.tally.Rounds++
 	for _, p := range electors(set) {
-		c.send(p, dowel.Prepare{Round: o.round, Ballot: o.ballot})
+		c.send(p, protocol.Prepare{Round: o.round, Ballot: o.ballot})
 	}
 }
 
 func (c *Core) again(o *op) {
 	o.fails++
 	o.phase = "wait"
-	back := gauge.Span(20e6) << min(o.fails, 4)
-	o.wake = c.now.Add(back/2 + gauge.Span(c.o.Rand.Int64N(int64(back))))
+	back := clock.Span(20e6) << min(o.fails, 4)
+	o.wake = c.now.Add(back/2 + clock.Span(c.o.Rand.Int64N(int64(back))))
 	c.tally.Conflicts++
 }
 
-func (c *Core) onPromise(e dowel.Env) {
-	b, o := e.Body.(dowel.Promise), c.reg.op
+func (c *Core) onPromise(e protocol.Env) {
+	b, o := e.Body.(protocol.Promise), c.reg.op
 	c.reg.top = max(c.reg.top, b.Promised.N)
 	if o == nil || o.phase != "prepare" || b.Round != o.round {
 		return
@@ -372,23 +375,23 @@
 		}
 	}
 	o.next, o.kind = o.apply(now)
-	if o.kind != gauge.None {
+	if o.kind != failure.None {
 		o.next = now
 	}
-	o.phase, o.sent, o.yes = "accept", c.now, map[gauge.Node]gauge.Inc{}
+	o.phase, o.sent, o.yes = "accept", c.now, map[ident.Node]ident.Inc{}
 	o.risky = true
 	for _, p := range electors(both(o.set, o.next)) {
-		c.send(p, dowel.Accept{Round: o.round, Ballot: o.ballot, Value: o.next})
+		c.send(p, protocol.Accept{Round: o.round, Ballot: o.ballot, Value: o.next})
 	}
 }
 
-func both(a, b dowel.Desired) dowel.Desired {
-	a.Prior = append(append(append([]dowel.Voter{}, a.Prior...), b.Voters...), b.Prior...)
+func both(a, b protocol.Desired) protocol.Desired {
+	a.Prior = append(append(append([]protocol.Voter{}, a.Prior...), b.Voters...), b.Prior...)
 	return a
 }
 
-func (c *Core) onAccepted(e dowel.Env) {
-	b, o := e.Body.(dowel.Accepted), c.reg.op
+func (c *Core) onAccepted(e protocol.Env) {
+	b, o := e.Body.(protocol.Accepted), c.reg.op
 	c.reg.top = max(c.reg.top, b.Promised.N)
 	if o == nil || o.phase != "accept" || b.Round != o.round {
 		return
@@ -410,7 +413,7 @@
 }
 
 // learn takes in a value that is known to be chosen.
-func (c *Core) learn(b dowel.Ballot, v dowel.Desired) {
+func (c *Core) learn(b protocol.Ballot, v protocol.Desired) {
 	r := &c.reg
 	if r.known != nil && b.Less(r.at) {
 		return
@@ -429,13 +432,13 @@
 		if c.duty.mine {
 			c.pushAll()
 		} else if o := c.duty.who; o.ID != "" && o.ID != c.o.Me.ID {
-			c.send(o, dowel.Taken{Epoch: v.Epoch})
+			c.send(o, protocol.Taken{Epoch: v.Epoch})
 		}
 	}
 }
 
-func (c *Core) onTaken(e dowel.Env) {
-	if e.Body.(dowel.Taken).Epoch > c.Epoch() && c.reg.op == nil {
+func (c *Core) onTaken(e protocol.Env) {
+	if e.Body.(protocol.Taken).Epoch > c.Epoch() && c.reg.op == nil {
 		c.reg.next = c.now // the next read finds it
 		c.beatQuery()
 	}
@@ -447,11 +450,11 @@
 		switch {
 		case c.now > o.end:
 			r.op = nil
-			k := gauge.NotReady
+			k := failure.NotReady
 			if o.risky {
-				k = gauge.Unclear
+				k = failure.Unclear
 			}
-			o.done(dowel.Desired{}, k)
+			o.done(protocol.Desired{}, k)
 		case o.phase != "wait" && c.now.Sub(o.sent) > 700e6:
 			c.again(o)
 		}
@@ -459,7 +462,7 @@
 	for len(r.queue) > 0 && c.now > r.queue[0].end {
 		o := r.queue[0]
 		r.queue = r.queue[1:]
-		o.done(dowel.Desired{}, gauge.NotReady)
+		o.done(protocol.Desired{}, failure.NotReady)
 	}
 	c.stir()
 	c.dropReads()
@@ -480,14 +483,14 @@
 	if q := r.query; q != nil && q.read && (r.known == nil || r.at.Less(q.top)) {
 		if r.odd++; r.odd >= 2 && r.op == nil && len(r.queue) == 0 {
 			r.odd = 0
-			c.read(func(dowel.Desired, gauge.Kind) {})
+			c.read(func(protocol.Desired, failure.Kind) {})
 		}
 	} else {
 		r.odd = 0
 	}
 	r.round++
-	q := &query{round: r.round, again: true, at: c.now, yes: map[gauge.Node]gauge.Inc{}, grant: map[gauge.Node]gauge.Inc{}, acc: map[gauge.Node]dowel.Ballot{}}
-	to := map[gauge.Node]dowel.Sibling{}
+	q := &query{round: r.round, again: true, at: c.now, yes: map[ident.Node]ident.Inc{}, grant: map[ident.Node]ident.Inc{}, acc: map[ident.Node]protocol.Ballot{}}
+	to := map[ident.Node]protocol.Sibling{}
 	if set := c.latest(); set != nil {
 		q.set = *set
 		q.claim, q.num = c.claims(q.set)
@@ -496,11 +499,11 @@
 		}
 	}
 	r.query = q
-	ask := func(p dowel.Sibling) { c.send(p, dowel.Query{Round: q.round, Claim: q.claim, Duty: q.num}) }
-	for _, m := range c.mates.Alive("anvil") {
+	ask := func(p protocol.Sibling) { c.send(p, protocol.Query{Round: q.round, Claim: q.claim, Duty: q.num}) }
+	for _, m := range c.mates.Alive("controller") {
 		to[m.ID] = m.Sibling
 	}
-	for _, id := range gauge.Keys(to) {
+	for _, id := range generic.SortedKeys(to) {
 		ask(to[id])
 	}
 	if c.latest() == nil {
@@ -516,13 +519,13 @@
 	}
 }
 
-func (c *Core) onState(e dowel.Env) {
-	r, b := &c.reg, e.Body.(dowel.State)
+func (c *Core) onState(e protocol.Env) {
+	r, b := &c.reg, e.Body.(protocol.State)
 	r.top = max(r.top, b.Accepted.N)
 	r.lives[e.From.ID] = sight{at: c.now, state: b, sib: e.From}
 	set := c.latest()
 	if !b.Blank && (set == nil || b.Shape > set.Shape) {
-		c.send(e.From, dowel.Fetch{})
+		c.send(e.From, protocol.Fetch{})
 	}
 	q := r.query
 	if q == nil || b.Round != q.round {
@@ -557,7 +560,7 @@
 	c.saw(q)
 }
 
-func (c *Core) inSet(v dowel.Desired, id gauge.Node, inc gauge.Inc) bool {
+func (c *Core) inSet(v protocol.Desired, id ident.Node, inc ident.Inc) bool {
 	return seat(v.Voters, id, inc) || seat(v.Prior, id, inc)
 }
 
@@ -569,19 +572,19 @@
 		c.fresh(q)
 		return
 	}
-	have := map[gauge.Node]gauge.Inc{}
+	have := map[ident.Node]ident.Inc{}
 	for id, b := range q.acc {
 		if b == q.top {
 			have[id] = q.yes[id]
 		}
 	}
-	if !q.asked && q.top != (dowel.Ballot{}) && quorum(q.set, have) {
+	if !q.asked && q.top != (protocol.Ballot{}) && quorum(q.set, have) {
 		q.asked = true
-		id := gauge.Keys(have)[0]
+		id := generic.SortedKeys(have)[0]
 		if _, me := have[c.o.Me.ID]; me {
 			id = c.o.Me.ID
 		}
-		c.send(r.lives[id].sib, dowel.Fetch{Round: q.round})
+		c.send(r.lives[id].sib, protocol.Fetch{Round: q.round})
 	}
 }
 
@@ -614,12 +617,12 @@
 	if r.unequal++; r.unequal > 30 {
 		r.unequal = 0
 		c.tally.Repairs++
-		c.read(func(dowel.Desired, gauge.Kind) {})
+		c.read(func(protocol.Desired, failure.Kind) {})
 	}
 }
 
-func (c *Core) onValue(e dowel.Env) {
-	b := e.Body.(dowel.Value)
+func (c *Core) onValue(e protocol.Env) {
+	b := e.Body.(protocol.Value)
 	if b.Value == nil {
 		return
 	}
@@ -639,18 +642,18 @@
 	if c.latest() != nil || r.op != nil || c.o.Joined && !r.force {
 		return
 	}
-	var l []dowel.Voter
+	var l []protocol.Voter
 	for _, s := range c.o.Seeds {
-		for _, id := range gauge.Keys(r.lives) {
+		for _, id := range generic.SortedKeys(r.lives) {
 			v := r.lives[id]
 			if v.sib.Addr == s.Addr && v.state.Blank && c.now.Sub(v.at) < 2*c.o.Round+c.o.Margin {
-				zone := gauge.Zone("")
+				zone := ident.Zone("")
 				for _, m := range c.mates.All() {
 					if m.ID == id {
 						zone = m.Zone
 					}
 				}
-				l = append(l, dowel.Voter{Sibling: v.sib, Zone: zone, Inc: v.state.Inc})
+				l = append(l, protocol.Voter{Sibling: v.sib, Zone: zone, Inc: v.state.Inc})
 			}
 		}
 	}
@@ -663,15 +666,15 @@
 	if r.blank == 0 {
 		r.blank, r.kept = c.now, nil
 	}
-	for _, m := range c.mates.Alive("awl") {
-		c.send(m.Sibling, dowel.Keep{Round: uint64(r.blank)})
+	for _, m := range c.mates.Alive("agent") {
+		c.send(m.Sibling, protocol.Keep{Round: uint64(r.blank)})
 	}
 	if c.now.Sub(r.blank) < c.o.Form {
 		return
 	}
 	r.blank = 0
 	// A generation's number is its former's disk life, so that it passes those that are lost.
-	d := dowel.Desired{Gen: uint64(c.vote.inc), Voters: l, Shape: 1}
+	d := protocol.Desired{Gen: uint64(c.vote.inc), Voters: l, Shape: 1}
 	if k := r.kept; k != nil {
 		// All that was confirmed is gone but for what agents hold: the newest of it goes on,
 		// under an epoch that leaps past whatever the lost core may have counted to.
@@ -680,15 +683,15 @@
 		c.oops("core disks lost: a new generation forms from an agent's copy")
 	}
 	r.hint = &d
-	c.read(func(v dowel.Desired, k gauge.Kind) {
-		if k != gauge.None {
+	c.read(func(v protocol.Desired, k failure.Kind) {
+		if k != failure.None {
 			r.hint = nil
 		}
 	})
 }
 
-func (c *Core) onKept(e dowel.Env) {
-	b, r := e.Body.(dowel.Kept), &c.reg
+func (c *Core) onKept(e protocol.Env) {
+	b, r := e.Body.(protocol.Kept), &c.reg
 	if b.Value == nil || r.blank == 0 || b.Round != uint64(r.blank) {
 		return
 	}
@@ -704,10 +707,10 @@
 		return
 	}
 	c.oops(fmt.Sprintf("a router knows generation %d, past this core's: the core goes past it", gen))
-	c.propose(func(d dowel.Desired) (dowel.Desired, gauge.Kind) {
+	c.propose(func(d protocol.Desired) (protocol.Desired, failure.Kind) {
 		d.Gen = max(d.Gen, gen+1)
-		return d, gauge.None
-	}, func(dowel.Desired, gauge.Kind) {})
+		return d, failure.None
+	}, func(protocol.Desired, failure.Kind) {})
 }
 
 // Changes of the voter set: a voter in a new life is admitted again, a voter long gone is
@@ -725,11 +728,11 @@
 		}
 		return
 	}
-	var spare []dowel.Voter
-	for _, m := range c.mates.Alive("anvil") {
+	var spare []protocol.Voter
+	for _, m := range c.mates.Alive("controller") {
 		s, ok := r.lives[m.ID]
 		if ok && c.now.Sub(s.at) < 3*c.o.Round && !sits(k.Voters, m.ID) {
-			spare = append(spare, dowel.Voter{Sibling: m.Sibling, Zone: m.Zone, Inc: s.state.Inc})
+			spare = append(spare, protocol.Voter{Sibling: m.Sibling, Zone: m.Zone, Inc: s.state.Inc})
 		}
 	}
 	for i, v := range k.Voters {
@@ -762,13 +765,13 @@
 	}
 	// A set that formed of the seeds may be too small for what is to be borne at once.
 	if len(k.Voters) < c.o.Voters && len(spare) > 0 {
-		c.reshape(k, swap(append(append([]dowel.Voter{}, k.Voters...), dowel.Voter{}), len(k.Voters), spare[0]))
+		c.reshape(k, swap(append(append([]protocol.Voter{}, k.Voters...), protocol.Voter{}), len(k.Voters), spare[0]))
 		return
 	}
 	c.sweep()
 }
 
-func sits(l []dowel.Voter, id gauge.Node) bool {
+func sits(l []protocol.Voter, id ident.Node) bool {
 	for _, v := range l {
 		if v.ID == id {
 			return true
@@ -777,8 +780,8 @@
 	return false
 }
 
-func swap(l []dowel.Voter, i int, n dowel.Voter) []dowel.Voter {
-	m := append([]dowel.Voter{}, l...)
+func swap(l []protocol.Voter, i int, n protocol.Voter) []protocol.Voter {
+	m := append([]protocol.Voter{}, l...)
 	m[i] = n
 	sort.Slice(m, func(i, j int) bool { return m[i].ID < m[j].ID })
 	return m
@@ -786,11 +789,11 @@
 
 // reshape moves to a new voter set in two changes: first both sets rule together, then
 // (with no set given) the one before is left.
-func (c *Core) reshape(from dowel.Desired, to []dowel.Voter) {
+func (c *Core) reshape(from protocol.Desired, to []protocol.Voter) {
 	shape := from.Shape
-	c.propose(func(d dowel.Desired) (dowel.Desired, gauge.Kind) {
+	c.propose(func(d protocol.Desired) (protocol.Desired, failure.Kind) {
 		if d.Shape != shape || (to == nil) != (len(d.Prior) > 0) {
-			return d, gauge.Conflict
+			return d, failure.Conflict
 		}
 		if to != nil {
 			d.Prior, d.Voters = d.Voters, to
@@ -798,9 +801,9 @@
 			d.Prior = nil
 		}
 		d.Shape++
-		return d, gauge.None
-	}, func(_ dowel.Desired, k gauge.Kind) {
-		if k == gauge.None && to != nil {
+		return d, failure.None
+	}, func(_ protocol.Desired, k failure.Kind) {
+		if k == failure.None && to != nil {
 			c.tally.Admit++
 			c.note("voter set changed")
 		}
--- a/anvil/serve.go
+++ b/internal/controller/serve.go
@@ -1,4 +1,4 @@
-package anvil
+package controller
 
 import (
 	"fmt"
@@ -10,10 +10,12 @@
 
 	"github.com/alexedwards/flow"
 
-	"tidedeck/chisel"
-	"tidedeck/clamp"
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/host"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
 // Settings of a core node.
@@ -34,30 +36,30 @@
 }
 
 // Check names what is wrong with the settings.
-func (s *Settings) Check() (f chisel.Faults) {
-	f = append(f, clamp.Addr("listen", s.Listen)...)
-	_, more := clamp.Bind(s.Bind, s.Listen)
+func (s *Settings) Check() (f fleetplan.Faults) {
+	f = append(f, host.Addr("listen", s.Listen)...)
+	_, more := host.Bind(s.Bind, s.Listen)
 	f = append(f, more...)
-	f = append(f, clamp.Addr("admin", s.Admin)...)
-	f = append(f, clamp.Addr("platform", s.Platform)...)
-	f = append(f, clamp.Seeds(s.Seeds)...)
+	f = append(f, host.Addr("admin", s.Admin)...)
+	f = append(f, host.Addr("platform", s.Platform)...)
+	f = append(f, host.Seeds(s.Seeds)...)
 	for _, n := range []struct {
 		path     string
 		val, low int
 		high     int
 	}{{"hold-ms", s.HoldMs, 200, 60_000}, {"duty-ms", s.DutyMs, 200, 60_000}, {"spare-ms", s.SpareMs, 1000, 86_400_000}, {"lead-ms", s.LeadMs, 1, 86_400_000}} {
 		if n.val < n.low || n.val > n.high {
-			f = append(f, chisel.Fault{Path: n.path, Why: fmt.Sprintf("wants a whole number from %d to %d", n.low, n.high)})
+			f = append(f, fleetplan.Fault{Path: n.path, Why: fmt.Sprintf("wants a whole number from %d to %d", n.low, n.high)})
 		}
 	}
 	return f
 }
 
 type desk struct {
-	mu   sync.Mutex // guards waits; taken after the clamp's
+	mu   sync.Mutex // guards waits; taken after the host's
 	next uint64
 	wait map[uint64]chan Receipt
-	c    *clamp.Clamp
+	c    *host.Process
 }
 
 func (d *desk) ask(a Admin) Receipt {
@@ -75,7 +77,7 @@
 		d.mu.Lock()
 		delete(d.wait, a.Token)
 		d.mu.Unlock()
-		return Receipt{Kind: gauge.Unclear, Why: "no outcome in time"}
+		return Receipt{Kind: failure.Unclear, Why: "no outcome in time"}
 	}
 }
 
@@ -94,22 +96,22 @@
 
 // Main runs a core node until it is told to stop.
 func Main(s Settings) error {
-	ring := clamp.NewRing(s.ID, os.Stderr)
-	at, _ := clamp.Bind(s.Bind, s.Listen)
+	ring := host.NewRing(s.ID, os.Stderr)
+	at, _ := host.Bind(s.Bind, s.Listen)
 	core := New(Options{
-		Me: dowel.Sibling{ID: gauge.Node(s.ID), Addr: s.Listen}, Zone: gauge.Zone(s.Zone), Inc: clamp.NewInc(),
-		Seeds: clamp.Siblings(s.Seeds), Platform: s.Platform, Rand: clamp.NewRand(),
-		Hold: gauge.Span(s.HoldMs) * 1e6, Duty: gauge.Span(s.DutyMs) * 1e6, Spare: gauge.Span(s.SpareMs) * 1e6,
-		Lead: gauge.Span(s.LeadMs) * 1e6, Wall: time.Now,
+		Me: protocol.Sibling{ID: ident.Node(s.ID), Addr: s.Listen}, Zone: ident.Zone(s.Zone), Inc: host.NewInc(),
+		Seeds: host.Siblings(s.Seeds), Platform: s.Platform, Rand: host.NewRand(),
+		Hold: clock.Span(s.HoldMs) * 1e6, Duty: clock.Span(s.DutyMs) * 1e6, Spare: clock.Span(s.SpareMs) * 1e6,
+		Lead: clock.Span(s.LeadMs) * 1e6, Wall: time.Now,
 	})
 	d := &desk{wait: map[uint64]chan Receipt{}}
-	d.c = clamp.New(clamp.Options{Core: core, Listen: []string{at}, Told: s.Listen, Data: s.Data, Beat: 20 * time.Millisecond, Ring: ring, Else: d.act})
+	d.c = host.New(host.Options{Core: core, Listen: []string{at}, Told: s.Listen, Data: s.Data, Beat: 20 * time.Millisecond, Ring: ring, Else: d.act})
 	if err := d.c.Run(); err != nil {
 		return err
 	}
 	defer d.c.Stop()
-	err := clamp.Web(s.Admin, d.routes(core), ring, nil, 10*time.Second)
-	d.c.Step(dowel.Stop{})
+	err := host.Web(s.Admin, d.routes(core), ring, nil, 10*time.Second)
+	d.c.Step(protocol.Stop{})
 	d.c.Flush(300 * time.Millisecond)
 	return err
 }
@@ -117,43 +119,43 @@
 func (d *desk) routes(core *Core) http.Handler {
 	m := flow.New()
 	show := func(w http.ResponseWriter, a Receipt) {
-		if a.Kind == gauge.None {
-			clamp.JSON(w, http.StatusOK, a)
+		if a.Kind == failure.None {
+			host.JSON(w, http.StatusOK, a)
 			return
 		}
-		t := gauge.Receipts[a.Kind]
+		t := failure.Receipts[a.Kind]
 		if t.Back > 0 {
 			w.Header().Set("Retry-After", fmt.Sprint(int64((t.Back+time.Second-1)/time.Second)))
 		}
-		clamp.JSON(w, t.Status, a)
+		host.JSON(w, t.Status, a)
 	}
 	change := func(op string, body bool) http.HandlerFunc {
 		return func(w http.ResponseWriter, r *http.Request) {
-			a := Admin{Op: op, Zone: gauge.Zone(r.PathValue("zone")), Change: r.Header.Get("X-Change-Id")}
+			a := Admin{Op: op, Zone: ident.Zone(r.PathValue("zone")), Change: r.Header.Get("X-Change-Id")}
 			if body {
-				b, ok := clamp.Body(w, r, chisel.MostPlan)
+				b, ok := host.Body(w, r, fleetplan.MostPlan)
 				if !ok {
 					return
 				}
 				a.Raw = b
 			}
 			if a.Zone != "" && len(a.Zone) > 128 || len(a.Change) > 128 {
-				clamp.Error(w, gauge.Malformed, 0, chisel.Faults{{Path: "X-Change-Id", Why: "a name has at most 128 bytes"}})
+				host.Error(w, failure.Malformed, 0, fleetplan.Faults{{Path: "X-Change-Id", Why: "a name has at most 128 bytes"}})
 				return
 			}
 			switch e := r.Header.Get("X-Expect-Epoch"); e {
 			case "":
-				clamp.Error(w, gauge.Malformed, 0, chisel.Faults{{Path: "X-Expect-Epoch", Why: "is missing: the epoch that the change goes on, or any"}})
+				host.Error(w, failure.Malformed, 0, fleetplan.Faults{{Path: "X-Expect-Epoch", Why: "is missing: the epoch that the change goes on, or any"}})
 				return
 			case "any":
 				a.Any = true
 			default:
 				n, err := strconv.ParseUint(e, 10, 64)
 				if err != nil {
-					clamp.Error(w, gauge.Malformed, 0, chisel.Faults{{Path: "X-Expect-Epoch", Why: "wants a whole number, or any"}})
+					host.Error(w, failure.Malformed, 0, fleetplan.Faults{{Path: "X-Expect-Epoch", Why: "wants a whole number, or any"}})
 					return
 				}
-				a.Expect = gauge.Epoch(n)
+				a.Expect = ident.Epoch(n)
 			}
 			show(w, d.ask(a))
 		}
@@ -165,9 +167,9 @@
 	m.HandleFunc("/windows", change("windows", true), http.MethodPut)
 	m.HandleFunc("/plan", func(w http.ResponseWriter, r *http.Request) {
 		a := d.ask(Admin{Op: "get"})
-		if a.Kind != gauge.None || len(a.Plan) == 0 {
-			if a.Kind == gauge.None {
-				a.Kind, a.Why = gauge.Unknown, "there is no plan yet"
+		if a.Kind != failure.None || len(a.Plan) == 0 {
+			if a.Kind == failure.None {
+				a.Kind, a.Why = failure.Unknown, "there is no plan yet"
 			}
 			show(w, a)
 			return
@@ -180,15 +182,15 @@
 		m.HandleFunc("/"+op, func(w http.ResponseWriter, r *http.Request) { show(w, d.ask(Admin{Op: op})) }, http.MethodGet)
 	}
 	m.HandleFunc("/core/replace/:old/:new", func(w http.ResponseWriter, r *http.Request) {
-		show(w, d.ask(Admin{Op: "replace", Old: gauge.Node(r.PathValue("old")), New: gauge.Node(r.PathValue("new"))}))
+		show(w, d.ask(Admin{Op: "replace", Old: ident.Node(r.PathValue("old")), New: ident.Node(r.PathValue("new"))}))
 	}, http.MethodPost)
 	m.HandleFunc("/core/form", func(w http.ResponseWriter, r *http.Request) { show(w, d.ask(Admin{Op: "form"})) }, http.MethodPost)
-	clamp.Life(m, "", func() (ok bool, _ map[string]any) {
-		d.c.With(func(gauge.Tick) { ok = core.Ready() })
+	host.Life(m, "", func() (ok bool, _ map[string]any) {
+		d.c.With(func(clock.Tick) { ok = core.Ready() })
 		return ok, nil
 	})
-	m.Handle("/metrics", clamp.Metrics(clamp.Tallies{Name: "anvil", Get: func() (t any) {
-		d.c.With(func(gauge.Tick) { t = core.Counts() })
+	m.Handle("/metrics", host.Metrics(host.Tallies{Name: "controller", Get: func() (t any) {
+		d.c.With(func(clock.Tick) { t = core.Counts() })
 		return t
 	}}), http.MethodGet)
 	return m
--- a/anvil/serve_test.go
+++ b/internal/controller/serve_test.go
@@ -1,4 +1,4 @@
-package anvil
+package controller
 
 import (
 	"context"
@@ -12,23 +12,23 @@
 
 	"github.com/stretchr/testify/require"
 
-	"tidedeck/chisel"
-	"tidedeck/clamp"
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/host"
+	"tidedeck/internal/protocol"
 )
 
 // The operators' HTTP side of a core of one, on a real disk: bad input changes nothing and is
 // told with its kind and places; what was taken is read back to the byte.
 func TestAdminAPI(t *testing.T) {
 	dir := t.TempDir()
-	v := dowel.Desired{Gen: 1, Epoch: 1, Plan: []byte(onePlan), Shape: 1, Voters: []dowel.Voter{voter("a", 5)}}
-	core := New(Options{Me: dowel.Sibling{ID: "a", Addr: "a"}, Inc: 6, Platform: "127.0.0.1:1", Rand: clamp.NewRand()})
+	v := protocol.Desired{Gen: 1, Epoch: 1, Plan: []byte(onePlan), Shape: 1, Voters: []protocol.Voter{voter("a", 5)}}
+	core := New(Options{Me: protocol.Sibling{ID: "a", Addr: "a"}, Inc: 6, Platform: "127.0.0.1:1", Rand: host.NewRand()})
 	d := &desk{wait: map[uint64]chan Receipt{}}
 	// A core of one speaks only to itself: its messages come back as its input.
 	loop := &echo{core: core}
-	d.c = clamp.New(clamp.Options{Core: loop, Beat: time.Millisecond, Ring: clamp.NewRing("a", io.Discard), Data: dir, Else: d.act})
-	loop.disk = map[string][]byte{diskInc: []byte("5"), diskV: jot(safe{dowel.Ballot{N: 1, By: "a"}, &v}), diskB: jot(dowel.Ballot{N: 1, By: "a"})}
+	d.c = host.New(host.Options{Core: loop, Beat: time.Millisecond, Ring: host.NewRing("a", io.Discard), Data: dir, Else: d.act})
+	loop.disk = map[string][]byte{diskInc: []byte("5"), diskV: jot(safe{protocol.Ballot{N: 1, By: "a"}, &v}), diskB: jot(protocol.Ballot{N: 1, By: "a"})}
 	require.NoError(t, d.c.Run())
 	t.Cleanup(d.c.Stop)
 	s := httptest.NewServer(d.routes(core))
@@ -67,7 +67,7 @@
 		{"stale epoch", "PUT", "/plan", "0", onePlan, 409, `"epoch":1`},
 		{"malformed", "PUT", "/plan", "1", `{`, 422, "malformed JSON"},
 		{"every faulty path", "PUT", "/plan", "1", strings.Replace(onePlan, `"size":4`, `"size":-4,"sze":1`, 2), 422, "$.models.n.sze"},
-		{"oversize", "PUT", "/plan", "1", strings.Repeat(" ", chisel.MostPlan+1), 413, "oversize"},
+		{"oversize", "PUT", "/plan", "1", strings.Repeat(" ", fleetplan.MostPlan+1), 413, "oversize"},
 		{"patch that is no JSON", "PATCH", "/plan", "1", `{"a"`, 400, "malformed"},
 		{"no such method", "DELETE", "/plan", "", "", 405, ""},
 		{"no such path", "GET", "/plans", "", "", 404, ""},
@@ -81,7 +81,7 @@
 		{"nodes", "GET", "/nodes", "", "", 200, `"voters"`},
 		{"replace by nobody", "POST", "/core/replace/a/b", "", "", 503, "not_ready"},
 		{"form where a core is", "POST", "/core/form", "", "", 409, "conflict"},
-		{"metrics", "GET", "/metrics", "", "", 200, "tidedeck_anvil_changes_total 2"},
+		{"metrics", "GET", "/metrics", "", "", 200, "tidedeck_controller_changes_total 2"},
 		{"live", "GET", "/live", "", "", 200, "true"},
 	} {
 		code, body := do(c.how, c.path, c.expect, c.body)
@@ -100,16 +100,16 @@
 }
 
 // Step feeds a core's messages back to it.
-func (e *echo) Step(now gauge.Tick, in any) (out []any) {
-	if s, ok := in.(dowel.Start); ok && len(s.Disk) == 0 {
-		in = dowel.Start{Disk: e.disk}
+func (e *echo) Step(now clock.Tick, in any) (out []any) {
+	if s, ok := in.(protocol.Start); ok && len(s.Disk) == 0 {
+		in = protocol.Start{Disk: e.disk}
 	}
 	q := []any{in}
 	for len(q) > 0 {
 		l := e.core.Step(now, q[0])
 		q = q[1:]
 		for _, o := range l {
-			if m, ok := o.(dowel.Env); ok {
+			if m, ok := o.(protocol.Env); ok {
 				q = append(q, m)
 			} else {
 				out = append(out, o)
--- a/anvil/weigh.go
+++ b/internal/controller/weigh.go
@@ -1,12 +1,14 @@
-package anvil
+package controller
 
 import (
 	"math"
 	"sort"
 
-	"tidedeck/chisel"
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
 // Placement by weight: what a key is worth at a server is what it would cost to be without it. Busy
@@ -36,7 +38,7 @@
 )
 
 // came takes in what a router was asked for since its last renewal.
-func (c *Core) came(k gauge.Key, u dowel.Burden) {
+func (c *Core) came(k ident.Key, u protocol.Burden) {
 	if c.asked == 0 && u.Came > 0 {
 		c.asked = c.now
 	}
@@ -65,7 +67,7 @@
 }
 
 // count takes in what a link's router has under way at servers, in place of what it had.
-func (c *Core) count(l *link, seats map[gauge.Server]int) {
+func (c *Core) count(l *link, seats map[ident.Server]int) {
 	for s, n := range l.seats {
 		if c.seats[s] -= n; c.seats[s] <= 0 {
 			delete(c.seats, s)
@@ -78,11 +80,11 @@
 }
 
 // seatsOf tells what all routers have under way at the servers that a link's entries name.
-func (c *Core) seatsOf(l *link) map[gauge.Server]int {
+func (c *Core) seatsOf(l *link) map[ident.Server]int {
 	if !c.o.Unfenced {
 		return nil
 	}
-	m := map[gauge.Server]int{}
+	m := map[ident.Server]int{}
 	for k := range l.holds {
 		if e := c.entries[k]; e != nil {
 			for _, r := range e.replicas {
@@ -101,7 +103,7 @@
 
 // family is a base with all of its adapters, as placement sees it.
 type family struct {
-	m     chisel.Model
+	m     fleetplan.Model
 	live  int
 	load  float64
 	rate  float64
@@ -116,8 +118,8 @@
 	spare bool // nobody asks for it: it takes no room from what somebody may ask for
 }
 
-func (c *Core) families() map[gauge.Key]*family {
-	l := map[gauge.Key]*family{}
+func (c *Core) families() map[ident.Key]*family {
+	l := map[ident.Key]*family{}
 	for k, m := range c.plan.Models {
 		if !k.IsAdapter() {
 			l[k] = &family{m: m}
@@ -190,7 +192,7 @@
 }
 
 // loadOf sums the work of what a server holds, as its replicas share it.
-func (c *Core) loadOf(s *server, l map[gauge.Key]*family) float64 {
+func (c *Core) loadOf(s *server, l map[ident.Key]*family) float64 {
 	sum := 0.0
 	for k, p := range s.spots {
 		if f := l[k]; f != nil && (p.stage == Ready || p.stage == Ordered) {
@@ -203,7 +205,7 @@
 // weighAll places what is asked for.
 func (c *Core) weighAll(rate int) {
 	// The more there is to look at, the more seldom: a load takes seconds anyhow.
-	if c.now.Sub(c.weighed) < weighEvery*gauge.Span(1+len(c.plan.Models)/weighMany) {
+	if c.now.Sub(c.weighed) < weighEvery*clock.Span(1+len(c.plan.Models)/weighMany) {
 		return
 	}
 	c.weighed = c.now
@@ -220,11 +222,11 @@
 		}
 	}
 	store := min(once, rate)
-	for _, id := range gauge.Keys(c.servers) {
+	for _, id := range generic.SortedKeys(c.servers) {
 		c.undo(c.servers[id])
 	}
 	var todo []*family
-	for _, k := range gauge.Keys(l) {
+	for _, k := range generic.SortedKeys(l) {
 		f := l[k]
 		if f.live < f.want {
 			todo = append(todo, f)
@@ -237,7 +239,7 @@
 		}
 		return a.value > b.value
 	})
-	c.line = map[gauge.Key]int{}
+	c.line = map[ident.Key]int{}
 	for _, f := range todo {
 		if c.placeAt(f, l, store > 0) {
 			store--
@@ -263,7 +265,7 @@
 			return
 		}
 	}
-	for _, k := range gauge.Keys(s.spots) {
+	for _, k := range generic.SortedKeys(s.spots) {
 		if p := s.spots[k]; p.stage == Ordered && p.num == 0 {
 			delete(s.spots, k)
 		}
@@ -272,12 +274,12 @@
 
 // seed loads, while the store has nothing better to do, a model that no server has on its own disk:
 // from there it comes in a part of the time, and asks nothing of the store.
-func (c *Core) seed(l map[gauge.Key]*family) {
+func (c *Core) seed(l map[ident.Key]*family) {
 	if c.now.Sub(c.seeded) < seedEvery {
 		return
 	}
 	c.seeded = c.now
-	for _, k := range gauge.Keys(l) {
+	for _, k := range generic.SortedKeys(l) {
 		f := l[k]
 		if f.live > 0 {
 			continue
@@ -297,12 +299,12 @@
 // placeAt finds the server where one more replica of a family costs least, and begins it there; what
 // must make way is broken first. It tells whether the load comes from the store, which is only asked if
 // it bears another one.
-func (c *Core) placeAt(f *family, l map[gauge.Key]*family, store bool) bool {
+func (c *Core) placeAt(f *family, l map[ident.Key]*family, store bool) bool {
 	var best *server
 	var gone []*spot
 	cost := math.Inf(1)
 	_, _, zones := c.live(f.m.Key)
-	for _, id := range gauge.Keys(c.servers) {
+	for _, id := range generic.SortedKeys(c.servers) {
 		s := c.servers[id]
 		if !c.mayHold(s, f.m.Key) || s.room < f.m.Size {
 			continue
@@ -360,13 +362,13 @@
 
 // makeWay lists what is cheapest to let go of a server for a family, and what it will cost: the
 // requests that will miss it, for the time that it takes to be back.
-func (c *Core) makeWay(s *server, f *family, l map[gauge.Key]*family, size int) ([]*spot, float64) {
+func (c *Core) makeWay(s *server, f *family, l map[ident.Key]*family, size int) ([]*spot, float64) {
 	type way struct {
 		p    *spot
 		cost float64
 	}
 	var ways []way
-	for _, k := range gauge.Keys(s.spots) {
+	for _, k := range generic.SortedKeys(s.spots) {
 		p := s.spots[k]
 		if k.IsAdapter() || p.stage != Ready || c.now.Sub(p.ready) < freshSpan || c.shifts[k] != nil {
 			continue
@@ -431,7 +433,7 @@
 // and take little room, but a server has few places for them.
 func (c *Core) weighAdapters() {
 	seats := c.seats
-	for _, k := range gauge.Keys(c.demand) {
+	for _, k := range generic.SortedKeys(c.demand) {
 		n := c.demand[k]
 		m, ok := c.plan.Models[k]
 		if !ok || !k.IsAdapter() || c.now.Sub(n.at) > freshSpan {
@@ -457,11 +459,11 @@
 	}
 }
 
-func (c *Core) settleAdapter(m chisel.Model, seats map[gauge.Server]int, most float64) {
+func (c *Core) settleAdapter(m fleetplan.Model, seats map[ident.Server]int, most float64) {
 	var best *server
 	var out *spot
 	cost := most
-	for _, id := range gauge.Keys(c.servers) {
+	for _, id := range generic.SortedKeys(c.servers) {
 		s := c.servers[id]
 		if !c.stays(s) || s.alien || s.spots[m.Key] != nil || !s.based(m.Key) || s.odd != "" {
 			continue
@@ -470,7 +472,7 @@
 		var victim *spot
 		if s.places > 0 && s.adapters() >= s.places || s.room-s.used() < m.Size {
 			low := math.Inf(1)
-			for _, k := range gauge.Keys(s.spots) {
+			for _, k := range generic.SortedKeys(s.spots) {
 				p := s.spots[k]
 				if !k.IsAdapter() || p.stage != Ready || c.now.Sub(p.ready) < freshSpan {
 					continue
@@ -506,7 +508,7 @@
 
 // soon estimates when a key without a replica will have one: the load under way, or its turn in the
 // line for the store.
-func (c *Core) soon(k gauge.Key) gauge.Span {
+func (c *Core) soon(k ident.Key) clock.Span {
 	if !c.o.Unfenced || c.plan == nil || k.Plain() {
 		return 0
 	}
@@ -514,17 +516,17 @@
 	if !ok {
 		return 0
 	}
-	best := gauge.Span(0)
+	best := clock.Span(0)
 	for _, s := range c.servers {
 		p := s.spots[m.Key]
 		if p == nil || !c.stays(s) {
 			continue
 		}
-		n := gauge.Span(orderLag)
+		n := clock.Span(orderLag)
 		if p.stage == Ordered {
 			load := m.Load
 			if c.has(s, m.Key) {
-				load = gauge.Span(float64(load) * warmPart)
+				load = clock.Span(float64(load) * warmPart)
 			}
 			n += max(0, load-c.now.Sub(p.since))
 			if p.num == 0 {
@@ -546,7 +548,7 @@
 	}
 	n := m.Load + 2*orderLag
 	if i := c.line[m.Key]; i > 0 && rate > 0 {
-		n += gauge.Span(float64(i-1) / rate * 1e9)
+		n += clock.Span(float64(i-1) / rate * 1e9)
 	}
 	return n
 }
--- a/anvil/weigh_test.go
+++ b/internal/controller/weigh_test.go
@@ -1,4 +1,4 @@
-package anvil
+package controller
 
 import (
 	"fmt"
@@ -8,26 +8,28 @@
 
 	"github.com/stretchr/testify/require"
 
-	"tidedeck/chisel"
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
 // weighed is an owner's core over servers that hold keys, each from long ago.
-func weighed(p *chisel.Plan, holds keys) *Core {
+func weighed(p *fleetplan.Plan, holds keys) *Core {
 	c := New(Options{Enrolled: true, Unfenced: true})
 	c.plan, c.now, c.listed = p, 100e9, 1
 	c.duty.mine, c.duty.asked, c.duty.began = true, c.now, 1
-	c.reg.known = &dowel.Desired{Voters: []dowel.Voter{{Sibling: dowel.Sibling{ID: "me"}, Inc: 1}}}
-	c.rolls = map[gauge.Node]gauge.Inc{"me": 1}
+	c.reg.known = &protocol.Desired{Voters: []protocol.Voter{{Sibling: protocol.Sibling{ID: "me"}, Inc: 1}}}
+	c.rolls = map[ident.Node]ident.Inc{"me": 1}
 	for id, l := range holds {
-		s := &server{Listed: beacon(string(id), "live", 1).Listed, known: true, slots: 8, spots: map[gauge.Key]*spot{}}
+		s := &server{Listed: beacon(string(id), "live", 1).Listed, known: true, slots: 8, spots: map[ident.Key]*spot{}}
 		s.room, s.places = p.Services["llm"].Room, p.Services["llm"].Places
 		for _, k := range l {
 			s.spots[k] = &spot{key: k, size: p.Models[k].Size, stage: Ready, num: 1, ready: 1}
 		}
 		c.servers[id] = s
-		c.roll[id] = &enrolled{Beacon: dowel.Beacon{Listed: s.Listed}, heard: c.now, had: map[gauge.Key]bool{}}
+		c.roll[id] = &enrolled{Beacon: protocol.Beacon{Listed: s.Listed}, heard: c.now, had: map[ident.Key]bool{}}
 	}
 	return c
 }
@@ -35,7 +37,7 @@
 // changes lists what is ordered (+) and what is being taken away (-).
 func (c *Core) changes() string {
 	var l []string
-	for _, id := range gauge.Keys(c.servers) {
+	for _, id := range generic.SortedKeys(c.servers) {
 		for k, p := range c.servers[id].spots {
 			switch {
 			case p.stage == Ordered && p.num == 0:
@@ -52,7 +54,7 @@
 // What is placed first, where, and what makes way for it.
 func TestWeighing(t *testing.T) {
 	const m, n, o, x, y, z = "llm|m", "llm|n", "llm|o", "llm|x", "llm|y", "llm|z"
-	type demand = map[gauge.Key]need
+	type demand = map[ident.Key]need
 	waits := func(w int) need { return need{wait: w, load: 0.01, now: 0.01} }
 	rises := need{load: 0.6, now: 1.2, slow: 3, rate: 6}
 	for _, c := range []struct {
@@ -84,7 +86,7 @@
 		{"the most valuable of those that wait", 8, 1, keys{"s1": {m, x}, "s2": {y}}, demand{n: {wait: 2, value: 1}, o: {wait: 2, value: 2}}, nil, "+o@s2"},
 		{"but many before one that is worth more", 8, 1, keys{"s1": {m, x}, "s2": {y}}, demand{n: {wait: 9, value: 1}, o: {wait: 1, value: 2}}, nil, "+n@s2"},
 		{"a crowd asks for more replicas", 8, 9, keys{"s1": {m, x}, "s2": {y}}, demand{m: {load: 0.1, now: 0.1}}, func(c *Core) {
-			c.links[dowel.Session{N: 1}] = &link{burden: map[gauge.Key]dowel.Burden{m: {Work: 2}}}
+			c.links[protocol.Session{N: 1}] = &link{burden: map[ident.Key]protocol.Burden{m: {Work: 2}}}
 		}, "+m@s2"},
 
 		{"what is least missed makes way", 8, 9, keys{"s1": {x, y}}, demand{n: waits(1), x: {slow: 0.3}, y: {slow: 0.02}}, nil, "+n@s1 -y@s1"},
@@ -112,12 +114,12 @@
 		{"one that is there", 20, 9, keys{"s1": {m, "llm|m+1"}, "s2": {m}}, demand{"llm|m+1": {load: 0.2, now: 0.2}}, nil, ""},
 	} {
 		p := modelPlan(c.room, m, n, o, x, y, z, "llm|f", "llm|n+1", "llm|m+1", "llm|m+2", "llm|m+3", "llm|m+4")
-		p.Models["llm|f"] = chisel.Model{Key: "llm|f", Size: 4, Floor: 2, Most: 3, Load: 1e9}
-		p.Models["llm|big"] = chisel.Model{Key: "llm|big", Size: 8, Most: 3, Load: 1e9}
+		p.Models["llm|f"] = fleetplan.Model{Key: "llm|f", Size: 4, Floor: 2, Most: 3, Load: 1e9}
+		p.Models["llm|big"] = fleetplan.Model{Key: "llm|big", Size: 8, Most: 3, Load: 1e9}
 		if !strings.Contains(c.name, "floor") && !strings.Contains(c.name, "most") {
 			delete(p.Models, "llm|f")
 		}
-		p.Kinds = map[string]chisel.Class{"a": {Value: 1}, "b": {Value: 2}}
+		p.Kinds = map[string]fleetplan.Class{"a": {Value: 1}, "b": {Value: 2}}
 		k := weighed(p, c.holds)
 		for key, d := range c.demand {
 			d.at = k.now
@@ -136,10 +138,10 @@
 	c := weighed(modelPlan(8, "llm|m"), keys{"s1": {"llm|m"}})
 	c.wanted("llm|m", 0, 0)
 	n := c.demand["llm|m"]
-	step := func(s gauge.Span, rate float64) {
+	step := func(s clock.Span, rate float64) {
 		for end := c.now.Add(s); c.now < end; {
 			c.now = c.now.Add(250e6)
-			c.came("llm|m", dowel.Burden{Came: int(rate / 4), Load: rate / 4 / 20})
+			c.came("llm|m", protocol.Burden{Came: int(rate / 4), Load: rate / 4 / 20})
 			c.sumDemand()
 		}
 	}
@@ -168,17 +170,17 @@
 		name    string
 		servers int
 		room    int
-		burden  map[gauge.Key]dowel.Burden // of each renewal of either router
+		burden  map[ident.Key]protocol.Burden // of each renewal of either router
 	}{
-		{"a few that fit", 3, 8, map[gauge.Key]dowel.Burden{"llm|m0": {Came: 4, Work: 1, Load: 0.05}, "llm|m1": {Came: 1, Load: 0.01}}},
-		{"a busy one and all that fit beside it", 4, 8, map[gauge.Key]dowel.Burden{"llm|m0": {Came: 20, Work: 2, Load: 0.2}, "llm|m1": {Came: 4, Load: 0.03}, "llm|m2": {Came: 1, Load: 0.01}, "llm|m3": {Came: 1, Load: 0.01}}},
-		{"two busy ones", 6, 8, map[gauge.Key]dowel.Burden{"llm|m0": {Came: 20, Work: 2, Load: 0.2}, "llm|m1": {Came: 20, Work: 2, Load: 0.15}, "llm|m2": {Came: 1, Load: 0.01}}},
-		{"more than the servers bear", 2, 8, map[gauge.Key]dowel.Burden{"llm|m0": {Came: 40, Work: 9, Load: 0.6}, "llm|m1": {Came: 40, Work: 9, Load: 0.6}}},
-		{"adapters", 2, 10, map[gauge.Key]dowel.Burden{"llm|m0+a": {Came: 4, Load: 0.02}, "llm|m0+b": {Came: 4, Load: 0.02}, "llm|m1": {Came: 4, Load: 0.02}}},
+		{"a few that fit", 3, 8, map[ident.Key]protocol.Burden{"llm|m0": {Came: 4, Work: 1, Load: 0.05}, "llm|m1": {Came: 1, Load: 0.01}}},
+		{"a busy one and all that fit beside it", 4, 8, map[ident.Key]protocol.Burden{"llm|m0": {Came: 20, Work: 2, Load: 0.2}, "llm|m1": {Came: 4, Load: 0.03}, "llm|m2": {Came: 1, Load: 0.01}, "llm|m3": {Came: 1, Load: 0.01}}},
+		{"two busy ones", 6, 8, map[ident.Key]protocol.Burden{"llm|m0": {Came: 20, Work: 2, Load: 0.2}, "llm|m1": {Came: 20, Work: 2, Load: 0.15}, "llm|m2": {Came: 1, Load: 0.01}}},
+		{"more than the servers bear", 2, 8, map[ident.Key]protocol.Burden{"llm|m0": {Came: 40, Work: 9, Load: 0.6}, "llm|m1": {Came: 40, Work: 9, Load: 0.6}}},
+		{"adapters", 2, 10, map[ident.Key]protocol.Burden{"llm|m0+a": {Came: 4, Load: 0.02}, "llm|m0+b": {Came: 4, Load: 0.02}, "llm|m1": {Came: 4, Load: 0.02}}},
 	} {
-		var all []gauge.Key
+		var all []ident.Key
 		for i := range 8 {
-			all = append(all, gauge.Key(fmt.Sprint("llm|m", i)))
+			all = append(all, ident.Key(fmt.Sprint("llm|m", i)))
 		}
 		c := newCluster(t, modelPlan(x.room, append(all, "llm|m0+a", "llm|m0+b")...), "a", "b", "c")
 		for i := range x.servers {
@@ -210,20 +212,20 @@
 	c.serve("s2", "llm|o", "llm|p")
 	c.serve("s3", "llm|q")
 	r := c.route("r")
-	r.burden = map[gauge.Key]dowel.Burden{"llm|m": {Came: 4, Load: 0.04}, "llm|n": {Came: 1, Load: 0.01}, "llm|q": {Came: 1, Load: 0.01}}
+	r.burden = map[ident.Key]protocol.Burden{"llm|m": {Came: 4, Load: 0.04}, "llm|n": {Came: 1, Load: 0.01}, "llm|q": {Came: 1, Load: 0.01}}
 	c.run(20e9)
 	require.Empty(t, c.ops)
-	r.burden["llm|m"] = dowel.Burden{Came: 40, Work: 3, Load: 0.4}
+	r.burden["llm|m"] = protocol.Burden{Came: 40, Work: 3, Load: 0.4}
 	require.True(t, c.until(9e9, func() bool { return c.models["at-s3"].holds["llm|m"] }), "one that has room")
 	require.True(t, c.until(20e9, func() bool { return c.models["at-s2"].holds["llm|m"] }), "and one where something makes way")
 	for _, o := range c.orders("unload") {
-		require.Contains(t, []gauge.Key{"llm|o", "llm|p"}, o.Key, "nobody asked for these")
+		require.Contains(t, []ident.Key{"llm|o", "llm|p"}, o.Key, "nobody asked for these")
 	}
-	r.burden["llm|m"] = dowel.Burden{Came: 1, Load: 0.01}
+	r.burden["llm|m"] = protocol.Burden{Came: 1, Load: 0.01}
 	was := len(c.ops)
 	c.run(60e9)
 	require.Empty(t, c.ops[was:], "nothing goes where nothing else is wanted")
-	r.burden["llm|o"], r.burden["llm|p"] = dowel.Burden{Came: 1, Wait: 1, Load: 0.01}, dowel.Burden{Came: 1, Wait: 1, Load: 0.01}
+	r.burden["llm|o"], r.burden["llm|p"] = protocol.Burden{Came: 1, Wait: 1, Load: 0.01}, protocol.Burden{Came: 1, Wait: 1, Load: 0.01}
 	c.run(20e9)
 	n := 0
 	for _, m := range c.models {
@@ -233,7 +235,7 @@
 		}
 	}
 	require.Positive(t, n)
-	for _, k := range []gauge.Key{"llm|n", "llm|o", "llm|p", "llm|q"} {
+	for _, k := range []ident.Key{"llm|n", "llm|o", "llm|p", "llm|q"} {
 		require.Len(t, c.lead().entryOf(k).replicas, 1, "%s", k)
 	}
 }
--- a/anvil/windows.go
+++ b/internal/controller/windows.go
@@ -1,4 +1,4 @@
-package anvil
+package controller
 
 import (
 	"bytes"
@@ -11,15 +11,16 @@
 	"github.com/go-faster/errors"
 	"github.com/teambition/rrule-go"
 
-	"tidedeck/chisel"
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
 // window is a maintenance window of a server or of a whole zone.
 type window struct {
-	zone   gauge.Zone
-	server gauge.Server
+	zone   ident.Zone
+	server ident.Server
 	from   time.Time
 	long   time.Duration
 	again  *rrule.Set
@@ -34,7 +35,7 @@
 
 // readWindows reads an iCalendar file: each event names its target in LOCATION, as
 // "zone NAME" or "server NAME". With any fault there are no windows.
-func readWindows(raw []byte) (l []*window, f chisel.Faults) {
+func readWindows(raw []byte) (l []*window, f fleetplan.Faults) {
 	if len(raw) == 0 {
 		return nil, nil
 	}
@@ -43,12 +44,12 @@
 		cal, err := d.Decode()
 		if errors.Is(err, io.EOF) {
 			if n != bytes.Count(bytes.ToUpper(raw), []byte("BEGIN:VCALENDAR")) {
-				return nil, chisel.Faults{{Path: "$", Why: "malformed iCalendar: it is cut short"}}
+				return nil, fleetplan.Faults{{Path: "$", Why: "malformed iCalendar: it is cut short"}}
 			}
 			break
 		}
 		if err != nil {
-			return nil, chisel.Faults{{Path: "$", Why: "malformed iCalendar: " + err.Error()}}
+			return nil, fleetplan.Faults{{Path: "$", Why: "malformed iCalendar: " + err.Error()}}
 		}
 		for _, e := range cal.Events() {
 			path := fmt.Sprintf("$.events[%d]", len(l)+len(f))
@@ -57,17 +58,17 @@
 			}
 			w, err := readWindow(e)
 			if err != nil {
-				f = append(f, chisel.Fault{Path: path, Why: err.Error()})
+				f = append(f, fleetplan.Fault{Path: path, Why: err.Error()})
 				continue
 			}
 			l = append(l, w)
 		}
 	}
 	if len(l) > mostWindows {
-		f = append(f, chisel.Fault{Path: "$", Why: fmt.Sprintf("has %d events, at most %d are allowed", len(l), mostWindows)})
+		f = append(f, fleetplan.Fault{Path: "$", Why: fmt.Sprintf("has %d events, at most %d are allowed", len(l), mostWindows)})
 	}
 	if len(l) == 0 && len(f) == 0 {
-		f = append(f, chisel.Fault{Path: "$", Why: "has no events; an empty file takes all windows back"})
+		f = append(f, fleetplan.Fault{Path: "$", Why: "has no events; an empty file takes all windows back"})
 	}
 	if len(f) > 0 {
 		return nil, f
@@ -84,9 +85,9 @@
 	what, name, ok := strings.Cut(strings.TrimSpace(at), " ")
 	switch {
 	case ok && what == "zone":
-		w.zone = gauge.Zone(strings.TrimSpace(name))
+		w.zone = ident.Zone(strings.TrimSpace(name))
 	case ok && what == "server":
-		w.server = gauge.Server(strings.TrimSpace(name))
+		w.server = ident.Server(strings.TrimSpace(name))
 	default:
 		return w, errors.Errorf(`LOCATION wants "zone NAME" or "server NAME", has %q`, at)
 	}
@@ -135,8 +136,8 @@
 	}
 	c.shutAt = c.now.Add(1e9)
 	now := c.o.Wall()
-	zones, servers := map[gauge.Zone]bool{}, map[gauge.Server]bool{}
-	c.soonZ, c.soonS = map[gauge.Zone]bool{}, map[gauge.Server]bool{}
+	zones, servers := map[ident.Zone]bool{}, map[ident.Server]bool{}
+	c.soonZ, c.soonS = map[ident.Zone]bool{}, map[ident.Server]bool{}
 	for _, w := range c.windows {
 		if !w.runs(now, c.o.Lead) {
 			// As long again before it closes, what is only there is loaded elsewhere.
@@ -167,15 +168,15 @@
 	}
 }
 
-func (c *Core) closed(z gauge.Zone, s gauge.Server) bool { return c.shutZ[z] || c.shutS[s] }
+func (c *Core) closed(z ident.Zone, s ident.Server) bool { return c.shutZ[z] || c.shutS[s] }
 
 func (c *Core) putWindows(a Admin) {
 	if _, f := readWindows(a.Raw); f != nil {
-		c.receipt(Receipt{Token: a.Token, Kind: gauge.Faulty, Faults: f})
+		c.receipt(Receipt{Token: a.Token, Kind: failure.Faulty, Faults: f})
 		return
 	}
-	c.change(a, func(d *dowel.Desired) (gauge.Kind, chisel.Faults) {
+	c.change(a, func(d *protocol.Desired) (failure.Kind, fleetplan.Faults) {
 		d.Windows = a.Raw
-		return gauge.None, nil
+		return failure.None, nil
 	})
 }
--- a/chisel/chisel.go
+++ b/internal/fleetplan/fleetplan.go
@@ -1,6 +1,6 @@
-// Package chisel reads and checks what people write: fleet plans, requests and settings.
+// Package fleetplan reads and checks what people write: fleet plans, requests and settings.
 // JSON becomes maps, and a small reader of paths walks them and names every faulty path.
-package chisel
+package fleetplan
 
 import (
 	"bytes"
@@ -11,7 +11,7 @@
 	"strconv"
 	"unicode/utf8"
 
-	"tidedeck/gauge"
+	"tidedeck/internal/generic"
 )
 
 // Fault is one thing wrong, and where.
@@ -126,7 +126,7 @@
 	if !ok {
 		return p
 	}
-	for _, k := range gauge.Keys(m) {
+	for _, k := range generic.SortedKeys(m) {
 		known := false
 		for _, w := range keys {
 			known = known || w == k
@@ -154,7 +154,7 @@
 	if !ok {
 		return
 	}
-	for _, k := range gauge.Keys(m) {
+	for _, k := range generic.SortedKeys(m) {
 		if k == "" || len(k) > 128 {
 			*p.all = append(*p.all, Fault{p.path + "." + k, "a name has 1 to 128 bytes"})
 			continue
--- a/chisel/chisel_test.go
+++ b/internal/fleetplan/fleetplan_test.go
@@ -1,4 +1,4 @@
-package chisel
+package fleetplan
 
 import (
 	"fmt"
@@ -6,9 +6,9 @@
 	"strings"
 	"testing"
 
-	"github.com/stretchr/testify/require"
+	"tidedeck/internal/failure"
 
-	"tidedeck/gauge"
+	"github.com/stretchr/testify/require"
 )
 
 const sound = `{"name":"p","store":{"loads":2},"models":{"m":{"size":4,"floor":1,"most":2},"n":{"size":3}},
@@ -71,16 +71,16 @@
 	require.Nil(t, f)
 	for _, c := range []struct {
 		route, kind, base, extra string
-		why                      gauge.Kind
+		why                      failure.Kind
 	}{
-		{"/r", "k", "m", "", gauge.None},
-		{"/r", "k", "m", "a", gauge.None},
-		{"/r", "k", "n", "", gauge.NoModel},
-		{"/r", "k", "n", "a", gauge.NoModel},
-		{"/r", "x", "m", "", gauge.NoKind},
-		{"/x", "k", "m", "", gauge.NoRoute},
-		{"/r", "k", "m+a", "", gauge.NoModel}, // a key is not a model's name
-		{"/r", "k", "", "", gauge.NoModel},
+		{"/r", "k", "m", "", failure.None},
+		{"/r", "k", "m", "a", failure.None},
+		{"/r", "k", "n", "", failure.NoModel},
+		{"/r", "k", "n", "a", failure.NoModel},
+		{"/r", "x", "m", "", failure.NoKind},
+		{"/x", "k", "m", "", failure.NoRoute},
+		{"/r", "k", "m+a", "", failure.NoModel}, // a key is not a model's name
+		{"/r", "k", "", "", failure.NoModel},
 	} {
 		_, _, why := p.Allows(c.route, c.kind, c.base, c.extra)
 		require.Equal(t, c.why, why, fmt.Sprint(c))
@@ -122,7 +122,7 @@
 		name             string
 		models, adapters int
 	}{{"corrib", 28, 34}, {"padana", 27, 28}} {
-		raw, err := os.ReadFile("../examples/" + c.name + ".json")
+		raw, err := os.ReadFile("../../examples/" + c.name + ".json")
 		require.NoError(t, err)
 		p, f := ReadPlan(raw)
 		require.Nil(t, f)
--- a/chisel/hosts.go
+++ b/internal/fleetplan/hosts.go
@@ -1,11 +1,13 @@
-package chisel
+package fleetplan
 
 import (
 	"encoding/json"
 	"fmt"
 	"strings"
 
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/ident"
 )
 
 // Bounds of what a plan says of servers and of routes by host.
@@ -52,7 +54,7 @@
 }
 
 // ms reads a time of at least one millisecond; absent gives the default.
-func (p Pen) ms(def int) gauge.Span { return gauge.Span(p.Int(1, MostWait, def)) * 1_000_000 }
+func (p Pen) ms(def int) clock.Span { return clock.Span(p.Int(1, MostWait, def)) * 1_000_000 }
 
 // servers reads what a service says of its servers.
 func (h *hosts) servers(name string, n Pen, s *Service) {
@@ -167,8 +169,8 @@
 // settle puts the models of services that are found by host under their service, since their servers
 // are their own. A model that only such services name stands only there.
 func (h *hosts) settle(services Pen) {
-	paths, under := map[gauge.Key]bool{}, map[gauge.Key]bool{}
-	for _, name := range gauge.Keys(h.q.Services) {
+	paths, under := map[ident.Key]bool{}, map[ident.Key]bool{}
+	for _, name := range generic.SortedKeys(h.q.Services) {
 		s, n := h.q.Services[name], services.At(name)
 		if !h.named[name] {
 			for k := range s.Keys {
@@ -182,9 +184,9 @@
 		if strings.ContainsAny(name, "|+") {
 			n.Fault("the name of a service that is found by host has neither | nor +")
 		}
-		keys := map[gauge.Key]bool{}
+		keys := map[ident.Key]bool{}
 		if s.Plain {
-			keys[gauge.Key("").In(name)] = true
+			keys[ident.Key("").In(name)] = true
 		} else {
 			for _, k := range []string{"room", "loads_per_s"} {
 				if !n.At(k).has {
@@ -192,7 +194,7 @@
 				}
 			}
 		}
-		for _, k := range gauge.Keys(s.Keys) {
+		for _, k := range generic.SortedKeys(s.Keys) {
 			m, ok := h.q.Models[k]
 			if !ok {
 				continue // told already
--- a/chisel/hosts_test.go
+++ b/internal/fleetplan/hosts_test.go
@@ -1,4 +1,4 @@
-package chisel
+package fleetplan
 
 import (
 	"fmt"
@@ -7,9 +7,11 @@
 	"testing"
 	"time"
 
-	"github.com/stretchr/testify/require"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/ident"
 
-	"tidedeck/gauge"
+	"github.com/stretchr/testify/require"
 )
 
 const soundHosts = `{"name":"p","store":{"loads":2},"models":{"m":{"size":4,"floor":1,"most":2,"load_ms":950},"n":{"size":3}},
@@ -29,16 +31,16 @@
 	m := Model{Size: 4, Floor: 1, Most: 2, Load: 950 * ms}
 	a := Model{Size: 1, Most: 1000}
 	n := Model{Size: 3, Most: 1000}
-	want := map[gauge.Key]Model{}
-	for k, x := range map[gauge.Key]Model{"m": m, "n": n, "m+a": a, "s|m": m, "s|m+a": a} {
+	want := map[ident.Key]Model{}
+	for k, x := range map[ident.Key]Model{"m": m, "n": n, "m+a": a, "s|m": m, "s|m+a": a} {
 		x.Key = k
 		want[k] = x
 	}
 	require.Equal(t, want, p.Models)
 	require.Equal(t, map[string]Service{
-		"s": {Keys: map[gauge.Key]bool{"s|m": true, "s|m+a": true}, Probe: "/well", Conns: 9, Slots: 6, Tokens: 500, Room: 8, Places: 3, Loads: 2.5},
-		"t": {Keys: map[gauge.Key]bool{"t|": true}, Plain: true, Slots: 2},
-		"u": {Keys: map[gauge.Key]bool{"m": true, "n": true, "m+a": true}},
+		"s": {Keys: map[ident.Key]bool{"s|m": true, "s|m+a": true}, Probe: "/well", Conns: 9, Slots: 6, Tokens: 500, Room: 8, Places: 3, Loads: 2.5},
+		"t": {Keys: map[ident.Key]bool{"t|": true}, Plain: true, Slots: 2},
+		"u": {Keys: map[ident.Key]bool{"m": true, "n": true, "m+a": true}},
 	}, p.Services)
 	require.Equal(t, map[string]Route{"/r": {Service: "u", Kinds: map[string]bool{"k": true}}}, p.Routes)
 	require.Equal(t, map[string]map[string]*Route{"h.example": {
@@ -54,7 +56,7 @@
 	p, f := ReadPlan([]byte(sound))
 	require.Nil(t, f)
 	require.Nil(t, p.Hosts)
-	require.Equal(t, map[string]Service{"s": {Keys: map[gauge.Key]bool{"m": true, "m+a": true}}}, p.Services)
+	require.Equal(t, map[string]Service{"s": {Keys: map[ident.Key]bool{"m": true, "m+a": true}}}, p.Services)
 	require.Equal(t, map[string]Route{"/r": {Service: "s", Kinds: map[string]bool{"k": true}}}, p.Routes)
 	require.Len(t, p.Models, 3)
 }
@@ -64,7 +66,7 @@
 	raw := strings.Replace(soundHosts, `"u":{"models":["m","n"],"adapters":["a"]}`, `"u":{"models":["n"]}`, 1)
 	p, f := ReadPlan([]byte(raw))
 	require.Nil(t, f)
-	require.Equal(t, []gauge.Key{"n", "s|m", "s|m+a"}, gauge.Keys(p.Models))
+	require.Equal(t, []ident.Key{"n", "s|m", "s|m+a"}, generic.SortedKeys(p.Models))
 }
 
 // What such a plan allows: the longest prefix decides, within the models of the service it leads to.
@@ -74,15 +76,15 @@
 	for _, c := range []struct {
 		host, path, base, extra string
 		route                   string
-		key                     gauge.Key
-		why                     gauge.Kind
+		key                     ident.Key
+		why                     failure.Kind
 	}{
-		{"h.example", "/a/x", "m", "", "one", "s|m", gauge.None},
-		{"h.example", "/a/", "m", "a", "one", "s|m+a", gauge.None},
-		{"h.example", "/a/x", "n", "", "", "", gauge.NoModel},
-		{"h.example", "/a", "m", "", "", "", gauge.NoRoute},
-		{"h.example", "/r", "m", "", "", "", gauge.NoRoute},
-		{"x.example", "/a/x", "m", "", "", "", gauge.NoRoute},
+		{"h.example", "/a/x", "m", "", "one", "s|m", failure.None},
+		{"h.example", "/a/", "m", "a", "one", "s|m+a", failure.None},
+		{"h.example", "/a/x", "n", "", "", "", failure.NoModel},
+		{"h.example", "/a", "m", "", "", "", failure.NoRoute},
+		{"h.example", "/r", "m", "", "", "", failure.NoRoute},
+		{"x.example", "/a/x", "m", "", "", "", failure.NoRoute},
 	} {
 		m, why := p.Match(Query{ID: "1", Host: c.host, Path: c.path, Base: c.base, Extra: c.extra})
 		require.Equal(t, c.why, why, fmt.Sprint(c))
@@ -91,10 +93,10 @@
 			require.Equal(t, c.route, m.Route.Name, fmt.Sprint(c))
 		}
 	}
-	met := map[gauge.Key]int{}
+	met := map[ident.Key]int{}
 	for i := range 400 {
 		m, why := p.Match(Query{ID: fmt.Sprint(i), Host: "h.example", Path: "/a/b/c", Base: "m"})
-		require.Equal(t, gauge.None, why)
+		require.Equal(t, failure.None, why)
 		require.Equal(t, "two", m.Route.Name)
 		met[m.Key]++
 	}
@@ -178,18 +180,18 @@
 }
 
 func TestHostsExample(t *testing.T) {
-	raw, err := os.ReadFile("../examples/hosts.json")
+	raw, err := os.ReadFile("../../examples/hosts.json")
 	require.NoError(t, err)
 	p, f := ReadPlan(raw)
 	require.Nil(t, f)
-	require.Equal(t, []gauge.Key{"engines|grouper-s", "engines|triage-m", "engines|triage-m+acme"}, gauge.Keys(p.Models))
+	require.Equal(t, []ident.Key{"engines|grouper-s", "engines|triage-m", "engines|triage-m+acme"}, generic.SortedKeys(p.Models))
 	require.Equal(t, 2.6, p.Services["engines"].Loads)
 	m, why := p.Match(Query{ID: "1", Host: "notes.example", Path: "/triage/tags/7", Base: "triage-m", Extra: "acme"})
-	require.Equal(t, gauge.None, why)
-	require.Equal(t, gauge.Key("engines|triage-m+acme"), m.Key)
+	require.Equal(t, failure.None, why)
+	require.Equal(t, ident.Key("engines|triage-m+acme"), m.Key)
 	require.Equal(t, "tags", m.Route.Name)
 	m, why = p.Match(Query{ID: "1", Host: "notes.example", Path: "/receipts/7"})
-	require.Equal(t, gauge.None, why)
+	require.Equal(t, failure.None, why)
 	require.True(t, m.Key.Plain())
 }
 
--- a/chisel/match_test.go
+++ b/internal/fleetplan/match_test.go
@@ -1,12 +1,13 @@
-package chisel
+package fleetplan
 
 import (
 	"fmt"
 	"testing"
 
-	"github.com/stretchr/testify/require"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/ident"
 
-	"tidedeck/gauge"
+	"github.com/stretchr/testify/require"
 )
 
 // hostPlan has two hosts, a plain service "web" and "llm", which holds m and its adapter a.
@@ -15,7 +16,7 @@
 		return &Route{Name: name, Service: service, Split: split, Class: Class{Value: 7}}
 	}
 	return &Plan{
-		Services: map[string]Service{"web": {Plain: true}, "old": {Plain: true}, "llm": {Keys: map[gauge.Key]bool{"llm|m": true, "llm|m+a": true}}},
+		Services: map[string]Service{"web": {Plain: true}, "old": {Plain: true}, "llm": {Keys: map[ident.Key]bool{"llm|m": true, "llm|m+a": true}}},
 		Hosts: map[string]map[string]*Route{
 			"h": {"/": r("root", "web"), "/v1/": r("v1", "llm"), "/v1/batch/": r("batch", "old")},
 			"i": {"/v1/": r("other", "web"), "/s/": r("split", "", Share{"web", 90}, Share{"old", 10}, Share{"llm", 0})},
@@ -46,23 +47,23 @@
 	for _, c := range []struct {
 		name string
 		q    Query
-		key  gauge.Key
-		why  gauge.Kind
+		key  ident.Key
+		why  failure.Kind
 	}{
-		{"a plain service takes what names no model", Query{Host: "h", Path: "/x"}, "web|", gauge.None},
-		{"and what names one", Query{Host: "h", Path: "/x", Base: "m"}, "web|", gauge.None},
-		{"a model", Query{Host: "h", Path: "/v1/x", Base: "m"}, "llm|m", gauge.None},
-		{"its adapter", Query{Host: "h", Path: "/v1/x", Base: "m", Extra: "a"}, "llm|m+a", gauge.None},
-		{"no such model", Query{Host: "h", Path: "/v1/x", Base: "n"}, "", gauge.NoModel},
-		{"no such adapter", Query{Host: "h", Path: "/v1/x", Base: "m", Extra: "b"}, "", gauge.NoModel},
-		{"no model named", Query{Host: "h", Path: "/v1/x"}, "", gauge.NoModel},
-		{"no such host", Query{Host: "j", Path: "/v1/x", Base: "m"}, "", gauge.NoRoute},
-		{"no such path", Query{Host: "i", Path: "/x"}, "", gauge.NoRoute},
+		{"a plain service takes what names no model", Query{Host: "h", Path: "/x"}, "web|", failure.None},
+		{"and what names one", Query{Host: "h", Path: "/x", Base: "m"}, "web|", failure.None},
+		{"a model", Query{Host: "h", Path: "/v1/x", Base: "m"}, "llm|m", failure.None},
+		{"its adapter", Query{Host: "h", Path: "/v1/x", Base: "m", Extra: "a"}, "llm|m+a", failure.None},
+		{"no such model", Query{Host: "h", Path: "/v1/x", Base: "n"}, "", failure.NoModel},
+		{"no such adapter", Query{Host: "h", Path: "/v1/x", Base: "m", Extra: "b"}, "", failure.NoModel},
+		{"no model named", Query{Host: "h", Path: "/v1/x"}, "", failure.NoModel},
+		{"no such host", Query{Host: "j", Path: "/v1/x", Base: "m"}, "", failure.NoRoute},
+		{"no such path", Query{Host: "i", Path: "/x"}, "", failure.NoRoute},
 	} {
 		m, why := p.Match(c.q)
 		require.Equal(t, c.why, why, c.name)
 		require.Equal(t, c.key, m.Key, c.name)
-		if why == gauge.None {
+		if why == failure.None {
 			require.Equal(t, 7, m.Class.Value, c.name)
 			require.Equal(t, p.Find(c.q.Host, c.q.Path), m.Route, c.name)
 		}
--- a/chisel/plan.go
+++ b/internal/fleetplan/plan.go
@@ -1,4 +1,4 @@
-package chisel
+package fleetplan
 
 import (
 	"fmt"
@@ -6,7 +6,9 @@
 	"slices"
 	"strings"
 
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/ident"
 )
 
 // Bounds of what a plan may say.
@@ -20,26 +22,26 @@
 
 // Model is a base model or an adapter.
 type Model struct {
-	Key   gauge.Key
+	Key   ident.Key
 	Size  int
 	Floor int        // replicas kept ready at all times
 	Most  int        // replicas at the most
-	Load  gauge.Span // how long a load takes at full speed, if that is known
+	Load  clock.Span // how long a load takes at full speed, if that is known
 }
 
 // Class is a kind of request: its worth and how long it may wait.
 type Class struct {
 	Value int
-	Wait  gauge.Span
-	Aim   gauge.Span // an answer that begins within it is worth the most, if that is said
-	Pause gauge.Span // between two events, likewise
-	Quit  gauge.Span // callers give up when an answer has not begun by then, if that is said
+	Wait  clock.Span
+	Aim   clock.Span // an answer that begins within it is worth the most, if that is said
+	Pause clock.Span // between two events, likewise
+	Quit  clock.Span // callers give up when an answer has not begun by then, if that is said
 }
 
 // Service is what a route leads to: the keys that may be asked of it, by name. A plain service has
 // servers without models; the others' servers are all of one make.
 type Service struct {
-	Keys   map[gauge.Key]bool
+	Keys   map[ident.Key]bool
 	Plain  bool
 	Probe  string  // the path at which a server tells whether it is well
 	Conns  int     // connections that one server takes from all callers together
@@ -83,15 +85,15 @@
 type Plan struct {
 	Name     string
 	Loads    int // loads that the weight store bears at once
-	Models   map[gauge.Key]Model
+	Models   map[ident.Key]Model
 	Kinds    map[string]Class
 	Services map[string]Service
 	Routes   map[string]Route
 	Hosts    map[string]map[string]*Route // by host and prefix
-	Idle     gauge.Span                   // a caller's connection may be idle for so long, if that is said
+	Idle     clock.Span                   // a caller's connection may be idle for so long, if that is said
 	HeadMost int                          // bytes of a request's head, likewise
 	BodyMost int                          // bytes of its body
-	HeadWait gauge.Span                   // for its head
+	HeadWait clock.Span                   // for its head
 
 	ranks map[int]int
 }
@@ -129,31 +131,31 @@
 
 // Match is where a request may go, and under which terms.
 type Match struct {
-	Key   gauge.Key
+	Key   ident.Key
 	Class Class
 	Route *Route // of those found by host; nil for the others
 }
 
 // Match finds what a plan allows a request.
-func (q *Plan) Match(x Query) (Match, gauge.Kind) {
+func (q *Plan) Match(x Query) (Match, failure.Kind) {
 	if x.Host == "" {
 		k, c, why := q.Allows(x.Path, x.Kind, x.Base, x.Extra)
 		return Match{Key: k, Class: c}, why
 	}
 	r := q.Find(x.Host, x.Path)
 	if r == nil {
-		return Match{}, gauge.NoRoute
+		return Match{}, failure.NoRoute
 	}
 	name := r.choose(x.ID)
 	s := q.Services[name]
 	if s.Plain {
-		return Match{gauge.Key("").In(name), r.Class, r}, gauge.None
+		return Match{ident.Key("").In(name), r.Class, r}, failure.None
 	}
-	k := gauge.KeyOf(x.Base, x.Extra).In(name)
+	k := ident.KeyOf(x.Base, x.Extra).In(name)
 	if !s.Keys[k] {
-		return Match{}, gauge.NoModel
+		return Match{}, failure.NoModel
 	}
-	return Match{k, r.Class, r}, gauge.None
+	return Match{k, r.Class, r}, failure.None
 }
 
 // Find gives the route of a host with the longest prefix that begins the path.
@@ -207,7 +209,7 @@
 	if len(*all) > 0 && !p.has {
 		return nil, *all
 	}
-	q := &Plan{Models: map[gauge.Key]Model{}, Kinds: map[string]Class{}, Services: map[string]Service{}, Routes: map[string]Route{}}
+	q := &Plan{Models: map[ident.Key]Model{}, Kinds: map[string]Class{}, Services: map[string]Service{}, Routes: map[string]Route{}}
 	p.Only("name", "store", "models", "adapters", "kinds", "services", "routes")
 	q.Name = p.At("name").Text(true, 128)
 	q.Loads = p.At("store").Only("loads").At("loads").Int(1, 1000, 2)
@@ -222,22 +224,22 @@
 			return
 		}
 		n.Only("size", "floor", "most", "load_ms")
-		m := sizes(n, gauge.Key(k))
+		m := sizes(n, ident.Key(k))
 		m.Load = n.At("load_ms").ms(0)
 		q.Models[m.Key] = m
 	})
-	names := map[string]gauge.Key{}
+	names := map[string]ident.Key{}
 	p.At("adapters").Keys(func(k string, n Pen) {
 		n.Only("base", "size", "floor", "most")
 		b := n.At("base").Text(true, 128)
 		if b == "" {
 			return
 		}
-		if _, ok := q.Models[gauge.Key(b)]; !ok {
+		if _, ok := q.Models[ident.Key(b)]; !ok {
 			n.At("base").Fault(fmt.Sprintf("no model is called %q", b))
 			return
 		}
-		key := gauge.KeyOf(b, k)
+		key := ident.KeyOf(b, k)
 		names[k] = key
 		q.Models[key] = sizes(n, key)
 	})
@@ -245,16 +247,16 @@
 		n.Only("value", "wait_ms")
 		q.Kinds[k] = Class{
 			Value: n.At("value").Int(0, 1_000_000, 1),
-			Wait:  gauge.Span(n.At("wait_ms").Int(1, MostWait, 10_000)) * 1_000_000,
+			Wait:  clock.Span(n.At("wait_ms").Int(1, MostWait, 10_000)) * 1_000_000,
 		}
 	})
 	h := newHosts(q)
 	p.At("services").Keys(func(k string, n Pen) {
 		n.Only("models", "adapters", "plain", "probe", "connections", "slots", "tokens", "room", "places", "loads_per_s")
-		s := Service{Keys: map[gauge.Key]bool{}}
+		s := Service{Keys: map[ident.Key]bool{}}
 		h.servers(k, n, &s)
 		n.At("models").List(100_000, func(n Pen) {
-			if m := gauge.Key(n.Text(true, 128)); m != "" {
+			if m := ident.Key(n.Text(true, 128)); m != "" {
 				if _, ok := q.Models[m]; !ok || m.IsAdapter() {
 					n.Fault(fmt.Sprintf("no model is called %q", m))
 				}
@@ -309,7 +311,7 @@
 	return q, nil
 }
 
-func sizes(n Pen, k gauge.Key) Model {
+func sizes(n Pen, k ident.Key) Model {
 	m := Model{Key: k, Size: n.At("size").Int(1, MostSize, 1), Floor: n.At("floor").Int(0, 1000, 0), Most: n.At("most").Int(1, 1000, 1000)}
 	if !n.At("size").has {
 		n.At("size").Fault("is missing")
@@ -321,19 +323,19 @@
 }
 
 // Allows finds what a request may use: the key, and the class of its kind.
-func (q *Plan) Allows(route, kind, base, extra string) (gauge.Key, Class, gauge.Kind) {
+func (q *Plan) Allows(route, kind, base, extra string) (ident.Key, Class, failure.Kind) {
 	r, ok := q.Routes[route]
 	if !ok {
-		return "", Class{}, gauge.NoRoute
+		return "", Class{}, failure.NoRoute
 	}
-	key := gauge.KeyOf(base, extra)
+	key := ident.KeyOf(base, extra)
 	if strings.Contains(base, "+") || !q.Services[r.Service].Keys[key] {
-		return "", Class{}, gauge.NoModel
+		return "", Class{}, failure.NoModel
 	}
 	if !r.Kinds[kind] {
-		return "", Class{}, gauge.NoKind
+		return "", Class{}, failure.NoKind
 	}
-	return key, q.Kinds[kind], gauge.None
+	return key, q.Kinds[kind], failure.None
 }
 
 // Call is a caller's request.
@@ -345,7 +347,7 @@
 	Parts  []string
 	Prompt string
 	Max    int
-	Wait   gauge.Span // how long from now it may wait; zero leaves it to its kind
+	Wait   clock.Span // how long from now it may wait; zero leaves it to its kind
 	Again  bool       // it may be repeated: running it twice does no harm
 	Repeat bool       // it is itself a repeat of an earlier request
 	Host   string     // that it was sent to, where routes go by hosts
@@ -373,7 +375,7 @@
 		Kind:   p.At("kind").Text(true, 128),
 		Prompt: p.At("prompt").Text(false, MostBody),
 		Max:    p.At("max_tokens").Int(1, MostTokens, 64),
-		Wait:   gauge.Span(p.At("horizon_ms").Int(-MostWait, MostWait, 0)) * 1_000_000,
+		Wait:   clock.Span(p.At("horizon_ms").Int(-MostWait, MostWait, 0)) * 1_000_000,
 		Again:  p.At("repeatable").Bool(false),
 		Repeat: p.At("repeat").Bool(false),
 	}
--- a/clamp/disk.go
+++ b/internal/host/disk.go
@@ -1,4 +1,4 @@
-package clamp
+package host
 
 import (
 	"context"
@@ -19,8 +19,8 @@
 	"github.com/syndtr/goleveldb/leveldb/opt"
 	"github.com/syndtr/goleveldb/leveldb/storage"
 
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/protocol"
 )
 
 // disk keeps a core's state in one data folder. Writes are synced, in order, by a worker of
@@ -45,7 +45,7 @@
 	stop  bool
 	more  chan struct{} // next has something
 	quit  chan struct{} // closed with stop
-	done  func(dowel.Saved)
+	done  func(protocol.Saved)
 	note  func(string)
 	fail  func(error) // hears of damage
 }
@@ -372,7 +372,7 @@
 // seal says what the first store has now.
 func (s *stores) seal() seal {
 	h := fnv.New64a()
-	for _, k := range gauge.Keys(s.sums) {
+	for _, k := range generic.SortedKeys(s.sums) {
 		fmt.Fprintf(h, "%q:%d;", k, s.sums[k])
 	}
 	return seal{s.num, h.Sum64()}
@@ -401,7 +401,7 @@
 	return i.Error()
 }
 
-func (d *disk) put(s dowel.Save) {
+func (d *disk) put(s protocol.Save) {
 	d.mu.Lock()
 	d.next.add(s.Puts, s.Token)
 	d.mu.Unlock()
@@ -441,7 +441,7 @@
 			}
 			tries, wait = 0, d.v.pause.least
 			for _, t := range due.tokens {
-				d.done(dowel.Saved{Token: t})
+				d.done(protocol.Saved{Token: t})
 			}
 			due = batch{}
 			continue
--- a/clamp/clamp.go
+++ b/internal/host/host.go
@@ -1,6 +1,6 @@
-// Package clamp holds a core to the machine: it gives it a clock, sockets, a disk, timers,
+// Package host holds a core to the machine: it gives it a clock, sockets, a disk, timers,
 // logs and metrics, and does what the core asks for.
-package clamp
+package host
 
 import (
 	"bytes"
@@ -28,35 +28,38 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sys/unix"
 
-	"tidedeck/chisel"
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
 // Now reads CLOCK_BOOTTIME: it never jumps, and it goes on while the machine sleeps.
-func Now() gauge.Tick {
+func Now() clock.Tick {
 	var t unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
 		panic(err) // every Linux has it
 	}
-	return gauge.Tick(t.Nano())
+	return clock.Tick(t.Nano())
 }
 
 // NewInc draws an incarnation: later lives on the same machine have higher ones, and two
 // machines hardly ever the same.
-func NewInc() gauge.Inc {
-	return gauge.Inc(time.Now().UnixMicro())<<8&(1<<62-1) | gauge.Inc(rand.Uint64()&0xff)
+func NewInc() ident.Inc {
+	return ident.Inc(time.Now().UnixMicro())<<8&(1<<62-1) | ident.Inc(rand.Uint64()&0xff)
 }
 
 // NewRand makes a source of chance for a core.
 func NewRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
-// Core is what a clamp can hold.
+// Core is what a host can hold.
 type Core interface {
-	Step(now gauge.Tick, in any) []any
+	Step(now clock.Tick, in any) []any
 }
 
-// Options of a clamp.
+// Options of a host.
 type Options struct {
 	Core   Core
 	Listen []string // for siblings
@@ -64,19 +67,19 @@
 	Data   string   // data folder; empty if the process has no disk
 	Beat   time.Duration
 	Ring   *Ring
-	Else   func(out any)                                             // what only the program itself can do
-	Dial   time.Duration                                             // for a connection to come up; 500 ms, if none is said
-	Local  map[string]func(dowel.Env)                                // cores in this very process, by the address that they are told under
-	Tell   func(context.Context, *http.Client, dowel.Ask) dowel.Told // how servers are asked, if not the product's own way
+	Else   func(out any)                                                   // what only the program itself can do
+	Dial   time.Duration                                                   // for a connection to come up; 500 ms, if none is said
+	Local  map[string]func(protocol.Env)                                   // cores in this very process, by the address that they are told under
+	Tell   func(context.Context, *http.Client, protocol.Ask) protocol.Told // how servers are asked, if not the product's own way
 }
 
-// Clamp runs one core. Its lock is taken before that of any queue and never across I/O.
-type Clamp struct {
+// Process runs one core. Its lock is taken before that of any queue and never across I/O.
+type Process struct {
 	o    Options
 	mu   sync.Mutex
 	post *post
 	disk *disk
-	asks chan dowel.Ask
+	asks chan protocol.Ask
 	http *http.Client
 	kept *http.Client // whose connections are used again, for questions that change nothing
 	ctx  context.Context
@@ -86,13 +89,13 @@
 	over sync.WaitGroup
 }
 
-// New makes a clamp; nothing runs yet.
-func New(o Options) *Clamp {
-	gauge.Or(&o.Dial, 500*time.Millisecond)
-	c := &Clamp{o: o, asks: make(chan dowel.Ask, 1024)}
+// New makes a host; nothing runs yet.
+func New(o Options) *Process {
+	generic.SetDefault(&o.Dial, 500*time.Millisecond)
+	c := &Process{o: o, asks: make(chan protocol.Ask, 1024)}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	c.life, c.end = context.WithCancel(c.ctx)
-	c.post = newPost(c.ctx, o.Told, o.Dial, func(e dowel.Env) { c.Step(e) })
+	c.post = newPost(c.ctx, o.Told, o.Dial, func(e protocol.Env) { c.Step(e) })
 	c.post.local = o.Local
 	dial := Dialer(o.Told, o.Dial).DialContext
 	c.http = &http.Client{
@@ -112,7 +115,7 @@
 }
 
 // Run opens the disk, starts listening and sets the core going.
-func (c *Clamp) Run() error {
+func (c *Process) Run() error {
 	if c.o.Data != "" {
 		fail := func(err error) {
 			// A disk that lost what was confirmed must not vote: stop at once, and say so.
@@ -129,11 +132,11 @@
 		if harm {
 			c.o.Ring.Oops("the data folder was damaged: it is set aside, and this node begins anew")
 		}
-		d.done, d.note = func(s dowel.Saved) { c.Step(s) }, c.o.Ring.Info
+		d.done, d.note = func(s protocol.Saved) { c.Step(s) }, c.o.Ring.Info
 		c.disk = d
 		c.over.Add(1)
 		go func() { defer c.over.Done(); d.run() }()
-		c.Step(dowel.Start{Disk: m})
+		c.Step(protocol.Start{Disk: m})
 	}
 	for _, a := range c.o.Listen {
 		if err := c.post.listen(a); err != nil {
@@ -151,7 +154,7 @@
 			case <-c.ctx.Done():
 				return
 			case <-t.C:
-				c.Step(dowel.Beat{})
+				c.Step(protocol.Beat{})
 			}
 		}
 	}()
@@ -159,7 +162,7 @@
 }
 
 // Stop ends the core's work and closes its disk.
-func (c *Clamp) Stop() {
+func (c *Process) Stop() {
 	c.stop()
 	if c.disk != nil {
 		c.disk.close()
@@ -168,7 +171,7 @@
 }
 
 // Forget ends every question under way, as a restart does.
-func (c *Clamp) Forget() {
+func (c *Process) Forget() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.end()
@@ -176,10 +179,10 @@
 }
 
 // Flush waits, for a while, until what the core has sent has left.
-func (c *Clamp) Flush(most time.Duration) { c.post.flush(most) }
+func (c *Process) Flush(most time.Duration) { c.post.flush(most) }
 
 // Step gives the core one input and does what it asks for.
-func (c *Clamp) Step(in any) {
+func (c *Process) Step(in any) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, o := range c.o.Core.Step(Now(), in) {
@@ -188,34 +191,34 @@
 }
 
 // With lets the program look at its core.
-func (c *Clamp) With(f func(now gauge.Tick)) {
+func (c *Process) With(f func(now clock.Tick)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	f(Now())
 }
 
-func (c *Clamp) act(o any) {
+func (c *Process) act(o any) {
 	switch v := o.(type) {
-	case dowel.Env:
+	case protocol.Env:
 		c.post.send(v)
-	case dowel.Save:
+	case protocol.Save:
 		c.disk.put(v)
-	case dowel.Ask:
+	case protocol.Ask:
 		select {
 		case c.asks <- v:
 		default:
-			go c.Step(dowel.Told{Token: v.Token})
+			go c.Step(protocol.Told{Token: v.Token})
 		}
-	case dowel.Note:
+	case protocol.Note:
 		c.o.Ring.Info(v.Text)
-	case dowel.Oops:
+	case protocol.Oops:
 		go c.o.Ring.Oops(v.Text)
 	default:
 		c.o.Else(o)
 	}
 }
 
-func (c *Clamp) asker() {
+func (c *Process) asker() {
 	for {
 		select {
 		case <-c.ctx.Done():
@@ -226,13 +229,13 @@
 	}
 }
 
-func (c *Clamp) tell(a dowel.Ask) dowel.Told {
+func (c *Process) tell(a protocol.Ask) protocol.Told {
 	c.mu.Lock()
 	life := c.life
 	c.mu.Unlock()
 	ctx, stop := context.WithTimeout(life, a.Wait)
 	defer stop()
-	t := dowel.Told{Token: a.Token}
+	t := protocol.Told{Token: a.Token}
 	if a.Until != 0 && Now() > a.Until {
 		return t
 	}
@@ -268,7 +271,7 @@
 	if err != nil {
 		return t
 	}
-	return dowel.Told{Token: a.Token, OK: true, Code: w.StatusCode, Body: b}
+	return protocol.Told{Token: a.Token, OK: true, Code: w.StatusCode, Body: b}
 }
 
 // Ring is the log: a ring in memory, written out when something goes wrong.
@@ -371,17 +374,17 @@
 // Parse reads flags and, under --settings, a file of the same names, and checks all of it
 // before anything starts. A fault ends the process with every fault named. It gives the
 // command, where there are several.
-func Parse(cli any, name, about string, checks ...func() chisel.Faults) string {
+func Parse(cli any, name, about string, checks ...func() fleetplan.Faults) string {
 	p, err := kong.New(cli, kong.Name(name), kong.Description(about), kong.UsageOnError())
 	if err != nil {
 		panic(err)
 	}
 	args := os.Args[1:]
-	var faults chisel.Faults
+	var faults fleetplan.Faults
 	if f := settingsOf(args); f != "" {
 		raw, err := os.ReadFile(f)
 		if err != nil {
-			faults = append(faults, chisel.Fault{Path: f, Why: err.Error()})
+			faults = append(faults, fleetplan.Fault{Path: f, Why: err.Error()})
 		} else {
 			r, l := readSettings(p, raw)
 			faults = append(faults, l...)
@@ -391,7 +394,7 @@
 	cmd := ""
 	k, err := p.Parse(args)
 	if err != nil {
-		faults = append(faults, chisel.Fault{Path: "flags", Why: err.Error()})
+		faults = append(faults, fleetplan.Fault{Path: "flags", Why: err.Error()})
 	} else {
 		cmd = k.Command()
 		for _, f := range checks {
@@ -419,8 +422,8 @@
 	return ""
 }
 
-func readSettings(p *kong.Kong, raw []byte) (kong.Resolver, chisel.Faults) {
-	pen, all := chisel.Open(raw)
+func readSettings(p *kong.Kong, raw []byte) (kong.Resolver, fleetplan.Faults) {
+	pen, all := fleetplan.Open(raw)
 	var names []string
 	for _, f := range p.Model.AllFlags(true) {
 		for _, g := range f {
@@ -466,7 +469,7 @@
 }
 
 // Bind checks where a process listens, if that is not where siblings are told, and picks it.
-func Bind(bind, told string) (string, chisel.Faults) {
+func Bind(bind, told string) (string, fleetplan.Faults) {
 	if bind == "" {
 		return told, nil
 	}
@@ -474,35 +477,35 @@
 }
 
 // Addr checks an ip:port setting.
-func Addr(path, s string) chisel.Faults {
+func Addr(path, s string) fleetplan.Faults {
 	a, err := netip.ParseAddrPort(s)
 	if err != nil || a.Port() == 0 {
-		return chisel.Faults{{Path: path, Why: fmt.Sprintf("wants an ip:port, has %q", s)}}
+		return fleetplan.Faults{{Path: path, Why: fmt.Sprintf("wants an ip:port, has %q", s)}}
 	}
 	return nil
 }
 
 // Near checks an ip:port setting that must be on loopback.
-func Near(path, s string) chisel.Faults {
+func Near(path, s string) fleetplan.Faults {
 	if f := Addr(path, s); f != nil {
 		return f
 	}
 	if a, _ := netip.ParseAddrPort(s); !a.Addr().IsLoopback() {
-		return chisel.Faults{{Path: path, Why: fmt.Sprintf("wants an address on loopback, has %q", s)}}
+		return fleetplan.Faults{{Path: path, Why: fmt.Sprintf("wants an address on loopback, has %q", s)}}
 	}
 	return nil
 }
 
 // Seeds checks the seeds: three of them, each an ip:port, none twice.
-func Seeds(l []string) (f chisel.Faults) {
+func Seeds(l []string) (f fleetplan.Faults) {
 	if len(l) != 3 {
-		f = append(f, chisel.Fault{Path: "seeds", Why: fmt.Sprintf("wants three addresses, has %d", len(l))})
+		f = append(f, fleetplan.Fault{Path: "seeds", Why: fmt.Sprintf("wants three addresses, has %d", len(l))})
 	}
 	seen := map[string]bool{}
 	for i, s := range l {
 		f = append(f, Addr(fmt.Sprintf("seeds[%d]", i), s)...)
 		if seen[s] {
-			f = append(f, chisel.Fault{Path: fmt.Sprintf("seeds[%d]", i), Why: "is there twice"})
+			f = append(f, fleetplan.Fault{Path: fmt.Sprintf("seeds[%d]", i), Why: "is there twice"})
 		}
 		seen[s] = true
 	}
@@ -510,9 +513,9 @@
 }
 
 // Siblings makes seeds into siblings; their ids are not known yet.
-func Siblings(l []string) (p []dowel.Sibling) {
+func Siblings(l []string) (p []protocol.Sibling) {
 	for _, s := range l {
-		p = append(p, dowel.Sibling{Addr: s})
+		p = append(p, protocol.Sibling{Addr: s})
 	}
 	return p
 }
@@ -546,8 +549,8 @@
 type born struct{}
 
 // Born tells when the connection that a request came on was accepted.
-func Born(r *http.Request) gauge.Tick {
-	t, _ := r.Context().Value(born{}).(gauge.Tick)
+func Born(r *http.Request) clock.Tick {
+	t, _ := r.Context().Value(born{}).(clock.Tick)
 	return t
 }
 
@@ -581,10 +584,10 @@
 	if err != nil {
 		var big *http.MaxBytesError
 		if errors.As(err, &big) {
-			Error(w, gauge.Oversize, 0, chisel.Faults{{Path: "$", Why: fmt.Sprintf("a body has at most %d bytes", most)}})
+			Error(w, failure.Oversize, 0, fleetplan.Faults{{Path: "$", Why: fmt.Sprintf("a body has at most %d bytes", most)}})
 			return nil, false
 		}
-		Error(w, gauge.Malformed, 0, chisel.Faults{{Path: "$", Why: "the body broke off"}})
+		Error(w, failure.Malformed, 0, fleetplan.Faults{{Path: "$", Why: "the body broke off"}})
 		return nil, false
 	}
 	return b, true
@@ -592,15 +595,15 @@
 
 // Problem is the JSON of an error.
 type Problem struct {
-	Kind    gauge.Kind    `json:"kind"`
-	Dropped bool          `json:"dropped"` // the request provably never ran
-	BackMs  int64         `json:"retry_after_ms,omitempty"`
-	Faults  chisel.Faults `json:"faults,omitempty"`
+	Kind    failure.Kind     `json:"kind"`
+	Dropped bool             `json:"dropped"` // the request provably never ran
+	BackMs  int64            `json:"retry_after_ms,omitempty"`
+	Faults  fleetplan.Faults `json:"faults,omitempty"`
 }
 
 // Error writes the answer that the one table has for a kind.
-func Error(w http.ResponseWriter, k gauge.Kind, back gauge.Span, f chisel.Faults) {
-	a := gauge.Receipts[k]
+func Error(w http.ResponseWriter, k failure.Kind, back clock.Span, f fleetplan.Faults) {
+	a := failure.Receipts[k]
 	if back == 0 {
 		back = a.Back
 	}
--- a/clamp/clamp_test.go
+++ b/internal/host/host_test.go
@@ -1,4 +1,4 @@
-package clamp
+package host
 
 import (
 	"bytes"
@@ -11,16 +11,16 @@
 
 	"github.com/stretchr/testify/require"
 
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/protocol"
 )
 
-func keep(t *testing.T, dir string, puts ...dowel.Save) (map[string][]byte, bool) {
+func keep(t *testing.T, dir string, puts ...protocol.Save) (map[string][]byte, bool) {
 	t.Helper()
 	d, m, harm, err := openDisk(dir, func(err error) { t.Error(err) })
 	require.NoError(t, err)
-	done := make(chan dowel.Saved, len(puts))
-	d.done = func(s dowel.Saved) { done <- s }
+	done := make(chan protocol.Saved, len(puts))
+	d.done = func(s protocol.Saved) { done <- s }
 	end := make(chan struct{})
 	go func() { d.run(); close(end) }()
 	for _, p := range puts {
@@ -37,7 +37,7 @@
 // What was said to be saved is there again; a damaged store is set aside whole, not half read.
 func TestDisk(t *testing.T) {
 	dir := t.TempDir()
-	m, harm := keep(t, dir, dowel.Save{Token: 1, Puts: map[string][]byte{"a": []byte("1"), "b": []byte("2")}}, dowel.Save{Token: 2, Puts: map[string][]byte{"a": []byte("3")}})
+	m, harm := keep(t, dir, protocol.Save{Token: 1, Puts: map[string][]byte{"a": []byte("1"), "b": []byte("2")}}, protocol.Save{Token: 2, Puts: map[string][]byte{"a": []byte("3")}})
 	require.Empty(t, m)
 	require.False(t, harm)
 	m, harm = keep(t, dir)
@@ -55,7 +55,7 @@
 			}
 		}
 	}
-	m, harm = keep(t, dir, dowel.Save{Token: 9, Puts: map[string][]byte{"c": []byte("4")}})
+	m, harm = keep(t, dir, protocol.Save{Token: 9, Puts: map[string][]byte{"c": []byte("4")}})
 	require.True(t, harm)
 	require.Empty(t, m)
 	side, err := filepath.Glob(filepath.Join(dir, "state.damaged-*"))
@@ -89,25 +89,25 @@
 
 // Every kind of error has an answer, and what may have run is never called a drop.
 func TestErrors(t *testing.T) {
-	for k, a := range gauge.Receipts {
+	for k, a := range failure.Receipts {
 		w := httptest.NewRecorder()
 		Error(w, k, 0, nil)
 		require.Equal(t, a.Status, w.Code)
 		require.Contains(t, w.Body.String(), string(k))
 		require.Equal(t, a.Back > 0, w.Header().Get("Retry-After") != "", k)
-		require.Equal(t, k != gauge.Unclear && k != gauge.Cut && k != gauge.Repeated, a.Dropped, k)
+		require.Equal(t, k != failure.Unclear && k != failure.Cut && k != failure.Repeated, a.Dropped, k)
 	}
 }
 
 type counts struct {
 	Goes uint64
 	Open int
-	By   map[gauge.Kind]uint64
+	By   map[failure.Kind]uint64
 }
 
 func TestMetrics(t *testing.T) {
 	w := httptest.NewRecorder()
-	h := Metrics(Tallies{Name: "x", Get: func() any { return counts{3, 4, map[gauge.Kind]uint64{gauge.Full: 5}} }})
+	h := Metrics(Tallies{Name: "x", Get: func() any { return counts{3, 4, map[failure.Kind]uint64{failure.Full: 5}} }})
 	h.ServeHTTP(w, httptest.NewRequest("GET", "/", nil))
 	for _, l := range []string{"tidedeck_x_goes_total 3", "tidedeck_x_open 4", `tidedeck_x_by_total{kind="full"} 5`} {
 		require.True(t, strings.Contains(w.Body.String(), l), l)
--- a/clamp/post.go
+++ b/internal/host/post.go
@@ -1,4 +1,4 @@
-package clamp
+package host
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcwire"
 
-	"tidedeck/dowel"
+	"tidedeck/internal/protocol"
 )
 
 const (
@@ -25,13 +25,13 @@
 type coding struct{}
 
 // Marshal writes an envelope.
-func (coding) Marshal(m drpc.Message) ([]byte, error) { return dowel.Pack(*m.(*dowel.Env)) }
+func (coding) Marshal(m drpc.Message) ([]byte, error) { return protocol.Pack(*m.(*protocol.Env)) }
 
 // Unmarshal reads an envelope.
 func (coding) Unmarshal(b []byte, m drpc.Message) error {
-	e, err := dowel.Unpack(b)
+	e, err := protocol.Unpack(b)
 	if err == nil {
-		*m.(*dowel.Env) = e
+		*m.(*protocol.Env) = e
 	}
 	return err
 }
@@ -42,16 +42,16 @@
 // before it, and nothing that waits for a sibling that does not read.
 type post struct {
 	mu    sync.Mutex // guards lines and busy; taken last of all locks
-	lines map[string]chan dowel.Env
+	lines map[string]chan protocol.Env
 	busy  int // envelopes being written
 	ctx   context.Context
-	take  func(dowel.Env)
+	take  func(protocol.Env)
 	dial  *net.Dialer
-	local map[string]func(dowel.Env)
+	local map[string]func(protocol.Env)
 }
 
-func newPost(ctx context.Context, told string, wait time.Duration, take func(dowel.Env)) *post {
-	return &post{dial: Dialer(told, wait), lines: map[string]chan dowel.Env{}, ctx: ctx, take: take}
+func newPost(ctx context.Context, told string, wait time.Duration, take func(protocol.Env)) *post {
+	return &post{dial: Dialer(told, wait), lines: map[string]chan protocol.Env{}, ctx: ctx, take: take}
 }
 
 func (p *post) listen(addr string) error {
@@ -70,7 +70,7 @@
 		return errors.Errorf("no such call: %s", rpc)
 	}
 	for {
-		var e dowel.Env
+		var e protocol.Env
 		if err := s.MsgRecv(&e, coding{}); err != nil {
 			return nil
 		}
@@ -79,7 +79,7 @@
 }
 
 // send queues an envelope; a full queue lets go of its oldest.
-func (p *post) send(e dowel.Env) {
+func (p *post) send(e protocol.Env) {
 	to := e.Hop().Addr
 	if to == "" {
 		return
@@ -88,7 +88,7 @@
 	defer p.mu.Unlock()
 	q := p.lines[to]
 	if q == nil {
-		q = make(chan dowel.Env, 512)
+		q = make(chan protocol.Env, 512)
 		p.lines[to] = q
 		go p.run(to, q)
 	}
@@ -134,7 +134,7 @@
 	return c.Conn.Write(b)
 }
 
-func (p *post) run(to string, q chan dowel.Env) {
+func (p *post) run(to string, q chan protocol.Env) {
 	var c *drpcconn.Conn
 	var s drpc.Stream
 	var bad time.Time
@@ -145,7 +145,7 @@
 		c, s = nil, nil
 	}
 	defer quit()
-	put := func(e dowel.Env) {
+	put := func(e protocol.Env) {
 		if c != nil {
 			select {
 			case <-c.Closed():
--- a/clamp/refuse_test.go
+++ b/internal/host/refuse_test.go
@@ -1,4 +1,4 @@
-package clamp
+package host
 
 import (
 	"bytes"
@@ -15,7 +15,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/syndtr/goleveldb/leveldb/storage"
 
-	"tidedeck/dowel"
+	"tidedeck/internal/protocol"
 )
 
 // works are saves that outgrow their journals, and what the store has after each of them.
@@ -83,13 +83,13 @@
 	}, func(error) {})
 	require.False(t, harm, "what was never damaged is not set aside: %v", err)
 	if err == nil {
-		saved := make(chan dowel.Saved, len(puts))
-		d.done = func(s dowel.Saved) { confirmed.Add(1); saved <- s }
+		saved := make(chan protocol.Saved, len(puts))
+		d.done = func(s protocol.Saved) { confirmed.Add(1); saved <- s }
 		end := make(chan struct{})
 		go func() { d.run(); close(end) }()
 	all:
 		for i, b := range puts {
-			d.put(dowel.Save{Token: uint64(i), Puts: b})
+			d.put(protocol.Save{Token: uint64(i), Puts: b})
 			select {
 			case s := <-saved:
 				require.Equal(t, uint64(i), s.Token)
@@ -206,8 +206,8 @@
 		p := newPair()
 		d, _, _, err := openVaults(p.vaults(), func(err error) { t.Error(at, err) })
 		require.NoError(t, err)
-		saved := make(chan dowel.Saved, 1)
-		d.done = func(s dowel.Saved) { saved <- s }
+		saved := make(chan protocol.Saved, 1)
+		d.done = func(s protocol.Saved) { saved <- s }
 		var marks, writes atomic.Int64
 		p.mark.fails = func(_ int, w string) error {
 			if w == "write" && marks.Add(1) == 1 {
@@ -223,7 +223,7 @@
 		}
 		end := make(chan struct{})
 		go func() { d.run(); close(end) }()
-		d.put(dowel.Save{Token: 1, Puts: map[string][]byte{"a": []byte("1")}})
+		d.put(protocol.Save{Token: 1, Puts: map[string][]byte{"a": []byte("1")}})
 		select {
 		case <-saved:
 		case <-end:
@@ -249,11 +249,11 @@
 				require.NoError(t, err)
 				var notes atomic.Int64
 				d.note = func(string) { notes.Add(1) }
-				saved := make(chan dowel.Saved, 2000)
-				d.done = func(s dowel.Saved) { saved <- s }
+				saved := make(chan protocol.Saved, 2000)
+				d.done = func(s protocol.Saved) { saved <- s }
 				end := make(chan struct{})
 				go func() { d.run(); close(end) }()
-				d.put(dowel.Save{Token: 0, Puts: map[string][]byte{"a": []byte("0")}})
+				d.put(protocol.Save{Token: 0, Puts: map[string][]byte{"a": []byte("0")}})
 				<-saved
 				var full atomic.Bool
 				full.Store(true)
@@ -271,7 +271,7 @@
 					}
 				}
 				for i := 1; i <= 1000; i++ {
-					d.put(dowel.Save{Token: uint64(i), Puts: map[string][]byte{"a": val(i, 20_000), fmt.Sprintf("k%d", i%5): val(i, 3000)}})
+					d.put(protocol.Save{Token: uint64(i), Puts: map[string][]byte{"a": val(i, 20_000), fmt.Sprintf("k%d", i%5): val(i, 3000)}})
 					if i%200 == 0 {
 						time.Sleep(10 * time.Millisecond)
 					}
@@ -369,8 +369,8 @@
 	p := newPair()
 	d, _, _, err := openVaults(p.vaults(), func(err error) { t.Error(err) })
 	require.NoError(t, err)
-	saved := make(chan dowel.Saved, 100)
-	d.done = func(s dowel.Saved) { saved <- s }
+	saved := make(chan protocol.Saved, 100)
+	d.done = func(s protocol.Saved) { saved <- s }
 	end := make(chan struct{})
 	go func() { d.run(); close(end) }()
 	gate := make(chan struct{})
@@ -378,7 +378,7 @@
 	p.state.gate = gate
 	p.state.mu.Unlock()
 	for i := range 100 {
-		d.put(dowel.Save{Token: uint64(i), Puts: map[string][]byte{"a": []byte(fmt.Sprint(i))}})
+		d.put(protocol.Save{Token: uint64(i), Puts: map[string][]byte{"a": []byte(fmt.Sprint(i))}})
 	}
 	time.Sleep(30 * time.Millisecond)
 	require.Empty(t, saved)
@@ -419,14 +419,14 @@
 			told := make(chan error, 1)
 			d, _, _, err := openVaults(p.vaults(), func(err error) { told <- err })
 			require.NoError(t, err)
-			saved := make(chan dowel.Saved, 8)
-			d.done = func(s dowel.Saved) { saved <- s }
+			saved := make(chan protocol.Saved, 8)
+			d.done = func(s protocol.Saved) { saved <- s }
 			end := make(chan struct{})
 			go func() { d.run(); close(end) }()
-			d.put(dowel.Save{Token: 1, Puts: map[string][]byte{"a": []byte("1")}})
+			d.put(protocol.Save{Token: 1, Puts: map[string][]byte{"a": []byte("1")}})
 			<-saved
 			before := p.after(0, "missing")
-			d.put(dowel.Save{Token: 2, Puts: map[string][]byte{"a": []byte("2")}})
+			d.put(protocol.Save{Token: 2, Puts: map[string][]byte{"a": []byte("2")}})
 			<-saved
 			var once sync.Once
 			p.state.mu.Lock()
@@ -440,7 +440,7 @@
 				return err
 			}
 			p.state.mu.Unlock()
-			d.put(dowel.Save{Token: 3, Puts: map[string][]byte{"b": []byte("3")}})
+			d.put(protocol.Save{Token: 3, Puts: map[string][]byte{"b": []byte("3")}})
 			select {
 			case err := <-told:
 				require.ErrorIs(t, err, errHarm)
@@ -460,7 +460,7 @@
 	v.pause = pause{time.Hour, time.Hour}
 	d, _, _, err := openVaults(v, func(err error) { t.Error(err) })
 	require.NoError(t, err)
-	d.done = func(dowel.Saved) { t.Error("confirmed") }
+	d.done = func(protocol.Saved) { t.Error("confirmed") }
 	hit := make(chan struct{}, 100)
 	p.each(func(_ int, w string) error {
 		if w == "write" {
@@ -471,7 +471,7 @@
 	})
 	end := make(chan struct{})
 	go func() { d.run(); close(end) }()
-	d.put(dowel.Save{Token: 1, Puts: map[string][]byte{"a": []byte("1")}})
+	d.put(protocol.Save{Token: 1, Puts: map[string][]byte{"a": []byte("1")}})
 	<-hit
 	d.close()
 	select {
@@ -500,13 +500,13 @@
 	dir := t.TempDir()
 	d, _, _, err := openDisk(dir, func(err error) { t.Error(err) })
 	require.NoError(t, err)
-	saved := make(chan dowel.Saved, 1)
-	d.done = func(s dowel.Saved) { saved <- s }
+	saved := make(chan protocol.Saved, 1)
+	d.done = func(s protocol.Saved) { saved <- s }
 	end := make(chan struct{})
 	go func() { d.run(); close(end) }()
 	most := int64(0)
 	for i := range 200 {
-		d.put(dowel.Save{Token: uint64(i), Puts: map[string][]byte{"a": val(i, 20_000)}})
+		d.put(protocol.Save{Token: uint64(i), Puts: map[string][]byte{"a": val(i, 20_000)}})
 		<-saved
 		sum := int64(0)
 		l, err := filepath.Glob(filepath.Join(dir, "*", "*"))
@@ -532,7 +532,7 @@
 		require.NoError(t, os.WriteFile(filepath.Join(dir, n, "CURRENT.1"), nil, 0o644))
 		require.NoError(t, os.WriteFile(filepath.Join(dir, n, "MANIFEST-000001"), []byte("half"), 0o644))
 	}
-	m, harm := keep(t, dir, dowel.Save{Token: 1, Puts: map[string][]byte{"a": []byte("1")}})
+	m, harm := keep(t, dir, protocol.Save{Token: 1, Puts: map[string][]byte{"a": []byte("1")}})
 	require.False(t, harm)
 	require.Empty(t, m)
 	// Once something was confirmed, files that are gone are damage as before.
--- a/clamp/ring_json_test.go
+++ b/internal/host/ring_json_test.go
@@ -1,4 +1,4 @@
-package clamp
+package host
 
 import (
 	"bytes"
--- a/clamp/rough_test.go
+++ b/internal/host/rough_test.go
@@ -1,4 +1,4 @@
-package clamp
+package host
 
 import (
 	"fmt"
@@ -13,7 +13,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/syndtr/goleveldb/leveldb/storage"
 
-	"tidedeck/dowel"
+	"tidedeck/internal/protocol"
 )
 
 // rough is a folder on a machine that fails: what is not synced goes with the power, whole
@@ -339,12 +339,12 @@
 	t.Helper()
 	d, m, harm, err := openVaults(p.vaults(), func(err error) { t.Error(err) })
 	require.NoError(t, err)
-	saved := make(chan dowel.Saved, 1)
-	d.done = func(s dowel.Saved) { saved <- s }
+	saved := make(chan protocol.Saved, 1)
+	d.done = func(s protocol.Saved) { saved <- s }
 	end := make(chan struct{})
 	go func() { d.run(); close(end) }()
 	for i, b := range puts {
-		d.put(dowel.Save{Token: uint64(i), Puts: b})
+		d.put(protocol.Save{Token: uint64(i), Puts: b})
 		<-saved
 	}
 	p.state.off()
@@ -368,11 +368,11 @@
 	p := newPair()
 	d, _, _, err := openVaults(p.vaults(), func(error) {})
 	require.NoError(t, err)
-	saved := make(chan dowel.Saved, 8)
-	d.done = func(s dowel.Saved) { saved <- s }
+	saved := make(chan protocol.Saved, 8)
+	d.done = func(s protocol.Saved) { saved <- s }
 	go d.run()
 	was := map[string][]byte{"inc": []byte("7"), "accepted": val(3, 200)}
-	d.put(dowel.Save{Token: 1, Puts: was})
+	d.put(protocol.Save{Token: 1, Puts: was})
 	<-saved
 	arrived := make(chan struct{}, 1)
 	p.state.mu.Lock()
@@ -388,7 +388,7 @@
 	}
 	p.state.mu.Unlock()
 	next := map[string][]byte{"accepted": val(4, 300), "promised": []byte("9")}
-	d.put(dowel.Save{Token: 2, Puts: next})
+	d.put(protocol.Save{Token: 2, Puts: next})
 	<-arrived
 	for p.state.loose() < 300 {
 		<-arrived
@@ -485,7 +485,7 @@
 			require.NoError(t, err)
 			told := make(chan string, 1)
 			d.note = func(s string) { told <- s }
-			d.done = func(dowel.Saved) { t.Error("confirmed a write that failed") }
+			d.done = func(protocol.Saved) { t.Error("confirmed a write that failed") }
 			r := map[string]*rough{"state": p.state, "mark": p.mark}[on]
 			r.mu.Lock()
 			r.fails = func(_ int, w string) error {
@@ -497,7 +497,7 @@
 			r.mu.Unlock()
 			end := make(chan struct{})
 			go func() { d.run(); close(end) }()
-			d.put(dowel.Save{Token: 5, Puts: map[string][]byte{"a": []byte("2")}})
+			d.put(protocol.Save{Token: 5, Puts: map[string][]byte{"a": []byte("2")}})
 			require.Contains(t, <-told, syscall.ENOSPC.Error())
 			select {
 			case <-end:
--- a/jig/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -1,6 +1,6 @@
-// Package jig holds a whole fleet on one machine: it starts every program as a process of its
+// Package localfleet holds a whole fleet on one machine: it starts every program as a process of its
 // own, sends traffic, makes parts fail, and reports what callers, servers and operators saw.
-package jig
+package localfleet
 
 import (
 	"bytes"
@@ -21,7 +21,7 @@
 
 	"github.com/go-faster/errors"
 
-	"tidedeck/chisel"
+	"tidedeck/internal/fleetplan"
 )
 
 // Shape is the size of a fleet.
@@ -173,7 +173,7 @@
 	f.Home = homeAt
 	f.told = home
 	f.link(home, homeAt)
-	f.add("store", "vise", "store", "--listen", f.Store, "--rate", fmt.Sprint(s.Rate), "--bear", fmt.Sprint(s.Bear))
+	f.add("store", "standin", "store", "--listen", f.Store, "--rate", fmt.Sprint(s.Rate), "--bear", fmt.Sprint(s.Bear))
 	var list []string
 	for i := range s.Servers {
 		n := fmt.Sprintf("server-%d", i+1)
@@ -183,14 +183,14 @@
 		list = append(list, fmt.Sprintf("%s=%s=%s", n, told, zone(i)))
 		// Old and new servers differ in room, slots and speed.
 		part := 3 + i%3
-		f.add(n, "vise", "server", "--id", n, "--listen", a, "--store", f.Store, "--room", fmt.Sprint(s.Room*part/4), "--slots", fmt.Sprint(4*part), "--step-ms", fmt.Sprint(80/part))
+		f.add(n, "standin", "server", "--id", n, "--listen", a, "--store", f.Store, "--room", fmt.Sprint(s.Room*part/4), "--slots", fmt.Sprint(4*part), "--step-ms", fmt.Sprint(80/part))
 	}
-	f.add("platform", "vise", "platform", "--listen", f.Home, "--servers", strings.Join(list, ","))
+	f.add("platform", "standin", "platform", "--listen", f.Home, "--servers", strings.Join(list, ","))
 	for range 3 {
-		f.Seeds = append(f.Seeds, f.PortAt(f.machine(fmt.Sprintf("anvil-%d", len(f.Seeds)+1))))
+		f.Seeds = append(f.Seeds, f.PortAt(f.machine(fmt.Sprintf("controller-%d", len(f.Seeds)+1))))
 	}
 	for i, a := range f.Seeds {
-		f.AddCore(fmt.Sprintf("anvil-%d", i+1), a, zone(i))
+		f.AddCore(fmt.Sprintf("controller-%d", i+1), a, zone(i))
 	}
 	for i := range s.Routers {
 		n := fmt.Sprint(i + 1)
@@ -198,9 +198,9 @@
 		link, at := f.ends("router-" + n)
 		f.link(link, at)
 		f.Routers = append(f.Routers, call)
-		f.Names["lathe-"+n] = call
-		f.add("awl-"+n, "awl", "--id", "awl-"+n, "--zone", zone(i), "--listen", link, "--bind", at, "--near", near, "--lathe", ctl, "--admin", adm, "--seeds", strings.Join(f.Seeds, ","))
-		f.add("lathe-"+n, "lathe", "--id", "lathe-"+n, "--listen", call, "--control", ctl, "--awl", near)
+		f.Names["router-"+n] = call
+		f.add("agent-"+n, "agent", "--id", "agent-"+n, "--zone", zone(i), "--listen", link, "--bind", at, "--near", near, "--router", ctl, "--admin", adm, "--seeds", strings.Join(f.Seeds, ","))
+		f.add("router-"+n, "router", "--id", "router-"+n, "--listen", call, "--control", ctl, "--agent", near)
 	}
 	return f
 }
@@ -213,7 +213,7 @@
 		at = f.Port()
 		f.link(listen, at)
 	}
-	f.add(name, "anvil", "--id", name, "--zone", zone, "--listen", listen, "--bind", at, "--admin", f.Admins[name], "--seeds", strings.Join(f.Seeds, ","),
+	f.add(name, "controller", "--id", name, "--zone", zone, "--listen", listen, "--bind", at, "--admin", f.Admins[name], "--seeds", strings.Join(f.Seeds, ","),
 		"--data", filepath.Join(f.Dir, name), "--platform", f.told)
 }
 
@@ -346,10 +346,10 @@
 
 // Taken is an operator's answer.
 type Taken struct {
-	Kind   string        `json:"kind"`
-	Why    string        `json:"why"`
-	Epoch  uint64        `json:"epoch"`
-	Faults chisel.Faults `json:"faults"`
+	Kind   string           `json:"kind"`
+	Why    string           `json:"why"`
+	Epoch  uint64           `json:"epoch"`
+	Faults fleetplan.Faults `json:"faults"`
 }
 
 // Put hands over a plan at a core node.
@@ -430,7 +430,7 @@
 
 // Floors tells whether every key has its floor of ready replicas.
 func (f *Fleet) Floors() bool {
-	p, _ := chisel.ReadPlan(f.Plan)
+	p, _ := fleetplan.ReadPlan(f.Plan)
 	v, ok := f.Placed()
 	if !ok || p == nil {
 		return false
--- a/jig/hollow.go
+++ b/internal/localfleet/hollow.go
@@ -1,4 +1,4 @@
-package jig
+package localfleet
 
 import (
 	"encoding/json"
@@ -10,11 +10,13 @@
 
 	"golang.org/x/sys/unix"
 
-	"tidedeck/anvil"
-	"tidedeck/awl"
-	"tidedeck/dowel"
-	"tidedeck/gauge"
-	"tidedeck/lathe"
+	"tidedeck/internal/agent"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/controller"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
+	"tidedeck/internal/router"
 )
 
 // HollowOptions say how large a hollow fleet is and what happens to it while it is measured.
@@ -28,43 +30,43 @@
 	Zones    int
 	Regions  int
 	Rate     float64    // requests a second at each router
-	Stay     gauge.Span // that a request is under way
+	Stay     clock.Span // that a request is under way
 	Part     float64    // of requests that name an adapter
 	Busy     float64    // of the servers' time that all requests take
-	Warm     gauge.Span // from the plan in force everywhere until the measuring begins
-	For      gauge.Span // measured
+	Warm     clock.Span // from the plan in force everywhere until the measuring begins
+	For      clock.Span // measured
 	Changes  int        // of one item of the plan, spread over the measured time
 	Fails    int        // machines, servers and routers by their numbers, likewise
 	Restarts int        // planned, likewise
 	ZoneLost bool       // a zone goes at a third of the measured time and is back at two thirds
-	Apart    gauge.Span // one region is parted from the others for so long, from a third on
+	Apart    clock.Span // one region is parted from the others for so long, from a third on
 	OwnerOut bool       // the duty's owner fails at a third
 	Seed     uint64
 }
 
 // Defaults fills what was left out.
 func (o HollowOptions) Defaults() HollowOptions {
-	gauge.Or(&o.Routers, 9)
-	gauge.Or(&o.Servers, 13)
-	gauge.Or(&o.Models, 8)
-	gauge.Or(&o.Cores, 3)
-	gauge.Or(&o.Services, 1)
-	gauge.Or(&o.Regions, 3)
-	gauge.Or(&o.Zones, 3)
-	gauge.Or(&o.Rate, 47)
-	gauge.Or(&o.Stay, 6e9)
-	gauge.Or(&o.Part, 0.4)
-	gauge.Or(&o.Busy, 0.3)
-	gauge.Or(&o.Warm, 4e9)
-	gauge.Or(&o.For, 10e9)
-	gauge.Or(&o.Seed, 1)
+	generic.SetDefault(&o.Routers, 9)
+	generic.SetDefault(&o.Servers, 13)
+	generic.SetDefault(&o.Models, 8)
+	generic.SetDefault(&o.Cores, 3)
+	generic.SetDefault(&o.Services, 1)
+	generic.SetDefault(&o.Regions, 3)
+	generic.SetDefault(&o.Zones, 3)
+	generic.SetDefault(&o.Rate, 47)
+	generic.SetDefault(&o.Stay, 6e9)
+	generic.SetDefault(&o.Part, 0.4)
+	generic.SetDefault(&o.Busy, 0.3)
+	generic.SetDefault(&o.Warm, 4e9)
+	generic.SetDefault(&o.For, 10e9)
+	generic.SetDefault(&o.Seed, 1)
 	return o
 }
 
 const (
-	hollowStep   = gauge.Span(20e6) // of virtual time
+	hollowStep   = clock.Span(20e6) // of virtual time
 	hollowRing   = 128              // steps that a message may take
-	hollowPeriod = gauge.Span(1200e6)
+	hollowPeriod = clock.Span(1200e6)
 	hollowSeeds  = 3
 	hollowRoom   = 200_000
 	hollowPlaces = 8
@@ -83,7 +85,7 @@
 }
 
 type stepper interface {
-	Step(now gauge.Tick, in any) []any
+	Step(now clock.Tick, in any) []any
 }
 
 // Load is what one kind of input or message cost one role.
@@ -103,7 +105,7 @@
 
 type hollowNode struct {
 	role    string
-	sib     dowel.Sibling
+	sib     protocol.Sibling
 	zone    int
 	up      bool
 	life    int
@@ -115,24 +117,24 @@
 
 // traffic is the synthetic demand at one router.
 type traffic struct {
-	session dowel.Session
-	known   map[gauge.Key][]gauge.Server
-	marks   map[gauge.Key]gauge.Mark
-	asked   map[gauge.Key]gauge.Tick
-	stale   map[gauge.Key]bool
+	session protocol.Session
+	known   map[ident.Key][]ident.Server
+	marks   map[ident.Key]ident.Mark
+	asked   map[ident.Key]clock.Tick
+	stale   map[ident.Key]bool
 	under   []under
-	lines   map[gauge.Key][]gauge.Tick
+	lines   map[ident.Key][]clock.Tick
 	rand    *rand.Rand
 }
 
 type under struct {
-	key    gauge.Key
-	server gauge.Server
-	end    gauge.Tick
+	key    ident.Key
+	server ident.Server
+	end    clock.Tick
 }
 
 type hollowServer struct {
-	id      gauge.Server
+	id      ident.Server
 	addr    string
 	number  int
 	zone    int
@@ -142,11 +144,11 @@
 	state   string
 	count   uint64
 	taken   uint64
-	next    gauge.Tick
-	held    map[gauge.Key]int // by size
-	order   dowel.Order       // under way
-	done    gauge.Tick
-	back    gauge.Tick // it starts anew then
+	next    clock.Tick
+	held    map[ident.Key]int // by size
+	order   protocol.Order    // under way
+	done    clock.Tick
+	back    clock.Tick // it starts anew then
 }
 
 type mail struct {
@@ -162,44 +164,44 @@
 // servers that only beat, report and take orders.
 type Hollow struct {
 	o       HollowOptions
-	now     gauge.Tick
+	now     clock.Tick
 	ring    [hollowRing][]mail
 	nodes   []*hollowNode
 	at      map[string]*hollowNode
 	servers []*hollowServer
 	doors   map[string]*hollowServer
-	keys    [][]gauge.Key // of each model its own key and its adapters'
-	sizes   map[gauge.Key]int
+	keys    [][]ident.Key // of each model its own key and its adapters'
+	sizes   map[ident.Key]int
 	rand    *rand.Rand
 	parted  func(a, b int) bool // zones
 	token   uint64
-	admins  map[uint64]func(anvil.Receipt)
+	admins  map[uint64]func(controller.Receipt)
 	leaves  map[uint64]func(ok bool)
 	plan    []byte
-	epoch   gauge.Epoch
+	epoch   ident.Epoch
 
 	Loads   map[LoadKey]*Load
 	Written int // bytes that core nodes synced
 	Syncs   int
 	Notes   map[string]int
 	Orders  int
-	Applied []gauge.Span // from a change's answer to the last live router
-	Missed  []gauge.Span // from a server's failure until the owner knew
-	Reigns  []gauge.Tick
+	Applied []clock.Span // from a change's answer to the last live router
+	Missed  []clock.Span // from a server's failure until the owner knew
+	Reigns  []clock.Tick
 	marks   []Mark
-	begun   gauge.Tick
+	begun   clock.Tick
 	pending []*inForce
-	failing map[gauge.Server]gauge.Tick
+	failing map[ident.Server]clock.Tick
 }
 
 type inForce struct {
-	epoch gauge.Epoch
-	at    gauge.Tick
+	epoch ident.Epoch
+	at    clock.Tick
 }
 
 // Mark is the state of a hollow fleet's service at one moment.
 type Mark struct {
-	At      gauge.Span
+	At      clock.Span
 	Routers int // up
 	Held    int // of them, those with a hold
 	Bare    int // models with a floor and no ready replica at a live server
@@ -208,17 +210,17 @@
 
 // NewHollow lays out a hollow fleet and starts it.
 func NewHollow(o HollowOptions) *Hollow {
-	h := &Hollow{o: o.Defaults(), now: 1e9, at: map[string]*hollowNode{}, doors: map[string]*hollowServer{}, sizes: map[gauge.Key]int{},
-		admins: map[uint64]func(anvil.Receipt){}, leaves: map[uint64]func(bool){}, Loads: map[LoadKey]*Load{}, Notes: map[string]int{},
-		parted: func(int, int) bool { return false }, failing: map[gauge.Server]gauge.Tick{}}
+	h := &Hollow{o: o.Defaults(), now: 1e9, at: map[string]*hollowNode{}, doors: map[string]*hollowServer{}, sizes: map[ident.Key]int{},
+		admins: map[uint64]func(controller.Receipt){}, leaves: map[uint64]func(bool){}, Loads: map[LoadKey]*Load{}, Notes: map[string]int{},
+		parted: func(int, int) bool { return false }, failing: map[ident.Server]clock.Tick{}}
 	h.rand = rand.New(rand.NewPCG(h.o.Seed, 7))
 	h.plan = h.makePlan("first")
 	for i := range h.o.Cores {
-		h.add(&hollowNode{role: "core", sib: dowel.Sibling{ID: gauge.Node(fmt.Sprintf("loop-%02d", i)), Addr: fmt.Sprintf("10.1.0.%d:7000", i+1)}, zone: i * max(1, h.o.Zones/h.o.Regions) % h.o.Zones, disk: map[string][]byte{}})
+		h.add(&hollowNode{role: "core", sib: protocol.Sibling{ID: ident.Node(fmt.Sprintf("loop-%02d", i)), Addr: fmt.Sprintf("10.1.0.%d:7000", i+1)}, zone: i * max(1, h.o.Zones/h.o.Regions) % h.o.Zones, disk: map[string][]byte{}})
 	}
 	for i := range h.o.Routers {
-		a := &hollowNode{role: "agent", sib: dowel.Sibling{ID: gauge.Node(fmt.Sprintf("edge-%04d", i)), Addr: fmt.Sprintf("10.2.%d.%d:7002", i/250, i%250+1)}, zone: i % h.o.Zones}
-		l := &hollowNode{role: "router", sib: dowel.Sibling{ID: "lathe", Addr: "lathe"}, zone: a.zone, beside: a}
+		a := &hollowNode{role: "agent", sib: protocol.Sibling{ID: ident.Node(fmt.Sprintf("edge-%04d", i)), Addr: fmt.Sprintf("10.2.%d.%d:7002", i/250, i%250+1)}, zone: i % h.o.Zones}
+		l := &hollowNode{role: "router", sib: protocol.Sibling{ID: "router", Addr: "router"}, zone: a.zone, beside: a}
 		a.beside = l
 		h.add(a)
 		h.nodes = append(h.nodes, l)
@@ -229,7 +231,7 @@
 		h.servers = append(h.servers, s)
 		h.doors[s.addr] = s
 		h.startServer(s)
-		s.next = h.now.Add(gauge.Span(h.rand.Int64N(int64(hollowPeriod))))
+		s.next = h.now.Add(clock.Span(h.rand.Int64N(int64(hollowPeriod))))
 	}
 	h.fillServers()
 	return h
@@ -249,35 +251,35 @@
 	return rand.New(rand.NewPCG(h.o.Seed, sum))
 }
 
-func (h *Hollow) zoneName(i int) gauge.Zone { return gauge.Zone(fmt.Sprintf("zone-%02d", i)) }
+func (h *Hollow) zoneName(i int) ident.Zone { return ident.Zone(fmt.Sprintf("zone-%02d", i)) }
 
 func (h *Hollow) region(zone int) int { return zone * h.o.Regions / h.o.Zones }
 
 func (h *Hollow) startNode(n *hollowNode) {
 	n.up = true
 	n.life++
-	inc := gauge.Inc(1e12 + uint64(h.now)/1e6*1e3 + uint64(len(h.nodes)))
-	var seeds []dowel.Sibling
+	inc := ident.Inc(1e12 + uint64(h.now)/1e6*1e3 + uint64(len(h.nodes)))
+	var seeds []protocol.Sibling
 	for i := range min(hollowSeeds, h.o.Cores) {
-		seeds = append(seeds, dowel.Sibling{Addr: fmt.Sprintf("10.1.0.%d:7000", i+1)})
+		seeds = append(seeds, protocol.Sibling{Addr: fmt.Sprintf("10.1.0.%d:7000", i+1)})
 	}
 	switch n.role {
 	case "core":
-		n.core = anvil.New(anvil.Options{Me: n.sib, Zone: h.zoneName(n.zone), Inc: inc, Seeds: seeds, Rand: h.chance(n),
+		n.core = controller.New(controller.Options{Me: n.sib, Zone: h.zoneName(n.zone), Inc: inc, Seeds: seeds, Rand: h.chance(n),
 			Duty: 800e6, Round: 200e6, Hold: 1400e6, Spare: 1200e6, Silence: hollowPeriod*3 + hollowPeriod/4, Rate: 5e9,
 			Enrolled: true, Unfenced: true, Warm: true})
 		disk := map[string][]byte{}
 		for k, b := range n.disk {
 			disk[k] = b
 		}
-		h.post(1, mail{to: n, life: n.life, kind: "Start", in: dowel.Start{Disk: disk}})
+		h.post(1, mail{to: n, life: n.life, kind: "Start", in: protocol.Start{Disk: disk}})
 	case "agent":
-		n.core = awl.New(awl.Options{Me: n.sib, Zone: h.zoneName(n.zone), Inc: inc, Life: inc, Seeds: seeds, Rand: h.chance(n),
-			Lathe: dowel.Sibling{ID: "lathe", Addr: "lathe"}})
+		n.core = agent.New(agent.Options{Me: n.sib, Zone: h.zoneName(n.zone), Inc: inc, Life: inc, Seeds: seeds, Rand: h.chance(n),
+			Router: protocol.Sibling{ID: "router", Addr: "router"}})
 	case "router":
-		n.core = lathe.New(lathe.Options{Me: n.sib, Inc: inc, Awl: dowel.Sibling{Addr: "awl"}, Zone: h.zoneName(n.zone), Free: true, Guards: true, Lend: 10})
-		n.traffic = &traffic{known: map[gauge.Key][]gauge.Server{}, marks: map[gauge.Key]gauge.Mark{}, asked: map[gauge.Key]gauge.Tick{},
-			stale: map[gauge.Key]bool{}, lines: map[gauge.Key][]gauge.Tick{}, rand: h.chance(n)}
+		n.core = router.New(router.Options{Me: n.sib, Inc: inc, Agent: protocol.Sibling{Addr: "agent"}, Zone: h.zoneName(n.zone), Free: true, Guards: true, Lend: 10})
+		n.traffic = &traffic{known: map[ident.Key][]ident.Server{}, marks: map[ident.Key]ident.Mark{}, asked: map[ident.Key]clock.Tick{},
+			stale: map[ident.Key]bool{}, lines: map[ident.Key][]clock.Tick{}, rand: h.chance(n)}
 	}
 }
 
@@ -297,7 +299,7 @@
 }
 
 func (h *Hollow) roleOf(n *hollowNode) string {
-	if c, ok := n.core.(*anvil.Core); ok {
+	if c, ok := n.core.(*controller.Core); ok {
 		if _, owns := c.Owns(h.now); owns {
 			return "owner"
 		}
@@ -330,27 +332,27 @@
 
 func (h *Hollow) act(n *hollowNode, role string, o any) {
 	switch v := o.(type) {
-	case dowel.Env:
+	case protocol.Env:
 		h.send(n, role, v)
-	case dowel.Save:
+	case protocol.Save:
 		for k, b := range v.Puts {
 			n.disk[k] = b
 			h.Written += len(b)
 		}
 		h.Syncs++
-		h.post(1, mail{to: n, life: n.life, kind: "Saved", in: dowel.Saved{Token: v.Token}})
-	case dowel.Ask:
+		h.post(1, mail{to: n, life: n.life, kind: "Saved", in: protocol.Saved{Token: v.Token}})
+	case protocol.Ask:
 		h.ask(n, role, v)
-	case dowel.Note:
+	case protocol.Note:
 		h.note(n, v.Text)
-	case dowel.Oops:
+	case protocol.Oops:
 		h.note(n, v.Text)
-	case anvil.Receipt:
+	case controller.Receipt:
 		if f := h.admins[v.Token]; f != nil {
 			delete(h.admins, v.Token)
 			f(v)
 		}
-	case anvil.Announced:
+	case controller.Announced:
 		if f := h.leaves[v.Token]; f != nil {
 			delete(h.leaves, v.Token)
 			f(v.OK)
@@ -361,9 +363,9 @@
 func (h *Hollow) note(n *hollowNode, s string) {
 	w := strings.Fields(s)
 	if len(w) > 2 && w[0] == "server" && (strings.HasSuffix(s, "is silent") || strings.HasSuffix(s, "does not answer")) {
-		if at, ok := h.failing[gauge.Server(w[1])]; ok {
+		if at, ok := h.failing[ident.Server(w[1])]; ok {
 			h.Missed = append(h.Missed, h.now.Sub(at))
-			delete(h.failing, gauge.Server(w[1]))
+			delete(h.failing, ident.Server(w[1]))
 		} else {
 			h.Notes["a live server is taken for dark"]++
 		}
@@ -380,16 +382,16 @@
 	h.Notes[strings.Join(w, " ")]++
 }
 
-func (h *Hollow) send(n *hollowNode, role string, e dowel.Env) {
-	kind := dowel.Kind(e.Body)
-	if b := n.beside; b != nil && (e.To.Addr == "lathe" || e.To.Addr == "awl") {
+func (h *Hollow) send(n *hollowNode, role string, e protocol.Env) {
+	kind := protocol.Kind(e.Body)
+	if b := n.beside; b != nil && (e.To.Addr == "router" || e.To.Addr == "agent") {
 		e.Body = h.near(n, e.Body)
 		h.load(role, kind).Sent++
 		h.post(0, mail{to: b, life: b.life, kind: kind, in: e})
 		return
 	}
 	at := threadTime()
-	raw, err := dowel.Pack(e)
+	raw, err := protocol.Pack(e)
 	if err != nil {
 		panic(err) // only our own types come here
 	}
@@ -418,7 +420,7 @@
 		return
 	}
 	at := threadTime()
-	e, err := dowel.Unpack(m.raw)
+	e, err := protocol.Unpack(m.raw)
 	if err != nil {
 		panic(err) // it was packed a moment ago
 	}
@@ -430,8 +432,8 @@
 }
 
 // ask is a question to a model server, over HTTP in a real fleet: its bytes here are the bodies'.
-func (h *Hollow) ask(n *hollowNode, role string, a dowel.Ask) {
-	q := a.Body.(dowel.Order)
+func (h *Hollow) ask(n *hollowNode, role string, a protocol.Ask) {
+	q := a.Body.(protocol.Order)
 	kind := "report"
 	if q.Op != "" {
 		kind = "order"
@@ -444,7 +446,7 @@
 	s := h.doors[a.Addr]
 	d := h.steps(n.zone, s.zone)
 	if !s.up || s.state == "gone" || h.parted(n.zone, s.zone) {
-		h.post(int(a.Wait/hollowStep), mail{to: n, life: n.life, kind: "Told", in: dowel.Told{Token: a.Token}})
+		h.post(int(a.Wait/hollowStep), mail{to: n, life: n.life, kind: "Told", in: protocol.Told{Token: a.Token}})
 		return
 	}
 	h.post(d, mail{do: func() {
@@ -456,36 +458,36 @@
 	}})
 }
 
-func (s *hollowServer) answer(h *Hollow, q dowel.Order) dowel.Told {
+func (s *hollowServer) answer(h *Hollow, q protocol.Order) protocol.Told {
 	if q.Op == "" {
-		r := dowel.Report{Server: s.id, Num: s.taken, Room: hollowRoom, Slots: 64, Busy: s.done != 0}
-		for _, k := range gauge.Keys(s.held) {
-			r.Held = append(r.Held, dowel.Held{Key: k, Size: s.held[k], Stage: "ready"})
+		r := protocol.Report{Server: s.id, Num: s.taken, Room: hollowRoom, Slots: 64, Busy: s.done != 0}
+		for _, k := range generic.SortedKeys(s.held) {
+			r.Held = append(r.Held, protocol.Held{Key: k, Size: s.held[k], Stage: "ready"})
 		}
 		raw, _ := json.Marshal(r)
-		return dowel.Told{OK: true, Code: 200, Body: raw}
+		return protocol.Told{OK: true, Code: 200, Body: raw}
 	}
 	if q.Expected != s.taken || s.done != 0 {
-		return dowel.Told{OK: true, Code: 409}
+		return protocol.Told{OK: true, Code: 409}
 	}
 	if _, has := s.held[q.Key]; has == (q.Op == "load") {
-		return dowel.Told{OK: true, Code: 200}
+		return protocol.Told{OK: true, Code: 200}
 	}
 	s.taken++
 	s.order = q
-	took := gauge.Span(2000e6)
+	took := clock.Span(2000e6)
 	if q.Key.IsAdapter() || q.Op == "unload" {
 		took = 200e6
 	}
 	s.done = h.now.Add(took)
-	return dowel.Told{OK: true, Code: 202}
+	return protocol.Told{OK: true, Code: 202}
 }
 
 func (h *Hollow) startServer(s *hollowServer) {
 	s.start++
-	s.id = gauge.Server(fmt.Sprintf("server-%04d-%d", s.number, s.start))
+	s.id = ident.Server(fmt.Sprintf("server-%04d-%d", s.number, s.start))
 	s.up, s.state, s.count, s.taken, s.done, s.back = true, "live", 0, 0, 0, 0
-	s.held = map[gauge.Key]int{}
+	s.held = map[ident.Key]int{}
 	s.next = h.now
 }
 
@@ -518,7 +520,7 @@
 // announce sends a server's word to any core node that it reaches.
 func (h *Hollow) announce(s *hollowServer, then func(bool)) {
 	s.count++
-	b := dowel.Beacon{Listed: dowel.Listed{ID: s.id, Addr: s.addr, Zone: h.zoneName(s.zone), State: s.state, Service: s.service, Slots: 64}, Count: s.count, Held: gauge.Keys(s.held)}
+	b := protocol.Beacon{Listed: protocol.Listed{ID: s.id, Addr: s.addr, Zone: h.zoneName(s.zone), State: s.state, Service: s.service, Slots: 64}, Count: s.count, Held: generic.SortedKeys(s.held)}
 	raw, _ := json.Marshal(b)
 	n := h.nodes[h.rand.IntN(h.o.Cores)]
 	if !n.up || h.parted(n.zone, s.zone) {
@@ -532,7 +534,7 @@
 	l := h.load(h.roleOf(n), "Announce")
 	l.Got++
 	l.In += len(raw)
-	h.post(h.steps(s.zone, n.zone), mail{to: n, life: n.life, kind: "Announce", in: anvil.Announce{Token: h.token, Beacon: b}})
+	h.post(h.steps(s.zone, n.zone), mail{to: n, life: n.life, kind: "Announce", in: controller.Announce{Token: h.token, Beacon: b}})
 }
 
 func (h *Hollow) makePlan(name string) []byte {
@@ -548,8 +550,8 @@
 			floor = 1
 		}
 		models[n] = m{"size": 60_000 + 1000*(i%20), "floor": floor, "load_ms": 2000}
-		k := gauge.Key(n).In(fmt.Sprintf("engines-%d", g))
-		h.keys = append(h.keys, []gauge.Key{k})
+		k := ident.Key(n).In(fmt.Sprintf("engines-%d", g))
+		h.keys = append(h.keys, []ident.Key{k})
 		h.sizes[k] = 60_000 + 1000*(i%20)
 		names[g] = append(names[g], n)
 	}
@@ -557,7 +559,7 @@
 		n, b := fmt.Sprintf("adapter-%04d", i), i%h.o.Models
 		base := fmt.Sprintf("model-%03d", b)
 		adapters[n] = m{"base": base, "size": 400}
-		k := gauge.KeyOf(base, n).In(fmt.Sprintf("engines-%d", b%h.o.Services))
+		k := ident.KeyOf(base, n).In(fmt.Sprintf("engines-%d", b%h.o.Services))
 		h.keys[b] = append(h.keys[b], k)
 		h.sizes[k] = 400
 		extra[b%h.o.Services] = append(extra[b%h.o.Services], n)
@@ -608,9 +610,9 @@
 }
 
 // active counts the adapters of a model that are asked for all the time.
-func active(l []gauge.Key) int { return (len(l) - 1 + hollowActive - 1) / hollowActive }
+func active(l []ident.Key) int { return (len(l) - 1 + hollowActive - 1) / hollowActive }
 
-func (h *Hollow) draw(r *rand.Rand) gauge.Key {
+func (h *Hollow) draw(r *rand.Rand) ident.Key {
 	// By the inverse of a harmonic-like distribution: the first models and adapters get most.
 	pick := func(n int) int {
 		return min(n-1, int(math.Pow(float64(n)+1, r.Float64()))-1)
@@ -629,22 +631,22 @@
 // near passes what a router and its agent tell each other, and puts the synthetic demand in.
 func (h *Hollow) near(n *hollowNode, body any) any {
 	switch b := body.(type) {
-	case dowel.Hello:
+	case protocol.Hello:
 		b.Burden, b.Seats = h.demand(n)
 		return b
-	case dowel.Removal:
+	case protocol.Removal:
 		for _, d := range b.Drops {
 			delete(n.traffic.known, d.Key)
 		}
-	case dowel.Hold:
+	case protocol.Hold:
 		if t := n.beside.traffic; b.Session != t.session {
 			t.session = b.Session
 			for k := range t.known {
 				t.stale[k] = true
 			}
-			t.asked = map[gauge.Key]gauge.Tick{}
+			t.asked = map[ident.Key]clock.Tick{}
 		}
-	case dowel.News:
+	case protocol.News:
 		t := n.beside.traffic
 		for _, i := range b.Items {
 			if i.Break != "" {
@@ -666,9 +668,9 @@
 	return body
 }
 
-func (h *Hollow) demand(n *hollowNode) (map[gauge.Key]dowel.Burden, map[gauge.Server]int) {
+func (h *Hollow) demand(n *hollowNode) (map[ident.Key]protocol.Burden, map[ident.Server]int) {
 	t := n.traffic
-	b := map[gauge.Key]dowel.Burden{}
+	b := map[ident.Key]protocol.Burden{}
 	each := h.o.Busy * float64(h.o.Servers) / (h.o.Rate * float64(h.o.Routers))
 	left := t.under[:0]
 	for _, u := range t.under {
@@ -692,11 +694,11 @@
 			t.lines[key] = append(t.lines[key], h.now)
 		}
 	}
-	for _, k := range gauge.Keys(t.lines) {
+	for _, k := range generic.SortedKeys(t.lines) {
 		l := t.lines[k]
 		if on := t.known[k]; len(on) > 0 && !t.stale[k] {
 			for range l {
-				stay := gauge.Span(float64(h.o.Stay) * (0.5 + t.rand.Float64()))
+				stay := clock.Span(float64(h.o.Stay) * (0.5 + t.rand.Float64()))
 				t.under = append(t.under, under{k, on[t.rand.IntN(len(on))], h.now.Add(stay)})
 			}
 			delete(t.lines, k)
@@ -714,15 +716,15 @@
 		b[k] = u
 		if at, ok := t.asked[k]; (!ok || h.now.Sub(at) > 400e6) && t.session.N > 0 {
 			t.asked[k] = h.now
-			w := dowel.Want{Session: t.session, Key: k, Waiting: len(l), Value: 1000}
+			w := protocol.Want{Session: t.session, Key: k, Waiting: len(l), Value: 1000}
 			if t.stale[k] {
 				w.Mark = t.marks[k]
 			}
 			h.load("router", "Want").Sent++
-			h.post(0, mail{to: n.beside, life: n.beside.life, kind: "Want", in: dowel.Env{From: n.sib, To: n.beside.sib, Body: w}})
+			h.post(0, mail{to: n.beside, life: n.beside.life, kind: "Want", in: protocol.Env{From: n.sib, To: n.beside.sib, Body: w}})
 		}
 	}
-	seats := map[gauge.Server]int{}
+	seats := map[ident.Server]int{}
 	for _, u := range t.under {
 		x := b[u.key]
 		x.Work++
--- a/jig/hollow_report.go
+++ b/internal/localfleet/hollow_report.go
@@ -1,4 +1,4 @@
-package jig
+package localfleet
 
 import (
 	"encoding/csv"
@@ -8,8 +8,8 @@
 	"sort"
 	"time"
 
-	"tidedeck/anvil"
-	"tidedeck/gauge"
+	"tidedeck/internal/controller"
+	"tidedeck/internal/generic"
 )
 
 // Row is one line of a hollow run's figures: what one role, or one kind of message at it, came to in a
@@ -89,7 +89,7 @@
 		was = now
 	}
 	free("owner", func(n *hollowNode) bool {
-		c, ok := n.core.(*anvil.Core)
+		c, ok := n.core.(*controller.Core)
 		if !ok {
 			return false
 		}
@@ -163,14 +163,14 @@
 	for _, r := range h.Rows() {
 		p("%-7s %-14s %10.2f %9.2f %12.0f %9.2f %12.0f %10.3f %9d", r.Role, r.Kind, r.Steps, r.Sent, r.Out, r.Got, r.In, r.CPU, r.Biggest)
 	}
-	for _, r := range gauge.Keys(heap) {
+	for _, r := range generic.SortedKeys(heap) {
 		p("heap of a process of role %-7s %12.0f bytes", r, heap[r])
 	}
 	p("disk: %d bytes kept at a core node; %.0f bytes/s and %.2f batches/s synced by all", h.Disk(), float64(h.Written)/o.For.Seconds(), float64(h.Syncs)/o.For.Seconds())
 	p("orders %.0f an hour", float64(h.Orders)*3600/o.For.Seconds())
 	p("changes in force everywhere after %v (%d of %d)", h.Applied, len(h.Applied), o.Changes)
 	p("failed servers known after %v; not yet known: %d", h.Missed, len(h.failing))
-	for _, n := range gauge.Keys(h.Notes) {
+	for _, n := range generic.SortedKeys(h.Notes) {
 		p("note %5d × %s", h.Notes[n], n)
 	}
 }
--- a/jig/hollow_run.go
+++ b/internal/localfleet/hollow_run.go
@@ -1,13 +1,15 @@
-package jig
+package localfleet
 
 import (
 	"fmt"
 	"runtime"
 
-	"tidedeck/anvil"
-	"tidedeck/dowel"
-	"tidedeck/gauge"
-	"tidedeck/lathe"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/controller"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
+	"tidedeck/internal/router"
 )
 
 // turn moves the fleet by one step of virtual time.
@@ -24,8 +26,8 @@
 		h.beatServer(s)
 	}
 	for _, n := range h.nodes {
-		if n.role == "router" || h.now%(5*gauge.Tick(hollowStep)) != 0 { // a router's beat is 20 ms, the others' 25
-			h.step(n, "Beat", dowel.Beat{})
+		if n.role == "router" || h.now%(5*clock.Tick(hollowStep)) != 0 { // a router's beat is 20 ms, the others' 25
+			h.step(n, "Beat", protocol.Beat{})
 		}
 	}
 	drain()
@@ -34,9 +36,9 @@
 }
 
 // Owner finds the core node that owns the duty.
-func (h *Hollow) Owner() *anvil.Core {
+func (h *Hollow) Owner() *controller.Core {
 	for _, n := range h.nodes {
-		if c, ok := n.core.(*anvil.Core); ok && n.up {
+		if c, ok := n.core.(*controller.Core); ok && n.up {
 			if _, owns := c.Owns(h.now); owns {
 				return c
 			}
@@ -46,9 +48,9 @@
 }
 
 // InForce counts the live routers that have an epoch in force and a hold.
-func (h *Hollow) InForce(e gauge.Epoch) (up, held, ruled int) {
+func (h *Hollow) InForce(e ident.Epoch) (up, held, ruled int) {
 	for _, n := range h.nodes {
-		c, ok := n.core.(*lathe.Core)
+		c, ok := n.core.(*router.Core)
 		if !ok || !n.up {
 			continue
 		}
@@ -65,7 +67,7 @@
 }
 
 // Admin asks a live core node for a change as an operator would.
-func (h *Hollow) Admin(a anvil.Admin, then func(anvil.Receipt)) {
+func (h *Hollow) Admin(a controller.Admin, then func(controller.Receipt)) {
 	n := h.nodes[h.rand.IntN(h.o.Cores)]
 	for !n.up {
 		n = h.nodes[h.rand.IntN(h.o.Cores)]
@@ -86,8 +88,8 @@
 	} else {
 		raw = fmt.Appendf(nil, `{"models":{"model-%03d":{"load_ms":%d}}}`, n%h.o.Models, 2001+n)
 	}
-	h.Admin(anvil.Admin{Op: "patch", Raw: raw, Any: true, Change: fmt.Sprint("change-", n)}, func(r anvil.Receipt) {
-		if r.Kind != gauge.None {
+	h.Admin(controller.Admin{Op: "patch", Raw: raw, Any: true, Change: fmt.Sprint("change-", n)}, func(r controller.Receipt) {
+		if r.Kind != failure.None {
 			h.Notes["change: "+string(r.Kind)]++
 			return
 		}
@@ -118,9 +120,9 @@
 		}
 		if h.epoch == 0 && !asked && h.Owner() != nil {
 			asked = true
-			h.Admin(anvil.Admin{Op: "put", Raw: h.plan, Any: true, Change: "first"}, func(r anvil.Receipt) {
+			h.Admin(controller.Admin{Op: "put", Raw: h.plan, Any: true, Change: "first"}, func(r controller.Receipt) {
 				asked = false
-				if r.Kind == gauge.None {
+				if r.Kind == failure.None {
 					h.epoch = r.Epoch
 					return
 				}
@@ -184,7 +186,7 @@
 func (h *Hollow) mark() Mark {
 	m := Mark{At: h.now.Sub(h.begun)}
 	m.Routers, m.Held, _ = h.InForce(0)
-	ready := map[gauge.Key]bool{}
+	ready := map[ident.Key]bool{}
 	for _, s := range h.servers {
 		if s.up && s.state == "live" {
 			for k := range s.held {
--- a/jig/hollow_test.go
+++ b/internal/localfleet/hollow_test.go
@@ -1,4 +1,4 @@
-package jig
+package localfleet
 
 import (
 	"bytes"
--- a/jig/links_test.go
+++ b/internal/localfleet/links_test.go
@@ -1,4 +1,4 @@
-package jig
+package localfleet
 
 import (
 	"fmt"
@@ -14,7 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"tidedeck/vise"
+	"tidedeck/internal/standin"
 )
 
 // racing hands over two plans at once, each again under its id until an answer comes.
@@ -27,7 +27,7 @@
 			raw := []byte(string(r.Plan) + strings.Repeat(" ", 1+2*n+i))
 			try := 0
 			_ = Until(r.ctx, "an answer", func() bool { // whoever gets none asks elsewhere
-				a, c, err := r.Put(fmt.Sprintf("anvil-%d", 1+(n+i+try)%3), raw, expect, fmt.Sprintf("race-%d-%d", n, i))
+				a, c, err := r.Put(fmt.Sprintf("controller-%d", 1+(n+i+try)%3), raw, expect, fmt.Sprintf("race-%d-%d", n, i))
 				told[i], code[i] = a, c
 				try++
 				return err == nil && (c == 200 || c == 409)
@@ -44,11 +44,11 @@
 	r := raiseLinked(t, "padana")
 	epoch := uint64(1)
 	for n, cut := range []func(){
-		func() { r.Cut("anvil-1", "anvil-2", true) },
-		func() { r.Part("anvil-3") },
+		func() { r.Cut("controller-1", "controller-2", true) },
+		func() { r.Part("controller-3") },
 		func() { r.Part(r.Owner(), "router-", "server-", "platform") },
 		func() { r.Links.Slow(5 * time.Millisecond) },
-		func() { r.Cut("anvil-2", "anvil-1", false) },
+		func() { r.Cut("controller-2", "controller-1", false) },
 	} {
 		cut()
 		stop := make(chan struct{})
@@ -82,8 +82,8 @@
 		want := string(r.Plan) + strings.Repeat(" ", 1+2*n+won)
 		for i := 1; i <= 3; i++ {
 			r.until("it is read back, to the byte", func() bool {
-				raw, ok := r.plan(fmt.Sprintf("anvil-%d", i))
-				require.True(t, !ok || raw == want, "anvil-%d gives something else", i)
+				raw, ok := r.plan(fmt.Sprintf("controller-%d", i))
+				require.True(t, !ok || raw == want, "controller-%d gives something else", i)
 				return ok
 			})
 		}
@@ -98,34 +98,34 @@
 func TestCutOffRouter(t *testing.T) {
 	r := raiseLinked(t, "corrib")
 	r.Part("router-1", "server-")
-	r.until("it knows that it is cut off", func() bool { return r.EpochAt(r.Names["lathe-1"]) == 0 })
-	e := r.put("anvil-1", []byte(string(r.Plan)+"\n"), "1", "without-it")
+	r.until("it knows that it is cut off", func() bool { return r.EpochAt(r.Names["router-1"]) == 0 })
+	e := r.put("controller-1", []byte(string(r.Plan)+"\n"), "1", "without-it")
 	var rest []string
 	for n, a := range r.Names {
-		if n != "lathe-1" {
+		if n != "router-1" {
 			rest = append(rest, a)
 		}
 	}
 	r.until("the others rule by it", func() bool { return r.Ruled(e, rest...) })
-	sends := func() float64 { return r.Metrics(r.Names["lathe-1"] + "/-/metrics")["tidedeck_lathe_firsts_total"] }
+	sends := func() float64 { return r.Metrics(r.Names["router-1"] + "/-/metrics")["tidedeck_router_firsts_total"] }
 	was := sends()
 	// What comes to it is held, and goes out only once its link is back.
-	m := vise.NewMix(r.q, 33)
-	h := vise.Client()
-	rep := &vise.CallReport{Kinds: map[string]int{}, ByRouter: map[string]int{}}
+	m := standin.NewMix(r.q, 33)
+	h := standin.Client()
+	rep := &standin.CallReport{Kinds: map[string]int{}, ByRouter: map[string]int{}}
 	var mu sync.Mutex
 	var all sync.WaitGroup
 	for range 5 {
 		a := m.Next()
 		all.Add(1)
-		go func() { defer all.Done(); vise.Call(h, r.Names["lathe-1"], a, rep, &mu) }()
+		go func() { defer all.Done(); standin.Call(h, r.Names["router-1"], a, rep, &mu) }()
 	}
 	r.until("they wait there", func() bool {
-		return r.Metrics(r.Names["lathe-1"] + "/-/metrics")["tidedeck_lathe_waiting"] == 5
+		return r.Metrics(r.Names["router-1"] + "/-/metrics")["tidedeck_router_waiting"] == 5
 	})
 	require.Equal(t, was, sends(), "nothing is sent without a hold")
 	r.Links.Heal()
-	r.until("it rules by the new plan", func() bool { return r.Ruled(e, r.Names["lathe-1"]) })
+	r.until("it rules by the new plan", func() bool { return r.Ruled(e, r.Names["router-1"]) })
 	all.Wait()
 	require.Empty(t, rep.Wrong)
 	require.Equal(t, 5, rep.Receipts, "%v", rep.Kinds)
@@ -138,9 +138,9 @@
 	n := int(old[len(old)-1] - '0')
 	var lost []string
 	for i := 1; i <= 9; i++ {
-		for _, p := range []string{"anvil", "server", "lathe", "awl"} {
+		for _, p := range []string{"controller", "server", "router", "agent"} {
 			name := fmt.Sprintf("%s-%d", p, i)
-			if r.Procs[name] != nil && (i-1)%3 == (n-1)%3 && (p != "anvil" || i <= 3) {
+			if r.Procs[name] != nil && (i-1)%3 == (n-1)%3 && (p != "controller" || i <= 3) {
 				lost = append(lost, name)
 			}
 		}
@@ -166,8 +166,8 @@
 		}
 		return ok && here >= 6
 	})
-	m := vise.NewMix(r.q, 35)
-	rep := vise.Calls(r.ctx, vise.CallOptions{Routers: left, Next: m.Next, Rate: 40, Total: 120})
+	m := standin.NewMix(r.q, 35)
+	rep := standin.Calls(r.ctx, standin.CallOptions{Routers: left, Next: m.Next, Rate: 40, Total: 120})
 	require.Empty(t, rep.Wrong)
 	require.Greater(t, rep.Receipts, rep.Sent*9/10, "%v", rep.Kinds)
 	r.Signal("platform", syscall.SIGCONT)
@@ -181,7 +181,7 @@
 func TestBlindOwner(t *testing.T) {
 	r := raiseLinked(t, "padana")
 	old := r.Owner()
-	r.Part(old, "anvil-", "router-")
+	r.Part(old, "controller-", "router-")
 	r.until("another owns the duty", func() bool { o := r.Owner(); return o != "" && o != old })
 	rep := r.calls(100, 50, 37, func() {})
 	require.Equal(t, rep.Sent, rep.Receipts, "%v", rep.Kinds)
@@ -191,18 +191,18 @@
 // Crowds ask for rare models at once while the store is slow; loads keep within its budget.
 func TestCrowds(t *testing.T) {
 	r := raise(t, "corrib")
-	m := vise.NewMix(r.q, 39)
-	a := []vise.Ask{m.Rare(), m.Rare(), m.Rare(), m.Rare()}
+	m := standin.NewMix(r.q, 39)
+	a := []standin.Ask{m.Rare(), m.Rare(), m.Rare(), m.Rare()}
 	i := 0
-	rep := vise.Calls(r.ctx, vise.CallOptions{Routers: r.Routers, Rate: 200, Total: 400, Next: func() vise.Ask { i++; return m.Of(a[i%4]) }})
+	rep := standin.Calls(r.ctx, standin.CallOptions{Routers: r.Routers, Rate: 200, Total: 400, Next: func() standin.Ask { i++; return m.Of(a[i%4]) }})
 	require.Empty(t, rep.Wrong)
 	require.Greater(t, rep.Receipts, rep.Sent/2, "%v", rep.Kinds)
-	var st vise.StoreTally
+	var st standin.StoreTally
 	_, err := r.Get(r.Store+"/count", &st)
 	require.NoError(t, err)
 	require.Zero(t, st.Over)
 	for n, addr := range r.Servers {
-		var c struct{ Tally vise.ServerTally }
+		var c struct{ Tally standin.ServerTally }
 		_, err := r.Get(addr+"/count", &c)
 		require.NoError(t, err)
 		require.Zero(t, c.Tally.NoRoom, n)
@@ -221,19 +221,21 @@
 		r.Kill(old)
 		r.until("another owns the duty", func() bool { o := r.Owner(); return o != "" && o != old })
 		require.NoError(t, r.Start(old))
-		r.Kill("awl-1")
-		require.NoError(t, r.Start("awl-1"))
+		r.Kill("agent-1")
+		require.NoError(t, r.Start("agent-1"))
 		r.until("the zone is emptied", func() bool {
-			c, err := r.Do("POST", r.Admins["anvil-1"]+"/zones/zb/empty", map[string]string{"X-Expect-Epoch": "any", "X-Change-Id": "e"}, nil, nil)
+			c, err := r.Do("POST", r.Admins["controller-1"]+"/zones/zb/empty", map[string]string{"X-Expect-Epoch": "any", "X-Change-Id": "e"}, nil, nil)
 			return err == nil && c == 200
 		})
 		r.until("the zone is refilled", func() bool {
-			c, err := r.Do("POST", r.Admins["anvil-2"]+"/zones/zb/refill", map[string]string{"X-Expect-Epoch": "any", "X-Change-Id": "f"}, nil, nil)
+			c, err := r.Do("POST", r.Admins["controller-2"]+"/zones/zb/refill", map[string]string{"X-Expect-Epoch": "any", "X-Change-Id": "f"}, nil, nil)
 			return err == nil && c == 200
 		})
 	})
 	require.Greater(t, rep.Receipts, rep.Sent/2, "%v", rep.Kinds)
-	r.until("a node is ready", func() bool { return r.CoreReady("anvil-1") && r.CoreReady("anvil-2") && r.CoreReady("anvil-3") })
+	r.until("a node is ready", func() bool {
+		return r.CoreReady("controller-1") && r.CoreReady("controller-2") && r.CoreReady("controller-3")
+	})
 	for _, n := range r.Order {
 		_ = r.Stop(n) // an exit says how it went, and so does its log
 	}
@@ -251,18 +253,18 @@
 // nothing is cut, nothing is unclear, nobody is turned away.
 func TestRolls(t *testing.T) {
 	r := raise(t, "padana")
-	m := vise.NewMix(r.q, 43)
-	next := func() vise.Ask {
+	m := standin.NewMix(r.q, 43)
+	next := func() standin.Ask {
 		a := m.Next()
 		a.Call.Max += 60
 		return a
 	}
 	var all sync.WaitGroup
-	var rep *vise.CallReport
+	var rep *standin.CallReport
 	all.Add(1)
 	go func() {
 		defer all.Done()
-		rep = vise.Calls(r.ctx, vise.CallOptions{Routers: r.Routers, Next: next, Rate: 20, Total: 400})
+		rep = standin.Calls(r.ctx, standin.CallOptions{Routers: r.Routers, Next: next, Rate: 20, Total: 400})
 	}()
 	mark := func(s, state string) {
 		c, err := r.Do("POST", r.Home+"/servers/"+s+"/"+state, nil, nil, nil)
@@ -281,10 +283,10 @@
 		}
 	}
 	for i := 1; i <= 3; i++ {
-		s, a, n := fmt.Sprintf("server-%d", i), fmt.Sprintf("awl-%d", i), fmt.Sprintf("anvil-%d", i)
+		s, a, n := fmt.Sprintf("server-%d", i), fmt.Sprintf("agent-%d", i), fmt.Sprintf("controller-%d", i)
 		mark(s, "leaving")
 		r.until(s+" is offered no more", offered(s, false))
-		e := r.put(fmt.Sprintf("anvil-%d", 1+i%3), []byte(string(r.Plan)+strings.Repeat("\n", i)), "any", fmt.Sprint("roll-", i))
+		e := r.put(fmt.Sprintf("controller-%d", 1+i%3), []byte(string(r.Plan)+strings.Repeat("\n", i)), "any", fmt.Sprint("roll-", i))
 		r.until("the plan rules everywhere", func() bool { return r.Ruled(e, r.Routers...) })
 		r.until(s+" has nothing under way", func() bool {
 			var c struct{ Active int }
@@ -297,7 +299,7 @@
 		r.until(s+" is offered again", offered(s, true))
 		require.NoError(t, r.Stop(a))
 		require.NoError(t, r.Start(a))
-		r.until("its router is back", func() bool { return r.Ruled(e, r.Names[fmt.Sprintf("lathe-%d", i)]) })
+		r.until("its router is back", func() bool { return r.Ruled(e, r.Names[fmt.Sprintf("router-%d", i)]) })
 		require.NoError(t, r.Stop(n))
 		r.until("somebody owns the duty", func() bool { return r.Owner() != "" })
 		require.NoError(t, r.Start(n))
@@ -312,7 +314,7 @@
 // what is their own, and nothing of the rude ones stays under way.
 func TestRudeCallers(t *testing.T) {
 	r := raiseLinked(t, "corrib")
-	m := vise.NewMix(r.q, 47)
+	m := standin.NewMix(r.q, 47)
 	stop := make(chan struct{})
 	var all sync.WaitGroup
 	all.Add(1)
--- a/jig/jig_test.go
+++ b/internal/localfleet/localfleet_test.go
@@ -1,4 +1,4 @@
-package jig
+package localfleet
 
 import (
 	"context"
@@ -14,8 +14,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"tidedeck/chisel"
-	"tidedeck/vise"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/standin"
 )
 
 // patience is no bound on the system: it only ends a test that waits for what never comes.
@@ -46,7 +46,7 @@
 	*Fleet
 	t   *testing.T
 	ctx context.Context
-	q   *chisel.Plan
+	q   *fleetplan.Plan
 }
 
 func raise(t *testing.T, name string) rig { return rise(t, name, New) }
@@ -56,11 +56,11 @@
 
 func rise(t *testing.T, name string, lay func(Shape, string, string, []byte) *Fleet) rig {
 	t.Helper()
-	raw, err := os.ReadFile("../examples/" + name + ".json")
+	raw, err := os.ReadFile("../../examples/" + name + ".json")
 	require.NoError(t, err)
 	// On a slow machine nothing may hang on how long a request waits.
 	raw = regexp.MustCompile(`"wait_ms": \d+`).ReplaceAll(raw, []byte(`"wait_ms": 100000`))
-	q, faults := chisel.ReadPlan(raw)
+	q, faults := fleetplan.ReadPlan(raw)
 	require.Nil(t, faults)
 	ctx, stop := context.WithTimeout(context.Background(), patience)
 	t.Cleanup(stop)
@@ -72,8 +72,10 @@
 	t.Cleanup(f.Down)
 	require.NoError(t, f.Up())
 	r := rig{f, t, ctx, q}
-	r.until("the core is ready", func() bool { return f.CoreReady("anvil-1") && f.CoreReady("anvil-2") && f.CoreReady("anvil-3") })
-	e := r.put("anvil-2", raw, "0", "first")
+	r.until("the core is ready", func() bool {
+		return f.CoreReady("controller-1") && f.CoreReady("controller-2") && f.CoreReady("controller-3")
+	})
+	e := r.put("controller-2", raw, "0", "first")
 	r.until("the plan rules everywhere", func() bool { return f.Ruled(e, f.Routers...) })
 	r.until("floors are loaded", f.Floors)
 	return r
@@ -85,14 +87,14 @@
 }
 
 // calls sends requests while a step goes on, and gives what callers saw.
-func (r rig) calls(n int, rate float64, seed uint64, during func()) *vise.CallReport {
+func (r rig) calls(n int, rate float64, seed uint64, during func()) *standin.CallReport {
 	var all sync.WaitGroup
-	var rep *vise.CallReport
+	var rep *standin.CallReport
 	all.Add(1)
 	go func() {
 		defer all.Done()
-		m := vise.NewMix(r.q, seed)
-		rep = vise.Calls(r.ctx, vise.CallOptions{Routers: r.Routers, Next: m.Next, Rate: rate, Total: n})
+		m := standin.NewMix(r.q, seed)
+		rep = standin.Calls(r.ctx, standin.CallOptions{Routers: r.Routers, Next: m.Next, Rate: rate, Total: n})
 	}()
 	during()
 	all.Wait()
@@ -122,13 +124,13 @@
 	r := raise(t, "corrib")
 	rep := r.calls(1200, 100, 5, func() {
 		r.Kill("server-3")
-		r.Kill("lathe-2")
+		r.Kill("router-2")
 		old := r.Owner()
 		require.NotEmpty(t, old)
 		r.Kill(old)
 		r.until("another owns the duty", func() bool { o := r.Owner(); return o != "" && o != old })
 		require.NoError(t, r.Start(old))
-		require.NoError(t, r.Start("lathe-2"))
+		require.NoError(t, r.Start("router-2"))
 		require.NoError(t, r.Start("server-3"))
 	})
 	// What the dead router and server had under way is lost, and said to be; all else is answered.
@@ -139,7 +141,7 @@
 	r.until("floors are loaded again", r.Floors)
 	again := r.calls(200, 100, 6, func() {})
 	require.Equal(t, again.Sent, again.Receipts, "%v", again.Kinds)
-	r.until("the plan is read back", func() bool { raw, ok := r.plan("anvil-1"); return ok && raw == string(r.Plan) })
+	r.until("the plan is read back", func() bool { raw, ok := r.plan("controller-1"); return ok && raw == string(r.Plan) })
 }
 
 // An owner that is stopped loses the duty; when it goes on it orders nothing.
@@ -151,37 +153,37 @@
 	rep := r.calls(300, 100, 8, func() { r.Signal(old, syscall.SIGCONT) })
 	require.Equal(t, rep.Sent, rep.Receipts, "%v", rep.Kinds)
 	// A router that is stopped past its hold comes back suspicious of all it had.
-	r.Signal("lathe-1", syscall.SIGSTOP)
-	require.EqualValues(t, 2, r.put("anvil-1", []byte(string(r.Plan)+"\n"), "1", "second"))
+	r.Signal("router-1", syscall.SIGSTOP)
+	require.EqualValues(t, 2, r.put("controller-1", []byte(string(r.Plan)+"\n"), "1", "second"))
 	var rest []string
 	for n, x := range r.Names {
-		if n != "lathe-1" {
+		if n != "router-1" {
 			rest = append(rest, x)
 		}
 	}
 	r.until("the others rule by the new plan", func() bool { return r.Ruled(2, rest...) })
-	r.Signal("lathe-1", syscall.SIGCONT)
+	r.Signal("router-1", syscall.SIGCONT)
 	r.until("the stopped router too", func() bool { return r.Ruled(2, r.Routers...) })
 }
 
 // Routers are restarted one by one, as planned, while long answers are under way: none is cut.
 func TestRollRouters(t *testing.T) {
 	r := raise(t, "corrib")
-	m := vise.NewMix(r.q, 11)
-	h := vise.Client()
+	m := standin.NewMix(r.q, 11)
+	h := standin.Client()
 	for i := 1; i <= r.Shape.Routers; i++ {
-		n := fmt.Sprintf("lathe-%d", i)
-		rep := &vise.CallReport{Kinds: map[string]int{}, ByRouter: map[string]int{}}
+		n := fmt.Sprintf("router-%d", i)
+		rep := &standin.CallReport{Kinds: map[string]int{}, ByRouter: map[string]int{}}
 		var mu sync.Mutex
 		var all sync.WaitGroup
 		for range 6 {
 			a := m.Next()
 			a.Call.Max, a.Call.Again = 60, false
 			all.Add(1)
-			go func() { defer all.Done(); vise.Call(h, r.Names[n], a, rep, &mu) }()
+			go func() { defer all.Done(); standin.Call(h, r.Names[n], a, rep, &mu) }()
 		}
 		r.until("streams are under way", func() bool {
-			return r.Metrics(r.Names[n] + "/-/metrics")["tidedeck_lathe_firsts_total"] >= 6
+			return r.Metrics(r.Names[n] + "/-/metrics")["tidedeck_router_firsts_total"] >= 6
 		})
 		require.NoError(t, r.Stop(n), "a planned stop ends well")
 		all.Wait()
@@ -193,7 +195,7 @@
 	// Core nodes, too: the owner gives the duty back as it stops.
 	rep := r.calls(300, 60, 12, func() {
 		for i := 1; i <= 3; i++ {
-			n := fmt.Sprintf("anvil-%d", i)
+			n := fmt.Sprintf("controller-%d", i)
 			require.NoError(t, r.Stop(n))
 			r.until("somebody owns the duty", func() bool { return r.Owner() != "" })
 			require.NoError(t, r.Start(n))
@@ -207,7 +209,7 @@
 func TestAllDownAndBack(t *testing.T) {
 	r := raise(t, "padana")
 	b := []byte(string(r.Plan) + "  \n")
-	e := r.put("anvil-3", b, "1", "last")
+	e := r.put("controller-3", b, "1", "last")
 	r.Down()
 	// The power went as well: every core disk has a journal that ends in half a record.
 	for n := range r.Admins {
@@ -221,14 +223,14 @@
 		require.NoError(t, f.Close())
 	}
 	require.NoError(t, r.Up())
-	r.until("the core is ready", func() bool { return r.CoreReady("anvil-1") })
+	r.until("the core is ready", func() bool { return r.CoreReady("controller-1") })
 	r.until("the plan is read back", func() bool {
-		raw, ok := r.plan("anvil-1")
+		raw, ok := r.plan("controller-1")
 		require.True(t, !ok || raw == string(b), "to the byte")
 		return ok
 	})
 	r.until("the plan rules everywhere", func() bool { return r.Ruled(e, r.Routers...) })
-	side, err := filepath.Glob(filepath.Join(r.Dir, "anvil-*", "*.damaged-*"))
+	side, err := filepath.Glob(filepath.Join(r.Dir, "controller-*", "*.damaged-*"))
 	require.NoError(t, err)
 	require.Empty(t, side, "a torn tail is no damage")
 	rep := r.calls(100, 50, 3, func() {})
@@ -249,7 +251,7 @@
 				Prior []any `json:"prior"`
 			} `json:"view"`
 		}
-		if _, err := r.Get(r.Admins["anvil-2"]+"/nodes", &v); err != nil || len(v.View.Prior) > 0 {
+		if _, err := r.Get(r.Admins["controller-2"]+"/nodes", &v); err != nil || len(v.View.Prior) > 0 {
 			return 0
 		}
 		for _, x := range v.View.Voters {
@@ -273,15 +275,15 @@
 			require.NoError(t, os.WriteFile(l[0], b, 0o644))
 		},
 	} {
-		was := seat("anvil-3")
+		was := seat("controller-3")
 		require.NotZero(t, was)
-		r.Kill("anvil-3")
-		harm(filepath.Join(r.Dir, "anvil-3"))
-		require.NoError(t, r.Start("anvil-3"))
-		r.until(fmt.Sprintf("the emptied node is admitted, %d", i), func() bool { n := seat("anvil-3"); return n != 0 && n != was })
+		r.Kill("controller-3")
+		harm(filepath.Join(r.Dir, "controller-3"))
+		require.NoError(t, r.Start("controller-3"))
+		r.until(fmt.Sprintf("the emptied node is admitted, %d", i), func() bool { n := seat("controller-3"); return n != 0 && n != was })
 	}
-	r.Kill("anvil-1") // now the emptied node is needed for a majority
-	r.until("a majority with the emptied node serves", func() bool { raw, _ := r.plan("anvil-2"); return raw == string(r.Plan) })
+	r.Kill("controller-1") // now the emptied node is needed for a majority
+	r.until("a majority with the emptied node serves", func() bool { raw, _ := r.plan("controller-2"); return raw == string(r.Plan) })
 }
 
 // Servers are made to fail on demand: one goes dark, one restarts empty, one is withdrawn with
@@ -325,7 +327,7 @@
 	})
 	require.Greater(t, rep.Receipts, rep.Sent*9/10, "%v", rep.Kinds)
 	r.until("floors are loaded", r.Floors)
-	var st vise.StoreTally
+	var st standin.StoreTally
 	_, err := r.Get(r.Store+"/count", &st)
 	require.NoError(t, err)
 	require.Zero(t, st.Over, "loads never outran the store")
@@ -335,7 +337,7 @@
 		want bool
 	}{{"empty", false}, {"refill", true}} {
 		r.until("the zone is changed", func() bool {
-			code, err := r.Do("POST", r.Admins["anvil-1"]+"/zones/zb/"+c.op, map[string]string{"X-Expect-Epoch": "any", "X-Change-Id": c.op}, nil, nil)
+			code, err := r.Do("POST", r.Admins["controller-1"]+"/zones/zb/"+c.op, map[string]string{"X-Expect-Epoch": "any", "X-Change-Id": c.op}, nil, nil)
 			return err == nil && code == 200
 		})
 		until("server-2", c.want)
--- a/jig/report.go
+++ b/internal/localfleet/report.go
@@ -1,4 +1,4 @@
-package jig
+package localfleet
 
 import (
 	"fmt"
@@ -7,17 +7,17 @@
 	"strings"
 	"time"
 
-	"tidedeck/gauge"
-	"tidedeck/vise"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/standin"
 )
 
 // Report prints what a run showed.
-func (f *Fleet) Report(w io.Writer, r *vise.CallReport) {
+func (f *Fleet) Report(w io.Writer, r *standin.CallReport) {
 	p := func(form string, a ...any) { _, _ = fmt.Fprintf(w, form+"\n", a...) }
 	p("")
 	p("fleet %s: %d core nodes, %d routers with agents, %d model servers", f.Shape.Name, len(f.Admins), f.Shape.Routers, f.Shape.Servers)
 	p("callers   sent %d, answered %d, events %d, came back when told to %d", r.Sent, r.Receipts, r.Events, r.Repeats)
-	for _, k := range gauge.Keys(r.Kinds) {
+	for _, k := range generic.SortedKeys(r.Kinds) {
 		p("          %-18s %d", k, r.Kinds[k])
 	}
 	p("          wrong answers      %d", len(r.Wrong))
@@ -36,26 +36,26 @@
 		for k, v := range m {
 			sum[k] += v
 		}
-		epochs[fmt.Sprint(m["tidedeck_lathe_epoch"])]++
+		epochs[fmt.Sprint(m["tidedeck_router_epoch"])]++
 	}
-	l := func(k string) float64 { return sum["tidedeck_lathe_"+k+"_total"] }
+	l := func(k string) float64 { return sum["tidedeck_router_"+k+"_total"] }
 	p("routers   first goes %.0f, retries %.0f, repeats %.0f, sends held back %.0f, requests held %.0f", l("firsts"), l("retries"), l("repeats"), l("sendsheld"), l("waited"))
 	p("          callback hits %.0f, lookups %.0f (entries fetched %.0f, found the same %.0f)", l("hits"), l("lookups"), l("fetches"), l("sames"))
 	p("          breaks taken %.0f, removals sent %.0f, made suspect %.0f", l("breaks"), l("removals"), l("suspects"))
 	p("          epochs in force: %s", list(epochs))
-	for _, n := range gauge.Keys(f.Admins) {
+	for _, n := range generic.SortedKeys(f.Admins) {
 		m := f.Metrics(f.Admins[n] + "/metrics")
-		a := func(k string) float64 { return m["tidedeck_anvil_"+k+"_total"] }
+		a := func(k string) float64 { return m["tidedeck_controller_"+k+"_total"] }
 		p("%-9s reigns %.0f, grants %.0f, breaks %.0f, acknowledged %.0f, lapsed %.0f, loads %.0f, unloads %.0f, rounds %.0f", n, a("reigns"), a("grants"), a("breaks"), a("acks"), a("lapses"), a("loads"), a("unloads"), a("rounds"))
 	}
-	var st vise.StoreTally
+	var st standin.StoreTally
 	if _, err := f.Get(f.Store+"/count", &st); err == nil {
 		p("store     pulls %d, most at once %d, beyond its budget %d", st.Pulls, st.Peak, st.Over)
 	}
 	works, reused, bytes, drops := uint64(0), uint64(0), uint64(0), map[string]int{}
 	for _, a := range f.Servers {
 		var c struct {
-			Tally vise.ServerTally `json:"tally"`
+			Tally standin.ServerTally `json:"tally"`
 		}
 		if _, err := f.Get(a+"/count", &c); err == nil {
 			works += c.Tally.Works
@@ -71,7 +71,7 @@
 
 func list(m map[string]int) string {
 	var l []string
-	for _, k := range gauge.Keys(m) {
+	for _, k := range generic.SortedKeys(m) {
 		l = append(l, fmt.Sprintf("%s: %d", k, m[k]))
 	}
 	if len(l) == 0 {
--- a/plumb/plumb.go
+++ b/internal/membership/membership.go
@@ -1,6 +1,6 @@
-// Package plumb tells which siblings are alive: probes to a few others in turn, second
+// Package membership tells which siblings are alive: probes to a few others in turn, second
 // opinions through third parties, and suspicion, which a live process refutes, before removal.
-package plumb
+package membership
 
 import (
 	"context"
@@ -9,8 +9,10 @@
 
 	"github.com/qmuntal/stateless"
 
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
 // Stages of a member's life.
@@ -22,57 +24,57 @@
 
 // Options of a membership core.
 type Options struct {
-	Me      dowel.Member
-	Seeds   []dowel.Sibling
+	Me      protocol.Member
+	Seeds   []protocol.Sibling
 	Rand    *rand.Rand
-	Every   gauge.Span // between two probes
-	Wait    gauge.Span // for an answer before second opinions are asked
-	Grace   gauge.Span // a suspect's time to refute
-	Forget  gauge.Span // how long a dead member is remembered
+	Every   clock.Span // between two probes
+	Wait    clock.Span // for an answer before second opinions are asked
+	Grace   clock.Span // a suspect's time to refute
+	Forget  clock.Span // how long a dead member is remembered
 	Helpers int
 }
 
 type mate struct {
-	dowel.Member
-	since gauge.Tick
+	protocol.Member
+	since clock.Tick
 	life  string
 	told  int // times this line was gossiped
 }
 
 type probe struct {
-	to     gauge.Node
-	at     gauge.Tick
+	to     ident.Node
+	at     clock.Tick
 	helped bool
-	asker  dowel.Sibling // set when probing on another's behalf
-	seq    uint64        // the asker's number
+	asker  protocol.Sibling // set when probing on another's behalf
+	seq    uint64           // the asker's number
 }
 
 // Core is the membership of one process. It does no I/O and keeps no lock.
 type Core struct {
 	o     Options
-	mates map[gauge.Node]*mate
+	mates map[ident.Node]*mate
 	out   map[uint64]*probe
 	seq   uint64
-	next  gauge.Tick
-	ring  []gauge.Node
+	next  clock.Tick
+	ring  []ident.Node
 	seed  int
-	now   gauge.Tick
+	now   clock.Tick
 }
 
 // New makes a membership core that knows only its seeds.
 func New(o Options) *Core {
-	gauge.Or(&o.Every, 250e6)
-	gauge.Or(&o.Wait, 200e6)
-	gauge.Or(&o.Grace, 800e6)
-	gauge.Or(&o.Forget, 60e9)
-	gauge.Or(&o.Helpers, 2)
+	generic.SetDefault(&o.Every, 250e6)
+	generic.SetDefault(&o.Wait, 200e6)
+	generic.SetDefault(&o.Grace, 800e6)
+	generic.SetDefault(&o.Forget, 60e9)
+	generic.SetDefault(&o.Helpers, 2)
 	o.Me.Life = Alive
-	return &Core{o: o, mates: map[gauge.Node]*mate{}, out: map[uint64]*probe{}}
+	return &Core{o: o, mates: map[ident.Node]*mate{}, out: map[uint64]*probe{}}
 }
 
 type turn struct {
 	m    *mate
-	line dowel.Member
+	line protocol.Member
 }
 
 type tag struct{}
@@ -100,7 +102,7 @@
 	return s
 }()
 
-func (c *Core) hear(now gauge.Tick, l dowel.Member) {
+func (c *Core) hear(now clock.Tick, l protocol.Member) {
 	if l.ID == c.o.Me.ID {
 		if l.Life != Alive && l.Inc >= c.o.Me.Inc {
 			c.o.Me.Inc = l.Inc + 1
@@ -128,7 +130,7 @@
 	}
 }
 
-func (c *Core) gossip() []dowel.Member {
+func (c *Core) gossip() []protocol.Member {
 	l := make([]*mate, 0, len(c.mates))
 	for _, m := range c.mates {
 		l = append(l, m)
@@ -139,7 +141,7 @@
 		}
 		return l[i].ID < l[j].ID
 	})
-	n := []dowel.Member{c.o.Me}
+	n := []protocol.Member{c.o.Me}
 	for i := 0; i < len(l) && i < 8; i++ {
 		l[i].told++
 		b := l[i].Member
@@ -149,14 +151,14 @@
 	return n
 }
 
-func (c *Core) mail(to dowel.Sibling, body any) dowel.Env {
-	return dowel.Env{From: c.o.Me.Sibling, To: to, Body: body}
+func (c *Core) mail(to protocol.Sibling, body any) protocol.Env {
+	return protocol.Env{From: c.o.Me.Sibling, To: to, Body: body}
 }
 
 // Beat sends what is due.
-func (c *Core) Beat(now gauge.Tick) (out []dowel.Env) {
+func (c *Core) Beat(now clock.Tick) (out []protocol.Env) {
 	c.now = now
-	for _, s := range gauge.Keys(c.out) {
+	for _, s := range generic.SortedKeys(c.out) {
 		p := c.out[s]
 		switch age := now.Sub(p.at); {
 		case p.asker.ID != "" && age > 2*c.o.Wait:
@@ -166,19 +168,19 @@
 			m := c.mates[p.to]
 			for _, h := range c.pick(c.o.Helpers, p.to) {
 				if m != nil {
-					out = append(out, c.mail(h.Sibling, dowel.ProbeFor{Seq: s, Target: m.Sibling, News: c.gossip()}))
+					out = append(out, c.mail(h.Sibling, protocol.ProbeFor{Seq: s, Target: m.Sibling, News: c.gossip()}))
 				}
 			}
 		case p.asker.ID == "" && age > 3*c.o.Wait:
 			delete(c.out, s)
 			if m := c.mates[p.to]; m != nil && m.life == Alive {
-				c.hear(now, dowel.Member{Sibling: m.Sibling, Inc: m.Inc, Life: Suspect})
+				c.hear(now, protocol.Member{Sibling: m.Sibling, Inc: m.Inc, Life: Suspect})
 			}
 		}
 	}
 	for id, m := range c.mates {
 		if m.life == Suspect && now.Sub(m.since) > c.o.Grace {
-			c.hear(now, dowel.Member{Sibling: m.Sibling, Inc: m.Inc, Life: Dead})
+			c.hear(now, protocol.Member{Sibling: m.Sibling, Inc: m.Inc, Life: Dead})
 		}
 		if m.life == Dead && now.Sub(m.since) > c.o.Forget {
 			delete(c.mates, id)
@@ -191,7 +193,7 @@
 	if t := c.turn(); t != nil {
 		c.seq++
 		c.out[c.seq] = &probe{to: t.ID, at: now}
-		out = append(out, c.mail(t.Sibling, dowel.Probe{Seq: c.seq, News: c.gossip()}))
+		out = append(out, c.mail(t.Sibling, protocol.Probe{Seq: c.seq, News: c.gossip()}))
 	}
 	// A seed that is not known alive is asked now and then, so that parted halves meet again.
 	if len(c.o.Seeds) > 0 {
@@ -202,7 +204,7 @@
 			known = known || m.Addr == s.Addr && m.life == Alive
 		}
 		if !known {
-			out = append(out, c.mail(s, dowel.Probe{News: c.gossip()}))
+			out = append(out, c.mail(s, protocol.Probe{News: c.gossip()}))
 		}
 	}
 	return out
@@ -228,8 +230,8 @@
 	return nil
 }
 
-func (c *Core) pick(n int, not gauge.Node) []dowel.Member {
-	var l []dowel.Member
+func (c *Core) pick(n int, not ident.Node) []protocol.Member {
+	var l []protocol.Member
 	for _, m := range c.Alive("") {
 		if m.ID != not && m.ID != c.o.Me.ID {
 			l = append(l, m)
@@ -240,15 +242,15 @@
 }
 
 // Take hears a message; it answers false for messages that are not membership's.
-func (c *Core) Take(now gauge.Tick, e dowel.Env) (out []dowel.Env, mine bool) {
+func (c *Core) Take(now clock.Tick, e protocol.Env) (out []protocol.Env, mine bool) {
 	c.now = now
-	hear := func(l []dowel.Member) {
+	hear := func(l []protocol.Member) {
 		for _, m := range l {
 			c.hear(now, m)
 		}
 	}
 	switch b := e.Body.(type) {
-	case dowel.Probe:
+	case protocol.Probe:
 		hear(b.News)
 		n := c.gossip()
 		if m := c.mates[e.From.ID]; m != nil && m.life != Alive {
@@ -256,13 +258,13 @@
 			l.Life = m.life
 			n = append(n, l)
 		}
-		return []dowel.Env{c.mail(e.From, dowel.ProbeAck{Seq: b.Seq, News: n})}, true
-	case dowel.ProbeFor:
+		return []protocol.Env{c.mail(e.From, protocol.ProbeAck{Seq: b.Seq, News: n})}, true
+	case protocol.ProbeFor:
 		hear(b.News)
 		c.seq++
 		c.out[c.seq] = &probe{to: b.Target.ID, at: now, asker: e.From, seq: b.Seq}
-		return []dowel.Env{c.mail(b.Target, dowel.Probe{Seq: c.seq, News: c.gossip()})}, true
-	case dowel.ProbeAck:
+		return []protocol.Env{c.mail(b.Target, protocol.Probe{Seq: c.seq, News: c.gossip()})}, true
+	case protocol.ProbeAck:
 		hear(b.News)
 		p := c.out[b.Seq]
 		if p == nil {
@@ -270,7 +272,7 @@
 		}
 		delete(c.out, b.Seq)
 		if p.asker.ID != "" {
-			return []dowel.Env{c.mail(p.asker, dowel.ProbeAck{Seq: p.seq, News: c.gossip()})}, true
+			return []protocol.Env{c.mail(p.asker, protocol.ProbeAck{Seq: p.seq, News: c.gossip()})}, true
 		}
 		return nil, true
 	}
@@ -278,8 +280,8 @@
 }
 
 // Alive lists the members of a role that are not known dead, this process among them, by id.
-func (c *Core) Alive(role string) []dowel.Member {
-	var l []dowel.Member
+func (c *Core) Alive(role string) []protocol.Member {
+	var l []protocol.Member
 	if role == "" || role == c.o.Me.Role {
 		l = append(l, c.o.Me)
 	}
@@ -293,8 +295,8 @@
 }
 
 // All lists every member that is remembered, with its stage of life.
-func (c *Core) All() []dowel.Member {
-	l := []dowel.Member{c.o.Me}
+func (c *Core) All() []protocol.Member {
+	l := []protocol.Member{c.o.Me}
 	for _, m := range c.mates {
 		b := m.Member
 		b.Life = m.life
@@ -305,7 +307,7 @@
 }
 
 // Life tells a member's stage and since when; unknown members have none.
-func (c *Core) Life(id gauge.Node) (string, gauge.Tick) {
+func (c *Core) Life(id ident.Node) (string, clock.Tick) {
 	if id == c.o.Me.ID {
 		return Alive, 0
 	}
--- a/plumb/plumb_test.go
+++ b/internal/membership/membership_test.go
@@ -1,4 +1,4 @@
-package plumb
+package membership
 
 import (
 	"math/rand/v2"
@@ -6,29 +6,30 @@
 
 	"github.com/stretchr/testify/require"
 
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
-func sib(s string) dowel.Sibling { return dowel.Sibling{ID: gauge.Node(s), Addr: s} }
+func sib(s string) protocol.Sibling { return protocol.Sibling{ID: ident.Node(s), Addr: s} }
 
 func born(id string, seeds ...string) *Core {
-	o := Options{Me: dowel.Member{Sibling: sib(id), Role: "awl", Inc: 5}, Rand: rand.New(rand.NewPCG(1, uint64(len(id))))}
+	o := Options{Me: protocol.Member{Sibling: sib(id), Role: "agent", Inc: 5}, Rand: rand.New(rand.NewPCG(1, uint64(len(id))))}
 	for _, s := range seeds {
-		o.Seeds = append(o.Seeds, dowel.Sibling{Addr: s})
+		o.Seeds = append(o.Seeds, protocol.Sibling{Addr: s})
 	}
 	return New(o)
 }
 
 // The life of a member: what is heard of it moves it only as its incarnation allows.
 func TestLife(t *testing.T) {
-	line := func(life string, inc gauge.Inc) dowel.Member {
-		return dowel.Member{Sibling: sib("x"), Inc: inc, Life: life}
+	line := func(life string, inc ident.Inc) protocol.Member {
+		return protocol.Member{Sibling: sib("x"), Inc: inc, Life: life}
 	}
 	for _, c := range []struct {
 		was  string
 		hear string
-		inc  gauge.Inc // 5 is the known one
+		inc  ident.Inc // 5 is the known one
 		now  string
 	}{
 		{Alive, Suspect, 5, Suspect}, {Alive, Suspect, 4, Alive}, {Alive, Dead, 5, Dead}, {Alive, Dead, 4, Alive}, {Alive, Alive, 6, Alive},
@@ -51,12 +52,12 @@
 type net struct {
 	cores map[string]*Core
 	down  map[string]bool
-	now   gauge.Tick
+	now   clock.Tick
 }
 
-func (n *net) turn(s gauge.Span) {
+func (n *net) turn(s clock.Span) {
 	for end := n.now.Add(s); n.now < end; n.now = n.now.Add(10e6) {
-		var q []dowel.Env
+		var q []protocol.Env
 		for _, id := range []string{"a", "b", "c", "d"} {
 			if !n.down[id] {
 				q = append(q, n.cores[id].Beat(n.now)...)
@@ -100,21 +101,21 @@
 // A process that only one other cannot reach is vouched for by third parties.
 func TestSecondOpinion(t *testing.T) {
 	a := born("a")
-	a.hear(0, dowel.Member{Sibling: sib("x"), Role: "awl", Inc: 1, Life: Alive})
-	a.hear(0, dowel.Member{Sibling: sib("y"), Role: "awl", Inc: 1, Life: Alive})
+	a.hear(0, protocol.Member{Sibling: sib("x"), Role: "agent", Inc: 1, Life: Alive})
+	a.hear(0, protocol.Member{Sibling: sib("y"), Role: "agent", Inc: 1, Life: Alive})
 	var asked, helped int
-	for now := gauge.Tick(0); now < 3e9; now += 10e6 {
+	for now := clock.Tick(0); now < 3e9; now += 10e6 {
 		for _, e := range a.Beat(now) {
 			switch b := e.Body.(type) {
-			case dowel.Probe:
+			case protocol.Probe:
 				asked++
 				if e.To.ID == "y" { // y answers, x is unreached
-					a.Take(now, dowel.Env{From: sib("y"), Body: dowel.ProbeAck{Seq: b.Seq}})
+					a.Take(now, protocol.Env{From: sib("y"), Body: protocol.ProbeAck{Seq: b.Seq}})
 				}
-			case dowel.ProbeFor:
+			case protocol.ProbeFor:
 				helped++
 				require.EqualValues(t, "x", b.Target.ID)
-				a.Take(now, dowel.Env{From: sib("y"), Body: dowel.ProbeAck{Seq: b.Seq}})
+				a.Take(now, protocol.Env{From: sib("y"), Body: protocol.ProbeAck{Seq: b.Seq}})
 			}
 		}
 	}
--- a/dowel/desired.go
+++ b/internal/protocol/desired.go
@@ -1,4 +1,4 @@
-package dowel
+package protocol
 
 import (
 	"bytes"
@@ -7,9 +7,9 @@
 	"io"
 	"sync"
 
-	"github.com/go-faster/errors"
+	"tidedeck/internal/ident"
 
-	"tidedeck/gauge"
+	"github.com/go-faster/errors"
 )
 
 // mostDesired bounds what a desired state may come to when it is unpacked.
@@ -28,7 +28,7 @@
 		Num     uint64          `json:"n"`
 		Desired json.RawMessage `json:"d,omitempty"`
 		Entry   *Entry          `json:"e,omitempty"`
-		Break   gauge.Key       `json:"b,omitempty"`
+		Break   ident.Key       `json:"b,omitempty"`
 	}{Num: i.Num, Entry: i.Entry, Break: i.Break}
 	if i.Desired != nil {
 		p := i.Packed
--- a/dowel/desired_test.go
+++ b/internal/protocol/desired_test.go
@@ -1,4 +1,4 @@
-package dowel
+package protocol
 
 import (
 	"bytes"
--- a/dowel/dowel.go
+++ b/internal/protocol/protocol.go
@@ -1,19 +1,21 @@
-// Package dowel joins tidedeck's processes: the messages they send each other, and the
+// Package protocol joins tidedeck's processes: the messages they send each other, and the
 // inputs and outputs through which a core without I/O meets sockets, disks and timers.
-package dowel
+package protocol
 
 import (
 	"encoding/json"
 	"reflect"
 
-	"github.com/go-faster/errors"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/ident"
 
-	"tidedeck/gauge"
+	"github.com/go-faster/errors"
 )
 
 // Sibling is a process and where it listens.
 type Sibling struct {
-	ID   gauge.Node `json:"id"`
+	ID   ident.Node `json:"id"`
 	Addr string     `json:"addr"`
 }
 
@@ -110,8 +112,8 @@
 type Member struct {
 	Sibling
 	Role string     `json:"role"`
-	Zone gauge.Zone `json:"zone"`
-	Inc  gauge.Inc  `json:"inc"`
+	Zone ident.Zone `json:"zone"`
+	Inc  ident.Inc  `json:"inc"`
 	Life string     `json:"life"`
 }
 
@@ -139,7 +141,7 @@
 // Ballot orders the register's rounds.
 type Ballot struct {
 	N  uint64
-	By gauge.Node
+	By ident.Node
 }
 
 // Less orders ballots.
@@ -148,22 +150,22 @@
 // Voter is one voting core node, tied to one life of its disk.
 type Voter struct {
 	Sibling
-	Zone gauge.Zone `json:"zone"`
-	Inc  gauge.Inc  `json:"inc"`
+	Zone ident.Zone `json:"zone"`
+	Inc  ident.Inc  `json:"inc"`
 }
 
 // Change remembers a change that was taken, so that its repeat is answered, not redone.
 type Change struct {
 	ID    string      `json:"id"`
-	Epoch gauge.Epoch `json:"epoch"`
+	Epoch ident.Epoch `json:"epoch"`
 }
 
 // Desired is the whole value of the register: the plan exactly as sent, and what goes with it.
 type Desired struct {
 	Gen     uint64       `json:"gen"`
-	Epoch   gauge.Epoch  `json:"epoch"`
+	Epoch   ident.Epoch  `json:"epoch"`
 	Plan    []byte       `json:"plan"`
-	Empty   []gauge.Zone `json:"empty"`
+	Empty   []ident.Zone `json:"empty"`
 	Windows []byte       `json:"windows,omitempty"`
 	Voters  []Voter      `json:"voters"`
 	Prior   []Voter      `json:"prior,omitempty"`
@@ -186,7 +188,7 @@
 type Promise struct {
 	Round    uint64
 	OK       bool
-	Inc      gauge.Inc
+	Inc      ident.Inc
 	Promised Ballot
 	Accepted Ballot
 	Value    *Desired
@@ -203,7 +205,7 @@
 type Accepted struct {
 	Round    uint64
 	OK       bool
-	Inc      gauge.Inc
+	Inc      ident.Inc
 	Promised Ballot
 }
 
@@ -211,35 +213,35 @@
 type Query struct {
 	Round uint64
 	Claim bool
-	Duty  gauge.Duty
+	Duty  ident.Duty
 }
 
 // State answers Query.
 type State struct {
 	Round    uint64
-	Inc      gauge.Inc
+	Inc      ident.Inc
 	Blank    bool
 	Accepted Ballot
-	Epoch    gauge.Epoch
+	Epoch    ident.Epoch
 	Shape    uint64
 	Granted  bool
-	Duty     gauge.Duty // highest duty ever promised
+	Duty     ident.Duty // highest duty ever promised
 	Owner    Sibling    // who holds it now, if any
-	Last     gauge.Node // to whom this voter gave it last
-	Prior    gauge.Node // and to whom before this answer
+	Last     ident.Node // to whom this voter gave it last
+	Prior    ident.Node // and to whom before this answer
 	Shy      bool       // it gave the duty back, and does not want it for a while
 }
 
 // Release gives a duty back to the voters, as its owner stops as planned, or finds that
 // Next can serve it better.
 type Release struct {
-	Duty gauge.Duty
-	Next gauge.Node
+	Duty ident.Duty
+	Next ident.Node
 }
 
 // Listing is the server list as the duty's owner last had it; every core node keeps it.
 type Listing struct {
-	Duty gauge.Duty
+	Duty ident.Duty
 	List []Listed
 }
 
@@ -262,13 +264,13 @@
 // Value answers Fetch.
 type Value struct {
 	Round    uint64
-	Inc      gauge.Inc
+	Inc      ident.Inc
 	Accepted Ballot
 	Value    *Desired
 }
 
 // Taken tells the duty's owner that the register has a newer epoch, so that it reads at once.
-type Taken struct{ Epoch gauge.Epoch }
+type Taken struct{ Epoch ident.Epoch }
 
 // Keep asks an agent for the newest desired state it holds, after a total loss.
 type Keep struct{ Round uint64 }
@@ -283,10 +285,10 @@
 
 // Session names one life of a router's link; entries live and die with it.
 type Session struct {
-	Node  gauge.Node `json:"node"`
-	Awl   gauge.Inc  `json:"awl"`
-	Lathe gauge.Inc  `json:"lathe"`
-	N     uint64     `json:"n"`
+	Node   ident.Node `json:"node"`
+	Agent  ident.Inc  `json:"agent"`
+	Router ident.Inc  `json:"router"`
+	N      uint64     `json:"n"`
 }
 
 // Burden is what a router reports of one key since its last report.
@@ -304,20 +306,20 @@
 	Seq     uint64
 	Fresh   bool // nothing was heard from an owner in this session yet
 	Gen     uint64
-	Epoch   gauge.Epoch
+	Epoch   ident.Epoch
 	Heard   uint64
-	Burden  map[gauge.Key]Burden
-	Seats   map[gauge.Server]int // tokens that this router has under way at each server
+	Burden  map[ident.Key]Burden
+	Seats   map[ident.Server]int // tokens that this router has under way at each server
 }
 
 // Grant extends the hold: Len counts from the moment the router sent Renew Seq.
 type Grant struct {
 	Session Session
 	Seq     uint64
-	Len     gauge.Span
-	Duty    gauge.Duty
+	Len     clock.Span
+	Duty    ident.Duty
 	Routers int
-	Seats   map[gauge.Server]int // tokens that all routers have under way at each server that this one uses
+	Seats   map[ident.Server]int // tokens that all routers have under way at each server that this one uses
 }
 
 // NotOwner answers a router that asked a core node without the duty.
@@ -331,12 +333,12 @@
 
 // Replica is one server that holds a key loaded and ready.
 type Replica struct {
-	Server gauge.Server `json:"s"`
+	Server ident.Server `json:"s"`
 	Addr   string       `json:"a"`
-	Zone   gauge.Zone   `json:"z"`
-	Inc    gauge.Inc    `json:"i"`
+	Zone   ident.Zone   `json:"z"`
+	Inc    ident.Inc    `json:"i"`
 	Slots  int          `json:"n"`
-	Warm   gauge.Span   `json:"w"` // how long it had been ready when the entry was made
+	Warm   clock.Span   `json:"w"` // how long it had been ready when the entry was made
 }
 
 // Item is one numbered change on a router link: exactly one of its parts is set.
@@ -344,24 +346,24 @@
 	Num     uint64    `json:"n"`
 	Desired *Desired  `json:"d,omitempty"`
 	Entry   *Entry    `json:"e,omitempty"`
-	Break   gauge.Key `json:"b,omitempty"`
+	Break   ident.Key `json:"b,omitempty"`
 	Packed  *Packed   `json:"-"` // the desired state as bytes, shared by all that it goes to
 }
 
 // Entry is a placement entry; its delivery places a callback on it.
 type Entry struct {
-	Key      gauge.Key  `json:"k"`
-	Mark     gauge.Mark `json:"m"`
+	Key      ident.Key  `json:"k"`
+	Mark     ident.Mark `json:"m"`
 	Same     bool       `json:"s,omitempty"` // the holder's copy is still right
 	Replicas []Replica  `json:"r,omitempty"`
 	Never    bool       `json:"x,omitempty"` // an empty entry that no server has room to fill
-	Soon     gauge.Span `json:"o,omitempty"` // when an empty entry is likely filled, from when it was made
+	Soon     clock.Span `json:"o,omitempty"` // when an empty entry is likely filled, from when it was made
 }
 
 // News carries numbered changes in order.
 type News struct {
 	Session Session
-	Duty    gauge.Duty
+	Duty    ident.Duty
 	Items   []Item
 }
 
@@ -374,15 +376,15 @@
 // Want asks for an entry and a callback on it; Mark is what the router still has, if anything.
 type Want struct {
 	Session Session
-	Key     gauge.Key
-	Mark    gauge.Mark
+	Key     ident.Key
+	Mark    ident.Mark
 	Waiting int
 	Value   int
 }
 
 // Drop names an entry that a router let go, and the number of its delivery.
 type Drop struct {
-	Key gauge.Key
+	Key ident.Key
 	Num uint64
 }
 
@@ -392,24 +394,24 @@
 	Drops   []Drop
 }
 
-// Hello is lathe's word to its awl: which life it is in and what it has in force.
+// Hello is router's word to its agent: which life it is in and what it has in force.
 type Hello struct {
-	Lathe   gauge.Inc
+	Router  ident.Inc
 	Session Session
 	Gen     uint64
-	Epoch   gauge.Epoch
-	Burden  map[gauge.Key]Burden
-	Seats   map[gauge.Server]int
+	Epoch   ident.Epoch
+	Burden  map[ident.Key]Burden
+	Seats   map[ident.Server]int
 }
 
-// Hold is awl's word to its lathe: route under this session until the moment Until
+// Hold is agent's word to its router: route under this session until the moment Until
 // on the machine's steady clock, which both share.
 type Hold struct {
 	Session Session
-	Until   gauge.Tick
-	Duty    gauge.Duty
+	Until   clock.Tick
+	Duty    ident.Duty
 	Routers int
-	Seats   map[gauge.Server]int
+	Seats   map[ident.Server]int
 	Parted  bool // no owner is heard: there is none, or this machine is cut off from it
 }
 
@@ -439,9 +441,9 @@
 	Addr  string
 	Path  string
 	Body  any
-	Wait  gauge.Span
+	Wait  clock.Span
 	Kept  bool       // it changes nothing, so that a connection may serve it that served before
-	Until gauge.Tick // it is not sent any more after this moment, if one is set
+	Until clock.Tick // it is not sent any more after this moment, if one is set
 }
 
 // Told answers an Ask. OK is false when no answer came.
@@ -462,20 +464,20 @@
 
 // Order is what a duty owner sends to a model server; an empty Op only asks for the report.
 type Order struct {
-	Duty gauge.Duty `json:"duty"`
+	Duty ident.Duty `json:"duty"`
 	Num  uint64     `json:"num"`
-	Inc  gauge.Inc  `json:"inc,omitempty"`
+	Inc  ident.Inc  `json:"inc,omitempty"`
 	Op   string     `json:"op,omitempty"`
-	Key  gauge.Key  `json:"key,omitempty"`
+	Key  ident.Key  `json:"key,omitempty"`
 	Size int        `json:"size,omitempty"`
 	// Of servers that check no fence: who orders, and how many orders they must have taken before.
-	Owner    gauge.Node `json:"owner,omitempty"`
+	Owner    ident.Node `json:"owner,omitempty"`
 	Expected uint64     `json:"expected,omitempty"`
 }
 
 // Held is one line of a server's report.
 type Held struct {
-	Key    gauge.Key `json:"key"`
+	Key    ident.Key `json:"key"`
 	Size   int       `json:"size"`
 	Stage  string    `json:"stage"` // loading, ready
 	Active int       `json:"active"`
@@ -485,22 +487,22 @@
 // Report is a model server's account of itself. Of servers that check no fence, Num is how many orders
 // they have taken, and Busy says that one is still under way.
 type Report struct {
-	Server gauge.Server `json:"server"`
-	Inc    gauge.Inc    `json:"inc"`
-	Duty   gauge.Duty   `json:"duty"`
+	Server ident.Server `json:"server"`
+	Inc    ident.Inc    `json:"inc"`
+	Duty   ident.Duty   `json:"duty"`
 	Num    uint64       `json:"num"`
 	Room   int          `json:"room"`
 	Slots  int          `json:"slots"`
 	Held   []Held       `json:"held"`
-	Drop   gauge.Kind   `json:"drop,omitempty"` // why the order was dropped
+	Drop   failure.Kind `json:"drop,omitempty"` // why the order was dropped
 	Busy   bool         `json:"busy,omitempty"`
 }
 
 // Listed is one line of the platform's server list.
 type Listed struct {
-	ID    gauge.Server `json:"id"`
+	ID    ident.Server `json:"id"`
 	Addr  string       `json:"addr"`
-	Zone  gauge.Zone   `json:"zone"`
+	Zone  ident.Zone   `json:"zone"`
 	State string       `json:"state"` // live, leaving, gone
 	// Of servers that announce themselves: what they belong to, and what they can do at once.
 	Service string `json:"service,omitempty"`
@@ -512,9 +514,9 @@
 type Beacon struct {
 	Listed
 	Count uint64      `json:"count"`
-	Left  gauge.Span  `json:"left,omitempty"` // it is gone after so long, whatever it runs
-	Cold  gauge.Span  `json:"cold,omitempty"` // it is slow for so long from its start
-	Held  []gauge.Key `json:"held,omitempty"` // what it holds ready
+	Left  clock.Span  `json:"left,omitempty"` // it is gone after so long, whatever it runs
+	Cold  clock.Span  `json:"cold,omitempty"` // it is slow for so long from its start
+	Held  []ident.Key `json:"held,omitempty"` // what it holds ready
 }
 
 // Beacons carries announcements between core nodes. Mark, when set, wants an answer.
@@ -524,12 +526,12 @@
 }
 
 // RollCall asks a core node for every server that it knows of, when an owner begins.
-type RollCall struct{ Duty gauge.Duty }
+type RollCall struct{ Duty ident.Duty }
 
 // Roll answers RollCall.
 type Roll struct {
-	Duty gauge.Duty
-	Inc  gauge.Inc
+	Duty ident.Duty
+	Inc  ident.Inc
 	List []Beacon
 }
 
@@ -546,7 +548,7 @@
 	ID     string    `json:"id"`
 	Base   string    `json:"model"`
 	Extra  string    `json:"adapter,omitempty"`
-	Inc    gauge.Inc `json:"inc"`
+	Inc    ident.Inc `json:"inc"`
 	Parts  []string  `json:"parts,omitempty"`
 	Prompt string    `json:"prompt"`
 	Max    int       `json:"max_tokens"`
--- a/dowel/dowel_test.go
+++ b/internal/protocol/protocol_test.go
@@ -1,4 +1,4 @@
-package dowel
+package protocol
 
 import (
 	"reflect"
@@ -35,7 +35,7 @@
 
 // A message through a sibling reaches its end, and its answer comes back the same way.
 func TestRelay(t *testing.T) {
-	me, core, sib := Sibling{"awl", "1"}, Sibling{"anvil", "2"}, Sibling{"sib", "3"}
+	me, core, sib := Sibling{"agent", "1"}, Sibling{"controller", "2"}, Sibling{"sib", "3"}
 	out := Env{From: me, To: core, Via: sib, Body: Renew{}}
 	require.Equal(t, sib, out.Hop())
 	on := out.Carry(sib)
--- a/planer/planer.go
+++ b/internal/replay/replay.go
@@ -1,6 +1,6 @@
-// Package planer replays recorded days: it checks a record, sends its requests again at a
+// Package replay replays recorded days: it checks a record, sends its requests again at a
 // chosen speed, and compares what two runs saw.
-package planer
+package replay
 
 import (
 	"bufio"
@@ -17,9 +17,9 @@
 
 	"github.com/go-faster/errors"
 
-	"tidedeck/chisel"
-	"tidedeck/lathe"
-	"tidedeck/vise"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/router"
+	"tidedeck/internal/standin"
 )
 
 // Place is where in a record something is wrong.
@@ -36,7 +36,7 @@
 type Day struct {
 	Router string
 	Began  string
-	Lines  []lathe.Logged
+	Lines  []router.Logged
 	Lost   int // lines that the router itself could not keep up with
 	Bad    []Place
 }
@@ -82,7 +82,7 @@
 				Began  string `json:"began"`
 			}
 			if json.Unmarshal(text, &h) != nil || h.Record != "tidedeck" || h.V != 1 {
-				bad("is no head of a record that this planer knows")
+				bad("is no head of a record that this replay knows")
 			}
 			d.Router, d.Began = h.Router, h.Began
 		case bytes.HasPrefix(text, []byte(`{"end":`)):
@@ -94,7 +94,7 @@
 			}
 			d.Lost, ended = e.Lost, true
 		default:
-			var x lathe.Logged
+			var x router.Logged
 			if err := json.Unmarshal(text, &x); err != nil {
 				bad("is no request: %v", err)
 				continue
@@ -128,11 +128,11 @@
 
 // Ask makes a request of a recorded line. Text that was not recorded is made up, in its
 // recorded length and, for shared parts, the same wherever the digest is the same.
-func Ask(x lathe.Logged, tag string) vise.Ask {
+func Ask(x router.Logged, tag string) standin.Ask {
 	fill := func(seed string, n int) string {
 		return strings.Repeat(seed+" ", n/(len(seed)+1)+1)[:n]
 	}
-	c := chisel.Call{ID: tag + x.ID, Base: x.Base, Extra: x.Extra, Kind: x.Kind, Max: x.Max, Again: x.Again, Repeat: x.Repeat,
+	c := fleetplan.Call{ID: tag + x.ID, Base: x.Base, Extra: x.Extra, Kind: x.Kind, Max: x.Max, Again: x.Again, Repeat: x.Repeat,
 		Wait: time.Duration(x.WaitMs) * time.Millisecond, Prompt: x.Prompt}
 	if len(c.ID) > 128 {
 		c.ID = c.ID[:128]
@@ -147,13 +147,13 @@
 			c.Parts = append(c.Parts, fill("part-"+p.Sum, max(1, p.Length)))
 		}
 	}
-	return vise.Ask{Route: x.Route, Call: c}
+	return standin.Ask{Route: x.Route, Call: c}
 }
 
 // Replay sends a day's requests to routers in turn, speed times as fast as they came.
 func Replay(d *Day, routers []string, speed float64, tag string) *Run {
 	r := &Run{Speed: speed, Seen: make([]Seen, len(d.Lines))}
-	h := vise.Client()
+	h := standin.Client()
 	begin := time.Now()
 	var all sync.WaitGroup
 	for i, x := range d.Lines {
@@ -161,7 +161,7 @@
 		all.Add(1)
 		go func() {
 			defer all.Done()
-			o := vise.One(h, routers[i%len(routers)], Ask(x, tag), false)
+			o := standin.One(h, routers[i%len(routers)], Ask(x, tag), false)
 			r.Seen[i] = Seen{x.ID, o.Kind, o.Events, o.First.Milliseconds(), o.Took.Milliseconds(), o.Wrong}
 		}()
 	}
--- a/planer/planer_test.go
+++ b/internal/replay/replay_test.go
@@ -1,4 +1,4 @@
-package planer
+package replay
 
 import (
 	"bytes"
@@ -10,20 +10,20 @@
 
 	"github.com/stretchr/testify/require"
 
-	"tidedeck/chisel"
-	"tidedeck/lathe"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/router"
 )
 
 func record(t *testing.T, n int, text bool) []byte {
 	t.Helper()
 	p := filepath.Join(t.TempDir(), "day")
-	r, err := lathe.OpenRecorder(p, "lathe-1", text)
+	r, err := router.OpenRecorder(p, "router-1", text)
 	require.NoError(t, err)
 	for i := range n {
-		r.Add("/r", chisel.Call{ID: fmt.Sprint(i), Base: "m", Kind: "k", Prompt: "a secret", Parts: []string{"shared"}, Max: 3, Again: i%2 == 0})
+		r.Add("/r", fleetplan.Call{ID: fmt.Sprint(i), Base: "m", Kind: "k", Prompt: "a secret", Parts: []string{"shared"}, Max: 3, Again: i%2 == 0})
 	}
 	r.Close()
-	_, err = lathe.OpenRecorder(p, "lathe-1", text)
+	_, err = router.OpenRecorder(p, "router-1", text)
 	require.Error(t, err, "a day is not written over")
 	b, err := os.ReadFile(p)
 	require.NoError(t, err)
--- a/lathe/conns.go
+++ b/internal/router/conns.go
@@ -1,4 +1,4 @@
-package lathe
+package router
 
 import (
 	"bufio"
@@ -14,10 +14,10 @@
 	"syscall"
 	"time"
 
+	"tidedeck/internal/generic"
+
 	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
-
-	"tidedeck/gauge"
 )
 
 // ConnOptions bound the kept connections to servers.
@@ -34,10 +34,10 @@
 	if o.Dialer == nil {
 		o.Dialer = &net.Dialer{Timeout: 400 * time.Millisecond}
 	}
-	gauge.Or(&o.Idle, 4*time.Second)
-	gauge.Or(&o.MaxIdle, 8)
-	gauge.Or(&o.Unanswered, 5*time.Second)
-	gauge.Or(&o.MaxHeadSize, 256<<10)
+	generic.SetDefault(&o.Idle, 4*time.Second)
+	generic.SetDefault(&o.MaxIdle, 8)
+	generic.SetDefault(&o.Unanswered, 5*time.Second)
+	generic.SetDefault(&o.MaxHeadSize, 256<<10)
 	return o
 }
 
--- a/lathe/conns_test.go
+++ b/internal/router/conns_test.go
@@ -1,4 +1,4 @@
-package lathe
+package router
 
 import (
 	"bufio"
