--- a/lathe/core.go
+++ b/internal/router/core.go
@@ -1,56 +1,59 @@
-// Package lathe is the router: it takes callers' requests and sends each to a server that
+// Package router is the router: it takes callers' requests and sends each to a server that
 // a placement entry promises, without asking anyone while the callback on the entry holds.
-package lathe
+package router
 
 import (
 	"fmt"
 	"sort"
 
-	"tidedeck/chisel"
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
 // Options of a router.
 type Options struct {
-	Me    dowel.Sibling
-	Inc   gauge.Inc
-	Awl   dowel.Sibling
+	Me    protocol.Sibling
+	Inc   ident.Inc
+	Agent protocol.Sibling
 	Cache int        // placement entries kept
 	Queue int        // requests waiting, in all
 	Line  int        // requests waiting for one key
-	Ramp  gauge.Span // a replica is cold for so long
+	Ramp  clock.Span // a replica is cold for so long
 	Share float64    // of first goes that retries may come to
-	Save  gauge.Span // what first goes earn for retries is kept so long
+	Save  clock.Span // what first goes earn for retries is kept so long
 	Goes  int        // goes of one request at the most
-	Hello gauge.Span
-	Batch gauge.Span // removals are gathered for so long
+	Hello clock.Span
+	Batch clock.Span // removals are gathered for so long
 	Plain bool       // no prefix affinity, to measure against
 	Heads int        // leading shared parts that affinity goes by; all, if none is said
 	Check bool       // check every entry on every use, to measure against
 
-	Read   func([]byte) (*chisel.Plan, chisel.Faults) // of plans
-	Zone   gauge.Zone                                 // this router's own
-	Free   bool                                       // servers remember no ids: what may not be repeated goes to any replica
-	Guards bool                                       // servers refuse what they do not hold: without a hold a router goes by what it knew
-	Lend   float64                                    // arrivals beyond the first that the whole fleet is lent in each Window
-	Window gauge.Span
+	Read   func([]byte) (*fleetplan.Plan, fleetplan.Faults) // of plans
+	Zone   ident.Zone                                       // this router's own
+	Free   bool                                             // servers remember no ids: what may not be repeated goes to any replica
+	Guards bool                                             // servers refuse what they do not hold: without a hold a router goes by what it knew
+	Lend   float64                                          // arrivals beyond the first that the whole fleet is lent in each Window
+	Window clock.Span
 }
 
 // Defaults fills what was left out.
 func (o Options) Defaults() Options {
-	gauge.Or(&o.Cache, 512)
-	gauge.Or(&o.Queue, 2048)
-	gauge.Or(&o.Line, 512)
-	gauge.Or(&o.Goes, 4)
-	gauge.Or(&o.Ramp, 4000e6)
-	gauge.Or(&o.Hello, 200e6)
-	gauge.Or(&o.Batch, 500e6)
-	gauge.Or(&o.Share, 0.16)
-	gauge.Or(&o.Save, 5e9)
-	gauge.Or(&o.Window, 10e9)
+	generic.SetDefault(&o.Cache, 512)
+	generic.SetDefault(&o.Queue, 2048)
+	generic.SetDefault(&o.Line, 512)
+	generic.SetDefault(&o.Goes, 4)
+	generic.SetDefault(&o.Ramp, 4000e6)
+	generic.SetDefault(&o.Hello, 200e6)
+	generic.SetDefault(&o.Batch, 500e6)
+	generic.SetDefault(&o.Share, 0.16)
+	generic.SetDefault(&o.Save, 5e9)
+	generic.SetDefault(&o.Window, 10e9)
 	if o.Read == nil {
-		o.Read = chisel.ReadPlan
+		o.Read = fleetplan.ReadPlan
 	}
 	return o
 }
@@ -62,7 +65,7 @@
 type Call struct {
 	Ref   Ref
 	Route string
-	Call  chisel.Call
+	Call  fleetplan.Call
 }
 
 // Begun says that the answer of a go began to come.
@@ -76,7 +79,7 @@
 	Ref  Ref
 	N    int
 	How  End
-	Kind gauge.Kind // why a server dropped it
+	Kind failure.Kind // why a server dropped it
 }
 
 // Quit says that the caller left.
@@ -86,10 +89,10 @@
 type Launch struct {
 	Ref    Ref
 	N      int
-	Server gauge.Server
+	Server ident.Server
 	Addr   string
-	Work   dowel.Work
-	Left   gauge.Span // how much longer the caller waits
+	Work   protocol.Work
+	Left   clock.Span // how much longer the caller waits
 	Rank   int        // how urgent it is among what the server runs
 	Again  bool       // it may be sent again, so that its answer may be begun anew elsewhere
 	Resume bool       // its stream may be taken up elsewhere, after the last event passed on
@@ -98,23 +101,23 @@
 // Receipt is the final answer to a request that got no answer of a server's.
 type Receipt struct {
 	Ref  Ref
-	Kind gauge.Kind
-	Back gauge.Span
+	Kind failure.Kind
+	Back clock.Span
 }
 
 type entry struct {
-	dowel.Entry
+	protocol.Entry
 	num    uint64 // of its delivery
 	held   bool   // a callback is on it
-	got    gauge.Tick
-	used   gauge.Tick
-	asked  gauge.Tick // when it was last wanted
+	got    clock.Tick
+	used   clock.Tick
+	asked  clock.Tick // when it was last wanted
 	asking bool
 }
 
 // coin is what the first goes of a while earned for retries.
 type coin struct {
-	at gauge.Tick
+	at clock.Tick
 	n  float64
 }
 
@@ -124,45 +127,45 @@
 	memory int // tokens that what is under way of its own may come to at the server
 	others int // of other routers, when last told
 	told   int // of its own, when last told
-	keys   map[gauge.Key]int
-	avoid  gauge.Tick
+	keys   map[ident.Key]int
+	avoid  clock.Tick
 	fails  int
 }
 
 // Core is a router without I/O.
 type Core struct {
 	o   Options
-	now gauge.Tick
+	now clock.Tick
 	out []any
 
-	ses     dowel.Session
-	until   gauge.Tick
+	ses     protocol.Session
+	until   clock.Tick
 	routers int
 	num     uint64
 
 	gen   uint64
-	epoch gauge.Epoch
-	plan  *chisel.Plan
-	last  *dowel.Desired // what is in force, as it came
-	empty map[gauge.Zone]bool
+	epoch ident.Epoch
+	plan  *fleetplan.Plan
+	last  *protocol.Desired // what is in force, as it came
+	empty map[ident.Zone]bool
 
-	entries map[gauge.Key]*entry
-	drops   []dowel.Drop
-	swept   gauge.Tick
-	hello   gauge.Tick
+	entries map[ident.Key]*entry
+	drops   []protocol.Drop
+	swept   clock.Tick
+	hello   clock.Tick
 
 	reqs   map[Ref]*req
-	lines  map[gauge.Key][]*req
+	lines  map[ident.Key][]*req
 	wait   int
-	came   map[gauge.Key]int
-	work   map[gauge.Key]int
-	bench  map[gauge.Server]*bench
+	came   map[ident.Key]int
+	work   map[ident.Key]int
+	bench  map[ident.Server]*bench
 	bank   []coin                // what first goes earned, oldest first
-	lent   []gauge.Tick          // when what is lent was taken
-	loads  map[gauge.Key]float64 // seconds of a server's time that what came since the last word takes
-	paces  map[gauge.Key]float64 // ns that a token takes at best, by base
+	lent   []clock.Tick          // when what is lent was taken
+	loads  map[ident.Key]float64 // seconds of a server's time that what came since the last word takes
+	paces  map[ident.Key]float64 // ns that a token takes at best, by base
 	dice   uint64
-	flows  map[gauge.Key]*inflow
+	flows  map[ident.Key]*inflow
 	parted bool // its agent hears no owner
 	ending bool // it stops: nobody waits here any more
 	tally  Tally
@@ -174,30 +177,30 @@
 	Hits, Lookups, Fetches, Sames, Breaks, Removals     uint64
 	Suspects, Declined, Unsent, Lost, Cuts, SendsHeld   uint64
 	Waited                                              uint64
-	Drops                                               map[gauge.Kind]uint64
+	Drops                                               map[failure.Kind]uint64
 	Dropped, Plans, Sessions, StaleNews, OldPlans, Quit uint64
 }
 
 // New makes a router.
 func New(o Options) *Core {
 	c := &Core{
-		o: o.Defaults(), entries: map[gauge.Key]*entry{}, reqs: map[Ref]*req{}, lines: map[gauge.Key][]*req{},
-		came: map[gauge.Key]int{}, work: map[gauge.Key]int{}, bench: map[gauge.Server]*bench{}, empty: map[gauge.Zone]bool{},
-		routers: 1, loads: map[gauge.Key]float64{}, paces: map[gauge.Key]float64{}, flows: map[gauge.Key]*inflow{}, dice: uint64(o.Inc),
+		o: o.Defaults(), entries: map[ident.Key]*entry{}, reqs: map[Ref]*req{}, lines: map[ident.Key][]*req{},
+		came: map[ident.Key]int{}, work: map[ident.Key]int{}, bench: map[ident.Server]*bench{}, empty: map[ident.Zone]bool{},
+		routers: 1, loads: map[ident.Key]float64{}, paces: map[ident.Key]float64{}, flows: map[ident.Key]*inflow{}, dice: uint64(o.Inc),
 	}
-	c.tally.Drops = map[gauge.Kind]uint64{}
+	c.tally.Drops = map[failure.Kind]uint64{}
 	return c
 }
 
 // Step takes one input and gives what is to be done.
-func (c *Core) Step(now gauge.Tick, in any) []any {
+func (c *Core) Step(now clock.Tick, in any) []any {
 	c.now, c.out = now, nil
 	switch v := in.(type) {
-	case dowel.Env:
+	case protocol.Env:
 		switch b := v.Body.(type) {
-		case dowel.Hold:
+		case protocol.Hold:
 			c.onHold(b)
-		case dowel.News:
+		case protocol.News:
 			c.onNews(b)
 		}
 	case Call:
@@ -208,10 +211,10 @@
 		c.onEnded(v)
 	case Quit:
 		c.onQuit(v)
-	case dowel.Stop:
+	case protocol.Stop:
 		c.ending = true
 		c.turnAway()
-	case dowel.Beat:
+	case protocol.Beat:
 		c.beat()
 	}
 	return c.out
@@ -219,28 +222,28 @@
 
 // turnAway tells everyone who waits to come back, elsewhere: this router stops, and what waits has not run.
 func (c *Core) turnAway() {
-	for _, k := range gauge.Keys(c.lines) {
+	for _, k := range generic.SortedKeys(c.lines) {
 		for _, r := range append([]*req{}, c.lines[k]...) {
-			c.finish(r, gauge.Moved, 0)
+			c.finish(r, failure.Moved, 0)
 		}
 	}
 }
 
 func (c *Core) send(body any) {
-	c.out = append(c.out, dowel.Env{From: c.o.Me, To: c.o.Awl, Body: body})
+	c.out = append(c.out, protocol.Env{From: c.o.Me, To: c.o.Agent, Body: body})
 }
 
-func (c *Core) onHold(b dowel.Hold) {
-	if b.Session.Lathe != c.o.Inc {
+func (c *Core) onHold(b protocol.Hold) {
+	if b.Session.Router != c.o.Inc {
 		c.hello = 0
 		return
 	}
 	if b.Session != c.ses {
-		if b.Session.Awl < c.ses.Awl || b.Session.Awl == c.ses.Awl && b.Session.N < c.ses.N {
+		if b.Session.Agent < c.ses.Agent || b.Session.Agent == c.ses.Agent && b.Session.N < c.ses.N {
 			return
 		}
-		if b.Session.Awl != c.ses.Awl && c.last != nil {
-			c.send(dowel.Kept{Value: c.last}) // an agent in a new life has forgotten what it kept
+		if b.Session.Agent != c.ses.Agent && c.last != nil {
+			c.send(protocol.Kept{Value: c.last}) // an agent in a new life has forgotten what it kept
 		}
 		c.ses, c.until, c.num, c.drops = b.Session, 0, 0, nil
 		c.tally.Sessions++
@@ -281,7 +284,7 @@
 	return e != nil && (e.held && c.holds() || c.alone() && len(e.Replicas) > 0)
 }
 
-func (c *Core) onNews(b dowel.News) {
+func (c *Core) onNews(b protocol.News) {
 	if b.Session != c.ses {
 		c.tally.StaleNews++
 		return
@@ -300,24 +303,24 @@
 			c.onBreak(i.Break)
 		}
 	}
-	c.send(dowel.Heard{Session: c.ses, Num: c.num})
+	c.send(protocol.Heard{Session: c.ses, Num: c.num})
 	c.pump()
 }
 
-func (c *Core) onDesired(d *dowel.Desired) {
+func (c *Core) onDesired(d *protocol.Desired) {
 	if d.Gen < c.gen || d.Gen == c.gen && d.Epoch <= c.epoch {
 		c.tally.OldPlans++
 		return
 	}
-	var p *chisel.Plan
+	var p *fleetplan.Plan
 	if len(d.Plan) > 0 {
-		var f chisel.Faults
+		var f fleetplan.Faults
 		if p, f = c.o.Read(d.Plan); f != nil {
 			return // cannot be: the core takes no faulty plan
 		}
 	}
 	c.last = d
-	c.gen, c.epoch, c.plan, c.empty = d.Gen, d.Epoch, p, map[gauge.Zone]bool{}
+	c.gen, c.epoch, c.plan, c.empty = d.Gen, d.Epoch, p, map[ident.Zone]bool{}
 	for _, z := range d.Empty {
 		c.empty[z] = true
 	}
@@ -326,7 +329,7 @@
 	c.resolve(true)
 }
 
-func (c *Core) onEntry(num uint64, n dowel.Entry) {
+func (c *Core) onEntry(num uint64, n protocol.Entry) {
 	e := c.entries[n.Key]
 	if e == nil {
 		e = &entry{used: c.now}
@@ -361,12 +364,12 @@
 		}
 		delete(c.entries, old.Key)
 		if old.held {
-			c.drops = append(c.drops, dowel.Drop{Key: old.Key, Num: old.num})
+			c.drops = append(c.drops, protocol.Drop{Key: old.Key, Num: old.num})
 		}
 	}
 }
 
-func (c *Core) onBreak(k gauge.Key) {
+func (c *Core) onBreak(k ident.Key) {
 	c.tally.Breaks++
 	delete(c.entries, k)
 }
@@ -374,9 +377,9 @@
 func (c *Core) beat() {
 	if c.now.Sub(c.hello) >= c.o.Hello || c.hello == 0 {
 		c.hello = c.now
-		b := map[gauge.Key]dowel.Burden{}
-		for _, k := range gauge.Keys(c.lines) {
-			u := dowel.Burden{Wait: len(c.lines[k]), Work: c.work[k], Came: c.came[k]}
+		b := map[ident.Key]protocol.Burden{}
+		for _, k := range generic.SortedKeys(c.lines) {
+			u := protocol.Burden{Wait: len(c.lines[k]), Work: c.work[k], Came: c.came[k]}
 			for _, r := range c.lines[k] {
 				u.Top = max(u.Top, r.class.Value)
 			}
@@ -384,12 +387,12 @@
 		}
 		for k, n := range c.work {
 			if _, ok := b[k]; !ok && (n > 0 || c.came[k] > 0) {
-				b[k] = dowel.Burden{Work: n, Came: c.came[k]}
+				b[k] = protocol.Burden{Work: n, Came: c.came[k]}
 			}
 		}
 		for k, n := range c.came {
 			if _, ok := b[k]; !ok && n > 0 {
-				b[k] = dowel.Burden{Came: n}
+				b[k] = protocol.Burden{Came: n}
 			}
 		}
 		for k, n := range c.loads {
@@ -397,8 +400,8 @@
 			u.Load = n
 			b[k] = u
 		}
-		c.came, c.loads = map[gauge.Key]int{}, map[gauge.Key]float64{}
-		h := dowel.Hello{Lathe: c.o.Inc, Session: c.ses, Gen: c.gen, Epoch: c.epoch, Burden: b}
+		c.came, c.loads = map[ident.Key]int{}, map[ident.Key]float64{}
+		h := protocol.Hello{Router: c.o.Inc, Session: c.ses, Gen: c.gen, Epoch: c.epoch, Burden: b}
 		if c.o.Free {
 			h.Seats = c.seats()
 		}
@@ -407,13 +410,13 @@
 	if len(c.drops) > 0 && (c.now.Sub(c.swept) >= c.o.Batch || len(c.drops) >= 64) {
 		c.swept = c.now
 		c.tally.Removals++
-		c.send(dowel.Removal{Session: c.ses, Drops: c.drops})
+		c.send(protocol.Removal{Session: c.ses, Drops: c.drops})
 		c.drops = nil
 	}
-	for _, k := range gauge.Keys(c.lines) {
+	for _, k := range generic.SortedKeys(c.lines) {
 		for _, r := range append([]*req{}, c.lines[k]...) {
 			if c.now >= r.due {
-				c.finish(r, gauge.Expired, 0)
+				c.finish(r, failure.Expired, 0)
 			}
 		}
 	}
@@ -426,7 +429,7 @@
 // Counts gives the tally so far.
 func (c *Core) Counts() Tally {
 	t := c.tally
-	t.Drops = map[gauge.Kind]uint64{}
+	t.Drops = map[failure.Kind]uint64{}
 	for k, n := range c.tally.Drops {
 		t.Drops[k] = n
 	}
@@ -434,7 +437,7 @@
 }
 
 // Rules tells the generation and epoch in force, and whether the router holds its link.
-func (c *Core) Rules(now gauge.Tick) (uint64, gauge.Epoch, bool) {
+func (c *Core) Rules(now clock.Tick) (uint64, ident.Epoch, bool) {
 	return c.gen, c.epoch, now < c.until
 }
 
@@ -443,7 +446,7 @@
 
 // Promises tells whether this router would now send work for a key to a server without
 // asking; checkers hold it against what servers are ordered.
-func (c *Core) Promises(now gauge.Tick, k gauge.Key, s gauge.Server, inc gauge.Inc) bool {
+func (c *Core) Promises(now clock.Tick, k ident.Key, s ident.Server, inc ident.Inc) bool {
 	e := c.entries[k]
 	if e == nil || !e.held || now >= c.until {
 		return false
@@ -457,7 +460,7 @@
 }
 
 // Places lists where a router's entry for a key says that it is, for checkers.
-func (c *Core) Places(k gauge.Key) (l []string) {
+func (c *Core) Places(k ident.Key) (l []string) {
 	if e := c.entries[k]; e != nil {
 		for _, p := range e.Replicas {
 			l = append(l, fmt.Sprintf("%s/%d", p.Server, p.Inc))
--- a/lathe/dialect.go
+++ b/internal/router/dialect.go
@@ -1,33 +1,35 @@
-package lathe
+package router
 
 import (
 	"net/http"
 
-	"tidedeck/chisel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/ident"
 )
 
 // Attempt is what one attempt's request at a server says beside the caller's own words.
 type Attempt struct {
-	Server gauge.Server // the only one that may run it
-	Left   gauge.Span   // how much longer the caller waits
+	Server ident.Server // the only one that may run it
+	Left   clock.Span   // how much longer the caller waits
 	Seen   uint64       // the stream is taken up after the event of this number; zero begins it
 	Rank   int          // how urgent it is: 0 comes first
 }
 
 // Said is what the head of a server's answer says.
 type Said struct {
-	ID     string     // of the request that it answers
-	NotRun bool       // the server did not run the request and never will
-	Kind   gauge.Kind // why, when it did not
-	Sealed bool       // it is marked as the server's own
+	ID     string       // of the request that it answers
+	NotRun bool         // the server did not run the request and never will
+	Kind   failure.Kind // why, when it did not
+	Sealed bool         // it is marked as the server's own
 }
 
 // Dialect is how a deployment's callers and servers speak HTTP. It holds names and formats and
 // decides nothing.
 type Dialect interface {
 	// Read gives the facts of a caller's request; the fault says what of its head cannot be read.
-	Read(r *http.Request) (chisel.Call, *chisel.Fault)
+	Read(r *http.Request) (fleetplan.Call, *fleetplan.Fault)
 	// Write adds to the head of an attempt's request what the attempt says; the caller's own
 	// headers are in it already.
 	Write(h http.Header, a Attempt)
--- a/lathe/free_test.go
+++ b/internal/router/free_test.go
@@ -1,4 +1,4 @@
-package lathe
+package router
 
 import (
 	"fmt"
@@ -7,28 +7,31 @@
 
 	"github.com/stretchr/testify/require"
 
-	"tidedeck/chisel"
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
 // hostPlan has one host whose routes go by prefix and mode, over a plain service and one with models.
-func hostPlan(change func(*chisel.Plan)) *chisel.Plan {
-	p := &chisel.Plan{
-		Models: map[gauge.Key]chisel.Model{}, Routes: map[string]chisel.Route{}, Hosts: map[string]map[string]*chisel.Route{"h": {}},
-		Services: map[string]chisel.Service{
+func hostPlan(change func(*fleetplan.Plan)) *fleetplan.Plan {
+	p := &fleetplan.Plan{
+		Models: map[ident.Key]fleetplan.Model{}, Routes: map[string]fleetplan.Route{}, Hosts: map[string]map[string]*fleetplan.Route{"h": {}},
+		Services: map[string]fleetplan.Service{
 			"web": {Plain: true, Slots: 2}, "new": {Plain: true, Slots: 2},
-			"llm": {Slots: 4, Tokens: 10_000, Keys: map[gauge.Key]bool{"llm|m": true, "llm|m+a": true}},
+			"llm": {Slots: 4, Tokens: 10_000, Keys: map[ident.Key]bool{"llm|m": true, "llm|m+a": true}},
 		},
 	}
-	for _, r := range []chisel.Route{
-		{Name: "once", Service: "web", Prefix: "/", Mode: chisel.Once},
-		{Name: "again", Service: "web", Prefix: "/again/", Mode: chisel.Idempotent},
-		{Name: "llm", Service: "llm", Prefix: "/llm/", Mode: chisel.Idempotent},
-		{Name: "stream", Service: "llm", Prefix: "/llm/stream/", Mode: chisel.Continuous},
-		{Name: "resume", Service: "llm", Prefix: "/llm/resume/", Mode: chisel.Continuous, Resume: true},
+	for _, r := range []fleetplan.Route{
+		{Name: "once", Service: "web", Prefix: "/", Mode: fleetplan.Once},
+		{Name: "again", Service: "web", Prefix: "/again/", Mode: fleetplan.Idempotent},
+		{Name: "llm", Service: "llm", Prefix: "/llm/", Mode: fleetplan.Idempotent},
+		{Name: "stream", Service: "llm", Prefix: "/llm/stream/", Mode: fleetplan.Continuous},
+		{Name: "resume", Service: "llm", Prefix: "/llm/resume/", Mode: fleetplan.Continuous, Resume: true},
 	} {
-		r.Host, r.Tries, r.Class = "h", 9, chisel.Class{Value: 5, Wait: 5e9}
+		r.Host, r.Tries, r.Class = "h", 9, fleetplan.Class{Value: 5, Wait: 5e9}
 		p.Hosts["h"][r.Prefix] = &r
 	}
 	if change != nil {
@@ -39,12 +42,12 @@
 
 // free makes a router as a hosting platform has it, that rules by the first of the plans. The number
 // of a plan is what stands for its bytes.
-func free(t *testing.T, o Options, plans ...*chisel.Plan) *bed {
+func free(t *testing.T, o Options, plans ...*fleetplan.Plan) *bed {
 	if len(plans) == 0 {
 		plans = append(plans, hostPlan(nil))
 	}
 	o.Free = true
-	o.Read = func(raw []byte) (*chisel.Plan, chisel.Faults) {
+	o.Read = func(raw []byte) (*fleetplan.Plan, fleetplan.Faults) {
 		if len(raw) == 1 {
 			return plans[raw[0]], nil
 		}
@@ -54,11 +57,11 @@
 }
 
 func (b *bed) replan(n byte) []any {
-	return b.news(dowel.Item{Desired: &dowel.Desired{Gen: 1, Epoch: gauge.Epoch(n) + 1, Plan: []byte{n}}})
+	return b.news(protocol.Item{Desired: &protocol.Desired{Gen: 1, Epoch: ident.Epoch(n) + 1, Plan: []byte{n}}})
 }
 
 // go1 sends a request by its path and gives where it went, if anywhere.
-func (b *bed) go1(path string, c chisel.Call) (Ref, Launch, []any) {
+func (b *bed) go1(path string, c fleetplan.Call) (Ref, Launch, []any) {
 	b.ref++
 	if c.ID == "" {
 		c.ID = fmt.Sprint(b.ref)
@@ -70,10 +73,10 @@
 }
 
 // wait lets time go by in beats and gathers what comes of it.
-func (b *bed) wait(s gauge.Span) (out []any) {
+func (b *bed) wait(s clock.Span) (out []any) {
 	for end := b.at.Add(s); b.at < end; {
 		b.at = b.at.Add(20e6)
-		out = append(out, b.Step(b.at, dowel.Beat{})...)
+		out = append(out, b.Step(b.at, protocol.Beat{})...)
 	}
 	return out
 }
@@ -82,39 +85,39 @@
 func TestGoesByHost(t *testing.T) {
 	for _, c := range []struct {
 		path, base, extra string
-		server            gauge.Server
-		kind              gauge.Kind
+		server            ident.Server
+		kind              failure.Kind
 	}{
 		{"/", "", "", "w", ""}, {"/x/y", "", "", "w", ""}, {"/llm", "", "", "w", ""}, {"/llm/x", "m", "", "l", ""}, {"/llm/x", "m", "a", "a", ""},
-		{"/llm/stream/x", "m", "", "l", ""}, {"/llm/x", "n", "", "", gauge.NoModel}, {"/llm/x", "m", "b", "", gauge.NoModel},
+		{"/llm/stream/x", "m", "", "l", ""}, {"/llm/x", "n", "", "", failure.NoModel}, {"/llm/x", "m", "b", "", failure.NoModel},
 	} {
 		b := free(t, Options{})
 		b.entry("web|", "w")
 		b.entry("llm|m", "l")
 		b.entry("llm|m+a", "a")
-		_, l, out := b.go1(c.path, chisel.Call{Base: c.base, Extra: c.extra})
+		_, l, out := b.go1(c.path, fleetplan.Call{Base: c.base, Extra: c.extra})
 		require.Equal(t, c.server, l.Server, "%+v", c)
 		r, _ := pick[Receipt](out)
 		require.Equal(t, c.kind, r.Kind, "%+v", c)
 	}
 	b := free(t, Options{})
-	out := b.Step(b.at, Call{Ref: 1, Route: "/x", Call: chisel.Call{ID: "1", Host: "elsewhere"}})
+	out := b.Step(b.at, Call{Ref: 1, Route: "/x", Call: fleetplan.Call{ID: "1", Host: "elsewhere"}})
 	r, _ := pick[Receipt](out)
-	require.Equal(t, gauge.NoRoute, r.Kind)
+	require.Equal(t, failure.NoRoute, r.Kind)
 }
 
 // moved sends the root's requests to the new service.
-func moved(p *chisel.Plan) { p.Hosts["h"]["/"].Service = "new" }
+func moved(p *fleetplan.Plan) { p.Hosts["h"]["/"].Service = "new" }
 
 // A plan that comes moves what waits to its new service, and ends what it no longer allows.
 func TestPlanMovesWaiting(t *testing.T) {
 	b := free(t, Options{}, hostPlan(nil), hostPlan(moved))
-	ref, l, _ := b.go1("/x", chisel.Call{})
+	ref, l, _ := b.go1("/x", fleetplan.Call{})
 	require.Empty(t, l.Server, "no server is known yet")
 	out := b.replan(1)
-	w, ok := mailed[dowel.Want](out)
+	w, ok := mailed[protocol.Want](out)
 	require.True(t, ok)
-	require.Equal(t, gauge.Key("new|"), w.Key)
+	require.Equal(t, ident.Key("new|"), w.Key)
 	_, ok = pick[Launch](b.entry("web|", "w"))
 	require.False(t, ok, "it is the old service's no more")
 	l, ok = pick[Launch](b.entry("new|", "n"))
@@ -124,11 +127,11 @@
 	_, waiting := b.Size()
 	require.Zero(t, waiting)
 
-	b = free(t, Options{}, hostPlan(nil), hostPlan(func(p *chisel.Plan) { delete(p.Hosts["h"], "/") }))
-	ref, _, _ = b.go1("/x", chisel.Call{})
+	b = free(t, Options{}, hostPlan(nil), hostPlan(func(p *fleetplan.Plan) { delete(p.Hosts["h"], "/") }))
+	ref, _, _ = b.go1("/x", fleetplan.Call{})
 	r, ok := pick[Receipt](b.replan(1))
 	require.True(t, ok)
-	require.Equal(t, Receipt{Ref: ref, Kind: gauge.NoRoute}, r)
+	require.Equal(t, Receipt{Ref: ref, Kind: failure.NoRoute}, r)
 }
 
 // What is about to be sent by the plan before is held back, and goes to its new service unless the
@@ -136,24 +139,24 @@
 func TestPlanHoldsBack(t *testing.T) {
 	for _, c := range []struct {
 		name   string
-		change func(*chisel.Plan)
+		change func(*fleetplan.Plan)
 		may    bool
-		server gauge.Server
-		kind   gauge.Kind
+		server ident.Server
+		kind   failure.Kind
 	}{
-		{"the same route", func(*chisel.Plan) {}, true, "", ""},
+		{"the same route", func(*fleetplan.Plan) {}, true, "", ""},
 		{"another service", moved, false, "n", ""},
-		{"another service and a single try", func(p *chisel.Plan) { moved(p); p.Hosts["h"]["/"].Tries = 1 }, false, "n", ""},
-		{"a longer prefix", func(p *chisel.Plan) {
-			p.Hosts["h"]["/x/"] = &chisel.Route{Name: "x", Service: "new", Mode: chisel.Once, Tries: 1, Class: chisel.Class{Value: 1, Wait: 5e9}}
+		{"another service and a single try", func(p *fleetplan.Plan) { moved(p); p.Hosts["h"]["/"].Tries = 1 }, false, "n", ""},
+		{"a longer prefix", func(p *fleetplan.Plan) {
+			p.Hosts["h"]["/x/"] = &fleetplan.Route{Name: "x", Service: "new", Mode: fleetplan.Once, Tries: 1, Class: fleetplan.Class{Value: 1, Wait: 5e9}}
 		}, false, "n", ""},
-		{"no route", func(p *chisel.Plan) { delete(p.Hosts["h"], "/") }, false, "", gauge.NoRoute},
+		{"no route", func(p *fleetplan.Plan) { delete(p.Hosts["h"], "/") }, false, "", failure.NoRoute},
 	} {
 		b := free(t, Options{}, hostPlan(nil), hostPlan(c.change))
 		b.entry("web|", "w")
 		b.entry("new|", "n")
-		ref, l, _ := b.go1("/x/", chisel.Call{})
-		require.Equal(t, gauge.Server("w"), l.Server)
+		ref, l, _ := b.go1("/x/", fleetplan.Call{})
+		require.Equal(t, ident.Server("w"), l.Server)
 		b.replan(1)
 		require.Equal(t, c.may, b.MaySend(b.at, ref, 1), c.name)
 		if c.may {
@@ -178,28 +181,28 @@
 	for _, c := range []struct {
 		path  string
 		how   []End
-		kind  gauge.Kind // of each drop
+		kind  failure.Kind // of each drop
 		tries int
 		sent  int
-		end   gauge.Kind
+		end   failure.Kind
 	}{
-		{"/again/x", []End{Dropped, Dropped, Dropped, Dropped}, gauge.Busy, 1, 1, gauge.NotReady},
-		{"/again/x", []End{Dropped, Dropped, Dropped, Dropped}, gauge.Busy, 2, 2, gauge.NotReady},
-		{"/again/x", []End{Dropped, Dropped, Dropped, Dropped}, gauge.Busy, 3, 3, gauge.NotReady},
-		{"/again/x", []End{Lost, Lost, Lost, Lost}, "", 2, 2, gauge.Unclear},
-		{"/again/x", []End{Unsent, Kept, Dropped, Dropped}, gauge.Busy, 2, 4, gauge.NotReady},
-		{"/x", []End{Dropped, Dropped, Dropped, Dropped}, gauge.Busy, 3, 3, gauge.NotReady},
-		{"/x", []End{Lost}, "", 3, 1, gauge.Unclear},
-		{"/x", []End{Dropped, Lost}, gauge.Busy, 3, 2, gauge.Unclear},
+		{"/again/x", []End{Dropped, Dropped, Dropped, Dropped}, failure.Busy, 1, 1, failure.NotReady},
+		{"/again/x", []End{Dropped, Dropped, Dropped, Dropped}, failure.Busy, 2, 2, failure.NotReady},
+		{"/again/x", []End{Dropped, Dropped, Dropped, Dropped}, failure.Busy, 3, 3, failure.NotReady},
+		{"/again/x", []End{Lost, Lost, Lost, Lost}, "", 2, 2, failure.Unclear},
+		{"/again/x", []End{Unsent, Kept, Dropped, Dropped}, failure.Busy, 2, 4, failure.NotReady},
+		{"/x", []End{Dropped, Dropped, Dropped, Dropped}, failure.Busy, 3, 3, failure.NotReady},
+		{"/x", []End{Lost}, "", 3, 1, failure.Unclear},
+		{"/x", []End{Dropped, Lost}, failure.Busy, 3, 2, failure.Unclear},
 	} {
-		b := free(t, Options{Lend: 100}, hostPlan(func(p *chisel.Plan) {
+		b := free(t, Options{Lend: 100}, hostPlan(func(p *fleetplan.Plan) {
 			for _, r := range p.Hosts["h"] {
 				r.Tries = c.tries
 			}
 		}))
 		b.entry("web|", "s1", "s2", "s3", "s4", "s5", "s6")
-		ref, l, out := b.go1(c.path, chisel.Call{})
-		seen, n := map[gauge.Server]bool{}, 0
+		ref, l, out := b.go1(c.path, fleetplan.Call{})
+		seen, n := map[ident.Server]bool{}, 0
 		for {
 			var ok bool
 			if l, ok = pick[Launch](out); !ok {
@@ -226,22 +229,22 @@
 		lend       float64
 		tries      int
 		again      bool
-		end        gauge.Kind
+		end        failure.Kind
 	}{
 		{"broke off", "/llm/resume/x", Split, 1, 3, true, ""},
 		{"silent in the middle", "/llm/resume/x", Lost, 1, 3, true, ""},
-		{"nothing to pay with", "/llm/resume/x", Split, 0, 3, false, gauge.Unclear},
-		{"no try left", "/llm/resume/x", Split, 1, 1, false, gauge.Unclear},
-		{"may not be resumed", "/llm/stream/x", Split, 1, 3, false, gauge.Cut},
-		{"nor if it is silent", "/llm/stream/x", Lost, 1, 3, false, gauge.Cut},
+		{"nothing to pay with", "/llm/resume/x", Split, 0, 3, false, failure.Unclear},
+		{"no try left", "/llm/resume/x", Split, 1, 1, false, failure.Unclear},
+		{"may not be resumed", "/llm/stream/x", Split, 1, 3, false, failure.Cut},
+		{"nor if it is silent", "/llm/stream/x", Lost, 1, 3, false, failure.Cut},
 	} {
-		b := free(t, Options{Lend: c.lend, Share: 1e-9}, hostPlan(func(p *chisel.Plan) {
+		b := free(t, Options{Lend: c.lend, Share: 1e-9}, hostPlan(func(p *fleetplan.Plan) {
 			for _, r := range p.Hosts["h"] {
 				r.Tries = c.tries
 			}
 		}))
 		b.entry("llm|m", "s1", "s2", "s3")
-		ref, l, _ := b.go1(c.path, chisel.Call{Base: "m", Tokens: 100, Max: 50})
+		ref, l, _ := b.go1(c.path, fleetplan.Call{Base: "m", Tokens: 100, Max: 50})
 		require.Equal(t, c.path == "/llm/resume/x", l.Resume, c.name)
 		require.True(t, b.MaySend(b.at, ref, 1))
 		b.Step(b.at, Begun{Ref: ref, N: 1})
@@ -261,7 +264,7 @@
 		b.Step(b.at, Begun{Ref: ref, N: 2})
 		r, ended := pick[Receipt](b.Step(b.at, Ended{Ref: ref, N: 2, How: Split}))
 		require.True(t, ended, "what was lent is spent: %s", c.name)
-		require.Equal(t, gauge.Unclear, r.Kind, c.name)
+		require.Equal(t, failure.Unclear, r.Kind, c.name)
 	}
 }
 
@@ -279,29 +282,33 @@
 		{"the hold ran out, and guarded, but an owner is heard", true, func(b *bed) { b.at = b.at.Add(61e9) }, false},
 		{"the hold ran out, guarded and parted", true, func(b *bed) {
 			b.at = b.at.Add(61e9)
-			b.mail(dowel.Hold{Session: ses, Parted: true})
+			b.mail(protocol.Hold{Session: ses, Parted: true})
 		}, true},
 		{"the hold ran out, parted, but not guarded", false, func(b *bed) {
 			b.at = b.at.Add(61e9)
-			b.mail(dowel.Hold{Session: ses, Parted: true})
+			b.mail(protocol.Hold{Session: ses, Parted: true})
+		}, false},
+		{"a new session without a hold", false, func(b *bed) {
+			b.mail(protocol.Hold{Session: protocol.Session{Node: "agent", Agent: 1, Router: 7, N: 2}})
+		}, false},
+		{"a new session without a hold, guarded, but an owner is heard", true, func(b *bed) {
+			b.mail(protocol.Hold{Session: protocol.Session{Node: "agent", Agent: 1, Router: 7, N: 2}})
 		}, false},
-		{"a new session without a hold", false, func(b *bed) { b.mail(dowel.Hold{Session: dowel.Session{Node: "awl", Awl: 1, Lathe: 7, N: 2}}) }, false},
-		{"a new session without a hold, guarded, but an owner is heard", true, func(b *bed) { b.mail(dowel.Hold{Session: dowel.Session{Node: "awl", Awl: 1, Lathe: 7, N: 2}}) }, false},
 		{"a new session without a hold, guarded and parted", true, func(b *bed) {
-			b.mail(dowel.Hold{Session: dowel.Session{Node: "awl", Awl: 1, Lathe: 7, N: 2}, Parted: true})
+			b.mail(protocol.Hold{Session: protocol.Session{Node: "agent", Agent: 1, Router: 7, N: 2}, Parted: true})
 		}, true},
 		{"a new session with a hold checks first", true, func(b *bed) {
-			b.mail(dowel.Hold{Session: dowel.Session{Node: "awl", Awl: 1, Lathe: 7, N: 2}, Until: b.at.Add(60e9)})
+			b.mail(protocol.Hold{Session: protocol.Session{Node: "agent", Agent: 1, Router: 7, N: 2}, Until: b.at.Add(60e9)})
 		}, false},
 		{"the promise was broken, then the hold ran out", true, func(b *bed) {
-			b.news(dowel.Item{Break: "web|"})
+			b.news(protocol.Item{Break: "web|"})
 			b.at = b.at.Add(61e9)
-			b.mail(dowel.Hold{Session: ses, Parted: true})
+			b.mail(protocol.Hold{Session: ses, Parted: true})
 		}, false},
 		{"its zone was emptied, then the hold ran out", true, func(b *bed) {
-			b.news(dowel.Item{Desired: &dowel.Desired{Gen: 1, Epoch: 2, Plan: []byte{0}, Empty: []gauge.Zone{"z"}}})
+			b.news(protocol.Item{Desired: &protocol.Desired{Gen: 1, Epoch: 2, Plan: []byte{0}, Empty: []ident.Zone{"z"}}})
 			b.at = b.at.Add(61e9)
-			b.mail(dowel.Hold{Session: ses, Parted: true})
+			b.mail(protocol.Hold{Session: ses, Parted: true})
 		}, false},
 	} {
 		for _, when := range []string{"before it is launched", "before it is sent"} {
@@ -309,13 +316,13 @@
 			b.entry("web|", "w")
 			if when == "before it is launched" {
 				c.do(b)
-				ref, l, _ := b.go1("/x", chisel.Call{})
+				ref, l, _ := b.go1("/x", fleetplan.Call{})
 				require.Equal(t, c.sends, l.Server != "", "%s, %s", c.name, when)
 				require.Equal(t, c.sends, b.MaySend(b.at, ref, 1), "%s, %s", c.name, when)
 				continue
 			}
-			ref, l, _ := b.go1("/x", chisel.Call{})
-			require.Equal(t, gauge.Server("w"), l.Server)
+			ref, l, _ := b.go1("/x", fleetplan.Call{})
+			require.Equal(t, ident.Server("w"), l.Server)
 			c.do(b)
 			require.Equal(t, c.sends, b.MaySend(b.at, ref, 1), "%s, %s", c.name, when)
 		}
@@ -325,16 +332,16 @@
 // What the routers of a fleet are lent together stays within the loan in any window, however much
 // each of them wants.
 func TestLoan(t *testing.T) {
-	const window = gauge.Span(10e9)
+	const window = clock.Span(10e9)
 	for _, c := range []struct {
 		routers int
 		lend    float64
 	}{{1, 0}, {1, 1}, {1, 7.9}, {3, 2}, {3, 10}, {4, 34.8}, {7, 34.8}} {
-		var paid []gauge.Tick
+		var paid []clock.Tick
 		var fleet []*bed
 		for range c.routers {
 			b := free(t, Options{Lend: c.lend, Window: window, Share: 1e-12})
-			b.mail(dowel.Hold{Session: ses, Until: b.at.Add(600e9), Routers: c.routers})
+			b.mail(protocol.Hold{Session: ses, Until: b.at.Add(600e9), Routers: c.routers})
 			b.entry("web|", "s1", "s2", "s3", "s4")
 			fleet = append(fleet, b)
 		}
@@ -345,13 +352,13 @@
 				if dice.IntN(3) == 0 {
 					continue
 				}
-				ref, l, out := b.go1("/again/x", chisel.Call{})
+				ref, l, out := b.go1("/again/x", fleetplan.Call{})
 				for ok := l.Server != ""; ok; l, ok = pick[Launch](out) {
 					require.True(t, b.MaySend(b.at, ref, l.N))
 					if l.N > 1 {
 						paid = append(paid, b.at)
 					}
-					out = b.Step(b.at, Ended{Ref: ref, N: l.N, How: Dropped, Kind: gauge.Busy})
+					out = b.Step(b.at, Ended{Ref: ref, N: l.N, How: Dropped, Kind: failure.Busy})
 				}
 				if _, over := pick[Receipt](out); !over {
 					b.Step(b.at, Quit{Ref: ref})
@@ -377,21 +384,21 @@
 
 // seated has a router of a fleet, with replicas of m at s1, s2 and s3 that take the given numbers of
 // requests, and others' tokens under way there.
-func seated(t *testing.T, slots int, others map[gauge.Server]int) *bed {
+func seated(t *testing.T, slots int, others map[ident.Server]int) *bed {
 	b := free(t, Options{Zone: "z"})
-	e := &dowel.Entry{Key: "llm|m", Mark: 1}
-	for _, s := range []gauge.Server{"s1", "s2", "s3"} {
-		e.Replicas = append(e.Replicas, dowel.Replica{Server: s, Addr: string(s), Zone: "z", Slots: slots})
+	e := &protocol.Entry{Key: "llm|m", Mark: 1}
+	for _, s := range []ident.Server{"s1", "s2", "s3"} {
+		e.Replicas = append(e.Replicas, protocol.Replica{Server: s, Addr: string(s), Zone: "z", Slots: slots})
 	}
-	b.news(dowel.Item{Entry: e})
-	b.mail(dowel.Hold{Session: ses, Until: b.at.Add(61e9), Seats: others})
+	b.news(protocol.Item{Entry: e})
+	b.mail(protocol.Hold{Session: ses, Until: b.at.Add(61e9), Seats: others})
 	return b
 }
 
 // The replica with the least under way, over all routers, is chosen; one without the memory or a
 // place for the request never is.
 func TestWeigh(t *testing.T) {
-	type seats = map[gauge.Server]int
+	type seats = map[ident.Server]int
 	for _, c := range []struct {
 		name   string
 		slots  int
@@ -408,20 +415,20 @@
 		{"a large one goes where nothing runs", 9, seats{"s1": 1, "s2": 1}, 20_000, "s3"},
 		{"and waits while there is no such place", 9, seats{"s1": 1, "s2": 1, "s3": 1}, 20_000, ""},
 	} {
-		got := map[gauge.Server]bool{}
+		got := map[ident.Server]bool{}
 		for i := range 60 {
 			b := seated(t, c.slots, c.others)
 			b.dice = uint64(i)
-			_, l, _ := b.go1("/llm/x", chisel.Call{Base: "m", Tokens: c.tokens})
+			_, l, _ := b.go1("/llm/x", fleetplan.Call{Base: "m", Tokens: c.tokens})
 			if l.Server != "" {
 				got[l.Server] = true
 			}
 		}
-		require.Equal(t, c.may, join(gauge.Keys(got)), c.name)
+		require.Equal(t, c.may, join(generic.SortedKeys(got)), c.name)
 	}
 }
 
-func join(l []gauge.Server) (s string) {
+func join(l []ident.Server) (s string) {
 	for i, x := range l {
 		if i > 0 {
 			s += " "
@@ -436,7 +443,7 @@
 func TestWithinPlaces(t *testing.T) {
 	for seed := range uint64(12) {
 		dice := rand.New(rand.NewPCG(seed, 1))
-		b := seated(t, 4, map[gauge.Server]int{"s1": dice.IntN(4000)})
+		b := seated(t, 4, map[ident.Server]int{"s1": dice.IntN(4000)})
 		type run struct {
 			l     Launch
 			size  int
@@ -458,11 +465,11 @@
 			}
 		}
 		for range 600 {
-			b.at = b.at.Add(gauge.Span(dice.IntN(30)) * 1e6)
-			l := gauge.Keys(runs)
+			b.at = b.at.Add(clock.Span(dice.IntN(30)) * 1e6)
+			l := generic.SortedKeys(runs)
 			switch n := dice.IntN(10); {
 			case n < 5 || len(l) == 0:
-				c := chisel.Call{Base: "m", Tokens: 1 + dice.IntN(4000), Max: 1 + dice.IntN(500)}
+				c := fleetplan.Call{Base: "m", Tokens: 1 + dice.IntN(4000), Max: 1 + dice.IntN(500)}
 				if dice.IntN(40) == 0 {
 					c.Tokens = 30_000
 				}
@@ -482,7 +489,7 @@
 				if x.begun && how != Done {
 					how = Split
 				}
-				take(b.Step(b.at, Ended{Ref: x.l.Ref, N: x.l.N, How: how, Kind: gauge.Busy}))
+				take(b.Step(b.at, Ended{Ref: x.l.Ref, N: x.l.N, How: how, Kind: failure.Busy}))
 			default:
 				x := runs[l[dice.IntN(len(l))]]
 				delete(runs, x.l.Ref)
@@ -491,7 +498,7 @@
 		}
 		for range 60 { // what waits is sent or expires
 			for len(runs) > 0 {
-				ref := gauge.Keys(runs)[0]
+				ref := generic.SortedKeys(runs)[0]
 				x := runs[ref]
 				delete(runs, ref)
 				take(b.Step(b.at, Ended{Ref: ref, N: x.l.N, How: Done}))
@@ -510,17 +517,17 @@
 // Requests that share parts meet at one server, the same at every router, until it is burdened by
 // more than the parts are worth; without parts they spread.
 func TestHome(t *testing.T) {
-	of := func(parts ...string) chisel.Call {
-		c := chisel.Call{Base: "m", Tokens: 4100, Max: 10, Parts: append(parts, "own"), Sizes: []int{}}
+	of := func(parts ...string) fleetplan.Call {
+		c := fleetplan.Call{Base: "m", Tokens: 4100, Max: 10, Parts: append(parts, "own"), Sizes: []int{}}
 		for range parts {
 			c.Sizes = append(c.Sizes, 4000/len(parts))
 		}
 		c.Sizes = append(c.Sizes, 100)
 		return c
 	}
-	homes := map[gauge.Server]int{}
+	homes := map[ident.Server]int{}
 	for i := range 60 {
-		part, first := fmt.Sprint("part", i), gauge.Server("")
+		part, first := fmt.Sprint("part", i), ident.Server("")
 		for router := range 4 {
 			b := seated(t, 9, nil)
 			b.dice = uint64(router * 1000)
@@ -541,39 +548,39 @@
 	}
 	b := seated(t, 9, nil)
 	_, l, _ := b.go1("/llm/x", of("part"))
-	b = seated(t, 9, map[gauge.Server]int{l.Server: 5000})
+	b = seated(t, 9, map[ident.Server]int{l.Server: 5000})
 	_, two, _ := b.go1("/llm/x", of("part"))
 	require.NotEqual(t, l.Server, two.Server, "its home is burdened by more than the parts are worth")
-	b = seated(t, 9, map[gauge.Server]int{l.Server: 1000})
+	b = seated(t, 9, map[ident.Server]int{l.Server: 1000})
 	_, two, _ = b.go1("/llm/x", of("part"))
 	require.Equal(t, l.Server, two.Server, "and here by less")
-	spread := map[gauge.Server]int{}
+	spread := map[ident.Server]int{}
 	b = seated(t, 1000, nil)
 	for range 300 {
-		ref, l, _ := b.go1("/llm/x", chisel.Call{Base: "m", Tokens: 10})
+		ref, l, _ := b.go1("/llm/x", fleetplan.Call{Base: "m", Tokens: 10})
 		spread[l.Server]++
 		b.Step(b.at, Ended{Ref: ref, N: 1, How: Done})
 	}
-	for _, s := range []gauge.Server{"s1", "s2", "s3"} {
+	for _, s := range []ident.Server{"s1", "s2", "s3"} {
 		require.InDelta(t, 100, spread[s], 40, "%v", spread)
 	}
 }
 
 // What other routers have under way is the fleet's less this one's own as it was told.
 func TestSeats(t *testing.T) {
-	b := seated(t, 9, map[gauge.Server]int{"s1": 50, "s2": 9000, "s3": 9000})
-	ref, l, _ := b.go1("/llm/x", chisel.Call{Base: "m", Tokens: 700, Max: 300})
-	require.Equal(t, gauge.Server("s1"), l.Server)
-	h, ok := mailed[dowel.Hello](b.wait(300e6))
+	b := seated(t, 9, map[ident.Server]int{"s1": 50, "s2": 9000, "s3": 9000})
+	ref, l, _ := b.go1("/llm/x", fleetplan.Call{Base: "m", Tokens: 700, Max: 300})
+	require.Equal(t, ident.Server("s1"), l.Server)
+	h, ok := mailed[protocol.Hello](b.wait(300e6))
 	require.True(t, ok)
-	require.Equal(t, map[gauge.Server]int{"s1": 700 + mostOut}, h.Seats)
+	require.Equal(t, map[ident.Server]int{"s1": 700 + mostOut}, h.Seats)
 	for _, c := range []struct {
-		fleet map[gauge.Server]int
+		fleet map[ident.Server]int
 		under int
 	}{
-		{map[gauge.Server]int{"s1": 1500}, 1500}, {map[gauge.Server]int{"s1": 1000}, 1000}, {map[gauge.Server]int{"s1": 600}, 700 + mostOut}, {map[gauge.Server]int{"s2": 5}, 700 + mostOut},
+		{map[ident.Server]int{"s1": 1500}, 1500}, {map[ident.Server]int{"s1": 1000}, 1000}, {map[ident.Server]int{"s1": 600}, 700 + mostOut}, {map[ident.Server]int{"s2": 5}, 700 + mostOut},
 	} {
-		b.mail(dowel.Hold{Session: ses, Until: b.at.Add(60e9), Seats: c.fleet})
+		b.mail(protocol.Hold{Session: ses, Until: b.at.Add(60e9), Seats: c.fleet})
 		require.Equal(t, c.under, b.bench["s1"].under(), "%v", c.fleet)
 	}
 	b.Step(b.at, Begun{Ref: ref, N: 1})
--- a/lathe/host.go
+++ b/internal/router/host.go
@@ -1,4 +1,4 @@
-package lathe
+package router
 
 import (
 	"io"
@@ -6,11 +6,12 @@
 	"os"
 	"time"
 
-	"tidedeck/awl"
-	"tidedeck/chisel"
-	"tidedeck/clamp"
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/agent"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/host"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
 // HostOptions of a router that runs under a hosting platform, its agent in the same process.
@@ -24,45 +25,45 @@
 	Seeds     []string
 	Logs      io.Writer
 	Dialect   Dialect
-	Read      func([]byte) (*chisel.Plan, chisel.Faults)
-	Grace     gauge.Span // to stop in
-	Lame      gauge.Span // callers still come for so long after a router says that it stops
+	Read      func([]byte) (*fleetplan.Plan, fleetplan.Faults)
+	Grace     clock.Span // to stop in
+	Lame      clock.Span // callers still come for so long after a router says that it stops
 	Lend      float64    // arrivals beyond the first that the fleet is lent in each Window
-	Window    gauge.Span
+	Window    clock.Span
 	Earn      float64 // and what each first arrival earns
 }
 
 const (
-	nearLathe = "lathe"
-	nearAwl   = "awl"
+	nearRouter = "router"
+	nearAgent  = "agent"
 )
 
 // Host runs a router and its agent under a hosting platform until it is told to stop.
 func Host(h HostOptions) error {
-	ring := clamp.NewRingWith(clamp.RingOptions{Name: h.ID, Out: os.Stderr, Lines: h.Logs})
-	me := dowel.Sibling{ID: gauge.Node(h.ID), Addr: h.Post}
+	ring := host.NewRingWith(host.RingOptions{Name: h.ID, Out: os.Stderr, Lines: h.Logs})
+	me := protocol.Sibling{ID: ident.Node(h.ID), Addr: h.Post}
 	core := New(Options{
-		Me: dowel.Sibling{ID: nearLathe, Addr: nearLathe}, Inc: clamp.NewInc(), Awl: dowel.Sibling{Addr: nearAwl},
-		Read: h.Read, Zone: gauge.Zone(h.Zone), Free: true, Guards: true, Hello: 100e6, Lend: h.Lend, Window: h.Window, Share: h.Earn,
+		Me: protocol.Sibling{ID: nearRouter, Addr: nearRouter}, Inc: host.NewInc(), Agent: protocol.Sibling{Addr: nearAgent},
+		Read: h.Read, Zone: ident.Zone(h.Zone), Free: true, Guards: true, Hello: 100e6, Lend: h.Lend, Window: h.Window, Share: h.Earn,
 	})
-	agent := awl.New(awl.Options{
-		Me: me, Zone: gauge.Zone(h.Zone), Inc: clamp.NewInc(), Life: gauge.Inc(clamp.Now()),
-		Seeds: clamp.Siblings(h.Seeds), Rand: clamp.NewRand(), Brisk: true, Lathe: dowel.Sibling{ID: nearLathe, Addr: nearLathe},
+	agent := agent.New(agent.Options{
+		Me: me, Zone: ident.Zone(h.Zone), Inc: host.NewInc(), Life: ident.Inc(host.Now()),
+		Seeds: host.Siblings(h.Seeds), Rand: host.NewRand(), Brisk: true, Router: protocol.Sibling{ID: nearRouter, Addr: nearRouter},
 	})
-	var router, beside *clamp.Clamp
+	var router, beside *host.Process
 	limits := func() (most int64, wait time.Duration) {
-		router.With(func(gauge.Tick) {
+		router.With(func(clock.Tick) {
 			if p := core.plan; p != nil {
 				most, wait = int64(p.BodyMost), p.Idle
 			}
 		})
 		return most, wait
 	}
-	relay := NewRelay(RelayOptions{Dialect: h.Dialect, Limits: limits, Conns: ConnOptions{Dialer: clamp.Dialer(h.Ingress, 400*time.Millisecond)}})
-	router = clamp.New(clamp.Options{Core: core, Beat: 20 * time.Millisecond, Ring: ring, Else: relay.Act,
-		Local: map[string]func(dowel.Env){nearAwl: func(e dowel.Env) { beside.Step(e) }}})
-	beside = clamp.New(clamp.Options{Core: agent, Listen: []string{h.Post}, Told: h.Post, Beat: 25 * time.Millisecond, Dial: 200 * time.Millisecond, Ring: ring, Else: func(any) {},
-		Local: map[string]func(dowel.Env){nearLathe: func(e dowel.Env) { router.Step(e) }}})
+	relay := NewRelay(RelayOptions{Dialect: h.Dialect, Limits: limits, Conns: ConnOptions{Dialer: host.Dialer(h.Ingress, 400*time.Millisecond)}})
+	router = host.New(host.Options{Core: core, Beat: 20 * time.Millisecond, Ring: ring, Else: relay.Act,
+		Local: map[string]func(protocol.Env){nearAgent: func(e protocol.Env) { beside.Step(e) }}})
+	beside = host.New(host.Options{Core: agent, Listen: []string{h.Post}, Told: h.Post, Beat: 25 * time.Millisecond, Dial: 200 * time.Millisecond, Ring: ring, Else: func(any) {},
+		Local: map[string]func(protocol.Env){nearRouter: func(e protocol.Env) { router.Step(e) }}})
 	relay.Use(Held(router, core))
 	if err := beside.Run(); err != nil {
 		return err
@@ -73,7 +74,7 @@
 	}
 	defer router.Stop()
 	ready := func() (ok bool) {
-		router.With(func(now gauge.Tick) {
+		router.With(func(now clock.Tick) {
 			_, e, held := core.Rules(now)
 			ok = e > 0 && (held || core.alone())
 		})
@@ -82,11 +83,11 @@
 	own := &http.Server{Addr: h.Admin, ReadHeaderTimeout: 10 * time.Second, Handler: metrics(router, core)}
 	go func() { _ = own.ListenAndServe() }()
 	defer own.Close()
-	stop := clamp.Stopping()
+	stop := host.Stopping()
 	go func() {
 		<-stop
 		time.Sleep(h.Grace / 2)
-		router.Step(dowel.Stop{})
+		router.Step(protocol.Stop{})
 	}()
 	return ServeRelay(stop, RelayServe{Relay: relay, Ingress: h.Ingress, Readiness: h.Readiness, Ready: ready,
 		Lame: h.Lame, Grace: h.Grace * 7 / 8})
--- a/lathe/ledger.go
+++ b/internal/router/ledger.go
@@ -1,4 +1,4 @@
-package lathe
+package router
 
 import (
 	"context"
@@ -9,9 +9,12 @@
 
 	"github.com/qmuntal/stateless"
 
-	"tidedeck/chisel"
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
 // End is how a go ended.
@@ -30,13 +33,13 @@
 
 // Go is one try in a request's ledger.
 type Go struct {
-	Server gauge.Server
-	Inc    gauge.Inc
+	Server ident.Server
+	Inc    ident.Inc
 	How    End
-	Kind   gauge.Kind
+	Kind   failure.Kind
 	Begun  bool
 
-	at     gauge.Tick // when it was launched
+	at     clock.Tick // when it was launched
 	weight int        // tokens that it still counts for at its server
 	ahead  int        // and those that were under way there before it
 }
@@ -51,21 +54,21 @@
 
 type req struct {
 	Call
-	key   gauge.Key
-	class chisel.Class
-	came  gauge.Tick
-	due   gauge.Tick // it waits here until then
-	end   gauge.Tick // and its answer is over by then
+	key   ident.Key
+	class fleetplan.Class
+	came  clock.Tick
+	due   clock.Tick // it waits here until then
+	end   clock.Tick // and its answer is over by then
 	goes  []Go
 	stage string
-	owes  gauge.Tick // since when its next go is a retry that is not paid for yet
+	owes  clock.Tick // since when its next go is a retry that is not paid for yet
 	doubt bool       // the plan in force allows it not, but that plan may be old
-	route *chisel.Route
+	route *fleetplan.Route
 }
 
 // again tells whether the request may run a second time.
 func (r *req) again() bool {
-	return r.Call.Call.Again || r.route != nil && (r.route.Mode == chisel.Idempotent || r.route.Resume)
+	return r.Call.Call.Again || r.route != nil && (r.route.Mode == fleetplan.Idempotent || r.route.Resume)
 }
 
 // begun tells whether anything of its answer has come.
@@ -107,15 +110,15 @@
 
 // move is what comes next for a request.
 type move struct {
-	again bool       // wait for another go
-	pay   bool       // which comes out of the allowance, or there is none
-	owe   bool       // which waits until the allowance bears it
-	kind  gauge.Kind // the answer, when there is no other go
+	again bool         // wait for another go
+	pay   bool         // which comes out of the allowance, or there is none
+	owe   bool         // which waits until the allowance bears it
+	kind  failure.Kind // the answer, when there is no other go
 }
 
 // patience is how long a go after a failed dial waits for the allowance: at night there may be
 // none, and no server has been bothered yet.
-const patience = gauge.Span(1e9)
+const patience = clock.Span(1e9)
 
 // What follows each end of a go, for requests that may not and that may be repeated.
 var moves = map[End][2]move{
@@ -123,8 +126,8 @@
 	Kept:    {{again: true}, {again: true}},
 	Unsent:  {{again: true, owe: true}, {again: true, owe: true}},
 	Dropped: {{again: true, pay: true}, {again: true, pay: true}},
-	Lost:    {{kind: gauge.Unclear}, {again: true, pay: true}},
-	Split:   {{kind: gauge.Cut}, {kind: gauge.Cut}},
+	Lost:    {{kind: failure.Unclear}, {again: true, pay: true}},
+	Split:   {{kind: failure.Cut}, {kind: failure.Cut}},
 	Done:    {{}, {}},
 }
 
@@ -135,8 +138,8 @@
 	}
 	g := r.goes[len(r.goes)-1]
 	m := moves[g.How][b2i(r.again())]
-	if g.How == Dropped && g.Kind == gauge.Repeated {
-		return move{kind: gauge.Repeated} // another server would run it a second time
+	if g.How == Dropped && g.Kind == failure.Repeated {
+		return move{kind: failure.Repeated} // another server would run it a second time
 	}
 	if g.Begun && g.How == Lost {
 		m = moves[Split][0]
@@ -154,10 +157,10 @@
 		}
 	}
 	if m.again && sent >= most {
-		if g.How == Dropped && g.Kind == gauge.Mismatch {
-			return move{kind: gauge.Moved} // what was known of the server was old: it is asked anew at once
+		if g.How == Dropped && g.Kind == failure.Mismatch {
+			return move{kind: failure.Moved} // what was known of the server was old: it is asked anew at once
 		}
-		return move{kind: gauge.NotReady}
+		return move{kind: failure.NotReady}
 	}
 	return m
 }
@@ -169,26 +172,26 @@
 	return 0
 }
 
-func (c *Core) allowed(r *req) gauge.Kind {
+func (c *Core) allowed(r *req) failure.Kind {
 	if c.plan == nil {
-		return gauge.None // no plan is known yet: it waits, but is sent nowhere
+		return failure.None // no plan is known yet: it waits, but is sent nowhere
 	}
 	m, why := c.plan.Match(r.Call.Call.Query(r.Route))
-	if why == gauge.None && m.Key != r.key {
-		return gauge.Moved // the plan sends it elsewhere now
+	if why == failure.None && m.Key != r.key {
+		return failure.Moved // the plan sends it elsewhere now
 	}
 	return why
 }
 
 // admit takes a request's class and horizon from the plan. While no plan is known that surely
 // rules, a request may wait a while for one, but is sent nowhere and turned away by none.
-func (c *Core) admit(r *req) gauge.Kind {
-	r.class = chisel.Class{Value: 1, Wait: 5e9}
+func (c *Core) admit(r *req) failure.Kind {
+	r.class = fleetplan.Class{Value: 1, Wait: 5e9}
 	r.doubt = c.plan == nil
 	if c.plan != nil {
 		m, why := c.plan.Match(r.Call.Call.Query(r.Route))
 		switch {
-		case why == gauge.None:
+		case why == failure.None:
 			r.class, r.key, r.route = m.Class, m.Key, m.Route
 		case c.holds():
 			return why
@@ -204,18 +207,18 @@
 	if q := r.class.Quit; q > 0 && !r.begun() {
 		r.due = min(r.due, r.came.Add(q))
 	}
-	return gauge.None
+	return failure.None
 }
 
 // resolve looks anew at every request in line, under the plan now in force.
 func (c *Core) resolve(all bool) {
-	for _, k := range gauge.Keys(c.lines) {
+	for _, k := range generic.SortedKeys(c.lines) {
 		for _, r := range append([]*req{}, c.lines[k]...) {
 			if !all && !r.doubt {
 				continue
 			}
 			c.leave(r)
-			if why := c.admit(r); why != gauge.None {
+			if why := c.admit(r); why != failure.None {
 				c.rest(r)
 				c.finish(r, why, 0)
 				continue
@@ -227,20 +230,20 @@
 
 func (c *Core) onCall(v Call) {
 	c.tally.Calls++
-	r := &req{Call: v, came: c.now, stage: Waiting, key: gauge.KeyOf(v.Call.Base, v.Call.Extra)}
+	r := &req{Call: v, came: c.now, stage: Waiting, key: ident.KeyOf(v.Call.Base, v.Call.Extra)}
 	c.reqs[v.Ref] = r
-	if why := c.admit(r); why != gauge.None {
+	if why := c.admit(r); why != failure.None {
 		c.finish(r, why, 0)
 		return
 	}
 	if v.Call.Wait < 0 {
-		c.finish(r, gauge.PastDue, 0)
+		c.finish(r, failure.PastDue, 0)
 		return
 	}
 	if v.Call.Repeat {
 		c.tally.Repeats++
 		if !c.pay() {
-			c.finish(r, gauge.Spent, 0)
+			c.finish(r, failure.Spent, 0)
 			return
 		}
 	}
@@ -313,7 +316,7 @@
 func (c *Core) join(r *req) bool {
 	for len(c.lines[r.key]) >= c.o.Line || c.wait >= c.o.Queue {
 		low := r
-		for _, k := range gauge.Keys(c.lines) {
+		for _, k := range generic.SortedKeys(c.lines) {
 			if len(c.lines[r.key]) >= c.o.Line && k != r.key {
 				continue
 			}
@@ -323,7 +326,7 @@
 				}
 			}
 		}
-		c.finish(low, gauge.Full, 0)
+		c.finish(low, failure.Full, 0)
 		if low == r {
 			return false
 		}
@@ -362,20 +365,20 @@
 }
 
 // finish closes a request with its final answer.
-func (c *Core) finish(r *req, k gauge.Kind, back gauge.Span) {
+func (c *Core) finish(r *req, k failure.Kind, back clock.Span) {
 	if r.stage == Waiting {
 		c.leave(r)
 	}
 	r.fire("close")
 	delete(c.reqs, r.Ref)
-	if k == gauge.None {
+	if k == failure.None {
 		c.tally.Receipts++
 		return
 	}
-	if gauge.Receipts[k].Dropped && r.ran() {
-		k = gauge.Unclear // a drop would say that it never ran
+	if failure.Receipts[k].Dropped && r.ran() {
+		k = failure.Unclear // a drop would say that it never ran
 	}
-	a := gauge.Receipts[k]
+	a := failure.Receipts[k]
 	if back == 0 {
 		back = a.Back
 	}
@@ -388,7 +391,7 @@
 
 // pump serves every line, the most valuable first.
 func (c *Core) pump() {
-	l := gauge.Keys(c.lines)
+	l := generic.SortedKeys(c.lines)
 	sort.SliceStable(l, func(i, j int) bool { return c.lines[l[i]][0].class.Value > c.lines[l[j]][0].class.Value })
 	for _, k := range l {
 		c.serve(k)
@@ -396,7 +399,7 @@
 }
 
 // serve launches what waits for a key while the promise on it holds and servers have room.
-func (c *Core) serve(k gauge.Key) {
+func (c *Core) serve(k ident.Key) {
 	for i := 0; i < len(c.lines[k]); {
 		r, e := c.lines[k][i], c.entries[k]
 		if r.doubt {
@@ -410,11 +413,11 @@
 		}
 		e.used = c.now
 		if e.Never {
-			c.finish(r, gauge.NotReady, 5e9) // given up on, so told at once
+			c.finish(r, failure.NotReady, 5e9) // given up on, so told at once
 			continue
 		}
 		if back := e.got.Add(e.Soon).Sub(c.now); e.Soon > 0 && len(e.Replicas) == 0 && c.now.Add(back) > r.due {
-			c.finish(r, gauge.NotReady, back) // its turn can't come in time: told at once, and when it may
+			c.finish(r, failure.NotReady, back) // its turn can't come in time: told at once, and when it may
 			continue
 		}
 		p := c.pick(e, r)
@@ -433,10 +436,10 @@
 }
 
 // want asks for an entry, with the mark of the copy that is suspect, if there is one.
-func (c *Core) want(k gauge.Key) {
+func (c *Core) want(k ident.Key) {
 	e := c.entries[k]
 	if e == nil {
-		e = &entry{Entry: dowel.Entry{Key: k}, used: c.now}
+		e = &entry{Entry: protocol.Entry{Key: k}, used: c.now}
 		c.entries[k] = e
 	}
 	if e.asking && c.now.Sub(e.asked) < 400e6 || c.ses.N == 0 {
@@ -444,17 +447,17 @@
 	}
 	e.asking, e.asked = true, c.now
 	c.tally.Lookups++
-	w := dowel.Want{Session: c.ses, Key: k, Waiting: len(c.lines[k]), Value: c.lines[k][0].class.Value}
+	w := protocol.Want{Session: c.ses, Key: k, Waiting: len(c.lines[k]), Value: c.lines[k][0].class.Value}
 	if len(e.Replicas) > 0 {
 		w.Mark = e.Mark
 	}
 	c.send(w)
 }
 
-func (c *Core) seat(s gauge.Server) *bench {
+func (c *Core) seat(s ident.Server) *bench {
 	b := c.bench[s]
 	if b == nil {
-		b = &bench{keys: map[gauge.Key]int{}}
+		b = &bench{keys: map[ident.Key]int{}}
 		c.bench[s] = b
 	}
 	return b
@@ -462,7 +465,7 @@
 
 // caps tells how much this router may have under way at a replica: its share of the server,
 // and of a cold replica only a part that grows.
-func (c *Core) caps(e *entry, p *dowel.Replica) (all, cold int) {
+func (c *Core) caps(e *entry, p *protocol.Replica) (all, cold int) {
 	n := math.Ceil(2 * float64(p.Slots) / float64(max(1, c.routers)))
 	all = max(1, int(n))
 	age := p.Warm + c.now.Sub(e.got)
@@ -473,7 +476,7 @@
 }
 
 // rank orders replicas for a request the same way at every router.
-func rank(r *req, s gauge.Server, parts bool, heads int) uint64 {
+func rank(r *req, s ident.Server, parts bool, heads int) uint64 {
 	h := fnv.New64a()
 	fmt.Fprint(h, s, "|", r.key.Base())
 	if parts = parts && len(r.Call.Call.Parts) > 0; !parts {
@@ -493,8 +496,8 @@
 // bound finds the one replica that a request which may not be repeated goes to, by its id: the same at
 // every router, so that a server that ran it knows it when it is asked for again. Only one that
 // this request could not reach twice is passed over.
-func (c *Core) bound(e *entry, r *req) *dowel.Replica {
-	var top *dowel.Replica
+func (c *Core) bound(e *entry, r *req) *protocol.Replica {
+	var top *protocol.Replica
 	high := uint64(0)
 	for i := range e.Replicas {
 		p := &e.Replicas[i]
@@ -516,12 +519,12 @@
 
 // pick chooses a replica: by rendezvous hash over the prompt's shared parts, as long as the
 // one it names is not burdened beyond its fair share; otherwise the least burdened.
-func (c *Core) pick(e *entry, r *req) *dowel.Replica {
+func (c *Core) pick(e *entry, r *req) *protocol.Replica {
 	if c.o.Free {
 		return c.weigh(e, r)
 	}
-	var l []*dowel.Replica
-	var only *dowel.Replica
+	var l []*protocol.Replica
+	var only *protocol.Replica
 	if !r.again() && !c.o.Free {
 		if only = c.bound(e, r); only == nil {
 			return nil
@@ -550,9 +553,9 @@
 	}
 	hash := len(r.Call.Call.Parts) > 0 && !c.o.Plain
 	// Burdens are weighed by what servers can do at once.
-	part := func(p *dowel.Replica) float64 { return float64(c.seat(p.Server).work) / float64(max(1, p.Slots)) }
+	part := func(p *protocol.Replica) float64 { return float64(c.seat(p.Server).work) / float64(max(1, p.Slots)) }
 	fair := 1.25 * float64(sum) / float64(slots)
-	fits := func(p *dowel.Replica) bool { return part(p) <= fair+1/float64(max(1, p.Slots)) }
+	fits := func(p *protocol.Replica) bool { return part(p) <= fair+1/float64(max(1, p.Slots)) }
 	sort.SliceStable(l, func(i, j int) bool {
 		a, b := part(l[i]), part(l[j])
 		if hash {
@@ -570,7 +573,7 @@
 	return l[0]
 }
 
-func (c *Core) launch(r *req, p *dowel.Replica) {
+func (c *Core) launch(r *req, p *protocol.Replica) {
 	c.leave(r)
 	r.fire("launch")
 	b := c.seat(p.Server)
@@ -583,7 +586,7 @@
 	b.keys[r.key]++
 	c.work[r.key]++
 	x := r.Call.Call
-	c.out = append(c.out, Launch{Ref: r.Ref, N: n, Server: p.Server, Addr: p.Addr, Work: dowel.Work{
+	c.out = append(c.out, Launch{Ref: r.Ref, N: n, Server: p.Server, Addr: p.Addr, Work: protocol.Work{
 		Go: fmt.Sprintf("%s-%d-%d-%d", c.o.Me.ID, c.o.Inc, r.Ref, n), ID: x.ID, Base: x.Base, Extra: x.Extra,
 		Inc: p.Inc, Parts: x.Parts, Prompt: x.Prompt, Max: x.Max, Once: !x.Again,
 	}, Left: r.end.Sub(c.now), Rank: c.plan.Rank(r.class.Value), Again: r.again(), Resume: r.resumes()})
@@ -591,7 +594,7 @@
 
 // MaySend is asked at the very point of sending: the hold must still run, the callback must
 // still be on the entry, and the entry must still name the server.
-func (c *Core) MaySend(now gauge.Tick, ref Ref, n int) bool {
+func (c *Core) MaySend(now clock.Tick, ref Ref, n int) bool {
 	c.now = now
 	r := c.reqs[ref]
 	if r == nil || r.stage != Going || n != len(r.goes) {
@@ -619,7 +622,7 @@
 
 func (c *Core) stands(r *req, g *Go) bool {
 	e := c.entries[r.key]
-	if !c.usable(e) || c.plan == nil || c.allowed(r) != gauge.None {
+	if !c.usable(e) || c.plan == nil || c.allowed(r) != failure.None {
 		return false
 	}
 	for _, p := range e.Replicas {
@@ -677,15 +680,15 @@
 	m := r.next(c.o.Goes)
 	switch {
 	case m.again && m.pay && !c.pay():
-		c.finish(r, gauge.Spent, 0)
+		c.finish(r, failure.Spent, 0)
 	case m.again && c.now >= r.due:
-		c.finish(r, gauge.Expired, 0)
+		c.finish(r, failure.Expired, 0)
 	case m.again:
 		r.fire("back")
 		if m.owe {
 			r.owes = c.now
 		}
-		if why := c.admit(r); why != gauge.None { // the plan may have changed under way
+		if why := c.admit(r); why != failure.None { // the plan may have changed under way
 			c.rest(r)
 			c.finish(r, why, 0)
 			break
@@ -711,7 +714,7 @@
 func (c *Core) mark(r *req, g *Go, b *bench) {
 	back := func() {
 		b.fails++
-		b.avoid = c.now.Add(gauge.Span(50e6) << min(b.fails, 5))
+		b.avoid = c.now.Add(clock.Span(50e6) << min(b.fails, 5))
 	}
 	switch g.How {
 	case Unsent:
@@ -720,7 +723,7 @@
 	case Dropped:
 		c.tally.Declined++
 		back()
-		if g.Kind != gauge.Busy {
+		if g.Kind != failure.Busy {
 			if e := c.entries[r.key]; e != nil {
 				e.held = false // what it says is in doubt: it is checked before it is used again
 			}
--- a/lathe/mends_test.go
+++ b/internal/router/mends_test.go
@@ -1,21 +1,22 @@
-package lathe
+package router
 
 import (
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
-	"tidedeck/chisel"
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
 // A router that stops tells everyone who waits, and everyone who comes to wait, that it has not run.
 func TestStopTurnsAway(t *testing.T) {
 	b := free(t, Options{})
-	ref, l, _ := b.go1("/llm/x", chisel.Call{Base: "m"})
+	ref, l, _ := b.go1("/llm/x", fleetplan.Call{Base: "m"})
 	require.Empty(t, l.Server, "there is no entry yet")
-	told := func(out []any, ref Ref) (kinds []gauge.Kind) {
+	told := func(out []any, ref Ref) (kinds []failure.Kind) {
 		for _, o := range out {
 			if r, ok := o.(Receipt); ok && r.Ref == ref {
 				kinds = append(kinds, r.Kind)
@@ -23,20 +24,20 @@
 		}
 		return kinds
 	}
-	require.Equal(t, []gauge.Kind{gauge.Moved}, told(b.Step(b.at, dowel.Stop{}), ref))
-	ref, _, out := b.go1("/llm/x", chisel.Call{Base: "m"})
-	require.Equal(t, []gauge.Kind{gauge.Moved}, told(append(out, b.wait(40e6)...), ref))
+	require.Equal(t, []failure.Kind{failure.Moved}, told(b.Step(b.at, protocol.Stop{}), ref))
+	ref, _, out := b.go1("/llm/x", fleetplan.Call{Base: "m"})
+	require.Equal(t, []failure.Kind{failure.Moved}, told(append(out, b.wait(40e6)...), ref))
 }
 
 // What waited behind others is no measure of a key's pace.
 func TestPaceOfFreeServersOnly(t *testing.T) {
-	b := seated(t, 9, map[gauge.Server]int{"s1": 9000, "s2": 9000, "s3": 9000})
-	ref, l, _ := b.go1("/llm/x", chisel.Call{Base: "m", Tokens: 850})
+	b := seated(t, 9, map[ident.Server]int{"s1": 9000, "s2": 9000, "s3": 9000})
+	ref, l, _ := b.go1("/llm/x", fleetplan.Call{Base: "m", Tokens: 850})
 	b.at = b.at.Add(900e6)
 	b.Step(b.at, Begun{Ref: ref, N: l.N})
 	require.Empty(t, b.paces)
 	b = seated(t, 9, nil)
-	ref, l, _ = b.go1("/llm/x", chisel.Call{Base: "m", Tokens: 850})
+	ref, l, _ = b.go1("/llm/x", fleetplan.Call{Base: "m", Tokens: 850})
 	b.at = b.at.Add(100e6)
 	b.Step(b.at, Begun{Ref: ref, N: l.N})
 	require.InDelta(t, 100e6/(850+paceBase), b.paces["llm|m"], 1)
--- a/lathe/open.go
+++ b/internal/router/open.go
@@ -1,10 +1,10 @@
-package lathe
+package router
 
 import "sync"
 
 // opened are the requests under way at a door, each with the way by which it hears what was decided.
 type opened struct {
-	mu    sync.Mutex // guards calls and next; taken after the clamp's
+	mu    sync.Mutex // guards calls and next; taken after the host's
 	calls map[Ref]chan any
 	next  Ref
 }
@@ -27,7 +27,7 @@
 	}
 }
 
-// Act takes what was decided: a Launch or a Receipt. It is the Else of a clamp.
+// Act takes what was decided: a Launch or a Receipt. It is the Else of a host.
 func (o *opened) Act(v any) {
 	var ref Ref
 	switch v := v.(type) {
--- a/lathe/record.go
+++ b/internal/router/record.go
@@ -1,4 +1,4 @@
-package lathe
+package router
 
 import (
 	"bufio"
@@ -11,8 +11,8 @@
 
 	"github.com/go-faster/errors"
 
-	"tidedeck/chisel"
-	"tidedeck/clamp"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/host"
 )
 
 // Logged is one line of a recorded day. Without the prompt's text, its length and the
@@ -58,7 +58,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "record")
 	}
-	r := &Recorder{f: f, w: bufio.NewWriter(f), lines: make(chan Logged, 4096), done: make(chan struct{}), text: text, from: int64(clamp.Now())}
+	r := &Recorder{f: f, w: bufio.NewWriter(f), lines: make(chan Logged, 4096), done: make(chan struct{}), text: text, from: int64(host.Now())}
 	r.write(fmt.Sprintf(`{"record":"tidedeck","v":1,"router":%q,"began":%q}`, name, time.Now().UTC().Format(time.RFC3339)))
 	go r.run()
 	return r, nil
@@ -93,8 +93,8 @@
 }
 
 // Add records a request; a record that cannot keep up loses lines, and counts them.
-func (r *Recorder) Add(route string, c chisel.Call) {
-	l := Logged{At: (int64(clamp.Now()) - r.from) / 1e6, Route: route, ID: c.ID, Base: c.Base, Extra: c.Extra, Kind: c.Kind,
+func (r *Recorder) Add(route string, c fleetplan.Call) {
+	l := Logged{At: (int64(host.Now()) - r.from) / 1e6, Route: route, ID: c.ID, Base: c.Base, Extra: c.Extra, Kind: c.Kind,
 		Length: len(c.Prompt), Max: c.Max, WaitMs: c.Wait.Milliseconds(), Again: c.Again, Repeat: c.Repeat}
 	if r.text {
 		l.Prompt = c.Prompt
--- a/lathe/relay.go
+++ b/internal/router/relay.go
@@ -1,4 +1,4 @@
-package lathe
+package router
 
 import (
 	"bytes"
@@ -16,9 +16,11 @@
 
 	"github.com/go-faster/errors"
 
-	"tidedeck/chisel"
-	"tidedeck/clamp"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/host"
 )
 
 // Decider decides what becomes of requests.
@@ -30,19 +32,19 @@
 }
 
 type held struct {
-	c    *clamp.Clamp
+	c    *host.Process
 	core *Core
 }
 
-// Held makes a decider of a core in its clamp.
-func Held(c *clamp.Clamp, core *Core) Decider { return held{c, core} }
+// Held makes a decider of a core in its host.
+func Held(c *host.Process, core *Core) Decider { return held{c, core} }
 
 // Step gives the core one input.
 func (h held) Step(in any) { h.c.Step(in) }
 
 // MaySend asks the core.
 func (h held) MaySend(ref Ref, n int) (may bool) {
-	h.c.With(func(now gauge.Tick) { may = h.core.MaySend(now, ref, n) })
+	h.c.With(func(now clock.Tick) { may = h.core.MaySend(now, ref, n) })
 	return may
 }
 
@@ -63,10 +65,10 @@
 
 // Defaults fills what was left out.
 func (o RelayOptions) Defaults() RelayOptions {
-	gauge.Or(&o.Wait, 60*time.Second)
-	gauge.Or(&o.Slack, 200*time.Millisecond)
-	gauge.Or(&o.Tail, 2*time.Second)
-	gauge.Or(&o.WriteWait, 10*time.Second)
+	generic.SetDefault(&o.Wait, 60*time.Second)
+	generic.SetDefault(&o.Slack, 200*time.Millisecond)
+	generic.SetDefault(&o.Tail, 2*time.Second)
+	generic.SetDefault(&o.WriteWait, 10*time.Second)
 	return o
 }
 
@@ -169,7 +171,7 @@
 	w     http.ResponseWriter
 	to    *http.ResponseController
 	req   *http.Request
-	facts chisel.Call
+	facts fleetplan.Call
 	head  http.Header // what goes through
 	body  []byte
 	armed time.Time // when the deadline of writes was set
@@ -199,12 +201,12 @@
 	}
 	if !unambiguous(q) {
 		r.count(func(t *RelayTally) { t.Smuggled++ })
-		x.refuse(gauge.Malformed, 0, true, chisel.Faults{{Path: "$", Why: "where the body ends is not clear"}})
+		x.refuse(failure.Malformed, 0, true, fleetplan.Faults{{Path: "$", Why: "where the body ends is not clear"}})
 		return
 	}
 	facts, fault := r.o.Dialect.Read(q)
 	if fault != nil {
-		x.refuse(gauge.Malformed, 0, q.Body != http.NoBody, chisel.Faults{*fault})
+		x.refuse(failure.Malformed, 0, q.Body != http.NoBody, fleetplan.Faults{*fault})
 		return
 	}
 	b := borrow()
@@ -235,11 +237,11 @@
 	if x.r.o.Limits != nil {
 		most, wait = x.r.o.Limits()
 	}
-	gauge.Or(&most, 4<<20)
-	gauge.Or(&wait, 15*time.Second)
-	big := chisel.Faults{{Path: "$", Why: "the body has more bytes than are allowed"}}
+	generic.SetDefault(&most, 4<<20)
+	generic.SetDefault(&wait, 15*time.Second)
+	big := fleetplan.Faults{{Path: "$", Why: "the body has more bytes than are allowed"}}
 	if q.ContentLength > most {
-		x.refuse(gauge.Oversize, 0, true, big)
+		x.refuse(failure.Oversize, 0, true, big)
 		return false
 	}
 	if q.ContentLength > 0 {
@@ -254,9 +256,9 @@
 	case err == nil:
 		return true
 	case errors.As(err, &over):
-		x.refuse(gauge.Oversize, 0, true, big)
+		x.refuse(failure.Oversize, 0, true, big)
 	case errors.As(err, &late) && late.Timeout():
-		x.say(http.StatusRequestTimeout, clamp.Problem{Kind: gauge.Expired, Dropped: true}, 0, true)
+		x.say(http.StatusRequestTimeout, host.Problem{Kind: failure.Expired, Dropped: true}, 0, true)
 	default:
 		x.abort()
 	}
@@ -319,18 +321,18 @@
 }
 
 // refuse writes the answer that the one table has for a kind.
-func (x *exchange) refuse(k gauge.Kind, back gauge.Span, end bool, f chisel.Faults) {
-	a, ok := gauge.Receipts[k]
+func (x *exchange) refuse(k failure.Kind, back clock.Span, end bool, f fleetplan.Faults) {
+	a, ok := failure.Receipts[k]
 	if !ok {
-		a = gauge.Receipts[gauge.Unclear]
+		a = failure.Receipts[failure.Unclear]
 	}
 	if back == 0 {
 		back = a.Back
 	}
-	x.say(a.Status, clamp.Problem{Kind: k, Dropped: a.Dropped, BackMs: back.Milliseconds(), Faults: f}, back, end)
+	x.say(a.Status, host.Problem{Kind: k, Dropped: a.Dropped, BackMs: back.Milliseconds(), Faults: f}, back, end)
 }
 
-func (x *exchange) say(status int, p clamp.Problem, back gauge.Span, end bool) {
+func (x *exchange) say(status int, p host.Problem, back clock.Span, end bool) {
 	x.r.count(func(t *RelayTally) { t.Refusals++ })
 	x.arm()
 	h := x.w.Header()
@@ -408,24 +410,24 @@
 }
 
 // attempt sends the request to one server and passes its answer on.
-func (x *exchange) attempt(ctx context.Context, v Launch) (End, gauge.Kind) {
+func (x *exchange) attempt(ctx context.Context, v Launch) (End, failure.Kind) {
 	r := x.r
 	left := v.Left
-	gauge.Or(&left, r.o.Wait)
+	generic.SetDefault(&left, r.o.Wait)
 	due := time.Now().Add(left)
 	c, _, err := r.conns.get(ctx, v.Addr)
 	if err != nil {
-		return Unsent, gauge.None
+		return Unsent, failure.None
 	}
 	l := &lease{r: r, c: c, stop: context.AfterFunc(ctx, c.cut)}
 	defer l.end(false)
 	if left = time.Until(due); left <= 0 {
 		l.end(true)
-		return Kept, gauge.None
+		return Kept, failure.None
 	}
 	if !r.core.MaySend(v.Ref, v.N) {
 		l.end(true)
-		return Kept, gauge.None
+		return Kept, failure.None
 	}
 	a := Attempt{Server: v.Server, Left: left, Rank: v.Rank}
 	if x.seen {
@@ -434,7 +436,7 @@
 	r.o.Dialect.Write(x.head, a)
 	if sent, err := x.send(c, due); err != nil {
 		if sent == 0 && ctx.Err() == nil {
-			return Unsent, gauge.None // not one byte of it left
+			return Unsent, failure.None // not one byte of it left
 		}
 		return x.broken()
 	}
@@ -462,12 +464,12 @@
 }
 
 // broken says what a broken connection means.
-func (x *exchange) broken() (End, gauge.Kind) {
+func (x *exchange) broken() (End, failure.Kind) {
 	x.r.count(func(t *RelayTally) { t.Broken++ })
 	if x.open {
-		return Split, gauge.None
+		return Split, failure.None
 	}
-	return Lost, gauge.None
+	return Lost, failure.None
 }
 
 // send writes the request, in one write if it is small. It tells how many bytes left.
@@ -507,7 +509,7 @@
 }
 
 // receive reads the answer to this attempt, past those that belong to earlier ones.
-func (x *exchange) receive(v Launch, l *lease, due time.Time) (End, gauge.Kind) {
+func (x *exchange) receive(v Launch, l *lease, due time.Time) (End, failure.Kind) {
 	r, c := x.r, l.c
 	if c.SetReadDeadline(due.Add(r.o.Slack)) != nil {
 		return x.broken()
@@ -541,7 +543,7 @@
 }
 
 // take passes on the answer to this attempt, or tells why it cannot.
-func (x *exchange) take(v Launch, l *lease, a *http.Response, said Said, due time.Time) (End, gauge.Kind) {
+func (x *exchange) take(v Launch, l *lease, a *http.Response, said Said, due time.Time) (End, failure.Kind) {
 	good := a.StatusCode >= 200 && a.StatusCode < 300
 	stream := false
 	if t, _, err := mime.ParseMediaType(a.Header.Get("Content-Type")); err == nil {
@@ -552,15 +554,15 @@
 		x.drain(l, a)
 		return Dropped, said.Kind
 	case good && !said.Sealed:
-		return Lost, gauge.None
+		return Lost, failure.None
 	case x.open && !(good && stream):
-		return Lost, gauge.None
+		return Lost, failure.None
 	case !good && promises(a.StatusCode):
 		x.drain(l, a)
-		return Lost, gauge.None // its status would say that it did not run, and it may have
+		return Lost, failure.None // its status would say that it did not run, and it may have
 	case a.StatusCode >= 500 && v.Again:
 		x.drain(l, a)
-		return Lost, gauge.None
+		return Lost, failure.None
 	}
 	if l.c.SetReadDeadline(due.Add(x.r.o.Tail)) != nil {
 		return x.broken()
@@ -592,7 +594,7 @@
 
 // whole passes an answer on that is no stream. A small one is read whole first: if it breaks off,
 // the client has no byte of it yet.
-func (x *exchange) whole(v Launch, l *lease, a *http.Response) (End, gauge.Kind) {
+func (x *exchange) whole(v Launch, l *lease, a *http.Response) (End, failure.Kind) {
 	if a.Body == http.NoBody {
 		l.end(true)
 		// There is no body by the request's method or the status; the length then stands for itself.
@@ -600,7 +602,7 @@
 			x.w.Header()["Content-Length"] = n
 		}
 		x.reply = &reply{status: a.StatusCode, head: a.Header}
-		return Done, gauge.None
+		return Done, failure.None
 	}
 	b := borrow()
 	if a.ContentLength <= mostKept {
@@ -611,7 +613,7 @@
 		case io.EOF:
 			l.end(!until(a))
 			x.reply = &reply{a.StatusCode, a.Header, b}
-			return Done, gauge.None
+			return Done, failure.None
 		case nil:
 		default:
 			giveBack(b)
@@ -636,21 +638,21 @@
 }
 
 // pump reads an answer's body to its end and hands on each piece as it comes.
-func (x *exchange) pump(a *http.Response, f func(p []byte) bool) (End, gauge.Kind) {
+func (x *exchange) pump(a *http.Response, f func(p []byte) bool) (End, failure.Kind) {
 	p := pieces.Get().(*[]byte)
 	defer pieces.Put(p)
 	for {
 		n, err := a.Body.Read(*p)
 		if n > 0 && !f((*p)[:n]) {
-			return Lost, gauge.None
+			return Lost, failure.None
 		}
 		if x.gone {
-			return Lost, gauge.None // nobody reads it any more
+			return Lost, failure.None // nobody reads it any more
 		}
 		switch err {
 		case nil:
 		case io.EOF:
-			return Done, gauge.None
+			return Done, failure.None
 		default:
 			return x.broken()
 		}
@@ -658,7 +660,7 @@
 }
 
 // flow passes a stream on as it comes.
-func (x *exchange) flow(v Launch, l *lease, a *http.Response) (End, gauge.Kind) {
+func (x *exchange) flow(v Launch, l *lease, a *http.Response) (End, failure.Kind) {
 	f := &events{x: x, resumed: x.open, begin: func() {
 		x.r.core.Step(Begun{Ref: v.Ref, N: v.N})
 		if !x.open {
@@ -682,13 +684,13 @@
 		return x.broken()
 	}
 	if !f.end() {
-		return Lost, gauge.None
+		return Lost, failure.None
 	}
 	l.end(true)
 	if !f.begun {
 		f.start()
 	}
-	return Done, gauge.None
+	return Done, failure.None
 }
 
 // events follows the events of one attempt's stream.
--- a/lathe/relay_serve.go
+++ b/internal/router/relay_serve.go
@@ -1,4 +1,4 @@
-package lathe
+package router
 
 import (
 	"bytes"
@@ -11,9 +11,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
+	"tidedeck/internal/generic"
 
-	"tidedeck/gauge"
+	"github.com/go-faster/errors"
 )
 
 // RelayServe says where a relay is reached and how it stops.
@@ -34,11 +34,11 @@
 	if o.Ready == nil {
 		o.Ready = func() bool { return true }
 	}
-	gauge.Or(&o.HeadWait, 10*time.Second)
-	gauge.Or(&o.HeadMost, 64<<10)
-	gauge.Or(&o.Idle, 30*time.Second)
-	gauge.Or(&o.Lame, 2500*time.Millisecond)
-	gauge.Or(&o.Grace, 7*time.Second)
+	generic.SetDefault(&o.HeadWait, 10*time.Second)
+	generic.SetDefault(&o.HeadMost, 64<<10)
+	generic.SetDefault(&o.Idle, 30*time.Second)
+	generic.SetDefault(&o.Lame, 2500*time.Millisecond)
+	generic.SetDefault(&o.Grace, 7*time.Second)
 	return o
 }
 
--- a/lathe/relay_test.go
+++ b/internal/router/relay_test.go
@@ -1,4 +1,4 @@
-package lathe
+package router
 
 import (
 	"bufio"
@@ -16,21 +16,24 @@
 
 	"github.com/stretchr/testify/require"
 
-	"tidedeck/chisel"
-	"tidedeck/clamp"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/host"
+	"tidedeck/internal/ident"
 )
 
 // fakeDialect speaks with made-up names.
 type fakeDialect struct{}
 
-func (fakeDialect) Read(r *http.Request) (chisel.Call, *chisel.Fault) {
+func (fakeDialect) Read(r *http.Request) (fleetplan.Call, *fleetplan.Fault) {
 	id := r.Header.Get("X-Try")
 	if id == "" {
-		return chisel.Call{}, &chisel.Fault{Path: "x-try", Why: "is missing"}
+		return fleetplan.Call{}, &fleetplan.Fault{Path: "x-try", Why: "is missing"}
 	}
 	n, _ := strconv.ParseUint(r.Header.Get("X-After"), 10, 64)
-	return chisel.Call{ID: id, Host: r.Host, Seen: n}, nil
+	return fleetplan.Call{ID: id, Host: r.Host, Seen: n}, nil
 }
 
 func (fakeDialect) Write(h http.Header, a Attempt) {
@@ -43,7 +46,7 @@
 func (fakeDialect) Answer(_ int, h http.Header) Said {
 	s := Said{ID: h.Get("X-Try"), Sealed: h.Get("X-Seal") != ""}
 	if k := h.Get("X-Not-Run"); k != "" {
-		s.NotRun, s.Kind = true, gauge.Kind(k)
+		s.NotRun, s.Kind = true, failure.Kind(k)
 	}
 	return s
 }
@@ -67,7 +70,7 @@
 	to     []string // servers, in order
 	again  bool
 	resume bool
-	left   gauge.Span
+	left   clock.Span
 	refuse *Receipt // the answer to each call, where no server is to be asked
 	deny   int      // so many sends are not allowed
 
@@ -91,7 +94,7 @@
 			out = a
 			break
 		}
-		out = s.launch(v.Ref, gauge.NotReady)
+		out = s.launch(v.Ref, failure.NotReady)
 	case Begun:
 		s.begun = append(s.begun, v)
 	case Quit:
@@ -101,16 +104,16 @@
 		switch v.How {
 		case Done:
 		case Lost:
-			if out = any(Receipt{Ref: v.Ref, Kind: gauge.Unclear}); s.again {
-				out = s.launch(v.Ref, gauge.Unclear)
+			if out = any(Receipt{Ref: v.Ref, Kind: failure.Unclear}); s.again {
+				out = s.launch(v.Ref, failure.Unclear)
 			}
 		case Split:
-			if out = any(Receipt{Ref: v.Ref, Kind: gauge.Cut}); s.resume {
-				out = s.launch(v.Ref, gauge.Cut)
+			if out = any(Receipt{Ref: v.Ref, Kind: failure.Cut}); s.resume {
+				out = s.launch(v.Ref, failure.Cut)
 			}
 		default:
 			k := v.Kind
-			gauge.Or(&k, gauge.NotReady)
+			generic.SetDefault(&k, failure.NotReady)
 			out = s.launch(v.Ref, k)
 		}
 	}
@@ -123,13 +126,13 @@
 	}
 }
 
-func (s *script) launch(ref Ref, or gauge.Kind) any {
+func (s *script) launch(ref Ref, or failure.Kind) any {
 	n := s.at[ref]
 	if n >= len(s.to) {
 		return Receipt{Ref: ref, Kind: or, Back: 250 * time.Millisecond}
 	}
 	s.at[ref] = n + 1
-	return Launch{Ref: ref, N: n + 1, Server: gauge.Server(fmt.Sprint("s", n)), Addr: s.to[n], Left: s.left, Again: s.again, Resume: s.resume}
+	return Launch{Ref: ref, N: n + 1, Server: ident.Server(fmt.Sprint("s", n)), Addr: s.to[n], Left: s.left, Again: s.again, Resume: s.resume}
 }
 
 func (s *script) MaySend(Ref, int) bool {
@@ -177,7 +180,7 @@
 
 // relayFor serves a relay before a script.
 func relayFor(t testing.TB, s *script, o RelayOptions) *served {
-	gauge.Or(&s.left, time.Minute)
+	generic.SetDefault(&s.left, time.Minute)
 	s.at = map[Ref]int{}
 	o.Dialect, o.Decider = fakeDialect{}, s
 	s.relay = NewRelay(o)
@@ -430,7 +433,7 @@
 
 // Final answers of the router's own follow the table, with the time to come back in fractions.
 func TestRelayReceipts(t *testing.T) {
-	for k, want := range gauge.Receipts {
+	for k, want := range failure.Receipts {
 		t.Run(string(k), func(t *testing.T) {
 			b := relayFor(t, &script{refuse: &Receipt{Kind: k, Back: 250 * time.Millisecond}}, RelayOptions{})
 			cl := b.dial(t)
@@ -1000,19 +1003,19 @@
 	s.settled(t)
 }
 
-// The relay works before the real core in its clamp.
+// The relay works before the real core in its host.
 func TestRelayCore(t *testing.T) {
 	core := New(Options{Inc: 7})
 	r := NewRelay(RelayOptions{Dialect: fakeDialect{}})
-	c := clamp.New(clamp.Options{Core: core, Beat: 10 * time.Millisecond, Ring: clamp.NewRing("t", io.Discard), Else: r.Act})
+	c := host.New(host.Options{Core: core, Beat: 10 * time.Millisecond, Ring: host.NewRing("t", io.Discard), Else: r.Act})
 	r.Use(Held(c, core))
 	require.NoError(t, c.Run())
 	t.Cleanup(c.Stop)
 	require.False(t, Held(c, core).MaySend(1, 1))
 	ref, ch, done := r.add()
 	defer done()
-	r.core.Step(Call{Ref: ref, Call: chisel.Call{ID: "1", Wait: -1}})
-	require.Equal(t, gauge.PastDue, (<-ch).(Receipt).Kind)
+	r.core.Step(Call{Ref: ref, Call: fleetplan.Call{ID: "1", Wait: -1}})
+	require.Equal(t, failure.PastDue, (<-ch).(Receipt).Kind)
 	r.Act("what is not for it")
 }
 
--- a/lathe/lathe_test.go
+++ b/internal/router/router_test.go
@@ -1,4 +1,4 @@
-package lathe
+package router
 
 import (
 	"fmt"
@@ -6,20 +6,22 @@
 
 	"github.com/stretchr/testify/require"
 
-	"tidedeck/chisel"
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
 const plan = `{"name":"p","models":{"m":{"size":4},"n":{"size":3}},"kinds":{"k":{"value":3,"wait_ms":5000},"low":{"value":1,"wait_ms":5000}},
 "services":{"s":{"models":["m","n"]}},"routes":{"/r":{"service":"s","kinds":["k","low"]}}}`
 
-var ses = dowel.Session{Node: "awl", Awl: 1, Lathe: 7, N: 1}
+var ses = protocol.Session{Node: "agent", Agent: 1, Router: 7, N: 1}
 
 type bed struct {
 	*Core
 	t   *testing.T
-	at  gauge.Tick
+	at  clock.Tick
 	num uint64
 	ref Ref
 }
@@ -28,28 +30,28 @@
 func lay(t *testing.T, o Options) *bed {
 	o.Inc = 7
 	b := &bed{Core: New(o), t: t, at: 1e9}
-	b.mail(dowel.Hold{Session: ses, Until: b.at.Add(60e9), Routers: 1})
-	b.news(dowel.Item{Desired: &dowel.Desired{Gen: 1, Epoch: 1, Plan: []byte(plan)}})
+	b.mail(protocol.Hold{Session: ses, Until: b.at.Add(60e9), Routers: 1})
+	b.news(protocol.Item{Desired: &protocol.Desired{Gen: 1, Epoch: 1, Plan: []byte(plan)}})
 	return b
 }
 
-func (b *bed) mail(body any) []any { return b.Step(b.at, dowel.Env{Body: body}) }
+func (b *bed) mail(body any) []any { return b.Step(b.at, protocol.Env{Body: body}) }
 
-func (b *bed) news(i dowel.Item) []any {
+func (b *bed) news(i protocol.Item) []any {
 	b.num++
 	i.Num = b.num
-	return b.mail(dowel.News{Session: ses, Items: []dowel.Item{i}})
+	return b.mail(protocol.News{Session: ses, Items: []protocol.Item{i}})
 }
 
-func (b *bed) entry(k gauge.Key, servers ...string) []any {
-	e := &dowel.Entry{Key: k, Mark: gauge.Mark(len(servers)) + 1}
+func (b *bed) entry(k ident.Key, servers ...string) []any {
+	e := &protocol.Entry{Key: k, Mark: ident.Mark(len(servers)) + 1}
 	for _, s := range servers {
-		e.Replicas = append(e.Replicas, dowel.Replica{Server: gauge.Server(s), Addr: s, Zone: "z", Inc: 1, Slots: 4, Warm: 1e12})
+		e.Replicas = append(e.Replicas, protocol.Replica{Server: ident.Server(s), Addr: s, Zone: "z", Inc: 1, Slots: 4, Warm: 1e12})
 	}
-	return b.news(dowel.Item{Entry: e})
+	return b.news(protocol.Item{Entry: e})
 }
 
-func (b *bed) call(c chisel.Call) (Ref, []any) {
+func (b *bed) call(c fleetplan.Call) (Ref, []any) {
 	b.ref++
 	if c.Base == "" {
 		c.Base = "m"
@@ -74,7 +76,7 @@
 
 func mailed[T any](l []any) (x T, ok bool) {
 	for _, o := range l {
-		if e, is := o.(dowel.Env); is {
+		if e, is := o.(protocol.Env); is {
 			if v, is := e.Body.(T); is {
 				return v, true
 			}
@@ -84,37 +86,37 @@
 }
 
 // waits stands for a request that is neither answered nor sent again at once.
-const waits = gauge.Kind("waits")
+const waits = failure.Kind("waits")
 
 // What follows each end of a go, for requests that may and that may not be repeated.
 func TestLedger(t *testing.T) {
 	for _, c := range []struct {
 		how    End
-		kind   gauge.Kind
+		kind   failure.Kind
 		again  bool
 		begun  bool
 		bank   float64
-		answer gauge.Kind // None: another go
+		answer failure.Kind // None: another go
 	}{
-		{Kept, "", false, false, 0, gauge.None},
+		{Kept, "", false, false, 0, failure.None},
 		{Unsent, "", false, false, 1, waits},
-		{Unsent, "", true, false, 1, gauge.None},
+		{Unsent, "", true, false, 1, failure.None},
 		{Unsent, "", true, false, 0, waits},
-		{Dropped, gauge.Busy, false, false, 1, waits},
-		{Dropped, gauge.Busy, true, false, 1, gauge.None},
-		{Dropped, gauge.Late, true, false, 1, waits}, // the entry is asked for again first
-		{Dropped, gauge.Repeated, false, false, 1, gauge.Repeated},
-		{Dropped, gauge.Repeated, true, false, 1, gauge.Repeated},
-		{Dropped, gauge.Busy, true, false, 0, gauge.Spent},
-		{Lost, "", true, false, 1, gauge.None},
-		{Lost, "", true, false, 0, gauge.Unclear},
-		{Lost, "", false, false, 1, gauge.Unclear},
-		{Lost, "", true, true, 1, gauge.Cut},
-		{Split, "", true, true, 1, gauge.Cut},
+		{Dropped, failure.Busy, false, false, 1, waits},
+		{Dropped, failure.Busy, true, false, 1, failure.None},
+		{Dropped, failure.Late, true, false, 1, waits}, // the entry is asked for again first
+		{Dropped, failure.Repeated, false, false, 1, failure.Repeated},
+		{Dropped, failure.Repeated, true, false, 1, failure.Repeated},
+		{Dropped, failure.Busy, true, false, 0, failure.Spent},
+		{Lost, "", true, false, 1, failure.None},
+		{Lost, "", true, false, 0, failure.Unclear},
+		{Lost, "", false, false, 1, failure.Unclear},
+		{Lost, "", true, true, 1, failure.Cut},
+		{Split, "", true, true, 1, failure.Cut},
 	} {
 		b := lay(t, Options{})
 		b.entry("m", "s1", "s2")
-		ref, out := b.call(chisel.Call{Again: c.again})
+		ref, out := b.call(fleetplan.Call{Again: c.again})
 		l, ok := pick[Launch](out)
 		require.True(t, ok)
 		require.True(t, b.MaySend(b.at, ref, 1))
@@ -129,7 +131,7 @@
 			require.False(t, dropped || again, "%+v", c)
 			continue
 		}
-		if c.answer != gauge.None {
+		if c.answer != failure.None {
 			require.True(t, dropped, "%+v", c)
 			require.Equal(t, c.answer, r.Kind, "%+v", c)
 			continue
@@ -148,16 +150,16 @@
 func TestNoDropAfterLost(t *testing.T) {
 	b := lay(t, Options{})
 	b.entry("m", "s1")
-	ref, _ := b.call(chisel.Call{Again: true, Wait: 80e6})
+	ref, _ := b.call(fleetplan.Call{Again: true, Wait: 80e6})
 	require.True(t, b.MaySend(b.at, ref, 1))
 	b.bank = []coin{{b.at, 1}}
 	out := b.Step(b.at, Ended{ref, 1, Lost, ""}) // the only server is avoided for a while: it waits
 	_, dropped := pick[Receipt](out)
 	require.False(t, dropped)
 	b.at = b.at.Add(90e6)
-	r, ok := pick[Receipt](b.Step(b.at, dowel.Beat{}))
+	r, ok := pick[Receipt](b.Step(b.at, protocol.Beat{}))
 	require.True(t, ok)
-	require.Equal(t, gauge.Unclear, r.Kind)
+	require.Equal(t, failure.Unclear, r.Kind)
 }
 
 // At the very point of sending, every part of the promise is looked at once more.
@@ -169,25 +171,25 @@
 	}{
 		{"nothing changed", func(b *bed) {}, true},
 		{"the hold ran out", func(b *bed) { b.at = b.at.Add(61e9) }, false},
-		{"the promise was broken", func(b *bed) { b.news(dowel.Item{Break: "m"}) }, false},
+		{"the promise was broken", func(b *bed) { b.news(protocol.Item{Break: "m"}) }, false},
 		{"a new session began", func(b *bed) {
-			b.mail(dowel.Hold{Session: dowel.Session{Node: "awl", Awl: 1, Lathe: 7, N: 2}, Until: b.at.Add(60e9)})
+			b.mail(protocol.Hold{Session: protocol.Session{Node: "agent", Agent: 1, Router: 7, N: 2}, Until: b.at.Add(60e9)})
 		}, false},
 		{"the zone was emptied", func(b *bed) {
-			b.news(dowel.Item{Desired: &dowel.Desired{Gen: 1, Epoch: 2, Plan: []byte(plan), Empty: []gauge.Zone{"z"}}})
+			b.news(protocol.Item{Desired: &protocol.Desired{Gen: 1, Epoch: 2, Plan: []byte(plan), Empty: []ident.Zone{"z"}}})
 		}, false},
 		{"the plan no longer allows it", func(b *bed) {
-			b.news(dowel.Item{Desired: &dowel.Desired{Gen: 1, Epoch: 2, Plan: []byte(`{"name":"q","models":{"n":{"size":3}},"kinds":{"k":{"value":3}},"services":{"s":{"models":["n"]}},"routes":{"/r":{"service":"s","kinds":["k"]}}}`)}})
+			b.news(protocol.Item{Desired: &protocol.Desired{Gen: 1, Epoch: 2, Plan: []byte(`{"name":"q","models":{"n":{"size":3}},"kinds":{"k":{"value":3}},"services":{"s":{"models":["n"]}},"routes":{"/r":{"service":"s","kinds":["k"]}}}`)}})
 		}, false},
 		{"the server restarted", func(b *bed) {
-			b.news(dowel.Item{Break: "m"})
-			b.news(dowel.Item{Entry: &dowel.Entry{Key: "m", Mark: 9, Replicas: []dowel.Replica{{Server: "s1", Addr: "s1", Zone: "z", Inc: 2, Slots: 4}}}})
+			b.news(protocol.Item{Break: "m"})
+			b.news(protocol.Item{Entry: &protocol.Entry{Key: "m", Mark: 9, Replicas: []protocol.Replica{{Server: "s1", Addr: "s1", Zone: "z", Inc: 2, Slots: 4}}}})
 		}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			b := lay(t, Options{})
 			b.entry("m", "s1")
-			ref, out := b.call(chisel.Call{})
+			ref, out := b.call(fleetplan.Call{})
 			_, ok := pick[Launch](out)
 			require.True(t, ok)
 			c.do(b)
@@ -199,27 +201,27 @@
 // Numbered changes are taken in order, once, and acknowledged up to the last one taken.
 func TestNews(t *testing.T) {
 	b := lay(t, Options{})
-	item := func(n uint64, k gauge.Key) dowel.Item {
-		return dowel.Item{Num: n, Entry: &dowel.Entry{Key: k, Mark: 1}}
+	item := func(n uint64, k ident.Key) protocol.Item {
+		return protocol.Item{Num: n, Entry: &protocol.Entry{Key: k, Mark: 1}}
 	}
 	for _, c := range []struct {
 		name  string
-		ses   dowel.Session
-		items []dowel.Item
+		ses   protocol.Session
+		items []protocol.Item
 		heard uint64
 	}{
-		{"a gap is waited for", ses, []dowel.Item{item(3, "n")}, 1},
-		{"the next ones", ses, []dowel.Item{item(2, "m"), item(3, "n")}, 3},
-		{"a repeat changes nothing", ses, []dowel.Item{{Num: 2, Break: "m"}}, 3},
+		{"a gap is waited for", ses, []protocol.Item{item(3, "n")}, 1},
+		{"the next ones", ses, []protocol.Item{item(2, "m"), item(3, "n")}, 3},
+		{"a repeat changes nothing", ses, []protocol.Item{{Num: 2, Break: "m"}}, 3},
 	} {
-		h, ok := mailed[dowel.Heard](b.mail(dowel.News{Session: c.ses, Items: c.items}))
+		h, ok := mailed[protocol.Heard](b.mail(protocol.News{Session: c.ses, Items: c.items}))
 		require.True(t, ok, c.name)
 		require.Equal(t, c.heard, h.Num, c.name)
 	}
 	require.True(t, b.entries["m"].held)
 	old := ses
 	old.N = 0
-	_, ok := mailed[dowel.Heard](b.mail(dowel.News{Session: old, Items: []dowel.Item{item(4, "m")}}))
+	_, ok := mailed[protocol.Heard](b.mail(protocol.News{Session: old, Items: []protocol.Item{item(4, "m")}}))
 	require.False(t, ok, "another session's news are nobody's")
 }
 
@@ -230,7 +232,7 @@
 		gen, epoch uint64
 		want       [2]uint64
 	}{{1, 5, [2]uint64{1, 5}}, {1, 4, [2]uint64{1, 5}}, {1, 5, [2]uint64{1, 5}}, {2, 1, [2]uint64{2, 1}}, {1, 9, [2]uint64{2, 1}}, {2, 2, [2]uint64{2, 2}}} {
-		b.news(dowel.Item{Desired: &dowel.Desired{Gen: c.gen, Epoch: gauge.Epoch(c.epoch), Plan: []byte(plan)}})
+		b.news(protocol.Item{Desired: &protocol.Desired{Gen: c.gen, Epoch: ident.Epoch(c.epoch), Plan: []byte(plan)}})
 		g, e, _ := b.Rules(b.at)
 		require.Equal(t, c.want, [2]uint64{g, uint64(e)})
 	}
@@ -239,16 +241,16 @@
 // Under a held callback routing asks nobody; without one it checks first, and says what it has.
 func TestCallbacks(t *testing.T) {
 	b := lay(t, Options{})
-	_, out := b.call(chisel.Call{})
-	w, ok := mailed[dowel.Want](out)
+	_, out := b.call(fleetplan.Call{})
+	w, ok := mailed[protocol.Want](out)
 	require.True(t, ok)
 	require.Zero(t, w.Mark)
 	out = b.entry("m", "s1", "s2")
 	_, ok = pick[Launch](out)
 	require.True(t, ok, "what waited is sent when the entry comes")
 	for range 3 {
-		_, out = b.call(chisel.Call{})
-		_, asked := mailed[dowel.Want](out)
+		_, out = b.call(fleetplan.Call{})
+		_, asked := mailed[protocol.Want](out)
 		require.False(t, asked)
 		_, ok = pick[Launch](out)
 		require.True(t, ok)
@@ -257,14 +259,14 @@
 	// After a reconnect the entry is suspect: it is checked on first use, by its mark.
 	two := ses
 	two.N = 2
-	b.mail(dowel.Hold{Session: two, Until: b.at.Add(60e9)})
-	_, out = b.call(chisel.Call{})
-	w, ok = mailed[dowel.Want](out)
+	b.mail(protocol.Hold{Session: two, Until: b.at.Add(60e9)})
+	_, out = b.call(fleetplan.Call{})
+	w, ok = mailed[protocol.Want](out)
 	require.True(t, ok)
 	require.EqualValues(t, 3, w.Mark)
 	_, ok = pick[Launch](out)
 	require.False(t, ok)
-	out = b.mail(dowel.News{Session: two, Items: []dowel.Item{{Num: 1, Entry: &dowel.Entry{Key: "m", Mark: 3, Same: true}}}})
+	out = b.mail(protocol.News{Session: two, Items: []protocol.Item{{Num: 1, Entry: &protocol.Entry{Key: "m", Mark: 3, Same: true}}}})
 	_, ok = pick[Launch](out)
 	require.True(t, ok)
 }
@@ -272,15 +274,15 @@
 // A full line lets go of what is worth least, at once and with when to come back.
 func TestFullLine(t *testing.T) {
 	b := lay(t, Options{Line: 2})
-	b.call(chisel.Call{Kind: "low"})
-	b.call(chisel.Call{Kind: "k"})
-	_, out := b.call(chisel.Call{Kind: "k"})
+	b.call(fleetplan.Call{Kind: "low"})
+	b.call(fleetplan.Call{Kind: "k"})
+	_, out := b.call(fleetplan.Call{Kind: "k"})
 	r, ok := pick[Receipt](out)
 	require.True(t, ok)
 	require.Equal(t, Ref(1), r.Ref)
-	require.Equal(t, gauge.Full, r.Kind)
+	require.Equal(t, failure.Full, r.Kind)
 	require.Positive(t, r.Back)
-	_, out = b.call(chisel.Call{Kind: "low"})
+	_, out = b.call(fleetplan.Call{Kind: "low"})
 	r, ok = pick[Receipt](out)
 	require.True(t, ok)
 	require.Equal(t, Ref(4), r.Ref, "the newcomer is worth less than all who wait")
@@ -289,36 +291,36 @@
 // A horizon that passes ends the wait at once; one that had passed already is no proper request.
 func TestHorizon(t *testing.T) {
 	b := lay(t, Options{})
-	_, out := b.call(chisel.Call{Wait: -1})
+	_, out := b.call(fleetplan.Call{Wait: -1})
 	r, _ := pick[Receipt](out)
-	require.Equal(t, gauge.PastDue, r.Kind)
-	ref, _ := b.call(chisel.Call{Wait: 100e6})
+	require.Equal(t, failure.PastDue, r.Kind)
+	ref, _ := b.call(fleetplan.Call{Wait: 100e6})
 	b.at = b.at.Add(90e6)
-	_, ok := pick[Receipt](b.Step(b.at, dowel.Beat{}))
+	_, ok := pick[Receipt](b.Step(b.at, protocol.Beat{}))
 	require.False(t, ok)
 	b.at = b.at.Add(20e6)
-	r, ok = pick[Receipt](b.Step(b.at, dowel.Beat{}))
+	r, ok = pick[Receipt](b.Step(b.at, protocol.Beat{}))
 	require.True(t, ok)
-	require.Equal(t, Receipt{ref, gauge.Expired, gauge.Receipts[gauge.Expired].Back}, r)
+	require.Equal(t, Receipt{ref, failure.Expired, failure.Receipts[failure.Expired].Back}, r)
 }
 
 // Callers' own repeats come out of the same allowance as retries do.
 func TestAllowance(t *testing.T) {
 	b := lay(t, Options{})
 	b.entry("m", "s1")
-	_, out := b.call(chisel.Call{Repeat: true})
+	_, out := b.call(fleetplan.Call{Repeat: true})
 	r, ok := pick[Receipt](out)
 	require.True(t, ok)
-	require.Equal(t, gauge.Spent, r.Kind)
+	require.Equal(t, failure.Spent, r.Kind)
 	for range 7 {
-		ref, _ := b.call(chisel.Call{})
+		ref, _ := b.call(fleetplan.Call{})
 		require.True(t, b.MaySend(b.at, ref, 1))
 		b.Step(b.at, Ended{ref, 1, Done, ""})
 	}
-	_, out = b.call(chisel.Call{Repeat: true})
+	_, out = b.call(fleetplan.Call{Repeat: true})
 	_, ok = pick[Launch](out)
 	require.True(t, ok, "seven first goes have paid for one")
-	_, out = b.call(chisel.Call{Repeat: true})
+	_, out = b.call(fleetplan.Call{Repeat: true})
 	_, ok = pick[Receipt](out)
 	require.True(t, ok)
 }
@@ -328,15 +330,15 @@
 func TestDoubt(t *testing.T) {
 	b := lay(t, Options{})
 	b.at = b.at.Add(61e9)
-	_, out := b.call(chisel.Call{Base: "new"})
+	_, out := b.call(fleetplan.Call{Base: "new"})
 	_, ok := pick[Receipt](out)
 	require.False(t, ok)
-	_, asked := mailed[dowel.Want](out)
+	_, asked := mailed[protocol.Want](out)
 	require.False(t, asked, "nor does a name that may not exist leave the router")
-	out = b.mail(dowel.Hold{Session: ses, Until: b.at.Add(60e9)})
+	out = b.mail(protocol.Hold{Session: ses, Until: b.at.Add(60e9)})
 	r, ok := pick[Receipt](out)
 	require.True(t, ok)
-	require.Equal(t, gauge.NoModel, r.Kind)
+	require.Equal(t, failure.NoModel, r.Kind)
 }
 
 // The cache keeps to its bound, and lets the owner know in batches what it let go.
@@ -344,34 +346,34 @@
 	b := lay(t, Options{Cache: 4})
 	for i := range 10 {
 		b.at = b.at.Add(1e6)
-		b.entry(gauge.Key(fmt.Sprint("x", i)), "s1")
+		b.entry(ident.Key(fmt.Sprint("x", i)), "s1")
 	}
 	require.Len(t, b.entries, 4)
 	b.at = b.at.Add(1e9)
-	r, ok := mailed[dowel.Removal](b.Step(b.at, dowel.Beat{}))
+	r, ok := mailed[protocol.Removal](b.Step(b.at, protocol.Beat{}))
 	require.True(t, ok)
 	require.Len(t, r.Drops, 6)
-	require.Equal(t, dowel.Drop{Key: "x0", Num: 2}, r.Drops[0])
+	require.Equal(t, protocol.Drop{Key: "x0", Num: 2}, r.Drops[0])
 }
 
 // A cold replica gets a few requests, then more as it warms.
 func TestRamp(t *testing.T) {
 	b := lay(t, Options{Ramp: 4e9})
-	b.news(dowel.Item{Entry: &dowel.Entry{Key: "m", Mark: 1, Replicas: []dowel.Replica{{Server: "s", Addr: "s", Zone: "z", Inc: 1, Slots: 8}}}})
+	b.news(protocol.Item{Entry: &protocol.Entry{Key: "m", Mark: 1, Replicas: []protocol.Replica{{Server: "s", Addr: "s", Zone: "z", Inc: 1, Slots: 8}}}})
 	n := 0
 	for range 40 {
-		_, out := b.call(chisel.Call{})
+		_, out := b.call(fleetplan.Call{})
 		if _, ok := pick[Launch](out); ok {
 			n++
 		}
 	}
 	require.Equal(t, 1, n)
 	for _, c := range []struct {
-		after gauge.Span
+		after clock.Span
 		most  int
 	}{{1e9, 4}, {2e9, 8}, {4e9, 16}, {9e9, 16}} {
 		at := b.at.Add(c.after)
-		b.Step(at, dowel.Beat{})
+		b.Step(at, protocol.Beat{})
 		require.Equal(t, c.most, b.bench["s"].work, "%v", c.after)
 	}
 }
@@ -380,16 +382,16 @@
 func TestAffinity(t *testing.T) {
 	b := lay(t, Options{})
 	b.entry("m", "s1", "s2", "s3")
-	seen := map[gauge.Server]int{}
+	seen := map[ident.Server]int{}
 	for range 9 {
-		ref, out := b.call(chisel.Call{Again: true, Parts: []string{"system", "tenant"}})
+		ref, out := b.call(fleetplan.Call{Again: true, Parts: []string{"system", "tenant"}})
 		l, _ := pick[Launch](out)
 		seen[l.Server]++
 		b.Step(b.at, Ended{ref, 1, Done, ""})
 	}
 	require.Len(t, seen, 1)
 	for range 9 { // none of these ends
-		_, out := b.call(chisel.Call{Again: true, Parts: []string{"system", "tenant"}})
+		_, out := b.call(fleetplan.Call{Again: true, Parts: []string{"system", "tenant"}})
 		l, _ := pick[Launch](out)
 		seen[l.Server]++
 	}
@@ -403,7 +405,7 @@
 // burdened that server is; only one that it could not reach twice is passed over.
 func TestBound(t *testing.T) {
 	one := func(b *bed) Launch {
-		_, out := b.call(chisel.Call{ID: "it", Parts: []string{fmt.Sprint(b.ref)}})
+		_, out := b.call(fleetplan.Call{ID: "it", Parts: []string{fmt.Sprint(b.ref)}})
 		l, _ := pick[Launch](out)
 		return l
 	}
@@ -416,7 +418,7 @@
 		require.Equal(t, s, one(c).Server)
 	}
 	require.Empty(t, one(b).Server, "its server is full: it waits")
-	_, out := b.call(chisel.Call{Again: true, Parts: []string{"p"}})
+	_, out := b.call(fleetplan.Call{Again: true, Parts: []string{"p"}})
 	l, ok := pick[Launch](out)
 	require.True(t, ok, "those behind it do not wait for it")
 	require.NotEqual(t, s, l.Server)
@@ -426,7 +428,7 @@
 		if n == 0 {
 			l = one(d)
 		} else {
-			l, _ = pick[Launch](append(out, d.Step(d.at, dowel.Beat{})...))
+			l, _ = pick[Launch](append(out, d.Step(d.at, protocol.Beat{})...))
 		}
 		require.Equal(t, n+1, l.N)
 		require.Equal(t, same, l.Server == s)
@@ -452,7 +454,7 @@
 
 // An event follows only if it is the next one of this very go.
 func TestFollows(t *testing.T) {
-	v := Launch{Server: "s", Work: dowel.Work{Go: "g"}}
+	v := Launch{Server: "s", Work: protocol.Work{Go: "g"}}
 	for _, c := range []struct {
 		l  Line
 		ok bool
@@ -467,9 +469,9 @@
 // What no server could ever hold is given up on at once, not held to its horizon.
 func TestNever(t *testing.T) {
 	b := lay(t, Options{})
-	ref, _ := b.call(chisel.Call{})
-	out := b.news(dowel.Item{Entry: &dowel.Entry{Key: "m", Mark: 5, Never: true}})
+	ref, _ := b.call(fleetplan.Call{})
+	out := b.news(protocol.Item{Entry: &protocol.Entry{Key: "m", Mark: 5, Never: true}})
 	r, ok := pick[Receipt](out)
 	require.True(t, ok)
-	require.Equal(t, Receipt{ref, gauge.NotReady, 5e9}, r)
+	require.Equal(t, Receipt{ref, failure.NotReady, 5e9}, r)
 }
--- a/lathe/serve.go
+++ b/internal/router/serve.go
@@ -1,4 +1,4 @@
-package lathe
+package router
 
 import (
 	"bufio"
@@ -15,10 +15,12 @@
 
 	"github.com/alexedwards/flow"
 
-	"tidedeck/chisel"
-	"tidedeck/clamp"
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/host"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
 // Settings of a router.
@@ -27,7 +29,7 @@
 	ID       string `help:"This router's name." required:""`
 	Listen   string `help:"Where callers reach this router over HTTP, ip:port." required:""`
 	Control  string `help:"Where the agent reaches this router, on loopback, ip:port." required:""`
-	Awl      string `help:"Where the agent is near, on loopback, ip:port." required:""`
+	Agent    string `help:"Where the agent is near, on loopback, ip:port." required:""`
 	Cache    int    `help:"Placement entries kept at the most." default:"512"`
 	RampMs   int    `help:"A replica is cold for so long, in ms." default:"4000"`
 	IdleMs   int    `help:"A server that sends nothing for so long is given up, in ms." default:"10000"`
@@ -37,18 +39,18 @@
 }
 
 // Check names what is wrong with the settings.
-func (s *Settings) Check() (f chisel.Faults) {
-	f = append(f, clamp.Addr("listen", s.Listen)...)
-	f = append(f, clamp.Near("control", s.Control)...)
-	f = append(f, clamp.Near("awl", s.Awl)...)
+func (s *Settings) Check() (f fleetplan.Faults) {
+	f = append(f, host.Addr("listen", s.Listen)...)
+	f = append(f, host.Near("control", s.Control)...)
+	f = append(f, host.Near("agent", s.Agent)...)
 	if s.Cache < 1 || s.Cache > 1_000_000 {
-		f = append(f, chisel.Fault{Path: "cache", Why: "wants a whole number from 1 to 1000000"})
+		f = append(f, fleetplan.Fault{Path: "cache", Why: "wants a whole number from 1 to 1000000"})
 	}
 	if s.IdleMs < 100 || s.IdleMs > 600_000 {
-		f = append(f, chisel.Fault{Path: "idle-ms", Why: "wants a whole number from 100 to 600000"})
+		f = append(f, fleetplan.Fault{Path: "idle-ms", Why: "wants a whole number from 100 to 600000"})
 	}
 	if s.RampMs < 1 || s.RampMs > 600_000 {
-		f = append(f, chisel.Fault{Path: "ramp-ms", Why: "wants a whole number from 1 to 600000"})
+		f = append(f, fleetplan.Fault{Path: "ramp-ms", Why: "wants a whole number from 1 to 600000"})
 	}
 	return f
 }
@@ -56,7 +58,7 @@
 // door is where callers come in.
 type door struct {
 	opened
-	c      *clamp.Clamp
+	c      *host.Process
 	core   *Core
 	stop   chan struct{}
 	idle   time.Duration
@@ -78,12 +80,12 @@
 
 // Main runs a router until it is told to stop.
 func Main(s Settings) error {
-	ring := clamp.NewRing(s.ID, os.Stderr)
+	ring := host.NewRing(s.ID, os.Stderr)
 	core := New(Options{
-		Me: dowel.Sibling{ID: gauge.Node(s.ID), Addr: s.Control}, Inc: clamp.NewInc(),
-		Awl: dowel.Sibling{ID: "", Addr: s.Awl}, Cache: s.Cache, Ramp: gauge.Span(s.RampMs) * 1e6,
+		Me: protocol.Sibling{ID: ident.Node(s.ID), Addr: s.Control}, Inc: host.NewInc(),
+		Agent: protocol.Sibling{ID: "", Addr: s.Agent}, Cache: s.Cache, Ramp: clock.Span(s.RampMs) * 1e6,
 	})
-	d := &door{dial: clamp.Dialer(s.Listen, 500*time.Millisecond), core: core, stop: make(chan struct{}), idle: time.Duration(s.IdleMs) * time.Millisecond}
+	d := &door{dial: host.Dialer(s.Listen, 500*time.Millisecond), core: core, stop: make(chan struct{}), idle: time.Duration(s.IdleMs) * time.Millisecond}
 	if s.Record != "" {
 		r, err := OpenRecorder(s.Record, s.ID, s.Prompts)
 		if err != nil {
@@ -92,18 +94,18 @@
 		defer r.Close()
 		d.record = r
 	}
-	d.c = clamp.New(clamp.Options{Core: core, Listen: []string{s.Control}, Beat: 10 * time.Millisecond, Ring: ring, Else: d.Act})
+	d.c = host.New(host.Options{Core: core, Listen: []string{s.Control}, Beat: 10 * time.Millisecond, Ring: ring, Else: d.Act})
 	if err := d.c.Run(); err != nil {
 		return err
 	}
 	defer d.c.Stop()
-	return clamp.Web(s.Listen, d.routes(), ring, func() { close(d.stop) }, time.Duration(s.StopMs)*time.Millisecond)
+	return host.Web(s.Listen, d.routes(), ring, func() { close(d.stop) }, time.Duration(s.StopMs)*time.Millisecond)
 }
 
 func (d *door) routes() http.Handler {
 	m := flow.New()
-	clamp.Life(m, "/-", func() (ok bool, v map[string]any) {
-		d.c.With(func(now gauge.Tick) {
+	host.Life(m, "/-", func() (ok bool, v map[string]any) {
+		d.c.With(func(now clock.Tick) {
 			_, e, held := d.core.Rules(now)
 			v, ok = map[string]any{"epoch": e}, held && e > 0
 		})
@@ -120,13 +122,13 @@
 }
 
 // metrics shows what a router did and has.
-func metrics(c *clamp.Clamp, core *Core) http.Handler {
-	return clamp.Metrics(clamp.Tallies{Name: "lathe", Get: func() (t any) {
-		c.With(func(gauge.Tick) { t = core.Counts() })
+func metrics(c *host.Process, core *Core) http.Handler {
+	return host.Metrics(host.Tallies{Name: "router", Get: func() (t any) {
+		c.With(func(clock.Tick) { t = core.Counts() })
 		return t
-	}}, clamp.Tallies{Name: "lathe", Get: func() any {
+	}}, host.Tallies{Name: "router", Get: func() any {
 		var v struct{ Entries, Waiting, Epoch int }
-		c.With(func(now gauge.Tick) {
+		c.With(func(now clock.Tick) {
 			v.Entries, v.Waiting = core.Size()
 			_, e, _ := core.Rules(now)
 			v.Epoch = int(e)
@@ -137,13 +139,13 @@
 
 // call carries one caller's request from its arrival to its last word.
 func (d *door) call(w http.ResponseWriter, r *http.Request) {
-	raw, ok := clamp.Body(w, r, chisel.MostBody)
+	raw, ok := host.Body(w, r, fleetplan.MostBody)
 	if !ok {
 		return
 	}
-	x, f := chisel.ReadCall(raw)
+	x, f := fleetplan.ReadCall(raw)
 	if f != nil {
-		clamp.Error(w, gauge.Malformed, 0, f)
+		host.Error(w, failure.Malformed, 0, f)
 		return
 	}
 	ref, ch, done := d.add()
@@ -180,42 +182,42 @@
 
 // run makes one go: it dials first, asks whether it may send at the very point of sending,
 // and sends on a connection of its own, so that nothing below repeats a request unseen.
-func (d *door) run(ctx context.Context, v Launch, s *stream) (End, gauge.Kind) {
+func (d *door) run(ctx context.Context, v Launch, s *stream) (End, failure.Kind) {
 	conn, err := d.dial.DialContext(ctx, "tcp", v.Addr)
 	if err != nil {
-		return Unsent, gauge.None
+		return Unsent, failure.None
 	}
 	defer conn.Close()
 	conn = patient{conn, d.idle}
 	b, err := json.Marshal(v.Work)
 	if err != nil {
-		return Unsent, gauge.None
+		return Unsent, failure.None
 	}
 	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+v.Addr+"/generate", bytes.NewReader(b))
 	if err != nil {
-		return Unsent, gauge.None
+		return Unsent, failure.None
 	}
 	q.GetBody = nil
 	q.Header.Set("Content-Type", "application/json")
 	may := false
-	d.c.With(func(now gauge.Tick) { may = d.core.MaySend(now, v.Ref, v.N) })
+	d.c.With(func(now clock.Tick) { may = d.core.MaySend(now, v.Ref, v.N) })
 	if !may {
-		return Kept, gauge.None
+		return Kept, failure.None
 	}
 	t := &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: func(context.Context, string, string) (net.Conn, error) { return conn, nil }}
 	defer t.CloseIdleConnections()
 	a, err := t.RoundTrip(q)
 	if err != nil {
-		return Lost, gauge.None
+		return Lost, failure.None
 	}
 	defer a.Body.Close()
 	if a.StatusCode != http.StatusOK {
-		var p clamp.Problem
+		var p host.Problem
 		b, _ := io.ReadAll(io.LimitReader(a.Body, 64<<10))
-		if json.Unmarshal(b, &p) == nil && (p.Dropped || p.Kind == gauge.Repeated) {
+		if json.Unmarshal(b, &p) == nil && (p.Dropped || p.Kind == failure.Repeated) {
 			return Dropped, p.Kind
 		}
-		return Lost, gauge.None
+		return Lost, failure.None
 	}
 	return d.flow(a.Body, v, s)
 }
@@ -230,7 +232,7 @@
 type Line struct {
 	N      int          `json:"n"`
 	Go     string       `json:"go"`
-	Server gauge.Server `json:"server"`
+	Server ident.Server `json:"server"`
 	Done   bool         `json:"done"`
 }
 
@@ -240,7 +242,7 @@
 }
 
 // flow passes a server's events on, each checked to be the next one of this go.
-func (d *door) flow(body io.Reader, v Launch, s *stream) (End, gauge.Kind) {
+func (d *door) flow(body io.Reader, v Launch, s *stream) (End, failure.Kind) {
 	in := readers.Get().(*bufio.Reader)
 	in.Reset(body)
 	defer func() {
@@ -251,7 +253,7 @@
 	for {
 		l, err := in.ReadSlice('\n')
 		if err != nil { // an event past the bound, too
-			return Lost, gauge.None
+			return Lost, failure.None
 		}
 		data, ok := bytes.CutPrefix(bytes.TrimSpace(l), []byte("data: "))
 		if !ok {
@@ -259,17 +261,17 @@
 		}
 		var x Line
 		if json.Unmarshal(data, &x) != nil || !x.Follows(v, n) {
-			return Lost, gauge.None
+			return Lost, failure.None
 		}
 		if n == 0 {
 			d.c.Step(Begun{Ref: v.Ref, N: v.N})
 		}
 		n++
 		if s.pass(data); s.gone {
-			return Lost, gauge.None // nobody reads it any more
+			return Lost, failure.None // nobody reads it any more
 		}
 		if x.Done {
-			return Done, gauge.None
+			return Done, failure.None
 		}
 	}
 }
@@ -300,11 +302,11 @@
 func (s *stream) drop(v Receipt) {
 	_ = s.to.SetWriteDeadline(time.Now().Add(s.idle))
 	if !s.open {
-		clamp.Error(s.w, v.Kind, v.Back, nil)
+		host.Error(s.w, v.Kind, v.Back, nil)
 		return
 	}
-	a := gauge.Receipts[v.Kind]
-	b, _ := json.Marshal(clamp.Problem{Kind: v.Kind, Dropped: a.Dropped, BackMs: v.Back.Milliseconds()})
+	a := failure.Receipts[v.Kind]
+	b, _ := json.Marshal(host.Problem{Kind: v.Kind, Dropped: a.Dropped, BackMs: v.Back.Milliseconds()})
 	_, _ = fmt.Fprintf(s.w, "event: error\ndata: %s\n\n", b)
 	if f, ok := s.w.(http.Flusher); ok {
 		f.Flush()
--- a/lathe/serve_test.go
+++ b/internal/router/serve_test.go
@@ -1,4 +1,4 @@
-package lathe
+package router
 
 import (
 	"bufio"
@@ -16,22 +16,23 @@
 
 	"github.com/stretchr/testify/require"
 
-	"tidedeck/chisel"
-	"tidedeck/clamp"
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/host"
+	"tidedeck/internal/protocol"
 )
 
 // front makes a router's HTTP side that holds its link and promises one server.
 func front(t testing.TB, server string, idle time.Duration) (*door, *httptest.Server) {
 	core := New(Options{Inc: 7})
-	d := &door{dial: clamp.Dialer("", time.Second), core: core, stop: make(chan struct{}), idle: idle}
-	d.c = clamp.New(clamp.Options{Core: core, Beat: 10 * time.Millisecond, Ring: clamp.NewRing("t", io.Discard), Else: d.Act})
+	d := &door{dial: host.Dialer("", time.Second), core: core, stop: make(chan struct{}), idle: idle}
+	d.c = host.New(host.Options{Core: core, Beat: 10 * time.Millisecond, Ring: host.NewRing("t", io.Discard), Else: d.Act})
 	require.NoError(t, d.c.Run())
 	t.Cleanup(d.c.Stop)
-	e := &dowel.Entry{Key: "m", Mark: 1, Replicas: []dowel.Replica{{Server: "s", Addr: strings.TrimPrefix(server, "http://"), Inc: 1, Slots: 8, Warm: 1e12}}}
-	d.c.Step(dowel.Env{Body: dowel.Hold{Session: ses, Until: clamp.Now().Add(time.Hour), Routers: 1}})
-	d.c.Step(dowel.Env{Body: dowel.News{Session: ses, Items: []dowel.Item{{Num: 1, Desired: &dowel.Desired{Gen: 1, Epoch: 1, Plan: []byte(plan)}}, {Num: 2, Entry: e}}}})
+	e := &protocol.Entry{Key: "m", Mark: 1, Replicas: []protocol.Replica{{Server: "s", Addr: strings.TrimPrefix(server, "http://"), Inc: 1, Slots: 8, Warm: 1e12}}}
+	d.c.Step(protocol.Env{Body: protocol.Hold{Session: ses, Until: host.Now().Add(time.Hour), Routers: 1}})
+	d.c.Step(protocol.Env{Body: protocol.News{Session: ses, Items: []protocol.Item{{Num: 1, Desired: &protocol.Desired{Gen: 1, Epoch: 1, Plan: []byte(plan)}}, {Num: 2, Entry: e}}}})
 	s := httptest.NewServer(d.routes())
 	t.Cleanup(s.Close)
 	return d, s
@@ -55,19 +56,19 @@
 	for _, c := range []struct {
 		name, path, body string
 		code             int
-		kind             gauge.Kind
+		kind             failure.Kind
 	}{
-		{"not JSON", "/r", `{`, 400, gauge.Malformed},
-		{"unknown key", "/r", `{"id":"1","model":"m","kind":"k","x":1}`, 400, gauge.Malformed},
-		{"duplicate key", "/r", `{"id":"1","id":"2","model":"m","kind":"k"}`, 400, gauge.Malformed},
-		{"overflowing", "/r", `{"id":"1","model":"m","kind":"k","max_tokens":9223372036854775808}`, 400, gauge.Malformed},
-		{"too large", "/r", `{"id":"` + strings.Repeat("x", chisel.MostBody) + `"}`, 413, gauge.Oversize},
-		{"no such route", "/q", ask, 404, gauge.NoRoute},
-		{"no such model", "/r", strings.Replace(ask, `"m"`, `"z"`, 1), 404, gauge.NoModel},
-		{"no such adapter", "/r", strings.Replace(ask, `"kind"`, `"adapter":"z","kind"`, 1), 404, gauge.NoModel},
-		{"no such kind", "/r", strings.Replace(ask, `"k"`, `"z"`, 1), 400, gauge.NoKind},
-		{"past its horizon", "/r", strings.Replace(ask, `"kind"`, `"horizon_ms":0,"kind"`, 1), 400, gauge.PastDue},
-		{"repeat without allowance", "/r", strings.Replace(ask, `"kind"`, `"repeat":true,"kind"`, 1), 503, gauge.Spent},
+		{"not JSON", "/r", `{`, 400, failure.Malformed},
+		{"unknown key", "/r", `{"id":"1","model":"m","kind":"k","x":1}`, 400, failure.Malformed},
+		{"duplicate key", "/r", `{"id":"1","id":"2","model":"m","kind":"k"}`, 400, failure.Malformed},
+		{"overflowing", "/r", `{"id":"1","model":"m","kind":"k","max_tokens":9223372036854775808}`, 400, failure.Malformed},
+		{"too large", "/r", `{"id":"` + strings.Repeat("x", fleetplan.MostBody) + `"}`, 413, failure.Oversize},
+		{"no such route", "/q", ask, 404, failure.NoRoute},
+		{"no such model", "/r", strings.Replace(ask, `"m"`, `"z"`, 1), 404, failure.NoModel},
+		{"no such adapter", "/r", strings.Replace(ask, `"kind"`, `"adapter":"z","kind"`, 1), 404, failure.NoModel},
+		{"no such kind", "/r", strings.Replace(ask, `"k"`, `"z"`, 1), 400, failure.NoKind},
+		{"past its horizon", "/r", strings.Replace(ask, `"kind"`, `"horizon_ms":0,"kind"`, 1), 400, failure.PastDue},
+		{"repeat without allowance", "/r", strings.Replace(ask, `"kind"`, `"repeat":true,"kind"`, 1), 503, failure.Spent},
 	} {
 		code, head, body := post(t, s.URL+c.path, c.body)
 		require.Equal(t, c.code, code, c.name)
@@ -85,7 +86,7 @@
 // ledger sends a request twice.
 func TestStreams(t *testing.T) {
 	line := func(w http.ResponseWriter, r *http.Request, n int, more string) {
-		var g dowel.Work
+		var g protocol.Work
 		if n == 0 {
 			_ = decode(r, &g)
 			w.Header().Set("X-Go", g.Go)
@@ -134,14 +135,14 @@
 			line(w, r, 0, `,"done":true`)
 			line(w, r, 1, `,"text":"late"`)
 		}, 200, `"done":true`, "late", 1},
-		{"ran it before", func(w http.ResponseWriter, r *http.Request) { clamp.Error(w, gauge.Repeated, 0, nil) }, 409, `"kind":"repeated","dropped":false`, "data:", 1},
+		{"ran it before", func(w http.ResponseWriter, r *http.Request) { host.Error(w, failure.Repeated, 0, nil) }, 409, `"kind":"repeated","dropped":false`, "data:", 1},
 		{"silent", func(w http.ResponseWriter, r *http.Request) {
 			line(w, r, 0, "")
 			<-r.Context().Done()
 		}, 200, `"kind":"cut"`, "done", 1},
 		{"ends before its first event", func(w http.ResponseWriter, r *http.Request) { panic(http.ErrAbortHandler) }, 502, `"kind":"unclear","dropped":false`, "data:", 1},
 		{"fails in a way of its own", func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(500) }, 502, `"kind":"unclear"`, "data:", 1},
-		{"drops it", func(w http.ResponseWriter, r *http.Request) { clamp.Error(w, gauge.Busy, 0, nil) }, 503, `"kind":"allowance_spent","dropped":true`, "data:", 1},
+		{"drops it", func(w http.ResponseWriter, r *http.Request) { host.Error(w, failure.Busy, 0, nil) }, 503, `"kind":"allowance_spent","dropped":true`, "data:", 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var hits atomic.Int64
@@ -164,7 +165,7 @@
 func TestCallerLeaves(t *testing.T) {
 	gone := make(chan struct{})
 	back := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		var g dowel.Work
+		var g protocol.Work
 		_ = decode(r, &g)
 		_, _ = fmt.Fprintf(w, "data: {\"n\":0,\"go\":%q,\"server\":\"s\"}\n\n", g.Go)
 		w.(http.Flusher).Flush()
@@ -184,7 +185,7 @@
 	leave()
 	<-gone
 	s.Close() // waits for the router's own side
-	d.c.With(func(gauge.Tick) {
+	d.c.With(func(clock.Tick) {
 		require.Zero(t, d.core.bench["s"].work)
 		require.Empty(t, d.core.reqs)
 	})
@@ -194,10 +195,10 @@
 func BenchmarkHit(b *testing.B) {
 	b.ReportAllocs()
 	c := New(Options{Inc: 7})
-	c.Step(1e9, dowel.Env{Body: dowel.Hold{Session: ses, Until: 1e18, Routers: 1}})
-	c.Step(1e9, dowel.Env{Body: dowel.News{Session: ses, Items: []dowel.Item{{Num: 1, Desired: &dowel.Desired{Gen: 1, Epoch: 1, Plan: []byte(plan)}},
-		{Num: 2, Entry: &dowel.Entry{Key: "m", Mark: 1, Replicas: []dowel.Replica{{Server: "s", Addr: "s", Inc: 1, Slots: 8, Warm: 1e12}, {Server: "r", Addr: "r", Inc: 1, Slots: 8, Warm: 1e12}}}}}}})
-	x := chisel.Call{ID: "1", Base: "m", Kind: "k", Parts: []string{"system", "tenant"}, Again: true}
+	c.Step(1e9, protocol.Env{Body: protocol.Hold{Session: ses, Until: 1e18, Routers: 1}})
+	c.Step(1e9, protocol.Env{Body: protocol.News{Session: ses, Items: []protocol.Item{{Num: 1, Desired: &protocol.Desired{Gen: 1, Epoch: 1, Plan: []byte(plan)}},
+		{Num: 2, Entry: &protocol.Entry{Key: "m", Mark: 1, Replicas: []protocol.Replica{{Server: "s", Addr: "s", Inc: 1, Slots: 8, Warm: 1e12}, {Server: "r", Addr: "r", Inc: 1, Slots: 8, Warm: 1e12}}}}}}})
+	x := fleetplan.Call{ID: "1", Base: "m", Kind: "k", Parts: []string{"system", "tenant"}, Again: true}
 	for i := range b.N {
 		ref := Ref(i + 1)
 		c.Step(2e9, Call{Ref: ref, Route: "/r", Call: x})
@@ -210,7 +211,7 @@
 // A request straight to a server, and the same through the router: only the ratio says something.
 func BenchmarkWay(b *testing.B) {
 	back := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		var g dowel.Work
+		var g protocol.Work
 		_ = decode(r, &g)
 		for n := range 9 {
 			_, _ = fmt.Fprintf(w, "data: {\"n\":%d,\"go\":%q,\"server\":\"s\",\"done\":%v}\n\n", n, g.Go, n == 8)
@@ -236,7 +237,7 @@
 func TestCallerStopsReading(t *testing.T) {
 	gone := make(chan struct{})
 	back := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		var g dowel.Work
+		var g protocol.Work
 		_ = decode(r, &g)
 		for n := 0; r.Context().Err() == nil; n++ {
 			if _, err := fmt.Fprintf(w, "data: {\"n\":%d,\"go\":%q,\"server\":\"s\",\"text\":%q}\n\n", n, g.Go, strings.Repeat("x", 100_000)); err != nil {
@@ -255,7 +256,7 @@
 	require.NoError(t, err)
 	<-gone
 	s.Close()
-	d.c.With(func(gauge.Tick) {
+	d.c.With(func(clock.Tick) {
 		require.Zero(t, d.core.bench["s"].work)
 		require.Empty(t, d.core.reqs)
 	})
--- a/lathe/weigh.go
+++ b/internal/router/weigh.go
@@ -1,11 +1,12 @@
-package lathe
+package router
 
 import (
 	"hash/fnv"
 	"math"
 
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
 // Where servers tell nothing of their load as they answer, a router weighs them itself: by what it has
@@ -19,7 +20,7 @@
 	partGain    = 0.6               // of shared tokens that a server which likely kept them need not read
 	otherZone   = 250               // tokens' worth of time that an answer from another zone costs
 	leastSpread = 600               // tokens by which a choice is blurred at least
-	staleSpan   = gauge.Span(200e6) // what is known of other routers is about so old
+	staleSpan   = clock.Span(200e6) // what is known of other routers is about so old
 	flowSpan    = 2.0               // seconds that flows look back
 	mostOut     = 64                // tokens put out that count: they come many requests at a time
 	flatWeight  = 1                 // of a request that names no tokens
@@ -56,7 +57,7 @@
 
 // home is the hash by which shared parts have a server where they are likely kept; it is the same at
 // every router.
-func home(r *req, s gauge.Server) uint64 {
+func home(r *req, s ident.Server) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(s))
 	_, _ = h.Write([]byte(r.key))
@@ -71,8 +72,8 @@
 func (b *bench) under() int { return b.tokens + b.others }
 
 // weigh chooses the replica that a request is likely to be answered by first.
-func (c *Core) weigh(e *entry, r *req) *dowel.Replica {
-	var best, kept *dowel.Replica
+func (c *Core) weigh(e *entry, r *req) *protocol.Replica {
+	var best, kept *protocol.Replica
 	cost, top := math.Inf(1), uint64(0)
 	gain := float64(r.shared()) * partGain
 	if gain > 0 {
@@ -130,7 +131,7 @@
 
 // inflow is how many tokens a second a router sends to the replicas of a base, of late.
 type inflow struct {
-	at   gauge.Tick
+	at   clock.Tick
 	rate float64
 }
 
@@ -148,7 +149,7 @@
 }
 
 // met tells whether a request was at a replica already and got nothing there.
-func (r *req) met(p *dowel.Replica) bool {
+func (r *req) met(p *protocol.Replica) bool {
 	for _, g := range r.goes {
 		if g.Server == p.Server && g.How != Kept {
 			return true
@@ -158,7 +159,7 @@
 }
 
 // fits tells whether a server can take a request on: its places, and the memory that its requests share.
-func (c *Core) fits(r *req, p *dowel.Replica, b *bench) bool {
+func (c *Core) fits(r *req, p *protocol.Replica, b *bench) bool {
 	v := c.plan.Services[r.key.Service()]
 	if r.key.Plain() {
 		return b.under() < 3*max(1, p.Slots)
@@ -217,7 +218,7 @@
 }
 
 // heardSeats takes in what all routers have under way.
-func (c *Core) heardSeats(m map[gauge.Server]int) {
+func (c *Core) heardSeats(m map[ident.Server]int) {
 	for s, b := range c.bench {
 		b.others = max(0, m[s]-b.told)
 	}
@@ -229,8 +230,8 @@
 }
 
 // seats tells what this router has under way.
-func (c *Core) seats() map[gauge.Server]int {
-	m := map[gauge.Server]int{}
+func (c *Core) seats() map[ident.Server]int {
+	m := map[ident.Server]int{}
 	for s, b := range c.bench {
 		if b.told = b.tokens; b.tokens > 0 {
 			m[s] = b.tokens
--- a/treadle/check.go
+++ b/internal/simulator/check.go
@@ -1,4 +1,4 @@
-package treadle
+package simulator
 
 import (
 	"bytes"
@@ -6,12 +6,14 @@
 	"sort"
 	"strings"
 
-	"tidedeck/anvil"
-	"tidedeck/chisel"
-	"tidedeck/dowel"
-	"tidedeck/gauge"
-	"tidedeck/lathe"
-	"tidedeck/vise"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/controller"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
+	"tidedeck/internal/router"
+	"tidedeck/internal/standin"
 )
 
 // Bounds that the checkers hold the fleet to.
@@ -25,23 +27,23 @@
 
 // state is one desired state as operators know it.
 type state struct {
-	epoch gauge.Epoch
+	epoch ident.Epoch
 	raw   []byte
-	plan  *chisel.Plan
-	empty map[gauge.Zone]bool
+	plan  *fleetplan.Plan
+	empty map[ident.Zone]bool
 	put   bool
-	sent  gauge.Tick
-	told  gauge.Tick // zero while it is not known to be taken
-	lost  gauge.Tick // when it was surely not taken
-	over  gauge.Tick // when a newer one was told
+	sent  clock.Tick
+	told  clock.Tick // zero while it is not known to be taken
+	lost  clock.Tick // when it was surely not taken
+	over  clock.Tick // when a newer one was told
 
-	number, base gauge.Epoch // that the operator gave it, and that it goes on
+	number, base ident.Epoch // that the operator gave it, and that it goes on
 }
 
 // Checker watches a world from outside and says what must never be seen.
 type Checker struct {
 	w      *World
-	open   map[lathe.Ref]*call
+	open   map[router.Ref]*call
 	calls  []*call
 	Bad    []string
 	states []*state
@@ -50,11 +52,11 @@
 	goes   []tried
 	epochs map[string][2]uint64
 	lives  map[string]int
-	duties map[gauge.Duty]string
-	gone   map[string]gauge.Tick // servers that are leaving, gone or dark, since when
-	unload map[string]gauge.Tick
+	duties map[ident.Duty]string
+	gone   map[string]clock.Tick // servers that are leaving, gone or dark, since when
+	unload map[string]clock.Tick
 	Seen   Seen
-	healed gauge.Tick
+	healed clock.Tick
 	batch  batchBooks
 	loose  bool // all core disks were lost: what was confirmed may be gone
 }
@@ -69,9 +71,9 @@
 	Needless                                              int     // dropped though, as they were, a server had long held the key and had room
 	Late                                                  uint64  // refused by servers as sent too late
 	Kinds                                                 map[string]int
-	PlanLag, GoneLag, ZoneLag                             gauge.Span // worst
-	Back                                                  gauge.Span // from the healing to the first answer
-	NoOwner                                               gauge.Span // longest time without an owner
+	PlanLag, GoneLag, ZoneLag                             clock.Span // worst
+	Back                                                  clock.Span // from the healing to the first answer
+	NoOwner                                               clock.Span // longest time without an owner
 	Cold                                                  int
 	Hits, Lookups, Sames, Breaks, Acks, Lapses, Unloads   uint64
 	Prompt, Reused                                        uint64
@@ -79,13 +81,13 @@
 	Orders, Turned                                        int        // orders taken and turned away by servers that check no fence
 	Began                                                 int        // most loads from the store that began in 5 s
 	Held                                                  int        // requests that waited for more than 250 ms
-	HeldFor                                               gauge.Span // and for how long, in all
-	lastOwner                                             gauge.Tick
+	HeldFor                                               clock.Span // and for how long, in all
+	lastOwner                                             clock.Tick
 }
 
 func newChecker(w *World) *Checker {
-	return &Checker{w: w, open: map[lathe.Ref]*call{}, ranID: map[string]int{}, ranAt: map[string]place{}, epochs: map[string][2]uint64{}, lives: map[string]int{},
-		duties: map[gauge.Duty]string{}, gone: map[string]gauge.Tick{}, unload: map[string]gauge.Tick{}, batch: newBooks(),
+	return &Checker{w: w, open: map[router.Ref]*call{}, ranID: map[string]int{}, ranAt: map[string]place{}, epochs: map[string][2]uint64{}, lives: map[string]int{},
+		duties: map[ident.Duty]string{}, gone: map[string]clock.Tick{}, unload: map[string]clock.Tick{}, batch: newBooks(),
 		Seen: Seen{Kinds: map[string]int{}}}
 }
 
@@ -108,37 +110,37 @@
 // Operators.
 
 // PutPlan hands a plan over and keeps the operator's books.
-func (w *World) PutPlan(node string, raw []byte, expect gauge.Epoch, any bool, then func(anvil.Receipt)) {
-	w.change(node, anvil.Admin{Op: "put", Raw: raw, Expect: expect, Any: any, Change: fmt.Sprintf("put-%d", w.admin+1)}, then)
+func (w *World) PutPlan(node string, raw []byte, expect ident.Epoch, any bool, then func(controller.Receipt)) {
+	w.change(node, controller.Admin{Op: "put", Raw: raw, Expect: expect, Any: any, Change: fmt.Sprintf("put-%d", w.admin+1)}, then)
 }
 
 // Zone empties or refills a zone.
-func (w *World) Zone(node, op string, z gauge.Zone, then func(anvil.Receipt)) {
-	w.change(node, anvil.Admin{Op: op, Zone: z, Any: true, Change: fmt.Sprintf("%s-%d", op, w.admin+1)}, then)
+func (w *World) Zone(node, op string, z ident.Zone, then func(controller.Receipt)) {
+	w.change(node, controller.Admin{Op: op, Zone: z, Any: true, Change: fmt.Sprintf("%s-%d", op, w.admin+1)}, then)
 }
 
-func (w *World) change(node string, a anvil.Admin, then func(anvil.Receipt)) {
+func (w *World) change(node string, a controller.Admin, then func(controller.Receipt)) {
 	k := w.Check
-	s := &state{sent: w.now, raw: a.Raw, put: a.Op == "put", empty: map[gauge.Zone]bool{}, number: a.Number, base: a.Expect}
+	s := &state{sent: w.now, raw: a.Raw, put: a.Op == "put", empty: map[ident.Zone]bool{}, number: a.Number, base: a.Expect}
 	if s.put {
 		s.plan, _ = w.read(a.Raw)
 	}
 	k.states = append(k.states, s)
 	tries := 0
-	var settle func(r anvil.Receipt)
-	settle = func(r anvil.Receipt) {
+	var settle func(r controller.Receipt)
+	settle = func(r controller.Receipt) {
 		// A change whose outcome is not known is asked for again under its id, elsewhere.
-		if r.Kind == gauge.Unclear && tries < 4 {
+		if r.Kind == failure.Unclear && tries < 4 {
 			tries++
-			w.After(200e6, func() { w.Admin(w.some("anvil-"), a, settle) })
+			w.After(200e6, func() { w.Admin(w.some("controller-"), a, settle) })
 			return
 		}
-		if tries > 0 && r.Kind != gauge.None {
-			r.Kind = gauge.Unclear // an earlier try may have been taken
+		if tries > 0 && r.Kind != failure.None {
+			r.Kind = failure.Unclear // an earlier try may have been taken
 		}
 		w.tracef("operator: %s at %s: %q epoch %d", a.Op, node, r.Kind, r.Epoch)
 		switch {
-		case r.Kind == gauge.None:
+		case r.Kind == failure.None:
 			s.epoch, s.told = r.Epoch, w.now
 			if a.Number != 0 && r.Epoch != a.Number {
 				k.bad("a change of number %d was taken as %d", a.Number, r.Epoch)
@@ -164,7 +166,7 @@
 					s.over = w.now
 				}
 			}
-		case r.Kind != gauge.Unclear:
+		case r.Kind != failure.Unclear:
 			s.lost = w.now
 		}
 		if then != nil {
@@ -175,10 +177,10 @@
 }
 
 // Read reads the plan back and checks that it is the newest, to the byte.
-func (w *World) Read(node string, then func(anvil.Receipt)) {
+func (w *World) Read(node string, then func(controller.Receipt)) {
 	k, at := w.Check, w.now
-	w.Admin(node, anvil.Admin{Op: "get"}, func(r anvil.Receipt) {
-		if r.Kind == gauge.None && !k.loose {
+	w.Admin(node, controller.Admin{Op: "get"}, func(r controller.Receipt) {
+		if r.Kind == failure.None && !k.loose {
 			want := k.newest(at)
 			if want != nil && r.Epoch < want.epoch {
 				k.bad("read gave epoch %d after %d was told as taken", r.Epoch, want.epoch)
@@ -205,7 +207,7 @@
 }
 
 // newest is the newest state told as taken by a moment.
-func (k *Checker) newest(at gauge.Tick) *state {
+func (k *Checker) newest(at clock.Tick) *state {
 	var n *state
 	for _, s := range k.states {
 		if s.told != 0 && s.told <= at && (n == nil || s.epoch > n.epoch) {
@@ -235,16 +237,16 @@
 	return name != ""
 }
 
-func (k *Checker) allows(s *state, a vise.Ask) bool {
+func (k *Checker) allows(s *state, a standin.Ask) bool {
 	_, why := s.plan.Match(a.Call.Query(a.Route))
-	return why == gauge.None
+	return why == failure.None
 }
 
 // look holds the routers and the core against what operators were told.
 func (k *Checker) look() {
 	w := k.w
-	for _, p := range w.Lathes() {
-		c := p.core.(*lathe.Core)
+	for _, p := range w.Routers() {
+		c := p.core.(*router.Core)
 		gen, e, held := c.Rules(p.tick(w.now))
 		was := k.epochs[p.name]
 		if k.lives[p.name] != p.life {
@@ -273,8 +275,8 @@
 		k.lookHosted()
 	}
 	var own []string
-	for _, p := range w.anvils() {
-		if _, ok := p.core.(*anvil.Core).Owns(p.tick(w.now)); ok {
+	for _, p := range w.controllers() {
+		if _, ok := p.core.(*controller.Core).Owns(p.tick(w.now)); ok {
 			own = append(own, p.name)
 		}
 	}
@@ -289,40 +291,40 @@
 }
 
 // ordered looks at an order as the server took it.
-func (k *Checker) ordered(s *proc, o dowel.Order, from string, r dowel.Report, was map[gauge.Key]dowel.Held) {
+func (k *Checker) ordered(s *proc, o protocol.Order, from string, r protocol.Report, was map[ident.Key]protocol.Held) {
 	if o.Op != "" {
 		k.w.tracef("%s: duty %d/%d tells %s to %s %s (%d): %q", from, o.Duty, o.Num, s.name, o.Op, o.Key, o.Size, r.Drop)
 	}
-	if r.Drop == gauge.Stale {
+	if r.Drop == failure.Stale {
 		return
 	}
 	if d, ok := k.duties[o.Duty]; ok && d != from {
 		k.bad("two controllers, %s and %s, order under duty %d", d, from, o.Duty)
 	}
 	k.duties[o.Duty] = from
-	if r.Drop == gauge.NoRoom {
+	if r.Drop == failure.NoRoom {
 		k.bad("%s was ordered past its room", s.name)
 	}
 	at := s.name + "|" + string(o.Key)
 	_, had := was[o.Key]
 	switch {
-	case o.Op == "unload" && r.Drop == gauge.Busy:
+	case o.Op == "unload" && r.Drop == failure.Busy:
 		for id, f := range k.w.flows {
-			key := gauge.KeyOf(f.l.Work.Base, f.l.Work.Extra)
+			key := ident.KeyOf(f.l.Work.Base, f.l.Work.Extra)
 			if id.server == s.name && id.life == s.life && (key == o.Key || key.Base() == o.Key) && !f.dead && k.w.now.Sub(f.born) > 1e9 {
 				k.bad("%s was told to unload %s while work was under way", s.name, o.Key)
 				break
 			}
 		}
-	case o.Op == "unload" && r.Drop == gauge.None && had:
+	case o.Op == "unload" && r.Drop == failure.None && had:
 		k.unload[at] = k.w.now
 		k.Seen.Unloads++
-		for _, p := range k.w.Lathes() {
-			if p.core.(*lathe.Core).Promises(p.tick(k.w.now), o.Key, s.server, r.Inc) {
+		for _, p := range k.w.Routers() {
+			if p.core.(*router.Core).Promises(p.tick(k.w.now), o.Key, s.server, r.Inc) {
 				k.bad("%s was told to unload %s while %s held a promise on it", s.name, o.Key, p.name)
 			}
 		}
-	case o.Op == "load" && r.Drop == gauge.None:
+	case o.Op == "load" && r.Drop == failure.None:
 		delete(k.unload, at)
 	}
 }
@@ -336,7 +338,7 @@
 
 // tried is one go as it was begun.
 type tried struct {
-	at    gauge.Tick
+	at    clock.Tick
 	first bool
 }
 
@@ -400,8 +402,8 @@
 	} else {
 		k.Seen.Retries++
 	}
-	key := gauge.KeyOf(f.l.Work.Base, f.l.Work.Extra)
-	if t, ok := k.unload[s.name+"|"+string(key)]; ok && f.l.Work.Inc != 0 && t <= w.now && w.host == nil && s.core.(*vise.Server).Holds()[key].Key == "" {
+	key := ident.KeyOf(f.l.Work.Base, f.l.Work.Extra)
+	if t, ok := k.unload[s.name+"|"+string(key)]; ok && f.l.Work.Inc != 0 && t <= w.now && w.host == nil && s.core.(*standin.Server).Holds()[key].Key == "" {
 		k.bad("%s sent %s to %s after it was unloaded", c.router, key, s.name)
 	}
 	k.arrived(f, s)
@@ -435,13 +437,13 @@
 		ok = ok || k.allows(st, c.ask)
 	}
 	if !ok {
-		k.bad("%s sent %s %s, which no plan allows", c.router, c.ask.Route, gauge.KeyOf(f.l.Work.Base, f.l.Work.Extra))
+		k.bad("%s sent %s %s, which no plan allows", c.router, c.ask.Route, ident.KeyOf(f.l.Work.Base, f.l.Work.Extra))
 	}
 }
 
 // emptied tells since when a zone is surely empty; zero if it may not be. A change whose
 // fate was never told may have refilled it.
-func (k *Checker) emptied(z gauge.Zone) gauge.Tick {
+func (k *Checker) emptied(z ident.Zone) clock.Tick {
 	var l []*state
 	n := k.newest(k.w.now)
 	for _, s := range k.states {
@@ -470,7 +472,7 @@
 	id := f.l.Work.ID
 	k.ranID[id]++
 	was := k.ranAt[id]
-	known := fmt.Sprint(f.lathe.core.(*lathe.Core).Places(gauge.KeyOf(f.l.Work.Base, f.l.Work.Extra)))
+	known := fmt.Sprint(f.router.core.(*router.Core).Places(ident.KeyOf(f.l.Work.Base, f.l.Work.Extra)))
 	k.ranAt[id] = place{s.name, s.life, known}
 	f.c.ran++
 	if k.w.host != nil {
@@ -485,12 +487,12 @@
 		k.Seen.Ran2++
 	}
 	k.arrived(f, s)
-	if c := f.c; c.over && gauge.Receipts[gauge.Kind(c.kind)].Dropped {
+	if c := f.c; c.over && failure.Receipts[failure.Kind(c.kind)].Dropped {
 		k.bad("%s was dropped as %s and ran", id, c.kind)
 	}
 }
 
-func (k *Checker) receipt(who string, r lathe.Receipt) {
+func (k *Checker) receipt(who string, r router.Receipt) {
 	c := k.open[r.Ref]
 	if c == nil || c.over {
 		k.bad("%s answered twice", who)
@@ -498,17 +500,17 @@
 	}
 	c.over, c.kind = true, string(r.Kind)
 	switch r.Kind {
-	case gauge.Repeated:
+	case failure.Repeated:
 		k.Seen.Known2++
-	case gauge.Unclear, gauge.Cut:
+	case failure.Unclear, failure.Cut:
 		k.again(c)
 	}
 	k.w.tracef("%s: %s is told %s", who, c.ask.Call.ID, r.Kind)
-	a := gauge.Receipts[r.Kind]
+	a := failure.Receipts[r.Kind]
 	if a.Dropped && c.ran > 0 {
 		k.bad("%s was dropped as %s but had run", c.ask.Call.ID, r.Kind)
 	}
-	if (r.Kind == gauge.NoModel || r.Kind == gauge.NoRoute || r.Kind == gauge.NoKind) && !k.loose {
+	if (r.Kind == failure.NoModel || r.Kind == failure.NoRoute || r.Kind == failure.NoKind) && !k.loose {
 		all := true
 		for _, s := range k.ruling() {
 			all = all && k.allows(s, c.ask)
@@ -517,7 +519,7 @@
 			k.bad("%s is allowed and was turned away as %s", c.ask.Call.ID, r.Kind)
 		}
 	}
-	if (r.Kind == gauge.Expired || r.Kind == gauge.Full || r.Kind == gauge.NotReady) && k.needless(who, c) {
+	if (r.Kind == failure.Expired || r.Kind == failure.Full || r.Kind == failure.NotReady) && k.needless(who, c) {
 		k.Seen.Needless++
 	}
 	if a.Dropped && r.Back == 0 && a.Status == 503 {
@@ -531,7 +533,7 @@
 	}
 }
 
-func (k *Checker) event(f *flow, e vise.Event) {
+func (k *Checker) event(f *flow, e standin.Event) {
 	c := f.c
 	if c.over {
 		k.bad("%s got an event after its end", c.ask.Call.ID)
@@ -540,7 +542,7 @@
 	if c.n == 0 {
 		c.server, c.run = e.Server, e.Go
 	}
-	if why := vise.CheckEvent(c.ask, e, c.n, c.server, c.run); why != "" {
+	if why := standin.CheckEvent(c.ask, e, c.n, c.server, c.run); why != "" {
 		k.bad("%s: %s", c.ask.Call.ID, why)
 	}
 	c.n++
@@ -573,7 +575,7 @@
 	n := c.ask
 	n.Call.Repeat = k.w.rand.IntN(2) == 0
 	k.Seen.Asked2++
-	k.w.After(gauge.Span(k.w.rand.Int64N(800e6)), func() { k.w.Ask(n, n.Call.Repeat); k.calls[len(k.calls)-1].asked2 = true })
+	k.w.After(clock.Span(k.w.rand.Int64N(800e6)), func() { k.w.Ask(n, n.Call.Repeat); k.calls[len(k.calls)-1].asked2 = true })
 }
 
 // needless tells whether a request is dropped that could have been served just then: its router
@@ -581,13 +583,13 @@
 func (k *Checker) needless(who string, c *call) bool {
 	w := k.w
 	p := w.procs[who]
-	if _, _, held := p.core.(*lathe.Core).Rules(p.tick(w.now)); !held || w.now < p.froze {
+	if _, _, held := p.core.(*router.Core).Rules(p.tick(w.now)); !held || w.now < p.froze {
 		return false
 	}
-	key := gauge.KeyOf(c.ask.Call.Base, c.ask.Call.Extra)
+	key := ident.KeyOf(c.ask.Call.Base, c.ask.Call.Extra)
 	for _, n := range w.order {
 		s := w.procs[n]
-		v, ok := s.core.(*vise.Server)
+		v, ok := s.core.(*standin.Server)
 		if !ok || !s.up || w.now < s.froze || k.emptied(s.zone) != 0 || w.cuts[[2]string{p.box, s.box}] || w.cuts[[2]string{s.box, p.box}] {
 			continue
 		}
@@ -621,11 +623,11 @@
 		case c.over && c.kind != "":
 			s.Kinds[c.kind]++
 			switch {
-			case c.kind == string(gauge.Unclear):
+			case c.kind == string(failure.Unclear):
 				s.Unclear++
-			case c.kind == string(gauge.Cut):
+			case c.kind == string(failure.Cut):
 				s.Cut++
-			case gauge.Receipts[gauge.Kind(c.kind)].Dropped:
+			case failure.Receipts[failure.Kind(c.kind)].Dropped:
 				s.Dropped++
 			default:
 				s.Broke++
@@ -638,7 +640,7 @@
 	// What callers themselves repeat comes out of the same allowance: routers let in only so many.
 	in := 0
 	for _, c := range k.calls {
-		if c.repeat && c.kind != string(gauge.Spent) && c.sends > 0 {
+		if c.repeat && c.kind != string(failure.Spent) && c.sends > 0 {
 			in++
 		}
 	}
@@ -655,7 +657,7 @@
 		k.bad("%d of %d requests were dropped though a server could have served them", s.Needless, s.Asked)
 	}
 	// Every epoch is one change: more epochs than changes means that one was redone.
-	most := gauge.Epoch(0)
+	most := ident.Epoch(0)
 	for _, x := range k.states {
 		if x.lost == 0 {
 			most = max(most+1, x.number)
@@ -671,11 +673,11 @@
 	}
 	for _, n := range k.w.order {
 		switch c := k.w.procs[n].core.(type) {
-		case *vise.Server:
+		case *standin.Server:
 			t := c.Counts()
 			s.Cold = max(s.Cold, t.PeakCold)
 			s.Prompt += t.PromptBytes
-			s.Late += t.DropKinds[gauge.Late]
+			s.Late += t.DropKinds[failure.Late]
 			s.Reused += t.Reused
 			if t.PeakCold > k.w.o.Slots {
 				k.bad("%s was flooded while cold: %d at once on %d slots", n, t.PeakCold, k.w.o.Slots)
@@ -683,12 +685,12 @@
 			if c.Used() > k.w.room(n) {
 				k.bad("%s holds more than its room", n)
 			}
-		case *lathe.Core:
+		case *router.Core:
 			t := c.Counts()
 			s.Hits += t.Hits
 			s.Lookups += t.Lookups
 			s.Sames += t.Sames
-		case *anvil.Core:
+		case *controller.Core:
 			t := c.Counts()
 			s.Breaks += t.Breaks
 			s.Acks += t.Acks
--- a/treadle/edits_test.go
+++ b/internal/simulator/edits_test.go
@@ -1,4 +1,4 @@
-package treadle
+package simulator
 
 import (
 	"flag"
@@ -30,15 +30,15 @@
 		text       string
 	}
 	var tries []try
-	for _, f := range []string{"anvil/duty.go", "anvil/links.go", "anvil/register.go", "anvil/place.go", "anvil/list.go", "anvil/moves.go", "lathe/core.go", "lathe/ledger.go", "awl/core.go"} {
-		b, err := os.ReadFile(filepath.Join("..", f))
+	for _, f := range []string{"internal/controller/duty.go", "internal/controller/links.go", "internal/controller/register.go", "internal/controller/place.go", "internal/controller/list.go", "internal/controller/moves.go", "internal/router/core.go", "internal/router/ledger.go", "internal/agent/core.go"} {
+		b, err := os.ReadFile(filepath.Join("..", "..", f))
 		require.NoError(t, err)
 		s := string(b)
 		for _, m := range condition.FindAllStringSubmatchIndex(s, -1) {
 			tries = append(tries, try{f, s[m[4]:m[5]], 1 + strings.Count(s[:m[0]], "\n"), s[:m[4]] + "!(" + s[m[4]:m[5]] + ")" + s[m[5]:]})
 		}
 	}
-	root, err := filepath.Abs("..")
+	root, err := filepath.Abs("../..")
 	require.NoError(t, err)
 	var all sync.WaitGroup
 	var mu sync.Mutex
@@ -56,18 +56,18 @@
 				return
 			}
 			defer os.RemoveAll(dir)
-			src, over, bin := filepath.Join(dir, "e.go"), filepath.Join(dir, "over.json"), filepath.Join(dir, "treadle")
+			src, over, bin := filepath.Join(dir, "e.go"), filepath.Join(dir, "over.json"), filepath.Join(dir, "simulator")
 			_ = os.WriteFile(src, []byte(x.text), 0o644)
 			_ = os.WriteFile(over, []byte(fmt.Sprintf(`{"Replace":{%q:%q}}`, filepath.Join(root, x.file), src)), 0o644)
 			by := ""
-			if out, err := exec.Command("go", "build", "-overlay", over, "-o", bin, "tidedeck/cmd/treadle").CombinedOutput(); err != nil {
+			if out, err := exec.Command("go", "build", "-overlay", over, "-o", bin, "tidedeck/cmd/simulator").CombinedOutput(); err != nil {
 				by = "the compiler"
 				_ = out
 			} else if err := exec.Command("go", "test", "-overlay", over, "-count=1", "-timeout", "60s", "tidedeck/"+filepath.Dir(x.file)).Run(); err != nil {
 				by = "a table"
 			} else {
 				for _, s := range []string{"medley", "core", "moves-owner", "servers-cut", "amnesia", "plans", "clocks", "blind", "lag", "shifts", "again", "platform", "fence", "crowd", "return", "exchange", "grow"} {
-					if exec.Command("timeout", "100", bin, "--plans", "../examples", "--scene", s, "--seed", "1").Run() != nil {
+					if exec.Command("timeout", "100", bin, "--plans", "../../examples", "--scene", s, "--seed", "1").Run() != nil {
 						by = "scene " + s
 						break
 					}
--- a/treadle/hosted.go
+++ b/internal/simulator/hosted.go
@@ -1,4 +1,4 @@
-package treadle
+package simulator
 
 import (
 	"encoding/json"
@@ -6,66 +6,67 @@
 	"net/http"
 	"strings"
 
-	"tidedeck/anvil"
-	"tidedeck/chisel"
-	"tidedeck/dowel"
-	"tidedeck/gauge"
-	"tidedeck/lathe"
-	"tidedeck/vise"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/controller"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
+	"tidedeck/internal/router"
+	"tidedeck/internal/standin"
 )
 
 // Hosted is the mode in which servers announce themselves to the core and check no fence.
 type Hosted struct {
-	Timing    anvil.Timing
+	Timing    controller.Timing
 	Batch     int        // batch servers
 	Plain     int        // servers of the plain service
-	Contact   gauge.Span // a machine without trouble for so long is in touch
-	Tenure    gauge.Span // owners may not take turns at a server within it
-	Reuse     gauge.Span // an address is used again after so long
-	Thaw      gauge.Span // orders that arrive so soon after trouble ended are not counted
-	ReportLag gauge.Span
+	Contact   clock.Span // a machine without trouble for so long is in touch
+	Tenure    clock.Span // owners may not take turns at a server within it
+	Reuse     clock.Span // an address is used again after so long
+	Thaw      clock.Span // orders that arrive so soon after trouble ended are not counted
+	ReportLag clock.Span
 	LateOdds  float64 // that an announcement comes again, late
-	LateBy    gauge.Span
+	LateBy    clock.Span
 	OrderLoss float64 // that the answer to an order gets lost, or an order comes late
 	OrderGone float64 // that an order gets lost before it comes
 	Lend      float64 // arrivals beyond the first that the fleet may come to in ten seconds, whatever is asked
-	Shift     gauge.Span
+	Shift     clock.Span
 }
 
 // HostedDefaults are what a deployment asks for as a rule.
 func HostedDefaults() *Hosted {
 	return &Hosted{
-		Timing: anvil.Timing{Apply: 2000e6, Drain: 2000e6, CatchUp: 4000e6, Period: 1200e6, Rate: 5e9},
+		Timing: controller.Timing{Apply: 2000e6, Drain: 2000e6, CatchUp: 4000e6, Period: 1200e6, Rate: 5e9},
 		Batch:  8, Plain: 4, Contact: 3000e6, Tenure: 3000e6, Reuse: 2000e6, Thaw: 300e6, ReportLag: 200e6, Lend: 58, LateBy: 3e9,
 	}
 }
 
-func (h *Hosted) anvil(o *anvil.Options, joined bool) {
+func (h *Hosted) controller(o *controller.Options, joined bool) {
 	o.Hold, o.Spare, o.Silence, o.Rate = h.Timing.Hold(), h.Timing.Spare(), h.Timing.Silence(), h.Timing.Rate
 	o.Read, o.Enrolled, o.Unfenced, o.Joined, o.Platform = ReadSheet, true, true, joined, ""
 }
 
-func (h *hosting) lathe(o *lathe.Options, z gauge.Zone) {
+func (h *hosting) router(o *router.Options, z ident.Zone) {
 	x := h.w.o.Hosted
 	o.Read, o.Zone, o.Free, o.Guards, o.Lend, o.Window, o.Share = ReadSheet, z, true, true, x.Lend*0.6, 10e9, 0.16
 }
 
-func (w *World) read(raw []byte) (*chisel.Plan, chisel.Faults) {
+func (w *World) read(raw []byte) (*fleetplan.Plan, fleetplan.Faults) {
 	if w.o.Hosted != nil {
 		return ReadSheet(raw)
 	}
-	return chisel.ReadPlan(raw)
+	return fleetplan.ReadPlan(raw)
 }
 
-type worker interface{ Counts() vise.ServerTally }
+type worker interface{ Counts() standin.ServerTally }
 
 // machine is where servers of one service start, one after another; its disk stays.
 type machine struct {
 	n       int
 	box     string
-	zone    gauge.Zone
+	zone    ident.Zone
 	service string
-	disk    map[gauge.Key]bool
+	disk    map[ident.Key]bool
 	addr    string
 	life    int
 	now     *announcing
@@ -73,26 +74,26 @@
 
 // announcing is one life of a server that announces itself.
 type announcing struct {
-	dowel.Beacon
+	protocol.Beacon
 	on     *machine
 	p      *proc
-	said   gauge.Tick // since when it says that it is leaving
-	acked  gauge.Tick // when that was first acknowledged
-	sure   gauge.Tick // when it was, by a core node in touch
+	said   clock.Tick // since when it says that it is leaving
+	acked  clock.Tick // when that was first acknowledged
+	sure   clock.Tick // when it was, by a core node in touch
 	heard  bool       // and when it heard of it
 	ending bool
 	ended  bool
 }
 
 type loading struct {
-	at      gauge.Tick
+	at      clock.Tick
 	counted bool
 }
 
 // hosting is the platform side of a world of announced servers.
 type hosting struct {
 	w        *World
-	plan     *chisel.Plan
+	plan     *fleetplan.Plan
 	machines []*machine
 	addrs    map[string]*proc
 	of       map[string]*announcing // by process
@@ -106,27 +107,27 @@
 
 func newHosting(w *World) *hosting {
 	h := &hosting{w: w, plan: w.plan, addrs: map[string]*proc{}, of: map[string]*announcing{}, words: map[uint64]func(*proc, bool){}}
-	zones := []gauge.Zone{"za", "zb", "zc"}
+	zones := []ident.Zone{"za", "zb", "zc"}
 	for i := range w.o.Hosted.Batch + w.o.Hosted.Plain {
-		m := &machine{n: i, box: fmt.Sprintf("machine-%d", i+1), zone: zones[i%3], service: "chat", disk: map[gauge.Key]bool{}}
+		m := &machine{n: i, box: fmt.Sprintf("machine-%d", i+1), zone: zones[i%3], service: "chat", disk: map[ident.Key]bool{}}
 		if i >= w.o.Hosted.Batch {
 			m.service = "plain"
 		}
 		h.machines = append(h.machines, m)
-		w.After(gauge.Span(w.rand.Int64N(1e9)), func() { h.start(m, h.initial(m)) })
+		w.After(clock.Span(w.rand.Int64N(1e9)), func() { h.start(m, h.initial(m)) })
 	}
 	return h
 }
 
 // initial places the busiest models on many servers and each other one on one, as room permits.
-func (h *hosting) initial(m *machine) (l []gauge.Key) {
+func (h *hosting) initial(m *machine) (l []ident.Key) {
 	v := h.plan.Services[m.service]
 	if v.Plain {
 		return nil
 	}
 	room := v.Room
 	add := func(i int) {
-		k := gauge.Key(base(i)).In(m.service)
+		k := ident.Key(base(i)).In(m.service)
 		if x, ok := h.plan.Models[k]; ok && x.Size <= room {
 			room -= x.Size
 			l = append(l, k)
@@ -151,19 +152,19 @@
 }
 
 // start begins a new life of a server on a machine, with an id of its own.
-func (h *hosting) start(m *machine, held []gauge.Key) {
+func (h *hosting) start(m *machine, held []ident.Key) {
 	w := h.w
 	m.life++
 	m.addr = h.address()
 	name := fmt.Sprintf("server-%d.%d", m.n+1, m.life)
 	v := h.plan.Services[m.service]
 	skew, rate := w.clock()
-	p := &proc{name: name, box: m.box, zone: m.zone, beat: 10e6, skew: skew, rate: rate, server: gauge.Server(name)}
+	p := &proc{name: name, box: m.box, zone: m.zone, beat: 10e6, skew: skew, rate: rate, server: ident.Server(name)}
 	p.made = func() core {
-		return vise.NewBatch(vise.BatchOptions{ID: p.server, Service: m.service, Plain: v.Plain, Slots: v.Slots, Room: v.Room, Places: v.Places,
-			Lag: w.o.Hosted.ReportLag, Held: held, Disk: m.disk, Weight: func(k gauge.Key) int { return h.plan.Models[k].Size }, Load: h.load})
+		return standin.NewBatch(standin.BatchOptions{ID: p.server, Service: m.service, Plain: v.Plain, Slots: v.Slots, Room: v.Room, Places: v.Places,
+			Lag: w.o.Hosted.ReportLag, Held: held, Disk: m.disk, Weight: func(k ident.Key) int { return h.plan.Models[k].Size }, Load: h.load})
 	}
-	a := &announcing{Beacon: dowel.Beacon{Listed: dowel.Listed{ID: p.server, Addr: m.addr, Zone: m.zone, State: "live", Service: m.service, Slots: v.Slots}}, on: m, p: p}
+	a := &announcing{Beacon: protocol.Beacon{Listed: protocol.Listed{ID: p.server, Addr: m.addr, Zone: m.zone, State: "live", Service: m.service, Slots: v.Slots}}, on: m, p: p}
 	m.now = a
 	h.addrs[m.addr] = p
 	h.of[name] = a
@@ -173,7 +174,7 @@
 }
 
 // load tells how long a load takes; those from the store are counted.
-func (h *hosting) load(k gauge.Key, disk bool) gauge.Span {
+func (h *hosting) load(k ident.Key, disk bool) clock.Span {
 	if k.IsAdapter() {
 		return 20e6
 	}
@@ -185,13 +186,13 @@
 	h.loads++
 	h.w.Check.ceiling()
 	if h.loads > 3 {
-		d = d * gauge.Span(h.loads) / 3
+		d = d * clock.Span(h.loads) / 3
 	}
 	h.w.After(d, func() { h.loads-- })
 	return d
 }
 
-func (h *hosting) loaded(p *proc, v vise.LoadDone) { h.w.tracef("%s: %s is loaded", p.name, v.Key) }
+func (h *hosting) loaded(p *proc, v standin.LoadDone) { h.w.tracef("%s: %s is loaded", p.name, v.Key) }
 
 // beat announces a server every while.
 func (h *hosting) beat(a *announcing) {
@@ -204,7 +205,7 @@
 	} else if !a.ending {
 		h.announce(a, 2, func(ok bool) { h.farewell(a, ok) })
 	}
-	w.After(w.o.Hosted.Timing.Period*9/10+gauge.Span(w.rand.Int64N(int64(w.o.Hosted.Timing.Period/5))), func() { h.beat(a) })
+	w.After(w.o.Hosted.Timing.Period*9/10+clock.Span(w.rand.Int64N(int64(w.o.Hosted.Timing.Period/5))), func() { h.beat(a) })
 }
 
 // announce says a server's word to one core node after another until one acknowledges it.
@@ -215,12 +216,12 @@
 	}
 	a.Count++
 	b := a.Beacon
-	if v, ok := a.p.core.(*vise.Batch); ok {
+	if v, ok := a.p.core.(*standin.Batch); ok {
 		b.Held = v.Keys()
 	}
 	var nodes []string
 	for _, n := range w.order {
-		if strings.HasPrefix(n, "anvil-") {
+		if strings.HasPrefix(n, "controller-") {
 			nodes = append(nodes, n)
 		}
 	}
@@ -241,11 +242,11 @@
 	h.tell(a, to, b, end)
 	if w.rand.Float64() < w.o.Hosted.LateOdds {
 		late := w.procs[nodes[w.rand.IntN(len(nodes))]]
-		w.After(gauge.Span(w.rand.Int64N(int64(w.o.Hosted.LateBy))), func() { h.tell(a, late, b, func(bool) {}) })
+		w.After(clock.Span(w.rand.Int64N(int64(w.o.Hosted.LateBy))), func() { h.tell(a, late, b, func(bool) {}) })
 	}
 }
 
-func (h *hosting) tell(a *announcing, to *proc, b dowel.Beacon, end func(ok bool)) {
+func (h *hosting) tell(a *announcing, to *proc, b protocol.Beacon, end func(ok bool)) {
 	w := h.w
 	h.word++
 	token := h.word
@@ -272,11 +273,11 @@
 			w.After(w.delay(), func() { end(false) })
 			return
 		}
-		w.step(to, to.life, anvil.Announce{Token: token, Beacon: b})
+		w.step(to, to.life, controller.Announce{Token: token, Beacon: b})
 	})
 }
 
-func (h *hosting) announced(p *proc, v anvil.Announced) {
+func (h *hosting) announced(p *proc, v controller.Announced) {
 	if f := h.words[v.Token]; f != nil {
 		delete(h.words, v.Token)
 		f(p, v.OK)
@@ -284,7 +285,7 @@
 }
 
 // leave makes a server say that it is leaving; with a span left it is gone after that, whatever it runs.
-func (h *hosting) leave(m *machine, left gauge.Span, again gauge.Span) {
+func (h *hosting) leave(m *machine, left clock.Span, again clock.Span) {
 	w, a := h.w, m.now
 	if a == nil || !a.p.up || a.State != "live" {
 		return
@@ -330,7 +331,7 @@
 }
 
 // end ends a server; another one starts on its machine after a while, empty and under a new id.
-func (h *hosting) end(a *announcing, again gauge.Span) {
+func (h *hosting) end(a *announcing, again clock.Span) {
 	if a.ended {
 		return
 	}
@@ -345,7 +346,7 @@
 }
 
 // crash ends a server without a word.
-func (h *hosting) crash(m *machine, again gauge.Span) {
+func (h *hosting) crash(m *machine, again clock.Span) {
 	if m.now != nil && m.now.p.up && !m.now.ended {
 		h.w.tracef("%s crashes", m.now.ID)
 		h.end(m.now, again)
@@ -353,9 +354,9 @@
 }
 
 // ask carries an order, or a question, to a server.
-func (h *hosting) ask(p *proc, a dowel.Ask, tell func(ok bool, code int, b []byte)) {
+func (h *hosting) ask(p *proc, a protocol.Ask, tell func(ok bool, code int, b []byte)) {
 	w := h.w
-	o, ok := a.Body.(dowel.Order)
+	o, ok := a.Body.(protocol.Order)
 	if !ok || a.Path != "/orders" {
 		return
 	}
@@ -376,7 +377,7 @@
 	}
 	d := w.delay()
 	if lost == 3 {
-		d += gauge.Span(100e6 + w.rand.Int64N(450e6)) // it comes late
+		d += clock.Span(100e6 + w.rand.Int64N(450e6)) // it comes late
 	}
 	w.After(d, func() {
 		s := w.at(a.Addr)
@@ -387,9 +388,9 @@
 		if w.now.Sub(at) > a.Wait {
 			return // its connection was closed
 		}
-		v := s.core.(*vise.Batch)
-		for _, x := range v.Step(s.tick(w.now), vise.BatchOrder{Order: o}) {
-			r, ok := x.(vise.BatchAnswer)
+		v := s.core.(*standin.Batch)
+		for _, x := range v.Step(s.tick(w.now), standin.BatchOrder{Order: o}) {
+			r, ok := x.(standin.BatchAnswer)
 			if !ok {
 				w.act(s, x)
 				continue
@@ -420,23 +421,23 @@
 }
 
 // again tells whether a request of these scenes may run more than once.
-func again(a vise.Ask) bool { return strings.Contains(a.Route, "/idem/") }
+func again(a standin.Ask) bool { return strings.Contains(a.Route, "/idem/") }
 
 // mix draws the requests of a scene.
-func (w *World) mix() func() vise.Ask {
+func (w *World) mix() func() standin.Ask {
 	if w.host == nil {
-		m := vise.NewMix(w.plan, w.o.Seed)
+		m := standin.NewMix(w.plan, w.o.Seed)
 		m.Tenants = w.o.Tenants
 		return m.Next
 	}
 	n := 0
-	return func() vise.Ask {
+	return func() standin.Ask {
 		n++
 		at := 0
 		if s := w.o.Hosted.Shift; s > 0 {
-			at = int(gauge.Span(w.now) / s) // which models are asked for moves
+			at = int(clock.Span(w.now) / s) // which models are asked for moves
 		}
-		a := vise.Ask{Route: []string{"/flow/x", "/idem/x", "/once/x", "/plain/idem/x", "/plain/once/x"}[w.rand.IntN(5)]}
+		a := standin.Ask{Route: []string{"/flow/x", "/idem/x", "/once/x", "/plain/idem/x", "/plain/once/x"}[w.rand.IntN(5)]}
 		c := &a.Call
 		c.ID, c.Host, c.Max = fmt.Sprintf("r-%d", n), "a.example", 4+w.rand.IntN(28)
 		if strings.HasPrefix(a.Route, "/plain/") {
@@ -461,34 +462,34 @@
 }
 
 // PutNumber hands a plan over that goes on another, under a number that the operator gives.
-func (w *World) PutNumber(node string, raw []byte, on, number gauge.Epoch, then func(anvil.Receipt)) {
-	w.change(node, anvil.Admin{Op: "put", Raw: raw, Expect: on, Number: number, Change: fmt.Sprintf("put-%d-%d-%d", on, number, w.admin+1)}, then)
+func (w *World) PutNumber(node string, raw []byte, on, number ident.Epoch, then func(controller.Receipt)) {
+	w.change(node, controller.Admin{Op: "put", Raw: raw, Expect: on, Number: number, Change: fmt.Sprintf("put-%d-%d-%d", on, number, w.admin+1)}, then)
 }
 
 // harm is when machines and links between them were last in trouble.
 type harm struct {
-	box  map[string]gauge.Tick
-	pair map[[2]string]gauge.Tick
-	core gauge.Tick
-	thaw map[string]gauge.Tick // when machines were thawed, or will be
+	box  map[string]clock.Tick
+	pair map[[2]string]clock.Tick
+	core clock.Tick
+	thaw map[string]clock.Tick // when machines were thawed, or will be
 }
 
 func newHarm() harm {
-	return harm{box: map[string]gauge.Tick{}, thaw: map[string]gauge.Tick{}, pair: map[[2]string]gauge.Tick{}}
+	return harm{box: map[string]clock.Tick{}, thaw: map[string]clock.Tick{}, pair: map[[2]string]clock.Tick{}}
 }
 
-func isCore(box string) bool { return strings.HasPrefix(box, "anvil-") }
+func isCore(box string) bool { return strings.HasPrefix(box, "controller-") }
 
 // upset notes trouble on a machine.
 func (w *World) upset(box string) { w.trouble(box, w.now) }
 
 // thaws notes that a machine is frozen until a moment.
-func (w *World) thaws(box string, at gauge.Tick) {
+func (w *World) thaws(box string, at clock.Tick) {
 	w.harm.thaw[box] = at
 	w.trouble(box, at)
 }
 
-func (w *World) trouble(box string, at gauge.Tick) {
+func (w *World) trouble(box string, at clock.Tick) {
 	w.harm.box[box] = max(w.harm.box[box], at)
 	if isCore(box) {
 		w.harm.core = max(w.harm.core, at)
@@ -514,10 +515,10 @@
 	if w.o.Hosted == nil || w.now.Sub(w.harm.core) < w.o.Hosted.Contact {
 		return false
 	}
-	up := w.anvils()
+	up := w.controllers()
 	all := 0
 	for _, n := range w.order {
-		all += b2i(strings.HasPrefix(n, "anvil-"))
+		all += b2i(strings.HasPrefix(n, "controller-"))
 	}
 	if 2*len(up) <= all {
 		return false
@@ -544,7 +545,7 @@
 }
 
 // linked tells whether the link between two machines was without trouble for a span.
-func (w *World) linked(a, b string, s gauge.Span) bool {
+func (w *World) linked(a, b string, s clock.Span) bool {
 	if w.cuts[[2]string{a, b}] || w.cuts[[2]string{b, a}] {
 		return false
 	}
--- a/treadle/hosted_check.go
+++ b/internal/simulator/hosted_check.go
@@ -1,37 +1,40 @@
-package treadle
+package simulator
 
 import (
 	"fmt"
 
-	"tidedeck/anvil"
-	"tidedeck/dowel"
-	"tidedeck/gauge"
-	"tidedeck/lathe"
-	"tidedeck/vise"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/controller"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
+	"tidedeck/internal/router"
+	"tidedeck/internal/standin"
 )
 
 // handed is one order as it reached a server.
 type handed struct {
-	at   gauge.Tick
+	at   clock.Tick
 	from string
 }
 
 // batchBooks is what the checkers keep of announced servers.
 type batchBooks struct {
-	owners map[gauge.Duty]string
-	high   map[string]gauge.Duty
+	owners map[ident.Duty]string
+	high   map[string]ident.Duty
 	hands  map[string][]handed
 	sends  []tried
-	looked gauge.Tick
+	looked clock.Tick
 	lates  map[string]bool
 }
 
 func newBooks() batchBooks {
-	return batchBooks{owners: map[gauge.Duty]string{}, high: map[string]gauge.Duty{}, hands: map[string][]handed{}, lates: map[string]bool{}}
+	return batchBooks{owners: map[ident.Duty]string{}, high: map[string]ident.Duty{}, hands: map[string][]handed{}, lates: map[string]bool{}}
 }
 
 // orderedBatch looks at an order as it reached a server that checks no fence.
-func (k *Checker) orderedBatch(p, s *proc, o dowel.Order, r vise.BatchAnswer) {
+func (k *Checker) orderedBatch(p, s *proc, o protocol.Order, r standin.BatchAnswer) {
 	w, b := k.w, &k.batch
 	w.tracef("%s: duty %d tells %s to %s %s (expects %d): %d", p.name, o.Duty, s.name, o.Op, o.Key, o.Expected, r.Code)
 	if r.Over {
@@ -44,8 +47,8 @@
 		k.Seen.Orders++
 		if o.Op == "unload" {
 			k.Seen.Unloads++
-			for _, l := range w.Lathes() {
-				if l.core.(*lathe.Core).Promises(l.tick(w.now), o.Key, s.server, 0) {
+			for _, l := range w.Routers() {
+				if l.core.(*router.Core).Promises(l.tick(w.now), o.Key, s.server, 0) {
 					k.bad("%s was told to unload %s while %s held a promise on it", s.name, o.Key, l.name)
 				}
 			}
@@ -103,19 +106,19 @@
 		return
 	}
 	lag := w.now.Sub(a.sure)
-	if !w.inTouch(f.lathe) || !w.linked(f.lathe.box, s.box, w.o.Hosted.Contact) {
+	if !w.inTouch(f.router) || !w.linked(f.router.box, s.box, w.o.Hosted.Contact) {
 		return
 	}
 	k.Seen.GoneLag = max(k.Seen.GoneLag, lag)
 	if lag > w.o.Hosted.Timing.Drain {
-		k.bad("%s got a request from %s %v after its leaving was acknowledged", s.name, f.lathe.name, lag)
+		k.bad("%s got a request from %s %v after its leaving was acknowledged", s.name, f.router.name, lag)
 	}
 }
 
 // meant looks at whether a plan that may be in force at a router allows what it sends, and there.
 func (k *Checker) meant(f *flow, s *proc) {
 	c, w := f.c, k.w
-	touch := w.inTouch(f.lathe)
+	touch := w.inTouch(f.router)
 	a := w.host.of[s.name]
 	for _, st := range k.states {
 		if !st.put || st.lost != 0 || st.sent > w.now || st.plan == nil {
@@ -125,11 +128,11 @@
 			continue
 		}
 		m, why := st.plan.Match(c.ask.Call.Query(c.ask.Route))
-		if why == gauge.None && (a == nil || m.Key.Service() == a.Service) {
+		if why == failure.None && (a == nil || m.Key.Service() == a.Service) {
 			return
 		}
 	}
-	k.bad("%s sent %s %s to %s, which ran it, though no plan allows it", f.lathe.name, c.ask.Route, gauge.KeyOf(f.l.Work.Base, f.l.Work.Extra), s.name)
+	k.bad("%s sent %s %s to %s, which ran it, though no plan allows it", f.router.name, c.ask.Route, ident.KeyOf(f.l.Work.Base, f.l.Work.Extra), s.name)
 }
 
 // lookHosted holds the owner's view against what servers were told, and routers in touch against
@@ -140,11 +143,11 @@
 		return
 	}
 	k.batch.looked = w.now
-	for _, p := range w.Lathes() {
+	for _, p := range w.Routers() {
 		if w.now < p.froze || !w.inTouch(p) {
 			continue
 		}
-		_, e, _ := p.core.(*lathe.Core).Rules(p.tick(w.now))
+		_, e, _ := p.core.(*router.Core).Rules(p.tick(w.now))
 		for _, s := range k.states {
 			if s.told != 0 && s.epoch > e && w.now.Sub(s.told) > w.o.Hosted.Timing.Apply && !k.batch.lates[fmt.Sprint(p.name, s.epoch)] {
 				k.batch.lates[fmt.Sprint(p.name, s.epoch)] = true
@@ -152,13 +155,13 @@
 			}
 		}
 	}
-	for _, p := range w.anvils() {
-		c := p.core.(*anvil.Core)
+	for _, p := range w.controllers() {
+		c := p.core.(*controller.Core)
 		if _, ok := c.Owns(p.tick(w.now)); !ok || w.now < p.froze {
 			continue
 		}
-		for _, o := range c.Step(p.tick(w.now), anvil.Admin{Op: "servers", Token: 1 << 60}) {
-			r, ok := o.(anvil.Receipt)
+		for _, o := range c.Step(p.tick(w.now), controller.Admin{Op: "servers", Token: 1 << 60}) {
+			r, ok := o.(controller.Receipt)
 			if !ok || r.Token != 1<<60 {
 				w.act(p, o)
 				continue
@@ -166,7 +169,7 @@
 			k.view(p, r)
 		}
 	}
-	for _, id := range gauge.Keys(w.host.of) {
+	for _, id := range generic.SortedKeys(w.host.of) {
 		a := w.host.of[id]
 		if a.said != 0 && a.acked == 0 && a.p.up && w.now.Sub(a.said) > 4e9 && w.now.Sub(w.harm.core) > 4e9+w.o.Hosted.Contact && w.settled() && !k.batch.lates[id] {
 			k.batch.lates[id] = true
@@ -175,10 +178,10 @@
 	}
 }
 
-func (k *Checker) view(p *proc, r anvil.Receipt) {
+func (k *Checker) view(p *proc, r controller.Receipt) {
 	l, _ := r.View["servers"].([]map[string]any)
 	for _, x := range l {
-		id, _ := x["id"].(gauge.Server)
+		id, _ := x["id"].(ident.Server)
 		a := k.w.host.of[string(id)]
 		if a != nil && a.acked != 0 && (x["offered"] == true || a.p.up && x["state"] == "live") && !k.batch.lates[p.name+string(id)] {
 			k.batch.lates[p.name+string(id)] = true
@@ -211,7 +214,7 @@
 			return
 		}
 	}
-	on := map[gauge.Epoch]string{}
+	on := map[ident.Epoch]string{}
 	for _, s := range k.states {
 		if s.number == 0 || s.told == 0 {
 			continue
--- a/treadle/hosted_scenes.go
+++ b/internal/simulator/hosted_scenes.go
@@ -1,10 +1,11 @@
-package treadle
+package simulator
 
 import (
 	"fmt"
 
-	"tidedeck/anvil"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/controller"
+	"tidedeck/internal/ident"
 )
 
 // hosted sets a world of announced servers up.
@@ -25,11 +26,11 @@
 			m := w.host.some()
 			switch w.rand.IntN(4) {
 			case 0:
-				w.host.leave(m, 400e6+gauge.Span(w.rand.Int64N(2e9)), 1500e6) // at short notice
+				w.host.leave(m, 400e6+clock.Span(w.rand.Int64N(2e9)), 1500e6) // at short notice
 			case 1:
-				w.host.crash(m, gauge.Span(w.rand.Int64N(4e9)))
+				w.host.crash(m, clock.Span(w.rand.Int64N(4e9)))
 			default:
-				w.host.leave(m, 0, gauge.Span(500e6+w.rand.Int64N(3e9)))
+				w.host.leave(m, 0, clock.Span(500e6+w.rand.Int64N(3e9)))
 			}
 		})
 	}
@@ -41,7 +42,7 @@
 	for t := from; t < to; t += gap {
 		w.At(sec(t), func() {
 			n++
-			on := gauge.Epoch(0)
+			on := ident.Epoch(0)
 			if s := w.Check.newest(w.now); s != nil {
 				on = s.epoch
 			}
@@ -50,11 +51,11 @@
 				if i == 1 && n%2 == 0 { // it has no route for some of what is asked
 					less = func(m map[string]any) { m["routes"] = m["routes"].([]any)[:4] }
 				}
-				number := on + 1 + gauge.Epoch(w.rand.IntN(3))
-				w.PutNumber(fmt.Sprintf("anvil-%d", 1+(n+i)%3), Named(w.o.Plan, fmt.Sprintf("%s-%d", a, n), less), on, number, nil)
+				number := on + 1 + ident.Epoch(w.rand.IntN(3))
+				w.PutNumber(fmt.Sprintf("controller-%d", 1+(n+i)%3), Named(w.o.Plan, fmt.Sprintf("%s-%d", a, n), less), on, number, nil)
 			}
 		})
-		w.At(sec(t+gap/2), func() { w.Read(w.some("anvil-"), nil) })
+		w.At(sec(t+gap/2), func() { w.Read(w.some("controller-"), nil) })
 	}
 }
 
@@ -96,10 +97,10 @@
 					m := w.host.some()
 					w.host.leave(m, 0, 2e9)
 					if w.rand.IntN(2) == 0 {
-						w.After(gauge.Span(w.rand.Int64N(200e6)), func() { w.Restart(w.owner(), gauge.Span(w.rand.Int64N(3e9))) })
+						w.After(clock.Span(w.rand.Int64N(200e6)), func() { w.Restart(w.owner(), clock.Span(w.rand.Int64N(3e9))) })
 						return
 					}
-					w.acknowledged(m, func() { w.Restart(w.owner(), gauge.Span(w.rand.Int64N(3e9))) })
+					w.acknowledged(m, func() { w.Restart(w.owner(), clock.Span(w.rand.Int64N(3e9))) })
 				})
 				w.At(sec(t+4), func() { w.host.crash(w.host.some(), 1e9) })
 			}
@@ -110,21 +111,21 @@
 			w.leaves(14.5, 70, 8)
 			for t := 10.0; t < 70; t += 8 {
 				w.At(sec(t), func() {
-					a, b := w.some("anvil-"), w.some("anvil-")
+					a, b := w.some("controller-"), w.some("controller-")
 					switch w.rand.IntN(5) {
 					case 0:
 						w.Part(map[string]bool{a: true})
 					case 1:
 						w.Cut(a, b, false)
 					case 2:
-						w.Freeze(w.owner(), gauge.Span(w.rand.Int64N(4e9)))
+						w.Freeze(w.owner(), clock.Span(w.rand.Int64N(4e9)))
 					case 3:
 						w.Part(map[string]bool{w.owner(): true})
 					case 4: // the owner still reaches servers and most routers
 						o := w.owner()
 						w.Cut(o, "router-1", true)
 						w.Cut(o, "router-2", true)
-						for _, p := range w.anvils() {
+						for _, p := range w.controllers() {
 							if p.name != o {
 								w.Cut(o, p.name, true)
 							}
@@ -150,7 +151,7 @@
 			for t := 10.0; t < 62; t += 9 {
 				w.At(sec(t), func() {
 					o := w.owner()
-					for _, p := range w.anvils() {
+					for _, p := range w.controllers() {
 						if p.name != o {
 							w.Part(map[string]bool{p.name: true})
 							for _, m := range w.host.machines { // servers reach it
@@ -170,10 +171,10 @@
 		Play: func(w *World) {
 			w.epochs(9, 85, 9)
 			wipe := func() {
-				v := w.some("anvil-")
+				v := w.some("controller-")
 				w.Kill(v)
 				w.Wipe(v)
-				w.After(gauge.Span(w.rand.Int64N(1e9)), func() { w.Start(v) })
+				w.After(clock.Span(w.rand.Int64N(1e9)), func() { w.Start(v) })
 			}
 			for t := 12.0; t < 80; t += 12 {
 				w.At(sec(t), func() {
@@ -193,7 +194,7 @@
 		Set: hosted(func(h *Hosted) { h.Reuse = 200e6 }),
 		Play: func(w *World) {
 			for t := 10.0; t < 52; t += 2 {
-				w.At(sec(t), func() { w.host.crash(w.host.some(), 200e6+gauge.Span(w.rand.Int64N(1e9))) })
+				w.At(sec(t), func() { w.host.crash(w.host.some(), 200e6+clock.Span(w.rand.Int64N(1e9))) })
 			}
 		}},
 	{Name: "announced-all", About: "all of the core is killed at once, right after it acknowledged a plan, and comes back with its disks", Long: 70e9, Least: 0.95, Set: hosted(nil),
@@ -202,22 +203,22 @@
 			w.leaves(27, 33, 3)
 			w.leaves(45, 52, 3)
 			w.At(sec(8), func() { // the first plan is in force by then
-				for _, p := range w.anvils() {
+				for _, p := range w.controllers() {
 					p.disk.late = 40e6
 				}
 			})
 			for i, t := range []float64{20, 38} {
 				w.At(sec(t), func() {
 					on := w.Check.newest(w.now).epoch
-					w.PutNumber("anvil-1", Named(w.o.Plan, fmt.Sprintf("last-%d", i), nil), on, on+2, func(anvil.Receipt) {
+					w.PutNumber("controller-1", Named(w.o.Plan, fmt.Sprintf("last-%d", i), nil), on, on+2, func(controller.Receipt) {
 						for i := 1; i <= 3; i++ {
-							w.Restart(fmt.Sprintf("anvil-%d", i), gauge.Span(w.rand.Int64N(1e9)))
+							w.Restart(fmt.Sprintf("controller-%d", i), clock.Span(w.rand.Int64N(1e9)))
 						}
 					})
 				})
 			}
-			w.At(sec(32), func() { w.Read("anvil-2", nil) })
-			w.At(sec(60), func() { w.Read("anvil-1", nil) })
+			w.At(sec(32), func() { w.Read("controller-2", nil) })
+			w.At(sec(60), func() { w.Read("controller-1", nil) })
 		}},
 	{Name: "announced-alone", About: "routers are cut off from the core and go on by what they knew, while servers leave", Long: 80e9, Least: 0.97, Set: hosted(nil),
 		Play: func(w *World) {
@@ -254,14 +255,14 @@
 			w.leaves(10, 70, 4)
 			for t := 10.0; t < 70; t += 8 {
 				w.At(sec(t), func() {
-					a, b := w.some("anvil-"), w.some("anvil-")
+					a, b := w.some("controller-"), w.some("controller-")
 					switch w.rand.IntN(4) {
 					case 0:
 						w.Part(map[string]bool{a: true})
 					case 1:
 						w.Cut(a, b, false)
 					case 2:
-						w.Freeze(w.owner(), gauge.Span(w.rand.Int64N(4e9)))
+						w.Freeze(w.owner(), clock.Span(w.rand.Int64N(4e9)))
 					case 3:
 						w.Part(map[string]bool{w.owner(): true})
 					}
@@ -274,7 +275,7 @@
 			for t := 10.0; t < 62; t += 10 {
 				w.At(sec(t), func() {
 					o := w.owner()
-					for _, p := range w.anvils() {
+					for _, p := range w.controllers() {
 						if p.name != o {
 							w.Part(map[string]bool{p.name: true})
 							break
@@ -303,7 +304,7 @@
 					var look func()
 					look = func() { // the next one is stopped as soon as it has ordered something
 						n := w.procs[w.owner()]
-						if d, ok := n.core.(*anvil.Core).Owns(n.tick(w.now)); !ok || n.name == o || w.Check.batch.owners[d] != n.name {
+						if d, ok := n.core.(*controller.Core).Owns(n.tick(w.now)); !ok || n.name == o || w.Check.batch.owners[d] != n.name {
 							if w.now < sec(t+4) {
 								w.After(5e6, look)
 							}
@@ -324,22 +325,22 @@
 				w.At(sec(t), func() { w.host.leave(w.host.some(), 0, 2e9); w.host.leave(w.host.some(), 0, 2e9) })
 			}
 			w.At(sec(8), func() { // the first plan is in force by then
-				for _, p := range w.anvils() {
+				for _, p := range w.controllers() {
 					p.disk.late = 40e6
 				}
 			})
 			for i, t := range []float64{20, 38} {
 				w.At(sec(t), func() {
 					on := w.Check.newest(w.now).epoch
-					w.PutNumber("anvil-1", Named(w.o.Plan, fmt.Sprintf("last-%d", i), nil), on, on+2, func(anvil.Receipt) {
+					w.PutNumber("controller-1", Named(w.o.Plan, fmt.Sprintf("last-%d", i), nil), on, on+2, func(controller.Receipt) {
 						for i := 1; i <= 3; i++ {
-							w.Restart(fmt.Sprintf("anvil-%d", i), gauge.Span(w.rand.Int64N(1e9)))
+							w.Restart(fmt.Sprintf("controller-%d", i), clock.Span(w.rand.Int64N(1e9)))
 						}
 					})
 				})
 			}
-			w.At(sec(32), func() { w.Read("anvil-2", nil) })
-			w.At(sec(60), func() { w.Read("anvil-1", nil) })
+			w.At(sec(32), func() { w.Read("controller-2", nil) })
+			w.At(sec(60), func() { w.Read("controller-1", nil) })
 		}},
 	// An adapter whose order was refused is ordered again as it was, though the report that came meanwhile
 	// shows that the order of the owner before has taken the last place.
@@ -364,10 +365,10 @@
 					m := w.host.some()
 					w.host.leave(m, 0, 2e9)
 					if w.rand.IntN(2) == 0 {
-						w.After(gauge.Span(w.rand.Int64N(200e6)), func() { w.Restart(w.owner(), gauge.Span(w.rand.Int64N(3e9))) })
+						w.After(clock.Span(w.rand.Int64N(200e6)), func() { w.Restart(w.owner(), clock.Span(w.rand.Int64N(3e9))) })
 						return
 					}
-					w.acknowledged(m, func() { w.Restart(w.owner(), gauge.Span(w.rand.Int64N(3e9))) })
+					w.acknowledged(m, func() { w.Restart(w.owner(), clock.Span(w.rand.Int64N(3e9))) })
 				})
 				w.At(sec(t+4), func() { w.host.crash(w.host.some(), 1e9) })
 			}
--- /dev/null
+++ b/internal/simulator/hosted_test.go
@@ -0,0 +1,89 @@
+package simulator
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
+	"tidedeck/internal/standin"
+)
+
+// A plan for announced servers with a route to nowhere is none.
+func TestReadSheet(t *testing.T) {
+	p, f := ReadSheet(hostedPlan())
+	require.Nil(t, f)
+	require.NotNil(t, p.Find("a.example", "/plain/once/x"))
+	_, f = ReadSheet([]byte(`{"services":{},"routes":[{"host":"a","prefix":"/","service":"none"}]}`))
+	require.Len(t, f, 1)
+	_, f = ReadSheet([]byte(`{`))
+	require.Len(t, f, 1)
+}
+
+// Each way in which owners may not order one server is seen.
+func TestOrderChecks(t *testing.T) {
+	o := Options{Seed: 1}
+	hosted(nil)(&o)
+	for _, c := range []struct {
+		sees   string
+		orders [][2]int // from, and under which duty, one a second
+	}{
+		{"", [][2]int{{1, 1}, {1, 1}, {2, 2}, {3, 3}}},
+		{"two controllers", [][2]int{{1, 1}, {2, 1}}},
+		{"of duty 1 after one of 2", [][2]int{{2, 2}, {1, 1}}},
+		{"by another and by controller-1 again", [][2]int{{1, 1}, {2, 2}, {1, 3}}},
+	} {
+		w := New(o)
+		w.Run(6e9)
+		require.Empty(t, w.Check.Bad)
+		s := w.procs["server-1.1"]
+		for i, x := range c.orders {
+			w.now = sec(10 + float64(i))
+			w.Check.orderedBatch(w.procs["controller-"+string(rune('0'+x[0]))], s, protocol.Order{Op: "load", Duty: ident.Duty(x[1])}, standin.BatchAnswer{Code: 409})
+		}
+		if c.sees == "" {
+			require.Empty(t, w.Check.Bad)
+			continue
+		}
+		require.NotEmpty(t, w.Check.Bad, c.sees)
+		require.Contains(t, strings.Join(w.Check.Bad, " "), c.sees)
+	}
+}
+
+func init() { bites = append(bites, hostedBites...) }
+
+// The same with servers that announce themselves and check no fence.
+var hostedBites = []bite{
+	{"announced: order while the duty's hold lasts", "announced-split", "of duty|ordered by", []edit{
+		{"internal/controller/duty.go", "if c.duty.mine && c.now > c.duty.until(c).Add(lapseSpans*c.o.Duty) {", "if false {"},
+		{"internal/controller/duty.go", "return c.duty.mine && c.now <= c.duty.until(c) }", "return c.duty.mine }"},
+		{"internal/controller/links.go", "old := c.now.Sub(c.duty.asked)", "old := clock.Span(0)"}}},
+	{"announced: keep within room", "announced-shift", "past its room", []edit{
+		{"internal/controller/weigh.go", "var out []*spot\n\t\tif free < f.m.Size {", "var out []*spot\n\t\tif false {"},
+		{"internal/controller/place.go", "over := s.room > 0 && s.used() > s.room", "over := false"}}},
+	{"announced: keep within places", "announced-shift", "past its room", []edit{
+		{"internal/controller/weigh.go", "if s.places > 0 && s.adapters() >= s.places || s.room-s.used() < m.Size {", "if false {"},
+		{"internal/controller/weigh.go", "crowd := s.places > 0 && s.adapters() > s.places", "crowd := false"},
+		{"internal/controller/place.go", "|| s.places > 0 && s.adapters() > s.places)", ")"}}},
+	{"announced: keep within the store's rate", "announced-store", "loads from the store began", []edit{
+		{"internal/controller/weigh.go", "store := min(once, rate)", "store := max(100, once, rate)"}}},
+	{"announced: offer no leaving server", "announced-leave", "after its leaving was acknowledged|takes it to stay", []edit{
+		{"internal/controller/place.go", `return s.State == "live" && !c.empty`, "return !c.empty"}}},
+	{"announced: a leaving is known", "announced-minority", "takes it to stay", []edit{{"internal/controller/enrol.go", "if !l.ruled || k == nil || !quorum(*k, l.yes) {", "if k == nil {"}}},
+	{"announced: know late words", "announced-late", "takes it to stay|after its leaving", []edit{
+		{"internal/controller/enrol.go", `if b.Count <= e.Count || e.State == "gone" && !e.soft {`, `if e.State == "gone" && !e.soft {`},
+		{"internal/controller/enrol.go", "if stagesOf[b.State] < stagesOf[e.State] {", "if false {"}}},
+	{"announced: break before an unload", "announced-shift", "held a promise", []edit{{"internal/controller/place.go", "if quiet && c.dropped(p.waits) {", "if quiet || true {"}}},
+	{"announced: repeat only what may be", "announced-reuse", "may not be repeated", []edit{
+		{"internal/router/ledger.go", "Lost:    {{kind: failure.Unclear}, {again: true, pay: true}}", "Lost:    {{again: true}, {again: true}}"}}},
+	{"announced: drop only what did not run", "announced-reuse", "but had run|and ran", []edit{
+		{"internal/router/ledger.go", "Lost:    {{kind: failure.Unclear}, {again: true, pay: true}}", "Lost:    {{kind: failure.NotReady}, {again: true, pay: true}}"},
+		{"internal/router/ledger.go", "if failure.Receipts[k].Dropped && r.ran() {", "if r == nil {"}}},
+	{"announced: send a plan again", "announced-plans", "routes under epoch", []edit{{"internal/controller/links.go", "l.sent = l.heard // una", "_ = l.heard // una"}, {"internal/controller/links.go", "if l.full || l.owes() {", "if false {"}}},
+	{"announced: expect the number", "announced-plans", "two changes that go on|told twice", []edit{{"internal/controller/admin.go", "if !a.Any && d.Epoch != a.Expect {", "if false {"}}},
+	{"announced: keep the number", "announced-plans", "a change of number", []edit{{"internal/controller/admin.go", "if n.Epoch++; a.Number != 0 {", "if n.Epoch++; false {"}}},
+	{"announced: sync before an answer", "announced-all", "routes under epoch|read gave epoch|bytes that were not sent|slipped back", []edit{
+		{"internal/controller/core.go", "c.saves[c.token] = then", "then()\n\tc.saves[c.token] = func() {}"}}},
+}
--- a/treadle/measure.go
+++ b/internal/simulator/measure.go
@@ -1,4 +1,4 @@
-package treadle
+package simulator
 
 import (
 	"encoding/json"
@@ -8,9 +8,9 @@
 	"runtime"
 	"sort"
 
-	"tidedeck/anvil"
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/controller"
+	"tidedeck/internal/protocol"
 )
 
 // Measure runs what docs/measurements.md reports: counts, ratios and virtual times only.
@@ -35,7 +35,7 @@
 		}
 		return n
 	}
-	worst := func(l []Seen, f func(Seen) gauge.Span) (d gauge.Span) {
+	worst := func(l []Seen, f func(Seen) clock.Span) (d clock.Span) {
 		for _, s := range l {
 			d = max(d, f(s))
 		}
@@ -48,7 +48,7 @@
 		name  string
 		check bool
 	}{{"callbacks", false}, {"check on every use", true}} {
-		l, _ := run("calm", func(o *Options) { o.Lathe.Check = c.check })
+		l, _ := run("calm", func(o *Options) { o.Router.Check = c.check })
 		n := sum(l, func(s Seen) float64 { return float64(s.Lookups) })
 		p("  %-20s %6.0f lookups for %6.0f requests: %.3f each", c.name, n, sum(l, asked), n/sum(l, asked))
 	}
@@ -74,7 +74,7 @@
 		heads int
 	}{{"all shared parts", false, 0}, {"the leading part", false, 1}, {"none", true, 0}} {
 		for _, scene := range []string{"calm", "storm", "servers"} {
-			l, _ := run(scene, func(o *Options) { o.Lathe.Plain, o.Lathe.Heads, o.Tenants = c.plain, c.heads, 60 })
+			l, _ := run(scene, func(o *Options) { o.Router.Plain, o.Router.Heads, o.Tenants = c.plain, c.heads, 60 })
 			p("  affinity by %-17s %-8s %.1f in 100 prompt bytes reused, answered %.4f", c.name, scene, 100*sum(l, func(s Seen) float64 { return float64(s.Reused) })/sum(l, func(s Seen) float64 { return float64(s.Prompt) }), share(l))
 		}
 	}
@@ -99,25 +99,25 @@
 
 	p("takeover and recovery, worst of the seeds")
 	l, _ = run("moves-owner", nil)
-	p("  without an owner after it is killed, frozen or cut off: %v", worst(l, func(s Seen) gauge.Span { return s.NoOwner }))
+	p("  without an owner after it is killed, frozen or cut off: %v", worst(l, func(s Seen) clock.Span { return s.NoOwner }))
 	for _, c := range []string{"power", "blackout", "ruin"} {
 		l, _ = run(c, nil)
-		p("  first answer after %-9s %v", c+":", worst(l, func(s Seen) gauge.Span { return s.Back }))
+		p("  first answer after %-9s %v", c+":", worst(l, func(s Seen) clock.Span { return s.Back }))
 	}
 
 	p("the hold's length (scenes grow and moves-owner)")
-	for _, h := range []gauge.Span{1e9, 1500e6, 2e9, 3e9, 4e9} {
-		set := func(o *Options) { o.Anvil.Hold = h }
+	for _, h := range []clock.Span{1e9, 1500e6, 2e9, 3e9, 4e9} {
+		set := func(o *Options) { o.Controller.Hold = h }
 		a, _ := run("grow", set)
 		b, _ := run("moves-owner", set)
 		k, _ := run("moves-cut", set)
 		f, _ := run("fence", set)
-		lag := func(s Seen) gauge.Span { return s.PlanLag }
+		lag := func(s Seen) clock.Span { return s.PlanLag }
 		p("  hold %-5v worst plan lag %v in grow, %v in fence; answered %.4f of grow, %.4f of moves-owner, %.4f of moves-cut", h,
 			worst(a, lag).Round(1e6), worst(f, lag).Round(1e6), share(a), share(b), share(k))
 	}
 	p("renewals (scene calm)")
-	for _, k := range []gauge.Span{200e6, 400e6, 800e6} {
+	for _, k := range []clock.Span{200e6, 400e6, 800e6} {
 		l, ws := run("calm", func(o *Options) { o.Keep = k })
 		c, _ := run("moves-cut", func(o *Options) { o.Keep = k })
 		n := 0
@@ -129,7 +129,7 @@
 
 	p("cache size of a router (scene moves)")
 	for _, n := range []int{4, 8, 16, 32, 64, 512} {
-		l, ws := run("moves", func(o *Options) { o.Lathe.Cache = n })
+		l, ws := run("moves", func(o *Options) { o.Router.Cache = n })
 		k := sum(l, func(s Seen) float64 { return float64(s.Lookups) })
 		r := 0
 		for _, w := range ws {
@@ -139,8 +139,8 @@
 	}
 
 	p("ramp of cold replicas (scene crowd)")
-	for _, r := range []gauge.Span{1, 1e9, 2e9, 4e9, 8e9} {
-		l, _ := run("crowd", func(o *Options) { o.Lathe.Ramp = r })
+	for _, r := range []clock.Span{1, 1e9, 2e9, 4e9, 8e9} {
+		l, _ := run("crowd", func(o *Options) { o.Router.Ramp = r })
 		cold := 0
 		for _, s := range l {
 			cold = max(cold, s.Cold)
@@ -183,9 +183,9 @@
 
 // weigh tells the memory that an owner keeps for each of a router's callbacks.
 func weigh(n int) float64 {
-	me := dowel.Sibling{ID: "a", Addr: "a"}
-	c := anvil.New(anvil.Options{Me: me, Inc: 1, Rand: rand.New(rand.NewPCG(1, 1)), Most: 1 << 20})
-	return anvil.Weigh(c, n, func() uint64 {
+	me := protocol.Sibling{ID: "a", Addr: "a"}
+	c := controller.New(controller.Options{Me: me, Inc: 1, Rand: rand.New(rand.NewPCG(1, 1)), Most: 1 << 20})
+	return controller.Weigh(c, n, func() uint64 {
 		runtime.GC()
 		var m runtime.MemStats
 		runtime.ReadMemStats(&m)
