--- a/treadle/scenes.go
+++ b/internal/simulator/scenes.go
@@ -1,4 +1,4 @@
-package treadle
+package simulator
 
 import (
 	"encoding/json"
@@ -7,18 +7,20 @@
 	"strings"
 	"time"
 
-	"tidedeck/anvil"
-	"tidedeck/dowel"
-	"tidedeck/gauge"
-	"tidedeck/lathe"
-	"tidedeck/vise"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/controller"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
+	"tidedeck/internal/router"
+	"tidedeck/internal/standin"
 )
 
 // Scene is one way for things to fail.
 type Scene struct {
 	Name  string
 	About string
-	Long  gauge.Span
+	Long  clock.Span
 	Rate  float64 // requests a second
 	Least float64 // of the proper requests, answered at the least
 	Whole bool    // nothing may be cut or unclear: every change in it is planned
@@ -43,7 +45,7 @@
 	w.Run(s.Long)
 	seen := w.Check.Finish()
 	proper := seen.Asked
-	for _, k := range []gauge.Kind{gauge.NoRoute, gauge.NoModel, gauge.NoKind} {
+	for _, k := range []failure.Kind{failure.NoRoute, failure.NoModel, failure.NoKind} {
 		proper -= seen.Kinds[string(k)] // whether these were rightly turned away is checked one by one
 	}
 	if a := float64(seen.Answered); a < s.Least*float64(proper) {
@@ -57,30 +59,30 @@
 
 // first hands over the first plan, again and again until it is taken.
 func (w *World) first(raw []byte) {
-	then := func(r anvil.Receipt) {
-		if r.Kind != gauge.None {
+	then := func(r controller.Receipt) {
+		if r.Kind != failure.None {
 			w.After(200e6, func() { w.first(raw) })
 		}
 	}
 	if w.host != nil {
-		w.PutNumber("anvil-2", raw, 0, 1, then)
+		w.PutNumber("controller-2", raw, 0, 1, then)
 		return
 	}
-	w.PutPlan("anvil-2", raw, 0, true, then)
+	w.PutPlan("controller-2", raw, 0, true, then)
 }
 
 // Traffic asks at a rate from a moment to another.
-func (w *World) Traffic(from, to gauge.Span, rate float64, next func() vise.Ask) {
-	gap := gauge.Span(1e9 / rate)
+func (w *World) Traffic(from, to clock.Span, rate float64, next func() standin.Ask) {
+	gap := clock.Span(1e9 / rate)
 	var one func()
 	one = func() {
-		if w.now >= gauge.Tick(to) {
+		if w.now >= clock.Tick(to) {
 			return
 		}
 		w.Ask(next(), false)
-		w.After(gap/2+gauge.Span(w.rand.Int64N(int64(gap))), one)
+		w.After(gap/2+clock.Span(w.rand.Int64N(int64(gap))), one)
 	}
-	w.At(gauge.Tick(from), one)
+	w.At(clock.Tick(from), one)
 }
 
 // Named gives the plan another name, so that the routers' plans can be told apart.
@@ -130,7 +132,7 @@
 // dawn is the wall time at which a world begins.
 var dawn = time.Date(2026, 3, 1, 4, 0, 0, 0, time.UTC)
 
-func sec(n float64) gauge.Tick { return gauge.Tick(n * 1e9) }
+func sec(n float64) clock.Tick { return clock.Tick(n * 1e9) }
 
 func (w *World) some(prefix string) string {
 	var l []string
@@ -143,17 +145,17 @@
 }
 
 func (w *World) owner() string {
-	for _, p := range w.anvils() {
-		if _, ok := p.core.(*anvil.Core).Owns(p.tick(w.now)); ok {
+	for _, p := range w.controllers() {
+		if _, ok := p.core.(*controller.Core).Owns(p.tick(w.now)); ok {
 			return p.name
 		}
 	}
-	return "anvil-1"
+	return "controller-1"
 }
 
 // mark changes a server's state at the platform.
 func (w *World) mark(s, state string) {
-	w.plat.Mark(gauge.Server(s), state)
+	w.plat.Mark(ident.Server(s), state)
 	w.tracef("platform: %s is %s", s, state)
 	if state == "live" {
 		w.Check.Mend(s)
@@ -163,7 +165,7 @@
 }
 
 // crash kills a server and starts it, empty, a while later.
-func (w *World) crash(s string, after gauge.Span) {
+func (w *World) crash(s string, after clock.Span) {
 	w.Kill(s)
 	w.Check.Fault(s)
 	w.After(after, func() { w.Start(s); w.Check.Mend(s) })
@@ -179,9 +181,9 @@
 			}
 			switch w.rand.IntN(4) {
 			case 0:
-				w.crash(s, gauge.Span(w.rand.Int64N(6e9)))
+				w.crash(s, clock.Span(w.rand.Int64N(6e9)))
 			case 1:
-				d := gauge.Span(2e9 + w.rand.Int64N(6e9))
+				d := clock.Span(2e9 + w.rand.Int64N(6e9))
 				w.Freeze(s, d)
 				w.Check.Fault(s)
 				w.After(d, func() { w.Check.Mend(s) })
@@ -198,10 +200,10 @@
 
 // churn changes what is asked for, so that keys must move: rare ones come in turns.
 func (w *World) churn(from, to float64, rate float64) {
-	m := vise.NewMix(w.plan, w.o.Seed+7)
+	m := standin.NewMix(w.plan, w.o.Seed+7)
 	for t := from; t < to; t += 4 {
-		a := []vise.Ask{m.Rare(), m.Rare(), m.Rare()}
-		w.Traffic(gauge.Span(t*1e9), gauge.Span((t+4)*1e9), rate, func() vise.Ask { return m.Of(a[w.rand.IntN(len(a))]) })
+		a := []standin.Ask{m.Rare(), m.Rare(), m.Rare()}
+		w.Traffic(clock.Span(t*1e9), clock.Span((t+4)*1e9), rate, func() standin.Ask { return m.Of(a[w.rand.IntN(len(a))]) })
 	}
 }
 
@@ -213,8 +215,8 @@
 	for t := from; t < to; t += gap {
 		n++
 		name := fmt.Sprintf("plan-%d", n)
-		w.At(sec(t), func() { w.PutPlan(w.some("anvil-"), Named(w.o.Plan, name, nil), 0, true, nil) })
-		w.At(sec(t+gap/2), func() { w.Read(w.some("anvil-"), nil) })
+		w.At(sec(t), func() { w.PutPlan(w.some("controller-"), Named(w.o.Plan, name, nil), 0, true, nil) })
+		w.At(sec(t+gap/2), func() { w.Read(w.some("controller-"), nil) })
 	}
 }
 
@@ -231,22 +233,22 @@
 				w.At(sec(t), func() {
 					switch w.rand.IntN(4) {
 					case 0:
-						w.Freeze(w.some("lathe-"), gauge.Span(w.rand.Int64N(4e9)))
+						w.Freeze(w.some("router-"), clock.Span(w.rand.Int64N(4e9)))
 					case 1:
-						w.Freeze(w.some("awl-"), gauge.Span(w.rand.Int64N(4e9)))
+						w.Freeze(w.some("agent-"), clock.Span(w.rand.Int64N(4e9)))
 					case 2: // the whole machine
-						n, d := w.rand.IntN(w.o.Routers)+1, gauge.Span(w.rand.Int64N(4e9))
-						w.Freeze(fmt.Sprintf("lathe-%d", n), d)
-						w.Freeze(fmt.Sprintf("awl-%d", n), d)
+						n, d := w.rand.IntN(w.o.Routers)+1, clock.Span(w.rand.Int64N(4e9))
+						w.Freeze(fmt.Sprintf("router-%d", n), d)
+						w.Freeze(fmt.Sprintf("agent-%d", n), d)
 					case 3:
 						r := fmt.Sprintf("router-%d", 1+w.rand.IntN(w.o.Routers))
 						for i := 1; i <= 3; i++ {
-							w.Cut(r, fmt.Sprintf("anvil-%d", i), w.rand.IntN(2) == 0)
+							w.Cut(r, fmt.Sprintf("controller-%d", i), w.rand.IntN(2) == 0)
 							if w.rand.IntN(2) == 0 {
-								w.Cut(fmt.Sprintf("anvil-%d", i), r, false)
+								w.Cut(fmt.Sprintf("controller-%d", i), r, false)
 							}
 						}
-						w.After(gauge.Span(1e9+w.rand.Int64N(5e9)), w.Heal)
+						w.After(clock.Span(1e9+w.rand.Int64N(5e9)), w.Heal)
 					}
 				})
 			}
@@ -259,12 +261,12 @@
 					o := w.owner()
 					switch w.rand.IntN(3) {
 					case 0:
-						w.Restart(o, gauge.Span(w.rand.Int64N(3e9)))
+						w.Restart(o, clock.Span(w.rand.Int64N(3e9)))
 					case 1:
-						w.Freeze(o, gauge.Span(w.rand.Int64N(5e9)))
+						w.Freeze(o, clock.Span(w.rand.Int64N(5e9)))
 					case 2:
 						w.Part(map[string]bool{o: true})
-						w.After(gauge.Span(w.rand.Int64N(5e9)), w.Heal)
+						w.After(clock.Span(w.rand.Int64N(5e9)), w.Heal)
 					}
 				})
 			}
@@ -279,7 +281,7 @@
 				w.At(sec(t), func() {
 					switch w.rand.IntN(4) {
 					case 0:
-						w.Freeze(w.some("lathe-"), gauge.Span(w.rand.Int64N(4e9)))
+						w.Freeze(w.some("router-"), clock.Span(w.rand.Int64N(4e9)))
 					case 1:
 						w.Restart(w.owner(), 1e9)
 					default:
@@ -301,10 +303,10 @@
 			w.churn(8, 60, 15)
 			w.plans(9, 66, 4)
 			for i, t := 0, 12.0; t < 60; i, t = i+1, t+6 {
-				n := fmt.Sprintf("anvil-%d", 1+i%3)
+				n := fmt.Sprintf("controller-%d", 1+i%3)
 				w.At(sec(t), func() { w.Stop(n) })
 				w.At(sec(t+1), func() { w.Start(n) })
-				w.At(sec(t+3), func() { w.Restart(fmt.Sprintf("awl-%d", 1+i%w.o.Routers), 200e6) })
+				w.At(sec(t+3), func() { w.Restart(fmt.Sprintf("agent-%d", 1+i%w.o.Routers), 200e6) })
 			}
 		}},
 	{Name: "routers", About: "routers, agents and core nodes are killed, singly", Long: 70e9, Least: 0.95,
@@ -312,7 +314,7 @@
 			w.plans(9, 56, 5)
 			for t := 10.0; t < 55; t += 2 {
 				w.At(sec(t), func() {
-					w.Restart(w.some([]string{"lathe-", "awl-", "anvil-"}[w.rand.IntN(3)]), gauge.Span(w.rand.Int64N(2e9)))
+					w.Restart(w.some([]string{"router-", "agent-", "controller-"}[w.rand.IntN(3)]), clock.Span(w.rand.Int64N(2e9)))
 				})
 			}
 		}},
@@ -324,20 +326,20 @@
 			for t := 10.0; t < 55; t += 3 {
 				w.At(sec(t), func() {
 					n++
-					base := gauge.Epoch(0)
+					base := ident.Epoch(0)
 					if s := w.Check.newest(w.now); s != nil {
 						base = s.epoch
 					}
 					for i, a := range []string{"left", "right"} {
 						name := fmt.Sprintf("%s-%d", a, n)
-						w.PutPlan(fmt.Sprintf("anvil-%d", 1+(n+i)%3), Named(w.o.Plan, name, nil), base, false, nil)
+						w.PutPlan(fmt.Sprintf("controller-%d", 1+(n+i)%3), Named(w.o.Plan, name, nil), base, false, nil)
 					}
 				})
-				w.At(sec(t+1.5), func() { w.Read(w.some("anvil-"), nil) })
+				w.At(sec(t+1.5), func() { w.Read(w.some("controller-"), nil) })
 			}
 			// Some callers ask for what the plan never allowed.
-			m := vise.NewMix(w.plan, w.o.Seed+5)
-			w.Traffic(9e9, 55e9, 1, func() vise.Ask {
+			m := standin.NewMix(w.plan, w.o.Seed+5)
+			w.Traffic(9e9, 55e9, 1, func() standin.Ask {
 				a := m.Next()
 				switch w.rand.IntN(3) {
 				case 0:
@@ -365,16 +367,16 @@
 			}
 			for i, t := 0, 12.0; t < 55; i, t = i+1, t+5 {
 				w.At(sec(t), func() {
-					w.PutPlan(w.some("anvil-"), Named(w.o.Plan, fmt.Sprintf("grown-%d", i), grown(i*40, i%2 == 1)), 0, true, nil)
+					w.PutPlan(w.some("controller-"), Named(w.o.Plan, fmt.Sprintf("grown-%d", i), grown(i*40, i%2 == 1)), 0, true, nil)
 				})
 				w.At(sec(t-0.5), func() {
 					if w.rand.IntN(2) == 0 {
-						w.Freeze(w.some("lathe-"), gauge.Span(w.rand.Int64N(4e9)))
+						w.Freeze(w.some("router-"), clock.Span(w.rand.Int64N(4e9)))
 						return
 					}
 					r := fmt.Sprintf("router-%d", 1+w.rand.IntN(w.o.Routers))
 					for j := 1; j <= 3; j++ {
-						w.Cut(fmt.Sprintf("anvil-%d", j), r, false)
+						w.Cut(fmt.Sprintf("controller-%d", j), r, false)
 					}
 					for j := 1; j <= w.o.Routers; j++ {
 						if o := fmt.Sprintf("router-%d", j); o != r && w.rand.IntN(2) == 0 {
@@ -388,10 +390,10 @@
 	{Name: "zones", About: "zones are emptied and refilled, one of them during a roll, routers frozen meanwhile", Long: 80e9, Least: 0.995, Whole: true,
 		Play: func(w *World) {
 			for i, t := 0, 12.0; t < 60; i, t = i+1, t+12 {
-				z := gauge.Zone([]string{"za", "zb", "zc"}[i%3])
-				w.At(sec(t), func() { w.Zone(w.some("anvil-"), "empty", z, nil) })
-				w.At(sec(t+7), func() { w.Zone(w.some("anvil-"), "refill", z, nil) })
-				w.At(sec(t+0.2), func() { w.Freeze(w.some("lathe-"), 1500e6) })
+				z := ident.Zone([]string{"za", "zb", "zc"}[i%3])
+				w.At(sec(t), func() { w.Zone(w.some("controller-"), "empty", z, nil) })
+				w.At(sec(t+7), func() { w.Zone(w.some("controller-"), "refill", z, nil) })
+				w.At(sec(t+0.2), func() { w.Freeze(w.some("router-"), 1500e6) })
 				s := fmt.Sprintf("server-%d", 1+i%w.o.Servers)
 				w.At(sec(t+1), func() { w.mark(s, "leaving") })
 				w.At(sec(t+9), func() { w.mark(s, "live") })
@@ -404,18 +406,18 @@
 			w.plans(9, 70, 2)
 			for t := 10.0; t < 70; t += 5 {
 				w.At(sec(t), func() {
-					a, b := w.some("anvil-"), w.some("anvil-")
+					a, b := w.some("controller-"), w.some("controller-")
 					switch w.rand.IntN(4) {
 					case 0:
 						w.Part(map[string]bool{a: true})
 					case 1:
 						w.Cut(a, b, false)
 					case 2:
-						w.Cut("anvil-1", "anvil-2", true)
-						w.Cut("anvil-2", "anvil-3", true)
-						w.Cut("anvil-1", "anvil-3", true)
+						w.Cut("controller-1", "controller-2", true)
+						w.Cut("controller-2", "controller-3", true)
+						w.Cut("controller-1", "controller-3", true)
 					case 3:
-						w.Freeze(a, gauge.Span(w.rand.Int64N(4e9)))
+						w.Freeze(a, clock.Span(w.rand.Int64N(4e9)))
 					}
 				})
 				w.At(sec(t+3), w.Heal)
@@ -430,19 +432,19 @@
 					return
 				}
 				n++
-				w.PutPlan(w.some("anvil-"), Named(w.o.Plan, fmt.Sprintf("kept-%d", n), nil), 0, true, func(r anvil.Receipt) {
-					v := w.some("anvil-")
+				w.PutPlan(w.some("controller-"), Named(w.o.Plan, fmt.Sprintf("kept-%d", n), nil), 0, true, func(r controller.Receipt) {
+					v := w.some("controller-")
 					switch w.rand.IntN(3) {
 					case 0: // the power goes right after the confirmation
-						w.Restart(v, gauge.Span(w.rand.Int64N(2e9)))
+						w.Restart(v, clock.Span(w.rand.Int64N(2e9)))
 					case 1: // and the disk with it
 						w.Kill(v)
 						w.Wipe(v)
-						w.After(gauge.Span(w.rand.Int64N(1e9)), func() { w.Start(v) })
+						w.After(clock.Span(w.rand.Int64N(1e9)), func() { w.Start(v) })
 					case 2:
-						w.procs[v].disk.stall = w.now.Add(gauge.Span(w.rand.Int64N(3e9)))
+						w.procs[v].disk.stall = w.now.Add(clock.Span(w.rand.Int64N(3e9)))
 					}
-					w.After(500e6, func() { w.Read(w.some("anvil-"), nil) })
+					w.After(500e6, func() { w.Read(w.some("controller-"), nil) })
 					w.After(7e9, again)
 				})
 			}
@@ -450,30 +452,30 @@
 		}},
 	{Name: "power", About: "power goes everywhere right after a confirmation, and comes back", Long: 60e9, Least: 0.9,
 		Play: func(w *World) {
-			for _, p := range w.anvils() {
+			for _, p := range w.controllers() {
 				p.disk.late = 40e6
 			}
 			w.At(sec(20), func() {
-				w.PutPlan("anvil-1", Named(w.o.Plan, "last", nil), 0, true, func(r anvil.Receipt) { w.blackout(false, 2e9) })
+				w.PutPlan("controller-1", Named(w.o.Plan, "last", nil), 0, true, func(r controller.Receipt) { w.blackout(false, 2e9) })
 			})
-			w.At(sec(30), func() { w.Read("anvil-3", nil) })
-			w.At(sec(45), func() { w.Read("anvil-1", nil) })
+			w.At(sec(30), func() { w.Read("controller-3", nil) })
+			w.At(sec(45), func() { w.Read("controller-1", nil) })
 		}},
 	{Name: "ruin", About: "every core disk is lost at once; agents still hold the plan", Long: 60e9, Least: 0.98,
 		Play: func(w *World) {
 			w.At(sec(20), func() {
 				w.Check.loose = true
 				for i := 1; i <= 3; i++ {
-					n := fmt.Sprintf("anvil-%d", i)
+					n := fmt.Sprintf("controller-%d", i)
 					w.Kill(n)
 					w.Wipe(n)
-					w.After(gauge.Span(w.rand.Int64N(1e9)), func() { w.Start(n) })
+					w.After(clock.Span(w.rand.Int64N(1e9)), func() { w.Start(n) })
 				}
 				w.Check.healed = w.now.Add(1e9)
 			})
 			w.At(sec(45), func() {
-				w.Read("anvil-1", func(r anvil.Receipt) {
-					if r.Kind != gauge.None || string(r.Plan) != string(w.o.Plan) {
+				w.Read("controller-1", func(r controller.Receipt) {
+					if r.Kind != failure.None || string(r.Plan) != string(w.o.Plan) {
 						w.Check.bad("the agents' plan did not come back: %q %d bytes", r.Kind, len(r.Plan))
 					}
 				})
@@ -484,18 +486,18 @@
 			w.plans(9, 85, 4)
 			for i, t := range []float64{15, 50} {
 				w.At(sec(t), func() {
-					w.Kill(fmt.Sprintf("anvil-%d", 3-i))
-					w.Spare(fmt.Sprintf("anvil-%d", 4+i), gauge.Zone([]string{"zc", "zb"}[i]))
+					w.Kill(fmt.Sprintf("controller-%d", 3-i))
+					w.Spare(fmt.Sprintf("controller-%d", 4+i), ident.Zone([]string{"zc", "zb"}[i]))
 				})
 			}
 			w.At(sec(85), func() { w.coreReady("the replacement") })
 		}},
 	{Name: "crowd", About: "crowds arrive at once, asking for rare models together, and servers are cold", Long: 70e9, Least: 0.5,
 		Play: func(w *World) {
-			m := vise.NewMix(w.plan, w.o.Seed+3)
+			m := standin.NewMix(w.plan, w.o.Seed+3)
 			for t := 10.0; t < 50; t += 10 {
 				a := m.Rare()
-				w.Traffic(gauge.Span(t*1e9), gauge.Span((t+2)*1e9), 400, func() vise.Ask { return m.Of(a) })
+				w.Traffic(clock.Span(t*1e9), clock.Span((t+2)*1e9), 400, func() standin.Ask { return m.Of(a) })
 				w.At(sec(t+1), func() { w.crash(w.some("server-"), 1e9) })
 			}
 		}},
@@ -528,11 +530,11 @@
 			w.LagOdds, w.Lag = 0.04, 6e9
 			w.churn(8, 56, 20)
 			for i, t := 0, 12.0; t < 50; i, t = i+1, t+6 {
-				s, z := fmt.Sprintf("server-%d", 1+i%w.o.Servers), gauge.Zone([]string{"za", "zb", "zc"}[i%3])
+				s, z := fmt.Sprintf("server-%d", 1+i%w.o.Servers), ident.Zone([]string{"za", "zb", "zc"}[i%3])
 				w.At(sec(t), func() { w.mark(s, "leaving") })
 				w.At(sec(t+5), func() { w.mark(s, "live") })
-				w.At(sec(t+1), func() { w.Zone(w.some("anvil-"), "empty", z, nil) })
-				w.At(sec(t+5.8), func() { w.Zone(w.some("anvil-"), "refill", z, nil) })
+				w.At(sec(t+1), func() { w.Zone(w.some("controller-"), "empty", z, nil) })
+				w.At(sec(t+5.8), func() { w.Zone(w.some("controller-"), "refill", z, nil) })
 			}
 		}},
 	{Name: "again", About: "callers whose connection broke ask again under the same id, at another router, though it may have run", Long: 70e9, Least: 0.85,
@@ -544,7 +546,7 @@
 						w.crash(w.some("server-"), 2e9)
 						return
 					}
-					w.Restart(w.some("lathe-"), gauge.Span(w.rand.Int64N(2e9)))
+					w.Restart(w.some("router-"), clock.Span(w.rand.Int64N(2e9)))
 				})
 				w.At(sec(t+1), func() { w.ResetOdds = 0.1 })
 				w.At(sec(t+1.5), func() { w.ResetOdds = 0 })
@@ -559,8 +561,8 @@
 						w.crash(fmt.Sprintf("server-%d", 1+3*i+n), 4e9)
 					}
 				})
-				w.At(sec(t+1), func() { w.Restart(w.some("lathe-"), 300e6) })
-				w.At(sec(t+2), func() { w.Restart(w.some("lathe-"), 300e6) })
+				w.At(sec(t+1), func() { w.Restart(w.some("router-"), 300e6) })
+				w.At(sec(t+2), func() { w.Restart(w.some("router-"), 300e6) })
 			}
 		}},
 	{Name: "medley", About: "everything at once", Long: 100e9, Least: 0.8,
@@ -574,26 +576,26 @@
 				w.At(sec(t), func() {
 					switch w.rand.IntN(8) {
 					case 0:
-						w.Restart(w.some("lathe-"), gauge.Span(w.rand.Int64N(2e9)))
+						w.Restart(w.some("router-"), clock.Span(w.rand.Int64N(2e9)))
 					case 1:
-						w.Restart(w.some("awl-"), gauge.Span(w.rand.Int64N(2e9)))
+						w.Restart(w.some("agent-"), clock.Span(w.rand.Int64N(2e9)))
 					case 2:
-						w.Restart(w.some("anvil-"), gauge.Span(w.rand.Int64N(2e9)))
+						w.Restart(w.some("controller-"), clock.Span(w.rand.Int64N(2e9)))
 					case 3:
 						if s := w.some("server-"); w.procs[s].up {
-							w.crash(s, gauge.Span(w.rand.Int64N(3e9)))
+							w.crash(s, clock.Span(w.rand.Int64N(3e9)))
 						}
 					case 4:
-						w.Freeze(w.some("lathe-"), gauge.Span(w.rand.Int64N(4e9)))
+						w.Freeze(w.some("router-"), clock.Span(w.rand.Int64N(4e9)))
 					case 5:
-						w.Freeze(w.some("anvil-"), gauge.Span(w.rand.Int64N(4e9)))
+						w.Freeze(w.some("controller-"), clock.Span(w.rand.Int64N(4e9)))
 					case 6:
-						w.Part(map[string]bool{w.some("anvil-"): true})
+						w.Part(map[string]bool{w.some("controller-"): true})
 						w.After(2e9, w.Heal)
 					case 7:
-						z := gauge.Zone([]string{"za", "zb", "zc"}[w.rand.IntN(3)])
-						w.Zone(w.some("anvil-"), "empty", z, nil)
-						w.After(5e9, func() { w.Zone(w.some("anvil-"), "refill", z, nil) })
+						z := ident.Zone([]string{"za", "zb", "zc"}[w.rand.IntN(3)])
+						w.Zone(w.some("controller-"), "empty", z, nil)
+						w.After(5e9, func() { w.Zone(w.some("controller-"), "refill", z, nil) })
 					}
 				})
 			}
@@ -608,12 +610,12 @@
 					for range 3 {
 						w.procs[w.order[w.rand.IntN(len(w.order))]].wall = time.Duration(w.rand.Int64N(4e12) - 2e12)
 					}
-					n := w.some([]string{"lathe-", "awl-", "awl-", "anvil-", "server-"}[w.rand.IntN(5)])
+					n := w.some([]string{"router-", "agent-", "agent-", "controller-", "server-"}[w.rand.IntN(5)])
 					if w.procs[n].server != "" {
-						w.crash(n, gauge.Span(w.rand.Int64N(2e9)))
+						w.crash(n, clock.Span(w.rand.Int64N(2e9)))
 						return
 					}
-					w.Restart(n, gauge.Span(w.rand.Int64N(1e9)))
+					w.Restart(n, clock.Span(w.rand.Int64N(1e9)))
 				})
 			}
 		}},
@@ -622,27 +624,27 @@
 			w.At(sec(20), func() {
 				w.Check.loose = true
 				for i := 1; i <= 3; i++ {
-					n := fmt.Sprintf("anvil-%d", i)
+					n := fmt.Sprintf("controller-%d", i)
 					w.Kill(n)
 					w.Wipe(n)
 					w.procs[n].wall = -3000 * time.Second
 					w.After(200e6, func() { w.Start(n) })
 				}
 				for i := 1; i <= w.o.Routers; i++ {
-					w.Restart(fmt.Sprintf("awl-%d", i), 50e6)
+					w.Restart(fmt.Sprintf("agent-%d", i), 50e6)
 				}
 			})
 			w.At(sec(26), func() {
-				w.Read("anvil-1", func(r anvil.Receipt) {
-					if r.Kind != gauge.None || string(r.Plan) != string(w.o.Plan) {
+				w.Read("controller-1", func(r controller.Receipt) {
+					if r.Kind != failure.None || string(r.Plan) != string(w.o.Plan) {
 						w.Check.bad("the routers' plan did not come back: %q %d bytes", r.Kind, len(r.Plan))
 					}
 				})
 			})
-			w.At(sec(28), func() { w.PutPlan("anvil-1", Named(w.o.Plan, "afresh", nil), 0, true, nil) })
+			w.At(sec(28), func() { w.PutPlan("controller-1", Named(w.o.Plan, "afresh", nil), 0, true, nil) })
 			w.At(sec(45), func() {
-				for _, p := range w.Lathes() {
-					if n := p.core.(*lathe.Core).PlanName(); n != "afresh" {
+				for _, p := range w.Routers() {
+					if n := p.core.(*router.Core).PlanName(); n != "afresh" {
 						w.Check.bad("%s rules by plan %q after the core began anew", p.name, n)
 					}
 				}
@@ -650,12 +652,12 @@
 		}},
 	{Name: "platform", About: "the platform is silent, lists nothing, or wrongly, or only a part, across takeovers and a total outage", Long: 100e9, Least: 0.9,
 		Play: func(w *World) {
-			lies := []func(l []dowel.Listed) []dowel.Listed{
-				func([]dowel.Listed) []dowel.Listed { return nil },
-				func(l []dowel.Listed) []dowel.Listed { return l[:len(l)/3] },
-				func(l []dowel.Listed) []dowel.Listed { return append(l, l[0]) },
-				func(l []dowel.Listed) []dowel.Listed { l[0].State = "resting"; return l },
-				func(l []dowel.Listed) []dowel.Listed { l[1].Addr = ""; return l },
+			lies := []func(l []protocol.Listed) []protocol.Listed{
+				func([]protocol.Listed) []protocol.Listed { return nil },
+				func(l []protocol.Listed) []protocol.Listed { return l[:len(l)/3] },
+				func(l []protocol.Listed) []protocol.Listed { return append(l, l[0]) },
+				func(l []protocol.Listed) []protocol.Listed { l[0].State = "resting"; return l },
+				func(l []protocol.Listed) []protocol.Listed { l[1].Addr = ""; return l },
 			}
 			for i, t := 0, 12.0; t < 60; i, t = i+1, t+8 {
 				w.At(sec(t), func() {
@@ -696,38 +698,38 @@
 				t := float64(15 + 25*(i-1))
 				w.At(sec(t), func() {
 					if i == 3 {
-						w.Seeds = []string{"anvil-4", "anvil-2", "anvil-3"} // by now none of the first ones lives
+						w.Seeds = []string{"controller-4", "controller-2", "controller-3"} // by now none of the first ones lives
 					}
-					w.Kill(fmt.Sprintf("anvil-%d", i))
-					w.Spare(fmt.Sprintf("anvil-%d", 3+i), w.procs[fmt.Sprintf("anvil-%d", i)].zone)
+					w.Kill(fmt.Sprintf("controller-%d", i))
+					w.Spare(fmt.Sprintf("controller-%d", 3+i), w.procs[fmt.Sprintf("controller-%d", i)].zone)
 				})
 				// While the new one is to be admitted, it is cut off for a while, or another is.
 				w.At(sec(t+4), func() {
-					w.Part(map[string]bool{fmt.Sprintf("anvil-%d", 3+i): i%2 == 1, fmt.Sprintf("anvil-%d", 1+i%3): i%2 == 0})
+					w.Part(map[string]bool{fmt.Sprintf("controller-%d", 3+i): i%2 == 1, fmt.Sprintf("controller-%d", 1+i%3): i%2 == 0})
 				})
 				w.At(sec(t+9), w.Heal)
 			}
 			for i := 1; i <= w.o.Routers; i++ {
 				w.At(sec(92+2*float64(i)), func() {
-					w.Drain(fmt.Sprintf("lathe-%d", i))
-					w.Restart(fmt.Sprintf("awl-%d", i), 200e6)
+					w.Drain(fmt.Sprintf("router-%d", i))
+					w.Restart(fmt.Sprintf("agent-%d", i), 200e6)
 				})
 			}
 			w.At(sec(118), func() { w.coreReady("the exchange") })
 		}},
 	{Name: "zone-each", About: "each zone is lost in turn, the owner's included, as a plan is in flight or another zone is being emptied, and comes back", Long: 110e9, Least: 0.9,
 		Play: func(w *World) {
-			zs := []gauge.Zone{"za", "zb", "zc"}
+			zs := []ident.Zone{"za", "zb", "zc"}
 			for i, z := range zs {
 				t := 14 + 28*float64(i)
 				w.At(sec(t-0.05), func() {
-					w.PutPlan(w.some("anvil-"), Named(w.o.Plan, fmt.Sprintf("as-%s-goes", z), nil), 0, true, nil)
+					w.PutPlan(w.some("controller-"), Named(w.o.Plan, fmt.Sprintf("as-%s-goes", z), nil), 0, true, nil)
 					if i == 1 {
-						w.Zone("anvil-1", "empty", zs[(i+1)%3], nil)
-						w.After(6e9, func() { w.Zone("anvil-1", "refill", zs[(i+1)%3], nil) })
+						w.Zone("controller-1", "empty", zs[(i+1)%3], nil)
+						w.After(6e9, func() { w.Zone("controller-1", "refill", zs[(i+1)%3], nil) })
 					}
 				})
-				w.At(sec(t)+gauge.Tick(w.rand.Int64N(60e6)), func() {
+				w.At(sec(t)+clock.Tick(w.rand.Int64N(60e6)), func() {
 					w.tracef("zone %s is lost", z)
 					for _, n := range w.order {
 						if p := w.procs[n]; p.zone == z && p.up {
@@ -739,27 +741,27 @@
 						}
 					}
 				})
-				w.At(sec(t+8), func() { w.Read(fmt.Sprintf("anvil-%d", 1+(i+1)%3), nil) })
+				w.At(sec(t+8), func() { w.Read(fmt.Sprintf("controller-%d", 1+(i+1)%3), nil) })
 			}
 		}},
 	{Name: "rolls", About: "routers, agents, core nodes and servers are all rolled as planned, under long streams, plan changes and takeovers", Long: 150e9, Least: 0.98, Whole: true, Rate: 40,
 		Play: func(w *World) {
-			m := vise.NewMix(w.plan, w.o.Seed+13)
-			w.Traffic(8e9, 125e9, 4, func() vise.Ask {
+			m := standin.NewMix(w.plan, w.o.Seed+13)
+			w.Traffic(8e9, 125e9, 4, func() standin.Ask {
 				a := m.Next()
 				a.Call.Max = 200 + w.rand.IntN(300)
 				return a
 			})
 			w.plans(9, 130, 7)
 			for i := 1; i <= w.o.Routers; i++ {
-				w.At(sec(10+13*float64(i-1)), func() { w.Drain(fmt.Sprintf("lathe-%d", i)) })
-				w.At(sec(16+13*float64(i-1)), func() { w.Restart(fmt.Sprintf("awl-%d", i), 200e6) })
+				w.At(sec(10+13*float64(i-1)), func() { w.Drain(fmt.Sprintf("router-%d", i)) })
+				w.At(sec(16+13*float64(i-1)), func() { w.Restart(fmt.Sprintf("agent-%d", i), 200e6) })
 			}
 			for i := range w.o.Servers {
 				s := fmt.Sprintf("server-%d", i+1)
 				var stop func()
 				stop = func() {
-					if w.procs[s].core.(*vise.Server).Active() > 0 {
+					if w.procs[s].core.(*standin.Server).Active() > 0 {
 						w.After(200e6, stop) // whoever rolls waits until nothing is under way
 						return
 					}
@@ -769,7 +771,7 @@
 				w.At(sec(12+13*float64(i)), func() { w.mark(s, "leaving"); w.After(4e9, stop) })
 			}
 			for i, t := 0, 14.0; t < 120; i, t = i+1, t+9 {
-				n := fmt.Sprintf("anvil-%d", 1+i%3)
+				n := fmt.Sprintf("controller-%d", 1+i%3)
 				w.At(sec(t), func() { w.Stop(n) })
 				w.At(sec(t+1.5), func() { w.Start(n) })
 			}
@@ -782,7 +784,9 @@
 	{Name: "mixed", About: "servers differ in room, slots and speed, and are replaced one by one", Long: 110e9, Least: 0.99, Whole: true, Set: func(o *Options) { o.Mixed = true },
 		Play: (*World).replaceServers},
 	{Name: "shifts", About: "keys move all the time to even servers out, while owners die, freeze and are parted, targets crash, sources are withdrawn, the store slows, plans drop keys and routers freeze", Long: 110e9, Least: 0.95,
-		Set: func(o *Options) { o.Anvil.Even, o.Anvil.Rest, o.Anvil.Gap, o.Room = 300e6, 500e6, 0.1, 80 },
+		Set: func(o *Options) {
+			o.Controller.Even, o.Controller.Rest, o.Controller.Gap, o.Room = 300e6, 500e6, 0.1, 80
+		},
 		Play: func(w *World) {
 			w.churn(8, 90, 10)
 			rate := w.store.Rate
@@ -793,31 +797,31 @@
 					o := w.owner()
 					switch w.rand.IntN(9) {
 					case 0:
-						w.Restart(o, gauge.Span(w.rand.Int64N(2e9)))
+						w.Restart(o, clock.Span(w.rand.Int64N(2e9)))
 					case 1:
-						w.Freeze(o, gauge.Span(w.rand.Int64N(4e9)))
+						w.Freeze(o, clock.Span(w.rand.Int64N(4e9)))
 					case 2:
 						w.Part(map[string]bool{o: true})
-						w.After(gauge.Span(w.rand.Int64N(3e9)), w.Heal)
+						w.After(clock.Span(w.rand.Int64N(3e9)), w.Heal)
 					case 3:
 						if !bad && w.procs[s].up {
-							w.crash(s, gauge.Span(w.rand.Int64N(2e9)))
+							w.crash(s, clock.Span(w.rand.Int64N(2e9)))
 						}
 					case 4, 5:
 						if !bad && w.procs[s].up {
 							w.mark(s, "leaving")
-							w.After(gauge.Span(2e9+w.rand.Int64N(3e9)), func() { w.mark(s, "live") })
+							w.After(clock.Span(2e9+w.rand.Int64N(3e9)), func() { w.mark(s, "live") })
 						}
 					case 6:
 						w.store.Rate = rate / 6
 						w.After(3e9, func() { w.store.Rate = rate })
 					case 7:
-						w.Freeze(w.some("lathe-"), gauge.Span(w.rand.Int64N(4e9)))
+						w.Freeze(w.some("router-"), clock.Span(w.rand.Int64N(4e9)))
 					case 8:
-						m := vise.NewMix(w.plan, w.rand.Uint64()).Rare()
-						w.PutPlan(w.some("anvil-"), Named(w.o.Plan, fmt.Sprintf("less-%d", w.admin), without(m.Call.Base)), 0, true, nil)
+						m := standin.NewMix(w.plan, w.rand.Uint64()).Rare()
+						w.PutPlan(w.some("controller-"), Named(w.o.Plan, fmt.Sprintf("less-%d", w.admin), without(m.Call.Base)), 0, true, nil)
 						w.After(3e9, func() {
-							w.PutPlan(w.some("anvil-"), Named(w.o.Plan, fmt.Sprintf("again-%d", w.admin), nil), 0, true, nil)
+							w.PutPlan(w.some("controller-"), Named(w.o.Plan, fmt.Sprintf("again-%d", w.admin), nil), 0, true, nil)
 						})
 					}
 				})
@@ -833,10 +837,10 @@
 				}
 			})
 			w.At(sec(118), func() {
-				zones := map[gauge.Key]map[gauge.Zone]bool{}
+				zones := map[ident.Key]map[ident.Zone]bool{}
 				low, high := 1.0, 0.0
 				for _, n := range w.order {
-					v, ok := w.procs[n].core.(*vise.Server)
+					v, ok := w.procs[n].core.(*standin.Server)
 					if !ok {
 						continue
 					}
@@ -844,7 +848,7 @@
 					low, high = min(low, part), max(high, part)
 					for k, h := range v.Holds() {
 						if zones[k] == nil {
-							zones[k] = map[gauge.Zone]bool{}
+							zones[k] = map[ident.Zone]bool{}
 						}
 						zones[k][w.procs[n].zone] = zones[k][w.procs[n].zone] || h.Stage == "ready"
 					}
@@ -862,21 +866,21 @@
 	{Name: "odd", About: "servers report what contradicts itself: more held than room, sizes below zero or past counting, keys twice and unknown", Long: 70e9, Least: 0.9, Set: tight,
 		Play: func(w *World) {
 			w.churn(8, 56, 15)
-			bends := []func(r *dowel.Report){
-				func(r *dowel.Report) { r.Held[0].Size = -1000 },
-				func(r *dowel.Report) { r.Held[0].Size = 1 << 62 },
-				func(r *dowel.Report) { r.Held = append(r.Held, r.Held[0]) },
-				func(r *dowel.Report) { r.Held[0].Key = "" },
-				func(r *dowel.Report) { r.Room = -r.Room },
-				func(r *dowel.Report) { r.Room, r.Slots = 1, 0 },
-				func(r *dowel.Report) { r.Held[0].Active = -5 },
-				func(r *dowel.Report) { r.Held[0].Stage = "melted" },
+			bends := []func(r *protocol.Report){
+				func(r *protocol.Report) { r.Held[0].Size = -1000 },
+				func(r *protocol.Report) { r.Held[0].Size = 1 << 62 },
+				func(r *protocol.Report) { r.Held = append(r.Held, r.Held[0]) },
+				func(r *protocol.Report) { r.Held[0].Key = "" },
+				func(r *protocol.Report) { r.Room = -r.Room },
+				func(r *protocol.Report) { r.Room, r.Slots = 1, 0 },
+				func(r *protocol.Report) { r.Held[0].Active = -5 },
+				func(r *protocol.Report) { r.Held[0].Stage = "melted" },
 			}
 			w.At(sec(12), func() {
-				w.Bend = func(r dowel.Report) dowel.Report {
+				w.Bend = func(r protocol.Report) protocol.Report {
 					n := int(w.now/5e9) % len(bends)
 					if int(r.Server[len(r.Server)-1])%3 == n%3 && len(r.Held) > 0 {
-						r.Held = append([]dowel.Held{}, r.Held...)
+						r.Held = append([]protocol.Held{}, r.Held...)
 						bends[n](&r)
 					}
 					return r
@@ -885,8 +889,8 @@
 			w.At(sec(52), func() { w.Bend = nil })
 			w.At(sec(60), func() {
 				n := uint64(0)
-				for _, p := range w.anvils() {
-					n += p.core.(*anvil.Core).Counts().Odd
+				for _, p := range w.controllers() {
+					n += p.core.(*controller.Core).Counts().Odd
 				}
 				if n == 0 {
 					w.Check.bad("no odd report was told")
@@ -895,20 +899,20 @@
 		}},
 	{Name: "sweep", About: "a core node is cut off as a plan is taken, and comes back: its disk has the plan soon, though nobody changes anything", Long: 60e9, Least: 0.99,
 		Play: func(w *World) {
-			last := func(n string) (e gauge.Epoch) {
-				var v struct{ Value dowel.Desired }
+			last := func(n string) (e ident.Epoch) {
+				var v struct{ Value protocol.Desired }
 				_ = json.Unmarshal(w.procs[n].disk.safe["accepted"], &v)
 				return v.Value.Epoch
 			}
 			for i, t := range []float64{12, 34} {
-				n := fmt.Sprintf("anvil-%d", 3-i)
+				n := fmt.Sprintf("controller-%d", 3-i)
 				w.At(sec(t), func() { w.Part(map[string]bool{n: true}) })
 				w.At(sec(t+1), func() {
-					w.PutPlan("anvil-1", Named(w.o.Plan, fmt.Sprintf("missed-%d", i), nil), 0, true, nil)
+					w.PutPlan("controller-1", Named(w.o.Plan, fmt.Sprintf("missed-%d", i), nil), 0, true, nil)
 				})
 				w.At(sec(t+4), w.Heal)
 				w.At(sec(t+20), func() {
-					if a, b := last(n), last("anvil-1"); a != b {
+					if a, b := last(n), last("controller-1"); a != b {
 						w.Check.bad("the disk of %s still has epoch %d, not %d", n, a, b)
 					}
 				})
@@ -916,13 +920,13 @@
 		}},
 	{Name: "spare", About: "a spare core node runs while core nodes are restarted, as planned and not: none loses its seat by that", Long: 80e9, Least: 0.99,
 		Play: func(w *World) {
-			w.At(sec(9), func() { w.Spare("anvil-4", "za") })
+			w.At(sec(9), func() { w.Spare("controller-4", "za") })
 			w.plans(10, 60, 6)
 			for i, t := 0, 14.0; t < 60; i, t = i+1, t+9 {
-				n := fmt.Sprintf("anvil-%d", 1+i%3)
+				n := fmt.Sprintf("controller-%d", 1+i%3)
 				w.At(sec(t), func() {
 					if w.rand.IntN(2) == 0 {
-						w.Restart(n, gauge.Span(1e9+w.rand.Int64N(3e9)))
+						w.Restart(n, clock.Span(1e9+w.rand.Int64N(3e9)))
 						return
 					}
 					w.Stop(n)
@@ -947,24 +951,26 @@
 		}},
 	{Name: "unplan", About: "plans drop and bring back models that are in use, under long answers, while routers pause", Long: 90e9, Least: 0.9, Rate: 40, Whole: true,
 		Play: func(w *World) {
-			m := vise.NewMix(w.plan, w.o.Seed+11)
+			m := standin.NewMix(w.plan, w.o.Seed+11)
 			w.DialOdds, w.Dial = 0.1, 450e6
 			for i, t := 0, 14.0; t < 70; i, t = i+1, t+8 {
 				a := m.Rare()
 				for a.Call.Extra != "" {
 					a = m.Rare()
 				}
-				w.Traffic(gauge.Span((t-5)*1e9), gauge.Span((t+0.1)*1e9), 60, func() vise.Ask {
+				w.Traffic(clock.Span((t-5)*1e9), clock.Span((t+0.1)*1e9), 60, func() standin.Ask {
 					b := m.Of(a)
 					b.Call.Max = 20 + w.rand.IntN(200)
 					return b
 				})
 				w.At(sec(t), func() {
-					w.PutPlan(w.some("anvil-"), Named(w.o.Plan, fmt.Sprintf("less-%d", i), without(a.Call.Base)), 0, true, nil)
-					w.Freeze(w.some("lathe-"), gauge.Span(w.rand.Int64N(5e9)))
-					w.Freeze(w.some("lathe-"), gauge.Span(w.rand.Int64N(5e9)))
+					w.PutPlan(w.some("controller-"), Named(w.o.Plan, fmt.Sprintf("less-%d", i), without(a.Call.Base)), 0, true, nil)
+					w.Freeze(w.some("router-"), clock.Span(w.rand.Int64N(5e9)))
+					w.Freeze(w.some("router-"), clock.Span(w.rand.Int64N(5e9)))
+				})
+				w.At(sec(t+5), func() {
+					w.PutPlan(w.some("controller-"), Named(w.o.Plan, fmt.Sprintf("again-%d", i), nil), 0, true, nil)
 				})
-				w.At(sec(t+5), func() { w.PutPlan(w.some("anvil-"), Named(w.o.Plan, fmt.Sprintf("again-%d", i), nil), 0, true, nil) })
 			}
 		}},
 	{Name: "flap", About: "half of all connections break before the first event, so that retries are wanted everywhere", Long: 60e9, Least: 0.7,
@@ -975,13 +981,13 @@
 	{Name: "amnesia", About: "a plan is taken while a core node is cut off, then another loses its disk and both meet", Long: 90e9, Least: 0.97,
 		Play: func(w *World) {
 			for i, t := 0, 12.0; t < 70; i, t = i+1, t+18 {
-				a, b, c := fmt.Sprintf("anvil-%d", 1+i%3), fmt.Sprintf("anvil-%d", 1+(i+1)%3), fmt.Sprintf("anvil-%d", 1+(i+2)%3)
+				a, b, c := fmt.Sprintf("controller-%d", 1+i%3), fmt.Sprintf("controller-%d", 1+(i+1)%3), fmt.Sprintf("controller-%d", 1+(i+2)%3)
 				w.At(sec(t), func() {
 					w.Cut(c, a, true)
 					w.Cut(c, b, true)
 				})
 				w.At(sec(t+0.2), func() {
-					w.PutPlan(a, Named(w.o.Plan, fmt.Sprintf("known-%d", i), nil), 0, true, func(anvil.Receipt) {
+					w.PutPlan(a, Named(w.o.Plan, fmt.Sprintf("known-%d", i), nil), 0, true, func(controller.Receipt) {
 						w.Kill(a)
 						w.Kill(b)
 						w.Wipe(b)
@@ -1000,7 +1006,7 @@
 			for i, t := 0, 12.0; t < 55; i, t = i+1, t+8 {
 				w.At(sec(t), func() {
 					o, other := w.owner(), ""
-					for _, p := range w.anvils() {
+					for _, p := range w.controllers() {
 						if p.name != o {
 							w.Cut(o, p.name, true)
 							other = p.name
@@ -1012,14 +1018,14 @@
 			}
 		}},
 	{Name: "windows", About: "maintenance windows of a server and a zone are kept, and then wall clocks jump both ways", Long: 90e9, Least: 0.995, Whole: true,
-		Set: func(o *Options) { o.Anvil.Lead = 5e9 },
+		Set: func(o *Options) { o.Controller.Lead = 5e9 },
 		Play: func(w *World) {
 			at := func(n float64) string { return dawn.Add(time.Duration(n * 1e9)).Format("20060102T150405Z") }
 			event := func(uid int, what string, from, to float64) string {
 				return fmt.Sprintf("BEGIN:VEVENT\r\nUID:%d\r\nDTSTAMP:20260101T000000Z\r\nLOCATION:%s\r\nDTSTART:%s\r\nDTEND:%s\r\nEND:VEVENT\r\n", uid, what, at(from), at(to))
 			}
 			cal := "BEGIN:VCALENDAR\r\nVERSION:2.0\r\nPRODID:x\r\n" + event(1, "server server-1", 25, 35) + event(2, "zone zb", 40, 50) + "END:VCALENDAR\r\n"
-			w.At(sec(10), func() { w.change("anvil-2", anvil.Admin{Op: "windows", Raw: []byte(cal), Any: true}, nil) })
+			w.At(sec(10), func() { w.change("controller-2", controller.Admin{Op: "windows", Raw: []byte(cal), Any: true}, nil) })
 			// The lead is there for draining: at the window's own beginning nothing new may come.
 			shut := func(s string, from, to float64) {
 				w.At(sec(from-boundGone/1e9), func() { w.Check.Fault(s) })
@@ -1030,7 +1036,7 @@
 				shut(fmt.Sprintf("server-%d", i), 40, 50)
 			}
 			for t := 52.0; t < 75; t += 3 {
-				w.At(sec(t), func() { w.procs[w.some("anvil-")].wall = time.Duration(w.rand.Int64N(4e12) - 2e12) })
+				w.At(sec(t), func() { w.procs[w.some("controller-")].wall = time.Duration(w.rand.Int64N(4e12) - 2e12) })
 			}
 		}},
 	{Name: "far", About: "machines are 30 ms apart, messages get lost, keys move, plans come, servers fail and the owner dies", Long: 90e9, Least: 0.92,
@@ -1041,7 +1047,7 @@
 			w.wear(12, 65)
 			for t := 14.0; t < 70; t += 11 {
 				w.At(sec(t), func() { w.Restart(w.owner(), 2e9) })
-				w.At(sec(t+5), func() { w.Freeze(w.some("lathe-"), gauge.Span(w.rand.Int64N(4e9))) })
+				w.At(sec(t+5), func() { w.Freeze(w.some("router-"), clock.Span(w.rand.Int64N(4e9))) })
 			}
 		}},
 	{Name: "blackout", About: "everything is killed at once and comes back, model servers empty", Long: 60e9, Least: 0.87,
@@ -1061,8 +1067,8 @@
 // coreReady looks whether three core nodes are ready after something.
 func (w *World) coreReady(after string) {
 	n := 0
-	for _, p := range w.anvils() {
-		if p.core.(*anvil.Core).Ready() {
+	for _, p := range w.controllers() {
+		if p.core.(*controller.Core).Ready() {
 			n++
 		}
 	}
@@ -1082,7 +1088,7 @@
 }
 
 // blackout kills every process, and starts all of them again.
-func (w *World) blackout(servers bool, after gauge.Span) {
+func (w *World) blackout(servers bool, after clock.Span) {
 	for _, n := range w.order {
 		if n == "store" || !servers && w.procs[n].server != "" {
 			continue
@@ -1094,8 +1100,8 @@
 }
 
 // Spare starts an empty core node at a new address.
-func (w *World) Spare(name string, z gauge.Zone) {
-	w.addAnvil(name, z, w.seeds())
+func (w *World) Spare(name string, z ident.Zone) {
+	w.addController(name, z, w.seeds())
 	w.Start(name)
 }
 
--- a/treadle/sheet.go
+++ b/internal/simulator/sheet.go
@@ -1,11 +1,13 @@
-package treadle
+package simulator
 
 import (
 	"encoding/json"
 	"fmt"
 
-	"tidedeck/chisel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/ident"
 )
 
 // sheet is a plan for announced servers, as these scenes write it down.
@@ -51,37 +53,37 @@
 }
 
 // ReadSheet reads a plan for announced servers.
-func ReadSheet(raw []byte) (*chisel.Plan, chisel.Faults) {
+func ReadSheet(raw []byte) (*fleetplan.Plan, fleetplan.Faults) {
 	var s sheet
 	if err := json.Unmarshal(raw, &s); err != nil {
-		return nil, chisel.Faults{{Path: "$", Why: err.Error()}}
+		return nil, fleetplan.Faults{{Path: "$", Why: err.Error()}}
 	}
-	p := &chisel.Plan{Name: s.Name, Loads: 1000, Models: map[gauge.Key]chisel.Model{}, Kinds: map[string]chisel.Class{},
-		Services: map[string]chisel.Service{}, Routes: map[string]chisel.Route{}, Hosts: map[string]map[string]*chisel.Route{}}
-	for _, n := range gauge.Keys(s.Services) {
+	p := &fleetplan.Plan{Name: s.Name, Loads: 1000, Models: map[ident.Key]fleetplan.Model{}, Kinds: map[string]fleetplan.Class{},
+		Services: map[string]fleetplan.Service{}, Routes: map[string]fleetplan.Route{}, Hosts: map[string]map[string]*fleetplan.Route{}}
+	for _, n := range generic.SortedKeys(s.Services) {
 		v := s.Services[n]
-		x := chisel.Service{Keys: map[gauge.Key]bool{}, Plain: v.Plain, Slots: v.Slots, Room: v.Room, Places: v.Places, Loads: v.Loads}
+		x := fleetplan.Service{Keys: map[ident.Key]bool{}, Plain: v.Plain, Slots: v.Slots, Room: v.Room, Places: v.Places, Loads: v.Loads}
 		for i := range v.Bases {
-			k := gauge.Key(base(i)).In(n)
+			k := ident.Key(base(i)).In(n)
 			x.Keys[k] = true
-			p.Models[k] = chisel.Model{Key: k, Size: baseSize(i), Most: 1000, Load: gauge.Span(v.LoadMs) * 1e6}
+			p.Models[k] = fleetplan.Model{Key: k, Size: baseSize(i), Most: 1000, Load: clock.Span(v.LoadMs) * 1e6}
 			for a := range v.Adapters {
-				e := gauge.KeyOf(base(i), fmt.Sprintf("a%d", a+1)).In(n)
+				e := ident.KeyOf(base(i), fmt.Sprintf("a%d", a+1)).In(n)
 				x.Keys[e] = true
-				p.Models[e] = chisel.Model{Key: e, Size: adapterSize, Most: 1000}
+				p.Models[e] = fleetplan.Model{Key: e, Size: adapterSize, Most: 1000}
 			}
 		}
 		p.Services[n] = x
 	}
 	for i, r := range s.Routes {
 		if _, ok := p.Services[r.Service]; !ok {
-			return nil, chisel.Faults{{Path: fmt.Sprintf("routes[%d]", i), Why: "no service is called " + r.Service}}
+			return nil, fleetplan.Faults{{Path: fmt.Sprintf("routes[%d]", i), Why: "no service is called " + r.Service}}
 		}
 		if p.Hosts[r.Host] == nil {
-			p.Hosts[r.Host] = map[string]*chisel.Route{}
+			p.Hosts[r.Host] = map[string]*fleetplan.Route{}
 		}
-		p.Hosts[r.Host][r.Prefix] = &chisel.Route{Service: r.Service, Name: r.Host + r.Prefix, Host: r.Host, Prefix: r.Prefix, Mode: r.Mode, Tries: r.Tries,
-			Class: chisel.Class{Value: r.Value, Wait: gauge.Span(r.WaitMs) * 1e6}}
+		p.Hosts[r.Host][r.Prefix] = &fleetplan.Route{Service: r.Service, Name: r.Host + r.Prefix, Host: r.Host, Prefix: r.Prefix, Mode: r.Mode, Tries: r.Tries,
+			Class: fleetplan.Class{Value: r.Value, Wait: clock.Span(r.WaitMs) * 1e6}}
 	}
 	return p, nil
 }
@@ -97,11 +99,11 @@
 			"plain": {Plain: true, Slots: 8},
 		},
 		Routes: []sheetRoute{
-			{"a.example", "/flow/", "chat", chisel.Continuous, 990, 8000, 3},
-			{"a.example", "/idem/", "chat", chisel.Idempotent, 980, 8000, 3},
-			{"a.example", "/once/", "chat", chisel.Once, 980, 8000, 2},
-			{"a.example", "/plain/idem/", "plain", chisel.Idempotent, 990, 3000, 3},
-			{"a.example", "/plain/once/", "plain", chisel.Once, 990, 3000, 2},
+			{"a.example", "/flow/", "chat", fleetplan.Continuous, 990, 8000, 3},
+			{"a.example", "/idem/", "chat", fleetplan.Idempotent, 980, 8000, 3},
+			{"a.example", "/once/", "chat", fleetplan.Once, 980, 8000, 2},
+			{"a.example", "/plain/idem/", "plain", fleetplan.Idempotent, 990, 3000, 3},
+			{"a.example", "/plain/once/", "plain", fleetplan.Once, 990, 3000, 2},
 		}})
 	if err != nil {
 		panic(err)
--- a/treadle/treadle_test.go
+++ b/internal/simulator/simulator_test.go
@@ -1,4 +1,4 @@
-package treadle
+package simulator
 
 import (
 	"os"
@@ -9,12 +9,12 @@
 
 func fleet(t *testing.T, name string, seed uint64) Options {
 	t.Helper()
-	raw, err := os.ReadFile("../examples/" + name + ".json")
+	raw, err := os.ReadFile("../../examples/" + name + ".json")
 	require.NoError(t, err)
 	return Options{Seed: seed, Routers: map[string]int{"corrib": 8, "padana": 7}[name], Servers: 9, Plan: raw}
 }
 
-// Every scene passes at fixed seeds. cmd/treadle runs more of them.
+// Every scene passes at fixed seeds. cmd/simulator runs more of them.
 func TestScenes(t *testing.T) {
 	for i, s := range Scenes {
 		if testing.Short() && i%5 != 0 {
@@ -23,7 +23,7 @@
 		t.Run(s.Name, func(t *testing.T) {
 			t.Parallel()
 			w, seen := s.Run(fleet(t, []string{"corrib", "padana"}[i%2], uint64(300+i)))
-			require.Empty(t, w.Check.Bad, "replay: go run ./cmd/treadle --scene %s --fleet %s --seed %d --trace", s.Name, []string{"corrib", "padana"}[i%2], 300+i)
+			require.Empty(t, w.Check.Bad, "replay: go run ./cmd/simulator --scene %s --fleet %s --seed %d --trace", s.Name, []string{"corrib", "padana"}[i%2], 300+i)
 			require.NotZero(t, seen.Answered)
 		})
 	}
--- a/treadle/world.go
+++ b/internal/simulator/world.go
@@ -1,7 +1,7 @@
-// Package treadle turns the real cores of every program through virtual time: from a seed,
+// Package simulator turns the real cores of every program through virtual time: from a seed,
 // over a faulty network, on faulty disks and drifting clocks, with checkers that watch what
 // callers, servers, the store, the platform and operators see.
-package treadle
+package simulator
 
 import (
 	"container/heap"
@@ -14,40 +14,43 @@
 	"strings"
 	"time"
 
-	"tidedeck/anvil"
-	"tidedeck/awl"
-	"tidedeck/chisel"
-	"tidedeck/dowel"
-	"tidedeck/gauge"
-	"tidedeck/lathe"
-	"tidedeck/vise"
+	"tidedeck/internal/agent"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/controller"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
+	"tidedeck/internal/router"
+	"tidedeck/internal/standin"
 )
 
 // Options of a world.
 type Options struct {
-	Seed    uint64
-	Routers int
-	Servers int
-	Plan    []byte
-	Trace   io.Writer
-	Anvil   anvil.Options // guards and spans; the rest is filled in
-	Lathe   lathe.Options
-	Far     gauge.Span // between machines, more or less
-	Loss    float64
-	Twice   float64
-	Keep    gauge.Span // of agents
-	Room    int
-	Slots   int
-	Rate    float64 // of the store
-	Tenants int     // of callers
-	Mixed   bool    // servers differ in room, slots and speed
-	Fill    int     // prompt bytes that a server's step can prefill
-	Rates   float64 // how far the rates of any two machines' clocks may differ
-	Hosted  *Hosted // servers announce themselves and check no fence, if set
+	Seed       uint64
+	Routers    int
+	Servers    int
+	Plan       []byte
+	Trace      io.Writer
+	Controller controller.Options // guards and spans; the rest is filled in
+	Router     router.Options
+	Far        clock.Span // between machines, more or less
+	Loss       float64
+	Twice      float64
+	Keep       clock.Span // of agents
+	Room       int
+	Slots      int
+	Rate       float64 // of the store
+	Tenants    int     // of callers
+	Mixed      bool    // servers differ in room, slots and speed
+	Fill       int     // prompt bytes that a server's step can prefill
+	Rates      float64 // how far the rates of any two machines' clocks may differ
+	Hosted     *Hosted // servers announce themselves and check no fence, if set
 }
 
 type event struct {
-	at  gauge.Tick
+	at  clock.Tick
 	seq uint64
 	do  func()
 }
@@ -68,54 +71,54 @@
 }
 
 type core interface {
-	Step(now gauge.Tick, in any) []any
+	Step(now clock.Tick, in any) []any
 }
 
 // proc is one process, on a machine with a clock of its own.
 type proc struct {
 	name   string
 	box    string // its machine
-	zone   gauge.Zone
-	beat   gauge.Span
+	zone   ident.Zone
+	beat   clock.Span
 	core   core
 	up     bool
 	life   int
-	froze  gauge.Tick
-	skew   gauge.Tick
+	froze  clock.Tick
+	skew   clock.Tick
 	rate   float64
 	wall   time.Duration // how far its wall clock is off
 	disk   *plate
 	made   func() core
 	mark   uint64 // digest of its name, for the trace's hash
-	server gauge.Server
+	server ident.Server
 	leaves bool // no new callers come to it: it stops as planned
 }
 
-func (p *proc) tick(now gauge.Tick) gauge.Tick {
-	return p.skew + gauge.Tick(float64(now)*p.rate)
+func (p *proc) tick(now clock.Tick) clock.Tick {
+	return p.skew + clock.Tick(float64(now)*p.rate)
 }
 
 // plate is a disk: what is synced stays, what is not goes with the power.
 type plate struct {
 	safe  map[string][]byte
-	late  gauge.Span
-	stall gauge.Tick
-	last  gauge.Tick
+	late  clock.Span
+	stall clock.Tick
+	last  clock.Tick
 }
 
 // World is one run.
 type World struct {
 	o      Options
-	now    gauge.Tick
+	now    clock.Tick
 	seq    uint64
 	q      events
 	rand   *rand.Rand
 	procs  map[string]*proc
 	order  []string
 	cuts   map[[2]string]bool // from machine, to machine
-	plat   *vise.Platform
+	plat   *standin.Platform
 	platUp bool
-	store  *vise.Store
+	store  *standin.Store
 	asks   map[askKey]func(ok bool, code int, body []byte)
 	pulls  map[uint64]func()
 	pull   uint64
@@ -125,14 +128,14 @@
 	hash   uint64
 	mails  map[string]int // messages between machines, by kind
 	Check  *Checker
-	plan   *chisel.Plan
-	admins map[uint64]func(anvil.Receipt)
+	plan   *fleetplan.Plan
+	admins map[uint64]func(controller.Receipt)
 	admin  uint64
 	host   *hosting
 	harm   harm
 	// Lag is a pause between a router's last check and the send, drawn with chance LagOdds.
 	LagOdds float64
-	Lag     gauge.Span
+	Lag     clock.Span
 	// ReplyLoss is the chance that an operator's reply gets lost on its way back.
 	ReplyLoss float64
 	// Seeds, if set, are the seeds of processes that start from now on.
@@ -140,16 +143,16 @@
 	// Mangle is the chance that a server's event comes malformed, late, twice, not at all, or is another's.
 	Mangle float64
 	// Bend, if set, is what a server makes of its report.
-	Bend func(r dowel.Report) dowel.Report
+	Bend func(r protocol.Report) protocol.Report
 	// Lists, if set, is what the platform makes of its list when it is asked.
-	Lists func(l []dowel.Listed) []dowel.Listed
+	Lists func(l []protocol.Listed) []protocol.Listed
 	// Again is the chance that a caller whose request broke asks again under the same id.
 	Again float64
 	// ResetOdds is the chance that a connection breaks before the first event.
 	ResetOdds float64
 	// Dial is how long a connection may take to open, drawn with chance DialOdds.
 	DialOdds float64
-	Dial     gauge.Span
+	Dial     clock.Span
 }
 
 type askKey struct {
@@ -166,47 +169,47 @@
 
 // flow is one go on the wire.
 type flow struct {
-	lathe *proc
-	life  int
-	l     lathe.Launch
-	c     *call
-	n     int
-	last  gauge.Tick
-	born  gauge.Tick
-	open  gauge.Tick // when the server accepted its connection
-	dead  bool
-	bent  bool // one of its events was mangled
+	router *proc
+	life   int
+	l      router.Launch
+	c      *call
+	n      int
+	last   clock.Tick
+	born   clock.Tick
+	open   clock.Tick // when the server accepted its connection
+	dead   bool
+	bent   bool // one of its events was mangled
 }
 
 // call is one request as its caller sees it.
 type call struct {
-	ask    vise.Ask
+	ask    standin.Ask
 	router string
-	at     gauge.Tick
+	at     clock.Tick
 	n      int
-	server gauge.Server
+	server ident.Server
 	run    string
 	over   bool
 	kind   string
 	sends  int
 	tries  int
 	missed map[string]int // servers that were not reached
-	first  gauge.Tick     // when it was first sent
+	first  clock.Tick     // when it was first sent
 	ran    int
 	held   bool // its last go was held back, and reached nobody
 	asked2 bool // its caller asks again, after a break
 	repeat bool
-	ref    lathe.Ref
+	ref    router.Ref
 }
 
 // New lays out a world: three core nodes, router pairs, servers, a store and a platform.
 func New(o Options) *World {
-	gauge.Or(&o.Room, 80)
-	gauge.Or(&o.Rate, 60)
-	gauge.Or(&o.Slots, 16)
-	gauge.Or(&o.Rates, 0.016)
+	generic.SetDefault(&o.Room, 80)
+	generic.SetDefault(&o.Rate, 60)
+	generic.SetDefault(&o.Slots, 16)
+	generic.SetDefault(&o.Rates, 0.016)
 	w := &World{o: o, rand: rand.New(rand.NewPCG(o.Seed, 99)), procs: map[string]*proc{}, cuts: map[[2]string]bool{},
-		asks: map[askKey]func(bool, int, []byte){}, pulls: map[uint64]func(){}, puller: map[uint64]askKey{}, mails: map[string]int{}, flows: map[flowKey]*flow{}, admins: map[uint64]func(anvil.Receipt){}, platUp: true}
+		asks: map[askKey]func(bool, int, []byte){}, pulls: map[uint64]func(){}, puller: map[uint64]askKey{}, mails: map[string]int{}, flows: map[flowKey]*flow{}, admins: map[uint64]func(controller.Receipt){}, platUp: true}
 	w.plan, _ = w.read(o.Plan)
 	w.Check = newChecker(w)
 	w.harm = newHarm()
@@ -214,13 +217,13 @@
 	if w.plan != nil {
 		loads = w.plan.Loads
 	}
-	w.store = vise.NewStore(o.Rate, loads)
-	zones := []gauge.Zone{"za", "zb", "zc"}
+	w.store = standin.NewStore(o.Rate, loads)
+	zones := []ident.Zone{"za", "zb", "zc"}
 	seeds := w.seeds()
 	for i := range 3 {
-		w.addAnvil(fmt.Sprintf("anvil-%d", i+1), zones[i], seeds)
+		w.addController(fmt.Sprintf("controller-%d", i+1), zones[i], seeds)
 	}
-	var list []dowel.Listed
+	var list []protocol.Listed
 	if o.Hosted != nil {
 		w.host = newHosting(w)
 		o.Servers = 0
@@ -228,26 +231,26 @@
 	for i := range o.Servers {
 		n := fmt.Sprintf("server-%d", i+1)
 		z := zones[i%3]
-		list = append(list, dowel.Listed{ID: gauge.Server(n), Addr: n, Zone: z, State: "live"})
+		list = append(list, protocol.Listed{ID: ident.Server(n), Addr: n, Zone: z, State: "live"})
 		w.addServer(n, z)
 	}
-	w.plat = vise.NewPlatform(list...)
+	w.plat = standin.NewPlatform(list...)
 	for i := range o.Routers {
 		n, z := fmt.Sprint(i+1), zones[i%3]
 		box := "router-" + n
-		a, l := "awl-"+n, "lathe-"+n
+		a, l := "agent-"+n, "router-"+n
 		skew, rate := w.clock()
 		w.add(&proc{name: a, box: box, zone: z, beat: 20e6, skew: skew, rate: rate, made: func() core {
-			return awl.New(awl.Options{Me: dowel.Sibling{ID: gauge.Node(a), Addr: a}, Zone: z, Inc: w.inc(a), Life: gauge.Inc(w.now) + 1, Seeds: w.seeds(),
-				Lathe: dowel.Sibling{ID: gauge.Node(l), Addr: l}, Rand: w.chance(a), Keep: o.Keep})
+			return agent.New(agent.Options{Me: protocol.Sibling{ID: ident.Node(a), Addr: a}, Zone: z, Inc: w.inc(a), Life: ident.Inc(w.now) + 1, Seeds: w.seeds(),
+				Router: protocol.Sibling{ID: ident.Node(l), Addr: l}, Rand: w.chance(a), Keep: o.Keep})
 		}})
 		w.add(&proc{name: l, box: box, zone: z, beat: 20e6, skew: skew, rate: rate, made: func() core {
-			lo := o.Lathe
+			lo := o.Router
 			if w.host != nil {
-				w.host.lathe(&lo, z)
+				w.host.router(&lo, z)
 			}
-			lo.Me, lo.Awl, lo.Inc = dowel.Sibling{ID: gauge.Node(l), Addr: l}, dowel.Sibling{ID: gauge.Node(a), Addr: a}, w.inc(l)
-			return lathe.New(lo)
+			lo.Me, lo.Agent, lo.Inc = protocol.Sibling{ID: ident.Node(l), Addr: l}, protocol.Sibling{ID: ident.Node(a), Addr: a}, w.inc(l)
+			return router.New(lo)
 		}})
 	}
 	w.add(&proc{name: "store", box: "store", beat: 10e6, rate: 1, made: func() core { return w.store }})
@@ -258,21 +261,21 @@
 	return w
 }
 
-func (w *World) seeds() (l []dowel.Sibling) {
+func (w *World) seeds() (l []protocol.Sibling) {
 	for _, n := range w.Seeds {
-		l = append(l, dowel.Sibling{Addr: n})
+		l = append(l, protocol.Sibling{Addr: n})
 	}
 	if l != nil {
 		return l
 	}
 	for i := range 3 {
-		l = append(l, dowel.Sibling{Addr: fmt.Sprintf("anvil-%d", i+1)})
+		l = append(l, protocol.Sibling{Addr: fmt.Sprintf("controller-%d", i+1)})
 	}
 	return l
 }
 
-func (w *World) clock() (gauge.Tick, float64) {
-	return gauge.Tick(w.rand.Int64N(1e15)), 1 + (w.rand.Float64()-0.5)*w.o.Rates
+func (w *World) clock() (clock.Tick, float64) {
+	return clock.Tick(w.rand.Int64N(1e15)), 1 + (w.rand.Float64()-0.5)*w.o.Rates
 }
 
 func (w *World) chance(name string) *rand.Rand {
@@ -282,33 +285,33 @@
 }
 
 // inc gives a process life its incarnation; later lives have higher ones.
-func (w *World) inc(name string) gauge.Inc {
+func (w *World) inc(name string) ident.Inc {
 	// As drawn from a wall clock, which may have been set back.
 	at := uint64(int64(w.now) + int64(w.procs[name].wall) + 4e12)
-	return gauge.Inc(at>>10<<10+uint64(len(w.order)*64)) + gauge.Inc(w.procs[name].life) + 1
+	return ident.Inc(at>>10<<10+uint64(len(w.order)*64)) + ident.Inc(w.procs[name].life) + 1
 }
 
-func (w *World) addAnvil(name string, z gauge.Zone, seeds []dowel.Sibling) {
+func (w *World) addController(name string, z ident.Zone, seeds []protocol.Sibling) {
 	skew, rate := w.clock()
 	w.add(&proc{name: name, box: name, zone: z, beat: 20e6, skew: skew, rate: rate, disk: &plate{safe: map[string][]byte{}, late: 2e6}, made: func() core {
-		ao := w.o.Anvil
-		ao.Me, ao.Zone, ao.Inc, ao.Seeds, ao.Platform, ao.Rand = dowel.Sibling{ID: gauge.Node(name), Addr: name}, z, w.inc(name), seeds, "platform", w.chance(name)
+		ao := w.o.Controller
+		ao.Me, ao.Zone, ao.Inc, ao.Seeds, ao.Platform, ao.Rand = protocol.Sibling{ID: ident.Node(name), Addr: name}, z, w.inc(name), seeds, "platform", w.chance(name)
 		if w.o.Hosted != nil {
-			w.o.Hosted.anvil(&ao, w.procs[name].life > 1 || w.now > 1e9)
+			w.o.Hosted.controller(&ao, w.procs[name].life > 1 || w.now > 1e9)
 		}
 		ao.Wall = func() time.Time { return dawn.Add(time.Duration(w.now) + w.procs[name].wall) }
-		return anvil.New(ao)
+		return controller.New(ao)
 	}})
 }
 
-func (w *World) addServer(name string, z gauge.Zone) {
+func (w *World) addServer(name string, z ident.Zone) {
 	skew, rate := w.clock()
-	w.add(&proc{name: name, box: name, zone: z, beat: 20e6, skew: skew, rate: rate, server: gauge.Server(name), made: func() core {
-		s := vise.ServerOptions{ID: gauge.Server(name), Inc: w.inc(name), Room: w.room(name), Slots: w.o.Slots, Store: "store", Fill: w.o.Fill}
+	w.add(&proc{name: name, box: name, zone: z, beat: 20e6, skew: skew, rate: rate, server: ident.Server(name), made: func() core {
+		s := standin.ServerOptions{ID: ident.Server(name), Inc: w.inc(name), Room: w.room(name), Slots: w.o.Slots, Store: "store", Fill: w.o.Fill}
 		if w.o.Mixed {
-			s.Slots, s.Step = w.o.Slots*w.part(name)/4, 80e6/gauge.Span(w.part(name))
+			s.Slots, s.Step = w.o.Slots*w.part(name)/4, 80e6/clock.Span(w.part(name))
 		}
-		return vise.NewServer(s)
+		return standin.NewServer(s)
 	}})
 }
 
@@ -331,22 +334,22 @@
 }
 
 // At runs a step at a moment.
-func (w *World) At(t gauge.Tick, do func()) {
+func (w *World) At(t clock.Tick, do func()) {
 	w.seq++
 	heap.Push(&w.q, event{max(t, w.now), w.seq, do})
 }
 
 // After runs a step after a span.
-func (w *World) After(s gauge.Span, do func()) { w.At(w.now.Add(s), do) }
+func (w *World) After(s clock.Span, do func()) { w.At(w.now.Add(s), do) }
 
 // Run turns the world until a moment.
-func (w *World) Run(until gauge.Span) {
-	for len(w.q) > 0 && w.q[0].at <= gauge.Tick(until) {
+func (w *World) Run(until clock.Span) {
+	for len(w.q) > 0 && w.q[0].at <= clock.Tick(until) {
 		e := heap.Pop(&w.q).(event)
 		w.now = e.at
 		e.do()
 	}
-	w.now = gauge.Tick(until)
+	w.now = clock.Tick(until)
 }
 
 func (w *World) tracef(form string, a ...any) {
@@ -379,7 +382,7 @@
 		for k, v := range p.disk.safe {
 			m[k] = v
 		}
-		w.After(1e6, func() { w.step(p, life, dowel.Start{Disk: m}) })
+		w.After(1e6, func() { w.step(p, life, protocol.Start{Disk: m}) })
 	}
 	var beat func()
 	beat = func() {
@@ -390,10 +393,10 @@
 			w.At(p.froze, beat)
 			return
 		}
-		w.step(p, life, dowel.Beat{})
+		w.step(p, life, protocol.Beat{})
 		w.After(p.beat, beat)
 	}
-	w.After(gauge.Span(w.rand.Int64N(int64(p.beat))), beat)
+	w.After(clock.Span(w.rand.Int64N(int64(p.beat))), beat)
 }
 
 // Kill ends a process at once; what its disk had not synced is gone.
@@ -405,7 +408,7 @@
 	w.tracef("kill %s", name)
 	w.upset(p.box)
 	p.up = false
-	if _, ok := p.core.(*lathe.Core); ok {
+	if _, ok := p.core.(*router.Core); ok {
 		w.Check.routerGone(name)
 	}
 	for k := range w.asks {
@@ -422,14 +425,14 @@
 			delete(w.flows, k)
 			if !f.dead {
 				f.dead = true
-				w.After(w.delay(), func() { w.ended(f, lathe.Lost, "") })
+				w.After(w.delay(), func() { w.ended(f, router.Lost, "") })
 			}
 		}
-		if f.lathe == p {
+		if f.router == p {
 			delete(w.flows, k)
 			f.dead = true
 			if s := w.procs[k.server]; s.up && s.life == k.life {
-				w.step(s, s.life, vise.WorkQuit{Token: k.token})
+				w.step(s, s.life, standin.WorkQuit{Token: k.token})
 			}
 		}
 	}
@@ -441,7 +444,7 @@
 	for t := uint64(1); t <= w.pull; t++ {
 		if k, ok := w.puller[t]; ok && k.who == name && k.life <= life && w.pulls[t] != nil {
 			delete(w.pulls, t)
-			w.step(st, st.life, vise.PullQuit{Token: t})
+			w.step(st, st.life, standin.PullQuit{Token: t})
 		}
 	}
 }
@@ -460,7 +463,7 @@
 // Stop ends a process as planned: it hears of it first.
 func (w *World) Stop(name string) {
 	p := w.procs[name]
-	w.step(p, p.life, dowel.Stop{})
+	w.step(p, p.life, protocol.Stop{})
 	w.After(100e6, func() { w.Kill(name) })
 }
 
@@ -491,13 +494,13 @@
 }
 
 // Restart kills a process and starts it anew.
-func (w *World) Restart(name string, after gauge.Span) {
+func (w *World) Restart(name string, after clock.Span) {
 	w.Kill(name)
 	w.After(after, func() { w.Start(name) })
 }
 
 // Freeze stops a process for a while; what reaches it meanwhile waits.
-func (w *World) Freeze(name string, s gauge.Span) {
+func (w *World) Freeze(name string, s clock.Span) {
 	w.tracef("freeze %s %v", name, s)
 	w.procs[name].froze = w.now.Add(s)
 	w.thaws(w.procs[name].box, w.now.Add(s))
@@ -553,13 +556,13 @@
 	return l
 }
 
-func (w *World) delay() gauge.Span {
-	d := gauge.Span(100e3 + w.rand.Int64N(900e3))
+func (w *World) delay() clock.Span {
+	d := clock.Span(100e3 + w.rand.Int64N(900e3))
 	if w.o.Far > 0 {
-		d += w.o.Far/2 + gauge.Span(w.rand.Int64N(int64(w.o.Far)))
+		d += w.o.Far/2 + clock.Span(w.rand.Int64N(int64(w.o.Far)))
 	}
 	if w.rand.IntN(200) == 0 {
-		d += gauge.Span(w.rand.Int64N(40e6))
+		d += clock.Span(w.rand.Int64N(40e6))
 	}
 	return d
 }
@@ -582,28 +585,28 @@
 
 func (w *World) act(p *proc, o any) {
 	switch v := o.(type) {
-	case dowel.Env:
+	case protocol.Env:
 		w.mail(p, v)
-	case dowel.Save:
+	case protocol.Save:
 		w.save(p, v)
-	case dowel.Ask:
+	case protocol.Ask:
 		w.ask(p, v)
-	case lathe.Launch:
+	case router.Launch:
 		w.launch(p, v)
-	case lathe.Receipt:
+	case router.Receipt:
 		w.Check.receipt(p.name, v)
-	case anvil.Announced:
+	case controller.Announced:
 		w.host.announced(p, v)
-	case vise.LoadDone:
+	case standin.LoadDone:
 		w.host.loaded(p, v)
-	case vise.WorkDrop, vise.Event, vise.OrderOut:
+	case standin.WorkDrop, standin.Event, standin.OrderOut:
 		w.served(p, o)
-	case vise.PullOut:
+	case standin.PullOut:
 		if f := w.pulls[v.Token]; f != nil {
 			delete(w.pulls, v.Token)
 			f()
 		}
-	case anvil.Receipt:
+	case controller.Receipt:
 		if f := w.admins[v.Token]; f != nil {
 			delete(w.admins, v.Token)
 			if w.ReplyLoss > 0 && w.rand.Float64() < w.ReplyLoss {
@@ -612,7 +615,7 @@
 			}
 			w.After(w.delay(), func() { f(v) })
 		}
-	case dowel.Note:
+	case protocol.Note:
 		w.tracef("%s: %s", p.name, v.Text)
 		if v.Text == "voter set changed" {
 			w.Check.Seen.Admits++
@@ -620,24 +623,24 @@
 		if strings.Contains(v.Text, " moves from ") {
 			w.Check.Seen.Moves++
 		}
-	case dowel.Oops:
+	case protocol.Oops:
 		w.tracef("%s: oops: %s", p.name, v.Text)
 	}
 }
 
-func (w *World) mail(p *proc, e dowel.Env) {
+func (w *World) mail(p *proc, e protocol.Env) {
 	to := w.procs[e.Hop().Addr]
 	if to == nil {
 		return
 	}
 	local := p.box == to.box
 	if !local {
-		w.mails[dowel.Kind(e.Body)]++
+		w.mails[protocol.Kind(e.Body)]++
 		if w.cuts[[2]string{p.box, to.box}] || w.rand.Float64() < w.o.Loss {
 			return
 		}
 		if w.rand.Float64() < w.o.Twice {
-			w.After(w.delay()+gauge.Span(w.rand.Int64N(300e6)), func() { w.step(to, to.life, e) })
+			w.After(w.delay()+clock.Span(w.rand.Int64N(300e6)), func() { w.step(to, to.life, e) })
 		}
 	}
 	d := w.delay()
@@ -647,9 +650,9 @@
 	w.After(d, func() { w.step(to, to.life, e) })
 }
 
-func (w *World) save(p *proc, s dowel.Save) {
+func (w *World) save(p *proc, s protocol.Save) {
 	d := p.disk
-	at := max(w.now.Add(d.late/2+gauge.Span(w.rand.Int64N(int64(d.late)))), d.last, d.stall)
+	at := max(w.now.Add(d.late/2+clock.Span(w.rand.Int64N(int64(d.late)))), d.last, d.stall)
 	d.last = at
 	life := p.life
 	w.At(at, func() {
@@ -659,11 +662,11 @@
 		for k, v := range s.Puts {
 			d.safe[k] = v
 		}
-		w.step(p, life, dowel.Saved{Token: s.Token})
+		w.step(p, life, protocol.Saved{Token: s.Token})
 	})
 }
 
-func (w *World) ask(p *proc, a dowel.Ask) {
+func (w *World) ask(p *proc, a protocol.Ask) {
 	k := askKey{p.name, p.life, a.Token}
 	tell := func(ok bool, code int, b []byte) {
 		f := w.asks[k]
@@ -675,7 +678,7 @@
 	life := p.life
 	w.asks[k] = func(ok bool, code int, b []byte) {
 		delete(w.asks, k)
-		w.step(p, life, dowel.Told{Token: a.Token, OK: ok, Code: code, Body: b})
+		w.step(p, life, protocol.Told{Token: a.Token, OK: ok, Code: code, Body: b})
 	}
 	w.After(a.Wait, func() { tell(false, 0, nil) })
 	if w.host != nil {
@@ -695,7 +698,7 @@
 	}
 	d := w.delay()
 	if w.rand.Float64() < w.o.Loss {
-		d += gauge.Span(w.rand.Int64N(2e9)) // comes late, perhaps after the asker gave up
+		d += clock.Span(w.rand.Int64N(2e9)) // comes late, perhaps after the asker gave up
 	}
 	w.After(d, func() {
 		switch a.Path {
@@ -714,20 +717,20 @@
 			w.pulls[t] = func() { back([]byte("{}")) }
 			w.puller[t] = askKey{p.name, life, a.Token}
 			st := w.procs["store"]
-			w.step(st, st.life, vise.PullIn{Token: t, Pull: a.Body.(vise.Pull)})
+			w.step(st, st.life, standin.PullIn{Token: t, Pull: a.Body.(standin.Pull)})
 		case "/orders":
 			s := w.procs[a.Addr]
 			if s == nil || !s.up {
 				w.After(w.delay(), func() { tell(false, 0, nil) })
 				return
 			}
-			w.order1(s, s.life, a.Body.(dowel.Order), p.name, back)
+			w.order1(s, s.life, a.Body.(protocol.Order), p.name, back)
 		}
 	})
 }
 
 // order1 hands an order to a server, which answers at once unless it is frozen.
-func (w *World) order1(s *proc, life int, o dowel.Order, from string, back func([]byte)) {
+func (w *World) order1(s *proc, life int, o protocol.Order, from string, back func([]byte)) {
 	if !s.up || s.life != life {
 		return
 	}
@@ -735,10 +738,10 @@
 		w.At(s.froze, func() { w.order1(s, life, o, from, back) })
 		return
 	}
-	v := s.core.(*vise.Server)
+	v := s.core.(*standin.Server)
 	was := v.Holds()
-	for _, x := range v.Step(s.tick(w.now), vise.OrderIn{Order: o}) {
-		if r, ok := x.(vise.OrderOut); ok {
+	for _, x := range v.Step(s.tick(w.now), standin.OrderIn{Order: o}) {
+		if r, ok := x.(standin.OrderOut); ok {
 			w.Check.ordered(s, o, from, r.Report, was)
 			if w.Bend != nil {
 				r.Report = w.Bend(r.Report)
@@ -754,11 +757,11 @@
 // Requests on the wire.
 
 // Ask sends a caller's request to a router that is up, as the platform would hand it out.
-func (w *World) Ask(a vise.Ask, repeat bool) {
+func (w *World) Ask(a standin.Ask, repeat bool) {
 	var l []*proc
 	for _, n := range w.order {
 		p := w.procs[n]
-		if _, ok := p.core.(*lathe.Core); ok && p.up && !p.leaves && w.now >= p.froze && !w.cuts[[2]string{"platform", p.box}] {
+		if _, ok := p.core.(*router.Core); ok && p.up && !p.leaves && w.now >= p.froze && !w.cuts[[2]string{"platform", p.box}] {
 			l = append(l, p)
 		}
 	}
@@ -770,28 +773,28 @@
 	}
 	p := l[w.rand.IntN(len(l))]
 	w.serial++
-	ref := lathe.Ref(w.serial)
+	ref := router.Ref(w.serial)
 	c.router, c.ref = p.name, ref
 	w.Check.open[ref] = c
-	w.step(p, p.life, lathe.Call{Ref: ref, Route: a.Route, Call: a.Call})
+	w.step(p, p.life, router.Call{Ref: ref, Route: a.Route, Call: a.Call})
 }
 
-func (w *World) launch(p *proc, v lathe.Launch) {
+func (w *World) launch(p *proc, v router.Launch) {
 	c := w.Check.open[v.Ref]
-	f := &flow{lathe: p, life: p.life, l: v, c: c}
+	f := &flow{router: p, life: p.life, l: v, c: c}
 	w.Check.launched(c)
 	s := w.at(v.Addr)
 	if s == nil || w.cuts[[2]string{p.box, s.box}] || w.cuts[[2]string{s.box, p.box}] {
-		w.After(500e6, func() { w.ended(f, lathe.Unsent, "") })
+		w.After(500e6, func() { w.ended(f, router.Unsent, "") })
 		return
 	}
 	d := w.delay()
 	if w.DialOdds > 0 && w.rand.Float64() < w.DialOdds {
-		d += gauge.Span(w.rand.Int64N(int64(w.Dial)))
+		d += clock.Span(w.rand.Int64N(int64(w.Dial)))
 	}
 	w.After(d, func() {
 		if !s.up {
-			w.ended(f, lathe.Unsent, "")
+			w.ended(f, router.Unsent, "")
 			return
 		}
 		f.open = w.now
@@ -801,7 +804,7 @@
 
 // emit is the moment of sending: the router checks once more, then the work is on its way.
 func (w *World) emit(f *flow, s *proc, life int) {
-	p := f.lathe
+	p := f.router
 	if !p.up || p.life != f.life {
 		return
 	}
@@ -809,29 +812,29 @@
 		w.At(p.froze, func() { w.emit(f, s, life) })
 		return
 	}
-	if !p.core.(*lathe.Core).MaySend(p.tick(w.now), f.l.Ref, f.l.N) {
+	if !p.core.(*router.Core).MaySend(p.tick(w.now), f.l.Ref, f.l.N) {
 		f.c.held = true
-		w.ended(f, lathe.Kept, "")
+		w.ended(f, router.Kept, "")
 		return
 	}
 	w.Check.sent(f, s)
 	d := w.delay()
 	if w.LagOdds > 0 && w.rand.Float64() < w.LagOdds {
-		d += gauge.Span(w.rand.Int64N(int64(w.Lag)))
+		d += clock.Span(w.rand.Int64N(int64(w.Lag)))
 	}
 	w.After(d, func() { w.land(f, s, life) })
 }
 
 func (w *World) land(f *flow, s *proc, life int) {
-	if !f.lathe.up || f.lathe.life != f.life {
+	if !f.router.up || f.router.life != f.life {
 		return
 	}
 	if !s.up || s.life != life {
-		w.After(w.delay(), func() { w.ended(f, lathe.Lost, "") })
+		w.After(w.delay(), func() { w.ended(f, router.Lost, "") })
 		return
 	}
-	if w.cuts[[2]string{f.lathe.box, s.box}] {
-		w.After(10e9, func() { w.ended(f, lathe.Lost, "") })
+	if w.cuts[[2]string{f.router.box, s.box}] {
+		w.After(10e9, func() { w.ended(f, router.Lost, "") })
 		return
 	}
 	if w.now < s.froze {
@@ -847,10 +850,10 @@
 	if w.host != nil && f.l.Server != s.server { // another server is meant: this one refuses
 		f.dead = true
 		delete(w.flows, k)
-		w.After(w.delay(), func() { w.ended(f, lathe.Dropped, gauge.Mismatch) })
+		w.After(w.delay(), func() { w.ended(f, router.Dropped, failure.Mismatch) })
 		return
 	}
-	w.step(s, s.life, vise.WorkIn{Token: k.token, Work: f.l.Work, Since: s.tick(f.open)})
+	w.step(s, s.life, standin.WorkIn{Token: k.token, Work: f.l.Work, Since: s.tick(f.open)})
 	if w.host != nil {
 		w.Check.reached(f, s)
 	}
@@ -859,14 +862,14 @@
 		if w.ResetOdds > 0 && w.rand.Float64() < w.ResetOdds {
 			f.dead = true
 			delete(w.flows, k)
-			w.step(s, s.life, vise.WorkQuit{Token: k.token})
-			w.After(w.delay(), func() { w.ended(f, lathe.Lost, "") })
+			w.step(s, s.life, standin.WorkQuit{Token: k.token})
+			w.After(w.delay(), func() { w.ended(f, router.Lost, "") })
 		}
 	}
 }
 
 // idle gives a stream up that has been silent for long, as the router's shell does.
-func (w *World) idle(f *flow, at gauge.Tick) {
+func (w *World) idle(f *flow, at clock.Tick) {
 	w.At(at.Add(10e9), func() {
 		if f.dead || f.c == nil || f.c.over {
 			return
@@ -876,27 +879,27 @@
 			return
 		}
 		f.dead = true
-		w.ended(f, lathe.Lost, "")
+		w.ended(f, router.Lost, "")
 	})
 }
 
-func (w *World) ended(f *flow, how lathe.End, k gauge.Kind) {
-	if how == lathe.Unsent && f.c != nil {
+func (w *World) ended(f *flow, how router.End, k failure.Kind) {
+	if how == router.Unsent && f.c != nil {
 		if f.c.missed == nil {
 			f.c.missed = map[string]int{}
 		}
 		f.c.missed[f.l.Addr]++
 	}
-	w.step(f.lathe, f.life, lathe.Ended{Ref: f.l.Ref, N: f.l.N, How: how, Kind: k})
+	w.step(f.router, f.life, router.Ended{Ref: f.l.Ref, N: f.l.N, How: how, Kind: k})
 }
 
 // served carries what a server says back to the router.
 func (w *World) served(s *proc, o any) {
 	var t uint64
 	switch v := o.(type) {
-	case vise.WorkDrop:
+	case standin.WorkDrop:
 		t = v.Token
-	case vise.Event:
+	case standin.Event:
 		t = v.Token
 	}
 	k := flowKey{s.name, s.life, t}
@@ -904,19 +907,19 @@
 	if f == nil || f.dead {
 		return
 	}
-	if w.cuts[[2]string{s.box, f.lathe.box}] {
+	if w.cuts[[2]string{s.box, f.router.box}] {
 		f.dead = true // the stream is broken; the router finds out by its silence
 		delete(w.flows, k)
-		w.After(10e9, func() { w.ended(f, lathe.Lost, "") })
+		w.After(10e9, func() { w.ended(f, router.Lost, "") })
 		return
 	}
 	at := max(w.now.Add(w.delay()), f.last)
 	f.last = at
 	switch v := o.(type) {
-	case vise.WorkDrop:
+	case standin.WorkDrop:
 		delete(w.flows, k)
-		w.At(at, func() { w.ended(f, lathe.Dropped, v.Kind) })
-	case vise.Event:
+		w.At(at, func() { w.ended(f, router.Dropped, v.Kind) })
+	case standin.Event:
 		if v.Done {
 			delete(w.flows, k)
 		}
@@ -924,8 +927,8 @@
 	}
 }
 
-func (w *World) heard(f *flow, v vise.Event) {
-	p := f.lathe
+func (w *World) heard(f *flow, v standin.Event) {
+	p := f.router
 	if !p.up || p.life != f.life || f.dead {
 		return
 	}
@@ -943,37 +946,37 @@
 		case 2:
 			v.N += w.rand.IntN(3) - 1
 		case 3:
-			v.Go = "lathe-1-9-9-9"
+			v.Go = "router-1-9-9-9"
 		case 4:
-			v.Server = gauge.Server(w.some("server-"))
+			v.Server = ident.Server(w.some("server-"))
 		case 5:
 			v.Go, v.Text, v.Done = "", "", w.rand.IntN(2) == 0 // not JSON, or another's
 		}
 	}
-	x := lathe.Line{N: v.N, Go: v.Go, Server: v.Server, Done: v.Done}
+	x := router.Line{N: v.N, Go: v.Go, Server: v.Server, Done: v.Done}
 	if !x.Follows(f.l, f.n) {
 		f.dead = true
-		w.ended(f, lathe.Lost, "")
+		w.ended(f, router.Lost, "")
 		return
 	}
 	if f.n == 0 {
-		w.step(p, p.life, lathe.Begun{Ref: f.l.Ref, N: f.l.N})
+		w.step(p, p.life, router.Begun{Ref: f.l.Ref, N: f.l.N})
 	}
 	f.n++
 	w.Check.event(f, v)
 	if v.Done {
 		f.dead = true
-		w.ended(f, lathe.Done, "")
+		w.ended(f, router.Done, "")
 		w.Check.done(f)
 	}
 }
 
 // Admin sends an operator's request to a core node; the answer may get lost.
-func (w *World) Admin(node string, a anvil.Admin, then func(anvil.Receipt)) {
+func (w *World) Admin(node string, a controller.Admin, then func(controller.Receipt)) {
 	w.admin++
 	a.Token = w.admin
 	done := false
-	once := func(r anvil.Receipt) {
+	once := func(r controller.Receipt) {
 		if !done {
 			done = true
 			then(r)
@@ -983,30 +986,30 @@
 	p := w.procs[node]
 	w.After(6e9, func() {
 		delete(w.admins, a.Token)
-		once(anvil.Receipt{Kind: gauge.Unclear})
+		once(controller.Receipt{Kind: failure.Unclear})
 	})
 	w.After(w.delay(), func() {
 		if !p.up {
-			once(anvil.Receipt{Kind: gauge.NotReady, Why: "unreached"})
+			once(controller.Receipt{Kind: failure.NotReady, Why: "unreached"})
 			return
 		}
 		w.step(p, p.life, a)
 	})
 }
 
-// Lathes lists the routers that are up.
-func (w *World) Lathes() (l []*proc) {
+// Routers lists the routers that are up.
+func (w *World) Routers() (l []*proc) {
 	for _, n := range w.order {
-		if strings.HasPrefix(n, "lathe-") && w.procs[n].up {
+		if strings.HasPrefix(n, "router-") && w.procs[n].up {
 			l = append(l, w.procs[n])
 		}
 	}
 	return l
 }
 
-func (w *World) anvils() (l []*proc) {
+func (w *World) controllers() (l []*proc) {
 	for _, n := range w.order {
-		if strings.HasPrefix(n, "anvil-") && w.procs[n].up {
+		if strings.HasPrefix(n, "controller-") && w.procs[n].up {
 			l = append(l, w.procs[n])
 		}
 	}
--- a/vise/batch.go
+++ b/internal/standin/batch.go
@@ -1,33 +1,36 @@
-package vise
+package standin
 
 import (
 	"net/http"
 
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
 // BatchOptions of a stand-in batch server that announces itself and checks no fence.
 type BatchOptions struct {
-	ID      gauge.Server
+	ID      ident.Server
 	Service string
 	Plain   bool // it holds no models and takes no orders
 	Slots   int
 	Room    int
 	Places  int        // for adapters
-	Step    gauge.Span // between two steps of the batch, when it is nearly empty
+	Step    clock.Span // between two steps of the batch, when it is nearly empty
 	Fill    int        // prompt tokens that a step reads
-	Lag     gauge.Span // reports are so old
-	Held    []gauge.Key
-	Disk    map[gauge.Key]bool // what it held in this life or an earlier one
-	Weight  func(gauge.Key) int
-	Load    func(k gauge.Key, disk bool) gauge.Span // how long a load that begins now takes
+	Lag     clock.Span // reports are so old
+	Held    []ident.Key
+	Disk    map[ident.Key]bool // what it held in this life or an earlier one
+	Weight  func(ident.Key) int
+	Load    func(k ident.Key, disk bool) clock.Span // how long a load that begins now takes
 }
 
 // BatchOrder is an order, or a question for the report, that came in.
 type BatchOrder struct {
 	Token uint64
-	Order dowel.Order
+	Order protocol.Order
 }
 
 // BatchAnswer answers a BatchOrder. Over says that the order would pass the room or the places.
@@ -35,40 +38,40 @@
 	Token  uint64
 	Code   int
 	Over   bool
-	Report dowel.Report
+	Report protocol.Report
 }
 
 // LoadDone says that a load ended.
-type LoadDone struct{ Key gauge.Key }
+type LoadDone struct{ Key ident.Key }
 
 type reported struct {
-	at gauge.Tick
-	r  dowel.Report
+	at clock.Tick
+	r  protocol.Report
 }
 
 // Batch is a stand-in batch server that announces itself, without I/O. It counts the orders that it
 // took, and carries out one at a time.
 type Batch struct {
 	o     BatchOptions
-	now   gauge.Tick
+	now   clock.Tick
 	out   []any
-	held  map[gauge.Key]gauge.Tick // since when
-	op    *dowel.Order             // under way
-	ready gauge.Tick               // when its load ends
+	held  map[ident.Key]clock.Tick // since when
+	op    *protocol.Order          // under way
+	ready clock.Tick               // when its load ends
 	num   uint64
 	past  []reported
 	jobs  []*job
-	next  gauge.Tick
+	next  clock.Tick
 	tally ServerTally
 }
 
 // NewBatch makes a stand-in batch server.
 func NewBatch(o BatchOptions) *Batch {
-	gauge.Or(&o.Step, 20e6)
-	gauge.Or(&o.Fill, 4000)
-	gauge.Or(&o.Slots, 16)
-	gauge.Or(&o.Lag, 200e6)
-	s := &Batch{o: o, held: map[gauge.Key]gauge.Tick{}, tally: ServerTally{DropKinds: map[gauge.Kind]uint64{}}}
+	generic.SetDefault(&o.Step, 20e6)
+	generic.SetDefault(&o.Fill, 4000)
+	generic.SetDefault(&o.Slots, 16)
+	generic.SetDefault(&o.Lag, 200e6)
+	s := &Batch{o: o, held: map[ident.Key]clock.Tick{}, tally: ServerTally{DropKinds: map[failure.Kind]uint64{}}}
 	for _, k := range o.Held {
 		s.held[k] = 0
 		s.o.Disk[k] = true
@@ -77,7 +80,7 @@
 }
 
 // Step takes one input and gives what is to be done.
-func (s *Batch) Step(now gauge.Tick, in any) []any {
+func (s *Batch) Step(now clock.Tick, in any) []any {
 	s.now, s.out = now, nil
 	s.settle()
 	switch v := in.(type) {
@@ -98,10 +101,10 @@
 				break
 			}
 		}
-	case dowel.Beat:
+	case protocol.Beat:
 		if now >= s.next {
-			n := gauge.Span(min(len(s.jobs), s.o.Slots))
-			s.next = now.Add(s.o.Step + s.o.Step*n/gauge.Span(s.o.Slots))
+			n := clock.Span(min(len(s.jobs), s.o.Slots))
+			s.next = now.Add(s.o.Step + s.o.Step*n/clock.Span(s.o.Slots))
 			s.batch()
 		}
 	}
@@ -132,7 +135,7 @@
 			runs = true
 			left = append(left, j)
 		default:
-			s.drop(j.Token, gauge.Busy) // it has not begun
+			s.drop(j.Token, failure.Busy) // it has not begun
 		}
 	}
 	s.jobs = left
@@ -158,7 +161,7 @@
 	return room, places
 }
 
-func (s *Batch) order(o dowel.Order) (code int, over bool) {
+func (s *Batch) order(o protocol.Order) (code int, over bool) {
 	_, has := s.held[o.Key]
 	_, base := s.held[o.Key.Base()]
 	switch {
@@ -183,10 +186,10 @@
 	return http.StatusAccepted, over
 }
 
-func (s *Batch) report() dowel.Report {
-	r := dowel.Report{Server: s.o.ID, Num: s.num, Busy: s.op != nil, Held: []dowel.Held{}}
-	for _, k := range gauge.Keys(s.held) {
-		r.Held = append(r.Held, dowel.Held{Key: k, Stage: "ready"})
+func (s *Batch) report() protocol.Report {
+	r := protocol.Report{Server: s.o.ID, Num: s.num, Busy: s.op != nil, Held: []protocol.Held{}}
+	for _, k := range generic.SortedKeys(s.held) {
+		r.Held = append(r.Held, protocol.Held{Key: k, Stage: "ready"})
 	}
 	return r
 }
@@ -199,7 +202,7 @@
 	}
 }
 
-func (s *Batch) late() dowel.Report {
+func (s *Batch) late() protocol.Report {
 	r := s.report()
 	if len(s.past) > 0 {
 		r = s.past[0].r
@@ -212,23 +215,23 @@
 	return r
 }
 
-func (s *Batch) drop(t uint64, k gauge.Kind) {
+func (s *Batch) drop(t uint64, k failure.Kind) {
 	s.tally.Dropped++
 	s.tally.DropKinds[k]++
 	s.out = append(s.out, WorkDrop{t, k})
 }
 
 func (s *Batch) work(v WorkIn) {
-	k := gauge.KeyOf(v.Work.Base, v.Work.Extra).In(s.o.Service)
+	k := ident.KeyOf(v.Work.Base, v.Work.Extra).In(s.o.Service)
 	if s.o.Plain {
-		k = gauge.Key("").In(s.o.Service)
+		k = ident.Key("").In(s.o.Service)
 	} else if _, ok := s.held[k]; !ok {
-		s.drop(v.Token, gauge.Mismatch)
+		s.drop(v.Token, failure.Mismatch)
 		return
 	}
 	goes := s.op != nil && s.op.Op == "unload" && (s.op.Key == k || s.op.Key == k.Base())
 	if goes || len(s.jobs) >= s.o.Slots+max(2, s.o.Slots/4) {
-		s.drop(v.Token, gauge.Busy)
+		s.drop(v.Token, failure.Busy)
 		return
 	}
 	s.tally.Works++
@@ -275,7 +278,7 @@
 func (s *Batch) Counts() ServerTally { return s.tally }
 
 // Keys lists what the server holds ready.
-func (s *Batch) Keys() []gauge.Key { return gauge.Keys(s.held) }
+func (s *Batch) Keys() []ident.Key { return generic.SortedKeys(s.held) }
 
 // Active tells how many requests are under way.
 func (s *Batch) Active() int { return len(s.jobs) }
--- a/vise/callers.go
+++ b/internal/standin/callers.go
@@ -1,4 +1,4 @@
-package vise
+package standin
 
 import (
 	"bufio"
@@ -14,20 +14,21 @@
 	"sync"
 	"time"
 
-	"tidedeck/chisel"
-	"tidedeck/gauge"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/ident"
 )
 
 // Ask is one request of a stand-in caller.
 type Ask struct {
 	Route string
-	Call  chisel.Call
+	Call  fleetplan.Call
 }
 
 // Mix draws requests from a plan: few keys are asked for often, most now and then.
 type Mix struct {
 	Tenants int // whose shared prompt parts differ
-	plan    *chisel.Plan
+	plan    *fleetplan.Plan
 	asks    []Ask
 	sum     []float64
 	rand    *rand.Rand
@@ -36,23 +37,23 @@
 }
 
 // NewMix makes a mix. The same seed draws the same requests.
-func NewMix(p *chisel.Plan, seed uint64) *Mix {
+func NewMix(p *fleetplan.Plan, seed uint64) *Mix {
 	m := &Mix{plan: p, rand: rand.New(rand.NewPCG(seed, 17)), tag: fmt.Sprintf("c%x", seed)}
-	seen := map[gauge.Key]int{}
-	for _, r := range gauge.Keys(p.Routes) {
-		for _, k := range gauge.Keys(p.Services[p.Routes[r].Service].Keys) {
-			for _, c := range gauge.Keys(p.Routes[r].Kinds) {
+	seen := map[ident.Key]int{}
+	for _, r := range generic.SortedKeys(p.Routes) {
+		for _, k := range generic.SortedKeys(p.Services[p.Routes[r].Service].Keys) {
+			for _, c := range generic.SortedKeys(p.Routes[r].Kinds) {
 				if _, ok := seen[k]; !ok {
 					seen[k] = len(seen)
 				}
 				b, x, _ := strings.Cut(string(k), "+")
-				m.asks = append(m.asks, Ask{r, chisel.Call{Base: b, Extra: x, Kind: c}})
+				m.asks = append(m.asks, Ask{r, fleetplan.Call{Base: b, Extra: x, Kind: c}})
 			}
 		}
 	}
 	all := 0.0
 	for _, a := range m.asks {
-		k := gauge.KeyOf(a.Call.Base, a.Call.Extra)
+		k := ident.KeyOf(a.Call.Base, a.Call.Extra)
 		w := 1 / float64(1+seen[k])
 		if p.Models[k].Floor > 0 {
 			w *= 8 // what operators keep ready is what is asked for
@@ -75,7 +76,7 @@
 func (m *Mix) Rare() Ask {
 	for range 50 {
 		a := m.asks[m.rand.IntN(len(m.asks))]
-		if m.plan.Models[gauge.KeyOf(a.Call.Base, a.Call.Extra)].Floor == 0 {
+		if m.plan.Models[ident.KeyOf(a.Call.Base, a.Call.Extra)].Floor == 0 {
 			return m.Of(a)
 		}
 	}
@@ -241,7 +242,7 @@
 		return Outcome{Kind: p.Kind, Back: time.Duration(p.BackMs) * time.Millisecond}
 	}
 	in := bufio.NewReader(w.Body)
-	server, run, bad := gauge.Server(""), "", false
+	server, run, bad := ident.Server(""), "", false
 	for {
 		l, err := in.ReadString('\n')
 		if err != nil {
@@ -282,7 +283,7 @@
 }
 
 // CheckEvent tells what is wrong with the n-th event of an answer, if anything.
-func CheckEvent(a Ask, e Event, n int, server gauge.Server, run string) string {
+func CheckEvent(a Ask, e Event, n int, server ident.Server, run string) string {
 	c := a.Call
 	switch {
 	case e.N != n:
--- a/vise/serve.go
+++ b/internal/standin/serve.go
@@ -1,4 +1,4 @@
-package vise
+package standin
 
 import (
 	"encoding/json"
@@ -10,10 +10,12 @@
 
 	"github.com/alexedwards/flow"
 
-	"tidedeck/chisel"
-	"tidedeck/clamp"
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/host"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
 // ServerSettings of a stand-in model server.
@@ -29,15 +31,15 @@
 }
 
 // Check names what is wrong with the settings.
-func (s *ServerSettings) Check() (f chisel.Faults) {
-	f = append(f, clamp.Addr("listen", s.Listen)...)
-	f = append(f, clamp.Addr("store", s.Store)...)
+func (s *ServerSettings) Check() (f fleetplan.Faults) {
+	f = append(f, host.Addr("listen", s.Listen)...)
+	f = append(f, host.Addr("store", s.Store)...)
 	for _, n := range []struct {
 		path string
 		val  int
 	}{{"room", s.Room}, {"slots", s.Slots}, {"step-ms", s.StepMs}, {"fill", s.Fill}, {"whole-ms", s.Whole}} {
 		if n.val < 1 || n.val > 1_000_000 {
-			f = append(f, chisel.Fault{Path: n.path, Why: "wants a whole number from 1 to 1000000"})
+			f = append(f, fleetplan.Fault{Path: n.path, Why: "wants a whole number from 1 to 1000000"})
 		}
 	}
 	return f
@@ -45,10 +47,10 @@
 
 // hall joins HTTP requests to a core by tokens.
 type hall struct {
-	mu   sync.Mutex // guards wait, next and dark; taken after the clamp's
+	mu   sync.Mutex // guards wait, next and dark; taken after the host's
 	next uint64
 	wait map[uint64]chan any
-	c    *clamp.Clamp
+	c    *host.Process
 	dark chan struct{} // closed while the server is not dark
 }
 
@@ -109,19 +111,19 @@
 type swap struct{ s *Server }
 
 // Step hands the input to the core in place.
-func (c *swap) Step(now gauge.Tick, in any) []any { return c.s.Step(now, in) }
+func (c *swap) Step(now clock.Tick, in any) []any { return c.s.Step(now, in) }
 
 // ServerMain runs a stand-in model server until it is told to stop.
 func ServerMain(s ServerSettings) error {
-	ring := clamp.NewRing(s.ID, os.Stderr)
+	ring := host.NewRing(s.ID, os.Stderr)
 	born := func() *Server {
-		return NewServer(ServerOptions{ID: gauge.Server(s.ID), Inc: clamp.NewInc(), Room: s.Room, Slots: s.Slots, Store: s.Store,
-			Step: gauge.Span(s.StepMs) * 1e6, Fill: s.Fill, Whole: gauge.Span(s.Whole) * 1e6})
+		return NewServer(ServerOptions{ID: ident.Server(s.ID), Inc: host.NewInc(), Room: s.Room, Slots: s.Slots, Store: s.Store,
+			Step: clock.Span(s.StepMs) * 1e6, Fill: s.Fill, Whole: clock.Span(s.Whole) * 1e6})
 	}
 	core := &swap{born()}
 	h := &hall{wait: map[uint64]chan any{}, dark: make(chan struct{})}
 	close(h.dark)
-	h.c = clamp.New(clamp.Options{Core: core, Beat: 5 * time.Millisecond, Ring: ring, Else: h.act})
+	h.c = host.New(host.Options{Core: core, Beat: 5 * time.Millisecond, Ring: ring, Else: h.act})
 	if err := h.c.Run(); err != nil {
 		return err
 	}
@@ -130,33 +132,33 @@
 	m.Group(func(m *flow.Mux) {
 		m.Use(h.lit)
 		m.HandleFunc("/orders", func(w http.ResponseWriter, r *http.Request) {
-			var o dowel.Order
+			var o protocol.Order
 			if !readInto(w, r, &o) {
 				return
 			}
 			t, ch := h.open(1)
 			defer h.shut(t)
 			h.c.Step(OrderIn{t, o})
-			clamp.JSON(w, 200, (<-ch).(OrderOut).Report)
+			host.JSON(w, 200, (<-ch).(OrderOut).Report)
 		}, http.MethodPost)
 		m.HandleFunc("/generate", h.generate, http.MethodPost)
 	})
 	m.HandleFunc("/count", func(w http.ResponseWriter, r *http.Request) {
 		var t ServerTally
 		var n, u int
-		h.c.With(func(gauge.Tick) { t, n, u = core.s.Counts(), core.s.Active(), core.s.Used() })
-		clamp.JSON(w, 200, map[string]any{"tally": t, "active": n, "used": u, "room": s.Room})
+		h.c.With(func(clock.Tick) { t, n, u = core.s.Counts(), core.s.Active(), core.s.Used() })
+		host.JSON(w, 200, map[string]any{"tally": t, "active": n, "used": u, "room": s.Room})
 	}, http.MethodGet)
 	m.HandleFunc("/fault/:kind", func(w http.ResponseWriter, r *http.Request) {
 		f := faults[r.PathValue("kind")]
 		if f == nil {
-			clamp.Error(w, gauge.Unknown, 0, nil)
+			host.Error(w, failure.Unknown, 0, nil)
 			return
 		}
 		f(h, core, born)
-		clamp.JSON(w, 200, map[string]bool{"done": true})
+		host.JSON(w, 200, map[string]bool{"done": true})
 	}, http.MethodPost)
-	return clamp.Web(s.Listen, m, ring, nil, 10*time.Minute)
+	return host.Web(s.Listen, m, ring, nil, 10*time.Minute)
 }
 
 // The ways a server can be made to fail.
@@ -177,7 +179,7 @@
 		}
 	},
 	"empty": func(h *hall, c *swap, born func() *Server) {
-		h.c.With(func(gauge.Tick) { c.s = born() })
+		h.c.With(func(clock.Tick) { c.s = born() })
 		h.c.Forget()
 		h.mu.Lock()
 		defer h.mu.Unlock()
@@ -186,25 +188,25 @@
 			delete(h.wait, t)
 		}
 	},
-	"slow": func(h *hall, c *swap, _ func() *Server) { h.c.With(func(gauge.Tick) { c.s.Slow(9) }) },
-	"fast": func(h *hall, c *swap, _ func() *Server) { h.c.With(func(gauge.Tick) { c.s.Slow(0) }) },
+	"slow": func(h *hall, c *swap, _ func() *Server) { h.c.With(func(clock.Tick) { c.s.Slow(9) }) },
+	"fast": func(h *hall, c *swap, _ func() *Server) { h.c.With(func(clock.Tick) { c.s.Slow(0) }) },
 }
 
 func readInto(w http.ResponseWriter, r *http.Request, v any) bool {
-	b, ok := clamp.Body(w, r, 8<<20)
+	b, ok := host.Body(w, r, 8<<20)
 	if !ok {
 		return false
 	}
 	if err := json.Unmarshal(b, v); err != nil {
-		clamp.Error(w, gauge.Malformed, 0, chisel.Faults{{Path: "$", Why: err.Error()}})
+		host.Error(w, failure.Malformed, 0, fleetplan.Faults{{Path: "$", Why: err.Error()}})
 		return false
 	}
 	return true
 }
 
 func (h *hall) generate(w http.ResponseWriter, r *http.Request) {
-	var q dowel.Work
-	at := clamp.Born(r)
+	var q protocol.Work
+	at := host.Born(r)
 	if !readInto(w, r, &q) {
 		return
 	}
@@ -224,7 +226,7 @@
 			}
 			switch v := o.(type) {
 			case WorkDrop:
-				clamp.Error(w, v.Kind, 0, nil)
+				host.Error(w, v.Kind, 0, nil)
 				return
 			case Event:
 				if !open {
@@ -255,14 +257,14 @@
 }
 
 // Check names what is wrong with the settings.
-func (s *StoreSettings) Check() chisel.Faults { return clamp.Addr("listen", s.Listen) }
+func (s *StoreSettings) Check() fleetplan.Faults { return host.Addr("listen", s.Listen) }
 
 // StoreMain runs a weight store until it is told to stop.
 func StoreMain(s StoreSettings) error {
-	ring := clamp.NewRing("store", os.Stderr)
+	ring := host.NewRing("store", os.Stderr)
 	core := NewStore(float64(s.Rate), s.Bear)
 	h := &hall{wait: map[uint64]chan any{}}
-	h.c = clamp.New(clamp.Options{Core: core, Beat: 10 * time.Millisecond, Ring: ring, Else: h.act})
+	h.c = host.New(host.Options{Core: core, Beat: 10 * time.Millisecond, Ring: ring, Else: h.act})
 	if err := h.c.Run(); err != nil {
 		return err
 	}
@@ -278,17 +280,17 @@
 		h.c.Step(PullIn{t, p})
 		select {
 		case <-ch:
-			clamp.JSON(w, 200, map[string]bool{"done": true})
+			host.JSON(w, 200, map[string]bool{"done": true})
 		case <-r.Context().Done():
 			h.c.Step(PullQuit{t})
 		}
 	}, http.MethodPost)
 	m.HandleFunc("/count", func(w http.ResponseWriter, r *http.Request) {
 		var t StoreTally
-		h.c.With(func(gauge.Tick) { t = core.Counts() })
-		clamp.JSON(w, 200, t)
+		h.c.With(func(clock.Tick) { t = core.Counts() })
+		host.JSON(w, 200, t)
 	}, http.MethodGet)
-	return clamp.Web(s.Listen, m, ring, nil, 10*time.Second)
+	return host.Web(s.Listen, m, ring, nil, 10*time.Second)
 }
 
 // PlatformSettings of a stand-in platform.
@@ -298,17 +300,17 @@
 }
 
 // Check names what is wrong with the settings.
-func (s *PlatformSettings) Check() (f chisel.Faults) {
-	f = clamp.Addr("listen", s.Listen)
+func (s *PlatformSettings) Check() (f fleetplan.Faults) {
+	f = host.Addr("listen", s.Listen)
 	for i, x := range s.Servers {
 		if _, ok := listedOf(x); !ok {
-			f = append(f, chisel.Fault{Path: fmt.Sprintf("servers[%d]", i), Why: "wants id=ip:port=zone"})
+			f = append(f, fleetplan.Fault{Path: fmt.Sprintf("servers[%d]", i), Why: "wants id=ip:port=zone"})
 		}
 	}
 	return f
 }
 
-func listedOf(s string) (dowel.Listed, bool) {
+func listedOf(s string) (protocol.Listed, bool) {
 	var a [3]string
 	n := 0
 	for _, r := range s {
@@ -318,13 +320,13 @@
 		}
 		a[n] += string(r)
 	}
-	x := dowel.Listed{ID: gauge.Server(a[0]), Addr: a[1], Zone: gauge.Zone(a[2]), State: "live"}
-	return x, a[0] != "" && a[2] != "" && clamp.Addr("", a[1]) == nil
+	x := protocol.Listed{ID: ident.Server(a[0]), Addr: a[1], Zone: ident.Zone(a[2]), State: "live"}
+	return x, a[0] != "" && a[2] != "" && host.Addr("", a[1]) == nil
 }
 
 // PlatformMain runs a platform until it is told to stop.
 func PlatformMain(s PlatformSettings) error {
-	ring := clamp.NewRing("platform", os.Stderr)
+	ring := host.NewRing("platform", os.Stderr)
 	p := NewPlatform()
 	for _, x := range s.Servers {
 		l, _ := listedOf(x)
@@ -336,28 +338,28 @@
 		mu.Lock()
 		l := p.List()
 		mu.Unlock()
-		clamp.JSON(w, 200, l)
+		host.JSON(w, 200, l)
 	}, http.MethodGet)
 	m.HandleFunc("/servers", func(w http.ResponseWriter, r *http.Request) {
-		var x dowel.Listed
+		var x protocol.Listed
 		if !readInto(w, r, &x) {
 			return
 		}
 		mu.Lock()
 		p.Set(x)
 		mu.Unlock()
-		clamp.JSON(w, 200, x)
+		host.JSON(w, 200, x)
 	}, http.MethodPost)
 	m.HandleFunc("/servers/:id/:state", func(w http.ResponseWriter, r *http.Request) {
 		st := r.PathValue("state")
 		mu.Lock()
-		ok := map[string]bool{"live": true, "leaving": true, "gone": true}[st] && p.Mark(gauge.Server(r.PathValue("id")), st)
+		ok := map[string]bool{"live": true, "leaving": true, "gone": true}[st] && p.Mark(ident.Server(r.PathValue("id")), st)
 		mu.Unlock()
 		if !ok {
-			clamp.Error(w, gauge.Unknown, 0, nil)
+			host.Error(w, failure.Unknown, 0, nil)
 			return
 		}
-		clamp.JSON(w, 200, map[string]string{"state": st})
+		host.JSON(w, 200, map[string]string{"state": st})
 	}, http.MethodPost)
-	return clamp.Web(s.Listen, m, ring, nil, 5*time.Second)
+	return host.Web(s.Listen, m, ring, nil, 5*time.Second)
 }
--- a/vise/server.go
+++ b/internal/standin/server.go
@@ -1,47 +1,50 @@
-// Package vise holds the stand-ins that tidedeck is tried on: model servers, the weight
+// Package standin holds the stand-ins that tidedeck is tried on: model servers, the weight
 // store, the platform and callers. They are small, but they keep the rules that real ones
 // must keep towards the system, and they can be made to fail.
-package vise
+package standin
 
 import (
 	"fmt"
 	"hash/fnv"
 
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
 // ServerOptions of a stand-in model server.
 type ServerOptions struct {
-	ID    gauge.Server
-	Inc   gauge.Inc
+	ID    ident.Server
+	Inc   ident.Inc
 	Room  int
 	Slots int
 	Store string
-	Step  gauge.Span // between two decode steps of the batch
+	Step  clock.Span // between two decode steps of the batch
 	Fill  int        // bytes that a step can prefill
 	Cache int        // shared prompt parts kept
-	Pull  gauge.Span // for a load, at the most
-	Whole gauge.Span // a request that is not wholly in so long after its connection was accepted is late
+	Pull  clock.Span // for a load, at the most
+	Whole clock.Span // a request that is not wholly in so long after its connection was accepted is late
 }
 
 // OrderIn is an order that came in; OrderOut answers it.
 type OrderIn struct {
 	Token uint64
-	Order dowel.Order
+	Order protocol.Order
 }
 
 // OrderOut answers an OrderIn.
 type OrderOut struct {
 	Token  uint64
-	Report dowel.Report
+	Report protocol.Report
 }
 
 // WorkIn is a request that came in.
 type WorkIn struct {
 	Token uint64
-	Work  dowel.Work
-	Since gauge.Tick // when its connection was accepted
+	Work  protocol.Work
+	Since clock.Tick // when its connection was accepted
 }
 
 // WorkQuit says that whoever sent a request is gone.
@@ -50,7 +53,7 @@
 // WorkDrop drops a request that never ran.
 type WorkDrop struct {
 	Token uint64
-	Kind  gauge.Kind
+	Kind  failure.Kind
 }
 
 // Event is one event of an answer's stream.
@@ -58,20 +61,20 @@
 	Token  uint64       `json:"-"`
 	N      int          `json:"n"`
 	Go     string       `json:"go"`
-	Server gauge.Server `json:"server"`
+	Server ident.Server `json:"server"`
 	Text   string       `json:"text,omitempty"`
 	Done   bool         `json:"done,omitempty"`
 	Reused int          `json:"reused,omitempty"` // prompt bytes found in the cache
 }
 
 type held struct {
-	dowel.Held
-	since gauge.Tick
+	protocol.Held
+	since clock.Tick
 }
 
 type job struct {
 	WorkIn
-	key  gauge.Key
+	key  ident.Key
 	fill int // bytes still to prefill
 	hit  int
 	n    int
@@ -80,18 +83,18 @@
 // Server is a stand-in model server without I/O.
 type Server struct {
 	o     ServerOptions
-	now   gauge.Tick
+	now   clock.Tick
 	out   []any
-	duty  gauge.Duty
+	duty  ident.Duty
 	num   uint64
-	held  map[gauge.Key]*held
+	held  map[ident.Key]*held
 	jobs  []*job
-	cache map[string]gauge.Tick
+	cache map[string]clock.Tick
 	ran   map[string]bool
 	ranIn []string
-	pulls map[uint64]gauge.Key
+	pulls map[uint64]ident.Key
 	token uint64
-	next  gauge.Tick
+	next  clock.Tick
 	slow  int
 	tally ServerTally
 }
@@ -103,24 +106,24 @@
 	Loads, Unloads, Stale, NoRoom uint64
 	Twice                         uint64
 	PeakCold                      int
-	DropKinds                     map[gauge.Kind]uint64
+	DropKinds                     map[failure.Kind]uint64
 }
 
 // NewServer makes a stand-in model server.
 func NewServer(o ServerOptions) *Server {
-	gauge.Or(&o.Step, 20e6)
-	gauge.Or(&o.Fill, 4000)
-	gauge.Or(&o.Cache, 64)
-	gauge.Or(&o.Slots, 16)
-	gauge.Or(&o.Pull, 120e9)
-	gauge.Or(&o.Whole, 500e6)
-	return &Server{o: o, held: map[gauge.Key]*held{}, cache: map[string]gauge.Tick{}, ran: map[string]bool{}, pulls: map[uint64]gauge.Key{},
+	generic.SetDefault(&o.Step, 20e6)
+	generic.SetDefault(&o.Fill, 4000)
+	generic.SetDefault(&o.Cache, 64)
+	generic.SetDefault(&o.Slots, 16)
+	generic.SetDefault(&o.Pull, 120e9)
+	generic.SetDefault(&o.Whole, 500e6)
+	return &Server{o: o, held: map[ident.Key]*held{}, cache: map[string]clock.Tick{}, ran: map[string]bool{}, pulls: map[uint64]ident.Key{},
 		token: uint64(o.Inc), // no answer to an earlier life's question is taken for one of this life's
-		tally: ServerTally{DropKinds: map[gauge.Kind]uint64{}}}
+		tally: ServerTally{DropKinds: map[failure.Kind]uint64{}}}
 }
 
 // Step takes one input and gives what is to be done.
-func (s *Server) Step(now gauge.Tick, in any) []any {
+func (s *Server) Step(now clock.Tick, in any) []any {
 	s.now, s.out = now, nil
 	switch v := in.(type) {
 	case OrderIn:
@@ -135,11 +138,11 @@
 				break
 			}
 		}
-	case dowel.Told:
+	case protocol.Told:
 		s.pulled(v)
-	case dowel.Beat:
+	case protocol.Beat:
 		if now >= s.next {
-			s.next = now.Add(s.o.Step * gauge.Span(1+s.slow))
+			s.next = now.Add(s.o.Step * clock.Span(1+s.slow))
 			s.batch()
 		}
 	}
@@ -157,9 +160,9 @@
 	return n
 }
 
-func (s *Server) report(drop gauge.Kind) dowel.Report {
-	r := dowel.Report{Server: s.o.ID, Inc: s.o.Inc, Duty: s.duty, Num: s.num, Room: s.o.Room, Slots: s.o.Slots, Drop: drop, Held: []dowel.Held{}}
-	for _, k := range gauge.Keys(s.held) {
+func (s *Server) report(drop failure.Kind) protocol.Report {
+	r := protocol.Report{Server: s.o.ID, Inc: s.o.Inc, Duty: s.duty, Num: s.num, Room: s.o.Room, Slots: s.o.Slots, Drop: drop, Held: []protocol.Held{}}
+	for _, k := range generic.SortedKeys(s.held) {
 		h := s.held[k]
 		x := h.Held
 		x.AgeMs = s.now.Sub(h.since).Milliseconds()
@@ -174,14 +177,14 @@
 }
 
 // order obeys only orders that are newer than the last one, by duty and number.
-func (s *Server) order(o dowel.Order) dowel.Report {
+func (s *Server) order(o protocol.Order) protocol.Report {
 	if o.Duty < s.duty || o.Duty == s.duty && o.Num <= s.num {
 		s.tally.Stale++
-		return s.report(gauge.Stale)
+		return s.report(failure.Stale)
 	}
 	s.duty, s.num = o.Duty, o.Num
 	if o.Op != "" && o.Inc != s.o.Inc {
-		return s.report(gauge.Mismatch)
+		return s.report(failure.Mismatch)
 	}
 	switch o.Op {
 	case "":
@@ -191,17 +194,17 @@
 		}
 		if s.used()+o.Size > s.o.Room {
 			s.tally.NoRoom++
-			return s.report(gauge.NoRoom)
+			return s.report(failure.NoRoom)
 		}
 		s.tally.Loads++
-		s.held[o.Key] = &held{Held: dowel.Held{Key: o.Key, Size: o.Size, Stage: "loading"}, since: s.now}
+		s.held[o.Key] = &held{Held: protocol.Held{Key: o.Key, Size: o.Size, Stage: "loading"}, since: s.now}
 		s.token++
 		s.pulls[s.token] = o.Key
-		s.out = append(s.out, dowel.Ask{Token: s.token, Addr: s.o.Store, Path: "/pull", Body: Pull{Server: s.o.ID, Key: o.Key, Size: o.Size}, Wait: s.o.Pull})
+		s.out = append(s.out, protocol.Ask{Token: s.token, Addr: s.o.Store, Path: "/pull", Body: Pull{Server: s.o.ID, Key: o.Key, Size: o.Size}, Wait: s.o.Pull})
 	case "unload":
 		for _, j := range s.jobs {
 			if j.key == o.Key || j.key.Base() == o.Key {
-				return s.report(gauge.Busy)
+				return s.report(failure.Busy)
 			}
 		}
 		if s.held[o.Key] != nil {
@@ -209,12 +212,12 @@
 			delete(s.held, o.Key)
 		}
 	default:
-		return s.report(gauge.Malformed)
+		return s.report(failure.Malformed)
 	}
-	return s.report(gauge.None)
+	return s.report(failure.None)
 }
 
-func (s *Server) pulled(t dowel.Told) {
+func (s *Server) pulled(t protocol.Told) {
 	k, ok := s.pulls[t.Token]
 	delete(s.pulls, t.Token)
 	h := s.held[k]
@@ -228,7 +231,7 @@
 	h.Stage, h.since = "ready", s.now
 }
 
-func (s *Server) drop(t uint64, k gauge.Kind) {
+func (s *Server) drop(t uint64, k failure.Kind) {
 	s.tally.Dropped++
 	s.tally.DropKinds[k]++
 	s.out = append(s.out, WorkDrop{t, k})
@@ -237,21 +240,21 @@
 func (s *Server) work(v WorkIn) {
 	// What was sent long after its sender last looked may no longer be meant for this server.
 	if v.Since != 0 && s.now.Sub(v.Since) > s.o.Whole {
-		s.drop(v.Token, gauge.Late)
+		s.drop(v.Token, failure.Late)
 		return
 	}
-	k := gauge.KeyOf(v.Work.Base, v.Work.Extra)
+	k := ident.KeyOf(v.Work.Base, v.Work.Extra)
 	h, b := s.held[k], s.held[k.Base()]
 	if v.Work.Inc != s.o.Inc || h == nil || b == nil || h.Stage != "ready" || b.Stage != "ready" {
-		s.drop(v.Token, gauge.Mismatch)
+		s.drop(v.Token, failure.Mismatch)
 		return
 	}
 	if len(s.jobs) >= 3*s.o.Slots {
-		s.drop(v.Token, gauge.Busy)
+		s.drop(v.Token, failure.Busy)
 		return
 	}
 	if s.ran[v.Work.ID] && v.Work.Once {
-		s.drop(v.Token, gauge.Repeated)
+		s.drop(v.Token, failure.Repeated)
 		return
 	}
 	if v.Work.Once {
@@ -346,7 +349,7 @@
 func (s *Server) Counts() ServerTally { return s.tally }
 
 // Since tells for how long the server has held a key ready, on its own clock.
-func (s *Server) Since(k gauge.Key) (gauge.Span, bool) {
+func (s *Server) Since(k ident.Key) (clock.Span, bool) {
 	h := s.held[k]
 	if h == nil || h.Stage != "ready" {
 		return 0, false
@@ -355,8 +358,8 @@
 }
 
 // Holds lists what the server holds, for checkers.
-func (s *Server) Holds() map[gauge.Key]dowel.Held {
-	m := map[gauge.Key]dowel.Held{}
+func (s *Server) Holds() map[ident.Key]protocol.Held {
+	m := map[ident.Key]protocol.Held{}
 	for k, h := range s.held {
 		m[k] = h.Held
 	}
--- a/vise/vise_test.go
+++ b/internal/standin/standin_test.go
@@ -1,15 +1,16 @@
-package vise
+package standin
 
 import (
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/protocol"
 )
 
-func give(s *Server, at gauge.Tick, o dowel.Order) dowel.Report {
+func give(s *Server, at clock.Tick, o protocol.Order) protocol.Report {
 	for _, x := range s.Step(at, OrderIn{Order: o}) {
 		if r, ok := x.(OrderOut); ok {
 			return r.Report
@@ -23,20 +24,20 @@
 	s := NewServer(ServerOptions{ID: "s", Inc: 4, Room: 10})
 	for _, c := range []struct {
 		name string
-		o    dowel.Order
-		drop gauge.Kind
+		o    protocol.Order
+		drop failure.Kind
 		held int
 	}{
-		{"a question", dowel.Order{Duty: 2, Num: 1}, "", 0},
-		{"a load", dowel.Order{Duty: 2, Num: 2, Inc: 4, Op: "load", Key: "m", Size: 6}, "", 1},
-		{"its repeat", dowel.Order{Duty: 2, Num: 2, Inc: 4, Op: "load", Key: "n", Size: 1}, gauge.Stale, 1},
-		{"an older number", dowel.Order{Duty: 2, Num: 1, Inc: 4, Op: "unload", Key: "m"}, gauge.Stale, 1},
-		{"an older duty", dowel.Order{Duty: 1, Num: 9, Inc: 4, Op: "unload", Key: "m"}, gauge.Stale, 1},
-		{"another life", dowel.Order{Duty: 2, Num: 3, Inc: 3, Op: "unload", Key: "m"}, gauge.Mismatch, 1},
-		{"past its room", dowel.Order{Duty: 2, Num: 4, Inc: 4, Op: "load", Key: "n", Size: 5}, gauge.NoRoom, 1},
-		{"nonsense", dowel.Order{Duty: 2, Num: 5, Inc: 4, Op: "polish", Key: "m"}, gauge.Malformed, 1},
-		{"a newer duty", dowel.Order{Duty: 3, Num: 1, Inc: 4, Op: "unload", Key: "m"}, "", 0},
-		{"the duty before", dowel.Order{Duty: 2, Num: 99, Inc: 4, Op: "load", Key: "m", Size: 6}, gauge.Stale, 0},
+		{"a question", protocol.Order{Duty: 2, Num: 1}, "", 0},
+		{"a load", protocol.Order{Duty: 2, Num: 2, Inc: 4, Op: "load", Key: "m", Size: 6}, "", 1},
+		{"its repeat", protocol.Order{Duty: 2, Num: 2, Inc: 4, Op: "load", Key: "n", Size: 1}, failure.Stale, 1},
+		{"an older number", protocol.Order{Duty: 2, Num: 1, Inc: 4, Op: "unload", Key: "m"}, failure.Stale, 1},
+		{"an older duty", protocol.Order{Duty: 1, Num: 9, Inc: 4, Op: "unload", Key: "m"}, failure.Stale, 1},
+		{"another life", protocol.Order{Duty: 2, Num: 3, Inc: 3, Op: "unload", Key: "m"}, failure.Mismatch, 1},
+		{"past its room", protocol.Order{Duty: 2, Num: 4, Inc: 4, Op: "load", Key: "n", Size: 5}, failure.NoRoom, 1},
+		{"nonsense", protocol.Order{Duty: 2, Num: 5, Inc: 4, Op: "polish", Key: "m"}, failure.Malformed, 1},
+		{"a newer duty", protocol.Order{Duty: 3, Num: 1, Inc: 4, Op: "unload", Key: "m"}, "", 0},
+		{"the duty before", protocol.Order{Duty: 2, Num: 99, Inc: 4, Op: "load", Key: "m", Size: 6}, failure.Stale, 0},
 	} {
 		r := give(s, 1e9, c.o)
 		require.Equal(t, c.drop, r.Drop, c.name)
@@ -48,25 +49,25 @@
 // may not be repeated; whatever it drops has not run.
 func TestWorks(t *testing.T) {
 	s := NewServer(ServerOptions{ID: "s", Inc: 4, Room: 10, Slots: 1})
-	give(s, 0, dowel.Order{Duty: 1, Num: 1, Inc: 4, Op: "load", Key: "m", Size: 6})
-	s.Step(0, dowel.Told{Token: 5, OK: true, Code: 200})
-	give(s, 0, dowel.Order{Duty: 1, Num: 2, Inc: 4, Op: "load", Key: "n", Size: 1})
+	give(s, 0, protocol.Order{Duty: 1, Num: 1, Inc: 4, Op: "load", Key: "m", Size: 6})
+	s.Step(0, protocol.Told{Token: 5, OK: true, Code: 200})
+	give(s, 0, protocol.Order{Duty: 1, Num: 2, Inc: 4, Op: "load", Key: "n", Size: 1})
 	for i, c := range []struct {
 		name string
-		w    dowel.Work
-		drop gauge.Kind
+		w    protocol.Work
+		drop failure.Kind
 	}{
-		{"held", dowel.Work{ID: "1", Base: "m", Inc: 4, Max: 3, Once: true}, ""},
-		{"once more", dowel.Work{ID: "1", Base: "m", Inc: 4, Max: 3, Once: true}, gauge.Repeated},
-		{"another life", dowel.Work{ID: "2", Base: "m", Inc: 3, Max: 3}, gauge.Mismatch},
-		{"still loading", dowel.Work{ID: "3", Base: "n", Inc: 4, Max: 3}, gauge.Mismatch},
-		{"not held", dowel.Work{ID: "4", Base: "x", Inc: 4, Max: 3}, gauge.Mismatch},
-		{"an adapter that is not held", dowel.Work{ID: "5", Base: "m", Extra: "a", Inc: 4, Max: 3}, gauge.Mismatch},
-		{"in line", dowel.Work{ID: "6", Base: "m", Inc: 4, Max: 3}, ""},
-		{"in line too", dowel.Work{ID: "7", Base: "m", Inc: 4, Max: 3}, ""},
-		{"too many", dowel.Work{ID: "8", Base: "m", Inc: 4, Max: 3}, gauge.Busy},
+		{"held", protocol.Work{ID: "1", Base: "m", Inc: 4, Max: 3, Once: true}, ""},
+		{"once more", protocol.Work{ID: "1", Base: "m", Inc: 4, Max: 3, Once: true}, failure.Repeated},
+		{"another life", protocol.Work{ID: "2", Base: "m", Inc: 3, Max: 3}, failure.Mismatch},
+		{"still loading", protocol.Work{ID: "3", Base: "n", Inc: 4, Max: 3}, failure.Mismatch},
+		{"not held", protocol.Work{ID: "4", Base: "x", Inc: 4, Max: 3}, failure.Mismatch},
+		{"an adapter that is not held", protocol.Work{ID: "5", Base: "m", Extra: "a", Inc: 4, Max: 3}, failure.Mismatch},
+		{"in line", protocol.Work{ID: "6", Base: "m", Inc: 4, Max: 3}, ""},
+		{"in line too", protocol.Work{ID: "7", Base: "m", Inc: 4, Max: 3}, ""},
+		{"too many", protocol.Work{ID: "8", Base: "m", Inc: 4, Max: 3}, failure.Busy},
 	} {
-		var drop gauge.Kind
+		var drop failure.Kind
 		for _, x := range s.Step(0, WorkIn{Token: uint64(i + 1), Work: c.w}) {
 			if d, ok := x.(WorkDrop); ok {
 				drop = d.Kind
@@ -75,10 +76,10 @@
 		require.Equal(t, c.drop, drop, c.name)
 	}
 	require.EqualValues(t, 3, s.Counts().Works)
-	require.Equal(t, gauge.Busy, give(s, 0, dowel.Order{Duty: 1, Num: 3, Inc: 4, Op: "unload", Key: "m"}).Drop)
+	require.Equal(t, failure.Busy, give(s, 0, protocol.Order{Duty: 1, Num: 3, Inc: 4, Op: "unload", Key: "m"}).Drop)
 	n := map[uint64]int{}
-	for at := gauge.Tick(0); at < 1e9; at += 20e6 {
-		for _, x := range s.Step(at, dowel.Beat{}) {
+	for at := clock.Tick(0); at < 1e9; at += 20e6 {
+		for _, x := range s.Step(at, protocol.Beat{}) {
 			if e, ok := x.(Event); ok {
 				require.Equal(t, n[e.Token], e.N)
 				n[e.Token]++
@@ -86,7 +87,7 @@
 		}
 	}
 	require.Equal(t, map[uint64]int{1: 4, 7: 4, 8: 4}, n)
-	require.Empty(t, give(s, 0, dowel.Order{Duty: 1, Num: 4, Inc: 4, Op: "unload", Key: "m"}).Drop)
+	require.Empty(t, give(s, 0, protocol.Order{Duty: 1, Num: 4, Inc: 4, Op: "unload", Key: "m"}).Drop)
 }
 
 // The store's bandwidth is shared, and pulls beyond its budget are counted.
@@ -94,9 +95,9 @@
 	s := NewStore(10, 1)
 	s.Step(0, PullIn{1, Pull{Size: 10}})
 	s.Step(0, PullIn{2, Pull{Size: 10}})
-	done := map[uint64]gauge.Tick{}
-	for at := gauge.Tick(0); at < 4e9; at += 10e6 {
-		for _, x := range s.Step(at, dowel.Beat{}) {
+	done := map[uint64]clock.Tick{}
+	for at := clock.Tick(0); at < 4e9; at += 10e6 {
+		for _, x := range s.Step(at, protocol.Beat{}) {
 			done[x.(PullOut).Token] = at
 		}
 	}
@@ -131,18 +132,18 @@
 // whoever sent it may have looked long before.
 func TestLate(t *testing.T) {
 	for _, c := range []struct {
-		since, now gauge.Tick
+		since, now clock.Tick
 		ran        bool
 	}{{1e9, 1e9, true}, {1e9, 1.5e9, true}, {1e9, 1.5e9 + 1, false}, {1e9, 9e9, false}, {0, 9e9, true}} {
 		s := NewServer(ServerOptions{ID: "s", Inc: 4, Room: 9, Store: "store"})
-		s.held["m"] = &held{Held: dowel.Held{Key: "m", Size: 1, Stage: "ready"}}
-		out := s.Step(c.now, WorkIn{Token: 1, Since: c.since, Work: dowel.Work{ID: "1", Base: "m", Inc: 4, Max: 3}})
+		s.held["m"] = &held{Held: protocol.Held{Key: "m", Size: 1, Stage: "ready"}}
+		out := s.Step(c.now, WorkIn{Token: 1, Since: c.since, Work: protocol.Work{ID: "1", Base: "m", Inc: 4, Max: 3}})
 		if c.ran {
 			require.Empty(t, out, "%+v", c)
 			require.EqualValues(t, 1, s.Counts().Works)
 			continue
 		}
-		require.Equal(t, []any{WorkDrop{1, gauge.Late}}, out, "%+v", c)
+		require.Equal(t, []any{WorkDrop{1, failure.Late}}, out, "%+v", c)
 		require.Zero(t, s.Counts().Works)
 	}
 }
--- a/vise/store.go
+++ b/internal/standin/store.go
@@ -1,16 +1,17 @@
-package vise
+package standin
 
 import (
 	"sort"
 
-	"tidedeck/dowel"
-	"tidedeck/gauge"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
 // Pull asks the weight store for weights.
 type Pull struct {
-	Server gauge.Server `json:"server"`
-	Key    gauge.Key    `json:"key"`
+	Server ident.Server `json:"server"`
+	Key    ident.Key    `json:"key"`
 	Size   int          `json:"size"`
 }
 
@@ -31,7 +32,7 @@
 	Rate  float64 // size per second, shared
 	Bear  int     // pulls that it bears at once
 	pulls map[uint64]float64
-	last  gauge.Tick
+	last  clock.Tick
 	tally StoreTally
 }
 
@@ -47,7 +48,7 @@
 }
 
 // Step takes one input and gives what is to be done.
-func (s *Store) Step(now gauge.Tick, in any) (out []any) {
+func (s *Store) Step(now clock.Tick, in any) (out []any) {
 	dt := now.Sub(s.last).Seconds()
 	s.last = now
 	if n := len(s.pulls); n > 0 {
@@ -85,11 +86,13 @@
 func (s *Store) Counts() StoreTally { return s.tally }
 
 // Platform is the stand-in platform: it keeps the list of servers.
-type Platform struct{ list map[gauge.Server]dowel.Listed }
+type Platform struct {
+	list map[ident.Server]protocol.Listed
+}
 
 // NewPlatform makes a platform with a first list.
-func NewPlatform(l ...dowel.Listed) *Platform {
-	p := &Platform{list: map[gauge.Server]dowel.Listed{}}
+func NewPlatform(l ...protocol.Listed) *Platform {
+	p := &Platform{list: map[ident.Server]protocol.Listed{}}
 	for _, x := range l {
 		p.list[x.ID] = x
 	}
@@ -97,10 +100,10 @@
 }
 
 // Set lists a server, or lists it anew.
-func (p *Platform) Set(x dowel.Listed) { p.list[x.ID] = x }
+func (p *Platform) Set(x protocol.Listed) { p.list[x.ID] = x }
 
 // Mark changes a server's state: live, leaving or gone. It tells whether the server is known.
-func (p *Platform) Mark(id gauge.Server, state string) bool {
+func (p *Platform) Mark(id ident.Server, state string) bool {
 	x, ok := p.list[id]
 	x.State = state
 	if ok {
@@ -110,8 +113,8 @@
 }
 
 // List gives the servers, by id.
-func (p *Platform) List() []dowel.Listed {
-	l := make([]dowel.Listed, 0, len(p.list))
+func (p *Platform) List() []protocol.Listed {
+	l := make([]protocol.Listed, 0, len(p.list))
 	for _, x := range p.list {
 		l = append(l, x)
 	}
--- a/caliper/caliper.go
+++ b/internal/tidedeckctl/tidedeckctl.go
@@ -1,5 +1,5 @@
-// Package caliper is the operator's command line: it speaks to a core node's admin API.
-package caliper
+// Package tidedeckctl is the operator's command line: it speaks to a core node's admin API.
+package tidedeckctl
 
 import (
 	"bytes"
@@ -14,11 +14,11 @@
 
 	"github.com/go-faster/errors"
 
-	"tidedeck/chisel"
-	"tidedeck/clamp"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/host"
 )
 
-// Line is caliper's command line.
+// Line is tidedeckctl's command line.
 type Line struct {
 	Settings string        `help:"File of settings, JSON; flags go before it." type:"path"`
 	Admin    []string      `help:"Admin addresses of core nodes, ip:port; the first that answers is asked." required:"" env:"TIDEDECK_ADMIN"`
@@ -73,14 +73,14 @@
 }
 
 // Check names what is wrong with the command line.
-func (l *Line) Check() (f chisel.Faults) {
+func (l *Line) Check() (f fleetplan.Faults) {
 	for i, a := range l.Admin {
-		f = append(f, clamp.Addr(fmt.Sprintf("admin[%d]", i), a)...)
+		f = append(f, host.Addr(fmt.Sprintf("admin[%d]", i), a)...)
 	}
 	return f
 }
 
-// Codes of caliper's exit.
+// Codes of tidedeckctl's exit.
 const (
 	OK      = 0
 	Dropped = 1 // nothing changed
@@ -103,7 +103,7 @@
 		if e != nil {
 			return fail(err, e, Misused)
 		}
-		if _, f := chisel.ReadPlan(raw); f != nil {
+		if _, f := fleetplan.ReadPlan(raw); f != nil {
 			for _, x := range f {
 				fmt.Fprintf(err, "%s: %s\n", x.Path, x.Why)
 			}
@@ -139,7 +139,7 @@
 	}
 	if c.how != http.MethodGet && c.change == "" && c.expect != "" {
 		// With an id of our own, asking a second node after a lost reply is safe.
-		c.change = fmt.Sprintf("caliper-%d", clamp.NewInc())
+		c.change = fmt.Sprintf("tidedeckctl-%d", host.NewInc())
 	}
 	return l.send(c, body, cmd, out, err)
 }
@@ -171,11 +171,11 @@
 			continue
 		}
 		var a struct {
-			Kind   string        `json:"kind"`
-			Why    string        `json:"why"`
-			Epoch  uint64        `json:"epoch"`
-			Faults chisel.Faults `json:"faults"`
-			View   any           `json:"view"`
+			Kind   string           `json:"kind"`
+			Why    string           `json:"why"`
+			Epoch  uint64           `json:"epoch"`
+			Faults fleetplan.Faults `json:"faults"`
+			View   any              `json:"view"`
 		}
 		if cmd == "plan get" && w.StatusCode == 200 {
 			fmt.Fprintf(err, "epoch %s\n", w.Header.Get("X-Epoch"))
@@ -222,6 +222,6 @@
 }
 
 func fail(w io.Writer, e error, code int) int {
-	fmt.Fprintln(w, "caliper:", e)
+	fmt.Fprintln(w, "tidedeckctl:", e)
 	return code
 }
--- a/caliper/caliper_test.go
+++ b/internal/tidedeckctl/tidedeckctl_test.go
@@ -1,4 +1,4 @@
-package caliper
+package tidedeckctl
 
 import (
 	"bytes"
