Nodes reach a peer that was without power again at once

Its peers went on writing to the connections of its life before, whose next retransmission TCP puts off as long as the machine was away; no TCP_USER_TIMEOUT was set between nodes. So it was not taken back as a voter in time, and the next two losses, both within the tolerance, left 2 of 5. Ruled out: its disk (it opened at 10.73 s with its old value) and membership (peers saw it alive at 11.4 s, dead at 13.4 s, as its answers went unheard). Change: bytes between nodes that go unacknowledged for 1.5 s end the connection; a peer that opens a new stream to us makes our older connection to it stale; listeners probe idle connections.

--- a/internal/host/post.go
+++ b/internal/host/post.go
@@ -4,9 +4,12 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmanager"
@@ -38,11 +41,29 @@
 
 var manage = drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: mostWire}}
 
+// unacknowledgedLimit bounds how long bytes to a peer may go unacknowledged before the connection is
+// given up and dialled anew. A machine without power, or behind a cut, says nothing: without this bound
+// its connection would wait for TCP's next retransmission, which comes as late after the machine is back
+// as it was away.
+const unacknowledgedLimit = 1500 * time.Millisecond
+
+// staleBefore is how much older than a peer's new inbound stream our own connection to it must be to be
+// taken for one to the peer's life before. Two peers that reconnect to each other settle at once, since
+// both connections are then younger than this.
+const staleBefore = time.Second
+
+// peerLine is what waits to be sent to one peer.
+type peerLine struct {
+	queue    chan protocol.Env
+	reopened atomic.Int64 // when the peer last opened a stream to this process, in ns since the post began
+}
+
 // post carries envelopes between processes: one held stream to each sibling, a bounded queue
 // before it, and nothing that waits for a sibling that does not read.
 type post struct {
 	mu    sync.Mutex // guards lines and busy; taken last of all locks
-	lines map[string]chan protocol.Env
+	lines map[string]*peerLine
+	began time.Time
 	busy  int // envelopes being written
 	ctx   context.Context
 	take  func(protocol.Env)
@@ -51,11 +72,30 @@
 }
 
 func newPost(ctx context.Context, told string, wait time.Duration, take func(protocol.Env)) *post {
-	return &post{dial: Dialer(told, wait), lines: map[string]chan protocol.Env{}, ctx: ctx, take: take}
+	dialer := Dialer(told, wait)
+	return &post{dial: boundUnacknowledged(dialer), lines: map[string]*peerLine{}, began: time.Now(), ctx: ctx, take: take}
+}
+
+// boundUnacknowledged makes a dialer set TCP_USER_TIMEOUT on its connections.
+func boundUnacknowledged(dialer *net.Dialer) *net.Dialer {
+	before := dialer.Control
+	dialer.Control = func(network, address string, c syscall.RawConn) error {
+		if before != nil {
+			if err := before(network, address, c); err != nil {
+				return err
+			}
+		}
+		return c.Control(func(fd uintptr) {
+			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledgedLimit.Milliseconds()))
+		})
+	}
+	return dialer
 }
 
 func (p *post) listen(addr string) error {
-	l, err := net.Listen("tcp", addr)
+	// Probes end what a peer that lost its power, or was cut off, has left open here.
+	listening := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3}}
+	l, err := listening.Listen(p.ctx, "tcp", addr)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
@@ -69,15 +109,34 @@
 	if rpc != rpcPost {
 		return errors.Errorf("no such call: %s", rpc)
 	}
-	for {
+	opened := time.Now()
+	for first := true; ; first = false {
 		var e protocol.Env
 		if err := s.MsgRecv(&e, coding{}); err != nil {
 			return nil
 		}
+		if first {
+			p.reopened(e.From.Addr, opened)
+		}
 		p.take(e)
 	}
 }
 
+// reopened notes that a peer opened a new stream to this process: it may have started anew, or come
+// back from a cut, so that an older connection to it leads nowhere.
+func (p *post) reopened(addr string, at time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if line := p.lines[addr]; line != nil {
+		line.reopened.Store(int64(at.Sub(p.began)))
+	}
+}
+
+// stale tells whether a connection that was dialled at some moment is older than the peer's newest stream.
+func (p *post) stale(line *peerLine, dialled time.Time) bool {
+	return dialled.Sub(p.began)+staleBefore < time.Duration(line.reopened.Load())
+}
+
 // send queues an envelope; a full queue lets go of its oldest.
 func (p *post) send(e protocol.Env) {
 	to := e.Hop().Addr
@@ -86,20 +145,20 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	q := p.lines[to]
-	if q == nil {
-		q = make(chan protocol.Env, 512)
-		p.lines[to] = q
-		go p.run(to, q)
+	line := p.lines[to]
+	if line == nil {
+		line = &peerLine{queue: make(chan protocol.Env, 512)}
+		p.lines[to] = line
+		go p.run(to, line)
 	}
 	for {
 		select {
-		case q <- e:
+		case line.queue <- e:
 			return
 		default:
 		}
 		select {
-		case <-q:
+		case <-line.queue:
 		default:
 		}
 	}
@@ -110,8 +169,8 @@
 	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		p.mu.Lock()
 		n := p.busy
-		for _, q := range p.lines {
-			n += len(q)
+		for _, line := range p.lines {
+			n += len(line.queue)
 		}
 		p.mu.Unlock()
 		if n == 0 {
@@ -134,10 +193,11 @@
 	return c.Conn.Write(b)
 }
 
-func (p *post) run(to string, q chan protocol.Env) {
+func (p *post) run(to string, line *peerLine) {
+	q := line.queue
 	var c *drpcconn.Conn
 	var s drpc.Stream
-	var bad time.Time
+	var bad, dialled time.Time
 	quit := func() {
 		if c != nil {
 			_ = c.Close()
@@ -153,10 +213,14 @@
 			default:
 			}
 		}
+		if c != nil && p.stale(line, dialled) {
+			quit()
+		}
 		if c == nil {
 			if time.Since(bad) < 100*time.Millisecond {
 				return
 			}
+			dialled = time.Now()
 			n, err := p.dial.Dial("tcp", to)
 			if err != nil {
 				bad = time.Now()
