--- a/internal/controller/admin.go
+++ b/internal/controller/admin.go
@@ -59,6 +59,16 @@
 
 func (c *Core) receipt(a Receipt) { c.out = append(c.out, a) }
 
+// maxChanges bounds how many taken changes are remembered by their ids: at 12 changes a second a repeat is
+// known for 40 s, and they add some 12 KB to what a voter writes.
+const maxChanges = 512
+
+// forgotten tells whether a change goes on a version from before the oldest change that is remembered: it
+// may have been taken long ago, so that its repeat must not be told as refused.
+func forgotten(d protocol.Desired, a Admin) bool {
+	return a.Change != "" && len(d.Done) == maxChanges && a.Expect < d.Done[0].Epoch
+}
+
 // change carries an operator's change through the register.
 func (c *Core) change(a Admin, apply func(d *protocol.Desired) (failure.Kind, fleetplan.Faults)) {
 	if c.latest() == nil {
@@ -76,6 +86,9 @@
 			}
 		}
 		if !a.Any && d.Epoch != a.Expect {
+			if forgotten(d, a) {
+				return d, failure.Unclear
+			}
 			return d, failure.Conflict
 		}
 		if a.Number != 0 && a.Number <= d.Epoch {
@@ -96,8 +109,8 @@
 		if a.Change != "" {
 			n.Done = append(n.Done, protocol.Change{ID: a.Change, Epoch: n.Epoch})
 		}
-		if len(n.Done) > 64 {
-			n.Done = n.Done[len(n.Done)-64:]
+		if len(n.Done) > maxChanges {
+			n.Done = n.Done[len(n.Done)-maxChanges:]
 		}
 		return n, failure.None
 	}, func(v protocol.Desired, k failure.Kind) {
--- a/internal/controller/duty.go
+++ b/internal/controller/duty.go
@@ -15,6 +15,7 @@
 	mine  bool
 	num   ident.Duty
 	again bool       // this node owned it before, and nobody since
+	shape uint64     // of the voter set under which it was renewed last
 	asked clock.Tick // when the last round that renewed it, and showed nothing newer, began
 	began clock.Tick
 	top   ident.Duty       // highest number seen
@@ -37,7 +38,7 @@
 	if !seat(set.Voters, c.o.Me.ID, c.vote.inc) || !d.free {
 		return false, 0
 	}
-	if c.now < d.shy {
+	if c.now < d.shy || c.ending {
 		return false, 0
 	}
 	if d.next != "" && c.now.Sub(d.left) < 2e9 {
@@ -94,6 +95,7 @@
 	if d.mine {
 		if q.num == d.num {
 			d.asked = max(d.asked, q.at)
+			d.shape = c.shapeOf(q.set)
 		}
 		return
 	}
@@ -101,12 +103,21 @@
 		return
 	}
 	c.seenAt = c.now
-	*d = reign{mine: true, again: q.again, num: q.num, asked: q.at, began: c.now, top: q.num, who: c.o.Me}
+	*d = reign{mine: true, again: q.again, shape: c.shapeOf(q.set), num: q.num, asked: q.at, began: c.now, top: q.num, who: c.o.Me}
 	c.tally.Reigns++
 	c.note(fmt.Sprintf("duty %d begins", d.num))
 	c.clear()
 }
 
+// shapeOf gives the number of a voter set that is known to be chosen, and zero for any other.
+func (c *Core) shapeOf(set protocol.Desired) uint64 {
+	k := c.reg.known
+	if k == nil || !alike(k.Voters, set.Voters) || !alike(k.Prior, set.Prior) {
+		return 0
+	}
+	return k.Shape
+}
+
 // release gives the duty back at a planned stop, so that the next owner need not wait for its
 // hold to run out. By then this node grants and orders nothing any more.
 func (c *Core) release() {
@@ -154,7 +165,10 @@
 	c.listing, c.listed, c.eye, c.begun, c.asked = false, 0, eye{}, nil, 0
 	c.planned()
 	if c.duty.mine && c.o.Enrolled {
-		c.rolls, c.called = map[ident.Node]ident.Inc{c.o.Me.ID: c.vote.inc}, 0
+		c.rolls, c.called = map[ident.Node]ident.Inc{}, 0
+		if c.rollWhole {
+			c.rolls[c.o.Me.ID] = c.vote.inc
+		}
 		c.callRoll()
 	} else if c.duty.mine {
 		c.onList(c.list.List) // until the platform says otherwise
--- a/internal/controller/enrol.go
+++ b/internal/controller/enrol.go
@@ -234,7 +234,7 @@
 			c.relayRoll()
 		}
 		// A node that is parted from the core sends servers on to one that is not.
-		c.out = append(c.out, Announced{Token: a.Token, OK: c.reg.known == nil || c.Ready()})
+		c.out = append(c.out, Announced{Token: a.Token, OK: c.reg.known == nil && !c.o.Joined || c.Ready()})
 		return
 	}
 	// Repeats of a leaving are answered like the first: their answer may be the one that is heard.
@@ -389,6 +389,9 @@
 			delete(c.roll, id) // its next word, if one comes, enrols it anew
 		}
 	}
+	if !c.rollWhole {
+		c.recoverRoll()
+	}
 	if !c.rules() {
 		return
 	}
@@ -479,7 +482,31 @@
 			l = append(l, x.Beacon)
 		}
 	}
-	c.reply(e, protocol.Roll{Duty: e.Body.(protocol.RollCall).Duty, Inc: c.vote.inc, List: l})
+	c.reply(e, protocol.Roll{Duty: e.Body.(protocol.RollCall).Duty, Inc: c.vote.inc, Partial: !c.rollWhole, List: l})
+}
+
+// recoverRoll asks the others for their rolls, at a node whose disk began a new life: what it once
+// acknowledged of leavings it has forgotten, and until it has heard a majority its own roll may not count
+// for one.
+func (c *Core) recoverRoll() {
+	if c.now.Sub(c.called) <= leaveResend {
+		return
+	}
+	c.called = c.now
+	for _, p := range c.others() {
+		c.send(p, protocol.RollCall{})
+	}
+}
+
+// settleRoll has a node's roll count again once a majority's are in it and on its disk.
+func (c *Core) settleRoll() {
+	if c.reg.known == nil || !quorum(*c.reg.known, c.rolls) {
+		return
+	}
+	c.keepLeavings(func() {
+		c.rollWhole = true
+		c.rolls[c.o.Me.ID] = c.vote.inc
+	})
 }
 
 // rolled tells whether the owner has heard a majority's roll: a leaving that was acknowledged is in it.
@@ -489,12 +516,19 @@
 
 func (c *Core) onRoll(e protocol.Env) {
 	b := e.Body.(protocol.Roll)
-	if !c.duty.mine || b.Duty != c.duty.num {
-		return
-	}
 	for _, x := range b.List {
 		c.enrol(x)
 	}
+	if b.Partial {
+		return
+	}
+	if !c.rollWhole {
+		c.rolls[e.From.ID] = b.Inc
+		c.settleRoll()
+	}
+	if !c.duty.mine || b.Duty != c.duty.num {
+		return
+	}
 	was := c.rolled()
 	c.rolls[e.From.ID] = b.Inc
 	if !was && c.rolled() {
--- a/internal/controller/host.go
+++ b/internal/controller/host.go
@@ -110,8 +110,7 @@
 	go func() { _ = own.ListenAndServe() }()
 	defer own.Close()
 	err := host.Web(h.Control, a, ring, nil, 2*time.Second)
-	d.c.Step(protocol.Stop{})
-	d.c.Flush(300 * time.Millisecond)
+	d.stop(core)
 	return err
 }
 
--- /dev/null
+++ b/internal/controller/proposer.go
@@ -0,0 +1,155 @@
+package controller
+
+import (
+	"tidedeck/internal/clock"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
+)
+
+// op is one change or full read in its rounds.
+type op struct {
+	apply  func(protocol.Desired) (protocol.Desired, failure.Kind)
+	done   func(v protocol.Desired, k failure.Kind)
+	end    clock.Tick
+	set    protocol.Desired
+	ballot protocol.Ballot
+	round  uint64
+	phase  string // wait, prepare, accept
+	sent   clock.Tick
+	wake   clock.Tick
+	yes    map[ident.Node]ident.Inc
+	best   protocol.Ballot
+	value  *protocol.Desired
+	next   protocol.Desired
+	kind   failure.Kind
+	risky  bool // an accept was sent whose fate is not settled
+	fails  int
+}
+
+func (c *Core) latest() *protocol.Desired {
+	k, h := c.reg.known, c.reg.hint
+	if k != nil && (h == nil || h.Shape <= k.Shape) {
+		return k
+	}
+	return h
+}
+
+// propose queues a change; done hears of it exactly once.
+func (c *Core) propose(apply func(protocol.Desired) (protocol.Desired, failure.Kind), done func(protocol.Desired, failure.Kind)) {
+	if len(c.reg.queue) > 64 {
+		done(protocol.Desired{}, failure.Full)
+		return
+	}
+	c.reg.queue = append(c.reg.queue, &op{apply: apply, done: done, end: c.now.Add(4e9), phase: "wait"})
+	c.stir()
+}
+
+// read queues a full read: a round that proposes what it finds, and so mends old copies.
+func (c *Core) read(done func(protocol.Desired, failure.Kind)) {
+	c.tally.Reads++
+	c.propose(func(d protocol.Desired) (protocol.Desired, failure.Kind) { return d, failure.None }, done)
+}
+
+func (c *Core) stir() {
+	r := &c.reg
+	if r.op == nil && len(r.queue) > 0 {
+		r.op, r.queue = r.queue[0], r.queue[1:]
+	}
+	o := r.op
+	if o == nil || o.phase != "wait" || c.now < o.wake {
+		return
+	}
+	set := c.latest()
+	if set == nil {
+		return
+	}
+	c.begin(o, *set)
+}
+
+func (c *Core) begin(o *op, set protocol.Desired) {
+	r := &c.reg
+	r.top++
+	r.round++
+	o.set, o.ballot, o.round = set, protocol.Ballot{N: r.top, By: c.o.Me.ID}, r.round
+	o.phase, o.sent = "prepare", c.now
+	o.yes, o.best, o.value = map[ident.Node]ident.Inc{}, protocol.Ballot{}, nil
+	c.tally.Rounds++
+	for _, p := range electors(set) {
+		c.send(p, protocol.Prepare{Round: o.round, Ballot: o.ballot})
+	}
+}
+
+func (c *Core) again(o *op) {
+	o.fails++
+	o.phase = "wait"
+	back := clock.Span(20e6) << min(o.fails, 4)
+	o.wake = c.now.Add(back/2 + clock.Span(c.o.Rand.Int64N(int64(back))))
+	c.tally.Conflicts++
+}
+
+func (c *Core) onPromise(e protocol.Env) {
+	b, o := e.Body.(protocol.Promise), c.reg.op
+	c.reg.top = max(c.reg.top, b.Promised.N)
+	if o == nil || o.phase != "prepare" || b.Round != o.round {
+		return
+	}
+	if !b.OK {
+		if o.ballot.Less(b.Promised) {
+			c.again(o)
+		}
+		return
+	}
+	if b.Value != nil && o.best.Less(b.Accepted) {
+		o.best, o.value = b.Accepted, b.Value
+	}
+	o.yes[e.From.ID] = b.Inc
+	if !quorum(o.set, o.yes) {
+		return
+	}
+	now := o.set // with nothing accepted anywhere, only the forming of a core proposes a first value
+	if o.value != nil {
+		now = *o.value
+		if now.Shape >= o.set.Shape && !(alike(now.Voters, o.set.Voters) && alike(now.Prior, o.set.Prior)) {
+			c.reg.hint = o.value
+			c.begin(o, now)
+			return
+		}
+	}
+	o.next, o.kind = o.apply(now)
+	if o.kind != failure.None {
+		o.next = now
+	}
+	o.phase, o.sent, o.yes = "accept", c.now, map[ident.Node]ident.Inc{}
+	o.risky = true
+	for _, p := range electors(both(o.set, o.next)) {
+		c.send(p, protocol.Accept{Round: o.round, Ballot: o.ballot, Value: o.next})
+	}
+}
+
+func both(a, b protocol.Desired) protocol.Desired {
+	a.Prior = append(append(append([]protocol.Voter{}, a.Prior...), b.Voters...), b.Prior...)
+	return a
+}
+
+func (c *Core) onAccepted(e protocol.Env) {
+	b, o := e.Body.(protocol.Accepted), c.reg.op
+	c.reg.top = max(c.reg.top, b.Promised.N)
+	if o == nil || o.phase != "accept" || b.Round != o.round {
+		return
+	}
+	if !b.OK {
+		if o.ballot.Less(b.Promised) {
+			c.again(o)
+		}
+		return
+	}
+	o.yes[e.From.ID] = b.Inc
+	if !quorum(o.set, o.yes) || !quorum(o.next, o.yes) {
+		return
+	}
+	c.reg.op = nil
+	c.learn(o.ballot, o.next)
+	o.done(o.next, o.kind)
+	c.stir()
+}
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -81,6 +81,21 @@
 	}
 }
 
+const (
+	handoverLimit = 3 * time.Second       // that a stopping node waits for a spare to take its seat
+	handoverPoll  = 50 * time.Millisecond // between two looks whether it has
+)
+
+// stop has the core give back what it holds, and waits until a spare node, if there is one, has its seat.
+func (d *desk) stop(core *Core) {
+	d.c.Step(protocol.Stop{})
+	handing := true
+	for end := time.Now().Add(handoverLimit); handing && time.Now().Before(end); time.Sleep(handoverPoll) {
+		d.c.With(func(clock.Tick) { handing = core.HandingOver() })
+	}
+	d.c.Flush(300 * time.Millisecond)
+}
+
 func (d *desk) act(o any) {
 	a, ok := o.(Receipt)
 	if !ok {
@@ -111,8 +126,7 @@
 	}
 	defer d.c.Stop()
 	err := host.Web(s.Admin, d.routes(core), ring, nil, 10*time.Second)
-	d.c.Step(protocol.Stop{})
-	d.c.Flush(300 * time.Millisecond)
+	d.stop(core)
 	return err
 }
 
--- /dev/null
+++ b/internal/controller/voters.go
@@ -0,0 +1,236 @@
+package controller
+
+import (
+	"sort"
+
+	"tidedeck/internal/clock"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
+)
+
+// Changes of the voter set. The owner of the duty makes them, one voter at a time and each in two changes
+// of the register: first the old and the new set rule together (Prior is not empty), then the old set is
+// left. docs/control.md says why that is safe, and in what time it must be done.
+
+const (
+	spareFresh = 3 // rounds within which a spare node must have answered to be taken into the set
+	voterFresh = 4 // rounds within which a voter must have answered not to count as absent
+)
+
+// watchVoters notes since when each voter is absent. Every core node does, so that an owner that has just
+// taken the duty does not begin to count then. A node that heard no majority lately knows nothing of
+// others' absence: it may be the one that was away.
+func (c *Core) watchVoters() {
+	r := &c.reg
+	if r.known == nil || c.now.Sub(r.heard) > voterFresh*c.o.Round {
+		clear(r.absent)
+		return
+	}
+	for _, v := range r.known.Voters {
+		if c.answered(v.ID, voterFresh) {
+			delete(r.absent, v.ID)
+		} else if r.absent[v.ID] == 0 {
+			r.absent[v.ID] = c.now
+		}
+	}
+}
+
+// answered tells whether a core node has answered within some rounds.
+func (c *Core) answered(id ident.Node, rounds int) bool {
+	s, ok := c.reg.lives[id]
+	return ok && c.now.Sub(s.at) < clock.Span(rounds)*c.o.Round
+}
+
+// beatVoters takes the next step that the voter set needs, if any.
+func (c *Core) beatVoters() {
+	c.watchVoters()
+	r := &c.reg
+	if !c.duty.mine || r.known == nil || r.op != nil || len(r.queue) > 0 {
+		return
+	}
+	k := *r.known
+	if len(k.Prior) > 0 {
+		c.leavePrior(k)
+		return
+	}
+	if next := c.nextVoters(k.Voters); next != nil {
+		c.reshape(k, next)
+		return
+	}
+	c.sweep()
+}
+
+// leavePrior ends the rule of two sets together, once the duty has been renewed under both. Then no
+// other node's duty can run on that only the old set knows of, and a majority of the new set has this
+// duty's number on disk, so that no later owner can be given it again.
+func (c *Core) leavePrior(k protocol.Desired) {
+	if c.duty.shape == k.Shape {
+		c.reshape(k, nil)
+	}
+}
+
+// nextVoters gives the voter set that should follow, or none if the set may stay as it is.
+func (c *Core) nextVoters(voters []protocol.Voter) []protocol.Voter {
+	if next := c.readmit(voters); next != nil {
+		return next
+	}
+	spares := c.spares(voters)
+	if len(spares) == 0 {
+		return nil
+	}
+	if i := c.replaceable(voters); i >= 0 {
+		return swap(voters, i, pickSpare(voters, i, spares))
+	}
+	if c.anyAbsent(voters) {
+		return nil // a set with an absent voter is mended before it grows
+	}
+	if len(voters) < c.o.Voters {
+		return grow(voters, pickSpare(voters, -1, spares))
+	}
+	return spread(voters, spares)
+}
+
+// readmit takes in again a voter whose disk began a new life, or whose address changed.
+func (c *Core) readmit(voters []protocol.Voter) []protocol.Voter {
+	for i, v := range voters {
+		s := c.reg.lives[v.ID]
+		if !c.answered(v.ID, voterFresh) || s.state.Inc == v.Inc && s.sib.Addr == v.Addr {
+			continue
+		}
+		n := v
+		n.Inc, n.Sibling = s.state.Inc, s.sib
+		return swap(voters, i, n)
+	}
+	return nil
+}
+
+// spares lists the core nodes that answer and are no voters, in the order of their names.
+func (c *Core) spares(voters []protocol.Voter) (l []protocol.Voter) {
+	for _, m := range c.mates.Alive("controller") {
+		s := c.reg.lives[m.ID]
+		if c.answered(m.ID, spareFresh) && !s.state.Leaving && !sits(voters, m.ID) {
+			l = append(l, protocol.Voter{Sibling: m.Sibling, Zone: m.Zone, Inc: s.state.Inc})
+		}
+	}
+	return l
+}
+
+// replaceable picks the voter that a spare should replace: one that leaves as planned, else the one that
+// has been absent longest, if long enough; -1 if none is.
+func (c *Core) replaceable(voters []protocol.Voter) int {
+	longest := -1
+	for i, v := range voters {
+		if c.answered(v.ID, voterFresh) && c.reg.lives[v.ID].state.Leaving {
+			return i
+		}
+		since := c.reg.absent[v.ID]
+		if since == 0 || c.now.Sub(since) <= c.o.Spare {
+			continue
+		}
+		if longest < 0 || since < c.reg.absent[voters[longest].ID] {
+			longest = i
+		}
+	}
+	return longest
+}
+
+func (c *Core) anyAbsent(voters []protocol.Voter) bool {
+	for _, v := range voters {
+		if c.reg.absent[v.ID] != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// zoneCounts counts the voters of each zone, without the one at index skip.
+func zoneCounts(voters []protocol.Voter, skip int) map[ident.Zone]int {
+	n := map[ident.Zone]int{}
+	for i, v := range voters {
+		if i != skip {
+			n[v.Zone]++
+		}
+	}
+	return n
+}
+
+// pickSpare chooses the spare whose zone has the fewest voters left; among equals one of the zone of the
+// voter that goes, at index out, if one goes.
+func pickSpare(voters []protocol.Voter, out int, spares []protocol.Voter) protocol.Voter {
+	n := zoneCounts(voters, out)
+	best := spares[0]
+	for _, s := range spares[1:] {
+		same := out >= 0 && s.Zone == voters[out].Zone && best.Zone != voters[out].Zone
+		if n[s.Zone] < n[best.Zone] || n[s.Zone] == n[best.Zone] && same {
+			best = s
+		}
+	}
+	return best
+}
+
+// spread moves a seat out of a zone whose loss would leave no majority, if a spare stands in a zone that
+// has fewer.
+func spread(voters, spares []protocol.Voter) []protocol.Voter {
+	n := zoneCounts(voters, -1)
+	for i, v := range voters {
+		if len(voters)-n[v.Zone] > len(voters)/2 {
+			continue
+		}
+		for _, s := range spares {
+			if n[s.Zone]+1 < n[v.Zone] {
+				return swap(voters, i, s)
+			}
+		}
+	}
+	return nil
+}
+
+func swap(l []protocol.Voter, i int, n protocol.Voter) []protocol.Voter {
+	m := append([]protocol.Voter{}, l...)
+	m[i] = n
+	return byID(m)
+}
+
+func grow(l []protocol.Voter, n protocol.Voter) []protocol.Voter {
+	return byID(append(append([]protocol.Voter{}, l...), n))
+}
+
+func byID(l []protocol.Voter) []protocol.Voter {
+	sort.Slice(l, func(i, j int) bool { return l[i].ID < l[j].ID })
+	return l
+}
+
+// HandingOver tells whether this node, which was told to stop, still has a seat that a spare node can
+// take: until then it should go on answering, since what it and a lost voter know may be known to no
+// other majority.
+func (c *Core) HandingOver() bool {
+	if !c.ending || c.reg.known == nil {
+		return false
+	}
+	k := *c.reg.known
+	return c.inSet(k, c.o.Me.ID, c.vote.inc) && len(c.spares(k.Voters)) > 0
+}
+
+// reshape moves to a new voter set in two changes: first both sets rule together, then
+// (with no set given) the one before is left.
+func (c *Core) reshape(from protocol.Desired, to []protocol.Voter) {
+	shape := from.Shape
+	c.propose(func(d protocol.Desired) (protocol.Desired, failure.Kind) {
+		if d.Shape != shape || (to == nil) != (len(d.Prior) > 0) {
+			return d, failure.Conflict
+		}
+		if to != nil {
+			d.Prior, d.Voters = d.Voters, to
+		} else {
+			d.Prior = nil
+		}
+		d.Shape++
+		return d, failure.None
+	}, func(_ protocol.Desired, k failure.Kind) {
+		if k == failure.None && to != nil {
+			c.tally.Admit++
+			c.note("voter set changed")
+		}
+	})
+}
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -230,6 +230,7 @@
 	Last     ident.Node // to whom this voter gave it last
 	Prior    ident.Node // and to whom before this answer
 	Shy      bool       // it gave the duty back, and does not want it for a while
+	Leaving  bool       // it was told to stop: a spare node should take its seat
 }
 
 // Release gives a duty back to the voters, as its owner stops as planned, or finds that
@@ -530,9 +531,10 @@
 
 // Roll answers RollCall.
 type Roll struct {
-	Duty ident.Duty
-	Inc  ident.Inc
-	List []Beacon
+	Duty    ident.Duty
+	Inc     ident.Inc
+	Partial bool // the sender's disk began a new life, and it has not heard a majority's rolls yet
+	List    []Beacon
 }
 
 // BeaconsHeard answers Beacons: they are known here. Ruled says more: the sender owns the duty, and no
--- a/internal/simulator/bites_test.go
+++ b/internal/simulator/bites_test.go
@@ -38,14 +38,14 @@
 	{"keep within the store's budget", "blackout", "outran the store", []edit{
 		{"internal/controller/place.go", "if budget <= 0 {", "if false {"}, {"internal/controller/place.go", "s.loading() > 0 {", "false {"}}},
 	{"cap cold servers", "crowd", "flooded while cold", []edit{{"internal/router/ledger.go", "if b.work >= all || b.keys[r.key] >= cold {", "if all+cold < 0 {"}}},
-	{"an emptied disk does not vote", "amnesia", "read gave epoch|told twice|slipped back|bytes that were not sent", []edit{{"internal/controller/register.go", "c.vote.inc = c.o.Inc", "c.vote.inc = 1"}}},
+	{"an emptied disk does not vote", "amnesia", "read gave epoch|told twice|slipped back|bytes that were not sent", []edit{{"internal/controller/acceptor.go", "c.vote.inc = c.o.Inc", "c.vote.inc = 1"}}},
 	{"sync before an answer", "power", "routes under epoch 1|read gave epoch|bytes that were not sent|slipped back", []edit{
 		{"internal/controller/core.go", "c.saves[c.token] = then", "then()\n\tc.saves[c.token] = func() {}"}}},
 	{"grant under a fresh read", "fence", "routes under epoch", []edit{{"internal/controller/links.go", "old := c.now.Sub(c.duty.asked)", "old := clock.Span(0)"}}},
 	{"grant after acknowledgement", "grow", "routes under epoch|held a promise", []edit{{"internal/controller/links.go", "if l.full || l.owes() {", "if false {"}}},
 	{"a majority for the duty", "core", "two own the duty|two controllers", []edit{
-		{"internal/controller/duty.go", " || !d.free {", " {"}, {"internal/controller/register.go", "q.claim && quorum(q.set, q.grant)", "q.claim"}}},
-	{"no new owner beside a held duty", "core", "two own the duty|two controllers", []edit{{"internal/controller/register.go", "|| !held && !quiet)", "|| !quiet)"}, {"internal/controller/duty.go", "inc) || !d.free {", "inc) {"}}},
+		{"internal/controller/duty.go", " || !d.free {", " {"}, {"internal/controller/reader.go", "q.claim && quorum(q.set, q.grant)", "q.claim"}}},
+	{"no new owner beside a held duty", "core", "two own the duty|two controllers", []edit{{"internal/controller/acceptor.go", "|| !held && !quiet)", "|| !quiet)"}, {"internal/controller/duty.go", "inc) || !d.free {", "inc) {"}}},
 	{"expect the epoch", "plans", "that expected epoch", []edit{{"internal/controller/admin.go", "if !a.Any && d.Epoch != a.Expect {", "if false {"}}},
 	{"redo no change", "core", "was reached by", []edit{{"internal/controller/admin.go", "if x.ID == a.Change {\n\t\t\t\t\treturn d, failure.Repeated", "if x.ID == `no` {\n\t\t\t\t\treturn d, failure.Repeated"}}},
 	{"see servers go", "servers", "after it was leaving or gone", []edit{
@@ -78,9 +78,9 @@
 		{"internal/controller/place.go", "oddity(r); odd != s.odd", "``; odd != s.odd && oddity(r) != ``"}}},
 	{"spread over zones", "return", "ready in 1 zones", []edit{{"internal/controller/moves.go", "if m.Floor < 2 || live < 2", "if m.Floor >= 0 || live < 2"}, {"internal/controller/place.go", "n += 1_000_000", "n += 0"}}},
 	{"even out", "return", "unevenly filled", []edit{{"internal/controller/moves.go", "if c.now.Sub(c.uneven) < c.o.Even {", "if c.uneven != 1 {"}}},
-	{"sweep what reads do not mend", "sweep", "still has epoch", []edit{{"internal/controller/register.go", "if r.unequal++; r.unequal > 30 {", "if r.unequal > 30 {"}}},
-	{"a seat outlives a restart", "spare", "a seat was given away", []edit{{"internal/controller/register.go", "if r.gone[v.ID] == 0 {", "if r.gone[v.ID] != 0 {"}}},
-	{"hear agents before a core forms anew", "ruin", "plan did not come back", []edit{{"internal/controller/register.go", "if c.now.Sub(r.blank) < c.o.Form {", "if c.now.Sub(r.blank) >= c.o.Form {"}}},
+	{"sweep what reads do not mend", "sweep", "still has epoch", []edit{{"internal/controller/reader.go", "if r.unequal++; r.unequal > 30 {", "if r.unequal > 30 {"}}},
+	{"a seat outlives a restart", "spare", "a seat was given away", []edit{{"internal/controller/voters.go", "c.reg.absent[v.ID] == 0 {", "c.reg.absent[v.ID] != 0 {"}}},
+	{"hear agents before a core forms anew", "ruin", "plan did not come back", []edit{{"internal/controller/forming.go", "if c.now.Sub(r.blank) < c.o.Form {", "if c.now.Sub(r.blank) >= c.o.Form {"}}},
 	{"come back soon", "power", "service came back", []edit{{"internal/controller/core.go", "generic.SetDefault(&o.Duty, 1200e6)", "generic.SetDefault(&o.Duty, 20e9)"}}},
 }
 
