--- a/internal/controller/acceptor.go
+++ b/internal/controller/acceptor.go
@@ -112,9 +112,13 @@
 	})
 }
 
+// blank tells whether this node knows of no core at all. A spare has accepted nothing, but knows of one:
+// it must not be counted among nodes that may form another.
+func (c *Core) blank() bool { return c.vote.safeV == nil && c.latest() == nil }
+
 func (c *Core) onQuery(e protocol.Env) {
 	b := e.Body.(protocol.Query)
-	s := protocol.State{Round: b.Round, Inc: c.vote.inc, Last: c.vote.owner.ID, Prior: c.vote.owner.ID, Shy: c.ending || c.now < c.duty.shy, Leaving: c.ending, Blank: c.vote.safeV == nil && c.latest() == nil, Accepted: c.vote.safeB}
+	s := protocol.State{Round: b.Round, Inc: c.vote.inc, Last: c.vote.owner.ID, Prior: c.vote.owner.ID, Shy: c.ending || c.now < c.duty.shy, Leaving: c.ending, Blank: c.blank(), Accepted: c.vote.safeB}
 	if c.vote.safeV != nil {
 		s.Epoch, s.Shape = c.vote.safeV.Epoch, c.vote.safeV.Shape
 	}
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -17,6 +17,7 @@
 // cluster is a core of some nodes, with the model servers that announce themselves to it and the
 // routers that ask it, all on one clock and without I/O.
 type cluster struct {
+	seeds   []protocol.Sibling // of nodes that start from now on
 	t       *testing.T
 	at      clock.Tick
 	plans   map[string]*fleetplan.Plan
@@ -60,6 +61,11 @@
 }
 
 func newCluster(t *testing.T, plan *fleetplan.Plan, ids ...string) *cluster {
+	return newTunedCluster(t, plan, func(*Options) {}, ids...)
+}
+
+// newTunedCluster begins core nodes whose options are set by a function.
+func newTunedCluster(t *testing.T, plan *fleetplan.Plan, tune func(*Options), ids ...string) *cluster {
 	c := &cluster{
 		t: t, at: 1e9, plans: map[string]*fleetplan.Plan{}, nodes: map[string]*Core{}, disks: map[string]map[string][]byte{}, parted: map[string]bool{},
 		models: map[string]*modelServer{}, routers: map[string]*router{}, dice: rand.New(rand.NewPCG(3, 4)),
@@ -69,16 +75,15 @@
 		c.plans["1"] = plan
 		v.Epoch, v.Plan = 1, []byte("1")
 	}
-	var seeds []protocol.Sibling
 	for _, id := range ids {
 		v.Voters = append(v.Voters, voter(id, 5))
-		seeds = append(seeds, protocol.Sibling{Addr: id})
+		c.seeds = append(c.seeds, protocol.Sibling{Addr: id})
 	}
 	lives := uint64(0)
 	c.make = func(id string) *Core {
 		lives++
-		return New(Options{
-			Me: protocol.Sibling{ID: ident.Node(id), Addr: id}, Inc: ident.Inc(5 + lives), Seeds: seeds, Rand: rand.New(rand.NewPCG(lives-1, 2)),
+		o := Options{
+			Me: protocol.Sibling{ID: ident.Node(id), Addr: id}, Inc: ident.Inc(5 + lives), Seeds: c.seeds, Rand: rand.New(rand.NewPCG(lives-1, 2)),
 			Enrolled: true, Unfenced: true, Joined: true,
 			Read: func(raw []byte) (*fleetplan.Plan, fleetplan.Faults) {
 				if p := c.plans[string(raw)]; p != nil {
@@ -87,7 +92,9 @@
 				return nil, fleetplan.Faults{{Path: "$", Why: "is no plan"}}
 			},
 			Merge: func(_, patch []byte) ([]byte, fleetplan.Faults) { return patch, nil },
-		})
+		}
+		tune(&o)
+		return New(o)
 	}
 	for _, id := range ids {
 		c.disks[id] = map[string][]byte{diskInc: []byte("5"), diskV: jot(safe{protocol.Ballot{N: 1, By: "a"}, &v}), diskB: jot(protocol.Ballot{N: 1, By: "a"})}
--- a/internal/controller/enrol.go
+++ b/internal/controller/enrol.go
@@ -203,6 +203,9 @@
 		s.slots = max(1, v.Slots)
 	}
 	s.room, s.places, s.plain = v.Room, v.Places, v.Plain
+	for k, p := range s.spots {
+		p.size = c.sizeOf(k) // it may have been reported before the plan that says its size was known
+	}
 	if s.plain {
 		s.known, s.room = true, 0
 		k := ident.Key("").In(s.Service)
