Guards of the control side: each is taken out for one build, and a named test must fail

Cause: a test of a safety condition that still passes without it shows nothing. Two did: the longest absent was also first by name, and every set change renewed the duty by chance. Change: internal/overlay edits sources for a build; 12 guards, each with the test that must fail.

--- a/internal/controller/control_test.go
+++ b/internal/controller/control_test.go
@@ -118,9 +118,8 @@
 	c.down(first)
 	c.run(400e6)
 	c.down(owner)
-	c.run(300e6)
+	c.run(2500e6) // both are away for longer than a spare would wait, had there been one
 	c.spare("f")
-	delete(c.parted, "f")
 	require.True(t, c.until(catchUp, func() bool {
 		lead := c.lead()
 		return lead != nil && sits(lead.reg.known.Voters, "f") && len(lead.reg.known.Prior) == 0
@@ -220,9 +219,11 @@
 	c.spare("d")
 	joint := func() bool { return c.lead() != nil && len(c.lead().reg.known.Prior) > 0 }
 	require.True(t, c.until(catchUp, joint))
-	for joint() {
-		c.tick()
-	}
+	lead := c.lead()
+	lead.reg.next = c.at.Add(600e6) // no renewal is asked for until then
+	c.run(500e6)
+	require.True(t, joint(), "nothing was renewed under both sets")
+	require.True(t, c.until(500e6, func() bool { return !joint() }), "the old set is left as soon as it was")
 	know := 0
 	for _, v := range c.lead().reg.known.Voters {
 		if c.nodes[string(v.ID)].vote.sure == c.lead().duty.num {
--- /dev/null
+++ b/internal/controller/guards_test.go
@@ -0,0 +1,54 @@
+package controller
+
+import (
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"tidedeck/internal/overlay"
+)
+
+// Each condition that the control side's tests are about is taken out, one at a time, by an edit of the
+// sources for one build; the test that is named must then fail. docs/control.md refers to these rows.
+var guards = []struct {
+	guard, test string
+	edits       []overlay.Edit
+}{
+	{"sizes follow the plan", "TestReportsBeforeThePlan", []overlay.Edit{{File: "enrol.go", Old: "p.size = c.sizeOf(k) // it may", New: "_, _ = k, p // it may"}}},
+	{"changes are remembered by their ids", "TestRepeatAfterManyChanges", []overlay.Edit{{File: "admin.go", Old: "const maxChanges = 512", New: "const maxChanges = 64"}}},
+	{"a forgotten change is not refused", "TestRepeatAfterManyChanges", []overlay.Edit{{File: "admin.go", Old: "if forgotten(d, a) {", New: "if false {"}}},
+	{"the longest absent goes first", "TestLongestAbsentIsReplacedFirst", []overlay.Edit{{File: "voters.go", Old: "if longest < 0 || since < c.reg.absent[voters[longest].ID] {", New: "if longest < 0 {"}}},
+	{"every node knows absences", "TestOwnerLostDuringAReplacement", []overlay.Edit{{File: "voters.go", Old: "	if r.known == nil || c.now.Sub(r.heard)", New: "	if !c.duty.mine || r.known == nil || c.now.Sub(r.heard)"}}},
+	{"absence is counted in touch", "TestAbsenceIsCountedInTouchOnly", []overlay.Edit{{File: "voters.go", Old: "c.now.Sub(r.heard) > voterFresh*c.o.Round {", New: "false {"}}},
+	{"the joint set is left after a renewal", "TestJointSetIsLeftAfterARenewal", []overlay.Edit{{File: "voters.go", Old: "if c.duty.shape == k.Shape {", New: "if true {"}}},
+	{"a stopping voter hands its seat over", "TestStopHandsTheSeatOver", []overlay.Edit{{File: "voters.go", Old: "if c.answered(v.ID, voterFresh) && c.reg.lives[v.ID].state.Leaving {", New: "if false {"}}},
+	{"a spare is not blank", "TestSparesFormNoSecondCore", []overlay.Edit{{File: "acceptor.go", Old: "return c.vote.safeV == nil && c.latest() == nil }", New: "return c.vote.safeV == nil }"}}},
+	{"an emptied node's roll is partial", "TestRollOfAnEmptiedNode", []overlay.Edit{{File: "acceptor.go", Old: "c.rollWhole = !c.o.Joined //", New: "c.rollWhole = true //"}}},
+	{"announcements need a core", "TestAnnouncementsAtANodeWithoutACore", []overlay.Edit{{File: "enrol.go", Old: "c.reg.known == nil && !c.o.Joined || c.Ready()", New: "c.reg.known == nil || c.Ready()"}}},
+	{"an emptied disk is a new life", "TestLossesAsCloseAsTheyMayCome", []overlay.Edit{{File: "voters.go", Old: "if !c.answered(v.ID, voterFresh) || s.state.Inc == v.Inc", New: "if !c.answered(v.ID, voterFresh) || s.state.Inc != 0"}}},
+}
+
+func TestGuardsOfTheControlSide(t *testing.T) {
+	if testing.Short() {
+		t.Skip("builds the package once for each guard")
+	}
+	root, err := filepath.Abs("../..")
+	require.NoError(t, err)
+	for _, g := range guards {
+		t.Run(strings.ReplaceAll(g.guard, " ", "-"), func(t *testing.T) {
+			t.Parallel()
+			edits := append([]overlay.Edit{}, g.edits...)
+			for i := range edits {
+				edits[i].File = "internal/controller/" + edits[i].File
+			}
+			name, err := overlay.Write(root, t.TempDir(), edits)
+			require.NoError(t, err)
+			out, err := exec.Command("go", "test", "-short", "-count=1", "-overlay", name, "-run", "^"+g.test+"$", "tidedeck/internal/controller").CombinedOutput()
+			require.Error(t, err, "with this guard taken out, %s still passes", g.test)
+			require.Contains(t, string(out), "--- FAIL: "+g.test, "it fails by its own verdict")
+		})
+	}
+}
