Seeds are read anew when the settings change or a hang-up signal comes

Cause: the settings may name other seeds while a process runs; a node that has lost all that it knew would go on asking machines that are gone. Change: FollowSeeds gives cores the file's seeds after a signal, or when the file has changed (looked at each 5 s); a core node that may still form a core keeps to those that it began with. Tests: TestFollowSeeds, TestSeedsChange.

--- a/cmd/controller/main.go
+++ b/cmd/controller/main.go
@@ -7,6 +7,7 @@
 
 	"tidedeck/internal/controller"
 	"tidedeck/internal/host"
+	"tidedeck/internal/protocol"
 	"tidedeck/platform"
 )
 
@@ -17,7 +18,7 @@
 		host.Confine(boot.MemoryMB, boot.Processors)
 		end(controller.Host(controller.HostOptions{
 			ID: string(boot.Node), Zone: string(boot.Zone), Post: boot.Post(0), Control: boot.Controller, Admin: boot.Post(1),
-			Seeds: boot.SeedPosts(0), Data: boot.Data, First: boot.First, Logs: logs, Fenced: boot.Bounds.Fenced, Losses: boot.Losses,
+			Seeds: boot.SeedPosts(0), Follow: followSeeds, Data: boot.Data, First: boot.First, Logs: logs, Fenced: boot.Bounds.Fenced, Losses: boot.Losses,
 			Dialect: controller.Dialect{Servers: platform.PathServers, Plan: platform.PathConfiguration, Beacon: platform.ReadBeacon,
 				Revision: platform.Revision, Target: platform.Target, Read: platform.ReadPlan, Merge: platform.Merge, Tell: platform.Tell},
 			Timing: controller.Timing{Apply: boot.Bounds.Apply, Drain: boot.Bounds.Drain, CatchUp: boot.Bounds.CatchUp, Period: boot.Period,
@@ -30,6 +31,10 @@
 	end(controller.Main(s))
 }
 
+func followSeeds(step func(protocol.Reseed)) {
+	host.FollowSeeds(platform.SettingsPath(), func() ([]string, error) { return platform.LoadSeedPosts(0) }, step)
+}
+
 func end(err error) {
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "controller:", err)
--- a/cmd/router/main.go
+++ b/cmd/router/main.go
@@ -6,6 +6,7 @@
 	"os"
 
 	"tidedeck/internal/host"
+	"tidedeck/internal/protocol"
 	"tidedeck/internal/router"
 	"tidedeck/platform"
 )
@@ -18,7 +19,7 @@
 		b := boot.Bounds
 		end(router.Host(router.HostOptions{
 			ID: string(boot.Node), Zone: string(boot.Zone), Ingress: boot.Ingress, Readiness: boot.Readiness,
-			Post: boot.Post(2), Admin: boot.Post(3), Seeds: boot.SeedPosts(0), Logs: logs,
+			Post: boot.Post(2), Admin: boot.Post(3), Seeds: boot.SeedPosts(0), Follow: followSeeds, Logs: logs,
 			Dialect: platform.Dialect{}, Read: platform.ReadPlan, Grace: b.Grace,
 			Lend: float64(b.RetryMargin) * 0.6, Window: b.RetryWindow, Earn: b.RetryFraction * 0.8,
 		}))
@@ -29,6 +30,10 @@
 	end(router.Main(s))
 }
 
+func followSeeds(step func(protocol.Reseed)) {
+	host.FollowSeeds(platform.SettingsPath(), func() ([]string, error) { return platform.LoadSeedPosts(0) }, step)
+}
+
 func end(err error) {
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "router:", err)
--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -94,6 +94,9 @@
 	switch v := in.(type) {
 	case protocol.Env:
 		c.take(v)
+	case protocol.Reseed:
+		c.o.Seeds = v.Seeds
+		c.mates.Reseed(v.Seeds)
 	case protocol.Beat:
 		c.beat()
 	}
--- a/internal/controller/control_test.go
+++ b/internal/controller/control_test.go
@@ -302,3 +302,20 @@
 	require.True(t, answered)
 	require.False(t, ok)
 }
+
+// A new node may be told of seeds that are gone by then; it finds the core by those that the
+// settings name later. A node that may still form a core keeps to the seeds that it began with.
+func TestSeedsChange(t *testing.T) {
+	c := newTunedCluster(t, nil, hostedTimes, "a", "b", "c")
+	living := c.seeds
+	c.seeds = []protocol.Sibling{{Addr: "gone"}}
+	c.spare("d")
+	c.run(3e9)
+	require.Nil(t, c.nodes["d"].reg.known)
+	c.step("d", protocol.Reseed{Seeds: living})
+	require.True(t, c.until(catchUp, func() bool { return c.settledSet("d", "a", "b", "c") }))
+
+	forming := New(Options{Me: protocol.Sibling{ID: "n", Addr: "n"}, Seeds: living})
+	forming.Step(1, protocol.Reseed{Seeds: c.seeds})
+	require.Equal(t, living, forming.o.Seeds)
+}
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -206,6 +206,8 @@
 		c.admin(v)
 	case Announce:
 		c.onAnnounce(v)
+	case protocol.Reseed:
+		c.reseed(v.Seeds)
 	case protocol.Stop:
 		c.release()
 	case protocol.Beat:
@@ -260,6 +262,15 @@
 	c.beatPlace()
 }
 
+// reseed takes other seeds. While a core may still form of those that it began with, it keeps to them.
+func (c *Core) reseed(seeds []protocol.Sibling) {
+	if c.latest() == nil && !c.o.Joined {
+		return
+	}
+	c.o.Seeds = seeds
+	c.mates.Reseed(seeds)
+}
+
 // beatEnding keeps a node that was told to stop among the voters, until a spare has its seat.
 func (c *Core) beatEnding() {
 	c.post(c.mates.Beat(c.now)...)
--- a/internal/controller/host.go
+++ b/internal/controller/host.go
@@ -42,6 +42,7 @@
 	Control string // where servers and operators reach it
 	Admin   string // where the product's own operators' interface is
 	Seeds   []string
+	Follow  func(step func(protocol.Reseed)) // tells of other seeds as they come; none if it is left out
 	Data    string
 	First   bool // the whole system starts for the first time
 	Logs    io.Writer
@@ -106,6 +107,9 @@
 		return err
 	}
 	defer d.c.Stop()
+	if h.Follow != nil {
+		h.Follow(func(r protocol.Reseed) { d.c.Step(r) })
+	}
 	own := &http.Server{Addr: h.Admin, Handler: d.routes(core), ReadHeaderTimeout: 10 * time.Second}
 	go func() { _ = own.ListenAndServe() }()
 	defer own.Close()
--- a/internal/host/hosted.go
+++ b/internal/host/hosted.go
@@ -7,6 +7,9 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
+
+	"tidedeck/internal/protocol"
 
 	"github.com/alecthomas/kong"
 )
@@ -40,8 +43,7 @@
 	return lines, true
 }
 
-// Confine keeps the process within what its machine gives it, and lets a hang-up signal pass: what the
-// settings say of other nodes is only needed at a start.
+// Confine keeps the process within what its machine gives it.
 func Confine(memoryMB, processors int) {
 	if memoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryMB) << 20 * 7 / 10)
@@ -50,7 +52,41 @@
 	if processors > 0 {
 		runtime.GOMAXPROCS(processors)
 	}
-	signal.Ignore(syscall.SIGHUP)
+}
+
+// settingsPoll is how often the settings file is looked at: it may change without a signal.
+const settingsPoll = 5 * time.Second
+
+// FollowSeeds gives cores the seeds that the settings file names, whenever it has changed and when the
+// process is sent a hang-up signal. A file that cannot be read changes nothing.
+func FollowSeeds(path string, load func() ([]string, error), step func(protocol.Reseed)) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	go func() {
+		seen := modified(path)
+		for {
+			select {
+			case <-hangup:
+			case <-time.After(settingsPoll):
+				if now := modified(path); now == seen {
+					continue
+				}
+			}
+			seen = modified(path)
+			if seeds, err := load(); err == nil && len(seeds) > 0 {
+				step(protocol.Reseed{Seeds: Siblings(seeds)})
+			}
+		}
+	}()
+}
+
+// modified tells when a file was written last; zero if that cannot be told.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
 }
 
 // Stopping gives a channel that closes when the process is told to stop.
--- /dev/null
+++ b/internal/host/hosted_test.go
@@ -0,0 +1,30 @@
+package host
+
+import (
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"tidedeck/internal/protocol"
+)
+
+// A hang-up signal has the seeds read anew; one that comes while the file cannot be read changes nothing.
+func TestFollowSeeds(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings")
+	told := make(chan protocol.Reseed, 4)
+	reads := make(chan struct{}, 4)
+	FollowSeeds(path, func() ([]string, error) {
+		defer func() { reads <- struct{}{} }()
+		raw, err := os.ReadFile(path)
+		return []string{string(raw)}, err
+	}, func(r protocol.Reseed) { told <- r })
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	<-reads
+	require.Empty(t, told)
+	require.NoError(t, os.WriteFile(path, []byte("127.0.0.1:9"), 0o644))
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	require.Equal(t, protocol.Reseed{Seeds: []protocol.Sibling{{Addr: "127.0.0.1:9"}}}, <-told)
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -151,6 +151,9 @@
 	return n
 }
 
+// Reseed replaces the seeds: those of the start may all be gone by the time that they are needed again.
+func (c *Core) Reseed(seeds []protocol.Sibling) { c.o.Seeds = seeds }
+
 func (c *Core) mail(to protocol.Sibling, body any) protocol.Env {
 	return protocol.Env{From: c.o.Me.Sibling, To: to, Body: body}
 }
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -154,6 +154,9 @@
 	Inc  ident.Inc  `json:"inc"`
 }
 
+// Reseed is an input, not a message: the settings now name other seeds.
+type Reseed struct{ Seeds []Sibling }
+
 // Change remembers a change that was taken, so that its repeat is answered, not redone.
 type Change struct {
 	ID    string      `json:"id"`
--- a/internal/router/host.go
+++ b/internal/router/host.go
@@ -23,6 +23,7 @@
 	Post      string // where other nodes reach the agent
 	Admin     string // where metrics are
 	Seeds     []string
+	Follow    func(step func(protocol.Reseed)) // tells of other seeds as they come; none if it is left out
 	Logs      io.Writer
 	Dialect   Dialect
 	Read      func([]byte) (*fleetplan.Plan, fleetplan.Faults)
@@ -69,6 +70,9 @@
 		return err
 	}
 	defer beside.Stop()
+	if h.Follow != nil {
+		h.Follow(func(r protocol.Reseed) { beside.Step(r) })
+	}
 	if err := router.Run(); err != nil {
 		return err
 	}
