--- a/internal/controller/register.go
+++ b/internal/controller/register.go
@@ -28,6 +28,7 @@
 	force   bool
 	unequal int
 	odd     int
+	inTouch bool                      // a majority was heard lately, as the log was told last
 	absent  map[ident.Node]clock.Tick // voters that do not answer, and since when
 }
 
--- a/internal/controller/voters.go
+++ b/internal/controller/voters.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"sort"
 
@@ -25,7 +26,9 @@
 // others' absence: it may be the one that was away.
 func (c *Core) watchVoters() {
 	r := &c.reg
-	if r.known == nil || c.now.Sub(r.heard) > voterFresh*c.o.Round {
+	inTouch := r.known != nil && c.now.Sub(r.heard) <= voterFresh*c.o.Round
+	c.noteTouch(inTouch)
+	if !inTouch {
 		clear(r.absent)
 		return
 	}
@@ -38,6 +41,20 @@
 	}
 }
 
+// noteTouch logs when the majority is lost and when it is heard again, once it has been heard at all.
+func (c *Core) noteTouch(inTouch bool) {
+	r := &c.reg
+	if r.known == nil || inTouch == r.inTouch {
+		return
+	}
+	r.inTouch = inTouch
+	if inTouch {
+		c.note("a majority of the core answers")
+		return
+	}
+	c.oops("no majority of the core answers: orders and reads are refused here until one does")
+}
+
 // answered tells whether a core node has answered within some rounds.
 func (c *Core) answered(id ident.Node, rounds int) bool {
 	s, ok := c.reg.lives[id]
@@ -57,6 +74,7 @@
 		return
 	}
 	if next := c.nextVoters(k.Voters); next != nil {
+		c.note(describeChange(k.Voters, next))
 		c.reshape(k, next)
 		return
 	}
@@ -204,6 +222,20 @@
 	return nil
 }
 
+// describeChange says for the log which seats a change of the voter set gives to whom.
+func describeChange(from, to []protocol.Voter) string {
+	names := func(l, without []protocol.Voter) []ident.Node {
+		var ids []ident.Node
+		for _, v := range l {
+			if !seat(without, v.ID, v.Inc) {
+				ids = append(ids, v.ID)
+			}
+		}
+		return ids
+	}
+	return fmt.Sprintf("voter set changes: %v in, %v out", names(to, from), names(from, to))
+}
+
 func swap(l []protocol.Voter, i int, n protocol.Voter) []protocol.Voter {
 	m := append([]protocol.Voter{}, l...)
 	m[i] = n
