Handing a seat over at a stop is a choice, made under hosting platforms

Change: Options.HandOver, on under a hosting platform, where a new node counts as there within a bound.

--- a/internal/controller/acceptor.go
+++ b/internal/controller/acceptor.go
@@ -118,7 +118,7 @@
 
 func (c *Core) onQuery(e protocol.Env) {
 	b := e.Body.(protocol.Query)
-	s := protocol.State{Round: b.Round, Inc: c.vote.inc, Last: c.vote.owner.ID, Prior: c.vote.owner.ID, Shy: c.ending || c.now < c.duty.shy, Leaving: c.ending, Blank: c.blank(), Accepted: c.vote.safeB}
+	s := protocol.State{Round: b.Round, Inc: c.vote.inc, Last: c.vote.owner.ID, Prior: c.vote.owner.ID, Shy: c.ending || c.now < c.duty.shy, Leaving: c.ending && c.o.HandOver, Blank: c.blank(), Accepted: c.vote.safeB}
 	if c.vote.safeV != nil {
 		s.Epoch, s.Shape = c.vote.safeV.Epoch, c.vote.safeV.Shape
 	}
--- a/internal/controller/control_test.go
+++ b/internal/controller/control_test.go
@@ -20,6 +20,7 @@
 // hostedTimes are those that a platform's bounds usually come to.
 func hostedTimes(o *Options) {
 	timing := Timing{Apply: 2000e6, Drain: 2000e6, CatchUp: catchUp, Period: 1200e6, Tenure: 3000e6, Rate: 5e9}
+	o.HandOver = true
 	o.Duty, o.Round, o.Hold, o.Spare = timing.Duty(), timing.Duty()/4, timing.Hold(), timing.Spare()
 }
 
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -56,6 +56,7 @@
 	Warm     bool                                                         // while the store is idle, models that no server has on its own disk are loaded somewhere
 	Rate     clock.Span                                                   // the store's rate is kept in every while of this length
 	Regions  map[ident.Zone]string                                        // of zones, where they are in several
+	HandOver bool                                                         // a stopping node's seat goes to a spare at once; else only once it has been absent for Spare
 	Joined   bool                                                         // this core is there already: an empty disk forms none
 }
 
--- a/internal/controller/host.go
+++ b/internal/controller/host.go
@@ -89,7 +89,7 @@
 		Me: protocol.Sibling{ID: ident.Node(h.ID), Addr: h.Post}, Zone: ident.Zone(h.Zone), Inc: host.NewInc(),
 		Seeds: host.Siblings(h.Seeds), Rand: host.NewRand(), Wall: time.Now,
 		Duty: h.Timing.Duty(), Round: h.Timing.Duty() / 4, Hold: h.Timing.Hold(), Spare: h.Timing.Spare(), Silence: h.Timing.Silence(), Rate: h.Timing.Rate, Tenure: h.Timing.Tenure,
-		Read: h.Dialect.Read, Merge: h.Dialect.Merge, Enrolled: true, Unfenced: true, Warm: true, Voters: 2*h.Losses + 1, Joined: !h.First, Regions: h.Regions,
+		Read: h.Dialect.Read, Merge: h.Dialect.Merge, Enrolled: true, Unfenced: true, Warm: true, Voters: 2*h.Losses + 1, HandOver: true, Joined: !h.First, Regions: h.Regions,
 	}
 }
 
--- a/internal/controller/voters.go
+++ b/internal/controller/voters.go
@@ -255,7 +255,7 @@
 // take: until then it should go on answering, since what it and a lost voter know may be known to no
 // other majority.
 func (c *Core) HandingOver() bool {
-	if !c.ending || c.reg.known == nil {
+	if !c.ending || !c.o.HandOver || c.reg.known == nil {
 		return false
 	}
 	k := *c.reg.known
