Changes of the voter set go before operators' changes

Change: a change of the set is put before what waits, one at a time. Tests: TestVoterIsReplacedUnderAStormOfChanges, red before.

--- a/internal/controller/control_test.go
+++ b/internal/controller/control_test.go
@@ -359,3 +359,21 @@
 	require.Nil(t, spread(seats("a", "b", "c"), []protocol.Voter{seat("x", "a")}, c.regionOf))
 	require.Nil(t, spread(seats("a", "a", "b", "b", "c"), []protocol.Voter{seat("x", "c")}, zoneOf), "any zone may go")
 }
+
+// Changes that come as fast as they are taken do not keep a voter from being replaced.
+func TestVoterIsReplacedUnderAStormOfChanges(t *testing.T) {
+	c := newTunedCluster(t, nil, hostedTimes, "a", "b", "c")
+	c.plans["p"] = modelPlan(8, "llm|m")
+	c.delay = 5e6
+	c.down(c.other())
+	c.run(500e6)
+	c.spare("d")
+	n := 0
+	require.True(t, c.until(catchUp, func() bool {
+		for lead := c.lead(); len(lead.reg.queue) < 8; n++ {
+			c.admin(c.owner(), Admin{Op: "put", Raw: []byte("p"), Any: true, Change: fmt.Sprint(n)})
+		}
+		k := c.lead().reg.known
+		return sits(k.Voters, "d") && len(k.Prior) == 0
+	}), "after %d changes", n)
+}
--- a/internal/controller/proposer.go
+++ b/internal/controller/proposer.go
@@ -45,6 +45,14 @@
 	c.stir()
 }
 
+// proposeFirst puts a change before all that wait: operators' changes may come as fast as they are
+// taken, and must not hold up the voter set's.
+func (c *Core) proposeFirst(apply func(protocol.Desired) (protocol.Desired, failure.Kind), done func(protocol.Desired, failure.Kind)) {
+	first := &op{apply: apply, done: done, end: c.now.Add(4e9), phase: "wait"}
+	c.reg.queue = append([]*op{first}, c.reg.queue...)
+	c.stir()
+}
+
 // read queues a full read: a round that proposes what it finds, and so mends old copies.
 func (c *Core) read(done func(protocol.Desired, failure.Kind)) {
 	c.tally.Reads++
--- a/internal/controller/register.go
+++ b/internal/controller/register.go
@@ -11,25 +11,26 @@
 
 // register is the proposer's and reader's part.
 type register struct {
-	known   *protocol.Desired // newest value known to be chosen
-	at      protocol.Ballot
-	hint    *protocol.Desired // a voter set to try, from a value perhaps not chosen
-	round   uint64
-	top     uint64 // highest ballot number seen anywhere
-	op      *op
-	queue   []*op
-	reads   []reader
-	query   *query
-	next    clock.Tick
-	heard   clock.Tick // when the last majority read was asked for
-	lives   map[ident.Node]sight
-	blank   clock.Tick // since when every seed is seen blank
-	kept    *protocol.Desired
-	force   bool
-	unequal int
-	odd     int
-	inTouch bool                      // a majority was heard lately, as the log was told last
-	absent  map[ident.Node]clock.Tick // voters that do not answer, and since when
+	known     *protocol.Desired // newest value known to be chosen
+	at        protocol.Ballot
+	hint      *protocol.Desired // a voter set to try, from a value perhaps not chosen
+	round     uint64
+	top       uint64 // highest ballot number seen anywhere
+	op        *op
+	queue     []*op
+	reads     []reader
+	query     *query
+	next      clock.Tick
+	heard     clock.Tick // when the last majority read was asked for
+	lives     map[ident.Node]sight
+	blank     clock.Tick // since when every seed is seen blank
+	kept      *protocol.Desired
+	force     bool
+	unequal   int
+	odd       int
+	reshaping bool                      // a change of the voter set is under way
+	inTouch   bool                      // a majority was heard lately, as the log was told last
+	absent    map[ident.Node]clock.Tick // voters that do not answer, and since when
 }
 
 type sight struct {
--- a/internal/controller/voters.go
+++ b/internal/controller/voters.go
@@ -65,7 +65,7 @@
 func (c *Core) beatVoters() {
 	c.watchVoters()
 	r := &c.reg
-	if !c.duty.mine || r.known == nil || r.op != nil || len(r.queue) > 0 {
+	if !c.duty.mine || r.known == nil || r.reshaping {
 		return
 	}
 	k := *r.known
@@ -266,7 +266,8 @@
 // (with no set given) the one before is left.
 func (c *Core) reshape(from protocol.Desired, to []protocol.Voter) {
 	shape := from.Shape
-	c.propose(func(d protocol.Desired) (protocol.Desired, failure.Kind) {
+	c.reg.reshaping = true
+	c.proposeFirst(func(d protocol.Desired) (protocol.Desired, failure.Kind) {
 		if d.Shape != shape || (to == nil) != (len(d.Prior) > 0) {
 			return d, failure.Conflict
 		}
@@ -278,6 +279,7 @@
 		d.Shape++
 		return d, failure.None
 	}, func(_ protocol.Desired, k failure.Kind) {
+		c.reg.reshaping = false
 		if k == failure.None && to != nil {
 			c.tally.Admit++
 			c.note("voter set changed")
