A base makes way for an adapter that has no room; waits add up over routers

Where each replica of an adapter's base stood on a server without room and without adapters, the adapter could go nowhere, for as long as the base stayed. Beside that, a router that had requests for a key, but none waiting, reset the key's waiting requests, value and age as told by all others.

Ruled out: the age alone. The keys that expired waited with 10 requests and the whole of the age.

Change: where room alone is short, and the adapter is nowhere, what is least missed of a server's bases makes way, if the adapter is worth it; never its own base. need.report sums the last renewals of all routers; a lookup counts until its router's renewal shows it. What is evicted is counted out of its family at once.

--- /dev/null
+++ b/internal/controller/demand_test.go
@@ -0,0 +1,74 @@
+package controller
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"tidedeck/internal/clock"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
+)
+
+// What the routers report of one key adds up to one demand: a router that has requests for the key
+// but none that wait says nothing of those that wait at another one.
+func TestWaitingAtSeveralRouters(t *testing.T) {
+	const key = "llm|n"
+	type report struct {
+		router  uint64
+		waiting int
+		value   int
+		ask     bool // a lookup, in place of a renewal
+		silent  bool // no word of any router: time passes
+	}
+	const interval = 200e6 // between two reports
+	for _, test := range []struct {
+		name    string
+		reports []report
+		waiting int
+		value   int
+		age     clock.Span
+	}{
+		{"one router", []report{{router: 1, waiting: 2, value: 5}, {router: 1, waiting: 3, value: 5}}, 3, 5, interval},
+		{"one that waits no more", []report{{router: 1, waiting: 2, value: 5}, {router: 1}}, 0, 0, 0},
+		{"and then again", []report{{router: 1, waiting: 2, value: 5}, {router: 1}, {router: 1, waiting: 1, value: 4}, {router: 1, waiting: 1, value: 4}}, 1, 4, interval},
+		{"another that does not wait", []report{{router: 1, waiting: 2, value: 5}, {router: 2}, {router: 1, waiting: 2, value: 5}, {router: 2}}, 2, 5, 3 * interval},
+		{"two that wait", []report{{router: 1, waiting: 2, value: 5}, {router: 2, waiting: 1, value: 3}}, 3, 5, interval},
+		{"the first of two is served", []report{{router: 1, waiting: 2, value: 5}, {router: 2, waiting: 1, value: 3}, {router: 1}}, 1, 3, 2 * interval},
+		{"both are served", []report{{router: 1, waiting: 2, value: 5}, {router: 2, waiting: 1, value: 3}, {router: 1}, {router: 2}}, 0, 0, 0},
+		{"a lookup before the renewal that shows it", []report{{router: 1, waiting: 1, value: 5, ask: true}, {router: 2}}, 1, 5, interval},
+		{"a lookup that no renewal follows", []report{{router: 1, waiting: 1, value: 5, ask: true}, {router: 2}, {router: 2}, {router: 2}}, 0, 0, 0},
+		{"a router that is silent for long", []report{{router: 1, waiting: 1, value: 5}, {silent: true}, {router: 2}}, 0, 0, 0},
+	} {
+		c := weighed(modelPlan(8, key), keys{"s1": {}})
+		for _, n := range []uint64{1, 2} {
+			session := protocol.Session{Node: "router", N: n}
+			c.links[session] = &link{ses: session, until: c.now.Add(60e9), holds: map[ident.Key]uint64{}}
+		}
+		for i, r := range test.reports {
+			if i > 0 {
+				c.now = c.now.Add(interval)
+			}
+			session := protocol.Session{Node: "router", N: r.router}
+			switch {
+			case r.silent:
+				c.now = c.now.Add(2 * freshSpan)
+				c.duty.asked = c.now // it has the duty still
+			case r.ask:
+				c.onWant(protocol.Env{Body: protocol.Want{Session: session, Key: key, Waiting: r.waiting, Value: r.value}})
+			default:
+				burden := protocol.Burden{Wait: r.waiting, Top: r.value, Came: 1}
+				c.onRenew(protocol.Env{Body: protocol.Renew{Session: session, Burden: map[ident.Key]protocol.Burden{key: burden}}})
+			}
+		}
+		n := c.demand[key]
+		require.NotNil(t, n, test.name)
+		require.Equal(t, test.waiting, n.wait, "%s: requests that wait", test.name)
+		require.Equal(t, test.value, n.value, "%s: the highest value among them", test.name)
+		age := clock.Span(0)
+		if n.since != 0 {
+			age = c.now.Sub(n.since)
+		}
+		require.Equal(t, test.age, age, "%s: for how long somebody has waited", test.name)
+	}
+}
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -139,10 +139,11 @@
 
 // need is what is asked of a key.
 type need struct {
-	at    clock.Tick
-	since clock.Tick // since when somebody waits
-	wait  int
-	value int
+	at     clock.Tick // when a router asked for it last
+	lookup clock.Tick // when a lookup told last of requests that no renewal had shown
+	since  clock.Tick // since when somebody waits
+	wait   int        // requests that wait, at all routers
+	value  int        // the highest among them
 
 	came float64 // requests since the last sum
 	took float64 // seconds of a server's time that they take
@@ -152,6 +153,7 @@
 	now  float64 // and just now
 }
 
+// wanted takes in how many requests wait for a key at one router, and the highest value among them.
 func (c *Core) wanted(k ident.Key, wait, value int) {
 	if c.plan == nil {
 		return
@@ -164,13 +166,41 @@
 		n = &need{}
 		c.demand[k] = n
 	}
-	if wait == 0 || c.now.Sub(n.at) > freshSpan {
+	n.report(c.now, wait, value, c.waitingAtRouters(k))
+}
+
+// waiting counts requests that wait for a key, and has the highest value among them.
+type waiting struct{ requests, value int }
+
+// waitingAtRouters sums what the last renewals of all routers say of a key, but for those that have been
+// silent for long.
+func (c *Core) waitingAtRouters(k ident.Key) (sum waiting) {
+	for _, l := range c.links {
+		if u := l.burden[k]; u.Wait > 0 && c.now.Sub(l.last) <= freshSpan {
+			sum.requests += u.Wait
+			sum.value = max(sum.value, u.Top)
+		}
+	}
+	return sum
+}
+
+// report takes in one router's report beside what the renewals of all come to. A lookup tells of a request
+// before its router's next renewal does, so that until then no other router's renewal takes it back.
+func (n *need) report(now clock.Tick, wait, value int, renewed waiting) {
+	stale := now.Sub(n.at) > freshSpan
+	switch {
+	case wait > renewed.requests:
+		n.lookup, n.wait, n.value = now, wait, max(value, renewed.value)
+	case renewed.requests > 0 || now.Sub(n.lookup) > renewalSpan:
+		n.wait, n.value = renewed.requests, renewed.value
+	}
+	if n.wait == 0 || stale {
 		n.since = 0
 	}
-	if wait > 0 && n.since == 0 {
-		n.since = c.now
+	if n.wait > 0 && n.since == 0 {
+		n.since = now
 	}
-	n.at, n.wait, n.value = c.now, wait, value
+	n.at = now
 }
 
 // planned takes the newest desired state into force at this node.
--- a/internal/controller/weigh.go
+++ b/internal/controller/weigh.go
@@ -35,6 +35,8 @@
 	longAge    = 3.0   // seconds of waiting from which on it counts for no more
 	crowded    = 6000  // tokens under way at a server from which on others are better
 	freshSpan  = 1500e6
+
+	renewalSpan = 400e6 // within which a router's renewal shows what its lookup told: two of its intervals
 )
 
 // came takes in what a router was asked for since its last renewal.
@@ -101,6 +103,14 @@
 // a while, what falls is trusted to fall more slowly.
 func (n *need) coming() float64 { return math.Max(n.load, n.now+(n.now-n.load)*riseTrust) }
 
+// age is how many seconds somebody has waited for a key, as far as they count.
+func (n *need) age(now clock.Tick) float64 {
+	if n.since == 0 {
+		return 0
+	}
+	return math.Min(now.Sub(n.since).Seconds(), longAge)
+}
+
 // family is a base with all of its adapters, as placement sees it.
 type family struct {
 	m     fleetplan.Model
@@ -136,9 +146,7 @@
 		if c.now.Sub(n.at) < freshSpan && n.wait > 0 {
 			f.wait = max(f.wait, n.wait)
 			f.value = max(f.value, n.value)
-			if n.since != 0 {
-				f.age = math.Max(f.age, math.Min(c.now.Sub(n.since).Seconds(), longAge))
-			}
+			f.age = math.Max(f.age, n.age(c.now))
 		}
 	}
 	for _, x := range c.links {
@@ -251,7 +259,7 @@
 	if c.o.Warm && len(todo) == 0 && store > 1 {
 		c.seed(l)
 	}
-	c.weighAdapters()
+	c.weighAdapters(l)
 }
 
 // undo gives up placements for which a server turns out to have no room, and nothing is on its way out.
@@ -341,9 +349,7 @@
 	if best == nil {
 		return false
 	}
-	for _, p := range gone {
-		c.evict(best, p)
-	}
+	c.evictAll(best, gone, l)
 	best.spots[f.m.Key] = &spot{key: f.m.Key, size: f.m.Size, stage: Ordered, since: c.now}
 	f.live++
 	return !c.sure(best, f.m.Key)
@@ -370,7 +376,7 @@
 	var ways []way
 	for _, k := range generic.SortedKeys(s.spots) {
 		p := s.spots[k]
-		if k.IsAdapter() || p.stage != Ready || c.now.Sub(p.ready) < freshSpan || c.shifts[k] != nil {
+		if k.IsAdapter() || p.stage != Ready || c.now.Sub(p.ready) < freshSpan || c.shifts[k] != nil || k == f.m.Key.Base() {
 			continue
 		}
 		g := l[k]
@@ -403,6 +409,16 @@
 	return out, sum
 }
 
+// evictAll begins to take replicas off a server, and counts them out of their families.
+func (c *Core) evictAll(s *server, out []*spot, l map[ident.Key]*family) {
+	for _, p := range out {
+		c.evict(s, p)
+		if g := l[p.key]; g != nil {
+			g.live--
+		}
+	}
+}
+
 // miss is what one replica less of a family costs: the requests that suffer before it could be back.
 func (c *Core) miss(g *family) float64 {
 	if g.live <= 1 {
@@ -431,8 +447,7 @@
 
 // weighAdapters brings adapters that are asked for to replicas of their bases. They come in no time
 // and take little room, but a server has few places for them.
-func (c *Core) weighAdapters() {
-	seats := c.seats
+func (c *Core) weighAdapters(l map[ident.Key]*family) {
 	for _, k := range generic.SortedKeys(c.demand) {
 		n := c.demand[k]
 		m, ok := c.plan.Models[k]
@@ -447,7 +462,7 @@
 			low := math.MaxInt
 			for id, s := range c.servers {
 				if p := s.spots[k]; p != nil && c.stays(s) {
-					low = min(low, seats[id])
+					low = min(low, c.seats[id])
 				}
 			}
 			if low < crowded || live >= m.Most {
@@ -455,55 +470,75 @@
 			}
 			most = float64(low) / crowded / 2
 		}
-		c.settleAdapter(m, seats, most)
+		f := &family{m: m, live: live, rate: n.rate, wait: n.wait, age: n.age(c.now), value: n.value, rank: c.plan.Rank(n.value)}
+		c.settleAdapter(f, l, most)
 	}
 }
 
-func (c *Core) settleAdapter(m fleetplan.Model, seats map[ident.Server]int, most float64) {
+// settleAdapter loads an adapter at the replica of its base where that costs least, and less than most.
+func (c *Core) settleAdapter(f *family, l map[ident.Key]*family, most float64) {
 	var best *server
-	var out *spot
+	var out []*spot
 	cost := most
 	for _, id := range generic.SortedKeys(c.servers) {
 		s := c.servers[id]
-		if !c.stays(s) || s.alien || s.spots[m.Key] != nil || !s.based(m.Key) || s.odd != "" {
+		if !c.stays(s) || s.alien || s.spots[f.m.Key] != nil || !s.based(f.m.Key) || s.odd != "" {
 			continue
 		}
-		x := float64(seats[id])/crowded + 0.3*float64(s.pending())
-		var victim *spot
-		if s.places > 0 && s.adapters() >= s.places || s.room-s.used() < m.Size {
-			low := math.Inf(1)
-			for _, k := range generic.SortedKeys(s.spots) {
-				p := s.spots[k]
-				if !k.IsAdapter() || p.stage != Ready || c.now.Sub(p.ready) < freshSpan {
-					continue
-				}
-				v := 0.0
-				if d := c.demand[k]; d != nil {
-					v = d.slow
-					if d.wait > 0 && c.now.Sub(d.at) < freshSpan {
-						continue
-					}
-				}
-				if v < low {
-					low, victim = v, p
-				}
-			}
-			if victim == nil {
-				continue
-			}
-			x += 0.3 + low
+		victims, price, ok := c.makeWayForAdapter(s, f, l)
+		if !ok {
+			continue
 		}
-		if x < cost {
-			best, out, cost = s, victim, x
+		if x := float64(c.seats[id])/crowded + 0.3*float64(s.pending()) + price; x < cost {
+			best, out, cost = s, victims, x
 		}
 	}
 	if best == nil {
 		return
 	}
-	if out != nil {
-		c.evict(best, out) // its place is free before long
+	c.evictAll(best, out, l) // its place is free before long
+	best.spots[f.m.Key] = &spot{key: f.m.Key, size: f.m.Size, stage: Ordered, since: c.now}
+}
+
+// makeWayForAdapter lists what must leave a server before an adapter can be loaded there, and what that
+// costs: another adapter, or, where room alone is short and the adapter is nowhere else, replicas of bases.
+func (c *Core) makeWayForAdapter(s *server, f *family, l map[ident.Key]*family) (out []*spot, price float64, ok bool) {
+	placeless := s.places > 0 && s.adapters() >= s.places
+	short := f.m.Size - (s.room - s.used())
+	if !placeless && short <= 0 {
+		return nil, 0, true
+	}
+	if p, rate := c.leastAskedAdapter(s); p != nil {
+		return []*spot{p}, 0.3 + rate, true
+	}
+	if placeless || f.live > 0 || s.pending() > 0 {
+		return nil, 0, false // what is under way there comes first
+	}
+	out, price = c.makeWay(s, f, l, short)
+	return out, 0.5 + price, out != nil && price <= f.gain()
+}
+
+// leastAskedAdapter finds the adapter that a server can do without best, and the rate at which it is asked
+// for: one that is ready for a while, and for which nobody waits.
+func (c *Core) leastAskedAdapter(s *server) (victim *spot, rate float64) {
+	rate = math.Inf(1)
+	for _, k := range generic.SortedKeys(s.spots) {
+		p := s.spots[k]
+		if !k.IsAdapter() || p.stage != Ready || c.now.Sub(p.ready) < freshSpan {
+			continue
+		}
+		slow := 0.0
+		if n := c.demand[k]; n != nil {
+			if n.wait > 0 && c.now.Sub(n.at) < freshSpan {
+				continue
+			}
+			slow = n.slow
+		}
+		if slow < rate {
+			rate, victim = slow, p
+		}
 	}
-	best.spots[m.Key] = &spot{key: m.Key, size: m.Size, stage: Ordered, since: c.now}
+	return victim, rate
 }
 
 // soon estimates when a key without a replica will have one: the load under way, or its turn in the
--- a/internal/controller/weigh_test.go
+++ b/internal/controller/weigh_test.go
@@ -111,6 +111,12 @@
 		{"or room", 8, 9, keys{"s1": {m, x}, "s2": {m}}, demand{"llm|m+4": waits(1), m: {load: 0.5, now: 0.5}}, nil, "+m+4@s2"},
 		{"with no place the adapter that is least missed goes first", 20, 9, keys{"s1": {m, "llm|m+1", "llm|m+2", "llm|m+3"}}, demand{"llm|m+4": waits(1), "llm|m+1": {slow: 1}, "llm|m+2": {slow: 0.5}, "llm|m+3": {slow: 2}}, nil, "+m+4@s1 -m+2@s1"},
 		{"none that is waited for", 20, 9, keys{"s1": {m, "llm|m+1", "llm|m+2", "llm|m+3"}}, demand{"llm|m+4": waits(1), "llm|m+1": waits(1), "llm|m+2": waits(1), "llm|m+3": waits(1)}, nil, ""},
+		{"with no room and no adapter there a base that is least missed goes", 8, 9, keys{"s1": {m, x}, "s2": {y, z}}, demand{"llm|m+1": waits(1), x: {slow: 0.1}}, nil, "+m+1@s1 -x@s1"},
+		{"where that costs least", 8, 9, keys{"s1": {m, x}, "s2": {m, y}}, demand{"llm|m+1": waits(1), m: {load: 0.5, now: 0.5}, x: {slow: 0.1}, y: {slow: 0.02}}, nil, "+m+1@s2 -y@s2"},
+		{"an idle adapter before a base", 9, 9, keys{"s1": {m, "llm|m+2", x}}, demand{"llm|m+1": waits(1), x: {slow: 0.1}}, nil, "+m+1@s1 -m+2@s1"},
+		{"no base that is missed more than the adapter", 8, 9, keys{"s1": {m, x}}, demand{"llm|m+1": waits(1), x: {slow: 3, rate: 3}}, nil, ""},
+		{"no base for an adapter that is there already", 8, 9, keys{"s1": {m, x}, "s2": {m, "llm|m+1"}}, demand{"llm|m+1": {wait: 1, load: 0.7, now: 0.7}, x: {slow: 0.1}}, nil, ""},
+		{"nor the adapter's own", 8, 9, keys{"s1": {m, x}, "s2": {m, y}}, demand{"llm|m+1": waits(1), x: {wait: 1}, y: {wait: 1}}, nil, ""},
 		{"one that is there", 20, 9, keys{"s1": {m, "llm|m+1"}, "s2": {m}}, demand{"llm|m+1": {load: 0.2, now: 0.2}}, nil, ""},
 	} {
 		p := modelPlan(c.room, m, n, o, x, y, z, "llm|f", "llm|n+1", "llm|m+1", "llm|m+2", "llm|m+3", "llm|m+4")
