Placement taken apart: one file for each of its jobs

Declarations are moved, not changed: spot (life of a key at a server), server, entries, demand, plan, fenced (servers that check a fence), report, evict, place, family, weigh, make_way, adapters, forecast, store; lacks, sizeOf and oddity come out of moves.go, undone, free, worked and budget out of orders.go, each to its job. The edits of the bites follow by path alone.

--- /dev/null
+++ b/internal/controller/evict.go
@@ -0,0 +1,92 @@
+package controller
+
+import (
+	"tidedeck/internal/generic"
+	"tidedeck/internal/ident"
+)
+
+// Taking a key off a server: every router drops its promise, work under way ends, the unload is sent.
+
+// evict begins to take a key off a server: first every router drops its promise.
+func (c *Core) evict(s *server, p *spot) {
+	if c.o.Unfenced && !p.key.IsAdapter() {
+		for _, k := range generic.SortedKeys(s.spots) {
+			if k != p.key && k.Base() == p.key {
+				c.evict(s, s.spots[k]) // they go with their base
+			}
+		}
+	}
+	if !p.fire(Evict, c.now) {
+		return
+	}
+	c.touch(p.key)
+	p.waits = c.promised(p.key)
+}
+
+// evictAll begins to take replicas off a server, and counts them out of their families.
+func (c *Core) evictAll(s *server, out []*spot, l map[ident.Key]*family) {
+	for _, p := range out {
+		c.evict(s, p)
+		if g := l[p.key]; g != nil {
+			g.live--
+		}
+	}
+}
+
+func (c *Core) beatSpot(s *server, p *spot) {
+	quiet := c.now > c.duty.began.Add(c.pad(c.o.Hold))
+	switch p.stage {
+	case Breaking:
+		// Promises that the owner before gave are unknown here: they must have run out first.
+		if quiet && c.dropped(p.waits) {
+			p.fire(Dropped, c.now)
+		}
+	case Draining:
+		// Only a report asked for after the last promise was gone shows that no work is left.
+		if c.o.Unfenced {
+			if c.free(s, p) && !c.undone(s, p) && (c.now.Sub(p.since) > drainSpan || !c.worked(p.key)) {
+				p.fire(Idle, c.now)
+				p.num = 0
+				c.tally.Drained++
+			}
+		} else if s.ok > p.since && p.work == 0 && !c.adapted(s, p) {
+			p.fire(Idle, c.now)
+			p.num = 0
+			c.tally.Drained++
+		}
+	}
+}
+
+// adapted tells whether a base still carries adapters that must go first.
+func (c *Core) adapted(s *server, p *spot) bool {
+	for k := range s.spots {
+		if k != p.key && k.Base() == p.key {
+			return true
+		}
+	}
+	return false
+}
+
+// undone tells whether adapters on a base may still be promised to routers.
+func (c *Core) undone(s *server, p *spot) bool {
+	for k, a := range s.spots {
+		if k == p.key || k.Base() != p.key || a.stage == Draining || a.stage == Unloading {
+			continue
+		}
+		if a.stage == Ordered && a.num == 0 {
+			delete(s.spots, k) // it was never ordered, and is not any more
+			continue
+		}
+		return true
+	}
+	return false
+}
+
+// free tells whether a spot's own unload is due: an adapter whose base goes too leaves with it.
+func (c *Core) free(s *server, p *spot) bool {
+	if !p.key.IsAdapter() {
+		return true
+	}
+	b := s.spots[p.key.Base()]
+	return b == nil || b.stage == Ready || b.stage == Ordered
+}
--- a/internal/controller/moves.go
+++ b/internal/controller/moves.go
@@ -2,22 +2,17 @@
 
 import (
 	"fmt"
-	"sort"
 
-	"tidedeck/internal/fleetplan"
 	"tidedeck/internal/generic"
 	"tidedeck/internal/ident"
-	"tidedeck/internal/protocol"
 )
 
+// Moves keep servers evenly filled and spread floors over zones. A key is loaded at one server before it
+// leaves the other.
+
 // shift is a move under way: the key is loaded at one server before it leaves the other.
 type shift struct{ from, to ident.Server }
 
-// stays tells whether what a server holds can be counted on for a while.
-func (c *Core) stays(s *server) bool {
-	return c.open(s) && !c.soonZ[s.Zone] && !c.soonS[s.ID]
-}
-
 // parting tells whether a key that had work lately is only held where it cannot stay: it is
 // loaded elsewhere before it is asked for again.
 func (c *Core) parting(k ident.Key) bool {
@@ -158,95 +153,3 @@
 	}
 	return "", nil, nil
 }
-
-// lacks tells operators what of the plan the servers cannot give.
-func (c *Core) lacks() (l []fleetplan.Fault) {
-	if c.plan == nil || !c.settled() {
-		return nil
-	}
-	room, need, most, servers := 0, 0, 0, 0
-	all := map[ident.Zone]bool{}
-	for _, s := range c.servers {
-		if c.stays(s) {
-			room += s.room
-			most = max(most, s.room)
-			servers++
-			all[s.Zone] = true
-		}
-	}
-	path := func(k ident.Key) string {
-		if k.IsAdapter() {
-			return "$.adapters." + string(k)[len(k.Base())+1:]
-		}
-		return "$.models." + string(k)
-	}
-	for _, k := range generic.SortedKeys(c.plan.Models) {
-		m := c.plan.Models[k]
-		need += m.Floor * m.Size
-		live, _, zones := c.live(k)
-		switch {
-		case m.Floor > servers:
-			l = append(l, fleetplan.Fault{Path: path(k) + ".floor", Why: fmt.Sprintf("%d replicas, but %d servers", m.Floor, servers)})
-		case m.Size > most:
-			l = append(l, fleetplan.Fault{Path: path(k) + ".size", Why: fmt.Sprintf("%d, but no server has more room than %d", m.Size, most)})
-		case live < m.Floor:
-			l = append(l, fleetplan.Fault{Path: path(k) + ".floor", Why: fmt.Sprintf("%d of %d replicas are there", live, m.Floor)})
-		case m.Floor > 1 && len(zones) < 2 && len(all) > 1:
-			l = append(l, fleetplan.Fault{Path: path(k) + ".floor", Why: "every replica is in one zone"})
-		}
-	}
-	if need > room {
-		l = append(l, fleetplan.Fault{Path: "$", Why: fmt.Sprintf("floors come to %d, but all room to %d", need, room)})
-	}
-	return l
-}
-
-// sizeOf tells the size that the plan gives a key, if it knows it.
-func (c *Core) sizeOf(k ident.Key) int {
-	if c.plan == nil {
-		return 0
-	}
-	if m, ok := c.plan.Models[k]; ok || !c.o.Unfenced {
-		return m.Size
-	}
-	most := 0 // what no plan names may be as large as anything that it names
-	for x, m := range c.plan.Models {
-		if x.IsAdapter() == k.IsAdapter() && x.Service() == k.Service() {
-			most = max(most, m.Size)
-		}
-	}
-	return most
-}
-
-// mostSize is past any size, room or number of slots that there is.
-const mostSize = 1 << 30
-
-// oddity finds what in a report contradicts itself. Numbers past any bound are no numbers.
-func oddity(r protocol.Report) string {
-	if r.Room < 0 || r.Room > mostSize || r.Slots < 1 || r.Slots > mostSize {
-		return fmt.Sprintf("room %d, slots %d", r.Room, r.Slots)
-	}
-	sum := 0
-	seen := map[ident.Key]bool{}
-	l := append([]protocol.Held{}, r.Held...)
-	sort.Slice(l, func(i, j int) bool { return l[i].Key < l[j].Key })
-	for _, h := range l {
-		switch {
-		case h.Key == "":
-			return "a key without a name"
-		case seen[h.Key]:
-			return fmt.Sprintf("%s twice", h.Key)
-		case h.Size < 1 || h.Size > mostSize:
-			return fmt.Sprintf("%s of size %d", h.Key, h.Size)
-		case h.Active < 0 || h.AgeMs < 0:
-			return fmt.Sprintf("%s with %d under way for %d ms", h.Key, h.Active, h.AgeMs)
-		case h.Stage != "loading" && h.Stage != "ready":
-			return fmt.Sprintf("%s at stage %q", h.Key, h.Stage)
-		}
-		seen[h.Key] = true
-		if sum += h.Size; sum > r.Room {
-			return fmt.Sprintf("%d held in a room of %d", sum, r.Room)
-		}
-	}
-	return ""
-}
--- /dev/null
+++ b/internal/controller/plan.go
@@ -0,0 +1,124 @@
+package controller
+
+import (
+	"bytes"
+	"fmt"
+
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/ident"
+)
+
+// The plan in force at this node, and whether its owner knows enough of the servers to act by it.
+
+// planned takes the newest desired state into force at this node.
+func (c *Core) planned() {
+	c.plan, c.empty, c.windows, c.shutAt = nil, map[ident.Zone]bool{}, nil, 0
+	k := c.reg.known
+	if k == nil {
+		return
+	}
+	for _, z := range k.Empty {
+		c.empty[z] = true
+	}
+	c.windows, _ = readWindows(k.Windows)
+	if len(k.Plan) > 0 {
+		c.plan, _ = c.parse(k.Plan)
+	}
+	if c.duty.mine {
+		for _, id := range generic.SortedKeys(c.servers) {
+			c.adopt(c.servers[id])
+		}
+		c.touchAll()
+	}
+}
+
+// parse reads a plan, unless it is the one that was read last: large ones take a while.
+func (c *Core) parse(raw []byte) (*fleetplan.Plan, fleetplan.Faults) {
+	if c.lastPlan == nil || !bytes.Equal(raw, c.lastRaw) {
+		p, f := c.o.Read(raw)
+		if f != nil {
+			return nil, f
+		}
+		c.lastRaw, c.lastPlan = raw, p
+	}
+	return c.lastPlan, nil
+}
+
+// settled tells whether the owner knows enough of the servers to answer for them.
+func (c *Core) settled() bool {
+	if !c.rules() || c.listed == 0 {
+		return false
+	}
+	if !c.rolled() {
+		return false
+	}
+	if c.now.Sub(c.duty.began) > c.o.Wait+c.o.Poll {
+		return true
+	}
+	for _, s := range c.servers {
+		if !s.known && s.State == "live" {
+			return false
+		}
+	}
+	return true
+}
+
+// sizeOf tells the size that the plan gives a key, if it knows it.
+func (c *Core) sizeOf(k ident.Key) int {
+	if c.plan == nil {
+		return 0
+	}
+	if m, ok := c.plan.Models[k]; ok || !c.o.Unfenced {
+		return m.Size
+	}
+	most := 0 // what no plan names may be as large as anything that it names
+	for x, m := range c.plan.Models {
+		if x.IsAdapter() == k.IsAdapter() && x.Service() == k.Service() {
+			most = max(most, m.Size)
+		}
+	}
+	return most
+}
+
+// lacks tells operators what of the plan the servers cannot give.
+func (c *Core) lacks() (l []fleetplan.Fault) {
+	if c.plan == nil || !c.settled() {
+		return nil
+	}
+	room, need, most, servers := 0, 0, 0, 0
+	all := map[ident.Zone]bool{}
+	for _, s := range c.servers {
+		if c.stays(s) {
+			room += s.room
+			most = max(most, s.room)
+			servers++
+			all[s.Zone] = true
+		}
+	}
+	path := func(k ident.Key) string {
+		if k.IsAdapter() {
+			return "$.adapters." + string(k)[len(k.Base())+1:]
+		}
+		return "$.models." + string(k)
+	}
+	for _, k := range generic.SortedKeys(c.plan.Models) {
+		m := c.plan.Models[k]
+		need += m.Floor * m.Size
+		live, _, zones := c.live(k)
+		switch {
+		case m.Floor > servers:
+			l = append(l, fleetplan.Fault{Path: path(k) + ".floor", Why: fmt.Sprintf("%d replicas, but %d servers", m.Floor, servers)})
+		case m.Size > most:
+			l = append(l, fleetplan.Fault{Path: path(k) + ".size", Why: fmt.Sprintf("%d, but no server has more room than %d", m.Size, most)})
+		case live < m.Floor:
+			l = append(l, fleetplan.Fault{Path: path(k) + ".floor", Why: fmt.Sprintf("%d of %d replicas are there", live, m.Floor)})
+		case m.Floor > 1 && len(zones) < 2 && len(all) > 1:
+			l = append(l, fleetplan.Fault{Path: path(k) + ".floor", Why: "every replica is in one zone"})
+		}
+	}
+	if need > room {
+		l = append(l, fleetplan.Fault{Path: "$", Why: fmt.Sprintf("floors come to %d, but all room to %d", need, room)})
+	}
+	return l
+}
--- /dev/null
+++ b/internal/controller/server.go
@@ -0,0 +1,177 @@
+package controller
+
+import (
+	"encoding/json"
+
+	"tidedeck/internal/clock"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
+)
+
+// The owner's view of model servers: what each one holds, has room for, and may be offered.
+
+// server is the owner's view of one model server.
+type server struct {
+	protocol.Listed
+	inc     ident.Inc
+	room    int
+	slots   int
+	spots   map[ident.Key]*spot
+	num     uint64
+	asking  bool
+	next    clock.Tick
+	fails   int
+	dark    bool
+	known   bool       // it has reported in this reign
+	ok      clock.Tick // when the last report that came was asked for
+	first   clock.Tick
+	odd     string     // what its report contradicts itself in; it is ordered to load nothing
+	plain   bool       // it holds no models and takes no orders
+	places  int        // for adapters; zero where they are not counted
+	busy    bool       // it carries out an order
+	alien   bool       // that is not of this reign: what it comes to is not known
+	unsure  *spot      // the spot whose order got no answer
+	asked   clock.Tick // when it was asked or ordered last
+	ordered clock.Tick // when it was ordered last
+}
+
+func (s *server) used() int {
+	n := 0
+	for _, p := range s.spots {
+		n += p.size
+	}
+	return n
+}
+
+func (s *server) loading() int {
+	n := 0
+	for _, p := range s.spots {
+		if p.stage == Ordered {
+			n++
+		}
+	}
+	return n
+}
+
+// pending counts the orders that a server still has to carry out.
+func (s *server) pending() int {
+	n := 0
+	for _, p := range s.spots {
+		if p.stage != Ready {
+			n++
+		}
+	}
+	return n
+}
+
+// adapters counts the places for adapters that are taken or promised.
+func (s *server) adapters() int {
+	n := 0
+	for k := range s.spots {
+		if k.IsAdapter() {
+			n++
+		}
+	}
+	return n
+}
+
+// based tells whether the base of an adapter is ready.
+func (s *server) based(k ident.Key) bool {
+	b := s.spots[k.Base()]
+	return b != nil && b.stage == Ready
+}
+
+// due finds a spot whose order has not been sent: what is ordered follows from the spots
+// alone, so no order outlives the reason for it.
+func (s *server) due() *spot {
+	if !s.known || s.dark {
+		return nil
+	}
+	var next *spot
+	over := s.room > 0 && s.used() > s.room
+	for _, k := range generic.SortedKeys(s.spots) {
+		p := s.spots[k]
+		if p.num != 0 || verbs[p.stage] == "" {
+			continue
+		}
+		if p.stage == Ordered && (over || p.key.IsAdapter() && (!s.based(p.key) || s.places > 0 && s.adapters() > s.places)) {
+			continue // what makes way for it is not gone yet, or its base is not there
+		}
+		if next == nil || p.stage == Unloading && next.stage != Unloading {
+			next = p
+		}
+	}
+	return next
+}
+
+// open tells whether a server may be offered new work.
+func (c *Core) open(s *server) bool {
+	return !s.dark && s.known && c.meant(s) && c.rolled()
+}
+
+// meant tells whether platform and operators mean a server to work, whether it answers or not.
+func (c *Core) meant(s *server) bool {
+	return s.State == "live" && !c.empty[s.Zone] && !c.closed(s.Zone, s.ID)
+}
+
+// stays tells whether what a server holds can be counted on for a while.
+func (c *Core) stays(s *server) bool {
+	return c.open(s) && !c.soonZ[s.Zone] && !c.soonS[s.ID]
+}
+
+func (c *Core) onList(l []protocol.Listed) {
+	seen := map[ident.Server]bool{}
+	for _, x := range l {
+		seen[x.ID] = true
+		s := c.servers[x.ID]
+		if s == nil {
+			c.servers[x.ID] = &server{Listed: x, spots: map[ident.Key]*spot{}, first: c.now}
+			continue
+		}
+		if s.Listed != x {
+			if s.Addr != x.Addr {
+				s.known = false
+			}
+			s.Listed = x
+			c.touchOn(s)
+		}
+	}
+	for _, id := range generic.SortedKeys(c.servers) {
+		if s := c.servers[id]; !seen[id] && s.State != "gone" {
+			s.State = "gone"
+			c.touchOn(s)
+		}
+	}
+}
+
+func (c *Core) beatList() {
+	if c.o.Enrolled {
+		if c.now.Sub(c.listed) > 300e6 {
+			c.listed = c.now
+			c.tellList()
+		}
+		return
+	}
+	if c.listing || c.o.Platform == "" || c.listed != 0 && c.now.Sub(c.listed) < 300e6 {
+		return
+	}
+	c.listing = true
+	num := c.duty.num
+	c.ask(c.o.Platform, "/servers", nil, c.o.Wait, func(t protocol.Told) {
+		if !c.duty.mine || c.duty.num != num {
+			return
+		}
+		c.listing = false
+		var l []protocol.Listed
+		if !t.OK || t.Code != 200 || json.Unmarshal(t.Body, &l) != nil || !sound(l) {
+			if c.listed != 0 || len(c.servers) > 0 {
+				c.listed = c.now // the last list stands while the platform is silent
+			}
+			return
+		}
+		c.listed, c.seenAt = c.now, c.now
+		c.onList(c.believe(l))
+		c.tellList()
+	})
+}
--- a/internal/simulator/bites_test.go
+++ b/internal/simulator/bites_test.go
@@ -24,17 +24,17 @@
 // Bites: each guard is broken from outside, by an edit of the sources at build time, and a
 // checker must see it; docs/failures.md names the lines. An edit that no longer matches fails.
 var bites = []bite{
-	{"wait for acknowledgements", "moves", "held a promise", []edit{{"internal/controller/place.go", "if quiet && c.dropped(p.waits) {", "if quiet || true {"}}},
-	{"wait out the owner before", "medley", "held a promise", []edit{{"internal/controller/place.go", "quiet := c.now > c.duty.began.Add(c.pad(c.o.Hold))", "quiet := true"}}},
+	{"wait for acknowledgements", "moves", "held a promise", []edit{{"internal/controller/evict.go", "if quiet && c.dropped(p.waits) {", "if quiet || true {"}}},
+	{"wait out the owner before", "medley", "held a promise", []edit{{"internal/controller/evict.go", "quiet := c.now > c.duty.began.Add(c.pad(c.o.Hold))", "quiet := true"}}},
 	{"drop on a break", "moves", "held a promise", []edit{{"internal/router/core.go", "c.tally.Breaks++\n\tdelete(c.entries, k)", "c.tally.Breaks++"}}},
-	{"drain before an unload", "unplan", "while work was under way", []edit{{"internal/controller/place.go", "s.ok > p.since && p.work == 0 && !c.adapted(s, p)", "true"}}},
+	{"drain before an unload", "unplan", "while work was under way", []edit{{"internal/controller/evict.go", "s.ok > p.since && p.work == 0 && !c.adapted(s, p)", "true"}}},
 	{"check at the point of sending", "unplan", "after it was unloaded|which no plan allows", []edit{{"internal/router/ledger.go", "if !c.stands(r, g) {", "if g == nil {"}}},
 	{"route under a hold only", "moves-cut", "routes under epoch|after it was unloaded|after it was leaving", []edit{
 		{"internal/router/core.go", "return c.now < c.until }", "return true }"},
 		{"internal/router/ledger.go", "if e == nil || !e.held {\n\t\t\tc.want", "if e == nil {\n\t\t\tc.want"},
 		{"internal/router/core.go", "return e != nil && (e.held && c.holds() ||", "return e != nil && (c.holds() ||"}}},
 	{"keep within room", "moves", "past its room", []edit{
-		{"internal/controller/place.go", "if free < w.m.Size {", "if false {"}, {"internal/controller/place.go", "over := s.room > 0 && s.used() > s.room", "over := false"}}},
+		{"internal/controller/place.go", "if free < w.m.Size {", "if false {"}, {"internal/controller/server.go", "over := s.room > 0 && s.used() > s.room", "over := false"}}},
 	{"keep within the store's budget", "blackout", "outran the store", []edit{
 		{"internal/controller/place.go", "if budget <= 0 {", "if false {"}, {"internal/controller/place.go", "s.loading() > 0 {", "false {"}}},
 	{"cap cold servers", "crowd", "flooded while cold", []edit{{"internal/router/ledger.go", "if b.work >= all || b.keys[r.key] >= cold {", "if all+cold < 0 {"}}},
@@ -49,10 +49,10 @@
 	{"expect the epoch", "plans", "that expected epoch", []edit{{"internal/controller/admin.go", "if !a.Any && d.Epoch != a.Expect {", "if false {"}}},
 	{"redo no change", "core", "was reached by", []edit{{"internal/controller/admin.go", "if x.ID == a.Change {\n\t\t\t\t\treturn d, failure.Repeated", "if x.ID == `no` {\n\t\t\t\t\treturn d, failure.Repeated"}}},
 	{"see servers go", "servers", "after it was leaving or gone", []edit{
-		{"internal/controller/place.go", "return !s.dark && s.known && c.meant(s)", "return s.known && c.meant(s)"},
-		{"internal/controller/place.go", `return s.State == "live" && !c.empty`, "return !c.empty"}}},
+		{"internal/controller/server.go", "return !s.dark && s.known && c.meant(s)", "return s.known && c.meant(s)"},
+		{"internal/controller/server.go", `return s.State == "live" && !c.empty`, "return !c.empty"}}},
 	{"leave emptied zones", "zones", "in emptied zone", []edit{
-		{"internal/controller/place.go", `"live" && !c.empty[s.Zone] && !c.closed`, `"live" && !c.closed`},
+		{"internal/controller/server.go", `"live" && !c.empty[s.Zone] && !c.closed`, `"live" && !c.closed`},
 		{"internal/router/ledger.go", "if c.empty[p.Zone] || c.now", "if c.now"}, {"internal/router/ledger.go", " && !c.empty[p.Zone] {", " {"}}},
 	{"repeat only what may be", "storm", "may not be repeated", []edit{
 		{"internal/router/ledger.go", "Lost:    {{kind: failure.Unclear}, {again: true, pay: true}}", "Lost:    {{again: true}, {again: true}}"},
@@ -74,8 +74,8 @@
 	{"let go of what cannot be served", "blind", "kept the duty", []edit{{"internal/controller/list.go", "c.eye.since == 0 {\n\t\treturn\n\t}\n\tshould", "c.eye.since != 1 {\n\t\treturn\n\t}\n\tshould"}}},
 	{"check every event", "mangled", "came as number|two goes in one answer|someone else|ended after", []edit{{"internal/router/serve.go", "return l.Go == v.Work.Go && l.Server == v.Server && l.N == n", "return true"}}},
 	{"believe no report that contradicts itself", "odd", "past its room", []edit{
-		{"internal/controller/place.go", "min(max(h.Size, c.sizeOf(h.Key)), mostSize), max(h.Active", "h.Size, max(h.Active"},
-		{"internal/controller/place.go", "oddity(r); odd != s.odd", "``; odd != s.odd && oddity(r) != ``"}}},
+		{"internal/controller/fenced.go", "min(max(h.Size, c.sizeOf(h.Key)), mostSize), max(h.Active", "h.Size, max(h.Active"},
+		{"internal/controller/fenced.go", "oddity(r); odd != s.odd", "``; odd != s.odd && oddity(r) != ``"}}},
 	{"spread over zones", "return", "ready in 1 zones", []edit{{"internal/controller/moves.go", "if m.Floor < 2 || live < 2", "if m.Floor >= 0 || live < 2"}, {"internal/controller/place.go", "n += 1_000_000", "n += 0"}}},
 	{"even out", "return", "unevenly filled", []edit{{"internal/controller/moves.go", "if c.now.Sub(c.uneven) < c.o.Even {", "if c.uneven != 1 {"}}},
 	{"sweep what reads do not mend", "sweep", "still has epoch", []edit{{"internal/controller/reader.go", "if r.unequal++; r.unequal > 30 {", "if r.unequal > 30 {"}}},
