--- a/internal/controller/fenced.go
+++ b/internal/controller/fenced.go
@@ -14,142 +14,174 @@
 // Servers that check a fence refuse orders of an older duty. Each is asked one question at a time, an
 // order or only for its report, and an order is right as long as the server has not restarted.
 
-// beatServer keeps one question under way at a time: an order, or only for the report.
+// forgetAfter is how long a server that is gone is remembered after its last report.
+const forgetAfter = 10e9
+
+// beatServer carries a server's spots on, and asks it what is due.
 func (c *Core) beatServer(s *server) {
-	for _, k := range generic.SortedKeys(s.spots) {
-		if p := s.spots[k]; p != nil { // one spot's end may end another
+	for _, key := range generic.SortedKeys(s.spots) {
+		if p := s.spots[key]; p != nil { // one spot's end may end another
 			c.beatSpot(s, p)
 		}
 	}
-	if s.State == "gone" && (s.fails > 0 || c.o.Enrolled) {
-		for _, k := range generic.SortedKeys(s.spots) {
-			s.spots[k].fire(SeeNone, c.now)
-			delete(s.spots, k)
-			c.touch(k)
-		}
-		if c.now.Sub(max(s.ok, s.first)) > 10e9 {
+	switch {
+	case s.State == "gone" && (s.fails > 0 || c.o.Enrolled):
+		c.dropSpots(s)
+		if c.now.Sub(max(s.ok, s.first)) > forgetAfter {
 			delete(c.servers, s.ID)
 		}
-		return
-	}
-	if c.o.Unfenced {
+	case c.o.Unfenced:
 		c.steer(s)
-		return
+	default:
+		c.orderFenced(s)
+	}
+}
+
+// dropSpots forgets all that a server held: it is gone, or has restarted.
+func (c *Core) dropSpots(s *server) {
+	for _, key := range generic.SortedKeys(s.spots) {
+		c.dropSpot(s, key)
 	}
+}
+
+// dropSpot forgets one key that a server holds no longer.
+func (c *Core) dropSpot(s *server, key ident.Key) {
+	s.spots[key].fire(SeeNone, c.now)
+	delete(s.spots, key)
+	c.touch(key)
+}
+
+// orderFenced keeps one question under way at a time: the order that is due, or only for the report.
+func (c *Core) orderFenced(s *server) {
 	p := s.due()
 	if s.asking || p == nil && c.now < s.next {
 		return
 	}
 	s.num++
-	q := protocol.Order{Duty: c.duty.num, Num: s.num, Inc: s.inc}
+	order := protocol.Order{Duty: c.duty.num, Num: s.num}
 	if p != nil {
-		q.Op, q.Key, q.Size, p.num = verbs[p.stage], p.key, p.size, s.num
-		if p.stage == Ordered {
-			c.tally.Loads++
-		} else {
-			c.tally.Unloads++
-		}
-	}
-	if q.Op == "" {
-		q.Inc = 0
+		p.num = s.num
+		order.Op, order.Key, order.Size, order.Inc = verbs[p.stage], p.key, p.size, s.inc
+		c.countOrder(p)
 	}
 	s.asking = true
-	at, num := c.now, c.duty.num
-	c.ask(s.Addr, "/orders", q, c.o.Wait, func(t protocol.Told) {
-		if !c.duty.mine || c.duty.num != num || c.servers[s.ID] != s {
-			return
+	at, duty := c.now, c.duty.num
+	c.ask(s.Addr, "/orders", order, c.o.Wait, func(t protocol.Told) {
+		if c.duty.mine && c.duty.num == duty && c.servers[s.ID] == s {
+			c.onFencedAnswer(s, t, at)
 		}
-		s.asking = false
-		s.next = c.now.Add(c.o.Poll)
-		var r protocol.Report
-		if !t.OK || json.Unmarshal(t.Body, &r) != nil || r.Server != s.ID {
-			s.fails++
-			// A question cut short at once is asked once more; one that waited in vain is not.
-			if c.now.Sub(at) >= c.o.Wait || s.fails > 1 {
-				if !s.dark && s.known {
-					s.dark = true
-					c.note(fmt.Sprintf("server %s is dark", s.ID))
-					c.touchOn(s)
-				}
-			} else {
-				s.next = c.now
-			}
-			return
-		}
-		c.onReport(s, r, at)
 	})
 }
 
+// countOrder counts an order that is sent.
+func (c *Core) countOrder(p *spot) {
+	if p.stage == Ordered {
+		c.tally.Loads++
+	} else {
+		c.tally.Unloads++
+	}
+}
+
+// onFencedAnswer takes in the answer to a question asked at a time, or that none came.
+func (c *Core) onFencedAnswer(s *server, t protocol.Told, at clock.Tick) {
+	s.asking = false
+	s.next = c.now.Add(c.o.Poll)
+	var r protocol.Report
+	if t.OK && json.Unmarshal(t.Body, &r) == nil && r.Server == s.ID {
+		c.onReport(s, r, at)
+		return
+	}
+	s.fails++
+	// A question cut short at once is asked once more; one that waited in vain is not.
+	if c.now.Sub(at) < c.o.Wait && s.fails <= 1 {
+		s.next = c.now
+		return
+	}
+	if !s.dark && s.known {
+		s.dark = true
+		c.note(fmt.Sprintf("server %s is dark", s.ID))
+		c.touchOn(s)
+	}
+}
+
+// onReport takes in a report that was asked for at a time.
 func (c *Core) onReport(s *server, r protocol.Report, at clock.Tick) {
 	if r.Drop == failure.Stale {
-		c.tally.Fences++
-		if r.Duty > c.duty.num {
-			c.duty.top = max(c.duty.top, r.Duty)
-			c.lose("a server obeys a higher duty")
-			return
-		}
-		s.num = max(s.num, r.Num)
+		c.onStale(s, r)
 		return
 	}
-	s.fails, s.ok = 0, at
 	changed := s.dark || !s.known
-	s.dark, s.known = false, true
-	room, slots := min(max(r.Room, 0), mostSize), min(max(r.Slots, 1), mostSize)
-	if r.Inc != s.inc || room != s.room || slots != s.slots {
-		if r.Inc != s.inc {
-			for _, k := range generic.SortedKeys(s.spots) {
-				s.spots[k].fire(SeeNone, c.now)
-				delete(s.spots, k)
-				c.touch(k)
-			}
-		}
-		s.inc, s.room, s.slots = r.Inc, room, slots
-		changed = true
-	}
+	s.fails, s.ok, s.dark, s.known = 0, at, false, true
+	changed = c.seeServer(s, r) || changed
 	if odd := oddity(r); odd != s.odd {
 		if s.odd = odd; odd != "" {
 			c.tally.Odd++
 			c.oops(fmt.Sprintf("server %s reports what cannot be: %s", s.ID, odd))
 		}
 	}
-	held := map[ident.Key]protocol.Held{}
+	held := map[ident.Key]bool{}
 	for _, h := range r.Held {
-		h.Size, h.Active, h.AgeMs = min(max(h.Size, c.sizeOf(h.Key)), mostSize), max(h.Active, 0), max(h.AgeMs, 0)
-		held[h.Key] = h
-		p := s.spots[h.Key]
-		if p == nil {
-			p = &spot{key: h.Key, size: h.Size, stage: Ordered, since: c.now, num: r.Num}
-			s.spots[h.Key] = p
-		}
-		if p.unsent(r.Num) {
-			continue
-		}
-		p.size, p.work = h.Size, h.Active
-		if h.Active > 0 {
-			p.busy = c.now
-		}
-		was := p.stage
-		if h.Stage == "ready" {
-			if p.fire(SeeReady, c.now) {
-				if was == Ordered {
-					p.ready = c.now - clock.Tick(h.AgeMs)*1e6
-				}
-				c.touch(h.Key)
-			}
-		} else if p.fire(SeeLoading, c.now) {
-			c.touch(h.Key)
-		}
+		held[h.Key] = true
+		c.seeHeld(s, r.Num, h)
 	}
-	for _, k := range generic.SortedKeys(s.spots) {
-		p := s.spots[k]
-		if _, ok := held[k]; ok || p.unsent(r.Num) {
-			continue
+	for _, key := range generic.SortedKeys(s.spots) {
+		if !held[key] && !s.spots[key].unsent(r.Num) {
+			c.dropSpot(s, key)
 		}
-		p.fire(SeeNone, c.now)
-		delete(s.spots, k)
-		c.touch(k)
 	}
 	if changed {
 		c.touchOn(s)
 	}
 }
+
+// onStale takes in that a server refused an order: of a lower duty, or with a number that it has passed.
+func (c *Core) onStale(s *server, r protocol.Report) {
+	c.tally.Fences++
+	if r.Duty > c.duty.num {
+		c.duty.top = max(c.duty.top, r.Duty)
+		c.lose("a server obeys a higher duty")
+		return
+	}
+	s.num = max(s.num, r.Num)
+}
+
+// seeServer takes in a server's incarnation, room and slots, and tells whether any of them changed.
+func (c *Core) seeServer(s *server, r protocol.Report) bool {
+	room, slots := min(max(r.Room, 0), mostSize), min(max(r.Slots, 1), mostSize)
+	if r.Inc == s.inc && room == s.room && slots == s.slots {
+		return false
+	}
+	if r.Inc != s.inc {
+		c.dropSpots(s)
+	}
+	s.inc, s.room, s.slots = r.Inc, room, slots
+	return true
+}
+
+// seeHeld takes in what a report that answers an order shows of one key.
+func (c *Core) seeHeld(s *server, num uint64, h protocol.Held) {
+	h.Size, h.Active, h.AgeMs = min(max(h.Size, c.sizeOf(h.Key)), mostSize), max(h.Active, 0), max(h.AgeMs, 0)
+	p := s.spots[h.Key]
+	if p == nil {
+		p = &spot{key: h.Key, size: h.Size, stage: Ordered, since: c.now, num: num}
+		s.spots[h.Key] = p
+	}
+	if p.unsent(num) {
+		return
+	}
+	p.size, p.work = h.Size, h.Active
+	if h.Active > 0 {
+		p.busy = c.now
+	}
+	before, trigger := p.stage, SeeLoading
+	if h.Stage == "ready" {
+		trigger = SeeReady
+	}
+	if !p.fire(trigger, c.now) {
+		return
+	}
+	if before == Ordered && trigger == SeeReady {
+		p.ready = c.now - clock.Tick(h.AgeMs)*1e6
+	}
+	c.touch(h.Key)
+}
