Placement by need: typed requirements, one function for each step

Bare triples of replicas and of requirements are typed, spans and scores are named with their reason, lacks is one function for each model. Three bites follow their lines.

--- a/internal/controller/adapters.go
+++ b/internal/controller/adapters.go
@@ -18,7 +18,7 @@
 		if !ok || !k.IsAdapter() || c.now.Sub(n.at) > freshSpan {
 			continue
 		}
-		live, _, _ := c.live(k)
+		live := c.replicasOf(k).count
 		want := max(1, min(int(math.Ceil(n.load/goodLoad)), m.Most))
 		most := math.Inf(1)
 		if live >= want {
@@ -61,7 +61,7 @@
 		return
 	}
 	c.evictAll(best, out, l) // its place is free before long
-	best.spots[f.m.Key] = &spot{key: f.m.Key, size: f.m.Size, stage: Ordered, since: c.now}
+	c.startLoad(best, f.m)
 }
 
 // makeWayForAdapter lists what must leave a server before an adapter can be loaded there, and what that
--- a/internal/controller/demand.go
+++ b/internal/controller/demand.go
@@ -11,6 +11,9 @@
 // Demand is what routers report of the keys that they are asked for: requests that wait, rates, and the
 // work that they come to, each over several spans.
 
+// demandSpan is how long a key's demand is kept after it was last asked for.
+const demandSpan = 60e9
+
 // need is what is asked of a key.
 type need struct {
 	at     clock.Tick // when a router asked for it last
@@ -85,6 +88,15 @@
 	return math.Min(now.Sub(n.since).Seconds(), longAge)
 }
 
+// forgetDemand forgets the keys that nobody has asked for in a while.
+func (c *Core) forgetDemand() {
+	for key, n := range c.demand {
+		if c.now.Sub(n.at) > demandSpan {
+			delete(c.demand, key)
+		}
+	}
+}
+
 // came takes in what a router was asked for since its last renewal.
 func (c *Core) came(k ident.Key, u protocol.Burden) {
 	if c.asked == 0 && u.Came > 0 {
--- a/internal/controller/moves.go
+++ b/internal/controller/moves.go
@@ -122,11 +122,11 @@
 	if !ok || p.stage != Ready || c.adapted(s, p) || c.now.Sub(p.ready) < 2*c.o.Rest || !c.mayHold(to, p.key) || to.loading() > 0 || to.room-to.used() < m.Size {
 		return false
 	}
-	live, _, zones := c.live(p.key)
-	if live >= m.Most {
+	has := c.replicasOf(p.key)
+	if has.count >= m.Most {
 		return false // for a while there would be one too many
 	}
-	return len(zones) == 1 || s.Zone == to.Zone || !zones[to.Zone]
+	return len(has.zones) == 1 || s.Zone == to.Zone || !has.zones[to.Zone]
 }
 
 // spread finds a key with a floor of two or more that one zone's loss would leave without any
@@ -134,8 +134,8 @@
 func (c *Core) spread() (ident.Key, *server, *server) {
 	for _, k := range generic.SortedKeys(c.plan.Models) {
 		m := c.plan.Models[k]
-		live, _, zones := c.live(k)
-		if m.Floor < 2 || live < 2 || len(zones) > 1 {
+		has := c.replicasOf(k)
+		if m.Floor < 2 || has.count < 2 || len(has.zones) > 1 {
 			continue
 		}
 		for _, id := range generic.SortedKeys(c.servers) {
--- a/internal/controller/moves_test.go
+++ b/internal/controller/moves_test.go
@@ -124,8 +124,7 @@
 		c := yard(t, keys{"s1": {"a"}})
 		c.servers["s1"].spots["a"].busy = c.now - 5e9
 		x.do(c)
-		need, _, _ := c.wantsOf(c.plan.Models["a"])
-		require.Equal(t, x.need, need, x.name)
+		require.Equal(t, x.need, c.requirementOf(c.plan.Models["a"]).wanted, x.name)
 	}
 }
 
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -11,6 +11,16 @@
 // Placement by need, where servers check a fence: each key has its floor, and one replica while it is
 // asked for; what has been idle for longest makes way.
 
+const (
+	sweepEvery  = 500e6 // entries are made anew so often, whatever changed
+	askedSpan   = 3e9   // a key that was asked for so lately has a replica
+	darkLoading = 60e9  // a dark server may be loading for so long
+	firstReport = 10e9  // a server that has not reported for so long since it came is loading nothing
+	newZone     = 1_000_000
+	fillScale   = 1000 // a server's free room counts in so many parts, less than a new zone does
+)
+
+// beatPlace carries placement on at the owner of the duty.
 func (c *Core) beatPlace() {
 	if !c.rules() {
 		return
@@ -24,116 +34,144 @@
 	if c.plan != nil && c.settled() {
 		c.placeAll()
 	}
-	if c.now.Sub(c.swept) > 500e6 {
+	if c.now.Sub(c.swept) > sweepEvery {
 		c.swept = c.now
 		c.touchAll()
 	}
 	c.sumDemand()
-	for k, n := range c.demand {
-		if c.now.Sub(n.at) > 60e9 {
-			delete(c.demand, k)
-		}
-	}
+	c.forgetDemand()
 }
 
-// wish is a key that wants one more replica.
-type wish struct {
-	m     fleetplan.Model
-	live  int
-	bare  bool
-	value int
+// placeAll brings what the servers hold nearer to what the plan and the demand ask for.
+func (c *Core) placeAll() {
+	atOnce, now := c.budget()
+	c.withdrawFromDark()
+	atOnce -= c.mayBeLoading()
+	c.evictUnplanned()
+	if c.o.Unfenced {
+		c.weighAll(now)
+		return
+	}
+	c.beatShifts()
+	c.placeWishes(min(atOnce, now))
 }
 
-// placeAll places what is wished for, the most urgent first, within room and the store's budget.
-func (c *Core) placeAll() {
-	budget, rate := c.budget()
+// withdrawFromDark gives up loads that cannot be sent to their server now: another one may take them.
+func (c *Core) withdrawFromDark() {
 	for _, s := range c.servers {
-		for _, k := range generic.SortedKeys(s.spots) {
-			p := s.spots[k]
+		for key, p := range s.spots {
 			if s.dark && p.stage == Ordered && p.num == 0 {
-				delete(s.spots, k) // it cannot be sent now; another server may take it
-			} else if p.stage == Ordered && (!s.dark || c.now.Sub(p.since) < 60e9) {
-				budget-- // a dark server may still be loading, for a while
+				delete(s.spots, key)
 			}
 		}
-		if !s.known && !s.dark && s.State == "live" && c.now.Sub(s.first) < 10e9 {
-			budget-- // what it may be loading is not known yet
+	}
+}
+
+// mayBeLoading counts the loads that may be under way.
+func (c *Core) mayBeLoading() int {
+	n := 0
+	for _, s := range c.servers {
+		for _, p := range s.spots {
+			if p.stage == Ordered && c.mayLoad(s, p) {
+				n++
+			}
+		}
+		if !s.known && !s.dark && s.State == "live" && c.now.Sub(s.first) < firstReport {
+			n++ // what it may be loading is not known yet
 		}
 	}
+	return n
+}
+
+// mayLoad tells whether a load that was ordered may still be under way: at a dark server for a while.
+func (c *Core) mayLoad(s *server, p *spot) bool {
+	return !s.dark || c.now.Sub(p.since) < darkLoading
+}
+
+// evictUnplanned takes off all servers what the plan does not name.
+func (c *Core) evictUnplanned() {
 	for _, id := range generic.SortedKeys(c.servers) {
 		s := c.servers[id]
-		for _, k := range generic.SortedKeys(s.spots) {
-			if _, ok := c.plan.Models[k]; !ok && !k.Plain() && s.spots[k].stage == Ready && s.known && !s.dark {
-				c.evict(s, s.spots[k])
+		for _, key := range generic.SortedKeys(s.spots) {
+			_, planned := c.plan.Models[key]
+			if p := s.spots[key]; !planned && !key.Plain() && p.stage == Ready && s.known && !s.dark {
+				c.evict(s, p)
 			}
 		}
 	}
-	budget = min(budget, rate)
-	if c.o.Unfenced {
-		c.weighAll(rate)
-		return
-	}
-	c.beatShifts()
-	wishes := c.wishes()
-	for _, w := range wishes {
-		if budget <= 0 {
-			return
-		}
-		if c.place(w) {
-			budget--
-		}
-	}
-	if len(wishes) == 0 && budget > 0 {
-		c.even()
-	} else {
-		c.uneven = 0
-	}
 }
 
-func (c *Core) live(k ident.Key) (n int, slots int, zones map[ident.Zone]bool) {
-	zones = map[ident.Zone]bool{}
+// replicaSet is what a key has of replicas that can be counted on.
+type replicaSet struct {
+	count int
+	slots int // of all their servers
+	zones map[ident.Zone]bool
+}
+
+// replicasOf counts a key's replicas that are ready or ordered, on servers that stay.
+func (c *Core) replicasOf(key ident.Key) replicaSet {
+	set := replicaSet{zones: map[ident.Zone]bool{}}
 	for _, s := range c.servers {
-		if p := s.spots[k]; p != nil && (p.stage == Ordered || p.stage == Ready) && c.stays(s) {
-			n++
-			slots += s.slots
-			zones[s.Zone] = true
+		if p := s.spots[key]; p != nil && p.placed() && c.stays(s) {
+			set.count++
+			set.slots += s.slots
+			set.zones[s.Zone] = true
 		}
 	}
-	return n, slots, zones
+	return set
 }
 
-// wants tells how many replicas a key should have.
-func (c *Core) wantsOf(m fleetplan.Model) (need, live, value int) {
-	live, slots, _ := c.live(m.Key)
-	need = m.Floor
-	d := c.demand[m.Key]
-	if d != nil && c.now.Sub(d.at) < 3e9 {
-		value = d.value
-		need = max(need, 1)
-		b := 0
-		for _, l := range c.links {
-			u := l.burden[m.Key]
-			b += u.Wait + u.Work
-		}
-		if live > 0 && 4*b > 3*slots {
-			need = max(need, live+1)
+// requirement is how many replicas a key should have, and how many it has.
+type requirement struct {
+	wanted int
+	live   int
+	value  int // of the requests that ask for it
+}
+
+// requirementOf tells how many replicas a key should have.
+func (c *Core) requirementOf(m fleetplan.Model) requirement {
+	has := c.replicasOf(m.Key)
+	r := requirement{wanted: m.Floor, live: has.count}
+	if n := c.demand[m.Key]; n != nil && c.now.Sub(n.at) < askedSpan {
+		r.value = n.value
+		r.wanted = max(r.wanted, 1)
+		// Past three quarters of its slots it gets one more.
+		if r.live > 0 && 4*c.underWay(m.Key) > 3*has.slots {
+			r.wanted = max(r.wanted, r.live+1)
 		}
 	}
 	if c.shifts[m.Key] != nil {
-		need = max(need, live) // both are kept until the new one can do without the old
-	} else if need == 0 && live == 0 && c.parting(m.Key) {
-		need = 1
+		r.wanted = max(r.wanted, r.live) // both are kept until the new one can do without the old
+	} else if r.wanted == 0 && r.live == 0 && c.parting(m.Key) {
+		r.wanted = 1
 	}
-	return min(need, m.Most), live, value
+	r.wanted = min(r.wanted, m.Most)
+	return r
+}
+
+// underWay counts the requests for a key that wait or run, at all routers.
+func (c *Core) underWay(key ident.Key) int {
+	n := 0
+	for _, l := range c.links {
+		n += l.burden[key].Wait + l.burden[key].Work
+	}
+	return n
+}
+
+// wish is a key that wants one more replica.
+type wish struct {
+	model fleetplan.Model
+	bare  bool // it has none
+	value int
 }
 
+// wishes lists the keys that want one more replica, the most urgent first.
 func (c *Core) wishes() []wish {
 	var l []wish
-	for _, k := range generic.SortedKeys(c.plan.Models) {
-		m := c.plan.Models[k]
-		need, live, value := c.wantsOf(m)
-		if live < need {
-			l = append(l, wish{m, live, live == 0, value})
+	for _, key := range generic.SortedKeys(c.plan.Models) {
+		m := c.plan.Models[key]
+		if r := c.requirementOf(m); r.live < r.wanted {
+			l = append(l, wish{model: m, bare: r.live == 0, value: r.value})
 		}
 	}
 	sort.SliceStable(l, func(i, j int) bool {
@@ -144,141 +182,83 @@
 		if a.value != b.value {
 			return a.value > b.value
 		}
-		return !a.m.Key.IsAdapter() && b.m.Key.IsAdapter()
+		return !a.model.Key.IsAdapter() && b.model.Key.IsAdapter()
 	})
 	return l
 }
 
-// place orders one load for a wish, or makes room for it; it tells whether a load was ordered.
-func (c *Core) place(w wish) bool {
-	k := w.m.Key
-	if k.IsAdapter() {
-		if n, _, _ := c.live(k.Base()); n == 0 {
-			base := c.plan.Models[k.Base()]
-			return c.place(wish{m: base, bare: true, value: w.value})
-		}
-	}
-	_, _, zones := c.live(k)
-	var best *server
-	score := 0
-	for _, id := range generic.SortedKeys(c.servers) {
-		s := c.servers[id]
-		if !c.mayHold(s, k) || s.loading() > 0 {
-			continue
-		}
-		free := s.room - s.used()
-		if free < w.m.Size {
-			continue
-		}
-		n := 1000 * (free + 1) / (s.room + 1) // the emptiest for its size
-		if !zones[s.Zone] {
-			n += 1_000_000
+// placeWishes places what is wished for within the store's budget; while nothing is, moves may begin.
+func (c *Core) placeWishes(budget int) {
+	wishes := c.wishes()
+	for _, w := range wishes {
+		if budget <= 0 {
+			return
 		}
-		if best == nil || n > score {
-			best, score = s, n
+		if c.place(w) {
+			budget--
 		}
 	}
-	if best == nil {
-		c.clearRoom(w)
-		return false
+	if len(wishes) == 0 && budget > 0 {
+		c.even()
+	} else {
+		c.uneven = 0
 	}
-	best.spots[k] = &spot{key: k, size: w.m.Size, stage: Ordered, since: c.now}
-	return true
 }
 
-func (c *Core) mayHold(s *server, k ident.Key) bool {
-	if !c.stays(s) || s.spots[k] != nil || s.odd != "" {
-		return false
+// place orders one load for a wish, or makes room for it; it tells whether a load was ordered.
+func (c *Core) place(w wish) bool {
+	key := w.model.Key
+	if key.IsAdapter() && c.replicasOf(key.Base()).count == 0 {
+		return c.place(wish{model: c.plan.Models[key.Base()], bare: true, value: w.value})
 	}
-	if s.plain || s.alien || s.Service != k.Service() {
+	s := c.emptiest(w.model)
+	if s == nil {
+		c.clearRoom(w)
 		return false
 	}
-	if k.IsAdapter() {
-		b := s.spots[k.Base()]
-		return b != nil && b.stage == Ready && (s.places == 0 || s.adapters() < s.places)
-	}
+	c.startLoad(s, w.model)
 	return true
 }
 
-// clearRoom evicts what is least missed on the server where that suffices with least.
-func (c *Core) clearRoom(w wish) {
-	if !w.bare {
-		return // a further replica is not worth another key's only one
-	}
-	var best []*spot
-	var on *server
+// startLoad has a server load a model: the order follows once it is due.
+func (c *Core) startLoad(s *server, m fleetplan.Model) {
+	s.spots[m.Key] = &spot{key: m.Key, size: m.Size, stage: Ordered, since: c.now}
+}
+
+// emptiest finds the server for one more replica of a model: in a zone that has none, and the emptiest for
+// its size.
+func (c *Core) emptiest(m fleetplan.Model) (best *server) {
+	zones := c.replicasOf(m.Key).zones
+	most := 0
 	for _, id := range generic.SortedKeys(c.servers) {
 		s := c.servers[id]
-		if !c.mayHold(s, w.m.Key) {
+		if !c.mayHold(s, m.Key) || s.loading() > 0 {
 			continue
 		}
-		free := s.room - s.used()
-		for _, p := range s.spots {
-			if p.stage == Breaking || p.stage == Draining || p.stage == Unloading {
-				free += p.size
-			}
-		}
-		if free >= w.m.Size {
-			return // room is on its way here already
+		if s.free() < m.Size {
+			continue
 		}
-		l := c.idle(s, w)
-		n := 0
-		for n < len(l) && free < w.m.Size {
-			free += l[n].size
-			n++
+		score := fillScale * (s.free() + 1) / (s.room + 1)
+		if !zones[s.Zone] {
+			score += newZone
 		}
-		if free >= w.m.Size && (on == nil || n < len(best)) {
-			best, on = l[:n], s
+		if best == nil || score > most {
+			best, most = s, score
 		}
 	}
-	for _, p := range best {
-		c.evict(on, p)
-	}
+	return best
 }
 
-// idle lists what may be evicted from a server, least missed first: adapters before bases.
-func (c *Core) idle(s *server, w wish) []*spot {
-	var l []*spot
-	free := map[ident.Key]bool{}
-	may := func(p *spot) bool {
-		m := c.plan.Models[p.key]
-		need, live, value := c.wantsOf(m)
-		if p.key == w.m.Key.Base() || p.stage != Ready || c.now.Sub(p.ready) < c.o.Rest || p.work > 0 || c.now.Sub(p.busy) < c.o.Lull {
-			return false
-		}
-		if live > need {
-			return true
-		}
-		// Even a key that is asked for gives way to one that is worth more and has no replica.
-		return live > m.Floor && value < w.value
+// mayHold tells whether a server may be ordered to load a key, if it has the room.
+func (c *Core) mayHold(s *server, key ident.Key) bool {
+	if !c.stays(s) || s.spots[key] != nil || s.odd != "" {
+		return false
 	}
-	keys := generic.SortedKeys(s.spots)
-	for _, k := range keys {
-		if p := s.spots[k]; k.IsAdapter() && may(p) {
-			free[k] = true
-			l = append(l, p)
-		}
+	if s.plain || s.alien || s.Service != key.Service() {
+		return false
 	}
-	for _, k := range keys {
-		p := s.spots[k]
-		if k.IsAdapter() || !may(p) {
-			continue
-		}
-		bare := true
-		for _, a := range keys {
-			if a.IsAdapter() && a.Base() == k && !free[a] {
-				bare = false
-			}
-		}
-		if bare {
-			l = append(l, p)
-		}
+	if key.IsAdapter() {
+		return s.based(key) && (s.places == 0 || s.adapters() < s.places)
 	}
-	sort.SliceStable(l, func(i, j int) bool {
-		if l[i].key.IsAdapter() != l[j].key.IsAdapter() {
-			return l[i].key.IsAdapter()
-		}
-		return l[i].busy < l[j].busy
-	})
-	return l
+	return true
 }
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -81,44 +81,66 @@
 	return most
 }
 
+// serversThatStay is what the servers come to that can be counted on.
+type serversThatStay struct {
+	count, room int
+	largest     int // the most room that one of them has
+	zones       map[ident.Zone]bool
+}
+
+func (c *Core) serversThatStay() serversThatStay {
+	sum := serversThatStay{zones: map[ident.Zone]bool{}}
+	for _, s := range c.servers {
+		if c.stays(s) {
+			sum.count++
+			sum.room += s.room
+			sum.largest = max(sum.largest, s.room)
+			sum.zones[s.Zone] = true
+		}
+	}
+	return sum
+}
+
 // lacks tells operators what of the plan the servers cannot give.
 func (c *Core) lacks() (l []fleetplan.Fault) {
 	if c.plan == nil || !c.settled() {
 		return nil
 	}
-	room, need, most, servers := 0, 0, 0, 0
-	all := map[ident.Zone]bool{}
-	for _, s := range c.servers {
-		if c.stays(s) {
-			room += s.room
-			most = max(most, s.room)
-			servers++
-			all[s.Zone] = true
-		}
-	}
-	path := func(k ident.Key) string {
-		if k.IsAdapter() {
-			return "$.adapters." + string(k)[len(k.Base())+1:]
-		}
-		return "$.models." + string(k)
-	}
-	for _, k := range generic.SortedKeys(c.plan.Models) {
-		m := c.plan.Models[k]
-		need += m.Floor * m.Size
-		live, _, zones := c.live(k)
-		switch {
-		case m.Floor > servers:
-			l = append(l, fleetplan.Fault{Path: path(k) + ".floor", Why: fmt.Sprintf("%d replicas, but %d servers", m.Floor, servers)})
-		case m.Size > most:
-			l = append(l, fleetplan.Fault{Path: path(k) + ".size", Why: fmt.Sprintf("%d, but no server has more room than %d", m.Size, most)})
-		case live < m.Floor:
-			l = append(l, fleetplan.Fault{Path: path(k) + ".floor", Why: fmt.Sprintf("%d of %d replicas are there", live, m.Floor)})
-		case m.Floor > 1 && len(zones) < 2 && len(all) > 1:
-			l = append(l, fleetplan.Fault{Path: path(k) + ".floor", Why: "every replica is in one zone"})
+	all := c.serversThatStay()
+	floors := 0
+	for _, key := range generic.SortedKeys(c.plan.Models) {
+		m := c.plan.Models[key]
+		floors += m.Floor * m.Size
+		if f := c.lack(m, all); f != nil {
+			l = append(l, *f)
 		}
 	}
-	if need > room {
-		l = append(l, fleetplan.Fault{Path: "$", Why: fmt.Sprintf("floors come to %d, but all room to %d", need, room)})
+	if floors > all.room {
+		l = append(l, fleetplan.Fault{Path: "$", Why: fmt.Sprintf("floors come to %d, but all room to %d", floors, all.room)})
 	}
 	return l
 }
+
+// lack tells what the servers cannot give one model.
+func (c *Core) lack(m fleetplan.Model, all serversThatStay) *fleetplan.Fault {
+	has, path := c.replicasOf(m.Key), pathOf(m.Key)
+	switch {
+	case m.Floor > all.count:
+		return &fleetplan.Fault{Path: path + ".floor", Why: fmt.Sprintf("%d replicas, but %d servers", m.Floor, all.count)}
+	case m.Size > all.largest:
+		return &fleetplan.Fault{Path: path + ".size", Why: fmt.Sprintf("%d, but no server has more room than %d", m.Size, all.largest)}
+	case has.count < m.Floor:
+		return &fleetplan.Fault{Path: path + ".floor", Why: fmt.Sprintf("%d of %d replicas are there", has.count, m.Floor)}
+	case m.Floor > 1 && len(has.zones) < 2 && len(all.zones) > 1:
+		return &fleetplan.Fault{Path: path + ".floor", Why: "every replica is in one zone"}
+	}
+	return nil
+}
+
+// pathOf tells where in a plan a model or an adapter stands.
+func pathOf(key ident.Key) string {
+	if key.IsAdapter() {
+		return "$.adapters." + string(key)[len(key.Base())+1:]
+	}
+	return "$.models." + string(key)
+}
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -36,6 +36,7 @@
 	ordered clock.Tick // when it was ordered last
 }
 
+// used is the room that is taken, or ordered to be.
 func (s *server) used() int {
 	n := 0
 	for _, p := range s.spots {
@@ -44,6 +45,7 @@
 	return n
 }
 
+// loading counts the loads that are ordered.
 func (s *server) loading() int {
 	n := 0
 	for _, p := range s.spots {
@@ -54,6 +56,20 @@
 	return n
 }
 
+// free is the room that nothing takes, nor is ordered to take; it is below zero where too much is.
+func (s *server) free() int { return s.room - s.used() }
+
+// leaving is the room that is on its way to be free.
+func (s *server) leaving() int {
+	n := 0
+	for _, p := range s.spots {
+		if p.leaves() {
+			n += p.size
+		}
+	}
+	return n
+}
+
 // pending counts the orders that a server still has to carry out.
 func (s *server) pending() int {
 	n := 0
--- a/internal/controller/spot.go
+++ b/internal/controller/spot.go
@@ -80,5 +80,13 @@
 // verbs names the order that brings a spot's stage about.
 var verbs = map[string]string{Ordered: "load", Unloading: "unload"}
 
+// placed tells that a spot is a replica, or is to be one.
+func (p *spot) placed() bool { return p.stage == Ordered || p.stage == Ready }
+
+// leaves tells that a spot is on its way out.
+func (p *spot) leaves() bool {
+	return p.stage == Breaking || p.stage == Draining || p.stage == Unloading
+}
+
 // unsent tells that a report can say nothing of a spot's order yet.
 func (p *spot) unsent(num uint64) bool { return p.num > num || p.num == 0 && verbs[p.stage] != "" }
--- a/internal/controller/weigh.go
+++ b/internal/controller/weigh.go
@@ -138,7 +138,7 @@
 	var best *server
 	var gone []*spot
 	cost := math.Inf(1)
-	_, _, zones := c.live(f.m.Key)
+	zones := c.replicasOf(f.m.Key).zones
 	for _, id := range generic.SortedKeys(c.servers) {
 		s := c.servers[id]
 		if !c.mayHold(s, f.m.Key) || s.room < f.m.Size {
@@ -177,7 +177,7 @@
 		return false
 	}
 	c.evictAll(best, gone, l)
-	best.spots[f.m.Key] = &spot{key: f.m.Key, size: f.m.Size, stage: Ordered, since: c.now}
+	c.startLoad(best, f.m)
 	f.live++
 	return !c.sure(best, f.m.Key)
 }
--- a/internal/simulator/bites_test.go
+++ b/internal/simulator/bites_test.go
@@ -34,7 +34,7 @@
 		{"internal/router/ledger.go", "if e == nil || !e.held {\n\t\t\tc.want", "if e == nil {\n\t\t\tc.want"},
 		{"internal/router/core.go", "return e != nil && (e.held && c.holds() ||", "return e != nil && (c.holds() ||"}}},
 	{"keep within room", "moves", "past its room", []edit{
-		{"internal/controller/place.go", "if free < w.m.Size {", "if false {"}, {"internal/controller/server.go", "over := s.room > 0 && s.used() > s.room", "over := false"}}},
+		{"internal/controller/place.go", "if s.free() < m.Size {", "if false {"}, {"internal/controller/server.go", "over := s.room > 0 && s.used() > s.room", "over := false"}}},
 	{"keep within the store's budget", "blackout", "outran the store", []edit{
 		{"internal/controller/place.go", "if budget <= 0 {", "if false {"}, {"internal/controller/place.go", "s.loading() > 0 {", "false {"}}},
 	{"cap cold servers", "crowd", "flooded while cold", []edit{{"internal/router/ledger.go", "if b.work >= all || b.keys[r.key] >= cold {", "if all+cold < 0 {"}}},
@@ -76,7 +76,7 @@
 	{"believe no report that contradicts itself", "odd", "past its room", []edit{
 		{"internal/controller/fenced.go", "min(max(h.Size, c.sizeOf(h.Key)), mostSize), max(h.Active", "h.Size, max(h.Active"},
 		{"internal/controller/fenced.go", "oddity(r); odd != s.odd", "``; odd != s.odd && oddity(r) != ``"}}},
-	{"spread over zones", "return", "ready in 1 zones", []edit{{"internal/controller/moves.go", "if m.Floor < 2 || live < 2", "if m.Floor >= 0 || live < 2"}, {"internal/controller/place.go", "n += 1_000_000", "n += 0"}}},
+	{"spread over zones", "return", "ready in 1 zones", []edit{{"internal/controller/moves.go", "if m.Floor < 2 || has.count < 2", "if m.Floor >= 0 || has.count < 2"}, {"internal/controller/place.go", "score += newZone", "score += 0"}}},
 	{"even out", "return", "unevenly filled", []edit{{"internal/controller/moves.go", "if c.now.Sub(c.uneven) < c.o.Even {", "if c.uneven != 1 {"}}},
 	{"sweep what reads do not mend", "sweep", "still has epoch", []edit{{"internal/controller/reader.go", "if r.unequal++; r.unequal > 30 {", "if r.unequal > 30 {"}}},
 	{"a seat outlives a restart", "spare", "a seat was given away", []edit{{"internal/controller/voters.go", "} else if r.absent[v.ID] == 0 {", "} else if r.absent[v.ID] != 0 {"}}},
