Placement by weight: eviction, families and adapters typed, constants named

weighAll, placeAt, families and makeWay each did several things; spots and costs went about as bare pairs. Each cost now has a name, unit and reason; a family's fields have whole names.

--- a/internal/controller/adapters.go
+++ b/internal/controller/adapters.go
@@ -9,98 +9,114 @@
 
 // Adapters are loaded on replicas of their bases: in no time, but a server has few places for them.
 
-// weighAdapters brings adapters that are asked for to replicas of their bases. They come in no time
-// and take little room, but a server has few places for them.
-func (c *Core) weighAdapters(l map[ident.Key]*family) {
-	for _, k := range generic.SortedKeys(c.demand) {
-		n := c.demand[k]
-		m, ok := c.plan.Models[k]
-		if !ok || !k.IsAdapter() || c.now.Sub(n.at) > freshSpan {
+const (
+	crowded = 6000 // tokens under way at a server from which on others are better
+
+	// What a server costs as the place of an adapter, where a crowded one costs 1.
+	adapterOrderCost = 0.3 // for each order that it has to carry out first
+	adapterEvictCost = 0.3 // if another adapter must make way, beside the rate at which it is asked for
+	crowdedRelief    = 0.5 // of the crowd that a further place must spare, or it is not worth it
+)
+
+// weighAdapters brings adapters that are asked for to replicas of their bases.
+func (c *Core) weighAdapters(l families) {
+	for _, key := range generic.SortedKeys(c.demand) {
+		n := c.demand[key]
+		m, ok := c.plan.Models[key]
+		if !ok || !key.IsAdapter() || c.now.Sub(n.at) > freshSpan {
 			continue
 		}
-		live := c.replicasOf(k).count
-		want := max(1, min(int(math.Ceil(n.load/goodLoad)), m.Most))
+		f := &family{model: m, live: c.replicasOf(key).count, load: n.load, rate: n.rate, waiting: n.wait, age: n.age(c.now), value: n.value, rank: c.plan.Rank(n.value)}
+		f.wanted = max(1, min(int(math.Ceil(f.load/goodLoad)), m.Most))
 		most := math.Inf(1)
-		if live >= want {
+		if f.live >= f.wanted {
 			// Where its servers are crowded and another replica of its base is not, it goes there too.
-			low := math.MaxInt
-			for id, s := range c.servers {
-				if p := s.spots[k]; p != nil && c.stays(s) {
-					low = min(low, c.seats[id])
-				}
-			}
-			if low < crowded || live >= m.Most {
+			least := c.leastSeats(key)
+			if least < crowded || f.live >= m.Most {
 				continue
 			}
-			most = float64(low) / crowded / 2
+			most = float64(least) / crowded * crowdedRelief
 		}
-		f := &family{m: m, live: live, rate: n.rate, wait: n.wait, age: n.age(c.now), value: n.value, rank: c.plan.Rank(n.value)}
 		c.settleAdapter(f, l, most)
 	}
 }
 
+// leastSeats tells the tokens under way at the least crowded server that holds an adapter.
+func (c *Core) leastSeats(key ident.Key) int {
+	least := math.MaxInt
+	for id, s := range c.servers {
+		if s.spots[key] != nil && c.stays(s) {
+			least = min(least, c.seats[id])
+		}
+	}
+	return least
+}
+
 // settleAdapter loads an adapter at the replica of its base where that costs least, and less than most.
-func (c *Core) settleAdapter(f *family, l map[ident.Key]*family, most float64) {
+func (c *Core) settleAdapter(f *family, l families, most float64) {
 	var best *server
-	var out []*spot
-	cost := most
+	var out eviction
+	least := most
 	for _, id := range generic.SortedKeys(c.servers) {
 		s := c.servers[id]
-		if !c.stays(s) || s.alien || s.spots[f.m.Key] != nil || !s.based(f.m.Key) || s.odd != "" {
+		if !c.stays(s) || s.alien || s.odd != "" || s.spots[f.model.Key] != nil || !s.based(f.model.Key) {
 			continue
 		}
-		victims, price, ok := c.makeWayForAdapter(s, f, l)
+		leaves, ok := c.roomForAdapter(s, f, l)
 		if !ok {
 			continue
 		}
-		if x := float64(c.seats[id])/crowded + 0.3*float64(s.pending()) + price; x < cost {
-			best, out, cost = s, victims, x
+		cost := float64(c.seats[id])/crowded + adapterOrderCost*float64(s.pending()) + leaves.cost
+		if cost < least {
+			best, out, least = s, leaves, cost
 		}
 	}
 	if best == nil {
 		return
 	}
-	c.evictAll(best, out, l) // its place is free before long
-	c.startLoad(best, f.m)
+	c.evictAll(best, out.spots, l) // their room and places are free before long
+	c.startLoad(best, f.model)
 }
 
-// makeWayForAdapter lists what must leave a server before an adapter can be loaded there, and what that
-// costs: another adapter, or, where room alone is short and the adapter is nowhere else, replicas of bases.
-func (c *Core) makeWayForAdapter(s *server, f *family, l map[ident.Key]*family) (out []*spot, price float64, ok bool) {
-	placeless := s.places > 0 && s.adapters() >= s.places
-	short := f.m.Size - (s.room - s.used())
-	if !placeless && short <= 0 {
-		return nil, 0, true
+// roomForAdapter finds what must leave a server before it can load an adapter: another adapter, or, where
+// room alone is short and the adapter is nowhere else, replicas of bases.
+func (c *Core) roomForAdapter(s *server, f *family, l families) (eviction, bool) {
+	noPlace := s.places > 0 && s.adapters() >= s.places
+	missing := f.model.Size - s.free()
+	if !noPlace && missing <= 0 {
+		return eviction{}, true
 	}
 	if p, rate := c.leastAskedAdapter(s); p != nil {
-		return []*spot{p}, 0.3 + rate, true
+		return eviction{[]*spot{p}, adapterEvictCost + rate}, true
 	}
-	if placeless || f.live > 0 || s.pending() > 0 {
-		return nil, 0, false // what is under way there comes first
+	if noPlace || f.live > 0 || s.pending() > 0 {
+		return eviction{}, false // what is under way there comes first
 	}
-	out, price = c.makeWay(s, f, l, short)
-	return out, 0.5 + price, out != nil && price <= f.gain()
+	out, ok := c.makeWay(s, f, l, missing)
+	ok = ok && out.cost <= f.gain()
+	out.cost += evictCost
+	return out, ok
 }
 
 // leastAskedAdapter finds the adapter that a server can do without best, and the rate at which it is asked
 // for: one that is ready for a while, and for which nobody waits.
-func (c *Core) leastAskedAdapter(s *server) (victim *spot, rate float64) {
+func (c *Core) leastAskedAdapter(s *server) (least *spot, rate float64) {
 	rate = math.Inf(1)
-	for _, k := range generic.SortedKeys(s.spots) {
-		p := s.spots[k]
-		if !k.IsAdapter() || p.stage != Ready || c.now.Sub(p.ready) < freshSpan {
+	for _, key := range generic.SortedKeys(s.spots) {
+		p := s.spots[key]
+		if !key.IsAdapter() || p.stage != Ready || c.now.Sub(p.ready) < freshSpan {
 			continue
 		}
 		slow := 0.0
-		if n := c.demand[k]; n != nil {
+		if n := c.demand[key]; n != nil {
 			if n.wait > 0 && c.now.Sub(n.at) < freshSpan {
 				continue
 			}
 			slow = n.slow
 		}
 		if slow < rate {
-			rate, victim = slow, p
+			least, rate = p, slow
 		}
 	}
-	return victim, rate
+	return least, rate
 }
--- a/internal/controller/demand.go
+++ b/internal/controller/demand.go
@@ -11,8 +11,18 @@
 // Demand is what routers report of the keys that they are asked for: requests that wait, rates, and the
 // work that they come to, each over several spans.
 
-// demandSpan is how long a key's demand is kept after it was last asked for.
-const demandSpan = 60e9
+const (
+	demandSpan  = 60e9  // a key's demand is kept for so long after it was last asked for
+	renewalSpan = 400e6 // within which a router's renewal shows what its lookup told: two of its intervals
+
+	sumEvery  = 250e6 // rates are summed so often: a router reports as often
+	sumMost   = 2.0   // seconds that one sum stands for at most, after a pause
+	nowSpan   = 1.2   // seconds that the work of just now looks back
+	lateSpan  = 4.0   // and that of late
+	slowSpan  = 20.0  // and the longer ones
+	riseTrust = 0.5   // of a rise that is taken to go on
+	longAge   = 3.0   // seconds of waiting from which on it counts for no more
+)
 
 // need is what is asked of a key.
 type need struct {
@@ -115,7 +125,7 @@
 		return
 	}
 	c.summed = c.now
-	t := math.Min(d.Seconds(), 2)
+	t := math.Min(d.Seconds(), sumMost)
 	late, slow := 1-math.Exp(-t/lateSpan), 1-math.Exp(-t/slowSpan)
 	for _, n := range c.demand {
 		n.rate += (n.came/t - n.rate) * late
--- a/internal/controller/evict.go
+++ b/internal/controller/evict.go
@@ -2,7 +2,6 @@
 
 import (
 	"tidedeck/internal/generic"
-	"tidedeck/internal/ident"
 )
 
 // Taking a key off a server: every router drops its promise, work under way ends, the unload is sent.
@@ -23,16 +22,10 @@
 	p.waits = c.promised(p.key)
 }
 
-// evictAll begins to take replicas off a server, and counts them out of their families.
-func (c *Core) evictAll(s *server, out []*spot, l map[ident.Key]*family) {
-	for _, p := range out {
-		c.evict(s, p)
-		if g := l[p.key]; g != nil {
-			g.live--
-		}
-	}
-}
+// drainSpan is how long what was sent to a server may begin there before a model is unloaded.
+const drainSpan = 800e6
 
+// beatSpot carries on what leaves a server.
 func (c *Core) beatSpot(s *server, p *spot) {
 	quiet := c.now > c.duty.began.Add(c.pad(c.o.Hold))
 	switch p.stage {
--- a/internal/controller/forecast.go
+++ b/internal/controller/forecast.go
@@ -7,6 +7,9 @@
 
 // When a key that has no replica will have one, as routers are told.
 
+// orderLag is the time from an order's end until routers know of it.
+const orderLag = 400e6
+
 // soon estimates when a key without a replica will have one: the load under way, or its turn in the
 // line for the store.
 func (c *Core) soon(k ident.Key) clock.Span {
--- a/internal/controller/weigh.go
+++ b/internal/controller/weigh.go
@@ -14,116 +14,113 @@
 // holds, and what is let go is what will be missed least for the time that it takes to be back.
 
 const (
-	sumEvery   = 250e6
-	nowSpan    = 1.2  // seconds that the work of just now looks back
-	lateSpan   = 4.0  // and that of late
-	slowSpan   = 20.0 // and the longer ones
-	goodLoad   = 0.4  // of a server's time that one key's replica should take
-	fullLoad   = 0.6  // past which another replica is worth a rarer key's only one
-	riseTrust  = 0.5  // of a rise that is taken to go on
-	goodBatch  = 0.15 // of a server's places that one key's requests should take
-	warmPart   = 0.25 // of a load's time that it takes from a server's own disk
-	busyRate   = 1.0  // requests a second from which on a base is busy
-	seedEvery  = 300e6
-	weighEvery = 20e6
-	weighMany  = 200 // models and adapters
-	firstSpan  = 4e9
-	drainSpan  = 800e6 // what was sent to a server may begin there for so long before a model is unloaded
-	orderLag   = 400e6 // from an order's end until routers know of it
-	longAge    = 3.0   // seconds of waiting from which on it counts for no more
-	crowded    = 6000  // tokens under way at a server from which on others are better
-	freshSpan  = 1500e6
+	weighEvery = 20e6  // loads take seconds, so that looking more often brings nothing
+	weighMany  = 200   // models and adapters: for each so many more the pause is as long again
+	seedEvery  = 300e6 // a model is loaded ahead so often
+	seedLoads  = 2     // loads that the store must bear for one of them to be ahead of need
 
-	renewalSpan = 400e6 // within which a router's renewal shows what its lookup told: two of its intervals
+	warmPart  = 0.25   // of a load's time that it takes from a server's own disk
+	freshSpan = 1500e6 // what is as young as this is not judged yet, and what is older is out of date
 )
 
-// weighAll places what is asked for.
-func (c *Core) weighAll(rate int) {
-	// The more there is to look at, the more seldom: a load takes seconds anyhow.
+// What a server costs as the place of one more replica, in seconds of waiting that it stands for.
+const (
+	orderCost    = 1.5 // for each order that it has to carry out first
+	workCost     = 4.0 // for each server's worth of work that it has
+	sameZoneCost = 0.2 // if the zone has a replica already
+	evictCost    = 0.5 // if something must make way, beside what that costs
+)
+
+// weighAll places what is asked for, where the store may begin so many loads.
+func (c *Core) weighAll(toBegin int) {
 	if c.now.Sub(c.weighed) < weighEvery*clock.Span(1+len(c.plan.Models)/weighMany) {
 		return
 	}
 	c.weighed = c.now
 	l := c.families()
-	once, _ := c.budget()
-	for _, s := range c.servers {
-		for k, p := range s.spots {
-			if p.stage == Ordered && !k.IsAdapter() && !c.sure(s, k) && (!s.dark || c.now.Sub(p.since) < 60e9) {
-				once--
-				if p.num == 0 {
-					rate-- // it begins before long
-				}
-			}
-		}
-	}
-	store := min(once, rate)
+	left := c.storeLeft(toBegin)
 	for _, id := range generic.SortedKeys(c.servers) {
 		c.undo(c.servers[id])
 	}
-	var todo []*family
-	for _, k := range generic.SortedKeys(l) {
-		f := l[k]
-		if f.live < f.want {
-			todo = append(todo, f)
-		}
-	}
-	sort.SliceStable(todo, func(i, j int) bool {
-		a, b := todo[i], todo[j]
-		if x, y := a.gain(), b.gain(); x != y {
-			return x > y
-		}
-		return a.value > b.value
-	})
+	short := l.short()
 	c.line = map[ident.Key]int{}
-	for _, f := range todo {
-		if c.placeAt(f, l, store > 0) {
-			store--
+	for _, f := range short {
+		if c.placeAt(f, l, left > 0) {
+			left--
 		}
 		if f.live == 0 {
-			c.line[f.m.Key] = len(c.line) + 1
+			c.line[f.model.Key] = len(c.line) + 1
 		}
 	}
-	if c.o.Warm && len(todo) == 0 && store > 1 {
+	if c.o.Warm && len(short) == 0 && left >= seedLoads {
 		c.seed(l)
 	}
 	c.weighAdapters(l)
 }
 
+// storeLeft tells how many more loads the store bears beside those that are ordered.
+func (c *Core) storeLeft(toBegin int) int {
+	atOnce, _ := c.budget()
+	for _, s := range c.servers {
+		for key, p := range s.spots {
+			if p.stage != Ordered || key.IsAdapter() || c.sure(s, key) || !c.mayLoad(s, p) {
+				continue
+			}
+			atOnce--
+			if p.num == 0 {
+				toBegin-- // it begins before long
+			}
+		}
+	}
+	return min(atOnce, toBegin)
+}
+
+// short lists the families that have too few replicas, the most worthwhile first.
+func (l families) short() []*family {
+	var short []*family
+	for _, key := range generic.SortedKeys(l) {
+		if f := l[key]; f.live < f.wanted {
+			short = append(short, f)
+		}
+	}
+	sort.SliceStable(short, func(i, j int) bool {
+		a, b := short[i], short[j]
+		if x, y := a.gain(), b.gain(); x != y {
+			return x > y
+		}
+		return a.value > b.value
+	})
+	return short
+}
+
 // undo gives up placements for which a server turns out to have no room, and nothing is on its way out.
 func (c *Core) undo(s *server) {
 	crowd := s.places > 0 && s.adapters() > s.places
-	if s.plain || s.used() <= s.room && !crowd || !s.known {
+	if s.plain || s.free() >= 0 && !crowd || !s.known {
 		return
 	}
 	for _, p := range s.spots {
-		if p.stage == Breaking || p.stage == Draining || p.stage == Unloading {
+		if p.leaves() {
 			return
 		}
 	}
-	for _, k := range generic.SortedKeys(s.spots) {
-		if p := s.spots[k]; p.stage == Ordered && p.num == 0 {
-			delete(s.spots, k)
+	for key, p := range s.spots {
+		if p.stage == Ordered && p.num == 0 {
+			delete(s.spots, key)
 		}
 	}
 }
 
 // seed loads, while the store has nothing better to do, a model that no server has on its own disk:
 // from there it comes in a part of the time, and asks nothing of the store.
-func (c *Core) seed(l map[ident.Key]*family) {
+func (c *Core) seed(l families) {
 	if c.now.Sub(c.seeded) < seedEvery {
 		return
 	}
 	c.seeded = c.now
-	for _, k := range generic.SortedKeys(l) {
-		f := l[k]
-		if f.live > 0 {
-			continue
-		}
-		known := false
-		for _, s := range c.servers {
-			known = known || c.has(s, k)
-		}
-		if !known {
+	for _, key := range generic.SortedKeys(l) {
+		f := l[key]
+		if f.live == 0 && !c.onSomeDisk(key) {
 			f.spare = true
 			c.placeAt(f, l, true)
 			return
@@ -131,53 +128,76 @@
 	}
 }
 
+// onSomeDisk tells whether some server has a model on its own disk.
+func (c *Core) onSomeDisk(key ident.Key) bool {
+	for _, s := range c.servers {
+		if c.has(s, key) {
+			return true
+		}
+	}
+	return false
+}
+
 // placeAt finds the server where one more replica of a family costs least, and begins it there; what
 // must make way is broken first. It tells whether the load comes from the store, which is only asked if
 // it bears another one.
-func (c *Core) placeAt(f *family, l map[ident.Key]*family, store bool) bool {
+func (c *Core) placeAt(f *family, l families, store bool) bool {
 	var best *server
-	var gone []*spot
-	cost := math.Inf(1)
-	zones := c.replicasOf(f.m.Key).zones
+	var out eviction
+	least := math.Inf(1)
+	zones := c.replicasOf(f.model.Key).zones
 	for _, id := range generic.SortedKeys(c.servers) {
 		s := c.servers[id]
-		if !c.mayHold(s, f.m.Key) || s.room < f.m.Size {
+		if !store && !c.sure(s, f.model.Key) {
 			continue
 		}
-		free := s.room - s.used()
-		if s.pending() > 0 && free < f.m.Size {
-			continue // what is under way there comes first
-		}
-		if !store && !c.sure(s, f.m.Key) {
+		leaves, ok := c.roomFor(s, f, l)
+		if !ok {
 			continue
 		}
-		n := f.m.Load.Seconds()
-		if c.has(s, f.m.Key) {
-			n *= warmPart
+		cost := c.costAt(s, f, l, zones[s.Zone])
+		if len(leaves.spots) > 0 {
+			cost += leaves.cost + evictCost
 		}
-		n += float64(s.pending()) * 1.5
-		n += 4 * c.loadOf(s, l)
-		if zones[s.Zone] {
-			n += 0.2
-		}
-		var out []*spot
-		if free < f.m.Size {
-			var price float64
-			out, price = c.makeWay(s, f, l, f.m.Size-free)
-			if out == nil || price > f.gain() {
-				continue
-			}
-			n += price + 0.5
-		}
-		if n < cost {
-			best, gone, cost = s, out, n
+		if cost < least {
+			best, out, least = s, leaves, cost
 		}
 	}
 	if best == nil {
 		return false
 	}
-	c.evictAll(best, gone, l)
-	c.startLoad(best, f.m)
+	c.evictAll(best, out.spots, l)
+	c.startLoad(best, f.model)
 	f.live++
-	return !c.sure(best, f.m.Key)
+	return !c.sure(best, f.model.Key)
+}
+
+// roomFor finds what must leave a server before it can load a replica of a family, if it can at all and
+// the replica is worth it.
+func (c *Core) roomFor(s *server, f *family, l families) (eviction, bool) {
+	if !c.mayHold(s, f.model.Key) || s.room < f.model.Size {
+		return eviction{}, false
+	}
+	if s.free() >= f.model.Size {
+		return eviction{}, true
+	}
+	if s.pending() > 0 {
+		return eviction{}, false // what is under way there comes first
+	}
+	out, ok := c.makeWay(s, f, l, f.model.Size-s.free())
+	return out, ok && out.cost <= f.gain()
+}
+
+// costAt tells what a server costs as the place of one more replica.
+func (c *Core) costAt(s *server, f *family, l families, sameZone bool) float64 {
+	cost := f.model.Load.Seconds()
+	if c.has(s, f.model.Key) {
+		cost *= warmPart
+	}
+	cost += float64(s.pending()) * orderCost
+	cost += workCost * l.loadOf(s)
+	if sameZone {
+		cost += sameZoneCost
+	}
+	return cost
 }
