Orders, store and forecast: one function for each step, answers named

Status codes, polls and shares of the store stand as named constants; the time that a load takes at a server is told in one place (loadSpan) for orders and forecast alike.

--- a/internal/controller/evict.go
+++ b/internal/controller/evict.go
@@ -35,14 +35,7 @@
 			p.fire(Dropped, c.now)
 		}
 	case Draining:
-		// Only a report asked for after the last promise was gone shows that no work is left.
-		if c.o.Unfenced {
-			if c.free(s, p) && !c.undone(s, p) && (c.now.Sub(p.since) > drainSpan || !c.worked(p.key)) {
-				p.fire(Idle, c.now)
-				p.num = 0
-				c.tally.Drained++
-			}
-		} else if s.ok > p.since && p.work == 0 && !c.adapted(s, p) {
+		if c.drained(s, p) {
 			p.fire(Idle, c.now)
 			p.num = 0
 			c.tally.Drained++
@@ -50,6 +43,15 @@
 	}
 }
 
+// drained tells whether a server's work on a spot has ended. Where it checks a fence, only a report that was
+// asked for after the last promise was gone shows that.
+func (c *Core) drained(s *server, p *spot) bool {
+	if c.o.Unfenced {
+		return c.free(s, p) && !c.undone(s, p) && (c.now.Sub(p.since) > drainSpan || !c.worked(p.key))
+	}
+	return s.ok > p.since && p.work == 0 && !c.adapted(s, p)
+}
+
 // adapted tells whether a base still carries adapters that must go first.
 func (c *Core) adapted(s *server, p *spot) bool {
 	for k := range s.spots {
--- a/internal/controller/forecast.go
+++ b/internal/controller/forecast.go
@@ -2,6 +2,7 @@
 
 import (
 	"tidedeck/internal/clock"
+	"tidedeck/internal/fleetplan"
 	"tidedeck/internal/ident"
 )
 
@@ -11,48 +12,47 @@
 const orderLag = 400e6
 
 // soon estimates when a key without a replica will have one: the load under way, or its turn in the
-// line for the store.
-func (c *Core) soon(k ident.Key) clock.Span {
-	if !c.o.Unfenced || c.plan == nil || k.Plain() {
+// line for the store. It is zero where that is not known.
+func (c *Core) soon(key ident.Key) clock.Span {
+	if !c.o.Unfenced || c.plan == nil || key.Plain() {
 		return 0
 	}
-	m, ok := c.plan.Models[k.Base()]
+	m, ok := c.plan.Models[key.Base()]
 	if !ok {
 		return 0
 	}
-	best := clock.Span(0)
+	if left, ok := c.underWayTo(m); ok {
+		return left
+	}
+	return m.Load + 2*orderLag + c.turnOf(m)
+}
+
+// underWayTo tells how long the nearest replica of a base will take, if one is ordered or ready.
+func (c *Core) underWayTo(m fleetplan.Model) (least clock.Span, ok bool) {
 	for _, s := range c.servers {
 		p := s.spots[m.Key]
-		if p == nil || !c.stays(s) {
+		if p == nil || !p.placed() || !c.stays(s) {
 			continue
 		}
-		n := clock.Span(orderLag)
+		left := clock.Span(orderLag)
 		if p.stage == Ordered {
-			load := m.Load
-			if c.has(s, m.Key) {
-				load = clock.Span(float64(load) * warmPart)
-			}
-			n += max(0, load-c.now.Sub(p.since))
+			left += max(0, c.loadSpan(s, m)-c.now.Sub(p.since))
 			if p.num == 0 {
-				n += orderLag
+				left += orderLag
 			}
-		} else if p.stage != Ready {
-			continue
 		}
-		if best == 0 || n < best {
-			best = n
+		if !ok || left < least {
+			least, ok = left, true
 		}
 	}
-	if best > 0 {
-		return best
-	}
-	rate := 0.0
-	for _, v := range c.plan.Services {
-		rate += v.Loads
-	}
-	n := m.Load + 2*orderLag
-	if i := c.line[m.Key]; i > 0 && rate > 0 {
-		n += clock.Span(float64(i-1) / rate * 1e9)
+	return least, ok
+}
+
+// turnOf tells how long the store takes for what is before a base in its line.
+func (c *Core) turnOf(m fleetplan.Model) clock.Span {
+	rate, turn := c.storeRate(), c.line[m.Key]
+	if turn == 0 || rate <= 0 {
+		return 0
 	}
-	return n
+	return clock.Span(float64(turn-1) / rate * 1e9)
 }
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"tidedeck/internal/clock"
+	"tidedeck/internal/fleetplan"
 	"tidedeck/internal/generic"
 	"tidedeck/internal/ident"
 	"tidedeck/internal/protocol"
@@ -19,7 +20,20 @@
 	unloadSpan  = 50e6  // an unload, or an adapter, takes about so long
 	freshReport = 100e6 // a report is rarely fresher
 	pollIdle    = 10e9  // otherwise: announcements tell that the server lives
+	pollDark    = 4     // times as long as o.Poll, between two questions to a server that does not answer
 	reportLag   = 500e6 // a report is at most so old
+	tenureSlack = 100e6 // by which two waits are longer than the tenure that they are to outlast
+
+	// An order is ready in its report a part of its time before it is expected, and never much later.
+	expectedPart = 9 // tenths of the time that it takes
+)
+
+// Answers of a server to an order.
+const (
+	holdsAlready = 200
+	taken        = 202
+	higherDuty   = 412
+	notThisOne   = 421 // another server has the address
 )
 
 // steer keeps one question under way at a time at a server that checks no fence.
@@ -53,91 +67,104 @@
 	if c.duty.again {
 		return c.o.Settle
 	}
-	return max(c.o.Settle, c.o.Tenure/2+100e6)
+	return max(c.o.Settle, c.o.Tenure/2+tenureSlack)
 }
 
+// order sends the order that a spot's stage asks for.
 func (c *Core) order(s *server, p *spot) {
-	q := protocol.Order{Duty: c.duty.num, Num: s.num, Op: verbs[p.stage], Key: p.key, Size: p.size, Owner: c.o.Me.ID, Expected: s.num - 1}
+	order := protocol.Order{Duty: c.duty.num, Num: s.num, Op: verbs[p.stage], Key: p.key, Size: p.size, Owner: c.o.Me.ID, Expected: s.num - 1}
 	s.asking, s.asked, s.ordered = true, c.now, c.now
 	p.num = s.num + 1
 	c.tally.Orders++
+	c.countOrder(p)
 	if p.stage == Ordered {
-		c.tally.Loads++
 		if p.cold = !p.key.IsAdapter() && !c.sure(s, p.key); p.cold {
 			c.begun = append(c.begun, c.now)
 		}
-	} else {
-		c.tally.Unloads++
 	}
-	num := c.duty.num
-	c.ask(s.Addr, "/orders", q, c.o.Wait, func(t protocol.Told) {
-		if !c.duty.mine || c.duty.num != num || c.servers[s.ID] != s {
-			return
-		}
-		s.asking, s.next = false, c.now.Add(c.expected(s, p))
-		switch {
-		case !t.OK: // it may have been taken: the count will tell
-			c.tally.OrdersUnanswered++
-			s.unsure, s.next = p, c.now
-		case t.Code == 202:
-			s.num, s.busy = max(s.num, p.num), true
-		case t.Code == 200:
-			p.num = s.num // it holds so already
-			s.busy = true // until its report shows it
-		case t.Code == 412:
-			c.tally.OrdersRefused++
-			c.lose("a server obeys a higher duty")
-		default:
-			c.tally.OrdersRefused++
-			c.note(fmt.Sprintf("server %s refused to %s %s: %d", s.ID, q.Op, q.Key, t.Code))
-			p.num = 0
-			s.busy = true // until its report shows why
-			if t.Code == 421 {
-				s.known = false
-			}
+	duty := c.duty.num
+	c.ask(s.Addr, "/orders", order, c.o.Wait, func(t protocol.Told) {
+		if c.duty.mine && c.duty.num == duty && c.servers[s.ID] == s {
+			c.onOrderAnswer(s, p, order, t)
 		}
 	})
 }
 
+// onOrderAnswer takes in what a server answered to an order, or that it did not.
+func (c *Core) onOrderAnswer(s *server, p *spot, order protocol.Order, t protocol.Told) {
+	s.asking, s.next = false, c.now.Add(c.expected(s, p))
+	switch {
+	case !t.OK: // it may have been taken: the count will tell
+		c.tally.OrdersUnanswered++
+		s.unsure, s.next = p, c.now
+	case t.Code == taken:
+		s.num, s.busy = max(s.num, p.num), true
+	case t.Code == holdsAlready:
+		p.num = s.num
+		s.busy = true // until its report shows it
+	case t.Code == higherDuty:
+		c.tally.OrdersRefused++
+		c.lose("a server obeys a higher duty")
+	default:
+		c.tally.OrdersRefused++
+		c.note(fmt.Sprintf("server %s refused to %s %s: %d", s.ID, order.Op, order.Key, t.Code))
+		p.num = 0
+		s.busy = true // until its report shows why
+		if t.Code == notThisOne {
+			s.known = false
+		}
+	}
+}
+
 // expected is how long an order will take until a report may show it done: none is asked for before.
 func (c *Core) expected(s *server, p *spot) clock.Span {
 	n := clock.Span(unloadSpan)
 	if p.stage == Ordered && !p.key.IsAdapter() {
-		n = c.plan.Models[p.key].Load
-		if c.has(s, p.key) {
-			n = clock.Span(float64(n) * warmPart)
-		}
+		n = c.loadSpan(s, c.plan.Models[p.key])
 	}
-	return max(pollBusy, n*9/10+freshReport)
+	return max(pollBusy, n*expectedPart/10+freshReport)
+}
+
+// loadSpan is how long a server takes to load a base: from its own disk a part of the time.
+func (c *Core) loadSpan(s *server, m fleetplan.Model) clock.Span {
+	if c.has(s, m.Key) {
+		return clock.Span(float64(m.Load) * warmPart)
+	}
+	return m.Load
 }
 
 // survey asks a server for its report.
 func (c *Core) survey(s *server) {
 	s.asking, s.asked = true, c.now
 	c.tally.Reports++
-	at, num := c.now, c.duty.num
+	at, duty := c.now, c.duty.num
 	c.ask(s.Addr, "/orders", protocol.Order{Key: ident.Key("").In(s.Service)}, c.o.Wait, func(t protocol.Told) {
-		if !c.duty.mine || c.duty.num != num || c.servers[s.ID] != s {
+		if !c.duty.mine || c.duty.num != duty || c.servers[s.ID] != s {
 			return
 		}
 		s.asking = false
 		var r protocol.Report
-		if !t.OK || t.Code != 200 || json.Unmarshal(t.Body, &r) != nil {
-			s.next = c.now.Add(c.o.Poll)
-			if s.fails++; s.fails > 1 && !s.dark {
-				s.dark = true
-				c.note(fmt.Sprintf("server %s does not answer", s.ID))
-				c.touchOn(s)
-			}
-			if s.dark {
-				s.next = c.now.Add(4 * c.o.Poll)
-			}
-			return
+		if t.OK && t.Code == 200 && json.Unmarshal(t.Body, &r) == nil {
+			c.onSurvey(s, r, at)
+		} else {
+			c.onNoSurvey(s)
 		}
-		c.onSurvey(s, r, at)
 	})
 }
 
+// onNoSurvey takes in that a server gave no report: the second time in a row it is dark.
+func (c *Core) onNoSurvey(s *server) {
+	s.next = c.now.Add(c.o.Poll)
+	if s.fails++; s.fails > 1 && !s.dark {
+		s.dark = true
+		c.note(fmt.Sprintf("server %s does not answer", s.ID))
+		c.touchOn(s)
+	}
+	if s.dark {
+		s.next = c.now.Add(pollDark * c.o.Poll)
+	}
+}
+
 // onSurvey holds a server's report against what it was ordered.
 func (c *Core) onSurvey(s *server, r protocol.Report, at clock.Tick) {
 	c.spoke(s)
@@ -146,15 +173,8 @@
 	if r.Num < s.num {
 		return // it is from before an order that was taken
 	}
-	if p := s.unsure; p != nil {
-		switch {
-		case r.Num >= p.num:
-			s.unsure = nil // it was taken
-		case at.Sub(s.ordered) > c.o.Wait+reportLag:
-			s.unsure, p.num = nil, 0 // it was not; sent again it names the same count
-		default:
-			return
-		}
+	if !c.resolved(s, r.Num, at) {
+		return
 	}
 	changed := s.dark || !s.known
 	s.num, s.busy, s.fails, s.ok = r.Num, r.Busy, 0, at
@@ -162,36 +182,10 @@
 	held := map[ident.Key]bool{}
 	for _, h := range r.Held {
 		held[h.Key] = true
-		if e := c.roll[s.ID]; e != nil {
-			e.had[h.Key] = true
-		}
-		p := s.spots[h.Key]
-		if p == nil {
-			p = &spot{key: h.Key, size: c.sizeOf(h.Key), stage: Ordered, since: c.now, num: r.Num}
-			s.spots[h.Key] = p
-		}
-		if p.num == 0 && p.stage == Ordered && !r.Busy {
-			p.num = r.Num // it holds so already
-		}
-		if p.unsent(r.Num) || p.stage == Unloading && r.Busy {
-			continue
-		}
-		if p.fire(SeeReady, c.now) {
-			c.touch(h.Key)
-		}
-	}
-	waits, ours := false, false
-	for _, k := range generic.SortedKeys(s.spots) {
-		p := s.spots[k]
-		if !held[k] && !p.unsent(r.Num) && !(p.stage == Ordered && r.Busy) {
-			p.fire(SeeNone, c.now)
-			delete(s.spots, k)
-			c.touch(k)
-			continue
-		}
-		waits = waits || verbs[p.stage] != ""
-		ours = ours || verbs[p.stage] != "" && p.num != 0
+		c.seeReady(s, r, h.Key)
 	}
+	c.seeMissing(s, r, held)
+	waits, ours := s.ordersLeft()
 	s.alien = r.Busy && !ours
 	if !waits && !r.Busy {
 		s.next = c.now.Add(pollIdle)
@@ -200,3 +194,58 @@
 		c.touchOn(s)
 	}
 }
+
+// resolved tells whether it is known what became of every order, by a report with a count that was asked
+// for at a time.
+func (c *Core) resolved(s *server, num uint64, at clock.Tick) bool {
+	p := s.unsure
+	switch {
+	case p == nil:
+	case num >= p.num:
+		s.unsure = nil // it was taken
+	case at.Sub(s.ordered) > c.o.Wait+reportLag:
+		s.unsure, p.num = nil, 0 // it was not; sent again it names the same count
+	default:
+		return false
+	}
+	return true
+}
+
+// seeReady takes in that a report shows a key as held.
+func (c *Core) seeReady(s *server, r protocol.Report, key ident.Key) {
+	if e := c.roll[s.ID]; e != nil {
+		e.had[key] = true
+	}
+	p := s.spots[key]
+	if p == nil {
+		p = &spot{key: key, size: c.sizeOf(key), stage: Ordered, since: c.now, num: r.Num}
+		s.spots[key] = p
+	}
+	if p.num == 0 && p.stage == Ordered && !r.Busy {
+		p.num = r.Num // it holds so already
+	}
+	if p.unsent(r.Num) || p.stage == Unloading && r.Busy {
+		return
+	}
+	if p.fire(SeeReady, c.now) {
+		c.touch(key)
+	}
+}
+
+// seeMissing forgets what a report does not show, unless it may be loading still.
+func (c *Core) seeMissing(s *server, r protocol.Report, held map[ident.Key]bool) {
+	for _, key := range generic.SortedKeys(s.spots) {
+		if p := s.spots[key]; !held[key] && !p.unsent(r.Num) && !(p.stage == Ordered && r.Busy) {
+			c.dropSpot(s, key)
+		}
+	}
+}
+
+// ordersLeft tells whether a server has orders to carry out or to be sent, and whether any was sent.
+func (s *server) ordersLeft() (waits, sent bool) {
+	for _, p := range s.spots {
+		waits = waits || verbs[p.stage] != ""
+		sent = sent || verbs[p.stage] != "" && p.num != 0
+	}
+	return waits, sent
+}
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -4,33 +4,52 @@
 
 // The store that weights are loaded from bears so many loads at once, and so many in every while.
 
-// budget tells how many loads the store bears at once, and how many more may begin now: it admits so
-// many in every while.
-func (c *Core) budget() (once, now int) {
+const (
+	leastAtOnce = 2 // loads at once that every store bears
+	newReign    = 3 // loads that a new owner may begin before it knows what the owner before began: the store's rate allows so many more at once
+)
+
+// storeRate is how many loads a second the store admits.
+func (c *Core) storeRate() float64 {
+	rate := 0.0
+	for _, service := range c.plan.Services {
+		rate += service.Loads
+	}
+	return rate
+}
+
+// budget tells how many loads the store bears at once, and how many more may begin now.
+func (c *Core) budget() (atOnce, toBegin int) {
 	if !c.o.Unfenced {
 		return c.plan.Loads, c.plan.Loads
 	}
-	rate, load, n := 0.0, clock.Span(0), 0
-	for _, v := range c.plan.Services {
-		rate += v.Loads
-	}
+	rate := c.storeRate()
+	return c.loadsAtOnce(rate), c.loadsToBegin(rate)
+}
+
+// loadsAtOnce tells how many loads are under way at once where so many begin in a second.
+func (c *Core) loadsAtOnce(rate float64) int {
+	sum, bases := clock.Span(0), 0
 	for _, m := range c.plan.Models {
 		if !m.Key.IsAdapter() {
-			load += m.Load
-			n++
+			sum += m.Load
+			bases++
 		}
 	}
+	if bases == 0 {
+		return c.plan.Loads
+	}
+	return max(leastAtOnce, int(rate*(sum/clock.Span(bases)).Seconds()+0.5))
+}
+
+// loadsToBegin tells how many more loads may begin now: the store admits so many in every while.
+func (c *Core) loadsToBegin(rate float64) int {
 	for len(c.begun) > 0 && c.now.Sub(c.begun[0]) > c.o.Rate {
 		c.begun = c.begun[1:]
 	}
-	most := int(rate*c.o.Rate.Seconds()) + 1
-	left := most - len(c.begun)
+	left := int(rate*c.o.Rate.Seconds()) + 1 - len(c.begun)
 	if c.now.Sub(c.duty.began) < c.o.Rate {
-		left = min(left, 3) // what the owner before began is not known: rates allow so many more at once
-	}
-	at := c.plan.Loads
-	if n > 0 {
-		at = max(2, int(rate*(load/clock.Span(n)).Seconds()+0.5))
+		left = min(left, newReign)
 	}
-	return at, left
+	return left
 }
