Server, spot, entries and demand: fields and functions told in words

Doc comments on each; the platform's answer is a function of its own; a report of a key for which nobody waits costs no look at the other routers.

--- a/internal/controller/demand.go
+++ b/internal/controller/demand.go
@@ -30,7 +30,7 @@
 	lookup clock.Tick // when a lookup told last of requests that no renewal had shown
 	since  clock.Tick // since when somebody waits
 	wait   int        // requests that wait, at all routers
-	value  int        // the highest among them
+	value  int        // the highest value among them
 
 	came float64 // requests since the last sum
 	took float64 // seconds of a server's time that they take
@@ -53,6 +53,10 @@
 		n = &need{}
 		c.demand[k] = n
 	}
+	if wait == 0 && n.wait == 0 {
+		n.at = c.now // nobody waits, as before
+		return
+	}
 	n.report(c.now, wait, value, c.waitingAtRouters(k))
 }
 
--- a/internal/controller/entries.go
+++ b/internal/controller/entries.go
@@ -19,11 +19,13 @@
 	replicas []replica
 }
 
+// replica is one server in an entry, as routers are told it, and its spot.
 type replica struct {
 	rep  protocol.Replica
 	spot *spot
 }
 
+// entryOf gives a key's entry, which is kept from the first time on.
 func (c *Core) entryOf(k ident.Key) *entry {
 	if e := c.entries[k]; e != nil {
 		return e
@@ -34,6 +36,7 @@
 	return e
 }
 
+// fill makes an entry of what the servers hold: the same replicas make the same mark.
 func (c *Core) fill(k ident.Key, e *entry) {
 	e.replicas = nil
 	h := fnv.New64a()
@@ -111,12 +114,14 @@
 	return true
 }
 
+// touchAll makes every entry anew.
 func (c *Core) touchAll() {
 	for _, k := range generic.SortedKeys(c.entries) {
 		c.touch(k)
 	}
 }
 
+// touchOn makes the entries of all that a server holds anew.
 func (c *Core) touchOn(s *server) {
 	for _, k := range generic.SortedKeys(s.spots) {
 		c.touch(k)
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -14,18 +14,18 @@
 // server is the owner's view of one model server.
 type server struct {
 	protocol.Listed
-	inc     ident.Inc
-	room    int
-	slots   int
+	inc     ident.Inc // of the server's life, as last reported
+	room    int       // for models, in all
+	slots   int       // requests that it serves at once
 	spots   map[ident.Key]*spot
-	num     uint64
-	asking  bool
-	next    clock.Tick
-	fails   int
-	dark    bool
+	num     uint64     // of the last order that it took, or was sent
+	asking  bool       // a question is under way
+	next    clock.Tick // when it is asked again
+	fails   int        // questions in a row that got no answer
+	dark    bool       // it does not answer
 	known   bool       // it has reported in this reign
 	ok      clock.Tick // when the last report that came was asked for
-	first   clock.Tick
+	first   clock.Tick // when it was listed first
 	odd     string     // what its report contradicts itself in; it is ordered to load nothing
 	plain   bool       // it holds no models and takes no orders
 	places  int        // for adapters; zero where they are not counted
@@ -111,7 +111,7 @@
 		if p.num != 0 || verbs[p.stage] == "" {
 			continue
 		}
-		if p.stage == Ordered && (over || p.key.IsAdapter() && (!s.based(p.key) || s.places > 0 && s.adapters() > s.places)) {
+		if p.stage == Ordered && (over || p.key.IsAdapter() && !s.mayTakeAdapter(p.key)) {
 			continue // what makes way for it is not gone yet, or its base is not there
 		}
 		if next == nil || p.stage == Unloading && next.stage != Unloading {
@@ -121,6 +121,11 @@
 	return next
 }
 
+// mayTakeAdapter tells whether the base of an adapter is ready, and the places are not more than taken.
+func (s *server) mayTakeAdapter(key ident.Key) bool {
+	return s.based(key) && (s.places == 0 || s.adapters() <= s.places)
+}
+
 // open tells whether a server may be offered new work.
 func (c *Core) open(s *server) bool {
 	return !s.dark && s.known && c.meant(s) && c.rolled()
@@ -136,6 +141,7 @@
 	return c.open(s) && !c.soonZ[s.Zone] && !c.soonS[s.ID]
 }
 
+// onList takes in the servers that there are; one that is not listed is gone.
 func (c *Core) onList(l []protocol.Listed) {
 	seen := map[ident.Server]bool{}
 	for _, x := range l {
@@ -161,33 +167,42 @@
 	}
 }
 
+// listEvery is how often the platform is asked for its servers, and core nodes are told of them.
+const listEvery = 300e6
+
+// beatList asks the platform which servers there are, or, where they announce themselves, only tells the
+// other core nodes.
 func (c *Core) beatList() {
 	if c.o.Enrolled {
-		if c.now.Sub(c.listed) > 300e6 {
+		if c.now.Sub(c.listed) > listEvery {
 			c.listed = c.now
 			c.tellList()
 		}
 		return
 	}
-	if c.listing || c.o.Platform == "" || c.listed != 0 && c.now.Sub(c.listed) < 300e6 {
+	if c.listing || c.o.Platform == "" || c.listed != 0 && c.now.Sub(c.listed) < listEvery {
 		return
 	}
 	c.listing = true
-	num := c.duty.num
+	duty := c.duty.num
 	c.ask(c.o.Platform, "/servers", nil, c.o.Wait, func(t protocol.Told) {
-		if !c.duty.mine || c.duty.num != num {
-			return
+		if c.duty.mine && c.duty.num == duty {
+			c.onPlatformList(t)
 		}
-		c.listing = false
-		var l []protocol.Listed
-		if !t.OK || t.Code != 200 || json.Unmarshal(t.Body, &l) != nil || !sound(l) {
-			if c.listed != 0 || len(c.servers) > 0 {
-				c.listed = c.now // the last list stands while the platform is silent
-			}
-			return
-		}
-		c.listed, c.seenAt = c.now, c.now
-		c.onList(c.believe(l))
-		c.tellList()
 	})
 }
+
+// onPlatformList takes in the platform's answer; the last list stands while it gives none.
+func (c *Core) onPlatformList(t protocol.Told) {
+	c.listing = false
+	var l []protocol.Listed
+	if !t.OK || t.Code != 200 || json.Unmarshal(t.Body, &l) != nil || !sound(l) {
+		if c.listed != 0 || len(c.servers) > 0 {
+			c.listed = c.now
+		}
+		return
+	}
+	c.listed, c.seenAt = c.now, c.now
+	c.onList(c.believe(l))
+	c.tellList()
+}
--- a/internal/controller/spot.go
+++ b/internal/controller/spot.go
@@ -13,7 +13,7 @@
 // A spot is one key at one server, from the order to load it until a report shows that it is gone.
 // What a report shows of it counts only once the report answers the last order for it.
 
-// Stages of a spot, which is one key on one server.
+// Stages of a spot.
 const (
 	Ordered   = "ordered"   // a load was sent or is about to be
 	Ready     = "ready"     // loaded, and offered to routers
@@ -33,22 +33,24 @@
 	Idle       = "idle"
 )
 
+// spot is one key at one server.
 type spot struct {
 	key   ident.Key
 	size  int
 	stage string
-	num   uint64     // of the order last sent for it
-	ready clock.Tick // since when it is ready
-	busy  clock.Tick // when it last had work
-	work  int
-	since clock.Tick
-	waits map[protocol.Session]uint64
-	cold  bool // its load comes from the store
+	num   uint64                      // of the order last sent for it; zero if none was
+	ready clock.Tick                  // since when it is ready
+	busy  clock.Tick                  // when it last had work
+	work  int                         // requests under way, as last reported
+	since clock.Tick                  // when it came to its stage
+	waits map[protocol.Session]uint64 // the change that each router must acknowledge before the spot drains
+	cold  bool                        // its load comes from the store
 }
 
+// tag is the key under which a context carries the spot that the state machine works on.
 type tag struct{}
 
-// The life of a spot. What a report shows counts only once it answers the last order.
+// spots is the life of a spot: one machine for all of them.
 var spots = func() *stateless.StateMachine {
 	s := stateless.NewStateMachineWithExternalStorage(
 		func(c context.Context) (stateless.State, error) { return c.Value(tag{}).(*spot).stage, nil },
@@ -65,6 +67,7 @@
 	return s
 }()
 
+// fire moves a spot on by a trigger, and tells whether its stage changed.
 func (s *spot) fire(what string, now clock.Tick) bool {
 	was := s.stage
 	_ = spots.FireCtx(context.WithValue(context.Background(), tag{}, s), what)
