Bites of announced servers follow the lines that moved

internal/simulator/hosted_test.go: the room and the places that make way (weigh.go, adapters.go), the store's rate (weigh.go), orders due and offered servers (server.go), the drain (evict.go).

--- a/internal/simulator/hosted_test.go
+++ b/internal/simulator/hosted_test.go
@@ -61,21 +61,21 @@
 		{"internal/controller/duty.go", "return c.duty.mine && c.now <= c.duty.until(c) }", "return c.duty.mine }"},
 		{"internal/controller/links.go", "old := c.now.Sub(c.duty.asked)", "old := clock.Span(0)"}}},
 	{"announced: keep within room", "announced-shift", "past its room", []edit{
-		{"internal/controller/weigh.go", "var out []*spot\n\t\tif free < f.m.Size {", "var out []*spot\n\t\tif false {"},
-		{"internal/controller/place.go", "over := s.room > 0 && s.used() > s.room", "over := false"}}},
+		{"internal/controller/weigh.go", "if s.free() >= f.model.Size {", "if true {"},
+		{"internal/controller/server.go", "over := s.room > 0 && s.used() > s.room", "over := false"}}},
 	{"announced: keep within places", "announced-shift", "past its room", []edit{
-		{"internal/controller/weigh.go", "if s.places > 0 && s.adapters() >= s.places || s.room-s.used() < m.Size {", "if false {"},
+		{"internal/controller/adapters.go", "if !noPlace && missing <= 0 {", "if true {"},
 		{"internal/controller/weigh.go", "crowd := s.places > 0 && s.adapters() > s.places", "crowd := false"},
-		{"internal/controller/place.go", "|| s.places > 0 && s.adapters() > s.places)", ")"}}},
+		{"internal/controller/server.go", " && (s.places == 0 || s.adapters() <= s.places)", ""}}},
 	{"announced: keep within the store's rate", "announced-store", "loads from the store began", []edit{
-		{"internal/controller/weigh.go", "store := min(once, rate)", "store := max(100, once, rate)"}}},
+		{"internal/controller/weigh.go", "return min(atOnce, toBegin)", "return max(100, atOnce, toBegin)"}}},
 	{"announced: offer no leaving server", "announced-leave", "after its leaving was acknowledged|takes it to stay", []edit{
-		{"internal/controller/place.go", `return s.State == "live" && !c.empty`, "return !c.empty"}}},
+		{"internal/controller/server.go", `return s.State == "live" && !c.empty`, "return !c.empty"}}},
 	{"announced: a leaving is known", "announced-minority", "takes it to stay", []edit{{"internal/controller/enrol.go", "if !l.ruled || k == nil || !quorum(*k, l.yes) {", "if k == nil {"}}},
 	{"announced: know late words", "announced-late", "takes it to stay|after its leaving", []edit{
 		{"internal/controller/enrol.go", `if b.Count <= e.Count || e.State == "gone" && !e.soft {`, `if e.State == "gone" && !e.soft {`},
 		{"internal/controller/enrol.go", "if stagesOf[b.State] < stagesOf[e.State] {", "if false {"}}},
-	{"announced: break before an unload", "announced-shift", "held a promise", []edit{{"internal/controller/place.go", "if quiet && c.dropped(p.waits) {", "if quiet || true {"}}},
+	{"announced: break before an unload", "announced-shift", "held a promise", []edit{{"internal/controller/evict.go", "if quiet && c.dropped(p.waits) {", "if quiet || true {"}}},
 	{"announced: repeat only what may be", "announced-reuse", "may not be repeated", []edit{
 		{"internal/router/ledger.go", "Lost:    {{kind: failure.Unclear}, {again: true, pay: true}}", "Lost:    {{again: true}, {again: true}}"}}},
 	{"announced: drop only what did not run", "announced-reuse", "but had run|and ran", []edit{
