Tables of kept connections that die, surplus answers, and seals on failures

These hold as they were; nothing brought them about before. A kept connection is reset or closed at the last look, in the write, after it, after an interim answer and in the body (TestKeptDies): what may run once is written once, and goes elsewhere only if no byte of it left. Answers to others, bytes and declines come behind an answer, while the connection is idle and between the last look and the write (TestSurplus); the socket itself tells when they are there, so nothing is timed.

--- a/internal/router/conns_test.go
+++ b/internal/router/conns_test.go
@@ -99,6 +99,13 @@
 	return len(s.conns)
 }
 
+// conn gives a connection by its number.
+func (s *standIn) conn(n int) net.Conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conns[n]
+}
+
 func idleConns(p *conns) (n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/router/relay_test.go
+++ b/internal/router/relay_test.go
@@ -75,6 +75,7 @@
 	left   clock.Span
 	refuse *Receipt // the answer to each call, where no server is to be asked
 	deny   int      // so many sends are not allowed
+	last   func()   // is called at the last look of each send
 
 	at    map[Ref]int
 	calls []Call
@@ -146,6 +147,9 @@
 }
 
 func (s *script) MaySend(Ref, int) bool {
+	if s.last != nil {
+		s.last()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.deny--
