Take the relay and the ledger apart into files with one job each

Change, moves only: relay.go -> relay.go, relay_exchange.go, relay_attempt.go, relay_answer.go, relay_events.go, relay_reply.go, relay_headers.go, relay_buffers.go; ledger.go -> ledger.go, admission.go, queue.go, allowance.go, choice.go, attempts.go. The simulator's broken guards name the new files. No function was changed.

--- /dev/null
+++ b/internal/router/admission.go
@@ -0,0 +1,122 @@
+package router
+
+import (
+	"tidedeck/internal/failure"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/ident"
+)
+
+// Admission: a request's route, class and horizon come from the plan, when it arrives, when the plan changes
+// and when it waits again after an attempt.
+
+func (c *Core) allowed(r *req) failure.Kind {
+	if c.plan == nil {
+		return failure.None // no plan is known yet: it waits, but is sent nowhere
+	}
+	m, why := c.plan.Match(r.Call.Call.Query(r.Route))
+	if why == failure.None && m.Key != r.key {
+		return failure.Moved // the plan sends it elsewhere now
+	}
+	return why
+}
+
+// admit takes a request's class and horizon from the plan. While no plan is known that surely
+// rules, a request may wait a while for one, but is sent nowhere and turned away by none.
+func (c *Core) admit(r *req) failure.Kind {
+	r.class = fleetplan.Class{Value: 1, Wait: 5e9}
+	r.doubt = c.plan == nil
+	if c.plan != nil {
+		m, why := c.plan.Match(r.Call.Call.Query(r.Route))
+		switch {
+		case why == failure.None:
+			r.class, r.key, r.route = m.Class, m.Key, m.Route
+		case c.holds():
+			return why
+		default:
+			r.doubt = true // without a hold the plan may be old: a newer one may allow it
+		}
+	}
+	r.due = r.came.Add(r.class.Wait)
+	if w := r.Call.Call.Wait; w > 0 && w < r.class.Wait {
+		r.due = r.came.Add(w)
+	}
+	r.end = r.due
+	if q := r.class.Quit; q > 0 && !r.begun() {
+		r.due = min(r.due, r.came.Add(q))
+	}
+	return failure.None
+}
+
+// resolve looks anew at every request in line, under the plan now in force.
+func (c *Core) resolve(all bool) {
+	for _, k := range generic.SortedKeys(c.lines) {
+		for _, r := range append([]*req{}, c.lines[k]...) {
+			if !all && !r.doubt {
+				continue
+			}
+			c.leave(r)
+			if why := c.admit(r); why != failure.None {
+				c.rest(r)
+				c.finish(r, why, 0)
+				continue
+			}
+			c.rest(r)
+		}
+	}
+}
+
+func (c *Core) onCall(v Call) {
+	c.tally.Calls++
+	r := &req{Call: v, came: c.now.Add(-v.Age), stage: Waiting, key: ident.KeyOf(v.Call.Base, v.Call.Extra)}
+	c.reqs[v.Ref] = r
+	if why := c.admit(r); why != failure.None {
+		c.finish(r, why, 0)
+		return
+	}
+	if v.Call.Wait < 0 {
+		c.finish(r, failure.PastDue, 0)
+		return
+	}
+	if v.Call.Repeat {
+		c.tally.Repeats++
+		if !c.pay() {
+			c.finish(r, failure.Spent, 0)
+			return
+		}
+	}
+	c.came[r.key]++
+	if c.o.Free {
+		c.loads[r.key] += c.loadOf(r)
+	}
+	if e := c.entries[r.key]; e != nil && e.held && c.holds() && len(e.Replicas) > 0 && !c.o.Check {
+		c.tally.Hits++
+	}
+	if c.o.Check && c.entries[r.key] != nil {
+		c.entries[r.key].held = false
+	}
+	if !c.join(r) {
+		return
+	}
+	c.serve(r.key)
+	if r.stage == Waiting {
+		c.tally.Waited++
+	}
+}
+
+func (c *Core) onQuit(v Quit) {
+	r := c.reqs[v.Ref]
+	if r == nil {
+		return
+	}
+	c.tally.Quit++
+	if r.stage == Waiting {
+		c.leave(r)
+	} else if n := len(r.goes); n > 0 && r.goes[n-1].How == Pending {
+		c.release(r, &r.goes[n-1])
+		r.goes[n-1].How = Done
+	}
+	r.fire("close")
+	delete(c.reqs, v.Ref)
+	c.pump()
+}
--- /dev/null
+++ b/internal/router/queue.go
@@ -0,0 +1,159 @@
+package router
+
+import (
+	"sort"
+
+	"tidedeck/internal/clock"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
+)
+
+// Requests that wait, in one queue for each key: the most valuable first, then the most urgent.
+
+// join puts a request in line. A full line lets go of what is worth least.
+func (c *Core) join(r *req) bool {
+	for len(c.lines[r.key]) >= c.o.Line || c.wait >= c.o.Queue {
+		low := r
+		for _, k := range generic.SortedKeys(c.lines) {
+			if len(c.lines[r.key]) >= c.o.Line && k != r.key {
+				continue
+			}
+			for _, x := range c.lines[k] {
+				if x.class.Value < low.class.Value || x.class.Value == low.class.Value && low != r && x.came > low.came {
+					low = x
+				}
+			}
+		}
+		c.finish(low, failure.Full, 0)
+		if low == r {
+			return false
+		}
+	}
+	c.rest(r)
+	return true
+}
+
+// rest puts a request at its place in its line: the most valuable first, then the most urgent.
+func (c *Core) rest(r *req) {
+	l := c.lines[r.key]
+	i := sort.Search(len(l), func(i int) bool {
+		return l[i].class.Value < r.class.Value || l[i].class.Value == r.class.Value && l[i].due > r.due
+	})
+	l = append(l, nil)
+	copy(l[i+1:], l[i:])
+	l[i] = r
+	c.lines[r.key] = l
+	c.wait++
+}
+
+func (c *Core) leave(r *req) {
+	l := c.lines[r.key]
+	for i, x := range l {
+		if x == r {
+			c.wait--
+			l = append(l[:i:i], l[i+1:]...)
+			break
+		}
+	}
+	if len(l) == 0 {
+		delete(c.lines, r.key)
+		return
+	}
+	c.lines[r.key] = l
+}
+
+// finish closes a request with its final answer.
+func (c *Core) finish(r *req, k failure.Kind, back clock.Span) {
+	if r.stage == Waiting {
+		c.leave(r)
+	}
+	r.fire("close")
+	delete(c.reqs, r.Ref)
+	if k == failure.None {
+		c.tally.Receipts++
+		return
+	}
+	if failure.Receipts[k].Dropped && r.ran() {
+		k = failure.Unclear // a drop would say that it never ran
+	}
+	a := failure.Receipts[k]
+	if back == 0 {
+		back = a.Back
+	}
+	c.tally.Drops[k]++
+	if a.Dropped {
+		c.tally.Dropped++
+	}
+	c.out = append(c.out, Receipt{Ref: r.Ref, Kind: k, Back: back})
+}
+
+// pump serves every line, the most valuable first.
+func (c *Core) pump() {
+	l := generic.SortedKeys(c.lines)
+	sort.SliceStable(l, func(i, j int) bool { return c.lines[l[i]][0].class.Value > c.lines[l[j]][0].class.Value })
+	for _, k := range l {
+		c.serve(k)
+	}
+}
+
+// serve launches what waits for a key while the promise on it holds and servers have room.
+func (c *Core) serve(k ident.Key) {
+	for i := 0; i < len(c.lines[k]); {
+		r, e := c.lines[k][i], c.entries[k]
+		if r.doubt {
+			return
+		}
+		if c.now >= r.due {
+			c.finish(r, failure.Expired, 0)
+			continue
+		}
+		if e == nil || !e.held {
+			c.want(k)
+		}
+		if !c.usable(e) {
+			return
+		}
+		e.used = c.now
+		if e.Never {
+			c.finish(r, failure.NotReady, 5e9) // given up on, so told at once
+			continue
+		}
+		if back := e.got.Add(e.Soon).Sub(c.now); e.Soon > 0 && len(e.Replicas) == 0 && c.now.Add(back) > r.due {
+			c.finish(r, failure.NotReady, back) // its turn can't come in time: told at once, and when it may
+			continue
+		}
+		p := c.pick(e, r)
+		switch {
+		case p == nil && !r.again():
+			i++ // it waits for one server; others behind it may go to another
+		case p == nil:
+			return
+		case r.owes != 0 && c.now.Sub(r.owes) < patience && !c.pay():
+			i++
+		default:
+			r.owes = 0
+			c.launch(r, p)
+		}
+	}
+}
+
+// want asks for an entry, with the mark of the copy that is suspect, if there is one.
+func (c *Core) want(k ident.Key) {
+	e := c.entries[k]
+	if e == nil {
+		e = &entry{Entry: protocol.Entry{Key: k}, used: c.now}
+		c.entries[k] = e
+	}
+	if e.asking && c.now.Sub(e.asked) < 400e6 || c.ses.N == 0 {
+		return
+	}
+	e.asking, e.asked = true, c.now
+	c.tally.Lookups++
+	w := protocol.Want{Session: c.ses, Key: k, Waiting: len(c.lines[k]), Value: c.lines[k][0].class.Value}
+	if len(e.Replicas) > 0 {
+		w.Mark = e.Mark
+	}
+	c.send(w)
+}
--- /dev/null
+++ b/internal/router/relay_answer.go
@@ -0,0 +1,166 @@
+package router
+
+import (
+	"bytes"
+	"io"
+	"mime"
+	"net/http"
+	"time"
+
+	"tidedeck/internal/failure"
+)
+
+// What becomes of the answer to an attempt: it is passed on, or it tells that the request did not run, or it
+// is as good as none.
+
+// take passes on the answer to this attempt, or tells why it cannot.
+func (x *exchange) take(v Launch, l *lease, a *http.Response, said Said) (End, failure.Kind) {
+	good := a.StatusCode >= 200 && a.StatusCode < 300
+	stream := false
+	if t, _, err := mime.ParseMediaType(a.Header.Get("Content-Type")); err == nil {
+		stream = t == "text/event-stream"
+	}
+	switch {
+	case said.NotRun:
+		x.drain(l, a)
+		return Dropped, said.Kind
+	case good && !said.Sealed:
+		return Lost, failure.None
+	case x.open && !(good && stream):
+		return Lost, failure.None
+	case !good && promises(a.StatusCode):
+		x.drain(l, a)
+		return Lost, failure.None // its status would say that it did not run, and it may have
+	case a.StatusCode >= 500 && v.Again:
+		x.drain(l, a)
+		return Lost, failure.None
+	}
+	if stream && x.req.Method != http.MethodHead {
+		return x.flow(v, l, a)
+	}
+	return x.whole(v, l, a)
+}
+
+// promises tells whether a status says that a request did not run and never will.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// drain reads a small body off, so that the connection can be kept; nobody waits long for that.
+func (x *exchange) drain(l *lease, a *http.Response) {
+	if a.ContentLength > mostDrain || until(a) || l.c.SetReadDeadline(time.Now().Add(drainWait)) != nil {
+		l.end(false)
+		return
+	}
+	n, err := io.CopyN(io.Discard, a.Body, mostDrain)
+	l.end(err == io.EOF && n < mostDrain)
+}
+
+// whole passes an answer on that is no stream. A small one is read whole first: if it breaks off,
+// the client has no byte of it yet.
+func (x *exchange) whole(v Launch, l *lease, a *http.Response) (End, failure.Kind) {
+	if a.Body == http.NoBody {
+		l.end(true)
+		// There is no body by the request's method or the status. The length then stands for the body
+		// that there would be, but for a status that never has one.
+		if n, ok := a.Header["Content-Length"]; ok && a.StatusCode != http.StatusNoContent {
+			x.w.Header()["Content-Length"] = n
+		}
+		x.reply = &reply{status: a.StatusCode, head: a.Header}
+		return Done, failure.None
+	}
+	if until(a) {
+		return x.broken() // its end cannot be told from a break
+	}
+	b := borrow()
+	if a.ContentLength <= mostKept {
+		if a.ContentLength > 0 {
+			b.Grow(int(a.ContentLength) + bytes.MinRead)
+		}
+		switch _, err := io.CopyN(b, a.Body, mostKept+1); err {
+		case io.EOF:
+			l.end(true)
+			x.reply = &reply{a.StatusCode, a.Header, b}
+			return Done, failure.None
+		case nil:
+		default:
+			giveBack(b)
+			return x.broken()
+		}
+	}
+	defer giveBack(b)
+	if a.ContentLength > 0 {
+		x.w.Header()["Content-Length"] = a.Header["Content-Length"]
+	}
+	x.r.core.Step(Begun{Ref: v.Ref, N: v.N})
+	x.begin(a.StatusCode, a.Header)
+	x.pass(b.Bytes(), false)
+	how, kind := x.pump(a, func(p []byte) bool {
+		x.pass(p, false)
+		return true
+	})
+	if how == Done {
+		l.end(true)
+	}
+	return how, kind
+}
+
+// pump reads an answer's body to its end and hands on each piece as it comes.
+func (x *exchange) pump(a *http.Response, f func(p []byte) bool) (End, failure.Kind) {
+	p := pieces.Get().(*[]byte)
+	defer pieces.Put(p)
+	for {
+		n, err := a.Body.Read(*p)
+		if n > 0 && !f((*p)[:n]) {
+			return Lost, failure.None
+		}
+		if x.gone {
+			return Lost, failure.None // nobody reads it any more
+		}
+		switch err {
+		case nil:
+		case io.EOF:
+			return Done, failure.None
+		default:
+			return x.broken()
+		}
+	}
+}
+
+// flow passes a stream on as it comes.
+func (x *exchange) flow(v Launch, l *lease, a *http.Response) (End, failure.Kind) {
+	f := &events{x: x, resumed: x.open, begin: func() {
+		x.r.core.Step(Begun{Ref: v.Ref, N: v.N})
+		if !x.open {
+			if a.ContentLength >= 0 && !v.Resume {
+				x.w.Header()["Content-Length"] = a.Header["Content-Length"]
+			}
+			x.units = v.Resume
+			x.begin(a.StatusCode, a.Header)
+		}
+	}}
+	defer f.free()
+	each := f.bytes
+	if v.Resume {
+		each = f.whole
+	}
+	how, kind := x.pump(a, each)
+	if how != Done {
+		return how, kind
+	}
+	if until(a) {
+		return x.broken()
+	}
+	if !f.end() {
+		return Lost, failure.None
+	}
+	l.end(true)
+	if !f.begun {
+		f.start()
+	}
+	return Done, failure.None
+}
--- /dev/null
+++ b/internal/router/relay_exchange.go
@@ -0,0 +1,165 @@
+package router
+
+import (
+	"bytes"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"tidedeck/internal/failure"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/host"
+)
+
+// An exchange is one caller's request from its arrival to its last word: it is read whole, the core is
+// asked, and what the core says is done until the request has its end.
+
+// exchange is one client's request and its answer.
+type exchange struct {
+	r     *Relay
+	w     http.ResponseWriter
+	to    *http.ResponseController
+	req   *http.Request
+	facts fleetplan.Call
+	head  http.Header // what goes through
+	body  []byte
+	armed time.Time // when the deadline of writes was set
+
+	reply *reply // a whole answer that is still to be written
+	open  bool   // the client has bytes of an answer
+	units bool   // they are whole events
+	gone  bool   // the client takes no more
+
+	came  time.Time // when its head was read
+	seen  bool      // an event with a number was passed on
+	last  uint64    // the number of the last
+	loose bool      // and behind it one without a number, which another run may send again
+}
+
+// reply is a whole answer.
+type reply struct {
+	status int
+	head   http.Header
+	body   *bytes.Buffer
+}
+
+// ServeHTTP carries one client's request from its arrival to its last word.
+func (r *Relay) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	x := &exchange{r: r, w: w, to: http.NewResponseController(w), req: q, came: time.Now()}
+	if g := guardOf(q); g != nil {
+		defer g.next()
+	}
+	if !unambiguous(q) {
+		r.count(func(t *RelayTally) { t.Smuggled++ })
+		x.refuse(failure.Malformed, 0, true, fleetplan.Faults{{Path: "$", Why: "where the body ends is not clear"}})
+		return
+	}
+	facts, fault := r.o.Dialect.Read(q)
+	if fault != nil {
+		x.refuse(failure.Malformed, 0, q.Body != http.NoBody, fleetplan.Faults{*fault})
+		return
+	}
+	b := borrow()
+	defer giveBack(b)
+	if !x.read(b) {
+		return
+	}
+	x.body = b.Bytes()
+	x.facts, x.last, x.seen = facts, facts.Seen, facts.Seen > 0
+	x.head = make(http.Header, len(q.Header)+6)
+	through(x.head, q.Header)
+	x.run()
+	if x.reply != nil {
+		x.answer()
+	}
+}
+
+// read reads the request's body.
+func (x *exchange) read(b *bytes.Buffer) bool {
+	q := x.req
+	if q.Body == nil || q.Body == http.NoBody {
+		return true
+	}
+	most, wait := int64(0), time.Duration(0)
+	if x.r.o.Limits != nil {
+		most, wait = x.r.o.Limits()
+	}
+	generic.SetDefault(&most, 4<<20)
+	generic.SetDefault(&wait, 15*time.Second)
+	big := fleetplan.Faults{{Path: "$", Why: "the body has more bytes than are allowed"}}
+	if q.ContentLength > most {
+		x.refuse(failure.Oversize, 0, true, big)
+		return false
+	}
+	if q.ContentLength > 0 {
+		b.Grow(int(q.ContentLength) + bytes.MinRead)
+	}
+	_ = x.to.SetReadDeadline(time.Now().Add(wait))
+	_, err := b.ReadFrom(http.MaxBytesReader(x.w, q.Body, most))
+	_ = x.to.SetReadDeadline(time.Time{})
+	var over *http.MaxBytesError
+	var late net.Error
+	switch {
+	case err == nil:
+		return true
+	case errors.As(err, &over):
+		x.refuse(failure.Oversize, 0, true, big)
+	case errors.As(err, &late) && late.Timeout():
+		x.say(http.StatusRequestTimeout, host.Problem{Kind: failure.Expired, Dropped: true}, 0, true)
+	default:
+		x.abort()
+	}
+	return false
+}
+
+// run asks the decider and does what it says until the request has its end.
+func (x *exchange) run() {
+	r := x.r
+	ref, ch, done := r.add()
+	settled := false
+	defer func() {
+		if !settled {
+			r.core.Step(Quit{ref})
+		}
+		done()
+	}()
+	r.core.Step(Call{Ref: ref, Route: x.req.URL.Path, Age: time.Since(x.came), Call: x.facts})
+	ctx := x.req.Context()
+	for {
+		select {
+		case <-ctx.Done():
+			x.breakOff()
+		case o := <-ch:
+			switch v := o.(type) {
+			case Receipt:
+				settled = true
+				x.receipt(v)
+				return
+			case Launch:
+				if x.open && !(x.units && v.Resume && !x.loose) {
+					x.abort() // its stream cannot be taken up
+				}
+				how, kind := x.attempt(ctx, v)
+				if how != Done && (x.gone || ctx.Err() != nil) {
+					x.breakOff()
+				}
+				settled = how == Done
+				r.core.Step(Ended{Ref: ref, N: v.N, How: how, Kind: kind})
+				if settled {
+					return
+				}
+			}
+		}
+	}
+}
+
+// receipt says the last word when it is not a server's.
+func (x *exchange) receipt(v Receipt) {
+	if x.open {
+		x.abort()
+	}
+	x.refuse(v.Kind, v.Back, false, nil)
+}
--- a/internal/simulator/bites_test.go
+++ b/internal/simulator/bites_test.go
@@ -28,16 +28,16 @@
 	{"wait out the owner before", "medley", "held a promise", []edit{{"internal/controller/place.go", "quiet := c.now > c.duty.began.Add(c.pad(c.o.Hold))", "quiet := true"}}},
 	{"drop on a break", "moves", "held a promise", []edit{{"internal/router/core.go", "c.tally.Breaks++\n\tdelete(c.entries, k)", "c.tally.Breaks++"}}},
 	{"drain before an unload", "unplan", "while work was under way", []edit{{"internal/controller/place.go", "s.ok > p.since && p.work == 0 && !c.adapted(s, p)", "true"}}},
-	{"check at the point of sending", "unplan", "after it was unloaded|which no plan allows", []edit{{"internal/router/ledger.go", "if !c.stands(r, g) {", "if g == nil {"}}},
+	{"check at the point of sending", "unplan", "after it was unloaded|which no plan allows", []edit{{"internal/router/attempts.go", "if !c.stands(r, g) {", "if g == nil {"}}},
 	{"route under a hold only", "moves-cut", "routes under epoch|after it was unloaded|after it was leaving", []edit{
 		{"internal/router/core.go", "return c.now < c.until }", "return true }"},
-		{"internal/router/ledger.go", "if e == nil || !e.held {\n\t\t\tc.want", "if e == nil {\n\t\t\tc.want"},
+		{"internal/router/queue.go", "if e == nil || !e.held {\n\t\t\tc.want", "if e == nil {\n\t\t\tc.want"},
 		{"internal/router/core.go", "return e != nil && (e.held && c.holds() ||", "return e != nil && (c.holds() ||"}}},
 	{"keep within room", "moves", "past its room", []edit{
 		{"internal/controller/place.go", "if free < w.m.Size {", "if false {"}, {"internal/controller/place.go", "over := s.room > 0 && s.used() > s.room", "over := false"}}},
 	{"keep within the store's budget", "blackout", "outran the store", []edit{
 		{"internal/controller/place.go", "if budget <= 0 {", "if false {"}, {"internal/controller/place.go", "s.loading() > 0 {", "false {"}}},
-	{"cap cold servers", "crowd", "flooded while cold", []edit{{"internal/router/ledger.go", "if b.work >= all || b.keys[r.key] >= cold {", "if all+cold < 0 {"}}},
+	{"cap cold servers", "crowd", "flooded while cold", []edit{{"internal/router/choice.go", "if b.work >= all || b.keys[r.key] >= cold {", "if all+cold < 0 {"}}},
 	{"an emptied disk does not vote", "amnesia", "read gave epoch|told twice|slipped back|bytes that were not sent", []edit{{"internal/controller/acceptor.go", "c.vote.inc = c.o.Inc", "c.vote.inc = 1"}}},
 	{"sync before an answer", "power", "routes under epoch 1|read gave epoch|bytes that were not sent|slipped back", []edit{
 		{"internal/controller/core.go", "c.saves[c.token] = then", "then()\n\tc.saves[c.token] = func() {}"}}},
@@ -53,20 +53,20 @@
 		{"internal/controller/place.go", `return s.State == "live" && !c.empty`, "return !c.empty"}}},
 	{"leave emptied zones", "zones", "in emptied zone", []edit{
 		{"internal/controller/place.go", `"live" && !c.empty[s.Zone] && !c.closed`, `"live" && !c.closed`},
-		{"internal/router/ledger.go", "if c.empty[p.Zone] || c.now", "if c.now"}, {"internal/router/ledger.go", " && !c.empty[p.Zone] {", " {"}}},
+		{"internal/router/choice.go", "if c.empty[p.Zone] || c.now", "if c.now"}, {"internal/router/attempts.go", " && !c.empty[p.Zone] {", " {"}}},
 	{"repeat only what may be", "storm", "may not be repeated", []edit{
 		{"internal/router/ledger.go", "Lost:    {{kind: failure.Unclear}, {again: true, pay: true}}", "Lost:    {{again: true}, {again: true}}"},
-		{"internal/router/ledger.go", "if sum < 1 {", "if sum < 0 {"}}},
+		{"internal/router/allowance.go", "if sum < 1 {", "if sum < 0 {"}}},
 	{"keep to the allowance", "flap", "to [0-9]* first goes", []edit{
-		{"internal/router/ledger.go", "if sum < 1 {", "if sum < 0 {"}, {"internal/router/core.go", "generic.SetDefault(&o.Goes, 4)", "generic.SetDefault(&o.Goes, 1000)"}}},
+		{"internal/router/allowance.go", "if sum < 1 {", "if sum < 0 {"}, {"internal/router/core.go", "generic.SetDefault(&o.Goes, 4)", "generic.SetDefault(&o.Goes, 1000)"}}},
 	{"one server's events", "storm", "came as number|two goes in one answer|after its end", []edit{
 		{"internal/router/ledger.go", "Split:   {{kind: failure.Cut}, {kind: failure.Cut}}", "Split:   {{again: true}, {again: true}}"}}},
 	{"route only what is allowed", "plans", "which no plan allows", []edit{
-		{"internal/router/ledger.go", "case c.holds():\n\t\t\treturn why", "case why != failure.None && c.holds():"},
-		{"internal/router/ledger.go", "return why\n}\n\n// admit", "_ = why\n\treturn failure.None\n}\n\n// admit"}}},
-	{"turn away under a hold only", "grow", "was turned away", []edit{{"internal/router/ledger.go", "case c.holds():\n\t\t\treturn why", "case true:\n\t\t\treturn why"}}},
+		{"internal/router/admission.go", "case c.holds():\n\t\t\treturn why", "case why != failure.None && c.holds():"},
+		{"internal/router/admission.go", "return why\n}\n\n// admit", "_ = why\n\treturn failure.None\n}\n\n// admit"}}},
+	{"turn away under a hold only", "grow", "was turned away", []edit{{"internal/router/admission.go", "case c.holds():\n\t\t\treturn why", "case true:\n\t\t\treturn why"}}},
 	{"refuse what was sent late", "lag", "after it was leaving or gone|in emptied zone|which no plan allows", []edit{{"internal/standin/server.go", "s.now.Sub(v.Since) > s.o.Whole", "s.now.Sub(v.Since) > 1e15"}}},
-	{"one server for what runs once", "again", "may not be repeated", []edit{{"internal/router/ledger.go", "if !r.again() && !c.o.Free {\n\t\tif only", "if r == nil {\n\t\tif only"}}},
+	{"one server for what runs once", "again", "may not be repeated", []edit{{"internal/router/choice.go", "if !r.again() && !c.o.Free {\n\t\tif only", "if r == nil {\n\t\tif only"}}},
 	{"routers give agents back the plan", "ruin-clocks", "the routers' plan did not come back", []edit{{"internal/router/core.go", "if b.Session.Agent != c.ses.Agent && c.last != nil {", "if false {"}}},
 	{"agents' lives by the steady clock", "clocks", "proper requests were answered", []edit{{"internal/agent/core.go", "Agent: c.o.Life, Router", "Agent: c.o.Inc, Router"}}},
 	{"know the last list", "platform", "service came back|proper requests were answered", []edit{{"internal/controller/duty.go", "c.onList(c.list.List) //", "//"}}},
