--- a/internal/router/admission.go
+++ b/internal/router/admission.go
@@ -10,7 +10,8 @@
 // Admission: a request's route, class and horizon come from the plan, when it arrives, when the plan changes
 // and when it waits again after an attempt.
 
-func (c *Core) allowed(r *req) failure.Kind {
+// allowed tells whether the plan in force still sends a request where it is going.
+func (c *Core) allowed(r *request) failure.Kind {
 	if c.plan == nil {
 		return failure.None // no plan is known yet: it waits, but is sent nowhere
 	}
@@ -23,18 +24,18 @@
 
 // admit takes a request's class and horizon from the plan. While no plan is known that surely
 // rules, a request may wait a while for one, but is sent nowhere and turned away by none.
-func (c *Core) admit(r *req) failure.Kind {
+func (c *Core) admit(r *request) failure.Kind {
 	r.class = fleetplan.Class{Value: 1, Wait: 5e9}
-	r.doubt = c.plan == nil
+	r.uncertain = c.plan == nil
 	if c.plan != nil {
 		m, why := c.plan.Match(r.Call.Call.Query(r.Route))
 		switch {
 		case why == failure.None:
 			r.class, r.key, r.route = m.Class, m.Key, m.Route
-		case c.holds():
+		case c.leased():
 			return why
 		default:
-			r.doubt = true // without a hold the plan may be old: a newer one may allow it
+			r.uncertain = true // without a hold the plan may be old: a newer one may allow it
 		}
 	}
 	r.due = r.came.Add(r.class.Wait)
@@ -48,28 +49,28 @@
 	return failure.None
 }
 
-// resolve looks anew at every request in line, under the plan now in force.
+// resolve looks anew at every request that waits, under the plan now in force.
 func (c *Core) resolve(all bool) {
-	for _, k := range generic.SortedKeys(c.lines) {
-		for _, r := range append([]*req{}, c.lines[k]...) {
-			if !all && !r.doubt {
+	for _, k := range generic.SortedKeys(c.queues) {
+		for _, r := range append([]*request{}, c.queues[k]...) {
+			if !all && !r.uncertain {
 				continue
 			}
-			c.leave(r)
+			c.remove(r)
 			if why := c.admit(r); why != failure.None {
-				c.rest(r)
+				c.insert(r)
 				c.finish(r, why, 0)
 				continue
 			}
-			c.rest(r)
+			c.insert(r)
 		}
 	}
 }
 
 func (c *Core) onCall(v Call) {
 	c.tally.Calls++
-	r := &req{Call: v, came: c.now.Add(-v.Age), stage: Waiting, key: ident.KeyOf(v.Call.Base, v.Call.Extra)}
-	c.reqs[v.Ref] = r
+	r := &request{Call: v, came: c.now.Add(-v.Age), stage: Waiting, key: ident.KeyOf(v.Call.Base, v.Call.Extra)}
+	c.requests[v.Ref] = r
 	if why := c.admit(r); why != failure.None {
 		c.finish(r, why, 0)
 		return
@@ -89,13 +90,13 @@
 	if c.o.Free {
 		c.loads[r.key] += c.loadOf(r)
 	}
-	if e := c.entries[r.key]; e != nil && e.held && c.holds() && len(e.Replicas) > 0 && !c.o.Check {
+	if e := c.entries[r.key]; e != nil && e.held && c.leased() && len(e.Replicas) > 0 && !c.o.Check {
 		c.tally.Hits++
 	}
 	if c.o.Check && c.entries[r.key] != nil {
 		c.entries[r.key].held = false
 	}
-	if !c.join(r) {
+	if !c.enqueue(r) {
 		return
 	}
 	c.serve(r.key)
@@ -105,18 +106,18 @@
 }
 
 func (c *Core) onQuit(v Quit) {
-	r := c.reqs[v.Ref]
+	r := c.requests[v.Ref]
 	if r == nil {
 		return
 	}
 	c.tally.Quit++
 	if r.stage == Waiting {
-		c.leave(r)
-	} else if n := len(r.goes); n > 0 && r.goes[n-1].How == Pending {
-		c.release(r, &r.goes[n-1])
-		r.goes[n-1].How = Done
+		c.remove(r)
+	} else if n := len(r.attempts); n > 0 && r.attempts[n-1].How == Pending {
+		c.release(r, &r.attempts[n-1])
+		r.attempts[n-1].How = Done
 	}
 	r.fire("close")
-	delete(c.reqs, v.Ref)
-	c.pump()
+	delete(c.requests, v.Ref)
+	c.serveAll()
 }
--- a/internal/router/allowance.go
+++ b/internal/router/allowance.go
@@ -2,19 +2,19 @@
 
 // The allowance bounds retries, so that they stay a small part of what servers get when many requests fail.
 
-// pay takes one retry out of the allowance, which first goes fill.
+// pay takes one retry out of the allowance, which first attempts fill.
 func (c *Core) pay() bool {
 	sum, left := 0.0, 1.0
 	c.lapse()
-	for _, x := range c.bank {
+	for _, x := range c.earnings {
 		sum += x.n
 	}
 	if sum < 1 {
 		return c.borrow()
 	}
-	for i := range c.bank {
-		n := min(left, c.bank[i].n)
-		c.bank[i].n -= n
+	for i := range c.earnings {
+		n := min(left, c.earnings[i].n)
+		c.earnings[i].n -= n
 		left -= n
 	}
 	return true
@@ -22,28 +22,28 @@
 
 // borrow takes one of the arrivals that the fleet is lent whatever it earned; this router has its share.
 func (c *Core) borrow() bool {
-	for len(c.lent) > 0 && c.now.Sub(c.lent[0]) > c.o.Window {
-		c.lent = c.lent[1:]
+	for len(c.loans) > 0 && c.now.Sub(c.loans[0]) > c.o.Window {
+		c.loans = c.loans[1:]
 	}
-	if float64(len(c.lent)+1) > c.o.Lend/float64(max(1, c.routers)) {
+	if float64(len(c.loans)+1) > c.o.Lend/float64(max(1, c.routers)) {
 		return false
 	}
-	c.lent = append(c.lent, c.now)
+	c.loans = append(c.loans, c.now)
 	return true
 }
 
-// earn adds what a first go earns, which does not last.
+// earn adds what a first attempt earns, which does not last.
 func (c *Core) earn() {
-	if n := len(c.bank); n == 0 || c.now.Sub(c.bank[n-1].at) > c.o.Save/20 {
-		c.bank = append(c.bank, coin{at: c.now})
+	if n := len(c.earnings); n == 0 || c.now.Sub(c.earnings[n-1].at) > c.o.Save/20 {
+		c.earnings = append(c.earnings, earning{at: c.now})
 	}
-	c.bank[len(c.bank)-1].n += c.o.Share
+	c.earnings[len(c.earnings)-1].n += c.o.Share
 	c.lapse()
 }
 
-// lapse lets go of what was earned too long ago.
+// lapse forgets what was earned too long ago.
 func (c *Core) lapse() {
-	for len(c.bank) > 0 && c.now.Sub(c.bank[0].at) > c.o.Save {
-		c.bank = c.bank[1:]
+	for len(c.earnings) > 0 && c.now.Sub(c.earnings[0].at) > c.o.Save {
+		c.earnings = c.earnings[1:]
 	}
 }
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -10,12 +10,13 @@
 
 // The life of an attempt in the core: launch, the last look before it is sent, its first byte and its end.
 
-func (c *Core) launch(r *req, p *protocol.Replica) {
-	c.leave(r)
+// launch begins an attempt at a replica.
+func (c *Core) launch(r *request, p *protocol.Replica) {
+	c.remove(r)
 	r.fire("launch")
-	b := c.seat(p.Server)
-	r.goes = append(r.goes, Go{Server: p.Server, Inc: p.Inc, at: c.now, weight: r.weight(), ahead: b.under()})
-	n := len(r.goes)
+	b := c.server(p.Server)
+	r.attempts = append(r.attempts, attemptRecord{Server: p.Server, Inc: p.Inc, at: c.now, weight: r.weight(), ahead: b.under()})
+	n := len(r.attempts)
 	b.work++
 	b.tokens += r.weight()
 	b.memory += r.memory()
@@ -26,24 +27,24 @@
 	c.out = append(c.out, Launch{Ref: r.Ref, N: n, Server: p.Server, Addr: p.Addr, Work: protocol.Work{
 		Go: fmt.Sprintf("%s-%d-%d-%d", c.o.Me.ID, c.o.Inc, r.Ref, n), ID: x.ID, Base: x.Base, Extra: x.Extra,
 		Inc: p.Inc, Parts: x.Parts, Prompt: x.Prompt, Max: x.Max, Once: !x.Again,
-	}, Left: r.end.Sub(c.now), Rank: c.plan.Rank(r.class.Value), Again: r.again(), Resume: r.resumes()})
+	}, Left: r.end.Sub(c.now), Rank: c.plan.Rank(r.class.Value), Again: r.repeatable(), Resume: r.resumes()})
 }
 
-// MaySend is asked at the very point of sending: the hold must still run, the callback must
+// MaySend is asked at the very point of sending: the lease must still run, the callback must
 // still be on the entry, and the entry must still name the server.
 func (c *Core) MaySend(now clock.Tick, ref Ref, n int) bool {
 	c.now = now
-	r := c.reqs[ref]
-	if r == nil || r.stage != Going || n != len(r.goes) {
+	r := c.requests[ref]
+	if r == nil || r.stage != Going || n != len(r.attempts) {
 		return false
 	}
-	g := &r.goes[n-1]
-	if !c.stands(r, g) {
+	attempt := &r.attempts[n-1]
+	if !c.stands(r, attempt) {
 		c.tally.SendsHeld++
 		return false
 	}
 	first := true
-	for _, x := range r.goes[:n-1] {
+	for _, x := range r.attempts[:n-1] {
 		first = first && (x.How == Kept || x.How == Unsent)
 	}
 	switch {
@@ -60,13 +61,14 @@
 	return true
 }
 
-func (c *Core) stands(r *req, g *Go) bool {
+// stands tells whether an attempt may still be sent: by the entry, the zone and the plan as they are now.
+func (c *Core) stands(r *request, attempt *attemptRecord) bool {
 	e := c.entries[r.key]
 	if !c.usable(e) || c.plan == nil || c.allowed(r) != failure.None {
 		return false
 	}
 	for _, p := range e.Replicas {
-		if p.Server == g.Server && p.Inc == g.Inc && !c.empty[p.Zone] {
+		if p.Server == attempt.Server && p.Inc == attempt.Inc && !c.empty[p.Zone] {
 			return true
 		}
 	}
@@ -74,27 +76,27 @@
 }
 
 func (c *Core) onBegun(v Begun) {
-	r := c.reqs[v.Ref]
-	if r == nil || v.N != len(r.goes) || !r.fire("begin") {
+	r := c.requests[v.Ref]
+	if r == nil || v.N != len(r.attempts) || !r.fire("begin") {
 		return
 	}
-	g := &r.goes[v.N-1]
-	g.Begun = true
-	b := c.seat(g.Server)
+	attempt := &r.attempts[v.N-1]
+	attempt.Begun = true
+	b := c.server(attempt.Server)
 	b.fails = 0
 	if c.o.Free && !r.key.Plain() {
-		c.pace(r, g)
-		left := min(g.weight, r.Call.Call.Max, mostOut) // the prompt is read
-		b.tokens -= g.weight - left
-		g.weight = left
+		c.pace(r, attempt)
+		left := min(attempt.weight, r.Call.Call.Max, mostOut) // the prompt is read
+		b.tokens -= attempt.weight - left
+		attempt.weight = left
 	}
 }
 
-// release takes a go's burden off its server.
-func (c *Core) release(r *req, g *Go) *bench {
-	b := c.seat(g.Server)
+// release takes an attempt's load off its server.
+func (c *Core) release(r *request, attempt *attemptRecord) *serverLoad {
+	b := c.server(attempt.Server)
 	b.work--
-	b.tokens -= g.weight
+	b.tokens -= attempt.weight
 	b.memory -= r.memory()
 	if b.keys[r.key]--; b.keys[r.key] <= 0 {
 		delete(b.keys, r.key)
@@ -106,17 +108,17 @@
 }
 
 func (c *Core) onEnded(v Ended) {
-	r := c.reqs[v.Ref]
-	if r == nil || v.N != len(r.goes) || r.goes[v.N-1].How != Pending {
+	r := c.requests[v.Ref]
+	if r == nil || v.N != len(r.attempts) || r.attempts[v.N-1].How != Pending {
 		return
 	}
-	g := &r.goes[v.N-1]
-	g.How, g.Kind = v.How, v.Kind
-	if g.Begun && v.How == Lost {
-		g.How = Split
+	attempt := &r.attempts[v.N-1]
+	attempt.How, attempt.Kind = v.How, v.Kind
+	if attempt.Begun && v.How == Lost {
+		attempt.How = Split
 	}
-	b := c.release(r, g)
-	c.mark(r, g, b)
+	b := c.release(r, attempt)
+	c.mark(r, attempt, b)
 	m := r.next(c.o.Goes)
 	switch {
 	case m.again && m.pay && !c.pay():
@@ -129,31 +131,31 @@
 			r.owes = c.now
 		}
 		if why := c.admit(r); why != failure.None { // the plan may have changed under way
-			c.rest(r)
+			c.insert(r)
 			c.finish(r, why, 0)
 			break
 		}
-		c.join(r)
+		c.enqueue(r)
 	default:
 		c.finish(r, m.kind, 0)
 	}
-	c.pump()
+	c.serveAll()
 }
 
 // mark draws what an end says about the server and the entry.
-func (c *Core) mark(r *req, g *Go, b *bench) {
+func (c *Core) mark(r *request, attempt *attemptRecord, b *serverLoad) {
 	back := func() {
 		b.fails++
 		b.avoid = c.now.Add(clock.Span(50e6) << min(b.fails, 5))
 	}
-	switch g.How {
+	switch attempt.How {
 	case Unsent:
 		c.tally.Unsent++
 		back()
 	case Dropped:
 		c.tally.Declined++
 		back()
-		if g.Kind != failure.Busy {
+		if attempt.Kind != failure.Busy {
 			if e := c.entries[r.key]; e != nil {
 				e.held = false // what it says is in doubt: it is checked before it is used again
 			}
--- a/internal/router/caller_test.go
+++ b/internal/router/caller_test.go
@@ -290,8 +290,8 @@
 		}
 		l = next
 	}
-	require.Len(t, b.bank, 1)
-	require.InDelta(t, b.o.Share, b.bank[0].n, 1e-9)
+	require.Len(t, b.earnings, 1)
+	require.InDelta(t, b.o.Share, b.earnings[0].n, 1e-9)
 	require.Equal(t, uint64(1), b.tally.Firsts)
 }
 
--- a/internal/router/choice.go
+++ b/internal/router/choice.go
@@ -12,11 +12,12 @@
 
 // Which replica a request goes to where servers tell their load and know the requests that they ran.
 
-func (c *Core) seat(s ident.Server) *bench {
-	b := c.bench[s]
+// server gives what is known of a server's load.
+func (c *Core) server(s ident.Server) *serverLoad {
+	b := c.servers[s]
 	if b == nil {
-		b = &bench{keys: map[ident.Key]int{}}
-		c.bench[s] = b
+		b = &serverLoad{keys: map[ident.Key]int{}}
+		c.servers[s] = b
 	}
 	return b
 }
@@ -34,7 +35,7 @@
 }
 
 // rank orders replicas for a request the same way at every router.
-func rank(r *req, s ident.Server, parts bool, heads int) uint64 {
+func rank(r *request, s ident.Server, parts bool, heads int) uint64 {
 	h := fnv.New64a()
 	fmt.Fprint(h, s, "|", r.key.Base())
 	if parts = parts && len(r.Call.Call.Parts) > 0; !parts {
@@ -54,13 +55,13 @@
 // bound finds the one replica that a request which may not be repeated goes to, by its id: the same at
 // every router, so that a server that ran it knows it when it is asked for again. Only one that
 // this request could not reach twice is passed over.
-func (c *Core) bound(e *entry, r *req) *protocol.Replica {
+func (c *Core) bound(e *entry, r *request) *protocol.Replica {
 	var top *protocol.Replica
 	high := uint64(0)
 	for i := range e.Replicas {
 		p := &e.Replicas[i]
 		lost := 0
-		for _, g := range r.goes {
+		for _, g := range r.attempts {
 			if g.Server == p.Server && g.How == Unsent {
 				lost++
 			}
@@ -77,13 +78,13 @@
 
 // pick chooses a replica: by rendezvous hash over the prompt's shared parts, as long as the
 // one it names is not burdened beyond its fair share; otherwise the least burdened.
-func (c *Core) pick(e *entry, r *req) *protocol.Replica {
+func (c *Core) pick(e *entry, r *request) *protocol.Replica {
 	if c.o.Free {
 		return c.weigh(e, r)
 	}
 	var l []*protocol.Replica
 	var only *protocol.Replica
-	if !r.again() && !c.o.Free {
+	if !r.repeatable() && !c.o.Free {
 		if only = c.bound(e, r); only == nil {
 			return nil
 		}
@@ -91,7 +92,7 @@
 	sum, slots := 0, 0
 	for i := range e.Replicas {
 		p := &e.Replicas[i]
-		b := c.seat(p.Server)
+		b := c.server(p.Server)
 		if only != nil && only != p {
 			continue
 		}
@@ -111,7 +112,7 @@
 	}
 	hash := len(r.Call.Call.Parts) > 0 && !c.o.Plain
 	// Burdens are weighed by what servers can do at once.
-	part := func(p *protocol.Replica) float64 { return float64(c.seat(p.Server).work) / float64(max(1, p.Slots)) }
+	part := func(p *protocol.Replica) float64 { return float64(c.server(p.Server).work) / float64(max(1, p.Slots)) }
 	fair := 1.25 * float64(sum) / float64(slots)
 	fits := func(p *protocol.Replica) bool { return part(p) <= fair+1/float64(max(1, p.Slots)) }
 	sort.SliceStable(l, func(i, j int) bool {
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -23,9 +23,9 @@
 	Queue int        // requests waiting, in all
 	Line  int        // requests waiting for one key
 	Ramp  clock.Span // a replica is cold for so long
-	Share float64    // of first goes that retries may come to
-	Save  clock.Span // what first goes earn for retries is kept so long
-	Goes  int        // goes of one request at the most
+	Share float64    // of first attempts that retries may come to
+	Save  clock.Span // what first attempts earn for retries is kept so long
+	Goes  int        // attempts of one request at the most
 	Hello clock.Span
 	Batch clock.Span // removals are gathered for so long
 	Plain bool       // no prefix affinity, to measure against
@@ -35,7 +35,7 @@
 	Read   func([]byte) (*fleetplan.Plan, fleetplan.Faults) // of plans
 	Zone   ident.Zone                                       // this router's own
 	Free   bool                                             // servers remember no ids: what may not be repeated goes to any replica
-	Guards bool                                             // servers refuse what they do not hold: without a hold a router goes by what it knew
+	Guards bool                                             // servers refuse what they do not hold: without a lease a router goes by what it knew
 	Lend   float64                                          // arrivals beyond the first that the whole fleet is lent in each Window
 	Window clock.Span
 }
@@ -69,24 +69,24 @@
 	Call  fleetplan.Call
 }
 
-// Begun says that the answer of a go began to come.
+// Begun says that the answer of an attempt began to come.
 type Begun struct {
 	Ref Ref
 	N   int
 }
 
-// Ended says how a go ended.
+// Ended says how an attempt ended.
 type Ended struct {
 	Ref  Ref
 	N    int
 	How  End
-	Kind failure.Kind // why a server dropped it
+	Kind failure.Kind // why a server declined it
 }
 
 // Quit says that the caller left.
 type Quit struct{ Ref Ref }
 
-// Launch asks for a go: check with MaySend, then send the work.
+// Launch asks for an attempt: check with MaySend, then send the work.
 type Launch struct {
 	Ref    Ref
 	N      int
@@ -116,13 +116,14 @@
 	asking bool
 }
 
-// coin is what the first goes of a while earned for retries.
-type coin struct {
+// earning is what the first attempts of a while earned for retries.
+type earning struct {
 	at clock.Tick
 	n  float64
 }
 
-type bench struct {
+// serverLoad is what a router knows of a server's load.
+type serverLoad struct {
 	work   int
 	tokens int // of what is under way
 	memory int // tokens that what is under way of its own may come to at the server
@@ -155,21 +156,21 @@
 	swept   clock.Tick
 	hello   clock.Tick
 
-	reqs   map[Ref]*req
-	lines  map[ident.Key][]*req
-	wait   int
-	came   map[ident.Key]int
-	work   map[ident.Key]int
-	bench  map[ident.Server]*bench
-	bank   []coin                // what first goes earned, oldest first
-	lent   []clock.Tick          // when what is lent was taken
-	loads  map[ident.Key]float64 // seconds of a server's time that what came since the last word takes
-	paces  map[ident.Key]float64 // ns that a token takes at best, by base
-	dice   uint64
-	flows  map[ident.Key]*inflow
-	parted bool // its agent hears no owner
-	ending bool // it stops: nobody waits here any more
-	tally  Tally
+	requests map[Ref]*request
+	queues   map[ident.Key][]*request
+	queued   int
+	came     map[ident.Key]int
+	work     map[ident.Key]int
+	servers  map[ident.Server]*serverLoad
+	earnings []earning             // what first attempts earned, oldest first
+	loans    []clock.Tick          // when what is lent was taken
+	loads    map[ident.Key]float64 // seconds of a server's time that what came since the last word takes
+	paces    map[ident.Key]float64 // ns that a token takes at best, by base
+	dice     uint64
+	flows    map[ident.Key]*inflow
+	parted   bool // its agent hears no owner
+	ending   bool // it stops: nobody waits here any more
+	tally    Tally
 }
 
 // Tally counts what a router did.
@@ -185,8 +186,8 @@
 // New makes a router.
 func New(o Options) *Core {
 	c := &Core{
-		o: o.Defaults(), entries: map[ident.Key]*entry{}, reqs: map[Ref]*req{}, lines: map[ident.Key][]*req{},
-		came: map[ident.Key]int{}, work: map[ident.Key]int{}, bench: map[ident.Server]*bench{}, empty: map[ident.Zone]bool{},
+		o: o.Defaults(), entries: map[ident.Key]*entry{}, requests: map[Ref]*request{}, queues: map[ident.Key][]*request{},
+		came: map[ident.Key]int{}, work: map[ident.Key]int{}, servers: map[ident.Server]*serverLoad{}, empty: map[ident.Zone]bool{},
 		routers: 1, loads: map[ident.Key]float64{}, paces: map[ident.Key]float64{}, flows: map[ident.Key]*inflow{}, dice: uint64(o.Inc),
 	}
 	c.tally.Drops = map[failure.Kind]uint64{}
@@ -223,8 +224,8 @@
 
 // turnAway tells everyone who waits to come back, elsewhere: this router stops, and what waits has not run.
 func (c *Core) turnAway() {
-	for _, k := range generic.SortedKeys(c.lines) {
-		for _, r := range append([]*req{}, c.lines[k]...) {
+	for _, k := range generic.SortedKeys(c.queues) {
+		for _, r := range append([]*request{}, c.queues[k]...) {
 			c.finish(r, failure.Moved, 0)
 		}
 	}
@@ -256,33 +257,33 @@
 		}
 	}
 	if c.parted = b.Parted; c.parted {
-		defer c.pump()
+		defer c.serveAll()
 	}
 	if b.Seats != nil {
 		c.heardSeats(b.Seats)
 	}
 	if b.Until > c.until {
-		was := c.holds()
+		was := c.leased()
 		c.until = b.Until
 		if b.Routers > 0 {
 			c.routers = b.Routers
 		}
 		if !was {
 			c.resolve(false)
-			c.pump()
+			c.serveAll()
 		}
 	}
 }
 
-func (c *Core) holds() bool { return c.now < c.until }
+func (c *Core) leased() bool { return c.now < c.until }
 
-// alone tells whether the router has no hold and may go by what it knew all the same: it is parted
+// alone tells whether the router has no lease and may go by what it knew all the same: it is parted
 // from the core, and servers refuse by themselves what they do not hold or are not meant by.
-func (c *Core) alone() bool { return c.o.Guards && c.parted && c.plan != nil && !c.holds() }
+func (c *Core) alone() bool { return c.o.Guards && c.parted && c.plan != nil && !c.leased() }
 
 // usable tells whether work may be sent by an entry as it stands.
 func (c *Core) usable(e *entry) bool {
-	return e != nil && (e.held && c.holds() || c.alone() && len(e.Replicas) > 0)
+	return e != nil && (e.held && c.leased() || c.alone() && len(e.Replicas) > 0)
 }
 
 func (c *Core) onNews(b protocol.News) {
@@ -305,7 +306,7 @@
 		}
 	}
 	c.send(protocol.Heard{Session: c.ses, Num: c.num})
-	c.pump()
+	c.serveAll()
 }
 
 func (c *Core) onDesired(d *protocol.Desired) {
@@ -356,7 +357,7 @@
 	for len(c.entries) > c.o.Cache {
 		var old *entry
 		for _, e := range c.entries {
-			if len(c.lines[e.Key]) == 0 && (old == nil || e.used < old.used || e.used == old.used && e.Key < old.Key) {
+			if len(c.queues[e.Key]) == 0 && (old == nil || e.used < old.used || e.used == old.used && e.Key < old.Key) {
 				old = e
 			}
 		}
@@ -379,9 +380,9 @@
 	if c.now.Sub(c.hello) >= c.o.Hello || c.hello == 0 {
 		c.hello = c.now
 		b := map[ident.Key]protocol.Burden{}
-		for _, k := range generic.SortedKeys(c.lines) {
-			u := protocol.Burden{Wait: len(c.lines[k]), Work: c.work[k], Came: c.came[k]}
-			for _, r := range c.lines[k] {
+		for _, k := range generic.SortedKeys(c.queues) {
+			u := protocol.Burden{Wait: len(c.queues[k]), Work: c.work[k], Came: c.came[k]}
+			for _, r := range c.queues[k] {
 				u.Top = max(u.Top, r.class.Value)
 			}
 			b[k] = u
@@ -414,14 +415,14 @@
 		c.send(protocol.Removal{Session: c.ses, Drops: c.drops})
 		c.drops = nil
 	}
-	for _, k := range generic.SortedKeys(c.lines) {
-		for _, r := range append([]*req{}, c.lines[k]...) {
+	for _, k := range generic.SortedKeys(c.queues) {
+		for _, r := range append([]*request{}, c.queues[k]...) {
 			if c.now >= r.due {
 				c.finish(r, failure.Expired, 0)
 			}
 		}
 	}
-	c.pump()
+	c.serveAll()
 	if c.ending {
 		c.turnAway()
 	}
@@ -443,7 +444,7 @@
 }
 
 // Size tells how many entries are cached and how many requests wait.
-func (c *Core) Size() (entries, waiting int) { return len(c.entries), c.wait }
+func (c *Core) Size() (entries, waiting int) { return len(c.entries), c.queued }
 
 // Promises tells whether this router would now send work for a key to a server without
 // asking; checkers hold it against what servers are ordered.
--- a/internal/router/free_test.go
+++ b/internal/router/free_test.go
@@ -171,7 +171,7 @@
 			require.True(t, b.MaySend(b.at, ref, 2), c.name)
 		}
 		require.Zero(t, b.Counts().Retries, c.name)
-		require.Equal(t, 0, b.bench["w"].work, c.name)
+		require.Equal(t, 0, b.servers["w"].work, c.name)
 	}
 }
 
@@ -260,7 +260,7 @@
 		require.True(t, two.Resume, c.name)
 		require.True(t, b.MaySend(b.at, ref, 2), c.name)
 		require.EqualValues(t, 1, b.Counts().Retries, c.name)
-		require.Len(t, b.lent, 1, c.name)
+		require.Len(t, b.loans, 1, c.name)
 		b.Step(b.at, Begun{Ref: ref, N: 2})
 		r, ended := pick[Receipt](b.Step(b.at, Ended{Ref: ref, N: 2, How: Split}))
 		require.True(t, ended, "what was lent is spent: %s", c.name)
@@ -456,7 +456,7 @@
 				if !ok {
 					continue
 				}
-				x := b.bench[l.Server]
+				x := b.servers[l.Server]
 				require.LessOrEqual(t, x.work, 4, "seed %d", seed)
 				own := sizes[l.Ref]
 				require.True(t, x.memory <= 10_000 || x.memory == own, "seed %d: %d under way, %d of it its own", seed, x.memory, own)
@@ -505,11 +505,11 @@
 			}
 			take(b.wait(100e6))
 		}
-		for s, x := range b.bench {
+		for s, x := range b.servers {
 			require.Zero(t, x.work, "seed %d: %s", seed, s)
 			require.Zero(t, x.tokens, "seed %d: %s", seed, s)
 		}
-		require.Empty(t, b.reqs, "seed %d", seed)
+		require.Empty(t, b.requests, "seed %d", seed)
 		require.Empty(t, b.work, "seed %d", seed)
 	}
 }
@@ -581,9 +581,9 @@
 		{map[ident.Server]int{"s1": 1500}, 1500}, {map[ident.Server]int{"s1": 1000}, 1000}, {map[ident.Server]int{"s1": 600}, 700 + mostOut}, {map[ident.Server]int{"s2": 5}, 700 + mostOut},
 	} {
 		b.mail(protocol.Hold{Session: ses, Until: b.at.Add(60e9), Seats: c.fleet})
-		require.Equal(t, c.under, b.bench["s1"].under(), "%v", c.fleet)
+		require.Equal(t, c.under, b.servers["s1"].under(), "%v", c.fleet)
 	}
 	b.Step(b.at, Begun{Ref: ref, N: 1})
-	require.Equal(t, mostOut, b.bench["s1"].tokens, "the prompt is read")
-	require.Equal(t, 1000, b.bench["s1"].memory, "but its memory is taken")
+	require.Equal(t, mostOut, b.servers["s1"].tokens, "the prompt is read")
+	require.Equal(t, 1000, b.servers["s1"].memory, "but its memory is taken")
 }
--- a/internal/router/ledger.go
+++ b/internal/router/ledger.go
@@ -14,22 +14,22 @@
 // The ledger of a request: its attempts, how each ended, and the table that derives from them what comes
 // next. What may have run is never sent again unless the request may be repeated.
 
-// End is how a go ended.
+// End is how an attempt ended.
 type End string
 
-// The ways a go ends.
+// The ways an attempt ends.
 const (
 	Pending End = ""        // it has not
-	Kept    End = "kept"    // the hold or the entry was gone when it was to be sent
+	Kept    End = "kept"    // the lease or the entry was gone when it was to be sent
 	Unsent  End = "unsent"  // the server was not reached
-	Dropped End = "dropped" // the server dropped it
-	Lost    End = "lost"    // nothing is known of it
+	Dropped End = "dropped" // the server declined it: it did not run and never will
+	Lost    End = "lost"    // it may have run
 	Split   End = "split"   // its stream broke off
 	Done    End = "done"
 )
 
-// Go is one try in a request's ledger.
-type Go struct {
+// attemptRecord is one attempt in a request's ledger.
+type attemptRecord struct {
 	Server ident.Server
 	Inc    ident.Inc
 	How    End
@@ -49,30 +49,31 @@
 	Closed  = "closed"
 )
 
-type req struct {
+// request is a caller's request from its arrival to its last word.
+type request struct {
 	Call
-	key   ident.Key
-	class fleetplan.Class
-	came  clock.Tick
-	due   clock.Tick // it waits here until then
-	end   clock.Tick // and its answer is over by then
-	goes  []Go
-	stage string
-	owes  clock.Tick // since when its next go is a retry that is not paid for yet
-	doubt bool       // the plan in force allows it not, but that plan may be old
-	first bool       // its first arrival was counted
-	route *fleetplan.Route
+	key       ident.Key
+	class     fleetplan.Class
+	came      clock.Tick
+	due       clock.Tick // it waits here until then
+	end       clock.Tick // and its answer is over by then
+	attempts  []attemptRecord
+	stage     string
+	owes      clock.Tick // since when its next attempt is a retry that is not paid for yet
+	uncertain bool       // the plan in force allows it not, but that plan may be old
+	first     bool       // its first arrival was counted
+	route     *fleetplan.Route
 }
 
-// again tells whether the request may run a second time.
-func (r *req) again() bool {
+// repeatable tells whether the request may run a second time.
+func (r *request) repeatable() bool {
 	return r.Call.Call.Again || r.route != nil && (r.route.Mode == fleetplan.Idempotent || r.route.Resume)
 }
 
 // begun tells whether anything of its answer has come.
-func (r *req) begun() bool {
-	for _, g := range r.goes {
-		if g.Begun {
+func (r *request) begun() bool {
+	for _, attempt := range r.attempts {
+		if attempt.Begun {
 			return true
 		}
 	}
@@ -80,26 +81,27 @@
 }
 
 // resumes tells whether its stream may be taken up at another server.
-func (r *req) resumes() bool { return r.route != nil && r.route.Resume }
+func (r *request) resumes() bool { return r.route != nil && r.route.Resume }
 
-// ran tells whether any go so far may have run.
-func (r *req) ran() bool {
-	for _, g := range r.goes {
-		if g.How == Lost || g.How == Split {
+// mayHaveRun tells whether any attempt so far may have run.
+func (r *request) mayHaveRun() bool {
+	for _, attempt := range r.attempts {
+		if attempt.How == Lost || attempt.How == Split {
 			return true
 		}
 	}
 	return false
 }
 
-type tag struct{}
+// requestKey is the key of a context under which the state machine finds its request.
+type requestKey struct{}
 
 // The life of a request.
 var stages = func() *stateless.StateMachine {
 	s := stateless.NewStateMachineWithExternalStorage(
-		func(c context.Context) (stateless.State, error) { return c.Value(tag{}).(*req).stage, nil },
+		func(c context.Context) (stateless.State, error) { return c.Value(requestKey{}).(*request).stage, nil },
 		func(c context.Context, s stateless.State) error {
-			c.Value(tag{}).(*req).stage = s.(string)
+			c.Value(requestKey{}).(*request).stage = s.(string)
 			return nil
 		}, stateless.FiringImmediate)
 	s.Configure(Waiting).Permit("launch", Going).Permit("close", Closed)
@@ -110,26 +112,26 @@
 	return s
 }()
 
-func (r *req) fire(what string) bool {
+func (r *request) fire(what string) bool {
 	was := r.stage
-	_ = stages.FireCtx(context.WithValue(context.Background(), tag{}, r), what)
+	_ = stages.FireCtx(context.WithValue(context.Background(), requestKey{}, r), what)
 	return r.stage != was
 }
 
-// move is what comes next for a request.
-type move struct {
-	again bool         // wait for another go
+// transition is what comes next for a request.
+type transition struct {
+	again bool         // wait for another attempt
 	pay   bool         // which comes out of the allowance, or there is none
 	owe   bool         // which waits until the allowance bears it
-	kind  failure.Kind // the answer, when there is no other go
+	kind  failure.Kind // the answer, when there is no other attempt
 }
 
-// patience is how long a go after a failed dial waits for the allowance: at night there may be
+// patience is how long an attempt after a failed dial waits for the allowance: at night there may be
 // none, and no server has been bothered yet.
 const patience = clock.Span(1e9)
 
-// What follows each end of a go, for requests that may not and that may be repeated.
-var moves = map[End][2]move{
+// What follows each end of an attempt, for requests that may not and that may be repeated.
+var transitions = map[End][2]transition{
 	Pending: {{again: true}, {again: true}},
 	Kept:    {{again: true}, {again: true}},
 	Unsent:  {{again: true, owe: true}, {again: true, owe: true}},
@@ -139,36 +141,36 @@
 	Done:    {{}, {}},
 }
 
-// next derives the next move from the ledger alone.
-func (r *req) next(most int) move {
-	if len(r.goes) == 0 {
-		return move{again: true}
+// next derives the next transition from the ledger alone.
+func (r *request) next(most int) transition {
+	if len(r.attempts) == 0 {
+		return transition{again: true}
 	}
-	g := r.goes[len(r.goes)-1]
-	m := moves[g.How][b2i(r.again())]
-	if g.How == Dropped && g.Kind == failure.Repeated {
-		return move{kind: failure.Repeated} // another server would run it a second time
+	attempt := r.attempts[len(r.attempts)-1]
+	m := transitions[attempt.How][b2i(r.repeatable())]
+	if attempt.How == Dropped && attempt.Kind == failure.Repeated {
+		return transition{kind: failure.Repeated} // another server would run it a second time
 	}
-	if g.Begun && g.How == Lost {
-		m = moves[Split][0]
+	if attempt.Begun && attempt.How == Lost {
+		m = transitions[Split][0]
 	}
-	if g.How == Split && r.resumes() {
-		m = move{again: true, pay: true}
+	if attempt.How == Split && r.resumes() {
+		m = transition{again: true, pay: true}
 	}
 	if r.route != nil {
 		most = r.route.Tries
 	}
 	sent := 0
-	for _, g := range r.goes {
-		if g.How != Kept && g.How != Unsent {
+	for _, attempt := range r.attempts {
+		if attempt.How != Kept && attempt.How != Unsent {
 			sent++
 		}
 	}
 	if m.again && sent >= most {
-		if g.How == Dropped && g.Kind == failure.Mismatch {
-			return move{kind: failure.Moved} // what was known of the server was old: it is asked anew at once
+		if attempt.How == Dropped && attempt.Kind == failure.Mismatch {
+			return transition{kind: failure.Moved} // what was known of the server was old: it is asked anew at once
 		}
-		return move{kind: failure.NotReady}
+		return transition{kind: failure.NotReady}
 	}
 	return m
 }
--- a/internal/router/queue.go
+++ b/internal/router/queue.go
@@ -12,15 +12,15 @@
 
 // Requests that wait, in one queue for each key: the most valuable first, then the most urgent.
 
-// join puts a request in line. A full line lets go of what is worth least.
-func (c *Core) join(r *req) bool {
-	for len(c.lines[r.key]) >= c.o.Line || c.wait >= c.o.Queue {
+// enqueue puts a request in its queue. A full queue gives up what is worth least.
+func (c *Core) enqueue(r *request) bool {
+	for len(c.queues[r.key]) >= c.o.Line || c.queued >= c.o.Queue {
 		low := r
-		for _, k := range generic.SortedKeys(c.lines) {
-			if len(c.lines[r.key]) >= c.o.Line && k != r.key {
+		for _, k := range generic.SortedKeys(c.queues) {
+			if len(c.queues[r.key]) >= c.o.Line && k != r.key {
 				continue
 			}
-			for _, x := range c.lines[k] {
+			for _, x := range c.queues[k] {
 				if x.class.Value < low.class.Value || x.class.Value == low.class.Value && low != r && x.came > low.came {
 					low = x
 				}
@@ -31,52 +31,53 @@
 			return false
 		}
 	}
-	c.rest(r)
+	c.insert(r)
 	return true
 }
 
-// rest puts a request at its place in its line: the most valuable first, then the most urgent.
-func (c *Core) rest(r *req) {
-	l := c.lines[r.key]
+// insert puts a request at its place in its queue: the most valuable first, then the most urgent.
+func (c *Core) insert(r *request) {
+	l := c.queues[r.key]
 	i := sort.Search(len(l), func(i int) bool {
 		return l[i].class.Value < r.class.Value || l[i].class.Value == r.class.Value && l[i].due > r.due
 	})
 	l = append(l, nil)
 	copy(l[i+1:], l[i:])
 	l[i] = r
-	c.lines[r.key] = l
-	c.wait++
+	c.queues[r.key] = l
+	c.queued++
 }
 
-func (c *Core) leave(r *req) {
-	l := c.lines[r.key]
+// remove takes a request out of its queue.
+func (c *Core) remove(r *request) {
+	l := c.queues[r.key]
 	for i, x := range l {
 		if x == r {
-			c.wait--
+			c.queued--
 			l = append(l[:i:i], l[i+1:]...)
 			break
 		}
 	}
 	if len(l) == 0 {
-		delete(c.lines, r.key)
+		delete(c.queues, r.key)
 		return
 	}
-	c.lines[r.key] = l
+	c.queues[r.key] = l
 }
 
 // finish closes a request with its final answer.
-func (c *Core) finish(r *req, k failure.Kind, back clock.Span) {
+func (c *Core) finish(r *request, k failure.Kind, back clock.Span) {
 	if r.stage == Waiting {
-		c.leave(r)
+		c.remove(r)
 	}
 	r.fire("close")
-	delete(c.reqs, r.Ref)
+	delete(c.requests, r.Ref)
 	if k == failure.None {
 		c.tally.Receipts++
 		return
 	}
-	if failure.Receipts[k].Dropped && r.ran() {
-		k = failure.Unclear // a drop would say that it never ran
+	if failure.Receipts[k].Dropped && r.mayHaveRun() {
+		k = failure.Unclear // its status would say that it never ran
 	}
 	a := failure.Receipts[k]
 	if back == 0 {
@@ -89,10 +90,10 @@
 	c.out = append(c.out, Receipt{Ref: r.Ref, Kind: k, Back: back})
 }
 
-// pump serves every line, the most valuable first.
-func (c *Core) pump() {
-	l := generic.SortedKeys(c.lines)
-	sort.SliceStable(l, func(i, j int) bool { return c.lines[l[i]][0].class.Value > c.lines[l[j]][0].class.Value })
+// serveAll serves every queue, the most valuable first.
+func (c *Core) serveAll() {
+	l := generic.SortedKeys(c.queues)
+	sort.SliceStable(l, func(i, j int) bool { return c.queues[l[i]][0].class.Value > c.queues[l[j]][0].class.Value })
 	for _, k := range l {
 		c.serve(k)
 	}
@@ -100,9 +101,9 @@
 
 // serve launches what waits for a key while the promise on it holds and servers have room.
 func (c *Core) serve(k ident.Key) {
-	for i := 0; i < len(c.lines[k]); {
-		r, e := c.lines[k][i], c.entries[k]
-		if r.doubt {
+	for i := 0; i < len(c.queues[k]); {
+		r, e := c.queues[k][i], c.entries[k]
+		if r.uncertain {
 			return
 		}
 		if c.now >= r.due {
@@ -110,7 +111,7 @@
 			continue
 		}
 		if e == nil || !e.held {
-			c.want(k)
+			c.lookUp(k)
 		}
 		if !c.usable(e) {
 			return
@@ -126,7 +127,7 @@
 		}
 		p := c.pick(e, r)
 		switch {
-		case p == nil && !r.again():
+		case p == nil && !r.repeatable():
 			i++ // it waits for one server; others behind it may go to another
 		case p == nil:
 			return
@@ -139,8 +140,8 @@
 	}
 }
 
-// want asks for an entry, with the mark of the copy that is suspect, if there is one.
-func (c *Core) want(k ident.Key) {
+// lookUp asks for an entry, with the mark of the copy that is suspect, if there is one.
+func (c *Core) lookUp(k ident.Key) {
 	e := c.entries[k]
 	if e == nil {
 		e = &entry{Entry: protocol.Entry{Key: k}, used: c.now}
@@ -151,7 +152,7 @@
 	}
 	e.asking, e.asked = true, c.now
 	c.tally.Lookups++
-	w := protocol.Want{Session: c.ses, Key: k, Waiting: len(c.lines[k]), Value: c.lines[k][0].class.Value}
+	w := protocol.Want{Session: c.ses, Key: k, Waiting: len(c.queues[k]), Value: c.queues[k][0].class.Value}
 	if len(e.Replicas) > 0 {
 		w.Mark = e.Mark
 	}
--- a/internal/router/relay_answer.go
+++ b/internal/router/relay_answer.go
@@ -14,7 +14,7 @@
 // is as good as none.
 
 // take passes on the answer to this attempt, or tells why it cannot.
-func (x *exchange) take(v Launch, l *lease, a *http.Response, said Said) (End, failure.Kind) {
+func (x *exchange) take(v Launch, use *connUse, a *http.Response, said Said) (End, failure.Kind) {
 	good := a.StatusCode >= 200 && a.StatusCode < 300
 	stream := false
 	if t, _, err := mime.ParseMediaType(a.Header.Get("Content-Type")); err == nil {
@@ -22,27 +22,27 @@
 	}
 	switch {
 	case said.NotRun:
-		x.drain(l, a)
+		x.drain(use, a)
 		return Dropped, said.Kind
 	case good && !said.Sealed:
 		return Lost, failure.None
 	case x.open && !(good && stream):
 		return Lost, failure.None
-	case !good && promises(a.StatusCode):
-		x.drain(l, a)
+	case !good && promisesNotRun(a.StatusCode):
+		x.drain(use, a)
 		return Lost, failure.None // its status would say that it did not run, and it may have
 	case a.StatusCode >= 500 && v.Again:
-		x.drain(l, a)
+		x.drain(use, a)
 		return Lost, failure.None
 	}
 	if stream && x.req.Method != http.MethodHead {
-		return x.flow(v, l, a)
+		return x.flow(v, use, a)
 	}
-	return x.whole(v, l, a)
+	return x.whole(v, use, a)
 }
 
-// promises tells whether a status says that a request did not run and never will.
-func promises(status int) bool {
+// promisesNotRun tells whether a status says that a request did not run and never will.
+func promisesNotRun(status int) bool {
 	switch status {
 	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return true
@@ -51,20 +51,20 @@
 }
 
 // drain reads a small body off, so that the connection can be kept; nobody waits long for that.
-func (x *exchange) drain(l *lease, a *http.Response) {
-	if a.ContentLength > mostDrain || until(a) || l.c.SetReadDeadline(time.Now().Add(drainWait)) != nil {
-		l.end(false)
+func (x *exchange) drain(use *connUse, a *http.Response) {
+	if a.ContentLength > mostDrain || closeDelimited(a) || use.c.SetReadDeadline(time.Now().Add(drainWait)) != nil {
+		use.end(false)
 		return
 	}
 	n, err := io.CopyN(io.Discard, a.Body, mostDrain)
-	l.end(err == io.EOF && n < mostDrain)
+	use.end(err == io.EOF && n < mostDrain)
 }
 
 // whole passes an answer on that is no stream. A small one is read whole first: if it breaks off,
 // the client has no byte of it yet.
-func (x *exchange) whole(v Launch, l *lease, a *http.Response) (End, failure.Kind) {
+func (x *exchange) whole(v Launch, use *connUse, a *http.Response) (End, failure.Kind) {
 	if a.Body == http.NoBody {
-		l.end(true)
+		use.end(true)
 		// There is no body by the request's method or the status. The length then stands for the body
 		// that there would be, but for a status that never has one.
 		if n, ok := a.Header["Content-Length"]; ok && a.StatusCode != http.StatusNoContent {
@@ -73,38 +73,38 @@
 		x.reply = &reply{status: a.StatusCode, head: a.Header}
 		return Done, failure.None
 	}
-	if until(a) {
+	if closeDelimited(a) {
 		return x.broken() // its end cannot be told from a break
 	}
-	b := borrow()
+	b := getBuffer()
 	if a.ContentLength <= mostKept {
 		if a.ContentLength > 0 {
 			b.Grow(int(a.ContentLength) + bytes.MinRead)
 		}
 		switch _, err := io.CopyN(b, a.Body, mostKept+1); err {
 		case io.EOF:
-			l.end(true)
+			use.end(true)
 			x.reply = &reply{a.StatusCode, a.Header, b}
 			return Done, failure.None
 		case nil:
 		default:
-			giveBack(b)
+			putBuffer(b)
 			return x.broken()
 		}
 	}
-	defer giveBack(b)
+	defer putBuffer(b)
 	if a.ContentLength > 0 {
 		x.w.Header()["Content-Length"] = a.Header["Content-Length"]
 	}
 	x.r.core.Step(Begun{Ref: v.Ref, N: v.N})
-	x.begin(a.StatusCode, a.Header)
-	x.pass(b.Bytes(), false)
+	x.writeHead(a.StatusCode, a.Header)
+	x.writeBody(b.Bytes(), false)
 	how, kind := x.pump(a, func(p []byte) bool {
-		x.pass(p, false)
+		x.writeBody(p, false)
 		return true
 	})
 	if how == Done {
-		l.end(true)
+		use.end(true)
 	}
 	return how, kind
 }
@@ -132,7 +132,7 @@
 }
 
 // flow passes a stream on as it comes.
-func (x *exchange) flow(v Launch, l *lease, a *http.Response) (End, failure.Kind) {
+func (x *exchange) flow(v Launch, use *connUse, a *http.Response) (End, failure.Kind) {
 	f := &events{x: x, resumed: x.open, begin: func() {
 		x.r.core.Step(Begun{Ref: v.Ref, N: v.N})
 		if !x.open {
@@ -140,7 +140,7 @@
 				x.w.Header()["Content-Length"] = a.Header["Content-Length"]
 			}
 			x.units = v.Resume
-			x.begin(a.StatusCode, a.Header)
+			x.writeHead(a.StatusCode, a.Header)
 		}
 	}}
 	defer f.free()
@@ -152,13 +152,13 @@
 	if how != Done {
 		return how, kind
 	}
-	if until(a) {
+	if closeDelimited(a) {
 		return x.broken()
 	}
 	if !f.end() {
 		return Lost, failure.None
 	}
-	l.end(true)
+	use.end(true)
 	if !f.begun {
 		f.start()
 	}
--- a/internal/router/relay_attempt.go
+++ b/internal/router/relay_attempt.go
@@ -26,14 +26,14 @@
 	if err != nil {
 		return Unsent, failure.None
 	}
-	l := &lease{r: r, c: c, stop: context.AfterFunc(ctx, c.cut)}
-	defer l.end(false)
+	use := &connUse{r: r, c: c, stop: context.AfterFunc(ctx, c.cut)}
+	defer use.end(false)
 	if left = time.Until(due); left <= 0 {
-		l.end(true)
+		use.end(true)
 		return Kept, failure.None
 	}
 	if !r.core.MaySend(v.Ref, v.N) {
-		l.end(true)
+		use.end(true)
 		return Kept, failure.None
 	}
 	a := Attempt{Server: v.Server, Left: left, Rank: v.Rank}
@@ -47,27 +47,27 @@
 		}
 		return x.broken()
 	}
-	return x.receive(v, l, due)
+	return x.receive(v, use, due)
 }
 
-// lease is the use of a connection by one attempt.
-type lease struct {
+// connUse is the use of a connection by one attempt.
+type connUse struct {
 	r    *Relay
 	c    *conn
 	stop func() bool
 }
 
 // end gives the connection back, or closes it.
-func (l *lease) end(keep bool) {
-	if l.c == nil {
+func (u *connUse) end(keep bool) {
+	if u.c == nil {
 		return
 	}
-	if l.stop() && keep {
-		l.r.conns.put(l.c)
+	if u.stop() && keep {
+		u.r.conns.put(u.c)
 	} else {
-		l.c.close()
+		u.c.close()
 	}
-	l.c = nil
+	u.c = nil
 }
 
 // broken says what a broken connection means.
@@ -82,8 +82,8 @@
 // send writes the request, in one write if it is small. It tells how many bytes left.
 func (x *exchange) send(c *conn, due time.Time) (int64, error) {
 	q := x.req
-	b := borrow()
-	defer giveBack(b)
+	b := getBuffer()
+	defer putBuffer(b)
 	target := q.RequestURI
 	if !strings.HasPrefix(target, "/") && target != "*" {
 		target = q.URL.RequestURI()
@@ -116,8 +116,8 @@
 }
 
 // receive reads the answer to this attempt, past those that belong to earlier ones.
-func (x *exchange) receive(v Launch, l *lease, due time.Time) (End, failure.Kind) {
-	r, c := x.r, l.c
+func (x *exchange) receive(v Launch, use *connUse, due time.Time) (End, failure.Kind) {
+	r, c := x.r, use.c
 	if c.SetReadDeadline(due.Add(r.o.Slack)) != nil {
 		return x.broken()
 	}
@@ -131,10 +131,10 @@
 			if n > 0 {
 				c.keep = 0 // who knows what else comes on it
 			}
-			return x.take(v, l, a, said)
+			return x.take(v, use, a, said)
 		}
 		// Where HEAD was asked, the end of another request's answer is not known either.
-		if said.ID == "" || n == mostSurplus || until(a) || x.req.Method == http.MethodHead {
+		if said.ID == "" || n == mostSurplus || closeDelimited(a) || x.req.Method == http.MethodHead {
 			r.count(func(t *RelayTally) { t.Foreign++ })
 			return x.broken()
 		}
@@ -145,7 +145,7 @@
 	}
 }
 
-// until tells whether nothing but the end of the connection ends an answer's body.
-func until(a *http.Response) bool {
+// closeDelimited tells whether nothing but the end of the connection ends an answer's body.
+func closeDelimited(a *http.Response) bool {
 	return a.ContentLength < 0 && len(a.TransferEncoding) == 0 && a.Body != http.NoBody
 }
--- a/internal/router/relay_buffers.go
+++ b/internal/router/relay_buffers.go
@@ -24,9 +24,11 @@
 	pieces  = sync.Pool{New: func() any { b := make([]byte, 32<<10); return &b }}
 )
 
-func borrow() *bytes.Buffer { return buffers.Get().(*bytes.Buffer) }
+// getBuffer gives an empty buffer.
+func getBuffer() *bytes.Buffer { return buffers.Get().(*bytes.Buffer) }
 
-func giveBack(b *bytes.Buffer) {
+// putBuffer takes a buffer back, unless it has grown out of its kind.
+func putBuffer(b *bytes.Buffer) {
 	if b.Cap() <= mostKept {
 		b.Reset()
 		buffers.Put(b)
--- a/internal/router/relay_events.go
+++ b/internal/router/relay_events.go
@@ -22,7 +22,7 @@
 func (f *events) free() {
 	for _, b := range []*bytes.Buffer{f.buf, f.out, f.wait} {
 		if b != nil {
-			giveBack(b)
+			putBuffer(b)
 		}
 	}
 }
@@ -39,7 +39,7 @@
 	if !f.begun {
 		f.start()
 	}
-	f.x.pass(b, true)
+	f.x.writeBody(b, true)
 }
 
 // bytes passes a stream on that cannot be taken up: every byte as it comes.
@@ -51,7 +51,7 @@
 // whole passes on the events that are whole, and keeps the rest.
 func (f *events) whole(p []byte) bool {
 	if f.buf == nil {
-		f.buf, f.out, f.wait = borrow(), borrow(), borrow()
+		f.buf, f.out, f.wait = getBuffer(), getBuffer(), getBuffer()
 	}
 	f.buf.Write(p)
 	ok := true
--- a/internal/router/relay_exchange.go
+++ b/internal/router/relay_exchange.go
@@ -62,18 +62,18 @@
 		x.refuse(failure.Malformed, 0, q.Body != http.NoBody, fleetplan.Faults{*fault})
 		return
 	}
-	b := borrow()
-	defer giveBack(b)
+	b := getBuffer()
+	defer putBuffer(b)
 	if !x.read(b) {
 		return
 	}
 	x.body = b.Bytes()
 	x.facts, x.last, x.seen = facts, facts.Seen, facts.Seen > 0
 	x.head = make(http.Header, len(q.Header)+6)
-	through(x.head, q.Header)
+	copyHeaders(x.head, q.Header)
 	x.run()
 	if x.reply != nil {
-		x.answer()
+		x.writeReply()
 	}
 }
 
@@ -108,7 +108,7 @@
 	case errors.As(err, &over):
 		x.refuse(failure.Oversize, 0, true, big)
 	case errors.As(err, &late) && late.Timeout():
-		x.say(http.StatusRequestTimeout, host.Problem{Kind: failure.Expired, Dropped: true}, 0, true)
+		x.writeProblem(http.StatusRequestTimeout, host.Problem{Kind: failure.Expired, Dropped: true}, 0, true)
 	default:
 		x.abort()
 	}
--- a/internal/router/relay_headers.go
+++ b/internal/router/relay_headers.go
@@ -8,8 +8,8 @@
 
 // Which headers of a request or an answer go through, and which concern one connection only.
 
-// hop tells whether a header concerns one connection only.
-func hop(name string) bool {
+// hopByHop tells whether a header concerns one connection only.
+func hopByHop(name string) bool {
 	switch name {
 	case "Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length", "Host":
 		return true
@@ -17,10 +17,10 @@
 	return strings.HasPrefix(name, "Proxy-")
 }
 
-// through copies the headers that go through to c.
-func through(c, h http.Header) {
+// copyHeaders copies the headers that go through to c.
+func copyHeaders(c, h http.Header) {
 	for k, v := range h {
-		if !hop(k) {
+		if !hopByHop(k) {
 			c[k] = v
 		}
 	}
--- a/internal/router/relay_reply.go
+++ b/internal/router/relay_reply.go
@@ -42,12 +42,13 @@
 	if back == 0 {
 		back = a.Back
 	}
-	x.say(a.Status, host.Problem{Kind: k, Dropped: a.Dropped, BackMs: back.Milliseconds(), Faults: f}, back, end)
+	x.writeProblem(a.Status, host.Problem{Kind: k, Dropped: a.Dropped, BackMs: back.Milliseconds(), Faults: f}, back, end)
 }
 
-func (x *exchange) say(status int, p host.Problem, back clock.Span, end bool) {
+// writeProblem writes an answer of the router's own.
+func (x *exchange) writeProblem(status int, p host.Problem, back clock.Span, end bool) {
 	x.r.count(func(t *RelayTally) { t.Refusals++ })
-	x.arm()
+	x.armDeadline()
 	h := x.w.Header()
 	b, _ := json.Marshal(p)
 	h["Content-Type"] = []string{"application/json"}
@@ -55,13 +56,13 @@
 	if back > 0 {
 		h["Retry-After"] = []string{strconv.FormatFloat(back.Round(time.Millisecond).Seconds(), 'f', -1, 64)}
 	}
-	x.ends(end)
+	x.writeConnection(end)
 	x.w.WriteHeader(status)
 	_, _ = x.w.Write(b)
 }
 
-// ends adds what the head of an answer says about the client's connection.
-func (x *exchange) ends(end bool) {
+// writeConnection adds what the head of an answer says about the client's connection.
+func (x *exchange) writeConnection(end bool) {
 	if end || x.r.close() {
 		x.w.Header()["Connection"] = []string{"close"}
 	} else if s := int(x.r.o.KeepAlive / time.Second); s > 0 {
@@ -69,35 +70,35 @@
 	}
 }
 
-// arm bounds how long a client may take nothing.
-func (x *exchange) arm() {
+// armDeadline bounds how long a client may take nothing.
+func (x *exchange) armDeadline() {
 	if now := time.Now(); now.Sub(x.armed) > x.r.o.WriteWait/8 {
 		x.armed = now
 		_ = x.to.SetWriteDeadline(now.Add(x.r.o.WriteWait))
 	}
 }
 
-// begin writes the head of a server's answer.
-func (x *exchange) begin(status int, head http.Header) {
-	x.arm()
+// writeHead writes the head of a server's answer.
+func (x *exchange) writeHead(status int, head http.Header) {
+	x.armDeadline()
 	h := x.w.Header()
-	through(h, head)
+	copyHeaders(h, head)
 	for _, k := range []string{"Date", "Content-Type"} {
 		if _, ok := h[k]; !ok {
 			h[k] = nil // nothing is made up
 		}
 	}
-	x.ends(false)
+	x.writeConnection(false)
 	x.open = true
 	x.w.WriteHeader(status)
 }
 
-// pass writes bytes of an answer's body.
-func (x *exchange) pass(b []byte, flush bool) {
+// writeBody writes bytes of an answer's body.
+func (x *exchange) writeBody(b []byte, flush bool) {
 	if len(b) == 0 || x.gone {
 		return
 	}
-	x.arm()
+	x.armDeadline()
 	if _, err := x.w.Write(b); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
 		x.gone = true
 		return
@@ -107,17 +108,17 @@
 	}
 }
 
-// answer writes a whole answer.
-func (x *exchange) answer() {
+// writeReply writes a whole answer.
+func (x *exchange) writeReply() {
 	a := x.reply
 	if a.body == nil {
-		x.begin(a.status, a.head)
+		x.writeHead(a.status, a.head)
 		return
 	}
-	defer giveBack(a.body)
+	defer putBuffer(a.body)
 	x.w.Header()["Content-Length"] = []string{strconv.Itoa(a.body.Len())}
-	x.begin(a.status, a.head)
-	if x.pass(a.body.Bytes(), false); x.gone {
+	x.writeHead(a.status, a.head)
+	if x.writeBody(a.body.Bytes(), false); x.gone {
 		x.abort()
 	}
 }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -120,7 +120,7 @@
 		l, ok := pick[Launch](out)
 		require.True(t, ok)
 		require.True(t, b.MaySend(b.at, ref, 1))
-		b.bank = []coin{{b.at, c.bank}}
+		b.earnings = []earning{{b.at, c.bank}}
 		if c.begun {
 			b.Step(b.at, Begun{ref, 1})
 		}
@@ -152,7 +152,7 @@
 	b.entry("m", "s1")
 	ref, _ := b.call(fleetplan.Call{Again: true, Wait: 80e6})
 	require.True(t, b.MaySend(b.at, ref, 1))
-	b.bank = []coin{{b.at, 1}}
+	b.earnings = []earning{{b.at, 1}}
 	out := b.Step(b.at, Ended{ref, 1, Lost, ""}) // the only server is avoided for a while: it waits
 	_, dropped := pick[Receipt](out)
 	require.False(t, dropped)
@@ -374,7 +374,7 @@
 	}{{1e9, 4}, {2e9, 8}, {4e9, 16}, {9e9, 16}} {
 		at := b.at.Add(c.after)
 		b.Step(at, protocol.Beat{})
-		require.Equal(t, c.most, b.bench["s"].work, "%v", c.after)
+		require.Equal(t, c.most, b.servers["s"].work, "%v", c.after)
 	}
 }
 
@@ -432,7 +432,7 @@
 		}
 		require.Equal(t, n+1, l.N)
 		require.Equal(t, same, l.Server == s)
-		d.bank = []coin{{d.at, 5}}
+		d.earnings = []earning{{d.at, 5}}
 		out = d.Step(d.at, Ended{l.Ref, l.N, Unsent, ""})
 		d.at = d.at.Add(1e9)
 	}
--- a/internal/router/serve_test.go
+++ b/internal/router/serve_test.go
@@ -186,8 +186,8 @@
 	<-gone
 	s.Close() // waits for the router's own side
 	d.c.With(func(clock.Tick) {
-		require.Zero(t, d.core.bench["s"].work)
-		require.Empty(t, d.core.reqs)
+		require.Zero(t, d.core.servers["s"].work)
+		require.Empty(t, d.core.requests)
 	})
 }
 
@@ -257,7 +257,7 @@
 	<-gone
 	s.Close()
 	d.c.With(func(clock.Tick) {
-		require.Zero(t, d.core.bench["s"].work)
-		require.Empty(t, d.core.reqs)
+		require.Zero(t, d.core.servers["s"].work)
+		require.Empty(t, d.core.requests)
 	})
 }
--- a/internal/router/weigh.go
+++ b/internal/router/weigh.go
@@ -27,7 +27,7 @@
 )
 
 // weight is what a request asks of a server, in tokens.
-func (r *req) weight() int {
+func (r *request) weight() int {
 	if r.key.Plain() {
 		return flatWeight
 	}
@@ -35,10 +35,10 @@
 }
 
 // memory is what a request may come to at a server, in tokens.
-func (r *req) memory() int { return r.Call.Call.Tokens + r.Call.Call.Max }
+func (r *request) memory() int { return r.Call.Call.Tokens + r.Call.Call.Max }
 
 // shared counts the tokens of a prompt that other requests have too: all parts but the last.
-func (r *req) shared() int {
+func (r *request) shared() int {
 	n := 0
 	for i := 0; i+1 < len(r.Call.Call.Sizes); i++ {
 		n += r.Call.Call.Sizes[i]
@@ -57,7 +57,7 @@
 
 // home is the hash by which shared parts have a server where they are likely kept; it is the same at
 // every router.
-func home(r *req, s ident.Server) uint64 {
+func home(r *request, s ident.Server) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(s))
 	_, _ = h.Write([]byte(r.key))
@@ -69,10 +69,10 @@
 }
 
 // under tells what all routers have under way at a server, as far as this one knows.
-func (b *bench) under() int { return b.tokens + b.others }
+func (b *serverLoad) under() int { return b.tokens + b.others }
 
 // weigh chooses the replica that a request is likely to be answered by first.
-func (c *Core) weigh(e *entry, r *req) *protocol.Replica {
+func (c *Core) weigh(e *entry, r *request) *protocol.Replica {
 	var best, kept *protocol.Replica
 	cost, top := math.Inf(1), uint64(0)
 	gain := float64(r.shared()) * partGain
@@ -86,7 +86,7 @@
 	blur := c.spread(r, len(e.Replicas))
 	for i := range e.Replicas {
 		p := &e.Replicas[i]
-		b := c.seat(p.Server)
+		b := c.server(p.Server)
 		if c.empty[p.Zone] || c.now < b.avoid || r.met(p) {
 			continue
 		}
@@ -117,7 +117,7 @@
 
 // spread blurs the choice, so that routers which know the same do not all choose the same: by as much as
 // all of them may have sent to one replica since they last heard of each other.
-func (c *Core) spread(r *req, replicas int) float64 {
+func (c *Core) spread(r *request, replicas int) float64 {
 	if r.key.Plain() {
 		return 0.3
 	}
@@ -135,7 +135,7 @@
 	rate float64
 }
 
-func (c *Core) sent(r *req) {
+func (c *Core) sent(r *request) {
 	if r.key.Plain() {
 		return
 	}
@@ -149,8 +149,8 @@
 }
 
 // met tells whether a request was at a replica already and got nothing there.
-func (r *req) met(p *protocol.Replica) bool {
-	for _, g := range r.goes {
+func (r *request) met(p *protocol.Replica) bool {
+	for _, g := range r.attempts {
 		if g.Server == p.Server && g.How != Kept {
 			return true
 		}
@@ -159,7 +159,7 @@
 }
 
 // fits tells whether a server can take a request on: its places, and the memory that its requests share.
-func (c *Core) fits(r *req, p *protocol.Replica, b *bench) bool {
+func (c *Core) fits(r *request, p *protocol.Replica, b *serverLoad) bool {
 	v := c.plan.Services[r.key.Service()]
 	if r.key.Plain() {
 		return b.under() < 3*max(1, p.Slots)
@@ -172,7 +172,7 @@
 }
 
 // pace learns how long a token takes at best for a key: others before it only make it longer.
-func (c *Core) pace(r *req, g *Go) {
+func (c *Core) pace(r *request, g *attemptRecord) {
 	if r.key.Plain() || r.Call.Call.Tokens == 0 {
 		return
 	}
@@ -190,7 +190,7 @@
 }
 
 // loadOf tells how many seconds of a server's time a request takes.
-func (c *Core) loadOf(r *req) float64 {
+func (c *Core) loadOf(r *request) float64 {
 	if r.key.Plain() {
 		return 0
 	}
@@ -219,12 +219,12 @@
 
 // heardSeats takes in what all routers have under way.
 func (c *Core) heardSeats(m map[ident.Server]int) {
-	for s, b := range c.bench {
+	for s, b := range c.servers {
 		b.others = max(0, m[s]-b.told)
 	}
 	for s, n := range m {
-		if c.bench[s] == nil && n > 0 {
-			c.seat(s).others = n
+		if c.servers[s] == nil && n > 0 {
+			c.server(s).others = n
 		}
 	}
 }
@@ -232,7 +232,7 @@
 // seats tells what this router has under way.
 func (c *Core) seats() map[ident.Server]int {
 	m := map[ident.Server]int{}
-	for s, b := range c.bench {
+	for s, b := range c.servers {
 		if b.told = b.tokens; b.tokens > 0 {
 			m[s] = b.tokens
 		}
--- a/internal/simulator/bites_test.go
+++ b/internal/simulator/bites_test.go
@@ -28,11 +28,11 @@
 	{"wait out the owner before", "medley", "held a promise", []edit{{"internal/controller/place.go", "quiet := c.now > c.duty.began.Add(c.pad(c.o.Hold))", "quiet := true"}}},
 	{"drop on a break", "moves", "held a promise", []edit{{"internal/router/core.go", "c.tally.Breaks++\n\tdelete(c.entries, k)", "c.tally.Breaks++"}}},
 	{"drain before an unload", "unplan", "while work was under way", []edit{{"internal/controller/place.go", "s.ok > p.since && p.work == 0 && !c.adapted(s, p)", "true"}}},
-	{"check at the point of sending", "unplan", "after it was unloaded|which no plan allows", []edit{{"internal/router/attempts.go", "if !c.stands(r, g) {", "if g == nil {"}}},
+	{"check at the point of sending", "unplan", "after it was unloaded|which no plan allows", []edit{{"internal/router/attempts.go", "if !c.stands(r, attempt) {", "if attempt == nil {"}}},
 	{"route under a hold only", "moves-cut", "routes under epoch|after it was unloaded|after it was leaving", []edit{
 		{"internal/router/core.go", "return c.now < c.until }", "return true }"},
-		{"internal/router/queue.go", "if e == nil || !e.held {\n\t\t\tc.want", "if e == nil {\n\t\t\tc.want"},
-		{"internal/router/core.go", "return e != nil && (e.held && c.holds() ||", "return e != nil && (c.holds() ||"}}},
+		{"internal/router/queue.go", "if e == nil || !e.held {\n\t\t\tc.lookUp", "if e == nil {\n\t\t\tc.lookUp"},
+		{"internal/router/core.go", "return e != nil && (e.held && c.leased() ||", "return e != nil && (c.leased() ||"}}},
 	{"keep within room", "moves", "past its room", []edit{
 		{"internal/controller/place.go", "if free < w.m.Size {", "if false {"}, {"internal/controller/place.go", "over := s.room > 0 && s.used() > s.room", "over := false"}}},
 	{"keep within the store's budget", "blackout", "outran the store", []edit{
@@ -62,11 +62,11 @@
 	{"one server's events", "storm", "came as number|two goes in one answer|after its end", []edit{
 		{"internal/router/ledger.go", "Split:   {{kind: failure.Cut}, {kind: failure.Cut}}", "Split:   {{again: true}, {again: true}}"}}},
 	{"route only what is allowed", "plans", "which no plan allows", []edit{
-		{"internal/router/admission.go", "case c.holds():\n\t\t\treturn why", "case why != failure.None && c.holds():"},
+		{"internal/router/admission.go", "case c.leased():\n\t\t\treturn why", "case why != failure.None && c.leased():"},
 		{"internal/router/admission.go", "return why\n}\n\n// admit", "_ = why\n\treturn failure.None\n}\n\n// admit"}}},
-	{"turn away under a hold only", "grow", "was turned away", []edit{{"internal/router/admission.go", "case c.holds():\n\t\t\treturn why", "case true:\n\t\t\treturn why"}}},
+	{"turn away under a hold only", "grow", "was turned away", []edit{{"internal/router/admission.go", "case c.leased():\n\t\t\treturn why", "case true:\n\t\t\treturn why"}}},
 	{"refuse what was sent late", "lag", "after it was leaving or gone|in emptied zone|which no plan allows", []edit{{"internal/standin/server.go", "s.now.Sub(v.Since) > s.o.Whole", "s.now.Sub(v.Since) > 1e15"}}},
-	{"one server for what runs once", "again", "may not be repeated", []edit{{"internal/router/choice.go", "if !r.again() && !c.o.Free {\n\t\tif only", "if r == nil {\n\t\tif only"}}},
+	{"one server for what runs once", "again", "may not be repeated", []edit{{"internal/router/choice.go", "if !r.repeatable() && !c.o.Free {\n\t\tif only", "if r == nil {\n\t\tif only"}}},
 	{"routers give agents back the plan", "ruin-clocks", "the routers' plan did not come back", []edit{{"internal/router/core.go", "if b.Session.Agent != c.ses.Agent && c.last != nil {", "if false {"}}},
 	{"agents' lives by the steady clock", "clocks", "proper requests were answered", []edit{{"internal/agent/core.go", "Agent: c.o.Life, Router", "Agent: c.o.Inc, Router"}}},
 	{"know the last list", "platform", "service came back|proper requests were answered", []edit{{"internal/controller/duty.go", "c.onList(c.list.List) //", "//"}}},
