A route added under way does not let what may run once run again; short core functions

Cause: a request kept the mode of the route that it was sent under. If a longer prefix had by then put it under a route whose requests run once, it was still sent again after a loss. And a retry that came too late took one out of the allowance before it was told so. Change: what may have run is looked up in the plan in force before it may run again (restrict); the horizon is looked at before the allowance. leastWorth, comesLate, withRoom, burden and countSend are taken out of longer functions, waits and steps are named. Ruled out: looking at every end, since matching costs time and only what may have run matters.

--- a/internal/router/admission.go
+++ b/internal/router/admission.go
@@ -1,6 +1,9 @@
 package router
 
 import (
+	"time"
+
+	"tidedeck/internal/clock"
 	"tidedeck/internal/failure"
 	"tidedeck/internal/fleetplan"
 	"tidedeck/internal/generic"
@@ -10,6 +13,9 @@
 // Admission: a request's route, class and horizon come from the plan, when it arrives, when the plan changes
 // and when it waits again after an attempt.
 
+// undecidedWait is how long a request that no known plan decides about waits for one that does.
+const undecidedWait = clock.Span(5 * time.Second)
+
 // allowed tells whether the plan in force still sends a request where it is going.
 func (c *Core) allowed(r *request) failure.Kind {
 	if c.plan == nil {
@@ -25,17 +31,18 @@
 // admit takes a request's class and horizon from the plan. While no plan is known that surely
 // rules, a request may wait a while for one, but is sent nowhere and turned away by none.
 func (c *Core) admit(r *request) failure.Kind {
-	r.class = fleetplan.Class{Value: 1, Wait: 5e9}
+	r.class = fleetplan.Class{Value: 1, Wait: undecidedWait}
 	r.uncertain = c.plan == nil
 	if c.plan != nil {
 		m, why := c.plan.Match(r.Call.Call.Query(r.Route))
 		switch {
 		case why == failure.None:
 			r.class, r.key, r.route = m.Class, m.Key, m.Route
+			r.once = r.mayHaveRun() && (r.once || m.Route != nil && !repeats(m.Route))
 		case c.leased():
 			return why
 		default:
-			r.uncertain = true // without a hold the plan may be old: a newer one may allow it
+			r.uncertain = true // without a lease the plan may be old: a newer one may allow it
 		}
 	}
 	r.due = r.came.Add(r.class.Wait)
@@ -49,6 +56,18 @@
 	return failure.None
 }
 
+// restrict keeps a request that may have run from running again if the plan in force has it under a route
+// whose requests run once: routes may be added while it is under way.
+func (c *Core) restrict(r *request) {
+	if c.plan == nil {
+		return
+	}
+	m, why := c.plan.Match(r.Call.Call.Query(r.Route))
+	if why == failure.None && m.Route != nil && !repeats(m.Route) {
+		r.once = true
+	}
+}
+
 // resolve looks anew at every request that waits, under the plan now in force.
 func (c *Core) resolve(all bool) {
 	for _, k := range generic.SortedKeys(c.queues) {
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"time"
 
 	"tidedeck/internal/clock"
 	"tidedeck/internal/failure"
@@ -43,10 +45,15 @@
 		c.tally.SendsHeld++
 		return false
 	}
-	first := true
-	for _, x := range r.attempts[:n-1] {
-		first = first && (x.How == Kept || x.How == Unsent)
-	}
+	c.countSend(r)
+	return true
+}
+
+// countSend counts an attempt that is about to be sent: as the first arrival of its request, which earns for
+// the allowance once, or as a retry.
+func (c *Core) countSend(r *request) {
+	before := r.attempts[:len(r.attempts)-1]
+	first := !slices.ContainsFunc(before, func(x attemptRecord) bool { return x.How != Kept && x.How != Unsent })
 	switch {
 	case first && r.first: // nothing of it has left yet
 	case first:
@@ -58,7 +65,6 @@
 	default:
 		c.tally.Retries++
 	}
-	return true
 }
 
 // stands tells whether an attempt may still be sent: by the entry, the zone and the plan as they are now.
@@ -119,12 +125,15 @@
 	}
 	b := c.release(r, attempt)
 	c.mark(r, attempt, b)
+	if r.mayHaveRun() {
+		c.restrict(r)
+	}
 	m := r.next(c.o.Goes)
 	switch {
-	case m.again && m.pay && !c.pay():
-		c.finish(r, failure.Spent, 0)
 	case m.again && c.now >= r.due:
 		c.finish(r, failure.Expired, 0)
+	case m.again && m.pay && !c.pay():
+		c.finish(r, failure.Spent, 0)
 	case m.again:
 		r.fire("back")
 		if m.owe {
@@ -142,11 +151,18 @@
 	c.serveAll()
 }
 
+// A server at which an attempt failed is avoided for twice as long with each failure in a row: 100 ms at
+// first, which is more than a full server takes to finish something, and 1.6 s at the most.
+const (
+	avoidStep      = clock.Span(50 * time.Millisecond)
+	avoidDoublings = 5
+)
+
 // mark draws what an end says about the server and the entry.
 func (c *Core) mark(r *request, attempt *attemptRecord, b *serverLoad) {
 	back := func() {
 		b.fails++
-		b.avoid = c.now.Add(clock.Span(50e6) << min(b.fails, 5))
+		b.avoid = c.now.Add(avoidStep << min(b.fails, avoidDoublings))
 	}
 	switch attempt.How {
 	case Unsent:
--- a/internal/router/caller_test.go
+++ b/internal/router/caller_test.go
@@ -16,6 +16,7 @@
 	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/require"
 
+	"tidedeck/internal/failure"
 	"tidedeck/internal/fleetplan"
 )
 
@@ -332,3 +333,51 @@
 	require.NoError(t, <-end)
 	s.settled(t)
 }
+
+// What was sent under a route that lets it run once, or is under one by now, is not sent again when it may
+// have run: routes may be added while it is under way.
+func TestRepeatOnlyUnderBothRoutes(t *testing.T) {
+	once := func(p *fleetplan.Plan) {
+		p.Hosts["h"]["/again/x/"] = &fleetplan.Route{Name: "new", Host: "h", Prefix: "/again/x/", Service: "web", Mode: fleetplan.Once,
+			Tries: 9, Class: fleetplan.Class{Value: 5, Wait: 5e9}}
+	}
+	for _, c := range []struct {
+		name          string
+		before, after func(*fleetplan.Plan)
+		repeated      bool
+	}{
+		{"may be repeated under both", nil, nil, true},
+		{"sent as one that may not", once, nil, false},
+		{"may not by now", nil, once, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := free(t, Options{Lend: 100}, hostPlan(c.before), hostPlan(c.after))
+			b.entry("web|", "s1", "s2")
+			ref, l, _ := b.go1("/again/x/y", fleetplan.Call{})
+			require.True(t, b.MaySend(b.at, ref, l.N))
+			b.replan(1)
+			out := b.Step(b.at, Ended{Ref: ref, N: l.N, How: Lost})
+			_, repeated := pick[Launch](out)
+			require.Equal(t, c.repeated, repeated)
+			if !c.repeated {
+				r, ok := pick[Receipt](out)
+				require.True(t, ok)
+				require.Equal(t, failure.Unclear, r.Kind)
+			}
+		})
+	}
+}
+
+// A retry that would come too late takes nothing out of the allowance.
+func TestNoPayPastTheHorizon(t *testing.T) {
+	b := free(t, Options{Lend: 100})
+	b.entry("web|", "s1", "s2")
+	ref, l, _ := b.go1("/again/x", fleetplan.Call{})
+	require.True(t, b.MaySend(b.at, ref, l.N))
+	b.at = b.at.Add(6e9)
+	out := b.Step(b.at, Ended{Ref: ref, N: l.N, How: Dropped, Kind: failure.Busy})
+	r, ok := pick[Receipt](out)
+	require.True(t, ok)
+	require.Equal(t, failure.Expired, r.Kind)
+	require.Empty(t, b.loans)
+}
--- a/internal/router/choice.go
+++ b/internal/router/choice.go
@@ -76,20 +76,55 @@
 	return top
 }
 
+// fairShare is how far above the mean of its peers, one request aside, a replica may be burdened and still get
+// the requests whose shared parts name it.
+const fairShare = 1.25
+
 // pick chooses a replica: by rendezvous hash over the prompt's shared parts, as long as the
 // one it names is not burdened beyond its fair share; otherwise the least burdened.
 func (c *Core) pick(e *entry, r *request) *protocol.Replica {
 	if c.o.Free {
 		return c.weigh(e, r)
 	}
-	var l []*protocol.Replica
 	var only *protocol.Replica
 	if !r.repeatable() && !c.o.Free {
 		if only = c.bound(e, r); only == nil {
 			return nil
 		}
 	}
-	sum, slots := 0, 0
+	open, fair := c.withRoom(e, r, only)
+	if len(open) == 0 {
+		return nil
+	}
+	byParts := len(r.Call.Call.Parts) > 0 && !c.o.Plain
+	order := func(p *protocol.Replica) uint64 { return rank(r, p.Server, byParts, c.o.Heads) }
+	fits := func(p *protocol.Replica) bool { return c.burden(p) <= fair+1/float64(max(1, p.Slots)) }
+	sort.SliceStable(open, func(i, j int) bool {
+		p, q := open[i], open[j]
+		if byParts {
+			if fp, fq := fits(p), fits(q); fp != fq {
+				return fp
+			} else if fp {
+				return order(p) > order(q)
+			}
+		}
+		if bp, bq := c.burden(p), c.burden(q); bp != bq {
+			return bp < bq
+		}
+		return order(p) > order(q)
+	})
+	return open[0]
+}
+
+// burden is what this router has under way at a replica, by what the server can do at once.
+func (c *Core) burden(p *protocol.Replica) float64 {
+	return float64(c.server(p.Server).work) / float64(max(1, p.Slots))
+}
+
+// withRoom gives the replicas, or the only one that is meant, at which this router may have more under way,
+// and the fair share of burden among them.
+func (c *Core) withRoom(e *entry, r *request, only *protocol.Replica) (open []*protocol.Replica, fair float64) {
+	work, slots := 0, 0
 	for i := range e.Replicas {
 		p := &e.Replicas[i]
 		b := c.server(p.Server)
@@ -103,31 +138,9 @@
 		if b.work >= all || b.keys[r.key] >= cold {
 			continue
 		}
-		sum += b.work
+		work += b.work
 		slots += max(1, p.Slots)
-		l = append(l, p)
-	}
-	if len(l) == 0 {
-		return nil
+		open = append(open, p)
 	}
-	hash := len(r.Call.Call.Parts) > 0 && !c.o.Plain
-	// Burdens are weighed by what servers can do at once.
-	part := func(p *protocol.Replica) float64 { return float64(c.server(p.Server).work) / float64(max(1, p.Slots)) }
-	fair := 1.25 * float64(sum) / float64(slots)
-	fits := func(p *protocol.Replica) bool { return part(p) <= fair+1/float64(max(1, p.Slots)) }
-	sort.SliceStable(l, func(i, j int) bool {
-		a, b := part(l[i]), part(l[j])
-		if hash {
-			if fa, fb := fits(l[i]), fits(l[j]); fa != fb {
-				return fa
-			} else if fa {
-				return rank(r, l[i].Server, hash, c.o.Heads) > rank(r, l[j].Server, hash, c.o.Heads)
-			}
-		}
-		if a != b {
-			return a < b
-		}
-		return rank(r, l[i].Server, hash, c.o.Heads) > rank(r, l[j].Server, hash, c.o.Heads)
-	})
-	return l[0]
+	return open, fairShare * float64(work) / float64(max(1, slots))
 }
--- a/internal/router/ledger.go
+++ b/internal/router/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/qmuntal/stateless"
 
@@ -62,12 +63,18 @@
 	owes      clock.Tick // since when its next attempt is a retry that is not paid for yet
 	uncertain bool       // the plan in force allows it not, but that plan may be old
 	first     bool       // its first arrival was counted
+	once      bool       // a route that it went under, or is under by now, lets it run once only
 	route     *fleetplan.Route
 }
 
 // repeatable tells whether the request may run a second time.
 func (r *request) repeatable() bool {
-	return r.Call.Call.Again || r.route != nil && (r.route.Mode == fleetplan.Idempotent || r.route.Resume)
+	return r.Call.Call.Again || !r.once && r.route != nil && repeats(r.route)
+}
+
+// repeats tells whether the requests of a route may run more than once.
+func repeats(route *fleetplan.Route) bool {
+	return route.Mode == fleetplan.Idempotent || route.Resume
 }
 
 // begun tells whether anything of its answer has come.
@@ -81,7 +88,7 @@
 }
 
 // resumes tells whether its stream may be taken up at another server.
-func (r *request) resumes() bool { return r.route != nil && r.route.Resume }
+func (r *request) resumes() bool { return r.route != nil && r.route.Resume && !r.once }
 
 // mayHaveRun tells whether any attempt so far may have run.
 func (r *request) mayHaveRun() bool {
@@ -128,7 +135,7 @@
 
 // patience is how long an attempt after a failed dial waits for the allowance: at night there may be
 // none, and no server has been bothered yet.
-const patience = clock.Span(1e9)
+const patience = clock.Span(time.Second)
 
 // What follows each end of an attempt, for requests that may not and that may be repeated.
 var transitions = map[End][2]transition{
@@ -160,13 +167,7 @@
 	if r.route != nil {
 		most = r.route.Tries
 	}
-	sent := 0
-	for _, attempt := range r.attempts {
-		if attempt.How != Kept && attempt.How != Unsent {
-			sent++
-		}
-	}
-	if m.again && sent >= most {
+	if m.again && r.sent() >= most {
 		if attempt.How == Dropped && attempt.Kind == failure.Mismatch {
 			return transition{kind: failure.Moved} // what was known of the server was old: it is asked anew at once
 		}
@@ -175,6 +176,16 @@
 	return m
 }
 
+// sent counts the attempts that reached a server, or may have.
+func (r *request) sent() (n int) {
+	for _, attempt := range r.attempts {
+		if attempt.How != Kept && attempt.How != Unsent {
+			n++
+		}
+	}
+	return n
+}
+
 func b2i(b bool) int {
 	if b {
 		return 1
--- a/internal/router/queue.go
+++ b/internal/router/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"tidedeck/internal/clock"
 	"tidedeck/internal/failure"
@@ -12,22 +13,17 @@
 
 // Requests that wait, in one queue for each key: the most valuable first, then the most urgent.
 
+const (
+	neverBack = clock.Span(5 * time.Second)        // a caller comes back after that to a key that no server could hold
+	askAgain  = clock.Span(400 * time.Millisecond) // an entry is asked for again after that; two renewals at the least
+)
+
 // enqueue puts a request in its queue. A full queue gives up what is worth least.
 func (c *Core) enqueue(r *request) bool {
 	for len(c.queues[r.key]) >= c.o.Line || c.queued >= c.o.Queue {
-		low := r
-		for _, k := range generic.SortedKeys(c.queues) {
-			if len(c.queues[r.key]) >= c.o.Line && k != r.key {
-				continue
-			}
-			for _, x := range c.queues[k] {
-				if x.class.Value < low.class.Value || x.class.Value == low.class.Value && low != r && x.came > low.came {
-					low = x
-				}
-			}
-		}
-		c.finish(low, failure.Full, 0)
-		if low == r {
+		least := c.leastWorth(r)
+		c.finish(least, failure.Full, 0)
+		if least == r {
 			return false
 		}
 	}
@@ -35,6 +31,23 @@
 	return true
 }
 
+// leastWorth finds what makes way for a request: among its own queue if that is full, else among all. The
+// newest of those with the lowest value goes, or the request itself.
+func (c *Core) leastWorth(r *request) *request {
+	least := r
+	for _, k := range generic.SortedKeys(c.queues) {
+		if len(c.queues[r.key]) >= c.o.Line && k != r.key {
+			continue
+		}
+		for _, x := range c.queues[k] {
+			if x.class.Value < least.class.Value || x.class.Value == least.class.Value && least != r && x.came > least.came {
+				least = x
+			}
+		}
+	}
+	return least
+}
+
 // insert puts a request at its place in its queue: the most valuable first, then the most urgent.
 func (c *Core) insert(r *request) {
 	l := c.queues[r.key]
@@ -99,7 +112,7 @@
 	}
 }
 
-// serve launches what waits for a key while the promise on it holds and servers have room.
+// serve launches what waits for a key while the callback on its entry holds and servers have room.
 func (c *Core) serve(k ident.Key) {
 	for i := 0; i < len(c.queues[k]); {
 		r, e := c.queues[k][i], c.entries[k]
@@ -117,12 +130,8 @@
 			return
 		}
 		e.used = c.now
-		if e.Never {
-			c.finish(r, failure.NotReady, 5e9) // given up on, so told at once
-			continue
-		}
-		if back := e.got.Add(e.Soon).Sub(c.now); e.Soon > 0 && len(e.Replicas) == 0 && c.now.Add(back) > r.due {
-			c.finish(r, failure.NotReady, back) // its turn can't come in time: told at once, and when it may
+		if back, hopeless := c.comesLate(e, r); hopeless {
+			c.finish(r, failure.NotReady, back)
 			continue
 		}
 		p := c.pick(e, r)
@@ -140,6 +149,16 @@
 	}
 }
 
+// comesLate tells that an entry cannot have a replica before a request's time is over, and when it may; the
+// request is told so at once.
+func (c *Core) comesLate(e *entry, r *request) (back clock.Span, late bool) {
+	if e.Never {
+		return neverBack, true
+	}
+	back = e.got.Add(e.Soon).Sub(c.now)
+	return back, e.Soon > 0 && len(e.Replicas) == 0 && c.now.Add(back) > r.due
+}
+
 // lookUp asks for an entry, with the mark of the copy that is suspect, if there is one.
 func (c *Core) lookUp(k ident.Key) {
 	e := c.entries[k]
@@ -147,7 +166,7 @@
 		e = &entry{Entry: protocol.Entry{Key: k}, used: c.now}
 		c.entries[k] = e
 	}
-	if e.asking && c.now.Sub(e.asked) < 400e6 || c.ses.N == 0 {
+	if e.asking && c.now.Sub(e.asked) < askAgain || c.ses.N == 0 {
 		return
 	}
 	e.asking, e.asked = true, c.now
