Relay: short functions for limits, launches, heads and long answers

Change, behaviour as it was: bodyLimits, launch, resumable, isStream, bodiless, long and formatHead are taken out of longer functions, and the bounds on bodies and interim answers are named.

--- a/internal/router/conns.go
+++ b/internal/router/conns.go
@@ -50,6 +50,9 @@
 // early is how much sooner than its server a connection is given up.
 const early = 500 * time.Millisecond
 
+// mostInterim bounds the interim answers before a final one.
+const mostInterim = 5
+
 // lastStatus is the highest status that HTTP has.
 const lastStatus = 599
 
@@ -95,7 +98,7 @@
 
 // answer reads the head of the next answer to a request of a method.
 func (c *conn) answer(q *http.Request, most int64) (*http.Response, error) {
-	for range 5 {
+	for range mostInterim {
 		c.room = most
 		a, err := http.ReadResponse(c.br, q)
 		if err != nil {
--- a/internal/router/relay_answer.go
+++ b/internal/router/relay_answer.go
@@ -15,11 +15,7 @@
 
 // take passes on the answer to this attempt, or tells why it cannot.
 func (x *exchange) take(v Launch, use *connUse, a *http.Response, said Said) (End, failure.Kind) {
-	good := a.StatusCode >= 200 && a.StatusCode < 300
-	stream := false
-	if t, _, err := mime.ParseMediaType(a.Header.Get("Content-Type")); err == nil {
-		stream = t == "text/event-stream"
-	}
+	good, stream := a.StatusCode >= 200 && a.StatusCode < 300, isStream(a)
 	switch {
 	case said.NotRun:
 		x.drain(use, a)
@@ -41,6 +37,12 @@
 	return x.whole(v, use, a)
 }
 
+// isStream tells whether an answer is a series of events.
+func isStream(a *http.Response) bool {
+	t, _, err := mime.ParseMediaType(a.Header.Get("Content-Type"))
+	return err == nil && t == "text/event-stream"
+}
+
 // promisesNotRun tells whether a status says that a request did not run and never will.
 func promisesNotRun(status int) bool {
 	switch status {
@@ -63,42 +65,50 @@
 // whole passes an answer on that is no stream. A small one is read whole first: if it breaks off,
 // the client has no byte of it yet.
 func (x *exchange) whole(v Launch, use *connUse, a *http.Response) (End, failure.Kind) {
-	if a.Body == http.NoBody {
+	switch {
+	case a.Body == http.NoBody:
 		use.end(true)
-		// There is no body by the request's method or the status. The length then stands for the body
-		// that there would be, but for a status that never has one.
-		if n, ok := a.Header["Content-Length"]; ok && a.StatusCode != http.StatusNoContent {
-			x.w.Header()["Content-Length"] = n
-		}
-		x.reply = &reply{status: a.StatusCode, head: a.Header}
+		x.bodiless(a)
 		return Done, failure.None
-	}
-	if closeDelimited(a) {
+	case closeDelimited(a):
 		return x.broken() // its end cannot be told from a break
+	case a.ContentLength > mostKept:
+		return x.long(v, use, a, nil)
 	}
 	b := getBuffer()
-	if a.ContentLength <= mostKept {
-		if a.ContentLength > 0 {
-			b.Grow(int(a.ContentLength) + bytes.MinRead)
-		}
-		switch _, err := io.CopyN(b, a.Body, mostKept+1); err {
-		case io.EOF:
-			use.end(true)
-			x.reply = &reply{a.StatusCode, a.Header, b}
-			return Done, failure.None
-		case nil:
-		default:
-			putBuffer(b)
-			return x.broken()
-		}
+	if a.ContentLength > 0 {
+		b.Grow(int(a.ContentLength) + bytes.MinRead)
+	}
+	switch _, err := io.CopyN(b, a.Body, mostKept+1); err {
+	case io.EOF:
+		use.end(true)
+		x.reply = &reply{a.StatusCode, a.Header, b}
+		return Done, failure.None
+	case nil:
+		defer putBuffer(b)
+		return x.long(v, use, a, b.Bytes())
 	}
-	defer putBuffer(b)
+	putBuffer(b)
+	return x.broken()
+}
+
+// bodiless readies an answer that has no body by the request's method or the status. Its length stands for
+// the body that there would be, but for a status that never has one.
+func (x *exchange) bodiless(a *http.Response) {
+	if n, ok := a.Header["Content-Length"]; ok && a.StatusCode != http.StatusNoContent {
+		x.w.Header()["Content-Length"] = n
+	}
+	x.reply = &reply{status: a.StatusCode, head: a.Header}
+}
+
+// long passes an answer on as it comes, after what was read of it already.
+func (x *exchange) long(v Launch, use *connUse, a *http.Response, read []byte) (End, failure.Kind) {
 	if a.ContentLength > 0 {
 		x.w.Header()["Content-Length"] = a.Header["Content-Length"]
 	}
 	x.r.core.Step(Begun{Ref: v.Ref, N: v.N})
 	x.writeHead(a.StatusCode, a.Header)
-	x.writeBody(b.Bytes(), false)
+	x.writeBody(read, false)
 	how, kind := x.pump(a, func(p []byte) bool {
 		x.writeBody(p, false)
 		return true
--- a/internal/router/relay_attempt.go
+++ b/internal/router/relay_attempt.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -81,9 +82,26 @@
 
 // send writes the request, in one write if it is small. It tells how many bytes left.
 func (x *exchange) send(c *conn, due time.Time) (int64, error) {
-	q := x.req
 	b := getBuffer()
 	defer putBuffer(b)
+	if err := x.formatHead(b); err != nil {
+		return 0, err
+	}
+	if err := c.SetWriteDeadline(due); err != nil {
+		return 0, err
+	}
+	if len(x.body) <= mostPiece {
+		b.Write(x.body)
+		n, err := c.Conn.Write(b.Bytes())
+		return int64(n), err
+	}
+	l := net.Buffers{b.Bytes(), x.body}
+	return l.WriteTo(c.Conn)
+}
+
+// formatHead puts the request's head together. The body goes with a length, however it came.
+func (x *exchange) formatHead(b *bytes.Buffer) error {
+	q := x.req
 	target := q.RequestURI
 	if !strings.HasPrefix(target, "/") && target != "*" {
 		target = q.URL.RequestURI()
@@ -100,19 +118,10 @@
 		b.WriteString("\r\n")
 	}
 	if err := x.head.Write(b); err != nil {
-		return 0, err
+		return err
 	}
 	b.WriteString("\r\n")
-	if err := c.SetWriteDeadline(due); err != nil {
-		return 0, err
-	}
-	if len(x.body) <= mostPiece {
-		b.Write(x.body)
-		n, err := c.Conn.Write(b.Bytes())
-		return int64(n), err
-	}
-	l := net.Buffers{b.Bytes(), x.body}
-	return l.WriteTo(c.Conn)
+	return nil
 }
 
 // receive reads the answer to this attempt, past those that belong to earlier ones.
--- a/internal/router/relay_exchange.go
+++ b/internal/router/relay_exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"net"
 	"net/http"
 	"time"
@@ -46,6 +47,9 @@
 	body   *bytes.Buffer
 }
 
+// addedHeaders is about how many headers an attempt adds to a request's own.
+const addedHeaders = 6
+
 // ServeHTTP carries one client's request from its arrival to its last word.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	x := &exchange{r: r, w: w, to: http.NewResponseController(w), req: q, came: time.Now()}
@@ -69,7 +73,7 @@
 	}
 	x.body = b.Bytes()
 	x.facts, x.last, x.seen = facts, facts.Seen, facts.Seen > 0
-	x.head = make(http.Header, len(q.Header)+6)
+	x.head = make(http.Header, len(q.Header)+addedHeaders)
 	copyHeaders(x.head, q.Header)
 	x.run()
 	if x.reply != nil {
@@ -77,18 +81,29 @@
 	}
 }
 
-// read reads the request's body.
+// What a request's body may have and take where the plan says nothing.
+const (
+	defaultBodyMost = 4 << 20
+	defaultBodyWait = 15 * time.Second
+)
+
+// bodyLimits gives the bytes that a body may have, and how long it may take to come.
+func (r *Relay) bodyLimits() (most int64, wait time.Duration) {
+	if r.o.Limits != nil {
+		most, wait = r.o.Limits()
+	}
+	generic.SetDefault(&most, defaultBodyMost)
+	generic.SetDefault(&wait, defaultBodyWait)
+	return most, wait
+}
+
+// read reads the request's body; what it cannot take is answered at once.
 func (x *exchange) read(b *bytes.Buffer) bool {
 	q := x.req
 	if q.Body == nil || q.Body == http.NoBody {
 		return true
 	}
-	most, wait := int64(0), time.Duration(0)
-	if x.r.o.Limits != nil {
-		most, wait = x.r.o.Limits()
-	}
-	generic.SetDefault(&most, 4<<20)
-	generic.SetDefault(&wait, 15*time.Second)
+	most, wait := x.r.bodyLimits()
 	big := fleetplan.Faults{{Path: "$", Why: "the body has more bytes than are allowed"}}
 	if q.ContentLength > most {
 		x.refuse(failure.Oversize, 0, true, big)
@@ -139,15 +154,9 @@
 				x.receipt(v)
 				return
 			case Launch:
-				if x.open && !(x.units && v.Resume && !x.loose) {
-					x.abort() // its stream cannot be taken up
-				}
-				how, kind := x.attempt(ctx, v)
-				if how != Done && (x.gone || ctx.Err() != nil) {
-					x.breakOff()
-				}
-				settled = how == Done
-				r.core.Step(Ended{Ref: ref, N: v.N, How: how, Kind: kind})
+				ended := x.launch(ctx, v)
+				settled = ended.How == Done
+				r.core.Step(ended)
 				if settled {
 					return
 				}
@@ -156,6 +165,23 @@
 	}
 }
 
+// launch makes the attempt that the decider asks for, and breaks the client's connection off where that
+// cannot end in an answer any more.
+func (x *exchange) launch(ctx context.Context, v Launch) Ended {
+	if x.open && !x.resumable(v) {
+		x.abort()
+	}
+	how, kind := x.attempt(ctx, v)
+	if how != Done && (x.gone || ctx.Err() != nil) {
+		x.breakOff()
+	}
+	return Ended{Ref: v.Ref, N: v.N, How: how, Kind: kind}
+}
+
+// resumable tells whether an answer that has begun may go on with another attempt: the client has whole
+// events, and nothing behind the last numbered one that another run may send again.
+func (x *exchange) resumable(v Launch) bool { return x.units && v.Resume && !x.loose }
+
 // receipt says the last word when it is not a server's.
 func (x *exchange) receipt(v Receipt) {
 	if x.open {
