A stream that paused for long before its end was cut at its end

Change: the bound is set anew before that write too. Ruled out: the same for an interim answer after a rest, since net/http lifts the bound with each request.

--- a/internal/router/caller_test.go
+++ b/internal/router/caller_test.go
@@ -381,3 +381,41 @@
 	require.Equal(t, failure.Expired, r.Kind)
 	require.Empty(t, b.loans)
 }
+
+// The bound on a client that takes nothing does not count the time in which nothing was written to it: not
+// while its connection rested, and not before the end of a stream that pauses.
+func TestWriteBoundCountsWritesOnly(t *testing.T) {
+	const bound, pause = 400 * time.Millisecond, 700 * time.Millisecond
+	t.Run("rested", func(t *testing.T) {
+		srv := says(t, plain("1", "good"), false)
+		b := relayFor(t, &script{to: []string{srv.addr()}}, RelayOptions{WriteWait: bound})
+		cl := b.dial(t)
+		cl.send(get("1"))
+		_, _, err := cl.answer("GET")
+		require.NoError(t, err)
+		time.Sleep(pause)
+		cl.send("POST / HTTP/1.1\r\nHost: h\r\nX-Try: 1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+		a, err := http.ReadResponse(cl.br, &http.Request{Method: "POST"})
+		require.NoError(t, err)
+		require.Equal(t, 100, a.StatusCode)
+		cl.send("ab")
+		a, body, err := cl.answer("POST")
+		require.NoError(t, err)
+		require.Equal(t, 200, a.StatusCode)
+		require.Equal(t, "good", body)
+	})
+	t.Run("pause before the end", func(t *testing.T) {
+		srv := newStandIn(t, func(s *standIn, _ int, c net.Conn, br *bufio.Reader) {
+			s.next(br)
+			_, _ = io.WriteString(c, fmt.Sprintf(streamHead, "s")+chunk(event(1)))
+			time.Sleep(pause)
+			_, _ = io.WriteString(c, "0\r\n\r\n")
+		})
+		b := relayFor(t, &script{to: []string{srv.addr()}}, RelayOptions{WriteWait: bound})
+		cl := b.dial(t)
+		cl.send(get("1"))
+		_, body, err := cl.answer("GET")
+		require.NoError(t, err)
+		require.Equal(t, event(1), body)
+	})
+}
--- a/internal/router/relay_exchange.go
+++ b/internal/router/relay_exchange.go
@@ -79,6 +79,7 @@
 	if x.reply != nil {
 		x.writeReply()
 	}
+	x.armDeadline() // for the end that net/http writes: a stream may have paused for long before it
 }
 
 // What a request's body may have and take where the plan says nothing.
--- a/internal/router/relay_reply.go
+++ b/internal/router/relay_reply.go
@@ -70,7 +70,7 @@
 	}
 }
 
-// armDeadline bounds how long a client may take nothing.
+// armDeadline bounds how long a client may take nothing. It is called before each write.
 func (x *exchange) armDeadline() {
 	if now := time.Now(); now.Sub(x.armed) > x.r.o.WriteWait/8 {
 		x.armed = now
