Broken guards of the router, each seen by its test

TestBrokenGuards takes 34 guards away, one at a time, by an edit for one build, and wants its test to fail. What it showed of the tests: surplus bytes behind an answer came in a write of their own, a big body went into the sockets whole, nothing waited when a client ended its sending side, and a server that was asked already was only avoided for a while; each has a row or a test now. Left out: HEAD by the fuzz target, whose reading of the bytes cannot know either.

--- /dev/null
+++ b/internal/router/bites_test.go
@@ -0,0 +1,82 @@
+package router
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// brokenGuard is an edit of the sources that takes one guard away, and the test that must fail then.
+type brokenGuard struct {
+	guard, file, old, now, test string
+}
+
+var brokenGuards = []brokenGuard{
+	{"an answer counts under the request's own id", "relay_attempt.go", `if said.ID == x.facts.ID && said.ID != "" {`, `if said.ID != "" {`, "TestSurplus"},
+	{"the same, seen by the fuzz target", "relay_attempt.go", `if said.ID == x.facts.ID && said.ID != "" {`, `if said.ID != "" {`, "FuzzServerAnswer"},
+	{"a connection is not kept behind a surplus answer", "relay_attempt.go", "c.keep = 0 //", "_ = c.keep //", "TestSurplus"},
+	{"what comes while idle ends a connection", "conns.go", "time.Now().Before(c.until) && c.fresh()", "time.Now().Before(c.until)", "TestSurplus"},
+	{"what stands behind an answer ends a connection", "conns.go", "c.keep <= 0 || c.br.Buffered() > 0 ||", "c.keep <= 0 ||", "TestSurplus"},
+	{"a kept connection is for one start of a server", "relay_attempt.go", "endpoint{v.Server, v.Addr}", "endpoint{addr: v.Addr}", "TestKeptForOneServer"},
+	{"an unused connection keeps its time", "conns.go", "if c.heard || c.until.IsZero() {", "if true {", "TestUnusedKeepsItsTime"},
+	{"only what no byte left of is not sent", "relay_attempt.go", "if sent == 0 && ctx.Err() == nil {", "if _ = sent; ctx.Err() == nil {", "TestKeptDies"},
+	{"a send is asked for at the last moment", "relay_attempt.go", "if !r.core.MaySend(v.Ref, v.N) {", "if r == nil {", "TestRelayNotSent"},
+	{"what may have run is not sent again", "ledger.go", "Lost:    {{kind: failure.Unclear}, ", "Lost:    {{again: true}, ", "TestLedger|TestTries"},
+	{"nor under a route that was added", "attempts.go", "\t\tc.restrict(r)", "\t\t_ = r", "TestRepeatOnlyUnderBothRoutes"},
+	{"no refusal of what may have run", "queue.go", "if failure.Receipts[k].Dropped && r.mayHaveRun() {", "if false {", "TestNoDropAfterLost"},
+	{"a server's status is no decline without its mark", "relay_answer.go", "case !good && promisesNotRun(a.StatusCode):", "case false:", "TestRelayEnds"},
+	{"a success has a seal", "relay_answer.go", "case good && !said.Sealed:", "case false:", "TestRelayEnds"},
+	{"the same, seen by the fuzz target", "relay_answer.go", "case good && !said.Sealed:", "case false:", "FuzzServerAnswer"},
+	{"an answer that only the close ends is none", "relay_answer.go", "case closeDelimited(a):", "case false:", "TestDoubtfulAnswers"},
+	{"the same, seen by the fuzz target", "relay_answer.go", "case closeDelimited(a):", "case false:", "FuzzServerAnswer"},
+	{"no surplus answer is read off for HEAD", "relay_attempt.go", " || x.req.Method == http.MethodHead {", " {", "TestDoubtfulAnswers"},
+	{"an answer is one of HTTP/1", "conns.go", "if a.ProtoMajor != 1 || a.StatusCode < 100 || a.StatusCode > lastStatus {", "if false {", "TestDoubtfulAnswers"},
+	{"who leaves gets no end of an answer", "relay_exchange.go", "\t\t\tx.breakOff()\n\t\tcase o", "\t\t\treturn\n\t\tcase o", "TestHalfClosedClientWaits"},
+	{"a break shows to HTTP/1.0", "relay_reply.go", "g.resetOnClose()", "_ = g", "TestOldClientSeesTheBreak"},
+	{"what is passed on of a resumable stream is whole events", "relay_answer.go", "if v.Resume {\n\t\teach", "if false {\n\t\teach", "TestRelayStreamBreaks"},
+	{"a stream goes on right behind its last event", "relay_events.go", "case x.seen && id != x.last+1:", "case false:", "TestRelayStreamBreaks"},
+	{"and skips what was passed on", "relay_events.go", "case x.seen && id <= x.last:", "case false:", "TestRelayStreamBreaks"},
+	{"and only behind a numbered one", "relay_exchange.go", "x.units && v.Resume && !x.loose", "x.units && v.Resume", "TestNoSpliceBehindUnnumbered"},
+	{"an answer is over at its time", "relay_attempt.go", "due.Add(r.o.Slack)", "due.Add(time.Hour)", "TestEndsAtItsTime"},
+	{"a dial is over at its time", "conns.go", "if !deadline.IsZero() {", "if false {", "TestEndsAtItsTime"},
+	{"the horizon counts from arrival", "admission.go", "came: c.now.Add(-v.Age)", "came: c.now", "TestHorizonFromArrival"},
+	{"a try goes to so many servers", "ledger.go", "if m.again && r.sent() >= most {", "if m.again && r.sent() >= 1000 {", "TestTries"},
+	{"and to each once", "weigh.go", " || r.met(p) {", " {", "TestNotTwiceToOneServer"},
+	{"a request earns once", "attempts.go", "case first && r.first:", "case false:", "TestEarnsOnce"},
+	{"a body ends in one way", "relay_serve.go", "if h.chunks && (h.length || !q.ProtoAtLeast(1, 1)) {", "if false {", "TestRelaySmuggling"},
+	{"clients may rest by the plan", "relay_serve.go", "t = time.Now().Add(g.idle())", "_ = g", "TestRestedClient"},
+	{"the end of a stream has its own bound", "relay_exchange.go", "x.armDeadline() //", "_ = x //", "TestWriteBoundCountsWritesOnly"},
+}
+
+// Each guard is taken away from outside, by an edit for one build, and its test must see that. An edit that
+// matches no longer fails.
+func TestBrokenGuards(t *testing.T) {
+	if testing.Short() {
+		t.Skip("builds the tests once for each guard")
+	}
+	for _, b := range brokenGuards {
+		t.Run(strings.ReplaceAll(b.guard, " ", "-"), func(t *testing.T) {
+			t.Parallel()
+			source, err := filepath.Abs(b.file)
+			require.NoError(t, err)
+			text, err := os.ReadFile(source)
+			require.NoError(t, err)
+			require.Equal(t, 1, strings.Count(string(text), b.old), "%s: the edit of %q matches no longer", b.file, b.old)
+			dir := t.TempDir()
+			edited, overlay := filepath.Join(dir, "edited.go"), filepath.Join(dir, "overlay.json")
+			require.NoError(t, os.WriteFile(edited, []byte(strings.Replace(string(text), b.old, b.now, 1)), 0o600))
+			replace, err := json.Marshal(map[string]map[string]string{"Replace": {source: edited}})
+			require.NoError(t, err)
+			require.NoError(t, os.WriteFile(overlay, replace, 0o600))
+			out, err := exec.Command("go", "test", "-vet=off", "-short", "-count=1", "-overlay", overlay, "-run", fmt.Sprintf("^(%s)$", b.test), ".").CombinedOutput()
+			require.Error(t, err, "with this guard broken, %s passes", b.test)
+			require.Contains(t, string(out), "--- FAIL: ", "%s", out)
+		})
+	}
+}
--- a/internal/router/caller_test.go
+++ b/internal/router/caller_test.go
@@ -63,6 +63,20 @@
 	}
 }
 
+// So is one whose request still waits for a server.
+func TestHalfClosedClientWaits(t *testing.T) {
+	quiet := &mute{script: &script{}}
+	b := relayFor(t, quiet.script, RelayOptions{})
+	quiet.relay.Use(quiet)
+	cl := b.dial(t)
+	cl.send(get("1"))
+	require.Eventually(t, func() bool { return b.relay.Open() == 1 }, soon, time.Millisecond)
+	require.NoError(t, cl.Conn.(*net.TCPConn).CloseWrite())
+	a, err := http.ReadResponse(cl.br, &http.Request{Method: "GET"})
+	require.Error(t, err, "%v", a)
+	b.settled(t)
+}
+
 // Answers that say in two ways whose they are, or not for sure where they end, are none.
 func TestDoubtfulAnswers(t *testing.T) {
 	inner := plain("1", "hidden")
@@ -419,3 +433,18 @@
 		require.Equal(t, event(1), body)
 	})
 }
+
+// A request does not go to a server again that had it, however long ago that was.
+func TestNotTwiceToOneServer(t *testing.T) {
+	for _, how := range []End{Dropped, Lost, Unsent} {
+		b := free(t, Options{Lend: 100})
+		b.entry("web|", "s1")
+		ref, l, _ := b.go1("/again/x", fleetplan.Call{})
+		require.True(t, b.MaySend(b.at, ref, l.N))
+		out := b.Step(b.at, Ended{Ref: ref, N: l.N, How: how, Kind: failure.Busy})
+		_, again := pick[Launch](append(out, b.wait(4e9)...))
+		require.False(t, again, how)
+		_, again = pick[Launch](b.entry("web|", "s1", "s2"))
+		require.True(t, again, how)
+	}
+}
--- a/internal/router/kept_test.go
+++ b/internal/router/kept_test.go
@@ -22,13 +22,15 @@
 	raw syscall.RawConn
 }
 
-// dialer notes the socket of each connection that it opens.
+// dialer notes the socket of each connection that it opens, and bounds what it takes in.
 func (s *socket) dialer() *net.Dialer {
 	return &net.Dialer{ControlContext: func(_ context.Context, _, _ string, c syscall.RawConn) error {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.raw = c
-		return nil
+		return c.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, sendBuffer)
+		})
 	}}
 }
 
@@ -50,7 +52,11 @@
 	_ = c.Close()
 }
 
-const bigBody = 3 << 20 // of a request, more than sockets take in at once
+const (
+	bigBody    = 4_000_000 // of a request, far more than sockets take in at once
+	sendBuffer = 64 << 10
+	readBuffer = 64 << 10
+)
 
 // A kept connection dies under the second request, at each stage of it. What may run once is written
 // once, or to another server if surely nothing of it left; what may be repeated is sent again.
@@ -69,10 +75,12 @@
 		{name: "closed at the last look", last: func(t *testing.T, c net.Conn, k *socket) { _ = c.Close(); k.await(t) },
 			once: []End{Lost}, again: []End{Lost, Done}},
 		{name: "reset in the write", body: bigBody, serve: func(_ *standIn, c net.Conn, br *bufio.Reader) {
+			_ = c.(*net.TCPConn).SetReadBuffer(readBuffer)
 			_, _ = br.Discard(1 << 10)
 			reset(c)
 		}, once: []End{Lost}, again: []End{Lost, Done}},
 		{name: "closed in the write", body: bigBody, serve: func(_ *standIn, c net.Conn, br *bufio.Reader) {
+			_ = c.(*net.TCPConn).SetReadBuffer(readBuffer)
 			_, _ = br.Discard(1 << 10)
 		}, once: []End{Lost}, again: []End{Lost, Done}},
 		{name: "reset after the write", serve: func(s *standIn, c net.Conn, br *bufio.Reader) {
@@ -157,34 +165,34 @@
 		look     string // comes at the last look of the second request
 		status   int
 		accepted int
+		kept     bool // whether the connection of the second request is kept
 	}{
-		{"none", "", "", "", 200, 1},
-		{"answer behind", other, "", "", 200, 2},
-		{"answer while idle", "", other, "", 200, 2},
-		{"answer at the last look", "", "", other, 200, 1},
-		{"two answers at the last look", "", "", other + other, 200, 1},
-		{"three answers at the last look", "", "", other + other + other, 502, 1},
-		{"interim answer at the last look", "", "", "HTTP/1.1 100 Continue\r\n\r\n", 200, 1},
-		{"answer in chunks at the last look", "", "", "HTTP/1.1 200 OK\r\nX-Try: 1\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n", 200, 1},
-		{"decline at the last look", "", "", "HTTP/1.1 503 Full\r\nX-Try: 1\r\nX-Not-Run: busy\r\nContent-Length: 0\r\n\r\n", 200, 1},
-		{"answer without an id at the last look", "", "", "HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Length: 2\r\n\r\nno", 502, 1},
-		{"endless answer at the last look", "", "", "HTTP/1.1 200 OK\r\nX-Try: 1\r\nX-Seal: s\r\n\r\nno", 502, 1},
-		{"half an answer at the last look", "", "", "HTTP/1.1 200 OK\r\nX-Try: 1\r\nX-Seal: s\r\nContent-Length: 99\r\n\r\nno", 502, 1},
-		{"bytes behind", "\r\n", "", "", 200, 2},
-		{"bytes while idle", "", "x", "", 200, 2},
-		{"bytes at the last look", "", "", "\x00\x01", 502, 1},
+		{"none", "", "", "", 200, 1, true},
+		{"answer behind", other, "", "", 200, 2, true},
+		{"answer while idle", "", other, "", 200, 2, true},
+		{"answer at the last look", "", "", other, 200, 1, false},
+		{"two answers at the last look", "", "", other + other, 200, 1, false},
+		{"three answers at the last look", "", "", other + other + other, 502, 1, false},
+		{"interim answer at the last look", "", "", "HTTP/1.1 100 Continue\r\n\r\n", 200, 1, true},
+		{"answer in chunks at the last look", "", "", "HTTP/1.1 200 OK\r\nX-Try: 1\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n", 200, 1, false},
+		{"decline at the last look", "", "", "HTTP/1.1 503 Full\r\nX-Try: 1\r\nX-Not-Run: busy\r\nContent-Length: 0\r\n\r\n", 200, 1, false},
+		{"answer without an id at the last look", "", "", "HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Length: 2\r\n\r\nno", 502, 1, false},
+		{"endless answer at the last look", "", "", "HTTP/1.1 200 OK\r\nX-Try: 1\r\nX-Seal: s\r\n\r\nno", 502, 1, false},
+		{"half an answer at the last look", "", "", "HTTP/1.1 200 OK\r\nX-Try: 1\r\nX-Seal: s\r\nContent-Length: 99\r\n\r\nno", 502, 1, false},
+		{"bytes behind", "\r\n", "", "", 200, 2, true},
+		{"bytes while idle", "", "x", "", 200, 2, true},
+		{"bytes at the last look", "", "", "\x00\x01", 502, 1, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var k socket
 			srv := newStandIn(t, func(s *standIn, _ int, conn net.Conn, br *bufio.Reader) {
 				for q := s.next(br); q != nil; q = s.next(br) {
 					id := q.Header.Get("X-Try")
-					_, _ = io.WriteString(conn, plain(id, "for "+id))
-					if id == "1" {
-						_, _ = io.WriteString(conn, c.behind)
-						continue
+					if id != "1" {
+						_, _ = io.WriteString(conn, plain(id, "for "+id))
+						return
 					}
-					return
+					_, _ = io.WriteString(conn, plain(id, "for "+id)+c.behind) // in one piece
 				}
 			})
 			b := relayFor(t, &script{to: []string{srv.addr()}}, RelayOptions{Conns: ConnOptions{Dialer: k.dialer()}})
@@ -200,9 +208,6 @@
 					k.await(t)
 				}
 			}
-			if c.behind != "" {
-				k.await(t) // the bytes behind, or that the relay ended it
-			}
 			write(c.idle)
 			b.mu.Lock()
 			b.last = func() { write(c.look) }
@@ -220,6 +225,7 @@
 			}
 			require.Equal(t, c.accepted, srv.accepted())
 			b.settled(t)
+			require.Equal(t, c.kept, idleConns(b.relay.conns) > 0)
 			if c.status == 200 {
 				require.Len(t, srv.requests(), 2)
 			} else {
