The first door, too, breaks off for a caller that ended its sending side

Cause: as at the relay, the handler returned and net/http wrote an empty 200, or an end behind the events that had come. Figures: TestHalfClosedCaller failed before (both cases), and passes.

--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -158,8 +158,7 @@
 	for {
 		select {
 		case <-r.Context().Done():
-			d.c.Step(Quit{ref})
-			return
+			d.leave(ref)
 		case o := <-ch:
 			switch v := o.(type) {
 			case Receipt:
@@ -168,8 +167,7 @@
 			case Launch:
 				how, kind := d.run(r.Context(), v, s)
 				if s.gone || r.Context().Err() != nil {
-					d.c.Step(Quit{ref})
-					return
+					d.leave(ref)
 				}
 				d.c.Step(Ended{Ref: ref, N: v.N, How: how, Kind: kind})
 				if how == Done {
@@ -180,7 +178,14 @@
 	}
 }
 
-// run makes one go: it dials first, asks whether it may send at the very point of sending,
+// leave ends a request whose caller left, and breaks the connection off: net/http would write an end behind
+// a handler that returned, and a caller that only ended its sending side would take it for an answer.
+func (d *door) leave(ref Ref) {
+	d.c.Step(Quit{ref})
+	panic(http.ErrAbortHandler)
+}
+
+// run makes one attempt: it dials first, asks whether it may send at the very point of sending,
 // and sends on a connection of its own, so that nothing below repeats a request unseen.
 func (d *door) run(ctx context.Context, v Launch, s *stream) (End, failure.Kind) {
 	conn, err := d.dial.DialContext(ctx, "tcp", v.Addr)
@@ -225,7 +230,7 @@
 // mostEvent bounds one event of a server's.
 const mostEvent = 256 << 10
 
-// Readers of streams are used again: a new one for each go cost more than the go.
+// Readers of streams are used again: a new one for each attempt cost more than the attempt.
 var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, mostEvent) }}
 
 // Line is what a router checks of every event.
--- a/internal/router/serve_test.go
+++ b/internal/router/serve_test.go
@@ -191,6 +191,45 @@
 	})
 }
 
+// A caller that ends its sending side is given up, and what it reads then is no whole answer.
+func TestHalfClosedCaller(t *testing.T) {
+	for _, begun := range []bool{false, true} {
+		reached := make(chan struct{})
+		back := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			var g protocol.Work
+			_ = decode(r, &g)
+			if begun {
+				_, _ = fmt.Fprintf(w, "data: {\"n\":0,\"go\":%q,\"server\":\"s\"}\n\n", g.Go)
+				w.(http.Flusher).Flush()
+			}
+			close(reached)
+			<-r.Context().Done()
+		}))
+		t.Cleanup(back.Close)
+		_, s := front(t, back.URL, time.Minute)
+		c, err := net.Dial("tcp", strings.TrimPrefix(s.URL, "http://"))
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		require.NoError(t, c.SetDeadline(time.Now().Add(soon)))
+		_, err = fmt.Fprintf(c, "POST /r HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", len(ask), ask)
+		require.NoError(t, err)
+		<-reached
+		br := bufio.NewReader(c)
+		var a *http.Response
+		if begun {
+			a, err = http.ReadResponse(br, nil)
+			require.NoError(t, err)
+		}
+		require.NoError(t, c.(*net.TCPConn).CloseWrite())
+		if begun {
+			_, err = io.ReadAll(a.Body)
+		} else {
+			_, err = http.ReadResponse(br, nil)
+		}
+		require.Error(t, err)
+	}
+}
+
 // What a hit costs the core: routing under a callback, checked and ended.
 func BenchmarkHit(b *testing.B) {
 	b.ReportAllocs()
