--- a/internal/router/host.go
+++ b/internal/router/host.go
@@ -37,33 +37,53 @@
 const (
 	nearRouter = "router"
 	nearAgent  = "agent"
+
+	hostedHello = 100 * time.Millisecond // a router tells its load so often
+	routerBeat  = 20 * time.Millisecond  // its core looks at what waits so often
+	agentBeat   = 25 * time.Millisecond
+	serverDial  = 400 * time.Millisecond // a server that takes longer to connect to is passed over
+	agentDial   = 200 * time.Millisecond // a node without power must not hold up the link to the core
+	adminHead   = 10 * time.Second       // for the head of a request for metrics
 )
 
+// turnAwayAfter is when a router that stops tells those who still wait to go elsewhere: at half of its grace, so that
+// they have time for that. endAfter is when it cuts what is left, with an eighth in hand for its own end.
+func turnAwayAfter(grace clock.Span) clock.Span { return grace / 2 }
+func endAfter(grace clock.Span) clock.Span      { return grace * 7 / 8 }
+
 // Host runs a router and its agent under a hosting platform until it is told to stop.
 func Host(h HostOptions) error {
 	ring := host.NewRingWith(host.RingOptions{Name: h.ID, Out: os.Stderr, Lines: h.Logs})
 	me := protocol.Sibling{ID: ident.Node(h.ID), Addr: h.Post}
 	core := New(Options{
 		Me: protocol.Sibling{ID: nearRouter, Addr: nearRouter}, Inc: host.NewInc(), Agent: protocol.Sibling{Addr: nearAgent},
-		Read: h.Read, Zone: ident.Zone(h.Zone), Free: true, Guards: true, Hello: 100e6, Lend: h.Lend, Window: h.Window, Share: h.Earn,
+		Read: h.Read, Zone: ident.Zone(h.Zone), Free: true, Guards: true, Hello: clock.Span(hostedHello), Lend: h.Lend, Window: h.Window, Share: h.Earn,
 	})
 	agent := agent.New(agent.Options{
 		Me: me, Zone: ident.Zone(h.Zone), Inc: host.NewInc(), Life: ident.Inc(host.Now()),
 		Seeds: host.Siblings(h.Seeds), Rand: host.NewRand(), Brisk: true, Router: protocol.Sibling{ID: nearRouter, Addr: nearRouter},
 	})
 	var router, beside *host.Process
+	inForce := func() (p *fleetplan.Plan) {
+		router.With(func(clock.Tick) { p = core.plan })
+		return p
+	}
 	limits := func() (most int64, wait time.Duration) {
-		router.With(func(clock.Tick) {
-			if p := core.plan; p != nil {
-				most, wait = int64(p.BodyMost), p.Idle
-			}
-		})
+		if p := inForce(); p != nil {
+			most, wait = int64(p.BodyMost), p.Idle
+		}
 		return most, wait
 	}
-	relay := NewRelay(RelayOptions{Dialect: h.Dialect, Limits: limits, Conns: ConnOptions{Dialer: host.Dialer(h.Ingress, 400*time.Millisecond)}})
-	router = host.New(host.Options{Core: core, Beat: 20 * time.Millisecond, Ring: ring, Else: relay.Act,
+	resting := func() (told time.Duration) {
+		if p := inForce(); p != nil {
+			told = p.Idle
+		}
+		return told
+	}
+	relay := NewRelay(RelayOptions{Dialect: h.Dialect, Limits: limits, Conns: ConnOptions{Dialer: host.Dialer(h.Ingress, serverDial)}})
+	router = host.New(host.Options{Core: core, Beat: routerBeat, Ring: ring, Else: relay.Act,
 		Local: map[string]func(protocol.Env){nearAgent: func(e protocol.Env) { beside.Step(e) }}})
-	beside = host.New(host.Options{Core: agent, Listen: []string{h.Post}, Told: h.Post, Beat: 25 * time.Millisecond, Dial: 200 * time.Millisecond, Ring: ring, Else: func(any) {},
+	beside = host.New(host.Options{Core: agent, Listen: []string{h.Post}, Told: h.Post, Beat: agentBeat, Dial: agentDial, Ring: ring, Else: func(any) {},
 		Local: map[string]func(protocol.Env){nearRouter: func(e protocol.Env) { router.Step(e) }}})
 	relay.Use(Held(router, core))
 	if err := beside.Run(); err != nil {
@@ -84,23 +104,15 @@
 		})
 		return ok
 	}
-	resting := func() (told time.Duration) {
-		router.With(func(clock.Tick) {
-			if p := core.plan; p != nil {
-				told = p.Idle
-			}
-		})
-		return told
-	}
-	own := &http.Server{Addr: h.Admin, ReadHeaderTimeout: 10 * time.Second, Handler: metrics(router, core)}
+	own := &http.Server{Addr: h.Admin, ReadHeaderTimeout: adminHead, Handler: metrics(router, core)}
 	go func() { _ = own.ListenAndServe() }()
 	defer own.Close()
 	stop := host.Stopping()
 	go func() {
 		<-stop
-		time.Sleep(h.Grace / 2)
+		time.Sleep(turnAwayAfter(h.Grace))
 		router.Step(protocol.Stop{})
 	}()
 	return ServeRelay(stop, RelayServe{Relay: relay, Ingress: h.Ingress, Readiness: h.Readiness, Ready: ready,
-		Resting: resting, Lame: h.Lame, Grace: h.Grace * 7 / 8})
+		Resting: resting, Lame: h.Lame, Grace: endAfter(h.Grace)})
 }
