--- a/internal/router/bites_test.go
+++ b/internal/router/guards_test.go
@@ -1,23 +1,23 @@
 package router
 
 import (
-	"encoding/json"
 	"fmt"
-	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"tidedeck/internal/overlay"
 )
 
-// brokenGuard is an edit of the sources that takes one guard away, and the test that must fail then.
-type brokenGuard struct {
+// removableGuard is an edit of the sources that takes one guard away, and the test that must fail then.
+type removableGuard struct {
 	guard, file, old, now, test string
 }
 
-var brokenGuards = []brokenGuard{
+var guards = []removableGuard{
 	{"an answer counts under the request's own id", "relay_attempt.go", `if said.ID == x.facts.ID && said.ID != "" {`, `if said.ID != "" {`, "TestSurplus"},
 	{"the same, seen by the fuzz target", "relay_attempt.go", `if said.ID == x.facts.ID && said.ID != "" {`, `if said.ID != "" {`, "FuzzServerAnswer"},
 	{"a connection is not kept behind a surplus answer", "relay_attempt.go", "c.keep = 0 //", "_ = c.keep //", "TestSurplus"},
@@ -56,25 +56,18 @@
 
 // Each guard is taken away from outside, by an edit for one build, and its test must see that. An edit that
 // matches no longer fails.
-func TestBrokenGuards(t *testing.T) {
+func TestGuardsOfTheRouter(t *testing.T) {
 	if testing.Short() {
 		t.Skip("builds the tests once for each guard")
 	}
-	for _, b := range brokenGuards {
+	root, err := filepath.Abs("../..")
+	require.NoError(t, err)
+	for _, b := range guards {
 		t.Run(strings.ReplaceAll(b.guard, " ", "-"), func(t *testing.T) {
 			t.Parallel()
-			source, err := filepath.Abs(b.file)
-			require.NoError(t, err)
-			text, err := os.ReadFile(source)
-			require.NoError(t, err)
-			require.Equal(t, 1, strings.Count(string(text), b.old), "%s: the edit of %q matches no longer", b.file, b.old)
-			dir := t.TempDir()
-			edited, overlay := filepath.Join(dir, "edited.go"), filepath.Join(dir, "overlay.json")
-			require.NoError(t, os.WriteFile(edited, []byte(strings.Replace(string(text), b.old, b.now, 1)), 0o600))
-			replace, err := json.Marshal(map[string]map[string]string{"Replace": {source: edited}})
+			name, err := overlay.Write(root, t.TempDir(), []overlay.Edit{{File: "internal/router/" + b.file, Old: b.old, New: b.now}})
 			require.NoError(t, err)
-			require.NoError(t, os.WriteFile(overlay, replace, 0o600))
-			out, err := exec.Command("go", "test", "-vet=off", "-short", "-count=1", "-overlay", overlay, "-run", fmt.Sprintf("^(%s)$", b.test), ".").CombinedOutput()
+			out, err := exec.Command("go", "test", "-vet=off", "-short", "-count=1", "-overlay", name, "-run", fmt.Sprintf("^(%s)$", b.test), ".").CombinedOutput()
 			require.Error(t, err, "with this guard broken, %s passes", b.test)
 			require.Contains(t, string(out), "--- FAIL: ", "%s", out)
 		})
