A damaged data folder is set aside in an order that outlasts a loss of power

Cause: damaged stores were set aside by two renames and one sync of their folder. After a loss of power each rename may be kept or lost by itself: with the mark's kept and the state's lost, a state store older than what was confirmed stood alone, nothing said that it was old, and the node took up its old vote. Also, every damaged pair stayed for ever. Ruled out as faults: a confirmation before both syncs, a process end to recover from a full disk, goleveldb's own wait of 1-8 s after a failed compaction (the writer hears of the fault and opens anew).

--- /dev/null
+++ b/internal/host/data_folder.go
@@ -0,0 +1,193 @@
+package host
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/syndtr/goleveldb/leveldb/storage"
+)
+
+const (
+	stateName     = "state"
+	markName      = "mark"
+	damagedSuffix = ".damaged-"
+	// damagedKept is how many damaged pairs of stores stay on the disk, for a person to look at.
+	damagedKept = 2
+)
+
+// folderCalls are the calls that change names in the data folder and make that last.
+type folderCalls struct {
+	rename func(from, to string) error
+	sync   func(path string) error
+}
+
+var systemCalls = folderCalls{rename: os.Rename, sync: syncFolder}
+
+func syncFolder(path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return f.Sync()
+}
+
+// dataFolder is the folder on the machine's disk that holds a core's two stores.
+type dataFolder struct {
+	path  string
+	calls folderCalls
+}
+
+// openDisk opens the folder's stores. Damaged ones are set aside whole and empty ones begun:
+// the node then starts a new life and must be admitted again.
+func openDisk(path string, fail func(error)) (*disk, map[string][]byte, bool, error) {
+	return dataFolder{path, systemCalls}.open(fail)
+}
+
+func (f dataFolder) open(fail func(error)) (*disk, map[string][]byte, bool, error) {
+	if err := os.MkdirAll(f.path, 0o755); err != nil {
+		return nil, nil, false, errors.Wrap(err, "data folder")
+	}
+	if err := f.calls.sync(filepath.Dir(f.path)); err != nil {
+		return nil, nil, false, errors.Wrap(err, "data folder")
+	}
+	return openStores(storeFolders{
+		state:    f.store(stateName),
+		mark:     f.store(markName),
+		setAside: f.setAside,
+		backoff:  diskBackoff,
+	}, fail)
+}
+
+// store tells how one of the stores is opened.
+func (f dataFolder) store(name string) storeFolder {
+	path := filepath.Join(f.path, name)
+	return storeFolder{
+		open: func() (storage.Storage, error) {
+			s, err := storage.OpenFile(path, false)
+			if err != nil {
+				return nil, err
+			}
+			if err := f.calls.sync(f.path); err != nil {
+				_ = s.Close() // or its lock would stay
+				return nil, err
+			}
+			return s, nil
+		},
+		sync:  func() error { return f.calls.sync(path) },
+		reset: func() error { return f.removeManifests(path) },
+	}
+}
+
+func (f dataFolder) removeManifests(path string) error {
+	for _, pattern := range []string{"CURRENT*", "MANIFEST-*"} {
+		list, err := filepath.Glob(filepath.Join(path, pattern))
+		if err != nil {
+			return err
+		}
+		for _, file := range list {
+			if err := os.Remove(file); err != nil {
+				return err
+			}
+		}
+	}
+	return f.calls.sync(path)
+}
+
+// setAside renames both stores, and removes the oldest of those set aside earlier, so that
+// the disk does not fill up with them.
+//
+// The mark goes last, and only once the state's new name lasts: after a loss of power each
+// rename may be kept or lost by itself, and a state store that has lost what was confirmed
+// would pass for a sound one with no mark beside it.
+func (f dataFolder) setAside() error {
+	numbers, err := f.damagedNumbers()
+	if err != nil {
+		return err
+	}
+	next := 1
+	if len(numbers) > 0 {
+		next = numbers[len(numbers)-1] + 1
+	}
+	for _, name := range []string{stateName, markName} {
+		from := filepath.Join(f.path, name)
+		if err := f.calls.rename(from, from+damagedSuffix+strconv.Itoa(next)); err != nil && !os.IsNotExist(err) {
+			return err
+		}
+		if err := f.calls.sync(f.path); err != nil {
+			return err
+		}
+	}
+	for len(numbers) >= damagedKept {
+		f.removeDamaged(numbers[0])
+		numbers = numbers[1:]
+	}
+	return nil
+}
+
+// damagedNumbers lists the numbers of the stores set aside earlier, in rising order.
+func (f dataFolder) damagedNumbers() ([]int, error) {
+	entries, err := os.ReadDir(f.path)
+	if err != nil {
+		return nil, err
+	}
+	seen := map[int]bool{}
+	var numbers []int
+	for _, e := range entries {
+		_, suffix, found := strings.Cut(e.Name(), damagedSuffix)
+		n, err := strconv.Atoi(suffix)
+		if !found || err != nil || n < 1 || seen[n] {
+			continue
+		}
+		seen[n] = true
+		numbers = append(numbers, n)
+	}
+	sort.Ints(numbers)
+	return numbers, nil
+}
+
+// removeDamaged removes a pair that was set aside earlier; what cannot be removed stays, as
+// nothing depends on it.
+func (f dataFolder) removeDamaged(number int) {
+	for _, name := range []string{stateName, markName} {
+		_ = os.RemoveAll(filepath.Join(f.path, name+damagedSuffix+strconv.Itoa(number)))
+	}
+}
+
+// backoff is how long to wait between tries, at first and at most.
+type backoff struct{ least, most time.Duration }
+
+func (b backoff) next(wait time.Duration) time.Duration {
+	return max(b.least, min(2*wait, b.most))
+}
+
+// diskBackoff is the wait between tries of a disk that refuses.
+var diskBackoff = backoff{50 * time.Millisecond, time.Second}
+
+// awaitDisk opens a disk, for as long as it takes one that is full or refuses to come back;
+// note hears of the first fault.
+func awaitDisk(ctx context.Context, b backoff, open func() (*disk, map[string][]byte, bool, error), note func(error)) (*disk, map[string][]byte, bool, error) {
+	damaged := false
+	for wait := b.least; ; wait = b.next(wait) {
+		d, values, found, err := open()
+		damaged = damaged || found
+		if err == nil {
+			return d, values, damaged, nil
+		}
+		if note != nil {
+			note(err)
+			note = nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, nil, damaged, err
+		case <-time.After(wait):
+		}
+	}
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -123,7 +123,7 @@
 			fmt.Fprintf(os.Stderr, "stopped, since the disk lost what was confirmed on it: %v\n", err)
 			os.Exit(3)
 		}
-		d, m, harm, err := awaitDisk(c.ctx, retry, func() (*disk, map[string][]byte, bool, error) { return openDisk(c.o.Data, fail) }, func(err error) {
+		d, m, harm, err := awaitDisk(c.ctx, diskBackoff, func() (*disk, map[string][]byte, bool, error) { return openDisk(c.o.Data, fail) }, func(err error) {
 			c.o.Ring.Oops("the data folder does not open, and is tried again until it does: " + err.Error())
 		})
 		if err != nil {
--- a/internal/host/refuse_test.go
+++ b/internal/host/refuse_test.go
@@ -78,8 +78,8 @@
 		return err
 	})
 	died := make(chan error, 1)
-	d, _, harm, err := awaitDisk(ctx, pause{time.Millisecond, 4 * time.Millisecond}, func() (*disk, map[string][]byte, bool, error) {
-		return openVaults(p.vaults(), func(err error) { died <- err })
+	d, _, harm, err := awaitDisk(ctx, backoff{time.Millisecond, 4 * time.Millisecond}, func() (*disk, map[string][]byte, bool, error) {
+		return openStores(p.folders(), func(err error) { died <- err })
 	}, func(error) {})
 	require.False(t, harm, "what was never damaged is not set aside: %v", err)
 	if err == nil {
@@ -204,7 +204,7 @@
 func TestFoundThenRefused(t *testing.T) {
 	for at := 1; at <= 10; at++ {
 		p := newPair()
-		d, _, _, err := openVaults(p.vaults(), func(err error) { t.Error(at, err) })
+		d, _, _, err := openStores(p.folders(), func(err error) { t.Error(at, err) })
 		require.NoError(t, err)
 		saved := make(chan protocol.Saved, 1)
 		d.done = func(s protocol.Saved) { saved <- s }
@@ -245,7 +245,7 @@
 			t.Run(on+"/"+what, func(t *testing.T) {
 				t.Parallel()
 				p := newPair()
-				d, _, _, err := openVaults(p.vaults(), func(err error) { t.Error(err) })
+				d, _, _, err := openStores(p.folders(), func(err error) { t.Error(err) })
 				require.NoError(t, err)
 				var notes atomic.Int64
 				d.note = func(string) { notes.Add(1) }
@@ -327,8 +327,8 @@
 		go func() {
 			defer close(got)
 			var d *disk
-			if d, m, harm, err = awaitDisk(context.Background(), pause{time.Millisecond, 4 * time.Millisecond}, func() (*disk, map[string][]byte, bool, error) {
-				return openVaults(p.vaults(), func(err error) { t.Error(err) })
+			if d, m, harm, err = awaitDisk(context.Background(), backoff{time.Millisecond, 4 * time.Millisecond}, func() (*disk, map[string][]byte, bool, error) {
+				return openStores(p.folders(), func(err error) { t.Error(err) })
 			}, func(error) { told.Add(1) }); err == nil {
 				d.shut()
 			}
@@ -347,18 +347,18 @@
 	}
 	// A damaged store found before the disk filled up is still told as one.
 	n := 0
-	d, _, harm, err := awaitDisk(context.Background(), pause{time.Millisecond, time.Millisecond}, func() (*disk, map[string][]byte, bool, error) {
+	d, _, harm, err := awaitDisk(context.Background(), backoff{time.Millisecond, time.Millisecond}, func() (*disk, map[string][]byte, bool, error) {
 		if n++; n < 3 {
 			return nil, nil, n == 1, syscall.ENOSPC
 		}
-		return openVaults(newPair().vaults(), func(error) {})
+		return openStores(newPair().folders(), func(error) {})
 	}, func(error) {})
 	require.NoError(t, err)
 	require.True(t, harm)
 	d.shut()
 	ctx, stop := context.WithCancel(context.Background())
 	stop()
-	_, _, _, err = awaitDisk(ctx, pause{time.Hour, time.Hour}, func() (*disk, map[string][]byte, bool, error) {
+	_, _, _, err = awaitDisk(ctx, backoff{time.Hour, time.Hour}, func() (*disk, map[string][]byte, bool, error) {
 		return nil, nil, false, syscall.ENOSPC
 	}, func(error) {})
 	require.ErrorIs(t, err, syscall.ENOSPC)
@@ -367,7 +367,7 @@
 // A disk that stalls confirms nothing and blocks no one who asks; what came meanwhile follows.
 func TestStall(t *testing.T) {
 	p := newPair()
-	d, _, _, err := openVaults(p.vaults(), func(err error) { t.Error(err) })
+	d, _, _, err := openStores(p.folders(), func(err error) { t.Error(err) })
 	require.NoError(t, err)
 	saved := make(chan protocol.Saved, 100)
 	d.done = func(s protocol.Saved) { saved <- s }
@@ -417,7 +417,7 @@
 		t.Run(name, func(t *testing.T) {
 			p := newPair()
 			told := make(chan error, 1)
-			d, _, _, err := openVaults(p.vaults(), func(err error) { told <- err })
+			d, _, _, err := openStores(p.folders(), func(err error) { told <- err })
 			require.NoError(t, err)
 			saved := make(chan protocol.Saved, 8)
 			d.done = func(s protocol.Saved) { saved <- s }
@@ -443,7 +443,7 @@
 			d.put(protocol.Save{Token: 3, Puts: map[string][]byte{"b": []byte("3")}})
 			select {
 			case err := <-told:
-				require.ErrorIs(t, err, errHarm)
+				require.ErrorIs(t, err, errDamaged)
 			case <-saved:
 				t.Fatal("confirmed on top of a damaged store")
 			}
@@ -456,9 +456,9 @@
 // An end that is asked for does not wait for a disk that refuses.
 func TestEndWhileRefused(t *testing.T) {
 	p := newPair()
-	v := p.vaults()
-	v.pause = pause{time.Hour, time.Hour}
-	d, _, _, err := openVaults(v, func(err error) { t.Error(err) })
+	v := p.folders()
+	v.backoff = backoff{time.Hour, time.Hour}
+	d, _, _, err := openStores(v, func(err error) { t.Error(err) })
 	require.NoError(t, err)
 	d.done = func(protocol.Saved) { t.Error("confirmed") }
 	hit := make(chan struct{}, 100)
--- a/internal/host/rough_test.go
+++ b/internal/host/rough_test.go
@@ -1,9 +1,14 @@
 package host
 
 import (
+	"encoding/binary"
 	"fmt"
 	"io"
+	"maps"
+	"math/rand/v2"
 	"os"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -28,6 +33,9 @@
 	ops   int
 	fails func(op int, what string) error
 	gate  chan struct{} // syncs wait for it, if there is one
+
+	removed map[storage.FileDesc]*roughFile // gone from the folder, which has not been synced since
+	largest int                             // most bytes that all files ever came to
 }
 
 type roughFile struct {
@@ -48,7 +56,25 @@
 	return err != nil && !errors.As(err, &late)
 }
 
-func newRough() *rough { return &rough{files: map[storage.FileDesc]*roughFile{}} }
+func newRough() *rough {
+	return &rough{files: map[storage.FileDesc]*roughFile{}, removed: map[storage.FileDesc]*roughFile{}}
+}
+
+// worked tells the largest size of the folder, and how many calls it took.
+func (r *rough) worked() (largest, ops int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.largest, r.ops
+}
+
+// measure notes how large the folder has become.
+func (r *rough) measure() {
+	sum := 0
+	for _, f := range r.files {
+		sum += len(f.data)
+	}
+	r.largest = max(r.largest, sum)
+}
 
 func (r *rough) op(what string) error {
 	r.ops++
@@ -93,6 +119,7 @@
 	for _, f := range r.files {
 		f.named = true
 	}
+	clear(r.removed)
 }
 
 func (r *rough) GetMeta() (storage.FileDesc, error) {
@@ -206,6 +233,7 @@
 		return n, err
 	}
 	w.f.data = append(w.f.data, b...)
+	w.r.measure()
 	return len(b), err
 }
 
@@ -238,6 +266,9 @@
 	if refused(err) {
 		return err
 	}
+	if f := r.files[fd]; f != nil && f.named {
+		r.removed[fd] = f
+	}
 	delete(r.files, fd)
 	return err
 }
@@ -292,6 +323,33 @@
 	return n
 }
 
+// afterNames gives the folder as it is found after the power went and each name that was made
+// or removed without a sync of the folder was kept or lost by itself.
+func (r *rough) afterNames(seed uint64) *rough {
+	chance := rand.New(rand.NewPCG(seed, 1))
+	n := r.after(0, "missing")
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.old != nil && chance.IntN(2) == 0 {
+		n.meta = r.meta
+	}
+	for _, unsynced := range []map[storage.FileDesc]*roughFile{r.files, r.removed} {
+		for _, fd := range sortedNames(unsynced) {
+			if n.files[fd] == nil && chance.IntN(2) == 0 {
+				b := append([]byte{}, unsynced[fd].data[:unsynced[fd].synced]...)
+				n.files[fd] = &roughFile{data: b, synced: len(b), named: true}
+			}
+		}
+	}
+	return n
+}
+
+func sortedNames(files map[storage.FileDesc]*roughFile) []storage.FileDesc {
+	return slices.SortedFunc(maps.Keys(files), func(a, b storage.FileDesc) int {
+		return strings.Compare(a.String(), b.String())
+	})
+}
+
 func (r *rough) off() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -303,9 +361,9 @@
 
 func newPair() pair { return pair{newRough(), newRough()} }
 
-func (p pair) vaults() vaults {
-	v := func(r *rough) vault {
-		return vault{open: func() (storage.Storage, error) { return r, nil }, sync: func() error {
+func (p pair) folders() storeFolders {
+	v := func(r *rough) storeFolder {
+		return storeFolder{open: func() (storage.Storage, error) { return r, nil }, sync: func() error {
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			err := r.op("sync folder")
@@ -314,18 +372,20 @@
 			}
 			r.name()
 			return err
-		}, bare: func() error {
+		}, reset: func() error {
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			if err := r.op("remove"); refused(err) {
 				return err
 			}
-			r.files, r.has = map[storage.FileDesc]*roughFile{}, false
+			r.files, r.removed, r.has = map[storage.FileDesc]*roughFile{}, map[storage.FileDesc]*roughFile{}, false
 			return nil
 		}}
 	}
-	return vaults{pause: pause{time.Millisecond, 4 * time.Millisecond}, state: v(p.state), mark: v(p.mark), aside: func() error {
-		*p.state, *p.mark = rough{files: map[storage.FileDesc]*roughFile{}}, rough{files: map[storage.FileDesc]*roughFile{}}
+	return storeFolders{backoff: backoff{time.Millisecond, 4 * time.Millisecond}, state: v(p.state), mark: v(p.mark), setAside: func() error {
+		for _, r := range []*rough{p.state, p.mark} {
+			r.files, r.removed, r.has = map[storage.FileDesc]*roughFile{}, map[storage.FileDesc]*roughFile{}, false
+		}
 		return nil
 	}}
 }
@@ -337,7 +397,7 @@
 // use opens a node's disk, saves, and leaves it as the power goes.
 func (p pair) use(t *testing.T, puts ...map[string][]byte) (map[string][]byte, bool) {
 	t.Helper()
-	d, m, harm, err := openVaults(p.vaults(), func(err error) { t.Error(err) })
+	d, m, harm, err := openStores(p.folders(), func(err error) { t.Error(err) })
 	require.NoError(t, err)
 	saved := make(chan protocol.Saved, 1)
 	d.done = func(s protocol.Saved) { saved <- s }
@@ -362,11 +422,18 @@
 	return b
 }
 
+// noise is a value that no compression makes smaller.
+func noise(seed uint64, size int) []byte {
+	b := make([]byte, size)
+	_, _ = rand.NewChaCha8([32]byte(binary.LittleEndian.AppendUint64(make([]byte, 24), seed))).Read(b)
+	return b
+}
+
 // Power goes while a save is on its way, at every byte of it: what was confirmed is there
 // to the byte, and the disk is not taken for a damaged one.
 func TestTornTail(t *testing.T) {
 	p := newPair()
-	d, _, _, err := openVaults(p.vaults(), func(error) {})
+	d, _, _, err := openStores(p.folders(), func(error) {})
 	require.NoError(t, err)
 	saved := make(chan protocol.Saved, 8)
 	d.done = func(s protocol.Saved) { saved <- s }
@@ -459,7 +526,7 @@
 				return nil
 			}
 			p.state.fails, p.mark.fails = fail, fail
-			d, m, harm, err := openVaults(p.vaults(), func(error) {})
+			d, m, harm, err := openStores(p.folders(), func(error) {})
 			require.False(t, harm, "%v at call %d", e, at)
 			if err == nil {
 				require.Equal(t, want, m)
@@ -481,7 +548,7 @@
 			p := newPair()
 			p.use(t, map[string][]byte{"a": []byte("1")})
 			p = p.after(0, "missing")
-			d, _, _, err := openVaults(p.vaults(), func(err error) { t.Error(err) })
+			d, _, _, err := openStores(p.folders(), func(err error) { t.Error(err) })
 			require.NoError(t, err)
 			told := make(chan string, 1)
 			d.note = func(s string) { told <- s }
