--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -102,7 +102,20 @@
 	return s
 }()
 
+// maxIncarnation is above all that a process draws or raises its own to.
+const maxIncarnation ident.Inc = 1 << 63
+
+// valid tells whether a line of gossip is one that a process can have written.
+func valid(l protocol.Member) bool {
+	known := l.Life == Alive || l.Life == Suspect || l.Life == Dead
+	return known && l.ID != "" && l.Addr != "" && l.Inc < maxIncarnation
+}
+
+// hear takes in a line of gossip. One that makes no sense would never be forgotten, and is left out.
 func (c *Core) hear(now clock.Tick, l protocol.Member) {
+	if !valid(l) {
+		return
+	}
 	if l.ID == c.o.Me.ID {
 		if l.Life != Alive && l.Inc >= c.o.Me.Inc {
 			c.o.Me.Inc = l.Inc + 1
@@ -264,6 +277,9 @@
 		return []protocol.Env{c.mail(e.From, protocol.ProbeAck{Seq: b.Seq, News: n})}, true
 	case protocol.ProbeFor:
 		hear(b.News)
+		if e.From.ID == "" {
+			return nil, true // nobody to tell
+		}
 		c.seq++
 		c.out[c.seq] = &probe{to: b.Target.ID, at: now, asker: e.From, seq: b.Seq}
 		return []protocol.Env{c.mail(b.Target, protocol.Probe{Seq: c.seq, News: c.gossip()})}, true
--- a/internal/protocol/desired.go
+++ b/internal/protocol/desired.go
@@ -12,8 +12,9 @@
 	"github.com/go-faster/errors"
 )
 
-// mostDesired bounds what a desired state may come to when it is unpacked.
-const mostDesired = 64 << 20
+// mostDesired bounds what a desired state may come to when it is unpacked: a plan of the largest size that is
+// taken and its windows, both as base64, come to half of it.
+const mostDesired = 16 << 20
 
 // Packed keeps the bytes of something that does not change and is sent to many.
 type Packed struct {
@@ -78,16 +79,37 @@
 		return err
 	}
 	if z.Z != nil {
-		b, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(z.Z)), mostDesired))
+		unpacked, err := z.unpack()
 		if err != nil {
 			return errors.Wrap(err, "unpack desired state")
 		}
-		raw = b
+		raw = unpacked
 	}
-	var p plainDesired
-	if err := json.Unmarshal(raw, &p); err != nil {
+	var read struct {
+		plainDesired
+		Nested json.RawMessage `json:"z"`
+	}
+	if err := json.Unmarshal(raw, &read); err != nil {
 		return err
 	}
-	*d = Desired(p)
+	if z.Z != nil && (read.Nested != nil || bytes.Equal(bytes.TrimSpace(raw), []byte("null"))) {
+		return errors.New("unpack desired state: there is none in it")
+	}
+	*d = Desired(read.plainDesired)
 	return nil
 }
+
+// unpack gives the JSON of a desired state that was squeezed, and nothing else.
+func (z squeezed) unpack() ([]byte, error) {
+	rest := bytes.NewReader(z.Z)
+	unpacked, err := io.ReadAll(io.LimitReader(flate.NewReader(rest), mostDesired+1))
+	switch {
+	case err != nil:
+		return nil, err
+	case len(unpacked) > mostDesired:
+		return nil, errors.Errorf("it comes to more than %d bytes", mostDesired)
+	case rest.Len() > 0:
+		return nil, errors.Errorf("%d bytes follow it", rest.Len())
+	}
+	return unpacked, nil
+}
