--- a/internal/host/data_folder_test.go
+++ b/internal/host/data_folder_test.go
@@ -183,3 +183,41 @@
 	require.False(t, damaged)
 	require.Equal(t, strconv.Itoa(writes-1), string(values["promised"]))
 }
+
+// Files of a store that have each other's bytes, or none: the node starts all the same, with what was
+// confirmed or with nothing.
+func TestExchangedFiles(t *testing.T) {
+	t.Parallel()
+	sound := newPair()
+	want := map[string][]byte{"vote": []byte("2"), "accepted": val(2, 300)}
+	sound.use(t, map[string][]byte{"accepted": val(3, 300_000)}, want)
+	sound = sound.after(0, "missing")
+	sound.use(t) // its journals become tables
+	check := func(p pair, what string) {
+		values, damaged := p.use(t)
+		require.True(t, damaged && len(values) == 0 || same(want, values), what)
+	}
+	for _, store := range []string{stateName, markName} {
+		pick := func(p pair) *rough { return map[string]*rough{stateName: p.state, markName: p.mark}[store] }
+		for _, one := range sortedNames(pick(sound).files) {
+			for _, other := range sortedNames(pick(sound).files) {
+				p := sound.after(0, "missing")
+				a, b := pick(p).files[one], pick(p).files[other]
+				if a == nil || b == nil {
+					continue
+				}
+				a.data, b.data = b.data, a.data
+				a.synced, b.synced = len(a.data), len(b.data)
+				check(p, store+": "+one.String()+" and "+other.String())
+			}
+			for _, size := range []int{0, 1, 47, 48} {
+				p := sound.after(0, "missing")
+				if a := pick(p).files[one]; a != nil {
+					a.data = a.data[:min(size, len(a.data))]
+					a.synced = len(a.data)
+					check(p, store+": "+one.String()+" cut short")
+				}
+			}
+		}
+	}
+}
--- a/internal/host/post.go
+++ b/internal/host/post.go
@@ -8,12 +8,10 @@
 	"syscall"
 	"time"
 
-	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmanager"
-	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcwire"
 
 	"tidedeck/internal/protocol"
@@ -92,36 +90,6 @@
 	return dialer
 }
 
-func (p *post) listen(addr string) error {
-	// Probes end what a peer that lost its power, or was cut off, has left open here.
-	listening := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3}}
-	l, err := listening.Listen(p.ctx, "tcp", addr)
-	if err != nil {
-		return errors.Wrap(err, "listen")
-	}
-	s := drpcserver.NewWithOptions(p, drpcserver.Options{Manager: manage})
-	go func() { _ = s.Serve(p.ctx, l) }()
-	return nil
-}
-
-// HandleRPC reads a sibling's stream to its end.
-func (p *post) HandleRPC(s drpc.Stream, rpc string) error {
-	if rpc != rpcPost {
-		return errors.Errorf("no such call: %s", rpc)
-	}
-	opened := time.Now()
-	for first := true; ; first = false {
-		var e protocol.Env
-		if err := s.MsgRecv(&e, coding{}); err != nil {
-			return nil
-		}
-		if first {
-			p.reopened(e.From.Addr, opened)
-		}
-		p.take(e)
-	}
-}
-
 // reopened notes that a peer opened a new stream to this process: it may have started anew, or come
 // back from a cut, so that an older connection to it leads nowhere.
 func (p *post) reopened(addr string, at time.Time) {
--- a/internal/host/stores.go
+++ b/internal/host/stores.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"hash/crc32"
 	"hash/fnv"
+	"io"
 	"os"
 	"strconv"
 
@@ -58,7 +59,16 @@
 var errDamaged = errors.New("the store is damaged")
 
 // isDamage tells damage from a passing fault of the machine, which leaves the disk as it is.
-func isDamage(err error) bool { return errors.Is(err, errDamaged) || dberrors.IsCorrupted(err) }
+// A file that ends too soon or is not there is damage too: goleveldb gives the storage's own error
+// for some of these, and no later try would find more.
+func isDamage(err error) bool {
+	for _, sign := range []error{errDamaged, io.EOF, io.ErrUnexpectedEOF, os.ErrNotExist} {
+		if errors.Is(err, sign) {
+			return true
+		}
+	}
+	return dberrors.IsCorrupted(err)
+}
 
 // storeOptions keep what is written beside the values little: a disk that is almost full has
 // room for what must be written to open the stores, and little memory goes to files that are
