--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -139,3 +139,16 @@
 	require.Equal(t, protocol.Kept{Round: 9, Value: &protocol.Desired{Gen: 2, Epoch: 1}}, k)
 	require.Equal(t, core("a2"), e.To)
 }
+
+// A word of a router that has no incarnation is not one of this machine's router: the agent goes on for
+// the one that it serves.
+func TestHelloOfNoRouter(t *testing.T) {
+	r := set()
+	before := r.Session()
+	r.give(core("router"), protocol.Hello{})
+	require.Equal(t, before, r.Session())
+	r.out = nil
+	r.pass(3e9)
+	_, _, asked := last[protocol.Renew](r)
+	require.True(t, asked)
+}
--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -146,6 +146,9 @@
 	}
 	switch b := e.Body.(type) {
 	case protocol.Hello:
+		if b.Router == 0 {
+			return // no router begins a life without a number
+		}
 		c.gen, c.epoch, c.seats = b.Gen, b.Epoch, b.Seats
 		c.gather(b.Burden)
 		if b.Router != c.router {
