--- /dev/null
+++ b/internal/host/outbound.go
@@ -0,0 +1,96 @@
+package host
+
+import (
+	"net"
+	"time"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+
+	"tidedeck/internal/protocol"
+)
+
+const (
+	// redialWait is the pause after a connection failed; what is to be sent meanwhile is let go.
+	redialWait = 100 * time.Millisecond
+	// writeWait is how long a peer that does not read may hold a write up.
+	writeWait = 2 * time.Second
+)
+
+// staleBefore is how much older than a peer's new inbound stream our own connection to it must be to be
+// taken for one to the peer's life before. Two peers that reconnect to each other settle at once, since
+// both connections are then younger than this.
+const staleBefore = time.Second
+
+// outbound is the connection to one peer and the stream on it, dialled when something is to be sent.
+type outbound struct {
+	post    *post
+	to      string
+	line    *peerLine
+	conn    *drpcconn.Conn
+	stream  drpc.Stream
+	dialled time.Time
+	failed  time.Time
+}
+
+// send writes an envelope. One that cannot be written is lost, as on any network.
+func (o *outbound) send(e protocol.Env) {
+	if o.conn != nil && o.ended() {
+		o.close()
+	}
+	if o.conn == nil {
+		if time.Since(o.failed) < redialWait {
+			return
+		}
+		if err := o.open(); err != nil {
+			o.fail()
+			return
+		}
+	}
+	if err := o.stream.MsgSend(&e, coding{}); err != nil {
+		o.fail()
+	}
+}
+
+// ended tells whether the connection is closed, or leads to the peer's life before: it is older than the
+// peer's newest stream to this process.
+func (o *outbound) ended() bool {
+	select {
+	case <-o.conn.Closed():
+		return true
+	default:
+	}
+	return o.dialled.Sub(o.post.began)+staleBefore < time.Duration(o.line.reopened.Load())
+}
+
+func (o *outbound) open() error {
+	o.dialled = time.Now()
+	c, err := o.post.dial.Dial("tcp", o.to)
+	if err != nil {
+		return err
+	}
+	o.conn = drpcconn.NewWithOptions(slowGuard{c}, drpcconn.Options{Manager: manage})
+	o.stream, err = o.conn.NewStream(o.post.ctx, rpcPost, coding{})
+	return err
+}
+
+func (o *outbound) fail() {
+	o.close()
+	o.failed = time.Now()
+}
+
+func (o *outbound) close() {
+	if o.conn != nil {
+		_ = o.conn.Close()
+	}
+	o.conn, o.stream = nil, nil
+}
+
+// slowGuard is a connection whose other end may hold writes up for a while only.
+type slowGuard struct{ net.Conn }
+
+// Write bounds the time that a sibling may keep us from writing.
+func (c slowGuard) Write(b []byte) (int, error) {
+	_ = c.SetWriteDeadline(time.Now().Add(writeWait))
+	return c.Conn.Write(b)
+}
--- a/internal/host/post.go
+++ b/internal/host/post.go
@@ -10,7 +10,6 @@
 
 	"golang.org/x/sys/unix"
 	"storj.io/drpc"
-	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcwire"
 
@@ -20,6 +19,8 @@
 const (
 	rpcPost  = "/tidedeck/post"
 	mostWire = 16 << 20
+	// idleWait is how long a line to a peer is kept with nothing to send.
+	idleWait = time.Minute
 )
 
 // coding lets drpc carry our envelopes.
@@ -45,11 +46,6 @@
 // as it was away.
 const unacknowledgedLimit = 1500 * time.Millisecond
 
-// staleBefore is how much older than a peer's new inbound stream our own connection to it must be to be
-// taken for one to the peer's life before. Two peers that reconnect to each other settle at once, since
-// both connections are then younger than this.
-const staleBefore = time.Second
-
 // peerLine is what waits to be sent to one peer.
 type peerLine struct {
 	queue    chan protocol.Env
@@ -100,11 +96,6 @@
 	}
 }
 
-// stale tells whether a connection that was dialled at some moment is older than the peer's newest stream.
-func (p *post) stale(line *peerLine, dialled time.Time) bool {
-	return dialled.Sub(p.began)+staleBefore < time.Duration(line.reopened.Load())
-}
-
 // send queues an envelope; a full queue lets go of its oldest.
 func (p *post) send(e protocol.Env) {
 	to := e.Hop().Addr
@@ -153,83 +144,41 @@
 	p.mu.Unlock()
 }
 
-type slowGuard struct{ net.Conn }
-
-// Write bounds the time that a sibling may keep us from writing.
-func (c slowGuard) Write(b []byte) (int, error) {
-	_ = c.SetWriteDeadline(time.Now().Add(2 * time.Second))
-	return c.Conn.Write(b)
-}
-
+// run writes what is queued for one peer, until nothing has come for a while.
 func (p *post) run(to string, line *peerLine) {
-	q := line.queue
-	var c *drpcconn.Conn
-	var s drpc.Stream
-	var bad, dialled time.Time
-	quit := func() {
-		if c != nil {
-			_ = c.Close()
-		}
-		c, s = nil, nil
-	}
-	defer quit()
-	put := func(e protocol.Env) {
-		if c != nil {
-			select {
-			case <-c.Closed():
-				quit()
-			default:
-			}
-		}
-		if c != nil && p.stale(line, dialled) {
-			quit()
-		}
-		if c == nil {
-			if time.Since(bad) < 100*time.Millisecond {
-				return
-			}
-			dialled = time.Now()
-			n, err := p.dial.Dial("tcp", to)
-			if err != nil {
-				bad = time.Now()
-				return
-			}
-			c = drpcconn.NewWithOptions(slowGuard{n}, drpcconn.Options{Manager: manage})
-			if s, err = c.NewStream(p.ctx, rpcPost, coding{}); err != nil {
-				quit()
-				bad = time.Now()
-				return
-			}
-		}
-		if err := s.MsgSend(&e, coding{}); err != nil {
-			quit()
-			bad = time.Now()
-		}
-	}
-	idle := time.NewTimer(time.Minute)
+	o := &outbound{post: p, to: to, line: line}
+	defer o.close()
+	idle := time.NewTimer(idleWait)
 	defer idle.Stop()
 	for {
 		select {
 		case <-p.ctx.Done():
 			return
 		case <-idle.C:
-			p.mu.Lock()
-			if len(q) == 0 {
-				delete(p.lines, to)
-				p.mu.Unlock()
+			if p.forget(to, line) {
 				return
 			}
-			p.mu.Unlock()
-			idle.Reset(time.Minute)
-		case e := <-q:
-			idle.Reset(time.Minute)
+			idle.Reset(idleWait)
+		case e := <-line.queue:
+			idle.Reset(idleWait)
 			p.work(1)
-			if f := p.local[to]; f != nil {
-				f(e)
+			if deliver := p.local[to]; deliver != nil {
+				deliver(e)
 			} else {
-				put(e)
+				o.send(e)
 			}
 			p.work(-1)
 		}
 	}
 }
+
+// forget drops a line on which nothing waits, and tells whether it did.
+func (p *post) forget(to string, line *peerLine) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(line.queue) > 0 {
+		return false
+	}
+	delete(p.lines, to)
+	return true
+}
