--- a/internal/simulator/check.go
+++ b/internal/simulator/check.go
@@ -10,6 +10,7 @@
 	"tidedeck/internal/controller"
 	"tidedeck/internal/failure"
 	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/history"
 	"tidedeck/internal/ident"
 	"tidedeck/internal/protocol"
 	"tidedeck/internal/router"
@@ -42,23 +43,25 @@
 
 // Checker watches a world from outside and says what must never be seen.
 type Checker struct {
-	w      *World
-	open   map[router.Ref]*call
-	calls  []*call
-	Bad    []string
-	states []*state
-	ranID  map[string]int
-	ranAt  map[string]place
-	goes   []tried
-	epochs map[string][2]uint64
-	lives  map[string]int
-	duties map[ident.Duty]string
-	gone   map[string]clock.Tick // servers that are leaving, gone or dark, since when
-	unload map[string]clock.Tick
-	Seen   Seen
-	healed clock.Tick
-	batch  batchBooks
-	loose  bool // all core disks were lost: what was confirmed may be gone
+	w       *World
+	open    map[router.Ref]*call
+	calls   []*call
+	Bad     []string
+	states  []*state
+	ranID   map[string]int
+	ranAt   map[string]place
+	goes    []tried
+	epochs  map[string][2]uint64
+	lives   map[string]int
+	duties  map[ident.Duty]string
+	gone    map[string]clock.Tick // servers that are leaving, gone or dark, since when
+	unload  map[string]clock.Tick
+	Seen    Seen
+	healed  clock.Tick
+	batch   batchBooks
+	loose   bool // all core disks were lost: what was confirmed may be gone
+	looseAt clock.Tick
+	history history.Recorder // what operators and readers saw
 }
 
 // Seen is what a run measured.
@@ -82,6 +85,7 @@
 	Began                                                 int        // most loads from the store that began in 5 s
 	Held                                                  int        // requests that waited for more than 250 ms
 	HeldFor                                               clock.Span // and for how long, in all
+	Operations                                            int        // of operators and readers, in the history
 	lastOwner                                             clock.Tick
 }
 
@@ -656,6 +660,7 @@
 	if float64(s.Needless) > 0.01*float64(s.Asked) && !k.loose {
 		k.bad("%d of %d requests were dropped though a server could have served them", s.Needless, s.Asked)
 	}
+	k.finishHistory()
 	// Every epoch is one change: more epochs than changes means that one was redone.
 	most := ident.Epoch(0)
 	for _, x := range k.states {
@@ -715,7 +720,7 @@
 	for i, k := range l {
 		l[i] = fmt.Sprintf("%s %d", k, s.Kinds[k])
 	}
-	return fmt.Sprintf("asked %d answered %d dropped %d unclear %d cut %d broke %d | firsts %d retries %d repeats %d | plan %v gone %v zone %v back %v no-owner %v | hits %d lookups %d breaks %d acks %d lapses %d unloads %d cold %d reigns %d | window %.3f late %d again %d/%d/%d | moves %d held %d for %v pulls %d needless %d [%s]",
+	return fmt.Sprintf("asked %d answered %d dropped %d unclear %d cut %d broke %d | firsts %d retries %d repeats %d | plan %v gone %v zone %v back %v no-owner %v | hits %d lookups %d breaks %d acks %d lapses %d unloads %d cold %d reigns %d | window %.3f late %d again %d/%d/%d | moves %d held %d for %v pulls %d needless %d operations %d [%s]",
 		s.Asked, s.Answered, s.Dropped, s.Unclear, s.Cut, s.Broke, s.Firsts, s.Retries, s.Repeats, s.PlanLag, s.GoneLag, s.ZoneLag, s.Back, s.NoOwner,
-		s.Hits, s.Lookups, s.Breaks, s.Acks, s.Lapses, s.Unloads, s.Cold, s.Reigns, s.Window, s.Late, s.Asked2, s.Known2, s.Ran2, s.Moves, s.Held, s.HeldFor.Round(1e8), s.Pulls, s.Needless, strings.Join(l, ", "))
+		s.Hits, s.Lookups, s.Breaks, s.Acks, s.Lapses, s.Unloads, s.Cold, s.Reigns, s.Window, s.Late, s.Asked2, s.Known2, s.Ran2, s.Moves, s.Held, s.HeldFor.Round(1e8), s.Pulls, s.Needless, s.Operations, strings.Join(l, ", "))
 }
--- /dev/null
+++ b/internal/simulator/history.go
@@ -0,0 +1,76 @@
+package simulator
+
+import (
+	"time"
+
+	jsonpatch "github.com/evanphx/json-patch/v5"
+
+	"tidedeck/internal/controller"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/history"
+)
+
+// historyTime bounds the check of a run's history, on the wall clock.
+const historyTime = 60 * time.Second
+
+// historyKinds tells which operators' requests are operations of the plan register.
+var historyKinds = map[string]history.Kind{
+	"put": history.Put, "patch": history.Patch, "get": history.Read,
+	"empty": history.Touch, "refill": history.Touch, "windows": history.Touch,
+}
+
+// record notes an operator's request in the history, and gives what takes its answer.
+func (w *World) record(node string, a controller.Admin) func(controller.Receipt) {
+	kind, ok := historyKinds[a.Op]
+	if !ok {
+		return func(controller.Receipt) {}
+	}
+	pending := w.Check.history.Invoke(history.Operation{Kind: kind, Node: node, Change: a.Change, Expect: uint64(a.Expect), Any: a.Any,
+		Number: uint64(a.Number), Body: a.Raw, Invoke: int64(w.now)})
+	return func(r controller.Receipt) {
+		at := int64(w.now)
+		switch {
+		case r.Kind == failure.None && kind == history.Read:
+			pending.Answered(at, uint64(r.Epoch), r.Plan)
+		case r.Kind == failure.None:
+			pending.Taken(at, uint64(r.Epoch))
+		case r.Kind == failure.Conflict:
+			pending.Conflict(at, uint64(r.Epoch))
+		case r.Kind == failure.Faulty || r.Kind == failure.Malformed || r.Kind == failure.Unknown:
+			pending.Invalid(at)
+		case r.Kind == failure.Unclear:
+			pending.Unclear()
+		default: // not ready, or full: nothing was begun
+			pending.Dropped()
+		}
+	}
+}
+
+// finishHistory holds all that operators and readers saw against one register.
+func (k *Checker) finishHistory() {
+	operations := k.history.History()
+	if k.loose { // what was confirmed before the disks were lost may be gone
+		operations = history.Before(operations, int64(k.looseAt))
+	}
+	result := history.Check(operations, mergeBytes, historyTime)
+	k.Seen.Operations = result.Operations
+	switch result.Verdict {
+	case history.Violated:
+		k.bad("operators' history fits no order: %s", result.Why)
+	case history.Unknown:
+		k.bad("operators' history is not checked: %s", result.Why)
+	}
+}
+
+// mergeBytes merges a patch as core nodes do.
+func mergeBytes(plan, patch []byte) ([]byte, bool) {
+	merged, err := jsonpatch.MergePatch(plan, patch)
+	return merged, err == nil
+}
+
+// loosen notes that every core disk is lost from now on.
+func (k *Checker) loosen() {
+	if !k.loose {
+		k.loose, k.looseAt = true, k.w.now
+	}
+}
--- a/internal/simulator/scenes.go
+++ b/internal/simulator/scenes.go
@@ -464,7 +464,7 @@
 	{Name: "ruin", About: "every core disk is lost at once; agents still hold the plan", Long: 60e9, Least: 0.98,
 		Play: func(w *World) {
 			w.At(sec(20), func() {
-				w.Check.loose = true
+				w.Check.loosen()
 				for i := 1; i <= 3; i++ {
 					n := fmt.Sprintf("controller-%d", i)
 					w.Kill(n)
@@ -622,7 +622,7 @@
 	{Name: "ruin-clocks", About: "every core disk is lost, the core's clocks are set back, and every agent restarts: only routers still have the plan", Long: 70e9, Least: 0.98,
 		Play: func(w *World) {
 			w.At(sec(20), func() {
-				w.Check.loose = true
+				w.Check.loosen()
 				for i := 1; i <= 3; i++ {
 					n := fmt.Sprintf("controller-%d", i)
 					w.Kill(n)
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -976,9 +976,11 @@
 	w.admin++
 	a.Token = w.admin
 	done := false
+	heard := w.record(node, a)
 	once := func(r controller.Receipt) {
 		if !done {
 			done = true
+			heard(r)
 			then(r)
 		}
 	}
