--- /dev/null
+++ b/internal/simulator/control_scenes.go
@@ -0,0 +1,33 @@
+package simulator
+
+func init() { Scenes = append(Scenes, controlScenes...) }
+
+// control sets a world of announced servers up on a deployment that is drawn from its seed. It has few
+// servers and callers: these scenes are about the core.
+func control(draw func(seed uint64) *Deployment) func(o *Options) {
+	return func(o *Options) {
+		hosted(func(h *Hosted) { h.Batch, h.Plain = 3, 2 })(o)
+		o.Routers, o.Core = 3, draw(o.Seed)
+	}
+}
+
+// controlRate is how many requests a second callers send in these scenes.
+const controlRate = 5
+
+// controlScenes lose, part and change core nodes on drawn deployments.
+var controlScenes = []Scene{
+	{Name: "control-losses", About: "core nodes lose power, lose their disks and are replaced, as closely as a drawn deployment tolerates", Long: 100e9, Rate: controlRate,
+		Set: control(drawDeployment), Play: func(w *World) { w.playLosses(powerLoss, diskLoss, ackDiskLoss, replacement) }},
+	{Name: "control-five", About: "the same with five voters of which any two may be lost", Long: 100e9, Rate: controlRate,
+		Set: control(fiveVoters), Play: func(w *World) { w.playLosses(powerLoss, diskLoss, ackDiskLoss, replacement) }},
+	{Name: "control-power", About: "five voters, two of which lose power at a time, again and again", Long: 100e9, Rate: controlRate,
+		Set: control(fiveVoters), Play: func(w *World) { w.playLosses(powerLoss) }},
+}
+
+// playLosses loses core nodes while an operator changes the plan.
+func (w *World) playLosses(kinds ...loss) {
+	w.tracef("deployment: %s", w.core)
+	w.watchVoters(12)
+	w.operate(14, 76, 2e9)
+	w.losses(15, 75, kinds...)
+}
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -46,6 +46,7 @@
 	Mixed      bool    // servers differ in room, slots and speed
 	Fill       int     // prompt bytes that a server's step can prefill
 	Rates      float64 // how far the rates of any two machines' clocks may differ
+	Core       *Deployment
 	Hosted     *Hosted // servers announce themselves and check no fence, if set
 }
 
@@ -132,6 +133,7 @@
 	admins map[uint64]func(controller.Receipt)
 	admin  uint64
 	host   *hosting
+	core   *coreFleet
 	harm   harm
 	// Lag is a pause between a router's last check and the send, drawn with chance LagOdds.
 	LagOdds float64
@@ -220,8 +222,12 @@
 	w.store = standin.NewStore(o.Rate, loads)
 	zones := []ident.Zone{"za", "zb", "zc"}
 	seeds := w.seeds()
-	for i := range 3 {
-		w.addController(fmt.Sprintf("controller-%d", i+1), zones[i], seeds)
+	if o.Core != nil {
+		w.layCore(o.Core)
+	} else {
+		for i := range 3 {
+			w.addController(fmt.Sprintf("controller-%d", i+1), zones[i], seeds)
+		}
 	}
 	var list []protocol.Listed
 	if o.Hosted != nil {
@@ -299,6 +305,9 @@
 		if w.o.Hosted != nil {
 			w.o.Hosted.controller(&ao, w.procs[name].life > 1 || w.now > 1e9)
 		}
+		if w.o.Core != nil {
+			w.o.Core.controller(&ao, w.o.Hosted.Timing)
+		}
 		ao.Wall = func() time.Time { return dawn.Add(time.Duration(w.now) + w.procs[name].wall) }
 		return controller.New(ao)
 	}})
@@ -375,6 +384,7 @@
 	p.life++
 	p.core = p.made()
 	w.tracef("start %s", name)
+	w.coreStarted(name)
 	w.upset(p.box)
 	life := p.life
 	if p.disk != nil {
@@ -406,6 +416,7 @@
 		return
 	}
 	w.tracef("kill %s", name)
+	w.coreStopped(name)
 	w.upset(p.box)
 	p.up = false
 	if _, ok := p.core.(*router.Core); ok {
@@ -556,6 +567,9 @@
 	return l
 }
 
+// cut tells whether nothing gets from one machine to another.
+func (w *World) cut(from, to string) bool { return w.cuts[[2]string{from, to}] }
+
 func (w *World) delay() clock.Span {
 	d := clock.Span(100e3 + w.rand.Int64N(900e3))
 	if w.o.Far > 0 {
@@ -636,14 +650,14 @@
 	local := p.box == to.box
 	if !local {
 		w.mails[protocol.Kind(e.Body)]++
-		if w.cuts[[2]string{p.box, to.box}] || w.rand.Float64() < w.o.Loss {
+		if w.cut(p.box, to.box) || w.rand.Float64() < w.o.Loss {
 			return
 		}
 		if w.rand.Float64() < w.o.Twice {
 			w.After(w.delay()+clock.Span(w.rand.Int64N(300e6)), func() { w.step(to, to.life, e) })
 		}
 	}
-	d := w.delay()
+	d := w.delay() + w.distance(p.box, to.box)
 	if local {
 		d = 50e3
 	}
