--- a/internal/simulator/control_scenes.go
+++ b/internal/simulator/control_scenes.go
@@ -20,6 +20,12 @@
 		Set: control(drawDeployment), Play: func(w *World) { w.playLosses(powerLoss, diskLoss, ackDiskLoss, replacement) }},
 	{Name: "control-five", About: "the same with five voters of which any two may be lost", Long: 100e9, Rate: controlRate,
 		Set: control(fiveVoters), Play: func(w *World) { w.playLosses(powerLoss, diskLoss, ackDiskLoss, replacement) }},
+	{Name: "control-replace", About: "five voters: one is replaced for good, its owner is lost soon after, and another as soon as the new node counts as there", Long: 100e9, Rate: controlRate,
+		Set: control(fiveVoters), Play: func(w *World) {
+			w.watchVoters(12)
+			w.operate(14, 76, 2e9)
+			w.replaceInTurn(15, 75)
+		}},
 	{Name: "control-power", About: "five voters, two of which lose power at a time, again and again", Long: 100e9, Rate: controlRate,
 		Set: control(fiveVoters), Play: func(w *World) { w.playLosses(powerLoss) }},
 }
--- a/internal/simulator/losses.go
+++ b/internal/simulator/losses.go
@@ -78,7 +78,7 @@
 			return
 		}
 		s := w.core.seats[w.rand.IntN(len(w.core.seats))]
-		if w.rand.IntN(3) == 0 {
+		if w.rand.IntN(5) < 2 {
 			s = w.ownerSeat()
 		}
 		if s.lostUntil == stillDown || !w.core.mayLose(s, w.now) {
@@ -91,6 +91,50 @@
 	w.At(sec(from), next)
 }
 
+// replaceInTurn replaces one core node after another for good; the owner is lost soon after each, and
+// another node as soon as the new one counts as there.
+func (w *World) replaceInTurn(from, to float64) {
+	var next func()
+	next = func() {
+		if w.now > sec(to) {
+			w.expectConfirmed()
+			return
+		}
+		if !w.core.calm(w.now) {
+			w.At(w.core.freed(w.now).Add(1e6), next)
+			return
+		}
+		w.replaceAndLose()
+		w.After(1e6, next)
+	}
+	w.At(sec(from), next)
+}
+
+func (w *World) replaceAndLose() {
+	first := w.core.seats[w.rand.IntN(len(w.core.seats))]
+	w.lose(first, replacement)
+	how := func() loss { return []loss{powerLoss, diskLoss, replacement}[w.rand.IntN(3)] }
+	w.After(clock.Span(w.rand.Int64N(4000e6)), func() {
+		if s := w.ownerSeat(); s != first && w.core.mayLose(s, w.now) {
+			w.lose(s, how())
+		}
+	})
+	var third func()
+	third = func() {
+		if first.lost(w.now) {
+			w.At(min(first.lostUntil, w.now.Add(confirmEvery)), third)
+			return
+		}
+		w.After(clock.Span(1e6+w.rand.Int64N(20e6)), func() {
+			s := w.core.seats[w.rand.IntN(len(w.core.seats))]
+			if s != first && !s.lost(w.now) && w.core.mayLose(s, w.now) {
+				w.lose(s, how())
+			}
+		})
+	}
+	third()
+}
+
 // spacing draws the time to the next loss: at once, soon, or while the core is changing its voters.
 func (w *World) spacing() clock.Span {
 	switch w.rand.IntN(3) {
