--- a/internal/history/history_test.go
+++ b/internal/history/history_test.go
@@ -28,6 +28,11 @@
 	return o
 }
 
+func refused(o Operation, version uint64) Operation {
+	o.Outcome, o.Version = Conflict, version
+	return o
+}
+
 func unclear(o Operation) Operation {
 	o.Outcome, o.Return = Unclear, never
 	return o
@@ -62,7 +67,7 @@
 	}{
 		{"empty", nil, ""},
 		{"in turn", []Operation{first, read(1, "one", 11, 12), taken(put("b", 1, "two", 13, 14), 2), read(2, "two", 15, 16)}, ""},
-		{"one of two wins", []Operation{first, taken(put("b", 1, "two", 11, 20), 2), told(put("c", 1, "three", 11, 20), Conflict)}, ""},
+		{"one of two wins", []Operation{first, taken(put("b", 1, "two", 11, 20), 2), refused(put("c", 1, "three", 11, 20), 2)}, ""},
 		{"numbers of their own", []Operation{first, taken(numbered(put("b", 1, "two", 11, 12), 7), 7), read(7, "two", 13, 14), told(numbered(put("c", 7, "x", 15, 16), 7), Invalid)}, ""},
 		{"a repeat of what was taken", []Operation{first, taken(put("b", 1, "two", 11, 12), 2), taken(put("a", 0, "one", 13, 14), 1), read(2, "two", 15, 16)}, ""},
 		{"a patch goes on the plan", []Operation{first, taken(patch(put("b", 1, "-more", 11, 12)), 2), read(2, "one-more", 13, 14)}, ""},
@@ -83,7 +88,8 @@
 		{"a repeat that is redone", []Operation{first, taken(anyVersion(put("b", 0, "two", 11, 12)), 2), taken(anyVersion(put("b", 0, "two", 13, 14)), 3)}, "confirmed as version 2 and again as 3"},
 		{"a lost update", []Operation{first, taken(put("b", 1, "two", 11, 12), 2), taken(put("c", 1, "three", 13, 14), 2)}, "confirmed beside another"},
 		{"a confirmed change that is gone", []Operation{first, read(0, "", 11, 12)}, "a stale read of version 0"},
-		{"refused without cause", []Operation{first, told(put("b", 1, "two", 11, 12), Conflict)}, "refused as conflicting"},
+		{"refused without cause", []Operation{first, refused(put("b", 1, "two", 11, 12), 1)}, "refused as conflicting"},
+		{"refused by an old version", []Operation{first, taken(put("b", 1, "two", 11, 12), 2), refused(put("c", 3, "x", 13, 14), 1)}, "which is not in force"},
 		{"a patch of another plan", []Operation{first, taken(patch(put("b", 1, "-more", 11, 12)), 2), read(2, "-more", 13, 14)}, "of what was not in force"},
 		{"a refused change that is seen", []Operation{first, read(2, "two", 20, 21)}, "of what was not in force"},
 		{"a number that falls", []Operation{taken(numbered(put("a", 0, "one", 0, 1), 5), 5), taken(numbered(put("b", 5, "two", 2, 3), 4), 4)}, "out of turn"},
@@ -119,7 +125,7 @@
 		at := int64(i) * 10
 		l = append(l, unclear(put(fmt.Sprint(i), i, fmt.Sprint(i), at, 0)))
 		l = append(l, taken(put(fmt.Sprint(i), i, fmt.Sprint(i), at+2, at+8), i+1))
-		l = append(l, told(put(fmt.Sprint(i, "x"), i, "x", at+1, at+9), Conflict))
+		l = append(l, refused(put(fmt.Sprint(i, "x"), i, "x", at+1, at+9), i+1))
 	}
 	require.Equal(t, Linearizable, Check(l, join, time.Minute).Verdict)
 	l = append(l, read(499, "498", 5001, 5002))
--- a/internal/history/model.go
+++ b/internal/history/model.go
@@ -89,7 +89,7 @@
 		}
 		return applies && op.Version == next.version, next
 	case Conflict:
-		return !repeat && !op.Any && op.Expect != at.version, at
+		return !repeat && !op.Any && op.Expect != at.version && (op.Unnumbered || op.Version == at.version), at
 	case Invalid:
 		return !repeat, at
 	}
@@ -149,5 +149,8 @@
 	case op.Outcome == Taken:
 		return fmt.Sprintf("a change was confirmed as version %d out of turn", op.Version)
 	}
+	if op.Expect != at.version {
+		return fmt.Sprintf("a change was refused beside version %d, which is not in force", op.Version)
+	}
 	return "a change was refused as conflicting with the version that it goes on"
 }
--- a/internal/history/operation.go
+++ b/internal/history/operation.go
@@ -68,7 +68,7 @@
 
 	Outcome    Outcome
 	Version    uint64 // that was told
-	Unnumbered bool   // the read told no version
+	Unnumbered bool   // no version was told
 	Plan       Digest // that was read
 
 	Invoke, Return int64
--- a/internal/simulator/check.go
+++ b/internal/simulator/check.go
@@ -26,6 +26,9 @@
 	boundShare = 0.2
 )
 
+// mostBad is how many violations of one run are told.
+const mostBad = 50
+
 // state is one desired state as operators know it.
 type state struct {
 	epoch ident.Epoch
@@ -98,7 +101,7 @@
 func (k *Checker) bad(form string, a ...any) {
 	s := fmt.Sprintf("%.3fs %s", float64(k.w.now)/1e9, fmt.Sprintf(form, a...))
 	k.w.tracef("BAD %s", s)
-	if len(k.Bad) < 50 {
+	if len(k.Bad) < mostBad {
 		k.Bad = append(k.Bad, s)
 	}
 }
--- a/internal/simulator/control_scenes.go
+++ b/internal/simulator/control_scenes.go
@@ -26,6 +26,14 @@
 			w.operate(14, 76, 2e9)
 			w.replaceInTurn(15, 75)
 		}},
+	{Name: "control-parted", About: "the owner or a seed is cut off for 14 to 25 s, one way or both, while changes are taken elsewhere and operators call it", Long: 130e9, Rate: controlRate,
+		Set: control(drawDeployment), Play: func(w *World) { w.playParted(95) }},
+	{Name: "control-race", About: "two operators race on one version, answers get lost, and repeats go to other nodes after some changes", Long: 100e9, Rate: controlRate,
+		Set: control(drawDeployment), Play: func(w *World) { w.playRaces(80, 40) }},
+	{Name: "control-storm", About: "the same with hundreds of changes in between", Long: 130e9, Rate: controlRate,
+		Set: control(drawDeployment), Play: func(w *World) { w.playRaces(80, 300) }},
+	{Name: "control-away", About: "a voter is away for hundreds of changes, returns with its old disk, and others are lost as soon as it counts as there", Long: 80e9, Rate: controlRate,
+		Set: control(drawDeployment), Play: func(w *World) { w.playAway(45, 300) }},
 	{Name: "control-power", About: "five voters, two of which lose power at a time, again and again", Long: 100e9, Rate: controlRate,
 		Set: control(fiveVoters), Play: func(w *World) { w.playLosses(powerLoss) }},
 }
--- a/internal/simulator/history.go
+++ b/internal/simulator/history.go
@@ -54,6 +54,7 @@
 	}
 	result := history.Check(operations, mergeBytes, historyTime)
 	k.Seen.Operations = result.Operations
+	k.Bad = k.Bad[:min(len(k.Bad), mostBad-1)] // what it finds is told, however much else was
 	switch result.Verdict {
 	case history.Violated:
 		k.bad("operators' history fits no order: %s", result.Why)
--- /dev/null
+++ b/internal/simulator/partitions.go
@@ -0,0 +1,90 @@
+package simulator
+
+import (
+	"tidedeck/internal/clock"
+)
+
+// partition is how a core node is cut off from the other core nodes.
+type partition int
+
+const (
+	cutOff    partition = iota // nothing gets in or out
+	hearsNone                  // what it says gets out
+	saysNone                   // what others say gets in
+	partitionKinds
+)
+
+// partNode cuts a core node off; operators still reach it, and so do routers and servers now and then.
+func (w *World) partNode(node string, how partition) {
+	alone := w.rand.IntN(2) == 0
+	for _, b := range w.boxes() {
+		if b == node || !isCore(b) && !alone {
+			continue
+		}
+		if how != saysNone {
+			w.Cut(b, node, false)
+		}
+		if how != hearsNone {
+			w.Cut(node, b, false)
+		}
+	}
+}
+
+// playParted cuts off the owner or a seed, again and again, while changes are taken elsewhere.
+func (w *World) playParted(until float64) {
+	w.tracef("deployment: %s", w.core)
+	var round func()
+	round = func() {
+		if w.now > sec(until) {
+			w.expectConfirmed()
+			return
+		}
+		if !w.core.calm(w.now) {
+			w.After(confirmEvery, round)
+			return
+		}
+		w.partOne()
+		w.After(confirmEvery, round)
+	}
+	w.At(sec(12), round)
+}
+
+// partOne cuts one node off for a while; processes are restarted on either side, as far as the tolerance
+// allows, and operators call the parted node all the while.
+func (w *World) partOne() {
+	parted := w.ownerSeat()
+	if w.rand.IntN(2) == 0 {
+		parted = w.core.seats[w.rand.IntN(formingSeats)]
+	}
+	long := clock.Span(14e9 + w.rand.Int64N(11e9))
+	node := parted.node
+	parted.lostUntil = stillDown
+	w.partNode(node, partition(w.rand.IntN(int(partitionKinds))))
+	w.callOften(node, long+convergence, true)
+	begin := float64(w.now) / 1e9
+	w.operate(begin, begin+float64(long)/1e9, 1e9)
+	w.restartsMeanwhile(parted, w.now.Add(long-5e9))
+	w.After(long, func() {
+		w.Heal()
+		w.coreStarted(node)
+		parted.lostUntil = w.now.Add(convergence)
+		w.After(convergence, func() { w.Check.replica(node) })
+	})
+}
+
+// restartsMeanwhile restarts, wipes and replaces nodes until a moment.
+func (w *World) restartsMeanwhile(parted *seat, until clock.Tick) {
+	w.After(clock.Span(1e9+w.rand.Int64N(3e9)), func() {
+		if w.now > until {
+			return
+		}
+		s := w.core.seats[w.rand.IntN(len(w.core.seats))]
+		switch {
+		case s == parted:
+			w.Restart(s.node, clock.Span(w.rand.Int64N(500e6)))
+		case s.lostUntil != stillDown && w.core.mayLose(s, w.now):
+			w.lose(s, []loss{powerLoss, diskLoss, replacement}[w.rand.IntN(3)])
+		}
+		w.restartsMeanwhile(parted, until)
+	})
+}
