--- /dev/null
+++ b/internal/localfleet/history_test.go
@@ -0,0 +1,102 @@
+package localfleet
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	jsonpatch "github.com/evanphx/json-patch/v5"
+	"github.com/stretchr/testify/require"
+
+	"tidedeck/internal/failure"
+	"tidedeck/internal/history"
+)
+
+// historyTime bounds the check of a history.
+const historyTime = time.Minute
+
+// observer records what operators and readers of a fleet see.
+type observer struct {
+	rig
+	recorder history.Recorder
+	began    time.Time
+}
+
+// observe begins a history of a fleet whose first plan is in force.
+func (r rig) observe() *observer {
+	o := &observer{rig: r, began: time.Now()}
+	o.recorder.Invoke(history.Operation{Kind: history.Put, Change: "the first plan", Body: r.Plan, Invoke: -1}).Taken(-1, 1)
+	return o
+}
+
+func (o *observer) now() int64 { return int64(time.Since(o.began)) }
+
+// change hands over a plan, as Put does.
+func (o *observer) change(core string, plan []byte, expect uint64, id string) (Taken, int, error) {
+	pending := o.recorder.Invoke(history.Operation{Kind: history.Put, Node: core, Change: id, Expect: expect, Body: plan, Invoke: o.now()})
+	answer, code, err := o.Put(core, plan, fmt.Sprint(expect), id)
+	kind := failure.Kind(answer.Kind)
+	switch {
+	case err != nil:
+		pending.Unclear()
+	case code == http.StatusOK:
+		pending.Taken(o.now(), answer.Epoch)
+	case kind == failure.Conflict:
+		pending.Conflict(o.now(), answer.Epoch)
+	case kind == failure.NotReady || kind == failure.Full:
+		pending.Dropped()
+	default:
+		pending.Unclear()
+	}
+	return answer, code, err
+}
+
+// read reads the plan back.
+func (o *observer) read(core string) (string, bool) {
+	pending := o.recorder.Invoke(history.Operation{Kind: history.Read, Node: core, Invoke: o.now()})
+	raw, ok := o.plan(core)
+	if !ok {
+		pending.Dropped()
+		return "", false
+	}
+	pending.AnsweredBytes(o.now(), []byte(raw))
+	return raw, true
+}
+
+// readers read at every core node until they are stopped.
+func (o *observer) readers(cores ...string) (stop func()) {
+	done := make(chan struct{})
+	var all sync.WaitGroup
+	for _, core := range cores {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			for {
+				select {
+				case <-done:
+					return
+				case <-o.ctx.Done():
+					return
+				case <-time.After(25 * time.Millisecond):
+					o.read(core)
+				}
+			}
+		}()
+	}
+	return func() {
+		close(done)
+		all.Wait()
+	}
+}
+
+// check expects that all that was seen fits one order.
+func (o *observer) check() {
+	o.t.Helper()
+	result := history.Check(o.recorder.History(), func(plan, patch []byte) ([]byte, bool) {
+		merged, err := jsonpatch.MergePatch(plan, patch)
+		return merged, err == nil
+	}, historyTime)
+	require.Equal(o.t, history.Linearizable, result.Verdict, result.Why)
+	o.t.Logf("%d operations are linearizable", result.Operations)
+}
--- a/internal/localfleet/links_test.go
+++ b/internal/localfleet/links_test.go
@@ -18,16 +18,16 @@
 )
 
 // racing hands over two plans at once, each again under its id until an answer comes.
-func (r rig) racing(n int, expect string) (told [2]Taken, code [2]int) {
+func (o *observer) racing(n int, expect uint64) (told [2]Taken, code [2]int) {
 	var both sync.WaitGroup
 	for i := range 2 {
 		both.Add(1)
 		go func() {
 			defer both.Done()
-			raw := []byte(string(r.Plan) + strings.Repeat(" ", 1+2*n+i))
+			raw := []byte(string(o.Plan) + strings.Repeat(" ", 1+2*n+i))
 			try := 0
-			_ = Until(r.ctx, "an answer", func() bool { // whoever gets none asks elsewhere
-				a, c, err := r.Put(fmt.Sprintf("controller-%d", 1+(n+i+try)%3), raw, expect, fmt.Sprintf("race-%d-%d", n, i))
+			_ = Until(o.ctx, "an answer", func() bool { // whoever gets none asks elsewhere
+				a, c, err := o.change(fmt.Sprintf("controller-%d", 1+(n+i+try)%3), raw, expect, fmt.Sprintf("race-%d-%d", n, i))
 				told[i], code[i] = a, c
 				try++
 				return err == nil && (c == 200 || c == 409)
@@ -42,6 +42,8 @@
 // breaks off now and then; one of two wins each time, and what was told is what is read.
 func TestSplits(t *testing.T) {
 	r := raiseLinked(t, "padana")
+	seen := r.observe()
+	stopReaders := seen.readers("controller-1", "controller-2", "controller-3")
 	epoch := uint64(1)
 	for n, cut := range []func(){
 		func() { r.Cut("controller-1", "controller-2", true) },
@@ -65,7 +67,7 @@
 				}
 			}
 		}()
-		told, code := r.racing(n, fmt.Sprint(epoch))
+		told, code := seen.racing(n, epoch)
 		close(stop)
 		breaks.Wait()
 		r.Links.Heal()
@@ -82,13 +84,15 @@
 		want := string(r.Plan) + strings.Repeat(" ", 1+2*n+won)
 		for i := 1; i <= 3; i++ {
 			r.until("it is read back, to the byte", func() bool {
-				raw, ok := r.plan(fmt.Sprintf("controller-%d", i))
+				raw, ok := seen.read(fmt.Sprintf("controller-%d", i))
 				require.True(t, !ok || raw == want, "controller-%d gives something else", i)
 				return ok
 			})
 		}
 		r.until("it rules everywhere", func() bool { return r.Ruled(epoch, r.Routers...) })
 	}
+	stopReaders()
+	seen.check()
 	rep := r.calls(100, 50, 31, func() {})
 	require.Equal(t, rep.Sent, rep.Receipts, "%v", rep.Kinds)
 }
--- a/internal/simulator/control_scenes.go
+++ b/internal/simulator/control_scenes.go
@@ -26,6 +26,8 @@
 			w.operate(14, 76, 2e9)
 			w.replaceInTurn(15, 75)
 		}},
+	{Name: "control-planned", About: "five voters: nodes are replaced as planned, the new one first, and lost before and after", Long: 100e9, Rate: controlRate,
+		Set: control(fiveVoters), Play: func(w *World) { w.playLosses(planned, planned, powerLoss, diskLoss) }},
 	{Name: "control-parted", About: "the owner or a seed is cut off for 14 to 25 s, one way or both, while changes are taken elsewhere and operators call it", Long: 130e9, Rate: controlRate,
 		Set: control(drawDeployment), Play: func(w *World) { w.playParted(95) }},
 	{Name: "control-race", About: "two operators race on one version, answers get lost, and repeats go to other nodes after some changes", Long: 100e9, Rate: controlRate,
--- /dev/null
+++ b/internal/simulator/control_test.go
@@ -0,0 +1,58 @@
+package simulator
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func init() { bites = append(bites, controlBites...) }
+
+// Guards of the core's register and voter sets, on drawn deployments.
+var controlBites = []bite{
+	{"control: read by a majority", "control-parted", "operators' history fits no order: a stale read", []edit{
+		{"internal/controller/admin.go", "\t// A majority read that begins now will tell whether what is known is the newest.\n",
+			"\tif v := c.reg.known; v != nil {\n\t\tc.receipt(Receipt{Token: a.Token, Epoch: v.Epoch, Plan: v.Plan})\n\t\treturn\n\t}\n"}}},
+	{"control: answer a repeat as before", "control-race", "operators' history fits no order: change", []edit{
+		{"internal/controller/admin.go", "if x.ID == a.Change {\n\t\t\t\t\treturn d, failure.Repeated", "if x.ID == `no` {\n\t\t\t\t\treturn d, failure.Repeated"}}},
+	{"control: expect the epoch", "control-race", "operators' history fits no order: a change that goes on version", []edit{
+		{"internal/controller/admin.go", "if !a.Any && d.Epoch != a.Expect {", "if false {"}}},
+	{"control: leave a joint set", "control-five", "still in a joint state", []edit{
+		{"internal/controller/register.go", "\t\t\tc.reshape(k, nil)\n", "\t\t\tc.reshape(k, k.Voters)\n"}}},
+	{"control: replace who is gone", "control-five", "is no full voter", []edit{
+		{"internal/controller/register.go", "> c.o.Spare && len(spare) > 0", "> 20*c.o.Spare && len(spare) > 0"}}},
+	{"control: sweep what reads do not mend", "control-away", "is no full replica", []edit{
+		{"internal/controller/register.go", "if r.unequal++; r.unequal > 30 {", "if r.unequal > 30 {"}}},
+}
+
+// The tolerance counts a seat as lost until its node counts as there, and no more seats than that at once.
+func TestMayLose(t *testing.T) {
+	f := &coreFleet{Deployment: &Deployment{Nodes: 3, Losses: 1}}
+	for range f.Nodes {
+		f.seats = append(f.seats, &seat{zone: "za"})
+	}
+	first, second := f.seats[0], f.seats[1]
+	require.True(t, f.mayLose(first, 10))
+	first.lostUntil = stillDown
+	require.True(t, f.mayLose(first, 10), "it is lost already")
+	require.False(t, f.mayLose(second, 10))
+	first.lostUntil = 20
+	require.False(t, f.mayLose(second, 19))
+	require.True(t, f.mayLose(second, 20))
+	f.Losses, f.ByZone, first.lostUntil = 2, true, 30
+	require.True(t, f.mayLose(second, 20), "of the same zone")
+	second.zone = "zb"
+	require.False(t, f.mayLose(second, 20), "of another zone")
+}
+
+// A deployment is the same for the same seed, and bears no more losses than its nodes can.
+func TestDrawDeployment(t *testing.T) {
+	drawn := map[string]bool{}
+	for seed := range uint64(200) {
+		d := drawDeployment(seed)
+		require.Equal(t, d, drawDeployment(seed))
+		require.GreaterOrEqual(t, d.Nodes, 2*d.Losses+1)
+		drawn[(&Deployment{Nodes: d.Nodes, Losses: d.Losses, ByZone: d.ByZone, Regions: d.Regions}).String()] = true
+	}
+	require.Greater(t, len(drawn), 15)
+}
--- a/internal/simulator/deployment.go
+++ b/internal/simulator/deployment.go
@@ -61,6 +61,7 @@
 	node      string
 	zone      ident.Zone
 	lostUntil clock.Tick // until when it counts as lost
+	replacing bool       // a new node is there for it, and the old one not stopped yet
 }
 
 // stillDown is the end of a loss that has not ended yet.
--- a/internal/simulator/losses.go
+++ b/internal/simulator/losses.go
@@ -28,6 +28,7 @@
 	diskLoss                // it starts again, empty
 	ackDiskLoss             // the same, right after it confirmed a change
 	replacement             // it is gone for good; an empty node comes at another address
+	planned                 // an empty node comes at another address; then it is stopped for good
 )
 
 // lost tells whether a seat counts as lost.
@@ -62,7 +63,7 @@
 // calm tells whether no core node counts as lost.
 func (f *coreFleet) calm(now clock.Tick) bool {
 	for _, s := range f.seats {
-		if s.lost(now) {
+		if s.lost(now) || s.replacing {
 			return false
 		}
 	}
@@ -81,7 +82,7 @@
 		if w.rand.IntN(5) < 2 {
 			s = w.ownerSeat()
 		}
-		if s.lostUntil == stillDown || !w.core.mayLose(s, w.now) {
+		if s.lostUntil == stillDown || s.replacing || !w.core.mayLose(s, w.now) {
 			w.At(w.core.freed(w.now).Add(clock.Span(1e6+w.rand.Int64N(20e6))), next)
 			return
 		}
@@ -185,9 +186,46 @@
 		w.remove(node)
 		w.seatNode(s, w.upSeeds())
 		w.After(400e6+again, func() { w.returns(s) })
+	case planned:
+		s.replacing = true
+		w.replaceAsPlanned(s)
 	}
 }
 
+// plannedGrace is how long a core node may go on after it is told to stop.
+const plannedGrace = clock.Span(2e9)
+
+// replaceAsPlanned starts a new node for a seat, and stops the old one after a while. The seat counts as lost
+// from the stop on, until the core has had its time to converge.
+func (w *World) replaceAsPlanned(s *seat) {
+	old, next := s.node, &seat{zone: s.zone}
+	w.seatNode(next, w.upSeeds())
+	w.Start(next.node)
+	w.tracef("%s is to replace %s", next.node, old)
+	w.After(clock.Span(500e6+w.rand.Int64N(4500e6)), func() { w.stopReplaced(s, old, next.node) })
+}
+
+func (w *World) stopReplaced(s *seat, old, next string) {
+	if s.lostUntil == stillDown || !w.core.mayLose(s, w.now) {
+		w.After(confirmEvery, func() { w.stopReplaced(s, old, next) })
+		return
+	}
+	s.lostUntil = stillDown
+	p := w.procs[old]
+	w.tracef("%s is stopped for good", old)
+	w.step(p, p.life, protocol.Stop{})
+	w.After(plannedGrace, func() {
+		w.remove(old)
+		s.node, s.replacing = next, false
+		s.lostUntil = w.now.Add(convergence)
+		w.After(convergence, func() {
+			if s.node == next && w.procs[next].up {
+				w.Check.admitted(next)
+			}
+		})
+	})
+}
+
 func (w *World) fell(s *seat, how string) {
 	w.tracef("%s %s", s.node, how)
 	s.lostUntil = stillDown
