--- a/internal/simulator/deployment.go
+++ b/internal/simulator/deployment.go
@@ -75,6 +75,7 @@
 	region  map[string]int // of each machine
 	changed clock.Tick     // when a core node last started, stopped or was cut off
 	started map[string]clock.Tick
+	removed map[string]clock.Tick // when nodes were gone for good
 }
 
 // controller sets the options of a core node as the hosted program does.
@@ -84,7 +85,7 @@
 
 // layCore lays out a deployment's core nodes.
 func (w *World) layCore(d *Deployment) {
-	w.core = &coreFleet{Deployment: d, region: map[string]int{}, started: map[string]clock.Tick{}}
+	w.core = &coreFleet{Deployment: d, region: map[string]int{}, started: map[string]clock.Tick{}, removed: map[string]clock.Tick{}}
 	seeds := w.seeds()
 	for i := range d.Nodes {
 		w.core.seats = append(w.core.seats, &seat{zone: ident.Zone(fmt.Sprintf("z%c", 'a'+i%d.Zones))})
@@ -112,6 +113,7 @@
 // remove forgets a process that is gone for good.
 func (w *World) remove(name string) {
 	w.Kill(name)
+	w.core.removed[name] = w.now
 	delete(w.procs, name)
 	for i, n := range w.order {
 		if n == name {
--- a/internal/simulator/losses.go
+++ b/internal/simulator/losses.go
@@ -298,21 +298,35 @@
 
 // Checkers.
 
-// admitted expects that a node that counts as there is a voter, and that nobody whose seat it has is one.
+// admitted expects that a node that counts as there is a voter, or that the voter set is whole without it:
+// another new node may have taken the place that was free.
 func (k *Checker) admitted(node string) {
 	w := k.w
+	if w.spares() {
+		return // more nodes than voters: it need not be one
+	}
 	for _, p := range w.controllers() {
 		voters, prior := w.voterSets(p)
 		if sits(voters, node) && (len(prior) == 0 || sits(prior, node)) {
 			return
 		}
-	}
-	if w.spares() {
-		return // more nodes than voters: it need not be one
+		if len(prior) == 0 && w.whole(voters) {
+			return
+		}
 	}
 	k.bad("%s is no full voter %v after its start: %s", node, convergence, w.describeCore())
 }
 
+// whole tells whether a voter set has all its seats, and none of a node that is long gone for good.
+func (w *World) whole(voters []protocol.Voter) bool {
+	for _, v := range voters {
+		if at, gone := w.core.removed[string(v.ID)]; gone && w.now.Sub(at) > convergence {
+			return false
+		}
+	}
+	return len(voters) == 2*w.core.Losses+1
+}
+
 // spares tells whether there are more core nodes than voters.
 func (w *World) spares() bool { return w.core.Nodes > 2*w.core.Losses+1 }
 
