--- a/internal/simulator/deployment.go
+++ b/internal/simulator/deployment.go
@@ -71,6 +71,7 @@
 type coreFleet struct {
 	*Deployment
 	seats   []*seat
+	stopped []*seat        // stopped for good, which count as lost beside the seats
 	named   int            // nodes named so far
 	region  map[string]int // of each machine
 	changed clock.Tick     // when a core node last started, stopped or was cut off
