--- a/internal/simulator/deployment.go
+++ b/internal/simulator/deployment.go
@@ -82,14 +82,23 @@
 // controller sets the options of a core node as the hosted program does.
 func (d *Deployment) controller(o *controller.Options, timing controller.Timing) {
 	o.Duty, o.Round, o.Tenure, o.Warm, o.Voters = timing.Duty(), timing.Duty()/4, timing.Tenure, true, 2*d.Losses+1
+	o.Regions = map[ident.Zone]string{}
+	for i := range d.Zones {
+		o.Regions[zoneName(i)] = fmt.Sprintf("region-%d", d.regionOf(i))
+	}
 }
 
+func zoneName(i int) ident.Zone { return ident.Zone(fmt.Sprintf("z%c", 'a'+i)) }
+
+// regionOf tells in which region a zone is.
+func (d *Deployment) regionOf(zone int) int { return zone % d.Regions }
+
 // layCore lays out a deployment's core nodes.
 func (w *World) layCore(d *Deployment) {
 	w.core = &coreFleet{Deployment: d, region: map[string]int{}, started: map[string]clock.Tick{}, removed: map[string]clock.Tick{}}
 	seeds := w.seeds()
 	for i := range d.Nodes {
-		w.core.seats = append(w.core.seats, &seat{zone: ident.Zone(fmt.Sprintf("z%c", 'a'+i%d.Zones))})
+		w.core.seats = append(w.core.seats, &seat{zone: zoneName(i % d.Zones)})
 		w.seatNode(w.core.seats[i], seeds)
 	}
 }
@@ -99,7 +108,7 @@
 	f := w.core
 	f.named++
 	s.node = fmt.Sprintf("controller-%d", f.named)
-	f.region[s.node] = int(s.zone[len(s.zone)-1]-'a') % f.Regions
+	f.region[s.node] = f.regionOf(int(s.zone[len(s.zone)-1] - 'a'))
 	w.addController(s.node, s.zone, seeds)
 }
 
