--- /dev/null
+++ b/internal/controller/inspect.go
@@ -0,0 +1,218 @@
+package controller
+
+import (
+	"encoding/json"
+
+	"github.com/go-faster/errors"
+
+	"tidedeck/internal/clock"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
+)
+
+// Snapshot is a read-only view of what decides a core node's next steps in the register and the
+// duty. It is meant for checkers; the values it points to are the core's own and must not be changed.
+type Snapshot struct {
+	Began    bool // the node's incarnation is durable, so that it takes part
+	Ending   bool
+	Voter    VoterSnapshot
+	Register RegisterSnapshot
+	Duty     DutySnapshot
+	Members  []protocol.Member
+}
+
+// VoterSnapshot is the acceptor's part of a Snapshot.
+type VoterSnapshot struct {
+	Incarnation   ident.Inc
+	Promised      protocol.Ballot
+	Accepted      protocol.Ballot
+	Value         *protocol.Desired
+	DurableBallot protocol.Ballot
+	DurableValue  *protocol.Desired
+	Started       clock.Tick // from when grants to others may still run that this voter forgot
+	Duty          ident.Duty
+	DurableDuty   ident.Duty
+	Owner         ident.Node
+	GrantUntil    clock.Tick
+}
+
+// RegisterSnapshot is the proposer's and reader's part of a Snapshot.
+type RegisterSnapshot struct {
+	Known         *protocol.Desired // newest value known to be chosen
+	KnownBallot   protocol.Ballot
+	Hint          *protocol.Desired // newest voter set seen, perhaps not chosen
+	Round         uint64
+	HighestBallot uint64
+	Operation     *OperationSnapshot
+	Queued        []OperationSnapshot
+	Query         *QuerySnapshot
+	NextQuery     clock.Tick
+	LastMajority  clock.Tick
+	Reads         []clock.Tick // when each read that waits for a majority came
+	Siblings      []SiblingSnapshot
+	Gone          map[ident.Node]clock.Tick
+	Shaped        clock.Tick
+	UnclearReads  int // majority reads in a row that showed no one ballot
+	UnequalReads  int // beats in a row at which a voter's copy was old
+}
+
+// OperationSnapshot is a change, or a full read, in its rounds.
+type OperationSnapshot struct {
+	Phase    string
+	Ballot   protocol.Ballot
+	Round    uint64
+	Set      protocol.Desired
+	Best     protocol.Ballot
+	Value    *protocol.Desired
+	Next     protocol.Desired
+	Kind     string
+	Answered map[ident.Node]ident.Inc
+	Sent     clock.Tick
+	Wake     clock.Tick
+	End      clock.Tick
+	Unclear  bool
+	Fails    int
+}
+
+// QuerySnapshot is the majority read under way, or the last one.
+type QuerySnapshot struct {
+	Round    uint64
+	At       clock.Tick
+	Claim    bool
+	Number   ident.Duty
+	Set      protocol.Desired
+	Answered map[ident.Node]ident.Inc
+	Granted  map[ident.Node]ident.Inc
+	Accepted map[ident.Node]protocol.Ballot
+	Top      protocol.Ballot
+	Fetching bool
+	Read     bool
+	Won      bool
+	Duty     ident.Duty
+	Owner    ident.Node
+}
+
+// SiblingSnapshot is what a node heard last of another.
+type SiblingSnapshot struct {
+	ID    ident.Node
+	At    clock.Tick
+	State protocol.State
+}
+
+// DutySnapshot is a node's own view of the duty.
+type DutySnapshot struct {
+	Mine    bool
+	Number  ident.Duty
+	Renewed clock.Tick
+	Began   clock.Tick
+	Highest ident.Duty
+	Owner   ident.Node
+	Free    bool
+	ShyTill clock.Tick
+	Next    ident.Node
+	Left    clock.Tick
+}
+
+// Inspect copies what decides the node's next steps. It changes nothing.
+func (c *Core) Inspect() Snapshot {
+	return Snapshot{
+		Began: c.began, Ending: c.ending,
+		Voter: c.inspectVoter(), Register: c.inspectRegister(), Duty: c.inspectDuty(),
+		Members: c.mates.All(),
+	}
+}
+
+func (c *Core) inspectVoter() VoterSnapshot {
+	v := c.vote
+	return VoterSnapshot{
+		Incarnation: v.inc, Promised: v.promised, Accepted: v.accepted, Value: v.value,
+		DurableBallot: v.safeB, DurableValue: v.safeV, Started: v.started,
+		Duty: v.duty, DurableDuty: v.sure, Owner: v.owner.ID, GrantUntil: v.until,
+	}
+}
+
+func (c *Core) inspectRegister() RegisterSnapshot {
+	r := &c.reg
+	s := RegisterSnapshot{
+		Known: r.known, KnownBallot: r.at, Hint: r.hint, Round: r.round, HighestBallot: r.top,
+		NextQuery: r.next, LastMajority: r.heard, Gone: r.gone, Shaped: r.shaped,
+		UnclearReads: r.odd, UnequalReads: r.unequal,
+	}
+	if r.op != nil {
+		o := inspectOperation(r.op)
+		s.Operation = &o
+	}
+	for _, o := range r.queue {
+		s.Queued = append(s.Queued, inspectOperation(o))
+	}
+	if r.query != nil {
+		s.Query = inspectQuery(r.query)
+	}
+	for _, x := range r.reads {
+		s.Reads = append(s.Reads, x.at)
+	}
+	for _, id := range generic.SortedKeys(r.lives) {
+		s.Siblings = append(s.Siblings, SiblingSnapshot{ID: id, At: r.lives[id].at, State: r.lives[id].state})
+	}
+	return s
+}
+
+func inspectOperation(o *op) OperationSnapshot {
+	return OperationSnapshot{
+		Phase: o.phase, Ballot: o.ballot, Round: o.round, Set: o.set, Best: o.best, Value: o.value,
+		Next: o.next, Kind: string(o.kind), Answered: o.yes, Sent: o.sent, Wake: o.wake, End: o.end,
+		Unclear: o.risky, Fails: o.fails,
+	}
+}
+
+func inspectQuery(q *query) *QuerySnapshot {
+	return &QuerySnapshot{
+		Round: q.round, At: q.at, Claim: q.claim, Number: q.num, Set: q.set, Answered: q.yes,
+		Granted: q.grant, Accepted: q.acc, Top: q.top, Fetching: q.asked, Read: q.read, Won: q.won,
+		Duty: q.dutyN, Owner: q.owner.ID,
+	}
+}
+
+func (c *Core) inspectDuty() DutySnapshot {
+	d := &c.duty
+	return DutySnapshot{
+		Mine: d.mine, Number: d.num, Renewed: d.asked, Began: d.began, Highest: d.top, Owner: d.who.ID,
+		Free: d.free, ShyTill: d.shy, Next: d.next, Left: d.left,
+	}
+}
+
+// DurableVote is what a core node's disk has of its votes.
+type DurableVote struct {
+	Incarnation ident.Inc
+	Promised    protocol.Ballot
+	Ballot      protocol.Ballot
+	Value       *protocol.Desired
+	Duty        ident.Duty
+	Owner       ident.Node
+}
+
+// ReadDurableVote reads a node's votes from what its disk has.
+func ReadDurableVote(disk map[string][]byte) (DurableVote, error) {
+	var vote DurableVote
+	var accepted safe
+	var granted pledge
+	parts := []struct {
+		key  string
+		into any
+	}{
+		{diskInc, &vote.Incarnation}, {diskB, &vote.Promised}, {diskV, &accepted}, {diskD, &granted},
+	}
+	for _, p := range parts {
+		b, ok := disk[p.key]
+		if !ok {
+			continue
+		}
+		if err := json.Unmarshal(b, p.into); err != nil {
+			return vote, errors.Wrapf(err, "read %s", p.key)
+		}
+	}
+	vote.Ballot, vote.Value = accepted.Ballot, accepted.Value
+	vote.Duty, vote.Owner = granted.Duty, granted.Owner.ID
+	return vote, nil
+}
--- /dev/null
+++ b/internal/explorer/scenario.go
@@ -0,0 +1,168 @@
+package explorer
+
+import (
+	"tidedeck/internal/clock"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
+)
+
+// Grain is how finely deliveries are explored.
+type Grain int
+
+// The grains.
+const (
+	ByNode    Grain = iota // all messages under way to one node arrive together
+	ByMessage              // each message arrives by itself, in any order
+)
+
+// Operator sends one change, and repeats it under the same id.
+type Operator struct {
+	Name     string
+	Expect   ident.Epoch
+	Number   ident.Epoch
+	At       []ident.Node // where it may send its change
+	Attempts int
+}
+
+// Budget bounds how often each kind of action is taken in one run.
+type Budget struct {
+	Drops, Duplicates, Interrupts        int
+	Crashes, Wipes, Losses, Cuts         int
+	Gets, Ticks, Passes, Deliveries, All int
+}
+
+// Scenario is a small core, the way to its first state, and what may happen from there.
+type Scenario struct {
+	Name  string
+	About string
+
+	Voters    []ident.Node
+	Spares    []ident.Node
+	Tolerance int // seats of one voter set that may be lost with their disks at once
+
+	Held      func(protocol.Env) bool // messages whose delivery is explored; others arrive at once
+	Grain     Grain
+	PassTicks int
+	Setup     []Action // from the elected core, before exploration begins; settled by its own actions
+	Operators []Operator
+	Budget    Budget
+	Faulty    []ident.Node // nodes that faults may strike; all if empty
+	GetAt     []ident.Node
+
+	Depth    int
+	Recovery bool // after every state the core must be able to make progress again
+}
+
+// The times of a small core. Every timer is a multiple of a step, so that states repeat.
+const (
+	stepSpan  clock.Span = 250e6
+	dutySpan  clock.Span = 1000e6
+	spareSpan clock.Span = 1500e6
+	formSpan  clock.Span = 1000e6
+)
+
+// passTicks spans a lease of the duty with its margin, and a little more.
+const passTicks = 6
+
+func holdsRegister(e protocol.Env) bool {
+	switch e.Body.(type) {
+	case protocol.Prepare, protocol.Promise, protocol.Accept, protocol.Accepted:
+		return true
+	}
+	return false
+}
+
+func holdsClaims(e protocol.Env) bool {
+	switch b := e.Body.(type) {
+	case protocol.Query:
+		return b.Claim
+	case protocol.State:
+		return b.Granted
+	case protocol.Release:
+		return true
+	}
+	return false
+}
+
+func nodes(ids ...ident.Node) []ident.Node { return ids }
+
+// Scenarios are all that the explorer knows, by name.
+var Scenarios = []Scenario{
+	{
+		Name: "cut-owner", About: "the owner is cut off while another change is taken elsewhere",
+		Voters: nodes("a", "b", "c"), Tolerance: 1, Held: holdsRegister, Grain: ByNode, PassTicks: passTicks,
+		Operators: []Operator{
+			{Name: "x", Expect: 1, Number: 2, At: nodes("a"), Attempts: 2},
+			{Name: "y", Expect: 1, Number: 3, At: nodes("b"), Attempts: 2},
+		},
+		GetAt: nodes("a", "b"), Faulty: nodes("a", "c"),
+		Budget: Budget{Cuts: 2, Ticks: 2, Passes: 1, Gets: 1, Interrupts: 1, Crashes: 1, Drops: 1},
+		Depth:  8, Recovery: true,
+	},
+	{
+		Name: "race", About: "two operators change one version, lose answers, and repeat at another node",
+		Voters: nodes("a", "b", "c"), Tolerance: 1, Held: holdsRegister, Grain: ByMessage, PassTicks: passTicks,
+		Operators: []Operator{
+			{Name: "x", Expect: 1, Number: 2, At: nodes("a", "c"), Attempts: 2},
+			{Name: "y", Expect: 1, Number: 2, At: nodes("b", "c"), Attempts: 2},
+		},
+		Faulty: nodes("a", "c"),
+		Budget: Budget{Drops: 1, Duplicates: 1, Interrupts: 1, Crashes: 1, Ticks: 3, Passes: 1},
+		Depth:  9,
+	},
+	{
+		Name: "replace", About: "a voter is lost and replaced by a spare, or wiped and admitted again, with a second loss at any point",
+		Voters: nodes("a", "b", "c"), Spares: nodes("d"), Tolerance: 1, Held: holdsRegister, Grain: ByNode, PassTicks: passTicks,
+		Operators: []Operator{{Name: "x", Expect: 1, Number: 2, At: nodes("a", "c"), Attempts: 2}},
+		Budget:    Budget{Crashes: 1, Wipes: 2, Losses: 2, Cuts: 1, Interrupts: 1, Ticks: 4, Passes: 2},
+		Depth:     8, Recovery: true,
+	},
+	{
+		Name: "replace-five", About: "the same with five voters, of which two may be lost at once, and a spare",
+		Voters: nodes("a", "b", "c", "d", "e"), Spares: nodes("f"), Tolerance: 2, Held: holdsRegister, Grain: ByNode, PassTicks: passTicks,
+		Operators: []Operator{{Name: "x", Expect: 1, Number: 2, At: nodes("c"), Attempts: 1}},
+		Faulty:    nodes("a", "b", "e", "f"),
+		Budget:    Budget{Crashes: 1, Wipes: 1, Losses: 3, Cuts: 1, Ticks: 3, Passes: 2},
+		Depth:     7, Recovery: true,
+	},
+	{
+		Name: "returner", About: "a voter that was away for several changes returns with its old disk, and another goes",
+		Voters: nodes("a", "b", "c"), Tolerance: 1, Held: holdsRegister, Grain: ByNode, PassTicks: passTicks,
+		Setup: []Action{
+			{Kind: Crash, Node: "c"},
+			{Kind: Put, Operator: "w", Node: "a"}, {Kind: Settle},
+			{Kind: Put, Operator: "x", Node: "b"}, {Kind: Settle}, {Kind: Tick}, {Kind: Settle},
+		},
+		Operators: []Operator{
+			{Name: "w", Expect: 1, Number: 2, At: nodes("c"), Attempts: 2},
+			{Name: "x", Expect: 2, Number: 3, At: nodes("c"), Attempts: 2},
+			{Name: "y", Expect: 3, Number: 4, At: nodes("b", "c"), Attempts: 1},
+		},
+		GetAt:  nodes("c"),
+		Budget: Budget{Crashes: 2, Wipes: 1, Losses: 1, Cuts: 1, Interrupts: 1, Ticks: 2, Passes: 1, Gets: 1},
+		Depth:  8, Recovery: true,
+	},
+	{
+		Name: "duty", About: "two nodes claim the duty, and restarts forget grants",
+		Voters: nodes("a", "b", "c"), Tolerance: 1, Held: holdsClaims, Grain: ByMessage, PassTicks: passTicks,
+		Faulty: nodes("a", "b"),
+		Budget: Budget{Drops: 1, Duplicates: 1, Interrupts: 1, Crashes: 1, Cuts: 1, Ticks: 6},
+		Depth:  9,
+	},
+	{
+		Name: "duty-takeover", About: "the duty's owner is cut off or restarts, and others claim what its lease still covers",
+		Voters: nodes("a", "b", "c"), Tolerance: 1, Held: holdsClaims, Grain: ByNode, PassTicks: passTicks,
+		Budget: Budget{Crashes: 2, Wipes: 1, Cuts: 2, Interrupts: 1, Ticks: 8},
+		Depth:  10, Recovery: true,
+	},
+}
+
+// Find gives the scenario of a name.
+func Find(name string) (Scenario, bool) {
+	for _, s := range Scenarios {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return Scenario{}, false
+}
--- /dev/null
+++ b/internal/explorer/text.go
@@ -0,0 +1,61 @@
+package explorer
+
+import (
+	"fmt"
+	"strings"
+
+	"tidedeck/internal/controller"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/protocol"
+)
+
+func ballotText(b protocol.Ballot) string { return fmt.Sprintf("%d.%s", b.N, b.By) }
+
+func votersText(l []protocol.Voter) string {
+	var s []string
+	for _, v := range l {
+		s = append(s, fmt.Sprintf("%s/%d", v.ID, v.Inc))
+	}
+	return strings.Join(s, " ")
+}
+
+// valueText names a value by what tells it from others.
+func valueText(d *protocol.Desired) string {
+	if d == nil {
+		return "nothing"
+	}
+	s := fmt.Sprintf("epoch %d plan %q shape %d voters {%s}", d.Epoch, d.Plan, d.Shape, votersText(d.Voters))
+	if len(d.Prior) > 0 {
+		s += fmt.Sprintf(" after {%s}", votersText(d.Prior))
+	}
+	return s
+}
+
+func envelopeText(e protocol.Env) string {
+	way := fmt.Sprintf("%s %s>%s", protocol.Kind(e.Body), e.From.ID, e.To.ID)
+	switch b := e.Body.(type) {
+	case protocol.Prepare:
+		return fmt.Sprintf("%s round %d ballot %s", way, b.Round, ballotText(b.Ballot))
+	case protocol.Promise:
+		return fmt.Sprintf("%s round %d ok %t inc %d promised %s accepted %s %s", way, b.Round, b.OK, b.Inc, ballotText(b.Promised), ballotText(b.Accepted), valueText(b.Value))
+	case protocol.Accept:
+		return fmt.Sprintf("%s round %d ballot %s %s", way, b.Round, ballotText(b.Ballot), valueText(&b.Value))
+	case protocol.Accepted:
+		return fmt.Sprintf("%s round %d ok %t inc %d promised %s", way, b.Round, b.OK, b.Inc, ballotText(b.Promised))
+	case protocol.Query:
+		return fmt.Sprintf("%s round %d claim %t duty %d", way, b.Round, b.Claim, b.Duty)
+	case protocol.State:
+		return fmt.Sprintf("%s round %d inc %d granted %t duty %d owner %s accepted %s shape %d", way, b.Round, b.Inc, b.Granted, b.Duty, b.Owner.ID, ballotText(b.Accepted), b.Shape)
+	case protocol.Release:
+		return fmt.Sprintf("%s duty %d next %s", way, b.Duty, b.Next)
+	}
+	return way
+}
+
+func receiptText(r controller.Receipt) string {
+	kind := r.Kind
+	if kind == failure.None {
+		kind = "ok"
+	}
+	return fmt.Sprintf("request %d: %s, epoch %d %s", r.Token, kind, r.Epoch, r.Why)
+}
