--- a/cmd/explorer/main.go
+++ b/cmd/explorer/main.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"os"
+	"runtime/debug"
 
 	"github.com/alecthomas/kong"
 
@@ -27,7 +28,11 @@
 	List     bool   `help:"Only list the scenarios."`
 }
 
+// collectAt is when garbage is collected, in parts of the live heap: each run makes much and keeps nothing.
+const collectAt = 400
+
 func main() {
+	debug.SetGCPercent(collectAt)
 	var f flags
 	kong.Parse(&f, kong.Name("explorer"), kong.Description("explorer is a bounded model checker that runs the real controller cores."))
 	os.Exit(run(f))
--- a/internal/controller/inspect.go
+++ b/internal/controller/inspect.go
@@ -192,27 +192,49 @@
 	Owner       ident.Node
 }
 
-// ReadDurableVote reads a node's votes from what its disk has.
-func ReadDurableVote(disk map[string][]byte) (DurableVote, error) {
-	var vote DurableVote
+// Read takes in what was written to the disk; what is not among it stays.
+func (v *DurableVote) Read(puts map[string][]byte) error {
 	var accepted safe
 	var granted pledge
 	parts := []struct {
 		key  string
 		into any
+		then func()
 	}{
-		{diskInc, &vote.Incarnation}, {diskB, &vote.Promised}, {diskV, &accepted}, {diskD, &granted},
+		{diskInc, &v.Incarnation, func() {}},
+		{diskB, &v.Promised, func() {}},
+		{diskV, &accepted, func() { v.Ballot, v.Value = accepted.Ballot, accepted.Value }},
+		{diskD, &granted, func() { v.Duty, v.Owner = granted.Duty, granted.Owner.ID }},
 	}
 	for _, p := range parts {
-		b, ok := disk[p.key]
+		b, ok := puts[p.key]
 		if !ok {
 			continue
 		}
 		if err := json.Unmarshal(b, p.into); err != nil {
-			return vote, errors.Wrapf(err, "read %s", p.key)
+			return errors.Wrapf(err, "read %s", p.key)
 		}
+		p.then()
 	}
-	vote.Ballot, vote.Value = accepted.Ballot, accepted.Value
-	vote.Duty, vote.Owner = granted.Duty, granted.Owner.ID
-	return vote, nil
+	return nil
+}
+
+// Chosen gives the newest value that this node knows to be chosen, if any, and its ballot.
+func (c *Core) Chosen() (protocol.Ballot, *protocol.Desired) { return c.reg.at, c.reg.known }
+
+// Proposing tells the highest ballot number that this node has seen, and the round of the operation
+// that it has under way, if it has one.
+func (c *Core) Proposing() (highest, round uint64, under bool) {
+	if c.reg.op == nil {
+		return c.reg.top, 0, false
+	}
+	return c.reg.top, c.reg.op.round, true
+}
+
+// Reading tells the round of the majority read that this node has under way, or had last.
+func (c *Core) Reading() uint64 {
+	if c.reg.query == nil {
+		return 0
+	}
+	return c.reg.query.round
 }
--- a/internal/explorer/enabled.go
+++ b/internal/explorer/enabled.go
@@ -148,7 +148,7 @@
 func (w *World) ask(a Action, n *node) error {
 	if a.Kind == Get {
 		w.spent.Gets++
-		w.push(n, controller.Admin{Token: w.history.asks(w, n, ""), Op: "get"})
+		w.push(n, controller.Admin{Token: w.history.asks(request{at: n.id}), Op: "get"})
 		return nil
 	}
 	for _, o := range w.scenario.Operators {
@@ -161,7 +161,7 @@
 }
 
 func (w *World) put(n *node, change string, expect, number ident.Epoch, any bool) {
-	token := w.history.asks(w, n, change)
+	token := w.history.asks(request{at: n.id, change: change, expect: expect, any: any})
 	w.push(n, controller.Admin{
 		Token: token, Op: "put", Raw: []byte(change), Change: change,
 		Expect: expect, Number: number, Any: any,
@@ -257,8 +257,8 @@
 	default:
 		return false
 	}
-	r := n.core.Inspect().Register
-	return highest <= r.HighestBallot && (r.Operation == nil || r.Operation.Round != round)
+	seen, current, under := n.core.Proposing()
+	return highest <= seen && (!under || current != round)
 }
 
 func (w *World) enabledRequests() []Action {
--- a/internal/explorer/fingerprint.go
+++ b/internal/explorer/fingerprint.go
@@ -264,17 +264,15 @@
 	}
 	operation := func(id ident.Node, round uint64) uint64 {
 		if n := w.node(id); n.up() {
-			if o := n.core.Inspect().Register.Operation; o != nil && o.Round == round {
+			if _, current, under := n.core.Proposing(); under && current == round {
 				return 1
 			}
 		}
 		return 0
 	}
 	query := func(id ident.Node, round uint64) uint64 {
-		if n := w.node(id); n.up() {
-			if q := n.core.Inspect().Register.Query; q != nil && q.Round == round {
-				return 1
-			}
+		if n := w.node(id); n.up() && n.core.Reading() == round {
+			return 1
 		}
 		return 0
 	}
--- a/internal/explorer/history.go
+++ b/internal/explorer/history.go
@@ -25,6 +25,8 @@
 type request struct {
 	at      ident.Node
 	change  string // empty for a read
+	expect  ident.Epoch
+	any     bool // no epoch is expected
 	before  []string
 	floor   ident.Epoch // highest epoch that was confirmed by then
 	outcome outcome
@@ -68,10 +70,11 @@
 }
 
 // asks notes a request and gives its token.
-func (h *history) asks(w *World, n *node, change string) uint64 {
-	h.requests = append(h.requests, request{at: n.id, change: change, before: slices.Clone(h.order), floor: h.highest()})
-	if change != "" {
-		h.attempts[change]++
+func (h *history) asks(q request) uint64 {
+	q.before, q.floor = slices.Clone(h.order), h.highest()
+	h.requests = append(h.requests, q)
+	if q.change != "" {
+		h.attempts[q.change]++
 	}
 	return uint64(len(h.requests))
 }
@@ -93,12 +96,13 @@
 	h.dirty = true
 	h.answers = append(h.answers, r)
 	q := &h.requests[r.Token-1]
-	known := n.core.Inspect().Register.Known
+	_, known := n.core.Chosen()
 	switch r.Kind {
 	case failure.None:
 		q.outcome = confirmed
 		h.checkValue(n, q, r, known)
 		if q.change != "" {
+			h.checkExpected(n, q, known)
 			h.confirm(q.change, r.Epoch)
 		}
 	case failure.Unclear:
@@ -121,6 +125,20 @@
 	}
 }
 
+// checkExpected checks that a change goes on the epoch that its operator expected.
+func (h *history) checkExpected(n *node, q *request, known *protocol.Desired) {
+	if q.any {
+		return
+	}
+	var on ident.Epoch
+	for _, x := range known.Done {
+		if x.ID == q.change && on != q.expect {
+			h.violate("%s took change %s, which expected epoch %d, on epoch %d", n.id, q.change, q.expect, on)
+		}
+		on = x.Epoch
+	}
+}
+
 func (h *history) confirm(change string, epoch ident.Epoch) {
 	if was, ok := h.confirmed[change]; ok {
 		if was != epoch {
@@ -150,8 +168,8 @@
 
 // observe takes in what a node knows after a step, and checks it against what others knew.
 func (h *history) observe(w *World, n *node) {
-	r := n.core.Inspect().Register
-	h.learn(n, r.KnownBallot, r.Known)
+	ballot, known := n.core.Chosen()
+	h.learn(n, ballot, known)
 	h.watch(w)
 }
 
--- a/internal/explorer/start.go
+++ b/internal/explorer/start.go
@@ -6,7 +6,6 @@
 
 	"github.com/go-faster/errors"
 
-	"tidedeck/internal/controller"
 	"tidedeck/internal/ident"
 )
 
@@ -23,8 +22,7 @@
 // Start is a scenario's first state, from which each run begins anew.
 type Start struct {
 	scenario Scenario
-	disks    []map[string][]byte
-	lives    []int
+	nodes    []node
 }
 
 // NewStart forms the scenario's core from empty disks, has it take a first change, and keeps the disks.
@@ -52,8 +50,7 @@
 	}
 	start := &Start{scenario: s}
 	for _, n := range w.nodes {
-		start.disks = append(start.disks, n.disk)
-		start.lives = append(start.lives, n.lives)
+		start.nodes = append(start.nodes, node{id: n.id, disk: n.disk, vote: n.vote, lives: n.lives})
 	}
 	return start, nil
 }
@@ -67,13 +64,9 @@
 	w := newWorld(s.scenario)
 	w.options.joined, w.open = true, true
 	w.history.confirmed[firstChange], w.history.order = 1, []string{firstChange}
-	for i, id := range slices.Concat(s.scenario.Voters, s.scenario.Spares) {
-		disk := maps.Clone(s.disks[i])
-		vote, err := controller.ReadDurableVote(disk)
-		if err != nil {
-			return nil, err
-		}
-		w.nodes = append(w.nodes, &node{id: id, disk: disk, vote: vote, lives: s.lives[i]})
+	for _, n := range s.nodes {
+		n.disk = maps.Clone(n.disk)
+		w.nodes = append(w.nodes, &n)
 	}
 	for _, n := range w.nodes {
 		w.boot(n)
--- a/internal/explorer/world.go
+++ b/internal/explorer/world.go
@@ -136,11 +136,9 @@
 		return
 	}
 	maps.Copy(n.disk, s.Puts)
-	vote, err := controller.ReadDurableVote(n.disk)
-	if err != nil {
+	if err := n.vote.Read(s.Puts); err != nil {
 		w.history.violate("%s wrote what cannot be read: %v", n.id, err)
 	}
-	n.vote = vote
 	w.push(n, protocol.Saved{Token: s.Token})
 }
 
