Explorer: guards are found by their text, and thirteen bite

The controller's sources were split while the explorer was written: an edit now looks its text up in the whole package and must match once. Inspect follows the register's new fields.

--- a/internal/controller/inspect.go
+++ b/internal/controller/inspect.go
@@ -51,8 +51,7 @@
 	LastMajority  clock.Tick
 	Reads         []clock.Tick // when each read that waits for a majority came
 	Siblings      []SiblingSnapshot
-	Gone          map[ident.Node]clock.Tick
-	Shaped        clock.Tick
+	Absent        map[ident.Node]clock.Tick
 	UnclearReads  int // majority reads in a row that showed no one ballot
 	UnequalReads  int // beats in a row at which a voter's copy was old
 }
@@ -136,7 +135,7 @@
 	r := &c.reg
 	s := RegisterSnapshot{
 		Known: r.known, KnownBallot: r.at, Hint: r.hint, Round: r.round, HighestBallot: r.top,
-		NextQuery: r.next, LastMajority: r.heard, Gone: r.gone, Shaped: r.shaped,
+		NextQuery: r.next, LastMajority: r.heard, Absent: r.absent,
 		UnclearReads: r.odd, UnequalReads: r.unequal,
 	}
 	if r.op != nil {
--- a/internal/explorer/fingerprint.go
+++ b/internal/explorer/fingerprint.go
@@ -169,11 +169,10 @@
 	for _, s := range r.Siblings {
 		f.sibling(s)
 	}
-	for _, id := range generic.SortedKeys(r.Gone) {
+	for _, id := range generic.SortedKeys(r.Absent) {
 		f.text(string(id))
-		f.moment(r.Gone[id])
+		f.moment(r.Absent[id])
 	}
-	f.moment(r.Shaped)
 	f.number(uint64(r.UnclearReads))
 }
 
--- a/internal/explorer/guards_test.go
+++ b/internal/explorer/guards_test.go
@@ -12,8 +12,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// edit is one change of a source file, made only for a build.
-type edit struct{ file, old, now string }
+// edit is one change of the controller's sources, made only for a build.
+type edit struct{ old, now string }
 
 // brokenGuard is a guard of the core that is broken by edits, the scenario that must show it, and what
 // the violation says then.
@@ -22,51 +22,72 @@
 	edits                 []edit
 }
 
-const (
-	registerSource = "internal/controller/register.go"
-	adminSource    = "internal/controller/admin.go"
-	coreSource     = "internal/controller/core.go"
-	dutySource     = "internal/controller/duty.go"
-)
+// controllerSources is where the guards are.
+const controllerSources = "internal/controller"
 
 var brokenGuards = []brokenGuard{
-	{"a majority takes a change", "cut-owner", "durably holds", []edit{{registerSource, "return n > len(l)/2", "return n >= len(l)/2"}}},
-	{"expect the epoch", "cut-owner", "which expected epoch", []edit{{adminSource, "if !a.Any && d.Epoch != a.Expect {", "if false {"}}},
-	{"a read sees the newest ballot", "cut-owner", "a read at|without change", []edit{{registerSource, "if q.top.Less(b.Accepted) {", "if false {"}}},
-	{"redo no change", "race", "although it was taken", []edit{{adminSource, "if x.ID == a.Change {\n\t\t\t\t\treturn d, failure.Repeated", "if x.ID == `no` {\n\t\t\t\t\treturn d, failure.Repeated"}}},
+	{"a majority takes a change", "cut-owner", "durably holds", []edit{{"return n > len(l)/2", "return n >= len(l)/2"}}},
+	{"expect the epoch", "cut-owner", "which expected epoch", []edit{{"if !a.Any && d.Epoch != a.Expect {", "if false {"}}},
+	{"a read sees the newest ballot", "cut-owner", "a read at|without change", []edit{{"if q.top.Less(b.Accepted) {", "if false {"}}},
+	{"redo no change", "race", "although it was taken", []edit{{"if x.ID == a.Change {\n\t\t\t\t\treturn d, failure.Repeated", "if x.ID == `no` {\n\t\t\t\t\treturn d, failure.Repeated"}}},
 	{"keep a promise", "race-orders", "is chosen with plan|was confirmed for|without", []edit{
-		{registerSource, "if b.Ballot.Less(c.vote.promised) {\n\t\tc.reply(e, protocol.Accepted{", "if false {\n\t\tc.reply(e, protocol.Accepted{"}}},
-	{"an emptied disk does not vote", "replace-orders", "durably holds|would go on", []edit{{registerSource, "c.vote.inc = c.o.Inc", "c.vote.inc = 1"}}},
-	{"sync before an answer", "power", "durably holds|would go on", []edit{{coreSource, "c.saves[c.token] = then", "then()\n\tc.saves[c.token] = func() {}"}}},
-	{"admit a wiped voter again", "replace", "is not filled", []edit{{registerSource, "if s.state.Inc != v.Inc || s.sib.Addr != v.Addr {", "if s.sib.Addr != v.Addr {"}}},
-	{"leave a joint set", "replace-five", "joint voter set is not left", []edit{{registerSource, "c.reshape(k, nil)", "_ = k"}}},
-	{"go on the newest accepted", "returner", "without", []edit{{registerSource, "if b.Value != nil && o.best.Less(b.Accepted) {", "if b.Value != nil && o.value == nil {"}}},
+		{"if b.Ballot.Less(c.vote.promised) {\n\t\tc.reply(e, protocol.Accepted{", "if false {\n\t\tc.reply(e, protocol.Accepted{"}}},
+	{"an emptied disk does not vote", "replace-orders", "durably holds|would go on", []edit{{"c.vote.inc = c.o.Inc", "c.vote.inc = 1"}}},
+	{"sync before an answer", "power", "durably holds|would go on", []edit{{"c.saves[c.token] = then", "then()\n\tc.saves[c.token] = func() {}"}}},
+	{"admit a wiped voter again", "replace", "is not filled", []edit{{"s.state.Inc == v.Inc && s.sib.Addr == v.Addr {", "s.sib.Addr == v.Addr {"}}},
+	{"leave a joint set", "replace-five", "joint voter set is not left", []edit{{"c.reshape(k, nil)", "_ = k"}}},
+	{"go on the newest accepted", "returner", "without", []edit{{"if b.Value != nil && o.best.Less(b.Accepted) {", "if b.Value != nil && o.value == nil {"}}},
 	{"a restarted voter waits", "duty-restarts", "own the duty at once", []edit{
-		{registerSource, "quiet := c.now.Sub(c.vote.started) < long", "quiet := false"}}},
+		{"quiet := c.now.Sub(c.vote.started) < long", "quiet := false"}}},
 	{"no new owner beside a held duty", "duty-takeover", "own the duty at once", []edit{
-		{registerSource, "|| !held && !quiet)", "|| !quiet)"}, {dutySource, "inc) || !d.free {", "inc) {"}}},
+		{"|| !held && !quiet)", "|| !quiet)"}, {"inc) || !d.free {", "inc) {"}}},
 	{"a majority for the duty", "duty-restarts", "own the duty at once|was owned by", []edit{
-		{registerSource, "q.claim && quorum(q.set, q.grant)", "q.claim"}, {dutySource, "inc) || !d.free {", "inc) {"}}},
+		{"q.claim && quorum(q.set, q.grant)", "q.claim"}, {"inc) || !d.free {", "inc) {"}}},
 }
 
 // guardStates bounds the search for each broken guard.
 const guardStates = 1000
 
+// findSource finds the one place in a package's sources, some of them edited already, that has a text.
+func findSource(t *testing.T, directory, old string, edited map[string]string) (source, text string) {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join(directory, "*.go"))
+	require.NoError(t, err)
+	found := 0
+	for _, file := range files {
+		if strings.HasSuffix(file, "_test.go") {
+			continue
+		}
+		now, ok := edited[file]
+		if !ok {
+			b, err := os.ReadFile(file)
+			require.NoError(t, err)
+			now = string(b)
+		}
+		if n := strings.Count(now, old); n > 0 {
+			source, text = file, now
+			found += n
+		}
+	}
+	require.Equal(t, 1, found, "the edit of %q matches no longer", old)
+	return source, text
+}
+
 // buildBroken builds the explorer with a guard broken.
 func buildBroken(t *testing.T, edits []edit) string {
 	t.Helper()
 	root, err := filepath.Abs("../..")
 	require.NoError(t, err)
 	directory := t.TempDir()
+	texts := map[string]string{}
+	for _, e := range edits {
+		source, text := findSource(t, filepath.Join(root, controllerSources), e.old, texts)
+		texts[source] = strings.Replace(text, e.old, e.now, 1)
+	}
 	replaced := map[string]string{}
-	for i, e := range edits {
-		source := filepath.Join(root, e.file)
-		text, err := os.ReadFile(source)
-		require.NoError(t, err)
-		require.NotContains(t, replaced, source, "one edit a file")
-		require.Equal(t, 1, strings.Count(string(text), e.old), "%s: the edit of %q matches no longer", e.file, e.old)
-		edited := filepath.Join(directory, fmt.Sprintf("%d.go", i))
-		require.NoError(t, os.WriteFile(edited, []byte(strings.Replace(string(text), e.old, e.now, 1)), 0o644))
+	for source, text := range texts {
+		edited := filepath.Join(directory, filepath.Base(source))
+		require.NoError(t, os.WriteFile(edited, []byte(text), 0o644))
 		replaced[source] = edited
 	}
 	overlay, err := json.Marshal(map[string]map[string]string{"Replace": replaced})
