--- a/internal/explorer/scenario.go
+++ b/internal/explorer/scenario.go
@@ -157,6 +157,16 @@
 		Budget: Budget{Crashes: 1, Wipes: 2, Losses: 3, Cuts: 1, Ticks: 6, Passes: 3},
 		Depth:  12, Recovery: true,
 	},
+	{
+		Name: "churn", About: "five voters and two spares, of which one after the other is lost, wiped, cut off or restarted; for random runs",
+		Voters: nodes("a", "b", "c", "d", "e"), Spares: nodes("f", "g"), Tolerance: 2, Held: holdsNothing, Grain: ByNode, PassTicks: passTicks,
+		Operators: []Operator{
+			{Name: "x", Expect: 1, Number: 2, At: nodes("a", "b", "c", "d", "e"), Attempts: 3},
+			{Name: "y", Expect: 2, Number: 3, At: nodes("c", "d", "e", "f"), Attempts: 3},
+		},
+		Budget: Budget{Crashes: 4, Wipes: 3, Losses: 3, Cuts: 3, Ticks: 16, Passes: 6},
+		Depth:  28, Recovery: true,
+	},
 	{
 		Name: "returner", About: "a voter that was away for several changes returns with its old disk, and another goes",
 		Voters: nodes("a", "b", "c"), Tolerance: 1, Held: holdsRegister, Grain: ByNode, PassTicks: passTicks,
