Explorer: a loss counts against every voter set that a disk holds accepted

A run lost two voters and the spare of a joint set that was accepted by some and not chosen: three disks at once, more than is promised. Whoever goes on must adopt that set, so its lost seats count.

--- a/internal/explorer/enabled.go
+++ b/internal/explorer/enabled.go
@@ -329,7 +329,7 @@
 		return false
 	}
 	var sets [][]protocol.Voter
-	for _, value := range append(w.chosenOnDisks(), w.history.inForce) {
+	for _, value := range append(w.acceptedOnDisks(), w.history.inForce) {
 		sets = append(sets, value.Voters, value.Prior)
 	}
 	for _, voters := range sets {
@@ -346,30 +346,16 @@
 	return true
 }
 
-// chosenOnDisks lists the values that a quorum holds durably, although perhaps no node knows it yet.
-func (w *World) chosenOnDisks() []*protocol.Desired {
-	var chosen []*protocol.Desired
+// acceptedOnDisks lists the values on disks that are newer than the one in force: any of them may be chosen,
+// so that whoever goes on must go on with it and needs a quorum of its voter set.
+func (w *World) acceptedOnDisks() []*protocol.Desired {
+	var newer []*protocol.Desired
 	for _, n := range w.nodes {
-		value := n.vote.Value
-		if value == nil || !w.history.ballot.Less(n.vote.Ballot) {
-			continue
-		}
-		holders := func(v protocol.Voter) bool { return w.intact(v) && w.node(v.ID).vote.Ballot == n.vote.Ballot }
-		if mostOf(value.Voters, holders) && (len(value.Prior) == 0 || mostOf(value.Prior, holders)) {
-			chosen = append(chosen, value)
-		}
-	}
-	return chosen
-}
-
-func mostOf(voters []protocol.Voter, is func(protocol.Voter) bool) bool {
-	count := 0
-	for _, v := range voters {
-		if is(v) {
-			count++
+		if n.vote.Value != nil && w.history.ballot.Less(n.vote.Ballot) {
+			newer = append(newer, n.vote.Value)
 		}
 	}
-	return 2*count > len(voters)
+	return newer
 }
 
 // intact tells whether a seat's disk is still there, whether its node is up or not.
