A node claims the duty only while a majority holds it for nobody else

The claim looked only at the highest number's owner. Ruled out: the order of claims alone; on a tie each saw the other's number one round old. Change: q.open counts voters that hold the duty for nobody but the asker; without a majority of them a node does not claim, so split grants lapse. Tests: TestMendedRuns, red before.

--- a/internal/controller/duty.go
+++ b/internal/controller/duty.go
@@ -79,8 +79,10 @@
 	if !q.read {
 		return
 	}
-	// A grant of this node's own that won no majority keeps nobody but others from asking again.
-	d.free = q.owner.ID == "" || q.owner.ID == c.o.Me.ID
+	// A grant of this node's own that won no majority keeps nobody but others from asking again. While no
+	// majority is open, a claim could not win: it would only renew the refusal of those that granted it, so
+	// that two claimants would keep each other out for good.
+	d.free = quorum(q.set, q.open)
 	if !d.mine {
 		d.who = q.owner
 	}
--- a/internal/controller/reader.go
+++ b/internal/controller/reader.go
@@ -17,6 +17,7 @@
 	set   protocol.Desired
 	yes   map[ident.Node]ident.Inc
 	grant map[ident.Node]ident.Inc
+	open  map[ident.Node]ident.Inc // voters that hold the duty for nobody but this node
 	acc   map[ident.Node]protocol.Ballot
 	top   protocol.Ballot // highest accepted among the voters heard
 	asked bool            // the value at top is being fetched
@@ -44,7 +45,7 @@
 		r.odd = 0
 	}
 	r.round++
-	q := &query{round: r.round, again: true, at: c.now, yes: map[ident.Node]ident.Inc{}, grant: map[ident.Node]ident.Inc{}, acc: map[ident.Node]protocol.Ballot{}}
+	q := &query{round: r.round, again: true, at: c.now, yes: map[ident.Node]ident.Inc{}, grant: map[ident.Node]ident.Inc{}, open: map[ident.Node]ident.Inc{}, acc: map[ident.Node]protocol.Ballot{}}
 	to := map[ident.Node]protocol.Sibling{}
 	if set := c.latest(); set != nil {
 		q.set = *set
@@ -93,6 +94,9 @@
 	if b.Duty > q.dutyN {
 		q.dutyN = b.Duty
 	}
+	if b.Owner.ID == "" || b.Owner.ID == c.o.Me.ID {
+		q.open[e.From.ID] = b.Inc
+	}
 	if b.Owner.ID != "" && b.Duty >= q.dutyN {
 		q.owner = b.Owner
 	}
--- a/internal/explorer/explorer_test.go
+++ b/internal/explorer/explorer_test.go
@@ -59,6 +59,28 @@
 	}
 }
 
+// Runs that once ended in a violation, each after its scenario's name.
+var mendedRuns = []struct{ what, scenario, run string }{
+	{"split claims renewed each other's refusal, so that nobody ever owned the duty", "churn",
+		"lose d\ncrash c\ncrash a\npass\nrestart c\ntick\ncut b\npass\ncrash b\ntick"},
+}
+
+func TestMendedRuns(t *testing.T) {
+	for _, m := range mendedRuns {
+		s, ok := Find(m.scenario)
+		require.True(t, ok)
+		run, err := ParseRun(strings.NewReader(m.run))
+		require.NoError(t, err)
+		start, err := NewStart(s)
+		require.NoError(t, err)
+		w, err := start.Replay(run, nil)
+		require.NoError(t, err)
+		require.Empty(t, w.Violation(), m.what)
+		w.Recover()
+		require.Empty(t, w.Violation(), m.what)
+	}
+}
+
 // A run depends on its actions alone: whatever it is carried out again by comes to the same states.
 func TestReplayIsDeterministic(t *testing.T) {
 	for _, s := range Scenarios {
