--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -242,22 +242,7 @@
 	}
 	w.plat = standin.NewPlatform(list...)
 	for i := range o.Routers {
-		n, z := fmt.Sprint(i+1), zones[i%3]
-		box := "router-" + n
-		a, l := "agent-"+n, "router-"+n
-		skew, rate := w.clock()
-		w.add(&proc{name: a, box: box, zone: z, beat: 20e6, skew: skew, rate: rate, made: func() core {
-			return agent.New(agent.Options{Me: protocol.Sibling{ID: ident.Node(a), Addr: a}, Zone: z, Inc: w.inc(a), Life: ident.Inc(w.now) + 1, Seeds: w.seeds(),
-				Router: protocol.Sibling{ID: ident.Node(l), Addr: l}, Rand: w.chance(a), Keep: o.Keep})
-		}})
-		w.add(&proc{name: l, box: box, zone: z, beat: 20e6, skew: skew, rate: rate, made: func() core {
-			lo := o.Router
-			if w.host != nil {
-				w.host.router(&lo, z)
-			}
-			lo.Me, lo.Agent, lo.Inc = protocol.Sibling{ID: ident.Node(l), Addr: l}, protocol.Sibling{ID: ident.Node(a), Addr: a}, w.inc(l)
-			return router.New(lo)
-		}})
+		w.addRouter(fmt.Sprint(i+1), zones[i%3])
 	}
 	w.add(&proc{name: "store", box: "store", beat: 10e6, rate: 1, made: func() core { return w.store }})
 	for _, n := range append([]string{}, w.order...) {
@@ -267,6 +252,25 @@
 	return w
 }
 
+// addRouter adds a router and the agent beside it.
+func (w *World) addRouter(n string, z ident.Zone) {
+	box := "router-" + n
+	a, l := "agent-"+n, "router-"+n
+	skew, rate := w.clock()
+	w.add(&proc{name: a, box: box, zone: z, beat: 20e6, skew: skew, rate: rate, made: func() core {
+		return agent.New(agent.Options{Me: protocol.Sibling{ID: ident.Node(a), Addr: a}, Zone: z, Inc: w.inc(a), Life: ident.Inc(w.now) + 1, Seeds: w.seeds(),
+			Router: protocol.Sibling{ID: ident.Node(l), Addr: l}, Rand: w.chance(a), Keep: w.o.Keep})
+	}})
+	w.add(&proc{name: l, box: box, zone: z, beat: 20e6, skew: skew, rate: rate, made: func() core {
+		lo := w.o.Router
+		if w.host != nil {
+			w.host.router(&lo, z)
+		}
+		lo.Me, lo.Agent, lo.Inc = protocol.Sibling{ID: ident.Node(l), Addr: l}, protocol.Sibling{ID: ident.Node(a), Addr: a}, w.inc(l)
+		return router.New(lo)
+	}})
+}
+
 func (w *World) seeds() (l []protocol.Sibling) {
 	for _, n := range w.Seeds {
 		l = append(l, protocol.Sibling{Addr: n})
