--- a/internal/router/host.go
+++ b/internal/router/host.go
@@ -51,18 +51,23 @@
 func turnAwayAfter(grace clock.Span) clock.Span { return grace / 2 }
 func endAfter(grace clock.Span) clock.Span      { return grace * 7 / 8 }
 
-// Host runs a router and its agent under a hosting platform until it is told to stop.
-func Host(h HostOptions) error {
-	ring := host.NewRingWith(host.RingOptions{Name: h.ID, Out: os.Stderr, Lines: h.Logs})
-	me := protocol.Sibling{ID: ident.Node(h.ID), Addr: h.Post}
+// cores makes the router and its agent, which share the process.
+func (h HostOptions) cores() (*Core, *agent.Core) {
 	core := New(Options{
 		Me: protocol.Sibling{ID: nearRouter, Addr: nearRouter}, Inc: host.NewInc(), Agent: protocol.Sibling{Addr: nearAgent},
 		Read: h.Read, Zone: ident.Zone(h.Zone), Free: true, Guards: true, Hello: clock.Span(hostedHello), Lend: h.Lend, Window: h.Window, Share: h.Earn,
 	})
-	agent := agent.New(agent.Options{
-		Me: me, Zone: ident.Zone(h.Zone), Inc: host.NewInc(), Life: ident.Inc(host.Now()),
+	beside := agent.New(agent.Options{
+		Me: protocol.Sibling{ID: ident.Node(h.ID), Addr: h.Post}, Zone: ident.Zone(h.Zone), Inc: host.NewInc(), Life: ident.Inc(host.Now()),
 		Seeds: host.Siblings(h.Seeds), Rand: host.NewRand(), Brisk: true, Router: protocol.Sibling{ID: nearRouter, Addr: nearRouter},
 	})
+	return core, beside
+}
+
+// Host runs a router and its agent under a hosting platform until it is told to stop.
+func Host(h HostOptions) error {
+	ring := host.NewRingWith(host.RingOptions{Name: h.ID, Out: os.Stderr, Lines: h.Logs})
+	core, agent := h.cores()
 	var router, beside *host.Process
 	inForce := func() (p *fleetplan.Plan) {
 		router.With(func(clock.Tick) { p = core.plan })
--- a/internal/simulator/check.go
+++ b/internal/simulator/check.go
@@ -679,6 +679,16 @@
 	if st.Over > 0 {
 		k.bad("loads outran the store: %d pulls beyond its budget", st.Over)
 	}
+	k.sumCounts()
+	if k.healed != 0 && (s.Back == 0 || s.Back > boundCold) {
+		k.bad("service came back %v after the outage", s.Back)
+	}
+	return *s
+}
+
+// sumCounts adds up what the processes counted themselves.
+func (k *Checker) sumCounts() {
+	s := &k.Seen
 	for _, n := range k.w.order {
 		switch c := k.w.procs[n].core.(type) {
 		case *standin.Server:
@@ -707,10 +717,6 @@
 			s.Odd += t.Odd
 		}
 	}
-	if k.healed != 0 && (s.Back == 0 || s.Back > boundCold) {
-		k.bad("service came back %v after the outage", s.Back)
-	}
-	return *s
 }
 
 // String gives the seen figures in a line.
