A calendar line that ends too soon is a fault of the file, not of the process

Cause: go-ical panics on a parameter at a line's end (found by fuzz trials); an operator's file ended a core node. Tests: a row of TestWindows, which panicked before.

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -422,6 +422,7 @@
 		{"too often", "FREQ=WEEKLY", "FREQ=SECONDLY", "RRULE"},
 		{"bad rule", "FREQ=WEEKLY", "FREQ=NEVER", "RRULE"},
 		{"cut short", "END:VEVENT\r\nEND:VCALENDAR\r\n", "", "malformed"},
+		{"a parameter without a value", "DTSTART:20260105T100000Z", "DTSTART;X=Y", "malformed"},
 	} {
 		l, f := readWindows([]byte(strings.Replace(calendar, c.old, c.new, 1)))
 		if c.why == "" {
--- a/internal/controller/windows.go
+++ b/internal/controller/windows.go
@@ -33,6 +33,17 @@
 	mostLong    = 31 * 24 * time.Hour
 )
 
+// decodeCalendar reads one calendar. The library panics on some lines that end too soon; an operator's file
+// must not end the process.
+func decodeCalendar(d *ical.Decoder) (cal *ical.Calendar, err error) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			cal, err = nil, errors.Errorf("a line ends too soon: %v", fault)
+		}
+	}()
+	return d.Decode()
+}
+
 // readWindows reads an iCalendar file: each event names its target in LOCATION, as
 // "zone NAME" or "server NAME". With any fault there are no windows.
 func readWindows(raw []byte) (l []*window, f fleetplan.Faults) {
@@ -41,7 +52,7 @@
 	}
 	d := ical.NewDecoder(bytes.NewReader(raw))
 	for n := 0; ; n++ {
-		cal, err := d.Decode()
+		cal, err := decodeCalendar(d)
 		if errors.Is(err, io.EOF) {
 			if n != bytes.Count(bytes.ToUpper(raw), []byte("BEGIN:VCALENDAR")) {
 				return nil, fleetplan.Faults{{Path: "$", Why: "malformed iCalendar: it is cut short"}}
