--- a/internal/controller/control_test.go
+++ b/internal/controller/control_test.go
@@ -377,3 +377,23 @@
 		return sits(k.Voters, "d") && len(k.Prior) == 0
 	}), "after %d changes", n)
 }
+
+// A node that is parted from the core sends a server on to another, and a server whose words nobody else
+// hears is asked by the owner before it is taken for dark.
+func TestWordsToAPartedNode(t *testing.T) {
+	c := newTunedCluster(t, nil, hostedTimes, "a", "b", "c")
+	c.plans["1"] = modelPlan(8, "llm|m")
+	require.Equal(t, failure.None, c.told("a", Admin{Op: "put", Raw: []byte("1"), Number: 1, Change: "x"}).Kind)
+	s := c.serve("s", "llm|m")
+	c.run(3e9)
+	parted := c.other()
+	c.down(parted)
+	s.silent = true // to all but the parted node
+	for count := uint64(100); count < 106; count++ {
+		c.run(1e9)
+		ok, answered := c.announce(parted, beacon("s", "live", count))
+		require.True(t, answered)
+		require.Equal(t, count == 100, ok, "word %d: it hears no majority", count-99)
+		require.False(t, c.lead().servers["s"].dark, "it answers the owner's questions")
+	}
+}
