Tests: one piece of code edits sources for a build

Cause: the simulator's broken guards and the explorer's wrote overlays by themselves, beside internal/overlay. Change: both call overlay.Write; each edit must still match once, and the explorer's also in one file alone. Only test files change.

--- a/internal/explorer/guards_test.go
+++ b/internal/explorer/guards_test.go
@@ -1,7 +1,6 @@
 package explorer
 
 import (
-	"encoding/json"
 	"fmt"
 	"os"
 	"os/exec"
@@ -9,6 +8,8 @@
 	"strings"
 	"testing"
 
+	"tidedeck/internal/overlay"
+
 	"github.com/stretchr/testify/require"
 )
 
@@ -48,8 +49,8 @@
 // guardStates bounds the search for each broken guard.
 const guardStates = 1000
 
-// findSource finds the one place in a package's sources, some of them edited already, that has a text.
-func findSource(t *testing.T, directory, old string, edited map[string]string) (source, text string) {
+// findSource finds the one file of a package's sources that has a text, which must stand there once.
+func findSource(t *testing.T, directory, old string) (source string) {
 	t.Helper()
 	files, err := filepath.Glob(filepath.Join(directory, "*.go"))
 	require.NoError(t, err)
@@ -58,19 +59,15 @@
 		if strings.HasSuffix(file, "_test.go") {
 			continue
 		}
-		now, ok := edited[file]
-		if !ok {
-			b, err := os.ReadFile(file)
-			require.NoError(t, err)
-			now = string(b)
-		}
-		if n := strings.Count(now, old); n > 0 {
-			source, text = file, now
+		text, err := os.ReadFile(file)
+		require.NoError(t, err)
+		if n := strings.Count(string(text), old); n > 0 {
+			source = file
 			found += n
 		}
 	}
 	require.Equal(t, 1, found, "the edit of %q matches no longer", old)
-	return source, text
+	return source
 }
 
 // buildBroken builds the explorer with a guard broken.
@@ -79,21 +76,14 @@
 	root, err := filepath.Abs("../..")
 	require.NoError(t, err)
 	directory := t.TempDir()
-	texts := map[string]string{}
+	var list []overlay.Edit
 	for _, e := range edits {
-		source, text := findSource(t, filepath.Join(root, controllerSources), e.old, texts)
-		texts[source] = strings.Replace(text, e.old, e.now, 1)
-	}
-	replaced := map[string]string{}
-	for source, text := range texts {
-		edited := filepath.Join(directory, filepath.Base(source))
-		require.NoError(t, os.WriteFile(edited, []byte(text), 0o644))
-		replaced[source] = edited
+		source, err := filepath.Rel(root, findSource(t, filepath.Join(root, controllerSources), e.old))
+		require.NoError(t, err)
+		list = append(list, overlay.Edit{File: source, Old: e.old, New: e.now})
 	}
-	overlay, err := json.Marshal(map[string]map[string]string{"Replace": replaced})
+	overlayFile, err := overlay.Write(root, directory, list)
 	require.NoError(t, err)
-	overlayFile := filepath.Join(directory, "overlay.json")
-	require.NoError(t, os.WriteFile(overlayFile, overlay, 0o644))
 	program := filepath.Join(directory, "explorer")
 	out, err := exec.Command("go", "build", "-overlay", overlayFile, "-o", program, "tidedeck/cmd/explorer").CombinedOutput()
 	require.NoError(t, err, "%s", out)
--- a/internal/simulator/bites_test.go
+++ b/internal/simulator/bites_test.go
@@ -1,14 +1,14 @@
 package simulator
 
 import (
-	"encoding/json"
 	"fmt"
-	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
 
+	"tidedeck/internal/overlay"
+
 	"github.com/stretchr/testify/require"
 )
 
@@ -90,28 +90,14 @@
 	dir := t.TempDir()
 	root, err := filepath.Abs("../..")
 	require.NoError(t, err)
-	texts := map[string]string{}
+	var list []overlay.Edit
 	for _, e := range edits {
-		f := filepath.Join(root, e.file)
-		if texts[f] == "" {
-			b, err := os.ReadFile(f)
-			require.NoError(t, err)
-			texts[f] = string(b)
-		}
-		require.Equal(t, 1, strings.Count(texts[f], e.old), "%s: the edit of %q matches no longer", e.file, e.old)
-		texts[f] = strings.Replace(texts[f], e.old, e.now, 1)
-	}
-	over := map[string]map[string]string{"Replace": {}}
-	for f, s := range texts {
-		p := filepath.Join(dir, fmt.Sprintf("%d.go", len(over["Replace"])))
-		require.NoError(t, os.WriteFile(p, []byte(s), 0o644))
-		over["Replace"][f] = p
+		list = append(list, overlay.Edit{File: e.file, Old: e.old, New: e.now})
 	}
-	b, err := json.Marshal(over)
+	name, err := overlay.Write(root, dir, list)
 	require.NoError(t, err)
-	require.NoError(t, os.WriteFile(filepath.Join(dir, "over.json"), b, 0o644))
 	bin := filepath.Join(dir, "simulator")
-	out, err := exec.Command("go", "build", "-overlay", filepath.Join(dir, "over.json"), "-o", bin, "tidedeck/cmd/simulator").CombinedOutput()
+	out, err := exec.Command("go", "build", "-overlay", name, "-o", bin, "tidedeck/cmd/simulator").CombinedOutput()
 	require.NoError(t, err, "%s", out)
 	return bin
 }
