--- a/cmd/router/main.go
+++ b/cmd/router/main.go
@@ -12,14 +12,14 @@
 )
 
 func main() {
-	if logs, ok := host.Hosted(os.Args[1:], "router"); ok {
+	if flags, ok := host.Hosted(os.Args[1:], "router"); ok {
 		boot, err := platform.Load()
 		end(err)
 		host.Confine(boot.MemoryMB, boot.Processors)
 		b := boot.Bounds
 		end(router.Host(router.HostOptions{
 			ID: string(boot.Node), Zone: string(boot.Zone), Ingress: boot.Ingress, Readiness: boot.Readiness,
-			Post: boot.Post(2), Admin: boot.Post(3), Seeds: boot.SeedPosts(0), Follow: followSeeds, Logs: logs,
+			Post: boot.Post(2), Admin: boot.Post(3), Seeds: boot.SeedPosts(0), Follow: followSeeds, Logs: flags.Lines(), Metrics: flags.MetricsAt(boot.IP), Bind: flags.Bind,
 			Dialect: platform.Dialect{}, Read: platform.ReadPlan, Grace: b.Grace,
 			Lend: float64(b.RetryMargin) * 0.6, Window: b.RetryWindow, Earn: b.RetryFraction * 0.8,
 		}))
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -27,16 +27,21 @@
 }
 
 func (r *rig) give(from protocol.Sibling, body any) {
-	for _, o := range r.Step(r.at, protocol.Env{From: from, To: core("agent"), Body: body}) {
-		r.out = append(r.out, o.(protocol.Env))
+	r.keep(r.Step(r.at, protocol.Env{From: from, To: core("agent"), Body: body}))
+}
+
+// keep remembers the messages among what the core gives out, which beside them has log lines only.
+func (r *rig) keep(out []any) {
+	for _, o := range out {
+		if _, line := o.(protocol.Note); !line {
+			r.out = append(r.out, o.(protocol.Env))
+		}
 	}
 }
 
 func (r *rig) pass(s clock.Span) {
 	for end := r.at.Add(s); r.at < end; r.at = r.at.Add(20e6) {
-		for _, o := range r.Step(r.at, protocol.Beat{}) {
-			r.out = append(r.out, o.(protocol.Env))
-		}
+		r.keep(r.Step(r.at, protocol.Beat{}))
 	}
 }
 
--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -109,6 +109,10 @@
 	}
 }
 
+func (c *Core) note(text string, fields ...protocol.Field) {
+	c.out = append(c.out, protocol.Note{Text: text, Fields: fields})
+}
+
 func (c *Core) up(body any) {
 	c.post(protocol.Env{From: c.o.Me, To: c.way.to, Via: c.way.via, Body: body})
 }
@@ -124,6 +128,7 @@
 	c.sent = map[uint64]clock.Tick{}
 	c.next = c.now
 	c.tally.Sessions++
+	c.note("session begins", protocol.Field{Name: "session", Value: c.ses.N}, protocol.Field{Name: "way", Value: c.way.to.Addr})
 	c.tell()
 }
 
@@ -268,6 +273,7 @@
 	}
 	if p := c.apart(); p != c.parted {
 		c.parted = p
+		c.note("owner heard or not", protocol.Field{Name: "parted", Value: p}, protocol.Field{Name: "way", Value: c.way.to.Addr}, protocol.Field{Name: "via", Value: c.way.via.ID})
 		c.tell()
 	}
 	if c.now < c.next {
--- a/internal/agent/fuzz_test.go
+++ b/internal/agent/fuzz_test.go
@@ -47,9 +47,7 @@
 				continue
 			}
 			e.To = core("agent")
-			for _, o := range r.Step(r.at, e) {
-				r.out = append(r.out, o.(protocol.Env))
-			}
+			r.keep(r.Step(r.at, e))
 			r.pass(clock.Span(100e6))
 			check()
 		}
--- a/internal/controller/admin.go
+++ b/internal/controller/admin.go
@@ -76,6 +76,7 @@
 		return
 	}
 	var faults fleetplan.Faults
+	began := c.now
 	c.propose(func(d protocol.Desired) (protocol.Desired, failure.Kind) {
 		faults = nil
 		if a.Change != "" {
@@ -130,6 +131,8 @@
 		case failure.Unclear:
 			r.Why = "it is not known whether the change was taken; repeat it under the same change id, or read the plan"
 		}
+		c.note("operator's change answered", field("op", a.Op), field("change", a.Change), field("expected", a.Expect),
+			field("number", a.Number), field("outcome", k), field("epoch", r.Epoch), field("took_ms", c.now.Sub(began).Milliseconds()))
 		c.receipt(r)
 	})
 }
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -310,7 +310,12 @@
 	c.out = append(c.out, a)
 }
 
-func (c *Core) note(s string) { c.out = append(c.out, protocol.Note{Text: s}) }
+func (c *Core) note(s string, fields ...protocol.Field) {
+	c.out = append(c.out, protocol.Note{Text: s, Fields: fields})
+}
+
+// field names a value of a log line.
+func field(name string, value any) protocol.Field { return protocol.Field{Name: name, Value: value} }
 
 func (c *Core) oops(s string) { c.out = append(c.out, protocol.Oops{Text: s}) }
 
--- a/internal/controller/enrol.go
+++ b/internal/controller/enrol.go
@@ -1,8 +1,6 @@
 package controller
 
 import (
-	"fmt"
-
 	"tidedeck/internal/clock"
 	"tidedeck/internal/generic"
 	"tidedeck/internal/ident"
@@ -84,6 +82,7 @@
 			c.retire(o)
 		}
 		c.tally.Enrolments++
+		c.note("server enrolled", field("server", b.ID), field("address", b.Addr), field("state", b.State))
 		e.keeps(b.Held)
 		c.roll[b.ID] = e
 		c.applyRoll(e)
@@ -142,6 +141,7 @@
 // retire takes a server for gone whose address another start of a server has.
 func (c *Core) retire(o *enrolled) {
 	if o.State != "gone" {
+		c.note("server's address has another start of a server", field("server", o.ID), field("address", o.Addr))
 		o.State, o.soft = "gone", true
 		c.applyRoll(o)
 	}
@@ -322,9 +322,18 @@
 		return
 	}
 	delete(c.acks, mark)
+	c.noteLeaving("leaving acknowledged", l)
 	c.out = append(c.out, Announced{Token: l.token, OK: true})
 }
 
+// noteLeaving logs what became of a leaving.
+func (c *Core) noteLeaving(text string, l *leaving) {
+	for _, b := range l.list {
+		c.note(text, field("server", b.ID), field("state", b.State), field("owner_knows", l.ruled),
+			field("known_at", generic.SortedKeys(l.yes)), field("took_ms", c.now.Sub(l.at).Milliseconds()))
+	}
+}
+
 func (c *Core) onBeacons(e protocol.Env) {
 	b := e.Body.(protocol.Beacons)
 	for _, x := range b.List {
@@ -375,6 +384,7 @@
 		case c.now.Sub(l.at) > leaveWait:
 			delete(c.acks, m)
 			c.tally.LeavesUnheard++
+			c.noteLeaving("leaving not acknowledged: too few core nodes know of it", l)
 			c.out = append(c.out, Announced{Token: l.token})
 		case c.now.Sub(l.sent) > leaveResend:
 			l.ruled = l.ruled || c.rules()
@@ -432,7 +442,7 @@
 		}
 		if s.fails++; s.fails > 1 && !s.dark {
 			s.dark = true
-			c.note(fmt.Sprintf("server %s is silent and does not answer", s.ID))
+			c.note("server is silent and does not answer", field("server", s.ID))
 			c.touchOn(s)
 		}
 	})
--- a/internal/controller/host.go
+++ b/internal/controller/host.go
@@ -38,10 +38,12 @@
 type HostOptions struct {
 	ID      string
 	Zone    string
-	Post    string                // where other nodes reach this one
-	Control string                // where servers and operators reach it
-	Admin   string                // where the product's own operators' interface is
-	Regions map[ident.Zone]string // of zones
+	Post    string                   // where other nodes reach this one
+	Control string                   // where servers and operators reach it
+	Admin   string                   // where the product's own operators' interface is
+	Metrics string                   // and metrics a second time; nowhere if empty
+	Bind    func(told string) string // where to listen for what others are told to reach at an address
+	Regions map[ident.Zone]string    // of zones
 	Seeds   []string
 	Follow  func(step func(protocol.Reseed)) // tells of other seeds as they come; none if it is left out
 	Data    string
@@ -99,7 +101,7 @@
 	core := New(hosted(h))
 	d := &desk{wait: map[uint64]chan Receipt{}}
 	a := &announcer{wait: map[uint64]chan bool{}, desk: d, o: h}
-	d.c = host.New(host.Options{Core: core, Listen: []string{h.Post}, Told: h.Post, Data: h.Data, Beat: 25 * time.Millisecond, Dial: dialWait, Ring: ring,
+	d.c = host.New(host.Options{Core: core, Listen: []string{h.Bind(h.Post)}, Told: h.Post, Data: h.Data, Beat: 25 * time.Millisecond, Dial: dialWait, Ring: ring,
 		Tell: h.Dialect.Tell, Else: func(o any) {
 			d.act(o)
 			a.act(o)
@@ -111,10 +113,8 @@
 	if h.Follow != nil {
 		h.Follow(func(r protocol.Reseed) { d.c.Step(r) })
 	}
-	own := &http.Server{Addr: h.Admin, Handler: d.routes(core), ReadHeaderTimeout: 10 * time.Second}
-	go func() { _ = own.ListenAndServe() }()
-	defer own.Close()
-	err := host.Web(h.Control, a, ring, nil, 2*time.Second)
+	defer host.ServeBeside(ring, d.routes(core), h.Bind(h.Admin), h.Bind(h.Metrics))()
+	err := host.Web(h.Bind(h.Control), a, ring, nil, 2*time.Second)
 	d.stop(core)
 	return err
 }
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -330,6 +330,8 @@
 		if c.now > l.until {
 			if len(l.items) > 0 {
 				c.tally.Lapses++
+				c.note("router's lease ran out with changes unacknowledged", field("router", l.ses.Node), field("session", l.ses.N),
+					field("unacknowledged", len(l.items)), field("owes", l.owes()))
 			}
 			c.count(l, nil)
 			delete(c.links, l.ses)
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 
 	"tidedeck/internal/clock"
 	"tidedeck/internal/fleetplan"
@@ -93,6 +92,8 @@
 // onOrderAnswer takes in what a server answered to an order, or that it did not.
 func (c *Core) onOrderAnswer(s *server, p *spot, order protocol.Order, t protocol.Told) {
 	s.asking, s.next = false, c.now.Add(c.expected(s, p))
+	c.note("order answered", field("server", s.ID), field("op", order.Op), field("key", order.Key), field("term", order.Duty),
+		field("count", order.Expected), field("answered", t.OK), field("status", t.Code), field("took_ms", c.now.Sub(s.ordered).Milliseconds()))
 	switch {
 	case !t.OK: // it may have been taken: the count will tell
 		c.tally.OrdersUnanswered++
@@ -107,7 +108,6 @@
 		c.lose("a server obeys a higher duty")
 	default:
 		c.tally.OrdersRefused++
-		c.note(fmt.Sprintf("server %s refused to %s %s: %d", s.ID, order.Op, order.Key, t.Code))
 		p.num = 0
 		s.busy = true // until its report shows why
 		if t.Code == notThisOne {
@@ -157,7 +157,7 @@
 	s.next = c.now.Add(c.o.Poll)
 	if s.fails++; s.fails > 1 && !s.dark {
 		s.dark = true
-		c.note(fmt.Sprintf("server %s does not answer", s.ID))
+		c.note("server does not answer", field("server", s.ID))
 		c.touchOn(s)
 	}
 	if s.dark {
@@ -177,6 +177,9 @@
 		return
 	}
 	changed := s.dark || !s.known
+	if s.dark {
+		c.note("server answers again", field("server", s.ID))
+	}
 	s.num, s.busy, s.fails, s.ok = r.Num, r.Busy, 0, at
 	s.dark, s.known = false, true
 	held := map[ident.Key]bool{}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -24,6 +24,7 @@
 	"github.com/alexedwards/flow"
 	"github.com/go-faster/errors"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sys/unix"
@@ -33,6 +34,7 @@
 	"tidedeck/internal/fleetplan"
 	"tidedeck/internal/generic"
 	"tidedeck/internal/ident"
+	"tidedeck/internal/invariant"
 	"tidedeck/internal/protocol"
 )
 
@@ -116,6 +118,7 @@
 
 // Run opens the disk, starts listening and sets the core going.
 func (c *Process) Run() error {
+	c.o.Ring.logViolations()
 	if c.o.Data != "" {
 		fail := func(err error) {
 			// A disk that lost what was confirmed must not vote: stop at once, and say so.
@@ -132,7 +135,7 @@
 		if harm {
 			c.o.Ring.Oops("the data folder was damaged: it is set aside, and this node begins anew")
 		}
-		d.done, d.note = func(s protocol.Saved) { c.Step(s) }, c.o.Ring.Info
+		d.done, d.note = func(s protocol.Saved) { c.Step(s) }, func(text string) { c.o.Ring.Info(text) }
 		c.disk = d
 		c.over.Add(1)
 		go func() { defer c.over.Done(); d.run() }()
@@ -210,7 +213,7 @@
 			go c.Step(protocol.Told{Token: v.Token})
 		}
 	case protocol.Note:
-		c.o.Ring.Info(v.Text)
+		c.o.Ring.Info(v.Text, v.Fields...)
 	case protocol.Oops:
 		go c.o.Ring.Oops(v.Text)
 	default:
@@ -311,8 +314,17 @@
 	return len(b), nil
 }
 
-// Info keeps a line.
-func (r *Ring) Info(s string) { r.log.Info(s) }
+// Info keeps a line, with what belongs to it.
+func (r *Ring) Info(s string, fields ...protocol.Field) { r.with(fields).Info(s) }
+
+// with makes an entry of fields.
+func (r *Ring) with(fields []protocol.Field) *logrus.Entry {
+	values := make(logrus.Fields, len(fields))
+	for _, f := range fields {
+		values[f.Name] = f.Value
+	}
+	return r.log.WithFields(values)
+}
 
 // Oops writes the ring out: something went wrong.
 func (r *Ring) Oops(s string) {
@@ -362,12 +374,11 @@
 	}
 }
 
-// Metrics makes the handler that shows tallies.
-func Metrics(l ...Tallies) http.Handler {
+// Metrics makes the handler that shows tallies and other collectors, and what the Go runtime tells.
+func Metrics(l ...prometheus.Collector) http.Handler {
 	r := prometheus.NewRegistry()
-	for _, t := range l {
-		r.MustRegister(t)
-	}
+	r.MustRegister(collectors.NewGoCollector(), invariant.Collector())
+	r.MustRegister(l...)
 	return promhttp.HandlerFor(r, promhttp.HandlerOpts{})
 }
 
--- a/internal/host/hosted.go
+++ b/internal/host/hosted.go
@@ -2,47 +2,115 @@
 
 import (
 	"io"
+	"math"
+	"net"
+	"net/http"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 	"time"
 
 	"tidedeck/internal/protocol"
 
 	"github.com/alecthomas/kong"
+	"github.com/go-faster/errors"
 )
 
-// hostedFlags are the flags of a program that runs under a hosting platform; all else comes from the
+// HostedFlags are the flags of a program that runs under a hosting platform; all else comes from the
 // platform's own settings.
-type hostedFlags struct {
-	Hosted   bool `help:"Run under a hosting platform: its settings file says all the rest." required:""`
-	LogLines bool `help:"Also write every log line at once, as a line of JSON."`
+type HostedFlags struct {
+	Hosted      bool   `help:"Run under a hosting platform: its settings file says all the rest." required:""`
+	LogLines    bool   `help:"Also write every log line at once, as a line of JSON."`
+	MetricsPort int    `help:"Port at the machine's address where metrics are told at /metrics, beside the one between nodes; none if 0."`
+	BindIP      string `help:"Listen at this address instead of the machine's own, where something forwards from there."`
 }
 
-// Hosted tells whether a program is started under a hosting platform, and where its log lines go, if
-// anywhere beside the ring.
-func Hosted(args []string, name string) (lines io.Writer, ok bool) {
+// Check names what is wrong with the flags.
+func (f HostedFlags) Check() error {
+	if f.MetricsPort < 0 || f.MetricsPort > math.MaxUint16 {
+		return errors.Errorf("--metrics-port wants a port, has %d", f.MetricsPort)
+	}
+	if f.BindIP != "" {
+		if _, err := netip.ParseAddr(f.BindIP); err != nil {
+			return errors.Wrap(err, "--bind-ip")
+		}
+	}
+	return nil
+}
+
+// Lines gives where log lines go, if anywhere beside the ring.
+func (f HostedFlags) Lines() io.Writer {
+	if f.LogLines {
+		return os.Stdout
+	}
+	return nil
+}
+
+// MetricsAt gives where metrics are told on a machine; nowhere if that is not asked for.
+func (f HostedFlags) MetricsAt(machine string) string {
+	if f.MetricsPort == 0 {
+		return ""
+	}
+	return net.JoinHostPort(machine, strconv.Itoa(f.MetricsPort))
+}
+
+// Bind gives where to listen for what others are told to reach at an address.
+func (f HostedFlags) Bind(told string) string {
+	_, port, err := net.SplitHostPort(told)
+	if f.BindIP == "" || err != nil {
+		return told
+	}
+	return net.JoinHostPort(f.BindIP, port)
+}
+
+// Hosted tells whether a program is started under a hosting platform, and its flags.
+func Hosted(args []string, name string) (f HostedFlags, ok bool) {
 	for _, a := range args {
 		ok = ok || a == "--hosted"
 	}
 	if !ok {
-		return nil, false
+		return f, false
 	}
-	var f hostedFlags
 	p, err := kong.New(&f, kong.Name(name), kong.UsageOnError())
 	if err != nil {
 		panic(err)
 	}
 	_, err = p.Parse(args)
 	p.FatalIfErrorf(err)
-	if f.LogLines {
-		lines = os.Stdout
+	p.FatalIfErrorf(f.Check())
+	return f, true
+}
+
+// ServeBeside serves an interface for operators at some addresses beside what a program is there for. One that
+// cannot be served is logged, and stops nothing.
+func ServeBeside(ring *Ring, handler http.Handler, addresses ...string) (stop func()) {
+	var servers []*http.Server
+	for _, address := range addresses {
+		if address == "" {
+			continue
+		}
+		s := &http.Server{Addr: address, ReadHeaderTimeout: besideHeadWait, Handler: handler}
+		servers = append(servers, s)
+		go func() {
+			if err := s.ListenAndServe(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+				ring.Info("interface for operators not served", protocol.Field{Name: "address", Value: address}, protocol.Field{Name: "error", Value: err.Error()})
+			}
+		}()
+	}
+	return func() {
+		for _, s := range servers {
+			_ = s.Close()
+		}
 	}
-	return lines, true
 }
 
+// besideHeadWait is for the head of a request to such an interface.
+const besideHeadWait = 10 * time.Second
+
 // Confine keeps the process within what its machine gives it.
 func Confine(memoryMB, processors int) {
 	if memoryMB > 0 {
--- a/internal/host/ring_json.go
+++ b/internal/host/ring_json.go
@@ -1,11 +1,14 @@
 package host
 
 import (
+	"fmt"
 	"io"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"tidedeck/internal/invariant"
 )
 
 // RingOptions are those of a log.
@@ -49,3 +52,16 @@
 	_, _ = h.out.Write(b)
 	return nil
 }
+
+// logViolations has violated invariants logged, and written to the ring's output at once: the process may be
+// killed before anybody asks for its metrics. A test that watches them itself goes on doing so.
+func (r *Ring) logViolations() {
+	invariant.ObserveByDefault(func(v invariant.Violation) {
+		go func() {
+			r.log.Error(v.Error())
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			_, _ = fmt.Fprintln(r.out, v.Error())
+		}()
+	})
+}
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -462,7 +462,16 @@
 type Oops struct{ Text string }
 
 // Note is one line for the ring of logs.
-type Note struct{ Text string }
+type Note struct {
+	Text   string
+	Fields []Field
+}
+
+// Field is a named value of a log line.
+type Field struct {
+	Name  string
+	Value any
+}
 
 // Servers, platform and store.
 
--- a/internal/router/admission.go
+++ b/internal/router/admission.go
@@ -134,8 +134,9 @@
 		c.remove(r)
 	} else if n := len(r.attempts); n > 0 && r.attempts[n-1].How == Pending {
 		c.release(r, &r.attempts[n-1])
-		r.attempts[n-1].How = Done
+		r.attempts[n-1].How, r.attempts[n-1].Cause, r.attempts[n-1].ended = Done, CauseCaller, c.now
 	}
+	c.trace(r, EndedLeft, failure.None)
 	r.fire("close")
 	delete(c.requests, v.Ref)
 	c.serveAll()
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -119,7 +119,7 @@
 		return
 	}
 	attempt := &r.attempts[v.N-1]
-	attempt.How, attempt.Kind = v.How, v.Kind
+	attempt.How, attempt.Kind, attempt.Status, attempt.Cause, attempt.ended = v.How, v.Kind, v.Status, v.Cause, c.now
 	if attempt.Begun && v.How == Lost {
 		attempt.How = Split
 	}
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -81,6 +81,9 @@
 	N    int
 	How  End
 	Kind failure.Kind // why a server declined it
+
+	Status int   // of the server's answer; zero if none came
+	Cause  Cause // for the trace
 }
 
 // Quit says that the caller left.
@@ -170,7 +173,9 @@
 	flows    map[ident.Key]*inflow
 	parted   bool // its agent hears no owner
 	ending   bool // it stops: nobody waits here any more
-	tally    Tally
+
+	wasLeased bool // as the log was told last
+	tally     Tally
 }
 
 // Tally counts what a router did.
@@ -231,6 +236,18 @@
 	}
 }
 
+func (c *Core) note(text string, fields ...protocol.Field) {
+	c.out = append(c.out, protocol.Note{Text: text, Fields: fields})
+}
+
+// watchLease logs when the lease is lost and when there is one again.
+func (c *Core) watchLease() {
+	if held := c.leased(); held != c.wasLeased {
+		c.wasLeased = held
+		c.note("lease", protocol.Field{Name: "held", Value: held}, protocol.Field{Name: "parted", Value: c.parted}, protocol.Field{Name: "epoch", Value: c.epoch})
+	}
+}
+
 func (c *Core) send(body any) {
 	c.out = append(c.out, protocol.Env{From: c.o.Me, To: c.o.Agent, Body: body})
 }
@@ -327,6 +344,7 @@
 		c.empty[z] = true
 	}
 	c.tally.Plans++
+	c.note("configuration in force", protocol.Field{Name: "generation", Value: d.Gen}, protocol.Field{Name: "epoch", Value: d.Epoch})
 	// Whoever waits for what the new plan no longer allows is told so, at once if it surely rules.
 	c.resolve(true)
 }
@@ -377,6 +395,7 @@
 }
 
 func (c *Core) beat() {
+	c.watchLease()
 	if c.now.Sub(c.hello) >= c.o.Hello || c.hello == 0 {
 		c.hello = c.now
 		b := map[ident.Key]protocol.Burden{}
--- a/internal/router/host.go
+++ b/internal/router/host.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net/http"
 	"os"
 	"time"
 
@@ -18,10 +17,12 @@
 type HostOptions struct {
 	ID        string
 	Zone      string
-	Ingress   string // where callers come in
-	Readiness string // where the platform asks whether they may
-	Post      string // where other nodes reach the agent
-	Admin     string // where metrics are
+	Ingress   string                   // where callers come in
+	Readiness string                   // where the platform asks whether they may
+	Post      string                   // where other nodes reach the agent
+	Admin     string                   // where metrics and traces are
+	Metrics   string                   // and metrics a second time; nowhere if empty
+	Bind      func(told string) string // where to listen for what others are told to reach at an address
 	Seeds     []string
 	Follow    func(step func(protocol.Reseed)) // tells of other seeds as they come; none if it is left out
 	Logs      io.Writer
@@ -43,7 +44,6 @@
 	agentBeat   = 25 * time.Millisecond
 	serverDial  = 400 * time.Millisecond // a server that takes longer to connect to is passed over
 	agentDial   = 200 * time.Millisecond // a node without power must not hold up the link to the core
-	adminHead   = 10 * time.Second       // for the head of a request for metrics
 )
 
 // turnAwayAfter is when a router that stops tells those who still wait to go elsewhere: at half of its grace, so that
@@ -68,6 +68,7 @@
 func Host(h HostOptions) error {
 	ring := host.NewRingWith(host.RingOptions{Name: h.ID, Out: os.Stderr, Lines: h.Logs})
 	core, agent := h.cores()
+	log := NewRequestLog(h.ID, ring, defaultRequestLog)
 	var router, beside *host.Process
 	inForce := func() (p *fleetplan.Plan) {
 		router.With(func(clock.Tick) { p = core.plan })
@@ -85,10 +86,10 @@
 		}
 		return told
 	}
-	relay := NewRelay(RelayOptions{Dialect: h.Dialect, Limits: limits, Conns: ConnOptions{Dialer: host.Dialer(h.Ingress, serverDial)}})
-	router = host.New(host.Options{Core: core, Beat: routerBeat, Ring: ring, Else: relay.Act,
+	relay := NewRelay(RelayOptions{Dialect: h.Dialect, Refused: log.Add, Limits: limits, Conns: ConnOptions{Dialer: host.Dialer(h.Ingress, serverDial)}})
+	router = host.New(host.Options{Core: core, Beat: routerBeat, Ring: ring, Else: log.Tap(relay.Act),
 		Local: map[string]func(protocol.Env){nearAgent: func(e protocol.Env) { beside.Step(e) }}})
-	beside = host.New(host.Options{Core: agent, Listen: []string{h.Post}, Told: h.Post, Beat: agentBeat, Dial: agentDial, Ring: ring, Else: func(any) {},
+	beside = host.New(host.Options{Core: agent, Listen: []string{h.Bind(h.Post)}, Told: h.Post, Beat: agentBeat, Dial: agentDial, Ring: ring, Else: func(any) {},
 		Local: map[string]func(protocol.Env){nearRouter: func(e protocol.Env) { router.Step(e) }}})
 	relay.Use(Held(router, core))
 	if err := beside.Run(); err != nil {
@@ -109,15 +110,13 @@
 		})
 		return ok
 	}
-	own := &http.Server{Addr: h.Admin, ReadHeaderTimeout: adminHead, Handler: metrics(router, core)}
-	go func() { _ = own.ListenAndServe() }()
-	defer own.Close()
+	defer host.ServeBeside(ring, operatorRoutes(log, metrics(router, core, relay, log)), h.Bind(h.Admin), h.Bind(h.Metrics))()
 	stop := host.Stopping()
 	go func() {
 		<-stop
 		time.Sleep(turnAwayAfter(h.Grace))
 		router.Step(protocol.Stop{})
 	}()
-	return ServeRelay(stop, RelayServe{Relay: relay, Ingress: h.Ingress, Readiness: h.Readiness, Ready: ready,
+	return ServeRelay(stop, RelayServe{Relay: relay, Ingress: h.Bind(h.Ingress), Readiness: h.Bind(h.Readiness), Ready: ready,
 		Resting: resting, Lame: h.Lame, Grace: endAfter(h.Grace)})
 }
--- a/internal/router/ledger.go
+++ b/internal/router/ledger.go
@@ -37,7 +37,10 @@
 	Kind   failure.Kind
 	Begun  bool
 
+	Status int        // of the server's answer; zero if none came
+	Cause  Cause      // for the trace
 	at     clock.Tick // when it was launched
+	ended  clock.Tick // and when it ended; zero while it is under way
 	weight int        // tokens that it still counts for at its server
 	ahead  int        // and those that were under way there before it
 }
--- a/internal/router/queue.go
+++ b/internal/router/queue.go
@@ -87,6 +87,7 @@
 	delete(c.requests, r.Ref)
 	if k == failure.None {
 		c.tally.Receipts++
+		c.trace(r, EndedServed, k)
 		return
 	}
 	if failure.Receipts[k].Dropped && r.mayHaveRun() {
@@ -100,6 +101,7 @@
 	if a.Dropped {
 		c.tally.Dropped++
 	}
+	c.trace(r, EndedRefused, k)
 	c.out = append(c.out, Receipt{Ref: r.Ref, Kind: k, Back: back})
 }
 
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"tidedeck/internal/clock"
 	"tidedeck/internal/generic"
 	"tidedeck/internal/host"
@@ -50,10 +52,11 @@
 	// Limits gives the bytes that a request's body may have and how long it may take to come, by the
 	// plan in force. Zeros, or no function, leave it to the defaults: 4 MiB and 15 s.
 	Limits    func() (bodyMost int64, bodyWait time.Duration)
-	Wait      time.Duration // an attempt that says no time left may take so long; 60 s
-	Slack     time.Duration // an answer may end so long after the time left; 150 ms
-	WriteWait time.Duration // a client that takes nothing for so long is given up; 10 s
-	KeepAlive time.Duration // told to clients as the time for which their idle connections stay; none
+	Wait      time.Duration      // an attempt that says no time left may take so long; 60 s
+	Slack     time.Duration      // an answer may end so long after the time left; 150 ms
+	WriteWait time.Duration      // a client that takes nothing for so long is given up; 10 s
+	Refused   func(RequestTrace) // hears of requests that are refused before the core knows of them; nobody if nil
+	KeepAlive time.Duration      // told to clients as the time for which their idle connections stay; none
 }
 
 // Defaults fills what was left out.
@@ -61,6 +64,9 @@
 	generic.SetDefault(&o.Wait, 60*time.Second)
 	generic.SetDefault(&o.Slack, defaultSlack)
 	generic.SetDefault(&o.WriteWait, 10*time.Second)
+	if o.Refused == nil {
+		o.Refused = func(RequestTrace) {}
+	}
 	return o
 }
 
@@ -78,6 +84,7 @@
 	conns *conns
 	close func() bool // whether answers end their connections
 
+	seconds prometheus.Histogram // from a request's head to its last word
 	opened
 	told  sync.Mutex // guards tally
 	tally RelayTally
@@ -86,7 +93,15 @@
 // NewRelay makes a relay.
 func NewRelay(o RelayOptions) *Relay {
 	o = o.Defaults()
-	return &Relay{o: o, core: o.Decider, conns: newConns(o.Conns), close: func() bool { return false }}
+	return &Relay{o: o, core: o.Decider, conns: newConns(o.Conns), close: func() bool { return false }, seconds: newRequestSeconds()}
+}
+
+// newRequestSeconds makes the histogram of how long requests take: 5 ms to 40 s, each bound twice the one before.
+func newRequestSeconds() prometheus.Histogram {
+	return prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "tidedeck_relay_request_seconds", Help: "From a request's head to the last word of its answer.",
+		Buckets: prometheus.ExponentialBuckets(0.005, 2, 14),
+	})
 }
 
 // Use sets who decides, before the first request comes.
--- a/internal/router/relay_answer.go
+++ b/internal/router/relay_answer.go
@@ -15,20 +15,25 @@
 
 // take passes on the answer to this attempt, or tells why it cannot.
 func (x *exchange) take(v Launch, use *connUse, a *http.Response, said Said) (End, failure.Kind) {
+	x.status = a.StatusCode
 	good, stream := a.StatusCode >= 200 && a.StatusCode < 300, isStream(a)
 	switch {
 	case said.NotRun:
 		x.drain(use, a)
 		return Dropped, said.Kind
 	case good && !said.Sealed:
+		x.cause = CauseUnsealed
 		return Lost, failure.None
 	case x.open && !(good && stream):
+		x.cause = CauseStatus
 		return Lost, failure.None
 	case !good && promisesNotRun(a.StatusCode):
 		x.drain(use, a)
+		x.cause = CauseStatus
 		return Lost, failure.None // its status would say that it did not run, and it may have
 	case a.StatusCode >= 500 && v.Again:
 		x.drain(use, a)
+		x.cause = CauseStatus
 		return Lost, failure.None
 	}
 	if stream && x.req.Method != http.MethodHead {
@@ -71,7 +76,7 @@
 		x.bodiless(a)
 		return Done, failure.None
 	case closeDelimited(a):
-		return x.broken() // its end cannot be told from a break
+		return x.broken(CauseUnframed) // its end cannot be told from a break
 	case a.ContentLength > mostKept:
 		return x.long(v, use, a, nil)
 	}
@@ -89,7 +94,7 @@
 		return x.long(v, use, a, b.Bytes())
 	}
 	putBuffer(b)
-	return x.broken()
+	return x.broken(CauseBody)
 }
 
 // bodiless readies an answer that has no body by the request's method or the status. Its length stands for
@@ -126,9 +131,11 @@
 	for {
 		n, err := a.Body.Read(*p)
 		if n > 0 && !f((*p)[:n]) {
+			x.cause = CauseEvents
 			return Lost, failure.None
 		}
 		if x.gone {
+			x.cause = CauseCaller
 			return Lost, failure.None // nobody reads it any more
 		}
 		switch err {
@@ -136,7 +143,7 @@
 		case io.EOF:
 			return Done, failure.None
 		default:
-			return x.broken()
+			return x.broken(CauseBody)
 		}
 	}
 }
@@ -163,9 +170,10 @@
 		return how, kind
 	}
 	if closeDelimited(a) {
-		return x.broken()
+		return x.broken(CauseUnframed)
 	}
 	if !f.end() {
+		x.cause = CauseEvents
 		return Lost, failure.None
 	}
 	use.end(true)
--- a/internal/router/relay_attempt.go
+++ b/internal/router/relay_attempt.go
@@ -25,16 +25,19 @@
 	due := time.Now().Add(left)
 	c, _, err := r.conns.get(ctx, endpoint{v.Server, v.Addr}, due)
 	if err != nil {
+		x.cause = CauseDial
 		return Unsent, failure.None
 	}
 	use := &connUse{r: r, c: c, stop: context.AfterFunc(ctx, c.cut)}
 	defer use.end(false)
 	if left = time.Until(due); left <= 0 {
 		use.end(true)
+		x.cause = CauseNoTime
 		return Kept, failure.None
 	}
 	if !r.core.MaySend(v.Ref, v.N) {
 		use.end(true)
+		x.cause = CauseNotAllowed
 		return Kept, failure.None
 	}
 	a := Attempt{Server: v.Server, Left: left, Rank: v.Rank}
@@ -44,9 +47,10 @@
 	r.o.Dialect.Write(x.head, a)
 	if sent, err := x.send(c, due); err != nil {
 		if sent == 0 && ctx.Err() == nil {
+			x.cause = CauseWrite
 			return Unsent, failure.None // not one byte of it left
 		}
-		return x.broken()
+		return x.broken(CauseWrite)
 	}
 	return x.receive(v, use, due)
 }
@@ -72,7 +76,8 @@
 }
 
 // broken says what a broken connection means.
-func (x *exchange) broken() (End, failure.Kind) {
+func (x *exchange) broken(cause Cause) (End, failure.Kind) {
+	x.cause = cause
 	x.r.count(func(t *RelayTally) { t.Broken++ })
 	if x.open {
 		return Split, failure.None
@@ -128,12 +133,12 @@
 func (x *exchange) receive(v Launch, use *connUse, due time.Time) (End, failure.Kind) {
 	r, c := x.r, use.c
 	if c.SetReadDeadline(due.Add(r.o.Slack)) != nil {
-		return x.broken()
+		return x.broken(CauseHead)
 	}
 	for n := 0; ; n++ {
 		a, err := c.answer(x.req, r.conns.o.MaxHeadSize)
 		if err != nil {
-			return x.broken()
+			return x.broken(CauseHead)
 		}
 		said := r.o.Dialect.Answer(a.StatusCode, a.Header)
 		if said.ID == x.facts.ID && said.ID != "" {
@@ -145,11 +150,11 @@
 		// Where HEAD was asked, the end of another request's answer is not known either.
 		if said.ID == "" || n == mostSurplus || closeDelimited(a) || x.req.Method == http.MethodHead {
 			r.count(func(t *RelayTally) { t.Foreign++ })
-			return x.broken()
+			return x.broken(CauseForeign)
 		}
 		r.count(func(t *RelayTally) { t.Surplus++ })
 		if m, err := io.CopyN(io.Discard, a.Body, mostSurplusBody); err != io.EOF || m == mostSurplusBody {
-			return x.broken()
+			return x.broken(CauseForeign)
 		}
 	}
 }
--- a/internal/router/relay_exchange.go
+++ b/internal/router/relay_exchange.go
@@ -34,6 +34,9 @@
 	units bool   // they are whole events
 	gone  bool   // the client takes no more
 
+	status int   // of the server's answer to the attempt under way
+	cause  Cause // that this attempt ends for, as far as it is known
+
 	came  time.Time // when its head was read
 	seen  bool      // an event with a number was passed on
 	last  uint64    // the number of the last
@@ -53,26 +56,30 @@
 // ServeHTTP carries one client's request from its arrival to its last word.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	x := &exchange{r: r, w: w, to: http.NewResponseController(w), req: q, came: time.Now()}
+	defer func() { r.seconds.Observe(time.Since(x.came).Seconds()) }()
 	if g := guardOf(q); g != nil {
 		defer g.next()
 	}
 	if !unambiguous(q) {
 		r.count(func(t *RelayTally) { t.Smuggled++ })
+		x.traceRefusal(failure.Malformed)
 		x.refuse(failure.Malformed, 0, true, fleetplan.Faults{{Path: "$", Why: "where the body ends is not clear"}})
 		return
 	}
 	facts, fault := r.o.Dialect.Read(q)
 	if fault != nil {
+		x.traceRefusal(failure.Malformed)
 		x.refuse(failure.Malformed, 0, q.Body != http.NoBody, fleetplan.Faults{*fault})
 		return
 	}
+	x.facts = facts
 	b := getBuffer()
 	defer putBuffer(b)
 	if !x.read(b) {
 		return
 	}
 	x.body = b.Bytes()
-	x.facts, x.last, x.seen = facts, facts.Seen, facts.Seen > 0
+	x.last, x.seen = facts.Seen, facts.Seen > 0
 	x.head = make(http.Header, len(q.Header)+addedHeaders)
 	copyHeaders(x.head, q.Header)
 	x.run()
@@ -107,6 +114,7 @@
 	most, wait := x.r.bodyLimits()
 	big := fleetplan.Faults{{Path: "$", Why: "the body has more bytes than are allowed"}}
 	if q.ContentLength > most {
+		x.traceRefusal(failure.Oversize)
 		x.refuse(failure.Oversize, 0, true, big)
 		return false
 	}
@@ -122,15 +130,25 @@
 	case err == nil:
 		return true
 	case errors.As(err, &over):
+		x.traceRefusal(failure.Oversize)
 		x.refuse(failure.Oversize, 0, true, big)
 	case errors.As(err, &late) && late.Timeout():
+		x.traceRefusal(failure.Expired)
 		x.writeProblem(http.StatusRequestTimeout, host.Problem{Kind: failure.Expired, Dropped: true}, 0, true)
 	default:
+		x.r.o.Refused(x.refusal(EndedLeft, failure.None))
 		x.abort()
 	}
 	return false
 }
 
+// traceRefusal has it known that the request is refused before the core hears of it.
+func (x *exchange) traceRefusal(kind failure.Kind) { x.r.o.Refused(x.refusal(EndedRefused, kind)) }
+
+func (x *exchange) refusal(end string, kind failure.Kind) RequestTrace {
+	return RequestTrace{ID: x.facts.ID, Route: x.req.URL.Path, TookMs: time.Since(x.came).Milliseconds(), End: end, Kind: kind}
+}
+
 // run asks the decider and does what it says until the request has its end.
 func (x *exchange) run() {
 	r := x.r
@@ -172,11 +190,12 @@
 	if x.open && !x.resumable(v) {
 		x.abort()
 	}
+	x.status, x.cause = 0, CauseNone
 	how, kind := x.attempt(ctx, v)
 	if how != Done && (x.gone || ctx.Err() != nil) {
 		x.breakOff()
 	}
-	return Ended{Ref: v.Ref, N: v.N, How: how, Kind: kind}
+	return Ended{Ref: v.Ref, N: v.N, How: how, Kind: kind, Status: x.status, Cause: x.cause}
 }
 
 // resumable tells whether an answer that has begun may go on with another attempt: the client has whole
--- /dev/null
+++ b/internal/router/request_trace.go
@@ -0,0 +1,89 @@
+package router
+
+import (
+	"tidedeck/internal/clock"
+	"tidedeck/internal/failure"
+	"tidedeck/internal/ident"
+)
+
+// Cause says what ended an attempt, in more detail than its End. It decides nothing.
+type Cause string
+
+// The causes that an attempt ends for.
+const (
+	CauseNone       Cause = ""
+	CauseDial       Cause = "dial"        // no connection came up
+	CauseNoTime     Cause = "no_time"     // the caller's time was over before it could be sent
+	CauseNotAllowed Cause = "not_allowed" // lease, entry, zone or plan had gone at the point of sending
+	CauseWrite      Cause = "write"       // the request was not written whole
+	CauseHead       Cause = "head"        // no whole head of an answer came
+	CauseForeign    Cause = "foreign"     // the answer names no request, or another one
+	CauseUnsealed   Cause = "unsealed"    // a success without the server's mark
+	CauseStatus     Cause = "status"      // a status that is not passed on
+	CauseBody       Cause = "body"        // the body broke off
+	CauseUnframed   Cause = "unframed"    // nothing but the close would end the body
+	CauseEvents     Cause = "events"      // an event does not follow the one before
+	CauseCaller     Cause = "caller"      // the caller left or takes nothing
+)
+
+// AttemptTrace is what became of one attempt.
+type AttemptTrace struct {
+	Server ident.Server `json:"server"`
+	Life   ident.Inc    `json:"life,omitempty"`
+	AtMs   int64        `json:"at_ms"` // since the request came
+	TookMs int64        `json:"took_ms"`
+	How    End          `json:"how"`
+	Kind   failure.Kind `json:"kind,omitempty"`
+	Status int          `json:"status,omitempty"`
+	Cause  Cause        `json:"cause,omitempty"`
+	Begun  bool         `json:"begun,omitempty"`
+}
+
+// Ways in which a request ends.
+const (
+	EndedServed  = "served"      // by a server's whole answer
+	EndedRefused = "refused"     // by an answer of the router's own
+	EndedLeft    = "caller_left" // or its connection was broken off
+)
+
+// RequestTrace is what became of one request that was not served by its first attempt: which configuration
+// and lease the router had, which servers it was offered to, what each said, and what ended it.
+type RequestTrace struct {
+	ID       string         `json:"id"`
+	Route    string         `json:"route,omitempty"`
+	Key      ident.Key      `json:"key,omitempty"`
+	Gen      uint64         `json:"generation"`
+	Epoch    ident.Epoch    `json:"epoch"`
+	Leased   bool           `json:"leased"`
+	Parted   bool           `json:"parted,omitempty"`
+	Stopping bool           `json:"stopping,omitempty"`
+	TookMs   int64          `json:"took_ms"`
+	End      string         `json:"end"`
+	Kind     failure.Kind   `json:"kind,omitempty"`
+	Attempts []AttemptTrace `json:"attempts,omitempty"`
+}
+
+// trace tells the host what became of a request, unless its first attempt served it.
+func (c *Core) trace(r *request, end string, kind failure.Kind) {
+	if end == EndedServed && len(r.attempts) == 1 {
+		return
+	}
+	t := RequestTrace{
+		ID: r.Call.Call.ID, Route: r.Route, Key: r.key, Gen: c.gen, Epoch: c.epoch,
+		Leased: c.leased(), Parted: c.parted, Stopping: c.ending,
+		TookMs: milliseconds(c.now.Sub(r.came)), End: end, Kind: kind,
+	}
+	for _, a := range r.attempts {
+		took := clock.Span(0)
+		if a.ended != 0 {
+			took = a.ended.Sub(a.at)
+		}
+		t.Attempts = append(t.Attempts, AttemptTrace{
+			Server: a.Server, Life: a.Inc, AtMs: milliseconds(a.at.Sub(r.came)), TookMs: milliseconds(took),
+			How: a.How, Kind: a.Kind, Status: a.Status, Cause: a.Cause, Begun: a.Begun,
+		})
+	}
+	c.out = append(c.out, t)
+}
+
+func milliseconds(s clock.Span) int64 { return s.Milliseconds() }
--- /dev/null
+++ b/internal/router/request_trace_test.go
@@ -0,0 +1,115 @@
+package router
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"tidedeck/internal/failure"
+	"tidedeck/internal/fleetplan"
+)
+
+// A request that no server answered is explained by its id: configuration, lease, servers and what each said.
+func TestTraceOfAFailedRequest(t *testing.T) {
+	b := free(t, Options{})
+	b.entry("web|", "s1", "s2")
+	ref, l, _ := b.go1("/once/x", fleetplan.Call{ID: "a1"})
+	require.True(t, b.MaySend(b.at, ref, l.N))
+	b.earnings = []earning{{b.at, 5}}
+	out := b.Step(b.at.Add(30e6), Ended{Ref: ref, N: l.N, How: Dropped, Kind: failure.Busy, Status: 503, Cause: CauseNone})
+	second, ok := pick[Launch](append(out, b.wait(time.Second)...))
+	require.True(t, ok)
+	require.True(t, b.MaySend(b.at, ref, second.N))
+	out = b.Step(b.at.Add(50e6), Ended{Ref: ref, N: second.N, How: Lost, Cause: CauseHead})
+	_, refused := pick[Receipt](out)
+	require.True(t, refused)
+	trace, ok := pick[RequestTrace](out)
+	require.True(t, ok)
+	require.Equal(t, EndedRefused, trace.End)
+	require.Equal(t, failure.Unclear, trace.Kind)
+	require.True(t, trace.Leased)
+	require.NotZero(t, trace.Epoch)
+	require.Len(t, trace.Attempts, 2)
+	require.Equal(t, 503, trace.Attempts[0].Status)
+	require.Equal(t, failure.Busy, trace.Attempts[0].Kind)
+	require.EqualValues(t, 30, trace.Attempts[0].TookMs)
+	require.Equal(t, Lost, trace.Attempts[1].How)
+	require.Equal(t, CauseHead, trace.Attempts[1].Cause)
+}
+
+// What the first attempt serves leaves no trace; a caller that leaves does.
+func TestTraceOnlyWhatMatters(t *testing.T) {
+	b := free(t, Options{})
+	b.entry("web|", "s1", "s2")
+	ref, l, _ := b.go1("/again/x", fleetplan.Call{})
+	require.True(t, b.MaySend(b.at, ref, l.N))
+	_, traced := pick[RequestTrace](b.Step(b.at, Ended{Ref: ref, N: l.N, How: Done}))
+	require.False(t, traced)
+	ref, _, _ = b.go1("/again/x", fleetplan.Call{})
+	trace, traced := pick[RequestTrace](b.Step(b.at, Quit{ref}))
+	require.True(t, traced)
+	require.Equal(t, EndedLeft, trace.End)
+	require.Equal(t, CauseCaller, trace.Attempts[0].Cause)
+}
+
+// The log keeps the newest, finds one by its id, and counts all.
+func TestRequestLog(t *testing.T) {
+	l := NewRequestLog("r1", nil, 3)
+	for i := range 5 {
+		l.Add(RequestTrace{ID: fmt.Sprint(i), End: EndedRefused, Kind: failure.Unclear})
+	}
+	ask := func(query string) (list []LoggedRequest) {
+		w := httptest.NewRecorder()
+		l.ServeHTTP(w, httptest.NewRequest("GET", "/-/requests"+query, nil))
+		require.Equal(t, 200, w.Code)
+		var body struct{ Requests []LoggedRequest }
+		require.NoError(t, json.Unmarshal(w.Body.Bytes(), &body))
+		return body.Requests
+	}
+	all := ask("")
+	require.Len(t, all, 3)
+	require.Equal(t, "4", all[0].ID)
+	require.Equal(t, "2", all[2].ID)
+	require.Len(t, ask("?last=1"), 1)
+	require.Empty(t, ask("?id=0"))
+	one := ask("?id=3")
+	require.Len(t, one, 1)
+	require.Equal(t, "r1", one[0].Router)
+	require.EqualValues(t, 5, l.Counts()[failure.Kind(EndedRefused)])
+	w := httptest.NewRecorder()
+	l.ServeHTTP(w, httptest.NewRequest("GET", "/-/requests?last=0", nil))
+	require.Equal(t, 400, w.Code)
+}
+
+// The relay tells the core what a server said and why an attempt counts as lost.
+func TestEndsTellTheirCause(t *testing.T) {
+	for _, c := range []struct {
+		name, answer string
+		status       int
+		cause        Cause
+	}{
+		{"closed at once", "", 0, CauseHead},
+		{"another's answer", plain("2", "x"), 0, CauseHead}, // it is read off, and no other follows
+		{"no id", "HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Length: 1\r\n\r\nx", 0, CauseForeign},
+		{"no seal", "HTTP/1.1 200 OK\r\nX-Try: 1\r\nContent-Length: 1\r\n\r\nx", 200, CauseUnsealed},
+		{"too short", "HTTP/1.1 200 OK\r\nX-Try: 1\r\nX-Seal: s\r\nContent-Length: 9\r\n\r\nx", 200, CauseBody},
+		{"a promise without proof", "HTTP/1.1 503 No\r\nX-Try: 1\r\nContent-Length: 0\r\n\r\n", 503, CauseStatus},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := &script{to: []string{says(t, c.answer, true).addr()}}
+			cl := relayFor(t, s, RelayOptions{}).dial(t)
+			cl.send(get("1"))
+			a, _, err := cl.answer("GET")
+			require.NoError(t, err)
+			require.Equal(t, 502, a.StatusCode)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			require.Equal(t, c.status, s.ends[0].Status)
+			require.Equal(t, c.cause, s.ends[0].Cause)
+		})
+	}
+}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -124,7 +124,7 @@
 		if c.begun {
 			b.Step(b.at, Begun{ref, 1})
 		}
-		out = b.Step(b.at, Ended{ref, 1, c.how, c.kind})
+		out = b.Step(b.at, Ended{Ref: ref, N: 1, How: c.how, Kind: c.kind})
 		r, dropped := pick[Receipt](out)
 		if c.answer == waits {
 			_, again := pick[Launch](out)
@@ -153,7 +153,7 @@
 	ref, _ := b.call(fleetplan.Call{Again: true, Wait: 80e6})
 	require.True(t, b.MaySend(b.at, ref, 1))
 	b.earnings = []earning{{b.at, 1}}
-	out := b.Step(b.at, Ended{ref, 1, Lost, ""}) // the only server is avoided for a while: it waits
+	out := b.Step(b.at, Ended{Ref: ref, N: 1, How: Lost}) // the only server is avoided for a while: it waits
 	_, dropped := pick[Receipt](out)
 	require.False(t, dropped)
 	b.at = b.at.Add(90e6)
@@ -315,7 +315,7 @@
 	for range 7 {
 		ref, _ := b.call(fleetplan.Call{})
 		require.True(t, b.MaySend(b.at, ref, 1))
-		b.Step(b.at, Ended{ref, 1, Done, ""})
+		b.Step(b.at, Ended{Ref: ref, N: 1, How: Done})
 	}
 	_, out = b.call(fleetplan.Call{Repeat: true})
 	_, ok = pick[Launch](out)
@@ -387,7 +387,7 @@
 		ref, out := b.call(fleetplan.Call{Again: true, Parts: []string{"system", "tenant"}})
 		l, _ := pick[Launch](out)
 		seen[l.Server]++
-		b.Step(b.at, Ended{ref, 1, Done, ""})
+		b.Step(b.at, Ended{Ref: ref, N: 1, How: Done})
 	}
 	require.Len(t, seen, 1)
 	for range 9 { // none of these ends
@@ -433,7 +433,7 @@
 		require.Equal(t, n+1, l.N)
 		require.Equal(t, same, l.Server == s)
 		d.earnings = []earning{{d.at, 5}}
-		out = d.Step(d.at, Ended{l.Ref, l.N, Unsent, ""})
+		out = d.Step(d.at, Ended{Ref: l.Ref, N: l.N, How: Unsent})
 		d.at = d.at.Add(1e9)
 	}
 }
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/alexedwards/flow"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"tidedeck/internal/clock"
 	"tidedeck/internal/failure"
@@ -63,6 +64,7 @@
 	stop   chan struct{}
 	idle   time.Duration
 	record *Recorder
+	log    *RequestLog
 	dial   *net.Dialer
 }
 
@@ -85,7 +87,8 @@
 		Me: protocol.Sibling{ID: ident.Node(s.ID), Addr: s.Control}, Inc: host.NewInc(),
 		Agent: protocol.Sibling{ID: "", Addr: s.Agent}, Cache: s.Cache, Ramp: clock.Span(s.RampMs) * 1e6,
 	})
-	d := &door{dial: host.Dialer(s.Listen, 500*time.Millisecond), core: core, stop: make(chan struct{}), idle: time.Duration(s.IdleMs) * time.Millisecond}
+	d := &door{dial: host.Dialer(s.Listen, 500*time.Millisecond), core: core, stop: make(chan struct{}), idle: time.Duration(s.IdleMs) * time.Millisecond,
+		log: NewRequestLog(s.ID, ring, defaultRequestLog)}
 	if s.Record != "" {
 		r, err := OpenRecorder(s.Record, s.ID, s.Prompts)
 		if err != nil {
@@ -94,7 +97,7 @@
 		defer r.Close()
 		d.record = r
 	}
-	d.c = host.New(host.Options{Core: core, Listen: []string{s.Control}, Beat: 10 * time.Millisecond, Ring: ring, Else: d.Act})
+	d.c = host.New(host.Options{Core: core, Listen: []string{s.Control}, Beat: 10 * time.Millisecond, Ring: ring, Else: d.log.Tap(d.Act)})
 	if err := d.c.Run(); err != nil {
 		return err
 	}
@@ -116,25 +119,44 @@
 		}
 		return ok, v
 	})
-	m.Handle("/-/metrics", metrics(d.c, d.core), http.MethodGet)
+	m.Handle("/-/metrics", metrics(d.c, d.core, nil, d.log), http.MethodGet)
+	m.Handle("/-/requests", d.log, http.MethodGet)
 	m.HandleFunc("/...", d.call, http.MethodPost)
 	return m
 }
 
+// operatorRoutes are what a hosted router shows its operators: metrics, and what became of requests.
+func operatorRoutes(log *RequestLog, metrics http.Handler) http.Handler {
+	m := flow.New()
+	for _, path := range []string{"/-/metrics", "/metrics"} {
+		m.Handle(path, metrics, http.MethodGet)
+	}
+	m.Handle("/-/requests", log, http.MethodGet)
+	return m
+}
+
+// endedCounts is how many requests ended otherwise than by their first attempt, by way of ending.
+type endedCounts struct{ Ended map[failure.Kind]uint64 }
+
 // metrics shows what a router did and has.
-func metrics(c *host.Process, core *Core) http.Handler {
-	return host.Metrics(host.Tallies{Name: "router", Get: func() (t any) {
+func metrics(c *host.Process, core *Core, relay *Relay, log *RequestLog) http.Handler {
+	l := []prometheus.Collector{host.Tallies{Name: "router_requests", Get: func() any { return endedCounts{log.Counts()} }}}
+	if relay != nil {
+		l = append(l, relay.seconds, host.Tallies{Name: "relay", Get: func() any { return relay.Counts() }},
+			host.Tallies{Name: "connections", Get: func() any { return relay.Counts().ConnTally }})
+	}
+	return host.Metrics(append(l, host.Tallies{Name: "router", Get: func() (t any) {
 		c.With(func(clock.Tick) { t = core.Counts() })
 		return t
 	}}, host.Tallies{Name: "router", Get: func() any {
-		var v struct{ Entries, Waiting, Epoch int }
+		var v struct{ Entries, Waiting, Epoch, Leased, Parted int }
 		c.With(func(now clock.Tick) {
 			v.Entries, v.Waiting = core.Size()
-			_, e, _ := core.Rules(now)
-			v.Epoch = int(e)
+			_, e, held := core.Rules(now)
+			v.Epoch, v.Leased, v.Parted = int(e), b2i(held), b2i(core.parted)
 		})
 		return v
-	}})
+	}})...)
 }
 
 // call carries one caller's request from its arrival to its last word.
--- a/internal/router/serve_test.go
+++ b/internal/router/serve_test.go
@@ -27,7 +27,8 @@
 func front(t testing.TB, server string, idle time.Duration) (*door, *httptest.Server) {
 	core := New(Options{Inc: 7})
 	d := &door{dial: host.Dialer("", time.Second), core: core, stop: make(chan struct{}), idle: idle}
-	d.c = host.New(host.Options{Core: core, Beat: 10 * time.Millisecond, Ring: host.NewRing("t", io.Discard), Else: d.Act})
+	d.log = NewRequestLog("t", nil, 16)
+	d.c = host.New(host.Options{Core: core, Beat: 10 * time.Millisecond, Ring: host.NewRing("t", io.Discard), Else: d.log.Tap(d.Act)})
 	require.NoError(t, d.c.Run())
 	t.Cleanup(d.c.Stop)
 	e := &protocol.Entry{Key: "m", Mark: 1, Replicas: []protocol.Replica{{Server: "s", Addr: strings.TrimPrefix(server, "http://"), Inc: 1, Slots: 8, Warm: 1e12}}}
--- a/internal/tidedeckctl/tidedeckctl.go
+++ b/internal/tidedeckctl/tidedeckctl.go
@@ -21,7 +21,7 @@
 // Line is tidedeckctl's command line.
 type Line struct {
 	Settings string        `help:"File of settings, JSON; flags go before it." type:"path"`
-	Admin    []string      `help:"Admin addresses of core nodes, ip:port; the first that answers is asked." required:"" env:"TIDEDECK_ADMIN"`
+	Admin    []string      `help:"Admin addresses of core nodes, ip:port; the first that answers is asked." env:"TIDEDECK_ADMIN"`
 	Wait     time.Duration `help:"For an answer, at the most." default:"8s"`
 
 	Plan struct {
@@ -59,6 +59,11 @@
 			Change string `help:"Id of the change."`
 		} `cmd:"" help:"Hand over maintenance windows."`
 	} `cmd:"" help:"Maintenance windows."`
+	Requests struct {
+		ID     string   `arg:"" optional:"" help:"The request's id; the newest requests if none is given."`
+		Router []string `help:"Addresses of routers' own interface, ip:port; all are asked." required:"" env:"TIDEDECK_ROUTERS"`
+		Last   int      `help:"Requests of each router, at the most." default:"100"`
+	} `cmd:"" help:"Show what became of requests that failed or took more than one attempt."`
 	Nodes   struct{} `cmd:"" help:"Show the nodes and the core's voters."`
 	Servers struct{} `cmd:"" help:"Show servers and what they hold."`
 	Holds   struct{} `cmd:"" help:"Show the routers' links and callbacks."`
@@ -77,6 +82,9 @@
 	for i, a := range l.Admin {
 		f = append(f, host.Addr(fmt.Sprintf("admin[%d]", i), a)...)
 	}
+	for i, a := range l.Requests.Router {
+		f = append(f, host.Addr(fmt.Sprintf("router[%d]", i), a)...)
+	}
 	return f
 }
 
@@ -112,6 +120,12 @@
 		fmt.Fprintln(out, "the plan is sound")
 		return OK
 	}
+	if cmd == "requests" || cmd == "requests <id>" {
+		return l.requests(out, err)
+	}
+	if len(l.Admin) == 0 {
+		return fail(err, errors.New("--admin is missing: the addresses of core nodes"), Misused)
+	}
 	calls := map[string]call{
 		"plan put <file>":          {http.MethodPut, "/plan", p.Put.Expect, p.Put.Change, p.Put.File},
 		"plan patch <file>":        {http.MethodPatch, "/plan", p.Patch.Expect, p.Patch.Change, p.Patch.File},
--- a/internal/tidedeckctl/tidedeckctl_test.go
+++ b/internal/tidedeckctl/tidedeckctl_test.go
@@ -63,3 +63,39 @@
 	require.Equal(t, Dropped, l.Run("plan check <file>", strings.NewReader(`{"name":1}`), &out, &err))
 	require.Contains(t, err.String(), "$.name: wants a text")
 }
+
+// Every router is asked for a request; one that is down does not hide what another knows.
+func TestRequests(t *testing.T) {
+	router := func(body string) string {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			require.Equal(t, "/-/requests?id=a1&last=7", r.URL.String())
+			fmt.Fprint(w, body)
+		}))
+		t.Cleanup(s.Close)
+		return strings.TrimPrefix(s.URL, "http://")
+	}
+	dead := httptest.NewServer(nil)
+	dead.Close()
+	down := strings.TrimPrefix(dead.URL, "http://")
+	none, knows := router(`{"requests":[]}`), router(`{"requests":[{"id":"a1","end":"refused"}]}`)
+	for _, c := range []struct {
+		routers []string
+		code    int
+		says    string
+	}{
+		{[]string{none, down, knows}, OK, `"end": "refused"`},
+		{[]string{none}, Dropped, "[]"},
+		{[]string{down}, Dropped, "no router answered"},
+	} {
+		var l Line
+		l.Wait = time.Minute
+		l.Requests.ID, l.Requests.Last, l.Requests.Router = "a1", 7, c.routers
+		var out, err bytes.Buffer
+		require.Equal(t, c.code, l.Run("requests <id>", nil, &out, &err))
+		require.Contains(t, out.String()+err.String(), c.says)
+	}
+	var l Line
+	var out, err bytes.Buffer
+	require.Equal(t, Misused, l.Run("status", nil, &out, &err))
+	require.Contains(t, err.String(), "--admin is missing")
+}
