Invariants: twenty promises checked as the code runs, counted, and fatal in tests

Cause: no invariant ran in the code, and no metric counted one. Change: internal/invariant, checks at routers and core nodes, a metric with a label for each; strict in tables, fuzz targets, simulator and explorer. Tests that break guards on purpose run with the checks off, so that their own verdicts stay as strict as they were; TestInvariantsBite has nine guards taken out whose invariant must speak.

--- a/internal/controller/acceptor.go
+++ b/internal/controller/acceptor.go
@@ -103,6 +103,7 @@
 		return
 	}
 	v := b.Value
+	c.checkAccept(b.Ballot, v)
 	c.vote.promised, c.vote.accepted, c.vote.value = b.Ballot, b.Ballot, &v
 	c.save(map[string][]byte{diskB: jot(b.Ballot), diskV: jot(safe{b.Ballot, &v})}, func() {
 		if c.vote.safeB.Less(b.Ballot) {
--- a/internal/controller/admin.go
+++ b/internal/controller/admin.go
@@ -119,6 +119,7 @@
 		switch k {
 		case failure.None:
 			c.tally.Changes++
+			c.acknowledged(v.Epoch)
 		case failure.Repeated: // it was taken before: say under which epoch
 			r.Kind = failure.None
 			for _, x := range v.Done {
@@ -205,6 +206,7 @@
 			continue
 		}
 		v := c.reg.known
+		c.checkRead(v.Epoch)
 		c.receipt(Receipt{Token: r.token, Epoch: v.Epoch, Empty: v.Empty, Plan: v.Plan})
 	}
 }
--- a/internal/controller/duty.go
+++ b/internal/controller/duty.go
@@ -79,6 +79,7 @@
 	if !q.read {
 		return
 	}
+	c.checkOwner(q)
 	// A grant of this node's own that won no majority keeps nobody but others from asking again. While no
 	// majority is open, a claim could not win: it would only renew the refusal of those that granted it, so
 	// that two claimants would keep each other out for good.
--- a/internal/controller/enrol.go
+++ b/internal/controller/enrol.go
@@ -322,6 +322,7 @@
 		return
 	}
 	delete(c.acks, mark)
+	c.checkLeaving(l)
 	c.noteLeaving("leaving acknowledged", l)
 	c.out = append(c.out, Announced{Token: l.token, OK: true})
 }
--- a/internal/controller/guards_test.go
+++ b/internal/controller/guards_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -8,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"tidedeck/internal/invariant/strict"
 	"tidedeck/internal/overlay"
 )
 
@@ -46,7 +48,9 @@
 			}
 			name, err := overlay.Write(root, t.TempDir(), edits)
 			require.NoError(t, err)
-			out, err := exec.Command("go", "test", "-short", "-count=1", "-overlay", name, "-run", "^"+g.test+"$", "tidedeck/internal/controller").CombinedOutput()
+			run := exec.Command("go", "test", "-short", "-count=1", "-overlay", name, "-run", "^"+g.test+"$", "tidedeck/internal/controller")
+			run.Env = append(os.Environ(), strict.Variable+"="+strict.Off)
+			out, err := run.CombinedOutput()
 			require.Error(t, err, "with this guard taken out, %s still passes", g.test)
 			require.Contains(t, string(out), "--- FAIL: "+g.test, "it fails by its own verdict")
 		})
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -79,8 +79,10 @@
 	if p.stage == Ordered {
 		if p.cold = !p.key.IsAdapter() && !c.sure(s, p.key); p.cold {
 			c.begun = append(c.begun, c.now)
+			c.checkRate()
 		}
 	}
+	c.checkOrder(s, p)
 	duty := c.duty.num
 	c.ask(s.Addr, "/orders", order, c.o.Wait, func(t protocol.Told) {
 		if c.duty.mine && c.duty.num == duty && c.servers[s.ID] == s {
--- a/internal/controller/reader.go
+++ b/internal/controller/reader.go
@@ -9,22 +9,23 @@
 )
 
 type query struct {
-	round uint64
-	at    clock.Tick
-	claim bool
-	num   ident.Duty
-	again bool // no voter of a majority has given the duty to another since this node had it
-	set   protocol.Desired
-	yes   map[ident.Node]ident.Inc
-	grant map[ident.Node]ident.Inc
-	open  map[ident.Node]ident.Inc // voters that hold the duty for nobody but this node
-	acc   map[ident.Node]protocol.Ballot
-	top   protocol.Ballot // highest accepted among the voters heard
-	asked bool            // the value at top is being fetched
-	read  bool            // a majority was heard
-	won   bool
-	dutyN ident.Duty
-	owner protocol.Sibling
+	round  uint64
+	at     clock.Tick
+	claim  bool
+	num    ident.Duty
+	again  bool // no voter of a majority has given the duty to another since this node had it
+	set    protocol.Desired
+	yes    map[ident.Node]ident.Inc
+	grant  map[ident.Node]ident.Inc
+	open   map[ident.Node]ident.Inc // voters that hold the duty for nobody but this node
+	others map[ident.Node]ident.Inc // voters that hold this node's own term for another
+	acc    map[ident.Node]protocol.Ballot
+	top    protocol.Ballot // highest accepted among the voters heard
+	asked  bool            // the value at top is being fetched
+	read   bool            // a majority was heard
+	won    bool
+	dutyN  ident.Duty
+	owner  protocol.Sibling
 }
 
 // The regular majority read. With a claim it also takes or renews the duty.
@@ -45,7 +46,7 @@
 		r.odd = 0
 	}
 	r.round++
-	q := &query{round: r.round, again: true, at: c.now, yes: map[ident.Node]ident.Inc{}, grant: map[ident.Node]ident.Inc{}, open: map[ident.Node]ident.Inc{}, acc: map[ident.Node]protocol.Ballot{}}
+	q := &query{round: r.round, again: true, at: c.now, yes: map[ident.Node]ident.Inc{}, grant: map[ident.Node]ident.Inc{}, open: map[ident.Node]ident.Inc{}, others: map[ident.Node]ident.Inc{}, acc: map[ident.Node]protocol.Ballot{}}
 	to := map[ident.Node]protocol.Sibling{}
 	if set := c.latest(); set != nil {
 		q.set = *set
@@ -97,6 +98,9 @@
 	if b.Owner.ID == "" || b.Owner.ID == c.o.Me.ID {
 		q.open[e.From.ID] = b.Inc
 	}
+	if b.Owner.ID != "" && b.Owner.ID != c.o.Me.ID && b.Duty == c.duty.num {
+		q.others[e.From.ID] = b.Inc
+	}
 	if b.Owner.ID != "" && b.Duty >= q.dutyN {
 		q.owner = b.Owner
 	}
--- a/internal/controller/register.go
+++ b/internal/controller/register.go
@@ -50,6 +50,7 @@
 	if r.known != nil && b.Less(r.at) {
 		return
 	}
+	c.checkChosen(r.known, r.at, b, v)
 	r.at = b
 	old := r.known
 	r.known = &v
--- a/internal/explorer/guards_test.go
+++ b/internal/explorer/guards_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"tidedeck/internal/invariant/strict"
 	"tidedeck/internal/overlay"
 
 	"github.com/stretchr/testify/require"
@@ -100,7 +101,9 @@
 		t.Run(strings.ReplaceAll(g.guard, " ", "-"), func(t *testing.T) {
 			program := buildBroken(t, g.edits)
 			// It exits with an error where it finds a violation.
-			out, _ := exec.Command(program, "--scenario", g.scenario, "--states", fmt.Sprint(guardStates)).CombinedOutput()
+			run := exec.Command(program, "--scenario", g.scenario, "--states", fmt.Sprint(guardStates))
+			run.Env = append(os.Environ(), strict.Variable+"="+strict.Off)
+			out, _ := run.CombinedOutput()
 			t.Logf("%s", out)
 			_, violation, found := strings.Cut(string(out), "VIOLATION: ")
 			require.True(t, found, "no violation with this guard broken")
--- a/internal/explorer/world.go
+++ b/internal/explorer/world.go
@@ -9,6 +9,8 @@
 	"tidedeck/internal/controller"
 	"tidedeck/internal/fleetplan"
 	"tidedeck/internal/ident"
+	"tidedeck/internal/invariant"
+	_ "tidedeck/internal/invariant/strict" // a run fails at a violated invariant
 	"tidedeck/internal/protocol"
 )
 
@@ -117,7 +119,7 @@
 
 // step gives a node one input and carries out what it answers.
 func (w *World) step(n *node, input any) {
-	for _, out := range n.core.Step(w.now, input) {
+	for _, out := range w.stepCore(n, input) {
 		switch o := out.(type) {
 		case protocol.Env:
 			w.carry(n, o)
@@ -131,6 +133,20 @@
 	w.history.observe(w, n)
 }
 
+// stepCore gives a core its input; an invariant that it violates is a violation of the run.
+func (w *World) stepCore(n *node, input any) []any {
+	defer func() {
+		switch v := recover().(type) {
+		case nil:
+		case invariant.Violation:
+			w.history.violate("%v", v)
+		default:
+			panic(v)
+		}
+	}()
+	return n.core.Step(w.now, input)
+}
+
 func (w *World) save(n *node, s protocol.Save) {
 	if n.dying {
 		return
--- a/internal/generic/generic.go
+++ b/internal/generic/generic.go
@@ -15,5 +15,13 @@
 	}
 }
 
+// One gives 1 for true and 0 for false.
+func One(holds bool) int {
+	if holds {
+		return 1
+	}
+	return 0
+}
+
 // SortedKeys lists the keys of a map in ascending order.
 func SortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -24,7 +24,6 @@
 	RefusalIsOurs     Name = "refusal_bears_no_seal"
 	ConnectionMatches Name = "connection_matches_server"
 	EpochRises        Name = "router_epoch_rises"
-	TermRises         Name = "lease_term_rises"
 	BallotOneValue    Name = "ballot_has_one_value"
 	BallotRises       Name = "ballot_rises"
 	ChosenRises       Name = "chosen_epoch_rises"
@@ -41,7 +40,7 @@
 // Names lists all invariants.
 var Names = []Name{
 	RunsOnce, RefusedNeverRan, TriesBounded, TimeLeftShrinks, EndsInTime, AnswerIsServers, RefusalIsOurs, ConnectionMatches,
-	EpochRises, TermRises, BallotOneValue, BallotRises, ChosenRises, NumberOneValue, VotersChangeByOne, ReadIsNewest,
+	EpochRises, BallotOneValue, BallotRises, ChosenRises, NumberOneValue, VotersChangeByOne, ReadIsNewest,
 	OneOwner, OrdersUnderLease, WithinRoom, WithinRate, LeavingIsKnown,
 }
 
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -26,10 +26,12 @@
 	b.keys[r.key]++
 	c.work[r.key]++
 	x := r.Call.Call
-	c.out = append(c.out, Launch{Ref: r.Ref, N: n, Server: p.Server, Addr: p.Addr, Work: protocol.Work{
+	l := Launch{Ref: r.Ref, N: n, Server: p.Server, Addr: p.Addr, Work: protocol.Work{
 		Go: fmt.Sprintf("%s-%d-%d-%d", c.o.Me.ID, c.o.Inc, r.Ref, n), ID: x.ID, Base: x.Base, Extra: x.Extra,
 		Inc: p.Inc, Parts: x.Parts, Prompt: x.Prompt, Max: x.Max, Once: !x.Again,
-	}, Left: r.end.Sub(c.now), Rank: c.plan.Rank(r.class.Value), Again: r.repeatable(), Resume: r.resumes()})
+	}, Left: r.end.Sub(c.now), Rank: c.plan.Rank(r.class.Value), Again: r.repeatable(), Resume: r.resumes()}
+	c.checkLaunch(r, l)
+	c.out = append(c.out, l)
 }
 
 // MaySend is asked at the very point of sending: the lease must still run, the callback must
--- a/internal/router/conns.go
+++ b/internal/router/conns.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"math"
 	"net"
@@ -16,6 +17,7 @@
 
 	"tidedeck/internal/generic"
 	"tidedeck/internal/ident"
+	"tidedeck/internal/invariant"
 
 	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
@@ -205,6 +207,7 @@
 		}
 		if time.Now().Before(c.until) && c.fresh() {
 			p.reuses.Add(1)
+			invariant.Check(c.to == to, invariant.ConnectionMatches, func() string { return fmt.Sprintf("a connection to %v is used for %v", c.to, to) })
 			p.ready(c)
 			return c, true, nil
 		}
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -175,7 +175,10 @@
 	ending   bool // it stops: nobody waits here any more
 
 	wasLeased bool // as the log was told last
-	tally     Tally
+
+	lastBeat clock.Tick
+	pausedAt clock.Tick // when a beat last came late: the process stood still
+	tally    Tally
 }
 
 // Tally counts what a router did.
@@ -338,6 +341,7 @@
 			return // cannot be: the core takes no faulty plan
 		}
 	}
+	c.checkEpoch(c.gen, c.epoch, d)
 	c.last = d
 	c.gen, c.epoch, c.plan, c.empty = d.Gen, d.Epoch, p, map[ident.Zone]bool{}
 	for _, z := range d.Empty {
@@ -396,6 +400,7 @@
 
 func (c *Core) beat() {
 	c.watchLease()
+	c.checkOpen()
 	if c.now.Sub(c.hello) >= c.o.Hello || c.hello == 0 {
 		c.hello = c.now
 		b := map[ident.Key]protocol.Burden{}
--- a/internal/router/fuzz_test.go
+++ b/internal/router/fuzz_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"tidedeck/internal/generic"
 )
 
 // fuzzServer gives the first attempt of each request the bytes that a round has for it, and any further
@@ -229,7 +231,7 @@
 // declined counts the attempts that servers did not run.
 func (s *script) declined() (n int) {
 	for _, how := range s.hows() {
-		n += b2i(how == Dropped)
+		n += generic.One(how == Dropped)
 	}
 	return n
 }
--- a/internal/router/guards_test.go
+++ b/internal/router/guards_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -9,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"tidedeck/internal/invariant/strict"
 	"tidedeck/internal/overlay"
 )
 
@@ -67,7 +69,9 @@
 			t.Parallel()
 			name, err := overlay.Write(root, t.TempDir(), []overlay.Edit{{File: "internal/router/" + b.file, Old: b.old, New: b.now}})
 			require.NoError(t, err)
-			out, err := exec.Command("go", "test", "-vet=off", "-short", "-count=1", "-overlay", name, "-run", fmt.Sprintf("^(%s)$", b.test), ".").CombinedOutput()
+			run := exec.Command("go", "test", "-vet=off", "-short", "-count=1", "-overlay", name, "-run", fmt.Sprintf("^(%s)$", b.test), ".")
+			run.Env = append(os.Environ(), strict.Variable+"="+strict.Off)
+			out, err := run.CombinedOutput()
 			require.Error(t, err, "with this guard broken, %s passes", b.test)
 			require.Contains(t, string(out), "--- FAIL: ", "%s", out)
 		})
--- /dev/null
+++ b/internal/router/invariants_test.go
@@ -0,0 +1,48 @@
+package router
+
+import (
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"tidedeck/internal/invariant"
+	"tidedeck/internal/overlay"
+)
+
+// Each invariant, with the guard that it stands behind taken out for one build, and a test that then meets it.
+var invariantBites = []struct {
+	name                 invariant.Name
+	file, old, now, test string
+}{
+	{invariant.RunsOnce, "ledger.go", "Lost:    {{kind: failure.Unclear}, ", "Lost:    {{again: true}, ", "TestTries"},
+	{invariant.RefusedNeverRan, "queue.go", "if failure.Receipts[k].Dropped && r.mayHaveRun() {", "if false {", "TestNoDropAfterLost"},
+	{invariant.TriesBounded, "ledger.go", "if m.again && r.sent() >= most {", "if m.again && r.sent() >= 1000 {", "TestTries"},
+	{invariant.TimeLeftShrinks, "admission.go", "\t\tr.due = r.came.Add(w)", "\t\tr.due = c.now.Add(w)", "TestTimeLeftOnARepeat"},
+	{invariant.EndsInTime, "core.go", "\t\t\tif c.now >= r.due {\n\t\t\t\tc.finish", "\t\t\tif false {\n\t\t\t\tc.finish", "TestWaitsNoLongerThanItsTime"},
+	{invariant.AnswerIsServers, "relay_attempt.go", `if said.ID == x.facts.ID && said.ID != "" {`, `if said.ID != "" {`, "TestSurplus"},
+	{invariant.RefusalIsOurs, "relay_reply.go", "\th := x.w.Header()\n\tb, _ := json", "\th := x.w.Header()\n\th[\"X-Seal\"] = []string{\"s\"}\n\tb, _ := json", "TestOwnAnswersBearNoSeal"},
+	{invariant.ConnectionMatches, "conns.go", "\tl := p.idle[to]\n", "\tl := p.idle[to]\n\tfor to, l = range p.idle {\n\t\tbreak\n\t}\n", "TestKeptForOneServer"},
+	{invariant.EpochRises, "core.go", "if d.Gen < c.gen || d.Gen == c.gen && d.Epoch <= c.epoch {", "if false {", "TestEpochsOnlyRise|TestOtherGeneration"},
+}
+
+// An invariant that no broken guard violates would be a check of nothing.
+func TestInvariantsBite(t *testing.T) {
+	if testing.Short() {
+		t.Skip("builds the tests once for each invariant")
+	}
+	root, err := filepath.Abs("../..")
+	require.NoError(t, err)
+	for _, b := range invariantBites {
+		t.Run(string(b.name), func(t *testing.T) {
+			t.Parallel()
+			name, err := overlay.Write(root, t.TempDir(), []overlay.Edit{{File: "internal/router/" + b.file, Old: b.old, New: b.now}})
+			require.NoError(t, err)
+			out, err := exec.Command("go", "test", "-vet=off", "-short", "-count=1", "-overlay", name, "-run", "^("+b.test+")$", ".").CombinedOutput()
+			require.Error(t, err, "%s", out)
+			require.True(t, strings.Contains(string(out), "invariant violated: "+string(b.name)) || strings.Contains(string(out), "times: "+string(b.name)), "%s", out)
+		})
+	}
+}
--- a/internal/router/ledger.go
+++ b/internal/router/ledger.go
@@ -9,6 +9,7 @@
 	"tidedeck/internal/clock"
 	"tidedeck/internal/failure"
 	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/generic"
 	"tidedeck/internal/ident"
 )
 
@@ -157,7 +158,7 @@
 		return transition{again: true}
 	}
 	attempt := r.attempts[len(r.attempts)-1]
-	m := transitions[attempt.How][b2i(r.repeatable())]
+	m := transitions[attempt.How][generic.One(r.repeatable())]
 	if attempt.How == Dropped && attempt.Kind == failure.Repeated {
 		return transition{kind: failure.Repeated} // another server would run it a second time
 	}
@@ -188,10 +189,3 @@
 	}
 	return n
 }
-
-func b2i(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
--- a/internal/router/queue.go
+++ b/internal/router/queue.go
@@ -93,6 +93,7 @@
 	if failure.Receipts[k].Dropped && r.mayHaveRun() {
 		k = failure.Unclear // its status would say that it never ran
 	}
+	c.checkRefusal(r, k)
 	a := failure.Receipts[k]
 	if back == 0 {
 		back = a.Back
--- a/internal/router/relay_reply.go
+++ b/internal/router/relay_reply.go
@@ -57,6 +57,7 @@
 		h["Retry-After"] = []string{strconv.FormatFloat(back.Round(time.Millisecond).Seconds(), 'f', -1, 64)}
 	}
 	x.writeConnection(end)
+	x.checkOwnAnswer(status)
 	x.w.WriteHeader(status)
 	_, _ = x.w.Write(b)
 }
@@ -81,6 +82,7 @@
 // writeHead writes the head of a server's answer.
 func (x *exchange) writeHead(status int, head http.Header) {
 	x.armDeadline()
+	x.checkAnswer(status, head)
 	h := x.w.Header()
 	copyHeaders(h, head)
 	for _, k := range []string{"Date", "Content-Type"} {
--- a/internal/router/request_trace_test.go
+++ b/internal/router/request_trace_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"tidedeck/internal/clock"
 	"tidedeck/internal/failure"
 	"tidedeck/internal/fleetplan"
 )
@@ -85,6 +86,28 @@
 	require.Equal(t, 400, w.Code)
 }
 
+// A repeat is handed the time that its caller has left, not what it had at first.
+func TestTimeLeftOnARepeat(t *testing.T) {
+	b := free(t, Options{})
+	b.entry("web|", "s1", "s2")
+	ref, first, _ := b.go1("/again/x", fleetplan.Call{Wait: 3e9})
+	require.True(t, b.MaySend(b.at, ref, first.N))
+	b.earnings = []earning{{b.at, 5}}
+	b.at = b.at.Add(1e9)
+	second, ok := pick[Launch](b.Step(b.at, Ended{Ref: ref, N: first.N, How: Lost}))
+	require.True(t, ok)
+	require.LessOrEqual(t, second.Left, first.Left-clock.Span(1e9))
+}
+
+// A request that no configuration decides about is answered at its time.
+func TestWaitsNoLongerThanItsTime(t *testing.T) {
+	b := &bed{Core: New(Options{Free: true}), at: 1e9}
+	_, told := pick[Receipt](b.Step(b.at, Call{Ref: 1, Route: "/again/x", Call: fleetplan.Call{ID: "1", Host: "h", Wait: 2e9}}))
+	require.False(t, told, "it waits")
+	_, told = pick[Receipt](b.wait(6 * time.Second))
+	require.True(t, told)
+}
+
 // The relay tells the core what a server said and why an attempt counts as lost.
 func TestEndsTellTheirCause(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -19,6 +19,7 @@
 	"tidedeck/internal/clock"
 	"tidedeck/internal/failure"
 	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/generic"
 	"tidedeck/internal/host"
 	"tidedeck/internal/ident"
 	"tidedeck/internal/protocol"
@@ -153,7 +154,7 @@
 		c.With(func(now clock.Tick) {
 			v.Entries, v.Waiting = core.Size()
 			_, e, held := core.Rules(now)
-			v.Epoch, v.Leased, v.Parted = int(e), b2i(held), b2i(core.parted)
+			v.Epoch, v.Leased, v.Parted = int(e), generic.One(held), generic.One(core.parted)
 		})
 		return v
 	}})...)
--- a/internal/simulator/bites_test.go
+++ b/internal/simulator/bites_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
 
+	"tidedeck/internal/invariant/strict"
 	"tidedeck/internal/overlay"
 
 	"github.com/stretchr/testify/require"
@@ -114,7 +116,9 @@
 			bin := broken(t, b.edits)
 			for seed := uint64(1); seed <= 12; seed++ {
 				// It exits with an error where a checker saw something.
-				out, _ := exec.Command(bin, "--plans", "../../examples", "--scene", b.scene, "--seed", fmt.Sprint(seed)).CombinedOutput()
+				run := exec.Command(bin, "--plans", "../../examples", "--scene", b.scene, "--seed", fmt.Sprint(seed))
+				run.Env = append(os.Environ(), strict.Variable+"="+strict.Off)
+				out, _ := run.CombinedOutput()
 				require.Contains(t, string(out), " failed", "it ran to its end: %s", out)
 				for _, x := range strings.Split(string(out), "\n") {
 					if strings.HasPrefix(x, "   BAD ") && match(b.sees, x) {
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -21,6 +21,8 @@
 	"tidedeck/internal/fleetplan"
 	"tidedeck/internal/generic"
 	"tidedeck/internal/ident"
+	"tidedeck/internal/invariant"
+	_ "tidedeck/internal/invariant/strict" // a run fails at a violated invariant
 	"tidedeck/internal/protocol"
 	"tidedeck/internal/router"
 	"tidedeck/internal/standin"
@@ -594,13 +596,27 @@
 		w.At(p.froze, func() { w.step(p, life, in) })
 		return
 	}
-	outs := p.core.Step(p.tick(w.now), in)
+	outs := w.stepCore(p, in)
 	w.hash = (w.hash ^ uint64(w.now) ^ p.mark ^ uint64(len(outs))<<56) * 1099511628211
 	for _, o := range outs {
 		w.act(p, o)
 	}
 }
 
+// stepCore gives a core its input; an invariant that it violates fails the run.
+func (w *World) stepCore(p *proc, in any) []any {
+	defer func() {
+		switch v := recover().(type) {
+		case nil:
+		case invariant.Violation:
+			w.Check.bad("%s: %v", p.name, v)
+		default:
+			panic(v)
+		}
+	}()
+	return p.core.Step(p.tick(w.now), in)
+}
+
 func (w *World) act(p *proc, o any) {
 	switch v := o.(type) {
 	case protocol.Env:
