--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -50,8 +50,11 @@
 	Detail string
 }
 
+// Sign is in the text of every violation.
+const Sign = "invariant violated: "
+
 // Error tells the violation as text.
-func (v Violation) Error() string { return fmt.Sprintf("invariant violated: %s: %s", v.Name, v.Detail) }
+func (v Violation) Error() string { return fmt.Sprintf("%s%s: %s", Sign, v.Name, v.Detail) }
 
 var (
 	counts   = newCounts()
--- a/internal/localfleet/relay.go
+++ b/internal/localfleet/relay.go
@@ -67,7 +67,9 @@
 	if !r.pass(here, there) {
 		return
 	}
-	d, err := net.DialTimeout("tcp", to, time.Second)
+	// The process behind sees who it is that connects.
+	dialer := net.Dialer{Timeout: time.Second, LocalAddr: &net.TCPAddr{IP: net.ParseIP(here)}}
+	d, err := dialer.Dial("tcp", to)
 	if err != nil {
 		return
 	}
@@ -122,6 +124,27 @@
 	r.cuts[[2]string{from, to}] = true
 }
 
+// Mend carries again what goes one way.
+func (r *Relays) Mend(from, to string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.cuts, [2]string{from, to})
+	r.cond.Broadcast()
+}
+
+// BreakAt breaks off every connection from or to one address.
+func (r *Relays) BreakAt(ip string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		for _, a := range []net.Addr{c.LocalAddr(), c.RemoteAddr()} {
+			if host, _, _ := net.SplitHostPort(a.String()); host == ip {
+				_ = c.Close()
+			}
+		}
+	}
+}
+
 // Slow delays every part of what is carried.
 func (r *Relays) Slow(d time.Duration) {
 	r.mu.Lock()
