Red: a proposer's earlier life can have a confirmed change lost, in two ways

Both found by reading what a restart makes anew, and shown by the explorer, whose disks may stall now: 1. A proposer whose disk stalls loses power before its own promise is synced, after a voter has accepted its value. It starts again below its ballot and uses the same number for another value: two voters then hold two values of one ballot. 2. Rounds count from zero in each life. A promise to a question of the life before, which comes late, counts for this one: a proposer goes on from before a change that was confirmed meanwhile. Ruled out: that either needs more than one core node to fail (each needs one, once or twice).

--- a/internal/explorer/action.go
+++ b/internal/explorer/action.go
@@ -33,6 +33,8 @@
 	Restart   Kind = "restart"      // a stopped node starts from its disk
 	Wipe      Kind = "wipe"         // a node's disk is emptied, and it starts anew at once
 	Lose      Kind = "lose"         // a node is lost for good, with its disk
+	Stall     Kind = "stall"        // a node's disk syncs nothing for now; a crash loses what waits
+	Unstall   Kind = "unstall"      // a stalled disk syncs what waits
 	Cut       Kind = "cut"          // a node reaches no other and none reaches it
 	Heal      Kind = "heal"         // a node that was cut off is connected again
 )
@@ -83,7 +85,7 @@
 		a.Message = n
 	case Put:
 		a.Operator, a.Node = words[1], ident.Node(words[2])
-	case DeliverTo, DropTo, BreakAt, Get, Crash, Restart, Wipe, Lose, Cut, Heal:
+	case DeliverTo, DropTo, BreakAt, Get, Crash, Restart, Wipe, Lose, Stall, Unstall, Cut, Heal:
 		a.Node = ident.Node(words[1])
 	default:
 		return a, errors.Errorf("%q: no such action", line)
--- a/internal/explorer/enabled.go
+++ b/internal/explorer/enabled.go
@@ -100,6 +100,11 @@
 		w.spent.Losses++
 		w.stop(n)
 		n.disk, n.vote, n.lost = map[string][]byte{}, controller.DurableVote{}, true
+	case Stall:
+		w.spent.Stalls++
+		n.stalled = true
+	case Unstall:
+		w.unstall(n)
 	case Cut:
 		w.spent.Cuts++
 		n.cut = true
@@ -111,9 +116,18 @@
 	return nil
 }
 
+// unstall has a disk sync what waited, in order.
+func (w *World) unstall(n *node) {
+	waiting := n.pending
+	n.stalled, n.pending = false, nil
+	for _, s := range waiting {
+		w.sync(n, s)
+	}
+}
+
 // stop ends a node's life; its disk keeps what was synced.
 func (w *World) stop(n *node) {
-	n.core, n.dying = nil, false
+	n.core, n.dying, n.stalled, n.pending = nil, false, false, nil
 	w.history.stopped(n)
 }
 
@@ -300,12 +314,18 @@
 		if n.cut {
 			l = append(l, Action{Kind: Heal, Node: n.id})
 		}
+		if n.stalled {
+			l = append(l, Action{Kind: Unstall, Node: n.id})
+		}
 		if !w.strikes(n) {
 			continue
 		}
 		if n.up() && w.spent.Crashes < b.Crashes {
 			l = append(l, Action{Kind: Crash, Node: n.id})
 		}
+		if n.up() && !n.stalled && w.spent.Stalls < b.Stalls {
+			l = append(l, Action{Kind: Stall, Node: n.id})
+		}
 		if n.up() && !n.cut && w.spent.Cuts < b.Cuts {
 			l = append(l, Action{Kind: Cut, Node: n.id})
 		}
--- a/internal/explorer/recovery.go
+++ b/internal/explorer/recovery.go
@@ -26,6 +26,7 @@
 	w.open = true
 	for _, n := range w.nodes {
 		n.cut = false
+		w.unstall(n)
 		if !n.up() && !n.lost {
 			w.boot(n)
 			w.drain()
--- a/internal/explorer/scenario.go
+++ b/internal/explorer/scenario.go
@@ -27,7 +27,7 @@
 // Budget bounds how often each kind of action is taken in one run.
 type Budget struct {
 	Drops, Duplicates, Interrupts        int
-	Crashes, Wipes, Losses, Cuts         int
+	Crashes, Wipes, Losses, Cuts, Stalls int
 	Gets, Ticks, Passes, Deliveries, All int
 }
 
@@ -134,6 +134,40 @@
 		Budget: Budget{Duplicates: 1, Interrupts: 1, Passes: 1},
 		Depth:  14,
 	},
+	{
+		Name: "stalled-proposer", About: "a proposer loses power while its disk stalls, starts again and proposes another change",
+		Voters: nodes("a", "b", "c"), Tolerance: 1, Held: holdsRegister, Grain: ByNode, PassTicks: passTicks,
+		Setup: []Action{
+			{Kind: Stall, Node: "a"}, {Kind: Put, Operator: "x", Node: "a"},
+			{Kind: DeliverTo, Node: "b"}, {Kind: DeliverTo, Node: "c"}, {Kind: DeliverTo, Node: "a"},
+		},
+		Operators: []Operator{
+			{Name: "x", Expect: 1, Number: 2, At: nodes("a"), Attempts: 1},
+			{Name: "y", Expect: 1, Number: 3, At: nodes("a"), Attempts: 1},
+		},
+		Faulty: nodes("a", "b", "c"),
+		Budget: Budget{Stalls: 1, Crashes: 1, Drops: 3, Passes: 1},
+		Depth:  14, Recovery: true,
+	},
+	{
+		Name: "late-answers", About: "a proposer starts again, and answers to its earlier life come late",
+		Voters: nodes("a", "b", "c"), Tolerance: 1, Held: holdsRegister, Grain: ByNode, PassTicks: passTicks,
+		Setup: []Action{
+			{Kind: Crash, Node: "a"}, {Kind: Restart, Node: "a"}, {Kind: Tick},
+			{Kind: Put, Operator: "x", Node: "a"}, {Kind: DeliverTo, Node: "b"}, {Kind: DropTo, Node: "c"}, // the promise of b is late
+			{Kind: Crash, Node: "a"},
+			{Kind: Put, Operator: "z", Node: "c"}, {Kind: DeliverTo, Node: "b"}, {Kind: DeliverTo, Node: "c"},
+			{Kind: DeliverTo, Node: "b"}, {Kind: DeliverTo, Node: "c"}, // z is confirmed
+		},
+		Operators: []Operator{
+			{Name: "x", Expect: 1, Number: 2, At: nodes("a"), Attempts: 1},
+			{Name: "y", Expect: 1, Number: 3, At: nodes("a"), Attempts: 1},
+			{Name: "z", Expect: 1, Number: 2, At: nodes("c"), Attempts: 1},
+		},
+		Faulty: nodes("a"),
+		Budget: Budget{Crashes: 1, Drops: 1, Ticks: 3, Passes: 1},
+		Depth:  12,
+	},
 	{
 		Name: "replace", About: "a voter is lost and replaced by a spare, or wiped and admitted again, with a second loss between any two steps of time",
 		Voters: nodes("a", "b", "c"), Spares: nodes("d"), Tolerance: 1, Held: holdsNothing, Grain: ByNode, PassTicks: passTicks,
--- a/internal/explorer/world.go
+++ b/internal/explorer/world.go
@@ -29,6 +29,9 @@
 	lives int
 	cut   bool
 	lost  bool
+	// stalled is set while its disk syncs nothing; pending is what waits to be synced.
+	stalled bool
+	pending []protocol.Save
 	// dying is set while the node handles its last messages: nothing more reaches its disk.
 	dying bool
 }
@@ -151,6 +154,15 @@
 	if n.dying {
 		return
 	}
+	if n.stalled {
+		n.pending = append(n.pending, s)
+		return
+	}
+	w.sync(n, s)
+}
+
+// sync has a write reach a node's disk, and the node hear of it.
+func (w *World) sync(n *node, s protocol.Save) {
 	maps.Copy(n.disk, s.Puts)
 	if err := n.vote.Read(s.Puts); err != nil {
 		w.history.violate("%s wrote what cannot be read: %v", n.id, err)
--- a/internal/soak/machine.go
+++ b/internal/soak/machine.go
@@ -195,9 +195,6 @@
 	err := cmd.Wait()
 	m.mu.Lock()
 	expected := m.expected
-	if used, ok := cmd.ProcessState.SysUsage().(*syscall.Rusage); ok {
-		m.peakKb = max(m.peakKb, int(used.Maxrss))
-	}
 	m.mu.Unlock()
 	if !expected {
 		f.judge.violate("OWN END", "%s ended by itself: %v", m.name, err)
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -29,6 +29,11 @@
 	wholeSize bool // what is read back under its number is raw, to the byte
 }
 
+// same tells whether two changes are one to the system: the same order on the same version, byte for byte.
+func (c *change) same(o *change) bool {
+	return c.method == o.method && c.base == o.base && bytes.Equal(c.raw, o.raw)
+}
+
 // ledger is the history of all that operators sent and were told, held against the promises as it grows.
 type ledger struct {
 	judge *judge
@@ -61,7 +66,7 @@
 	}
 	l.newest = max(l.newest, c.revision)
 	for _, o := range l.changes {
-		if o != c && !o.acked.IsZero() && o.base == c.base {
+		if o != c && !o.acked.IsZero() && o.base == c.base && !o.same(c) {
 			l.judge.violate("CONFIG", "%d and %d were both acknowledged on %d", o.revision, c.revision, c.base)
 		}
 	}
@@ -111,18 +116,6 @@
 	return c.Revision
 }
 
-// base gives the change that a version came by, if any did that was not refused.
-func (l *ledger) byRevision(revision uint64) *change {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, c := range l.changes {
-		if c.revision == revision && c.refused.IsZero() && !c.invalid {
-			return c
-		}
-	}
-	return nil
-}
-
 // operator sends changes, again and again until they are answered, and reads back.
 type operator struct {
 	run    *soakRun
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -66,6 +66,7 @@
 			s.crash()
 		}
 	}()
+	go r.watchMemory(ctx)
 	t := newTroubles(r)
 	r.busy(ctx, t)
 	r.end(ctx)
@@ -244,6 +245,22 @@
 	all.Wait()
 }
 
+// memoryPeriod is how often the processes' memory is looked at.
+const memoryPeriod = 500 * time.Millisecond
+
+// watchMemory holds the memory of each process against its machine's.
+func (r *soakRun) watchMemory(ctx context.Context) {
+	over := map[string]bool{}
+	for ; ctx.Err() == nil; wait(ctx, memoryPeriod) {
+		for _, m := range r.fleet.machines {
+			if kb := m.peak(); kb > memoryMb<<10 && !over[m.name] {
+				over[m.name] = true
+				r.judge.violate("FAULT", "%s has %d MB of %d", m.name, kb>>10, memoryMb)
+			}
+		}
+	}
+}
+
 // readInvariants looks for violated invariants in every process's log, over all of its starts.
 func (r *soakRun) readInvariants() {
 	for _, m := range r.fleet.machines {
