Ballots name the life of their proposer; questions have numbers of their own in each life

Cause (one class: what a restart makes anew was used as a name across lives): a ballot was (number, node), and a proposer whose own disk had not synced its promise used a number twice; rounds, marks of leavings and looks counted from zero in each life, and answers were matched by them alone. An answer of an earlier state also took the place of a later one (lives). Ruled out: syncing the own promise first (a stalled disk would stop its proposer, and a node without a seat has none); counting on from what others say (they may be the ones that are cut off). Change: Ballot.Life, compared last; firstNumber(life) is where a life's questions begin; a State that answers an earlier life or an earlier question is passed over. Two more broken guards.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -183,7 +183,8 @@
 		Me:    protocol.Member{Sibling: o.Me, Role: "controller", Zone: o.Zone, Inc: o.Inc},
 		Seeds: o.Seeds, Rand: o.Rand,
 	})
-	c.reg.init()
+	c.reg.init(o.Inc)
+	c.mark, c.eye.round = firstNumber(o.Inc), firstNumber(o.Inc)
 	return c
 }
 
--- a/internal/controller/proposer.go
+++ b/internal/controller/proposer.go
@@ -79,7 +79,7 @@
 	r := &c.reg
 	r.top++
 	r.round++
-	o.set, o.ballot, o.round = set, protocol.Ballot{N: r.top, By: c.o.Me.ID}, r.round
+	o.set, o.ballot, o.round = set, protocol.Ballot{N: r.top, By: c.o.Me.ID, Life: c.o.Inc}, r.round
 	o.phase, o.sent = "prepare", c.now
 	o.yes, o.best, o.value = map[ident.Node]ident.Inc{}, protocol.Ballot{}, nil
 	c.tally.Rounds++
--- a/internal/controller/reader.go
+++ b/internal/controller/reader.go
@@ -79,6 +79,9 @@
 func (c *Core) onState(e protocol.Env) {
 	r, b := &c.reg, e.Body.(protocol.State)
 	r.top = max(r.top, b.Accepted.N)
+	if b.Round <= r.first || b.Round < r.lives[e.From.ID].state.Round {
+		return // it answers an earlier life, or came after a later answer: what it says may be over
+	}
 	r.lives[e.From.ID] = sight{at: c.now, state: b, sib: e.From}
 	set := c.latest()
 	if !b.Blank && (set == nil || b.Shape > set.Shape) {
--- a/internal/controller/register.go
+++ b/internal/controller/register.go
@@ -14,8 +14,9 @@
 	known     *protocol.Desired // newest value known to be chosen
 	at        protocol.Ballot
 	hint      *protocol.Desired // a voter set to try, from a value perhaps not chosen
-	round     uint64
-	top       uint64 // highest ballot number seen anywhere
+	round     uint64            // of the last question
+	first     uint64            // and before the first of this life
+	top       uint64            // highest ballot number seen anywhere
 	op        *op
 	queue     []*op
 	reads     []reader
@@ -39,7 +40,16 @@
 	sib   protocol.Sibling
 }
 
-func (r *register) init() {
+// lifeBits is how many numbers each life of a node has for its questions.
+const lifeBits = 20
+
+// firstNumber gives the number before a life's first question. Lives have numbers of their own, so that a late
+// answer to a question of the life before is never taken for one to a question of this life.
+func firstNumber(life ident.Inc) uint64 { return uint64(life) << lifeBits }
+
+func (r *register) init(life ident.Inc) {
+	r.first = firstNumber(life)
+	r.round = r.first
 	r.lives = map[ident.Node]sight{}
 	r.absent = map[ident.Node]clock.Tick{}
 }
--- a/internal/explorer/fingerprint.go
+++ b/internal/explorer/fingerprint.go
@@ -72,6 +72,7 @@
 	}
 	f.number(1<<62 + b.N - f.base)
 	f.text(string(b.By))
+	f.number(uint64(b.Life))
 }
 
 func (f *fingerprinter) voters(l []protocol.Voter) {
--- a/internal/explorer/guards_test.go
+++ b/internal/explorer/guards_test.go
@@ -43,12 +43,15 @@
 		{"quiet := c.now.Sub(c.vote.started) < long", "quiet := false"}}},
 	{"no new owner beside a held duty", "duty-takeover", "own the duty at once", []edit{
 		{"|| !held && !quiet)", "|| !quiet)"}, {"inc) || !d.free {", "inc) {"}}},
+	{"a ballot names its proposer's life", "stalled-proposer", "would go on without|durably holds|is chosen with plan|without change", []edit{
+		{"By: c.o.Me.ID, Life: c.o.Inc}", "By: c.o.Me.ID}"}}},
+	{"lives have numbers of their own", "late-answers", "without change", []edit{{"return uint64(life) << lifeBits", "return 0 * uint64(life)"}}},
 	{"a majority for the duty", "duty-restarts", "own the duty at once|was owned by", []edit{
 		{"q.claim && quorum(q.set, q.grant)", "q.claim"}, {"inc) || !d.free {", "inc) {"}}},
 }
 
 // guardStates bounds the search for each broken guard.
-const guardStates = 1000
+const guardStates = 1500
 
 // findSource finds the one file of a package's sources that has a text, which must stand there once.
 func findSource(t *testing.T, directory, old string) (source string) {
--- a/internal/protocol/fuzz_test.go
+++ b/internal/protocol/fuzz_test.go
@@ -23,7 +23,7 @@
 	for _, body := range []any{
 		Probe{Seq: 1, News: []Member{line}},
 		ProbeFor{Seq: 2, Target: you, News: []Member{line}},
-		Accept{Round: 1, Ballot: Ballot{1, "a"}, Value: *d},
+		Accept{Round: 1, Ballot: Ballot{N: 1, By: "a"}, Value: *d},
 		Value{Round: 1, Value: d},
 		News{Session: session, Items: []Item{{Num: 1, Desired: d}, {Num: 2, Break: "k"}, {Num: 3, Entry: &Entry{Key: "k", Replicas: []Replica{{Server: "s"}}}}}},
 		Renew{Session: session, Burden: map[ident.Key]Burden{"k": {Came: 1, Load: 0.5}}},
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -3,6 +3,7 @@
 package protocol
 
 import (
+	"cmp"
 	"encoding/json"
 	"reflect"
 
@@ -139,13 +140,19 @@
 // The register.
 
 // Ballot orders the register's rounds.
+//
+// It names the life of its proposer's process: a proposer that starts again may not know which numbers it used
+// before, since its own disk may not have them, and the same ballot must never carry two values.
 type Ballot struct {
-	N  uint64
-	By ident.Node
+	N    uint64
+	By   ident.Node
+	Life ident.Inc `json:",omitempty"`
 }
 
-// Less orders ballots.
-func (b Ballot) Less(o Ballot) bool { return b.N < o.N || b.N == o.N && b.By < o.By }
+// Less orders ballots: by number, then by proposer, then by its life.
+func (b Ballot) Less(o Ballot) bool {
+	return cmp.Or(cmp.Compare(b.N, o.N), cmp.Compare(b.By, o.By), cmp.Compare(b.Life, o.Life)) < 0
+}
 
 // Voter is one voting core node, tied to one life of its disk.
 type Voter struct {
