Answers about leavings name the disk that knows and the life that asked

BeaconsHeard was counted under whatever disk its sender was last seen with, and a Roll for whatever question. Change: BeaconsHeard.Inc, RollCall.Life and Roll.Life; what a recovering node has heard has a field of its own (recovered), apart from the owner's rolls. While a core is upgraded node by node, answers of nodes of the version before do not count: a leaving is acknowledged once a majority is new, and servers ask again until then.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -147,7 +147,8 @@
 	weighed    clock.Tick
 	seats      map[ident.Server]int // tokens that all routers have under way, by server
 	mark       uint64
-	rolls      map[ident.Node]ident.Inc // core nodes whose roll this owner, or a node that lost its disk, has heard
+	rolls      map[ident.Node]ident.Inc // core nodes whose roll this owner has heard
+	recovered  map[ident.Node]ident.Inc // and those whose roll this node has heard since it lost its disk
 	rollWhole  bool                     // this node has heard all leavings that were acknowledged, or never lost any
 	called     clock.Tick
 	begun      []clock.Tick // when the loads of late began
@@ -177,7 +178,7 @@
 		servers: map[ident.Server]*server{}, entries: map[ident.Key]*entry{},
 		asks: map[uint64]func(protocol.Told){}, saves: map[uint64]func(){},
 		demand: map[ident.Key]*need{}, shifts: map[ident.Key]*shift{}, empty: map[ident.Zone]bool{},
-		seats: map[ident.Server]int{}, roll: map[ident.Server]*enrolled{}, acks: map[uint64]*leaving{}, rolls: map[ident.Node]ident.Inc{},
+		seats: map[ident.Server]int{}, roll: map[ident.Server]*enrolled{}, acks: map[uint64]*leaving{}, rolls: map[ident.Node]ident.Inc{}, recovered: map[ident.Node]ident.Inc{},
 	}
 	c.mates = membership.New(membership.Options{
 		Me:    protocol.Member{Sibling: o.Me, Role: "controller", Zone: o.Zone, Inc: o.Inc},
--- a/internal/controller/enrol.go
+++ b/internal/controller/enrol.go
@@ -341,7 +341,7 @@
 		c.enrol(x)
 	}
 	if b.Mark != 0 && !c.ending {
-		c.keepLeavings(func() { c.reply(e, protocol.BeaconsHeard{Mark: b.Mark, Ruled: c.rules()}) })
+		c.keepLeavings(func() { c.reply(e, protocol.BeaconsHeard{Mark: b.Mark, Inc: c.vote.inc, Ruled: c.rules()}) })
 	}
 }
 
@@ -351,8 +351,8 @@
 	if l == nil {
 		return
 	}
-	if s, ok := c.reg.lives[e.From.ID]; ok {
-		l.yes[e.From.ID] = s.state.Inc
+	if b.Inc != 0 {
+		l.yes[e.From.ID] = b.Inc
 	}
 	l.ruled = l.ruled || b.Ruled
 	c.settleLeaving(b.Mark, l)
@@ -412,7 +412,7 @@
 	if !c.rolled() && c.now.Sub(c.called) > leaveResend {
 		c.called = c.now
 		for _, p := range c.others() {
-			c.send(p, protocol.RollCall{Duty: c.duty.num})
+			c.send(p, protocol.RollCall{Duty: c.duty.num, Life: c.o.Inc})
 		}
 	}
 	for _, id := range generic.SortedKeys(c.servers) {
@@ -496,7 +496,8 @@
 			l = append(l, x.Beacon)
 		}
 	}
-	c.reply(e, protocol.Roll{Duty: e.Body.(protocol.RollCall).Duty, Inc: c.vote.inc, Partial: !c.rollWhole, List: l})
+	asked := e.Body.(protocol.RollCall)
+	c.reply(e, protocol.Roll{Duty: asked.Duty, Life: asked.Life, Inc: c.vote.inc, Partial: !c.rollWhole, List: l})
 }
 
 // recoverRoll asks the others for their rolls, at a node whose disk began a new life: what it once
@@ -508,13 +509,13 @@
 	}
 	c.called = c.now
 	for _, p := range c.others() {
-		c.send(p, protocol.RollCall{})
+		c.send(p, protocol.RollCall{Life: c.o.Inc})
 	}
 }
 
 // settleRoll has a node's roll count again once a majority's are in it and on its disk.
 func (c *Core) settleRoll() {
-	if c.reg.known == nil || !quorum(*c.reg.known, c.rolls) {
+	if c.reg.known == nil || !quorum(*c.reg.known, c.recovered) {
 		return
 	}
 	c.keepLeavings(func() {
@@ -533,11 +534,11 @@
 	for _, x := range b.List {
 		c.enrol(x)
 	}
-	if b.Partial {
-		return
+	if b.Partial || b.Life != c.o.Inc {
+		return // it may lack what was acknowledged since
 	}
 	if !c.rollWhole {
-		c.rolls[e.From.ID] = b.Inc
+		c.recovered[e.From.ID] = b.Inc
 		c.settleRoll()
 	}
 	if !c.duty.mine || b.Duty != c.duty.num {
--- a/internal/controller/guards_test.go
+++ b/internal/controller/guards_test.go
@@ -30,6 +30,8 @@
 	{"a spare is not blank", "TestSparesFormNoSecondCore", []overlay.Edit{{File: "acceptor.go", Old: "return c.vote.safeV == nil && c.latest() == nil }", New: "return c.vote.safeV == nil }"}}},
 	{"an emptied node's roll is partial", "TestRollOfAnEmptiedNode", []overlay.Edit{{File: "acceptor.go", Old: "c.rollWhole = !c.o.Joined //", New: "c.rollWhole = true //"}}},
 	{"announcements need a core", "TestAnnouncementsAtANodeWithoutACore", []overlay.Edit{{File: "enrol.go", Old: "c.reg.known == nil && !c.o.Joined || c.Ready()", New: "c.reg.known == nil || c.Ready()"}}},
+	{"an answer names the disk that knows", "TestLeavingHeardByALostDisk", []overlay.Edit{{File: "enrol.go", Old: "	if b.Inc != 0 {\n", New: "	if b.Inc = c.reg.lives[e.From.ID].state.Inc; b.Inc != 0 {\n"}}},
+	{"a registry answers this life's question", "TestRollOfAnEarlierQuestion", []overlay.Edit{{File: "enrol.go", Old: "if b.Partial || b.Life != c.o.Inc {", New: "if b.Partial {"}}},
 	{"an emptied disk is a new life", "TestLossesAsCloseAsTheyMayCome", []overlay.Edit{{File: "voters.go", Old: "if !c.answered(v.ID, voterFresh) || s.state.Inc == v.Inc", New: "if !c.answered(v.ID, voterFresh) || s.state.Inc != 0"}}},
 }
 
--- a/internal/controller/lives_test.go
+++ b/internal/controller/lives_test.go
@@ -52,7 +52,7 @@
 	wiped := c.rest()[0]
 	c.wipe(wiped)
 	require.True(t, c.until(catchUp, func() bool { return c.nodes[wiped].reg.known != nil }))
-	c.nodes[wiped].rollWhole, c.nodes[wiped].rolls = false, map[ident.Node]ident.Inc{}
+	c.nodes[wiped].rollWhole, c.nodes[wiped].recovered = false, map[ident.Node]ident.Inc{}
 	for _, id := range []string{"a", "b", "c"} {
 		if id != wiped {
 			c.step(wiped, from(id, protocol.Roll{Inc: 5}))
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -546,13 +546,17 @@
 }
 
 // RollCall asks a core node for every server that it knows of, when an owner begins.
-type RollCall struct{ Duty ident.Duty }
+type RollCall struct {
+	Duty ident.Duty
+	Life ident.Inc // of the asker's process
+}
 
 // Roll answers RollCall.
 type Roll struct {
 	Duty    ident.Duty
-	Inc     ident.Inc
-	Partial bool // the sender's disk began a new life, and it has not heard a majority's rolls yet
+	Life    ident.Inc // of the asker's process, as the question named it
+	Inc     ident.Inc // of the sender's disk
+	Partial bool      // the sender's disk began a new life, and it has not heard a majority's rolls yet
 	List    []Beacon
 }
 
@@ -560,6 +564,7 @@
 // router's promise to send to any of them outlives the hold.
 type BeaconsHeard struct {
 	Mark  uint64
+	Inc   ident.Inc // of the disk that knows them
 	Ruled bool
 }
 
