--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -72,22 +72,19 @@
 	return runSeeds(ctx, f)
 }
 
-// runSeeds plays all seeds, some at the same time; each has a slot with addresses of its own.
+// runSeeds plays all seeds, some at the same time.
 func runSeeds(ctx context.Context, f flags) int {
-	slots := make(chan int, f.Jobs)
-	for i := range f.Jobs {
-		slots <- i
-	}
+	slots := make(chan struct{}, f.Jobs)
 	var all sync.WaitGroup
 	var mu sync.Mutex
 	bad := 0
 	for i := range f.Seeds {
-		slot := <-slots
+		slots <- struct{}{}
 		all.Go(func() {
-			defer func() { slots <- slot }()
+			defer func() { <-slots }()
 			seed := f.Seed + uint64(i)
 			folder := filepath.Join(f.Folder, fmt.Sprintf("seed-%d", seed))
-			report, err := soak.Run(ctx, f.options(seed, slot, folder))
+			report, err := soak.Run(ctx, f.options(seed, folder))
 			mu.Lock()
 			defer mu.Unlock()
 			tell(seed, report, err)
@@ -107,8 +104,8 @@
 	return 0
 }
 
-func (f flags) options(seed uint64, slot int, folder string) soak.Options {
-	o := soak.Options{Programs: f.Programs, Folder: folder, Seed: seed, Slot: slot, Cores: f.Cores, Routers: f.Routers, Servers: f.Servers,
+func (f flags) options(seed uint64, folder string) soak.Options {
+	o := soak.Options{Programs: f.Programs, Folder: folder, Seed: seed, Cores: f.Cores, Routers: f.Routers, Servers: f.Servers,
 		Callers: f.Callers, Length: f.Length, Safety: f.Safety}
 	if f.Trace {
 		o.Trace = func(line string) { fmt.Printf("seed %d %s\n", seed, line) }
--- a/internal/router/caller_test.go
+++ b/internal/router/caller_test.go
@@ -448,3 +448,40 @@
 		require.True(t, again, how)
 	}
 }
+
+// A request that comes when a stop is far on, on a connection from before it, is told to go elsewhere at once: a
+// server might still be at work on it when what is left is cut off.
+func TestLateRequestAtAStop(t *testing.T) {
+	srv := newStandIn(t, func(s *standIn, _ int, _ net.Conn, br *bufio.Reader) {
+		for s.next(br) != nil { // it never answers
+		}
+	})
+	s := &script{to: []string{srv.addr()}, at: map[Ref]int{}, left: time.Minute}
+	s.relay = NewRelay(RelayOptions{Dialect: fakeDialect{}, Decider: s})
+	in, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	told, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	stop, end := make(chan struct{}), make(chan error, 1)
+	go func() {
+		end <- serveRelay(stop, RelayServe{Relay: s.relay, Lame: 10 * time.Millisecond, Grace: 2 * time.Second}, in, told)
+	}()
+	b := &served{s, in.Addr().String()}
+	cl := b.dial(t)
+	close(stop)
+	require.Eventually(t, func() bool { // the door is closed
+		c, err := net.Dial("tcp", b.addr)
+		if err == nil {
+			_ = c.Close()
+		}
+		return err != nil
+	}, soon, time.Millisecond)
+	cl.send(get("1"))
+	a, _, err := cl.answer("GET")
+	require.NoError(t, err, "it is cut off")
+	require.Equal(t, 503, a.StatusCode)
+	require.NotEmpty(t, a.Header.Get("Retry-After"))
+	require.True(t, a.Close)
+	require.NoError(t, <-end)
+	s.settled(t)
+}
--- a/internal/soak/machine.go
+++ b/internal/soak/machine.go
@@ -29,9 +29,11 @@
 	portMetrics   = 9464
 	portServer    = 8080
 
-	nodePorts   = 4 // of those between nodes that are used
-	memoryMb    = 284
-	networkByte = 20 // second byte of the first run's addresses; each run has two
+	nodePorts    = 4    // of those between nodes that are used
+	portReserved = 7650 // by which a run has its network to itself
+	memoryMb     = 284
+	firstNetwork = 40 // second byte of the first network's addresses; each has two
+	lastNetwork  = 250
 )
 
 // role is what a machine runs.
@@ -63,28 +65,43 @@
 type fleet struct {
 	programs string
 	folder   string
-	slot     int
+	network  int          // second byte of its addresses; the next one is its too
+	reserved net.Listener // held while the run has its network
 	links    *localfleet.Relays
 	machines []*machine
 	judge    *judge
 	bounds   peer.Bounds
 }
 
-func newFleet(o Options, j *judge) *fleet {
-	f := &fleet{programs: o.Programs, folder: o.Folder, slot: o.Slot, links: localfleet.NewRelays(), judge: j, bounds: bounds}
+func newFleet(o Options, j *judge) (*fleet, error) {
+	f := &fleet{programs: o.Programs, folder: o.Folder, links: localfleet.NewRelays(), judge: j, bounds: bounds}
+	if err := f.reserve(); err != nil {
+		return nil, err
+	}
 	for i := range o.Cores {
 		f.add(fmt.Sprintf("core-%d", i+1), controllerRole, i)
 	}
 	for i := range o.Routers {
 		f.add(fmt.Sprintf("edge-%d", i+1), routerRole, i)
 	}
-	return f
+	return f, nil
+}
+
+// reserve finds a network of loopback addresses that no other run on this machine has.
+func (f *fleet) reserve() error {
+	for f.network = firstNetwork; f.network <= lastNetwork; f.network += 2 {
+		l, err := net.Listen("tcp", at(fmt.Sprintf("127.%d.0.1", f.network), portReserved))
+		if err == nil {
+			f.reserved = l
+			return nil
+		}
+	}
+	return errors.New("no network of loopback addresses is free")
 }
 
 // address gives the told and the bound address of the machine at a place.
 func (f *fleet) address(place int) (told, bind string) {
-	second := networkByte + 2*f.slot
-	return fmt.Sprintf("127.%d.1.%d", second, place+1), fmt.Sprintf("127.%d.1.%d", second+1, place+1)
+	return fmt.Sprintf("127.%d.1.%d", f.network, place+1), fmt.Sprintf("127.%d.1.%d", f.network+1, place+1)
 }
 
 func (f *fleet) add(name string, r role, place int) {
@@ -301,6 +318,7 @@
 		m.gone()
 	}
 	f.links.Close()
+	_ = f.reserved.Close()
 }
 
 // part cuts two machines, or with oneWay only what goes from the first to the second, until mend is called.
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -175,8 +175,11 @@
 	moving := []string{plainService, otherService}[o.random.IntN(2)]
 	c := &change{method: http.MethodPut, base: base, revision: revision, moving: moving, wholeSize: true}
 	whole := configuration(revision, moving, o.random.IntN(4), fmt.Sprintf("operator %d, %d", o.number, o.random.Uint32()))
+	if base == 0 && o.run.first != nil {
+		o.run.first(&whole)
+	}
 	switch dice := o.random.Float64(); {
-	case dice < invalidShare:
+	case dice < invalidShare && base > 0:
 		c.invalid = true
 		whole.Routes[0].Service = "no-such-service"
 	case dice < invalidShare+patchShare && base > 0:
--- a/internal/soak/options.go
+++ b/internal/soak/options.go
@@ -15,7 +15,6 @@
 	Programs string // folder with the built programs
 	Folder   string // for data, settings and logs
 	Seed     uint64
-	Slot     int // runs at the same time have slots of their own, from 0
 	Cores    int
 	Routers  int
 	Servers  int           // that hold models; there are two plain ones besides for each of two services
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -28,7 +28,8 @@
 	ledger      *ledger
 	servers     []*server
 	callersRude atomic.Bool
-	pace        atomic.Int64 // most time between two orders of an operator, in ns
+	first       func(*peer.Configuration) // tunes the first configuration; nothing if nil
+	pace        atomic.Int64              // most time between two orders of an operator, in ns
 }
 
 // Report is what a run came to.
@@ -52,9 +53,10 @@
 // Run plays one run. The error is one of the run itself; broken promises are in the report.
 func Run(ctx context.Context, o Options) (Report, error) {
 	j := newJudge(o)
-	r := &soakRun{options: o, judge: j, fleet: newFleet(o, j), ledger: &ledger{judge: j}}
-	r.front = &front{fleet: r.fleet, miss: map[string]int{}}
-	r.pace.Store(int64(ordinaryPace))
+	r, err := newRun(o, j)
+	if err != nil {
+		return Report{}, err
+	}
 	defer r.fleet.down()
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
@@ -84,6 +86,16 @@
 	return report, nil
 }
 
+func newRun(o Options, j *judge) (*soakRun, error) {
+	f, err := newFleet(o, j)
+	if err != nil {
+		return nil, err
+	}
+	r := &soakRun{options: o, judge: j, fleet: f, ledger: &ledger{judge: j}, front: &front{fleet: f, miss: map[string]int{}}}
+	r.pace.Store(int64(ordinaryPace))
+	return r, nil
+}
+
 // start brings up the fleet, the servers and the first configuration.
 func (r *soakRun) start(ctx context.Context) error {
 	if err := r.fleet.up(); err != nil {
@@ -107,9 +119,6 @@
 	go r.front.watch(ctx)
 	first := newOperator(r, 0)
 	c := first.draw(0)
-	for c.invalid {
-		c = first.draw(0)
-	}
 	r.ledger.begin(c)
 	if err := until(ctx, startWait, "the first configuration is taken", func() bool { return first.send(c, first.node()) }); err != nil {
 		return err
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -73,10 +73,9 @@
 }
 
 func newServer(f *fleet, place int, service string, seed uint64) *server {
-	second := networkByte + 2*f.slot
 	s := &server{fleet: f, judge: f.judge, name: fmt.Sprintf("%s-%d", service, place), service: service, random: rand.New(rand.NewPCG(seed, uint64(place)))}
-	s.ip = fmt.Sprintf("127.%d.2.%d", second, place+1)
-	s.address, s.bind = at(s.ip, portServer), at(fmt.Sprintf("127.%d.2.%d", second+1, place+1), portServer)
+	s.ip = fmt.Sprintf("127.%d.2.%d", f.network, place+1)
+	s.address, s.bind = at(s.ip, portServer), at(fmt.Sprintf("127.%d.2.%d", f.network+1, place+1), portServer)
 	return s
 }
 
