Heads by the configuration, a budget for bodies, an answer for what comes late in a stop

The guard of a connection goes by the plan now, a quarter beyond it, and 1 MiB whatever the plan says; new kind head_too_long (431). Bodies: each is read whole and nothing bounded their sum; 120 of 4 MB at once took 499 MB of 284 and the process would be killed. They have an eighth of the machine's memory now, and who finds no room is told 503 and when to come back. Late in a stop: net/http closes connections on what comes after its Shutdown, without a word. Deadlines in the past are left alone. Red: a SIGHUP before its handler stands ends a process that is starting.

--- a/cmd/router/main.go
+++ b/cmd/router/main.go
@@ -20,7 +20,7 @@
 		end(router.Host(router.HostOptions{
 			ID: string(boot.Node), Zone: string(boot.Zone), Ingress: boot.Ingress, Readiness: boot.Readiness,
 			Post: boot.Post(2), Admin: boot.Post(3), Seeds: boot.SeedPosts(0), Follow: followSeeds, Logs: flags.Lines(), Metrics: flags.MetricsAt(boot.IP), Bind: flags.Bind,
-			Dialect: platform.Dialect{}, Read: platform.ReadPlan, Grace: b.Grace,
+			Dialect: platform.Dialect{}, Read: platform.ReadPlan, Grace: b.Grace, Bodies: int64(boot.MemoryMB) << 20 / bodyPart,
 			Lend: float64(b.RetryMargin) * 0.6, Window: b.RetryWindow, Earn: b.RetryFraction * 0.8,
 		}))
 		return
@@ -30,6 +30,9 @@
 	end(router.Main(s))
 }
 
+// bodyPart is which part of the machine's memory requests' bodies may take.
+const bodyPart = 8
+
 func followSeeds(step func(protocol.Reseed)) {
 	host.FollowSeeds(platform.SettingsPath(), func() ([]string, error) { return platform.LoadSeedPosts(0) }, step)
 }
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -12,29 +12,30 @@
 
 // The closed list of error kinds.
 const (
-	None      Kind = ""
-	Malformed Kind = "malformed"
-	Oversize  Kind = "oversize"
-	NoRoute   Kind = "no_route"
-	NoModel   Kind = "no_model"
-	NoKind    Kind = "no_kind"
-	PastDue   Kind = "past_due"
-	Full      Kind = "full"
-	Spent     Kind = "allowance_spent"
-	Expired   Kind = "expired"
-	NotReady  Kind = "not_ready"
-	Unclear   Kind = "unclear"
-	Cut       Kind = "cut"
-	Conflict  Kind = "conflict"
-	Faulty    Kind = "faulty_plan"
-	Unknown   Kind = "unknown"
-	Stale     Kind = "stale_order"
-	Mismatch  Kind = "mismatch"
-	Busy      Kind = "busy"
-	NoRoom    Kind = "no_room"
-	Repeated  Kind = "repeated"
-	Late      Kind = "late"
-	Moved     Kind = "moved"
+	None        Kind = ""
+	Malformed   Kind = "malformed"
+	Oversize    Kind = "oversize"
+	HeadTooLong Kind = "head_too_long"
+	NoRoute     Kind = "no_route"
+	NoModel     Kind = "no_model"
+	NoKind      Kind = "no_kind"
+	PastDue     Kind = "past_due"
+	Full        Kind = "full"
+	Spent       Kind = "allowance_spent"
+	Expired     Kind = "expired"
+	NotReady    Kind = "not_ready"
+	Unclear     Kind = "unclear"
+	Cut         Kind = "cut"
+	Conflict    Kind = "conflict"
+	Faulty      Kind = "faulty_plan"
+	Unknown     Kind = "unknown"
+	Stale       Kind = "stale_order"
+	Mismatch    Kind = "mismatch"
+	Busy        Kind = "busy"
+	NoRoom      Kind = "no_room"
+	Repeated    Kind = "repeated"
+	Late        Kind = "late"
+	Moved       Kind = "moved"
 )
 
 // Receipt says how a kind is told to the caller.
@@ -46,26 +47,27 @@
 
 // Receipts is the one table from kind to answer.
 var Receipts = map[Kind]Receipt{
-	Malformed: {400, true, 0},
-	Oversize:  {413, true, 0},
-	NoRoute:   {404, true, 0},
-	NoModel:   {404, true, 0},
-	NoKind:    {400, true, 0},
-	PastDue:   {400, true, 0},
-	Full:      {503, true, time.Second},
-	Spent:     {503, true, 2 * time.Second},
-	Expired:   {503, true, time.Second},
-	NotReady:  {503, true, time.Second},
-	Unclear:   {502, false, 0},
-	Cut:       {502, false, 0},
-	Conflict:  {409, true, 0},
-	Faulty:    {422, true, 0},
-	Unknown:   {404, true, 0},
-	Stale:     {409, true, 0},
-	Mismatch:  {409, true, 0},
-	Busy:      {503, true, 500 * time.Millisecond},
-	NoRoom:    {409, true, 0},
-	Repeated:  {409, false, 0}, // it ran, or may have, when it was asked before
-	Late:      {503, true, 500 * time.Millisecond},
-	Moved:     {503, true, 20 * time.Millisecond}, // what was known of a server was old
+	Malformed:   {400, true, 0},
+	Oversize:    {413, true, 0},
+	HeadTooLong: {431, true, 0},
+	NoRoute:     {404, true, 0},
+	NoModel:     {404, true, 0},
+	NoKind:      {400, true, 0},
+	PastDue:     {400, true, 0},
+	Full:        {503, true, time.Second},
+	Spent:       {503, true, 2 * time.Second},
+	Expired:     {503, true, time.Second},
+	NotReady:    {503, true, time.Second},
+	Unclear:     {502, false, 0},
+	Cut:         {502, false, 0},
+	Conflict:    {409, true, 0},
+	Faulty:      {422, true, 0},
+	Unknown:     {404, true, 0},
+	Stale:       {409, true, 0},
+	Mismatch:    {409, true, 0},
+	Busy:        {503, true, 500 * time.Millisecond},
+	NoRoom:      {409, true, 0},
+	Repeated:    {409, false, 0}, // it ran, or may have, when it was asked before
+	Late:        {503, true, 500 * time.Millisecond},
+	Moved:       {503, true, 20 * time.Millisecond}, // what was known of a server was old
 }
--- a/internal/router/host.go
+++ b/internal/router/host.go
@@ -32,6 +32,7 @@
 	Lame      clock.Span // callers still come for so long after a router says that it stops
 	Lend      float64    // arrivals beyond the first that the fleet is lent in each Window
 	Window    clock.Span
+	Bodies    int64   // bytes of requests' bodies that are held at once; no bound if zero
 	Earn      float64 // and what each first arrival earns
 }
 
@@ -80,13 +81,19 @@
 		}
 		return most, wait
 	}
+	heads := func() (l HeadLimits) {
+		if p := inForce(); p != nil {
+			l = HeadLimits{Bytes: p.HeadMost, Wait: p.HeadWait}
+		}
+		return l
+	}
 	resting := func() (told time.Duration) {
 		if p := inForce(); p != nil {
 			told = p.Idle
 		}
 		return told
 	}
-	relay := NewRelay(RelayOptions{Dialect: h.Dialect, Refused: log.Add, Limits: limits, Conns: ConnOptions{Dialer: host.Dialer(h.Ingress, serverDial)}})
+	relay := NewRelay(RelayOptions{Dialect: h.Dialect, Refused: log.Add, BodyBudget: h.Bodies, Limits: limits, Conns: ConnOptions{Dialer: host.Dialer(h.Ingress, serverDial)}})
 	router = host.New(host.Options{Core: core, Beat: routerBeat, Ring: ring, Else: log.Tap(relay.Act),
 		Local: map[string]func(protocol.Env){nearAgent: func(e protocol.Env) { beside.Step(e) }}})
 	beside = host.New(host.Options{Core: agent, Listen: []string{h.Bind(h.Post)}, Told: h.Post, Beat: agentBeat, Dial: agentDial, Ring: ring, Else: func(any) {},
@@ -118,5 +125,5 @@
 		router.Step(protocol.Stop{})
 	}()
 	return ServeRelay(stop, RelayServe{Relay: relay, Ingress: h.Bind(h.Ingress), Readiness: h.Bind(h.Readiness), Ready: ready,
-		Resting: resting, Lame: h.Lame, Grace: endAfter(h.Grace)})
+		Resting: resting, Heads: heads, Lame: h.Lame, Grace: endAfter(h.Grace)})
 }
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -51,12 +52,13 @@
 	Conns   ConnOptions
 	// Limits gives the bytes that a request's body may have and how long it may take to come, by the
 	// plan in force. Zeros, or no function, leave it to the defaults: 4 MiB and 15 s.
-	Limits    func() (bodyMost int64, bodyWait time.Duration)
-	Wait      time.Duration      // an attempt that says no time left may take so long; 60 s
-	Slack     time.Duration      // an answer may end so long after the time left; 150 ms
-	WriteWait time.Duration      // a client that takes nothing for so long is given up; 10 s
-	Refused   func(RequestTrace) // hears of requests that are refused before the core knows of them; nobody if nil
-	KeepAlive time.Duration      // told to clients as the time for which their idle connections stay; none
+	Limits     func() (bodyMost int64, bodyWait time.Duration)
+	BodyBudget int64              // bytes of all bodies held at once; no bound if zero
+	Wait       time.Duration      // an attempt that says no time left may take so long; 60 s
+	Slack      time.Duration      // an answer may end so long after the time left; 150 ms
+	WriteWait  time.Duration      // a client that takes nothing for so long is given up; 10 s
+	Refused    func(RequestTrace) // hears of requests that are refused before the core knows of them; nobody if nil
+	KeepAlive  time.Duration      // told to clients as the time for which their idle connections stay; none
 }
 
 // Defaults fills what was left out.
@@ -84,6 +86,8 @@
 	conns *conns
 	close func() bool // whether answers end their connections
 
+	bodies  bodyBudget
+	late    atomic.Bool          // a stop is far on: what comes now is sent to no server any more
 	seconds prometheus.Histogram // from a request's head to its last word
 	opened
 	told  sync.Mutex // guards tally
@@ -93,7 +97,9 @@
 // NewRelay makes a relay.
 func NewRelay(o RelayOptions) *Relay {
 	o = o.Defaults()
-	return &Relay{o: o, core: o.Decider, conns: newConns(o.Conns), close: func() bool { return false }, seconds: newRequestSeconds()}
+	r := &Relay{o: o, core: o.Decider, conns: newConns(o.Conns), close: func() bool { return false }, seconds: newRequestSeconds()}
+	r.bodies.most = o.BodyBudget
+	return r
 }
 
 // newRequestSeconds makes the histogram of how long requests take: 5 ms to 40 s, each bound twice the one before.
--- a/internal/router/relay_exchange.go
+++ b/internal/router/relay_exchange.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -66,6 +67,11 @@
 		x.refuse(failure.Malformed, 0, true, fleetplan.Faults{{Path: "$", Why: "where the body ends is not clear"}})
 		return
 	}
+	if tooLong(q) {
+		x.traceRefusal(failure.HeadTooLong)
+		x.refuse(failure.HeadTooLong, 0, true, nil)
+		return
+	}
 	facts, fault := r.o.Dialect.Read(q)
 	if fault != nil {
 		x.traceRefusal(failure.Malformed)
@@ -73,9 +79,16 @@
 		return
 	}
 	x.facts = facts
+	if r.late.Load() {
+		x.traceRefusal(failure.Moved)
+		x.refuse(failure.Moved, 0, true, nil)
+		return
+	}
+	room := &reservation{budget: &r.bodies}
+	defer room.release()
 	b := getBuffer()
 	defer putBuffer(b)
-	if !x.read(b) {
+	if !x.read(b, room) {
 		return
 	}
 	x.body = b.Bytes()
@@ -106,7 +119,7 @@
 }
 
 // read reads the request's body; what it cannot take is answered at once.
-func (x *exchange) read(b *bytes.Buffer) bool {
+func (x *exchange) read(b *bytes.Buffer, room *reservation) bool {
 	q := x.req
 	if q.Body == nil || q.Body == http.NoBody {
 		return true
@@ -118,17 +131,26 @@
 		x.refuse(failure.Oversize, 0, true, big)
 		return false
 	}
-	if q.ContentLength > 0 {
+	body := io.Reader(http.MaxBytesReader(x.w, q.Body, most))
+	switch {
+	case q.ContentLength < 0:
+		body = reservingReader{body, room}
+	case !room.take(q.ContentLength):
+		x.refuseBody()
+		return false
+	default:
 		b.Grow(int(q.ContentLength) + bytes.MinRead)
 	}
 	_ = x.to.SetReadDeadline(time.Now().Add(wait))
-	_, err := b.ReadFrom(http.MaxBytesReader(x.w, q.Body, most))
+	_, err := b.ReadFrom(body)
 	_ = x.to.SetReadDeadline(time.Time{})
 	var over *http.MaxBytesError
 	var late net.Error
 	switch {
 	case err == nil:
 		return true
+	case errors.Is(err, errNoRoom):
+		x.refuseBody()
 	case errors.As(err, &over):
 		x.traceRefusal(failure.Oversize)
 		x.refuse(failure.Oversize, 0, true, big)
@@ -142,6 +164,12 @@
 	return false
 }
 
+// refuseBody tells a client to come back: there is no room for its body now.
+func (x *exchange) refuseBody() {
+	x.traceRefusal(failure.Full)
+	x.refuse(failure.Full, 0, true, nil)
+}
+
 // traceRefusal has it known that the request is refused before the core hears of it.
 func (x *exchange) traceRefusal(kind failure.Kind) { x.r.o.Refused(x.refusal(EndedRefused, kind)) }
 
--- a/internal/router/relay_serve.go
+++ b/internal/router/relay_serve.go
@@ -22,8 +22,9 @@
 	Ingress   string               // where clients come in, ip:port
 	Readiness string               // where a router tells whether it can be given clients, ip:port
 	Ready     func() bool          // whether it can
-	HeadWait  time.Duration        // for a request's head; 10 s
-	HeadMost  int                  // bytes of it; 64 KiB
+	HeadWait  time.Duration        // for a request's head, at the least; 10 s
+	HeadMost  int                  // bytes of it, at the least; 64 KiB
+	Heads     func() HeadLimits    // and by the plan in force clients may send so much and take so long
 	Idle      time.Duration        // a client's connection may be idle for so long at least; 30 s
 	Resting   func() time.Duration // and by the plan in force clients may use it again for so long
 	Lame      time.Duration        // after the stop, clients are still served for so long; 2.5 s
@@ -38,6 +39,9 @@
 	if o.Resting == nil {
 		o.Resting = func() time.Duration { return 0 }
 	}
+	if o.Heads == nil {
+		o.Heads = func() HeadLimits { return HeadLimits{} }
+	}
 	generic.SetDefault(&o.HeadWait, 10*time.Second)
 	generic.SetDefault(&o.HeadMost, 64<<10)
 	generic.SetDefault(&o.Idle, 30*time.Second)
@@ -68,7 +72,7 @@
 	o.Relay.close = turn.Load
 	quiet := log.New(io.Discard, "", 0)
 	front := &http.Server{
-		Handler: o.Relay, ReadHeaderTimeout: o.HeadWait, IdleTimeout: o.Idle, MaxHeaderBytes: o.HeadMost,
+		Handler: o.Relay, ReadHeaderTimeout: o.HeadWait, IdleTimeout: o.Idle, MaxHeaderBytes: mostHead,
 		ErrorLog: quiet, DisableGeneralOptionsHandler: true,
 		ConnState: func(c net.Conn, s http.ConnState) {
 			if g, ok := c.(*guard); ok && s == http.StateIdle {
@@ -88,7 +92,7 @@
 		})}
 	end := make(chan error, 2)
 	go func() {
-		end <- front.Serve(guardListener{in, func() time.Duration { return idleFor(o.Idle, o.Resting()) }})
+		end <- front.Serve(guardListener{in, o.limits})
 	}()
 	go func() { end <- side.Serve(told) }()
 	defer o.Relay.Close()
@@ -109,6 +113,11 @@
 	case <-t.C:
 	case <-ctx.Done():
 	}
+	o.Relay.late.Store(true)
+	// net/http would close connections on requests that come from now on, without a word. They are told to go
+	// elsewhere for as long as others are under way.
+	_ = in.Close()
+	o.Relay.idle(ctx)
 	if front.Shutdown(ctx) == nil {
 		return nil
 	}
@@ -122,6 +131,16 @@
 	return nil
 }
 
+// idlePoll is the time between two looks at what is under way.
+const idlePoll = 10 * time.Millisecond
+
+// idle waits until nothing is under way.
+func (r *Relay) idle(ctx context.Context) {
+	for r.Open() > 0 && ctx.Err() == nil {
+		time.Sleep(idlePoll)
+	}
+}
+
 // readiness answers whether a router can be given clients.
 func readiness(path string, ready func() bool) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
@@ -138,10 +157,37 @@
 
 type guarded struct{}
 
+// mostHead bounds a request's head whatever the plan allows.
+const mostHead = 1 << 20
+
+// HeadLimits bound the heads of requests.
+type HeadLimits struct {
+	Bytes int
+	Wait  time.Duration
+}
+
+// clientLimits are what a client's connection may do, by the plan in force.
+type clientLimits struct {
+	idle     time.Duration // how long it may rest
+	headWait time.Duration // how long a head may take
+	headMost int           // bytes of it
+}
+
+// limits draws what clients may do from the plan in force and from the router's own least figures. Beyond what
+// the plan tells clients there is a quarter for what lies between them and here.
+func (o RelayServe) limits() clientLimits {
+	told := o.Heads()
+	return clientLimits{
+		idle:     idleFor(o.Idle, o.Resting()),
+		headWait: max(o.HeadWait, told.Wait+told.Wait/4),
+		headMost: max(o.HeadMost, told.Bytes+told.Bytes/4),
+	}
+}
+
 // guardListener watches the heads of requests on the connections it accepts.
 type guardListener struct {
 	net.Listener
-	idle func() time.Duration
+	limits func() clientLimits
 }
 
 // Accept waits for a client.
@@ -150,7 +196,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &guard{Conn: c, idle: l.idle}, nil
+	return &guard{Conn: c, limits: l.limits}, nil
 }
 
 // guard watches a request's head for two ways of telling where its body ends: net/http settles on
@@ -158,19 +204,22 @@
 type guard struct {
 	net.Conn
 	mu   sync.Mutex
-	off  bool   // the head is over
 	line []byte // of a line that is not whole yet
 	head guardedHead
 
-	idle    func() time.Duration // how long it may be idle
-	resting atomic.Bool          // the next deadline is that of an idle connection
+	limits  func() clientLimits
+	resting atomic.Bool // the next deadline is that of an idle connection
 }
 
-// SetReadDeadline sets the time of an idle connection by the plan that is in force when it becomes idle:
-// the server's own is fixed at its start.
+// SetReadDeadline sets the time of an idle connection, and that of a head, by the plan that is in force then: the
+// server's own are fixed at its start.
 func (g *guard) SetReadDeadline(t time.Time) error {
-	if g.resting.Swap(false) && !t.IsZero() {
-		t = time.Now().Add(g.idle())
+	switch {
+	case t.IsZero(), t.Before(time.Now()): // none, or one that ends a read under way
+	case g.resting.Swap(false):
+		t = time.Now().Add(g.limits().idle)
+	case !g.saw().over:
+		t = time.Now().Add(g.limits().headWait)
 	}
 	return g.Conn.SetReadDeadline(t)
 }
@@ -184,6 +233,8 @@
 
 // guardedHead is what a guard saw of a head.
 type guardedHead struct {
+	bytes  int
+	over   bool // it has come whole
 	lines  int
 	first  bool // its first line
 	length bool // a Content-Length
@@ -202,12 +253,14 @@
 }
 
 func (g *guard) watch(b []byte) {
-	for !g.off && len(b) > 0 {
+	for !g.head.over && len(b) > 0 {
 		i := bytes.IndexByte(b, '\n')
 		if i < 0 {
+			g.head.bytes += len(b)
 			g.line = append(g.line, b...)
 			return
 		}
+		g.head.bytes += i + 1
 		l := b[:i]
 		if b = b[i+1:]; len(g.line) > 0 {
 			l = append(g.line, l...)
@@ -223,7 +276,7 @@
 	case h.lines == 1:
 		h.first = bytes.HasSuffix(l, []byte(" HTTP/1.1")) || bytes.HasSuffix(l, []byte(" HTTP/1.0"))
 	case len(l) == 0:
-		g.off = true
+		h.over = true
 	case named(l, "content-length"):
 		h.length = true
 	case named(l, "transfer-encoding"):
@@ -238,7 +291,7 @@
 // next begins to watch for the next head.
 func (g *guard) next() {
 	g.mu.Lock()
-	g.off, g.head, g.line = false, guardedHead{}, g.line[:0]
+	g.head, g.line = guardedHead{}, g.line[:0]
 	g.mu.Unlock()
 }
 
@@ -248,6 +301,12 @@
 	return g.head
 }
 
+// tooLong tells whether a request's head has more bytes than the plan in force allows.
+func tooLong(q *http.Request) bool {
+	g := guardOf(q)
+	return g != nil && g.saw().bytes > g.limits().headMost
+}
+
 func guardOf(q *http.Request) *guard {
 	g, _ := q.Context().Value(guarded{}).(*guard)
 	return g
--- a/internal/soak/machine.go
+++ b/internal/soak/machine.go
@@ -187,6 +187,11 @@
 	if err != nil {
 		return errors.Wrapf(err, "settings of %s", m.name)
 	}
+	return f.launch(m, path)
+}
+
+// launch starts a machine's process with a file of settings.
+func (f *fleet) launch(m *machine, path string) error {
 	log, err := os.OpenFile(m.log(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return err
