--- a/cmd/controller/main.go
+++ b/cmd/controller/main.go
@@ -6,6 +6,7 @@
 	"os"
 
 	"tidedeck/internal/controller"
+	_ "tidedeck/internal/hangup" // signals are ignored before anything else begins
 	"tidedeck/internal/host"
 	"tidedeck/internal/protocol"
 	"tidedeck/platform"
--- a/cmd/router/main.go
+++ b/cmd/router/main.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 
+	_ "tidedeck/internal/hangup" // signals are ignored before anything else begins
 	"tidedeck/internal/host"
 	"tidedeck/internal/protocol"
 	"tidedeck/internal/router"
