--- a/cmd/controller/main.go
+++ b/cmd/controller/main.go
@@ -19,7 +19,7 @@
 		host.Confine(boot.MemoryMB, boot.Processors)
 		end(controller.Host(controller.HostOptions{
 			ID: string(boot.Node), Zone: string(boot.Zone), Regions: boot.Zones, Post: boot.Post(0), Control: boot.Controller, Admin: boot.Post(1),
-			Seeds: boot.SeedPosts(0), Follow: followSeeds, Data: boot.Data, First: boot.First, Logs: flags.Lines(), Metrics: flags.MetricsAt(boot.IP), Bind: flags.Bind, Fenced: boot.Bounds.Fenced, Losses: boot.Losses,
+			Seeds: boot.SeedPosts(0), Follow: followSeeds, Data: boot.Data, First: boot.First, Logs: flags.Lines(), Metrics: flags.MetricsAt(boot.IP), Bind: flags.Bind, Losses: boot.Losses,
 			Dialect: controller.Dialect{Servers: platform.PathServers, Plan: platform.PathConfiguration, Beacon: platform.ReadBeacon,
 				Revision: platform.Revision, Target: platform.Target, Read: platform.ReadPlan, Merge: platform.Merge, Tell: platform.Tell},
 			Timing: controller.Timing{Apply: boot.Bounds.Apply, Drain: boot.Bounds.Drain, CatchUp: boot.Bounds.CatchUp, Period: boot.Period,
--- a/internal/controller/enrol.go
+++ b/internal/controller/enrol.go
@@ -50,11 +50,10 @@
 var stagesOf = map[string]int{"live": 0, "leaving": 1, "gone": 2}
 
 const (
-	relayEvery   = 100e6
-	rollForget   = 60e9 // ended servers are remembered for so long, should a late word of theirs come
-	leaveWait    = 900e6
-	leaveResend  = 200e6
-	rollSyncTime = 2e9
+	relayEvery  = 100e6
+	rollForget  = 60e9 // ended servers are remembered for so long, should a late word of theirs come
+	leaveWait   = 900e6
+	leaveResend = 200e6
 )
 
 // enrol takes in a server's word, which may be late; it tells whether it says anything new.
--- a/internal/controller/host.go
+++ b/internal/controller/host.go
@@ -51,7 +51,6 @@
 	Logs    io.Writer
 	Dialect Dialect
 	Timing  Timing
-	Fenced  bool
 	Losses  int // core nodes that may be lost at once, with their disks
 }
 
--- a/internal/controller/proposer.go
+++ b/internal/controller/proposer.go
@@ -35,21 +35,27 @@
 	return h
 }
 
+// opWait is how long a change may wait for its turn and its rounds.
+const opWait = clock.Span(4e9)
+
+func (c *Core) newOp(apply func(protocol.Desired) (protocol.Desired, failure.Kind), done func(protocol.Desired, failure.Kind)) *op {
+	return &op{apply: apply, done: done, end: c.now.Add(opWait), phase: "wait"}
+}
+
 // propose queues a change; done hears of it exactly once.
 func (c *Core) propose(apply func(protocol.Desired) (protocol.Desired, failure.Kind), done func(protocol.Desired, failure.Kind)) {
 	if len(c.reg.queue) > 64 {
 		done(protocol.Desired{}, failure.Full)
 		return
 	}
-	c.reg.queue = append(c.reg.queue, &op{apply: apply, done: done, end: c.now.Add(4e9), phase: "wait"})
+	c.reg.queue = append(c.reg.queue, c.newOp(apply, done))
 	c.stir()
 }
 
 // proposeFirst puts a change before all that wait: operators' changes may come as fast as they are
 // taken, and must not hold up the voter set's.
 func (c *Core) proposeFirst(apply func(protocol.Desired) (protocol.Desired, failure.Kind), done func(protocol.Desired, failure.Kind)) {
-	first := &op{apply: apply, done: done, end: c.now.Add(4e9), phase: "wait"}
-	c.reg.queue = append([]*op{first}, c.reg.queue...)
+	c.reg.queue = append([]*op{c.newOp(apply, done)}, c.reg.queue...)
 	c.stir()
 }
 
--- a/internal/host/post.go
+++ b/internal/host/post.go
@@ -67,23 +67,25 @@
 
 func newPost(ctx context.Context, told string, wait time.Duration, take func(protocol.Env)) *post {
 	dialer := Dialer(told, wait)
-	return &post{dial: boundUnacknowledged(dialer), lines: map[string]*peerLine{}, began: time.Now(), ctx: ctx, take: take}
+	return &post{dial: BoundUnacknowledged(dialer, unacknowledgedLimit), lines: map[string]*peerLine{}, began: time.Now(), ctx: ctx, take: take}
 }
 
-// boundUnacknowledged makes a dialer set TCP_USER_TIMEOUT on its connections.
-func boundUnacknowledged(dialer *net.Dialer) *net.Dialer {
+// BoundUnacknowledged gives a copy of a dialer that sets TCP_USER_TIMEOUT on its connections: bytes that are not
+// acknowledged for so long end them.
+func BoundUnacknowledged(dialer *net.Dialer, limit time.Duration) *net.Dialer {
+	bounded := *dialer
 	before := dialer.Control
-	dialer.Control = func(network, address string, c syscall.RawConn) error {
+	bounded.Control = func(network, address string, c syscall.RawConn) error {
 		if before != nil {
 			if err := before(network, address, c); err != nil {
 				return err
 			}
 		}
 		return c.Control(func(fd uintptr) {
-			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledgedLimit.Milliseconds()))
+			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
 		})
 	}
-	return dialer
+	return &bounded
 }
 
 // reopened notes that a peer opened a new stream to this process: it may have started anew, or come
--- a/internal/router/conns.go
+++ b/internal/router/conns.go
@@ -16,11 +16,11 @@
 	"time"
 
 	"tidedeck/internal/generic"
+	"tidedeck/internal/host"
 	"tidedeck/internal/ident"
 	"tidedeck/internal/invariant"
 
 	"github.com/go-faster/errors"
-	"golang.org/x/sys/unix"
 )
 
 // ConnOptions bound the kept connections to servers.
@@ -182,19 +182,7 @@
 
 func newConns(o ConnOptions) *conns {
 	o = o.Defaults()
-	d := *o.Dialer
-	then, unanswered := d.Control, o.Unanswered
-	d.Control = func(network, address string, c syscall.RawConn) error {
-		if then != nil {
-			if err := then(network, address, c); err != nil {
-				return err
-			}
-		}
-		return c.Control(func(fd uintptr) {
-			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unanswered.Milliseconds()))
-		})
-	}
-	o.Dialer = &d
+	o.Dialer = host.BoundUnacknowledged(o.Dialer, o.Unanswered)
 	return &conns{o: o, idle: map[endpoint][]*conn{}}
 }
 
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -113,8 +113,6 @@
 // Use sets who decides, before the first request comes.
 func (r *Relay) Use(d Decider) { r.core = d }
 
-// Forget closes the idle connections to a server's address.
-func (r *Relay) Forget(addr string) { r.conns.closeIdle(addr) }
 
 // Close closes the idle connections to servers.
 func (r *Relay) Close() { r.conns.close() }
