--- /dev/null
+++ b/internal/controller/contention_test.go
@@ -0,0 +1,68 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"tidedeck/internal/clock"
+	"tidedeck/internal/failure"
+)
+
+// mostOrders is how many orders operators have under way at once.
+const mostOrders = 8
+
+// pendingOrder is an order that operators send again, to any node, until it is taken.
+type pendingOrder struct {
+	admin       Admin
+	first, last clock.Tick
+	answers     []func() *Receipt
+}
+
+// Eight orders are under way all the time, each at any node and sent again where no answer came within a second:
+// proposers outbid each other, and every order must still be taken in time.
+func TestOrdersUnderContention(t *testing.T) {
+	for _, delay := range []clock.Span{2e6, 20e6} {
+		c := newTunedCluster(t, nil, hostedTimes, "a", "b", "c")
+		c.plans["1"] = modelPlan(8, "llm|m")
+		c.delay = delay
+		nodes := []string{"a", "b", "c"}
+		var open []*pendingOrder
+		sent, taken, longest := 0, 0, clock.Span(0)
+		send := func(o *pendingOrder) {
+			o.last = c.at
+			o.answers = append(o.answers, c.admin(nodes[c.dice.IntN(len(nodes))], o.admin))
+		}
+		for end := c.at.Add(60e9); c.at < end; c.tick() {
+			for len(open) < mostOrders {
+				sent++
+				o := &pendingOrder{admin: Admin{Op: "put", Raw: []byte("1"), Any: true, Change: fmt.Sprint("order-", sent)}, first: c.at}
+				open = append(open, o)
+				send(o)
+			}
+			var left []*pendingOrder
+			for _, o := range open {
+				done := false
+				for _, answer := range o.answers {
+					r := answer()
+					done = done || r != nil && r.Kind == failure.None
+				}
+				switch {
+				case done:
+					taken++
+					longest = max(longest, c.at.Sub(o.first))
+				case c.at.Sub(o.last) > 1e9:
+					send(o)
+					left = append(left, o)
+				default:
+					left = append(left, o)
+				}
+			}
+			open = left
+			c.out = c.out[max(0, len(c.out)-4000):]
+		}
+		t.Logf("delay %v: %d orders taken in 60 s, the longest after %v", delay, taken, longest)
+		require.Less(t, longest, 4*clock.Span(1e9))
+	}
+}
