Changes that wait at one node go through in the same rounds; the oldest back off least

Proposers at three nodes outbid each other; each node put its queued orders through one at a time, so that eight orders under way wanted eight winning rounds beside two other proposers, and who lost backed off ever longer. Ruled out: what an acknowledgement costs after 700 versions (the test has one small value and is as slow). Weighed: forwarding all changes to the owner (a new message and a wait on a node that may be cut off); not needed for the bound. Change: a proposer applies all changes that wait at its node to the value that it found, one after the other, in one ballot; each is answered by its own outcome. After a second a change backs off by the least span.

--- a/internal/controller/admin.go
+++ b/internal/controller/admin.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 
 	jsonpatch "github.com/evanphx/json-patch/v5"
@@ -115,6 +116,10 @@
 		}
 		return n, failure.None
 	}, func(v protocol.Desired, k failure.Kind) {
+		if (k == failure.Conflict || k == failure.Faulty) && c.hasTaken(a.Change) {
+			// A repeat of it went through in the same rounds, behind another: it is not told as refused.
+			v, k = *c.reg.known, failure.Repeated
+		}
 		r := Receipt{Token: a.Token, Kind: k, Epoch: v.Epoch, Faults: faults, Empty: v.Empty}
 		switch k {
 		case failure.None:
@@ -138,6 +143,12 @@
 	})
 }
 
+// hasTaken tells whether the newest value known to be chosen has a change.
+func (c *Core) hasTaken(change string) bool {
+	k := c.reg.known
+	return change != "" && k != nil && slices.ContainsFunc(k.Done, func(x protocol.Change) bool { return x.ID == change })
+}
+
 func (c *Core) putPlan(a Admin) {
 	if _, f := c.parse(a.Raw); f != nil {
 		c.receipt(Receipt{Token: a.Token, Kind: failure.Faulty, Faults: f})
--- a/internal/controller/proposer.go
+++ b/internal/controller/proposer.go
@@ -25,6 +25,8 @@
 	kind   failure.Kind
 	risky  bool // an accept was sent whose fate is not settled
 	fails  int
+	after  protocol.Desired // the value after this change, in the rounds under way
+	joined []*op            // changes that go through in the same rounds, each after the one before
 }
 
 func (c *Core) latest() *protocol.Desired {
@@ -94,10 +96,21 @@
 	}
 }
 
+// An attempt that was outbid waits for up to leastBackoff, twice as long after each further one. A change that has
+// waited for urgentAfter does not wait so long any more: else those that lost most would go on losing.
+const (
+	leastBackoff     = clock.Span(20e6)
+	backoffDoublings = 4
+	urgentAfter      = clock.Span(1e9)
+)
+
 func (c *Core) again(o *op) {
 	o.fails++
 	o.phase = "wait"
-	back := clock.Span(20e6) << min(o.fails, 4)
+	back := leastBackoff << min(o.fails, backoffDoublings)
+	if c.now.Sub(o.end.Add(-opWait)) > urgentAfter {
+		back = leastBackoff // those that came later give way
+	}
 	o.wake = c.now.Add(back/2 + clock.Span(c.o.Rand.Int64N(int64(back))))
 	c.tally.Conflicts++
 }
@@ -130,10 +143,7 @@
 			return
 		}
 	}
-	o.next, o.kind = o.apply(now)
-	if o.kind != failure.None {
-		o.next = now
-	}
+	c.applyAll(o, now)
 	o.phase, o.sent, o.yes = "accept", c.now, map[ident.Node]ident.Inc{}
 	o.risky = true
 	for _, p := range electors(both(o.set, o.next)) {
@@ -141,6 +151,48 @@
 	}
 }
 
+// mostJoined bounds how many changes go through in the same rounds.
+const mostJoined = 16
+
+// applyAll applies a change to the newest value, and behind it the changes that wait at this node: they all become
+// part of one value, so that the node's changes do not take a turn each against other proposers'.
+func (c *Core) applyAll(o *op, now protocol.Desired) {
+	for len(c.reg.queue) > 0 && len(o.joined) < mostJoined {
+		o.joined = append(o.joined, c.reg.queue[0])
+		c.reg.queue = c.reg.queue[1:]
+	}
+	o.next = o.on(now)
+	for _, x := range o.joined {
+		o.next = x.on(o.next)
+		x.risky = true
+	}
+}
+
+// on gives the value after this change: the same if it does not go through.
+func (o *op) on(value protocol.Desired) protocol.Desired {
+	o.after, o.kind = o.apply(value)
+	if o.kind != failure.None {
+		o.after = value
+	}
+	return o.after
+}
+
+// givenUp is what is told of a change whose time is over: it may have been taken once an accept with it was sent.
+func (o *op) givenUp() failure.Kind {
+	if o.risky {
+		return failure.Unclear
+	}
+	return failure.NotReady
+}
+
+// settle tells everyone whose change went through the rounds, or did not, in the order in which they were applied.
+func (o *op) settle() {
+	o.done(o.after, o.kind)
+	for _, x := range o.joined {
+		x.done(x.after, x.kind)
+	}
+}
+
 func both(a, b protocol.Desired) protocol.Desired {
 	a.Prior = append(append(append([]protocol.Voter{}, a.Prior...), b.Voters...), b.Prior...)
 	return a
@@ -164,6 +216,6 @@
 	}
 	c.reg.op = nil
 	c.learn(o.ballot, o.next)
-	o.done(o.next, o.kind)
+	o.settle()
 	c.stir()
 }
--- a/internal/controller/register.go
+++ b/internal/controller/register.go
@@ -4,7 +4,6 @@
 	"bytes"
 
 	"tidedeck/internal/clock"
-	"tidedeck/internal/failure"
 	"tidedeck/internal/ident"
 	"tidedeck/internal/protocol"
 )
@@ -90,10 +89,8 @@
 		switch {
 		case c.now > o.end:
 			r.op = nil
-			k := failure.NotReady
-			if o.risky {
-				k = failure.Unclear
-			}
+			k := o.givenUp()
+			r.queue = append(o.joined, r.queue...) // each has its own time
 			o.done(protocol.Desired{}, k)
 		case o.phase != "wait" && c.now.Sub(o.sent) > 700e6:
 			c.again(o)
@@ -102,7 +99,7 @@
 	for len(r.queue) > 0 && c.now > r.queue[0].end {
 		o := r.queue[0]
 		r.queue = r.queue[1:]
-		o.done(protocol.Desired{}, failure.NotReady)
+		o.done(protocol.Desired{}, o.givenUp())
 	}
 	c.stir()
 	c.dropReads()
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -113,7 +113,6 @@
 // Use sets who decides, before the first request comes.
 func (r *Relay) Use(d Decider) { r.core = d }
 
-
 // Close closes the idle connections to servers.
 func (r *Relay) Close() { r.conns.close() }
 
