--- a/internal/localfleet/localfleet_test.go
+++ b/internal/localfleet/localfleet_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/invariant"
 	"tidedeck/internal/standin"
 )
 
@@ -54,6 +55,18 @@
 // raiseLinked raises a fleet whose machines have links that can be cut.
 func raiseLinked(t *testing.T, name string) rig { return rise(t, name, NewLinked) }
 
+// noViolations fails a test if any process logged that an invariant was violated.
+func noViolations(t *testing.T, folder string) {
+	logs, err := filepath.Glob(filepath.Join(folder, "*.log"))
+	require.NoError(t, err)
+	require.NotEmpty(t, logs)
+	for _, log := range logs {
+		raw, err := os.ReadFile(log)
+		require.NoError(t, err)
+		require.NotContains(t, string(raw), invariant.Sign, log)
+	}
+}
+
 func rise(t *testing.T, name string, lay func(Shape, string, string, []byte) *Fleet) rig {
 	t.Helper()
 	raw, err := os.ReadFile("../../examples/" + name + ".json")
@@ -66,6 +79,7 @@
 	t.Cleanup(stop)
 	f := lay(Shapes[name], bins, t.TempDir(), raw)
 	t.Cleanup(f.Links.Close)
+	t.Cleanup(func() { noViolations(t, f.Dir) }) // once all processes have ended
 	for n := range f.Servers {
 		f.Procs[n].Args = append(f.Procs[n].Args, "--whole-ms", "100000") // nor on how soon it is scheduled
 	}
