--- a/internal/controller/admin.go
+++ b/internal/controller/admin.go
@@ -115,32 +115,35 @@
 			n.Done = n.Done[len(n.Done)-maxChanges:]
 		}
 		return n, failure.None
-	}, func(v protocol.Desired, k failure.Kind) {
-		if (k == failure.Conflict || k == failure.Faulty) && c.hasTaken(a.Change) {
-			// A repeat of it went through in the same rounds, behind another: it is not told as refused.
-			v, k = *c.reg.known, failure.Repeated
-		}
-		r := Receipt{Token: a.Token, Kind: k, Epoch: v.Epoch, Faults: faults, Empty: v.Empty}
-		switch k {
-		case failure.None:
-			c.tally.Changes++
-			c.acknowledged(v.Epoch)
-		case failure.Repeated: // it was taken before: say under which epoch
-			r.Kind = failure.None
-			for _, x := range v.Done {
-				if x.ID == a.Change {
-					r.Epoch = x.Epoch
-				}
+	}, func(v protocol.Desired, k failure.Kind) { c.answerChange(a, began, v, k, faults) })
+}
+
+// answerChange tells an operator what became of a change.
+func (c *Core) answerChange(a Admin, began clock.Tick, v protocol.Desired, k failure.Kind, faults fleetplan.Faults) {
+	if (k == failure.Conflict || k == failure.Faulty) && c.hasTaken(a.Change) {
+		// A repeat of it went through in the same rounds, behind another: it is not told as refused.
+		v, k = *c.reg.known, failure.Repeated
+	}
+	r := Receipt{Token: a.Token, Kind: k, Epoch: v.Epoch, Faults: faults, Empty: v.Empty}
+	switch k {
+	case failure.None:
+		c.tally.Changes++
+		c.acknowledged(v.Epoch)
+	case failure.Repeated: // it was taken before: say under which epoch
+		r.Kind = failure.None
+		for _, x := range v.Done {
+			if x.ID == a.Change {
+				r.Epoch = x.Epoch
 			}
-		case failure.Conflict:
-			r.Why = fmt.Sprintf("the epoch in force is %d", v.Epoch)
-		case failure.Unclear:
-			r.Why = "it is not known whether the change was taken; repeat it under the same change id, or read the plan"
 		}
-		c.note("operator's change answered", field("op", a.Op), field("change", a.Change), field("expected", a.Expect),
-			field("number", a.Number), field("outcome", k), field("epoch", r.Epoch), field("took_ms", c.now.Sub(began).Milliseconds()))
-		c.receipt(r)
-	})
+	case failure.Conflict:
+		r.Why = fmt.Sprintf("the epoch in force is %d", v.Epoch)
+	case failure.Unclear:
+		r.Why = "it is not known whether the change was taken; repeat it under the same change id, or read the plan"
+	}
+	c.note("operator's change answered", field("op", a.Op), field("change", a.Change), field("expected", a.Expect),
+		field("number", a.Number), field("outcome", k), field("epoch", r.Epoch), field("took_ms", c.now.Sub(began).Milliseconds()))
+	c.receipt(r)
 }
 
 // hasTaken tells whether the newest value known to be chosen has a change.
--- a/internal/controller/enrol.go
+++ b/internal/controller/enrol.go
@@ -80,8 +80,7 @@
 			}
 			c.retire(o)
 		}
-		c.tally.Enrolments++
-		c.note("server enrolled", field("server", b.ID), field("address", b.Addr), field("state", b.State))
+		c.noteEnrolled(b)
 		e.keeps(b.Held)
 		c.roll[b.ID] = e
 		c.applyRoll(e)
@@ -137,6 +136,12 @@
 	return true
 }
 
+// noteEnrolled counts and logs a server that was not known.
+func (c *Core) noteEnrolled(b protocol.Beacon) {
+	c.tally.Enrolments++
+	c.note("server enrolled", field("server", b.ID), field("address", b.Addr), field("state", b.State))
+}
+
 // retire takes a server for gone whose address another start of a server has.
 func (c *Core) retire(o *enrolled) {
 	if o.State != "gone" {
--- a/internal/router/host.go
+++ b/internal/router/host.go
@@ -65,6 +65,14 @@
 	return core, beside
 }
 
+// headLimits gives what a plan allows heads to be; nothing is said without one.
+func headLimits(p *fleetplan.Plan) HeadLimits {
+	if p == nil {
+		return HeadLimits{}
+	}
+	return HeadLimits{Bytes: p.HeadMost, Wait: p.HeadWait}
+}
+
 // Host runs a router and its agent under a hosting platform until it is told to stop.
 func Host(h HostOptions) error {
 	ring := host.NewRingWith(host.RingOptions{Name: h.ID, Out: os.Stderr, Lines: h.Logs})
@@ -81,12 +89,7 @@
 		}
 		return most, wait
 	}
-	heads := func() (l HeadLimits) {
-		if p := inForce(); p != nil {
-			l = HeadLimits{Bytes: p.HeadMost, Wait: p.HeadWait}
-		}
-		return l
-	}
+	heads := func() HeadLimits { return headLimits(inForce()) }
 	resting := func() (told time.Duration) {
 		if p := inForce(); p != nil {
 			told = p.Idle
--- a/internal/router/relay_serve.go
+++ b/internal/router/relay_serve.go
@@ -103,10 +103,17 @@
 		return errors.Wrap(err, "serve")
 	case <-stop:
 	}
+	o.finish(front, in, func() { turn.Store(true) })
+	return nil
+}
+
+// finish ends the service of clients in order: they are led elsewhere for a while, then nothing new is taken, and
+// what is under way may end.
+func (o RelayServe) finish(front *http.Server, in net.Listener, turn func()) {
 	ctx, done := context.WithTimeout(context.Background(), o.Grace)
 	defer done()
 	time.Sleep(min(o.Lame/2, o.Grace))
-	turn.Store(true) // clients that are still here go elsewhere with their next request
+	turn() // clients that are still here go elsewhere with their next request
 	t := time.NewTimer(o.Lame - o.Lame/2)
 	defer t.Stop()
 	select {
@@ -119,7 +126,7 @@
 	_ = in.Close()
 	o.Relay.idle(ctx)
 	if front.Shutdown(ctx) == nil {
-		return nil
+		return
 	}
 	_ = front.Close() // whoever is still served by then is cut off
 	for range 50 {
@@ -128,7 +135,6 @@
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	return nil
 }
 
 // idlePoll is the time between two looks at what is under way.
