--- a/internal/localfleet/hollow.go
+++ b/internal/localfleet/hollow.go
@@ -344,6 +344,10 @@
 	case protocol.Ask:
 		h.ask(n, role, v)
 	case protocol.Note:
+		if server, dark := takenForDark(v); dark {
+			h.sawDark(server)
+			return
+		}
 		h.note(n, v.Text)
 	case protocol.Oops:
 		h.note(n, v.Text)
@@ -360,17 +364,32 @@
 	}
 }
 
-func (h *Hollow) note(n *hollowNode, s string) {
-	w := strings.Fields(s)
-	if len(w) > 2 && w[0] == "server" && (strings.HasSuffix(s, "is silent") || strings.HasSuffix(s, "does not answer")) {
-		if at, ok := h.failing[ident.Server(w[1])]; ok {
-			h.Missed = append(h.Missed, h.now.Sub(at))
-			delete(h.failing, ident.Server(w[1]))
-		} else {
-			h.Notes["a live server is taken for dark"]++
+// takenForDark tells whether a log line says that a server is taken for dark, and which.
+func takenForDark(line protocol.Note) (server ident.Server, dark bool) {
+	if line.Text != "server does not answer" && line.Text != "server is silent and does not answer" {
+		return "", false
+	}
+	for _, f := range line.Fields {
+		if id, ok := f.Value.(ident.Server); ok && f.Name == "server" {
+			server = id
 		}
+	}
+	return server, server != ""
+}
+
+// sawDark notes how long after its failure a server was taken for dark.
+func (h *Hollow) sawDark(server ident.Server) {
+	at, failed := h.failing[server]
+	if !failed {
+		h.Notes["a live server is taken for dark"]++
 		return
 	}
+	h.Missed = append(h.Missed, h.now.Sub(at))
+	delete(h.failing, server)
+}
+
+func (h *Hollow) note(n *hollowNode, s string) {
+	w := strings.Fields(s)
 	if strings.HasPrefix(s, "duty") && strings.HasSuffix(s, "begins") {
 		h.Reigns = append(h.Reigns, h.now)
 	}
