Sight: why sessions begin, who goes on without a lease, how a configuration spreads

Nothing told apart a router that is cut off from one that is late: the log now says why a session of a router's link begins, when attempts go out without a lease and by which version, which configurations came too late for their session, when a core or an agent stood still, and how long a configuration took until every router had it or had no lease. Counters: router sentunleased, agent stalenews and stalls, controller stalls. No logic is changed.

--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -58,9 +58,13 @@
 	cores    []protocol.Sibling
 	turn     int
 	newest   *protocol.Desired
+	stall    clock.Stall
 	tally    Tally
 }
 
+// stallLeast is a gap between two beats that the log tells of.
+const stallLeast = clock.Span(250e6)
+
 // way is how the owner is reached: straight, or through a sibling.
 type way struct {
 	to  protocol.Sibling
@@ -70,13 +74,15 @@
 // Tally counts what an agent did.
 type Tally struct {
 	Renews, Grants, Sessions, Turns, Carried uint64
+	StaleNews                                uint64 // changes of an earlier session, which are passed over
+	Stalls                                   uint64 // the process stood still
 }
 
 // New makes an agent.
 func New(o Options) *Core {
 	generic.SetDefault(&o.Keep, 400e6)
 	generic.SetDefault(&o.Wait, 350e6)
-	c := &Core{o: o, sent: map[uint64]clock.Tick{}, cores: o.Seeds}
+	c := &Core{o: o, sent: map[uint64]clock.Tick{}, cores: o.Seeds, stall: clock.Stall{Least: stallLeast}}
 	c.mates = membership.New(membership.Options{
 		Me:    protocol.Member{Sibling: o.Me, Role: "agent", Zone: o.Zone, Inc: o.Inc},
 		Seeds: o.Seeds, Rand: o.Rand,
@@ -122,13 +128,14 @@
 }
 
 // session begins a new life of the link: whatever the router has is suspect from here on.
-func (c *Core) session() {
+func (c *Core) session(why string) {
 	c.ses = protocol.Session{Node: c.o.Me.ID, Agent: c.o.Life, Router: c.router, N: c.ses.N + 1}
 	c.until, c.duty, c.fresh, c.heard = 0, 0, true, 0
 	c.sent = map[uint64]clock.Tick{}
 	c.next = c.now
 	c.tally.Sessions++
-	c.note("session begins", protocol.Field{Name: "session", Value: c.ses.N}, protocol.Field{Name: "way", Value: c.way.to.Addr})
+	c.note("session begins", protocol.Field{Name: "session", Value: c.ses.N}, protocol.Field{Name: "why", Value: why}, protocol.Field{Name: "way", Value: c.way.to.Addr},
+		protocol.Field{Name: "epoch", Value: c.epoch})
 	c.tell()
 }
 
@@ -158,7 +165,7 @@
 		c.gather(b.Burden)
 		if b.Router != c.router {
 			c.router = b.Router
-			c.session()
+			c.session("the router is new")
 			c.beat()
 		} else if b.Session != c.ses {
 			c.tell()
@@ -197,7 +204,7 @@
 	}
 	if c.duty != 0 && d != c.duty {
 		if d > c.duty {
-			c.session()
+			c.session("another owner speaks")
 		}
 		return false
 	}
@@ -236,7 +243,7 @@
 	}
 	if b.Gone {
 		c.owned = c.now
-		c.session()
+		c.session("the owner does not know it")
 		return
 	}
 	if b.Hint.ID != "" && b.Hint.Addr != c.way.to.Addr {
@@ -248,6 +255,7 @@
 func (c *Core) onNews(e protocol.Env, b protocol.News) {
 	c.owned = c.now
 	if !c.same(b.Session, b.Duty) {
+		c.passOver(b)
 		return
 	}
 	for _, i := range b.Items {
@@ -256,6 +264,17 @@
 	c.down(b)
 }
 
+// passOver counts and logs changes that come too late for their session.
+func (c *Core) passOver(b protocol.News) {
+	c.tally.StaleNews += uint64(len(b.Items))
+	for _, i := range b.Items {
+		if i.Desired != nil {
+			c.note("a configuration comes too late for its session", protocol.Field{Name: "session", Value: b.Session.N}, protocol.Field{Name: "now", Value: c.ses.N},
+				protocol.Field{Name: "its_epoch", Value: i.Desired.Epoch}, protocol.Field{Name: "epoch", Value: c.epoch})
+		}
+	}
+}
+
 // keep remembers the newest desired state seen, for a core that has lost everything.
 func (c *Core) keep(d *protocol.Desired) {
 	if d != nil && d.Newer(c.newest) {
@@ -264,12 +283,16 @@
 }
 
 func (c *Core) beat() {
+	if gap := c.stall.Beat(c.now); gap > 0 {
+		c.tally.Stalls++
+		c.note("stood still", protocol.Field{Name: "ms", Value: gap.Milliseconds()})
+	}
 	c.post(c.mates.Beat(c.now)...)
 	if c.router == 0 {
 		return
 	}
 	if c.until != 0 && c.now > c.until {
-		c.session() // the hold ran out: after a reconnect everything is suspect
+		c.session("its lease ran out") // after a reconnect everything is suspect
 	}
 	if p := c.apart(); p != c.parted {
 		c.parted = p
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -156,6 +156,8 @@
 	began      bool
 	ackedEpoch ident.Epoch // the highest that was told as taken here
 	ending     bool        // a planned stop is under way: the duty is not taken any more
+	rollout    rollout     // of the newest configuration, while this node owns the duty
+	stall      clock.Stall // of this process
 }
 
 // Tally counts what a core node did; it is what its metrics show.
@@ -167,6 +169,7 @@
 	Doubts, Looks, Yields                                   uint64
 	Beacons, Enrolments, Leaves, LeavesUnheard              uint64
 	Orders, OrdersRefused, OrdersUnanswered, Reports        uint64
+	Stalls                                                  uint64 // the process stood still
 }
 
 // New makes a core node.
@@ -185,6 +188,7 @@
 		Seeds: o.Seeds, Rand: o.Rand,
 	})
 	c.reg.init(o.Inc)
+	c.stall.Least = stallLeast
 	c.mark, c.eye.round = firstNumber(o.Inc), firstNumber(o.Inc)
 	return c
 }
@@ -258,7 +262,14 @@
 	}
 }
 
+// stallLeast is a gap between two beats that the log tells of.
+const stallLeast = clock.Span(250e6)
+
 func (c *Core) beat() {
+	if gap := c.stall.Beat(c.now); gap > 0 {
+		c.tally.Stalls++
+		c.note("stood still", field("ms", gap.Milliseconds()), field("owns", c.rules()))
+	}
 	c.post(c.mates.Beat(c.now)...)
 	c.beatRegister()
 	c.beatDuty()
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -314,6 +314,7 @@
 // pushAll sends the desired state down every link.
 func (c *Core) pushAll() {
 	d, bytes := *c.reg.known, &protocol.Packed{}
+	c.beginRollout(d.Epoch)
 	for _, l := range c.sorted() {
 		for i := range l.items {
 			l.items[i].Desired = nil // what a newer one follows need not come: its number alone does
@@ -330,8 +331,10 @@
 		if c.now > l.until {
 			if len(l.items) > 0 {
 				c.tally.Lapses++
+				c.rollout.lapsed++
 				c.note("router's lease ran out with changes unacknowledged", field("router", l.ses.Node), field("session", l.ses.N),
-					field("unacknowledged", len(l.items)), field("owes", l.owes()))
+					field("unacknowledged", len(l.items)), field("owes", l.owes()), field("configuration", l.owesDesired()),
+					field("waited_ms", c.now.Sub(l.sentAt).Milliseconds()))
 			}
 			c.count(l, nil)
 			delete(c.links, l.ses)
@@ -342,6 +345,7 @@
 			l.sent = l.heard // unacknowledged changes go out again
 		}
 	}
+	c.watchRollout()
 	for s, t := range c.tombs {
 		if c.now.Sub(t) > 60e9 {
 			delete(c.tombs, s)
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -48,6 +48,9 @@
 		return false
 	}
 	c.countSend(r)
+	if !c.leased() {
+		c.tally.SentUnleased++
+	}
 	return true
 }
 
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -175,6 +175,7 @@
 	ending   bool // it stops: nobody waits here any more
 
 	wasLeased bool // as the log was told last
+	wasAlone  bool // likewise: attempts go out without a lease
 
 	lastBeat clock.Tick
 	pausedAt clock.Tick // when a beat last came late: the process stood still
@@ -189,6 +190,7 @@
 	Waited                                              uint64
 	Drops                                               map[failure.Kind]uint64
 	Dropped, Plans, Sessions, StaleNews, OldPlans, Quit uint64
+	SentUnleased                                        uint64 // attempts sent without a lease, by what was known
 }
 
 // New makes a router.
@@ -249,6 +251,11 @@
 		c.wasLeased = held
 		c.note("lease", protocol.Field{Name: "held", Value: held}, protocol.Field{Name: "parted", Value: c.parted}, protocol.Field{Name: "epoch", Value: c.epoch})
 	}
+	if alone := c.alone(); alone != c.wasAlone {
+		c.wasAlone = alone
+		c.note("attempts go out without a lease", protocol.Field{Name: "begins", Value: alone}, protocol.Field{Name: "epoch", Value: c.epoch},
+			protocol.Field{Name: "session", Value: c.ses.N}, protocol.Field{Name: "since_lease_ms", Value: c.now.Sub(c.until).Milliseconds()})
+	}
 }
 
 func (c *Core) send(body any) {
