Red: a router that is late with a configuration goes on by an older one

The checker asks whether a router would send before it holds its version against what was told: one without a lease that sends nothing breaks no promise.

--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -474,6 +474,12 @@
 	return c.gen, c.epoch, now < c.until
 }
 
+// Routes tells whether the router would send anything now: under its lease, or without one by what it knew.
+func (c *Core) Routes(now clock.Tick) bool {
+	c.now = now
+	return c.leased() || c.alone()
+}
+
 // Size tells how many entries are cached and how many requests wait.
 func (c *Core) Size() (entries, waiting int) { return len(c.entries), c.queued }
 
--- a/internal/simulator/hosted_check.go
+++ b/internal/simulator/hosted_check.go
@@ -147,7 +147,11 @@
 		if w.now < p.froze || !w.inTouch(p) {
 			continue
 		}
-		_, e, _ := p.core.(*router.Core).Rules(p.tick(w.now))
+		r := p.core.(*router.Core)
+		if !r.Routes(p.tick(w.now)) {
+			continue // it sends nothing, by whatever it has
+		}
+		_, e, _ := r.Rules(p.tick(w.now))
 		for _, s := range k.states {
 			if s.told != 0 && s.epoch > e && w.now.Sub(s.told) > w.o.Hosted.Timing.Apply && !k.batch.lates[fmt.Sprint(p.name, s.epoch)] {
 				k.batch.lates[fmt.Sprint(p.name, s.epoch)] = true
--- a/internal/simulator/hosted_scenes.go
+++ b/internal/simulator/hosted_scenes.go
@@ -74,7 +74,9 @@
 	look()
 }
 
-func init() { Scenes = append(append(Scenes, hostedScenes...), mendedScenes...) }
+func init() {
+	Scenes = append(append(append(Scenes, hostedScenes...), mendedScenes...), narrowScenes...)
+}
 
 // hostedScenes are those with servers that announce themselves to the core and check no fence.
 var hostedScenes = []Scene{
--- /dev/null
+++ b/internal/simulator/narrow_scenes.go
@@ -0,0 +1,96 @@
+package simulator
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+
+	"tidedeck/internal/clock"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/ident"
+)
+
+// narrowed sets a world of announced servers up in which a configuration takes a while: routers' links carry 10 Mbit/s,
+// and their processes have a small part of a core.
+func narrowed(n Narrow, more func(h *Hosted)) func(o *Options) {
+	return func(o *Options) {
+		hosted(more)(o)
+		o.Narrow = &n
+		o.Plan = largePlan(o.Seed)
+	}
+}
+
+const (
+	routerLink = 10e6 / 8
+	coreLink   = 1000e6 / 8
+	manyRoutes = 1400
+)
+
+// largePlan is hostedPlan with many routes more, whose names do not repeat each other.
+func largePlan(seed uint64) []byte {
+	var s sheet
+	if err := json.Unmarshal(hostedPlan(), &s); err != nil {
+		panic(err)
+	}
+	random := rand.New(rand.NewPCG(seed, 5))
+	for range manyRoutes {
+		s.Routes = append(s.Routes, sheetRoute{fmt.Sprintf("%x.example", random.Uint32()), fmt.Sprintf("/%x/", random.Uint64()), "plain", fleetplan.Idempotent, 990, 3000, 3})
+	}
+	raw, err := json.Marshal(s)
+	if err != nil {
+		panic(err)
+	}
+	return raw
+}
+
+// changes has an operator send one change after another, each on the newest version, and each moving a route between
+// the services, so that what an older version allows is seen.
+func (w *World) changes(from, to, gap float64) {
+	n := 0
+	for t := from; t < to; t += gap {
+		w.At(sec(t), func() {
+			n++
+			on := ident.Epoch(0)
+			if s := w.Check.newest(w.now); s != nil {
+				on = s.epoch
+			}
+			w.PutNumber(fmt.Sprintf("controller-%d", 1+n%3), Named(w.o.Plan, fmt.Sprintf("change-%d", n), nil), on, on+1, nil)
+		})
+	}
+}
+
+// narrowScenes are those in which a configuration takes a while to reach routers, and to be taken in.
+var narrowScenes = []Scene{
+	{Name: "narrow-changes", About: "large configurations follow each other faster than routers take them in; nothing fails", Long: 60e9, Least: 0.9,
+		Set: narrowed(Narrow{RouterLink: routerLink / 2, CoreLink: coreLink, Reading: 350e6}, nil),
+		Play: func(w *World) {
+			w.changes(10, 18, 0.3)
+			w.changes(28, 36, 0.12)
+		}},
+	{Name: "narrow-leave", About: "the same, while servers leave", Long: 60e9, Least: 0.85,
+		Set: narrowed(Narrow{RouterLink: routerLink / 2, CoreLink: coreLink, Reading: 350e6}, nil),
+		Play: func(w *World) {
+			w.leaves(10, 44, 2)
+			w.changes(10, 18, 0.3)
+			w.changes(28, 36, 0.12)
+		}},
+	{Name: "narrow-owner", About: "the same, and the owner is killed, frozen and cut off", Long: 70e9, Least: 0.7,
+		Set: narrowed(Narrow{RouterLink: routerLink / 2, CoreLink: coreLink, Reading: 250e6}, nil),
+		Play: func(w *World) {
+			w.leaves(14, 44, 4)
+			w.changes(10, 50, 0.5)
+			for t := 12.0; t < 50; t += 9 {
+				w.At(sec(t), func() {
+					switch o := w.owner(); w.rand.IntN(3) {
+					case 0:
+						w.Restart(o, clock.Span(w.rand.Int64N(3e9)))
+					case 1:
+						w.Freeze(o, clock.Span(w.rand.Int64N(4e9)))
+					case 2:
+						w.Part(map[string]bool{o: true})
+						w.After(3e9, w.Heal)
+					}
+				})
+			}
+		}},
+}
