Plans are read by a fast tokenizer, once, and paths are written only for faults

A router read each configuration twice, by json.Decoder.Token and by json.Unmarshal, and wrote the path of each value.

--- a/internal/fleetplan/fleetplan.go
+++ b/internal/fleetplan/fleetplan.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"unicode/utf8"
 
+	"github.com/go-json-experiment/json/jsontext"
+
 	"tidedeck/internal/generic"
 )
 
@@ -37,88 +39,128 @@
 
 const depth = 32
 
+// place is where in a document something stands. Paths are written only for faults, since a document has many places.
+type place struct {
+	in    *place
+	key   string
+	index int // in a list, if there is no key
+}
+
+func (p *place) String() string {
+	switch {
+	case p == nil:
+		return "$"
+	case p.index >= 0:
+		return fmt.Sprintf("%s[%d]", p.in, p.index)
+	}
+	return p.in.String() + "." + p.key
+}
+
 // Pen is the reader's place in the tree.
 type Pen struct {
-	path string
-	val  any
-	has  bool
-	all  *Faults
+	at  *place
+	val any
+	has bool
+	all *Faults
 }
 
 // Open parses JSON and gives a reader at its root; duplicate keys and bad syntax are faults.
 func Open(raw []byte) (Pen, *Faults) {
 	all := &Faults{}
-	p := Pen{path: "$", all: all}
+	p := Pen{all: all}
 	if !utf8.Valid(raw) {
 		p.Fault("not valid UTF-8")
 		return p, all
 	}
-	d := json.NewDecoder(bytes.NewReader(raw))
-	d.UseNumber()
-	v, err := tree(d, "$", all, 0)
+	// Duplicate names are found by the tree, which knows their paths. Escapes of half characters are taken as before.
+	t := tree{decoder: jsontext.NewDecoder(bytes.NewBuffer(raw), jsontext.AllowDuplicateNames(true), jsontext.AllowInvalidUTF8(true)), all: all}
+	v, err := t.value(nil, 0)
 	if err == nil {
-		if _, end := d.Token(); end != io.EOF {
+		if _, end := t.decoder.ReadToken(); end != io.EOF {
 			err = fmt.Errorf("more follows the first value")
 		}
 	}
 	if err != nil {
-		p.Fault(fmt.Sprintf("malformed JSON near byte %d: %v", d.InputOffset(), err))
+		p.Fault(fmt.Sprintf("malformed JSON near byte %d: %v", t.decoder.InputOffset(), err))
 		return p, all
 	}
 	p.val, p.has = v, true
 	return p, all
 }
 
-func tree(d *json.Decoder, at string, all *Faults, deep int) (any, error) {
+// tree reads a document into maps, lists and plain values.
+type tree struct {
+	decoder *jsontext.Decoder
+	all     *Faults
+}
+
+func (t *tree) value(at *place, deep int) (any, error) {
 	if deep > depth {
 		return nil, fmt.Errorf("nested deeper than %d", depth)
 	}
-	t, err := d.Token()
+	token, err := t.decoder.ReadToken()
 	if err != nil {
 		return nil, err
 	}
-	switch t {
-	case json.Delim('{'):
-		m := map[string]any{}
-		for d.More() {
-			k, err := d.Token()
-			if err != nil {
-				return nil, err
-			}
-			s := k.(string)
-			p := at + "." + s
-			if _, dup := m[s]; dup {
-				*all = append(*all, Fault{p, "duplicate key"})
-			}
-			if m[s], err = tree(d, p, all, deep+1); err != nil {
-				return nil, err
-			}
+	switch token.Kind() {
+	case '{':
+		return t.table(at, deep)
+	case '[':
+		return t.list(at, deep)
+	case '"':
+		return token.String(), nil
+	case '0':
+		return json.Number(token.String()), nil
+	case 't', 'f':
+		return token.Bool(), nil
+	}
+	return nil, nil
+}
+
+func (t *tree) table(at *place, deep int) (any, error) {
+	m := map[string]any{}
+	for t.decoder.PeekKind() != '}' {
+		token, err := t.decoder.ReadToken()
+		if err != nil {
+			return nil, err
+		}
+		key := token.String()
+		here := &place{in: at, key: key, index: -1}
+		if _, dup := m[key]; dup {
+			*t.all = append(*t.all, Fault{here.String(), "duplicate key"})
+		}
+		if m[key], err = t.value(here, deep+1); err != nil {
+			return nil, err
 		}
-		_, err = d.Token()
-		return m, err
-	case json.Delim('['):
-		l := []any{}
-		for d.More() {
-			v, err := tree(d, fmt.Sprintf("%s[%d]", at, len(l)), all, deep+1)
-			if err != nil {
-				return nil, err
-			}
-			l = append(l, v)
+	}
+	_, err := t.decoder.ReadToken()
+	return m, err
+}
+
+func (t *tree) list(at *place, deep int) (any, error) {
+	l := []any{}
+	for t.decoder.PeekKind() != ']' {
+		v, err := t.value(&place{in: at, index: len(l)}, deep+1)
+		if err != nil {
+			return nil, err
 		}
-		_, err = d.Token()
-		return l, err
+		l = append(l, v)
 	}
-	return t, nil
+	_, err := t.decoder.ReadToken()
+	return l, err
 }
 
 // Fault records something wrong at this place.
-func (p Pen) Fault(why string) { *p.all = append(*p.all, Fault{p.path, why}) }
+func (p Pen) Fault(why string) { *p.all = append(*p.all, Fault{p.at.String(), why}) }
 
 // Has tells whether the place holds anything.
 func (p Pen) Has() bool { return p.has && p.val != nil }
 
 // Path tells where the reader is.
-func (p Pen) Path() string { return p.path }
+func (p Pen) Path() string { return p.at.String() }
+
+// Value gives what stands there: a map, a list, a text, a json.Number, a truth, or nothing.
+func (p Pen) Value() any { return p.val }
 
 // Only faults every key that is not among those named.
 func (p Pen) Only(keys ...string) Pen {
@@ -132,7 +174,7 @@
 			known = known || w == k
 		}
 		if !known {
-			*p.all = append(*p.all, Fault{p.path + "." + k, "unknown key"})
+			*p.all = append(*p.all, Fault{p.at.String() + "." + k, "unknown key"})
 		}
 	}
 	return p
@@ -140,7 +182,7 @@
 
 // At steps to a key.
 func (p Pen) At(key string) Pen {
-	n := Pen{path: p.path + "." + key, all: p.all}
+	n := Pen{at: &place{in: p.at, key: key, index: -1}, all: p.all}
 	if m, ok := p.val.(map[string]any); ok {
 		n.val, n.has = m[key]
 		_, n.has = m[key]
@@ -156,7 +198,7 @@
 	}
 	for _, k := range generic.SortedKeys(m) {
 		if k == "" || len(k) > 128 {
-			*p.all = append(*p.all, Fault{p.path + "." + k, "a name has 1 to 128 bytes"})
+			*p.all = append(*p.all, Fault{p.at.String() + "." + k, "a name has 1 to 128 bytes"})
 			continue
 		}
 		each(k, p.At(k))
@@ -178,7 +220,7 @@
 		return
 	}
 	for i, v := range l {
-		each(Pen{path: fmt.Sprintf("%s[%d]", p.path, i), val: v, has: true, all: p.all})
+		each(Pen{at: &place{in: p.at, index: i}, val: v, has: true, all: p.all})
 	}
 }
 
