Configurations are read ahead of the core that acts by them, and packed once

A router read a configuration under its core's lock, so that every request waited for it (649 ms as a rule at the largest site); a core node likewise. Packing for each link checked and copied the configuration three times over by encoding/json; it is copied once now.

--- a/internal/controller/host.go
+++ b/internal/controller/host.go
@@ -97,11 +97,13 @@
 // Host runs a core node under a hosting platform until it is told to stop.
 func Host(h HostOptions) error {
 	ring := host.NewRingWith(host.RingOptions{Name: h.ID, Out: os.Stderr, Lines: h.Logs})
+	plans := &fleetplan.Memo{Read: h.Dialect.Read}
+	h.Dialect.Read = plans.Plan
 	core := New(hosted(h))
 	d := &desk{wait: map[uint64]chan Receipt{}}
 	a := &announcer{wait: map[uint64]chan bool{}, desk: d, o: h}
 	d.c = host.New(host.Options{Core: core, Listen: []string{h.Bind(h.Post)}, Told: h.Post, Data: h.Data, Beat: 25 * time.Millisecond, Dial: dialWait, Ring: ring,
-		Tell: h.Dialect.Tell, Else: func(o any) {
+		Before: h.readAhead, Tell: h.Dialect.Tell, Else: func(o any) {
 			d.act(o)
 			a.act(o)
 		}})
@@ -118,6 +120,13 @@
 	return err
 }
 
+// readAhead reads a plan that another node proposes, so that the core need not stand still when it is chosen.
+func (h HostOptions) readAhead(e protocol.Env) {
+	if b, ok := e.Body.(protocol.Accept); ok && len(b.Value.Plan) > 0 {
+		_, _ = h.Dialect.Read(b.Value.Plan)
+	}
+}
+
 // announcer is the door through which servers and the platform's operators come in.
 type announcer struct {
 	mu   sync.Mutex // guards wait and next; taken after the host's
@@ -234,6 +243,9 @@
 		host.Error(w, failure.Malformed, 0, fleetplan.Faults{{Path: "If-Match", Why: "wants the number of the plan that the change goes on"}})
 		return
 	}
+	if op == "put" {
+		_, _ = a.o.Dialect.Read(raw) // ahead, so that the core need not stand still
+	}
 	h := sha256.New()
 	_, _ = fmt.Fprintf(h, "%s %d\n", op, on)
 	_, _ = h.Write(raw)
--- /dev/null
+++ b/internal/fleetplan/memo_test.go
@@ -0,0 +1,38 @@
+package fleetplan
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// What was read of late is not read again, what is faulty is never remembered, and the list stays short.
+func TestMemo(t *testing.T) {
+	reads := 0
+	m := Memo{Read: func(raw []byte) (*Plan, Faults) {
+		reads++
+		if len(raw) == 0 {
+			return nil, Faults{{Path: "$", Why: "empty"}}
+		}
+		return &Plan{Name: string(raw)}, nil
+	}}
+	for range 3 {
+		p, f := m.Plan([]byte("a"))
+		require.Nil(t, f)
+		require.Equal(t, "a", p.Name)
+	}
+	require.Equal(t, 1, reads)
+	for range 2 {
+		p, f := m.Plan(nil)
+		require.Nil(t, p)
+		require.Len(t, f, 1)
+	}
+	require.Equal(t, 3, reads)
+	for i := range 2 * memoSize {
+		_, _ = m.Plan([]byte(fmt.Sprint(i)))
+	}
+	require.Len(t, m.list, memoSize)
+	_, _ = m.Plan([]byte("a"))
+	require.Equal(t, 3+2*memoSize+1, reads)
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -70,6 +70,7 @@
 	Beat   time.Duration
 	Ring   *Ring
 	Else   func(out any)                                                   // what only the program itself can do
+	Before func(protocol.Env)                                              // looks at a message before the core does, and does not hold the core up
 	Dial   time.Duration                                                   // for a connection to come up; 500 ms, if none is said
 	Local  map[string]func(protocol.Env)                                   // cores in this very process, by the address that they are told under
 	Tell   func(context.Context, *http.Client, protocol.Ask) protocol.Told // how servers are asked, if not the product's own way
@@ -97,7 +98,7 @@
 	c := &Process{o: o, asks: make(chan protocol.Ask, 1024)}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	c.life, c.end = context.WithCancel(c.ctx)
-	c.post = newPost(c.ctx, o.Told, o.Dial, func(e protocol.Env) { c.Step(e) })
+	c.post = newPost(c.ctx, o.Told, o.Dial, c.receive)
 	c.post.local = o.Local
 	dial := Dialer(o.Told, o.Dial).DialContext
 	c.http = &http.Client{
@@ -184,6 +185,14 @@
 // Flush waits, for a while, until what the core has sent has left.
 func (c *Process) Flush(most time.Duration) { c.post.flush(most) }
 
+// receive takes a message of another process.
+func (c *Process) receive(e protocol.Env) {
+	if c.o.Before != nil {
+		c.o.Before(e)
+	}
+	c.Step(e)
+}
+
 // Step gives the core one input and does what it asks for.
 func (c *Process) Step(in any) {
 	c.mu.Lock()
--- a/internal/protocol/desired.go
+++ b/internal/protocol/desired.go
@@ -25,24 +25,46 @@
 
 // MarshalJSON writes an item; a desired state that goes to many routers is written as bytes only once.
 func (i Item) MarshalJSON() ([]byte, error) {
-	v := struct {
-		Num     uint64          `json:"n"`
-		Desired json.RawMessage `json:"d,omitempty"`
-		Entry   *Entry          `json:"e,omitempty"`
-		Break   ident.Key       `json:"b,omitempty"`
-	}{Num: i.Num, Entry: i.Entry, Break: i.Break}
-	if i.Desired != nil {
-		p := i.Packed
-		if p == nil {
-			p = &Packed{}
+	item, err := json.Marshal(struct {
+		Num   uint64    `json:"n"`
+		Entry *Entry    `json:"e,omitempty"`
+		Break ident.Key `json:"b,omitempty"`
+	}{i.Num, i.Entry, i.Break})
+	if err != nil || i.Desired == nil {
+		return item, err
+	}
+	p := i.Packed
+	if p == nil {
+		p = &Packed{}
+	}
+	p.once.Do(func() { p.bytes, p.err = json.Marshal(i.Desired) })
+	if p.err != nil {
+		return nil, p.err
+	}
+	return withMember(item, "d", p.bytes), nil
+}
+
+// pack writes changes as encoding/json would, with the items' bytes as they are.
+func (n News) pack() ([]byte, error) {
+	head, err := json.Marshal(struct {
+		Session Session
+		Duty    ident.Duty
+	}{n.Session, n.Duty})
+	if err != nil {
+		return nil, err
+	}
+	list := []byte{'['}
+	for i, item := range n.Items {
+		if i > 0 {
+			list = append(list, ',')
 		}
-		p.once.Do(func() { p.bytes, p.err = json.Marshal(i.Desired) })
-		if p.err != nil {
-			return nil, p.err
+		packed, err := item.MarshalJSON()
+		if err != nil {
+			return nil, err
 		}
-		v.Desired = p.bytes
+		list = append(list, packed...)
 	}
-	return json.Marshal(v)
+	return withMember(head, "Items", append(list, ']')), nil
 }
 
 // plainDesired has a desired state's fields and none of its methods.
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -73,17 +73,48 @@
 // Kind names a message's kind.
 func Kind(body any) string { return reflect.TypeOf(body).Name() }
 
-// Pack writes an envelope as bytes.
+// address is an envelope without its body.
+type address struct {
+	From Sibling  `json:"f"`
+	To   Sibling  `json:"t"`
+	By   *Sibling `json:"v,omitempty"`
+	Kind string   `json:"k"`
+}
+
+// Pack writes an envelope as bytes. What is written already is copied as it is: encoding/json would check and copy a
+// large configuration once more at each level, for each router.
 func Pack(e Env) ([]byte, error) {
-	b, err := json.Marshal(e.Body)
+	body, err := packBody(e.Body)
 	if err != nil {
 		return nil, errors.Wrap(err, "pack body")
 	}
-	w := wire{From: e.From, To: e.To, Kind: Kind(e.Body), Body: b}
+	to := address{From: e.From, To: e.To, Kind: Kind(e.Body)}
 	if e.By.ID != "" {
-		w.By = &e.By
+		to.By = &e.By
+	}
+	head, err := json.Marshal(to)
+	if err != nil {
+		return nil, err
+	}
+	return withMember(head, "b", body), nil
+}
+
+// withMember adds a member to a JSON object that has some.
+func withMember(object []byte, name string, value []byte) []byte {
+	out := make([]byte, 0, len(object)+len(name)+len(value)+len(`,"":`))
+	out = append(out, object[:len(object)-1]...)
+	out = append(out, `,"`...)
+	out = append(out, name...)
+	out = append(out, `":`...)
+	out = append(out, value...)
+	return append(out, '}')
+}
+
+func packBody(body any) ([]byte, error) {
+	if news, ok := body.(News); ok && len(news.Items) > 0 {
+		return news.pack()
 	}
-	return json.Marshal(w)
+	return json.Marshal(body)
 }
 
 // Unpack reads an envelope; a kind of message that is not known is an error.
--- a/internal/router/host.go
+++ b/internal/router/host.go
@@ -34,6 +34,8 @@
 	Window    clock.Span
 	Bodies    int64   // bytes of requests' bodies that are held at once; no bound if zero
 	Earn      float64 // and what each first arrival earns
+
+	plans *fleetplan.Memo
 }
 
 const (
@@ -54,6 +56,7 @@
 
 // cores makes the router and its agent, which share the process.
 func (h HostOptions) cores() (*Core, *agent.Core) {
+	h.Read = h.plans.Plan
 	core := New(Options{
 		Me: protocol.Sibling{ID: nearRouter, Addr: nearRouter}, Inc: host.NewInc(), Agent: protocol.Sibling{Addr: nearAgent},
 		Read: h.Read, Zone: ident.Zone(h.Zone), Free: true, Guards: true, Hello: clock.Span(hostedHello), Lend: h.Lend, Window: h.Window, Share: h.Earn,
@@ -65,6 +68,19 @@
 	return core, beside
 }
 
+// readAhead reads the plans that come for the router, so that requests need not wait meanwhile.
+func (h HostOptions) readAhead(e protocol.Env) {
+	news, ok := e.Body.(protocol.News)
+	if !ok {
+		return
+	}
+	for _, i := range news.Items {
+		if i.Desired != nil && len(i.Desired.Plan) > 0 {
+			_, _ = h.plans.Plan(i.Desired.Plan)
+		}
+	}
+}
+
 // headLimits gives what a plan allows heads to be; nothing is said without one.
 func headLimits(p *fleetplan.Plan) HeadLimits {
 	if p == nil {
@@ -76,6 +92,7 @@
 // Host runs a router and its agent under a hosting platform until it is told to stop.
 func Host(h HostOptions) error {
 	ring := host.NewRingWith(host.RingOptions{Name: h.ID, Out: os.Stderr, Lines: h.Logs})
+	h.plans = &fleetplan.Memo{Read: h.Read}
 	core, agent := h.cores()
 	log := NewRequestLog(h.ID, ring, defaultRequestLog)
 	var router, beside *host.Process
@@ -100,7 +117,10 @@
 	router = host.New(host.Options{Core: core, Beat: routerBeat, Ring: ring, Else: log.Tap(relay.Act),
 		Local: map[string]func(protocol.Env){nearAgent: func(e protocol.Env) { beside.Step(e) }}})
 	beside = host.New(host.Options{Core: agent, Listen: []string{h.Bind(h.Post)}, Told: h.Post, Beat: agentBeat, Dial: agentDial, Ring: ring, Else: func(any) {},
-		Local: map[string]func(protocol.Env){nearRouter: func(e protocol.Env) { router.Step(e) }}})
+		Local: map[string]func(protocol.Env){nearRouter: func(e protocol.Env) {
+			h.readAhead(e)
+			router.Step(e)
+		}}})
 	relay.Use(Held(router, core))
 	if err := beside.Run(); err != nil {
 		return err
