--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -197,9 +197,24 @@
 func (c *Process) Step(in any) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, o := range c.o.Core.Step(Now(), in) {
+	began := Now()
+	for _, o := range c.o.Core.Step(began, in) {
 		c.act(o)
 	}
+	if took := Now().Sub(began); took > longStep {
+		c.o.Ring.Info("a step took long", protocol.Field{Name: "input", Value: inputName(in)}, protocol.Field{Name: "ms", Value: took.Milliseconds()})
+	}
+}
+
+// longStep is how long a core may take over one input before the log tells of it: all else waits meanwhile.
+const longStep = clock.Span(100 * time.Millisecond)
+
+// inputName names an input for the log: a message by its kind, any other by its type.
+func inputName(in any) string {
+	if e, ok := in.(protocol.Env); ok {
+		return protocol.Kind(e.Body)
+	}
+	return fmt.Sprintf("%T", in)
 }
 
 // With lets the program look at its core.
--- a/internal/localfleet/relay.go
+++ b/internal/localfleet/relay.go
@@ -13,6 +13,7 @@
 	cond  *sync.Cond
 	cuts  map[[2]string]bool // from ip, to ip
 	slow  time.Duration
+	rates map[string]float64 // bytes that a machine's connections carry in a second, where that is little
 	conns map[net.Conn]bool
 	ears  []net.Listener
 	over  bool
@@ -20,7 +21,7 @@
 
 // NewRelays makes links that carry everything.
 func NewRelays() *Relays {
-	r := &Relays{cuts: map[[2]string]bool{}, conns: map[net.Conn]bool{}}
+	r := &Relays{cuts: map[[2]string]bool{}, rates: map[string]float64{}, conns: map[net.Conn]bool{}}
 	r.cond = sync.NewCond(&r.mu)
 	return r
 }
@@ -83,6 +84,7 @@
 		for {
 			n, err := a.Read(buf)
 			if n > 0 {
+				time.Sleep(r.takes(n, from, to))
 				if !r.pass(from, to) {
 					return
 				}
@@ -152,6 +154,29 @@
 	r.slow = d
 }
 
+// Narrow bounds what each connection from or to an address carries in a second, in bytes; zero takes the bound away.
+func (r *Relays) Narrow(ip string, bytesPerSecond float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if bytesPerSecond <= 0 {
+		delete(r.rates, ip)
+		return
+	}
+	r.rates[ip] = bytesPerSecond
+}
+
+// takes gives how long some bytes take from one address to another.
+func (r *Relays) takes(n int, from, to string) (span time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, ip := range []string{from, to} {
+		if rate := r.rates[ip]; rate > 0 {
+			span += time.Duration(float64(n) / rate * float64(time.Second))
+		}
+	}
+	return span
+}
+
 // Heal carries everything again.
 func (r *Relays) Heal() {
 	r.mu.Lock()
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -179,8 +179,14 @@
 
 func modelName(i int) string { return fmt.Sprintf("model-%d", i) }
 
+// clings tells whether a caller uses its connection until it ends, whatever is said on it but that it closes.
+func (c *caller) clings() bool { return c.number%clingingEvery == 0 }
+
+// clingingEvery is how many callers there are to one that clings to its connection.
+const clingingEvery = 3
+
 func (c *caller) one() {
-	if c.random.Float64() < freshShare || c.used >= connectionLimit {
+	if !c.clings() && (c.random.Float64() < freshShare || c.used >= connectionLimit) {
 		c.hangUp()
 	}
 	q := c.draw()
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -78,6 +78,7 @@
 	safety bool
 	trace  func(string)
 	began  time.Time
+	ledger *ledger // of the changes that operators made
 
 	mu         sync.Mutex // guards the rest
 	violations []string
@@ -293,6 +294,7 @@
 		j.violateLocked("GONE", "%d requests reached a server after their caller had left", gone)
 	}
 	j.judgeStops()
+	j.judgeConfigurations()
 	kept, calm := 0, 0
 	for _, t := range j.tries {
 		if t.over.IsZero() || !j.quiet(t.sent, t.over, true) || j.rude(t.id) {
@@ -309,6 +311,21 @@
 	j.note("%d of %d requests were in calm times", calm, len(j.tries))
 }
 
+// judgeConfigurations looks for requests that were handled by a configuration that a newer one had followed for too long.
+func (j *judge) judgeConfigurations() {
+	for _, t := range j.tries {
+		if !strings.HasPrefix(t.target, pathMoving) {
+			continue
+		}
+		for _, r := range j.runs[t.id] {
+			if !j.quiet(t.sent, r.at, true) || j.ledger.mayBeInForce(r.service, t.sent, r.at) {
+				continue
+			}
+			j.violateLocked("CONFIG", "%s, sent to %s, ran at %s of %s, by a configuration that a newer one had followed for %v", t.id, t.router, r.server, r.service, applySpan)
+		}
+	}
+}
+
 // judgeStops looks for requests that planned work cut off.
 func (j *judge) judgeStops() {
 	for _, s := range j.spans {
--- a/internal/soak/machine.go
+++ b/internal/soak/machine.go
@@ -295,6 +295,28 @@
 	return m.peakKb
 }
 
+// heedsHangup tells whether the process ignores the hang-up signal by now, or handles it.
+func (m *machine) heedsHangup() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.cmd == nil {
+		return false
+	}
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", m.cmd.Process.Pid))
+	if err != nil {
+		return false
+	}
+	for line := range strings.Lines(string(raw)) {
+		var mask uint64
+		for _, name := range []string{"SigIgn", "SigCgt"} {
+			if n, _ := fmt.Sscanf(line, name+": %x", &mask); n == 1 && mask&(1<<(syscall.SIGHUP-1)) != 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // up starts all machines, in any order, within a moment.
 func (f *fleet) up() error {
 	for _, m := range f.machines {
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -116,6 +116,26 @@
 	return c.Revision
 }
 
+// mayBeInForce tells whether a request that was sent at a time, and handled at another, may be handled by a configuration
+// under which the moving route leads to a service: one that may have been taken by then, and that no change which was
+// acknowledged longer ago than changes may take to be in force has followed.
+func (l *ledger) mayBeInForce(service string, sent, handled time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	least := uint64(0)
+	for _, c := range l.changes {
+		if !c.acked.IsZero() && sent.Sub(c.acked) > applySpan+timeSlack {
+			least = max(least, c.revision)
+		}
+	}
+	for _, c := range l.changes {
+		if c.moving == service && c.revision >= least && !c.invalid && c.refused.IsZero() && c.sent.Before(handled) {
+			return true
+		}
+	}
+	return false
+}
+
 // operator sends changes, again and again until they are answered, and reads back.
 type operator struct {
 	run    *soakRun
@@ -174,7 +194,11 @@
 	revision := base + 1 + uint64(o.random.IntN(3))
 	moving := []string{plainService, otherService}[o.random.IntN(2)]
 	c := &change{method: http.MethodPut, base: base, revision: revision, moving: moving, wholeSize: true}
-	whole := configuration(revision, moving, o.random.IntN(4), fmt.Sprintf("operator %d, %d", o.number, o.random.Uint32()))
+	extra := o.random.IntN(4)
+	if many := int(o.run.routes.Load()); many > 0 {
+		extra += many
+	}
+	whole := configuration(revision, moving, extra, fmt.Sprintf("operator %d, %d", o.number, o.random.Uint32()))
 	if base == 0 && o.run.first != nil {
 		o.run.first(&whole)
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -30,6 +30,7 @@
 	callersRude atomic.Bool
 	first       func(*peer.Configuration) // tunes the first configuration; nothing if nil
 	pace        atomic.Int64              // most time between two orders of an operator, in ns
+	routes      atomic.Int64              // that configurations have beside those that callers use, where many are wanted
 }
 
 // Report is what a run came to.
@@ -92,6 +93,7 @@
 		return nil, err
 	}
 	r := &soakRun{options: o, judge: j, fleet: f, ledger: &ledger{judge: j}, front: &front{fleet: f, miss: map[string]int{}}}
+	j.ledger = r.ledger
 	r.pace.Store(int64(ordinaryPace))
 	return r, nil
 }
@@ -192,15 +194,26 @@
 // settleSlack is what looking at it costs.
 const settleSlack = 6 * time.Second
 
-// readEverywhere reads the configuration at every core node until each gives it; each must show the newest.
+// readEverywhere reads the configuration at every core node until each gives it, and then again and again for a while;
+// each must show the newest.
 func (r *soakRun) readEverywhere(ctx context.Context, o *operator) {
 	for _, m := range r.fleet.of(controllerRole) {
 		if err := until(ctx, settleWait, m.name+" shows the configuration", func() bool { return o.readBack(m) > 0 }); err != nil {
 			r.judge.violate("CONFIG", "%v", err)
 		}
 	}
+	for end := time.Now().Add(contactSpan); time.Now().Before(end) && ctx.Err() == nil; wait(ctx, readPause) {
+		for _, m := range r.fleet.of(controllerRole) {
+			if o.readBack(m) == 0 && !r.options.Safety {
+				r.judge.violate("CONFIG", "%s answers no read in a calm time", m.name)
+			}
+		}
+	}
 }
 
+// readPause is the time between two reads of every core node.
+const readPause = 100 * time.Millisecond
+
 // changeAgain wants one more change taken.
 func (r *soakRun) changeAgain(ctx context.Context, o *operator) {
 	err := until(ctx, settleWait, "a change is taken", func() bool {
--- a/internal/soak/trouble.go
+++ b/internal/soak/trouble.go
@@ -241,6 +241,9 @@
 // reload sends the signal that says that the settings file has changed.
 func (t *troubles) reload(ctx context.Context) {
 	for _, m := range t.run.fleet.of(routerRole) {
+		if !m.heedsHangup() {
+			continue // it was started microseconds ago; nothing in it can keep the signal from ending it yet
+		}
 		end := t.run.judge.trouble("reload", m.told, true)
 		m.signal(syscall.SIGHUP, false)
 		wait(ctx, 100*time.Millisecond)
