--- a/internal/controller/links_test.go
+++ b/internal/controller/links_test.go
@@ -106,7 +106,8 @@
 	ask := func(body any) protocol.NotOwner {
 		n.sent = nil
 		n.mail(body)
-		return n.sent[len(n.sent)-1].Body.(protocol.NotOwner)
+		require.Len(t, n.sent, 1)
+		return n.sent[0].Body.(protocol.NotOwner)
 	}
 	n.at = n.reg.heard.Add(300e6)
 	a := ask(protocol.Renew{Session: s, Seq: 7})
