Sight: whether majority reads end, and what answers a router had that finds itself cut off

Logic unchanged. A core node counts its majority reads that ended, were overtaken by a newer value, or had no answer, and says which of the two it is when reads no longer end; before, both were told as no majority. An agent says how many answers it had that it did not count when it finds itself cut off.

--- a/internal/agent/contact.go
+++ b/internal/agent/contact.go
@@ -24,9 +24,11 @@
 	waits  clock.Tick // when the first renewal was sent that none has answered
 	swept  clock.Tick // when every core node was last asked at once, since then
 	parted bool
+	// unvouched counts, since such a node last answered, the answers of nodes that could not tell what is the newest.
+	unvouched int
 }
 
-func (k *contact) hear(now clock.Tick) { k.heard, k.waits, k.swept = now, 0, 0 }
+func (k *contact) hear(now clock.Tick) { k.heard, k.waits, k.swept, k.unvouched = now, 0, 0, 0 }
 
 func (k *contact) asked(now clock.Tick) {
 	if k.waits == 0 {
@@ -70,7 +72,8 @@
 
 func (c *Core) setParted(parted bool) {
 	c.contact.parted = parted
-	c.note("cut off from the core", protocol.Field{Name: "parted", Value: parted}, protocol.Field{Name: "way", Value: c.way.to.Addr}, protocol.Field{Name: "via", Value: c.way.via.ID})
+	c.note("cut off from the core", protocol.Field{Name: "parted", Value: parted}, protocol.Field{Name: "way", Value: c.way.to.Addr}, protocol.Field{Name: "via", Value: c.way.via.ID},
+		protocol.Field{Name: "epoch", Value: c.epoch}, protocol.Field{Name: "unvouched_answers", Value: c.contact.unvouched}, protocol.Field{Name: "silent_ms", Value: c.now.Sub(c.contact.heard).Milliseconds()})
 	c.tell()
 }
 
--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -79,6 +79,7 @@
 	Vouched                                  uint64 // leases on the configuration alone
 	Sweeps                                   uint64 // times that every core node was asked at once
 	Stalls                                   uint64 // the process stood still
+	Unvouched                                uint64 // answers of core nodes that could not tell what is the newest
 }
 
 // New makes an agent.
@@ -249,6 +250,9 @@
 func (c *Core) onNotOwner(b protocol.NotOwner) {
 	if b.Gone || b.Fresh > 0 {
 		c.hearCore() // one that hears no majority itself is no way to the core
+	} else {
+		c.tally.Unvouched++
+		c.contact.unvouched++
 	}
 	if b.Session != c.ses {
 		return
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -173,6 +173,9 @@
 	Beacons, Enrolments, Leaves, LeavesUnheard              uint64
 	Orders, OrdersRefused, OrdersUnanswered, Reports        uint64
 	Stalls                                                  uint64 // the process stood still
+	QueriesEnded                                            uint64 // majority reads that told what is the newest
+	QueriesOvertaken                                        uint64 // that a majority answered, but showed a newer value that was not learned before the next read began
+	QueriesUnanswered                                       uint64 // that no majority answered before the next one began
 }
 
 // New makes a core node.
--- a/internal/controller/reader.go
+++ b/internal/controller/reader.go
@@ -23,6 +23,7 @@
 	top    protocol.Ballot // highest accepted among the voters heard
 	asked  bool            // the value at top is being fetched
 	read   bool            // a majority was heard
+	ended  bool            // it showed nothing newer than what is known, or its value was fetched
 	won    bool
 	dutyN  ident.Duty
 	owner  protocol.Sibling
@@ -45,6 +46,7 @@
 	} else {
 		r.odd = 0
 	}
+	c.countQuery(r.query)
 	r.round++
 	q := &query{round: r.round, again: true, at: c.now, yes: map[ident.Node]ident.Inc{}, grant: map[ident.Node]ident.Inc{}, open: map[ident.Node]ident.Inc{}, others: map[ident.Node]ident.Inc{}, acc: map[ident.Node]protocol.Ballot{}}
 	to := map[ident.Node]protocol.Sibling{}
@@ -121,6 +123,7 @@
 	}
 	if quorum(q.set, q.yes) {
 		q.read = true
+		r.answered = max(r.answered, q.at)
 		c.compare(q)
 	}
 	c.saw(q)
@@ -152,6 +155,7 @@
 
 // fresh notes that, when the round was asked for, nothing newer was chosen than what is known.
 func (c *Core) fresh(q *query) {
+	q.ended = true
 	c.reg.heard = max(c.reg.heard, q.at)
 	c.serveReads(q.at)
 	if q.won {
@@ -159,6 +163,19 @@
 	}
 }
 
+// countQuery counts what became of a majority read once the next one begins.
+func (c *Core) countQuery(q *query) {
+	switch {
+	case q == nil:
+	case q.ended:
+		c.tally.QueriesEnded++
+	case q.read:
+		c.tally.QueriesOvertaken++
+	default:
+		c.tally.QueriesUnanswered++
+	}
+}
+
 // sweep mends a voter whose copy stays old: a full round brings the copies together.
 func (c *Core) sweep() {
 	r := &c.reg
--- a/internal/controller/register.go
+++ b/internal/controller/register.go
@@ -21,7 +21,8 @@
 	reads     []reader
 	query     *query
 	next      clock.Tick
-	heard     clock.Tick // when the last majority read was asked for
+	heard     clock.Tick // when the last majority read was asked for that ended
+	answered  clock.Tick // when the last majority read was asked for that a majority answered
 	lives     map[ident.Node]sight
 	blank     clock.Tick // since when every seed is seen blank
 	kept      *protocol.Desired
--- a/internal/controller/voters.go
+++ b/internal/controller/voters.go
@@ -41,7 +41,7 @@
 	}
 }
 
-// noteTouch logs when the majority is lost and when it is heard again, once it has been heard at all.
+// noteTouch logs when majority reads no longer end, and why, and when they do again, once one has ended at all.
 func (c *Core) noteTouch(inTouch bool) {
 	r := &c.reg
 	if r.known == nil || inTouch == r.inTouch {
@@ -52,6 +52,10 @@
 		c.note("a majority of the core answers")
 		return
 	}
+	if c.now.Sub(r.answered) <= voterFresh*c.o.Round {
+		c.oops("majority reads do not end: a majority answers, and each answer shows a newer value than this node has learned")
+		return
+	}
 	c.oops("no majority of the core answers: orders and reads are refused here until one does")
 }
 
