--- a/internal/simulator/narrow.go
+++ b/internal/simulator/narrow.go
@@ -6,12 +6,14 @@
 	"tidedeck/internal/router"
 )
 
-// Narrow bounds what machines can do in a second: what their links carry, and how long a router's process is busy with
-// a configuration. Without it a message takes the same time whatever its size, and a process none at all.
+// Narrow bounds what machines can do in a second: what their links carry, and how long a process is busy with a
+// configuration. Without it a message takes the same time whatever its size, and a process none at all.
 type Narrow struct {
 	RouterLink float64    // bytes that a router's link carries in a second, each way
 	CoreLink   float64    // and a core node's
 	Reading    clock.Span // that a router's process is busy with each configuration it takes in
+
+	CoreReading clock.Span // that a core node's process is busy with each message that carries a configuration
 }
 
 // smallMessage is what a message without a configuration counts for on a link, with its headers.
@@ -45,29 +47,49 @@
 
 // sizeOf gives the bytes of a message. Only what carries a configuration is large.
 func (w *World) sizeOf(e protocol.Env) float64 {
-	news, ok := e.Body.(protocol.News)
-	if !ok {
-		return smallMessage
-	}
 	size := float64(smallMessage)
-	for _, i := range news.Items {
-		if i.Desired != nil {
-			packed, err := i.MarshalJSON()
-			if err != nil {
-				panic(err) // only our own plain types come here
+	if news, ok := e.Body.(protocol.News); ok {
+		for _, i := range news.Items {
+			if i.Desired != nil {
+				packed, err := i.MarshalJSON()
+				if err != nil {
+					panic(err) // only our own plain types come here
+				}
+				size += float64(len(packed))
 			}
-			size += float64(len(packed))
 		}
 	}
+	if value := carriedValue(e.Body); value != nil {
+		size += float64(len(value.Plan))
+	}
 	return size
 }
 
-// keepBusy keeps a router's process, which its agent shares, busy with the configurations that a message brought.
-func (w *World) keepBusy(p *proc) {
+// carriedValue gives the configuration that a message between core nodes carries, if it does.
+func carriedValue(body any) *protocol.Desired {
+	switch b := body.(type) {
+	case protocol.Accept:
+		return &b.Value
+	case protocol.Promise:
+		return b.Value
+	case protocol.Value:
+		return b.Value
+	}
+	return nil
+}
+
+// keepBusy keeps a process busy with the configurations that a message brought. A router's agent shares its process.
+func (w *World) keepBusy(p *proc, in any) {
 	n := w.o.Narrow
 	if n == nil {
 		return
 	}
+	if e, ok := in.(protocol.Env); ok && isCore(p.box) {
+		if value := carriedValue(e.Body); value != nil && len(value.Plan) > 0 {
+			p.busy = max(w.now, p.busy).Add(n.CoreReading)
+		}
+		return
+	}
 	core, ok := p.core.(*router.Core)
 	if !ok {
 		return
--- a/internal/simulator/narrow_test.go
+++ b/internal/simulator/narrow_test.go
@@ -24,6 +24,23 @@
 	}
 }
 
+// Core nodes that are late themselves are not taken for core nodes that cannot be reached: a router in touch sends nothing
+// by a configuration older than one acknowledged applyMs before, whatever the router itself believes.
+func TestSlowCore(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs without the race detector")
+	}
+	for _, s := range slowCoreScenes {
+		for seed := uint64(1); seed <= 6; seed++ {
+			t.Run(fmt.Sprintf("%s/%d", s.Name, seed), func(t *testing.T) {
+				t.Parallel()
+				w, _ := s.Run(Options{Seed: seed, Plan: hostedPlan()})
+				require.Empty(t, w.Check.Bad)
+			})
+		}
+	}
+}
+
 func init() { bites = append(bites, narrowBites...) }
 
 // Guards of a router's leases where a configuration takes a while to arrive.
--- /dev/null
+++ b/internal/simulator/slow_core_scenes.go
@@ -0,0 +1,53 @@
+package simulator
+
+import (
+	"fmt"
+
+	"tidedeck/internal/clock"
+	"tidedeck/internal/controller"
+	"tidedeck/internal/ident"
+)
+
+func init() { Scenes = append(Scenes, slowCoreScenes...) }
+
+// series has an operator at each core node send one change after another, each on the newest version that is known and as
+// soon as the one before was answered, but for a pause.
+func (w *World) series(from, to, pause float64) {
+	for node := 1; node <= 3; node++ {
+		n := 0
+		var put func()
+		put = func() {
+			if w.now >= sec(to) {
+				return
+			}
+			n++
+			on := ident.Epoch(0)
+			if s := w.Check.newest(w.now); s != nil {
+				on = s.epoch
+			}
+			name := fmt.Sprintf("series-%d-%d", node, n)
+			w.PutNumber(fmt.Sprintf("controller-%d", node), Named(w.o.Plan, name, nil), on, on+1, func(controller.Receipt) {
+				w.After(clock.Span(pause*1e9), put)
+			})
+		}
+		w.At(sec(from+0.03*float64(node)), put)
+	}
+}
+
+// slowCore sets a world up whose core nodes take a while to read each message with a configuration, and are some way apart.
+func slowCore(reading, far clock.Span) func(o *Options) {
+	return func(o *Options) {
+		narrowed(Narrow{RouterLink: routerLink, CoreLink: coreLink, Reading: 150e6, CoreReading: reading}, nil)(o)
+		o.Far = far
+	}
+}
+
+// slowCoreScenes are those in which the core itself is late, and nothing fails.
+var slowCoreScenes = []Scene{
+	{Name: "slow-core", About: "operators at every core node change a large configuration as fast as changes are taken, and core nodes are slow to read it; nothing fails", Long: 60e9, Least: 0.8,
+		Set: slowCore(100e6, 40e6),
+		Play: func(w *World) {
+			w.series(10, 20, 0.1)
+			w.series(30, 40, 0.02)
+		}},
+}
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -601,7 +601,7 @@
 		return
 	}
 	outs := w.stepCore(p, in)
-	w.keepBusy(p)
+	w.keepBusy(p, in)
 	w.hash = (w.hash ^ uint64(w.now) ^ p.mark ^ uint64(len(outs))<<56) * 1099511628211
 	for _, o := range outs {
 		w.act(p, o)
@@ -655,7 +655,7 @@
 			w.After(w.delay(), func() { f(v) })
 		}
 	case protocol.Note:
-		w.tracef("%s: %s", p.name, v.Text)
+		w.tracef("%s: %s%s", p.name, v.Text, fieldsOf(v))
 		if v.Text == "voter set changed" {
 			w.Check.Seen.Admits++
 		}
@@ -1064,3 +1064,12 @@
 	w.Check.look()
 	w.After(10e6, w.watch)
 }
+
+// fieldsOf writes the fields of a log line for the trace.
+func fieldsOf(n protocol.Note) string {
+	var b strings.Builder
+	for _, f := range n.Fields {
+		fmt.Fprintf(&b, " %s=%v", f.Name, f.Value)
+	}
+	return b.String()
+}
