Changes are applied, and read, ahead of the core, and not again at each attempt

Change: fleetplan.MergeMemo remembers the last changes applied; an operator's change is applied and read before it comes to the core, if it goes on the version that this node knows.

--- a/internal/controller/admin.go
+++ b/internal/controller/admin.go
@@ -153,7 +153,7 @@
 }
 
 func (c *Core) putPlan(a Admin) {
-	if _, f := c.parse(a.Raw); f != nil {
+	if _, f := c.o.Read(a.Raw); f != nil {
 		c.receipt(Receipt{Token: a.Token, Kind: failure.Faulty, Faults: f})
 		return
 	}
@@ -176,7 +176,7 @@
 		if f != nil {
 			return failure.Malformed, f
 		}
-		if _, f := c.parse(n); f != nil {
+		if _, f := c.o.Read(n); f != nil {
 			return failure.Faulty, f
 		}
 		d.Plan = n
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -45,7 +45,7 @@
 	Lead    clock.Span // what a maintenance window closes is drained so long before it
 	Wall    func() time.Time
 
-	Read     func([]byte) (*fleetplan.Plan, fleetplan.Faults)             // of plans
+	Read     func([]byte) (*fleetplan.Plan, fleetplan.Faults)             // of plans; it should remember those read last
 	Merge    func(plan, patch []byte) (merged []byte, f fleetplan.Faults) // of changes into plans
 	Enrolled bool                                                         // servers announce themselves; no platform lists them
 	Silence  clock.Span                                                   // an announced server is dark after so long without a word
@@ -85,7 +85,7 @@
 	generic.SetDefault(&o.Settle, o.Wait+reportLag)
 	generic.SetDefault(&o.Rate, 5e9)
 	if o.Read == nil {
-		o.Read = fleetplan.ReadPlan
+		o.Read = (&fleetplan.Memo{Read: fleetplan.ReadPlan}).Plan
 	}
 	if o.Merge == nil {
 		o.Merge = mergePatch
@@ -110,9 +110,6 @@
 
 	plan *fleetplan.Plan
 
-	lastRaw  []byte // the plan read last, and what it came to
-	lastPlan *fleetplan.Plan
-
 	empty       map[ident.Zone]bool
 	servers     map[ident.Server]*server
 	entries     map[ident.Key]*entry
@@ -363,6 +360,14 @@
 	return c.reg.known.Epoch
 }
 
+// Newest gives the newest plan that this node knows to be taken, and its epoch.
+func (c *Core) Newest() (ident.Epoch, []byte) {
+	if c.reg.known == nil {
+		return 0, nil
+	}
+	return c.reg.known.Epoch, c.reg.known.Plan
+}
+
 // Ready tells whether this node can serve operators: it knows a voter set and hears a majority.
 func (c *Core) Ready() bool {
 	return c.reg.known != nil && c.reg.answered != 0 && c.now.Sub(c.reg.answered) < 3*c.o.Round+c.o.Duty
--- a/internal/controller/host.go
+++ b/internal/controller/host.go
@@ -99,9 +99,10 @@
 	ring := host.NewRingWith(host.RingOptions{Name: h.ID, Out: os.Stderr, Lines: h.Logs})
 	plans := &fleetplan.Memo{Read: h.Dialect.Read}
 	h.Dialect.Read = plans.Plan
+	h.Dialect.Merge = (&fleetplan.MergeMemo{Merge: h.Dialect.Merge}).Apply
 	core := New(hosted(h))
 	d := &desk{wait: map[uint64]chan Receipt{}}
-	a := &announcer{wait: map[uint64]chan bool{}, desk: d, o: h}
+	a := &announcer{wait: map[uint64]chan bool{}, desk: d, o: h, newest: core.Newest}
 	d.c = host.New(host.Options{Core: core, Listen: []string{h.Bind(h.Post)}, Told: h.Post, Data: h.Data, Beat: 25 * time.Millisecond, Dial: dialWait, Ring: ring,
 		Before: h.readAhead, Tell: h.Dialect.Tell, Else: func(o any) {
 			d.act(o)
@@ -134,6 +135,8 @@
 	wait map[uint64]chan bool
 	desk *desk
 	o    HostOptions
+
+	newest func() (ident.Epoch, []byte) // plan that the core knows; called under the process's lock
 }
 
 func (a *announcer) act(o any) {
@@ -226,6 +229,23 @@
 	}
 }
 
+// workAhead reads the plan that a change comes to, so that the core need not stand still while it does.
+func (a *announcer) workAhead(op string, raw []byte, on ident.Epoch) {
+	if op == "put" {
+		_, _ = a.o.Dialect.Read(raw)
+		return
+	}
+	var epoch ident.Epoch
+	var plan []byte
+	a.desk.c.With(func(clock.Tick) { epoch, plan = a.newest() })
+	if epoch != on || len(plan) == 0 {
+		return // the core refuses it, or knows a version that this node has yet to learn
+	}
+	if changed, faults := a.o.Dialect.Merge(plan, raw); faults == nil {
+		_, _ = a.o.Dialect.Read(changed)
+	}
+}
+
 // change takes an operator's change. Its id is a digest of what was sent, so that a repeat of it is
 // known, at whatever node it comes.
 func (a *announcer) change(w http.ResponseWriter, r *http.Request, op string) {
@@ -243,9 +263,7 @@
 		host.Error(w, failure.Malformed, 0, fleetplan.Faults{{Path: "If-Match", Why: "wants the number of the plan that the change goes on"}})
 		return
 	}
-	if op == "put" {
-		_, _ = a.o.Dialect.Read(raw) // ahead, so that the core need not stand still
-	}
+	a.workAhead(op, raw, ident.Epoch(on))
 	h := sha256.New()
 	_, _ = fmt.Fprintf(h, "%s %d\n", op, on)
 	_, _ = h.Write(raw)
--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"bytes"
 	"fmt"
 
 	"tidedeck/internal/fleetplan"
@@ -23,7 +22,7 @@
 	}
 	c.windows, _ = readWindows(k.Windows)
 	if len(k.Plan) > 0 {
-		c.plan, _ = c.parse(k.Plan)
+		c.plan, _ = c.o.Read(k.Plan)
 	}
 	if c.duty.mine {
 		for _, id := range generic.SortedKeys(c.servers) {
@@ -33,18 +32,6 @@
 	}
 }
 
-// parse reads a plan, unless it is the one that was read last: large ones take a while.
-func (c *Core) parse(raw []byte) (*fleetplan.Plan, fleetplan.Faults) {
-	if c.lastPlan == nil || !bytes.Equal(raw, c.lastRaw) {
-		p, f := c.o.Read(raw)
-		if f != nil {
-			return nil, f
-		}
-		c.lastRaw, c.lastPlan = raw, p
-	}
-	return c.lastPlan, nil
-}
-
 // settled tells whether the owner knows enough of the servers to answer for them.
 func (c *Core) settled() bool {
 	if !c.rules() || c.listed == 0 {
--- a/internal/simulator/hosted.go
+++ b/internal/simulator/hosted.go
@@ -43,7 +43,7 @@
 
 func (h *Hosted) controller(o *controller.Options, joined bool) {
 	o.Hold, o.Spare, o.Silence, o.Rate, o.Tenure = h.Timing.Hold(), h.Timing.Spare(), h.Timing.Silence(), h.Timing.Rate, h.Tenure
-	o.Read, o.Enrolled, o.Unfenced, o.Joined, o.Platform = ReadSheet, true, true, joined, ""
+	o.Read, o.Enrolled, o.Unfenced, o.Joined, o.Platform = (&fleetplan.Memo{Read: ReadSheet}).Plan, true, true, joined, ""
 }
 
 func (h *hosting) router(o *router.Options, z ident.Zone) {
