--- a/internal/explorer/explorer_test.go
+++ b/internal/explorer/explorer_test.go
@@ -63,6 +63,8 @@
 var mendedRuns = []struct{ what, scenario, run string }{
 	{"split claims renewed each other's refusal, so that nobody ever owned the duty", "churn",
 		"lose d\ncrash c\ncrash a\npass\nrestart c\ntick\ncut b\npass\ncrash b\ntick"},
+	{"a spare that was lost meanwhile took the seat of a voter that was back, so that nobody made a majority", "churn",
+		"crash c\npass\ntick\nlose d\nlose e\npass\nlose f"},
 }
 
 func TestMendedRuns(t *testing.T) {
