A change of the voter set looks again, in the rounds that carry it, whether its reason stands

Cause: reshape decides while two voters are lost and a third restarts, and the change waits for a majority; it then went through as it was decided, though the spare had been lost and the voter was back. Three of a joint set's five were gone for good.

Change: who gains a seat must still answer, and who loses one for being absent must not have promised in these rounds; else the change is dropped and decided anew.

--- a/internal/controller/voters.go
+++ b/internal/controller/voters.go
@@ -278,13 +278,42 @@
 	return c.inSet(k, c.o.Me.ID, c.vote.inc) && len(c.spares(k.Voters)) > 0
 }
 
+// absentAmong gives the voters that are absent.
+func (c *Core) absentAmong(voters []protocol.Voter) map[ident.Node]bool {
+	absent := map[ident.Node]bool{}
+	for _, v := range voters {
+		if c.reg.absent[v.ID] != 0 {
+			absent[v.ID] = true
+		}
+	}
+	return absent
+}
+
+// stillWanted tells, as the rounds that carry a change of the voter set go on, whether its reason still stands: who gains
+// a seat still answers, and who loses one because it was absent has not come back, which it shows by its promise. Rounds
+// may wait long for a majority.
+func (c *Core) stillWanted(from, to []protocol.Voter, absent map[ident.Node]bool) bool {
+	for _, v := range to {
+		if v.ID != c.o.Me.ID && !seat(from, v.ID, v.Inc) && !c.answered(v.ID, spareFresh) {
+			return false
+		}
+	}
+	for _, v := range from {
+		if absent[v.ID] && !sits(to, v.ID) && c.reg.op.yes[v.ID] == v.Inc {
+			return false
+		}
+	}
+	return true
+}
+
 // reshape moves to a new voter set in two changes: first both sets rule together, then
 // (with no set given) the one before is left.
 func (c *Core) reshape(from protocol.Desired, to []protocol.Voter) {
 	shape := from.Shape
+	absent := c.absentAmong(from.Voters)
 	c.reg.reshaping = true
 	c.proposeFirst(func(d protocol.Desired) (protocol.Desired, failure.Kind) {
-		if d.Shape != shape || (to == nil) != (len(d.Prior) > 0) {
+		if d.Shape != shape || (to == nil) != (len(d.Prior) > 0) || to != nil && !c.stillWanted(d.Voters, to, absent) {
 			return d, failure.Conflict
 		}
 		if to != nil {
