--- a/internal/agent/contact.go
+++ b/internal/agent/contact.go
@@ -21,19 +21,17 @@
 // hears a majority counts: another is cut off itself.
 type contact struct {
 	heard  clock.Tick // when such a node last answered
-	waits  clock.Tick // when the first renewal was sent that none has answered
+	waits  bool       // a renewal was sent since then
 	swept  clock.Tick // when every core node was last asked at once, since then
 	parted bool
 	// unvouched counts, since such a node last answered, the answers of nodes that could not tell what is the newest.
 	unvouched int
 }
 
-func (k *contact) hear(now clock.Tick) { k.heard, k.waits, k.swept, k.unvouched = now, 0, 0, 0 }
+func (k *contact) hear(now clock.Tick) { k.heard, k.waits, k.swept, k.unvouched = now, false, 0, 0 }
 
 func (k *contact) asked(now clock.Tick) {
-	if k.waits == 0 {
-		k.waits = now
-	}
+	k.waits = true
 	if k.heard == 0 {
 		k.heard = now // silence begins with the first question
 	}
@@ -49,7 +47,7 @@
 	if k.parted {
 		again = answerWait
 	}
-	return k.waits != 0 && now.Sub(k.heard) > sweepAfter && (k.swept == 0 || now.Sub(k.swept) > again)
+	return k.waits && now.Sub(k.heard) > sweepAfter && (k.swept == 0 || now.Sub(k.swept) > again)
 }
 
 // silent tells whether every core node was asked, had time to answer, and none did.
@@ -87,7 +85,7 @@
 	c.contact.swept = c.now
 	c.tally.Sweeps++
 	question := c.renewal()
-	question.Burden = standing(c.burden) // what came is told once, in a renewal
+	question.Burden = underWay(c.burden) // what came is told once, in a renewal
 	for _, to := range c.coreNodes() {
 		c.post(protocol.Env{From: c.o.Me, To: to, Body: question})
 	}
--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -143,8 +143,11 @@
 	c.tell()
 }
 
-func (c *Core) tell() {
-	c.down(protocol.Hold{Session: c.ses, Until: c.until, Duty: c.duty, Parted: c.contact.parted, Current: c.current, Leaving: c.leaving})
+func (c *Core) tell() { c.down(c.standing()) }
+
+// standing is how things stand for the router: its lease, and what it may go by without one.
+func (c *Core) standing() protocol.Hold {
+	return protocol.Hold{Session: c.ses, Until: c.until, Duty: c.duty, Parted: c.contact.parted, Current: c.current, Leaving: c.leaving}
 }
 
 func (c *Core) take(e protocol.Env) {
@@ -244,7 +247,9 @@
 	c.tally.Grants++
 	c.routers = b.Routers
 	c.until = max(c.until, at.Add(b.Len))
-	c.down(protocol.Hold{Session: c.ses, Until: c.until, Duty: c.duty, Routers: b.Routers, Seats: b.Seats})
+	told := c.standing()
+	told.Routers, told.Seats = b.Routers, b.Seats
+	c.down(told)
 }
 
 func (c *Core) onNotOwner(b protocol.NotOwner) {
@@ -350,7 +355,7 @@
 	}
 	c.tally.Renews++
 	c.up(c.renewal())
-	c.burden = standing(c.burden) // what was sent is not touched any more
+	c.burden = underWay(c.burden) // what was sent is not touched any more
 }
 
 // keepFor is the time to the next renewal.
@@ -395,8 +400,8 @@
 	return protocol.Renew{Session: c.ses, Seq: c.seq, Fresh: c.fresh, Gen: c.gen, Epoch: c.epoch, Heard: c.heard, Burden: c.burden, Seats: c.seats}
 }
 
-// standing gives of what a router bears what waits and is under way, without what came since the last renewal.
-func standing(burden map[ident.Key]protocol.Burden) map[ident.Key]protocol.Burden {
+// underWay gives of what a router bears what waits and is under way, without what came since the last renewal.
+func underWay(burden map[ident.Key]protocol.Burden) map[ident.Key]protocol.Burden {
 	left := map[ident.Key]protocol.Burden{}
 	for k, u := range burden {
 		if u.Came, u.Load = 0, 0; u.Wait > 0 || u.Work > 0 {
--- a/internal/controller/rollout.go
+++ b/internal/controller/rollout.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"slices"
+
 	"tidedeck/internal/clock"
 	"tidedeck/internal/ident"
 	"tidedeck/internal/protocol"
@@ -31,8 +33,7 @@
 // was chosen by more than the hold. The owner may learn of a version some time after it was chosen, but not before the
 // last majority read that did not show it.
 func (c *Core) pushAll() {
-	d := *c.reg.known
-	c.newest, c.newestBytes = &d, &protocol.Packed{}
+	d := c.shareNewest()
 	c.versions = append(c.versions, version{gen: d.Gen, epoch: d.Epoch, since: min(c.now, c.reg.heard)})
 	if n := len(c.versions) - versionsKept; n > 0 {
 		c.versions = c.versions[n:]
@@ -43,6 +44,16 @@
 	}
 }
 
+// shareNewest gives the newest desired state as it goes to all routers, so that it is packed once for them.
+func (c *Core) shareNewest() *protocol.Desired {
+	known := c.reg.known
+	if c.newest == nil || c.newest.Gen != known.Gen || c.newest.Epoch != known.Epoch {
+		d := *known
+		c.newest, c.newestBytes = &d, &protocol.Packed{}
+	}
+	return c.newest
+}
+
 // offer sends a router the newest desired state if it lacks it. While one that was sent is on its way, or being read,
 // a newer one waits: a router that is slow takes in the newest each time, and not each one.
 func (c *Core) offer(l *link) {
@@ -50,11 +61,7 @@
 	if known == nil || !l.lacks(known) || l.owesDesired() {
 		return
 	}
-	if c.newest == nil || c.newest.Gen != known.Gen || c.newest.Epoch != known.Epoch {
-		d := *known
-		c.newest, c.newestBytes = &d, &protocol.Packed{}
-	}
-	c.add(l, protocol.Item{Desired: c.newest, Packed: c.newestBytes})
+	c.add(l, protocol.Item{Desired: c.shareNewest(), Packed: c.newestBytes})
 }
 
 // renew puts the newest desired state in the place of an older one that goes out again.
@@ -139,12 +146,7 @@
 }
 
 func (l *link) owesDesired() bool {
-	for _, i := range l.items {
-		if i.Desired != nil {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(l.items, func(i change) bool { return i.Desired != nil })
 }
 
 func (c *Core) noteRollout(text string) {
--- a/internal/router/conns.go
+++ b/internal/router/conns.go
@@ -325,23 +325,6 @@
 	}
 }
 
-// closeIdle closes the idle connections to whatever is or was at an address.
-func (p *conns) closeIdle(addr string) {
-	var l []*conn
-	p.mu.Lock()
-	for to, kept := range p.idle {
-		if to.addr == addr {
-			l = append(l, kept...)
-			delete(p.idle, to)
-		}
-	}
-	p.mu.Unlock()
-	p.discards.Add(uint64(len(l)))
-	for _, c := range l {
-		c.close()
-	}
-}
-
 // close closes every idle connection, and from then on each that comes back.
 func (p *conns) close() {
 	p.mu.Lock()
--- a/internal/router/conns_test.go
+++ b/internal/router/conns_test.go
@@ -262,3 +262,20 @@
 	require.Error(t, err)
 	require.Zero(t, c.room)
 }
+
+// closeIdle closes the idle connections to whatever is or was at an address.
+func (p *conns) closeIdle(addr string) {
+	var l []*conn
+	p.mu.Lock()
+	for to, kept := range p.idle {
+		if to.addr == addr {
+			l = append(l, kept...)
+			delete(p.idle, to)
+		}
+	}
+	p.mu.Unlock()
+	p.discards.Add(uint64(len(l)))
+	for _, c := range l {
+		c.close()
+	}
+}
--- a/internal/router/relay_serve.go
+++ b/internal/router/relay_serve.go
@@ -92,7 +92,7 @@
 		})}
 	end := make(chan error, 2)
 	go func() {
-		end <- front.Serve(guardListener{in, o.limits})
+		end <- front.Serve(guardListener{in, o.limits, o.HeadMost})
 	}()
 	go func() { end <- side.Serve(told) }()
 	defer o.Relay.Close()
@@ -129,14 +129,14 @@
 		return
 	}
 	_ = front.Close() // whoever is still served by then is cut off
-	for range 50 {
-		if o.Relay.Open() == 0 {
-			break
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
+	closed, done := context.WithTimeout(context.Background(), closeWait)
+	defer done()
+	o.Relay.idle(closed)
 }
 
+// closeWait is how long a stop waits for requests whose connections it has cut.
+const closeWait = 500 * time.Millisecond
+
 // idlePoll is the time between two looks at what is under way.
 const idlePoll = 10 * time.Millisecond
 
@@ -193,7 +193,8 @@
 // guardListener watches the heads of requests on the connections it accepts.
 type guardListener struct {
 	net.Listener
-	limits func() clientLimits
+	limits  func() clientLimits
+	headAny int // bytes of a head that may come whatever the plan says
 }
 
 // Accept waits for a client.
@@ -202,7 +203,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &guard{Conn: c, limits: l.limits}, nil
+	return &guard{Conn: c, limits: l.limits, headAny: l.headAny}, nil
 }
 
 // guard watches a request's head for two ways of telling where its body ends: net/http settles on
@@ -214,6 +215,7 @@
 	head guardedHead
 
 	limits  func() clientLimits
+	headAny int
 	resting atomic.Bool // the next deadline is that of an idle connection
 }
 
@@ -310,7 +312,11 @@
 // tooLong tells whether a request's head has more bytes than the plan in force allows.
 func tooLong(q *http.Request) bool {
 	g := guardOf(q)
-	return g != nil && g.saw().bytes > g.limits().headMost
+	if g == nil {
+		return false
+	}
+	bytes := g.saw().bytes
+	return bytes > g.headAny && bytes > g.limits().headMost // the plan is asked only by heads that need it
 }
 
 func guardOf(q *http.Request) *guard {
--- a/internal/router/request_trace.go
+++ b/internal/router/request_trace.go
@@ -71,7 +71,7 @@
 	t := RequestTrace{
 		ID: r.Call.Call.ID, Route: r.Route, Key: r.key, Gen: c.gen, Epoch: c.epoch,
 		Leased: c.leased(), Parted: c.parted, Stopping: c.ending,
-		TookMs: milliseconds(c.now.Sub(r.came)), End: end, Kind: kind,
+		TookMs: c.now.Sub(r.came).Milliseconds(), End: end, Kind: kind,
 	}
 	for _, a := range r.attempts {
 		took := clock.Span(0)
@@ -79,11 +79,9 @@
 			took = a.ended.Sub(a.at)
 		}
 		t.Attempts = append(t.Attempts, AttemptTrace{
-			Server: a.Server, Life: a.Inc, AtMs: milliseconds(a.at.Sub(r.came)), TookMs: milliseconds(took),
+			Server: a.Server, Life: a.Inc, AtMs: a.at.Sub(r.came).Milliseconds(), TookMs: took.Milliseconds(),
 			How: a.How, Kind: a.Kind, Status: a.Status, Cause: a.Cause, Begun: a.Begun,
 		})
 	}
 	c.out = append(c.out, t)
 }
-
-func milliseconds(s clock.Span) int64 { return s.Milliseconds() }
--- a/internal/simulator/hosted_scenes.go
+++ b/internal/simulator/hosted_scenes.go
@@ -36,16 +36,21 @@
 	}
 }
 
+// newestEpoch gives the newest version that operators were told of.
+func (w *World) newestEpoch() ident.Epoch {
+	if s := w.Check.newest(w.now); s != nil {
+		return s.epoch
+	}
+	return 0
+}
+
 // epochs races two operators: both build on the newest plan that is known, under numbers of their own.
 func (w *World) epochs(from, to, gap float64) {
 	n := 0
 	for t := from; t < to; t += gap {
 		w.At(sec(t), func() {
 			n++
-			on := ident.Epoch(0)
-			if s := w.Check.newest(w.now); s != nil {
-				on = s.epoch
-			}
+			on := w.newestEpoch()
 			for i, a := range []string{"left", "right"} {
 				var less func(m map[string]any)
 				if i == 1 && n%2 == 0 { // it has no route for some of what is asked
--- a/internal/simulator/narrow_scenes.go
+++ b/internal/simulator/narrow_scenes.go
@@ -7,11 +7,10 @@
 
 	"tidedeck/internal/clock"
 	"tidedeck/internal/fleetplan"
-	"tidedeck/internal/ident"
 )
 
-// narrowed sets a world of announced servers up in which a configuration takes a while: routers' links carry 10 Mbit/s,
-// and their processes have a small part of a core.
+// narrowed sets a world of announced servers up in which a configuration takes a while: links are narrow, and processes
+// are slow to read it.
 func narrowed(n Narrow, more func(h *Hosted)) func(o *Options) {
 	return func(o *Options) {
 		hosted(more)(o)
@@ -21,7 +20,7 @@
 }
 
 const (
-	routerLink = 10e6 / 8
+	routerLink = 10e6 / 8 // bytes a second; scenes of late routers take half of it
 	coreLink   = 1000e6 / 8
 	manyRoutes = 1400
 )
@@ -43,17 +42,13 @@
 	return raw
 }
 
-// changes has an operator send one change after another, each on the newest version, and each moving a route between
-// the services, so that what an older version allows is seen.
+// changes has an operator send one change after another, each on the newest version. They differ in the plan's name.
 func (w *World) changes(from, to, gap float64) {
 	n := 0
 	for t := from; t < to; t += gap {
 		w.At(sec(t), func() {
 			n++
-			on := ident.Epoch(0)
-			if s := w.Check.newest(w.now); s != nil {
-				on = s.epoch
-			}
+			on := w.newestEpoch()
 			w.PutNumber(fmt.Sprintf("controller-%d", 1+n%3), Named(w.o.Plan, fmt.Sprintf("change-%d", n), nil), on, on+1, nil)
 		})
 	}
--- a/internal/simulator/slow_core_scenes.go
+++ b/internal/simulator/slow_core_scenes.go
@@ -5,7 +5,6 @@
 
 	"tidedeck/internal/clock"
 	"tidedeck/internal/controller"
-	"tidedeck/internal/ident"
 )
 
 func init() { Scenes = append(Scenes, slowCoreScenes...) }
@@ -21,10 +20,7 @@
 				return
 			}
 			n++
-			on := ident.Epoch(0)
-			if s := w.Check.newest(w.now); s != nil {
-				on = s.epoch
-			}
+			on := w.newestEpoch()
 			name := fmt.Sprintf("series-%d-%d", node, n)
 			w.PutNumber(fmt.Sprintf("controller-%d", node), Named(w.o.Plan, name, nil), on, on+1, func(controller.Receipt) {
 				w.After(clock.Span(pause*1e9), put)
