Soak: changes follow each other at a weak core, alone, for longer than a lease

It is no trouble by the promises, so requests in it are held against the configuration that must be in force.

--- a/internal/soak/trouble.go
+++ b/internal/soak/trouble.go
@@ -91,6 +91,9 @@
 			wait(ctx, time.Duration(t.random.Int64N(int64(mostStagger))))
 		}
 		t.under.Wait()
+		if t.random.Float64() < quickShare {
+			t.quickChanges(ctx)
+		}
 		if t.random.Float64() < calmShare {
 			wait(ctx, time.Duration(t.random.Int64N(int64(mostCalm))))
 		}
--- a/internal/soak/trouble_load.go
+++ b/internal/soak/trouble_load.go
@@ -18,6 +18,9 @@
 	manyRoutes   = 1200                  // of a large configuration
 	seriesRounds = 3
 	seriesPause  = 400 * time.Millisecond
+	quickSpan    = contactSpan + 4*time.Second
+	quickPace    = 20 * time.Millisecond
+	quickShare   = 0.25 // of rounds are followed by quick changes
 )
 
 var loadKinds = []kind{
@@ -36,6 +39,11 @@
 	l := t.seize(r, 1)
 	defer t.free(l...)
 	defer t.begin("slow", false, l...)()
+	throttle(ctx, span, l)
+}
+
+// throttle has processes run a part of the time only.
+func throttle(ctx context.Context, span time.Duration, l []*machine) {
 	for end := time.Now().Add(span); time.Now().Before(end) && ctx.Err() == nil; {
 		for _, m := range l {
 			m.signal(syscall.SIGSTOP, false)
@@ -48,6 +56,21 @@
 	}
 }
 
+// quickChanges has operators send large configurations as fast as they are taken, at every core node, while all of these
+// are weak machines. It comes alone, for longer than a lease and than it takes to count as in touch, and is no trouble by
+// the promises: a core that is late must not be taken for one that cannot be reached.
+func (t *troubles) quickChanges(ctx context.Context) {
+	l := t.seize(controllerRole, len(t.run.fleet.of(controllerRole)))
+	defer t.free(l...)
+	t.counts["quick changes at a weak core"]++
+	t.run.judge.note("changes follow each other at a weak core")
+	t.run.routes.Store(manyRoutes)
+	defer t.run.routes.Store(0)
+	t.run.pace.Store(int64(quickPace))
+	defer t.run.pace.Store(int64(ordinaryPace))
+	throttle(ctx, quickSpan, l)
+}
+
 // narrow has every router's links carry little. It is no trouble by the promises: a machine may be made so.
 func (t *troubles) narrow(ctx context.Context, span time.Duration) {
 	t.run.judge.note("links of routers are narrow")
