--- a/internal/controller/starved_reads_test.go
+++ b/internal/controller/starved_reads_test.go
@@ -241,3 +241,51 @@
 	require.Empty(t, fetches(n.Step(c.at, from("z", protocol.Taken{Epoch: value.Epoch, Ballot: next}))))
 	require.Equal(t, value.Epoch, n.Epoch())
 }
+
+// A read that asked an older voter set than the one that is known by now tells nothing: what a majority of the newer set
+// has chosen since need not show among the old one's answers.
+func TestReadsOfAnOldVoterSetTellNothing(t *testing.T) {
+	c := newTunedCluster(t, modelPlan(8, "llm|m"), grownTimes, "a", "b", "c")
+	c.run(2e9)
+	other := c.other()
+	n := c.nodes[other]
+	c.parted[other] = true
+	c.run(300e6)
+	heard := n.reg.heard
+	q := c.ask(other)
+	top := protocol.Ballot{N: n.reg.at.N + 10, By: "z", Life: 1}
+	for _, id := range []string{"a", "b", "c"} {
+		if id != other {
+			c.state(other, id, func(s *protocol.State) { s.Accepted, s.Shape = top, s.Shape+1 })
+		}
+	}
+	require.True(t, q.read)
+	value := *n.reg.known
+	value.Prior = value.Voters
+	value.Shape++
+	c.step(other, from("z", protocol.Value{Accepted: top, Value: &value, Chosen: true}))
+	require.Equal(t, value.Shape, n.reg.known.Shape)
+	require.Equal(t, heard, n.reg.heard)
+	require.False(t, q.ended)
+}
+
+// A value that a minority has accepted, and whose proposer is gone, is mended by a full round also where answers take longer
+// than the time to the next read.
+func TestUnclearValuesAreMendedWhereAnswersAreSlow(t *testing.T) {
+	c := newTunedCluster(t, modelPlan(8, "llm|m"), grownTimes, "a", "b", "c")
+	c.run(2e9)
+	other := c.other()
+	top := protocol.Ballot{N: c.nodes[other].reg.top + 1, By: "z", Life: 1}
+	value := *c.nodes[other].reg.known
+	value.Epoch++
+	c.step(other, from("z", protocol.Accept{Round: 1, Ballot: top, Value: value}))
+	c.delay = 250e6 // and each answer takes twice that and more
+	require.True(t, c.until(8e9, func() bool {
+		for _, n := range c.nodes {
+			if n.Epoch() != value.Epoch {
+				return false
+			}
+		}
+		return true
+	}))
+}
