A read of an old voter set tells nothing; values without a proposer are mended where answers are slow

Causes: a read ended whatever voter set it had asked. Once a value with a newer set was learned, a read of the older set could count as telling what is the newest though a majority of the newer set had chosen more; by reading, the logic landed before had it as well. And a full round was begun only if the newest read had been answered before the next began.

Change: a read ends only if no newer voter set is known by then; the newest read that was answered is looked at.

--- a/internal/controller/reader.go
+++ b/internal/controller/reader.go
@@ -120,8 +120,8 @@
 // proposer may be gone, and then only a full round can tell, and mends it. Where each read shows another one, changes
 // go on, and a round more would only hold them up.
 func (c *Core) mendUnclear() {
-	r, q := &c.reg, c.reg.newestQuery()
-	if q == nil || !q.read || r.known != nil && !r.at.Less(q.top) {
+	r, q := &c.reg, c.reg.queryOf(c.reg.lastRead)
+	if q == nil || r.known != nil && !r.at.Less(q.top) {
 		r.odd = 0
 		return
 	}
@@ -197,7 +197,8 @@
 //
 // Every value that was chosen before a read began shows among a majority's answers, as itself or as a later one. So the
 // read ends once a chosen value is known that is no older than the newest that it showed, also if that value was chosen,
-// or learned, after the answers came.
+// or learned, after the answers came. One that asked an older voter set than the one that is known by then tells nothing:
+// a majority of the newer set may have chosen more, and none of it need show among the older one's answers.
 func (c *Core) endQueries() {
 	r := &c.reg
 	if r.known == nil {
@@ -208,7 +209,7 @@
 		if q.ended && !q.wins(c) {
 			return
 		}
-		if !q.read || r.at.Less(q.top) {
+		if !q.read || r.at.Less(q.top) || q.set.Shape < r.known.Shape {
 			continue
 		}
 		for _, old := range r.queries[:i] {
--- a/internal/controller/register.go
+++ b/internal/controller/register.go
@@ -31,9 +31,9 @@
 	kept      *protocol.Desired
 	force     bool
 	unequal   int
-	odd       int                       // majority reads in a row that showed one value that is newer and not known to be chosen
 	rounds    clock.Span                // that the last change's rounds took here
 	over      clock.Tick                // when they ended
+	odd       int                       // rounds in a row in which reads showed one value that is newer and not known to be chosen
 	oddTop    protocol.Ballot           // its ballot
 	reshaping bool                      // a change of the voter set is under way
 	inTouch   bool                      // a majority was heard lately, as the log was told last
--- a/internal/simulator/slow_core_scenes.go
+++ b/internal/simulator/slow_core_scenes.go
@@ -46,4 +46,12 @@
 			w.series(10, 20, 0.1)
 			w.series(30, 40, 0.02)
 		}},
+	{Name: "slow-core-owner", About: "the same without a pause, and the owner is killed, frozen and cut off", Long: 90e9, Least: 0.6,
+		Set: slowCore(60e6, 20e6),
+		Play: func(w *World) {
+			w.series(10, 75, 0.1)
+			for t := 14.0; t < 75; t += 12 {
+				w.At(sec(t), func() { w.loseOwner(clock.Span(w.rand.Int64N(3e9))) })
+			}
+		}},
 }
