Soak: a server that another trouble has brought back counts as started

No bound or promise is touched: a server that is down and cannot listen is still told. Router and controller are unchanged.

--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -104,6 +104,13 @@
 	return nil
 }
 
+// alive tells whether the server is in a life.
+func (s *server) alive() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.up
+}
+
 // crash ends the life without a word; a dark one keeps its connections open and says nothing.
 func (s *server) crash() {
 	s.mu.Lock()
--- a/internal/soak/trouble.go
+++ b/internal/soak/trouble.go
@@ -328,10 +328,10 @@
 	t.revive(s)
 }
 
-// revive begins a server's next life, empty, at the same address.
+// revive begins a server's next life, empty, at the same address, unless another trouble at the same server has begun it.
 func (t *troubles) revive(s *server) {
 	for range 50 {
-		if err := s.begin(); err == nil {
+		if err := s.begin(); err == nil || s.alive() {
 			return
 		}
 		time.Sleep(20 * time.Millisecond)
