--- a/internal/controller/acceptor.go
+++ b/internal/controller/acceptor.go
@@ -12,8 +12,9 @@
 type vote struct {
 	inc      ident.Inc
 	promised protocol.Ballot
-	asked    clock.Tick // when its proposer was last heard
-	rival    clock.Tick // when another proposer than this node was last heard
+	reserved protocol.Ballot // the last one that was promised together with an accept
+	asked    clock.Tick      // when the proposer of what was promised was last heard
+	rival    clock.Tick      // when another proposer than this node was last heard
 	accepted protocol.Ballot
 	value    *protocol.Desired
 	// what the disk surely has
@@ -111,27 +112,41 @@
 
 func (c *Core) onAccept(e protocol.Env) {
 	b := e.Body.(protocol.Accept)
-	c.reg.top = max(c.reg.top, b.Ballot.N)
+	c.reg.top = max(c.reg.top, b.Ballot.N, b.Next.N)
+	c.hearOfChosen(b.Chosen, e.From)
+	accepted := protocol.Accepted{Round: b.Round, OK: true, Inc: c.vote.inc, Promised: b.Ballot}
+	if c.vote.accepted == b.Ballot { // it was sent again
+		c.checkAccept(b.Ballot, b.Value)
+		if c.vote.safeB == b.Ballot {
+			c.reply(e, accepted)
+		}
+		return
+	}
 	if b.Ballot.Less(c.vote.promised) {
 		c.reply(e, protocol.Accepted{Round: b.Round, Inc: c.vote.inc, Promised: c.vote.promised})
 		return
 	}
+	c.checkAccept(b.Ballot, b.Value)
 	v := b.Value
-	c.checkAccept(b.Ballot, v)
-	if c.vote.safeB == b.Ballot { // it was sent again
-		c.reply(e, protocol.Accepted{Round: b.Round, OK: true, Inc: c.vote.inc, Promised: b.Ballot})
-		return
-	}
 	c.vote.promised, c.vote.accepted, c.vote.value = b.Ballot, b.Ballot, &v
+	c.reserve(b.Next)
 	c.noteProposer(e)
-	c.save(map[string][]byte{diskB: jot(b.Ballot), diskV: jot(safe{b.Ballot, &v})}, func() {
+	c.save(map[string][]byte{diskB: jot(c.vote.promised), diskV: jot(safe{b.Ballot, &v})}, func() {
 		if c.vote.safeB.Less(b.Ballot) {
 			c.vote.safeB, c.vote.safeV = b.Ballot, &v
 		}
-		c.reply(e, protocol.Accepted{Round: b.Round, OK: true, Inc: c.vote.inc, Promised: b.Ballot})
+		c.reply(e, accepted)
 	})
 }
 
+// reserve promises the ballot that an accept names for its proposer's next one.
+func (c *Core) reserve(next protocol.Ballot) {
+	if !c.vote.promised.Less(next) {
+		return
+	}
+	c.vote.promised, c.vote.reserved = next, next
+}
+
 // blank tells whether this node knows of no core at all. A spare has accepted nothing, but knows of one:
 // it must not be counted among nodes that may form another.
 func (c *Core) blank() bool { return c.vote.safeV == nil && c.latest() == nil }
--- a/internal/controller/admin.go
+++ b/internal/controller/admin.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"fmt"
 	"slices"
 	"sort"
 
@@ -27,6 +26,8 @@
 	Zone   ident.Zone
 	Old    ident.Node
 	New    ident.Node
+
+	reply func(Receipt) // where the receipt goes, if another node handed the request over
 }
 
 // Receipt answers an Admin.
@@ -60,6 +61,16 @@
 
 func (c *Core) receipt(a Receipt) { c.out = append(c.out, a) }
 
+// answer gives a request its receipt, here or at the node that handed it over.
+func (c *Core) answer(a Admin, r Receipt) {
+	if a.reply != nil {
+		a.reply(r)
+		return
+	}
+	r.Token = a.Token
+	c.receipt(r)
+}
+
 // maxChanges bounds how many taken changes are remembered by their ids: at 12 changes a second a repeat is
 // known for 40 s, and they add some 12 KB to what a voter writes.
 const maxChanges = 512
@@ -70,82 +81,6 @@
 	return a.Change != "" && len(d.Done) == maxChanges && a.Expect < d.Done[0].Epoch
 }
 
-// change carries an operator's change through the register.
-func (c *Core) change(a Admin, apply func(d *protocol.Desired) (failure.Kind, fleetplan.Faults)) {
-	if c.latest() == nil {
-		c.receipt(Receipt{Token: a.Token, Kind: failure.NotReady, Why: "this node knows no core yet"})
-		return
-	}
-	var faults fleetplan.Faults
-	began := c.now
-	c.propose(func(d protocol.Desired) (protocol.Desired, failure.Kind) {
-		faults = nil
-		if a.Change != "" {
-			for _, x := range d.Done {
-				if x.ID == a.Change {
-					return d, failure.Repeated
-				}
-			}
-		}
-		if !a.Any && d.Epoch != a.Expect {
-			if forgotten(d, a) {
-				return d, failure.Unclear
-			}
-			return d, failure.Conflict
-		}
-		if a.Number != 0 && a.Number <= d.Epoch {
-			faults = fleetplan.Faults{{Path: "$", Why: fmt.Sprintf("its number is %d, and %d is in force", a.Number, d.Epoch)}}
-			return d, failure.Faulty
-		}
-		n := d
-		n.Empty = append([]ident.Zone{}, d.Empty...)
-		k, f := apply(&n)
-		if k != failure.None {
-			faults = f
-			return d, k
-		}
-		if n.Epoch++; a.Number != 0 {
-			n.Epoch = a.Number
-		}
-		n.Done = append([]protocol.Change{}, d.Done...)
-		if a.Change != "" {
-			n.Done = append(n.Done, protocol.Change{ID: a.Change, Epoch: n.Epoch})
-		}
-		if len(n.Done) > maxChanges {
-			n.Done = n.Done[len(n.Done)-maxChanges:]
-		}
-		return n, failure.None
-	}, func(v protocol.Desired, k failure.Kind) { c.answerChange(a, began, v, k, faults) })
-}
-
-// answerChange tells an operator what became of a change.
-func (c *Core) answerChange(a Admin, began clock.Tick, v protocol.Desired, k failure.Kind, faults fleetplan.Faults) {
-	if (k == failure.Conflict || k == failure.Faulty) && c.hasTaken(a.Change) {
-		// A repeat of it went through in the same rounds, behind another: it is not told as refused.
-		v, k = *c.reg.known, failure.Repeated
-	}
-	r := Receipt{Token: a.Token, Kind: k, Epoch: v.Epoch, Faults: faults, Empty: v.Empty}
-	switch k {
-	case failure.None:
-		c.tally.Changes++
-		c.acknowledged(v.Epoch)
-	case failure.Repeated: // it was taken before: say under which epoch
-		r.Kind = failure.None
-		for _, x := range v.Done {
-			if x.ID == a.Change {
-				r.Epoch = x.Epoch
-			}
-		}
-	case failure.Conflict:
-		r.Why = fmt.Sprintf("the epoch in force is %d", v.Epoch)
-	case failure.Unclear:
-		r.Why = "it is not known whether the change was taken; repeat it under the same change id, or read the plan"
-	}
-	c.note("operator's change answered", field("op", a.Op), field("change", a.Change), field("expected", a.Expect),
-		field("number", a.Number), field("outcome", k), field("epoch", r.Epoch), field("took_ms", c.now.Sub(began).Milliseconds()))
-	c.receipt(r)
-}
-
 // hasTaken tells whether the newest value known to be chosen has a change.
 func (c *Core) hasTaken(change string) bool {
 	k := c.reg.known
@@ -154,7 +89,7 @@
 
 func (c *Core) putPlan(a Admin) {
 	if _, f := c.o.Read(a.Raw); f != nil {
-		c.receipt(Receipt{Token: a.Token, Kind: failure.Faulty, Faults: f})
+		c.answer(a, Receipt{Kind: failure.Faulty, Faults: f})
 		return
 	}
 	c.change(a, func(d *protocol.Desired) (failure.Kind, fleetplan.Faults) {
@@ -165,7 +100,7 @@
 
 func (c *Core) patchPlan(a Admin) {
 	if _, f := fleetplan.Open(a.Raw); len(*f) > 0 {
-		c.receipt(Receipt{Token: a.Token, Kind: failure.Malformed, Faults: *f})
+		c.answer(a, Receipt{Kind: failure.Malformed, Faults: *f})
 		return
 	}
 	c.change(a, func(d *protocol.Desired) (failure.Kind, fleetplan.Faults) {
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -169,6 +169,9 @@
 		case protocol.Save:
 			maps.Copy(c.disks[x.id], v.Puts)
 			put(x.id, protocol.Saved{Token: v.Token})
+		case protocol.Compute:
+			v.Run()
+			put(x.id, protocol.Computed{Token: v.Token})
 		case protocol.Ask:
 			c.send(x.id, v)
 		default:
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -123,6 +123,9 @@
 			}
 		case protocol.Save:
 			q = append(q, n.Step(n.at, protocol.Saved{Token: v.Token})...)
+		case protocol.Compute:
+			v.Run()
+			q = append(q, n.Step(n.at, protocol.Computed{Token: v.Token})...)
 		case protocol.Ask:
 			n.asked[v.Addr] = v
 			if p, ok := v.Body.(protocol.Order); ok && p.Op != "" {
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -57,6 +57,7 @@
 	Rate     clock.Span                                                   // the store's rate is kept in every while of this length
 	Regions  map[ident.Zone]string                                        // of zones, where they are in several
 	HandOver bool                                                         // a stopping node's seat goes to a spare at once; else only once it has been absent for Spare
+	Alone    bool                                                         // changes are proposed where they come, and never handed to the owner of the lease
 	Joined   bool                                                         // this core is there already: an empty disk forms none
 }
 
@@ -115,7 +116,9 @@
 	entries     map[ident.Key]*entry
 	asks        map[uint64]func(protocol.Told)
 	token       uint64
-	saves       map[uint64]func()
+	saves       map[uint64]func() // what follows once the disk, or a computation, is done
+	forwards    forwards
+	taken       forwardsTaken
 	demand      map[ident.Key]*need
 	listed      clock.Tick
 	listing     bool
@@ -170,6 +173,9 @@
 	Beacons, Enrolments, Leaves, LeavesUnheard              uint64
 	Orders, OrdersRefused, OrdersUnanswered, Reports        uint64
 	Stalls                                                  uint64 // the process stood still
+	RoundsPromised                                          uint64 // attempts under a ballot that a majority had promised before
+	Forwards, ForwardsUnanswered                            uint64 // changes handed to the owner of the lease, and those proposed here as no outcome came in time
+	ForwardsTaken                                           uint64 // changes that another node handed to this owner
 	QueriesEnded                                            uint64 // majority reads that told what is the newest
 	QueriesOvertaken                                        uint64 // that a majority answered, but showed a newer value that was not learned before the next read began
 	QueriesUnanswered                                       uint64 // that no majority answered before the next one began
@@ -182,7 +188,7 @@
 		o:     o,
 		links: map[protocol.Session]*link{}, tombs: map[protocol.Session]clock.Tick{},
 		servers: map[ident.Server]*server{}, entries: map[ident.Key]*entry{},
-		asks: map[uint64]func(protocol.Told){}, saves: map[uint64]func(){},
+		asks: map[uint64]func(protocol.Told){}, saves: map[uint64]func(){}, forwards: forwards{open: map[uint64]*pendingChange{}},
 		demand: map[ident.Key]*need{}, shifts: map[ident.Key]*shift{}, empty: map[ident.Zone]bool{},
 		seats: map[ident.Server]int{}, roll: map[ident.Server]*enrolled{}, acks: map[uint64]*leaving{}, rolls: map[ident.Node]ident.Inc{}, recovered: map[ident.Node]ident.Inc{},
 	}
@@ -207,6 +213,11 @@
 			delete(c.saves, v.Token)
 			f()
 		}
+	case protocol.Computed:
+		if f := c.saves[v.Token]; f != nil {
+			delete(c.saves, v.Token)
+			f()
+		}
 	case protocol.Told:
 		if f := c.asks[v.Token]; f != nil {
 			delete(c.asks, v.Token)
@@ -259,7 +270,7 @@
 		"Prepare": (*Core).onPrepare, "Accept": (*Core).onAccept, "Query": (*Core).onQuery, "Release": (*Core).onRelease, "Fetch": (*Core).onFetch,
 		"Promise": (*Core).onPromise, "Accepted": (*Core).onAccepted, "State": (*Core).onState, "Value": (*Core).onValue,
 		"Listing": (*Core).onListing, "Look": (*Core).onLook, "Looked": (*Core).onLooked,
-		"Taken": (*Core).onTaken, "Kept": (*Core).onKept,
+		"Taken": (*Core).onTaken, "Kept": (*Core).onKept, "Forward": (*Core).onForward, "Forwarded": (*Core).onForwarded,
 		"RollCall": (*Core).onRollCall, "Roll": (*Core).onRoll, "Beacons": (*Core).onBeacons, "BeaconsHeard": (*Core).onBeaconsHeard,
 		"Renew": (*Core).onRenew, "Heard": (*Core).onHeard, "Want": (*Core).onWant, "Removal": (*Core).onRemoval,
 	}
@@ -314,6 +325,12 @@
 	c.out = append(c.out, protocol.Save{Token: c.token, Puts: puts})
 }
 
+// compute has something computed beside the core, and goes on with then once it is done.
+func (c *Core) compute(run, then func()) {
+	c.token++
+	c.saves[c.token], c.out = then, append(c.out, protocol.Compute{Token: c.token, Run: run})
+}
+
 func (c *Core) ask(addr, path string, body any, wait clock.Span, then func(protocol.Told)) {
 	c.token++
 	c.asks[c.token] = then
@@ -360,14 +377,6 @@
 	return c.reg.known.Epoch
 }
 
-// Newest gives the newest plan that this node knows to be taken, and its epoch.
-func (c *Core) Newest() (ident.Epoch, []byte) {
-	if c.reg.known == nil {
-		return 0, nil
-	}
-	return c.reg.known.Epoch, c.reg.known.Plan
-}
-
 // Ready tells whether this node can serve operators: it knows a voter set and hears a majority.
 func (c *Core) Ready() bool {
 	return c.reg.known != nil && c.reg.answered != 0 && c.now.Sub(c.reg.answered) < 3*c.o.Round+c.o.Duty
--- a/internal/controller/duty.go
+++ b/internal/controller/duty.go
@@ -172,6 +172,7 @@
 	c.demand = map[ident.Key]*need{}
 	c.shifts, c.uneven, c.shifted = map[ident.Key]*shift{}, 0, c.now
 	c.listing, c.listed, c.eye, c.begun, c.asked = false, 0, eye{round: c.eye.round}, nil, 0
+	c.taken = forwardsTaken{}
 	c.planned()
 	if c.duty.mine && c.o.Enrolled {
 		c.rolls, c.called = map[ident.Node]ident.Inc{}, 0
--- a/internal/controller/forming.go
+++ b/internal/controller/forming.go
@@ -5,6 +5,7 @@
 	"sort"
 
 	"tidedeck/internal/failure"
+	"tidedeck/internal/fleetplan"
 	"tidedeck/internal/generic"
 	"tidedeck/internal/ident"
 	"tidedeck/internal/protocol"
@@ -56,7 +57,7 @@
 		c.oops("core disks lost: a new generation forms from an agent's copy")
 	}
 	r.hint = &d
-	c.read(func(v protocol.Desired, k failure.Kind) {
+	c.read(func(k failure.Kind) {
 		if k != failure.None {
 			r.hint = nil
 		}
@@ -80,8 +81,8 @@
 		return
 	}
 	c.oops(fmt.Sprintf("a router knows generation %d, past this core's: the core goes past it", gen))
-	c.propose(func(d protocol.Desired) (protocol.Desired, failure.Kind) {
+	c.propose(mutation{apply: func(d protocol.Desired) (protocol.Desired, failure.Kind, fleetplan.Faults) {
 		d.Gen = max(d.Gen, gen+1)
-		return d, failure.None
-	}, func(protocol.Desired, failure.Kind) {})
+		return d, failure.None, nil
+	}, done: func(applied) {}})
 }
--- a/internal/controller/host.go
+++ b/internal/controller/host.go
@@ -102,7 +102,7 @@
 	h.Dialect.Merge = (&fleetplan.MergeMemo{Merge: h.Dialect.Merge}).Apply
 	core := New(hosted(h))
 	d := &desk{wait: map[uint64]chan Receipt{}}
-	a := &announcer{wait: map[uint64]chan bool{}, desk: d, o: h, newest: core.Newest}
+	a := &announcer{wait: map[uint64]chan bool{}, desk: d, o: h}
 	d.c = host.New(host.Options{Core: core, Listen: []string{h.Bind(h.Post)}, Told: h.Post, Data: h.Data, Beat: 25 * time.Millisecond, Dial: dialWait, Ring: ring,
 		Before: h.readAhead, Tell: h.Dialect.Tell, Else: func(o any) {
 			d.act(o)
@@ -121,10 +121,26 @@
 	return err
 }
 
-// readAhead reads a plan that another node proposes, so that the core need not stand still when it is chosen.
+// readAhead reads a plan that another node sends, so that the core need not stand still when it is to act by it.
 func (h HostOptions) readAhead(e protocol.Env) {
-	if b, ok := e.Body.(protocol.Accept); ok && len(b.Value.Plan) > 0 {
-		_, _ = h.Dialect.Read(b.Value.Plan)
+	switch b := e.Body.(type) {
+	case protocol.Accept:
+		h.readPlan(b.Value.Plan)
+	case protocol.Value:
+		if b.Value != nil {
+			h.readPlan(b.Value.Plan)
+		}
+	case protocol.Forward:
+		if b.Op == "put" {
+			h.readPlan(b.Raw)
+		}
+	}
+}
+
+// readPlan reads a plan, so that the memory of plans has it.
+func (h HostOptions) readPlan(raw []byte) {
+	if len(raw) > 0 {
+		_, _ = h.Dialect.Read(raw)
 	}
 }
 
@@ -135,8 +151,6 @@
 	wait map[uint64]chan bool
 	desk *desk
 	o    HostOptions
-
-	newest func() (ident.Epoch, []byte) // plan that the core knows; called under the process's lock
 }
 
 func (a *announcer) act(o any) {
@@ -229,23 +243,6 @@
 	}
 }
 
-// workAhead reads the plan that a change comes to, so that the core need not stand still while it does.
-func (a *announcer) workAhead(op string, raw []byte, on ident.Epoch) {
-	if op == "put" {
-		_, _ = a.o.Dialect.Read(raw)
-		return
-	}
-	var epoch ident.Epoch
-	var plan []byte
-	a.desk.c.With(func(clock.Tick) { epoch, plan = a.newest() })
-	if epoch != on || len(plan) == 0 {
-		return // the core refuses it, or knows a version that this node has yet to learn
-	}
-	if changed, faults := a.o.Dialect.Merge(plan, raw); faults == nil {
-		_, _ = a.o.Dialect.Read(changed)
-	}
-}
-
 // change takes an operator's change. Its id is a digest of what was sent, so that a repeat of it is
 // known, at whatever node it comes.
 func (a *announcer) change(w http.ResponseWriter, r *http.Request, op string) {
@@ -263,7 +260,9 @@
 		host.Error(w, failure.Malformed, 0, fleetplan.Faults{{Path: "If-Match", Why: "wants the number of the plan that the change goes on"}})
 		return
 	}
-	a.workAhead(op, raw, ident.Epoch(on))
+	if op == "put" {
+		a.o.readPlan(raw) // the core refuses what cannot be read
+	}
 	h := sha256.New()
 	_, _ = fmt.Fprintf(h, "%s %d\n", op, on)
 	_, _ = h.Write(raw)
--- a/internal/controller/inspect.go
+++ b/internal/controller/inspect.go
@@ -26,6 +26,7 @@
 type VoterSnapshot struct {
 	Incarnation   ident.Inc
 	Promised      protocol.Ballot
+	Reserved      protocol.Ballot // the last one that was promised together with an accept
 	Accepted      protocol.Ballot
 	Value         *protocol.Desired
 	DurableBallot protocol.Ballot
@@ -59,7 +60,11 @@
 	Absent        map[ident.Node]clock.Tick
 	UnclearReads  int // majority reads in a row that showed one newer ballot that is not known to be chosen
 	UnclearBallot protocol.Ballot
-	UnequalReads  int // beats in a row at which a voter's copy was old
+	Unequal       clock.Tick      // since when a voter's copy is old
+	Unclear       clock.Tick      // since when reads show the unclear ballot
+	Promised      protocol.Ballot // by a majority, for this node's next attempt
+	PromisedAt    protocol.Ballot // with the accept of this ballot
+	Forwards      []ForwardSnapshot
 }
 
 // OperationSnapshot is a change, or a full read, in its rounds.
@@ -82,6 +87,16 @@
 	Base     protocol.Ballot // of the newest value that was known to be chosen when the rounds began
 }
 
+// ForwardSnapshot is a change that was handed to the owner of the leadership lease.
+type ForwardSnapshot struct {
+	Change    string
+	Owner     ident.Node
+	Due       clock.Tick // when it is proposed here, if no outcome has come by then
+	Unsettled bool
+	Proposed  bool
+	Answered  bool
+}
+
 // QuerySnapshot is a majority read.
 type QuerySnapshot struct {
 	Round    uint64
@@ -135,7 +150,7 @@
 func (c *Core) inspectVoter() VoterSnapshot {
 	v := c.vote
 	return VoterSnapshot{
-		Incarnation: v.inc, Promised: v.promised, Accepted: v.accepted, Value: v.value,
+		Incarnation: v.inc, Promised: v.promised, Reserved: v.reserved, Accepted: v.accepted, Value: v.value,
 		DurableBallot: v.safeB, DurableValue: v.safeV, Started: v.started,
 		Duty: v.duty, DurableDuty: v.sure, Owner: v.owner.ID, GrantUntil: v.until, Asked: v.asked,
 	}
@@ -146,12 +161,19 @@
 	s := RegisterSnapshot{
 		Known: r.known, KnownBallot: r.at, Hint: r.hint, Round: r.round, HighestBallot: r.top,
 		NextQuery: r.next, LastMajority: r.heard, Absent: r.absent, LastAnswer: r.answered,
-		UnclearReads: r.odd, UnclearBallot: r.oddTop, UnequalReads: r.unequal, LastRead: r.lastRead, WantedBallot: r.wanted, Wanted: r.wantedAt,
+		UnclearReads: r.odd, UnclearBallot: r.oddTop, Unequal: r.unequal, Unclear: r.oddSince, LastRead: r.lastRead, WantedBallot: r.wanted, Wanted: r.wantedAt,
 	}
 	if r.op != nil {
 		o := inspectOperation(r.op)
 		s.Operation = &o
 	}
+	if r.promised != nil {
+		s.Promised, s.PromisedAt = r.promised.ballot, r.promised.at
+	}
+	for _, number := range generic.SortedKeys(c.forwards.open) {
+		p := c.forwards.open[number]
+		s.Forwards = append(s.Forwards, ForwardSnapshot{Change: p.admin.Change, Owner: p.owner.ID, Due: c.forwardDue(p), Unsettled: p.unsettled, Proposed: p.proposed, Answered: p.answered})
+	}
 	for _, o := range r.queue {
 		s.Queued = append(s.Queued, inspectOperation(o))
 	}
@@ -169,8 +191,8 @@
 
 func inspectOperation(o *op) OperationSnapshot {
 	return OperationSnapshot{
-		Phase: o.phase, Ballot: o.ballot, Round: o.round, Set: o.set, Best: o.best, Value: o.value,
-		Next: o.next, Kind: string(o.kind), Answered: o.yes, Sent: o.sent, Wake: o.wake, End: o.end,
+		Phase: string(o.phase), Ballot: o.ballot, Round: o.round, Set: o.set, Best: o.best, Value: o.value,
+		Next: o.next, Kind: string(o.result.kind), Answered: o.yes, Sent: o.sent, Wake: o.wake, End: o.end,
 		Unclear: o.risky, Fails: o.fails, Resent: o.resent, Base: o.baseAt,
 	}
 }
--- a/internal/controller/proposer.go
+++ b/internal/controller/proposer.go
@@ -3,34 +3,76 @@
 import (
 	"tidedeck/internal/clock"
 	"tidedeck/internal/failure"
+	"tidedeck/internal/fleetplan"
 	"tidedeck/internal/ident"
 	"tidedeck/internal/protocol"
 )
 
+// phase is how far an attempt to change the register is.
+type phase string
+
+const (
+	queued    phase = "wait"    // for its turn
+	preparing phase = "prepare" // asks a majority for promises, and for what it has accepted
+	applying  phase = "apply"   // the changes are applied to the value found, beside the core
+	accepting phase = "accept"  // asks a majority to accept what came of it
+)
+
+// applied is what became of a change that was applied to a value.
+type applied struct {
+	after  protocol.Desired // the value with the change; the same if it does not go through
+	kind   failure.Kind
+	faults fleetplan.Faults
+}
+
+// mutation is a change of the register's value.
+type mutation struct {
+	apply  func(protocol.Desired) (protocol.Desired, failure.Kind, fleetplan.Faults)
+	beside bool // apply looks at nothing of the core's and may take long: it is computed beside the core
+	fresh  bool // apply looks at who has just answered a prepare
+	done   func(applied)
+}
+
+// on gives what becomes of a mutation that is applied to a value.
+func (m *mutation) on(value protocol.Desired) applied {
+	after, kind, faults := m.apply(value)
+	if kind != failure.None {
+		after = value
+	}
+	return applied{after, kind, faults}
+}
+
 // op is one change or full read in its rounds.
 type op struct {
-	apply  func(protocol.Desired) (protocol.Desired, failure.Kind)
-	done   func(v protocol.Desired, k failure.Kind)
+	mutation
+	came   clock.Tick
 	end    clock.Tick
 	set    protocol.Desired
 	ballot protocol.Ballot
 	round  uint64
-	phase  string // wait, prepare, accept
+	phase  phase
 	sent   clock.Tick
 	wake   clock.Tick
 	yes    map[ident.Node]ident.Inc
 	best   protocol.Ballot
 	value  *protocol.Desired
 	next   protocol.Desired
-	kind   failure.Kind
 	base   *protocol.Desired // the newest value that was known to be chosen when the rounds began
 	baseAt protocol.Ballot
 	began  clock.Tick
 	resent int  // times that the messages of this phase were sent again
-	risky  bool // an accept was sent whose fate is not settled
+	risky  bool // it may have been taken: an accept was sent whose fate is not settled, or it was forwarded
 	fails  int
-	after  protocol.Desired // the value after this change, in the rounds under way
-	joined []*op            // changes that go through in the same rounds, each after the one before
+	result applied // in the rounds under way
+	joined []*op   // changes that go through in the same rounds, each after the one before
+}
+
+// promise is what a majority promised together with its last accept: a proposer may go on from that accept's value, under
+// the ballot that was reserved, with no prepare. It is used once.
+type promise struct {
+	ballot protocol.Ballot
+	value  protocol.Desired
+	at     protocol.Ballot // of the accept
 }
 
 func (c *Core) latest() *protocol.Desired {
@@ -41,34 +83,41 @@
 	return h
 }
 
-// opWait is how long a change may wait for its turn and its rounds.
-const opWait = clock.Span(4e9)
+// mostQueued bounds the changes that wait at a node.
+const mostQueued = 64
 
-func (c *Core) newOp(apply func(protocol.Desired) (protocol.Desired, failure.Kind), done func(protocol.Desired, failure.Kind)) *op {
-	return &op{apply: apply, done: done, end: c.now.Add(opWait), phase: "wait"}
+func (c *Core) newOp(m mutation) *op {
+	return &op{mutation: m, came: c.now, end: c.now.Add(c.changeWait()), phase: queued}
 }
 
 // propose queues a change; done hears of it exactly once.
-func (c *Core) propose(apply func(protocol.Desired) (protocol.Desired, failure.Kind), done func(protocol.Desired, failure.Kind)) {
-	if len(c.reg.queue) > 64 {
-		done(protocol.Desired{}, failure.Full)
+func (c *Core) propose(m mutation) { c.enqueue(c.newOp(m)) }
+
+func (c *Core) enqueue(o *op) {
+	if len(c.reg.queue) > mostQueued {
+		o.done(applied{kind: failure.Full})
 		return
 	}
-	c.reg.queue = append(c.reg.queue, c.newOp(apply, done))
+	c.reg.queue = append(c.reg.queue, o)
 	c.stir()
 }
 
 // proposeFirst puts a change before all that wait: operators' changes may come as fast as they are
 // taken, and must not hold up the voter set's.
-func (c *Core) proposeFirst(apply func(protocol.Desired) (protocol.Desired, failure.Kind), done func(protocol.Desired, failure.Kind)) {
-	c.reg.queue = append([]*op{c.newOp(apply, done)}, c.reg.queue...)
+func (c *Core) proposeFirst(m mutation) {
+	c.reg.queue = append([]*op{c.newOp(m)}, c.reg.queue...)
 	c.stir()
 }
 
 // read queues a full read: a round that proposes what it finds, and so mends old copies.
-func (c *Core) read(done func(protocol.Desired, failure.Kind)) {
+func (c *Core) read(done func(failure.Kind)) {
 	c.tally.Reads++
-	c.propose(func(d protocol.Desired) (protocol.Desired, failure.Kind) { return d, failure.None }, done)
+	c.propose(mutation{
+		apply: func(d protocol.Desired) (protocol.Desired, failure.Kind, fleetplan.Faults) {
+			return d, failure.None, nil
+		},
+		done: func(a applied) { done(a.kind) },
+	})
 }
 
 func (c *Core) stir() {
@@ -77,33 +126,70 @@
 		r.op, r.queue = r.queue[0], r.queue[1:]
 	}
 	o := r.op
-	if o == nil || o.phase != "wait" || c.now < o.wake || c.rivalIsAtIt() || c.givesWay(o) {
+	if o == nil || o.phase != queued || c.now < o.wake || c.rivalIsAtIt() || c.givesWay(o) {
 		return
 	}
 	set := c.latest()
 	if set == nil {
 		return
 	}
+	if p := c.takePromise(); p != nil && !o.fresh {
+		c.beginPromised(o, p)
+		return
+	}
 	c.begin(o, *set)
 }
 
+// begin starts an attempt with a prepare.
 func (c *Core) begin(o *op, set protocol.Desired) {
 	r := &c.reg
 	r.top++
+	c.beginAttempt(o, c.ballotAt(r.top), set)
+	o.phase = preparing
+	c.sendPhase(o)
+}
+
+// beginPromised starts an attempt under a ballot that a majority has promised already.
+func (c *Core) beginPromised(o *op, p *promise) {
+	c.beginAttempt(o, p.ballot, p.value)
+	c.tally.RoundsPromised++
+	c.applyAll(o, p.value)
+}
+
+// beginAttempt lays out an attempt under a ballot of this node that was never used.
+func (c *Core) beginAttempt(o *op, ballot protocol.Ballot, set protocol.Desired) {
+	r := &c.reg
 	r.round++
-	o.set, o.ballot, o.round = set, protocol.Ballot{N: r.top, By: c.o.Me.ID, Life: c.o.Inc}, r.round
-	o.phase, o.sent = "prepare", c.now
+	o.set, o.ballot, o.round = set, ballot, r.round
+	o.sent, o.began, o.resent = c.now, c.now, 0
 	o.yes, o.best, o.value = map[ident.Node]ident.Inc{}, protocol.Ballot{}, nil
-	o.base, o.baseAt, o.resent, o.began = r.known, r.at, 0, c.now
+	o.base, o.baseAt = r.known, r.at
 	c.tally.Rounds++
-	c.sendPhase(o)
+}
+
+// ballotAt gives this node's ballot with a number.
+func (c *Core) ballotAt(number uint64) protocol.Ballot {
+	return protocol.Ballot{N: number, By: c.o.Me.ID, Life: c.o.Inc}
+}
+
+// takePromise gives what a majority has promised, if nobody is known to have gone past it, and forgets it: a ballot stands
+// for one value.
+func (c *Core) takePromise() *promise {
+	r := &c.reg
+	p := r.promised
+	r.promised = nil
+	if p == nil || r.top > p.ballot.N || p.at.Less(r.at) {
+		return nil
+	}
+	return p
 }
 
 // sendPhase sends the message of an attempt's phase to everyone who has not answered it.
 func (c *Core) sendPhase(o *op) {
 	set, body := o.set, any(protocol.Prepare{Round: o.round, Ballot: o.ballot, Known: o.baseAt})
-	if o.phase == "accept" {
-		set, body = both(o.set, o.next), protocol.Accept{Round: o.round, Ballot: o.ballot, Value: o.next}
+	if o.phase == accepting {
+		set = both(o.set, o.next)
+		body = protocol.Accept{Round: o.round, Ballot: o.ballot, Value: o.next, Next: c.reserved(o), Chosen: c.reg.at}
 	}
 	for _, p := range electors(set) {
 		if _, answered := o.yes[p.ID]; !answered {
@@ -112,12 +198,12 @@
 	}
 }
 
-// An attempt whose answers do not come is sent again as it is, to those who have not answered: they may only be slow, and a
-// new ballot would make what they have done void. After mostResent times it begins anew.
-const (
-	answerSpan = clock.Span(700e6)
-	mostResent = 2
-)
+// reserved gives the ballot that voters promise together with an attempt's accept.
+func (c *Core) reserved(o *op) protocol.Ballot { return c.ballotAt(o.ballot.N + 1) }
+
+// mostResent is how often an attempt is sent again as it is, to those who have not answered: they may only be slow, and a
+// new ballot would make what they have done void. After that it begins anew.
+const mostResent = 2
 
 func (c *Core) resend(o *op) {
 	if o.resent == mostResent {
@@ -129,72 +215,18 @@
 	c.sendPhase(o)
 }
 
-// rivalSpan is how long after its last word another proposer counts as being at work.
-const rivalSpan = clock.Span(300e6)
-
-// rivalIsAtIt tells whether this voter has promised itself to another proposer whose value is not chosen yet, as far as
-// is known here. A new ballot now would make that proposer's rounds void, and they each other's for as long as changes come.
-func (c *Core) rivalIsAtIt() bool {
-	promised := c.vote.promised
-	return promised.By != c.o.Me.ID && c.reg.at.Less(promised) && c.vote.asked != 0 && c.now.Sub(c.vote.asked) < rivalSpan
-}
-
-// rivalsKept is how long after its last word another proposer is reckoned with.
-const rivalsKept = clock.Span(1e9)
-
-// noteRounds notes how long a change's rounds took, and that it is over: half of that time is what another proposer needs
-// to hear of it and to have its own prepare heard.
-func (c *Core) noteRounds(o *op) {
-	c.reg.rounds = c.now.Sub(o.began)
-	c.reg.over = c.now
-}
-
-// givesWay tells whether a change waits for other proposers' turn, since this node has just had one. Without that a node
-// with many changes would begin its next one before others have heard that the last is over.
-func (c *Core) givesWay(o *op) bool {
-	rivals := c.vote.rival != 0 && c.now.Sub(c.vote.rival) < rivalsKept
-	return rivals && !c.urgent(o) && c.now.Sub(c.reg.over) <= c.reg.rounds/2
-}
-
-// wakeProposal has a change that was outbid begin soon, since a value was chosen.
-func (c *Core) wakeProposal() {
-	o := c.reg.op
-	if o == nil || o.phase != "wait" || c.now >= o.wake {
-		return
-	}
-	soon := c.now
-	if !c.urgent(o) {
-		soon = c.now.Add(clock.Span(c.o.Rand.Int64N(int64(leastBackoff))))
-	}
-	o.wake = min(o.wake, soon)
-}
-
-// urgent tells whether a change has waited so long that it goes before others.
-func (c *Core) urgent(o *op) bool { return c.now.Sub(o.end.Add(-opWait)) > urgentAfter }
-
-// An attempt that was outbid waits for up to leastBackoff, twice as long after each further one. A change that has
-// waited for urgentAfter does not wait so long any more: else those that lost most would go on losing.
-const (
-	leastBackoff     = clock.Span(20e6)
-	backoffDoublings = 4
-	urgentAfter      = clock.Span(1e9)
-)
-
+// again gives an attempt up, for a later one under a new ballot.
 func (c *Core) again(o *op) {
 	o.fails++
-	o.phase = "wait"
-	back := leastBackoff << min(o.fails, backoffDoublings)
-	if c.urgent(o) {
-		back = leastBackoff // those that came later give way
-	}
-	o.wake = c.now.Add(back/2 + clock.Span(c.o.Rand.Int64N(int64(back))))
+	o.phase = queued
+	o.wake = c.now.Add(c.backoff(o))
 	c.tally.Conflicts++
 }
 
 func (c *Core) onPromise(e protocol.Env) {
 	b, o := e.Body.(protocol.Promise), c.reg.op
 	c.reg.top = max(c.reg.top, b.Promised.N)
-	if o == nil || o.phase != "prepare" || b.Round != o.round {
+	if o == nil || o.phase != preparing || b.Round != o.round {
 		return
 	}
 	if !b.OK {
@@ -214,7 +246,7 @@
 	if !quorum(o.set, o.yes) {
 		return
 	}
-	c.reg.answered = c.now
+	c.majorityAnswered(o)
 	now := o.set // with nothing accepted anywhere, only the forming of a core proposes a first value
 	if o.value != nil {
 		now = *o.value
@@ -225,37 +257,87 @@
 		}
 	}
 	c.applyAll(o, now)
-	o.phase, o.sent, o.yes, o.resent = "accept", c.now, map[ident.Node]ident.Inc{}, 0
-	o.risky = true
-	c.sendPhase(o)
+}
+
+// majorityAnswered notes that a majority has answered the messages of an attempt's phase.
+func (c *Core) majorityAnswered(o *op) {
+	c.reg.answered = c.now
+	if o.resent == 0 {
+		c.reg.trips.rounds.Observe(c.now.Sub(o.sent))
+	}
 }
 
 // mostJoined bounds how many changes go through in the same rounds.
 const mostJoined = 16
 
-// applyAll applies a change to the newest value, and behind it the changes that wait at this node: they all become
-// part of one value, so that the node's changes do not take a turn each against other proposers'.
-func (c *Core) applyAll(o *op, now protocol.Desired) {
+// join takes the changes that wait at this node into the rounds of one: they all become part of one value, so that the
+// node's changes do not take a turn each against other proposers'. Those that the core applies itself go first.
+func (c *Core) join(o *op) {
+	beside := o.beside
+	for _, x := range o.joined {
+		beside = beside || x.beside
+	}
 	for len(c.reg.queue) > 0 && len(o.joined) < mostJoined {
-		o.joined = append(o.joined, c.reg.queue[0])
+		x := c.reg.queue[0]
+		if beside && !x.beside || x.fresh && len(o.yes) == 0 {
+			return
+		}
+		beside = x.beside
+		o.joined = append(o.joined, x)
 		c.reg.queue = c.reg.queue[1:]
 	}
-	o.next = o.on(now)
-	for _, x := range o.joined {
-		o.next = x.on(o.next)
-		x.risky = true
+}
+
+// applyAll applies a change to the newest value, and behind it those that wait at this node. What may take long is computed
+// beside the core, which goes on meanwhile.
+func (c *Core) applyAll(o *op, value protocol.Desired) {
+	c.join(o)
+	o.phase = applying
+	batch := append([]*op{o}, o.joined...)
+	for len(batch) > 0 && !batch[0].beside {
+		batch[0].result = batch[0].on(value)
+		value = batch[0].result.after
+		batch = batch[1:]
+	}
+	if len(batch) == 0 {
+		c.sendAccept(o, value)
+		return
+	}
+	round, results := o.round, make([]applied, len(batch))
+	c.compute(func() { applyInTurn(batch, value, results) }, func() {
+		if c.reg.op != o || o.phase != applying || o.round != round {
+			return // it was given up meanwhile
+		}
+		for i, x := range batch {
+			x.result = results[i]
+		}
+		c.sendAccept(o, results[len(results)-1].after)
+	})
+}
+
+// applyInTurn applies changes each to what came of the one before.
+func applyInTurn(batch []*op, value protocol.Desired, results []applied) {
+	for i, x := range batch {
+		results[i] = x.on(value)
+		value = results[i].after
 	}
 }
 
-// on gives the value after this change: the same if it does not go through.
-func (o *op) on(value protocol.Desired) protocol.Desired {
-	o.after, o.kind = o.apply(value)
-	if o.kind != failure.None {
-		o.after = value
+// sendAccept asks the voters to accept a value.
+func (c *Core) sendAccept(o *op, value protocol.Desired) {
+	o.next = value
+	o.phase, o.sent, o.yes, o.resent = accepting, c.now, map[ident.Node]ident.Inc{}, 0
+	o.risky = true
+	for _, x := range o.joined {
+		x.risky = true
 	}
-	return o.after
+	c.reg.top = max(c.reg.top, c.reserved(o).N)
+	c.sendPhase(o)
 }
 
+// awaitsAnswers tells whether messages of an attempt are on their way.
+func (o *op) awaitsAnswers() bool { return o.phase == preparing || o.phase == accepting }
+
 // givenUp is what is told of a change whose time is over: it may have been taken once an accept with it was sent.
 func (o *op) givenUp() failure.Kind {
 	if o.risky {
@@ -266,9 +348,9 @@
 
 // settle tells everyone whose change went through the rounds, or did not, in the order in which they were applied.
 func (o *op) settle() {
-	o.done(o.after, o.kind)
+	o.done(o.result)
 	for _, x := range o.joined {
-		x.done(x.after, x.kind)
+		x.done(x.result)
 	}
 }
 
@@ -280,7 +362,7 @@
 func (c *Core) onAccepted(e protocol.Env) {
 	b, o := e.Body.(protocol.Accepted), c.reg.op
 	c.reg.top = max(c.reg.top, b.Promised.N)
-	if o == nil || o.phase != "accept" || b.Round != o.round {
+	if o == nil || o.phase != accepting || b.Round != o.round {
 		return
 	}
 	if !b.OK {
@@ -293,7 +375,9 @@
 	if !quorum(o.set, o.yes) || !quorum(o.next, o.yes) {
 		return
 	}
-	c.reg.op, c.reg.answered = nil, c.now
+	c.majorityAnswered(o)
+	c.reg.op = nil
+	c.reg.promised = &promise{ballot: c.reserved(o), value: o.next, at: o.ballot}
 	c.noteRounds(o)
 	c.announceChosen(o.ballot, o.next)
 	c.learn(o.ballot, o.next)
--- a/internal/controller/reader.go
+++ b/internal/controller/reader.go
@@ -126,14 +126,24 @@
 		return
 	}
 	if q.top != r.oddTop {
-		r.odd, r.oddTop = 0, q.top
+		r.odd, r.oddTop, r.oddSince = 0, q.top, c.now
 	}
-	if r.odd++; r.odd >= unclearReads && r.op == nil && len(r.queue) == 0 {
+	if r.odd++; r.odd >= unclearReads && c.now.Sub(r.oddSince) >= c.unclearWait() && r.op == nil && len(r.queue) == 0 {
 		r.odd = 0
-		c.read(func(protocol.Desired, failure.Kind) {})
+		c.read(func(failure.Kind) {})
 	}
 }
 
+// unclearWait is how long reads show one value that is not known to be chosen before this node begins a full round for it:
+// its accept may still be on its way. While another node owns the leadership lease, it is given the time to mend it.
+func (c *Core) unclearWait() clock.Span {
+	trip := min(c.reg.trips.reads.Timeout(), mostRivalReads*c.o.Round)
+	if _, other := c.proposerElsewhere(); other {
+		return leastAnswerReads*c.o.Round + 2*trip
+	}
+	return trip
+}
+
 func (c *Core) onState(e protocol.Env) {
 	r, b := &c.reg, e.Body.(protocol.State)
 	r.top = max(r.top, b.Accepted.N)
@@ -187,6 +197,9 @@
 	}
 	q.won = q.won || q.claim && quorum(q.set, q.grant)
 	if quorum(q.set, q.yes) {
+		if !q.read {
+			c.reg.trips.reads.Observe(c.now.Sub(q.at))
+		}
 		q.read = true
 		c.reg.answered = c.now
 		c.reg.lastRead = max(c.reg.lastRead, q.round)
@@ -295,10 +308,13 @@
 		r.unequal = 0
 		return
 	}
-	if r.unequal++; r.unequal > 30 {
+	if r.unequal == 0 {
+		r.unequal = c.now
+	}
+	if c.now.Sub(r.unequal) > c.answerWait() {
 		r.unequal = 0
 		c.tally.Repairs++
-		c.read(func(protocol.Desired, failure.Kind) {})
+		c.read(func(failure.Kind) {})
 	}
 }
 
--- a/internal/controller/register.go
+++ b/internal/controller/register.go
@@ -30,11 +30,14 @@
 	blank     clock.Tick // since when every seed is seen blank
 	kept      *protocol.Desired
 	force     bool
-	unequal   int
+	unequal   clock.Tick                // since when some voter's copy is old
 	rounds    clock.Span                // that the last change's rounds took here
 	over      clock.Tick                // when they ended
 	odd       int                       // rounds in a row in which reads showed one value that is newer and not known to be chosen
+	oddSince  clock.Tick                // when the first of them did
 	oddTop    protocol.Ballot           // its ballot
+	promised  *promise                  // by a majority, together with this node's last accept
+	trips     trips                     // round trips that this node measures
 	reshaping bool                      // a change of the voter set is under way
 	inTouch   bool                      // a majority was heard lately, as the log was told last
 	starve    bool                      // likewise: a majority answers, and reads do not end
@@ -106,7 +109,7 @@
 		c.learn(b, *c.vote.value)
 		return
 	}
-	if !r.wanted.Less(b) && c.now.Sub(r.wantedAt) < c.o.Round {
+	if !r.wanted.Less(b) && c.now.Sub(r.wantedAt) < max(c.o.Round, r.trips.reads.Timeout()) {
 		return // it is on its way
 	}
 	r.wanted, r.wantedAt = b, c.now
@@ -121,16 +124,17 @@
 			r.op = nil
 			k := o.givenUp()
 			r.queue = append(o.joined, r.queue...) // each has its own time
-			o.done(protocol.Desired{}, k)
-		case o.phase != "wait" && c.now.Sub(o.sent) > answerSpan:
+			o.done(applied{kind: k})
+		case o.awaitsAnswers() && c.now.Sub(o.sent) > c.answerWait()<<o.resent:
 			c.resend(o)
 		}
 	}
 	for len(r.queue) > 0 && c.now > r.queue[0].end {
 		o := r.queue[0]
 		r.queue = r.queue[1:]
-		o.done(protocol.Desired{}, o.givenUp())
+		o.done(applied{kind: o.givenUp()})
 	}
+	c.beatForwards()
 	c.stir()
 	c.dropReads()
 	c.beatQuery()
--- a/internal/controller/voters.go
+++ b/internal/controller/voters.go
@@ -8,6 +8,7 @@
 
 	"tidedeck/internal/clock"
 	"tidedeck/internal/failure"
+	"tidedeck/internal/fleetplan"
 	"tidedeck/internal/ident"
 	"tidedeck/internal/protocol"
 )
@@ -312,9 +313,9 @@
 	shape := from.Shape
 	absent := c.absentAmong(from.Voters)
 	c.reg.reshaping = true
-	c.proposeFirst(func(d protocol.Desired) (protocol.Desired, failure.Kind) {
+	c.proposeFirst(mutation{fresh: true, apply: func(d protocol.Desired) (protocol.Desired, failure.Kind, fleetplan.Faults) {
 		if d.Shape != shape || (to == nil) != (len(d.Prior) > 0) || to != nil && !c.stillWanted(d.Voters, to, absent) {
-			return d, failure.Conflict
+			return d, failure.Conflict, nil
 		}
 		if to != nil {
 			d.Prior, d.Voters = d.Voters, to
@@ -322,12 +323,12 @@
 			d.Prior = nil
 		}
 		d.Shape++
-		return d, failure.None
-	}, func(_ protocol.Desired, k failure.Kind) {
+		return d, failure.None, nil
+	}, done: func(a applied) {
 		c.reg.reshaping = false
-		if k == failure.None && to != nil {
+		if a.kind == failure.None && to != nil {
 			c.tally.Admit++
 			c.note("voter set changed")
 		}
-	})
+	}})
 }
--- a/internal/controller/windows.go
+++ b/internal/controller/windows.go
@@ -183,7 +183,7 @@
 
 func (c *Core) putWindows(a Admin) {
 	if _, f := readWindows(a.Raw); f != nil {
-		c.receipt(Receipt{Token: a.Token, Kind: failure.Faulty, Faults: f})
+		c.answer(a, Receipt{Kind: failure.Faulty, Faults: f})
 		return
 	}
 	c.change(a, func(d *protocol.Desired) (failure.Kind, fleetplan.Faults) {
--- a/internal/explorer/fingerprint.go
+++ b/internal/explorer/fingerprint.go
@@ -148,6 +148,7 @@
 
 func (f *fingerprinter) voter(v controller.VoterSnapshot) {
 	f.ballot(v.Promised)
+	f.ballot(v.Reserved)
 	f.ballot(v.Accepted)
 	f.value(v.Value)
 	f.moment(v.Started)
@@ -198,6 +199,23 @@
 	}
 	f.number(uint64(r.UnclearReads))
 	f.ballot(r.UnclearBallot)
+	f.moment(r.Unclear)
+	f.moment(r.Unequal)
+	f.ballot(r.Promised)
+	f.ballot(r.PromisedAt)
+	f.number(uint64(len(r.Forwards)))
+	for _, p := range r.Forwards {
+		f.forward(p)
+	}
+}
+
+func (f *fingerprinter) forward(p controller.ForwardSnapshot) {
+	f.text(p.Change)
+	f.text(string(p.Owner))
+	f.moment(p.Due)
+	f.flag(p.Unsettled)
+	f.flag(p.Proposed)
+	f.flag(p.Answered)
 }
 
 func (f *fingerprinter) operation(o controller.OperationSnapshot) {
@@ -311,7 +329,7 @@
 		b.Round, b.Promised, b.Accepted = operation(e.To.ID, b.Round), shift(b.Promised), shift(b.Accepted)
 		e.Body = b
 	case protocol.Accept:
-		b.Round, b.Ballot = operation(e.From.ID, b.Round), shift(b.Ballot)
+		b.Round, b.Ballot, b.Next, b.Chosen = operation(e.From.ID, b.Round), shift(b.Ballot), shift(b.Next), shift(b.Chosen)
 		e.Body = b
 	case protocol.Accepted:
 		b.Round, b.Promised = operation(e.To.ID, b.Round), shift(b.Promised)
@@ -331,6 +349,12 @@
 	case protocol.Taken:
 		b.Ballot = shift(b.Ballot)
 		e.Body = b
+	case protocol.Forward:
+		b.Number = 0 // the change's own id tells it apart
+		e.Body = b
+	case protocol.Forwarded:
+		b.Number = 0
+		e.Body = b
 	}
 	return e
 }
--- a/internal/explorer/history.go
+++ b/internal/explorer/history.go
@@ -96,7 +96,7 @@
 	h.dirty = true
 	h.answers = append(h.answers, r)
 	q := &h.requests[r.Token-1]
-	_, known := n.core.Chosen()
+	known := h.answeredFrom(n, q)
 	switch r.Kind {
 	case failure.None:
 		q.outcome = confirmed
@@ -113,6 +113,16 @@
 	}
 }
 
+// answeredFrom gives the value that an answer rests on: for a read what the node knows, and for a change the newest that is
+// known to be chosen anywhere, since the node that it was handed to may know more than the one that answers.
+func (h *history) answeredFrom(n *node, q *request) *protocol.Desired {
+	ballot, known := n.core.Chosen()
+	if q.change != "" && ballot.Less(h.ballot) {
+		return h.inForce
+	}
+	return known
+}
+
 // checkValue checks that what was confirmed before a request is in the value that answers it.
 func (h *history) checkValue(n *node, q *request, r controller.Receipt, known *protocol.Desired) {
 	for _, change := range q.before {
--- a/internal/explorer/scenario.go
+++ b/internal/explorer/scenario.go
@@ -49,6 +49,7 @@
 	Faulty    []ident.Node // nodes that faults may strike; all if empty
 	GetAt     []ident.Node
 
+	Forwards bool // changes are handed to the owner of the leadership lease; else each node proposes its own
 	Depth    int
 	Recovery bool // after every state the core must be able to make progress again
 }
@@ -72,6 +73,14 @@
 	return false
 }
 
+func holdsRegisterAndForwards(e protocol.Env) bool {
+	switch e.Body.(type) {
+	case protocol.Forward, protocol.Forwarded:
+		return true
+	}
+	return holdsRegister(e)
+}
+
 func holdsClaims(e protocol.Env) bool {
 	switch b := e.Body.(type) {
 	case protocol.Query:
@@ -134,6 +143,33 @@
 		Budget: Budget{Duplicates: 1, Interrupts: 1, Passes: 1},
 		Depth:  14,
 	},
+	{
+		Name: "forwarded", About: "changes are handed to the owner, which goes on by what a majority promised with the last one, and is cut off or lost",
+		Voters: nodes("a", "b", "c"), Tolerance: 1, Held: holdsRegisterAndForwards, Grain: ByNode, PassTicks: passTicks,
+		Setup: []Action{{Kind: Put, Operator: "w", Node: "a"}, {Kind: Settle}, {Kind: Tick}, {Kind: Settle}},
+		Operators: []Operator{
+			{Name: "w", Expect: 1, Number: 2, At: nodes("a"), Attempts: 1},
+			{Name: "x", Expect: 2, Number: 3, At: nodes("b", "c"), Attempts: 2},
+			{Name: "y", Expect: 2, Number: 4, At: nodes("c"), Attempts: 1},
+		},
+		GetAt: nodes("b"), Faulty: nodes("a"),
+		Budget:   Budget{Crashes: 1, Cuts: 1, Drops: 1, Ticks: 3, Passes: 1, Gets: 1},
+		Forwards: true,
+		Depth:    14, Recovery: true,
+	},
+	{
+		Name: "promised", About: "an owner has a majority's promise for its next change, voters restart, and others propose",
+		Voters: nodes("a", "b", "c"), Tolerance: 1, Held: holdsRegister, Grain: ByNode, PassTicks: passTicks,
+		Setup: []Action{{Kind: Put, Operator: "w", Node: "c"}, {Kind: Settle}},
+		Operators: []Operator{
+			{Name: "w", Expect: 1, Number: 2, At: nodes("c"), Attempts: 1},
+			{Name: "x", Expect: 2, Number: 3, At: nodes("c"), Attempts: 2},
+			{Name: "y", Expect: 2, Number: 4, At: nodes("a"), Attempts: 2},
+		},
+		Faulty: nodes("a", "b"),
+		Budget: Budget{Crashes: 2, Drops: 2, Passes: 1},
+		Depth:  14, Recovery: true,
+	},
 	{
 		Name: "stalled-proposer", About: "a proposer loses power while its disk stalls, starts again and proposes another change",
 		Voters: nodes("a", "b", "c"), Tolerance: 1, Held: holdsRegister, Grain: ByNode, PassTicks: passTicks,
--- a/internal/explorer/text.go
+++ b/internal/explorer/text.go
@@ -42,6 +42,10 @@
 		return fmt.Sprintf("%s round %d ballot %s %s", way, b.Round, ballotText(b.Ballot), valueText(&b.Value))
 	case protocol.Accepted:
 		return fmt.Sprintf("%s round %d ok %t inc %d promised %s", way, b.Round, b.OK, b.Inc, ballotText(b.Promised))
+	case protocol.Forward:
+		return fmt.Sprintf("%s term %d change %s", way, b.Term, b.Change)
+	case protocol.Forwarded:
+		return fmt.Sprintf("%s not owner %t %s epoch %d", way, b.NotOwner, b.Kind, b.Epoch)
 	case protocol.Query:
 		return fmt.Sprintf("%s round %d claim %t duty %d", way, b.Round, b.Claim, b.Duty)
 	case protocol.State:
--- a/internal/explorer/world.go
+++ b/internal/explorer/world.go
@@ -93,7 +93,7 @@
 		Rand:  rand.New(sourceOf(position)),
 		Round: stepSpan, Duty: dutySpan, Spare: spareSpan, Form: formSpan,
 		Read:     func([]byte) (*fleetplan.Plan, fleetplan.Faults) { return &fleetplan.Plan{}, nil },
-		Enrolled: true, Unfenced: true, Joined: w.options.joined,
+		Enrolled: true, Unfenced: true, Joined: w.options.joined, Alone: !w.scenario.Forwards,
 	})
 	w.push(n, protocol.Start{Disk: maps.Clone(n.disk)})
 }
@@ -128,6 +128,9 @@
 			w.carry(n, o)
 		case protocol.Save:
 			w.save(n, o)
+		case protocol.Compute:
+			o.Run()
+			w.push(n, protocol.Computed{Token: o.Token})
 		case controller.Receipt:
 			w.note("    %s answers the operator: %s", n.id, receiptText(o))
 			w.history.answered(n, o)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -230,6 +230,11 @@
 		c.post.send(v)
 	case protocol.Save:
 		c.disk.put(v)
+	case protocol.Compute:
+		go func() {
+			v.Run()
+			c.Step(protocol.Computed{Token: v.Token})
+		}()
 	case protocol.Ask:
 		select {
 		case c.asks <- v:
--- a/internal/localfleet/hollow.go
+++ b/internal/localfleet/hollow.go
@@ -341,6 +341,11 @@
 		}
 		h.Syncs++
 		h.post(1, mail{to: n, life: n.life, kind: "Saved", in: protocol.Saved{Token: v.Token}})
+	case protocol.Compute:
+		at := threadTime()
+		v.Run()
+		h.load(role, "Compute").Step += threadTime() - at
+		h.post(1, mail{to: n, life: n.life, kind: "Computed", in: protocol.Computed{Token: v.Token}})
 	case protocol.Ask:
 		h.ask(n, role, v)
 	case protocol.Note:
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -9,6 +9,7 @@
 
 	"tidedeck/internal/clock"
 	"tidedeck/internal/failure"
+	"tidedeck/internal/fleetplan"
 	"tidedeck/internal/ident"
 
 	"github.com/go-faster/errors"
@@ -62,7 +63,7 @@
 	for _, b := range []any{
 		Probe{}, ProbeAck{}, ProbeFor{},
 		Prepare{}, Promise{}, Accept{}, Accepted{}, Query{}, State{}, Release{}, Fetch{}, Value{},
-		Renew{}, Grant{}, NotOwner{}, News{}, Heard{}, Want{}, Removal{}, Hold{}, Hello{}, Keep{}, Kept{}, Taken{}, Listing{}, Look{}, Looked{},
+		Renew{}, Grant{}, NotOwner{}, News{}, Heard{}, Want{}, Removal{}, Hold{}, Hello{}, Keep{}, Kept{}, Taken{}, Forward{}, Forwarded{}, Listing{}, Look{}, Looked{},
 		Beacons{}, BeaconsHeard{}, RollCall{}, Roll{},
 	} {
 		t := reflect.TypeOf(b)
@@ -236,11 +237,14 @@
 	Value    *Desired
 }
 
-// Accept closes a round.
+// Accept closes a round. Who accepts it promises Next as well, so that the proposer can go on from Value without another
+// Prepare. Chosen is the ballot of the newest value that the proposer knows to be chosen.
 type Accept struct {
 	Round  uint64
 	Ballot Ballot
 	Value  Desired
+	Next   Ballot `json:",omitzero"`
+	Chosen Ballot `json:",omitzero"`
 }
 
 // Accepted answers Accept.
@@ -325,6 +329,31 @@
 	Ballot Ballot
 }
 
+// Forward hands an operator's change to the owner of the leadership lease, which proposes it. Number is the sender's own, and
+// Term the owner's: under another term the change is not taken.
+type Forward struct {
+	Number   uint64
+	Term     ident.Duty
+	Op       string
+	Raw      []byte
+	Expect   ident.Epoch
+	Any      bool
+	Revision ident.Epoch // that the operator gives the change; zero counts on
+	Change   string      // id of the change
+	Zone     ident.Zone
+}
+
+// Forwarded answers Forward with what became of the change.
+type Forwarded struct {
+	Number   uint64
+	NotOwner bool // the receiver does not own that term, and did nothing
+	Kind     failure.Kind
+	Why      string
+	Faults   fleetplan.Faults
+	Epoch    ident.Epoch
+	Empty    []ident.Zone
+}
+
 // Keep asks an agent for the newest desired state it holds, after a total loss.
 type Keep struct{ Round uint64 }
 
@@ -505,6 +534,16 @@
 // Saved says that a Save is durable.
 type Saved struct{ Token uint64 }
 
+// Compute asks for something to be computed beside a core, since it may take longer than a core may stand still. Run looks at
+// nothing that the core changes.
+type Compute struct {
+	Token uint64
+	Run   func()
+}
+
+// Computed tells a core that a computation is done.
+type Computed struct{ Token uint64 }
+
 // Ask asks a model server or the platform over HTTP.
 type Ask struct {
 	Token uint64
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -628,6 +628,10 @@
 		w.mail(p, v)
 	case protocol.Save:
 		w.save(p, v)
+	case protocol.Compute:
+		v.Run()
+		life := p.life
+		w.At(w.now, func() { w.step(p, life, protocol.Computed{Token: v.Token}) })
 	case protocol.Ask:
 		w.ask(p, v)
 	case router.Launch:
