--- a/internal/controller/reader.go
+++ b/internal/controller/reader.go
@@ -273,6 +273,7 @@
 func (c *Core) fresh(q *query) {
 	q.ended = true
 	c.reg.heard = max(c.reg.heard, q.at)
+	c.reg.ended = c.now
 	c.serveReads(q.at)
 	if q.won {
 		c.won(q)
--- a/internal/controller/register.go
+++ b/internal/controller/register.go
@@ -25,6 +25,7 @@
 	wantedAt  clock.Tick
 	next      clock.Tick
 	heard     clock.Tick // when the last majority read was asked for that ended: nothing newer than what is known was chosen before
+	ended     clock.Tick // when the last of them ended
 	answered  clock.Tick // when a majority last answered, whatever it showed
 	lives     map[ident.Node]sight
 	blank     clock.Tick // since when every seed is seen blank
--- a/internal/controller/starved_reads_test.go
+++ b/internal/controller/starved_reads_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -307,3 +308,28 @@
 	require.NotZero(t, chosen, "a majority that has it finds it")
 	require.NotZero(t, excluded, "a majority that lacks it excludes it")
 }
+
+// A node that is being cut off says that no majority answers, and never that a majority answers without its reads ending.
+func TestCutNodeDoesNotSayThatItsReadsStarve(t *testing.T) {
+	for _, delay := range []clock.Span{0, 2e6, 20e6, 60e6, 100e6} {
+		for offset := range clock.Span(13) {
+			c := newTunedCluster(t, modelPlan(8, "llm|m"), grownTimes, "a", "b", "c")
+			c.delay = delay
+			c.run(3e9 + offset*20e6)
+			node := c.other()
+			c.out = nil
+			c.parted[node] = true
+			c.run(4e9)
+			told := 0
+			for _, o := range c.out {
+				if oops, is := o.(protocol.Oops); is {
+					require.NotContains(t, oops.Text, "majority reads do not end", "delay %v, offset %v", delay, offset)
+					if strings.Contains(oops.Text, "no majority of the core answers") {
+						told++
+					}
+				}
+			}
+			require.NotZero(t, told)
+		}
+	}
+}
--- a/internal/controller/voters.go
+++ b/internal/controller/voters.go
@@ -60,7 +60,8 @@
 // noteReads logs when this node can no longer tell what is the newest although a majority answers it, and when it can again.
 func (c *Core) noteReads(inTouch bool) {
 	r := &c.reg
-	starve := inTouch && r.heard != 0 && c.now.Sub(r.heard) > voterFresh*c.o.Round
+	// A node that has just been cut off had its last answers, and the last of its reads end, at about the same moment.
+	starve := inTouch && r.ended != 0 && c.now.Sub(r.ended) > (voterFresh+1)*c.o.Round+r.trips.reads.Timeout()
 	if starve == r.starve {
 		return
 	}
