--- a/internal/controller/admin.go
+++ b/internal/controller/admin.go
@@ -12,6 +12,7 @@
 	"tidedeck/internal/generic"
 	"tidedeck/internal/ident"
 	"tidedeck/internal/protocol"
+	"tidedeck/internal/voterset"
 )
 
 // Admin is an operator's request to a core node.
@@ -208,8 +209,8 @@
 		return
 	}
 	for i, v := range k.Voters {
-		if v.ID == a.Old && !sits(k.Voters, a.New) {
-			c.reshape(*k, swap(k.Voters, i, protocol.Voter{Sibling: s.sib, Zone: v.Zone, Inc: s.state.Inc}))
+		if v.ID == a.Old && !voterset.Seats(k.Voters, a.New) {
+			c.reshape(*k, voterset.Replace(k.Voters, i, protocol.Voter{Sibling: s.sib, Zone: v.Zone, Inc: s.state.Inc}))
 			c.receipt(Receipt{Token: a.Token})
 			return
 		}
--- a/internal/controller/control_test.go
+++ b/internal/controller/control_test.go
@@ -10,6 +10,7 @@
 	"tidedeck/internal/failure"
 	"tidedeck/internal/ident"
 	"tidedeck/internal/protocol"
+	"tidedeck/internal/voterset"
 )
 
 // The control side under losses, replacements and repeats: docs/control.md names what each test shows.
@@ -58,7 +59,7 @@
 		return false
 	}
 	for _, id := range ids {
-		if !sits(k.Voters, ident.Node(id)) {
+		if !voterset.Seats(k.Voters, ident.Node(id)) {
 			return false
 		}
 	}
@@ -123,10 +124,10 @@
 	c.spare("f")
 	require.True(t, c.until(catchUp, func() bool {
 		lead := c.lead()
-		return lead != nil && sits(lead.reg.known.Voters, "f") && len(lead.reg.known.Prior) == 0
+		return lead != nil && voterset.Seats(lead.reg.known.Voters, "f") && len(lead.reg.known.Prior) == 0
 	}), "the spare is a voter in time")
-	require.False(t, sits(c.lead().reg.known.Voters, ident.Node(first)), "%s went first", first)
-	require.True(t, sits(c.lead().reg.known.Voters, ident.Node(owner)), "%s went last", owner)
+	require.False(t, voterset.Seats(c.lead().reg.known.Voters, ident.Node(first)), "%s went first", first)
+	require.True(t, voterset.Seats(c.lead().reg.known.Voters, ident.Node(owner)), "%s went last", owner)
 }
 
 // A node that was away hears of itself as absent nowhere, and blames nobody else when it is back.
@@ -166,7 +167,7 @@
 	c.down(c.owner())
 	require.True(t, c.until(catchUp-c.at.Sub(start), func() bool {
 		k := c.nodes["f"].reg.known
-		return k != nil && sits(k.Voters, "f") && len(k.Prior) == 0
+		return k != nil && voterset.Seats(k.Voters, "f") && len(k.Prior) == 0
 	}), "owner lost %v after the new node's start, messages take %v", after, delay)
 }
 
@@ -263,8 +264,8 @@
 	require.True(t, c.until(2e9, func() bool { return !c.nodes[stops].HandingOver() }))
 	c.down(stops)
 	require.True(t, c.until(catchUp, func() bool { return c.owner() != "" }))
-	require.False(t, sits(c.lead().reg.known.Voters, ident.Node(stops)))
-	require.True(t, sits(c.lead().reg.known.Voters, "d"))
+	require.False(t, voterset.Seats(c.lead().reg.known.Voters, ident.Node(stops)))
+	require.True(t, voterset.Seats(c.lead().reg.known.Voters, "d"))
 }
 
 // Spares that know of a core are not blank: a wiped node whose seeds are all such spares forms no second
@@ -352,7 +353,7 @@
 		{"a region without a seat", seats("a", "c", "c"), 2, []protocol.Voter{seat("x", "b"), seat("y", "d")}, "y"},
 		{"another one", seats("a", "c"), -1, []protocol.Voter{seat("x", "a"), seat("y", "b"), seat("z", "d")}, "z"},
 	} {
-		require.EqualValues(t, x.picked, c.pickSpare(x.voters, x.out, x.spares).ID, x.name)
+		require.EqualValues(t, x.picked, voterset.PickSpare(x.voters, x.out, x.spares, c.regionOf).ID, x.name)
 	}
 	zones := func(l []protocol.Voter) (z []string) {
 		for _, v := range l {
@@ -360,11 +361,11 @@
 		}
 		return z
 	}
-	require.Nil(t, spread(seats("a", "b", "c"), []protocol.Voter{seat("x", "d")}, zoneOf))
-	require.Equal(t, []string{"a", "b", "d"}, zones(spread(seats("a", "a", "b"), []protocol.Voter{seat("w", "d")}, zoneOf))[:3])
-	require.NotNil(t, spread(seats("a", "b", "c"), []protocol.Voter{seat("x", "d")}, c.regionOf), "two of three in the north")
-	require.Nil(t, spread(seats("a", "b", "c"), []protocol.Voter{seat("x", "a")}, c.regionOf))
-	require.Nil(t, spread(seats("a", "a", "b", "b", "c"), []protocol.Voter{seat("x", "c")}, zoneOf), "any zone may go")
+	require.Nil(t, voterset.Spread(seats("a", "b", "c"), []protocol.Voter{seat("x", "d")}, voterset.Zone))
+	require.Equal(t, []string{"a", "b", "d"}, zones(voterset.Spread(seats("a", "a", "b"), []protocol.Voter{seat("w", "d")}, voterset.Zone))[:3])
+	require.NotNil(t, voterset.Spread(seats("a", "b", "c"), []protocol.Voter{seat("x", "d")}, c.regionOf), "two of three in the north")
+	require.Nil(t, voterset.Spread(seats("a", "b", "c"), []protocol.Voter{seat("x", "a")}, c.regionOf))
+	require.Nil(t, voterset.Spread(seats("a", "a", "b", "b", "c"), []protocol.Voter{seat("x", "c")}, voterset.Zone), "any zone may go")
 }
 
 // Changes that come as fast as they are taken do not keep a voter from being replaced.
@@ -381,7 +382,7 @@
 			c.admin(c.owner(), Admin{Op: "put", Raw: []byte("p"), Any: true, Change: fmt.Sprint(n)})
 		}
 		k := c.lead().reg.known
-		return sits(k.Voters, "d") && len(k.Prior) == 0
+		return voterset.Seats(k.Voters, "d") && len(k.Prior) == 0
 	}), "after %d changes", n)
 }
 
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -15,6 +15,7 @@
 	"tidedeck/internal/failure"
 	"tidedeck/internal/ident"
 	"tidedeck/internal/protocol"
+	"tidedeck/internal/voterset"
 )
 
 func voter(id string, inc ident.Inc) protocol.Voter {
@@ -52,7 +53,7 @@
 		{"each by another pair", two, yes(a, c, d), true},
 		{"no set at all", protocol.Desired{}, yes(a, b, c), false},
 	} {
-		require.Equal(t, x.is, quorum(x.set, x.yes), x.name)
+		require.Equal(t, x.is, voterset.Majority(x.set, x.yes), x.name)
 	}
 }
 
--- a/internal/controller/duty.go
+++ b/internal/controller/duty.go
@@ -8,6 +8,7 @@
 	"tidedeck/internal/generic"
 	"tidedeck/internal/ident"
 	"tidedeck/internal/protocol"
+	"tidedeck/internal/voterset"
 )
 
 // reign is this node's view of the duty.
@@ -35,7 +36,7 @@
 	if d.mine {
 		return true, d.num
 	}
-	if !seat(set.Voters, c.o.Me.ID, c.vote.inc) || !d.free {
+	if !voterset.Names(set.Voters, c.o.Me.ID, c.vote.inc) || !d.free {
 		return false, 0
 	}
 	if c.now < d.shy || c.ending {
@@ -52,7 +53,7 @@
 			last, top = s.state.Last, s.state.Duty
 		}
 	}
-	if s, ok := c.reg.lives[last]; ok && seat(set.Voters, last, s.state.Inc) && !s.state.Shy && c.now.Sub(s.at) < 3*c.o.Round {
+	if s, ok := c.reg.lives[last]; ok && voterset.Names(set.Voters, last, s.state.Inc) && !s.state.Shy && c.now.Sub(s.at) < 3*c.o.Round {
 		return last == c.o.Me.ID, d.top + 1
 	}
 	l := append([]protocol.Voter{}, set.Voters...)
@@ -83,7 +84,7 @@
 	// A grant of this node's own that won no majority keeps nobody but others from asking again. While no
 	// majority is open, a claim could not win: it would only renew the refusal of those that granted it, so
 	// that two claimants would keep each other out for good.
-	d.free = quorum(q.set, q.open)
+	d.free = voterset.Majority(q.set, q.open)
 	if !d.mine {
 		d.who = q.owner
 	}
@@ -120,7 +121,7 @@
 // shapeOf gives the number of a voter set that is known to be chosen, and zero for any other.
 func (c *Core) shapeOf(set protocol.Desired) uint64 {
 	k := c.reg.known
-	if k == nil || !alike(k.Voters, set.Voters) || !alike(k.Prior, set.Prior) {
+	if k == nil || !voterset.Same(k.Voters, set.Voters) || !voterset.Same(k.Prior, set.Prior) {
 		return 0
 	}
 	return k.Shape
@@ -141,7 +142,7 @@
 	c.note(fmt.Sprintf("duty %d is given back: %s", num, why))
 	c.duty.mine, c.duty.who, c.duty.free = false, protocol.Sibling{}, false
 	c.clear()
-	for _, p := range electors(*c.reg.known) {
+	for _, p := range voterset.Addresses(*c.reg.known) {
 		c.send(p, protocol.Release{Duty: num, Next: next})
 	}
 }
--- a/internal/controller/enrol.go
+++ b/internal/controller/enrol.go
@@ -5,6 +5,7 @@
 	"tidedeck/internal/generic"
 	"tidedeck/internal/ident"
 	"tidedeck/internal/protocol"
+	"tidedeck/internal/voterset"
 )
 
 // Announce is a server's own word to a core node.
@@ -304,7 +305,7 @@
 func (c *Core) others() (l []protocol.Sibling) {
 	to := map[ident.Node]protocol.Sibling{}
 	if k := c.latest(); k != nil {
-		for _, p := range electors(*k) {
+		for _, p := range voterset.Addresses(*k) {
 			to[p.ID] = p
 		}
 	}
@@ -322,7 +323,7 @@
 // settleLeaving answers a leaving once the owner and a majority know of it.
 func (c *Core) settleLeaving(mark uint64, l *leaving) {
 	k := c.latest()
-	if !l.ruled || k == nil || !quorum(*k, l.yes) {
+	if !l.ruled || k == nil || !voterset.Majority(*k, l.yes) {
 		return
 	}
 	delete(c.acks, mark)
@@ -529,7 +530,7 @@
 
 // settleRoll has a node's roll count again once a majority's are in it and on its disk.
 func (c *Core) settleRoll() {
-	if c.reg.known == nil || !quorum(*c.reg.known, c.recovered) {
+	if c.reg.known == nil || !voterset.Majority(*c.reg.known, c.recovered) {
 		return
 	}
 	c.keepLeavings(func() {
@@ -540,7 +541,7 @@
 
 // rolled tells whether the owner has heard a majority's roll: a leaving that was acknowledged is in it.
 func (c *Core) rolled() bool {
-	return !c.o.Enrolled || c.reg.known != nil && quorum(*c.reg.known, c.rolls)
+	return !c.o.Enrolled || c.reg.known != nil && voterset.Majority(*c.reg.known, c.rolls)
 }
 
 func (c *Core) onRoll(e protocol.Env) {
--- a/internal/controller/invariants.go
+++ b/internal/controller/invariants.go
@@ -8,6 +8,7 @@
 	"tidedeck/internal/ident"
 	"tidedeck/internal/invariant"
 	"tidedeck/internal/protocol"
+	"tidedeck/internal/voterset"
 )
 
 // A core node's promises as checks that run in the code. Each looks at what is about to happen, not at the
@@ -44,21 +45,11 @@
 	invariant.Check(value.Epoch != old.Epoch || bytes.Equal(value.Plan, old.Plan), invariant.NumberOneValue, func() string {
 		return fmt.Sprintf("%s: epoch %d has two configurations, of %d and %d bytes", c.o.Me.ID, value.Epoch, len(old.Plan), len(value.Plan))
 	})
-	invariant.Check(value.Shape != old.Shape+1 || seatsChanged(old.Voters, value.Voters) <= 1, invariant.VotersChangeByOne, func() string {
+	invariant.Check(value.Shape != old.Shape+1 || voterset.Changed(old.Voters, value.Voters) <= 1, invariant.VotersChangeByOne, func() string {
 		return fmt.Sprintf("%s: voters %v become %v in one change", c.o.Me.ID, old.Voters, value.Voters)
 	})
 }
 
-// seatsChanged counts the seats of a voter set that the next one gives to others, or adds.
-func seatsChanged(old, next []protocol.Voter) (n int) {
-	for _, v := range next {
-		if !seat(old, v.ID, v.Inc) {
-			n++
-		}
-	}
-	return max(n, len(old)-len(next))
-}
-
 // acknowledged notes the highest epoch that this node has told anybody as taken.
 func (c *Core) acknowledged(epoch ident.Epoch) { c.ackedEpoch = max(c.ackedEpoch, epoch) }
 
@@ -75,7 +66,7 @@
 		return
 	}
 	// A minority may hold the term for a claimant that did not win it.
-	invariant.Check(!quorum(q.set, q.others), invariant.OneOwner, func() string {
+	invariant.Check(!voterset.Majority(q.set, q.others), invariant.OneOwner, func() string {
 		return fmt.Sprintf("term %d is held by %s, and by %s at %v", c.duty.num, c.o.Me.ID, q.owner.ID, generic.SortedKeys(q.others))
 	})
 }
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -9,6 +9,7 @@
 	"tidedeck/internal/generic"
 	"tidedeck/internal/ident"
 	"tidedeck/internal/protocol"
+	"tidedeck/internal/voterset"
 )
 
 // link is the owner's side of one router link: what was sent in order, what the router
@@ -74,7 +75,7 @@
 
 func (c *Core) cores() []protocol.Sibling {
 	if k := c.latest(); k != nil {
-		return electors(*k)
+		return voterset.Addresses(*k)
 	}
 	return c.o.Seeds
 }
--- a/internal/controller/proposer.go
+++ b/internal/controller/proposer.go
@@ -6,6 +6,7 @@
 	"tidedeck/internal/fleetplan"
 	"tidedeck/internal/ident"
 	"tidedeck/internal/protocol"
+	"tidedeck/internal/voterset"
 )
 
 // phase is how far an attempt to change the register is.
@@ -188,10 +189,10 @@
 func (c *Core) sendPhase(o *op) {
 	set, body := o.set, any(protocol.Prepare{Round: o.round, Ballot: o.ballot, Known: o.baseAt})
 	if o.phase == accepting {
-		set = both(o.set, o.next)
+		set = voterset.Both(o.set, o.next)
 		body = protocol.Accept{Round: o.round, Ballot: o.ballot, Value: o.next, Next: c.reserved(o), Chosen: c.reg.at}
 	}
-	for _, p := range electors(set) {
+	for _, p := range voterset.Addresses(set) {
 		if _, answered := o.yes[p.ID]; !answered {
 			c.send(p, body)
 		}
@@ -243,14 +244,14 @@
 		o.best, o.value = b.Accepted, value
 	}
 	o.yes[e.From.ID] = b.Inc
-	if !quorum(o.set, o.yes) {
+	if !voterset.Majority(o.set, o.yes) {
 		return
 	}
 	c.majorityAnswered(o)
 	now := o.set // with nothing accepted anywhere, only the forming of a core proposes a first value
 	if o.value != nil {
 		now = *o.value
-		if now.Shape >= o.set.Shape && !(alike(now.Voters, o.set.Voters) && alike(now.Prior, o.set.Prior)) {
+		if now.Shape >= o.set.Shape && !(voterset.Same(now.Voters, o.set.Voters) && voterset.Same(now.Prior, o.set.Prior)) {
 			c.reg.hint = o.value
 			c.begin(o, now)
 			return
@@ -354,11 +355,6 @@
 	}
 }
 
-func both(a, b protocol.Desired) protocol.Desired {
-	a.Prior = append(append(append([]protocol.Voter{}, a.Prior...), b.Voters...), b.Prior...)
-	return a
-}
-
 func (c *Core) onAccepted(e protocol.Env) {
 	b, o := e.Body.(protocol.Accepted), c.reg.op
 	c.reg.top = max(c.reg.top, b.Promised.N)
@@ -372,7 +368,7 @@
 		return
 	}
 	o.yes[e.From.ID] = b.Inc
-	if !quorum(o.set, o.yes) || !quorum(o.next, o.yes) {
+	if !voterset.Majority(o.set, o.yes) || !voterset.Majority(o.next, o.yes) {
 		return
 	}
 	c.majorityAnswered(o)
--- a/internal/controller/reader.go
+++ b/internal/controller/reader.go
@@ -6,6 +6,7 @@
 	"tidedeck/internal/generic"
 	"tidedeck/internal/ident"
 	"tidedeck/internal/protocol"
+	"tidedeck/internal/voterset"
 )
 
 // query is one majority read. Several may be under way at once: one that takes longer than the time to the next goes on,
@@ -88,7 +89,7 @@
 	if set := c.latest(); set != nil {
 		q.set = *set
 		q.claim, q.num = c.claims(q.set)
-		for _, p := range electors(*set) {
+		for _, p := range voterset.Addresses(*set) {
 			to[p.ID] = p
 		}
 	}
@@ -185,7 +186,7 @@
 	if b.Owner.ID != "" && b.Duty >= q.dutyN {
 		q.owner = b.Owner
 	}
-	if c.inSet(q.set, from, b.Inc) {
+	if voterset.In(q.set, from, b.Inc) {
 		q.acc[from] = b.Accepted
 		q.shape = max(q.shape, b.Shape)
 		if q.top.Less(b.Accepted) {
@@ -195,8 +196,8 @@
 	if b.Prior != c.o.Me.ID {
 		q.again = false
 	}
-	q.won = q.won || q.claim && quorum(q.set, q.grant)
-	if quorum(q.set, q.yes) {
+	q.won = q.won || q.claim && voterset.Majority(q.set, q.grant)
+	if voterset.Majority(q.set, q.yes) {
 		if !q.read {
 			c.reg.trips.reads.Observe(c.now.Sub(q.at))
 		}
@@ -244,7 +245,7 @@
 		return
 	}
 	have := q.holders()
-	if !quorum(q.set, have) {
+	if !voterset.Majority(q.set, have) {
 		return
 	}
 	if c.vote.value != nil && c.vote.accepted == q.top {
--- a/internal/controller/register.go
+++ b/internal/controller/register.go
@@ -6,6 +6,7 @@
 	"tidedeck/internal/clock"
 	"tidedeck/internal/ident"
 	"tidedeck/internal/protocol"
+	"tidedeck/internal/voterset"
 )
 
 // register is the proposer's and reader's part.
@@ -90,7 +91,7 @@
 
 // announceChosen tells the other voters that a value was chosen.
 func (c *Core) announceChosen(b protocol.Ballot, v protocol.Desired) {
-	for _, p := range electors(v) {
+	for _, p := range voterset.Addresses(v) {
 		if p.ID != c.o.Me.ID {
 			c.send(p, protocol.Taken{Epoch: v.Epoch, Ballot: b})
 		}
--- a/internal/controller/voters.go
+++ b/internal/controller/voters.go
@@ -1,16 +1,12 @@
 package controller
 
 import (
-	"cmp"
-	"fmt"
-	"slices"
-	"sort"
-
 	"tidedeck/internal/clock"
 	"tidedeck/internal/failure"
 	"tidedeck/internal/fleetplan"
 	"tidedeck/internal/ident"
 	"tidedeck/internal/protocol"
+	"tidedeck/internal/voterset"
 )
 
 // Changes of the voter set. The owner of the duty makes them, one voter at a time and each in two changes
@@ -92,7 +88,7 @@
 		return
 	}
 	if next := c.nextVoters(k.Voters); next != nil {
-		c.note(describeChange(k.Voters, next))
+		c.note(voterset.Describe(k.Voters, next))
 		c.reshape(k, next)
 		return
 	}
@@ -118,18 +114,18 @@
 		return nil
 	}
 	if i := c.replaceable(voters); i >= 0 {
-		return swap(voters, i, c.pickSpare(voters, i, spares))
+		return voterset.Replace(voters, i, voterset.PickSpare(voters, i, spares, c.regionOf))
 	}
 	if c.anyAbsent(voters) {
 		return nil // a set with an absent voter is mended before it grows
 	}
 	if len(voters) < c.o.Voters {
-		return grow(voters, c.pickSpare(voters, -1, spares))
+		return voterset.Add(voters, voterset.PickSpare(voters, -1, spares, c.regionOf))
 	}
-	if next := spread(voters, spares, c.regionOf); next != nil {
+	if next := voterset.Spread(voters, spares, c.regionOf); next != nil {
 		return next
 	}
-	return spread(voters, spares, zoneOf)
+	return voterset.Spread(voters, spares, voterset.Zone)
 }
 
 // readmit takes in again a voter whose disk began a new life, or whose address changed.
@@ -141,7 +137,7 @@
 		}
 		n := v
 		n.Inc, n.Sibling = s.state.Inc, s.sib
-		return swap(voters, i, n)
+		return voterset.Replace(voters, i, n)
 	}
 	return nil
 }
@@ -150,7 +146,7 @@
 func (c *Core) spares(voters []protocol.Voter) (l []protocol.Voter) {
 	for _, m := range c.mates.Alive("controller") {
 		s := c.reg.lives[m.ID]
-		if c.answered(m.ID, spareFresh) && !s.state.Leaving && !sits(voters, m.ID) {
+		if c.answered(m.ID, spareFresh) && !s.state.Leaving && !voterset.Seats(voters, m.ID) {
 			l = append(l, protocol.Voter{Sibling: m.Sibling, Zone: m.Zone, Inc: s.state.Inc})
 		}
 	}
@@ -185,90 +181,9 @@
 	return false
 }
 
-// domain names what a voter shares with those that are lost together with it: its zone, or its region.
-type domain func(protocol.Voter) string
-
-func zoneOf(v protocol.Voter) string { return string(v.Zone) }
-
 // regionOf names a voter's region; without a table of regions, all zones are in one.
 func (c *Core) regionOf(v protocol.Voter) string { return c.o.Regions[v.Zone] }
 
-// seatsIn counts the voters of each domain, without the one at index skip.
-func seatsIn(voters []protocol.Voter, of domain, skip int) map[string]int {
-	n := map[string]int{}
-	for i, v := range voters {
-		if i != skip {
-			n[of(v)]++
-		}
-	}
-	return n
-}
-
-// pickSpare chooses the spare whose region, and then whose zone, has the fewest voters left; among equals
-// one of the zone of the voter that goes, at index out, if one goes.
-func (c *Core) pickSpare(voters []protocol.Voter, out int, spares []protocol.Voter) protocol.Voter {
-	regions, zones := seatsIn(voters, c.regionOf, out), seatsIn(voters, zoneOf, out)
-	elsewhere := func(s protocol.Voter) int {
-		if out >= 0 && s.Zone == voters[out].Zone {
-			return 0
-		}
-		return 1
-	}
-	best := slices.MinFunc(spares, func(a, b protocol.Voter) int {
-		return cmp.Or(
-			cmp.Compare(regions[c.regionOf(a)], regions[c.regionOf(b)]),
-			cmp.Compare(zones[zoneOf(a)], zones[zoneOf(b)]),
-			cmp.Compare(elsewhere(a), elsewhere(b)))
-	})
-	return best
-}
-
-// spread moves a seat out of a domain whose loss would leave no majority, if a spare stands in one that
-// has fewer.
-func spread(voters, spares []protocol.Voter, of domain) []protocol.Voter {
-	n := seatsIn(voters, of, -1)
-	for i, v := range voters {
-		if len(voters)-n[of(v)] > len(voters)/2 {
-			continue
-		}
-		for _, s := range spares {
-			if n[of(s)]+1 < n[of(v)] {
-				return swap(voters, i, s)
-			}
-		}
-	}
-	return nil
-}
-
-// describeChange says for the log which seats a change of the voter set gives to whom.
-func describeChange(from, to []protocol.Voter) string {
-	names := func(l, without []protocol.Voter) []ident.Node {
-		var ids []ident.Node
-		for _, v := range l {
-			if !seat(without, v.ID, v.Inc) {
-				ids = append(ids, v.ID)
-			}
-		}
-		return ids
-	}
-	return fmt.Sprintf("voter set changes: %v in, %v out", names(to, from), names(from, to))
-}
-
-func swap(l []protocol.Voter, i int, n protocol.Voter) []protocol.Voter {
-	m := append([]protocol.Voter{}, l...)
-	m[i] = n
-	return byID(m)
-}
-
-func grow(l []protocol.Voter, n protocol.Voter) []protocol.Voter {
-	return byID(append(append([]protocol.Voter{}, l...), n))
-}
-
-func byID(l []protocol.Voter) []protocol.Voter {
-	sort.Slice(l, func(i, j int) bool { return l[i].ID < l[j].ID })
-	return l
-}
-
 // HandingOver tells whether this node, which was told to stop, still has a seat that a spare node can
 // take: until then it should go on answering, since what it and a lost voter know may be known to no
 // other majority.
@@ -277,7 +192,7 @@
 		return false
 	}
 	k := *c.reg.known
-	return c.inSet(k, c.o.Me.ID, c.vote.inc) && len(c.spares(k.Voters)) > 0
+	return voterset.In(k, c.o.Me.ID, c.vote.inc) && len(c.spares(k.Voters)) > 0
 }
 
 // absentAmong gives the voters that are absent.
@@ -296,12 +211,12 @@
 // may wait long for a majority.
 func (c *Core) stillWanted(from, to []protocol.Voter, absent map[ident.Node]bool) bool {
 	for _, v := range to {
-		if v.ID != c.o.Me.ID && !seat(from, v.ID, v.Inc) && !c.answered(v.ID, spareFresh) {
+		if v.ID != c.o.Me.ID && !voterset.Names(from, v.ID, v.Inc) && !c.answered(v.ID, spareFresh) {
 			return false
 		}
 	}
 	for _, v := range from {
-		if absent[v.ID] && !sits(to, v.ID) && c.reg.op.yes[v.ID] == v.Inc {
+		if absent[v.ID] && !voterset.Seats(to, v.ID) && c.reg.op.yes[v.ID] == v.Inc {
 			return false
 		}
 	}
--- a/internal/explorer/guards_test.go
+++ b/internal/explorer/guards_test.go
@@ -24,8 +24,8 @@
 	edits                 []edit
 }
 
-// controllerSources is where the guards are.
-const controllerSources = "internal/controller"
+// guardSources are where the guards are.
+var guardSources = []string{"internal/controller", "internal/voterset"}
 
 var brokenGuards = []brokenGuard{
 	{"a majority takes a change", "cut-owner", "durably holds", []edit{{"return n > len(l)/2", "return n >= len(l)/2"}}},
@@ -51,17 +51,21 @@
 		{"\tr.promised = nil\n\tif p == nil || r.top > p.ballot.N || p.at.Less(r.at) {", "\tif p == nil {"}}},
 	{"lives have numbers of their own", "late-answers", "without change", []edit{{"return uint64(life) << lifeBits", "return 0 * uint64(life)"}}},
 	{"a majority for the duty", "duty-restarts", "own the duty at once|was owned by", []edit{
-		{"q.claim && quorum(q.set, q.grant)", "q.claim"}, {"inc) || !d.free {", "inc) {"}}},
+		{"q.claim && voterset.Majority(q.set, q.grant)", "q.claim"}, {"inc) || !d.free {", "inc) {"}}},
 }
 
 // guardStates bounds the search for each broken guard.
 const guardStates = 1500
 
-// findSource finds the one file of a package's sources that has a text, which must stand there once.
-func findSource(t *testing.T, directory, old string) (source string) {
+// findSource finds the one file of the guards' packages that has a text, which must stand there once.
+func findSource(t *testing.T, root, old string) (source string) {
 	t.Helper()
-	files, err := filepath.Glob(filepath.Join(directory, "*.go"))
-	require.NoError(t, err)
+	var files []string
+	for _, folder := range guardSources {
+		l, err := filepath.Glob(filepath.Join(root, folder, "*.go"))
+		require.NoError(t, err)
+		files = append(files, l...)
+	}
 	found := 0
 	for _, file := range files {
 		if strings.HasSuffix(file, "_test.go") {
@@ -86,7 +90,7 @@
 	directory := t.TempDir()
 	var list []overlay.Edit
 	for _, e := range edits {
-		source, err := filepath.Rel(root, findSource(t, filepath.Join(root, controllerSources), e.old))
+		source, err := filepath.Rel(root, findSource(t, root, e.old))
 		require.NoError(t, err)
 		list = append(list, overlay.Edit{File: source, Old: e.old, New: e.now})
 	}
--- a/internal/simulator/edits_test.go
+++ b/internal/simulator/edits_test.go
@@ -30,7 +30,7 @@
 		text       string
 	}
 	var tries []try
-	for _, f := range []string{"internal/controller/duty.go", "internal/controller/links.go", "internal/controller/register.go", "internal/controller/acceptor.go", "internal/controller/proposer.go", "internal/controller/reader.go", "internal/controller/forming.go", "internal/controller/quorum.go", "internal/controller/voters.go",
+	for _, f := range []string{"internal/controller/duty.go", "internal/controller/links.go", "internal/controller/register.go", "internal/controller/acceptor.go", "internal/controller/proposer.go", "internal/controller/reader.go", "internal/controller/forming.go", "internal/voterset/voterset.go", "internal/controller/voters.go",
 		"internal/controller/place.go", "internal/controller/server.go", "internal/controller/spot.go", "internal/controller/entries.go", "internal/controller/plan.go", "internal/controller/fenced.go", "internal/controller/report.go", "internal/controller/evict.go", "internal/controller/clear_room.go",
 		"internal/controller/list.go", "internal/controller/moves.go", "internal/router/core.go", "internal/router/ledger.go", "internal/router/admission.go", "internal/router/queue.go", "internal/router/allowance.go", "internal/router/choice.go", "internal/router/attempts.go", "internal/agent/core.go"} {
 		b, err := os.ReadFile(filepath.Join("..", "..", f))
--- a/internal/simulator/hosted_test.go
+++ b/internal/simulator/hosted_test.go
@@ -71,7 +71,7 @@
 		{"internal/controller/weigh.go", "return min(atOnce, toBegin)", "return max(100, atOnce, toBegin)"}}},
 	{"announced: offer no leaving server", "announced-leave", "after its leaving was acknowledged|takes it to stay", []edit{
 		{"internal/controller/server.go", `return s.State == "live" && !c.empty`, "return !c.empty"}}},
-	{"announced: a leaving is known", "announced-minority", "takes it to stay", []edit{{"internal/controller/enrol.go", "if !l.ruled || k == nil || !quorum(*k, l.yes) {", "if k == nil {"}}},
+	{"announced: a leaving is known", "announced-minority", "takes it to stay", []edit{{"internal/controller/enrol.go", "if !l.ruled || k == nil || !voterset.Majority(*k, l.yes) {", "if k == nil {"}}},
 	{"announced: know late words", "announced-late", "takes it to stay|after its leaving", []edit{
 		{"internal/controller/enrol.go", `if b.Count <= e.Count || e.State == "gone" && !e.soft {`, `if e.State == "gone" && !e.soft {`},
 		{"internal/controller/enrol.go", "if stagesOf[b.State] < stagesOf[e.State] {", "if false {"}}},
