--- a/internal/controller/enrol_test.go
+++ b/internal/controller/enrol_test.go
@@ -308,3 +308,27 @@
 		require.NotEqual(t, w.Addr, o.addr)
 	}
 }
+
+// An entry that loses a server keeps the others: whoever holds it is told both at once, and need not ask an owner that may
+// be gone by then.
+func TestBrokenEntryKeepsItsOtherServers(t *testing.T) {
+	c := newCluster(t, modelPlan(8, "llm|m"), "a", "b", "c")
+	r := c.route("r")
+	r.burden["web|"] = protocol.Burden{Came: 5, Load: 1}
+	for _, id := range []string{"w1", "w2", "w3"} {
+		c.serve(id).Service = "web"
+	}
+	all := func() bool { return r.sends("web|", "w1") && r.sends("web|", "w2") && r.sends("web|", "w3") }
+	require.True(t, c.until(4e9, all))
+	delete(r.burden, "web|") // it asks for nothing by itself
+	leaving := beacon("w1", "leaving", 1000).Listed
+	leaving.Service = "web"
+	c.models["at-w1"].silent = true
+	c.announce(c.other(), protocol.Beacon{Listed: leaving, Count: 1000})
+	require.True(t, c.until(4e9, func() bool { return !r.sends("web|", "w1") }))
+	require.True(t, r.sends("web|", "w2"))
+	require.True(t, r.sends("web|", "w3"))
+	c.parted["r"] = true
+	c.run(200e6)
+	require.True(t, r.sends("web|", "w2"))
+}
