--- a/internal/controller/entries.go
+++ b/internal/controller/entries.go
@@ -92,7 +92,7 @@
 	case c.o.Unfenced && !e.never && covers(e.replicas, old):
 		c.extendAll(k, e)
 	default:
-		c.breakAll(k)
+		c.breakAll(k, e)
 	}
 }
 
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -303,11 +303,18 @@
 	return i
 }
 
-// breakAll breaks a key's callbacks at every holder.
-func (c *Core) breakAll(k ident.Key) {
+// breakAll breaks a key's callbacks at every holder. Where servers guard themselves, what is left of the entry follows at once:
+// the other replicas are as good as before, and who holds it need not ask an owner that may be gone by then.
+func (c *Core) breakAll(k ident.Key, e *entry) {
+	i := c.itemOf(k, e)
 	for _, l := range c.sorted() {
-		if _, ok := l.holds[k]; ok {
-			c.breakOn(l, k)
+		if _, ok := l.holds[k]; !ok {
+			continue
+		}
+		c.breakOn(l, k)
+		if c.o.Unfenced && len(e.replicas) > 0 && !l.full {
+			l.order = append(l.order, k)
+			l.holds[k] = c.add(l, protocol.Item{Entry: &i})
 		}
 	}
 }
