The retry margin outlives restarts; a core without a majority tells whom it waits for

It is lent nothing for a whole window after a restart that is not the system's first. Which voters a core without a majority waits for stands in its status (waits_for), its log and its metrics (VotersMissing).

--- a/internal/controller/admin.go
+++ b/internal/controller/admin.go
@@ -289,5 +289,8 @@
 	if k := c.reg.known; k != nil {
 		v["gen"], v["empty"] = k.Gen, k.Empty
 	}
+	if m, lacks := c.lacksVoters(); lacks {
+		v["waits_for"] = m.String()
+	}
 	c.receipt(Receipt{Token: a.Token, View: v})
 }
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -175,6 +175,7 @@
 	Stalls                                                  uint64 // the process stood still
 	RoundsPromised                                          uint64 // attempts under a ballot that a majority had promised before
 	Forwards, ForwardsUnanswered                            uint64 // changes handed to the owner of the lease, and those proposed here as no outcome came in time
+	VotersMissing                                           int    // now: voters that a core without a majority waits for
 	ForwardsTaken                                           uint64 // changes that another node handed to this owner
 	QueriesEnded                                            uint64 // majority reads that told what is the newest
 	QueriesOvertaken                                        uint64 // that a majority answered, but showed a newer value that was not learned before the next read began
--- a/internal/controller/register.go
+++ b/internal/controller/register.go
@@ -43,6 +43,7 @@
 	reshaping bool                      // a change of the voter set is under way
 	inTouch   bool                      // a majority was heard lately, as the log was told last
 	starve    bool                      // likewise: a majority answers, and reads do not end
+	waitsFor  string                    // what the core lacks to go on, as the log was told last
 	absent    map[ident.Node]clock.Tick // voters that do not answer, and since when
 }
 
--- a/internal/controller/voters.go
+++ b/internal/controller/voters.go
@@ -26,6 +26,7 @@
 	inTouch := r.known != nil && c.now.Sub(r.answered) <= voterFresh*c.o.Round
 	c.noteTouch(inTouch)
 	c.noteReads(inTouch)
+	c.watchMissing()
 	if !inTouch {
 		clear(r.absent)
 		return
--- a/internal/router/allowance.go
+++ b/internal/router/allowance.go
@@ -20,8 +20,12 @@
 	return true
 }
 
-// borrow takes one of the arrivals that the fleet is lent whatever it earned; this router has its share.
+// borrow takes one of the arrivals that the fleet is lent whatever it earned; this router has its share. One that has started
+// again has none for a whole window: how much of it its earlier lives took is not known any more.
 func (c *Core) borrow() bool {
+	if c.o.Restarted && c.now.Sub(c.began) <= c.o.Window {
+		return false
+	}
 	for len(c.loans) > 0 && c.now.Sub(c.loans[0]) > c.o.Window {
 		c.loans = c.loans[1:]
 	}
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -38,6 +38,8 @@
 	Guards bool                                             // servers refuse what they do not hold: without a lease a router goes by what it knew
 	Lend   float64                                          // arrivals beyond the first that the whole fleet is lent in each Window
 	Window clock.Span
+
+	Restarted bool // an earlier life of this router may have been lent its share in the window that runs
 }
 
 // Defaults fills what was left out.
@@ -139,9 +141,10 @@
 
 // Core is a router without I/O.
 type Core struct {
-	o   Options
-	now clock.Tick
-	out []any
+	began clock.Tick // when this life took its first input
+	o     Options
+	now   clock.Tick
+	out   []any
 
 	ses     protocol.Session
 	until   clock.Tick
@@ -209,6 +212,9 @@
 // Step takes one input and gives what is to be done.
 func (c *Core) Step(now clock.Tick, in any) []any {
 	c.now, c.out = now, nil
+	if c.began == 0 {
+		c.began = now
+	}
 	switch v := in.(type) {
 	case protocol.Env:
 		switch b := v.Body.(type) {
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -273,6 +273,7 @@
 			w.host.router(&lo, z)
 		}
 		lo.Me, lo.Agent, lo.Inc = protocol.Sibling{ID: ident.Node(l), Addr: l}, protocol.Sibling{ID: ident.Node(a), Addr: a}, w.inc(l)
+		lo.Restarted = w.host != nil && w.now > 0
 		return router.New(lo)
 	}})
 }
