--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -16,6 +16,7 @@
 	"github.com/go-faster/errors"
 
 	"tidedeck/internal/invariant"
+	"tidedeck/internal/localfleet"
 	"tidedeck/platform/peer"
 )
 
@@ -320,15 +321,9 @@
 	}
 }
 
-// untilPause is the time between two looks.
-const untilPause = 10 * time.Millisecond
-
-// until asks again and again until something holds.
+// until asks again and again until something holds, for a while at the most.
 func until(ctx context.Context, most time.Duration, what string, holds func() bool) error {
-	for end := time.Now().Add(most); !holds(); wait(ctx, untilPause) {
-		if ctx.Err() != nil || time.Now().After(end) {
-			return errors.Errorf("never came about: %s", what)
-		}
-	}
-	return nil
+	bounded, stop := context.WithTimeout(ctx, most)
+	defer stop()
+	return localfleet.Until(bounded, what, holds)
 }
