--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -37,6 +37,8 @@
 	Safety   bool          `help:"Leave out what is bounded in time, for a machine that is busy."`
 	Programs string        `help:"Folder with the router and the controller; that of this program if none is named." type:"path"`
 	Folder   string        `help:"Folder for data and logs of failed runs; a temporary one if none is named." type:"path"`
+	Only     []string      `help:"Kinds of trouble that come, by their names, separated by commas; all if none is named. An unknown name lists them."`
+	Memory   string        `help:"Write each process's memory to this file, CSV, and print a line through it." type:"path"`
 	Trace    bool          `help:"Print each trouble as it begins and ends."`
 }
 
@@ -53,6 +55,10 @@
 		fmt.Fprintln(os.Stderr, "soak: wants at least one seed, job and router, two servers and three core nodes")
 		return exitUsage
 	}
+	if f.Memory != "" && f.Seeds > 1 {
+		fmt.Fprintln(os.Stderr, "soak: --memory goes with one seed")
+		return exitUsage
+	}
 	if f.Programs == "" {
 		me, err := os.Executable()
 		if err != nil {
@@ -84,10 +90,18 @@
 			defer func() { <-slots }()
 			seed := f.Seed + uint64(i)
 			folder := filepath.Join(f.Folder, fmt.Sprintf("seed-%d", seed))
-			report, err := soak.Run(ctx, f.options(seed, folder))
+			o := f.options(seed, folder)
+			record := &memoryRecord{}
+			if f.Memory != "" {
+				o.Memory = record.add
+			}
+			report, err := soak.Run(ctx, o)
 			mu.Lock()
 			defer mu.Unlock()
 			tell(seed, report, err)
+			if f.Memory != "" {
+				record.tell(f.Memory, seed)
+			}
 			if err != nil || len(report.Violations) > 0 {
 				bad++
 				fmt.Printf("   logs in %s; again: bin/soak --seed %d --length %v --trace\n", folder, seed, f.Length)
@@ -106,7 +120,7 @@
 
 func (f flags) options(seed uint64, folder string) soak.Options {
 	o := soak.Options{Programs: f.Programs, Folder: folder, Seed: seed, Cores: f.Cores, Routers: f.Routers, Servers: f.Servers,
-		Callers: f.Callers, Length: f.Length, Safety: f.Safety}
+		Callers: f.Callers, Length: f.Length, Safety: f.Safety, Only: f.Only}
 	if f.Trace {
 		o.Trace = func(line string) { fmt.Printf("seed %d %s\n", seed, line) }
 	}
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -314,3 +314,15 @@
 		wait(ctx, time.Duration(o.random.Int64N(int64(o.run.pace.Load()))))
 	}
 }
+
+// acknowledged counts the changes that were acknowledged so far.
+func (l *ledger) acknowledged() (n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.changes {
+		if !c.acked.IsZero() {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/soak/options.go
+++ b/internal/soak/options.go
@@ -22,6 +22,8 @@
 	Length   time.Duration // of the troubles
 	Safety   bool          // only what holds however slow the machine is; bounds on time are left out
 	Trace    func(string)  // hears of each trouble
+	Only     []string      // kinds of trouble that come, by their names; all if none is named
+	Memory   func(MemorySample)
 }
 
 // zones of a fleet.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -54,6 +54,10 @@
 
 // Run plays one run. The error is one of the run itself; broken promises are in the report.
 func Run(ctx context.Context, o Options) (Report, error) {
+	only, err := kindsNamed(o.Only)
+	if err != nil {
+		return Report{}, err
+	}
 	j := newJudge(o)
 	r, err := newRun(o, j)
 	if err != nil {
@@ -72,6 +76,7 @@
 	}()
 	go r.watchMemory(ctx)
 	t := newTroubles(r)
+	t.kinds = only
 	r.busy(ctx, t)
 	r.end(ctx)
 	j.finish()
@@ -80,11 +85,7 @@
 	for _, m := range r.fleet.machines {
 		report.PeakMb[m.name] = m.peak() >> 10
 	}
-	for _, c := range r.ledger.changes {
-		if !c.acked.IsZero() {
-			report.Changes++
-		}
-	}
+	report.Changes = r.ledger.acknowledged()
 	return report, nil
 }
 
@@ -268,22 +269,6 @@
 	all.Wait()
 }
 
-// memoryPeriod is how often the processes' memory is looked at.
-const memoryPeriod = 500 * time.Millisecond
-
-// watchMemory holds the memory of each process against its machine's.
-func (r *soakRun) watchMemory(ctx context.Context) {
-	over := map[string]bool{}
-	for ; ctx.Err() == nil; wait(ctx, memoryPeriod) {
-		for _, m := range r.fleet.machines {
-			if kb := m.peak(); kb > memoryMb<<10 && !over[m.name] {
-				over[m.name] = true
-				r.judge.violate("FAULT", "%s has %d MB of %d", m.name, kb>>10, memoryMb)
-			}
-		}
-	}
-}
-
 // readInvariants looks for violated invariants in every process's log, over all of its starts.
 func (r *soakRun) readInvariants() {
 	for _, m := range r.fleet.machines {
--- a/internal/soak/trouble.go
+++ b/internal/soak/trouble.go
@@ -4,15 +4,19 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 // troubles draws from a seed which troubles come, where, for how long, and which of them overlap.
 type troubles struct {
 	run    *soakRun
 	random *rand.Rand
+	kinds  []kind // that come
 	under  sync.WaitGroup
 
 	mu     sync.Mutex // guards busy and wiped
@@ -73,7 +77,7 @@
 )
 
 func newTroubles(r *soakRun) *troubles {
-	return &troubles{run: r, random: rand.New(rand.NewPCG(r.options.Seed, 77)), busy: map[string]bool{}, counts: map[string]int{}}
+	return &troubles{run: r, random: rand.New(rand.NewPCG(r.options.Seed, 77)), busy: map[string]bool{}, counts: map[string]int{}, kinds: kinds}
 }
 
 // play has troubles come, two or three at a time, for as long as the run is to last.
@@ -91,7 +95,7 @@
 			wait(ctx, time.Duration(t.random.Int64N(int64(mostStagger))))
 		}
 		t.under.Wait()
-		if t.random.Float64() < quickShare {
+		if t.random.Float64() < quickShare && len(t.run.options.Only) == 0 {
 			t.quickChanges(ctx)
 		}
 		if t.random.Float64() < calmShare {
@@ -103,16 +107,40 @@
 
 func (t *troubles) draw() kind {
 	sum := 0
-	for _, k := range kinds {
+	for _, k := range t.kinds {
 		sum += k.weight
 	}
 	dice := t.random.IntN(sum)
-	for _, k := range kinds {
+	for _, k := range t.kinds {
 		if dice -= k.weight; dice < 0 {
 			return k
 		}
 	}
-	return kinds[0]
+	return t.kinds[0]
+}
+
+// kindsNamed gives the kinds of some names; all if none is named.
+func kindsNamed(names []string) ([]kind, error) {
+	if len(names) == 0 {
+		return kinds, nil
+	}
+	var l []kind
+	for _, name := range names {
+		i := slices.IndexFunc(kinds, func(k kind) bool { return k.name == name })
+		if i < 0 {
+			return nil, errors.Errorf("no kind of trouble is called %q; there are: %s", name, strings.Join(KindNames(), ", "))
+		}
+		l = append(l, kinds[i])
+	}
+	return l, nil
+}
+
+// KindNames lists the kinds of trouble.
+func KindNames() (names []string) {
+	for _, k := range kinds {
+		names = append(names, k.name)
+	}
+	return names
 }
 
 // number draws a whole number below n; troubles that run beside each other draw from one source.
