--- a/internal/controller/forward.go
+++ b/internal/controller/forward.go
@@ -32,7 +32,7 @@
 type forwards struct {
 	open  map[uint64]*pendingChange // whose outcome is not known yet, by the numbers under which they were handed over
 	heard clock.Tick                // when the last outcome came
-	late  int                       // changes since then that were proposed here, as none came in time
+	late  int                       // changes since then whose outcomes did not come in time
 }
 
 // forwardWait is how long the outcome of a change that was handed over is waited for.
@@ -75,10 +75,11 @@
 			continue
 		}
 		owner, other := c.proposerElsewhere()
-		if p.proposed || other && owner.ID == p.owner.ID && c.now < c.forwardDue(p) {
+		late := c.now >= c.forwardDue(p)
+		if p.proposed || other && owner.ID == p.owner.ID && !late {
 			continue
 		}
-		c.forwards.late++
+		c.forwards.late += generic.One(late)
 		c.tally.ForwardsUnanswered++
 		c.proposeChange(p)
 	}
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -73,7 +73,7 @@
 	select {
 	case r := <-ch:
 		return r
-	case <-time.After(6 * time.Second):
+	case <-time.After(receiptLimit):
 		d.mu.Lock()
 		delete(d.wait, a.Token)
 		d.mu.Unlock()
@@ -82,8 +82,9 @@
 }
 
 const (
-	handoverLimit = 3 * time.Second       // that a stopping node waits for a spare to take its seat
-	handoverPoll  = 50 * time.Millisecond // between two looks whether it has
+	receiptLimit  = mostChangeWait + time.Second // that a request waits for its receipt
+	handoverLimit = 3 * time.Second              // that a stopping node waits for a spare to take its seat
+	handoverPoll  = 50 * time.Millisecond        // between two looks whether it has
 )
 
 // stop has the core give back what it holds, and waits until a spare node, if there is one, has its seat.
--- a/internal/controller/slow_rounds_test.go
+++ b/internal/controller/slow_rounds_test.go
@@ -8,7 +8,6 @@
 
 	"tidedeck/internal/clock"
 	"tidedeck/internal/failure"
-	"tidedeck/internal/generic"
 )
 
 // roundsRun is a core under changes at fixed intervals, and what became of it.
@@ -33,18 +32,7 @@
 )
 
 func (x roundsRun) play(t *testing.T) outcome {
-	c := newTunedCluster(t, modelPlan(8, "llm|m"), grownTimes, "a", "b", "c", "d", "e")
-	c.run(2e9)
-	c.delay = x.delay
-	c.run(2e9)
-	owner := c.owner()
-	require.NotEmpty(t, owner)
-	var others []string
-	for _, id := range generic.SortedKeys(c.nodes) {
-		if id != owner {
-			others = append(others, id)
-		}
-	}
+	c, others := newSlowCluster(t, x.delay)
 	for _, id := range others[len(others)-x.down:] {
 		c.parted[id] = true
 	}
--- a/internal/controller/starved_reads_test.go
+++ b/internal/controller/starved_reads_test.go
@@ -71,6 +71,22 @@
 	return owner.longest, vouch.longest, taken
 }
 
+// newSlowCluster lays five nodes out whose messages to each other take a while; it names those that do not own the lease.
+func newSlowCluster(t *testing.T, delay clock.Span) (c *cluster, others []string) {
+	c = newTunedCluster(t, modelPlan(8, "llm|m"), grownTimes, "a", "b", "c", "d", "e")
+	c.run(2e9)
+	c.delay = delay
+	c.run(2e9)
+	owner := c.owner()
+	require.NotEmpty(t, owner)
+	for _, id := range generic.SortedKeys(c.nodes) {
+		if id != owner {
+			others = append(others, id)
+		}
+	}
+	return c, others
+}
+
 // Under changes in quick succession, with no fault at all, the core keeps its owner and goes on telling routers what is
 // the newest. Messages between core nodes take half to two and a half times the delay that is named, as they do where
 // processes stand still while they read a large configuration.
@@ -78,17 +94,9 @@
 	for _, x := range []struct{ delay, gap clock.Span }{{20e6, 100e6}, {40e6, 100e6}, {40e6, 150e6}, {40e6, 300e6}, {60e6, 300e6}} {
 		for _, spread := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%v/%v/spread=%v", x.delay, x.gap, spread), func(t *testing.T) {
-				c := newTunedCluster(t, modelPlan(8, "llm|m"), grownTimes, "a", "b", "c", "d", "e")
-				c.run(2e9)
-				c.delay = x.delay
-				c.run(2e9)
-				owner := c.owner()
-				require.NotEmpty(t, owner)
-				var nodes []string
-				for _, id := range generic.SortedKeys(c.nodes) {
-					if id != owner && (spread || len(nodes) == 0) {
-						nodes = append(nodes, id)
-					}
+				c, nodes := newSlowCluster(t, x.delay)
+				if !spread {
+					nodes = nodes[:1]
 				}
 				noOwner, noVouch, taken := c.quickChanges(nodes, x.gap, 12e9)
 				t.Logf("no owner for %v, nobody vouches for %v, %d changes taken", noOwner, noVouch, taken)
