--- a/cmd/router/main.go
+++ b/cmd/router/main.go
@@ -22,7 +22,7 @@
 			ID: string(boot.Node), Zone: string(boot.Zone), Ingress: boot.Ingress, Readiness: boot.Readiness,
 			Post: boot.Post(2), Admin: boot.Post(3), Seeds: boot.SeedPosts(0), Follow: followSeeds, Logs: flags.Lines(), Metrics: flags.MetricsAt(boot.IP), Bind: flags.Bind,
 			Dialect: platform.Dialect{}, Read: platform.ReadPlan, Grace: b.Grace, Bodies: int64(boot.MemoryMB) << 20 / bodyPart,
-			Lend: float64(b.RetryMargin) * 0.6, Window: b.RetryWindow, Earn: b.RetryFraction * 0.8, First: boot.First,
+			Lend: float64(b.RetryMargin) * marginFirst, LendAgain: float64(b.RetryMargin) * (1 - marginFirst), Window: b.RetryWindow, Earn: b.RetryFraction * 0.8, First: boot.First,
 		}))
 		return
 	}
@@ -31,6 +31,10 @@
 	end(router.Main(s))
 }
 
+// marginFirst is the part of the retry margin that routers are lent whose earlier lives are over for long; the rest is for those
+// that have started again.
+const marginFirst = 0.6
+
 // bodyPart is which part of the machine's memory requests' bodies may take.
 const bodyPart = 8
 
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -39,7 +39,8 @@
 	Lend   float64                                          // arrivals beyond the first that the whole fleet is lent in each Window
 	Window clock.Span
 
-	Restarted bool // an earlier life of this router may have been lent its share in the window that runs
+	LendAgain float64 // the same for lives that follow another, in the first Window of each
+	Restarted bool    // an earlier life of this router may have been lent its share in the window that runs
 }
 
 // Defaults fills what was left out.
--- a/internal/router/guards_test.go
+++ b/internal/router/guards_test.go
@@ -54,7 +54,7 @@
 	{"and to each once", "weigh.go", " || r.met(p) {", " {", "TestNotTwiceToOneServer"},
 	{"a request earns once", "attempts.go", "case first && r.first:", "case false:", "TestEarnsOnce"},
 	{"a body ends in one way", "relay_serve.go", "if h.chunks && (h.length || !q.ProtoAtLeast(1, 1)) {", "if false {", "TestRelaySmuggling"},
-	{"the margin outlives restarts", "allowance.go", "if c.o.Restarted && c.now.Sub(c.began) <= c.o.Window {", "if false {", "TestMarginOutlivesRestarts"},
+	{"the margin outlives restarts", "allowance.go", "if !c.o.Restarted || age > c.o.Window {", "if true {", "TestMarginOutlivesRestarts"},
 	{"a stop tells who waits", "core.go", "\t\tc.ending = true\n\t\tc.turnAway()", "\t\tc.ending = true", "TestStopTurnsAway"},
 	{"what comes late in a stop is told so", "relay_exchange.go", "if r.late.Load() {", "if false {", "TestLateRequestAtAStop"},
 	{"bodies have a budget", "body_budget.go", "if b.used.Add(n) <= b.most || b.most == 0 {", "if b.used.Add(n); true {", "TestBodyBudget"},
--- a/internal/router/host.go
+++ b/internal/router/host.go
@@ -31,6 +31,7 @@
 	Grace     clock.Span // to stop in
 	Lame      clock.Span // callers still come for so long after a router says that it stops
 	Lend      float64    // arrivals beyond the first that the fleet is lent in each Window
+	LendAgain float64    // the same for lives that follow another, in the first Window of each
 	Window    clock.Span
 	First     bool    // the whole system starts for the first time
 	Bodies    int64   // bytes of requests' bodies that are held at once; no bound if zero
@@ -60,7 +61,7 @@
 	h.Read = h.plans.Plan
 	core := New(Options{
 		Me: protocol.Sibling{ID: nearRouter, Addr: nearRouter}, Inc: host.NewInc(), Agent: protocol.Sibling{Addr: nearAgent},
-		Read: h.Read, Zone: ident.Zone(h.Zone), Free: true, Guards: true, Hello: clock.Span(hostedHello), Lend: h.Lend, Window: h.Window, Share: h.Earn, Restarted: !h.First,
+		Read: h.Read, Zone: ident.Zone(h.Zone), Free: true, Guards: true, Hello: clock.Span(hostedHello), Lend: h.Lend, LendAgain: h.LendAgain, Window: h.Window, Share: h.Earn, Restarted: !h.First,
 	})
 	beside := agent.New(agent.Options{
 		Me: protocol.Sibling{ID: ident.Node(h.ID), Addr: h.Post}, Zone: ident.Zone(h.Zone), Inc: host.NewInc(), Life: ident.Inc(host.Now()),
