--- a/internal/controller/promises_test.go
+++ b/internal/controller/promises_test.go
@@ -260,3 +260,65 @@
 	require.Greater(t, taken, 18)
 	require.Zero(t, late)
 }
+
+// An outcome for a change of a node's earlier life says nothing of one that its present life has handed over, and the owner
+// takes a change of the present life for a new one.
+func TestForwardsOfAnEarlierLife(t *testing.T) {
+	c := newTunedCluster(t, modelPlan(8, "llm|m"), grownTimes, "a", "b", "c")
+	c.run(2e9)
+	node, owner := c.other(), c.owner()
+	for _, plan := range []string{"early", "late"} {
+		c.plans[plan] = c.plans["1"]
+	}
+	c.loses = func(e protocol.Env) bool {
+		_, is := e.Body.(protocol.Forwarded)
+		return is
+	}
+	c.admin(node, Admin{Op: "put", Raw: []byte("early"), Any: true, Change: "early"})
+	c.run(20e6)
+	var early protocol.Forwarded
+	for number := range c.nodes[node].forwards.open {
+		early = protocol.Forwarded{Number: number, Epoch: c.nodes[owner].Epoch()}
+	}
+	require.NotZero(t, early.Number)
+	c.reboot(node)
+	require.True(t, c.until(3e9, func() bool { _, other := c.nodes[node].proposerElsewhere(); return other }))
+	c.loses = func(protocol.Env) bool { return false }
+	c.delay = 100e6
+	handed := c.nodes[owner].tally.ForwardsTaken
+	c.nodes[node].token = early.Number - 1 // whatever else is counted anew in each life
+	answer := c.admin(node, Admin{Op: "put", Raw: []byte("late"), Any: true, Change: "late"})
+	require.Len(t, c.nodes[node].forwards.open, 1)
+	c.step(node, protocol.Env{From: protocol.Sibling{ID: ident.Node(owner), Addr: owner}, To: protocol.Sibling{ID: ident.Node(node), Addr: node}, Body: early})
+	require.Nil(t, answer(), "it is not known yet whether it is taken")
+	require.True(t, c.until(4e9, func() bool { return answer() != nil }))
+	require.Equal(t, failure.None, answer().Kind)
+	require.EqualValues(t, 3, answer().Epoch)
+	require.Equal(t, handed+1, c.nodes[owner].tally.ForwardsTaken, "the owner took it")
+}
+
+// While a change is proposed by the node that handed it over as well, that node passes on a refusal only if it holds for its own
+// copy, too.
+func TestRefusalBesideACopyOfOnesOwn(t *testing.T) {
+	for _, x := range []struct {
+		expect ident.Epoch
+		told   failure.Kind
+	}{{0, failure.Conflict}, {5, failure.Unclear}} {
+		c := newTunedCluster(t, modelPlan(8, "llm|m"), grownTimes, "a", "b", "c")
+		c.run(2e9)
+		node, owner := c.other(), c.owner()
+		c.delay = 60e6
+		answer := c.admin(node, Admin{Op: "put", Raw: []byte("1"), Expect: x.expect, Change: "x"})
+		n := c.nodes[node]
+		require.Len(t, n.forwards.open, 1)
+		for number, p := range n.forwards.open {
+			n.now = c.at
+			n.proposeChange(p)
+			require.True(t, p.proposed)
+			c.step(node, protocol.Env{From: protocol.Sibling{ID: ident.Node(owner), Addr: owner}, To: protocol.Sibling{ID: ident.Node(node), Addr: node},
+				Body: protocol.Forwarded{Number: number, Kind: failure.Conflict, Epoch: 1}})
+		}
+		require.NotNil(t, answer())
+		require.Equal(t, x.told, answer().Kind, "expect %d", x.expect)
+	}
+}
