Handed changes are numbered by life; a refusal holds for the copy that the node itself proposes, or is unclear

Numbers began anew in each life of a node: the outcome of an earlier life's change counted for one of this life (told as taken, and it was not), and the owner passed over a change as known. Red before: TestForwardsOfAnEarlierLife, TestRefusalBesideACopyOfOnesOwn.

--- a/internal/controller/changes.go
+++ b/internal/controller/changes.go
@@ -105,13 +105,21 @@
 	return false
 }
 
+// isRefusal tells whether an outcome says that a change was not taken.
+func isRefusal(k failure.Kind) bool {
+	return k != failure.None && k != failure.Repeated && k != failure.Unclear
+}
+
+// whyUnclear is what an operator is told whose change may have been taken.
+const whyUnclear = "it is not known whether the change was taken; repeat it under the same change id, or read the plan"
+
 // answerChange tells an operator what became of a change that was proposed here.
 func (c *Core) answerChange(p *pendingChange, r applied) {
 	if p.answered {
 		return // the node that it was handed to was faster
 	}
 	v, k, a := r.after, r.kind, p.admin
-	refused := k != failure.None && k != failure.Repeated && k != failure.Unclear
+	refused := isRefusal(k)
 	if refused && c.hasTaken(a.Change) {
 		// A repeat of it went through in the same rounds, behind another: it is not told as refused.
 		v, k, refused = *c.reg.known, failure.Repeated, false
@@ -133,7 +141,7 @@
 	case failure.Conflict:
 		receipt.Why = fmt.Sprintf("the epoch in force is %d", v.Epoch)
 	case failure.Unclear:
-		receipt.Why = "it is not known whether the change was taken; repeat it under the same change id, or read the plan"
+		receipt.Why = whyUnclear
 	}
 	c.endChange(p, receipt)
 }
--- a/internal/controller/forward.go
+++ b/internal/controller/forward.go
@@ -53,16 +53,17 @@
 
 // forward hands a change to the owner of the lease.
 func (c *Core) forward(p *pendingChange, owner protocol.Sibling) {
-	c.token++
+	c.reg.round++ // lives have numbers of their own
+	number := c.reg.round
 	p.owner, p.sent, p.unsettled = owner, c.now, true
-	c.forwards.open[c.token] = p
+	c.forwards.open[number] = p
 	c.tally.Forwards++
 	if p.admin.Change == "" { // it may come to be proposed twice: it must be known again
-		p.admin.Change = fmt.Sprintf("%s-%d-%d", c.o.Me.ID, c.o.Inc, c.token)
+		p.admin.Change = fmt.Sprintf("%s-%d-%d", c.o.Me.ID, c.o.Inc, number)
 	}
 	a := p.admin
 	c.send(owner, protocol.Forward{
-		Number: c.token, Term: c.duty.top, Op: a.Op, Raw: a.Raw, Expect: a.Expect, Any: a.Any, Revision: a.Number, Change: a.Change, Zone: a.Zone,
+		Number: number, Term: c.duty.top, Op: a.Op, Raw: a.Raw, Expect: a.Expect, Any: a.Any, Revision: a.Number, Change: a.Change, Zone: a.Zone,
 	})
 }
 
@@ -102,7 +103,11 @@
 	c.reg.trips.forwards.Observe(c.now.Sub(p.sent))
 	c.forwards.heard, c.forwards.late = c.now, 0
 	delete(c.forwards.open, b.Number)
-	c.endChange(p, Receipt{Kind: b.Kind, Why: b.Why, Faults: b.Faults, Epoch: b.Epoch, Empty: b.Empty})
+	r := Receipt{Kind: b.Kind, Why: b.Why, Faults: b.Faults, Epoch: b.Epoch, Empty: b.Empty}
+	if p.proposed && isRefusal(b.Kind) && !p.refusedForGood(b.Kind, b.Epoch) {
+		r = Receipt{Kind: failure.Unclear, Why: whyUnclear}
+	}
+	c.endChange(p, r)
 }
 
 // forwardsTaken are the changes that others have handed to this owner in its term: each is taken once, however often it
--- a/internal/controller/guards_test.go
+++ b/internal/controller/guards_test.go
@@ -50,6 +50,8 @@
 	{"a change without an outcome is proposed here", "TestForwardWithoutAnOutcome", []overlay.Edit{{File: "forward.go", Old: "		c.proposeChange(p)\n	}\n}", New: "		_ = p\n	}\n}"}}},
 	{"a change that is handed over has an id", "TestForwardWithoutAnIDIsTakenOnce", []overlay.Edit{{File: "forward.go", Old: "if p.admin.Change == \"\" { // it", New: "if false { // it"}}},
 	{"no refusal beside a copy under way", "TestRefusalBesideACopyUnderWay", []overlay.Edit{{File: "changes.go", Old: "if refused && p.unsettled && !p.refusedForGood(k, v.Epoch) {", New: "if false {"}}},
+	{"handed changes are numbered by life", "TestForwardsOfAnEarlierLife", []overlay.Edit{{File: "forward.go", Old: "	number := c.reg.round\n", New: "	c.token++\n	number := c.token\n"}}},
+	{"no refusal beside a copy of one's own", "TestRefusalBesideACopyOfOnesOwn", []overlay.Edit{{File: "forward.go", Old: "if p.proposed && isRefusal(b.Kind) &&", New: "if false &&"}}},
 	{"changes are applied beside the core", "TestNoPlanIsReadInAStep", []overlay.Edit{{File: "changes.go", Old: "mutation{beside: true,", New: "mutation{"}}},
 	{"waits follow the round trips", "TestRegisterGoesOnAtAnySpeed", []overlay.Edit{{File: "proposer_timing.go", Old: "	return min(max(wait, leastAnswerReads*c.o.Round), mostAnswerReads*c.o.Round)", New: "	_ = wait\n	return 700e6"}, {File: "forward.go", Old: "	return min(wait, mostForwardWait)", New: "	return 250e6"}}},
 	{"a broken entry keeps its other servers", "TestBrokenEntryKeepsItsOtherServers", []overlay.Edit{{File: "links.go", Old: "if c.o.Unfenced && len(e.replicas) > 0 && !l.full {", New: "if false {"}}},
