--- a/internal/controller/promises_test.go
+++ b/internal/controller/promises_test.go
@@ -322,3 +322,46 @@
 		require.Equal(t, x.told, answer().Kind, "expect %d", x.expect)
 	}
 }
+
+// A node that handed a change over tells its operator that it was taken once it knows so itself: no read that it serves after
+// that shows an older version, whenever the read began.
+func TestOutcomeIsToldOnceItIsKnown(t *testing.T) {
+	c := newTunedCluster(t, modelPlan(8, "llm|m"), grownTimes, "a", "b", "c")
+	c.run(2e9)
+	node := c.other()
+	n := c.nodes[node]
+	blind := true
+	c.loses = func(e protocol.Env) bool {
+		switch e.Body.(type) {
+		case protocol.Accept, protocol.Taken, protocol.Value, protocol.State:
+			return blind && string(e.To.ID) == node
+		}
+		return false
+	}
+	answer := c.admin(node, Admin{Op: "put", Raw: []byte("1"), Any: true, Change: "x"})
+	c.run(200e6)
+	require.EqualValues(t, 2, c.lead().Epoch(), "it is taken")
+	require.EqualValues(t, 1, n.Epoch())
+	require.Nil(t, answer(), "and the node does not know it yet")
+	blind = false
+	require.True(t, c.until(2e9, func() bool { return answer() != nil }))
+	require.Equal(t, failure.None, answer().Kind)
+	require.EqualValues(t, 2, n.Epoch())
+}
+
+// A node that comes to know of no version that was taken leaves its operator's change unclear.
+func TestOutcomeThatIsNeverKnownIsUnclear(t *testing.T) {
+	c := newTunedCluster(t, modelPlan(8, "llm|m"), grownTimes, "a", "b", "c")
+	c.run(2e9)
+	node := c.other()
+	c.loses = func(e protocol.Env) bool {
+		switch e.Body.(type) {
+		case protocol.Forwarded, protocol.Forward:
+			return false
+		}
+		return string(e.To.ID) == node
+	}
+	answer := c.admin(node, Admin{Op: "put", Raw: []byte("1"), Any: true, Change: "x"})
+	require.True(t, c.until(12e9, func() bool { return answer() != nil }))
+	require.Equal(t, failure.Unclear, answer().Kind)
+}
