A change that was handed over is told as taken once the node that tells it knows the version

Cause: the owner's outcome could overtake the value; a read that had begun before then ended by the older version, after the acknowledgement. The outcome names the newest chosen ballot, which the node learns or fetches; what it does not come to know is unclear.

--- a/internal/controller/changes.go
+++ b/internal/controller/changes.go
@@ -22,8 +22,9 @@
 
 	owner     protocol.Sibling // to whom it was handed
 	sent      clock.Tick
-	unsettled bool // it was handed over, and may be taken there
-	proposed  bool // here
+	unsettled bool     // it was handed over, and may be taken there
+	proposed  bool     // here
+	outcome   *Receipt // as the owner told it, until this node knows the version that it names
 	answered  bool
 }
 
--- a/internal/controller/forward.go
+++ b/internal/controller/forward.go
@@ -67,6 +67,34 @@
 	})
 }
 
+// tellKnown tells the outcomes of changes that were handed over, once this node knows the version that each came to: a read that
+// it serves later must not show an older one.
+func (c *Core) tellKnown() {
+	for _, number := range generic.SortedKeys(c.forwards.open) {
+		p := c.forwards.open[number]
+		if p.outcome == nil || p.answered || p.outcome.Kind == failure.None && c.Epoch() < p.outcome.Epoch {
+			continue
+		}
+		delete(c.forwards.open, number)
+		c.endChange(p, *p.outcome)
+	}
+}
+
+// awaitedEpoch gives the version that a change came to and that this node does not know yet, if any.
+func (p *pendingChange) awaitedEpoch() ident.Epoch {
+	if p.outcome == nil {
+		return 0
+	}
+	return p.outcome.Epoch
+}
+
+// tellUnclear gives up on a version that this node does not come to know.
+func (c *Core) tellUnclear(p *pendingChange) {
+	if !p.answered && c.now.Sub(p.sent) > c.changeWait() {
+		c.endChange(p, Receipt{Kind: failure.Unclear, Why: whyUnclear})
+	}
+}
+
 // beatForwards has changes proposed here whose outcome does not come in time, or whose owner lost the lease.
 func (c *Core) beatForwards() {
 	for _, number := range generic.SortedKeys(c.forwards.open) {
@@ -75,6 +103,10 @@
 			delete(c.forwards.open, number)
 			continue
 		}
+		if p.outcome != nil {
+			c.tellUnclear(p)
+			continue
+		}
 		owner, other := c.proposerElsewhere()
 		late := c.now >= c.forwardDue(p)
 		if p.proposed || other && owner.ID == p.owner.ID && !late {
@@ -90,7 +122,7 @@
 func (c *Core) onForwarded(e protocol.Env) {
 	b := e.Body.(protocol.Forwarded)
 	p := c.forwards.open[b.Number]
-	if p == nil || p.answered || p.owner.ID != e.From.ID {
+	if p == nil || p.answered || p.outcome != nil || p.owner.ID != e.From.ID {
 		return
 	}
 	if b.NotOwner {
@@ -102,12 +134,13 @@
 	}
 	c.reg.trips.forwards.Observe(c.now.Sub(p.sent))
 	c.forwards.heard, c.forwards.late = c.now, 0
-	delete(c.forwards.open, b.Number)
 	r := Receipt{Kind: b.Kind, Why: b.Why, Faults: b.Faults, Epoch: b.Epoch, Empty: b.Empty}
 	if p.proposed && isRefusal(b.Kind) && !p.refusedForGood(b.Kind, b.Epoch) {
 		r = Receipt{Kind: failure.Unclear, Why: whyUnclear}
 	}
-	c.endChange(p, r)
+	p.outcome = &r
+	c.hearOfChosen(b.Chosen, e.From)
+	c.tellKnown()
 }
 
 // forwardsTaken are the changes that others have handed to this owner in its term: each is taken once, however often it
@@ -168,5 +201,5 @@
 	if r.Kind == failure.Full {
 		r.Why = fmt.Sprintf("%d changes wait at the owner of the lease", mostQueued)
 	}
-	c.reply(e, protocol.Forwarded{Number: number, Kind: r.Kind, Why: r.Why, Faults: r.Faults, Epoch: r.Epoch, Empty: r.Empty})
+	c.reply(e, protocol.Forwarded{Number: number, Kind: r.Kind, Why: r.Why, Faults: r.Faults, Epoch: r.Epoch, Empty: r.Empty, Chosen: c.reg.at})
 }
--- a/internal/controller/guards_test.go
+++ b/internal/controller/guards_test.go
@@ -52,6 +52,7 @@
 	{"no refusal beside a copy under way", "TestRefusalBesideACopyUnderWay", []overlay.Edit{{File: "changes.go", Old: "if refused && p.unsettled && !p.refusedForGood(k, v.Epoch) {", New: "if false {"}}},
 	{"handed changes are numbered by life", "TestForwardsOfAnEarlierLife", []overlay.Edit{{File: "forward.go", Old: "	number := c.reg.round\n", New: "	c.token++\n	number := c.token\n"}}},
 	{"no refusal beside a copy of one's own", "TestRefusalBesideACopyOfOnesOwn", []overlay.Edit{{File: "forward.go", Old: "if p.proposed && isRefusal(b.Kind) &&", New: "if false &&"}}},
+	{"an outcome is told once it is known", "TestOutcomeIsToldOnceItIsKnown", []overlay.Edit{{File: "forward.go", Old: "|| p.outcome.Kind == failure.None && c.Epoch() < p.outcome.Epoch {", New: "{"}}},
 	{"changes are applied beside the core", "TestNoPlanIsReadInAStep", []overlay.Edit{{File: "changes.go", Old: "mutation{beside: true,", New: "mutation{"}}},
 	{"waits follow the round trips", "TestRegisterGoesOnAtAnySpeed", []overlay.Edit{{File: "proposer_timing.go", Old: "	return min(max(wait, leastAnswerReads*c.o.Round), mostAnswerReads*c.o.Round)", New: "	_ = wait\n	return 700e6"}, {File: "forward.go", Old: "	return min(wait, mostForwardWait)", New: "	return 250e6"}}},
 	{"a broken entry keeps its other servers", "TestBrokenEntryKeepsItsOtherServers", []overlay.Edit{{File: "links.go", Old: "if c.o.Unfenced && len(e.replicas) > 0 && !l.full {", New: "if false {"}}},
--- a/internal/controller/inspect.go
+++ b/internal/controller/inspect.go
@@ -95,6 +95,7 @@
 	Unsettled bool
 	Proposed  bool
 	Answered  bool
+	Outcome   ident.Epoch // that the owner told, and this node does not know yet
 }
 
 // QuerySnapshot is a majority read.
@@ -172,7 +173,7 @@
 	}
 	for _, number := range generic.SortedKeys(c.forwards.open) {
 		p := c.forwards.open[number]
-		s.Forwards = append(s.Forwards, ForwardSnapshot{Change: p.admin.Change, Owner: p.owner.ID, Due: c.forwardDue(p), Unsettled: p.unsettled, Proposed: p.proposed, Answered: p.answered})
+		s.Forwards = append(s.Forwards, ForwardSnapshot{Change: p.admin.Change, Owner: p.owner.ID, Due: c.forwardDue(p), Unsettled: p.unsettled, Proposed: p.proposed, Answered: p.answered, Outcome: p.awaitedEpoch()})
 	}
 	for _, o := range r.queue {
 		s.Queued = append(s.Queued, inspectOperation(o))
--- a/internal/controller/register.go
+++ b/internal/controller/register.go
@@ -88,6 +88,7 @@
 	}
 	c.wakeProposal()
 	c.endQueries()
+	c.tellKnown()
 }
 
 // announceChosen tells the other voters that a value was chosen.
--- a/internal/explorer/fingerprint.go
+++ b/internal/explorer/fingerprint.go
@@ -216,6 +216,7 @@
 	f.flag(p.Unsettled)
 	f.flag(p.Proposed)
 	f.flag(p.Answered)
+	f.number(uint64(p.Outcome))
 }
 
 func (f *fingerprinter) operation(o controller.OperationSnapshot) {
@@ -353,7 +354,7 @@
 		b.Number = 0 // the change's own id tells it apart
 		e.Body = b
 	case protocol.Forwarded:
-		b.Number = 0
+		b.Number, b.Chosen = 0, shift(b.Chosen)
 		e.Body = b
 	}
 	return e
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -352,6 +352,7 @@
 	Faults   fleetplan.Faults
 	Epoch    ident.Epoch
 	Empty    []ident.Zone
+	Chosen   Ballot `json:",omitzero"` // of the newest value that the sender knows to be chosen
 }
 
 // Keep asks an agent for the newest desired state it holds, after a total loss.
