--- a/cmd/soak/memory.go
+++ b/cmd/soak/memory.go
@@ -51,5 +51,8 @@
 		})
 	}
 	w.Flush()
-	return errors.Wrap(w.Error(), "write memory samples")
+	if err := w.Error(); err != nil {
+		return errors.Wrap(err, "write memory samples")
+	}
+	return nil
 }
