--- a/internal/soak/machine.go
+++ b/internal/soak/machine.go
@@ -279,20 +279,24 @@
 func (m *machine) peak() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.cmd == nil {
-		return m.peakKb
+	if m.cmd != nil {
+		m.peakKb = max(m.peakKb, memoryOf(m.cmd.Process.Pid, "VmHWM"))
 	}
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", m.cmd.Process.Pid))
+	return m.peakKb
+}
+
+// memoryOf reads a line of a process's memory from the kernel, in kB; zero if the process is gone.
+func memoryOf(process int, line string) (kb int) {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", process))
 	if err != nil {
-		return m.peakKb
+		return 0
 	}
-	for line := range strings.Lines(string(raw)) {
-		var kb int
-		if n, _ := fmt.Sscanf(line, "VmHWM: %d kB", &kb); n == 1 {
-			m.peakKb = max(m.peakKb, kb)
+	for text := range strings.Lines(string(raw)) {
+		if n, _ := fmt.Sscanf(text, line+": %d kB", &kb); n == 1 {
+			return kb
 		}
 	}
-	return m.peakKb
+	return 0
 }
 
 // heedsHangup tells whether the process ignores the hang-up signal by now, or handles it.
--- a/internal/soak/memory.go
+++ b/internal/soak/memory.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"os"
-	"strings"
 	"time"
 
 	"gonum.org/v1/gonum/stat"
@@ -54,16 +51,10 @@
 		return 0, 0
 	}
 	process = m.cmd.Process.Pid
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", process))
-	if err != nil {
+	if kb = memoryOf(process, "VmRSS"); kb == 0 {
 		return 0, 0
 	}
-	for line := range strings.Lines(string(raw)) {
-		if n, _ := fmt.Sscanf(line, "VmRSS: %d kB", &kb); n == 1 {
-			return process, kb
-		}
-	}
-	return 0, 0
+	return process, kb
 }
 
 // MemoryTrend is a line through the memory of one process.
