Red: requests that name no model are turned away at services with models

Routes say by pinned whether their requests name a model. Those that need not were only ever seen at plain services, and Plan.Match gives no_model for them at a service with models: 404.

--- a/internal/controller/enrol_test.go
+++ b/internal/controller/enrol_test.go
@@ -309,6 +309,27 @@
 	}
 }
 
+// Servers with models are offered as such too, to requests that name none: from their first report on, whatever they
+// hold, until they leave. Nothing is ordered or evicted for it.
+func TestServersOfferedWithoutModel(t *testing.T) {
+	c := newCluster(t, modelPlan(8, "llm|m", "llm|n", "llm|o"), "a", "b", "c")
+	r := c.route("r")
+	r.burden["llm|"] = protocol.Burden{Came: 5, Load: 1}
+	c.serve("s", "llm|m", "llm|n")
+	c.serve("empty")
+	require.True(t, c.until(4e9, func() bool { return r.sends("llm|", "s") && r.sends("llm|", "empty") }))
+	r.burden["llm|o"] = protocol.Burden{Wait: 5, Came: 5, Load: 1}
+	c.run(10e9)
+	require.True(t, r.sends("llm|", "s") && r.sends("llm|", "empty"))
+	for _, o := range c.ops {
+		require.NotEqual(t, ident.Key("llm|"), o.Key)
+	}
+	c.models["at-s"].silent = true
+	c.announce(c.other(), protocol.Beacon{Listed: beacon("s", "leaving", 1000).Listed, Count: 1000})
+	require.True(t, c.until(4e9, func() bool { return !r.sends("llm|", "s") }))
+	require.True(t, r.sends("llm|", "empty"))
+}
+
 // An entry that loses a server keeps the others: whoever holds it is told both at once, and need not ask an owner that may
 // be gone by then.
 func TestBrokenEntryKeepsItsOtherServers(t *testing.T) {
--- a/internal/fleetplan/match_test.go
+++ b/internal/fleetplan/match_test.go
@@ -10,6 +10,12 @@
 	"github.com/stretchr/testify/require"
 )
 
+// optional lets requests of a route name no model.
+func optional(r *Route) *Route {
+	r.ModelOptional = true
+	return r
+}
+
 // hostPlan has two hosts, a plain service "web" and "llm", which holds m and its adapter a.
 func hostPlan() *Plan {
 	r := func(name, service string, split ...Share) *Route {
@@ -18,7 +24,7 @@
 	return &Plan{
 		Services: map[string]Service{"web": {Plain: true}, "old": {Plain: true}, "llm": {Keys: map[ident.Key]bool{"llm|m": true, "llm|m+a": true}}},
 		Hosts: map[string]map[string]*Route{
-			"h": {"/": r("root", "web"), "/v1/": r("v1", "llm"), "/v1/batch/": r("batch", "old")},
+			"h": {"/": r("root", "web"), "/v1/": r("v1", "llm"), "/v1/batch/": r("batch", "old"), "/any/": optional(r("any", "llm"))},
 			"i": {"/v1/": r("other", "web"), "/s/": r("split", "", Share{"web", 90}, Share{"old", 10}, Share{"llm", 0})},
 		},
 	}
@@ -57,6 +63,10 @@
 		{"no such model", Query{Host: "h", Path: "/v1/x", Base: "n"}, "", failure.NoModel},
 		{"no such adapter", Query{Host: "h", Path: "/v1/x", Base: "m", Extra: "b"}, "", failure.NoModel},
 		{"no model named", Query{Host: "h", Path: "/v1/x"}, "", failure.NoModel},
+		{"no model named, where none need be", Query{Host: "h", Path: "/any/x"}, "llm|", failure.None},
+		{"a model, likewise", Query{Host: "h", Path: "/any/x", Base: "m", Extra: "a"}, "llm|m+a", failure.None},
+		{"no such model, likewise", Query{Host: "h", Path: "/any/x", Base: "n"}, "", failure.NoModel},
+		{"an adapter of no model, likewise", Query{Host: "h", Path: "/any/x", Extra: "a"}, "", failure.NoModel},
 		{"no such host", Query{Host: "j", Path: "/v1/x", Base: "m"}, "", failure.NoRoute},
 		{"no such path", Query{Host: "i", Path: "/x"}, "", failure.NoRoute},
 	} {
--- a/internal/fleetplan/plan.go
+++ b/internal/fleetplan/plan.go
@@ -79,6 +79,9 @@
 	Class  Class
 	Tries  int // servers that one request may be sent to
 	Split  []Share
+
+	// ModelOptional says that a request which names no model is for any server of a service with models.
+	ModelOptional bool
 }
 
 // Plan is a checked fleet plan.
--- a/internal/simulator/hosted.go
+++ b/internal/simulator/hosted.go
@@ -31,6 +31,7 @@
 	OrderGone float64 // that an order gets lost before it comes
 	Lend      float64 // arrivals beyond the first that the fleet may come to in ten seconds, whatever is asked
 	Shift     clock.Span
+	Nameless  float64 // of the requests to servers with models, the part that names none
 }
 
 // HostedDefaults are what a deployment asks for as a rule.
@@ -445,6 +446,11 @@
 			c.Max = 1 + w.rand.IntN(4)
 			return a
 		}
+		if s := w.o.Hosted.Nameless; s > 0 && w.rand.Float64() < s {
+			a.Route = strings.Replace(a.Route, "/", "/any/", 1)
+			c.Max = 1 + w.rand.IntN(4)
+			return a
+		}
 		v := w.plan.Services["chat"]
 		bases := 0
 		for k := range v.Keys {
--- a/internal/simulator/hosted_scenes.go
+++ b/internal/simulator/hosted_scenes.go
@@ -89,6 +89,15 @@
 		Play: func(w *World) {}},
 	{Name: "announced-leave", About: "the same, and servers leave in order, at short notice, crash and come back under new ids, at used addresses too", Long: 80e9, Least: 0.95, Set: hosted(nil),
 		Play: func(w *World) { w.leaves(10, 62, 2.5) }},
+	{Name: "announced-nameless", About: "requests to servers with models name none, while servers leave and models move", Long: 80e9, Least: 0.9,
+		Set: func(o *Options) {
+			hosted(func(h *Hosted) { h.Nameless, h.Shift = 0.3, 10e9 })(o)
+			o.Plan = namelessPlan()
+		},
+		Play: func(w *World) {
+			w.leaves(10, 62, 4)
+			w.At(sec(30), func() { w.Restart(w.owner(), 1e9) })
+		}},
 	{Name: "announced-shift", About: "what is asked for moves, so that models are loaded and unloaded all the time", Long: 80e9, Least: 0.97,
 		Set: hosted(func(h *Hosted) { h.Shift = 6e9 }), Play: func(w *World) {}},
 	{Name: "announced-store", About: "the same, from a store that bears hardly any loads", Long: 60e9, Least: 0.5,
--- a/internal/simulator/narrow_scenes.go
+++ b/internal/simulator/narrow_scenes.go
@@ -33,7 +33,8 @@
 	}
 	random := rand.New(rand.NewPCG(seed, 5))
 	for range manyRoutes {
-		s.Routes = append(s.Routes, sheetRoute{fmt.Sprintf("%x.example", random.Uint32()), fmt.Sprintf("/%x/", random.Uint64()), "plain", fleetplan.Idempotent, 990, 3000, 3})
+		s.Routes = append(s.Routes, sheetRoute{Host: fmt.Sprintf("%x.example", random.Uint32()), Prefix: fmt.Sprintf("/%x/", random.Uint64()),
+			Service: "plain", Mode: fleetplan.Idempotent, Value: 990, WaitMs: 3000, Tries: 3})
 	}
 	raw, err := json.Marshal(s)
 	if err != nil {
--- a/internal/simulator/sheet.go
+++ b/internal/simulator/sheet.go
@@ -36,6 +36,8 @@
 	Value   int    `json:"value"`
 	WaitMs  int    `json:"wait_ms"`
 	Tries   int    `json:"tries"`
+
+	ModelOptional bool `json:"model_optional,omitempty"`
 }
 
 const adapterSize = 1
@@ -83,7 +85,7 @@
 			p.Hosts[r.Host] = map[string]*fleetplan.Route{}
 		}
 		p.Hosts[r.Host][r.Prefix] = &fleetplan.Route{Service: r.Service, Name: r.Host + r.Prefix, Host: r.Host, Prefix: r.Prefix, Mode: r.Mode, Tries: r.Tries,
-			Class: fleetplan.Class{Value: r.Value, Wait: clock.Span(r.WaitMs) * 1e6}}
+			ModelOptional: r.ModelOptional, Class: fleetplan.Class{Value: r.Value, Wait: clock.Span(r.WaitMs) * 1e6}}
 	}
 	return p, nil
 }
@@ -92,19 +94,37 @@
 func hostedPlan() []byte { return storePlan(1) }
 
 // storePlan is the same with a store that admits so many loads a second.
-func storePlan(loads float64) []byte {
-	b, err := json.Marshal(sheet{Name: "first",
+func storePlan(loads float64) []byte { return writeSheet(firstSheet(loads)) }
+
+// namelessPlan is the first plan with routes to the servers with models whose requests may name none.
+func namelessPlan() []byte {
+	s := firstSheet(1)
+	for _, r := range s.Routes {
+		if r.Service == "chat" {
+			r.Prefix, r.ModelOptional = "/any"+r.Prefix, true
+			s.Routes = append(s.Routes, r)
+		}
+	}
+	return writeSheet(s)
+}
+
+func firstSheet(loads float64) sheet {
+	return sheet{Name: "first",
 		Services: map[string]sheetService{
 			"chat":  {Slots: 16, Room: 60, Places: 3, Loads: loads, Bases: 18, Adapters: 2, LoadMs: 1500},
 			"plain": {Plain: true, Slots: 8},
 		},
 		Routes: []sheetRoute{
-			{"a.example", "/flow/", "chat", fleetplan.Continuous, 990, 8000, 3},
-			{"a.example", "/idem/", "chat", fleetplan.Idempotent, 980, 8000, 3},
-			{"a.example", "/once/", "chat", fleetplan.Once, 980, 8000, 2},
-			{"a.example", "/plain/idem/", "plain", fleetplan.Idempotent, 990, 3000, 3},
-			{"a.example", "/plain/once/", "plain", fleetplan.Once, 990, 3000, 2},
-		}})
+			{Host: "a.example", Prefix: "/flow/", Service: "chat", Mode: fleetplan.Continuous, Value: 990, WaitMs: 8000, Tries: 3},
+			{Host: "a.example", Prefix: "/idem/", Service: "chat", Mode: fleetplan.Idempotent, Value: 980, WaitMs: 8000, Tries: 3},
+			{Host: "a.example", Prefix: "/once/", Service: "chat", Mode: fleetplan.Once, Value: 980, WaitMs: 8000, Tries: 2},
+			{Host: "a.example", Prefix: "/plain/idem/", Service: "plain", Mode: fleetplan.Idempotent, Value: 990, WaitMs: 3000, Tries: 3},
+			{Host: "a.example", Prefix: "/plain/once/", Service: "plain", Mode: fleetplan.Once, Value: 990, WaitMs: 3000, Tries: 2},
+		}}
+}
+
+func writeSheet(s sheet) []byte {
+	b, err := json.Marshal(s)
 	if err != nil {
 		panic(err)
 	}
