A request that names no model goes to any server of its service

Cause: Match knew requests without a model at plain services only, since the earlier deployments had no others. Change: on a route whose requests need not name a model (platform: not pinned) such a request has the key of its service as a whole. Every server has a replica for that key, whatever it holds, so the request goes under the same lease, entry, drain, retry and mode rules as any other. It weighs next to nothing and goes where the fewest tokens are under way. On a route that is pinned, or for a model that the configuration does not have, the answer stays 404. Ruled out: sending them to the first model's servers (that model may have none).

--- a/internal/controller/enrol.go
+++ b/internal/controller/enrol.go
@@ -178,7 +178,7 @@
 		if e.State == "gone" {
 			return
 		}
-		s = &server{Listed: e.Listed, spots: map[ident.Key]*spot{}, first: c.now}
+		s = newServer(e.Listed, c.now)
 		c.servers[e.ID] = s
 		c.adopt(s)
 		c.touchAll()
@@ -211,13 +211,9 @@
 	for k, p := range s.spots {
 		p.size = c.sizeOf(k) // it may have been reported before the plan that says its size was known
 	}
-	if s.plain {
+	if s.plain && !s.known {
 		s.known, s.room = true, 0
-		k := ident.Key("").In(s.Service)
-		if s.spots[k] == nil {
-			s.spots[k] = &spot{key: k, stage: Ready, ready: c.now, since: c.now}
-			c.touch(k)
-		}
+		c.touchOn(s)
 	}
 }
 
@@ -437,7 +433,7 @@
 	}
 	s.asking, s.asked = true, c.now
 	num := c.duty.num
-	c.ask(s.Addr, c.plan.Services[s.Service].Probe, protocol.Order{Key: ident.Key("").In(s.Service)}, c.o.Wait, func(t protocol.Told) {
+	c.ask(s.Addr, c.plan.Services[s.Service].Probe, protocol.Order{Key: ident.ServiceKey(s.Service)}, c.o.Wait, func(t protocol.Told) {
 		if !c.duty.mine || c.duty.num != num || c.servers[s.ID] != s {
 			return
 		}
--- a/internal/controller/enrol_test.go
+++ b/internal/controller/enrol_test.go
@@ -330,6 +330,19 @@
 	require.True(t, r.sends("llm|", "empty"))
 }
 
+// A server that answers no more is not offered to requests that name no model, either.
+func TestDarkServerNotOfferedWithoutModel(t *testing.T) {
+	c := newCluster(t, modelPlan(8, "llm|m"), "a", "b", "c")
+	r := c.route("r")
+	r.burden["llm|"] = protocol.Burden{Came: 5, Load: 1}
+	s := c.serve("s", "llm|m")
+	c.serve("t", "llm|m")
+	require.True(t, c.until(4e9, func() bool { return r.sends("llm|", "s") && r.sends("llm|", "t") }))
+	s.silent, s.mute = true, true
+	require.True(t, c.until(20e9, func() bool { return !r.sends("llm|", "s") }))
+	require.True(t, r.sends("llm|", "t"))
+}
+
 // An entry that loses a server keeps the others: whoever holds it is told both at once, and need not ask an owner that may
 // be gone by then.
 func TestBrokenEntryKeepsItsOtherServers(t *testing.T) {
--- a/internal/controller/entries.go
+++ b/internal/controller/entries.go
@@ -42,7 +42,7 @@
 	h := fnv.New64a()
 	for _, id := range generic.SortedKeys(c.servers) {
 		s := c.servers[id]
-		p := s.spots[k]
+		p := s.spotOf(k)
 		if p == nil || p.stage != Ready || !c.open(s) {
 			continue
 		}
@@ -60,7 +60,8 @@
 // fits tells whether some server that is offered has the room for a key at all.
 func (c *Core) fits(k ident.Key) bool {
 	if k.Plain() {
-		return c.plan.Services[k.Service()].Plain // its servers may come at any moment
+		_, planned := c.plan.Services[k.Service()]
+		return planned // its servers may come at any moment
 	}
 	m, ok := c.plan.Models[k]
 	if !ok {
@@ -121,8 +122,11 @@
 	}
 }
 
-// touchOn makes the entries of all that a server holds anew.
+// touchOn makes the entries of all that a server holds anew, and the one that it is in by itself.
 func (c *Core) touchOn(s *server) {
+	if s.whole != nil {
+		c.touch(s.whole.key)
+	}
 	for _, k := range generic.SortedKeys(s.spots) {
 		c.touch(k)
 	}
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -140,7 +140,7 @@
 	s.asking, s.asked = true, c.now
 	c.tally.Reports++
 	at, duty := c.now, c.duty.num
-	c.ask(s.Addr, "/orders", protocol.Order{Key: ident.Key("").In(s.Service)}, c.o.Wait, func(t protocol.Told) {
+	c.ask(s.Addr, "/orders", protocol.Order{Key: ident.ServiceKey(s.Service)}, c.o.Wait, func(t protocol.Told) {
 		if !c.duty.mine || c.duty.num != duty || c.servers[s.ID] != s {
 			return
 		}
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -94,7 +94,7 @@
 		s := c.servers[id]
 		for _, key := range generic.SortedKeys(s.spots) {
 			_, planned := c.plan.Models[key]
-			if p := s.spots[key]; !planned && !key.Plain() && p.stage == Ready && s.known && !s.dark {
+			if p := s.spots[key]; !planned && p.stage == Ready && s.known && !s.dark {
 				c.evict(s, p)
 			}
 		}
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -18,6 +18,7 @@
 	room    int       // for models, in all
 	slots   int       // requests that it serves at once
 	spots   map[ident.Key]*spot
+	whole   *spot      // stands for the server itself, to requests that name no model
 	num     uint64     // of the last order that it took, or was sent
 	asking  bool       // a question is under way
 	next    clock.Tick // when it is asked again
@@ -36,6 +37,22 @@
 	ordered clock.Tick // when it was ordered last
 }
 
+// newServer is a server that was just listed.
+func newServer(l protocol.Listed, now clock.Tick) *server {
+	return &server{
+		Listed: l, spots: map[ident.Key]*spot{}, first: now,
+		whole: &spot{key: ident.ServiceKey(l.Service), stage: Ready, ready: now, since: now},
+	}
+}
+
+// spotOf gives what a server has for a key: a model's spot, or the one that stands for itself.
+func (s *server) spotOf(k ident.Key) *spot {
+	if s.whole != nil && k == s.whole.key {
+		return s.whole
+	}
+	return s.spots[k]
+}
+
 // used is the room that is taken, or ordered to be.
 func (s *server) used() int {
 	n := 0
@@ -148,7 +165,7 @@
 		seen[x.ID] = true
 		s := c.servers[x.ID]
 		if s == nil {
-			c.servers[x.ID] = &server{Listed: x, spots: map[ident.Key]*spot{}, first: c.now}
+			c.servers[x.ID] = newServer(x, c.now)
 			continue
 		}
 		if s.Listed != x {
--- a/internal/fleetplan/hosts.go
+++ b/internal/fleetplan/hosts.go
@@ -187,7 +187,7 @@
 		}
 		keys := map[ident.Key]bool{}
 		if s.Plain {
-			keys[ident.Key("").In(name)] = true
+			keys[ident.ServiceKey(name)] = true
 		} else {
 			for _, k := range []string{"room", "loads_per_s"} {
 				if !n.At(k).has {
--- a/internal/fleetplan/plan.go
+++ b/internal/fleetplan/plan.go
@@ -151,8 +151,8 @@
 	}
 	name := r.choose(x.ID)
 	s := q.Services[name]
-	if s.Plain {
-		return Match{ident.Key("").In(name), r.Class, r}, failure.None
+	if s.Plain || r.ModelOptional && x.Base == "" && x.Extra == "" {
+		return Match{ident.ServiceKey(name), r.Class, r}, failure.None
 	}
 	k := ident.KeyOf(x.Base, x.Extra).In(name)
 	if !s.Keys[k] {
--- a/internal/ident/ident.go
+++ b/internal/ident/ident.go
@@ -62,7 +62,10 @@
 	return k
 }
 
-// Plain tells whether the key stands for a whole service, whose servers hold no models.
+// ServiceKey is the key of a service as a whole: what names no model goes to any of its servers.
+func ServiceKey(service string) Key { return Key("").In(service) }
+
+// Plain tells whether the key stands for a whole service, and not for one of its models.
 func (k Key) Plain() bool { return strings.HasSuffix(string(k), "|") }
 
 // IsAdapter tells whether the key names an adapter.
--- a/internal/router/nameless_test.go
+++ b/internal/router/nameless_test.go
@@ -48,3 +48,16 @@
 	r, _ = pick[Receipt](out)
 	require.Equal(t, failure.NoModel, r.Kind, "a model that is named must be one")
 }
+
+// Servers of a service with models are asked for no more than they have places for, by requests without a model too.
+func TestRequestsWithoutModelWaitForPlaces(t *testing.T) {
+	b := free(t, Options{}, hostPlan(withAny))
+	b.entry("llm|", "p")
+	sent := 0
+	for range 6 {
+		if _, l, _ := b.go1("/any/x", fleetplan.Call{}); l.Server != "" {
+			sent++
+		}
+	}
+	require.Equal(t, 4, sent)
+}
--- a/internal/router/weigh.go
+++ b/internal/router/weigh.go
@@ -83,6 +83,7 @@
 			}
 		}
 	}
+	plain := c.isPlain(r)
 	blur := c.spread(r, len(e.Replicas))
 	for i := range e.Replicas {
 		p := &e.Replicas[i]
@@ -94,13 +95,13 @@
 			continue
 		}
 		n := float64(b.under())
-		if r.key.Plain() {
+		if plain {
 			n /= float64(max(1, p.Slots))
 		} else if p == kept {
 			n -= gain
 		}
 		if c.o.Zone != "" && p.Zone != c.o.Zone {
-			if r.key.Plain() {
+			if plain {
 				n += 0.1
 			} else {
 				n += otherZone
@@ -115,10 +116,16 @@
 	return best
 }
 
+// isPlain tells whether a request is for a service whose servers hold no models. One that names no model may be for a
+// service with models too: there it is weighed in tokens like those beside it.
+func (c *Core) isPlain(r *request) bool {
+	return r.key.Plain() && c.plan.Services[r.key.Service()].Plain
+}
+
 // spread blurs the choice, so that routers which know the same do not all choose the same: by as much as
 // all of them may have sent to one replica since they last heard of each other.
 func (c *Core) spread(r *request, replicas int) float64 {
-	if r.key.Plain() {
+	if c.isPlain(r) {
 		return 0.3
 	}
 	f := c.flows[r.key.Base()]
@@ -161,7 +168,7 @@
 // fits tells whether a server can take a request on: its places, and the memory that its requests share.
 func (c *Core) fits(r *request, p *protocol.Replica, b *serverLoad) bool {
 	v := c.plan.Services[r.key.Service()]
-	if r.key.Plain() {
+	if v.Plain {
 		return b.under() < 3*max(1, p.Slots)
 	}
 	if b.work >= p.Slots {
--- a/internal/standin/batch.go
+++ b/internal/standin/batch.go
@@ -224,7 +224,7 @@
 func (s *Batch) work(v WorkIn) {
 	k := ident.KeyOf(v.Work.Base, v.Work.Extra).In(s.o.Service)
 	if s.o.Plain || v.Work.Base == "" {
-		k = ident.Key("").In(s.o.Service) // it needs no model
+		k = ident.ServiceKey(s.o.Service) // it needs no model
 	} else if _, ok := s.held[k]; !ok {
 		s.drop(v.Token, failure.Mismatch)
 		return
