--- /dev/null
+++ b/cmd/experiment/main.go
@@ -0,0 +1,115 @@
+// Command experiment compares two revisions of the sources on the same days with the same seeds.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+
+	"github.com/go-faster/errors"
+
+	"tidedeck/internal/experiment"
+	"tidedeck/internal/host"
+)
+
+// Exit statuses, for scripts.
+const (
+	exitWorse = 1 // the second side broke a rule, or its score is lower beyond its interval
+	exitError = 2
+)
+
+type settings struct {
+	Settings   string   `help:"File of settings, JSON; flags go before it." type:"path"`
+	Bench      string   `help:"Path of the bench's program." required:"" type:"existingfile"`
+	Repository string   `help:"Repository that revisions are taken from." default:"." type:"existingdir"`
+	Folder     string   `help:"Folder for copies, reports and results; an experiment that was broken off goes on there." required:"" type:"path"`
+	Journal    string   `help:"Folder that journal entries are gathered in." type:"existingdir"`
+	Site       string   `help:"The site's file." required:"" type:"existingfile"`
+	Days       []string `help:"Days of the site; all, if none is said."`
+	Seeds      int      `help:"How many seeds." default:"8"`
+	From       uint64   `help:"The first seed." default:"1"`
+	First      string   `help:"Revision of the first side." required:""`
+	Second     string   `help:"Revision of the second side; the first's, if none is said."`
+	Edits      string   `help:"File of edits to the second side's sources: a JSON list of file, old and new." type:"existingfile"`
+	Jobs       int      `help:"Pairs at a time; each takes two processors." default:"2"`
+	Why        string   `help:"A line for the journal." required:""`
+	NoCPU      bool     `help:"Charge no processor time: runs mostly repeat."`
+}
+
+func main() {
+	var s settings
+	host.Parse(&s, "experiment", "experiment plays days on two revisions and compares them pair by pair.")
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	worse, err := compare(ctx, s)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "experiment:", err)
+		os.Exit(exitError)
+	}
+	if worse {
+		os.Exit(exitWorse)
+	}
+}
+
+func compare(ctx context.Context, s settings) (worse bool, err error) {
+	marks, err := experiment.ReadMarks(s.Site)
+	if err != nil {
+		return false, err
+	}
+	if len(s.Days) == 0 {
+		s.Days = marks.Names()
+	}
+	if !marks.Has(s.Days) {
+		return false, errors.Errorf("the site's days are %s", strings.Join(marks.Names(), ", "))
+	}
+	first, second, err := s.sides()
+	if err != nil {
+		return false, err
+	}
+	var seeds []uint64
+	for i := range s.Seeds {
+		seeds = append(seeds, s.From+uint64(i))
+	}
+	player := experiment.Player{Bench: s.Bench, Repository: s.Repository, Folder: s.Folder, Journal: s.Journal, Jobs: max(1, s.Jobs), Why: s.Why, Progress: os.Stderr}
+	if s.NoCPU {
+		player.Options = append(player.Options, "--no-cpu")
+	}
+	pairs, playErr := player.Play(ctx, first, second, experiment.Days(s.Site, s.Days, seeds))
+	table := experiment.Compare(first, second, marks, pairs)
+	if err := table.WriteText(os.Stdout); err != nil {
+		return false, err
+	}
+	if playErr != nil {
+		return false, playErr
+	}
+	name := filepath.Join(s.Folder, first.Name+"-"+second.Name)
+	if err := table.WriteJSON(name+".json", pairs); err != nil {
+		return false, err
+	}
+	return table.Worse(), table.WritePlot(name+".png", pairs)
+}
+
+// sides names the two sides by their revisions, and by the file of edits.
+func (s settings) sides() (first, second experiment.Side, err error) {
+	first = experiment.Side{Name: s.First, Revision: s.First}
+	second = experiment.Side{Name: s.Second, Revision: s.Second}
+	if s.Second == "" {
+		second = first
+	}
+	if s.Edits == "" {
+		return first, second, nil
+	}
+	raw, err := os.ReadFile(s.Edits)
+	if err != nil {
+		return first, second, err
+	}
+	if err := json.Unmarshal(raw, &second.Edits); err != nil {
+		return first, second, errors.Wrap(err, s.Edits)
+	}
+	second.Name += "-" + strings.TrimSuffix(filepath.Base(s.Edits), filepath.Ext(s.Edits))
+	return first, second, nil
+}
