Traces say what a request waited for, also of late answers; loads are logged with their times

A request that was served later than its aim is traced too, with the time to its first byte, what it waited for at its router (plan, lease, entry, ready, room, retry) and the tokens that were ahead of it. The owner logs each load that is known to have ended: how long ago it was decided, ordered, and first waited for.

--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -73,7 +73,7 @@
 func (c *Core) order(s *server, p *spot) {
 	order := protocol.Order{Duty: c.duty.num, Num: s.num, Op: verbs[p.stage], Key: p.key, Size: p.size, Owner: c.o.Me.ID, Expected: s.num - 1}
 	s.asking, s.asked, s.ordered = true, c.now, c.now
-	p.num = s.num + 1
+	p.num, p.ordered = s.num+1, c.now
 	c.tally.Orders++
 	c.countOrder(p)
 	if p.stage == Ordered {
@@ -232,9 +232,25 @@
 	if p.unsent(r.Num) || p.stage == Unloading && r.Busy {
 		return
 	}
-	if p.fire(SeeReady, c.now) {
-		c.touch(key)
+	placed, ordered := p.since, p.num != 0 && p.stage == Ordered
+	if !p.fire(SeeReady, c.now) {
+		return
+	}
+	if ordered && p.ordered != 0 {
+		c.noteReady(s, p, placed)
+	}
+	c.touch(key)
+}
+
+// noteReady logs how long it took until a load that was decided on at a moment is known to have ended.
+func (c *Core) noteReady(s *server, p *spot, placed clock.Tick) {
+	waited := clock.Span(0)
+	if n := c.demand[p.key]; n != nil && n.since != 0 {
+		waited = c.now.Sub(n.since)
 	}
+	c.note("replica ready", field("server", s.ID), field("key", p.key), field("from_store", p.cold),
+		field("placed_ms", c.now.Sub(placed).Milliseconds()), field("ordered_ms", c.now.Sub(p.ordered).Milliseconds()),
+		field("waited_ms", waited.Milliseconds()))
 }
 
 // seeMissing forgets what a report does not show, unless it may be loading still.
--- a/internal/controller/spot.go
+++ b/internal/controller/spot.go
@@ -45,6 +45,8 @@
 	since clock.Tick                  // when it came to its stage
 	waits map[protocol.Session]uint64 // the change that each router must acknowledge before the spot drains
 	cold  bool                        // its load comes from the store
+
+	ordered clock.Tick // when the order that brings its stage about was sent
 }
 
 // tag is the key under which a context carries the spot that the state machine works on.
--- a/internal/router/admission.go
+++ b/internal/router/admission.go
@@ -132,6 +132,7 @@
 	c.tally.Quit++
 	if r.stage == Waiting {
 		c.remove(r)
+		r.waitsFor("", c.now)
 	} else if n := len(r.attempts); n > 0 && r.attempts[n-1].How == Pending {
 		c.release(r, &r.attempts[n-1])
 		r.attempts[n-1].How, r.attempts[n-1].Cause, r.attempts[n-1].ended = Done, CauseCaller, c.now
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -15,6 +15,7 @@
 // launch begins an attempt at a replica.
 func (c *Core) launch(r *request, p *protocol.Replica) {
 	c.remove(r)
+	r.waitsFor("", c.now)
 	r.fire("launch")
 	b := c.server(p.Server)
 	r.attempts = append(r.attempts, attemptRecord{Server: p.Server, Inc: p.Inc, at: c.now, weight: r.weight(), ahead: b.under()})
@@ -94,6 +95,9 @@
 	}
 	attempt := &r.attempts[v.N-1]
 	attempt.Begun = true
+	if r.firstByte == 0 {
+		r.firstByte = c.now
+	}
 	b := c.server(attempt.Server)
 	b.fails = 0
 	if c.o.Free && !r.key.Plain() {
--- a/internal/router/ledger.go
+++ b/internal/router/ledger.go
@@ -69,6 +69,11 @@
 	first     bool       // its first arrival was counted
 	once      bool       // a route that it went under, or is under by now, lets it run once only
 	route     *fleetplan.Route
+
+	waiting      WaitCause // what it waits for, since when, and what it waited for before
+	waitingSince clock.Tick
+	waits        map[WaitCause]clock.Span
+	firstByte    clock.Tick // when its answer began to come; zero until then
 }
 
 // repeatable tells whether the request may run a second time.
--- a/internal/router/queue.go
+++ b/internal/router/queue.go
@@ -82,6 +82,7 @@
 func (c *Core) finish(r *request, k failure.Kind, back clock.Span) {
 	if r.stage == Waiting {
 		c.remove(r)
+		r.waitsFor("", c.now)
 	}
 	r.fire("close")
 	delete(c.requests, r.Ref)
@@ -120,6 +121,7 @@
 	for i := 0; i < len(c.queues[k]); {
 		r, e := c.queues[k][i], c.entries[k]
 		if r.uncertain {
+			c.allWaitFor(WaitPlan, c.queues[k][i:])
 			return
 		}
 		if c.now >= r.due {
@@ -130,6 +132,7 @@
 			c.lookUp(k)
 		}
 		if !c.usable(e) {
+			c.allWaitFor(c.whyUnusable(), c.queues[k][i:])
 			return
 		}
 		e.used = c.now
@@ -140,10 +143,13 @@
 		p := c.pick(e, r)
 		switch {
 		case p == nil && !r.repeatable():
+			r.waitsFor(whyNoReplica(e), c.now)
 			i++ // it waits for one server; others behind it may go to another
 		case p == nil:
+			c.allWaitFor(whyNoReplica(e), c.queues[k][i:])
 			return
 		case r.owes != 0 && c.now.Sub(r.owes) < patience && !c.pay():
+			r.waitsFor(WaitRetry, c.now)
 			i++
 		default:
 			r.owes = 0
--- a/internal/router/request_log.go
+++ b/internal/router/request_log.go
@@ -51,8 +51,12 @@
 		l.next = (l.next + 1) % len(l.kept)
 	}
 	l.mu.Unlock()
-	if l.ring != nil && t.End != EndedServed {
+	switch {
+	case l.ring == nil:
+	case t.End != EndedServed:
 		l.ring.Info("request ended without a server's answer", protocol.Field{Name: "request", Value: t})
+	case t.FirstMs > t.AimMs:
+		l.ring.Info("request answered later than its aim", protocol.Field{Name: "request", Value: t})
 	}
 }
 
--- a/internal/router/request_trace.go
+++ b/internal/router/request_trace.go
@@ -46,8 +46,9 @@
 	EndedLeft    = "caller_left" // or its connection was broken off
 )
 
-// RequestTrace is what became of one request that was not served by its first attempt: which configuration
-// and lease the router had, which servers it was offered to, what each said, and what ended it.
+// RequestTrace is what became of one request that was not served by its first attempt, or began to be later than its
+// aim: which configuration and lease the router had, what it waited for there, which servers it was offered to, what each
+// said, and what ended it.
 type RequestTrace struct {
 	ID       string         `json:"id"`
 	Route    string         `json:"route,omitempty"`
@@ -61,17 +62,33 @@
 	End      string         `json:"end"`
 	Kind     failure.Kind   `json:"kind,omitempty"`
 	Attempts []AttemptTrace `json:"attempts,omitempty"`
+
+	AimMs   int64               `json:"aim_ms,omitempty"`
+	FirstMs int64               `json:"first_ms,omitempty"` // until the first byte of an answer; zero if none came
+	WaitsMs map[WaitCause]int64 `json:"waits_ms,omitempty"` // at this router
+	Ahead   int                 `json:"ahead,omitempty"`    // tokens under way at the last attempt's server when it was launched
+}
+
+// late tells whether a request's answer began later than its aim.
+func (r *request) late() bool {
+	return r.class.Aim > 0 && r.firstByte != 0 && r.firstByte.Sub(r.came) > r.class.Aim
 }
 
-// trace tells the host what became of a request, unless its first attempt served it.
+// trace tells the host what became of a request, unless its first attempt served it in time.
 func (c *Core) trace(r *request, end string, kind failure.Kind) {
-	if end == EndedServed && len(r.attempts) == 1 {
+	if end == EndedServed && len(r.attempts) == 1 && !r.late() {
 		return
 	}
 	t := RequestTrace{
 		ID: r.Call.Call.ID, Route: r.Route, Key: r.key, Gen: c.gen, Epoch: c.epoch,
 		Leased: c.leased(), Parted: c.parted, Stopping: c.ending,
-		TookMs: c.now.Sub(r.came).Milliseconds(), End: end, Kind: kind,
+		TookMs: c.now.Sub(r.came).Milliseconds(), End: end, Kind: kind, AimMs: r.class.Aim.Milliseconds(), WaitsMs: r.waitsMs(),
+	}
+	if r.firstByte != 0 {
+		t.FirstMs = r.firstByte.Sub(r.came).Milliseconds()
+	}
+	if n := len(r.attempts); n > 0 {
+		t.Ahead = r.attempts[n-1].ahead
 	}
 	for _, a := range r.attempts {
 		took := clock.Span(0)
