Trial: an order's end is asked of the server itself, and how long its own disk takes is learned

Hypothesis: reports are 200 ms old and polled each 100 ms, so that every load, unload and adapter is known late; an order sent once more on the count that it led to is answered at once (200 it holds so, 409 under way). And a load from a server's own disk does not take a quarter of the time everywhere: here it takes longer than from the store.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -17,26 +17,27 @@
 // cluster is a core of some nodes, with the model servers that announce themselves to it and the
 // routers that ask it, all on one clock and without I/O.
 type cluster struct {
-	seeds   []protocol.Sibling // of nodes that start from now on
-	t       *testing.T
-	at      clock.Tick
-	plans   map[string]*fleetplan.Plan
-	nodes   map[string]*Core
-	disks   map[string]map[string][]byte
-	make    func(id string) *Core
-	parted  map[string]bool // nodes and routers that reach no node and that none reaches
-	models  map[string]*modelServer
-	routers map[string]*router
-	out     []any // what nodes gave to neither of these
-	asks    []ask
-	delay   clock.Span // of what nodes send each other: up to twice as long
-	mail    []letter
-	dice    *rand.Rand
-	ops     []sentOrder
-	begun   []clock.Tick // when loads from the store began
-	token   uint64
-	beside  func(run func())        // runs what is computed beside a core
-	loses   func(protocol.Env) bool // messages between nodes that get lost
+	seeds         []protocol.Sibling // of nodes that start from now on
+	t             *testing.T
+	at            clock.Tick
+	plans         map[string]*fleetplan.Plan
+	nodes         map[string]*Core
+	disks         map[string]map[string][]byte
+	make          func(id string) *Core
+	parted        map[string]bool // nodes and routers that reach no node and that none reaches
+	models        map[string]*modelServer
+	routers       map[string]*router
+	out           []any // what nodes gave to neither of these
+	asks          []ask
+	delay         clock.Span // of what nodes send each other: up to twice as long
+	mail          []letter
+	dice          *rand.Rand
+	confirmations int // orders that ask whether one is done
+	ops           []sentOrder
+	begun         []clock.Tick // when loads from the store began
+	token         uint64
+	beside        func(run func())        // runs what is computed beside a core
+	loses         func(protocol.Env) bool // messages between nodes that get lost
 }
 
 // letter is an envelope on its way.
@@ -210,7 +211,12 @@
 				a.at, a.told = c.at.Add(v.Wait), &protocol.Told{Token: v.Token}
 			}
 		}
-		c.ops = append(c.ops, x)
+		if o.Confirms {
+			require.NotEqual(c.t, 202, x.code, "an order that was asked about is taken anew")
+			c.confirmations++
+		} else {
+			c.ops = append(c.ops, x)
+		}
 	}
 	c.asks = append(c.asks, a)
 }
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -113,6 +113,7 @@
 
 	empty       map[ident.Zone]bool
 	servers     map[ident.Server]*server
+	diskPart    float64 // of a load's time from the store, that one from a server's own disk takes
 	entries     map[ident.Key]*entry
 	asks        map[uint64]func(protocol.Told)
 	token       uint64
@@ -172,6 +173,7 @@
 	Doubts, Looks, Yields                                   uint64
 	Beacons, Enrolments, Leaves, LeavesUnheard              uint64
 	Orders, OrdersRefused, OrdersUnanswered, Reports        uint64
+	Confirms                                                uint64 // askings whether an order is done
 	Stalls                                                  uint64 // the process stood still
 	RoundsPromised                                          uint64 // attempts under a ballot that a majority had promised before
 	Forwards, ForwardsUnanswered                            uint64 // changes handed to the owner of the lease, and those proposed here as no outcome came in time
@@ -186,7 +188,7 @@
 func New(o Options) *Core {
 	o = o.Defaults()
 	c := &Core{
-		o:     o,
+		o: o, diskPart: diskPartBegin,
 		links: map[protocol.Session]*link{}, tombs: map[protocol.Session]clock.Tick{},
 		servers: map[ident.Server]*server{}, entries: map[ident.Key]*entry{},
 		asks: map[uint64]func(protocol.Told){}, saves: map[uint64]func(){}, forwards: forwards{open: map[uint64]*pendingChange{}},
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 
 	"tidedeck/internal/clock"
-	"tidedeck/internal/fleetplan"
 	"tidedeck/internal/generic"
 	"tidedeck/internal/ident"
 	"tidedeck/internal/protocol"
@@ -16,21 +15,20 @@
 
 const (
 	pollBusy    = 100e6 // between two reports while an order is under way
-	unloadSpan  = 50e6  // an unload, or an adapter, takes about so long
-	freshReport = 100e6 // a report is rarely fresher
 	pollIdle    = 10e9  // otherwise: announcements tell that the server lives
 	pollDark    = 4     // times as long as o.Poll, between two questions to a server that does not answer
 	reportLag   = 500e6 // a report is at most so old
 	tenureSlack = 100e6 // by which two waits are longer than the tenure that they are to outlast
-
-	// An order is ready in its report a part of its time before it is expected, and never much later.
-	expectedPart = 9 // tenths of the time that it takes
 )
 
+// ordersPath is where servers take orders and give reports.
+const ordersPath = "/orders"
+
 // Answers of a server to an order.
 const (
 	holdsAlready = 200
 	taken        = 202
+	underWay     = 409 // another order, or the count differs
 	higherDuty   = 412
 	notThisOne   = 421 // another server has the address
 )
@@ -43,6 +41,12 @@
 	if s.dark && c.now < s.next {
 		return
 	}
+	if s.mayConfirm() && c.mayOrder() {
+		if c.now >= s.next {
+			c.confirm(s)
+		}
+		return
+	}
 	p := s.due()
 	if p != nil && s.unsure == nil && !s.busy && c.mayOrder() {
 		if s.ok < c.duty.began.Add(c.settle()) {
@@ -71,29 +75,40 @@
 
 // order sends the order that a spot's stage asks for.
 func (c *Core) order(s *server, p *spot) {
-	order := protocol.Order{Duty: c.duty.num, Num: s.num, Op: verbs[p.stage], Key: p.key, Size: p.size, Owner: c.o.Me.ID, Expected: s.num - 1}
+	order := c.orderFor(s, p)
 	s.asking, s.asked, s.ordered = true, c.now, c.now
 	p.num, p.ordered = s.num+1, c.now
 	c.tally.Orders++
 	c.countOrder(p)
-	if p.stage == Ordered {
-		if p.cold = !p.key.IsAdapter() && !c.sure(s, p.key); p.cold {
-			c.begun = append(c.begun, c.now)
-			c.checkRate()
-		}
-	}
+	c.countLoad(s, p)
 	c.checkOrder(s, p)
 	duty := c.duty.num
-	c.ask(s.Addr, "/orders", order, c.o.Wait, func(t protocol.Told) {
+	c.ask(s.Addr, ordersPath, order, c.o.Wait, func(t protocol.Told) {
 		if c.duty.mine && c.duty.num == duty && c.servers[s.ID] == s {
 			c.onOrderAnswer(s, p, order, t)
 		}
 	})
 }
 
+// orderFor writes the order that a spot's stage asks for, on the count that the server has.
+func (c *Core) orderFor(s *server, p *spot) protocol.Order {
+	return protocol.Order{Duty: c.duty.num, Num: s.num, Op: verbs[p.stage], Key: p.key, Size: p.size, Owner: c.o.Me.ID, Expected: s.num - 1}
+}
+
+// countLoad counts a load that begins at the store.
+func (c *Core) countLoad(s *server, p *spot) {
+	if p.stage != Ordered {
+		return
+	}
+	if p.cold = !p.key.IsAdapter() && !c.sure(s, p.key); p.cold {
+		c.begun = append(c.begun, c.now)
+		c.checkRate()
+	}
+}
+
 // onOrderAnswer takes in what a server answered to an order, or that it did not.
 func (c *Core) onOrderAnswer(s *server, p *spot, order protocol.Order, t protocol.Told) {
-	s.asking, s.next = false, c.now.Add(c.expected(s, p))
+	s.asking, s.next = false, c.now.Add(pollBusy)
 	c.note("order answered", field("server", s.ID), field("op", order.Op), field("key", order.Key), field("term", order.Duty),
 		field("count", order.Expected), field("answered", t.OK), field("status", t.Code), field("took_ms", c.now.Sub(s.ordered).Milliseconds()))
 	switch {
@@ -102,9 +117,10 @@
 		s.unsure, s.next = p, c.now
 	case t.Code == taken:
 		s.num, s.busy = max(s.num, p.num), true
+		s.doing, s.confirms, s.next = p, 0, c.now.Add(c.expected(s, p))
 	case t.Code == holdsAlready:
 		p.num = s.num
-		s.busy = true // until its report shows it
+		c.orderDone(s, p)
 	case t.Code == higherDuty:
 		c.tally.OrdersRefused++
 		c.lose("a server obeys a higher duty")
@@ -118,29 +134,12 @@
 	}
 }
 
-// expected is how long an order will take until a report may show it done: none is asked for before.
-func (c *Core) expected(s *server, p *spot) clock.Span {
-	n := clock.Span(unloadSpan)
-	if p.stage == Ordered && !p.key.IsAdapter() {
-		n = c.loadSpan(s, c.plan.Models[p.key])
-	}
-	return max(pollBusy, n*expectedPart/10+freshReport)
-}
-
-// loadSpan is how long a server takes to load a base: from its own disk a part of the time.
-func (c *Core) loadSpan(s *server, m fleetplan.Model) clock.Span {
-	if c.has(s, m.Key) {
-		return clock.Span(float64(m.Load) * warmPart)
-	}
-	return m.Load
-}
-
 // survey asks a server for its report.
 func (c *Core) survey(s *server) {
 	s.asking, s.asked = true, c.now
 	c.tally.Reports++
 	at, duty := c.now, c.duty.num
-	c.ask(s.Addr, "/orders", protocol.Order{Key: ident.ServiceKey(s.Service)}, c.o.Wait, func(t protocol.Told) {
+	c.ask(s.Addr, ordersPath, protocol.Order{Key: ident.ServiceKey(s.Service)}, c.o.Wait, func(t protocol.Told) {
 		if !c.duty.mine || c.duty.num != duty || c.servers[s.ID] != s {
 			return
 		}
@@ -170,6 +169,11 @@
 // onSurvey holds a server's report against what it was ordered.
 func (c *Core) onSurvey(s *server, r protocol.Report, at clock.Tick) {
 	c.spoke(s)
+	if s.confirmed != 0 && s.known && !s.dark && at.Sub(s.confirmed) < reportLag {
+		s.next = s.confirmed.Add(reportLag) // it may be from before what the server confirmed
+		s.fails = 0
+		return
+	}
 	s.next = c.now.Add(pollBusy)
 	r.Num++ // zero stands for what was never ordered
 	if r.Num < s.num {
@@ -183,6 +187,9 @@
 		c.note("server answers again", field("server", s.ID))
 	}
 	s.num, s.busy, s.fails, s.ok = r.Num, r.Busy, 0, at
+	if s.confirms = 0; !r.Busy {
+		s.doing = nil
+	}
 	s.dark, s.known = false, true
 	held := map[ident.Key]bool{}
 	for _, h := range r.Held {
@@ -232,14 +239,19 @@
 	if p.unsent(r.Num) || p.stage == Unloading && r.Busy {
 		return
 	}
-	placed, ordered := p.since, p.num != 0 && p.stage == Ordered
+	c.becameReady(s, p)
+}
+
+// becameReady takes in that a replica is ready.
+func (c *Core) becameReady(s *server, p *spot) {
+	placed, wasOrdered := p.since, p.ordered != 0 && p.stage == Ordered
 	if !p.fire(SeeReady, c.now) {
 		return
 	}
-	if ordered && p.ordered != 0 {
+	if wasOrdered {
 		c.noteReady(s, p, placed)
 	}
-	c.touch(key)
+	c.touch(p.key)
 }
 
 // noteReady logs how long it took until a load that was decided on at a moment is known to have ended.
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -35,6 +35,10 @@
 	unsure  *spot      // the spot whose order got no answer
 	asked   clock.Tick // when it was asked or ordered last
 	ordered clock.Tick // when it was ordered last
+
+	doing     *spot      // the spot whose order it has taken and carries out
+	confirms  int        // how often it was asked whether that is done
+	confirmed clock.Tick // when it last said that an order was done
 }
 
 // newServer is a server that was just listed.
--- a/internal/controller/weigh.go
+++ b/internal/controller/weigh.go
@@ -19,7 +19,6 @@
 	seedEvery  = 300e6 // a model is loaded ahead so often
 	seedLoads  = 2     // loads that the store must bear for one of them to be ahead of need
 
-	warmPart  = 0.25   // of a load's time that it takes from a server's own disk
 	freshSpan = 1500e6 // what is as young as this is not judged yet, and what is older is out of date
 )
 
@@ -190,10 +189,7 @@
 
 // costAt tells what a server costs as the place of one more replica.
 func (c *Core) costAt(s *server, f *family, l families, sameZone bool) float64 {
-	cost := f.model.Load.Seconds()
-	if c.has(s, f.model.Key) {
-		cost *= warmPart
-	}
+	cost := c.loadSpan(s, f.model).Seconds()
 	cost += float64(s.pending()) * orderCost
 	cost += workCost * l.loadOf(s)
 	if sameZone {
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -592,6 +592,7 @@
 	// Of servers that check no fence: who orders, and how many orders they must have taken before.
 	Owner    ident.Node `json:"owner,omitempty"`
 	Expected uint64     `json:"expected,omitempty"`
+	Confirms bool       `json:"-"` // it was taken before, and asks whether it is done
 }
 
 // Held is one line of a server's report.
