--- a/internal/controller/confirm.go
+++ b/internal/controller/confirm.go
@@ -8,8 +8,8 @@
 )
 
 // A server's reports are old when they come. Whether an order is done is known sooner by sending it once more, on the
-// count that it led to: the server says that it holds so already, or that an order is under way. It cannot be taken
-// twice unless it came to nothing.
+// count that it led to: the server says that it holds so already, or that an order is under way. It is not taken twice
+// unless it came to nothing; then the count differs from there on, and the next report tells.
 
 const (
 	unloadSpan   = clock.Span(20e6) // an unload without runs to wait for, or an adapter, takes about so long
@@ -53,13 +53,8 @@
 	switch {
 	case t.OK && t.Code == holdsAlready:
 		c.orderDone(s, p)
-	case t.OK && t.Code == underWay:
+	case t.OK && (t.Code == underWay || t.Code == taken): // a server may also answer that it is being done
 		s.next = c.now.Add(min(confirmMost, confirmFirst<<(s.confirms-1)))
-	case t.OK && t.Code == taken: // it had come to nothing
-		s.num++
-		p.num = s.num
-		c.countLoad(s, p)
-		s.next = c.now.Add(c.expected(s, p))
 	case t.OK && t.Code == higherDuty:
 		c.tally.OrdersRefused++
 		c.lose("a server obeys a higher duty")
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -94,19 +94,16 @@
 	}
 }
 
-// Marks come from the list of days beside a site, or from the site itself.
+// Marks come from the site's file; a day without any has none.
 func TestMarks(t *testing.T) {
 	folder := t.TempDir()
 	site := filepath.Join(folder, "s.toml")
-	require.NoError(t, os.WriteFile(site, []byte("[[day]]\nname = \"a\"\none = 0.7\nzero = 0.2\n"), 0o600))
+	require.NoError(t, os.WriteFile(site, []byte("[[day]]\nname = \"a\"\none = 0.7\nzero = 0.2\n[[day]]\nname = \"b\"\n"), 0o600))
 	m, err := ReadMarks(site)
 	require.NoError(t, err)
 	require.InDelta(t, 0.5, m["a"].Score(0.45), 1e-9)
-	require.NoError(t, os.WriteFile(filepath.Join(folder, "s.days"), []byte("[[day]]\nname = \"b\"\none = 1\nzero = 0\n"), 0o600))
-	m, err = ReadMarks(site)
-	require.NoError(t, err)
-	require.Equal(t, []string{"b"}, m.Names())
-	require.False(t, m.Has([]string{"a"}))
+	require.Equal(t, []string{"a"}, m.Names())
+	require.False(t, m.Has([]string{"b"}))
 }
 
 // benchScript stands in for the bench: it writes a report whose worth is what the sources say.
--- a/internal/experiment/report.go
+++ b/internal/experiment/report.go
@@ -121,20 +121,16 @@
 // Score tells where a worth falls between the marks; it may lie outside of 0 to 1.
 func (m Mark) Score(worth float64) float64 { return (worth - m.Zero) / (m.One - m.Zero) }
 
-// ReadMarks reads the marks of a site, from its file and the list of its days beside it.
+// ReadMarks reads the marks of a site's days from its file.
 func ReadMarks(site string) (Marks, error) {
-	path := strings.TrimSuffix(site, filepath.Ext(site)) + ".days"
-	if _, err := os.Stat(path); err != nil {
-		path = site
-	}
 	var file struct {
 		Day []struct {
 			Name string `toml:"name"`
 			Mark
 		} `toml:"day"`
 	}
-	if _, err := toml.DecodeFile(path, &file); err != nil {
-		return nil, errors.Wrap(err, path)
+	if _, err := toml.DecodeFile(site, &file); err != nil {
+		return nil, errors.Wrap(err, site)
 	}
 	marks := Marks{}
 	for _, d := range file.Day {
