--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -38,6 +38,7 @@
 	epoch   ident.Epoch
 	burden  map[ident.Key]protocol.Burden
 	seats   map[ident.Server]int
+	paces   map[ident.Key]float64 // the shortest times for a token that the router has seen since the last renewal
 	routers int
 
 	ses      protocol.Session
@@ -173,6 +174,7 @@
 		}
 		c.gen, c.epoch, c.seats = b.Gen, b.Epoch, b.Seats
 		c.gather(b.Burden)
+		c.gatherPaces(b.Paces)
 		if b.Router != c.router {
 			c.router = b.Router
 			c.current, c.leaving = 0, nil // that was for what the router before had
@@ -248,7 +250,7 @@
 	c.routers = b.Routers
 	c.until = max(c.until, at.Add(b.Len))
 	told := c.standing()
-	told.Routers, told.Seats = b.Routers, b.Seats
+	told.Routers, told.Seats, told.Paces = b.Routers, b.Seats, b.Paces
 	c.down(told)
 }
 
@@ -355,7 +357,7 @@
 	}
 	c.tally.Renews++
 	c.up(c.renewal())
-	c.burden = underWay(c.burden) // what was sent is not touched any more
+	c.burden, c.paces = underWay(c.burden), nil // what was sent is not touched any more
 }
 
 // keepFor is the time to the next renewal.
@@ -381,6 +383,18 @@
 	c.burden = n
 }
 
+// gatherPaces takes in the shortest times that the router has seen, until the next renewal.
+func (c *Core) gatherPaces(seen map[ident.Key]float64) {
+	if c.paces == nil {
+		c.paces = map[ident.Key]float64{}
+	}
+	for base, pace := range seen {
+		if was, ok := c.paces[base]; !ok || pace < was {
+			c.paces[base] = pace
+		}
+	}
+}
+
 // detourSpan is how long a detour is gone by before the straight way is tried again.
 const detourSpan = clock.Span(5e9)
 
@@ -397,7 +411,7 @@
 		}
 	}
 	c.contact.asked(c.now)
-	return protocol.Renew{Session: c.ses, Seq: c.seq, Fresh: c.fresh, Gen: c.gen, Epoch: c.epoch, Heard: c.heard, Burden: c.burden, Seats: c.seats}
+	return protocol.Renew{Session: c.ses, Seq: c.seq, Fresh: c.fresh, Gen: c.gen, Epoch: c.epoch, Heard: c.heard, Burden: c.burden, Seats: c.seats, Paces: c.paces}
 }
 
 // underWay gives of what a router bears what waits and is under way, without what came since the last renewal.
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -310,20 +310,21 @@
 type modelServer struct {
 	c *cluster
 	protocol.Listed
-	silent bool // it announces nothing
-	mute   bool // it answers nothing
-	lag    clock.Span
-	slow   clock.Span // of every order
-	count  uint64     // of orders taken
-	beats  uint64
-	next   clock.Tick
-	holds  map[ident.Key]bool
-	had    map[ident.Key]bool
-	doing  protocol.Order
-	until  clock.Tick
-	past   []past
-	lost   func(protocol.Order) (taken, heard bool) // of an order, its way there and back
-	strict bool                                     // an order that it refuses must fit, too
+	silent   bool // it announces nothing
+	mute     bool // it answers nothing
+	lag      clock.Span
+	slow     clock.Span // of every order
+	count    uint64     // of orders taken
+	beats    uint64
+	next     clock.Tick
+	holds    map[ident.Key]bool
+	had      map[ident.Key]bool
+	doing    protocol.Order
+	until    clock.Tick
+	past     []past
+	lost     func(protocol.Order) (taken, heard bool) // of an order, its way there and back
+	diskPart float64                                  // of a load's time that it takes from the server's own disk; all of it if 0
+	strict   bool                                     // an order that it refuses must fit, too
 }
 
 type past struct {
@@ -443,6 +444,9 @@
 		m.limits(o)
 		if !o.Key.IsAdapter() {
 			took = m.c.plan().Models[o.Key].Load
+			if m.had[o.Key] && m.diskPart > 0 {
+				took = clock.Span(float64(took) * m.diskPart)
+			}
 			if !m.had[o.Key] {
 				m.c.begun = append(m.c.begun, m.c.at)
 			}
@@ -572,6 +576,12 @@
 	return false
 }
 
+// ask has requests wait for one key, and none for any other.
+func (r *router) ask(k ident.Key) {
+	clear(r.burden)
+	r.burden[k] = protocol.Burden{Wait: 3, Came: 3, Load: 0.1}
+}
+
 // modelPlan is a plan of the service "llm", whose servers hold models of size 4 and adapters of size 1
 // in the given room, and of the plain service "web".
 func modelPlan(room int, models ...ident.Key) *fleetplan.Plan {
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -113,7 +113,8 @@
 
 	empty       map[ident.Zone]bool
 	servers     map[ident.Server]*server
-	diskPart    float64 // of a load's time from the store, that one from a server's own disk takes
+	paces       map[ident.Key]pace // by base
+	diskPart    float64            // of a load's time from the store, that one from a server's own disk takes
 	entries     map[ident.Key]*entry
 	asks        map[uint64]func(protocol.Told)
 	token       uint64
@@ -188,7 +189,7 @@
 func New(o Options) *Core {
 	o = o.Defaults()
 	c := &Core{
-		o: o, diskPart: diskPartBegin,
+		o: o, diskPart: diskPartBegin, paces: map[ident.Key]pace{},
 		links: map[protocol.Session]*link{}, tombs: map[protocol.Session]clock.Tick{},
 		servers: map[ident.Server]*server{}, entries: map[ident.Key]*entry{},
 		asks: map[uint64]func(protocol.Told){}, saves: map[uint64]func(){}, forwards: forwards{open: map[uint64]*pendingChange{}},
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -32,6 +32,9 @@
 	burden map[ident.Key]protocol.Burden
 	seats  map[ident.Server]int
 	full   bool
+
+	paces   map[ident.Key]float64 // by base, as the router was last told
+	slowest float64
 }
 
 // change is one numbered change on a link, and since when the router's lease is bounded by it.
@@ -94,6 +97,7 @@
 		return
 	}
 	c.count(l, b.Seats)
+	c.heardPaces(b.Paces)
 	l.burden = b.Burden
 	for _, k := range generic.SortedKeys(b.Burden) {
 		if u := b.Burden[k]; u.Wait > 0 || u.Came > 0 {
@@ -128,7 +132,7 @@
 	}
 	l.until = max(l.until, c.now.Add(c.pad(n)))
 	c.tally.Grants++
-	c.reply(l.way, protocol.Grant{Session: l.ses, Seq: l.due, Len: n, Duty: c.duty.num, Routers: max(len(c.links), len(c.mates.Alive("agent"))), Seats: c.seatsOf(l)})
+	c.reply(l.way, protocol.Grant{Session: l.ses, Seq: l.due, Len: n, Duty: c.duty.num, Routers: max(len(c.links), len(c.mates.Alive("agent"))), Seats: c.seatsOf(l), Paces: c.pacesFor(l)})
 	l.due = 0
 	return true
 }
--- /dev/null
+++ b/internal/controller/pace_test.go
@@ -0,0 +1,55 @@
+package controller
+
+import (
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"tidedeck/internal/clock"
+	"tidedeck/internal/ident"
+)
+
+// The shortest time that any router saw is a base's pace; it is forgotten slowly, and told when it has changed.
+func TestPaces(t *testing.T) {
+	c := New(Options{})
+	c.plan, c.now = modelPlan(8, "llm|m", "llm|n"), clock.Tick(1e9)
+	c.heardPaces(map[ident.Key]float64{"llm|m": 50e3, "llm|n": 20e3, "llm|none": 1})
+	c.heardPaces(map[ident.Key]float64{"llm|m": 80e3})
+	c.heardPaces(map[ident.Key]float64{"llm|m": 40e3, "llm|n": math.Inf(1)})
+	c.heardPaces(map[ident.Key]float64{"llm|m": 0, "llm|n": -3})
+	c.heardPaces(map[ident.Key]float64{"llm|m": math.NaN()})
+	require.Len(t, c.paces, 2)
+
+	l := &link{holds: map[ident.Key]uint64{"llm|m": 1}}
+	told := c.pacesFor(l)
+	require.Equal(t, map[ident.Key]float64{"llm|m": 40e3}, told.Bases, "only what the router uses")
+	require.InDelta(t, 40e3, told.Slowest, 1)
+	require.Nil(t, c.pacesFor(l), "it has not changed")
+	l.holds["llm|n+a"] = 2
+	require.Equal(t, map[ident.Key]float64{"llm|n": 20e3}, c.pacesFor(l).Bases, "an adapter has its base's")
+
+	c.now = c.now.Add(clock.Span(10e9))
+	c.heardPaces(map[ident.Key]float64{"llm|m": 43e3})
+	require.InDelta(t, 43e3, c.paces["llm|m"].now(c.now), 1, "what was not met for ten seconds is a tenth slower")
+}
+
+// How long loads from a server's own disk take is learned, whether they take less than those from the store or more.
+func TestDiskLoadsAreLearned(t *testing.T) {
+	for _, part := range []float64{0.1, 0.25, 0.6, 1.6} {
+		c := newCluster(t, modelPlan(4, "llm|m", "llm|n"), "a")
+		s := c.serve("s", "llm|m")
+		s.diskPart = part
+		r := c.route("r")
+		for i := range 16 { // by turns one and the other is asked for, and there is room for one
+			key := ident.Key("llm|n")
+			if i%2 == 1 {
+				key = "llm|m"
+			}
+			r.ask(key)
+			require.True(t, c.until(20e9, func() bool { return r.sends(key, "s") }), "%v: %d", part, i)
+			c.run(2e9)
+		}
+		require.InDelta(t, part, c.lead().diskPart, 0.15+part*0.25, "%v", part)
+	}
+}
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -392,7 +392,8 @@
 	Epoch   ident.Epoch
 	Heard   uint64
 	Burden  map[ident.Key]Burden
-	Seats   map[ident.Server]int // tokens that this router has under way at each server
+	Seats   map[ident.Server]int  // tokens that this router has under way at each server
+	Paces   map[ident.Key]float64 // the shortest time that a token was seen to take since the last renewal, in ns, by base
 }
 
 // Grant extends the hold: Len counts from the moment the router sent Renew Seq. One of no length extends nothing: the
@@ -404,6 +405,13 @@
 	Duty    ident.Duty
 	Routers int
 	Seats   map[ident.Server]int // tokens that all routers have under way at each server that this one uses
+	Paces   *Paces               // as far as they have changed
+}
+
+// Paces tells how long servers take for a token of a prompt, in ns, as all routers together have seen it.
+type Paces struct {
+	Slowest float64 // of any base
+	Bases   map[ident.Key]float64
 }
 
 // NotOwner answers a router that asked a core node without the duty.
@@ -499,6 +507,7 @@
 	Epoch   ident.Epoch
 	Burden  map[ident.Key]Burden
 	Seats   map[ident.Server]int
+	Paces   map[ident.Key]float64
 }
 
 // Hold is agent's word to its router: route under this session until the moment Until
@@ -509,6 +518,7 @@
 	Duty    ident.Duty
 	Routers int
 	Seats   map[ident.Server]int
+	Paces   *Paces
 	Parted  bool // no core node is heard, though each was asked: this machine is cut off
 	// Without an owner's lease the configuration may be gone by until Current, to servers that are not Leaving.
 	Current clock.Tick
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -18,10 +18,10 @@
 	r.waitsFor("", c.now)
 	r.fire("launch")
 	b := c.server(p.Server)
-	r.attempts = append(r.attempts, attemptRecord{Server: p.Server, Inc: p.Inc, at: c.now, weight: r.weight(), ahead: b.under()})
+	r.attempts = append(r.attempts, attemptRecord{Server: p.Server, Inc: p.Inc, at: c.now, weight: c.effort(r), ahead: b.under()})
 	n := len(r.attempts)
 	b.work++
-	b.tokens += r.weight()
+	b.tokens += c.effort(r)
 	b.memory += r.memory()
 	c.sent(r)
 	b.keys[r.key]++
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -172,7 +172,7 @@
 	earnings []earning             // what first attempts earned, oldest first
 	loans    []clock.Tick          // when what is lent was taken
 	loads    map[ident.Key]float64 // seconds of a server's time that what came since the last word takes
-	paces    map[ident.Key]float64 // ns that a token takes at best, by base
+	paces    paces
 	dice     uint64
 	flows    map[ident.Key]*inflow
 	parted   bool                  // its agent hears no core node, though it asked each
@@ -204,7 +204,7 @@
 	c := &Core{
 		o: o.Defaults(), entries: map[ident.Key]*entry{}, requests: map[Ref]*request{}, queues: map[ident.Key][]*request{},
 		came: map[ident.Key]int{}, work: map[ident.Key]int{}, servers: map[ident.Server]*serverLoad{}, empty: map[ident.Zone]bool{},
-		routers: 1, loads: map[ident.Key]float64{}, paces: map[ident.Key]float64{}, flows: map[ident.Key]*inflow{}, dice: uint64(o.Inc),
+		routers: 1, loads: map[ident.Key]float64{}, paces: newPaces(), flows: map[ident.Key]*inflow{}, dice: uint64(o.Inc),
 	}
 	c.tally.Drops = map[failure.Kind]uint64{}
 	return c
@@ -285,6 +285,7 @@
 		}
 		c.ses, c.until, c.num, c.drops = b.Session, 0, 0, nil
 		c.tally.Sessions++
+		c.paces.tellAll() // the owner may be a new one
 		for _, e := range c.entries {
 			if e.held {
 				c.tally.Suspects++
@@ -300,6 +301,7 @@
 	if c.alone() {
 		defer c.serveAll()
 	}
+	c.paces.hear(b.Paces)
 	if b.Seats != nil {
 		c.heardSeats(b.Seats)
 	}
@@ -471,7 +473,7 @@
 		c.came, c.loads = map[ident.Key]int{}, map[ident.Key]float64{}
 		h := protocol.Hello{Router: c.o.Inc, Session: c.ses, Gen: c.gen, Epoch: c.epoch, Burden: b}
 		if c.o.Free {
-			h.Seats = c.seats()
+			h.Seats, h.Paces = c.seats(), c.paces.tell()
 		}
 		c.send(h)
 	}
--- a/internal/router/mends_test.go
+++ b/internal/router/mends_test.go
@@ -35,10 +35,10 @@
 	ref, l, _ := b.go1("/llm/x", fleetplan.Call{Base: "m", Tokens: 850})
 	b.at = b.at.Add(900e6)
 	b.Step(b.at, Begun{Ref: ref, N: l.N})
-	require.Empty(t, b.paces)
+	require.Empty(t, b.paces.seen)
 	b = seated(t, 9, nil)
 	ref, l, _ = b.go1("/llm/x", fleetplan.Call{Base: "m", Tokens: 850})
 	b.at = b.at.Add(100e6)
 	b.Step(b.at, Begun{Ref: ref, N: l.N})
-	require.InDelta(t, 100e6/(850+paceBase), b.paces["llm|m"], 1)
+	require.InDelta(t, 100e6/(850+paceBase), b.paces.seen["llm|m"], 1)
 }
--- a/internal/router/weigh.go
+++ b/internal/router/weigh.go
@@ -13,10 +13,6 @@
 // under way there, what all routers together had a moment ago, and how fast servers were found to be.
 
 const (
-	firstPace   = 0.04e6            // ns for a token, before anything was measured
-	paceRise    = 0.01              // how fast a pace that was never met again is forgotten
-	paceBase    = 150               // tokens' worth of time that any answer takes to begin
-	slowest     = 2.0               // times the fastest key's pace
 	partGain    = 0.6               // of shared tokens that a server which likely kept them need not read
 	otherZone   = 250               // tokens' worth of time that an answer from another zone costs
 	leastSpread = 600               // tokens by which a choice is blurred at least
@@ -75,7 +71,7 @@
 func (c *Core) weigh(e *entry, r *request) *protocol.Replica {
 	var best, kept *protocol.Replica
 	cost, top := math.Inf(1), uint64(0)
-	gain := float64(r.shared()) * partGain
+	gain := float64(r.shared()) * partGain * c.paces.relative(r.key.Base())
 	if gain > 0 {
 		for i := range e.Replicas {
 			if n := home(r, e.Replicas[i].Server); kept == nil || n > top {
@@ -151,7 +147,7 @@
 		f = &inflow{at: c.now}
 		c.flows[r.key.Base()] = f
 	}
-	f.rate = f.rate*math.Exp(-c.now.Sub(f.at).Seconds()/flowSpan) + float64(r.weight())/flowSpan
+	f.rate = f.rate*math.Exp(-c.now.Sub(f.at).Seconds()/flowSpan) + float64(c.effort(r))/flowSpan
 	f.at = c.now
 }
 
@@ -178,52 +174,6 @@
 	return v.Tokens == 0 || taken == 0 || taken+r.memory() <= v.Tokens
 }
 
-// pace learns how long a token takes at best for a key: others before it only make it longer.
-func (c *Core) pace(r *request, g *attemptRecord) {
-	if r.key.Plain() || r.Call.Call.Tokens == 0 {
-		return
-	}
-	x := float64(c.now.Sub(g.at)) / float64(r.Call.Call.Tokens+paceBase)
-	p, ok := c.paces[r.key.Base()]
-	switch {
-	case g.ahead > r.Call.Call.Tokens/2:
-		return // others were before it
-	case !ok || x < p:
-		p = x
-	default:
-		p += (x - p) * paceRise
-	}
-	c.paces[r.key.Base()] = p
-}
-
-// loadOf tells how many seconds of a server's time a request takes.
-func (c *Core) loadOf(r *request) float64 {
-	if r.key.Plain() {
-		return 0
-	}
-	best := c.fastest()
-	p, ok := c.paces[r.key.Base()]
-	if !ok {
-		p = best * 1.5
-	}
-	return min(p, best*slowest) * float64(r.weight()) / 1e9
-}
-
-// fastest is the pace of the fastest key; none is slower than it by more than models differ, so what
-// looks slower has waited behind others.
-func (c *Core) fastest() float64 {
-	best := 0.0
-	for _, p := range c.paces {
-		if best == 0 || p < best {
-			best = p
-		}
-	}
-	if best == 0 {
-		return firstPace
-	}
-	return best
-}
-
 // heardSeats takes in what all routers have under way.
 func (c *Core) heardSeats(m map[ident.Server]int) {
 	for s, b := range c.servers {
