--- a/internal/controller/weigh.go
+++ b/internal/controller/weigh.go
@@ -57,11 +57,9 @@
 	c.weighAdapters(l)
 }
 
-// storeLeft tells how many more loads may be placed beside those that are. As many as the store bears at once may wait
-// for room at their servers, beside those under way.
+// storeLeft tells how many more loads the store bears beside those that are ordered.
 func (c *Core) storeLeft(toBegin int) int {
 	atOnce, _ := c.budget()
-	atOnce *= 2
 	for _, s := range c.servers {
 		for key, p := range s.spots {
 			if p.stage != Ordered || key.IsAdapter() || c.sure(s, key) || !c.mayLoad(s, p) {
