--- a/internal/controller/weigh.go
+++ b/internal/controller/weigh.go
@@ -18,6 +18,7 @@
 	weighMany  = 200   // models and adapters: for each so many more the pause is as long again
 	seedEvery  = 300e6 // a model is loaded ahead so often
 	seedLoads  = 2     // loads that the store must bear for one of them to be ahead of need
+	keptPart   = 3     // one in so many of the loads that the store bears at once is kept for bases without a replica
 
 	freshSpan = 1500e6 // what is as young as this is not judged yet, and what is older is out of date
 )
@@ -44,7 +45,7 @@
 	short := l.short()
 	c.line = map[ident.Key]int{}
 	for _, f := range short {
-		if c.placeAt(f, l, left > 0) {
+		if c.placeAt(f, l, left > c.keptFree(f)) {
 			left--
 		}
 		if f.live == 0 {
@@ -57,6 +58,16 @@
 	c.weighAdapters(l)
 }
 
+// keptFree tells how many of the loads that the store bears at once a family leaves to others: further replicas leave a
+// part to bases without any, for which somebody waits.
+func (c *Core) keptFree(f *family) int {
+	if f.live == 0 && f.waiting > 0 {
+		return 0
+	}
+	atOnce, _ := c.budget()
+	return atOnce / keptPart
+}
+
 // storeLeft tells how many more loads the store bears beside those that are ordered.
 func (c *Core) storeLeft(toBegin int) int {
 	atOnce, _ := c.budget()
