--- a/internal/controller/family.go
+++ b/internal/controller/family.go
@@ -5,7 +5,6 @@
 
 	"tidedeck/internal/clock"
 	"tidedeck/internal/fleetplan"
-	"tidedeck/internal/generic"
 	"tidedeck/internal/ident"
 )
 
@@ -13,10 +12,9 @@
 // are what the work of all of them asks for.
 
 const (
-	goodLoad   = 0.4  // of a server's time that one key's replica should take
-	fullLoad   = 0.6  // past which another replica is worth a rarer key's only one
-	busyServer = 0.7  // of a server's time that all of its keys may take before it is relieved of one
-	batch      = 0.15 // of a server's slots that one key's requests should take
+	goodLoad = 0.4  // of a server's time that one key's replica should take
+	fullLoad = 0.6  // past which another replica is worth a rarer key's only one
+	batch    = 0.15 // of a server's slots that one key's requests should take
 
 	// An owner whose routers have told it so shortly what they are asked for does not know all of it yet.
 	firstSpan = 4e9
@@ -40,7 +38,6 @@
 	age      float64 // seconds that somebody has waited
 	value    int     // the highest among those that wait
 	rank     int     // of the value among those of the plan: 0 comes first
-	overflow float64 // of its work, the part that is at servers past what they can take of all that they hold
 	spare    bool    // nobody asks for it: it takes no room from what somebody may ask for
 }
 
@@ -118,39 +115,6 @@
 	}
 }
 
-// relieve has the heaviest family of each server that has too much work wanted once more elsewhere.
-func (c *Core) relieve(l families) {
-	for _, id := range generic.SortedKeys(c.servers) {
-		s := c.servers[id]
-		if !c.stays(s) {
-			continue
-		}
-		sum := l.loadOf(s)
-		if sum <= busyServer {
-			continue
-		}
-		if f := l.heaviest(s); f != nil && f.live < f.model.Most {
-			f.wanted = max(f.wanted, f.live+1)
-			f.overflow = math.Max(f.overflow, 1-busyServer/sum)
-		}
-	}
-}
-
-// heaviest finds the family whose share of a server's work is the largest.
-func (l families) heaviest(s *server) (heaviest *family) {
-	most := 0.0
-	for _, key := range generic.SortedKeys(s.spots) {
-		f := l[key]
-		if f == nil || !s.spots[key].placed() {
-			continue
-		}
-		if share := f.load / float64(max(1, f.live)); share > most {
-			heaviest, most = f, share
-		}
-	}
-	return heaviest
-}
-
 // gain is what one more replica is worth: the requests that wait for it, and those that come while it
 // is being loaded, as far as they could not be served well without.
 func (f *family) gain() float64 {
@@ -161,7 +125,7 @@
 		weight := rankWeight / float64(1+f.rank)
 		return (float64(f.waiting)+f.age)*weight + rateWeight*f.rate
 	}
-	return f.rate * (f.unserved(goodLoad) + f.unserved(fullLoad) + f.overflow)
+	return f.rate * (f.unserved(goodLoad) + f.unserved(fullLoad))
 }
 
 // unserved is the part of a family's work that its replicas leave when each takes so much.
--- a/internal/controller/weigh.go
+++ b/internal/controller/weigh.go
@@ -42,7 +42,6 @@
 	for _, id := range generic.SortedKeys(c.servers) {
 		c.undo(c.servers[id])
 	}
-	c.relieve(l)
 	short := l.short()
 	c.line = map[ident.Key]int{}
 	for _, f := range short {
