--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -1,4 +1,5 @@
-// Command experiment compares two revisions of the sources on the same days with the same seeds.
+// Command experiment compares two revisions of the sources on the same days with the same seeds, and sums what requests
+// were late or lost for.
 package main
 
 import (
@@ -23,7 +24,14 @@
 )
 
 type settings struct {
-	Settings   string   `help:"File of settings, JSON; flags go before it." type:"path"`
+	Settings string     `help:"File of settings, JSON; flags go before it." type:"path"`
+	Compare  comparison `cmd:"" help:"Play days on two revisions, or settings, and compare them pair by pair."`
+	Explain  struct {
+		Logs []string `arg:"" help:"Files of log lines of routers." type:"existingfile"`
+	} `cmd:"" help:"Sum what requests were late or lost for, by the traces in routers' log lines."`
+}
+
+type comparison struct {
 	Bench      string   `help:"Path of the bench's program." required:"" type:"existingfile"`
 	Repository string   `help:"Repository that revisions are taken from." default:"." type:"existingdir"`
 	Folder     string   `help:"Folder for copies, reports and results; an experiment that was broken off goes on there." required:"" type:"path"`
@@ -42,10 +50,17 @@
 
 func main() {
 	var s settings
-	host.Parse(&s, "experiment", "experiment plays days on two revisions and compares them pair by pair.")
+	command := host.Parse(&s, "experiment", "experiment compares revisions on the same days, and tells what requests were late or lost for.")
+	if strings.HasPrefix(command, "explain") {
+		if err := explain(s.Explain.Logs); err != nil {
+			fmt.Fprintln(os.Stderr, "experiment:", err)
+			os.Exit(exitError)
+		}
+		return
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
-	worse, err := compare(ctx, s)
+	worse, err := compare(ctx, s.Compare)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "experiment:", err)
 		os.Exit(exitError)
@@ -55,7 +70,23 @@
 	}
 }
 
-func compare(ctx context.Context, s settings) (worse bool, err error) {
+func explain(logs []string) error {
+	x := experiment.NewExplanation()
+	for _, path := range logs {
+		f, err := os.Open(path)
+		if err != nil {
+			return err
+		}
+		err = x.Read(f)
+		f.Close()
+		if err != nil {
+			return errors.Wrap(err, path)
+		}
+	}
+	return x.WriteText(os.Stdout)
+}
+
+func compare(ctx context.Context, s comparison) (worse bool, err error) {
 	marks, err := experiment.ReadMarks(s.Site)
 	if err != nil {
 		return false, err
@@ -94,7 +125,7 @@
 }
 
 // sides names the two sides by their revisions, and by the file of edits.
-func (s settings) sides() (first, second experiment.Side, err error) {
+func (s comparison) sides() (first, second experiment.Side, err error) {
 	first = experiment.Side{Name: s.First, Revision: s.First}
 	second = experiment.Side{Name: s.Second, Revision: s.Second}
 	if s.Second == "" {
