--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -114,7 +114,9 @@
 	empty       map[ident.Zone]bool
 	servers     map[ident.Server]*server
 	paces       map[ident.Key]pace // by base
-	diskPart    float64            // of a load's time from the store, that one from a server's own disk takes
+	slowest     float64            // of the paces, as of slowestAt
+	slowestAt   clock.Tick
+	diskPart    float64 // of a load's time from the store, that one from a server's own disk takes
 	entries     map[ident.Key]*entry
 	asks        map[uint64]func(protocol.Told)
 	token       uint64
--- a/internal/controller/pace.go
+++ b/internal/controller/pace.go
@@ -4,7 +4,6 @@
 	"math"
 
 	"tidedeck/internal/clock"
-	"tidedeck/internal/generic"
 	"tidedeck/internal/ident"
 	"tidedeck/internal/protocol"
 )
@@ -43,31 +42,45 @@
 
 // pacesFor gives what a router is to be told of the bases that it uses, as far as that has changed; nothing if it has not.
 func (c *Core) pacesFor(l *link) *protocol.Paces {
-	slowest := 0.0
-	for _, p := range c.paces {
-		slowest = max(slowest, p.now(c.now))
+	var told *protocol.Paces
+	if slowest := c.slowestPace(); differs(l.slowest, slowest) {
+		l.slowest = slowest
+		told = &protocol.Paces{}
 	}
-	told := &protocol.Paces{Slowest: slowest, Bases: map[ident.Key]float64{}}
-	changed := differs(l.slowest, slowest)
-	for _, key := range generic.SortedKeys(l.holds) {
+	for key := range l.holds { // in any order: each base is told by itself
 		base := key.Base()
 		p, ok := c.paces[base]
 		if !ok || !differs(l.paces[base], p.now(c.now)) {
 			continue
 		}
+		if told == nil {
+			told = &protocol.Paces{}
+		}
+		if told.Bases == nil {
+			told.Bases = map[ident.Key]float64{}
+		}
 		if l.paces == nil {
 			l.paces = map[ident.Key]float64{}
 		}
 		l.paces[base] = p.now(c.now)
 		told.Bases[base] = l.paces[base]
-		changed = true
 	}
-	if !changed {
-		return nil
+	if told != nil {
+		told.Slowest = l.slowest
 	}
-	l.slowest = slowest
 	return told
 }
 
+// slowestPace is the longest time that a token takes of any base, found anew with the sums of demand.
+func (c *Core) slowestPace() float64 {
+	if c.slowestAt != c.summed || c.slowest == 0 {
+		c.slowestAt, c.slowest = c.summed, 0
+		for _, p := range c.paces {
+			c.slowest = max(c.slowest, p.now(c.now))
+		}
+	}
+	return c.slowest
+}
+
 // differs tells whether a pace is worth telling to who knows another one.
 func differs(known, is float64) bool { return math.Abs(is-known) > paceChange*known }
