--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -18,7 +18,7 @@
 	r.waitsFor("", c.now)
 	r.fire("launch")
 	b := c.server(p.Server)
-	r.attempts = append(r.attempts, attemptRecord{Server: p.Server, Inc: p.Inc, at: c.now, weight: c.effort(r), ahead: b.under()})
+	r.attempts = append(r.attempts, attemptRecord{Server: p.Server, Inc: p.Inc, epoch: c.epoch, at: c.now, weight: c.effort(r), ahead: b.under()})
 	n := len(r.attempts)
 	b.work++
 	b.tokens += c.effort(r)
@@ -48,6 +48,7 @@
 		c.tally.SendsHeld++
 		return false
 	}
+	attempt.epoch = c.epoch
 	c.countSend(r)
 	if !c.leased() {
 		c.tally.SentUnleased++
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -392,7 +392,8 @@
 		c.empty[z] = true
 	}
 	c.tally.Plans++
-	c.note("configuration in force", protocol.Field{Name: "generation", Value: d.Gen}, protocol.Field{Name: "epoch", Value: d.Epoch})
+	c.note("configuration in force", protocol.Field{Name: "generation", Value: d.Gen}, protocol.Field{Name: "epoch", Value: d.Epoch},
+		protocol.Field{Name: "version", Value: c.PlanName()})
 	// Whoever waits for what the new plan no longer allows is told so, at once if it surely rules.
 	c.resolve(true)
 }
--- a/internal/router/ledger.go
+++ b/internal/router/ledger.go
@@ -38,12 +38,13 @@
 	Kind   failure.Kind
 	Begun  bool
 
-	Status int        // of the server's answer; zero if none came
-	Cause  Cause      // for the trace
-	at     clock.Tick // when it was launched
-	ended  clock.Tick // and when it ended; zero while it is under way
-	weight int        // tokens that it still counts for at its server
-	ahead  int        // and those that were under way there before it
+	Status int         // of the server's answer; zero if none came
+	epoch  ident.Epoch // of the configuration by which it was launched, or sent
+	Cause  Cause       // for the trace
+	at     clock.Tick  // when it was launched
+	ended  clock.Tick  // and when it ended; zero while it is under way
+	weight int         // tokens that it still counts for at its server
+	ahead  int         // and those that were under way there before it
 }
 
 // Stages of a request.
--- a/internal/router/request_trace.go
+++ b/internal/router/request_trace.go
@@ -37,6 +37,7 @@
 	Status int          `json:"status,omitempty"`
 	Cause  Cause        `json:"cause,omitempty"`
 	Begun  bool         `json:"begun,omitempty"`
+	Epoch  ident.Epoch  `json:"epoch"` // of the configuration that allowed it
 }
 
 // Ways in which a request ends.
@@ -55,6 +56,7 @@
 	Key      ident.Key      `json:"key,omitempty"`
 	Gen      uint64         `json:"generation"`
 	Epoch    ident.Epoch    `json:"epoch"`
+	Plan     string         `json:"plan,omitempty"` // the version of the configuration in force at the end, as operators name it
 	Leased   bool           `json:"leased"`
 	Parted   bool           `json:"parted,omitempty"`
 	Stopping bool           `json:"stopping,omitempty"`
@@ -80,7 +82,7 @@
 		return
 	}
 	t := RequestTrace{
-		ID: r.Call.Call.ID, Route: r.Route, Key: r.key, Gen: c.gen, Epoch: c.epoch,
+		ID: r.Call.Call.ID, Route: r.Route, Key: r.key, Gen: c.gen, Epoch: c.epoch, Plan: c.PlanName(),
 		Leased: c.leased(), Parted: c.parted, Stopping: c.ending,
 		TookMs: c.now.Sub(r.came).Milliseconds(), End: end, Kind: kind, AimMs: r.class.Aim.Milliseconds(), WaitsMs: r.waitsMs(),
 	}
@@ -97,7 +99,7 @@
 		}
 		t.Attempts = append(t.Attempts, AttemptTrace{
 			Server: a.Server, Life: a.Inc, AtMs: a.at.Sub(r.came).Milliseconds(), TookMs: took.Milliseconds(),
-			How: a.How, Kind: a.Kind, Status: a.Status, Cause: a.Cause, Begun: a.Begun,
+			How: a.How, Kind: a.Kind, Status: a.Status, Cause: a.Cause, Begun: a.Begun, Epoch: a.epoch,
 		})
 	}
 	c.out = append(c.out, t)
--- a/internal/router/request_trace_test.go
+++ b/internal/router/request_trace_test.go
@@ -42,6 +42,22 @@
 	require.Equal(t, CauseHead, trace.Attempts[1].Cause)
 }
 
+// A trace says by which configuration each attempt was sent, and which one ruled at the end.
+func TestTraceNamesConfigurations(t *testing.T) {
+	first, second := hostPlan(nil), hostPlan(nil)
+	first.Name, second.Name = "55", "66"
+	b := free(t, Options{}, first, second)
+	b.entry("web|", "s1", "s2")
+	ref, l, _ := b.go1("/once/x", fleetplan.Call{ID: "a1"})
+	require.True(t, b.MaySend(b.at, ref, l.N))
+	b.replan(1)
+	trace, ok := pick[RequestTrace](b.Step(b.at, Ended{Ref: ref, N: l.N, How: Lost, Cause: CauseHead}))
+	require.True(t, ok)
+	require.Equal(t, "66", trace.Plan)
+	require.EqualValues(t, 2, trace.Epoch)
+	require.EqualValues(t, 1, trace.Attempts[0].Epoch)
+}
+
 // What the first attempt serves leaves no trace; a caller that leaves does.
 func TestTraceOnlyWhatMatters(t *testing.T) {
 	b := free(t, Options{})
