Tenants of a configuration are read: a key decides whose a request is, and goes no further

Cause: the platform's reader skipped tenants, as it skips every key that it does not know; Authorization went through as any header.

Change: fleetplan.Tenants keeps keys as digests; Plan.Match says whose request it is, and refuses one without a known key (401) unless its route is unkeyed. That is asked where the route is asked for: at arrival, when the plan changes, when a request waits again, and right before it is sent. A request that may have run stays refused a second run also under a plan that no longer lets it in. A tenant's precedence comes before the route's. Both forms of plan have tenants; two tenants with one key make a plan invalid, named by its place only.

--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -17,6 +17,7 @@
 	Oversize    Kind = "oversize"
 	HeadTooLong Kind = "head_too_long"
 	NoRoute     Kind = "no_route"
+	NoKey       Kind = "no_key"
 	NoModel     Kind = "no_model"
 	NoKind      Kind = "no_kind"
 	PastDue     Kind = "past_due"
@@ -51,6 +52,7 @@
 	Oversize:    {413, true, 0},
 	HeadTooLong: {431, true, 0},
 	NoRoute:     {404, true, 0},
+	NoKey:       {401, true, 0}, // the request shows no key of a tenant's
 	NoModel:     {404, true, 0},
 	NoKind:      {400, true, 0},
 	PastDue:     {400, true, 0},
--- a/internal/fleetplan/hosts.go
+++ b/internal/fleetplan/hosts.go
@@ -84,7 +84,7 @@
 
 // route reads a route by host and prefix.
 func (h *hosts) route(name string, n Pen) {
-	n.Only("host", "prefix", "service", "split", "mode", "resume", "tries", "value", "wait_ms", "aim_ms", "pause_ms", "quit_ms", "model_optional")
+	n.Only("host", "prefix", "service", "split", "mode", "resume", "tries", "value", "wait_ms", "aim_ms", "pause_ms", "quit_ms", "model_optional", "unkeyed")
 	r := &Route{
 		Name: name, Host: n.At("host").Text(true, 255), Prefix: n.At("prefix").Text(true, 4096), Mode: Once,
 		Resume: n.At("resume").Bool(false), Tries: n.At("tries").Int(1, mostTries, 1),
@@ -93,6 +93,7 @@
 			Aim: n.At("aim_ms").ms(0), Pause: n.At("pause_ms").ms(0), Quit: n.At("quit_ms").ms(0),
 		},
 		ModelOptional: n.At("model_optional").Bool(false),
+		Unkeyed:       n.At("unkeyed").Bool(false),
 	}
 	if r.Host != strings.ToLower(r.Host) || strings.ContainsAny(r.Host, ":/ ") {
 		n.At("host").Fault("wants a host's name in small letters, without a port")
--- a/internal/fleetplan/plan.go
+++ b/internal/fleetplan/plan.go
@@ -82,6 +82,9 @@
 
 	// ModelOptional says that a request which names no model is for any server of a service with models.
 	ModelOptional bool
+
+	// Unkeyed says that requests need no tenant's key, where the plan has tenants.
+	Unkeyed bool
 }
 
 // Plan is a checked fleet plan.
@@ -98,21 +101,17 @@
 	BodyMost int                          // bytes of its body
 	HeadWait clock.Span                   // for its head
 
-	ranks map[int]int
+	tenants *Tenants // nil where nobody wants a key
+	ranks   map[int]int
 }
 
 // Rank gives a value's place among those of the plan's classes: 0 is the highest. It is not safe for use
 // by two at once.
 func (q *Plan) Rank(value int) int {
 	if q.ranks == nil {
-		var l []int
-		for _, k := range q.Kinds {
-			l = append(l, k.Value)
-		}
-		for _, h := range q.Hosts {
-			for _, r := range h {
-				l = append(l, r.Class.Value)
-			}
+		l := q.values()
+		if q.tenants != nil {
+			l = q.tenants.values(l)
 		}
 		slices.Sort(l)
 		slices.Reverse(l)
@@ -127,38 +126,63 @@
 	return max(0, len(q.ranks)-1)
 }
 
-// Query is what of a request decides where it may go.
+// Query is what of a request decides where it may go, and whose it is.
 type Query struct {
 	ID, Host, Path, Kind, Base, Extra string
+
+	Credential Credential
 }
 
-// Match is where a request may go, and under which terms.
+// Match is where a request may go, and under which terms. A request that may not go still has the route that it was found
+// under, if it has one.
 type Match struct {
 	Key   ident.Key
 	Class Class
 	Route *Route // of those found by host; nil for the others
+
+	Keyed  bool   // the plan has tenants: what the caller shows as a key goes no further
+	Tenant string // whose request it is; empty for nobody's
 }
 
 // Match finds what a plan allows a request.
 func (q *Plan) Match(x Query) (Match, failure.Kind) {
 	if x.Host == "" {
-		k, c, why := q.Allows(x.Path, x.Kind, x.Base, x.Extra)
-		return Match{Key: k, Class: c}, why
+		return q.matchPath(x)
 	}
 	r := q.Find(x.Host, x.Path)
 	if r == nil {
 		return Match{}, failure.NoRoute
 	}
+	m := Match{Class: r.Class, Route: r}
+	if !q.admits(&m, x.Credential, r.Unkeyed) {
+		return m, failure.NoKey
+	}
 	name := r.choose(x.ID)
 	s := q.Services[name]
 	if s.Plain || r.ModelOptional && x.Base == "" && x.Extra == "" {
-		return Match{ident.ServiceKey(name), r.Class, r}, failure.None
+		m.Key = ident.ServiceKey(name)
+		return m, failure.None
 	}
 	k := ident.KeyOf(x.Base, x.Extra).In(name)
 	if !s.Keys[k] {
-		return Match{}, failure.NoModel
+		return m, failure.NoModel
+	}
+	m.Key = k
+	return m, failure.None
+}
+
+// matchPath finds what a plan allows a request that is found by its whole path.
+func (q *Plan) matchPath(x Query) (m Match, why failure.Kind) {
+	r, ok := q.Routes[x.Path]
+	if !ok {
+		return Match{}, failure.NoRoute
 	}
-	return Match{k, r.Class, r}, failure.None
+	m.Class = q.Kinds[x.Kind]
+	if !q.admits(&m, x.Credential, r.Unkeyed) {
+		return m, failure.NoKey
+	}
+	m.Key, _, why = q.Allows(x.Path, x.Kind, x.Base, x.Extra)
+	return m, why
 }
 
 // Find gives the route of a host with the longest prefix that begins the path.
@@ -213,7 +237,7 @@
 		return nil, *all
 	}
 	q := &Plan{Models: map[ident.Key]Model{}, Kinds: map[string]Class{}, Services: map[string]Service{}, Routes: map[string]Route{}}
-	p.Only("name", "store", "models", "adapters", "kinds", "services", "routes")
+	p.Only("name", "store", "models", "adapters", "kinds", "services", "routes", "tenants")
 	q.Name = p.At("name").Text(true, 128)
 	q.Loads = p.At("store").Only("loads").At("loads").Int(1, 1000, 2)
 	for _, s := range []string{"models", "kinds", "services", "routes"} {
@@ -285,11 +309,11 @@
 			h.route(k, n)
 			return
 		}
-		n.Only("service", "kinds")
+		n.Only("service", "kinds", "unkeyed")
 		if !strings.HasPrefix(k, "/") {
 			n.Fault("a route begins with /")
 		}
-		r := Route{Service: n.At("service").Text(true, 128), Kinds: map[string]bool{}}
+		r := Route{Service: n.At("service").Text(true, 128), Kinds: map[string]bool{}, Unkeyed: n.At("unkeyed").Bool(false)}
 		if _, ok := q.Services[r.Service]; !ok && r.Service != "" {
 			n.At("service").Fault(fmt.Sprintf("no service is called %q", r.Service))
 		}
@@ -308,6 +332,9 @@
 		q.Routes[k] = r
 	})
 	h.settle(p.At("services"))
+	if n := p.At("tenants"); n.has {
+		q.SetTenants(readTenants(n))
+	}
 	if len(*all) > 0 {
 		return nil, *all
 	}
@@ -357,11 +384,13 @@
 	Tokens int        // of its prompt, if that is known
 	Sizes  []int      // tokens of each of its parts, likewise
 	Seen   uint64     // it takes up a stream after the event of this number
+
+	Credential Credential // what it shows of its caller
 }
 
 // Query gives what of the call decides where it may go.
 func (c Call) Query(path string) Query {
-	return Query{ID: c.ID, Host: c.Host, Path: path, Kind: c.Kind, Base: c.Base, Extra: c.Extra}
+	return Query{ID: c.ID, Host: c.Host, Path: path, Kind: c.Kind, Base: c.Base, Extra: c.Extra, Credential: c.Credential}
 }
 
 // ReadCall reads and checks a caller's request.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -650,5 +650,8 @@
 	if back > 0 {
 		w.Header().Set("Retry-After", fmt.Sprint(int64((back+time.Second-1)/time.Second)))
 	}
+	if a.Status == http.StatusUnauthorized {
+		w.Header().Set("WWW-Authenticate", fleetplan.BearerScheme)
+	}
 	JSON(w, a.Status, Problem{k, a.Dropped, back.Milliseconds(), f})
 }
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -689,4 +689,5 @@
 	Prompt string    `json:"prompt"`
 	Max    int       `json:"max_tokens"`
 	Once   bool      `json:"once"` // may not be repeated
+	Tenant string    `json:"tenant,omitempty"`
 }
--- a/internal/router/admission.go
+++ b/internal/router/admission.go
@@ -10,8 +10,9 @@
 	"tidedeck/internal/ident"
 )
 
-// Admission: a request's route, class and horizon come from the plan, when it arrives, when the plan changes
-// and when it waits again after an attempt.
+// Admission: a request's route, class and horizon come from the plan, and so does whose request it is, when it arrives, when
+// the plan changes and when it waits again after an attempt. Right before it is sent the plan is asked once more, so that no
+// server runs what an older plan allowed, under a key that is taken away or another tenant's by then.
 
 // undecidedWait is how long a request that no known plan decides about waits for one that does.
 const undecidedWait = clock.Span(5 * time.Second)
@@ -22,8 +23,8 @@
 		return failure.None // no plan is known yet: it waits, but is sent nowhere
 	}
 	m, why := c.plan.Match(r.Call.Call.Query(r.Route))
-	if why == failure.None && m.Key != r.key {
-		return failure.Moved // the plan sends it elsewhere now
+	if why == failure.None && (m.Key != r.key || m.Keyed != r.keyed || m.Tenant != r.tenant) {
+		return failure.Moved // the plan sends it elsewhere now, or has it as somebody else's
 	}
 	return why
 }
@@ -37,7 +38,7 @@
 		m, why := c.plan.Match(r.Call.Call.Query(r.Route))
 		switch {
 		case why == failure.None:
-			r.class, r.key, r.route = m.Class, m.Key, m.Route
+			r.class, r.key, r.route, r.keyed, r.tenant = m.Class, m.Key, m.Route, m.Keyed, m.Tenant
 			r.once = r.mayHaveRun() && (r.once || m.Route != nil && !repeats(m.Route))
 		case c.leased():
 			return why
@@ -62,8 +63,8 @@
 	if c.plan == nil {
 		return
 	}
-	m, why := c.plan.Match(r.Call.Call.Query(r.Route))
-	if why == failure.None && m.Route != nil && !repeats(m.Route) {
+	// Also by a plan that lets it in no more: a later one may let it in again.
+	if m, _ := c.plan.Match(r.Call.Call.Query(r.Route)); m.Route != nil && !repeats(m.Route) {
 		r.once = true
 	}
 }
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -29,8 +29,8 @@
 	x := r.Call.Call
 	l := Launch{Ref: r.Ref, N: n, Server: p.Server, Addr: p.Addr, Work: protocol.Work{
 		Go: fmt.Sprintf("%s-%d-%d-%d", c.o.Me.ID, c.o.Inc, r.Ref, n), ID: x.ID, Base: x.Base, Extra: x.Extra,
-		Inc: p.Inc, Parts: x.Parts, Prompt: x.Prompt, Max: x.Max, Once: !x.Again,
-	}, Left: r.end.Sub(c.now), Rank: c.plan.Rank(r.class.Value), Again: r.repeatable(), Resume: r.resumes()}
+		Inc: p.Inc, Parts: x.Parts, Prompt: x.Prompt, Max: x.Max, Once: !x.Again, Tenant: r.tenant,
+	}, Keyed: r.keyed, Left: r.end.Sub(c.now), Rank: c.plan.Rank(r.class.Value), Again: r.repeatable(), Resume: r.resumes()}
 	c.checkLaunch(r, l)
 	c.out = append(c.out, l)
 }
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -99,6 +99,7 @@
 	Server ident.Server
 	Addr   string
 	Work   protocol.Work
+	Keyed  bool       // what the caller shows as a key goes no further
 	Left   clock.Span // how much longer the caller waits
 	Rank   int        // how urgent it is among what the server runs
 	Again  bool       // it may be sent again, so that its answer may be begun anew elsewhere
--- a/internal/router/dialect.go
+++ b/internal/router/dialect.go
@@ -15,6 +15,8 @@
 	Left   clock.Span   // how much longer the caller waits
 	Seen   uint64       // the stream is taken up after the event of this number; zero begins it
 	Rank   int          // how urgent it is: 0 comes first
+	Keyed  bool         // the caller's key was looked at, and goes no further
+	Tenant string       // whose request it is; empty for nobody's
 }
 
 // Said is what the head of a server's answer says.
@@ -31,7 +33,7 @@
 	// Read gives the facts of a caller's request; the fault says what of its head cannot be read.
 	Read(r *http.Request) (fleetplan.Call, *fleetplan.Fault)
 	// Write adds to the head of an attempt's request what the attempt says; the caller's own
-	// headers are in it already.
+	// headers are in it already. What they say of a tenant is no word of the router's, and goes.
 	Write(h http.Header, a Attempt)
 	// Answer reads the head of a server's answer.
 	Answer(status int, h http.Header) Said
--- a/internal/router/ledger.go
+++ b/internal/router/ledger.go
@@ -70,6 +70,8 @@
 	first     bool       // its first arrival was counted
 	once      bool       // a route that it went under, or is under by now, lets it run once only
 	route     *fleetplan.Route
+	keyed     bool   // the plan that let it in has tenants: its caller's key is for the routers only
+	tenant    string // whose it is by that plan; empty for nobody's
 
 	waiting      WaitCause // what it waits for, since when, and what it waited for before
 	waitingSince clock.Tick
--- a/internal/router/relay_attempt.go
+++ b/internal/router/relay_attempt.go
@@ -40,7 +40,7 @@
 		x.cause = CauseNotAllowed
 		return Kept, failure.None
 	}
-	a := Attempt{Server: v.Server, Left: left, Rank: v.Rank}
+	a := Attempt{Server: v.Server, Left: left, Rank: v.Rank, Keyed: v.Keyed, Tenant: v.Work.Tenant}
 	if x.seen {
 		a.Seen = x.last
 	}
--- a/internal/router/relay_reply.go
+++ b/internal/router/relay_reply.go
@@ -52,6 +52,9 @@
 	h := x.w.Header()
 	b, _ := json.Marshal(p)
 	h["Content-Type"] = []string{"application/json"}
+	if status == http.StatusUnauthorized {
+		h["Www-Authenticate"] = []string{fleetplan.BearerScheme}
+	}
 	h["Content-Length"] = []string{strconv.Itoa(len(b))}
 	if back > 0 {
 		h["Retry-After"] = []string{strconv.FormatFloat(back.Round(time.Millisecond).Seconds(), 'f', -1, 64)}
--- a/internal/router/request_trace.go
+++ b/internal/router/request_trace.go
@@ -54,6 +54,7 @@
 	ID       string         `json:"id"`
 	Route    string         `json:"route,omitempty"`
 	Key      ident.Key      `json:"key,omitempty"`
+	Tenant   string         `json:"tenant,omitempty"`
 	Gen      uint64         `json:"generation"`
 	Epoch    ident.Epoch    `json:"epoch"`
 	Plan     string         `json:"plan,omitempty"` // the version of the configuration in force at the end, as operators name it
@@ -82,7 +83,7 @@
 		return
 	}
 	t := RequestTrace{
-		ID: r.Call.Call.ID, Route: r.Route, Key: r.key, Gen: c.gen, Epoch: c.epoch, Plan: c.PlanName(),
+		ID: r.Call.Call.ID, Route: r.Route, Key: r.key, Tenant: r.tenant, Gen: c.gen, Epoch: c.epoch, Plan: c.PlanName(),
 		Leased: c.leased(), Parted: c.parted, Stopping: c.ending,
 		TookMs: c.now.Sub(r.came).Milliseconds(), End: end, Kind: kind, AimMs: r.class.Aim.Milliseconds(), WaitsMs: r.waitsMs(),
 	}
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -171,6 +171,7 @@
 		host.Error(w, failure.Malformed, 0, f)
 		return
 	}
+	x.Credential = fleetplan.ReadBearer(r.Header.Values("Authorization"))
 	ref, ch, done := d.add()
 	defer done()
 	if d.record != nil {
