--- a/internal/fleetplan/tenants.go
+++ b/internal/fleetplan/tenants.go
@@ -190,6 +190,15 @@
 // Keyed tells whether the plan has tenants, so that what callers show as keys concerns the routers only.
 func (q *Plan) Keyed() bool { return q.tenants != nil }
 
+// Holder tells the name of the tenant whose key a request shows; none where the plan has no tenants, or the key is nobody's.
+func (q *Plan) Holder(c Credential) string {
+	if q.tenants == nil {
+		return ""
+	}
+	tenant, _ := q.tenants.holder(c)
+	return tenant.Name
+}
+
 // values lists the values of the plan's kinds and routes.
 func (q *Plan) values() (l []int) {
 	for _, k := range q.Kinds {
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -35,13 +35,14 @@
 	WithinRoom        Name = "orders_within_room"
 	WithinRate        Name = "loads_within_rate"
 	LeavingIsKnown    Name = "leaving_is_known"
+	TenantHoldsKey    Name = "tenant_holds_key"
 )
 
 // Names lists all invariants.
 var Names = []Name{
 	RunsOnce, RefusedNeverRan, TriesBounded, TimeLeftShrinks, EndsInTime, AnswerIsServers, RefusalIsOurs, ConnectionMatches,
 	EpochRises, BallotOneValue, BallotRises, ChosenRises, NumberOneValue, VotersChangeByOne, ReadIsNewest,
-	OneOwner, OrdersUnderLease, WithinRoom, WithinRate, LeavingIsKnown,
+	OneOwner, OrdersUnderLease, WithinRoom, WithinRate, LeavingIsKnown, TenantHoldsKey,
 }
 
 // Violation is an invariant that did not hold, and what was seen.
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -49,6 +49,7 @@
 		return false
 	}
 	attempt.epoch = c.epoch
+	c.checkTenant(r)
 	c.countSend(r)
 	if !c.leased() {
 		c.tally.SentUnleased++
--- a/internal/router/invariants.go
+++ b/internal/router/invariants.go
@@ -41,6 +41,14 @@
 	})
 }
 
+// checkTenant looks at a request that is about to be sent: its tenant holds its key by the configuration in force.
+func (c *Core) checkTenant(r *request) {
+	holder := c.plan.Holder(r.Call.Call.Credential)
+	invariant.Check(r.keyed == c.plan.Keyed() && r.tenant == holder, invariant.TenantHoldsKey, func() string {
+		return fmt.Sprintf("request %s is sent as one of tenant %q, keyed=%v; its key is %q's, keyed=%v", r.Call.Call.ID, r.tenant, r.keyed, holder, c.plan.Keyed())
+	})
+}
+
 // checkRefusal looks at a final answer that says that the request never ran.
 func (c *Core) checkRefusal(r *request, kind failure.Kind) {
 	if !failure.Receipts[kind].Dropped {
--- a/internal/router/invariants_test.go
+++ b/internal/router/invariants_test.go
@@ -25,6 +25,7 @@
 	{invariant.AnswerIsServers, "relay_attempt.go", `if said.ID == x.facts.ID && said.ID != "" {`, `if said.ID != "" {`, "TestSurplus"},
 	{invariant.RefusalIsOurs, "relay_reply.go", "\th := x.w.Header()\n\tb, _ := json", "\th := x.w.Header()\n\th[\"X-Seal\"] = []string{\"s\"}\n\tb, _ := json", "TestOwnAnswersBearNoSeal"},
 	{invariant.ConnectionMatches, "conns.go", "\tl := p.idle[to]\n", "\tl := p.idle[to]\n\tfor to, l = range p.idle {\n\t\tbreak\n\t}\n", "TestKeptForOneServer"},
+	{invariant.TenantHoldsKey, "admission.go", " || m.Keyed != r.keyed || m.Tenant != r.tenant)", ")", "TestKeysThatChangeUnderWay"},
 	{invariant.EpochRises, "core.go", "if d.Gen < c.gen || d.Gen == c.gen && d.Epoch <= c.epoch {", "if false {", "TestEpochsOnlyRise|TestOtherGeneration"},
 }
 
