--- a/internal/simulator/check.go
+++ b/internal/simulator/check.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 
@@ -224,6 +225,9 @@
 	return n
 }
 
+// denials are the kinds that say that the plan does not allow a request.
+var denials = []failure.Kind{failure.NoRoute, failure.NoModel, failure.NoKind, failure.NoKey}
+
 // ruling lists the states that may rule somewhere at this moment.
 func (k *Checker) ruling() (l []*state) {
 	for _, s := range k.states {
@@ -517,7 +521,7 @@
 	if a.Dropped && c.ran > 0 {
 		k.bad("%s was dropped as %s but had run", c.ask.Call.ID, r.Kind)
 	}
-	if (r.Kind == failure.NoModel || r.Kind == failure.NoRoute || r.Kind == failure.NoKind) && !k.loose {
+	if slices.Contains(denials, r.Kind) && !k.loose {
 		all := true
 		for _, s := range k.ruling() {
 			all = all && k.allows(s, c.ask)
--- a/internal/simulator/hosted.go
+++ b/internal/simulator/hosted.go
@@ -31,7 +31,8 @@
 	OrderGone float64 // that an order gets lost before it comes
 	Lend      float64 // arrivals beyond the first that the fleet may come to in ten seconds, whatever is asked
 	Shift     clock.Span
-	Nameless  float64 // of the requests to servers with models, the part that names none
+	Nameless  float64  // of the requests to servers with models, the part that names none
+	Keys      []string // that callers show, by turns; none if it is empty
 }
 
 // HostedDefaults are what a deployment asks for as a rule.
@@ -442,6 +443,9 @@
 		a := standin.Ask{Route: []string{"/flow/x", "/idem/x", "/once/x", "/plain/idem/x", "/plain/once/x"}[w.rand.IntN(5)]}
 		c := &a.Call
 		c.ID, c.Host, c.Max = fmt.Sprintf("r-%d", n), "a.example", 4+w.rand.IntN(28)
+		if keys := w.o.Hosted.Keys; len(keys) > 0 {
+			c.Credential = fleetplan.NewCredential(keys[w.rand.IntN(len(keys))])
+		}
 		if strings.HasPrefix(a.Route, "/plain/") {
 			c.Max = 1 + w.rand.IntN(4)
 			return a
--- a/internal/simulator/hosted_check.go
+++ b/internal/simulator/hosted_check.go
@@ -128,11 +128,12 @@
 			continue
 		}
 		m, why := st.plan.Match(c.ask.Call.Query(c.ask.Route))
-		if why == failure.None && (a == nil || m.Key.Service() == a.Service) {
+		if why == failure.None && (a == nil || m.Key.Service() == a.Service) && m.Tenant == f.l.Work.Tenant && m.Keyed == f.l.Keyed {
 			return
 		}
 	}
-	k.bad("%s sent %s %s to %s, which ran it, though no plan allows it", f.router.name, c.ask.Route, ident.KeyOf(f.l.Work.Base, f.l.Work.Extra), s.name)
+	k.bad("%s sent %s %s of tenant %q (keyed: %v) to %s, which ran it, though no plan allows it", f.router.name, c.ask.Route,
+		ident.KeyOf(f.l.Work.Base, f.l.Work.Extra), f.l.Work.Tenant, f.l.Keyed, s.name)
 }
 
 // lookHosted holds the owner's view against what servers were told, and routers in touch against
--- a/internal/simulator/hosted_scenes.go
+++ b/internal/simulator/hosted_scenes.go
@@ -80,7 +80,7 @@
 }
 
 func init() {
-	Scenes = append(append(append(Scenes, hostedScenes...), mendedScenes...), narrowScenes...)
+	Scenes = append(append(append(append(Scenes, hostedScenes...), mendedScenes...), narrowScenes...), keyScenes...)
 }
 
 // hostedScenes are those with servers that announce themselves to the core and check no fence.
--- /dev/null
+++ b/internal/simulator/key_scenes.go
@@ -0,0 +1,104 @@
+package simulator
+
+import (
+	"fmt"
+
+	"tidedeck/internal/clock"
+	"tidedeck/internal/controller"
+	"tidedeck/internal/ident"
+)
+
+// Scenes in which callers show keys, and operators take keys away, move them between tenants and give them back, while
+// requests wait, are sent and are tried again.
+
+// sceneKeys are what callers show: the last is never anybody's.
+var sceneKeys = []string{"key-1", "key-2", "key-3", "key-4", "nobody's"}
+
+var sceneTenants = []string{"acme", "initech", "globex"}
+
+// keyedPlan is the first plan of these scenes: each key but the last is a tenant's, and one route wants none.
+func keyedPlan() []byte {
+	s := firstSheet(1)
+	for i := range s.Routes {
+		s.Routes[i].Unkeyed = s.Routes[i].Prefix == "/plain/idem/"
+	}
+	for i, name := range sceneTenants {
+		s.Tenants = append(s.Tenants, sheetTenant{Name: name, Precedence: i, Keys: []string{sceneKeys[i]}})
+	}
+	s.Tenants[0].Keys = append(s.Tenants[0].Keys, sceneKeys[3])
+	return writeSheet(s)
+}
+
+// drawTenants draws whose each key is: half of the time as at first, else any tenant's or nobody's; seldom there is no tenant
+// at all, or no list of them.
+func (w *World) drawTenants(m map[string]any) {
+	switch w.rand.IntN(12) {
+	case 0:
+		delete(m, "tenants")
+		return
+	case 1:
+		m["tenants"] = []sheetTenant{}
+		return
+	case 2, 3, 4:
+		return
+	}
+	var l []sheetTenant
+	for i, name := range sceneTenants {
+		l = append(l, sheetTenant{Name: name, Precedence: i, Keys: []string{}})
+	}
+	for _, key := range sceneKeys[:len(sceneKeys)-1] {
+		if i := w.rand.IntN(len(l) + 1); i < len(l) {
+			l[i].Keys = append(l[i].Keys, key)
+		}
+	}
+	m["tenants"] = l
+}
+
+// changeKeys has an operator change whose keys are whose, again and again.
+func (w *World) changeKeys(from, to, gap float64) {
+	n := 0
+	for t := from; t < to; t += gap {
+		w.At(sec(t), func() {
+			n++
+			on := w.newestEpoch()
+			raw := Named(w.o.Plan, fmt.Sprintf("keys-%d", n), w.drawTenants)
+			w.PutNumber(w.some("controller-"), raw, on, on+1+ident.Epoch(w.rand.IntN(2)), func(controller.Receipt) {})
+		})
+	}
+}
+
+func keyed(o *Options) {
+	hosted(func(h *Hosted) { h.Keys, h.Shift = sceneKeys, 10e9 })(o)
+	o.Plan = keyedPlan()
+}
+
+var keyScenes = []Scene{
+	{Name: "keys", About: "keys are taken away, moved and given back in quick succession; nothing fails", Long: 60e9, Least: 0.95, Set: keyed,
+		Play: func(w *World) { w.changeKeys(8, 48, 0.7) }},
+	{Name: "keys-troubles", About: "the same while servers leave, the owner is lost, routers are cut off and stand still", Long: 90e9, Least: 0.6,
+		Set: func(o *Options) { keyed(o); o.Loss, o.Twice = 0.01, 0.02 },
+		Play: func(w *World) {
+			w.changeKeys(8, 74, 1.3)
+			w.leaves(10, 70, 4)
+			for t := 12.0; t < 70; t += 8 {
+				w.At(sec(t), func() {
+					r := fmt.Sprintf("router-%d", 1+w.rand.IntN(w.o.Routers))
+					switch w.rand.IntN(4) {
+					case 0:
+						w.Restart(w.owner(), clock.Span(w.rand.Int64N(3e9)))
+					case 1:
+						w.Freeze(w.owner(), clock.Span(w.rand.Int64N(4e9)))
+					case 2:
+						for _, b := range w.boxes() {
+							if isCore(b) {
+								w.Cut(r, b, true)
+							}
+						}
+					case 3:
+						w.Freeze(r, clock.Span(w.rand.Int64N(4e9)))
+					}
+				})
+				w.At(sec(t+4), w.Heal)
+			}
+		}},
+}
--- a/internal/simulator/scenes.go
+++ b/internal/simulator/scenes.go
@@ -45,7 +45,7 @@
 	w.Run(s.Long)
 	seen := w.Check.Finish()
 	proper := seen.Asked
-	for _, k := range []failure.Kind{failure.NoRoute, failure.NoModel, failure.NoKind} {
+	for _, k := range denials {
 		proper -= seen.Kinds[string(k)] // whether these were rightly turned away is checked one by one
 	}
 	if a := float64(seen.Answered); a < s.Least*float64(proper) {
--- a/internal/simulator/sheet.go
+++ b/internal/simulator/sheet.go
@@ -15,6 +15,14 @@
 	Name     string                  `json:"name"`
 	Services map[string]sheetService `json:"services"`
 	Routes   []sheetRoute            `json:"routes"`
+	Tenants  []sheetTenant           `json:"tenants,omitempty"` // absent where nobody wants a key
+}
+
+// sheetTenant is a tenant of a plan and its keys.
+type sheetTenant struct {
+	Name       string   `json:"name"`
+	Keys       []string `json:"keys"`
+	Precedence int      `json:"precedence"`
 }
 
 type sheetService struct {
@@ -38,6 +46,7 @@
 	Tries   int    `json:"tries"`
 
 	ModelOptional bool `json:"model_optional,omitempty"`
+	Unkeyed       bool `json:"unkeyed,omitempty"`
 }
 
 const adapterSize = 1
@@ -85,11 +94,29 @@
 			p.Hosts[r.Host] = map[string]*fleetplan.Route{}
 		}
 		p.Hosts[r.Host][r.Prefix] = &fleetplan.Route{Service: r.Service, Name: r.Host + r.Prefix, Host: r.Host, Prefix: r.Prefix, Mode: r.Mode, Tries: r.Tries,
-			ModelOptional: r.ModelOptional, Class: fleetplan.Class{Value: r.Value, Wait: clock.Span(r.WaitMs) * 1e6}}
+			ModelOptional: r.ModelOptional, Unkeyed: r.Unkeyed, Class: fleetplan.Class{Value: r.Value, Wait: clock.Span(r.WaitMs) * 1e6}}
+	}
+	if s.Tenants != nil {
+		return p, s.setTenants(p)
 	}
 	return p, nil
 }
 
+// setTenants gives a plan its tenants.
+func (s sheet) setTenants(p *fleetplan.Plan) fleetplan.Faults {
+	t := fleetplan.NewTenants()
+	for i, tenant := range s.Tenants {
+		t.Add(fleetplan.Tenant{Name: tenant.Name, Precedence: tenant.Precedence})
+		for _, key := range tenant.Keys {
+			if other, ok := t.Grant(tenant.Name, key); !ok {
+				return fleetplan.Faults{{Path: fmt.Sprintf("tenants[%d]", i), Why: fleetplan.SharedKey(other)}}
+			}
+		}
+	}
+	p.SetTenants(t)
+	return nil
+}
+
 // hostedPlan is the first plan of these scenes.
 func hostedPlan() []byte { return storePlan(1) }
 
