Orders and questions name their server, and a crashed one does not come back from the last list

Cause: an identity taken from an address.

An order, or a question, names its server; another's answer is no word of the one that was asked. The last owner's list adds nobody at an address that an enrolled server has, and its others are asked at once whether they are there, as if silent. The health answer of plain servers had the same cause.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -190,6 +190,7 @@
 	k := c.nodes[node]
 	require.Equal(c.t, k.duty.until(k), v.Until, "no ask outlives the duty")
 	require.Greater(c.t, v.Until, c.at)
+	require.NotEmpty(c.t, v.Server, "whoever is asked is named")
 	m := c.models[v.Addr]
 	a := ask{node: node, at: c.at.Add(v.Wait), ask: v, told: &protocol.Told{Token: v.Token}}
 	if m != nil && !m.mute && !c.parted[node] {
@@ -203,7 +204,10 @@
 			if m.lost != nil {
 				taken, heard = m.lost(o)
 			}
-			if taken {
+			switch {
+			case v.Server != m.ID:
+				x.code = notThisOne
+			case taken:
 				x.code = m.take(o)
 			}
 			a.told = &protocol.Told{Token: v.Token, OK: true, Code: x.code}
--- a/internal/controller/confirm.go
+++ b/internal/controller/confirm.go
@@ -37,7 +37,7 @@
 	s.confirms++
 	c.tally.Confirms++
 	duty := c.duty.num
-	c.ask(s.Addr, ordersPath, order, c.o.Wait, func(t protocol.Told) {
+	c.askServer(s, ordersPath, order, func(t protocol.Told) {
 		if c.duty.mine && c.duty.num == duty && c.servers[s.ID] == s {
 			c.onConfirmed(s, p, t)
 		}
@@ -51,6 +51,8 @@
 		return // a report was sooner
 	}
 	switch {
+	case t.OK && c.elsewhere(s, t):
+		s.doing = nil
 	case t.OK && t.Code == holdsAlready:
 		c.orderDone(s, p)
 	case t.OK && (t.Code == underWay || t.Code == taken): // a server may also answer that it is being done
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -338,9 +338,19 @@
 }
 
 func (c *Core) ask(addr, path string, body any, wait clock.Span, then func(protocol.Told)) {
+	c.askOnly("", addr, path, body, wait, then)
+}
+
+// askServer asks one server, or orders it something. It is named, since an address is no identity: another start of a server
+// may have it by now, and must neither carry out what is meant for this one nor answer for it.
+func (c *Core) askServer(s *server, path string, order protocol.Order, then func(protocol.Told)) {
+	c.askOnly(s.ID, s.Addr, path, order, c.o.Wait, then)
+}
+
+func (c *Core) askOnly(server ident.Server, addr, path string, body any, wait clock.Span, then func(protocol.Told)) {
 	c.token++
 	c.asks[c.token] = then
-	a := protocol.Ask{Token: c.token, Addr: addr, Path: path, Body: body, Wait: wait}
+	a := protocol.Ask{Token: c.token, Addr: addr, Server: server, Path: path, Body: body, Wait: wait}
 	if o, ok := body.(protocol.Order); ok {
 		a.Kept = o.Op == "" && c.o.Unfenced
 	}
--- a/internal/controller/enrol.go
+++ b/internal/controller/enrol.go
@@ -433,11 +433,14 @@
 	}
 	s.asking, s.asked = true, c.now
 	num := c.duty.num
-	c.ask(s.Addr, c.plan.Services[s.Service].Probe, protocol.Order{Key: ident.ServiceKey(s.Service)}, c.o.Wait, func(t protocol.Told) {
+	c.askServer(s, c.plan.Services[s.Service].Probe, protocol.Order{Key: ident.ServiceKey(s.Service)}, func(t protocol.Told) {
 		if !c.duty.mine || c.duty.num != num || c.servers[s.ID] != s {
 			return
 		}
 		s.asking = false
+		if t.OK && c.elsewhere(s, t) {
+			return
+		}
 		if t.OK {
 			c.spoke(s)
 			return
@@ -461,11 +464,17 @@
 }
 
 // callRoll makes the owner's view anew from what is enrolled, and from the last list of the owner
-// before for servers that this node has not heard of in this life.
+// before for servers that this node has not heard of in this life. One whose address an enrolled server has is over, and
+// was forgotten here as such, or speaks soon. The others count as silent from the start, and so are asked at once whether
+// they are there: an owner's beginning is no word of theirs.
 func (c *Core) callRoll() {
+	taken := map[string]bool{}
+	for _, e := range c.roll {
+		taken[e.Addr] = taken[e.Addr] || e.State != "gone"
+	}
 	for _, x := range c.list.List {
-		if c.roll[x.ID] == nil && x.State != "gone" {
-			c.roll[x.ID] = &enrolled{Beacon: protocol.Beacon{Listed: x}, heard: c.now, had: map[ident.Key]bool{}}
+		if c.roll[x.ID] == nil && x.State != "gone" && !taken[x.Addr] {
+			c.roll[x.ID] = &enrolled{Beacon: protocol.Beacon{Listed: x}, heard: c.now.Add(-c.o.Silence - 1), had: map[ident.Key]bool{}}
 		}
 	}
 	for _, id := range generic.SortedKeys(c.roll) {
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -83,7 +83,7 @@
 	c.countLoad(s, p)
 	c.checkOrder(s, p)
 	duty := c.duty.num
-	c.ask(s.Addr, ordersPath, order, c.o.Wait, func(t protocol.Told) {
+	c.askServer(s, ordersPath, order, func(t protocol.Told) {
 		if c.duty.mine && c.duty.num == duty && c.servers[s.ID] == s {
 			c.onOrderAnswer(s, p, order, t)
 		}
@@ -112,6 +112,9 @@
 	c.note("order answered", field("server", s.ID), field("op", order.Op), field("key", order.Key), field("term", order.Duty),
 		field("count", order.Expected), field("answered", t.OK), field("status", t.Code), field("took_ms", c.now.Sub(s.ordered).Milliseconds()))
 	switch {
+	case t.OK && c.elsewhere(s, t):
+		c.tally.OrdersRefused++
+		p.num = 0
 	case !t.OK: // it may have been taken: the count will tell
 		c.tally.OrdersUnanswered++
 		s.unsure, s.next = p, c.now
@@ -134,16 +137,35 @@
 	}
 }
 
+// elsewhere tells whether another server answered from the address of the one that was asked, and takes that one for gone: until
+// it goes on speaking while the other is silent, or for good.
+func (c *Core) elsewhere(s *server, t protocol.Told) bool {
+	if t.Server == s.ID || t.Server == "" && t.Code != notThisOne {
+		return false
+	}
+	c.note("another server answers at a server's address", field("server", s.ID), field("address", s.Addr), field("answers", t.Server), field("status", t.Code))
+	s.known, s.dark = false, true
+	s.next = c.now.Add(pollDark * c.o.Poll)
+	c.touchOn(s)
+	if e := c.roll[s.ID]; e != nil {
+		c.retire(e)
+	}
+	return true
+}
+
 // survey asks a server for its report.
 func (c *Core) survey(s *server) {
 	s.asking, s.asked = true, c.now
 	c.tally.Reports++
 	at, duty := c.now, c.duty.num
-	c.ask(s.Addr, ordersPath, protocol.Order{Key: ident.ServiceKey(s.Service)}, c.o.Wait, func(t protocol.Told) {
+	c.askServer(s, ordersPath, protocol.Order{Key: ident.ServiceKey(s.Service)}, func(t protocol.Told) {
 		if !c.duty.mine || c.duty.num != duty || c.servers[s.ID] != s {
 			return
 		}
 		s.asking = false
+		if t.OK && c.elsewhere(s, t) {
+			return
+		}
 		var r protocol.Report
 		if t.OK && t.Code == 200 && json.Unmarshal(t.Body, &r) == nil {
 			c.onSurvey(s, r, at)
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -559,19 +559,22 @@
 type Ask struct {
 	Token uint64
 	Addr  string
-	Path  string
-	Body  any
-	Wait  clock.Span
-	Kept  bool       // it changes nothing, so that a connection may serve it that served before
-	Until clock.Tick // it is not sent any more after this moment, if one is set
+	// Server is the only one that is meant: another one may have its address by now. Empty for whoever is there.
+	Server ident.Server
+	Path   string
+	Body   any
+	Wait   clock.Span
+	Kept   bool       // it changes nothing, so that a connection may serve it that served before
+	Until  clock.Tick // it is not sent any more after this moment, if one is set
 }
 
 // Told answers an Ask. OK is false when no answer came.
 type Told struct {
-	Token uint64
-	OK    bool
-	Code  int
-	Body  []byte
+	Token  uint64
+	OK     bool
+	Code   int
+	Server ident.Server // that the answer names, if it names any
+	Body   []byte
 }
 
 // Oops says that something went wrong that is worth writing out the ring of logs for.
--- a/internal/simulator/hosted.go
+++ b/internal/simulator/hosted.go
@@ -392,6 +392,10 @@
 			return // its connection was closed
 		}
 		v := s.core.(*standin.Batch)
+		if a.Server != s.server && o.Op != "" { // reports are given whoever is asked for one
+			w.After(w.delay(), func() { tell(true, http.StatusMisdirectedRequest, nil) })
+			return
+		}
 		for _, x := range v.Step(s.tick(w.now), standin.BatchOrder{Order: o}) {
 			r, ok := x.(standin.BatchAnswer)
 			if !ok {
