Soak: callers show keys that stay, move between tenants and are nobody's

Servers check that no key and no name of a caller's own reaches them; the judge checks whose each request was, who was told 401, and that no key stands in a log, a metric or a trace.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -77,6 +77,8 @@
 	random *rand.Rand
 	sent   int
 
+	steady bool // it shows the key that stays only
+
 	conn   net.Conn
 	reader *bufio.Reader
 	router string
@@ -118,11 +120,12 @@
 // request is what is sent in one try.
 type request struct {
 	*try
-	path, model string
-	content     []byte
-	slow        bool // its body comes in pieces
-	leaves      time.Duration
-	halfClosed  bool // the caller ends its sending side at once
+	model      string
+	ownName    bool // it gives a tenant's name of its own
+	content    []byte
+	slow       bool // its body comes in pieces
+	leaves     time.Duration
+	halfClosed bool // the caller ends its sending side at once
 }
 
 var modesOf = map[string]string{
@@ -153,7 +156,11 @@
 	paths := [pathCount]string{pathIdempotent, pathEffectful, pathResumable, pathStream, pathPlain, pathMoving}
 	path := paths[c.random.IntN(len(paths))]
 	c.sent++
-	q := request{try: &try{id: fmt.Sprintf("c%d-%d-%d", c.run.options.Seed, c.number, c.sent), method: http.MethodPost, mode: modesOf[path]}, path: path}
+	q := request{try: &try{id: fmt.Sprintf("c%d-%d-%d", c.run.options.Seed, c.number, c.sent), method: http.MethodPost, mode: modesOf[path], path: path, key: steadyKey}}
+	if !c.steady {
+		q.key = drawKey(c.random)
+		q.ownName = c.random.Float64() < ownNameShare
+	}
 	q.target = path + strconv.Itoa(c.random.IntN(100)) + "?q=" + q.id
 	if path != pathPlain && path != pathMoving {
 		q.model = modelName(c.random.IntN(modelCount))
@@ -210,12 +217,12 @@
 	}
 	result, status, detail := c.read(q)
 	if q.leaves > 0 || q.halfClosed {
-		if result != served && result != refused {
+		if result != served && result != refused && result != denied {
 			result = left
 		}
 	}
 	c.run.judge.ended(q.try, result, status, detail)
-	if result != served && result != refused && result != failed || q.leaves > 0 || q.halfClosed {
+	if result != served && result != refused && result != failed && result != denied || q.leaves > 0 || q.halfClosed {
 		c.hangUp()
 	}
 }
@@ -229,6 +236,12 @@
 		fmt.Fprintf(&b, "%s: %s\r\n%s: %s\r\n%s: %s:%d\r\n", peer.HeaderModel, q.model, peer.HeaderTokens, peer.Tokens(promptTokens, answerTokens),
 			peer.HeaderParts, q.body, promptTokens)
 	}
+	if q.key != "" {
+		fmt.Fprintf(&b, "%s: %s\r\n", peer.HeaderKey, peer.Bearer(q.key))
+	}
+	if q.ownName {
+		fmt.Fprintf(&b, "%s: %s\r\n", peer.HeaderTenant, steadyTenant)
+	}
 	b.WriteString("\r\n")
 	if !q.slow {
 		b.Write(q.content)
@@ -279,6 +292,8 @@
 	case a.StatusCode == http.StatusRequestTimeout, a.StatusCode == http.StatusMisdirectedRequest,
 		a.StatusCode == http.StatusTooManyRequests, a.StatusCode == http.StatusServiceUnavailable:
 		return refused, a.StatusCode, string(body)
+	case a.StatusCode == http.StatusUnauthorized:
+		return denied, a.StatusCode, string(body)
 	case a.StatusCode/100 == 4 || a.StatusCode/100 == 3:
 		c.run.judge.violate("DENIED", "%s for %s was told %d: %s", q.id, q.target, a.StatusCode, body)
 	}
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -31,11 +31,13 @@
 	broken  outcome = "broken"  // the connection ended without a whole answer
 	unread  outcome = "unread"  // no connection came up, or it ended before the request was written
 	left    outcome = "left"    // the caller went away
+	denied  outcome = "denied"  // its key is unknown
 )
 
 // try is one request of a caller, with an id of its own.
 type try struct {
 	id, method, target, body string
+	path, key                string
 	mode                     string
 	router                   string // address of the router that took it
 	sent, over               time.Time
@@ -48,6 +50,7 @@
 // run is a request that a server has begun working on.
 type run struct {
 	id, server, service, from, method, target, body string
+	tenant                                          string
 	at                                              time.Time
 	left                                            int
 	fault                                           fault
@@ -257,6 +260,7 @@
 	if t.result == served && len(runs) == 0 {
 		j.violateLocked("MIXED", "%s was answered and ran nowhere", t.id)
 	}
+	j.judgeKeys(t, false)
 }
 
 // serviceAllowed tells whether any configuration of a run sends a path to a service.
@@ -314,6 +318,9 @@
 // judgeConfigurations looks for requests that were handled by a configuration that a newer one had followed for too long.
 func (j *judge) judgeConfigurations() {
 	for _, t := range j.tries {
+		if over := t.over; !over.IsZero() && j.quiet(t.sent, over, true) {
+			j.judgeKeys(t, true)
+		}
 		if !strings.HasPrefix(t.target, pathMoving) {
 			continue
 		}
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -23,6 +23,7 @@
 	raw       []byte
 	invalid   bool
 	moving    string    // the service that the moving route leads to under it
+	holder    string    // whose the moving key is under it; empty for nobody's
 	sent      time.Time // first
 	acked     time.Time // first; zero if never
 	refused   time.Time
@@ -122,18 +123,28 @@
 func (l *ledger) mayBeInForce(service string, sent, handled time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	least := uint64(0)
+	least := l.leastLocked(sent)
 	for _, c := range l.changes {
-		if !c.acked.IsZero() && sent.Sub(c.acked) > applySpan+timeSlack {
-			least = max(least, c.revision)
+		if c.moving == service && c.revision >= least && c.mayRule(handled) {
+			return true
 		}
 	}
+	return false
+}
+
+// leastLocked is the oldest version that may still handle a request that is sent at a time.
+func (l *ledger) leastLocked(sent time.Time) (least uint64) {
 	for _, c := range l.changes {
-		if c.moving == service && c.revision >= least && !c.invalid && c.refused.IsZero() && c.sent.Before(handled) {
-			return true
+		if !c.acked.IsZero() && sent.Sub(c.acked) > applySpan+timeSlack {
+			least = max(least, c.revision)
 		}
 	}
-	return false
+	return least
+}
+
+// mayRule tells whether a change may be in force at a time, but for newer ones.
+func (c *change) mayRule(at time.Time) bool {
+	return !c.invalid && c.refused.IsZero() && c.sent.Before(at)
 }
 
 // operator sends changes, again and again until they are answered, and reads back.
@@ -150,15 +161,15 @@
 		client: &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
 }
 
-// configuration makes a whole configuration; what differs between them is the moving route, time-outs and routes
-// that nobody uses.
-func configuration(revision uint64, moving string, extra int, note string) peer.Configuration {
+// configuration makes a whole configuration; what differs between them is the moving route, whose the moving key is, time-outs
+// and routes that nobody uses.
+func configuration(revision uint64, moving, holder string, extra int, note string) peer.Configuration {
 	route := func(path, mode, service string, pinned, resumes bool) peer.Route {
 		return peer.Route{Label: "r" + path, Host: callersHost, Prefix: path, Mode: mode, HorizonMs: int(horizonSpan.Milliseconds()), SetpointMs: 800,
-			Service: service, Tries: 3, Pinned: pinned, Continue: resumes, PauseMs: 400}
+			Service: service, Tries: 3, Pinned: pinned, Continue: resumes, PauseMs: 400, Unkeyed: !wantsKey(path)}
 	}
 	c := peer.Configuration{
-		Revision: revision, Note: note,
+		Revision: revision, Note: note, Tenants: tenantsOf(holder),
 		Routes: []peer.Route{
 			route(pathIdempotent, peer.Idempotent, modelService, true, false), route(pathEffectful, peer.Effectful, modelService, true, false),
 			route(pathResumable, peer.Continuous, modelService, true, true), route(pathStream, peer.Continuous, modelService, true, false),
@@ -193,23 +204,31 @@
 func (o *operator) draw(base uint64) *change {
 	revision := base + 1 + uint64(o.random.IntN(3))
 	moving := []string{plainService, otherService}[o.random.IntN(2)]
-	c := &change{method: http.MethodPut, base: base, revision: revision, moving: moving, wholeSize: true}
+	c := &change{method: http.MethodPut, base: base, revision: revision, moving: moving, holder: drawHolder(o.random), wholeSize: true}
 	extra := o.random.IntN(4)
 	if many := int(o.run.routes.Load()); many > 0 {
 		extra += many
 	}
-	whole := configuration(revision, moving, extra, fmt.Sprintf("operator %d, %d", o.number, o.random.Uint32()))
+	whole := configuration(revision, moving, c.holder, extra, fmt.Sprintf("operator %d, %d", o.number, o.random.Uint32()))
 	if base == 0 && o.run.first != nil {
 		o.run.first(&whole)
 	}
 	switch dice := o.random.Float64(); {
 	case dice < invalidShare && base > 0:
 		c.invalid = true
-		whole.Routes[0].Service = "no-such-service"
+		if o.random.IntN(2) == 0 {
+			sharedKey(whole.Tenants)
+		} else {
+			whole.Routes[0].Service = "no-such-service"
+		}
 	case dice < invalidShare+patchShare && base > 0:
 		c.method, c.wholeSize = http.MethodPatch, false
 		var items peer.Change
 		items.Revision = revision
+		items.Apply.Tenants = whole.Tenants[1:]
+		if c.invalid = o.random.Float64() < invalidShare; c.invalid {
+			sharedKey(items.Apply.Tenants)
+		}
 		for _, r := range whole.Routes {
 			if r.Prefix == pathMoving {
 				items.Apply.Routes = []peer.Route{r}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -190,9 +190,30 @@
 		j.violate("RECOVER", "all was well again %v after the troubles", took)
 	}
 	r.readEverywhere(ctx, last)
+	r.readFigures()
 	r.stopAll()
 }
 
+// readFigures looks for keys in what routers and core nodes show of themselves.
+func (r *soakRun) readFigures() {
+	client := &http.Client{Timeout: ackSpan, Transport: &http.Transport{DisableKeepAlives: true}}
+	for _, m := range r.fleet.machines {
+		for _, path := range []string{"/metrics", "/-/requests?last=1000"} {
+			answer, err := client.Get("http://" + at(m.told, portMetrics) + path)
+			if err != nil {
+				continue // it may show nothing of the kind
+			}
+			text, _ := io.ReadAll(answer.Body)
+			_ = answer.Body.Close()
+			for _, key := range secretKeys {
+				if strings.Contains(string(text), key) {
+					r.judge.violate("UNASKED", "%s shows a key at %s", m.name, path)
+				}
+			}
+		}
+	}
+}
+
 // settleSlack is what looking at it costs.
 const settleSlack = 6 * time.Second
 
@@ -237,7 +258,7 @@
 
 // tail sends requests in calm times until so many in a row are served; what may be asked again must be.
 func (r *soakRun) tail(ctx context.Context) {
-	c := &caller{run: r, number: 9999, random: rand.New(rand.NewPCG(r.options.Seed, 5))}
+	c := &caller{run: r, number: 9999, steady: true, random: rand.New(rand.NewPCG(r.options.Seed, 5))}
 	defer c.hangUp()
 	row := 0
 	err := until(ctx, loadWait, fmt.Sprintf("%d requests in a row are served", tailCalls), func() bool {
@@ -281,7 +302,7 @@
 // mostLine bounds a line of a log.
 const mostLine = 1 << 20
 
-// suspicious gives the lines of a log that tell of a violated invariant, a panic or a data race.
+// suspicious gives the lines of a log that tell of a violated invariant, a panic or a data race, or tell a key.
 func suspicious(path string) (found []string) {
 	f, err := os.Open(path)
 	if err != nil {
@@ -291,7 +312,7 @@
 	lines := bufio.NewReaderSize(f, mostLine)
 	for {
 		line, err := lines.ReadString('\n')
-		for _, sign := range []string{invariant.Sign, "panic:", "fatal error:", "WARNING: DATA RACE"} {
+		for _, sign := range append([]string{invariant.Sign, "panic:", "fatal error:", "WARNING: DATA RACE"}, secretKeys...) {
 			if strings.Contains(line, sign) {
 				found = append(found, strings.TrimSpace(line))
 				break
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -399,7 +399,10 @@
 		l.active--
 		l.mu.Unlock()
 	}()
-	l.judge.ran(run{id: id, server: l.id, service: l.service, from: hostOf(r.RemoteAddr), at: time.Now(),
+	if shown := r.Header.Values(peer.HeaderKey); len(shown) > 0 {
+		l.judge.violate("UNASKED", "%s at %s: %s", id, l.id, showsKey(shown))
+	}
+	l.judge.ran(run{id: id, tenant: strings.Join(r.Header.Values(peer.HeaderTenant), " and "), server: l.id, service: l.service, from: hostOf(r.RemoteAddr), at: time.Now(),
 		method: r.Method, target: r.RequestURI, body: digest(body), left: peer.LeftMs(r.Header), fault: f})
 	if strings.HasPrefix(r.URL.Path, pathResumable) || strings.HasPrefix(r.URL.Path, pathStream) {
 		l.stream(w, r, id, f)
