Red: an owner that wakes orders on a confirmation though its lease has run out

Seen as orders_under_lease in a play of quick changes with the owner frozen (three orders; none left the machine: the process drops an order past the end of its lease).

--- a/internal/controller/confirm_test.go
+++ b/internal/controller/confirm_test.go
@@ -84,3 +84,31 @@
 		require.Len(t, c.orders("load"), 1, slow)
 	}
 }
+
+// What was seen: an owner that had stood still for seconds told of orders without a lease, three of them, on a day of quick changes
+// (the process's own check, orders_under_lease; none left the machine, as an order bears the end of its lease).
+// Order of events: it asks whether an order is done and stands still; its lease runs out; it wakes, and the answer is the first
+// thing that it takes in, before it looks at the time.
+// Cause: what waited for a confirmed order is sent at once, and only the beat looked at the lease.
+func TestNoOrderOnAConfirmationAfterTheLease(t *testing.T) {
+	c := newCluster(t, modelPlan(4, "llm|m", "llm|n"), "a")
+	c.serve("s", "llm|m")
+	r := c.route("r")
+	c.run(4e9)
+	r.ask("llm|n")
+	confirms := func() *ask {
+		for i := range c.asks {
+			if o := c.asks[i].ask.Body.(protocol.Order); o.Confirms && c.asks[i].told != nil && c.asks[i].told.Code == holdsAlready {
+				return &c.asks[i]
+			}
+		}
+		return nil
+	}
+	require.True(t, c.until(9e9, func() bool { return confirms() != nil }))
+	k := c.lead()
+	for _, out := range k.Step(c.at.Add(clock.Span(5e9)), *confirms().told) {
+		if a, is := out.(protocol.Ask); is {
+			require.Empty(t, a.Body.(protocol.Order).Op, "its lease has run out")
+		}
+	}
+}
