An owner orders under a lease that runs, also on an answer

mayOrder asks the lease as well as the settle time, so that every order and every confirmation goes by it.

--- a/internal/controller/guards_test.go
+++ b/internal/controller/guards_test.go
@@ -20,6 +20,7 @@
 	edits       []overlay.Edit
 }{
 	{"a report from before a confirmation counts for nothing", "TestReportFromBeforeAConfirmation", []overlay.Edit{{File: "orders.go", Old: "if s.confirmed != 0 && s.known && !s.dark && at.Sub(s.confirmed) < reportLag {", New: "if false {"}}},
+	{"no order on an answer after the lease", "TestNoOrderOnAConfirmationAfterTheLease", []overlay.Edit{{File: "orders.go", Old: "return c.rules() && c.now.Sub", New: "return c.now.Sub"}}},
 	{"orders are confirmed", "TestOrderIsConfirmed", []overlay.Edit{{File: "confirm.go", Old: "return s.doing != nil && s.unsure == nil", New: "return false && s.unsure == nil"}}},
 	{"a repeated order is no new count", "TestOrderIsConfirmed", []overlay.Edit{{File: "confirm.go", Old: "(t.Code == underWay || t.Code == taken): //", New: "t.Code == taken:\n\t\ts.num++\n\t\ts.next = c.now\n\tcase t.OK && t.Code == underWay: //"}}},
 	{"disk loads are learned", "TestDiskLoadsAreLearned", []overlay.Edit{{File: "confirm.go", Old: "c.diskPart += (seen - c.diskPart) * diskPartBlend", New: "_ = seen"}}},
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -61,8 +61,9 @@
 	}
 }
 
-// mayOrder tells whether orders of the owner before can no longer be on their way.
-func (c *Core) mayOrder() bool { return c.now.Sub(c.duty.began) > c.settle() }
+// mayOrder tells whether the lease still runs, and orders of the owner before can no longer be on their way. Answers may be the
+// first thing that a process takes in after it stood still, before any beat has looked at the lease.
+func (c *Core) mayOrder() bool { return c.rules() && c.now.Sub(c.duty.began) > c.settle() }
 
 // settle is how long an owner waits before it orders. Where another node owned the duty before, two such
 // waits are longer than the time within which they must not order by turns.
