A request whose time is over by a newer configuration is told so at once

The test of the commit before was not red: its request stood first in its queue, where the time was looked at.

Each time a request is admitted anew (a plan changed, or it waits again) its time is looked at.

--- a/internal/router/admission.go
+++ b/internal/router/admission.go
@@ -77,16 +77,27 @@
 				continue
 			}
 			c.remove(r)
-			if why := c.admit(r); why != failure.None {
-				c.insert(r)
+			why := c.admitAgain(r)
+			c.insert(r)
+			if why != failure.None {
 				c.finish(r, why, 0)
-				continue
 			}
-			c.insert(r)
 		}
 	}
 }
 
+// admitAgain takes a request's class and horizon from the plan anew. Its time may be over by them: a request that is given up on
+// is told so at once.
+func (c *Core) admitAgain(r *request) failure.Kind {
+	if why := c.admit(r); why != failure.None {
+		return why
+	}
+	if c.now >= r.due {
+		return failure.Expired
+	}
+	return failure.None
+}
+
 func (c *Core) onCall(v Call) {
 	c.tally.Calls++
 	r := &request{Call: v, came: c.now.Add(-v.Age), stage: Waiting, key: ident.KeyOf(v.Call.Base, v.Call.Extra)}
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -151,7 +151,7 @@
 		if m.owe {
 			r.owes = c.now
 		}
-		if why := c.admit(r); why != failure.None { // the plan may have changed under way
+		if why := c.admitAgain(r); why != failure.None { // the plan may have changed under way
 			c.insert(r)
 			c.finish(r, why, 0)
 			break
--- a/internal/router/keys_test.go
+++ b/internal/router/keys_test.go
@@ -206,16 +206,21 @@
 // Cause: the time is worked out anew under each configuration, and whether it is over was looked at by the next beat only, behind
 // everything else that waits.
 func TestTimeThatIsOverByANewerPlan(t *testing.T) {
-	short := func(p *fleetplan.Plan) { p.Hosts["h"]["/again/"].Class.Wait = clock.Span(2e9) }
+	above := func(p *fleetplan.Plan) { p.Hosts["h"]["/"].Class.Value = 9 }
+	short := func(p *fleetplan.Plan) {
+		above(p)
+		p.Hosts["h"]["/again/"].Class.Wait = clock.Span(2e9)
+	}
 	for _, known := range []bool{false, true} {
 		first := holders{}
 		if known {
 			first = holders{"k": "one"}
 		}
-		b := free(t, Options{}, keyedPlan(first, nil), keyedPlan(holders{"k": "one"}, short))
+		b := free(t, Options{}, keyedPlan(first, above), keyedPlan(holders{"k": "one"}, short))
 		b.lease(false)
 		ref, _, _ := b.go1("/again/x", withKey(fleetplan.Call{}, "k"))
 		b.wait(clock.Span(4e9))
+		b.go1("/x", withKey(fleetplan.Call{}, "k")) // which comes first
 		r, refused := pick[Receipt](b.replan(1))
 		require.True(t, refused, "at once")
 		require.Equal(t, Receipt{Ref: ref, Kind: failure.Expired, Back: failure.Receipts[failure.Expired].Back}, r)
