--- a/internal/fleetplan/tenants.go
+++ b/internal/fleetplan/tenants.go
@@ -8,7 +8,7 @@
 	"unicode"
 )
 
-// Tenants are whose keys a plan knows. A plan without tenants wants no keys; one with an empty list of them knows none.
+// The tenants of a plan and their keys. A plan without tenants wants no keys; one with an empty list of them knows none.
 
 // keyDigest stands for a key. Keys are kept and compared as digests only, so that none can be read from memory that is
 // looked at or printed, and how long a comparison takes tells nothing of a key.
--- a/internal/soak/keys.go
+++ b/internal/soak/keys.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -117,8 +116,3 @@
 		j.violateLocked("DENIED", "%s with the key %q for %s was told that it has none: %s", t.id, t.key, t.target, t.detail)
 	}
 }
-
-// showsKey describes a request at which a server was shown a key.
-func showsKey(authorization []string) string {
-	return fmt.Sprintf("a server was shown %d lines of Authorization", len(authorization))
-}
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -400,7 +400,7 @@
 		l.mu.Unlock()
 	}()
 	if shown := r.Header.Values(peer.HeaderKey); len(shown) > 0 {
-		l.judge.violate("UNASKED", "%s at %s: %s", id, l.id, showsKey(shown))
+		l.judge.violate("UNASKED", "%s at %s was shown %d lines with a key", id, l.id, len(shown))
 	}
 	l.judge.ran(run{id: id, tenant: strings.Join(r.Header.Values(peer.HeaderTenant), " and "), server: l.id, service: l.service, from: hostOf(r.RemoteAddr), at: time.Now(),
 		method: r.Method, target: r.RequestURI, body: digest(body), left: peer.LeftMs(r.Header), fault: f})
