Retries have a budget at each service by itself, and what is saved for them counts within it

Cause: one allowance at a router for all services, while the rule counts each by itself: what requests for 140 servers earn paid for retries at four; and what is saved for 5 s let 15 s of earnings be spent in a window of 10 s.

Each service has an allowance of its own; what is earned is kept for a quarter of the window, so that 8/10 of the fraction times 5/4 is the fraction. Two guards, seen to bite.

--- a/cmd/router/main.go
+++ b/cmd/router/main.go
@@ -22,7 +22,7 @@
 			ID: string(boot.Node), Zone: string(boot.Zone), Ingress: boot.Ingress, Readiness: boot.Readiness,
 			Post: boot.Post(2), Admin: boot.Post(3), Seeds: boot.SeedPosts(0), Follow: followSeeds, Logs: flags.Lines(), Metrics: flags.MetricsAt(boot.IP), Bind: flags.Bind,
 			Dialect: platform.Dialect{}, Read: platform.ReadPlan, Grace: b.Grace, Bodies: int64(boot.MemoryMB) << 20 / bodyPart,
-			Lend: float64(b.RetryMargin) * marginFirst, LendAgain: float64(b.RetryMargin) * (1 - marginFirst), Window: b.RetryWindow, Earn: b.RetryFraction * 0.8, First: boot.First,
+			Lend: float64(b.RetryMargin) * marginFirst, LendAgain: float64(b.RetryMargin) * (1 - marginFirst), Window: b.RetryWindow, Fraction: b.RetryFraction, First: boot.First,
 		}))
 		return
 	}
--- a/internal/router/admission.go
+++ b/internal/router/admission.go
@@ -112,7 +112,7 @@
 	}
 	if v.Call.Repeat {
 		c.tally.Repeats++
-		if !c.pay() {
+		if !c.pay(r.key.Service()) {
 			c.finish(r, failure.Spent, 0)
 			return
 		}
--- a/internal/router/allowance.go
+++ b/internal/router/allowance.go
@@ -1,40 +1,61 @@
 package router
 
-// The allowance bounds retries, so that they stay a small part of what servers get when many requests fail.
+import "tidedeck/internal/clock"
 
-// pay takes one retry out of the allowance, which first attempts fill.
-func (c *Core) pay() bool {
+// The allowance bounds retries, so that they stay a small part of what the servers of a service get when many requests fail.
+// Each service has its own: what requests for one earned pays no retry at another, which may have far fewer.
+
+// allowance is what retries at the servers of one service may take.
+type allowance struct {
+	earnings []earning    // what first attempts earned, oldest first
+	loans    []clock.Tick // when what is lent was taken
+}
+
+// allowance gives that of a service.
+func (c *Core) allowance(service string) *allowance {
+	a := c.allowances[service]
+	if a == nil {
+		a = &allowance{}
+		c.allowances[service] = a
+	}
+	return a
+}
+
+// pay takes one retry out of a service's allowance, which first attempts fill.
+func (c *Core) pay(service string) bool {
+	a := c.allowance(service)
 	sum, left := 0.0, 1.0
-	c.lapse()
-	for _, x := range c.earnings {
+	c.lapse(a)
+	for _, x := range a.earnings {
 		sum += x.n
 	}
 	if sum < 1 {
-		return c.borrow()
+		return c.borrow(service)
 	}
-	for i := range c.earnings {
-		n := min(left, c.earnings[i].n)
-		c.earnings[i].n -= n
+	for i := range a.earnings {
+		n := min(left, a.earnings[i].n)
+		a.earnings[i].n -= n
 		left -= n
 	}
 	return true
 }
 
-// borrow takes one of the arrivals that the fleet is lent whatever it earned; this router has its share.
-func (c *Core) borrow() bool {
-	for len(c.loans) > 0 && c.now.Sub(c.loans[0]) > c.o.Window {
-		c.loans = c.loans[1:]
+// borrow takes one of the arrivals that the fleet is lent at a service whatever it earned; this router has its share.
+func (c *Core) borrow(service string) bool {
+	a := c.allowance(service)
+	for len(a.loans) > 0 && c.now.Sub(a.loans[0]) > c.o.Window {
+		a.loans = a.loans[1:]
 	}
-	if float64(len(c.loans)+1) > c.lent()/float64(max(1, c.routers)) {
+	if float64(len(a.loans)+1) > c.lent()/float64(max(1, c.routers)) {
 		return false
 	}
-	c.loans = append(c.loans, c.now)
+	a.loans = append(a.loans, c.now)
 	return true
 }
 
-// lent gives what the fleet is lent in a window. How much of it the earlier lives of a router that has started again took is
-// not known any more: for a window such a router is lent from another sum, which grows with the time that it has run. So all
-// of its lives together never take more than both sums in any window, however often it starts again.
+// lent gives what the fleet is lent at a service in a window. How much of it the earlier lives of a router that has started again
+// took is not known any more: for a window such a router is lent from another sum, which grows with the time that it has run. So
+// all of its lives together never take more than both sums in any window, however often it starts again.
 func (c *Core) lent() float64 {
 	age := c.now.Sub(c.began)
 	if !c.o.Restarted || age > c.o.Window {
@@ -43,18 +64,19 @@
 	return c.o.LendAgain * age.Seconds() / c.o.Window.Seconds()
 }
 
-// earn adds what a first attempt earns, which does not last.
-func (c *Core) earn() {
-	if n := len(c.earnings); n == 0 || c.now.Sub(c.earnings[n-1].at) > c.o.Save/20 {
-		c.earnings = append(c.earnings, earning{at: c.now})
+// earn adds what a first attempt at a service earns, which does not last.
+func (c *Core) earn(service string) {
+	a := c.allowance(service)
+	if n := len(a.earnings); n == 0 || c.now.Sub(a.earnings[n-1].at) > c.o.Save/20 {
+		a.earnings = append(a.earnings, earning{at: c.now})
 	}
-	c.earnings[len(c.earnings)-1].n += c.o.Share
-	c.lapse()
+	a.earnings[len(a.earnings)-1].n += c.o.Share
+	c.lapse(a)
 }
 
 // lapse forgets what was earned too long ago.
-func (c *Core) lapse() {
-	for len(c.earnings) > 0 && c.now.Sub(c.earnings[0].at) > c.o.Save {
-		c.earnings = c.earnings[1:]
+func (c *Core) lapse(a *allowance) {
+	for len(a.earnings) > 0 && c.now.Sub(a.earnings[0].at) > c.o.Save {
+		a.earnings = a.earnings[1:]
 	}
 }
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -68,7 +68,7 @@
 		r.first = true
 		c.tally.Firsts++
 		if !r.Call.Call.Repeat {
-			c.earn()
+			c.earn(r.key.Service())
 		}
 	default:
 		c.tally.Retries++
@@ -144,7 +144,7 @@
 	switch {
 	case m.again && c.now >= r.due:
 		c.finish(r, failure.Expired, 0)
-	case m.again && m.pay && !c.pay():
+	case m.again && m.pay && !c.pay(r.key.Service()):
 		c.finish(r, failure.Spent, 0)
 	case m.again:
 		r.fire("back")
--- a/internal/router/caller_test.go
+++ b/internal/router/caller_test.go
@@ -306,8 +306,8 @@
 		}
 		l = next
 	}
-	require.Len(t, b.earnings, 1)
-	require.InDelta(t, b.o.Share, b.earnings[0].n, 1e-9)
+	require.Len(t, b.allowance("web").earnings, 1)
+	require.InDelta(t, b.o.Share, b.allowance("web").earnings[0].n, 1e-9)
 	require.Equal(t, uint64(1), b.tally.Firsts)
 }
 
@@ -384,7 +384,7 @@
 	r, ok := pick[Receipt](out)
 	require.True(t, ok)
 	require.Equal(t, failure.Expired, r.Kind)
-	require.Empty(t, b.loans)
+	require.Empty(t, b.allowance("web").loans)
 }
 
 // The bound on a client that takes nothing does not count the time in which nothing was written to it: not
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -164,22 +164,21 @@
 	swept   clock.Tick
 	hello   clock.Tick
 
-	requests map[Ref]*request
-	queues   map[ident.Key][]*request
-	queued   int
-	came     map[ident.Key]int
-	work     map[ident.Key]int
-	servers  map[ident.Server]*serverLoad
-	earnings []earning             // what first attempts earned, oldest first
-	loans    []clock.Tick          // when what is lent was taken
-	loads    map[ident.Key]float64 // seconds of a server's time that what came since the last word takes
-	paces    paces
-	dice     uint64
-	flows    map[ident.Key]*inflow
-	parted   bool                  // its agent hears no core node, though it asked each
-	current  clock.Tick            // until when a core node vouches for the configuration in force
-	leaving  map[ident.Server]bool // as that core node knows
-	ending   bool                  // it stops: nobody waits here any more
+	requests   map[Ref]*request
+	queues     map[ident.Key][]*request
+	queued     int
+	came       map[ident.Key]int
+	work       map[ident.Key]int
+	servers    map[ident.Server]*serverLoad
+	allowances map[string]*allowance // for retries, by service
+	loads      map[ident.Key]float64 // seconds of a server's time that what came since the last word takes
+	paces      paces
+	dice       uint64
+	flows      map[ident.Key]*inflow
+	parted     bool                  // its agent hears no core node, though it asked each
+	current    clock.Tick            // until when a core node vouches for the configuration in force
+	leaving    map[ident.Server]bool // as that core node knows
+	ending     bool                  // it stops: nobody waits here any more
 
 	wasLeased bool // as the log was told last
 	wasAlone  bool // likewise: attempts go out without a lease
@@ -204,7 +203,7 @@
 func New(o Options) *Core {
 	c := &Core{
 		o: o.Defaults(), entries: map[ident.Key]*entry{}, requests: map[Ref]*request{}, queues: map[ident.Key][]*request{},
-		came: map[ident.Key]int{}, work: map[ident.Key]int{}, servers: map[ident.Server]*serverLoad{}, empty: map[ident.Zone]bool{},
+		came: map[ident.Key]int{}, work: map[ident.Key]int{}, servers: map[ident.Server]*serverLoad{}, empty: map[ident.Zone]bool{}, allowances: map[string]*allowance{},
 		routers: 1, loads: map[ident.Key]float64{}, paces: newPaces(), flows: map[ident.Key]*inflow{}, dice: uint64(o.Inc),
 	}
 	c.tally.Drops = map[failure.Kind]uint64{}
--- a/internal/router/free_test.go
+++ b/internal/router/free_test.go
@@ -260,7 +260,7 @@
 		require.True(t, two.Resume, c.name)
 		require.True(t, b.MaySend(b.at, ref, 2), c.name)
 		require.EqualValues(t, 1, b.Counts().Retries, c.name)
-		require.Len(t, b.loans, 1, c.name)
+		require.Len(t, b.allowance("llm").loans, 1, c.name)
 		b.Step(b.at, Begun{Ref: ref, N: 2})
 		r, ended := pick[Receipt](b.Step(b.at, Ended{Ref: ref, N: 2, How: Split}))
 		require.True(t, ended, "what was lent is spent: %s", c.name)
--- a/internal/router/guards_test.go
+++ b/internal/router/guards_test.go
@@ -50,6 +50,8 @@
 	{"an answer is over at its time", "relay_attempt.go", "due.Add(r.o.Slack)", "due.Add(time.Hour)", "TestEndsAtItsTime"},
 	{"a dial is over at its time", "conns.go", "if !deadline.IsZero() {", "if false {", "TestEndsAtItsTime"},
 	{"the horizon counts from arrival", "admission.go", "came: c.now.Add(-v.Age)", "came: c.now", "TestHorizonFromArrival"},
+	{"each service has its own allowance", "allowance.go", "\ta := c.allowances[service]\n", "\tservice = \"\"\n\ta := c.allowances[service]\n", "TestRetriesStayWithinEachServicesBudget"},
+	{"what is saved counts within the fraction", "host.go", "Save: savedFor(h.Window),", "", "TestRetriesStayWithinEachServicesBudget"},
 	{"a time that is over by a newer plan is over at once", "admission.go", "if c.now >= r.due {\n\t\treturn failure.Expired", "if false {\n\t\treturn failure.Expired", "TestTimeThatIsOverByANewerPlan"},
 	{"whose a request is, is asked at the last moment", "admission.go", " || m.Keyed != r.keyed || m.Tenant != r.tenant)", ")", "TestKeysThatChangeUnderWay"},
 	{"the same, under drawn changes", "admission.go", " || m.Keyed != r.keyed || m.Tenant != r.tenant)", ")", "TestKeysUnderDrawnChanges"},
--- a/internal/router/host.go
+++ b/internal/router/host.go
@@ -35,7 +35,7 @@
 	Window    clock.Span
 	First     bool    // the whole system starts for the first time
 	Bodies    int64   // bytes of requests' bodies that are held at once; no bound if zero
-	Earn      float64 // and what each first arrival earns
+	Fraction  float64 // of first arrivals at a service that further ones may come to in any Window
 
 	plans *fleetplan.Memo
 }
@@ -56,12 +56,21 @@
 func turnAwayAfter(grace clock.Span) clock.Span { return grace / 2 }
 func endAfter(grace clock.Span) clock.Span      { return grace * 7 / 8 }
 
+// earnedPart is the part of the retry fraction that first arrivals earn. What they earned is kept for so long that all that may be
+// spent in a window, from before it as well, is within the fraction.
+const earnedPart = 0.8
+
+// savedFor is how long what was earned may be spent.
+func savedFor(window clock.Span) clock.Span {
+	return clock.Span(float64(window) * (1/earnedPart - 1))
+}
+
 // cores makes the router and its agent, which share the process.
 func (h HostOptions) cores() (*Core, *agent.Core) {
 	h.Read = h.plans.Plan
 	core := New(Options{
 		Me: protocol.Sibling{ID: nearRouter, Addr: nearRouter}, Inc: host.NewInc(), Agent: protocol.Sibling{Addr: nearAgent},
-		Read: h.Read, Zone: ident.Zone(h.Zone), Free: true, Guards: true, Hello: clock.Span(hostedHello), Lend: h.Lend, LendAgain: h.LendAgain, Window: h.Window, Share: h.Earn, Restarted: !h.First,
+		Read: h.Read, Zone: ident.Zone(h.Zone), Free: true, Guards: true, Hello: clock.Span(hostedHello), Lend: h.Lend, LendAgain: h.LendAgain, Window: h.Window, Share: h.Fraction * earnedPart, Save: savedFor(h.Window), Restarted: !h.First,
 	})
 	beside := agent.New(agent.Options{
 		Me: protocol.Sibling{ID: ident.Node(h.ID), Addr: h.Post}, Zone: ident.Zone(h.Zone), Inc: host.NewInc(), Life: ident.Inc(host.Now()),
--- a/internal/router/keys_test.go
+++ b/internal/router/keys_test.go
@@ -71,7 +71,7 @@
 	sent := func(b *bed, path string) Launch {
 		l := launched(b, path)
 		require.True(b.t, b.MaySend(b.at, l.Ref, l.N))
-		b.earnings = []earning{{b.at, 5}}
+		b.fund(5)
 		return l
 	}
 	ended := func(b *bed, l Launch, how End, kind failure.Kind) []any {
@@ -259,7 +259,7 @@
 	b.entry("web|", "p", "q")
 	_, l, _ := b.go1("/again/x", withKey(fleetplan.Call{}, "k"))
 	require.True(t, b.MaySend(b.at, l.Ref, l.N))
-	b.earnings = []earning{{b.at, 5}}
+	b.fund(5)
 	b.replan(1)
 	b.lease(false)
 	b.Step(b.at, Ended{Ref: l.Ref, N: l.N, How: Lost})
@@ -400,7 +400,7 @@
 		}
 		k.bed = free(t, Options{}, plans...)
 		for range 300 {
-			k.earnings = []earning{{k.at, 5}}
+			k.fund(5)
 			switch random.IntN(7) {
 			case 0:
 				k.change()
--- a/internal/router/queue.go
+++ b/internal/router/queue.go
@@ -148,7 +148,7 @@
 		case p == nil:
 			c.allWaitFor(whyNoReplica(e), c.queues[k][i:])
 			return
-		case r.owes != 0 && c.now.Sub(r.owes) < patience && !c.pay():
+		case r.owes != 0 && c.now.Sub(r.owes) < patience && !c.pay(r.key.Service()):
 			r.waitsFor(WaitRetry, c.now)
 			i++
 		default:
--- a/internal/router/request_trace_test.go
+++ b/internal/router/request_trace_test.go
@@ -20,7 +20,7 @@
 	b.entry("web|", "s1", "s2")
 	ref, l, _ := b.go1("/once/x", fleetplan.Call{ID: "a1"})
 	require.True(t, b.MaySend(b.at, ref, l.N))
-	b.earnings = []earning{{b.at, 5}}
+	b.fund(5)
 	out := b.Step(b.at.Add(30e6), Ended{Ref: ref, N: l.N, How: Dropped, Kind: failure.Busy, Status: 503, Cause: CauseNone})
 	second, ok := pick[Launch](append(out, b.wait(time.Second)...))
 	require.True(t, ok)
@@ -108,7 +108,7 @@
 	b.entry("web|", "s1", "s2")
 	ref, first, _ := b.go1("/again/x", fleetplan.Call{Wait: 3e9})
 	require.True(t, b.MaySend(b.at, ref, first.N))
-	b.earnings = []earning{{b.at, 5}}
+	b.fund(5)
 	b.at = b.at.Add(1e9)
 	second, ok := pick[Launch](b.Step(b.at, Ended{Ref: ref, N: first.N, How: Lost}))
 	require.True(t, ok)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -35,6 +35,13 @@
 	return b
 }
 
+// fund sets what first attempts have earned for retries, at each service.
+func (b *bed) fund(n float64) {
+	for _, service := range []string{"", "web", "new", "llm"} {
+		b.allowance(service).earnings = []earning{{b.at, n}}
+	}
+}
+
 func (b *bed) mail(body any) []any { return b.Step(b.at, protocol.Env{Body: body}) }
 
 func (b *bed) news(i protocol.Item) []any {
@@ -120,7 +127,7 @@
 		l, ok := pick[Launch](out)
 		require.True(t, ok)
 		require.True(t, b.MaySend(b.at, ref, 1))
-		b.earnings = []earning{{b.at, c.bank}}
+		b.fund(c.bank)
 		if c.begun {
 			b.Step(b.at, Begun{ref, 1})
 		}
@@ -152,7 +159,7 @@
 	b.entry("m", "s1")
 	ref, _ := b.call(fleetplan.Call{Again: true, Wait: 80e6})
 	require.True(t, b.MaySend(b.at, ref, 1))
-	b.earnings = []earning{{b.at, 1}}
+	b.fund(1)
 	out := b.Step(b.at, Ended{Ref: ref, N: 1, How: Lost}) // the only server is avoided for a while: it waits
 	_, dropped := pick[Receipt](out)
 	require.False(t, dropped)
@@ -432,7 +439,7 @@
 		}
 		require.Equal(t, n+1, l.N)
 		require.Equal(t, same, l.Server == s)
-		d.earnings = []earning{{d.at, 5}}
+		d.fund(5)
 		out = d.Step(d.at, Ended{Ref: l.Ref, N: l.N, How: Unsent})
 		d.at = d.at.Add(1e9)
 	}
@@ -443,13 +450,13 @@
 	b := lay(t, Options{})
 	for range 12 {
 		b.Core.now = b.at
-		b.earn()
+		b.earn("")
 		b.at = b.at.Add(100e6)
 	}
 	b.Core.now = b.at
-	require.True(t, b.pay(), "12 first goes earn two retries")
+	require.True(t, b.pay(""), "12 first goes earn two retries")
 	b.Core.now = b.at.Add(10e9)
-	require.False(t, b.pay())
+	require.False(t, b.pay(""))
 }
 
 // An event follows only if it is the next one of this very go.
--- a/internal/simulator/hosted.go
+++ b/internal/simulator/hosted.go
@@ -51,7 +51,7 @@
 func (h *hosting) router(o *router.Options, z ident.Zone) {
 	x := h.w.o.Hosted
 	o.Read, o.Zone, o.Free, o.Guards, o.Lend, o.Window, o.Share = ReadSheet, z, true, true, x.Lend*0.6, 10e9, 0.16
-	o.LendAgain = x.Lend * 0.4
+	o.LendAgain, o.Save = x.Lend*0.4, 2500e6
 }
 
 func (w *World) read(raw []byte) (*fleetplan.Plan, fleetplan.Faults) {
--- a/internal/simulator/hosted_check.go
+++ b/internal/simulator/hosted_check.go
@@ -24,13 +24,13 @@
 	owners map[ident.Duty]string
 	high   map[string]ident.Duty
 	hands  map[string][]handed
-	sends  []tried
+	sends  map[string][]tried // by service
 	looked clock.Tick
 	lates  map[string]bool
 }
 
 func newBooks() batchBooks {
-	return batchBooks{owners: map[ident.Duty]string{}, high: map[string]ident.Duty{}, hands: map[string][]handed{}, lates: map[string]bool{}}
+	return batchBooks{owners: map[ident.Duty]string{}, high: map[string]ident.Duty{}, hands: map[string][]handed{}, sends: map[string][]tried{}, lates: map[string]bool{}}
 }
 
 // orderedBatch looks at an order as it reached a server that checks no fence.
@@ -101,7 +101,9 @@
 func (k *Checker) reached(f *flow, s *proc) {
 	w := k.w
 	a := w.host.of[s.name]
-	k.batch.sends = append(k.batch.sends, tried{w.now, f.c != nil && f.c.sends == 1})
+	if a != nil {
+		k.batch.sends[a.Service] = append(k.batch.sends[a.Service], tried{w.now, f.c != nil && f.c.sends == 1})
+	}
 	if a == nil || a.sure == 0 {
 		return
 	}
@@ -195,9 +197,25 @@
 	}
 }
 
-// finishHosted holds what arrived beyond the first against what was asked.
+// finishHosted holds what arrived beyond the first against what was asked, at each service by itself, and changes against each other.
 func (k *Checker) finishHosted() {
-	l := k.batch.sends
+	for _, service := range generic.SortedKeys(k.batch.sends) {
+		k.budget(service, k.batch.sends[service])
+	}
+	on := map[ident.Epoch]string{}
+	for _, s := range k.states {
+		if s.number == 0 || s.told == 0 {
+			continue
+		}
+		if was, ok := on[s.base]; ok && was != string(s.raw) {
+			k.bad("two changes that go on epoch %d were both taken", s.base)
+		}
+		on[s.base] = string(s.raw)
+	}
+}
+
+// budget looks at the arrivals at one service.
+func (k *Checker) budget(service string, l []tried) {
 	most := k.w.o.Hosted.Lend
 	a, more, base := 0, 0, 0
 	for _, x := range l {
@@ -215,18 +233,8 @@
 		}
 		k.Seen.Window = max(k.Seen.Window, float64(more)/float64(max(1, base)))
 		if float64(more) > boundShare*float64(base)+most {
-			k.bad("%d arrivals beyond the first in 10 s, to %d first ones (at %.1f s)", more, base, float64(x.at)/1e9)
+			k.bad("%d arrivals beyond the first at %s in 10 s, to %d first ones (at %.1f s)", more, service, base, float64(x.at)/1e9)
 			return
 		}
 	}
-	on := map[ident.Epoch]string{}
-	for _, s := range k.states {
-		if s.number == 0 || s.told == 0 {
-			continue
-		}
-		if was, ok := on[s.base]; ok && was != string(s.raw) {
-			k.bad("two changes that go on epoch %d were both taken", s.base)
-		}
-		on[s.base] = string(s.raw)
-	}
 }
