Bites: a broken guard is looked for in 40 seeds instead of 12

Nothing is eased: the test still fails unless a seed shows the broken guard, and passes only if that seed is clean with the guard whole.

--- a/internal/simulator/bites_test.go
+++ b/internal/simulator/bites_test.go
@@ -104,6 +104,10 @@
 	return bin
 }
 
+// biteSeeds is how many seeds are tried until a broken guard shows: some show at one in thirteen, and which ones it are changes with
+// every decision that comes a beat sooner or later.
+const biteSeeds = 40
+
 func TestBites(t *testing.T) {
 	if testing.Short() {
 		t.Skip("runs without the race detector")
@@ -114,7 +118,7 @@
 			s, ok := Find(b.scene)
 			require.True(t, ok)
 			bin := broken(t, b.edits)
-			for seed := uint64(1); seed <= 12; seed++ {
+			for seed := uint64(1); seed <= biteSeeds; seed++ {
 				// It exits with an error where a checker saw something.
 				run := exec.Command(bin, "--plans", "../../examples", "--scene", b.scene, "--seed", fmt.Sprint(seed))
 				run.Env = append(os.Environ(), strict.Variable+"="+strict.Off)
