Sight: what a process spends its time on, by input, and what the owner looks at to decide

An owner that is short of processor time logged only steps of over 100 ms. Whether its time goes to looks at placement, to renewals or to reading and writing messages could not be told. Each process now sums its time in steps by input and in reading and writing messages (metrics tidedeck_work_seconds_total, tidedeck_work_total, a log line each 2 s), and the controller counts the servers, replicas and links that it looks at (Visits), a cost that is the same on every machine. Logic unchanged.

--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -62,7 +62,7 @@
 		c.With(func(now clock.Tick) { ok = core.Held(now) })
 		return ok, nil
 	})
-	m.Handle("/metrics", host.Metrics(host.Tallies{Name: "agent", Get: func() (t any) {
+	m.Handle("/metrics", host.Metrics(c.Times(), host.Tallies{Name: "agent", Get: func() (t any) {
 		c.With(func(clock.Tick) { t = core.Counts() })
 		return t
 	}}), http.MethodGet)
--- a/internal/controller/adapters.go
+++ b/internal/controller/adapters.go
@@ -44,6 +44,7 @@
 // leastSeats tells the tokens under way at the least crowded server that holds an adapter.
 func (c *Core) leastSeats(key ident.Key) int {
 	least := math.MaxInt
+	c.visit(len(c.servers))
 	for id, s := range c.servers {
 		if s.spots[key] != nil && c.stays(s) {
 			least = min(least, c.seats[id])
@@ -57,6 +58,7 @@
 	var best *server
 	var out eviction
 	least := most
+	c.visit(len(c.servers))
 	for _, id := range generic.SortedKeys(c.servers) {
 		s := c.servers[id]
 		if !c.stays(s) || s.alien || s.odd != "" || s.spots[f.model.Key] != nil || !s.based(f.model.Key) {
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -178,6 +178,7 @@
 	Orders, OrdersRefused, OrdersUnanswered, Reports        uint64
 	Confirms                                                uint64 // askings whether an order is done
 	Stalls                                                  uint64 // the process stood still
+	Visits                                                  uint64 // servers, replicas and links that were looked at to decide something
 	RoundsPromised                                          uint64 // attempts under a ballot that a majority had promised before
 	Forwards, ForwardsUnanswered                            uint64 // changes handed to the owner of the lease, and those proposed here as no outcome came in time
 	VotersMissing                                           int    // now: voters that a core without a majority waits for
@@ -377,6 +378,9 @@
 	return b
 }
 
+// visit counts servers, replicas or links that are looked at to decide something: what that costs, whatever machine it runs on.
+func (c *Core) visit(n int) { c.tally.Visits += uint64(n) }
+
 // Counts gives the tally so far.
 func (c *Core) Counts() Tally { return c.tally }
 
--- a/internal/controller/demand.go
+++ b/internal/controller/demand.go
@@ -66,6 +66,7 @@
 // waitingAtRouters sums what the last renewals of all routers say of a key, but for those that have been
 // silent for long.
 func (c *Core) waitingAtRouters(k ident.Key) (sum waiting) {
+	c.visit(len(c.links))
 	for _, l := range c.links {
 		if u := l.burden[k]; u.Wait > 0 && c.now.Sub(l.last) <= freshSpan {
 			sum.requests += u.Wait
@@ -164,6 +165,7 @@
 	}
 	m := map[ident.Server]int{}
 	for k := range l.holds {
+		c.visit(1)
 		if e := c.entries[k]; e != nil {
 			for _, r := range e.replicas {
 				if n := c.seats[r.rep.Server]; n > 0 {
@@ -177,6 +179,7 @@
 
 // worked tells whether routers have requests under way for a base or an adapter on it.
 func (c *Core) worked(k ident.Key) bool {
+	c.visit(len(c.links))
 	for _, l := range c.links {
 		for x, u := range l.burden {
 			if u.Work > 0 && x.Base() == k.Base() {
--- a/internal/controller/entries.go
+++ b/internal/controller/entries.go
@@ -38,6 +38,7 @@
 
 // fill makes an entry of what the servers hold: the same replicas make the same mark.
 func (c *Core) fill(k ident.Key, e *entry) {
+	c.visit(len(c.servers))
 	e.replicas = nil
 	h := fnv.New64a()
 	for _, id := range generic.SortedKeys(c.servers) {
--- a/internal/controller/family.go
+++ b/internal/controller/family.go
@@ -59,6 +59,7 @@
 	}
 	queued := map[*family]int{}
 	for _, link := range c.links {
+		c.visit(1 + len(link.burden))
 		for key, u := range link.burden {
 			if f := l[key.Base()]; f != nil {
 				f.underWay += u.Work + u.Wait
@@ -67,6 +68,7 @@
 		}
 	}
 	for _, s := range c.servers {
+		c.visit(len(s.spots))
 		if c.stays(s) {
 			l.addReplicas(s)
 		}
--- a/internal/controller/fenced.go
+++ b/internal/controller/fenced.go
@@ -19,6 +19,7 @@
 
 // beatServer carries a server's spots on, and asks it what is due.
 func (c *Core) beatServer(s *server) {
+	c.visit(len(s.spots))
 	for _, key := range generic.SortedKeys(s.spots) {
 		if p := s.spots[key]; p != nil { // one spot's end may end another
 			c.beatSpot(s, p)
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -348,6 +348,7 @@
 }
 
 func (c *Core) sorted() []*link {
+	c.visit(len(c.links))
 	l := make([]*link, 0, len(c.links))
 	for _, x := range c.links {
 		l = append(l, x)
@@ -412,6 +413,7 @@
 	if !c.rules() {
 		return
 	}
+	c.visit(len(c.links))
 	var due []*link
 	for _, l := range c.links {
 		if l.sent < l.num && len(l.items) > 0 {
--- a/internal/controller/make_way.go
+++ b/internal/controller/make_way.go
@@ -57,6 +57,7 @@
 
 // candidates lists the bases that may leave a server for a family, the cheapest for their size first.
 func (c *Core) candidates(s *server, f *family, l families) []candidate {
+	c.visit(len(s.spots))
 	var all []candidate
 	for _, key := range generic.SortedKeys(s.spots) {
 		p := s.spots[key]
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -71,6 +71,7 @@
 func (c *Core) mayBeLoading() int {
 	n := 0
 	for _, s := range c.servers {
+		c.visit(len(s.spots))
 		for _, p := range s.spots {
 			if p.stage == Ordered && c.mayLoad(s, p) {
 				n++
@@ -92,6 +93,7 @@
 func (c *Core) evictUnplanned() {
 	for _, id := range generic.SortedKeys(c.servers) {
 		s := c.servers[id]
+		c.visit(len(s.spots))
 		for _, key := range generic.SortedKeys(s.spots) {
 			_, planned := c.plan.Models[key]
 			if p := s.spots[key]; !planned && p.stage == Ready && s.known && !s.dark {
@@ -110,6 +112,7 @@
 
 // replicasOf counts a key's replicas that are ready or ordered, on servers that stay.
 func (c *Core) replicasOf(key ident.Key) replicaSet {
+	c.visit(len(c.servers))
 	set := replicaSet{zones: map[ident.Zone]bool{}}
 	for _, s := range c.servers {
 		if p := s.spots[key]; p != nil && p.placed() && c.stays(s) {
@@ -151,6 +154,7 @@
 
 // underWay counts the requests for a key that wait or run, at all routers.
 func (c *Core) underWay(key ident.Key) int {
+	c.visit(len(c.links))
 	n := 0
 	for _, l := range c.links {
 		n += l.burden[key].Wait + l.burden[key].Work
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -204,7 +204,7 @@
 		d.c.With(func(clock.Tick) { ok = core.Ready() })
 		return ok, nil
 	})
-	m.Handle("/metrics", host.Metrics(host.Tallies{Name: "controller", Get: func() (t any) {
+	m.Handle("/metrics", host.Metrics(d.c.Times(), host.Tallies{Name: "controller", Get: func() (t any) {
 		d.c.With(func(clock.Tick) { t = core.Counts() })
 		return t
 	}}), http.MethodGet)
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -29,6 +29,7 @@
 
 // loadsAtOnce tells how many loads are under way at once where so many begin in a second.
 func (c *Core) loadsAtOnce(rate float64) int {
+	c.visit(len(c.plan.Models))
 	sum, bases := clock.Span(0), 0
 	for _, m := range c.plan.Models {
 		if !m.Key.IsAdapter() {
--- a/internal/controller/weigh.go
+++ b/internal/controller/weigh.go
@@ -72,6 +72,7 @@
 func (c *Core) storeLeft(toBegin int) int {
 	atOnce, _ := c.budget()
 	for _, s := range c.servers {
+		c.visit(len(s.spots))
 		for key, p := range s.spots {
 			if p.stage != Ordered || key.IsAdapter() || c.sure(s, key) || !c.mayLoad(s, p) {
 				continue
@@ -157,6 +158,7 @@
 	least := math.Inf(1)
 	zones := c.replicasOf(f.model.Key).zones
 	for _, id := range generic.SortedKeys(c.servers) {
+		c.visit(1)
 		s := c.servers[id]
 		if !store && !c.sure(s, f.model.Key) {
 			continue
@@ -200,6 +202,7 @@
 
 // costAt tells what a server costs as the place of one more replica.
 func (c *Core) costAt(s *server, f *family, l families, sameZone bool) float64 {
+	c.visit(len(s.spots))
 	cost := c.loadSpan(s, f.model).Seconds()
 	cost += float64(s.pending()) * orderCost
 	cost += workCost * l.loadOf(s)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -90,16 +90,18 @@
 	life context.Context // of the questions under way
 	end  context.CancelFunc
 	over sync.WaitGroup
+
+	times *workTimes
 }
 
 // New makes a host; nothing runs yet.
 func New(o Options) *Process {
 	generic.SetDefault(&o.Dial, 500*time.Millisecond)
-	c := &Process{o: o, asks: make(chan protocol.Ask, 1024)}
+	c := &Process{o: o, asks: make(chan protocol.Ask, 1024), times: newWorkTimes()}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	c.life, c.end = context.WithCancel(c.ctx)
 	c.post = newPost(c.ctx, o.Told, o.Dial, c.receive)
-	c.post.local = o.Local
+	c.post.local, c.post.times = o.Local, c.times
 	dial := Dialer(o.Told, o.Dial).DialContext
 	c.http = &http.Client{
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -201,9 +203,14 @@
 	for _, o := range c.o.Core.Step(began, in) {
 		c.act(o)
 	}
-	if took := Now().Sub(began); took > longStep {
+	ended := Now()
+	c.times.add(inputName(in), began, ended)
+	if took := ended.Sub(began); took > longStep {
 		c.o.Ring.Info("a step took long", protocol.Field{Name: "input", Value: inputName(in)}, protocol.Field{Name: "ms", Value: took.Milliseconds()})
 	}
+	if fields := c.times.report(ended); fields != nil {
+		c.o.Ring.Info("time at work", fields...)
+	}
 }
 
 // longStep is how long a core may take over one input before the log tells of it: all else waits meanwhile.
@@ -217,6 +224,9 @@
 	return fmt.Sprintf("%T", in)
 }
 
+// Times gives the collector of what the process spent its time on.
+func (c *Process) Times() prometheus.Collector { return c.times }
+
 // With lets the program look at its core.
 func (c *Process) With(f func(now clock.Tick)) {
 	c.mu.Lock()
--- a/internal/host/outbound.go
+++ b/internal/host/outbound.go
@@ -47,7 +47,7 @@
 			return
 		}
 	}
-	if err := o.stream.MsgSend(&e, coding{}); err != nil {
+	if err := o.stream.MsgSend(&e, coding{o.post.times}); err != nil {
 		o.fail()
 	}
 }
@@ -70,7 +70,7 @@
 		return err
 	}
 	o.conn = drpcconn.NewWithOptions(slowGuard{c}, drpcconn.Options{Manager: manage})
-	o.stream, err = o.conn.NewStream(o.post.ctx, rpcPost, coding{})
+	o.stream, err = o.conn.NewStream(o.post.ctx, rpcPost, coding{o.post.times})
 	return err
 }
 
--- a/internal/host/post.go
+++ b/internal/host/post.go
@@ -23,15 +23,22 @@
 	idleWait = time.Minute
 )
 
-// coding lets drpc carry our envelopes.
-type coding struct{}
+// coding lets drpc carry our envelopes, and counts the time that this takes.
+type coding struct{ times *workTimes }
 
 // Marshal writes an envelope.
-func (coding) Marshal(m drpc.Message) ([]byte, error) { return protocol.Pack(*m.(*protocol.Env)) }
+func (c coding) Marshal(m drpc.Message) ([]byte, error) {
+	began := Now()
+	b, err := protocol.Pack(*m.(*protocol.Env))
+	c.times.add(workWrite, began, Now())
+	return b, err
+}
 
 // Unmarshal reads an envelope.
-func (coding) Unmarshal(b []byte, m drpc.Message) error {
+func (c coding) Unmarshal(b []byte, m drpc.Message) error {
+	began := Now()
 	e, err := protocol.Unpack(b)
+	c.times.add(workRead, began, Now())
 	if err == nil {
 		*m.(*protocol.Env) = e
 	}
@@ -63,6 +70,7 @@
 	take  func(protocol.Env)
 	dial  *net.Dialer
 	local map[string]func(protocol.Env)
+	times *workTimes
 }
 
 func newPost(ctx context.Context, told string, wait time.Duration, take func(protocol.Env)) *post {
--- a/internal/host/receive.go
+++ b/internal/host/receive.go
@@ -40,7 +40,7 @@
 			time.Sleep(acceptWait)
 			continue
 		}
-		r := &receiver{take: p.take, opened: p.reopened, wait: openWait}
+		r := &receiver{take: p.take, opened: p.reopened, wait: openWait, times: p.times}
 		go r.receive(p.ctx, c)
 	}
 }
@@ -51,6 +51,7 @@
 	opened func(from string, at time.Time) // hears of each stream with its first envelope
 	wait   time.Duration
 	expiry *time.Timer // ends the connection while it has no stream
+	times  *workTimes
 }
 
 // receive reads a connection to its end.
@@ -73,7 +74,7 @@
 	opened := time.Now()
 	for first := true; ; first = false {
 		var e protocol.Env
-		if err := s.MsgRecv(&e, coding{}); err != nil {
+		if err := s.MsgRecv(&e, coding{r.times}); err != nil {
 			return nil
 		}
 		if first {
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -141,7 +141,7 @@
 
 // metrics shows what a router did and has.
 func metrics(c *host.Process, core *Core, relay *Relay, log *RequestLog) http.Handler {
-	l := []prometheus.Collector{host.Tallies{Name: "router_requests", Get: func() any { return endedCounts{log.Counts()} }}}
+	l := []prometheus.Collector{c.Times(), host.Tallies{Name: "router_requests", Get: func() any { return endedCounts{log.Counts()} }}}
 	if relay != nil {
 		l = append(l, relay.seconds, host.Tallies{Name: "relay", Get: func() any { return relay.Counts() }},
 			host.Tallies{Name: "connections", Get: func() any { return relay.Counts().ConnTally }})
