Red: a shift of models leaves the owner overloaded for good; a renewal costs routers x models

295 routers before 240 full servers and 449 models, by the real cores, with the owner's processor bounded to 0.512 cores by what is looked at (90 ns a visit, 140 us a renewal). Before the shift all is served; 8 s after it nothing is, and stays so.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -18,7 +18,7 @@
 // routers that ask it, all on one clock and without I/O.
 type cluster struct {
 	seeds         []protocol.Sibling // of nodes that start from now on
-	t             *testing.T
+	t             testing.TB
 	at            clock.Tick
 	plans         map[string]*fleetplan.Plan
 	nodes         map[string]*Core
@@ -38,8 +38,12 @@
 	token         uint64
 	beside        func(run func())        // runs what is computed beside a core
 	loses         func(protocol.Env) bool // messages between nodes that get lost
+	processor     *processor              // of the node that owns the duty; it bounds nothing if nil
 }
 
+// tickLength is the time between two beats of a cluster.
+const tickLength = clock.Span(20e6)
+
 // letter is an envelope on its way.
 type letter struct {
 	at       clock.Tick
@@ -63,12 +67,12 @@
 	code int // what the server said; zero if it never got it
 }
 
-func newCluster(t *testing.T, plan *fleetplan.Plan, ids ...string) *cluster {
+func newCluster(t testing.TB, plan *fleetplan.Plan, ids ...string) *cluster {
 	return newTunedCluster(t, plan, func(*Options) {}, ids...)
 }
 
 // newTunedCluster begins core nodes whose options are set by a function.
-func newTunedCluster(t *testing.T, plan *fleetplan.Plan, tune func(*Options), ids ...string) *cluster {
+func newTunedCluster(t testing.TB, plan *fleetplan.Plan, tune func(*Options), ids ...string) *cluster {
 	c := &cluster{
 		t: t, at: 1e9, plans: map[string]*fleetplan.Plan{}, nodes: map[string]*Core{}, disks: map[string]map[string][]byte{}, parted: map[string]bool{},
 		models: map[string]*modelServer{}, routers: map[string]*router{}, dice: rand.New(rand.NewPCG(3, 4)),
@@ -142,12 +146,26 @@
 }
 
 func (c *cluster) step(id string, in any) {
+	if c.processor.bounds(c, id) {
+		c.processor.queue(in)
+		return
+	}
+	c.stepNow(id, in)
+}
+
+// stepNow has a node take an input at once, and whoever it writes to what it writes.
+func (c *cluster) stepNow(id string, in any) {
 	type item struct {
 		id string
 		o  any
 	}
 	var l []item
-	put := func(id string, in any) {
+	put := func(to string, in any) {
+		if to != id && c.processor.bounds(c, to) {
+			c.processor.queue(in)
+			return
+		}
+		id := to
 		for _, o := range c.nodes[id].Step(c.at, in) {
 			l = append(l, item{id, o})
 		}
@@ -226,7 +244,7 @@
 }
 
 func (c *cluster) tick() {
-	c.at = c.at.Add(20e6)
+	c.at = c.at.Add(tickLength)
 	mail := c.mail
 	c.mail = nil
 	for _, e := range mail {
@@ -246,6 +264,7 @@
 	for _, id := range generic.SortedKeys(c.routers) {
 		c.routers[id].live()
 	}
+	c.processor.run(c)
 	l := c.asks
 	c.asks = nil
 	for _, a := range l {
--- /dev/null
+++ b/internal/controller/overload_test.go
@@ -0,0 +1,169 @@
+package controller
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"tidedeck/internal/clock"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
+)
+
+// fleetSize is how large a fleet of a test is.
+type fleetSize struct {
+	routers, servers, models, asked, held int
+}
+
+// largeFleet is a fleet of hundreds of routers before hundreds of servers that are full.
+var largeFleet = fleetSize{routers: 295, servers: 240, models: 449, asked: 20, held: 3}
+
+// parts gives the fleet of a part of the size.
+func (s fleetSize) part(n, of int) fleetSize {
+	return fleetSize{routers: s.routers * n / of, servers: s.servers * n / of, models: s.models * n / of, asked: s.asked, held: s.held}
+}
+
+const (
+	modelSize    = 4
+	storeLoads   = 71.0 // a second
+	storeAtOnce  = 109
+	requestLoad  = 0.002 // seconds of a server's time
+	requestsEach = 1     // that a router is asked for of a model between two renewals
+)
+
+// largePlan is a plan of so many models, of which a server has room for some.
+func largePlan(size fleetSize) (*fleetplan.Plan, []ident.Key) {
+	var models []ident.Key
+	for i := range size.models {
+		models = append(models, ident.Key(fmt.Sprintf("llm|m%04d", i)))
+	}
+	p := modelPlan(modelSize*size.held, models...)
+	service := p.Services["llm"]
+	service.Loads, service.Slots = storeLoads, 96
+	p.Services["llm"] = service
+	p.Loads = storeAtOnce
+	return p, models
+}
+
+// newLargeFleet begins three core nodes, full servers and routers that are asked for models that some server has.
+func newLargeFleet(t testing.TB, size fleetSize) (*cluster, []ident.Key) {
+	plan, models := largePlan(size)
+	c := newTunedCluster(t, plan, func(*Options) {}, "a", "b", "c")
+	for i := range size.servers {
+		m := c.serve(fmt.Sprintf("s%04d", i))
+		for j := range size.held {
+			key := models[(i*size.held+j)%size.models]
+			m.holds[key], m.had[key] = true, true
+		}
+		m.snap()
+	}
+	for i := range size.routers {
+		c.route(fmt.Sprintf("r%04d", i))
+	}
+	return c, models
+}
+
+// askAll has every router be asked for some of the models between two places of the list, those before more often.
+func askAll(c *cluster, models []ident.Key, size fleetSize, seed uint64) {
+	dice := rand.New(rand.NewPCG(seed, 1))
+	for i := range size.routers {
+		r := c.routers[fmt.Sprintf("r%04d", i)]
+		clear(r.burden)
+		for len(r.burden) < size.asked {
+			key := models[int(dice.Float64()*dice.Float64()*float64(len(models)))]
+			r.burden[key] = protocol.Burden{}
+		}
+	}
+}
+
+// serveRequests has routers report what waits and what is under way, and gives the part of what they are asked for that they may send.
+func serveRequests(c *cluster, size fleetSize) float64 {
+	sent, all := 0, 0
+	for i := range size.routers {
+		r := c.routers[fmt.Sprintf("r%04d", i)]
+		for key := range r.burden {
+			all++
+			u := protocol.Burden{Came: requestsEach, Load: requestLoad, Top: 1}
+			if c.at < r.until && len(r.entries[key]) > 0 {
+				sent++
+				u.Work = 1
+			} else {
+				u.Wait = 1
+			}
+			r.burden[key] = u
+		}
+	}
+	return float64(sent) / float64(all)
+}
+
+// servedOver lets time go by and gives the mean part of the requests that routers may send.
+func servedOver(c *cluster, size fleetSize, span clock.Span) float64 {
+	const look = clock.Span(100e6)
+	sum, looks := 0.0, 0
+	for end := c.at.Add(span); c.at < end; {
+		c.run(look)
+		sum += serveRequests(c, size)
+		looks++
+	}
+	return sum / float64(looks)
+}
+
+// ownerShare is the part of a core that a core node of a large deployment has.
+const ownerShare = 0.512
+
+// A shift of what is asked for, while servers are full, must be over once the models have been loaded.
+func TestModelShiftDoesNotLeaveTheOwnerOverloaded(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			size := largeFleet
+			c, models := newLargeFleet(t, size)
+			askAll(c, models[:size.models*2/3], size, seed)
+			servedOver(c, size, 8e9)
+			c.processor = &processor{share: ownerShare, node: c.owner()}
+			before := servedOver(c, size, 2e9)
+			require.Greater(t, before, 0.95, "the fleet serves what it is asked for")
+			askAll(c, models[size.models/3:], size, seed+100)
+			servedOver(c, size, 8e9)
+			after := servedOver(c, size, 2e9)
+			require.GreaterOrEqual(t, after, 0.95*before, "what is served after the shift is what was served before it")
+			require.Equal(t, c.processor.node, c.owner(), "the owner keeps its term")
+			require.Zero(t, c.lead().tally.Lapses, "no router's lease runs out")
+		})
+	}
+}
+
+// visitsOf tells how much the owner looks at for an input.
+func visitsOf(c *cluster, in any) int {
+	owner := c.lead()
+	before := owner.tally.Visits
+	c.step(c.owner(), in)
+	return int(owner.tally.Visits - before)
+}
+
+// What a message costs the owner goes by what it says, not by how large the fleet is.
+func TestOwnersWorkForAMessageDoesNotGrowWithTheFleet(t *testing.T) {
+	type work struct{ renewal, beacon int }
+	measure := func(size fleetSize) work {
+		c, models := newLargeFleet(t, size)
+		askAll(c, models[:size.models/2], size, 1)
+		servedOver(c, size, 5e9)
+		r := c.routers["r0001"]
+		r.seq++
+		for key := range r.burden {
+			r.burden[key] = protocol.Burden{Wait: 1, Came: 1}
+		}
+		renewal := protocol.Renew{Session: r.ses, Seq: r.seq, Gen: 1, Epoch: 1, Heard: r.heard, Burden: r.burden}
+		s := c.models["at-s0001"]
+		s.beats++
+		return work{
+			renewal: visitsOf(c, r.mail(renewal)),
+			beacon:  visitsOf(c, Announce{Token: 1 << 32, Beacon: protocol.Beacon{Listed: s.Listed, Count: s.beats}}),
+		}
+	}
+	small, large := measure(largeFleet.part(1, 10)), measure(largeFleet)
+	require.LessOrEqual(t, large.renewal, small.renewal+largeFleet.asked, "a renewal: %v, %v", small, large)
+	require.LessOrEqual(t, large.beacon, small.beacon, "an announcement: %v, %v", small, large)
+}
--- /dev/null
+++ b/internal/controller/processor_test.go
@@ -0,0 +1,68 @@
+package controller
+
+import (
+	"tidedeck/internal/clock"
+	"tidedeck/internal/protocol"
+)
+
+// What an input costs a core node's processor, so that a test's verdict does not hang on the machine that it runs on.
+const (
+	visitCost   = clock.Span(90)      // of each server, replica or link that is looked at
+	messageCost = clock.Span(20_000)  // of taking a message off its connection and putting the answer on one
+	renewalCost = clock.Span(120_000) // and of reading a renewal and writing a grant, beside that
+)
+
+// processor is the share of a core that a node has. What it has no time for yet waits.
+type processor struct {
+	share float64
+	node  string
+	free  clock.Tick
+	waits []any
+	worst clock.Span // that an input has waited
+	used  clock.Span
+}
+
+// bounds tells whether a node's inputs wait for this processor.
+func (p *processor) bounds(c *cluster, id string) bool { return p != nil && id == p.node }
+
+// queue has an input wait for its turn. A timer that goes off while its last beat waits is lost.
+func (p *processor) queue(in any) {
+	if _, beat := in.(protocol.Beat); beat {
+		for _, w := range p.waits {
+			if _, beat := w.(protocol.Beat); beat {
+				return
+			}
+		}
+	}
+	p.waits = append(p.waits, in)
+}
+
+// run takes in what there is time for until the next tick.
+func (p *processor) run(c *cluster) {
+	if p == nil {
+		return
+	}
+	p.free = max(p.free, c.at)
+	for len(p.waits) > 0 && p.free < c.at.Add(tickLength) {
+		in := p.waits[0]
+		p.waits = p.waits[1:]
+		before := c.nodes[p.node].tally.Visits
+		c.stepNow(p.node, in)
+		cost := costOf(in) + clock.Span(c.nodes[p.node].tally.Visits-before)*visitCost
+		p.used += cost
+		p.free = p.free.Add(clock.Span(float64(cost) / p.share))
+		p.worst = max(p.worst, p.free.Sub(c.at))
+	}
+}
+
+// costOf is what an input costs beside what is looked at.
+func costOf(in any) clock.Span {
+	e, ok := in.(protocol.Env)
+	if !ok {
+		return messageCost
+	}
+	if _, renews := e.Body.(protocol.Renew); renews {
+		return messageCost + renewalCost
+	}
+	return messageCost
+}
