The owner's work goes by what changed: sums of reports, holders of keys, places kept through a look

Callers saw too little served on fleets of hundreds of routers, for good after one shift of models. Cause: the owner's work grew by products. Each renewal summed over all routers for each model that waits (routers x models x routers a second); each look at placement sorted all servers and weighed what may leave each, for each model that is short (short x servers), and asked for the store's budget over all models as often; each entry was made over all servers; each input walked over all links. Past some load the owner was late with leases, routers that lost theirs asked anew, and what waited made more models short. Change: package workload keeps the sums of what routers report as reports come; the owner knows the servers that hold a key and those that have it on their disk; a look keeps what it finds of a server until something there changes; links with something to send are a list of their own. Placement rests for 2 us for each server or replica that it looked at.

--- a/internal/controller/adapters.go
+++ b/internal/controller/adapters.go
@@ -19,7 +19,7 @@
 )
 
 // weighAdapters brings adapters that are asked for to replicas of their bases.
-func (c *Core) weighAdapters(l families) {
+func (c *Core) weighAdapters(l *look) {
 	for _, key := range generic.SortedKeys(c.demand) {
 		n := c.demand[key]
 		m, ok := c.plan.Models[key]
@@ -44,31 +44,30 @@
 // leastSeats tells the tokens under way at the least crowded server that holds an adapter.
 func (c *Core) leastSeats(key ident.Key) int {
 	least := math.MaxInt
-	c.visit(len(c.servers))
-	for id, s := range c.servers {
-		if s.spots[key] != nil && c.stays(s) {
-			least = min(least, c.seats[id])
+	for _, s := range c.holding(key) {
+		c.visit(1)
+		if c.stays(s) {
+			least = min(least, c.seats[s.ID])
 		}
 	}
 	return least
 }
 
 // settleAdapter loads an adapter at the replica of its base where that costs least, and less than most.
-func (c *Core) settleAdapter(f *family, l families, most float64) {
+func (c *Core) settleAdapter(f *family, l *look, most float64) {
 	var best *server
 	var out eviction
 	least := most
-	c.visit(len(c.servers))
-	for _, id := range generic.SortedKeys(c.servers) {
-		s := c.servers[id]
+	for _, s := range c.holding(f.model.Key.Base()) {
+		c.visit(1)
 		if !c.stays(s) || s.alien || s.odd != "" || s.spots[f.model.Key] != nil || !s.based(f.model.Key) {
 			continue
 		}
-		leaves, ok := c.roomForAdapter(s, f, l)
+		leaves, ok := c.roomForAdapter(s, f, l.families)
 		if !ok {
 			continue
 		}
-		cost := float64(c.seats[id])/crowded + adapterOrderCost*float64(s.pending()) + leaves.cost
+		cost := float64(c.seats[s.ID])/crowded + adapterOrderCost*float64(s.pending()) + leaves.cost
 		if cost < least {
 			best, out, least = s, leaves, cost
 		}
@@ -76,8 +75,9 @@
 	if best == nil {
 		return
 	}
-	c.evictAll(best, out.spots, l) // their room and places are free before long
+	l.evictAll(best, out.spots) // their room and places are free before long
 	c.startLoad(best, f.model)
+	l.outdate(best)
 }
 
 // roomForAdapter finds what must leave a server before it can load an adapter: another adapter, or, where
--- a/internal/controller/address_test.go
+++ b/internal/controller/address_test.go
@@ -20,7 +20,7 @@
 // listed has a node know a server from the last owner's list only.
 func (c *cluster) listed(node string, l protocol.Listed) {
 	k := c.nodes[node]
-	delete(k.roll, l.ID)
+	k.delist(l.ID)
 	k.list = Roll{Duty: k.duty.top, List: []protocol.Listed{l}}
 }
 
--- a/internal/controller/confirm.go
+++ b/internal/controller/confirm.go
@@ -73,7 +73,7 @@
 	c.spoke(s)
 	if p.stage == Ordered {
 		if e := c.roll[s.ID]; e != nil {
-			e.had[p.key] = true
+			c.noteOnDisk(e, p.key, true)
 		}
 		c.becameReady(s, p)
 	} else {
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -13,6 +13,7 @@
 	"tidedeck/internal/ident"
 	"tidedeck/internal/membership"
 	"tidedeck/internal/protocol"
+	"tidedeck/internal/workload"
 )
 
 // Options of a core node.
@@ -149,6 +150,11 @@
 	line        map[ident.Key]int // keys without a replica that the store has no room for yet, by turn
 	acks        map[uint64]*leaving
 	weighed     clock.Tick
+	weighPause  clock.Span // until the next look at placement
+	fleet       fleet
+	disks       diskIndex
+	linkSet     linkSet
+	workload    *workload.Index
 	seats       map[ident.Server]int // tokens that all routers have under way, by server
 	mark        uint64
 	rolls       map[ident.Node]ident.Inc // core nodes whose roll this owner has heard
@@ -193,6 +199,7 @@
 	o = o.Defaults()
 	c := &Core{
 		o: o, diskPart: diskPartBegin, paces: map[ident.Key]pace{},
+		fleet: newFleet(), disks: diskIndex{}, linkSet: newLinkSet(), workload: workload.NewIndex(),
 		links: map[protocol.Session]*link{}, tombs: map[protocol.Session]clock.Tick{},
 		servers: map[ident.Server]*server{}, entries: map[ident.Key]*entry{},
 		asks: map[uint64]func(protocol.Told){}, saves: map[uint64]func(){}, forwards: forwards{open: map[uint64]*pendingChange{}},
--- a/internal/controller/demand.go
+++ b/internal/controller/demand.go
@@ -6,6 +6,7 @@
 	"tidedeck/internal/clock"
 	"tidedeck/internal/ident"
 	"tidedeck/internal/protocol"
+	"tidedeck/internal/workload"
 )
 
 // Demand is what routers report of the keys that they are asked for: requests that wait, rates, and the
@@ -57,34 +58,20 @@
 		n.at = c.now // nobody waits, as before
 		return
 	}
-	n.report(c.now, wait, value, c.waitingAtRouters(k))
-}
-
-// waiting counts requests that wait for a key, and has the highest value among them.
-type waiting struct{ requests, value int }
-
-// waitingAtRouters sums what the last renewals of all routers say of a key, but for those that have been
-// silent for long.
-func (c *Core) waitingAtRouters(k ident.Key) (sum waiting) {
-	c.visit(len(c.links))
-	for _, l := range c.links {
-		if u := l.burden[k]; u.Wait > 0 && c.now.Sub(l.last) <= freshSpan {
-			sum.requests += u.Wait
-			sum.value = max(sum.value, u.Top)
-		}
-	}
-	return sum
+	c.visit(1)
+	c.workload.Expire(c.now.Add(-freshSpan))
+	n.report(c.now, wait, value, c.workload.Waiting(k))
 }
 
 // report takes in one router's report beside what the renewals of all come to. A lookup tells of a request
 // before its router's next renewal does, so that until then no other router's renewal takes it back.
-func (n *need) report(now clock.Tick, wait, value int, renewed waiting) {
+func (n *need) report(now clock.Tick, wait, value int, renewed workload.Waiting) {
 	stale := now.Sub(n.at) > freshSpan
 	switch {
-	case wait > renewed.requests:
-		n.lookup, n.wait, n.value = now, wait, max(value, renewed.value)
-	case renewed.requests > 0 || now.Sub(n.lookup) > renewalSpan:
-		n.wait, n.value = renewed.requests, renewed.value
+	case wait > renewed.Requests:
+		n.lookup, n.wait, n.value = now, wait, max(value, renewed.Value)
+	case renewed.Requests > 0 || now.Sub(n.lookup) > renewalSpan:
+		n.wait, n.value = renewed.Requests, renewed.Value
 	}
 	if n.wait == 0 || stale {
 		n.since = 0
@@ -178,14 +165,4 @@
 }
 
 // worked tells whether routers have requests under way for a base or an adapter on it.
-func (c *Core) worked(k ident.Key) bool {
-	c.visit(len(c.links))
-	for _, l := range c.links {
-		for x, u := range l.burden {
-			if u.Work > 0 && x.Base() == k.Base() {
-				return true
-			}
-		}
-	}
-	return false
-}
+func (c *Core) worked(k ident.Key) bool { return c.workload.OfBase(k.Base()).Running > 0 }
--- a/internal/controller/demand_test.go
+++ b/internal/controller/demand_test.go
@@ -43,7 +43,7 @@
 		c := weighed(modelPlan(8, key), keys{"s1": {}})
 		for _, n := range []uint64{1, 2} {
 			session := protocol.Session{Node: "router", N: n}
-			c.links[session] = &link{ses: session, until: c.now.Add(60e9), holds: map[ident.Key]uint64{}}
+			c.addLink(&link{ses: session, until: c.now.Add(60e9), holds: map[ident.Key]uint64{}})
 		}
 		for i, r := range test.reports {
 			if i > 0 {
--- a/internal/controller/duty.go
+++ b/internal/controller/duty.go
@@ -9,6 +9,7 @@
 	"tidedeck/internal/ident"
 	"tidedeck/internal/protocol"
 	"tidedeck/internal/voterset"
+	"tidedeck/internal/workload"
 )
 
 // reign is this node's view of the duty.
@@ -168,7 +169,9 @@
 func (c *Core) clear() {
 	c.seats = map[ident.Server]int{}
 	c.links, c.tombs, c.wants = map[protocol.Session]*link{}, map[protocol.Session]clock.Tick{}, nil
+	c.linkSet, c.workload = newLinkSet(), workload.NewIndex()
 	c.beginVersions()
+	c.fleet = newFleet()
 	c.servers, c.entries = map[ident.Server]*server{}, map[ident.Key]*entry{}
 	c.demand = map[ident.Key]*need{}
 	c.shifts, c.uneven, c.shifted = map[ident.Key]*shift{}, 0, c.now
--- a/internal/controller/enrol.go
+++ b/internal/controller/enrol.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"slices"
+
 	"tidedeck/internal/clock"
 	"tidedeck/internal/generic"
 	"tidedeck/internal/ident"
@@ -30,9 +32,9 @@
 }
 
 // keeps adds what a server says that it holds to what it has had.
-func (e *enrolled) keeps(l []ident.Key) {
+func (c *Core) keeps(e *enrolled, l []ident.Key) {
 	for _, k := range l {
-		e.had[k] = true
+		c.noteOnDisk(e, k, true)
 	}
 }
 
@@ -82,8 +84,8 @@
 			c.retire(o)
 		}
 		c.noteEnrolled(b)
-		e.keeps(b.Held)
-		c.roll[b.ID] = e
+		c.enlist(e)
+		c.keeps(e, b.Held)
 		c.applyRoll(e)
 		return true
 	}
@@ -128,7 +130,7 @@
 	}
 	was := e.Beacon
 	e.Beacon, e.heard = b, c.now
-	e.keeps(b.Held)
+	c.keeps(e, b.Held)
 	if was.State != b.State || was.Listed != b.Listed {
 		c.applyRoll(e)
 	} else if s := c.servers[b.ID]; s != nil && s.dark && !s.silent(c) {
@@ -179,7 +181,7 @@
 			return
 		}
 		s = newServer(e.Listed, c.now)
-		c.servers[e.ID] = s
+		c.addServer(s)
 		c.adopt(s)
 		c.touchAll()
 		return
@@ -285,7 +287,7 @@
 func (c *Core) recall(l []protocol.Beacon) {
 	for _, b := range l {
 		if b.ID != "" {
-			c.roll[b.ID] = &enrolled{Beacon: b, heard: c.now, had: map[ident.Key]bool{}}
+			c.enlist(&enrolled{Beacon: b, heard: c.now, had: map[ident.Key]bool{}})
 		}
 	}
 }
@@ -394,16 +396,7 @@
 			c.settleLeaving(m, l)
 		}
 	}
-	for _, id := range generic.SortedKeys(c.roll) {
-		e := c.roll[id]
-		if e.State == "gone" && c.now.Sub(e.heard) > rollForget {
-			delete(c.roll, id)
-		} else if e.State != "gone" && c.now.Sub(e.heard) > 8*c.o.Silence {
-			e.State = "gone"
-			c.applyRoll(e)
-			delete(c.roll, id) // its next word, if one comes, enrols it anew
-		}
-	}
+	c.forgetSilent()
 	if !c.rollWhole {
 		c.recoverRoll()
 	}
@@ -416,14 +409,34 @@
 			c.send(p, protocol.RollCall{Duty: c.duty.num, Life: c.o.Inc})
 		}
 	}
-	for _, id := range generic.SortedKeys(c.servers) {
-		s := c.servers[id]
+	for _, s := range c.fleet.ordered {
 		if !s.dark && !s.asking && s.State != "gone" && s.silent(c) && c.now.Sub(s.asked) > c.o.Poll {
 			c.inquire(s)
 		}
 	}
 }
 
+// silencesToGone is after how many times the silence that makes a server be asked it is taken for gone.
+const silencesToGone = 8
+
+// forgetSilent takes servers for gone that have long been silent, and forgets those that are gone for long.
+func (c *Core) forgetSilent() {
+	var due []ident.Server
+	for id, e := range c.roll {
+		if silence := c.now.Sub(e.heard); e.State == "gone" && silence > rollForget || e.State != "gone" && silence > silencesToGone*c.o.Silence {
+			due = append(due, id)
+		}
+	}
+	slices.Sort(due)
+	for _, id := range due {
+		if e := c.roll[id]; e.State != "gone" {
+			e.State = "gone"
+			c.applyRoll(e)
+		}
+		c.delist(id) // its next word, if one comes, enrols it anew
+	}
+}
+
 // inquire asks a server that has been silent: its words may come to a core node that is parted from this
 // one. Only one that does not answer, either, is taken for dark.
 func (c *Core) inquire(s *server) {
@@ -474,7 +487,7 @@
 	}
 	for _, x := range c.list.List {
 		if c.roll[x.ID] == nil && x.State != "gone" && !taken[x.Addr] {
-			c.roll[x.ID] = &enrolled{Beacon: protocol.Beacon{Listed: x}, heard: c.now.Add(-c.o.Silence - 1), had: map[ident.Key]bool{}}
+			c.enlist(&enrolled{Beacon: protocol.Beacon{Listed: x}, heard: c.now.Add(-c.o.Silence - 1), had: map[ident.Key]bool{}})
 		}
 	}
 	for _, id := range generic.SortedKeys(c.roll) {
@@ -485,28 +498,24 @@
 
 // knownToLeave lists the servers that this node knows to leave, or to be gone.
 func (c *Core) knownToLeave() (l []ident.Server) {
-	for _, id := range generic.SortedKeys(c.roll) {
-		if c.roll[id].State != "live" {
+	for id, e := range c.roll {
+		if e.State != "live" {
 			l = append(l, id)
 		}
 	}
+	slices.Sort(l)
 	return l
 }
 
 // has tells whether a server likely has a model on its own disk.
 func (c *Core) has(s *server, k ident.Key) bool {
-	e := c.roll[s.ID]
-	if e == nil {
-		return false
-	}
-	_, ok := e.had[k]
+	_, ok := c.disks[k][s.ID]
 	return ok
 }
 
 // sure tells whether a server has a model on its own disk, without doubt.
 func (c *Core) sure(s *server, k ident.Key) bool {
-	e := c.roll[s.ID]
-	return e != nil && e.had[k]
+	return c.disks[k][s.ID]
 }
 
 func (c *Core) onRollCall(e protocol.Env) {
--- a/internal/controller/entries.go
+++ b/internal/controller/entries.go
@@ -38,11 +38,10 @@
 
 // fill makes an entry of what the servers hold: the same replicas make the same mark.
 func (c *Core) fill(k ident.Key, e *entry) {
-	c.visit(len(c.servers))
 	e.replicas = nil
 	h := fnv.New64a()
-	for _, id := range generic.SortedKeys(c.servers) {
-		s := c.servers[id]
+	for _, s := range c.holding(k) {
+		c.visit(1)
 		p := s.spotOf(k)
 		if p == nil || p.stage != Ready || !c.open(s) {
 			continue
--- a/internal/controller/evict.go
+++ b/internal/controller/evict.go
@@ -69,7 +69,7 @@
 			continue
 		}
 		if a.stage == Ordered && a.num == 0 {
-			delete(s.spots, k) // it was never ordered, and is not any more
+			c.removeSpot(s, k) // it was never ordered, and is not any more
 			continue
 		}
 		return true
--- a/internal/controller/family.go
+++ b/internal/controller/family.go
@@ -57,24 +57,16 @@
 			f.addDemand(n, c.now)
 		}
 	}
-	queued := map[*family]int{}
-	for _, link := range c.links {
-		c.visit(1 + len(link.burden))
-		for key, u := range link.burden {
-			if f := l[key.Base()]; f != nil {
-				f.underWay += u.Work + u.Wait
-				queued[f] += u.Wait
-			}
-		}
-	}
 	for _, s := range c.servers {
 		c.visit(len(s.spots))
 		if c.stays(s) {
 			l.addReplicas(s)
 		}
 	}
-	for _, f := range l {
-		f.waiting, f.rank = max(f.waiting, queued[f]), c.plan.Rank(f.value)
+	for base, f := range l {
+		requests := c.workload.OfBase(base)
+		f.underWay = requests.Waiting + requests.Running
+		f.waiting, f.rank = max(f.waiting, requests.Waiting), c.plan.Rank(f.value)
 		c.assess(f)
 	}
 	return l
--- a/internal/controller/faults_test.go
+++ b/internal/controller/faults_test.go
@@ -139,7 +139,7 @@
 	k := weighed(p, keys{"s1": {"llm|f", "llm|x"}})
 	k.demand["llm|n"] = &need{at: k.now, wait: 1}
 	k.demand["llm|x"] = &need{slow: 0.1}
-	k.weighAll(9)
+	weighNow(k, 9)
 	require.Equal(t, "+n@s1 -x@s1", k.changes())
 }
 
--- a/internal/controller/fenced.go
+++ b/internal/controller/fenced.go
@@ -20,7 +20,7 @@
 // beatServer carries a server's spots on, and asks it what is due.
 func (c *Core) beatServer(s *server) {
 	c.visit(len(s.spots))
-	for _, key := range generic.SortedKeys(s.spots) {
+	for _, key := range s.leavingKeys() {
 		if p := s.spots[key]; p != nil { // one spot's end may end another
 			c.beatSpot(s, p)
 		}
@@ -29,7 +29,7 @@
 	case s.State == "gone" && (s.fails > 0 || c.o.Enrolled):
 		c.dropSpots(s)
 		if c.now.Sub(max(s.ok, s.first)) > forgetAfter {
-			delete(c.servers, s.ID)
+			c.removeServer(s.ID)
 		}
 	case c.o.Unfenced:
 		c.steer(s)
@@ -48,7 +48,7 @@
 // dropSpot forgets one key that a server holds no longer.
 func (c *Core) dropSpot(s *server, key ident.Key) {
 	s.spots[key].fire(SeeNone, c.now)
-	delete(s.spots, key)
+	c.removeSpot(s, key)
 	c.touch(key)
 }
 
@@ -165,7 +165,7 @@
 	p := s.spots[h.Key]
 	if p == nil {
 		p = &spot{key: h.Key, size: h.Size, stage: Ordered, since: c.now, num: num}
-		s.spots[h.Key] = p
+		c.putSpot(s, p)
 	}
 	if p.unsent(num) {
 		return
--- a/internal/controller/forecast.go
+++ b/internal/controller/forecast.go
@@ -29,8 +29,8 @@
 
 // underWayTo tells how long the nearest replica of a base will take, if one is ordered or ready.
 func (c *Core) underWayTo(m fleetplan.Model) (least clock.Span, ok bool) {
-	c.visit(len(c.servers))
-	for _, s := range c.servers {
+	for _, s := range c.holding(m.Key) {
+		c.visit(1)
 		p := s.spots[m.Key]
 		if p == nil || !p.placed() || !c.stays(s) {
 			continue
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -3,7 +3,6 @@
 import (
 	"runtime"
 	"slices"
-	"sort"
 
 	"tidedeck/internal/clock"
 	"tidedeck/internal/generic"
@@ -29,7 +28,6 @@
 	last   clock.Tick
 	holds  map[ident.Key]uint64
 	order  []ident.Key // oldest first, for shedding
-	burden map[ident.Key]protocol.Burden
 	seats  map[ident.Server]int
 	full   bool
 
@@ -57,6 +55,7 @@
 		return nil
 	}
 	l.way, l.last = e, c.now
+	c.workload.Heard(s, c.now)
 	return l
 }
 
@@ -87,7 +86,7 @@
 	b := e.Body.(protocol.Renew)
 	if c.rules() && c.links[b.Session] == nil && b.Fresh && c.tombs[b.Session] == 0 && c.reg.known != nil {
 		// Until its first grant a link counts as held, as any new one may be.
-		c.links[b.Session] = &link{ses: b.Session, until: c.now.Add(c.pad(c.o.Hold)), holds: map[ident.Key]uint64{}}
+		c.addLink(&link{ses: b.Session, until: c.now.Add(c.pad(c.o.Hold)), holds: map[ident.Key]uint64{}})
 	}
 	if c.rules() && c.reg.known != nil && b.Gen > c.reg.known.Gen {
 		c.lift(b.Gen)
@@ -98,7 +97,7 @@
 	}
 	c.count(l, b.Seats)
 	c.heardPaces(b.Paces)
-	l.burden = b.Burden
+	c.workload.Report(b.Session, b.Burden, c.now)
 	for _, k := range generic.SortedKeys(b.Burden) {
 		if u := b.Burden[k]; u.Wait > 0 || u.Came > 0 {
 			c.wanted(k, u.Wait, u.Top)
@@ -132,7 +131,7 @@
 	}
 	l.until = max(l.until, c.now.Add(c.pad(n)))
 	c.tally.Grants++
-	c.reply(l.way, protocol.Grant{Session: l.ses, Seq: l.due, Len: n, Duty: c.duty.num, Routers: max(len(c.links), len(c.mates.Alive("agent"))), Seats: c.seatsOf(l), Paces: c.pacesFor(l)})
+	c.reply(l.way, protocol.Grant{Session: l.ses, Seq: l.due, Len: n, Duty: c.duty.num, Routers: max(len(c.links), c.mates.CountAlive("agent")), Seats: c.seatsOf(l), Paces: c.pacesFor(l)})
 	l.due = 0
 	return true
 }
@@ -179,6 +178,7 @@
 	l.num++
 	i.Num = l.num
 	l.items = append(l.items, change{i, c.now})
+	c.linkSet.unsent[l] = true
 	return l.num
 }
 
@@ -347,34 +347,32 @@
 	return true
 }
 
+// sorted lists the links in the order of their sessions. Who goes through the list adds and removes none meanwhile.
 func (c *Core) sorted() []*link {
-	c.visit(len(c.links))
-	l := make([]*link, 0, len(c.links))
-	for _, x := range c.links {
-		l = append(l, x)
-	}
-	return inOrder(l)
+	c.visit(len(c.linkSet.ordered))
+	return c.linkSet.ordered
 }
 
-func inOrder(l []*link) []*link {
-	sort.Slice(l, func(i, j int) bool {
-		a, b := l[i].ses, l[j].ses
-		if a.Node != b.Node {
-			return a.Node < b.Node
-		}
-		if a.Agent != b.Agent {
-			return a.Agent < b.Agent
-		}
-		return a.N < b.N
-	})
-	return l
+// addLink takes in the link of a new session.
+func (c *Core) addLink(l *link) {
+	c.links[l.ses] = l
+	c.linkSet.add(l)
+}
+
+// removeLink forgets a link, and all that its router has reported.
+func (c *Core) removeLink(l *link) {
+	c.count(l, nil)
+	c.workload.Forget(l.ses)
+	delete(c.links, l.ses)
+	c.linkSet.remove(l)
+	c.tombs[l.ses] = c.now
 }
 
 func (c *Core) beatLinks() {
 	if !c.rules() {
 		return
 	}
-	for _, l := range c.sorted() {
+	for _, l := range slices.Clone(c.sorted()) {
 		if c.now > l.until {
 			if len(l.items) > 0 {
 				c.tally.Lapses++
@@ -383,14 +381,13 @@
 					field("unacknowledged", len(l.items)), field("owes", l.owes()), field("configuration", l.owesDesired()),
 					field("waited_ms", c.now.Sub(l.sentAt).Milliseconds()))
 			}
-			c.count(l, nil)
-			delete(c.links, l.ses)
-			c.tombs[l.ses] = c.now
+			c.removeLink(l)
 			continue
 		}
 		if len(l.items) > 0 && c.now.Sub(l.sentAt) > l.patience() {
 			c.renew(l)
 			l.sent = l.heard // unacknowledged changes go out again
+			c.linkSet.unsent[l] = true
 		}
 	}
 	c.watchRollout()
@@ -413,25 +410,28 @@
 	if !c.rules() {
 		return
 	}
-	c.visit(len(c.links))
-	var due []*link
-	for _, l := range c.links {
-		if l.sent < l.num && len(l.items) > 0 {
-			due = append(due, l)
+	for _, l := range c.linkSet.takeUnsent() {
+		c.visit(1)
+		if l.sent >= l.num || len(l.items) == 0 {
+			continue
 		}
-	}
-	for _, l := range inOrder(due) {
 		n := protocol.News{Session: l.ses, Duty: c.duty.num}
 		for _, i := range l.items {
-			if i.Num > l.sent && len(n.Items) < 128 {
+			if i.Num > l.sent && len(n.Items) < mostItems {
 				n.Items = append(n.Items, i.Item)
 			}
 		}
 		l.sent, l.sentAt = n.Items[len(n.Items)-1].Num, c.now
 		c.reply(l.way, n)
+		if l.sent < l.num {
+			c.linkSet.unsent[l] = true // with the next input
+		}
 	}
 }
 
+// mostItems is how many changes a message carries at most.
+const mostItems = 128
+
 // Weigh measures the memory that a node keeps for each of n callbacks of one router.
 func Weigh(c *Core, n int, heap func() uint64) float64 {
 	was := heap()
--- a/internal/controller/make_way.go
+++ b/internal/controller/make_way.go
@@ -1,9 +1,8 @@
 package controller
 
 import (
-	"sort"
-
-	"tidedeck/internal/generic"
+	"cmp"
+	"slices"
 )
 
 // What makes way at a server: the replicas that are cheapest to let go, by the requests that will miss
@@ -44,36 +43,35 @@
 		}
 		out.spots = append(out.spots, candidate.spot)
 		out.cost += candidate.cost
-		size -= s.sizeWithAdapters(candidate.spot)
+		size -= candidate.size
 	}
 	return out, size <= 0
 }
 
-// candidate is a replica that may leave, and what it costs.
+// candidate is a replica that may leave, what that costs, and how much room it leaves with its adapters.
 type candidate struct {
 	spot *spot
 	cost float64
+	size int
 }
 
 // candidates lists the bases that may leave a server for a family, the cheapest for their size first.
 func (c *Core) candidates(s *server, f *family, l families) []candidate {
 	c.visit(len(s.spots))
 	var all []candidate
-	for _, key := range generic.SortedKeys(s.spots) {
-		p := s.spots[key]
+	for key, p := range s.spots {
 		if key.IsAdapter() || key == f.model.Key.Base() || !c.mayLeave(p) {
 			continue
 		}
 		switch other := l[key]; {
 		case other == nil:
-			all = append(all, candidate{p, 0}) // the plan does not name it
+			all = append(all, candidate{p, 0, s.sizeWithAdapters(p)}) // the plan does not name it
 		case c.canSpare(s, other, f):
-			all = append(all, candidate{p, other.miss()})
+			all = append(all, candidate{p, other.miss(), s.sizeWithAdapters(p)})
 		}
 	}
-	sort.SliceStable(all, func(i, j int) bool {
-		a, b := all[i], all[j]
-		return a.cost*float64(b.spot.size) < b.cost*float64(a.spot.size)
+	slices.SortFunc(all, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.cost*float64(b.spot.size), b.cost*float64(a.spot.size)), cmp.Compare(a.spot.key, b.spot.key))
 	})
 	return all
 }
@@ -121,11 +119,12 @@
 }
 
 // evictAll begins to take replicas off a server, and counts them out of their families.
-func (c *Core) evictAll(s *server, out []*spot, l families) {
+func (l *look) evictAll(s *server, out []*spot) {
 	for _, p := range out {
-		c.evict(s, p)
-		if g := l[p.key]; g != nil {
+		l.core.evict(s, p)
+		if g := l.families[p.key]; g != nil {
 			g.live--
 		}
+		l.changed(p.key, s)
 	}
 }
--- a/internal/controller/mends_test.go
+++ b/internal/controller/mends_test.go
@@ -75,14 +75,14 @@
 	k := weighed(p, keys{"s1": {"llm|hot", "llm|x"}, "s2": {"llm|hot", "llm|y"}})
 	k.asked = k.now - 1e9
 	k.demand["llm|n"] = &need{at: k.now, wait: 9}
-	k.weighAll(9)
+	weighNow(k, 9)
 	require.NotContains(t, k.changes(), "-hot")
 	k = weighed(p, keys{"s1": {"llm|hot", "llm|x"}, "s2": {"llm|hot", "llm|y"}})
 	k.asked = k.now - 9e9
 	k.demand["llm|n"] = &need{at: k.now, wait: 9}
 	k.demand["llm|x"] = &need{slow: 1, rate: 1, load: 0.3, now: 0.3}
 	k.demand["llm|y"] = &need{slow: 1, rate: 1, load: 0.3, now: 0.3}
-	k.weighAll(9)
+	weighNow(k, 9)
 	require.Contains(t, k.changes(), "-hot", "and gives one up when nobody asks for it")
 }
 
--- a/internal/controller/moves.go
+++ b/internal/controller/moves.go
@@ -16,7 +16,7 @@
 // parting tells whether a key that had work lately is only held where it cannot stay: it is
 // loaded elsewhere before it is asked for again.
 func (c *Core) parting(k ident.Key) bool {
-	for _, s := range c.servers {
+	for _, s := range c.holding(k) {
 		if p := s.spots[k]; p != nil && s.known && !c.stays(s) && p.busy != 0 && c.now.Sub(p.busy) < c.o.Recent {
 			return true
 		}
@@ -87,7 +87,7 @@
 
 func (c *Core) shift(k ident.Key, from, to *server) {
 	c.shifts[k], c.shifted, c.uneven = &shift{from.ID, to.ID}, c.now, 0
-	to.spots[k] = &spot{key: k, size: c.sizeOf(k), stage: Ordered, since: c.now}
+	c.putSpot(to, &spot{key: k, size: c.sizeOf(k), stage: Ordered, since: c.now})
 	c.tally.Moves++
 	c.note(fmt.Sprintf("%s moves from %s to %s", k, from.ID, to.ID))
 }
--- a/internal/controller/moves_test.go
+++ b/internal/controller/moves_test.go
@@ -23,7 +23,7 @@
 		for _, k := range holds[id] {
 			s.spots[k] = &spot{key: k, size: 2, stage: Ready, num: 1, ready: 1}
 		}
-		c.servers[id] = s
+		c.addServer(s)
 	}
 	c.now = 100e9
 	return c
@@ -83,11 +83,11 @@
 		{"it loads", func(_ *Core, _, to *spot) { to.stage = Ordered }, 1, Ready},
 		{"it is ready, and cold", func(c *Core, _, to *spot) { to.ready = c.now }, 1, Ready},
 		{"it is warm", func(*Core, *spot, *spot) {}, 0, Breaking},
-		{"the target restarted empty", func(c *Core, _, _ *spot) { delete(c.servers["s2"].spots, "a") }, 0, Ready},
-		{"the target is gone", func(c *Core, _, _ *spot) { delete(c.servers, "s2") }, 0, Ready},
+		{"the target restarted empty", func(c *Core, _, _ *spot) { c.removeSpot(c.servers["s2"], "a") }, 0, Ready},
+		{"the target is gone", func(c *Core, _, _ *spot) { c.removeServer("s2") }, 0, Ready},
 		{"the target leaves", func(c *Core, _, _ *spot) { c.servers["s2"].State = "leaving" }, 0, Ready},
-		{"the source restarted empty", func(c *Core, _, _ *spot) { delete(c.servers["s1"].spots, "a") }, 0, ""},
-		{"the source is gone", func(c *Core, _, _ *spot) { delete(c.servers, "s1") }, 0, ""},
+		{"the source restarted empty", func(c *Core, _, _ *spot) { c.removeSpot(c.servers["s1"], "a") }, 0, ""},
+		{"the source is gone", func(c *Core, _, _ *spot) { c.removeServer("s1") }, 0, ""},
 		{"the source unloads it already", func(_ *Core, from, _ *spot) { from.stage = Draining }, 0, Draining},
 	} {
 		c := yard(t, keys{"s1": {"a"}, "s2": {"a"}})
@@ -118,7 +118,7 @@
 		{"no work for long", func(c *Core) { c.servers["s1"].State, c.servers["s1"].spots["a"].busy = "leaving", 1 }, 0},
 		{"another replica stays", func(c *Core) {
 			c.servers["s1"].State = "leaving"
-			c.servers["s2"].spots["a"] = &spot{key: "a", stage: Ready}
+			c.putSpot(c.servers["s2"], &spot{key: "a", stage: Ready})
 		}, 0},
 	} {
 		c := yard(t, keys{"s1": {"a"}})
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -249,12 +249,12 @@
 // seeReady takes in that a report shows a key as held.
 func (c *Core) seeReady(s *server, r protocol.Report, key ident.Key) {
 	if e := c.roll[s.ID]; e != nil {
-		e.had[key] = true
+		c.noteOnDisk(e, key, true)
 	}
 	p := s.spots[key]
 	if p == nil {
 		p = &spot{key: key, size: c.sizeOf(key), stage: Ordered, since: c.now, num: r.Num}
-		s.spots[key] = p
+		c.putSpot(s, p)
 	}
 	if p.num == 0 && p.stage == Ordered && !r.Busy {
 		p.num = r.Num // it holds so already
@@ -267,6 +267,9 @@
 
 // becameReady takes in that a replica is ready.
 func (c *Core) becameReady(s *server, p *spot) {
+	if p.stage == Ready {
+		return
+	}
 	placed, wasOrdered := p.since, p.ordered != 0 && p.stage == Ordered
 	if !p.fire(SeeReady, c.now) {
 		return
--- a/internal/controller/orders_test.go
+++ b/internal/controller/orders_test.go
@@ -171,8 +171,8 @@
 		c := newCluster(t, modelPlan(12, "llm|m", "llm|n"), "a")
 		k := c.lead()
 		s := &server{Listed: beacon("s", "live", 1).Listed, known: true, room: 12, slots: 4, num: 6, spots: map[ident.Key]*spot{}}
-		s.spots["llm|m"] = &spot{key: "llm|m", size: 4, stage: Ordered, num: 6}
-		k.servers["s"] = s
+		k.putSpot(s, &spot{key: "llm|m", size: 4, stage: Ordered, num: 6})
+		k.addServer(s)
 		k.now = c.at
 		k.onSurvey(s, x.r, c.at)
 		got := ""
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"sort"
 
 	"tidedeck/internal/fleetplan"
@@ -28,8 +29,8 @@
 	c.watchWindows()
 	c.beatList()
 	c.beatEye()
-	for _, id := range generic.SortedKeys(c.servers) {
-		c.beatServer(c.servers[id])
+	for _, s := range slices.Clone(c.fleet.ordered) {
+		c.beatServer(s)
 	}
 	if c.plan != nil && c.settled() {
 		c.placeAll()
@@ -44,14 +45,14 @@
 
 // placeAll brings what the servers hold nearer to what the plan and the demand ask for.
 func (c *Core) placeAll() {
+	if c.o.Unfenced {
+		c.weighAll()
+		return
+	}
 	atOnce, now := c.budget()
 	c.withdrawFromDark()
 	atOnce -= c.mayBeLoading()
 	c.evictUnplanned()
-	if c.o.Unfenced {
-		c.weighAll(now)
-		return
-	}
 	c.beatShifts()
 	c.placeWishes(min(atOnce, now))
 }
@@ -61,7 +62,7 @@
 	for _, s := range c.servers {
 		for key, p := range s.spots {
 			if s.dark && p.stage == Ordered && p.num == 0 {
-				delete(s.spots, key)
+				c.removeSpot(s, key)
 			}
 		}
 	}
@@ -91,18 +92,30 @@
 
 // evictUnplanned takes off all servers what the plan does not name.
 func (c *Core) evictUnplanned() {
-	for _, id := range generic.SortedKeys(c.servers) {
-		s := c.servers[id]
+	for _, s := range c.fleet.ordered {
+		if !s.known || s.dark {
+			continue
+		}
 		c.visit(len(s.spots))
-		for _, key := range generic.SortedKeys(s.spots) {
-			_, planned := c.plan.Models[key]
-			if p := s.spots[key]; !planned && p.stage == Ready && s.known && !s.dark {
+		for _, key := range c.unplannedOn(s) {
+			if p := s.spots[key]; p.stage == Ready {
 				c.evict(s, p)
 			}
 		}
 	}
 }
 
+// unplannedOn lists what a server holds that the plan does not name.
+func (c *Core) unplannedOn(s *server) (unplanned []ident.Key) {
+	for key := range s.spots {
+		if _, planned := c.plan.Models[key]; !planned {
+			unplanned = append(unplanned, key)
+		}
+	}
+	slices.Sort(unplanned)
+	return unplanned
+}
+
 // replicaSet is what a key has of replicas that can be counted on.
 type replicaSet struct {
 	count int
@@ -112,9 +125,9 @@
 
 // replicasOf counts a key's replicas that are ready or ordered, on servers that stay.
 func (c *Core) replicasOf(key ident.Key) replicaSet {
-	c.visit(len(c.servers))
 	set := replicaSet{zones: map[ident.Zone]bool{}}
-	for _, s := range c.servers {
+	for _, s := range c.holding(key) {
+		c.visit(1)
 		if p := s.spots[key]; p != nil && p.placed() && c.stays(s) {
 			set.count++
 			set.slots += s.slots
@@ -153,14 +166,7 @@
 }
 
 // underWay counts the requests for a key that wait or run, at all routers.
-func (c *Core) underWay(key ident.Key) int {
-	c.visit(len(c.links))
-	n := 0
-	for _, l := range c.links {
-		n += l.burden[key].Wait + l.burden[key].Work
-	}
-	return n
-}
+func (c *Core) underWay(key ident.Key) int { return c.workload.UnderWay(key) }
 
 // wish is a key that wants one more replica.
 type wish struct {
@@ -226,7 +232,7 @@
 
 // startLoad has a server load a model: the order follows once it is due.
 func (c *Core) startLoad(s *server, m fleetplan.Model) {
-	s.spots[m.Key] = &spot{key: m.Key, size: m.Size, stage: Ordered, since: c.now}
+	c.putSpot(s, &spot{key: m.Key, size: m.Size, stage: Ordered, since: c.now})
 }
 
 // emptiest finds the server for one more replica of a model: in a zone that has none, and the emptiest for
--- a/internal/controller/server.go
+++ b/internal/controller/server.go
@@ -2,9 +2,9 @@
 
 import (
 	"encoding/json"
+	"slices"
 
 	"tidedeck/internal/clock"
-	"tidedeck/internal/generic"
 	"tidedeck/internal/ident"
 	"tidedeck/internal/protocol"
 )
@@ -91,6 +91,17 @@
 	return n
 }
 
+// leavingKeys lists what is on its way out, in order.
+func (s *server) leavingKeys() (l []ident.Key) {
+	for key, p := range s.spots {
+		if p.leaves() {
+			l = append(l, key)
+		}
+	}
+	slices.Sort(l)
+	return l
+}
+
 // pending counts the orders that a server still has to carry out.
 func (s *server) pending() int {
 	n := 0
@@ -127,11 +138,8 @@
 	}
 	var next *spot
 	over := s.room > 0 && s.used() > s.room
-	for _, k := range generic.SortedKeys(s.spots) {
+	for _, k := range s.unsentKeys() {
 		p := s.spots[k]
-		if p.num != 0 || verbs[p.stage] == "" {
-			continue
-		}
 		if p.stage == Ordered && (over || p.key.IsAdapter() && !s.mayTakeAdapter(p.key)) {
 			continue // what makes way for it is not gone yet, or its base is not there
 		}
@@ -142,6 +150,17 @@
 	return next
 }
 
+// unsentKeys lists what an order is to be sent for, in order.
+func (s *server) unsentKeys() (l []ident.Key) {
+	for key, p := range s.spots {
+		if p.num == 0 && (p.stage == Ordered || p.stage == Unloading) {
+			l = append(l, key)
+		}
+	}
+	slices.Sort(l)
+	return l
+}
+
 // mayTakeAdapter tells whether the base of an adapter is ready, and the places are not more than taken.
 func (s *server) mayTakeAdapter(key ident.Key) bool {
 	return s.based(key) && (s.places == 0 || s.adapters() <= s.places)
@@ -169,7 +188,7 @@
 		seen[x.ID] = true
 		s := c.servers[x.ID]
 		if s == nil {
-			c.servers[x.ID] = newServer(x, c.now)
+			c.addServer(newServer(x, c.now))
 			continue
 		}
 		if s.Listed != x {
@@ -180,8 +199,8 @@
 			c.touchOn(s)
 		}
 	}
-	for _, id := range generic.SortedKeys(c.servers) {
-		if s := c.servers[id]; !seen[id] && s.State != "gone" {
+	for _, s := range c.fleet.ordered {
+		if !seen[s.ID] && s.State != "gone" {
 			s.State = "gone"
 			c.touchOn(s)
 		}
--- a/internal/controller/weigh.go
+++ b/internal/controller/weigh.go
@@ -14,11 +14,13 @@
 // holds, and what is let go is what will be missed least for the time that it takes to be back.
 
 const (
-	weighEvery = 20e6  // loads take seconds, so that looking more often brings nothing
-	weighMany  = 200   // models and adapters: for each so many more the pause is as long again
-	seedEvery  = 300e6 // a model is loaded ahead so often
-	seedLoads  = 2     // loads that the store must bear for one of them to be ahead of need
-	keptPart   = 3     // one in so many of the loads that the store bears at once is kept for bases without a replica
+	weighEvery = clock.Span(20e6) // loads take seconds, so that looking more often brings nothing
+	// restOfVisit is how long placement rests for each server or replica that it looked at: whatever there is to look at, most
+	// of the owner's time is left to leases, acknowledgements and leavings.
+	restOfVisit = clock.Span(2e3)
+	seedEvery   = 300e6 // a model is loaded ahead so often
+	seedLoads   = 2     // loads that the store must bear for one of them to be ahead of need
+	keptPart    = 3     // one in so many of the loads that the store bears at once is kept for bases without a replica
 
 	freshSpan = 1500e6 // what is as young as this is not judged yet, and what is older is out of date
 )
@@ -32,20 +34,29 @@
 )
 
 // weighAll places what is asked for, where the store may begin so many loads.
-func (c *Core) weighAll(toBegin int) {
-	if c.now.Sub(c.weighed) < weighEvery*clock.Span(1+len(c.plan.Models)/weighMany) {
+func (c *Core) weighAll() {
+	if c.now.Sub(c.weighed) < c.weighPause {
 		return
 	}
+	before := c.tally.Visits
 	c.weighed = c.now
-	l := c.families()
-	left := c.storeLeft(toBegin)
-	for _, id := range generic.SortedKeys(c.servers) {
-		c.undo(c.servers[id])
+	c.withdrawFromDark()
+	c.evictUnplanned()
+	c.weigh(c.budget())
+	c.weighPause = max(weighEvery, clock.Span(c.tally.Visits-before)*restOfVisit)
+}
+
+// weigh looks at placement once, where the store bears so many loads at once, and so many may begin now.
+func (c *Core) weigh(atOnce, toBegin int) {
+	l := c.newLook()
+	left := c.storeLeft(atOnce, toBegin)
+	for _, s := range c.fleet.ordered {
+		c.undo(s)
 	}
-	short := l.short()
+	short := l.families.short()
 	c.line = map[ident.Key]int{}
 	for _, f := range short {
-		if c.placeAt(f, l, left > c.keptFree(f)) {
+		if c.placeAt(f, l, left > keptFree(f, atOnce)) {
 			left--
 		}
 		if f.live == 0 {
@@ -60,17 +71,15 @@
 
 // keptFree tells how many of the loads that the store bears at once a family leaves to others: further replicas leave a
 // part to bases without any, for which somebody waits.
-func (c *Core) keptFree(f *family) int {
+func keptFree(f *family, atOnce int) int {
 	if f.live == 0 && f.waiting > 0 {
 		return 0
 	}
-	atOnce, _ := c.budget()
 	return atOnce / keptPart
 }
 
 // storeLeft tells how many more loads the store bears beside those that are ordered.
-func (c *Core) storeLeft(toBegin int) int {
-	atOnce, _ := c.budget()
+func (c *Core) storeLeft(atOnce, toBegin int) int {
 	for _, s := range c.servers {
 		c.visit(len(s.spots))
 		for key, p := range s.spots {
@@ -117,20 +126,20 @@
 	}
 	for key, p := range s.spots {
 		if p.stage == Ordered && p.num == 0 {
-			delete(s.spots, key)
+			c.removeSpot(s, key)
 		}
 	}
 }
 
 // seed loads, while the store has nothing better to do, a model that no server has on its own disk:
 // from there it comes in a part of the time, and asks nothing of the store.
-func (c *Core) seed(l families) {
+func (c *Core) seed(l *look) {
 	if c.now.Sub(c.seeded) < seedEvery {
 		return
 	}
 	c.seeded = c.now
-	for _, key := range generic.SortedKeys(l) {
-		f := l[key]
+	for _, key := range generic.SortedKeys(l.families) {
+		f := l.families[key]
 		if f.live == 0 && !c.onSomeDisk(key) {
 			f.spare = true
 			c.placeAt(f, l, true)
@@ -139,10 +148,10 @@
 	}
 }
 
-// onSomeDisk tells whether some server has a model on its own disk.
+// onSomeDisk tells whether some server likely has a model on its own disk.
 func (c *Core) onSomeDisk(key ident.Key) bool {
-	for _, s := range c.servers {
-		if c.has(s, key) {
+	for id := range c.disks[key] {
+		if c.servers[id] != nil {
 			return true
 		}
 	}
@@ -152,60 +161,40 @@
 // placeAt finds the server where one more replica of a family costs least, and begins it there; what
 // must make way is broken first. It tells whether the load comes from the store, which is only asked if
 // it bears another one.
-func (c *Core) placeAt(f *family, l families, store bool) bool {
-	var best *server
-	var out eviction
+func (c *Core) placeAt(f *family, l *look, store bool) bool {
+	var best *place
+	var out way
 	least := math.Inf(1)
 	zones := c.replicasOf(f.model.Key).zones
-	for _, id := range generic.SortedKeys(c.servers) {
+	for _, p := range l.placesFor(f, store) {
 		c.visit(1)
-		s := c.servers[id]
-		if !store && !c.sure(s, f.model.Key) {
-			continue
-		}
-		leaves, ok := c.roomFor(s, f, l)
+		w, ok := l.wayFor(p, f)
 		if !ok {
 			continue
 		}
-		cost := c.costAt(s, f, l, zones[s.Zone])
-		if len(leaves.spots) > 0 {
-			cost += leaves.cost + evictCost
+		cost := c.costAt(p, f, zones[p.server.Zone])
+		if w.leaves > 0 {
+			cost += w.cost + evictCost
 		}
 		if cost < least {
-			best, out, least = s, leaves, cost
+			best, out, least = p, w, cost
 		}
 	}
 	if best == nil {
 		return false
 	}
-	c.evictAll(best, out.spots, l)
-	c.startLoad(best, f.model)
+	l.leave(best, out)
+	c.startLoad(best.server, f.model)
 	f.live++
-	return !c.sure(best, f.model.Key)
-}
-
-// roomFor finds what must leave a server before it can load a replica of a family, if it can at all and
-// the replica is worth it.
-func (c *Core) roomFor(s *server, f *family, l families) (eviction, bool) {
-	if !c.mayHold(s, f.model.Key) || s.room < f.model.Size {
-		return eviction{}, false
-	}
-	if s.free() >= f.model.Size {
-		return eviction{}, true
-	}
-	if s.pending() > 0 {
-		return eviction{}, false // what is under way there comes first
-	}
-	out, ok := c.makeWay(s, f, l, f.model.Size-s.free())
-	return out, ok && out.cost <= f.gain()
+	l.changed(f.model.Key, best.server)
+	return !c.sure(best.server, f.model.Key)
 }
 
-// costAt tells what a server costs as the place of one more replica.
-func (c *Core) costAt(s *server, f *family, l families, sameZone bool) float64 {
-	c.visit(len(s.spots))
-	cost := c.loadSpan(s, f.model).Seconds()
-	cost += float64(s.pending()) * orderCost
-	cost += workCost * l.loadOf(s)
+// costAt tells what a place costs for one more replica.
+func (c *Core) costAt(p *place, f *family, sameZone bool) float64 {
+	cost := c.loadSpan(p.server, f.model).Seconds()
+	cost += float64(p.pending) * orderCost
+	cost += workCost * p.load
 	if sameZone {
 		cost += sameZoneCost
 	}
--- a/internal/controller/weigh_test.go
+++ b/internal/controller/weigh_test.go
@@ -28,12 +28,18 @@
 		for _, k := range l {
 			s.spots[k] = &spot{key: k, size: p.Models[k].Size, stage: Ready, num: 1, ready: 1}
 		}
-		c.servers[id] = s
-		c.roll[id] = &enrolled{Beacon: protocol.Beacon{Listed: s.Listed}, heard: c.now, had: map[ident.Key]bool{}}
+		c.addServer(s)
+		c.enlist(&enrolled{Beacon: protocol.Beacon{Listed: s.Listed}, heard: c.now, had: map[ident.Key]bool{}})
 	}
 	return c
 }
 
+// weighNow looks at placement where the store may begin so many loads now.
+func weighNow(c *Core, toBegin int) {
+	atOnce, _ := c.budget()
+	c.weigh(atOnce, toBegin)
+}
+
 // changes lists what is ordered (+) and what is being taken away (-).
 func (c *Core) changes() string {
 	var l []string
@@ -69,7 +75,7 @@
 		{"nothing is asked for", 8, 9, keys{"s1": {m}, "s2": {}}, nil, nil, ""},
 		{"a waiting key without a replica", 8, 9, keys{"s1": {m}, "s2": {m, x}}, demand{n: waits(1)}, nil, "+n@s1"},
 		{"on the server with less work", 8, 9, keys{"s1": {x}, "s2": {y}}, demand{n: waits(1), x: {load: 0.25, now: 0.25}}, nil, "+n@s2"},
-		{"on the one that held it before", 8, 9, keys{"s1": {x}, "s2": {y}}, demand{n: waits(1)}, func(c *Core) { c.roll["s2"].had[n] = true }, "+n@s2"},
+		{"on the one that held it before", 8, 9, keys{"s1": {x}, "s2": {y}}, demand{n: waits(1)}, func(c *Core) { c.noteOnDisk(c.roll["s2"], n, true) }, "+n@s2"},
 		{"not on one that carries out another's order", 8, 9, keys{"s1": {x}, "s2": {y}}, demand{n: waits(1)}, func(c *Core) { c.servers["s1"].alien = true }, "+n@s2"},
 		{"not on a dark one", 8, 9, keys{"s1": {x}, "s2": {y}}, demand{n: waits(1)}, func(c *Core) { c.servers["s1"].dark = true }, "+n@s2"},
 		{"not on one that leaves", 8, 9, keys{"s1": {x}, "s2": {y}}, demand{n: waits(1)}, func(c *Core) { c.servers["s1"].State = "leaving" }, "+n@s2"},
@@ -86,7 +92,7 @@
 		{"the most valuable of those that wait", 8, 1, keys{"s1": {m, x}, "s2": {y}}, demand{n: {wait: 2, value: 1}, o: {wait: 2, value: 2}}, nil, "+o@s2"},
 		{"but many before one that is worth more", 8, 1, keys{"s1": {m, x}, "s2": {y}}, demand{n: {wait: 9, value: 1}, o: {wait: 1, value: 2}}, nil, "+n@s2"},
 		{"a crowd asks for more replicas", 8, 9, keys{"s1": {m, x}, "s2": {y}}, demand{m: {load: 0.1, now: 0.1}}, func(c *Core) {
-			c.links[protocol.Session{N: 1}] = &link{burden: map[ident.Key]protocol.Burden{m: {Work: 2}}}
+			c.workload.Report(protocol.Session{N: 1}, map[ident.Key]protocol.Burden{m: {Work: 2}}, c.now)
 		}, "+m@s2"},
 
 		{"what is least missed makes way", 8, 9, keys{"s1": {x, y}}, demand{n: waits(1), x: {slow: 0.3}, y: {slow: 0.02}}, nil, "+n@s1 -y@s1"},
@@ -134,7 +140,7 @@
 		if c.do != nil {
 			c.do(k)
 		}
-		k.weighAll(c.budget)
+		weighNow(k, c.budget)
 		require.Equal(t, c.is, k.changes(), c.name)
 	}
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -313,6 +313,20 @@
 	return l
 }
 
+// CountAlive counts the members of a role that are alive.
+func (c *Core) CountAlive(role string) int {
+	n := 0
+	if role == c.o.Me.Role {
+		n++
+	}
+	for _, m := range c.mates {
+		if m.life == Alive && m.Role == role {
+			n++
+		}
+	}
+	return n
+}
+
 // All lists every member that is remembered, with its stage of life.
 func (c *Core) All() []protocol.Member {
 	l := []protocol.Member{c.o.Me}
--- a/internal/simulator/hosted_test.go
+++ b/internal/simulator/hosted_test.go
@@ -61,7 +61,7 @@
 		{"internal/controller/duty.go", "return c.duty.mine && c.now <= c.duty.until(c) }", "return c.duty.mine }"},
 		{"internal/controller/links.go", "old := c.now.Sub(c.knownSince())", "old := clock.Span(0)"}}},
 	{"announced: keep within room", "announced-shift", "past its room", []edit{
-		{"internal/controller/weigh.go", "if s.free() >= f.model.Size {", "if true {"},
+		{"internal/controller/look.go", "if p.free >= f.model.Size {", "if true {"},
 		{"internal/controller/server.go", "over := s.room > 0 && s.used() > s.room", "over := false"}}},
 	{"announced: keep within places", "announced-shift", "past its room", []edit{
 		{"internal/controller/adapters.go", "if !noPlace && missing <= 0 {", "if true {"},
