--- a/internal/controller/adapters.go
+++ b/internal/controller/adapters.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"tidedeck/internal/generic"
 	"tidedeck/internal/ident"
@@ -20,12 +21,8 @@
 
 // weighAdapters brings adapters that are asked for to replicas of their bases.
 func (c *Core) weighAdapters(l *look) {
-	for _, key := range generic.SortedKeys(c.demand) {
-		n := c.demand[key]
-		m, ok := c.plan.Models[key]
-		if !ok || !key.IsAdapter() || c.now.Sub(n.at) > freshSpan {
-			continue
-		}
+	for _, key := range c.adaptersAskedFor() {
+		n, m := c.demand[key], c.plan.Models[key]
 		f := &family{model: m, live: c.replicasOf(key).count, load: n.load, rate: n.rate, waiting: n.wait, age: n.age(c.now), value: n.value, rank: c.plan.Rank(n.value)}
 		f.wanted = max(1, min(int(math.Ceil(f.load/goodLoad)), m.Most))
 		most := math.Inf(1)
@@ -41,6 +38,20 @@
 	}
 }
 
+// adaptersAskedFor lists the adapters of the plan that somebody has asked for of late.
+func (c *Core) adaptersAskedFor() (l []ident.Key) {
+	for key, n := range c.demand {
+		if c.now.Sub(n.at) > freshSpan || !key.IsAdapter() {
+			continue
+		}
+		if _, planned := c.plan.Models[key]; planned {
+			l = append(l, key)
+		}
+	}
+	slices.Sort(l)
+	return l
+}
+
 // leastSeats tells the tokens under way at the least crowded server that holds an adapter.
 func (c *Core) leastSeats(key ident.Key) int {
 	least := math.MaxInt
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -110,7 +110,8 @@
 	tombs map[protocol.Session]clock.Tick
 	wants []protocol.Env
 
-	plan *fleetplan.Plan
+	plan      *fleetplan.Plan
+	planBases planBases
 
 	empty       map[ident.Zone]bool
 	servers     map[ident.Server]*server
--- a/internal/controller/family.go
+++ b/internal/controller/family.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"tidedeck/internal/clock"
 	"tidedeck/internal/fleetplan"
@@ -44,14 +45,42 @@
 // families are all bases of the plan, with their adapters.
 type families map[ident.Key]*family
 
-// families sums demand and replicas by base.
-func (c *Core) families() families {
-	l := families{}
+// planBases lists the bases of a plan in order. It is made once for each plan.
+type planBases struct {
+	plan *fleetplan.Plan
+	keys []ident.Key
+	load clock.Span // the mean time of a load from the store
+}
+
+// bases lists the bases of the plan in force.
+func (c *Core) bases() *planBases {
+	if c.planBases.plan == c.plan {
+		return &c.planBases
+	}
+	b := planBases{plan: c.plan}
+	sum := clock.Span(0)
 	for key, m := range c.plan.Models {
 		if !key.IsAdapter() {
-			l[key] = &family{model: m}
+			b.keys = append(b.keys, key)
+			sum += m.Load
 		}
 	}
+	slices.Sort(b.keys)
+	if len(b.keys) > 0 {
+		b.load = sum / clock.Span(len(b.keys))
+	}
+	c.planBases = b
+	return &c.planBases
+}
+
+// families sums demand and replicas by base.
+func (c *Core) families() families {
+	keys := c.bases().keys
+	all, l := make([]family, len(keys)), make(families, len(keys))
+	for i, key := range keys {
+		all[i].model = c.plan.Models[key]
+		l[key] = &all[i]
+	}
 	for key, n := range c.demand {
 		if f := l[key.Base()]; f != nil {
 			f.addDemand(n, c.now)
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -1,7 +1,5 @@
 package controller
 
-import "tidedeck/internal/clock"
-
 // The store that weights are loaded from bears so many loads at once, and so many in every while.
 
 const (
@@ -29,18 +27,11 @@
 
 // loadsAtOnce tells how many loads are under way at once where so many begin in a second.
 func (c *Core) loadsAtOnce(rate float64) int {
-	c.visit(len(c.plan.Models))
-	sum, bases := clock.Span(0), 0
-	for _, m := range c.plan.Models {
-		if !m.Key.IsAdapter() {
-			sum += m.Load
-			bases++
-		}
-	}
-	if bases == 0 {
+	bases := c.bases()
+	if len(bases.keys) == 0 {
 		return c.plan.Loads
 	}
-	return max(leastAtOnce, int(rate*(sum/clock.Span(bases)).Seconds()+0.5))
+	return max(leastAtOnce, int(rate*bases.load.Seconds()+0.5))
 }
 
 // loadsToBegin tells how many more loads may begin now: the store admits so many in every while.
--- a/internal/controller/weigh.go
+++ b/internal/controller/weigh.go
@@ -5,7 +5,6 @@
 	"sort"
 
 	"tidedeck/internal/clock"
-	"tidedeck/internal/generic"
 	"tidedeck/internal/ident"
 )
 
@@ -53,7 +52,7 @@
 	for _, s := range c.fleet.ordered {
 		c.undo(s)
 	}
-	short := l.families.short()
+	short := l.families.short(c.bases().keys)
 	c.line = map[ident.Key]int{}
 	for _, f := range short {
 		if c.placeAt(f, l, left > keptFree(f, atOnce)) {
@@ -96,9 +95,9 @@
 }
 
 // short lists the families that have too few replicas, the most worthwhile first.
-func (l families) short() []*family {
+func (l families) short(bases []ident.Key) []*family {
 	var short []*family
-	for _, key := range generic.SortedKeys(l) {
+	for _, key := range bases {
 		if f := l[key]; f.live < f.wanted {
 			short = append(short, f)
 		}
@@ -138,7 +137,7 @@
 		return
 	}
 	c.seeded = c.now
-	for _, key := range generic.SortedKeys(l.families) {
+	for _, key := range c.bases().keys {
 		f := l.families[key]
 		if f.live == 0 && !c.onSomeDisk(key) {
 			f.spare = true
--- /dev/null
+++ b/internal/controller/work_bench_test.go
@@ -0,0 +1,73 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+
+	"tidedeck/internal/protocol"
+)
+
+// benchmarkSizes are parts of the large fleet, in tenths of it.
+var benchmarkSizes = []int{1, 3, 10, 30}
+
+// benchmarkFleets has something measured at an owner of fleets that grow in all their parts.
+func benchmarkFleets(b *testing.B, measure func(b *testing.B, c *cluster, size fleetSize)) {
+	for _, tenths := range benchmarkSizes {
+		size := largeFleet.part(tenths, 10)
+		b.Run(fmt.Sprintf("routers=%d", size.routers), func(b *testing.B) {
+			c, models := newLargeFleet(b, size)
+			askAll(c, models[:size.models*2/3], size, 1)
+			servedOver(c, size, 3e9)
+			visits := c.lead().tally.Visits
+			measure(b, c, size)
+			b.ReportMetric(float64(c.lead().tally.Visits-visits)/float64(b.N), "visits/op")
+		})
+	}
+}
+
+func BenchmarkOwnerRenewal(b *testing.B) {
+	benchmarkFleets(b, func(b *testing.B, c *cluster, _ fleetSize) {
+		owner, r := c.lead(), c.routers["r0001"]
+		for b.Loop() {
+			r.seq++
+			owner.Step(c.at, r.mail(protocol.Renew{Session: r.ses, Seq: r.seq, Gen: 1, Epoch: 1, Heard: r.heard, Burden: r.burden}))
+		}
+	})
+}
+
+func BenchmarkOwnerAnnouncement(b *testing.B) {
+	benchmarkFleets(b, func(b *testing.B, c *cluster, _ fleetSize) {
+		owner, s := c.lead(), c.models["at-s0001"]
+		for b.Loop() {
+			s.beats++
+			owner.Step(c.at, Announce{Token: 1 << 40, Beacon: protocol.Beacon{Listed: s.Listed, Count: s.beats}})
+		}
+	})
+}
+
+func BenchmarkOwnerBeat(b *testing.B) {
+	benchmarkFleets(b, func(b *testing.B, c *cluster, _ fleetSize) {
+		owner := c.lead()
+		for b.Loop() {
+			owner.Step(c.at, protocol.Beat{})
+		}
+	})
+}
+
+// BenchmarkOwnerLook is a look at placement just after what is asked for has shifted.
+func BenchmarkOwnerLook(b *testing.B) {
+	benchmarkFleets(b, func(b *testing.B, c *cluster, size fleetSize) {
+		_, models := largePlan(size)
+		askAll(c, models[size.models/3:], size, 2)
+		c.run(800e6)
+		owner := c.lead()
+		short := 0
+		for b.Loop() {
+			b.StopTimer()
+			short = len(owner.families().short(owner.bases().keys))
+			b.StartTimer()
+			owner.weigh(0, 0)
+		}
+		b.ReportMetric(float64(short), "short")
+	})
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -199,22 +199,22 @@
 func (c *Process) Step(in any) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	began := Now()
-	for _, o := range c.o.Core.Step(began, in) {
+	now, began := Now(), time.Now() // the second costs no system call
+	for _, o := range c.o.Core.Step(now, in) {
 		c.act(o)
 	}
-	ended := Now()
-	c.times.add(inputName(in), began, ended)
-	if took := ended.Sub(began); took > longStep {
+	took := time.Since(began)
+	c.times.add(inputName(in), took)
+	if took > longStep {
 		c.o.Ring.Info("a step took long", protocol.Field{Name: "input", Value: inputName(in)}, protocol.Field{Name: "ms", Value: took.Milliseconds()})
 	}
-	if fields := c.times.report(ended); fields != nil {
+	if fields := c.times.report(now); fields != nil {
 		c.o.Ring.Info("time at work", fields...)
 	}
 }
 
 // longStep is how long a core may take over one input before the log tells of it: all else waits meanwhile.
-const longStep = clock.Span(100 * time.Millisecond)
+const longStep = 100 * time.Millisecond
 
 // inputName names an input for the log: a message by its kind, any other by its type.
 func inputName(in any) string {
--- a/internal/host/post.go
+++ b/internal/host/post.go
@@ -28,17 +28,17 @@
 
 // Marshal writes an envelope.
 func (c coding) Marshal(m drpc.Message) ([]byte, error) {
-	began := Now()
+	began := time.Now()
 	b, err := protocol.Pack(*m.(*protocol.Env))
-	c.times.add(workWrite, began, Now())
+	c.times.add(workWrite, time.Since(began))
 	return b, err
 }
 
 // Unmarshal reads an envelope.
 func (c coding) Unmarshal(b []byte, m drpc.Message) error {
-	began := Now()
+	began := time.Now()
 	e, err := protocol.Unpack(b)
-	c.times.add(workRead, began, Now())
+	c.times.add(workRead, time.Since(began))
 	if err == nil {
 		*m.(*protocol.Env) = e
 	}
--- a/internal/host/work_times.go
+++ b/internal/host/work_times.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -27,7 +28,7 @@
 // workTime is how often a kind of work was done, and how long it took in all.
 type workTime struct {
 	count uint64
-	took  clock.Span
+	took  time.Duration
 }
 
 // workTimes sums how long a process works on what, by kind. It is wall time: where threads wait for a processor, that counts.
@@ -42,14 +43,13 @@
 	return &workTimes{all: map[string]workTime{}, recent: map[string]workTime{}}
 }
 
-// add counts work of a kind that began and ended at two moments.
-func (w *workTimes) add(kind string, began, ended clock.Tick) {
+// add counts work of a kind.
+func (w *workTimes) add(kind string, took time.Duration) {
 	if w == nil {
 		return
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	took := ended.Sub(began)
 	for _, sums := range []map[string]workTime{w.all, w.recent} {
 		sum := sums[kind]
 		sum.count++
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -4,7 +4,6 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"reflect"
 
 	"tidedeck/internal/clock"
@@ -13,6 +12,9 @@
 	"tidedeck/internal/ident"
 
 	"github.com/go-faster/errors"
+	wirejson "github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
+	wirejsonv1 "github.com/go-json-experiment/json/v1"
 )
 
 // Sibling is a process and where it listens.
@@ -50,13 +52,19 @@
 }
 
 type wire struct {
-	From Sibling         `json:"f"`
-	To   Sibling         `json:"t"`
-	By   *Sibling        `json:"v,omitempty"`
-	Kind string          `json:"k"`
-	Body json.RawMessage `json:"b"`
+	From Sibling        `json:"f"`
+	To   Sibling        `json:"t"`
+	By   *Sibling       `json:"v,omitempty"`
+	Kind string         `json:"k"`
+	Body jsontext.Value `json:"b"`
 }
 
+// wireOptions keep the form that encoding/json gives messages; only the members of maps come in any order.
+var wireOptions = wirejson.JoinOptions(
+	wirejson.FormatNilSliceAsNull(true), wirejson.FormatNilMapAsNull(true),
+	wirejsonv1.OmitEmptyWithLegacySemantics(true), wirejsonv1.FormatDurationAsNano(true),
+)
+
 var kinds = map[string]reflect.Type{}
 
 func init() {
@@ -93,7 +101,7 @@
 	if e.By.ID != "" {
 		to.By = &e.By
 	}
-	head, err := json.Marshal(to)
+	head, err := wirejson.Marshal(to, wireOptions)
 	if err != nil {
 		return nil, err
 	}
@@ -115,13 +123,13 @@
 	if news, ok := body.(News); ok && len(news.Items) > 0 {
 		return news.pack()
 	}
-	return json.Marshal(body)
+	return wirejson.Marshal(body, wireOptions)
 }
 
 // Unpack reads an envelope; a kind of message that is not known is an error.
 func Unpack(b []byte) (Env, error) {
 	var w wire
-	if err := json.Unmarshal(b, &w); err != nil {
+	if err := wirejson.Unmarshal(b, &w, wireOptions); err != nil {
 		return Env{}, errors.Wrap(err, "unpack envelope")
 	}
 	t, ok := kinds[w.Kind]
@@ -129,7 +137,7 @@
 		return Env{}, errors.Errorf("unpack: no message is called %q", w.Kind)
 	}
 	p := reflect.New(t)
-	if err := json.Unmarshal(w.Body, p.Interface()); err != nil {
+	if err := wirejson.Unmarshal(w.Body, p.Interface(), wireOptions); err != nil {
 		return Env{}, errors.Wrapf(err, "unpack %s", w.Kind)
 	}
 	e := Env{From: w.From, To: w.To, Body: p.Elem().Interface()}
