Soak: a run whose start fails ends its stand-in servers

Run had them crash only once the start had passed. TestStartThatFailsLeavesNoServerListening failed before (llm-0 listens) and passes now.

--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -63,30 +63,43 @@
 	if err != nil {
 		return Report{}, err
 	}
+	return r.play(ctx, only)
+}
+
+// play brings the run's fleet up, has troubles of some kinds play, and takes all down again.
+func (r *soakRun) play(ctx context.Context, only []kind) (Report, error) {
 	defer r.fleet.down()
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
+	defer r.crashServers()
 	if err := r.start(ctx); err != nil {
 		return Report{}, err
 	}
-	defer func() {
-		for _, s := range r.servers {
-			s.crash()
-		}
-	}()
 	go r.watchMemory(ctx)
 	t := newTroubles(r)
 	t.kinds = only
 	r.busy(ctx, t)
 	r.end(ctx)
-	j.finish()
+	return r.report(t), nil
+}
+
+// crashServers ends every server of the run.
+func (r *soakRun) crashServers() {
+	for _, s := range r.servers {
+		s.crash()
+	}
+}
+
+// report sums the run up once it is over.
+func (r *soakRun) report(t *troubles) Report {
+	r.judge.finish()
 	r.readInvariants()
-	report := Report{Seed: o.Seed, Violations: j.violations, Requests: j.tally(), Troubles: t.counts, PeakMb: map[string]int{}}
+	report := Report{Seed: r.options.Seed, Violations: r.judge.violations, Requests: r.judge.tally(), Troubles: t.counts, PeakMb: map[string]int{}}
 	for _, m := range r.fleet.machines {
 		report.PeakMb[m.name] = m.peak() >> 10
 	}
 	report.Changes = r.ledger.acknowledged()
-	return report, nil
+	return report
 }
 
 func newRun(o Options, j *judge) (*soakRun, error) {
