A name that is no text does not keep a whole message from being sent

TestNamesThatAreNoTextDoNotSpoilAMessage failed (invalid UTF-8 within /Key) and passes now; FuzzUnpack over 20,000 inputs.

--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -63,6 +63,7 @@
 var wireOptions = wirejson.JoinOptions(
 	wirejson.FormatNilSliceAsNull(true), wirejson.FormatNilMapAsNull(true),
 	wirejsonv1.OmitEmptyWithLegacySemantics(true), wirejsonv1.FormatDurationAsNano(true),
+	jsontext.AllowInvalidUTF8(true), jsontext.AllowDuplicateNames(true), // names come from callers and servers
 )
 
 var kinds = map[string]reflect.Type{}
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"tidedeck/internal/ident"
 )
 
 // Every message that is known comes out as it went in.
@@ -45,3 +47,20 @@
 	require.Equal(t, me, back.To)
 	require.Equal(t, me, back.Carry(sib).Hop())
 }
+
+// A name that a caller or a server made up must not keep a whole message from being sent.
+func TestNamesThatAreNoTextDoNotSpoilAMessage(t *testing.T) {
+	bodies := []any{
+		Want{Key: "llm|\xff\xfe"},
+		Renew{Burden: map[ident.Key]Burden{"llm|\xff": {Wait: 1}, "llm|\xfe": {Wait: 1}, "llm|m": {Wait: 2}}},
+		Beacons{List: []Beacon{{Listed: Listed{ID: "s\xff", State: "live"}}, {Listed: Listed{ID: "s", State: "live"}}}},
+		News{Items: []Item{{Num: 1, Entry: &Entry{Key: "llm|\xff"}}, {Num: 2, Break: "llm|\xff"}}},
+	}
+	for _, body := range bodies {
+		raw, err := Pack(Env{Body: body})
+		require.NoError(t, err, "%T", body)
+		e, err := Unpack(raw)
+		require.NoError(t, err, "%T", body)
+		require.IsType(t, body, e.Body)
+	}
+}
