--- a/internal/controller/overload_test.go
+++ b/internal/controller/overload_test.go
@@ -121,22 +121,29 @@
 // ownerShare is the part of a core that a core node of a large deployment has.
 const ownerShare = 0.512
 
+// newServingFleet begins a large fleet with bounded core nodes that serves what it is asked for, and gives what has that shift and
+// the part that was served before.
+func newServingFleet(t *testing.T, seed uint64) (c *cluster, shift func(), before float64) {
+	size := largeFleet
+	c, models := newLargeFleet(t, size)
+	askAll(c, models[:size.models*2/3], size, seed)
+	servedOver(c, size, 8e9)
+	c.bound(ownerShare)
+	before = servedOver(c, size, 2e9)
+	require.Greater(t, before, 0.95, "the fleet serves what it is asked for")
+	return c, func() { askAll(c, models[size.models/3:], size, seed+100) }, before
+}
+
 // A shift of what is asked for, while servers are full, must be over once the models have been loaded.
 func TestModelShiftDoesNotLeaveTheOwnerOverloaded(t *testing.T) {
 	skipWhenShort(t)
 	for _, seed := range []uint64{1, 2, 3} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			size := largeFleet
-			c, models := newLargeFleet(t, size)
-			askAll(c, models[:size.models*2/3], size, seed)
-			servedOver(c, size, 8e9)
-			c.bound(ownerShare)
+			c, shift, before := newServingFleet(t, seed)
 			owner := c.owner()
-			before := servedOver(c, size, 2e9)
-			require.Greater(t, before, 0.95, "the fleet serves what it is asked for")
-			askAll(c, models[size.models/3:], size, seed+100)
-			servedOver(c, size, 8e9)
-			after := servedOver(c, size, 2e9)
+			shift()
+			servedOver(c, largeFleet, 8e9)
+			after := servedOver(c, largeFleet, 2e9)
 			require.GreaterOrEqual(t, after, 0.95*before, "what is served after the shift is what was served before it")
 			require.Equal(t, owner, c.owner(), "the owner keeps its term")
 			require.Zero(t, c.lead().tally.Lapses, "no router's lease runs out")
@@ -152,16 +159,11 @@
 	skipWhenShort(t)
 	for _, seed := range []uint64{1, 2, 3} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			size := largeFleet
-			c, models := newLargeFleet(t, size)
-			askAll(c, models[:size.models*2/3], size, seed)
-			servedOver(c, size, 8e9)
-			c.bound(ownerShare)
-			before := servedOver(c, size, 2e9)
-			askAll(c, models[size.models/3:], size, seed+100)
+			c, shift, before := newServingFleet(t, seed)
+			shift()
 			c.processors[c.owner()].freeze(c.at, 5e9)
-			servedOver(c, size, recoverySpan)
-			require.GreaterOrEqual(t, servedOver(c, size, 2e9), 0.95*before)
+			servedOver(c, largeFleet, recoverySpan)
+			require.GreaterOrEqual(t, servedOver(c, largeFleet, 2e9), 0.95*before)
 		})
 	}
 }
