--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -53,7 +53,8 @@
 	cmd      *exec.Cmd
 	expected bool // the rig ends the process
 	ended    chan struct{}
-	OwnEnds  int // ends that the rig did not cause
+	gone     bool // lost for good
+	OwnEnds  int  // ends that the rig did not cause
 }
 
 // Fleet is the set of machines.
@@ -135,7 +136,9 @@
 		Constraints: peer.Constraints{CPU: 0.96, Processors: f.Processors, MemoryMb: 284, Descriptors: 4100, Bandwidth: 1000},
 	}
 	for _, c := range f.WithRole("controller") {
-		s.Seeds = append(s.Seeds, c.Control())
+		if !c.gone {
+			s.Seeds = append(s.Seeds, c.Control())
+		}
 	}
 	if m.Role == "router" {
 		s.Serves = []string{peer.ServesCallers}
@@ -148,19 +151,24 @@
 	return s
 }
 
-// Start starts a machine's process with the command of the deploy file.
-func (m *Machine) Start(first bool) error {
-	s := m.settings(first)
+// writeSettings writes the settings file of the machine's process.
+func (m *Machine) writeSettings(first bool) (path string, err error) {
 	folder := filepath.Join(m.fleet.Folder, m.Name)
 	if err := os.MkdirAll(filepath.Join(folder, "data"), 0o755); err != nil {
-		return err
+		return "", err
 	}
-	raw, err := json.Marshal(s)
+	raw, err := json.Marshal(m.settings(first))
 	if err != nil {
-		return err
+		return "", err
 	}
-	path := filepath.Join(folder, "settings.json")
-	if err := os.WriteFile(path, raw, 0o644); err != nil {
+	path = filepath.Join(folder, "settings.json")
+	return path, os.WriteFile(path, raw, 0o644)
+}
+
+// Start starts a machine's process with the command of the deploy file.
+func (m *Machine) Start(first bool) error {
+	path, err := m.writeSettings(first)
+	if err != nil {
 		return err
 	}
 	log, err := os.OpenFile(m.LogPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
@@ -235,6 +243,34 @@
 	return err == nil
 }
 
+// Lose kills the machine's process; the machine never comes back.
+func (m *Machine) Lose() {
+	m.Kill()
+	m.gone = true
+	m.fleet.Record.Printf("%s is lost for good", m.Name)
+}
+
+// AddCore starts an empty core machine at another address, and names it to all machines in their settings files, in
+// place of those that are lost.
+func (f *Fleet) AddCore(last int) error {
+	f.add("core-"+strconv.Itoa(last), "controller", last)
+	added := f.Machines[len(f.Machines)-1]
+	if err := added.Start(false); err != nil {
+		return err
+	}
+	f.Record.Printf("%s is started, empty, at another address", added.Name)
+	for _, m := range f.Machines {
+		if m.gone || m == added {
+			continue
+		}
+		if _, err := m.writeSettings(false); err != nil {
+			return err
+		}
+		m.Signal(syscall.SIGHUP, false)
+	}
+	return nil
+}
+
 // Wipe removes what is on the disk of a machine whose process doesn't run.
 func (m *Machine) Wipe() {
 	_ = os.RemoveAll(filepath.Join(m.fleet.Folder, m.Name, "data"))
