Log how far a core node's registry of departures can be relied on

A core node says at each start, after a recovery, and as a leader once it has a majority's registries, whether its departures are complete, which ones it has, and how many servers its last list names. Nothing told apart a node that lost nothing from one that does not know that it did.

--- a/internal/controller/acceptor.go
+++ b/internal/controller/acceptor.go
@@ -79,12 +79,14 @@
 		c.register.hint = accepted.Value
 		c.register.highestNumber = max(c.acceptor.promised.N, accepted.Ballot.N)
 		c.began, c.departuresComplete = true, true
+		c.logRegistryState("disk opened")
 		return
 	}
 	// An empty or damaged disk gets a new incarnation, which no voter set names yet.
 	c.acceptor.inc = c.o.Inc
 	c.departuresComplete = !c.o.CoreExists // a system that starts for the first time has acknowledged no departures
 	c.save(map[string][]byte{keyIncarnation: marshal(c.acceptor.inc)}, func() { c.began = true })
+	c.logRegistryState("empty disk initialized")
 }
 
 func (c *Core) onPrepare(e protocol.Envelope) {
--- a/internal/controller/enrol.go
+++ b/internal/controller/enrol.go
@@ -561,9 +561,16 @@
 	c.persistLeavings(func() {
 		c.departuresComplete = true
 		c.registriesReceived[c.o.Self.ID] = c.acceptor.inc
+		c.logRegistryState("departures recovered", field("from", generic.SortedKeys(c.recovered)))
 	})
 }
 
+// logRegistryState logs an event with how far this node's registry can be relied on.
+func (c *Core) logRegistryState(text string, fields ...protocol.Field) {
+	c.logEvent(text, append(fields, field("incarnation", c.acceptor.inc), field("departures_complete", c.departuresComplete),
+		field("departures", c.leavingServers()), field("listed", len(c.list.List)))...)
+}
+
 // registryComplete reports whether the leader has merged the registries of a majority, which contain every acknowledged
 // departure.
 func (c *Core) registryComplete() bool {
@@ -589,6 +596,7 @@
 	wasComplete := c.registryComplete()
 	c.registriesReceived[e.From.ID] = b.Incarnation
 	if !wasComplete && c.registryComplete() {
+		c.logRegistryState("registries of a majority received", field("from", generic.SortedKeys(c.registriesReceived)))
 		c.refreshAllEntries()
 	}
 }
