A core node that lost its disk counts as complete only once its disk says so

Cause: that a node with an emptied disk may lack acknowledged departures was kept in memory alone. Killed again before it had recovered, it found its incarnation on the disk and counted as complete with an empty registry; with a node that had been down it made a majority that knew of no departure.

Change: the mark is written with the incarnation of an empty disk and cleared after a majority's registries are merged and stored. A node counts only if its disk says so, so two majorities that count still share a node that has the departure. The gauge DeparturesIncomplete shows it.

--- a/internal/controller/acceptor.go
+++ b/internal/controller/acceptor.go
@@ -36,6 +36,7 @@
 	keyLeaseGrant  = "duty"
 	keyServerList  = "list"
 	keyDepartures  = "leavings"
+	keyRecovering  = "recovering" // whether this disk may lack departures that the node acknowledged on an earlier one
 )
 
 // storedAccept is the stored form of the last accepted ballot and value.
@@ -78,17 +79,24 @@
 		c.acceptor.term, c.acceptor.durableTerm, c.acceptor.owner = grant.Duty, grant.Duty, grant.Owner
 		c.register.hint = accepted.Value
 		c.register.highestNumber = max(c.acceptor.promised.N, accepted.Ballot.N)
-		c.began, c.departuresComplete = true, true
+		c.began, c.departuresComplete = true, !isRecovering(s.Disk)
 		c.logRegistryState("disk opened")
 		return
 	}
 	// An empty or damaged disk gets a new incarnation, which no voter set names yet.
 	c.acceptor.inc = c.o.Inc
 	c.departuresComplete = !c.o.CoreExists // a system that starts for the first time has acknowledged no departures
-	c.save(map[string][]byte{keyIncarnation: marshal(c.acceptor.inc)}, func() { c.began = true })
+	c.save(map[string][]byte{keyIncarnation: marshal(c.acceptor.inc), keyRecovering: marshal(!c.departuresComplete)}, func() { c.began = true })
 	c.logRegistryState("empty disk initialized")
 }
 
+// isRecovering reports whether a disk may lack acknowledged departures. A disk without the key was written by a version
+// that did not store it.
+func isRecovering(disk map[string][]byte) bool {
+	stored, ok := disk[keyRecovering]
+	return ok && string(stored) != string(marshal(false))
+}
+
 func (c *Core) onPrepare(e protocol.Envelope) {
 	b := e.Body.(protocol.Prepare)
 	c.register.highestNumber = max(c.register.highestNumber, b.Ballot.N)
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -193,6 +193,7 @@
 	RoundsPromised               uint64 // attempts under a reserved ballot
 	Forwards, ForwardsUnanswered uint64 // forwarded changes, and those proposed locally for lack of an outcome
 	VotersMissing                int    // gauge: voters that a core without a majority waits for
+	DeparturesIncomplete         int    // gauge: 1 while this node may lack departures that it acknowledged on an earlier disk
 	ForwardsTaken                uint64 // changes that other nodes forwarded to this leader
 
 	QueriesEnded      uint64 // completed majority reads
--- a/internal/controller/enrol.go
+++ b/internal/controller/enrol.go
@@ -405,7 +405,9 @@
 		}
 	}
 	c.expireServers()
+	c.tally.DeparturesIncomplete = 0
 	if !c.departuresComplete {
+		c.tally.DeparturesIncomplete = 1
 		c.requestRegistries()
 	}
 	if !c.holdsLease() {
@@ -558,11 +560,17 @@
 	if c.register.known == nil || !voterset.Majority(*c.register.known, c.recovered) {
 		return
 	}
-	c.persistLeavings(func() {
-		c.departuresComplete = true
-		c.registriesReceived[c.o.Self.ID] = c.acceptor.inc
-		c.logRegistryState("departures recovered", field("from", generic.SortedKeys(c.recovered)))
-	})
+	c.persistLeavings(func() { c.save(map[string][]byte{keyRecovering: marshal(false)}, c.completeRecovery) })
+}
+
+// completeRecovery marks this node's registry as complete, after the disk says so too.
+func (c *Core) completeRecovery() {
+	if c.departuresComplete {
+		return
+	}
+	c.departuresComplete = true
+	c.registriesReceived[c.o.Self.ID] = c.acceptor.inc
+	c.logRegistryState("departures recovered", field("from", generic.SortedKeys(c.recovered)))
 }
 
 // logRegistryState logs an event with how far this node's registry can be relied on.
--- a/internal/controller/guards_test.go
+++ b/internal/controller/guards_test.go
@@ -39,6 +39,7 @@
 	{"a stopping voter hands its seat over", "TestStopHandsTheSeatOver", []overlay.Edit{{File: "voters.go", Old: "if c.answeredWithin(v.ID, voterFreshRounds) && c.register.states[v.ID].state.Leaving {", New: "if false {"}}},
 	{"a spare is not blank", "TestSparesFormNoSecondCore", []overlay.Edit{{File: "acceptor.go", Old: "return c.acceptor.durableValue == nil && c.latest() == nil }", New: "return c.acceptor.durableValue == nil }"}}},
 	{"an emptied node's roll is partial", "TestRollOfAnEmptiedNode", []overlay.Edit{{File: "acceptor.go", Old: "c.departuresComplete = !c.o.CoreExists //", New: "c.departuresComplete = true //"}}},
+	{"an emptied node's roll is partial after another start", "TestDepartureAfterAnEmptiedNodeIsKilledAgain", []overlay.Edit{{File: "acceptor.go", Old: "= true, !isRecovering(s.Disk)", New: "= true, true"}}},
 	{"announcements need a core", "TestAnnouncementsAtANodeWithoutACore", []overlay.Edit{{File: "enrol.go", Old: "c.register.known == nil && !c.o.CoreExists || c.Ready()", New: "c.register.known == nil || c.Ready()"}}},
 	{"an answer names the disk that knows", "TestLeavingHeardByALostDisk", []overlay.Edit{{File: "enrol.go", Old: "	if b.Incarnation != 0 {\n", New: "	if b.Incarnation = c.register.states[e.From.ID].state.Incarnation; b.Incarnation != 0 {\n"}}},
 	{"a registry answers this life's question", "TestRollOfAnEarlierQuestion", []overlay.Edit{{File: "enrol.go", Old: "if b.Partial || b.AskerIncarnation != c.o.Inc {", New: "if b.Partial {"}}},
--- /dev/null
+++ b/internal/controller/recovery_test.go
@@ -0,0 +1,65 @@
+package controller
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"tidedeck/internal/clock"
+)
+
+// newLeaverCluster returns a cluster in which the node "missing" was down when the server s left, which the other two
+// acknowledged. All three are up again, and the last list on the missing node's disk still names s.
+func newLeaverCluster(t *testing.T) (c *cluster, r *router, missing string) {
+	c = newTunedCluster(t, modelPlan(8, "llm|m"), hostedTimes, "a", "b", "c")
+	s := c.serve("s", "llm|m")
+	c.serve("stays", "llm|m")
+	r = c.route("r")
+	r.ask("llm|m")
+	require.True(t, c.until(9e9, func() bool { return r.sends("llm|m", "s") }))
+	c.run(2e9)
+	missing = c.owner()
+	c.partition(missing)
+	require.True(t, c.until(catchUp, func() bool { return c.owner() != "" }))
+	c.run(1e9)
+	s.unannounced = true
+	c.announce(c.owner(), newAnnouncement("s", "gone", 0))
+	ok, answered := c.answer(c.token)
+	require.True(t, ok && answered, "the departure is acknowledged")
+	c.run(1e9)
+	c.restart(missing)
+	c.run(catchUp)
+	return c, r, missing
+}
+
+// Guards against an acknowledged departure that is forgotten: a node loses its disk, is killed again before it has
+// recovered, and then counts as if it knew every departure.
+func TestDepartureAfterAnEmptiedNodeIsKilledAgain(t *testing.T) {
+	for killedAfter := clock.Span(0); killedAfter <= 600e6; killedAfter += 40e6 {
+		c, r, missing := newLeaverCluster(t)
+		wiped := ""
+		for _, id := range []string{"a", "b", "c"} {
+			if id != missing {
+				wiped = id
+			}
+		}
+		c.partition(wiped)
+		c.run(500e6)
+		c.restartEmpty(wiped)
+		c.run(killedAfter)
+		c.partition(wiped)
+		c.run(500e6)
+		c.restart(wiped)
+		c.run(catchUp)
+		for _, id := range []string{"a", "b", "c"} {
+			if id != missing && id != wiped {
+				c.partition(id)
+			}
+		}
+		require.True(t, c.until(2*catchUp, func() bool { return r.sends("llm|m", "stays") }), "killed again after %v: requests are served again", killedAfter)
+		for range 400 {
+			c.tick()
+			require.False(t, r.sends("llm|m", "s"), "killed again after %v", killedAfter)
+		}
+	}
+}
