--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -8,6 +8,7 @@
 
 	"tidedeck/internal/clock"
 	"tidedeck/internal/ident"
+	"tidedeck/internal/immutable"
 	"tidedeck/internal/protocol"
 )
 
@@ -15,8 +16,9 @@
 
 type harness struct {
 	*Core
-	clock clock.Instant
-	sent  []protocol.Envelope
+	clock     clock.Instant
+	sent      []protocol.Envelope
+	handedOut immutable.Checker
 }
 
 func newHarness() *harness {
@@ -32,6 +34,9 @@
 
 // collect records the messages among the core's outputs; the other outputs are log entries.
 func (r *harness) collect(out []any) {
+	if err := r.handedOut.Observe("the agent", out); err != nil {
+		panic(err)
+	}
 	for _, o := range out {
 		if _, line := o.(protocol.LogLine); !line {
 			r.sent = append(r.sent, o.(protocol.Envelope))
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -11,6 +11,7 @@
 	"tidedeck/internal/fleetplan"
 	"tidedeck/internal/generic"
 	"tidedeck/internal/ident"
+	"tidedeck/internal/immutable"
 	"tidedeck/internal/protocol"
 )
 
@@ -39,8 +40,12 @@
 	runConcurrent func(run func())             // runs the computations that a core offloads
 	dropsMessage  func(protocol.Envelope) bool // selects messages between nodes that are lost
 	processors    map[string]*processor        // processors of nodes whose CPU time is limited
+	handedOut     immutable.Checker            // outputs of all nodes
 }
 
+// observedInterval is the interval between outputs of nodes that are checked for later modifications.
+const observedInterval = 16
+
 // tickLength is the time between two ticks of a cluster.
 const tickLength = clock.Span(20e6)
 
@@ -75,7 +80,7 @@
 // newTunedCluster starts a cluster whose options are adjusted by a function.
 func newTunedCluster(t testing.TB, plan *fleetplan.Plan, tune func(*Options), ids ...string) *cluster {
 	c := &cluster{
-		t: t, at: 1e9, plans: map[string]*fleetplan.Plan{}, nodes: map[string]*Core{}, disks: map[string]map[string][]byte{}, partitioned: map[string]bool{},
+		handedOut: immutable.Checker{Every: observedInterval}, t: t, at: 1e9, plans: map[string]*fleetplan.Plan{}, nodes: map[string]*Core{}, disks: map[string]map[string][]byte{}, partitioned: map[string]bool{},
 		models: map[string]*modelServer{}, routers: map[string]*router{}, rng: rand.New(rand.NewPCG(3, 4)),
 		runConcurrent: func(run func()) { run() }, dropsMessage: func(protocol.Envelope) bool { return false },
 	}
@@ -168,7 +173,9 @@
 			return
 		}
 		id := to
-		for _, o := range c.nodes[id].Step(c.at, in) {
+		outputs := c.nodes[id].Step(c.at, in)
+		require.NoError(c.t, c.handedOut.Observe(id, outputs))
+		for _, o := range outputs {
 			pending = append(pending, output{id, o})
 		}
 	}
--- a/internal/explorer/cluster.go
+++ b/internal/explorer/cluster.go
@@ -9,6 +9,7 @@
 	"tidedeck/internal/controller"
 	"tidedeck/internal/fleetplan"
 	"tidedeck/internal/ident"
+	"tidedeck/internal/immutable"
 	"tidedeck/internal/invariant"
 	_ "tidedeck/internal/invariant/strict" // makes violated invariants panic
 	"tidedeck/internal/protocol"
@@ -50,6 +51,7 @@
 	deliverImmediately bool       // every message is delivered immediately, as during recovery
 	used               Budget
 	history            history
+	handedOut          immutable.Checker // outputs of all nodes
 	trace              func(string)
 }
 
@@ -123,7 +125,11 @@
 
 // step passes one input to a node and executes the resulting outputs.
 func (c *Cluster) step(n *node, input any) {
-	for _, out := range c.stepCore(n, input) {
+	outputs := c.stepCore(n, input)
+	if err := c.handedOut.Observe(string(n.id), outputs); err != nil {
+		c.history.reportViolation("%v", err)
+	}
+	for _, out := range outputs {
 		switch o := out.(type) {
 		case protocol.Envelope:
 			c.send(n, o)
--- a/internal/explorer/initial_state.go
+++ b/internal/explorer/initial_state.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"tidedeck/internal/ident"
+	"tidedeck/internal/immutable"
 )
 
 // firstChange is the change confirmed under epoch 1 in every cluster before exploration begins.
@@ -55,8 +56,12 @@
 	return start, nil
 }
 
+// observedInterval is the interval between outputs of nodes that are checked for later modifications. Every output would
+// double the time of a search.
+const observedInterval = 16
+
 func newCluster(s Scenario) *Cluster {
-	return &Cluster{scenario: s, now: 1e9, history: newHistory()}
+	return &Cluster{scenario: s, now: 1e9, history: newHistory(), handedOut: immutable.Checker{Every: observedInterval}}
 }
 
 // NewCluster starts the cluster from its disks, waits for a leader, and executes the scenario's setup.
--- a/internal/simulator/world.go
+++ b/internal/simulator/world.go
@@ -22,6 +22,7 @@
 	"tidedeck/internal/fleetplan"
 	"tidedeck/internal/generic"
 	"tidedeck/internal/ident"
+	"tidedeck/internal/immutable"
 	"tidedeck/internal/invariant"
 	_ "tidedeck/internal/invariant/strict" // makes violated invariants fail the run
 	"tidedeck/internal/protocol"
@@ -114,6 +115,9 @@
 	lastSync     clock.Instant
 }
 
+// observedInterval is the interval between outputs of processes that are checked for later modifications.
+const observedInterval = 16
+
 // World is the state of one simulation run.
 type World struct {
 	options       Options
@@ -134,6 +138,7 @@
 	attempts      map[attemptKey]*attempt
 	lastToken     uint64
 	hash          uint64
+	handedOut     immutable.Checker        // outputs of all processes
 	messageCounts map[string]int           // messages between machines by kind
 	linkBusyUntil map[string]clock.Instant // time until which each link is occupied, where bandwidth is limited
 	Check         *Checker
@@ -223,7 +228,7 @@
 	generic.SetDefault(&o.Slots, 16)
 	generic.SetDefault(&o.ClockRateSpread, 0.016)
 	w := &World{options: o, rand: rand.New(rand.NewPCG(o.Seed, 99)), procs: map[string]*proc{}, cuts: map[[2]string]bool{},
-		pendingAsks: map[askKey]func(bool, int, []byte){}, pendingPulls: map[uint64]func(){}, pullOrigins: map[uint64]askKey{}, messageCounts: map[string]int{}, linkBusyUntil: map[string]clock.Instant{}, attempts: map[attemptKey]*attempt{}, pendingAdmin: map[uint64]func(controller.Receipt){}, platformUp: true}
+		pendingAsks: map[askKey]func(bool, int, []byte){}, pendingPulls: map[uint64]func(){}, pullOrigins: map[uint64]askKey{}, messageCounts: map[string]int{}, linkBusyUntil: map[string]clock.Instant{}, attempts: map[attemptKey]*attempt{}, handedOut: immutable.Checker{Every: observedInterval}, pendingAdmin: map[uint64]func(controller.Receipt){}, platformUp: true}
 	w.plan, _ = w.parsePlan(o.Plan)
 	w.Check = newChecker(w)
 	w.disruptions = newDisruptions()
@@ -611,6 +616,9 @@
 		return
 	}
 	outs := w.stepCore(p, in)
+	if err := w.handedOut.Observe(p.name, outs); err != nil {
+		w.Check.violationf("%v", err)
+	}
 	w.chargeParseTime(p, in)
 	w.hash = (w.hash ^ uint64(w.now) ^ p.nameDigest ^ uint64(len(outs))<<56) * 1099511628211
 	for _, o := range outs {
--- a/internal/soak/bounds_test.go
+++ b/internal/soak/bounds_test.go
@@ -21,22 +21,33 @@
 	"tidedeck/platform/peer"
 )
 
-// buildPrograms builds the hosted programs once for all tests.
-var buildPrograms = sync.OnceValues(func() (string, error) {
+// programFolders holds the folders of built programs, which are removed after all tests.
+var programFolders []string
+
+// buildPrograms builds the hosted programs once for all tests, and buildRacePrograms builds them with the race detector.
+var (
+	buildPrograms     = sync.OnceValues(func() (string, error) { return buildWith() })
+	buildRacePrograms = sync.OnceValues(func() (string, error) { return buildWith("-race") })
+)
+
+// buildWith builds the hosted programs with additional flags of go build.
+func buildWith(flags ...string) (string, error) {
 	folder, err := os.MkdirTemp("", "tidedeck-soak-programs-")
 	if err != nil {
 		return "", err
 	}
-	out, err := exec.Command("go", "build", "-o", folder+"/", "tidedeck/cmd/router", "tidedeck/cmd/controller").CombinedOutput()
+	programFolders = append(programFolders, folder)
+	arguments := append([]string{"build", "-o", folder + "/"}, flags...)
+	out, err := exec.Command("go", append(arguments, "tidedeck/cmd/router", "tidedeck/cmd/controller")...).CombinedOutput()
 	if err != nil {
 		return "", fmt.Errorf("build: %w: %s", err, out)
 	}
 	return folder, nil
-})
+}
 
 func TestMain(m *testing.M) {
 	code := m.Run()
-	if folder, err := buildPrograms(); err == nil {
+	for _, folder := range programFolders {
 		_ = os.RemoveAll(folder)
 	}
 	os.Exit(code)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -10,13 +10,13 @@
 	"github.com/stretchr/testify/require"
 )
 
-// A short soak: overlapping troubles on real processes, with invariant checks enabled. Time bounds are not checked, so that
-// a busy machine cannot change the result.
+// A short soak: overlapping troubles on real processes, with invariant checks enabled. The programs are built with the race
+// detector, whose reports are violations. Time bounds are not checked, so that a busy machine cannot change the result.
 func TestSoak(t *testing.T) {
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	folder, err := buildPrograms()
+	folder, err := buildRacePrograms()
 	require.NoError(t, err)
 	for seed := uint64(1); seed <= 3; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
