Core nodes in touch tell each other of departures and lists that one of them missed

Change: each answer to a majority read carries a digest of the departures and of the last list. A node that sees another's departures differ asks for them; the leader sends its list to a node that has another one, once it has been unchanged for 1 s. An answer to the same pair of digests is not asked for again, and a departure that is about to be forgotten is not learned, so nodes that forget at slightly different times do not teach each other for ever. While nothing differs it costs two numbers an answer and no work that grows with the fleet.

--- a/internal/controller/acceptor.go
+++ b/internal/controller/acceptor.go
@@ -72,7 +72,9 @@
 		load(keyPromised, &c.acceptor.promised)
 		load(keyAccepted, &accepted)
 		load(keyLeaseGrant, &grant)
-		load(keyServerList, &c.list)
+		var list ServerList
+		load(keyServerList, &list)
+		c.setList(list)
 		load(keyFounding, &c.acceptor.foundingSeeds)
 		var departures []protocol.Announcement
 		load(keyDepartures, &departures)
@@ -175,6 +177,9 @@
 	if c.acceptor.durableValue != nil {
 		s.Epoch, s.VoterSet = c.acceptor.durableValue.Epoch, c.acceptor.durableValue.VoterSet
 	}
+	if c.o.Enrolled {
+		s.DeparturesDigest, s.ListDigest = c.departuresDigest(), c.sync.listDigest
+	}
 	grantSpan := c.withDrift(c.o.LeadershipLease)
 	held := c.now < c.acceptor.grantUntil
 	if b.Claim {
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -162,6 +162,7 @@
 	workload           *workload.Index
 	tokensInProgress   map[ident.Server]int // tokens in progress from all routers, by server
 	lastAckID          uint64
+	sync               registrySync
 	registriesReceived map[ident.Node]ident.Incarnation // core nodes whose list of enrolled servers this leader has received
 	recovered          map[ident.Node]ident.Incarnation // core nodes whose list this node has received since it lost its disk
 	departuresComplete bool                             // this node has heard of all acknowledged departures, or never lost any
@@ -208,7 +209,7 @@
 func New(o Options) *Core {
 	o = o.Defaults()
 	c := &Core{
-		o: o, diskPart: initialDiskLoadFraction, tokenTimes: map[ident.Key]tokenPace{},
+		o: o, sync: newRegistrySync(), diskPart: initialDiskLoadFraction, tokenTimes: map[ident.Key]tokenPace{},
 		serverIndex: newServerIndex(), disks: diskIndex{}, linkSet: newLinkSet(), workload: workload.NewIndex(),
 		links: map[protocol.Session]*link{}, endedSessions: map[protocol.Session]clock.Instant{},
 		servers: map[ident.Server]*server{}, entries: map[ident.Key]*entry{},
--- a/internal/controller/enrol.go
+++ b/internal/controller/enrol.go
@@ -173,6 +173,7 @@
 
 // applyEnrolled copies the record of one server into the leader's view.
 func (c *Core) applyEnrolled(e *enrolled) {
+	c.sync.departuresChanged = true
 	if !c.leadership.held || !c.o.Enrolled {
 		return
 	}
@@ -268,13 +269,7 @@
 
 // persistLeavings writes the servers that leave or are gone to disk before calling then, which may acknowledge them.
 func (c *Core) persistLeavings(then func()) {
-	var departing []protocol.Announcement
-	for _, id := range generic.SortedKeys(c.enrolledServers) {
-		if e := c.enrolledServers[id]; e.State != "live" && !e.presumedGone {
-			departing = append(departing, e.Announcement)
-		}
-	}
-	encoded := marshal(departing)
+	encoded := marshal(c.departures())
 	if string(encoded) == string(c.leavings) {
 		then()
 		return
@@ -434,7 +429,7 @@
 func (c *Core) expireServers() {
 	var expired []ident.Server
 	for id, e := range c.enrolledServers {
-		if silence := c.now.Sub(e.lastHeard); e.State == "gone" && silence > goneEnrolmentRetention || e.State != "gone" && silence > goneAfterSilences*c.o.SilenceTimeout {
+		if c.now.Sub(e.lastHeard) > c.retention(e.State) {
 			expired = append(expired, id)
 		}
 	}
@@ -444,6 +439,7 @@
 			e.State = "gone"
 			c.applyEnrolled(e)
 		}
+		c.sync.departuresChanged = true
 		c.removeEnrolled(id) // a later announcement enrols the server again
 	}
 }
@@ -532,13 +528,17 @@
 
 // onRegistryQuery sends this node's registry.
 func (c *Core) onRegistryQuery(e protocol.Envelope) {
+	request := e.Body.(protocol.RegistryQuery)
+	if request.DeparturesOnly {
+		c.replyDepartures(e, request)
+		return
+	}
 	var announcements []protocol.Announcement
 	for _, id := range generic.SortedKeys(c.enrolledServers) {
 		if record := c.enrolledServers[id]; !record.presumedGone {
 			announcements = append(announcements, record.Announcement)
 		}
 	}
-	request := e.Body.(protocol.RegistryQuery)
 	c.reply(e, protocol.RegistryReply{Term: request.Term, AskerIncarnation: request.AskerIncarnation, Incarnation: c.acceptor.inc, Partial: !c.departuresComplete, Announcements: announcements})
 }
 
@@ -590,6 +590,12 @@
 // onRegistryReply merges another node's registry.
 func (c *Core) onRegistryReply(e protocol.Envelope) {
 	b := e.Body.(protocol.RegistryReply)
+	if b.DeparturesOnly {
+		if b.AskerIncarnation == c.o.Inc {
+			c.mergeDepartures(e.From.ID, b)
+		}
+		return
+	}
 	for _, beacon := range b.Announcements {
 		c.enrol(beacon)
 	}
--- a/internal/controller/list.go
+++ b/internal/controller/list.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 
+	"github.com/cespare/xxhash/v2"
+
 	"tidedeck/internal/clock"
 	"tidedeck/internal/generic"
 	"tidedeck/internal/ident"
@@ -95,10 +97,15 @@
 	if list.Duty < c.list.Duty || string(marshal(list)) == string(marshal(c.list)) {
 		return
 	}
-	c.list = list
+	c.setList(list)
 	c.save(map[string][]byte{keyServerList: marshal(list)}, func() {})
 }
 
+// setList sets the last list.
+func (c *Core) setList(list ServerList) {
+	c.list, c.sync.listDigest = list, xxhash.Sum64(marshal(list))
+}
+
 // onServerList handles the leader's server list.
 func (c *Core) onServerList(e protocol.Envelope) {
 	b := e.Body.(protocol.ServerList)
--- a/internal/controller/reader.go
+++ b/internal/controller/reader.go
@@ -160,6 +160,7 @@
 		if !b.Blank && (set == nil || b.VoterSet > set.VoterSet) {
 			c.send(e.From, protocol.FetchValue{})
 		}
+		c.compareRegistries(e.From, b)
 	}
 	c.noteChosen(b.Chosen, e.From)
 	q := r.queryByRound(b.Round)
--- a/internal/controller/recovery_test.go
+++ b/internal/controller/recovery_test.go
@@ -6,12 +6,19 @@
 	"github.com/stretchr/testify/require"
 
 	"tidedeck/internal/clock"
+	"tidedeck/internal/protocol"
 )
 
 // newLeaverCluster returns a cluster in which the node "missing" was down when the server s left, which the other two
-// acknowledged. All three are up again, and the last list on the missing node's disk still names s.
+// acknowledged. All three are up again, and the last list on the missing node's disk still names s. Transfers of
+// departures and of lists between nodes in touch are lost, so that only what the disks say about themselves counts.
 func newLeaverCluster(t *testing.T) (c *cluster, r *router, missing string) {
 	c = newTunedCluster(t, modelPlan(8, "llm|m"), hostedTimes, "a", "b", "c")
+	c.dropsMessage = func(e protocol.Envelope) bool {
+		query, isQuery := e.Body.(protocol.RegistryQuery)
+		_, isList := e.Body.(protocol.ServerList)
+		return isQuery && query.DeparturesOnly || isList && missing != ""
+	}
 	s := c.serve("s", "llm|m")
 	c.serve("stays", "llm|m")
 	r = c.route("r")
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -327,7 +327,10 @@
 	PriorGrantee ident.Node `json:"Prior"` // node to which it granted the lease before this answer
 	Declining    bool       `json:"Shy"`   // the node released its lease and declines a new one for a while
 	Leaving      bool       // the node is shutting down, and a spare node should take its seat
-	Founder      bool       `json:",omitzero"` // the disk is that of a seed of a system that started for the first time
+	// Digests of the departures that the node knows and of its last server list; zero if servers do not announce themselves.
+	DeparturesDigest uint64 `json:"Departures,omitzero"`
+	ListDigest       uint64 `json:"List,omitzero"`
+	Founder          bool   `json:",omitzero"` // the disk is that of a seed of a system that started for the first time
 }
 
 // Release returns the leadership lease to the voters, because the leader is shutting down or has found that Successor can
@@ -717,16 +720,19 @@
 // RegistryQuery asks a core node for every announced server that it knows; a new leader sends it.
 type RegistryQuery struct {
 	Term             ident.Term        `json:"Duty"`
-	AskerIncarnation ident.Incarnation `json:"Life"` // incarnation of the asker's process
+	AskerIncarnation ident.Incarnation `json:"Life"`      // incarnation of the asker's process
+	DeparturesOnly   bool              `json:",omitzero"` // only the servers that are leaving or gone are asked for
 }
 
 // RegistryReply answers RegistryQuery.
 type RegistryReply struct {
-	Term             ident.Term        `json:"Duty"`
-	AskerIncarnation ident.Incarnation `json:"Life"` // incarnation of the asker's process, as in the query
-	Incarnation      ident.Incarnation `json:"Inc"`  // incarnation of the sender's disk
-	Partial          bool              // the sender's disk is new, and the sender has not yet received the registries of a majority
-	Announcements    []Announcement    `json:"List"`
+	Term             ident.Term                  `json:"Duty"`
+	AskerIncarnation ident.Incarnation           `json:"Life"` // incarnation of the asker's process, as in the query
+	Incarnation      ident.Incarnation           `json:"Inc"`  // incarnation of the sender's disk
+	Partial          bool                        // the sender's disk is new, and the sender has not yet received the registries of a majority
+	Announcements    []Announcement              `json:"List"`
+	DeparturesOnly   bool                        `json:",omitzero"`  // as in the query
+	SilentFor        map[ident.Server]clock.Span `json:",omitempty"` // for departures: the time since each server was last heard
 }
 
 // AnnouncementsAck acknowledges Announcements: the sender has recorded them. OwnerConfirmed also means that the sender is
