Explorer: first starts, and departures while nodes are wiped and killed again

What was missing of the review's cases: a node that is wiped and ended again while a departure is remembered, and any fault before the core has formed. New: the action depart with a server that a leader must not offer any more, initial states of a first start, and four scenarios; the property that one core forms; the fingerprint knows the registry.

--- a/internal/controller/acceptor.go
+++ b/internal/controller/acceptor.go
@@ -41,6 +41,9 @@
 	keyRecovering  = "recovering" // whether this disk may lack departures that the node acknowledged on an earlier one
 )
 
+// RegistryKeys are the keys of the stored registry and of what a disk says about its own start.
+var RegistryKeys = []string{keyServerList, keyDepartures, keyFounding, keyRecovering}
+
 // storedAccept is the stored form of the last accepted ballot and value.
 type storedAccept struct {
 	Ballot protocol.Ballot
--- a/internal/controller/inspect.go
+++ b/internal/controller/inspect.go
@@ -19,6 +19,7 @@
 	Voter      VoterSnapshot
 	Register   RegisterSnapshot
 	Leadership LeadershipSnapshot
+	Registry   RegistrySnapshot
 	Members    []protocol.Member
 }
 
@@ -125,6 +126,16 @@
 	State protocol.State
 }
 
+// RegistrySnapshot is what a node knows of servers that announce themselves.
+type RegistrySnapshot struct {
+	DeparturesComplete bool
+	Servers            []protocol.ListedServer // on record, ordered by ID
+	Listed             []protocol.ListedServer // in the last list
+	Merged             []ident.Node            // whose registries this node has merged since it lost its disk
+	Received           []ident.Node            // whose registries this leader has received
+	Offered            []ident.Server          // live servers of a leader that has the registries of a majority
+}
+
 // LeadershipSnapshot is a node's own view of the leadership lease.
 type LeadershipSnapshot struct {
 	Held         bool
@@ -144,8 +155,25 @@
 	return Snapshot{
 		Began: c.began, Ending: c.stopping,
 		Voter: c.inspectVoter(), Register: c.inspectRegister(), Leadership: c.inspectLeadership(),
-		Members: c.members.Members(),
+		Registry: c.inspectRegistry(), Members: c.members.Members(),
+	}
+}
+
+func (c *Core) inspectRegistry() RegistrySnapshot {
+	s := RegistrySnapshot{DeparturesComplete: c.departuresComplete, Listed: c.list.List,
+		Merged: generic.SortedKeys(c.recovered), Received: generic.SortedKeys(c.registriesReceived)}
+	for _, id := range generic.SortedKeys(c.enrolledServers) {
+		s.Servers = append(s.Servers, c.enrolledServers[id].ListedServer)
 	}
+	if !c.holdsLease() || !c.registryComplete() {
+		return s
+	}
+	for _, id := range generic.SortedKeys(c.servers) {
+		if c.servers[id].State == "live" {
+			s.Offered = append(s.Offered, id)
+		}
+	}
+	return s
 }
 
 func (c *Core) inspectVoter() VoterSnapshot {
--- a/internal/explorer/action.go
+++ b/internal/explorer/action.go
@@ -35,6 +35,7 @@
 	Lose        ActionKind = "lose"         // removes a node permanently, with its disk
 	Stall       ActionKind = "stall"        // stops a node's disk from syncing; a crash loses the pending writes
 	Unstall     ActionKind = "unstall"      // lets a stalled disk sync its pending writes
+	Depart      ActionKind = "depart"       // a server announces at a node that it is gone
 	Cut         ActionKind = "cut"          // isolates a node from all others in both directions
 	Heal        ActionKind = "heal"         // reconnects an isolated node
 )
@@ -85,7 +86,7 @@
 		a.Message = n
 	case Put:
 		a.Operator, a.Node = words[1], ident.Node(words[2])
-	case DeliverTo, DropTo, InterruptAt, Get, Crash, Restart, Wipe, Lose, Stall, Unstall, Cut, Heal:
+	case DeliverTo, DropTo, InterruptAt, Get, Crash, Restart, Wipe, Lose, Stall, Unstall, Depart, Cut, Heal:
 		a.Node = ident.Node(words[1])
 	default:
 		return a, errors.Errorf("%q: unknown action", line)
--- a/internal/explorer/cluster.go
+++ b/internal/explorer/cluster.go
@@ -51,6 +51,7 @@
 	deliverImmediately bool       // every message is delivered immediately, as during recovery
 	used               Budget
 	history            history
+	announced          uint64            // announcements of the scenario's server
 	handedOut          immutable.Checker // outputs of all nodes
 	trace              func(string)
 }
@@ -138,6 +139,8 @@
 		case protocol.Compute:
 			o.Run()
 			c.enqueue(n, protocol.Computed{Token: o.Token})
+		case controller.Announced:
+			c.history.recordAnnounced(o)
 		case controller.Receipt:
 			c.logf("    %s answers the operator: %s", n.id, receiptText(o))
 			c.history.recordAnswer(n, o)
--- a/internal/explorer/enabled.go
+++ b/internal/explorer/enabled.go
@@ -78,6 +78,12 @@
 	case DeliverTo, InterruptAt, DropTo:
 		c.performBatch(a, n)
 		return nil
+	case Depart:
+		if !n.up() {
+			return errors.Errorf("%s: the node is down", a)
+		}
+		c.used.Departures++
+		c.enqueue(n, c.announcement("gone"))
 	case Put, Get:
 		if !n.up() {
 			return errors.Errorf("%s: the node is down", a)
@@ -294,6 +300,13 @@
 			}
 		}
 	}
+	if c.used.Departures < c.scenario.Budget.Departures {
+		for _, id := range c.scenario.DepartNodes {
+			if c.node(id).up() {
+				actions = append(actions, Action{Kind: Depart, Node: id})
+			}
+		}
+	}
 	return actions
 }
 
@@ -346,11 +359,15 @@
 // mayLoseDisk reports whether, after the loss of a node's disk, every voter set in use still has no more lost seats than
 // the scenario tolerates at once.
 func (c *Cluster) mayLoseDisk(n *node) bool {
-	if c.history.inForce == nil {
+	if c.history.inForce == nil && !c.mayLoseFounder(n) {
 		return false
 	}
+	values := c.acceptedOnDisks()
+	if c.history.inForce != nil {
+		values = append(values, c.history.inForce)
+	}
 	var sets [][]protocol.Voter
-	for _, value := range append(c.acceptedOnDisks(), c.history.inForce) {
+	for _, value := range values {
 		sets = append(sets, value.Voters, value.PriorVoters)
 	}
 	for _, voters := range sets {
@@ -360,13 +377,22 @@
 				lost++
 			}
 		}
-		if lost > c.scenario.MaxLostVoters {
+		if lost > min(c.scenario.MaxLostVoters, max(0, len(voters)-1)/2) && len(voters) > 0 {
 			return false
 		}
 	}
 	return true
 }
 
+// mayLoseFounder reports whether a node's disk may be lost before a core has formed: a single one, while the others are up
+// and connected.
+func (c *Cluster) mayLoseFounder(n *node) bool {
+	if !c.scenario.FirstStart || c.used.Wipes+c.used.Losses > 0 {
+		return false
+	}
+	return !slices.ContainsFunc(c.nodes, func(other *node) bool { return other != n && (!other.up() || other.isolated) })
+}
+
 // acceptedOnDisks returns the accepted values on disks that are newer than the chosen one. Any of them may become
 // chosen; the next proposer must then adopt that value and needs a quorum of its voter set.
 func (c *Cluster) acceptedOnDisks() []*protocol.Desired {
--- a/internal/explorer/fingerprint.go
+++ b/internal/explorer/fingerprint.go
@@ -128,6 +128,9 @@
 	f.number(uint64(n.vote.Incarnation))
 	f.ballot(n.vote.Ballot)
 	f.value(n.vote.Value)
+	for _, key := range controller.RegistryKeys {
+		f.text(string(n.disk[key]))
+	}
 	if !n.up() {
 		f.ballot(n.vote.Promised)
 		f.number(uint64(n.vote.Term))
@@ -139,6 +142,7 @@
 	f.voter(s.Voter)
 	f.register(s.Register)
 	f.leadership(s.Leadership)
+	f.registry(s.Registry)
 	f.number(uint64(len(s.Members)))
 	for _, m := range s.Members {
 		f.text(string(m.ID))
@@ -266,6 +270,26 @@
 	f.flag(s.State.Founder)
 }
 
+func (f *fingerprinter) registry(r controller.RegistrySnapshot) {
+	f.flag(r.DeparturesComplete)
+	f.servers(r.Servers)
+	f.servers(r.Listed)
+	for _, ids := range [][]ident.Node{r.Merged, r.Received} {
+		f.number(uint64(len(ids)))
+		for _, id := range ids {
+			f.text(string(id))
+		}
+	}
+}
+
+func (f *fingerprinter) servers(servers []protocol.ListedServer) {
+	f.number(uint64(len(servers)))
+	for _, s := range servers {
+		f.text(string(s.ID))
+		f.text(s.State)
+	}
+}
+
 func (f *fingerprinter) leadership(d controller.LeadershipSnapshot) {
 	f.flag(d.Held)
 	f.number(uint64(d.Term))
@@ -377,7 +401,7 @@
 }
 
 func (f *fingerprinter) budget(b Budget) {
-	for _, n := range []int{b.Drops, b.Duplicates, b.Interrupts, b.Crashes, b.Wipes, b.Losses, b.Cuts, b.Stalls, b.Gets, b.Ticks, b.Passes} {
+	for _, n := range []int{b.Drops, b.Duplicates, b.Interrupts, b.Crashes, b.Wipes, b.Losses, b.Cuts, b.Stalls, b.Gets, b.Ticks, b.Passes, b.Departures} {
 		f.number(uint64(n))
 	}
 }
--- a/internal/explorer/guards_test.go
+++ b/internal/explorer/guards_test.go
@@ -50,6 +50,12 @@
 	{"a promise is used once", "promised-again", "would go on without|durably holds|is chosen with plan|without change", []edit{
 		{"\tr.reserved = nil\n\tif p == nil || r.highestNumber > p.ballot.N || p.acceptedBallot.Less(r.knownBallot) {", "\tif p == nil {"}}},
 	{"incarnations have separate round numbers", "late-answers", "without change", []edit{{"return uint64(life) << roundBits", "return 0 * uint64(life)"}}},
+	{"a founder stays one", "first-start", "no core has formed", []edit{{"load(keyFounding, &c.acceptor.foundingSeeds)", "c.acceptor.foundingSeeds = foundingSeedsOf(c.o)"}}},
+	{"a majority of the founders is enough", "first-start", "no core has formed", []edit{{"|| len(answering) <= len(set.voters)/2 {", "|| len(answering) < len(seeds) {"}}},
+	{"an emptied node stays incomplete", "departed", "departure was acknowledged", []edit{{"= true, !isRecovering(s.Disk)", "= true, true"},
+		{"c.requestDepartures(from, s.DeparturesDigest)", "_ = from"}, {"c.resendList(from)", "_ = from"}}},
+	{"an emptied node is incomplete", "departed", "departure was acknowledged", []edit{{"c.departuresComplete = false //", "c.departuresComplete = true //"},
+		{"c.requestDepartures(from, s.DeparturesDigest)", "_ = from"}, {"c.resendList(from)", "_ = from"}}},
 	{"a majority for the leadership lease", "duty-restarts", "own the duty at once|was owned by", []edit{
 		{"q.claim && voterset.Majority(q.set, q.grantors)", "q.claim"}, {"inc) || !d.vacant {", "inc) {"}}},
 }
--- a/internal/explorer/history.go
+++ b/internal/explorer/history.go
@@ -44,6 +44,7 @@
 	leaderByTerm    map[ident.Term]ident.Node
 	durabilityDirty bool // durable state may have changed since the last check
 	violation       string
+	departed        bool                 // the departure of the scenario's server was acknowledged
 	answers         []controller.Receipt // answers to operators
 }
 
@@ -183,6 +184,7 @@
 	ballot, known := n.core.Chosen()
 	h.recordChosen(n, ballot, known)
 	h.checkLeaders(c)
+	h.checkDeparture(n)
 }
 
 func (h *history) recordChosen(n *node, b protocol.Ballot, v *protocol.Desired) {
@@ -193,6 +195,9 @@
 		h.reportViolation("epoch %d is chosen with plan %q and, at %s, with plan %q", v.Epoch, plan, n.id, v.Plan)
 	}
 	h.chosenPlans[v.Epoch] = string(v.Plan)
+	if h.inForce != nil && v.Gen != h.inForce.Gen {
+		h.reportViolation("%s knows a core of generation %d beside one of generation %d", n.id, v.Gen, h.inForce.Gen)
+	}
 	if !h.inForceBallot.Less(b) {
 		return
 	}
@@ -245,6 +250,23 @@
 // nodeStopped records that a node stopped or lost its disk.
 func (h *history) nodeStopped(*node) { h.durabilityDirty = true }
 
+// recordAnnounced records the acknowledgement of a departure. The first announcement says that the server is live.
+func (h *history) recordAnnounced(a controller.Announced) {
+	if a.OK && a.Token > 1 {
+		h.departed = true
+	}
+}
+
+// checkDeparture checks that no leader offers a server whose departure was acknowledged.
+func (h *history) checkDeparture(n *node) {
+	if !h.departed || !n.up() {
+		return
+	}
+	if slices.Contains(n.core.Inspect().Registry.Offered, leaver) {
+		h.reportViolation("%s offers a server whose departure was acknowledged", n.id)
+	}
+}
+
 // checkDurable checks that every remaining quorum of the voter set in force finds all confirmed changes, and that a
 // majority still holds them on disk. Seats whose disks are lost count as holding them.
 func (h *history) checkDurable(c *Cluster) {
--- a/internal/explorer/initial_state.go
+++ b/internal/explorer/initial_state.go
@@ -6,8 +6,10 @@
 
 	"github.com/go-faster/errors"
 
+	"tidedeck/internal/controller"
 	"tidedeck/internal/ident"
 	"tidedeck/internal/immutable"
+	"tidedeck/internal/protocol"
 )
 
 // firstChange is the change confirmed under epoch 1 in every cluster before exploration begins.
@@ -32,6 +34,9 @@
 	for _, id := range slices.Concat(s.Voters, s.Spares) {
 		c.nodes = append(c.nodes, &node{id: id, disk: map[string][]byte{}})
 	}
+	if s.FirstStart {
+		return c.keepNodes(), nil
+	}
 	c.deliverImmediately = true
 	for _, n := range c.nodes {
 		c.boot(n)
@@ -49,11 +54,16 @@
 	if c.history.violation != "" {
 		return nil, errors.Errorf("%s: violation while the cluster forms: %s", s.Name, c.history.violation)
 	}
-	start := &InitialState{scenario: s}
+	return c.keepNodes(), nil
+}
+
+// keepNodes returns the state of the nodes as an initial state.
+func (c *Cluster) keepNodes() *InitialState {
+	start := &InitialState{scenario: c.scenario}
 	for _, n := range c.nodes {
 		start.nodes = append(start.nodes, node{id: n.id, disk: n.disk, vote: n.vote, incarnation: n.incarnation})
 	}
-	return start, nil
+	return start
 }
 
 // observedInterval is the interval between outputs of nodes that are checked for later modifications. Every output would
@@ -67,8 +77,10 @@
 // NewCluster starts the cluster from its disks, waits for a leader, and executes the scenario's setup.
 func (s *InitialState) NewCluster(trace func(string)) (*Cluster, error) {
 	c := newCluster(s.scenario)
-	c.options.joined, c.deliverImmediately = true, true
-	c.history.confirmed[firstChange], c.history.confirmedOrder = 1, []string{firstChange}
+	c.options.joined, c.deliverImmediately = !s.scenario.FirstStart, true
+	if !s.scenario.FirstStart {
+		c.history.confirmed[firstChange], c.history.confirmedOrder = 1, []string{firstChange}
+	}
 	for _, n := range s.nodes {
 		n.disk = maps.Clone(n.disk)
 		c.nodes = append(c.nodes, &n)
@@ -77,13 +89,11 @@
 		c.boot(n)
 		c.drain()
 	}
-	if !c.waitFor(electTicks, func() bool { return c.leader() != nil }) {
-		return nil, errors.Errorf("%s: no leader within %d ticks", s.scenario.Name, electTicks)
+	if err := s.elect(c); err != nil {
+		return nil, err
 	}
-	c.advance(quietTicks)
-	c.deliverImmediately = false
+	c.options.joined, c.deliverImmediately = true, false
 	c.trace = trace
-	c.logf("setup: %s holds the leadership lease", c.leader().id)
 	for _, a := range s.scenario.Setup {
 		if err := c.Apply(a); err != nil {
 			return nil, errors.Wrap(err, "setup")
@@ -94,6 +104,32 @@
 	return c, nil
 }
 
+// elect waits for a leader, and has the scenario's server announce itself. A first start has neither.
+func (s *InitialState) elect(c *Cluster) error {
+	if s.scenario.FirstStart {
+		return nil
+	}
+	if !c.waitFor(electTicks, func() bool { return c.leader() != nil }) {
+		return errors.Errorf("%s: no leader within %d ticks", s.scenario.Name, electTicks)
+	}
+	if len(s.scenario.DepartNodes) > 0 {
+		c.enqueue(c.leader(), c.announcement("live"))
+		c.drain()
+	}
+	c.advance(quietTicks)
+	return nil
+}
+
+// leaver is the server of scenarios in which one leaves.
+const leaver ident.Server = "leaver"
+
+// announcement returns an announcement of the scenario's server.
+func (c *Cluster) announcement(state string) controller.Announce {
+	c.announced++
+	b := protocol.Announcement{ListedServer: protocol.ListedServer{ID: leaver, Addr: "at-leaver", Zone: "zone-a", State: state, Slots: 1}, Count: c.announced}
+	return controller.Announce{Token: c.announced, Beacon: b}
+}
+
 // waitFor advances the clock until a condition is met, by at most the given ticks. It reports whether it was met.
 func (c *Cluster) waitFor(ticks int, condition func() bool) bool {
 	for range ticks {
--- a/internal/explorer/recovery.go
+++ b/internal/explorer/recovery.go
@@ -48,7 +48,7 @@
 
 // hasRecovered sends a change to every node that is up and reports whether one of them is confirmed.
 func (c *Cluster) hasRecovered(round int) bool {
-	if c.leader() == nil || len(c.history.inForce.PriorVoters) > 0 || c.unfilledSeat() != "" {
+	if c.leader() == nil || c.history.inForce == nil || len(c.history.inForce.PriorVoters) > 0 || c.unfilledSeat() != "" {
 		return false
 	}
 	confirmed := false
@@ -85,6 +85,9 @@
 	if c.leader() == nil {
 		reasons = append(reasons, "no node holds the leadership lease")
 	}
+	if c.history.inForce == nil {
+		return "no core has formed"
+	}
 	if len(c.history.inForce.PriorVoters) > 0 {
 		reasons = append(reasons, "the joint voter set is not left")
 	}
--- a/internal/explorer/scenario.go
+++ b/internal/explorer/scenario.go
@@ -28,7 +28,8 @@
 type Budget struct {
 	Drops, Duplicates, Interrupts        int
 	Crashes, Wipes, Losses, Cuts, Stalls int
-	Gets, Ticks, Passes, Deliveries, All int
+	Gets, Ticks, Passes, Departures      int
+	Deliveries, All                      int
 }
 
 // Scenario is a small cluster of controllers, the actions that set up its initial state, and the actions to explore.
@@ -48,7 +49,9 @@
 	Budget      Budget
 	FaultNodes  []ident.Node // nodes at which faults may occur; all if empty
 	ReadNodes   []ident.Node
+	DepartNodes []ident.Node // nodes at which a server may announce that it is gone; the server is listed before
 
+	FirstStart       bool // runs begin when all nodes start for the first time, with empty disks
 	ForwardsChanges  bool // changes are forwarded to the leader; otherwise each node proposes them
 	Depth            int
 	RequiresRecovery bool // from every state the cluster must be able to recover
@@ -279,6 +282,36 @@
 		Budget: Budget{Crashes: 1, Losses: 1, Wipes: 1, Ticks: 1, Passes: 1, Gets: 1},
 		Depth:  10, RequiresRecovery: true,
 	},
+	{
+		Name: "first-start", Description: "a core forms for the first time, while nodes are killed again and again, lost, wiped or isolated",
+		Voters: nodeIDs("a", "b", "c"), MaxLostVoters: 1, Intercepts: noMessage, Granularity: ByNode, PassTicks: passTicks, FirstStart: true,
+		Budget: Budget{Crashes: 2, Wipes: 1, Losses: 1, Cuts: 1, Ticks: 4, Passes: 4},
+		Depth:  14, RequiresRecovery: true,
+	},
+	{
+		Name: "first-start-orders", Description: "a core forms for the first time, with a fault between any two deliveries",
+		Voters: nodeIDs("a", "b", "c"), MaxLostVoters: 1, Intercepts: isRegisterMessage, Granularity: ByNode, PassTicks: passTicks, FirstStart: true,
+		Setup:  []Action{{Kind: Pass}},
+		Budget: Budget{Crashes: 2, Interrupts: 1, Wipes: 1, Drops: 1, Ticks: 3, Passes: 4},
+		Depth:  14, RequiresRecovery: true,
+	},
+	{
+		Name: "departed", Description: "one node missed a server's departure; another is wiped and killed again at any moment, and the third is lost",
+		Voters: nodeIDs("a", "b", "c"), MaxLostVoters: 1, Intercepts: noMessage, Granularity: ByNode, PassTicks: 2 * passTicks,
+		Setup: []Action{
+			{Kind: Crash, Node: "a"}, {Kind: Pass}, {Kind: Depart, Node: "b"}, {Kind: Pass}, {Kind: Restart, Node: "a"}, {Kind: Pass},
+		},
+		DepartNodes: nodeIDs("b"), FaultNodes: nodeIDs("b", "c"),
+		Budget: Budget{Crashes: 1, Wipes: 1, Losses: 1, Ticks: 1, Passes: 3},
+		Depth:  12, RequiresRecovery: true,
+	},
+	{
+		Name: "departing", Description: "a server leaves while nodes are wiped, killed again and again, lost or isolated",
+		Voters: nodeIDs("a", "b", "c"), Spares: nodeIDs("d"), MaxLostVoters: 1, Intercepts: noMessage, Granularity: ByNode, PassTicks: passTicks,
+		DepartNodes: nodeIDs("a", "b", "c"),
+		Budget:      Budget{Crashes: 3, Wipes: 1, Losses: 1, Cuts: 1, Ticks: 3, Passes: 5, Departures: 2},
+		Depth:       16, RequiresRecovery: true,
+	},
 	{
 		Name: "duty", Description: "nodes claim the leadership lease after the leader crashed, and restarted voters forget their grants",
 		Voters: nodeIDs("a", "b", "c", "d", "e"), MaxLostVoters: 2, Intercepts: isClaimMessage, Granularity: ByNode, PassTicks: passTicks,
