--- a/internal/soak/bounds_test.go
+++ b/internal/soak/bounds_test.go
@@ -73,7 +73,7 @@
 		r.readInvariants()
 		require.Empty(t, c.violations)
 	})
-	require.NoError(t, r.start(ctx))
+	require.NoError(t, r.start(ctx, nil))
 	return r
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -72,12 +72,12 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	defer r.crashServers()
-	if err := r.start(ctx); err != nil {
+	s := newScheduler(r)
+	s.kinds = only
+	if err := r.start(ctx, s.troubleFirstStart); err != nil {
 		return Report{}, err
 	}
 	go r.watchMemory(ctx)
-	s := newScheduler(r)
-	s.kinds = only
 	r.runLoad(ctx, s)
 	r.finish(ctx)
 	return r.makeReport(s), nil
@@ -113,11 +113,17 @@
 	return r, nil
 }
 
-// start starts the fleet and the servers, sends the first configuration and waits until all routers are ready.
-func (r *soakRun) start(ctx context.Context) error {
+// start starts the fleet and the servers, sends the first configuration and waits until all routers are ready. A trouble, if
+// not nil, runs meanwhile.
+func (r *soakRun) start(ctx context.Context, trouble func(context.Context)) error {
 	if err := r.fleet.startAll(); err != nil {
 		return err
 	}
+	if trouble != nil {
+		var running sync.WaitGroup
+		running.Go(func() { trouble(ctx) })
+		defer running.Wait()
+	}
 	index := 0
 	for i := range r.options.Servers {
 		s := newServer(r.fleet, index, modelService, r.options.Seed)
--- a/internal/soak/trouble.go
+++ b/internal/soak/trouble.go
@@ -48,6 +48,15 @@
 	{"lose a core node's disk", 2, func(s *scheduler, ctx context.Context, duration time.Duration) {
 		s.kill(ctx, controllerRole, 1, duration/2, true)
 	}},
+	{"kill a core node again", 2, func(s *scheduler, ctx context.Context, duration time.Duration) {
+		s.killAgain(ctx, controllerRole, duration/4, false)
+	}},
+	{"kill a router again", 1, func(s *scheduler, ctx context.Context, duration time.Duration) {
+		s.killAgain(ctx, routerRole, duration/4, false)
+	}},
+	{"lose a core node's disk and kill it again", 2, func(s *scheduler, ctx context.Context, duration time.Duration) {
+		s.killAgain(ctx, controllerRole, duration/4, true)
+	}},
 	{"kill everything", 1, func(s *scheduler, ctx context.Context, duration time.Duration) { s.killEverything(ctx, duration/4) }},
 	{"stop a router", 3, func(s *scheduler, ctx context.Context, _ time.Duration) { s.restart(ctx, routerRole) }},
 	{"stop a core node", 2, func(s *scheduler, ctx context.Context, _ time.Duration) { s.restart(ctx, controllerRole) }},
@@ -80,6 +89,11 @@
 	hurriedChangePause  = 60 * time.Millisecond
 	ordinaryChangePause = 900 * time.Millisecond
 	misbehaveFaultShare = 0.3
+	maxUptimeBetween    = 500 * time.Millisecond // longest time that a machine is up before it is killed again
+	maxRepeatedKills    = 2
+	firstStartShare     = 0.5 // share of runs with a trouble during the first start
+	maxFirstStartDelay  = 2500 * time.Millisecond
+	firstStartDowntime  = 500 * time.Millisecond
 )
 
 func newScheduler(r *soakRun) *scheduler {
@@ -221,6 +235,41 @@
 	}
 	l := s.acquire(r, limit)
 	defer s.release(l...)
+	s.killMachines(ctx, l, downtime, loseDisk)
+}
+
+// killAgain kills a machine, and once or twice more within half a second of its return.
+func (s *scheduler) killAgain(ctx context.Context, r role, downtime time.Duration, loseDisk bool) {
+	loseDisk = loseDisk && s.canWipe()
+	l := s.acquire(r, 1)
+	defer s.release(l...)
+	s.killMachines(ctx, l, downtime, loseDisk)
+	for range 1 + s.randomInt(maxRepeatedKills) {
+		sleep(ctx, time.Duration(s.randomInt(int(maxUptimeBetween))))
+		s.killMachines(ctx, l, downtime, false)
+	}
+	if loseDisk {
+		s.mu.Lock()
+		s.coreWholeSince = time.Now()
+		s.mu.Unlock()
+	}
+}
+
+// troubleFirstStart kills a core machine while the deployment starts for the first time, in a share of the runs. The machine
+// is back a moment later.
+func (s *scheduler) troubleFirstStart(ctx context.Context) {
+	if s.random.Float64() >= firstStartShare || len(s.run.options.OnlyTroubles) > 0 {
+		return
+	}
+	sleep(ctx, time.Duration(s.random.Int64N(int64(maxFirstStartDelay))))
+	l := s.acquire(controllerRole, 1)
+	defer s.release(l...)
+	s.counts["kill at the first start"]++
+	s.killMachines(ctx, l, firstStartDowntime, false)
+}
+
+// killMachines kills machines, and starts them again after a time.
+func (s *scheduler) killMachines(ctx context.Context, l []*machine, downtime time.Duration, loseDisk bool) {
 	description := "kill"
 	if loseDisk {
 		description = "kill and lose the disk"
