A node that may lack departures vouches for no configuration

A node with an emptied disk, or a new machine, confirmed it before it had recovered the departures: such a router may send to a server whose departure was acknowledged.

Change: only a node whose departures are complete confirms. TestEmptiedNodeDoesNotVouch fails with the condition taken out (guard) and passes now; the node confirms again within seconds.

--- a/internal/controller/guards_test.go
+++ b/internal/controller/guards_test.go
@@ -40,6 +40,7 @@
 	{"a spare is not blank", "TestSparesFormNoSecondCore", []overlay.Edit{{File: "acceptor.go", Old: "return c.acceptor.durableValue == nil && c.latest() == nil }", New: "return c.acceptor.durableValue == nil }"}}},
 	{"an emptied node's roll is partial", "TestRollOfAnEmptiedNode", []overlay.Edit{{File: "acceptor.go", Old: "c.departuresComplete = false //", New: "c.departuresComplete = true //"}}},
 	{"an emptied node's roll is partial after another start", "TestDepartureAfterAnEmptiedNodeIsKilledAgain", []overlay.Edit{{File: "acceptor.go", Old: "= true, !isRecovering(s.Disk)", New: "= true, true"}}},
+	{"a node that lacks departures does not vouch", "TestEmptiedNodeDoesNotVouch", []overlay.Edit{{File: "links.go", Old: " && c.knowsDepartures() {", New: " {"}}},
 	{"a missed departure is asked for", "TestMissedDepartureIsLearned", []overlay.Edit{{File: "registry_sync.go", Old: "c.requestDepartures(from, s.DeparturesDigest)", New: "_ = from"}}},
 	{"a missed list is sent again", "TestMissedDepartureIsLearned", []overlay.Edit{{File: "registry_sync.go", Old: "c.resendList(from)", New: "_ = from"}}},
 	{"an old departure does not end a new server", "TestMissedDepartureAtAReusedAddress", []overlay.Edit{{File: "registry_sync.go", Old: "if e.State == \"live\" && e.Addr == b.Addr {", New: "if e == nil {"}}},
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -62,14 +62,15 @@
 }
 
 // notOwner builds the answer of a node that is not the leader. It confirms the newest configuration if a
-// recent majority read showed nothing newer.
+// recent majority read showed nothing newer. A router that goes on by that avoids the servers that the node knows to leave,
+// so a node that may lack acknowledged departures confirms nothing.
 func (c *Core) notOwner(e protocol.Envelope, s protocol.Session) protocol.NotOwner {
 	answer := protocol.NotOwner{Session: s, OwnerHint: c.leadership.owner, CoreNodes: c.coreNodes(), Majority: c.hearsMajority()}
 	if answer.OwnerHint.ID == c.o.Self.ID {
 		answer.OwnerHint = protocol.Peer{}
 	}
 	renewal, renews := e.Body.(protocol.Renew)
-	if known := c.register.known; renews && known != nil && c.register.knownSince != 0 {
+	if known := c.register.known; renews && known != nil && c.register.knownSince != 0 && c.knowsDepartures() {
 		answer.Seq, answer.Gen, answer.Epoch = renewal.Seq, known.Gen, known.Epoch
 		answer.ConfigLease = max(0, c.o.RouterLease-c.now.Sub(c.register.knownSince))
 		answer.Leaving = c.leavingServers()
@@ -77,6 +78,9 @@
 	return answer
 }
 
+// knowsDepartures reports whether this node's disk has every departure that the node acknowledged.
+func (c *Core) knowsDepartures() bool { return !c.o.Enrolled || c.departuresComplete }
+
 func (c *Core) coreNodes() []protocol.Peer {
 	if k := c.latest(); k != nil {
 		return voterset.Peers(*k)
--- a/internal/controller/recovery_test.go
+++ b/internal/controller/recovery_test.go
@@ -6,6 +6,7 @@
 	"github.com/stretchr/testify/require"
 
 	"tidedeck/internal/clock"
+	"tidedeck/internal/ident"
 	"tidedeck/internal/protocol"
 )
 
@@ -70,3 +71,36 @@
 		}
 	}
 }
+
+// Guards against a router without a lease that sends to a departed server: a node that lost its disk vouched for the
+// configuration without the departures that it had acknowledged.
+func TestEmptiedNodeDoesNotVouch(t *testing.T) {
+	c, _, missing := newLeaverCluster(t)
+	wiped := ""
+	for _, id := range []string{"a", "b", "c"} {
+		if id != missing && id != c.owner() {
+			wiped = id
+		}
+	}
+	vouched := func() (answer protocol.NotOwner) {
+		session := protocol.Session{Node: "late", AgentIncarnation: 1, RouterIncarnation: 1, Num: 1}
+		renewal := protocol.Envelope{From: protocol.Peer{ID: "late", Addr: "late"}, To: protocol.Peer{ID: ident.Node(wiped), Addr: wiped}, Body: protocol.Renew{Session: session, Seq: 1}}
+		for _, o := range c.nodes[wiped].Step(c.at, renewal) {
+			if e, is := o.(protocol.Envelope); is {
+				answer, _ = e.Body.(protocol.NotOwner)
+			}
+		}
+		return answer
+	}
+	require.Contains(t, vouched().Leaving, ident.Server("s"))
+	c.restartEmpty(wiped)
+	confirmed := false
+	for range 300 {
+		if answer := vouched(); answer.ConfigLease > 0 {
+			confirmed = true
+			require.Contains(t, answer.Leaving, ident.Server("s"))
+		}
+		c.tick()
+	}
+	require.True(t, confirmed, "it vouches again once it has recovered")
+}
