The value names the founders of its core, so that a late one knows that it has lost nothing

Where the set grows at once (five voters) founders that learned of it late would have waited for each other's departures, and no server would have been offered.

Change: the value names the founders, by node and disk. TestFoundersHaveLostNothing: a founder that never heard of the first set is complete by itself, a node that joined later is not.

--- a/internal/controller/forming.go
+++ b/internal/controller/forming.go
@@ -58,13 +58,12 @@
 func (c *Core) proposeFirst(voters []protocol.Voter) {
 	r := &c.register
 	// The generation number is the disk incarnation of the forming node, so that it exceeds those of lost cores.
-	d := protocol.Desired{Gen: uint64(c.acceptor.inc), Voters: voters, VoterSet: 1}
+	d := protocol.Desired{Gen: uint64(c.acceptor.inc), Voters: voters, Founders: voters, VoterSet: 1}
 	if old := r.agentCopy; old != nil {
 		d.Gen, d.Plan, d.EmptiedZones, d.Windows, d.Epoch = max(d.Gen, old.Gen+1), old.Plan, old.EmptiedZones, old.Windows, old.Epoch+1000
 		d.VoterSet = old.VoterSet + 1000
 		c.logError("core disks lost: forming a new generation from an agent's copy of the configuration")
 	}
-	d.FormedVoterSet = d.VoterSet
 	c.logEvent("forming a core", field("voters", voterIDs(voters)), field("founder", c.isFounder()), field("forced", r.forceForming))
 	r.hint = &d
 	c.fullRead(func(kind failure.Kind) {
@@ -170,11 +169,11 @@
 	return seeds
 }
 
-// isFoundingVoter reports whether this node's disk is a voter of the first set of the core, so that it has lost nothing of
+// isFoundingVoter reports whether this node's disk was a voter of the first set of the core, so that it has lost nothing of
 // what the core acknowledged.
 func (c *Core) isFoundingVoter() bool {
 	known := c.register.known
-	return known != nil && known.VoterSet == known.FormedVoterSet && voterset.Contains(known.Voters, c.o.Self.ID, c.acceptor.inc)
+	return known != nil && voterset.Contains(known.Founders, c.o.Self.ID, c.acceptor.inc)
 }
 
 func (c *Core) onRecoveryReply(e protocol.Envelope) {
--- a/internal/controller/forming_test.go
+++ b/internal/controller/forming_test.go
@@ -258,6 +258,26 @@
 	require.True(t, f.until(9e9, func() bool { return r.sends("llm|m", "s") }))
 }
 
+// Guards against a core that serves nothing, because its founders only learned of it after the voter set had changed and then
+// waited for each other's departures.
+func TestFoundersHaveLostNothing(t *testing.T) {
+	f := newFirstStart(t)
+	require.True(t, f.serves(formedWithin, "a", "b", "c"))
+	f.isFirst = false
+	f.partition("c")
+	f.spare("d")
+	require.True(t, f.until(2*catchUp, func() bool { return f.owner() != "" && f.votersAre(f.owner(), "a", "b", "d") }))
+	f.dropsMessage = func(e protocol.Envelope) bool { _, is := e.Body.(protocol.RegistryReply); return is }
+	f.disks["b"][keyRecovering] = marshal(true)
+	f.restart("b")
+	require.False(t, f.nodes["b"].departuresComplete)
+	require.True(t, f.until(catchUp, func() bool { return f.nodes["b"].departuresComplete }))
+	f.disks["d"][keyRecovering] = marshal(true)
+	f.restart("d")
+	f.run(catchUp)
+	require.False(t, f.nodes["d"].departuresComplete, "a node that joined later must be told")
+}
+
 // Each majority of a first voter set is a majority of all founding seeds.
 func TestMinFounders(t *testing.T) {
 	for seeds := 1; seeds <= 9; seeds++ {
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -259,8 +259,8 @@
 	Windows        []byte       `json:"windows,omitempty"`
 	Voters         []Voter      `json:"voters"`
 	PriorVoters    []Voter      `json:"prior,omitempty"`
-	VoterSet       uint64       `json:"shape"`            // number of the voter set
-	FormedVoterSet uint64       `json:"formed,omitempty"` // number of the voter set with which the core formed
+	VoterSet       uint64       `json:"shape"`              // number of the voter set
+	Founders       []Voter      `json:"founders,omitempty"` // voters with which the core formed; their disks have lost nothing since
 	AppliedChanges []Change     `json:"done"`
 }
 
