--- a/internal/simulator/bites_test.go
+++ b/internal/simulator/bites_test.go
@@ -83,7 +83,7 @@
 	{"rebalance", "return", "unevenly filled", []edit{{"internal/controller/moves.go", "if c.now.Sub(c.imbalancedSince) < c.o.RebalanceInterval {", "if c.imbalancedSince != 1 {"}}},
 	{"repair what reads do not repair", "sweep", "still has epoch", []edit{{"internal/controller/reader.go", "if c.now.Sub(r.staleSince) > c.answerWait() {", "if false {"}}},
 	{"a voter seat survives a restart", "spare", "a seat was given away", []edit{{"internal/controller/voters.go", "if since == 0 || c.now.Sub(since) <= c.o.ReplaceAfter {", "if since == 0 {"}}},
-	{"query agents before a core forms again", "ruin", "plan did not come back", []edit{{"internal/controller/forming.go", "if c.now.Sub(r.blankSince) < c.o.FormAfter {", "if c.now.Sub(r.blankSince) >= c.o.FormAfter {"}}},
+	{"query agents before a core forms again", "ruin", "plan did not come back", []edit{{"internal/controller/forming.go", "if c.now.Sub(r.blankSince) < set.wait {", "if c.now.Sub(r.blankSince) >= set.wait {"}}},
 	{"recover soon", "power", "service came back", []edit{{"internal/controller/core.go", "generic.SetDefault(&o.LeadershipLease, 1200e6)", "generic.SetDefault(&o.LeadershipLease, 20e9)"}}},
 }
 
