--- a/review/harness/desk.go
+++ b/review/harness/desk.go
@@ -19,6 +19,7 @@
 type runState struct {
 	arrived, began, ended time.Time
 	dropped               bool // the connection closed first
+	runs                  int  // how often the desk began to work on it
 }
 
 // desk is a sound stand-in for a server of a plain service. It works on capacity requests at once, keeps a few more in a
@@ -108,6 +109,16 @@
 	return runState{}
 }
 
+// total returns how many requests the desk has begun to work on.
+func (d *desk) total() (n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.states {
+		n += s.runs
+	}
+	return n
+}
+
 func (d *desk) change(id string, change func(s *runState)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -186,7 +197,10 @@
 		}
 		<-d.places
 	}()
-	d.change(id, func(s *runState) { s.began = time.Now() })
+	d.change(id, func(s *runState) {
+		s.began = time.Now()
+		s.runs++
+	})
 	d.record.add("%s begins to work on %s", d.id, id)
 	select {
 	case <-time.After(d.work):
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -17,6 +17,7 @@
 // scenarios are the cases by name. Each returns whether the rule held.
 var scenarios = map[string]func(r *record, trouble bool) (held bool, err error){
 	"blocked":   runBlocked,
+	"mode":      runMode,
 	"queued":    runQueued,
 	"slow-body": runSlowBody,
 }
