--- a/review/harness/blocked.go
+++ b/review/harness/blocked.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -52,7 +53,7 @@
 	return c.read(wait + time.Second)
 }
 
-// runBlocked loses one answer at each router, waits until times are calm again, and compares how often requests on a route
+// runBlocked loses one answer at each router (with VARIANT=full, the server turns one request away instead), waits until times are calm again, and compares how often requests on a route
 // that was added later are served with requests on a first route.
 func runBlocked(r *record, trouble bool) (bool, error) {
 	f, err := newFleet(3, 2)
@@ -67,7 +68,12 @@
 	for i, d := range desks {
 		d.fleet, d.record, d.capacity, d.queue, d.work = f, r, queuedCapacity, queuedQueue, blockedWork
 		d.address, d.zone = hostPort(fmt.Sprintf("127.%d.2.%d", f.network, i+1), portServer), zoneOf(i)
-		d.lose = func(id string) bool { return trouble && strings.HasPrefix(id, "lost") }
+		affected := func(id string) bool { return trouble && strings.HasPrefix(id, "lost") }
+		if os.Getenv("VARIANT") == "full" {
+			d.full = affected
+		} else {
+			d.lose = affected
+		}
 		if err := d.start(); err != nil {
 			return false, err
 		}
--- a/review/harness/desk.go
+++ b/review/harness/desk.go
@@ -35,6 +35,7 @@
 	work     time.Duration
 	record   *record
 	lose     func(id string) bool // whether the answer to a request is lost by a reset after it ran; none if nil
+	full     func(id string) bool // whether a request is turned away as if every place were taken; none if nil
 
 	mu      sync.Mutex // guards the rest
 	calls   uint64
@@ -162,7 +163,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if !d.enterQueue() {
+	turnedAway := d.full != nil && d.full(id)
+	if turnedAway || !d.enterQueue() {
+		d.record.add("%s turns %s away as full", d.id, id)
 		w.Header().Set(peer.HeaderNotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
