A stop answers the requests that their servers have not answered when its grace period ends

Cause: at the end of the grace period RelayServer.finish closed the clients' connections. The core, which knows what may have become of each request, was not asked; its part of a stop ended at half of the grace period with those that wait at the router.

Change: the end of the grace period is an input of the core, GraceEnded. It ends every request by its ledger: 503 "moved" if no attempt was permitted by MaySend, 502 "unclear" if one may have run, a cut only where the answer has begun. A refusal interrupts the attempt under way. The answers have 0.4 s to be written; the process ends no later than before. After the input nothing is launched.

Why it works: every request that the relay has handed to the core stays in the core's table until it has its final answer, and the input goes through all of that table, under the lock that MaySend takes.

--- a/internal/router/admission.go
+++ b/internal/router/admission.go
@@ -104,6 +104,10 @@
 	c.tally.Calls++
 	r := &request{Call: v, arrivedAt: c.now.Add(-v.Age), stage: Waiting, key: ident.NewKey(v.Request.Model, v.Request.Adapter)}
 	c.requests[v.Ref] = r
+	if c.graceEnded {
+		c.finish(r, failure.Moved, 0)
+		return
+	}
 	if why := c.admit(r); why != failure.None {
 		c.finish(r, why, 0)
 		return
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -48,7 +48,7 @@
 		c.tally.SendsHeld++
 		return false
 	}
-	attempt.epoch = c.epoch
+	attempt.epoch, attempt.maySend = c.epoch, true
 	c.checkTenant(r)
 	c.countSend(r)
 	if !c.leased() {
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -180,6 +180,7 @@
 	currentUntil clock.Instant         // time until which a core node confirms the configuration in force as the newest
 	leaving      map[ident.Server]bool // servers that the same core node knows to be leaving
 	stopping     bool                  // shutting down: no request may wait any longer
+	graceEnded   bool                  // the grace period of the stop is over: nothing is launched any more
 
 	wasLeased   bool // last logged value of leased
 	wasUnleased bool // last logged value of routesUnleased
@@ -234,24 +235,15 @@
 	case Quit:
 		c.onQuit(v)
 	case protocol.Stop:
-		c.stopping = true
-		c.rejectWaiting()
+		c.onStop()
+	case GraceEnded:
+		c.onGraceEnded()
 	case protocol.TimerTick:
 		c.onTick()
 	}
 	return c.out
 }
 
-// rejectWaiting ends every waiting request with an answer that sends the caller to another router. The router is
-// shutting down, and waiting requests have not run.
-func (c *Core) rejectWaiting() {
-	for _, k := range generic.SortedKeys(c.queues) {
-		for _, r := range append([]*request{}, c.queues[k]...) {
-			c.finish(r, failure.Moved, 0)
-		}
-	}
-}
-
 func (c *Core) note(text string, fields ...protocol.Field) {
 	c.out = append(c.out, protocol.LogLine{Text: text, Fields: fields})
 }
--- a/internal/router/in_flight.go
+++ b/internal/router/in_flight.go
@@ -1,45 +1,71 @@
 package router
 
-import "sync"
+import (
+	"context"
+	"sync"
+)
 
-// inFlight tracks the requests in progress, each with the channel on which it receives the core's decisions.
+// inFlight tracks the requests in progress.
 type inFlight struct {
-	mu       sync.Mutex // guards channels and next; acquired after the host's lock
-	channels map[Ref]chan any
+	mu       sync.Mutex // guards requests and next; acquired after the host's lock
+	requests map[Ref]*requestInFlight
 	next     Ref
 }
 
-// register adds a request; the caller removes it with done.
-func (f *inFlight) register() (ref Ref, ch chan any, done func()) {
-	ch = make(chan any, 8) // room for every Launch and the Refusal
+// requestInFlight is one request in progress.
+type requestInFlight struct {
+	ref           Ref
+	decisions     chan any        // the core's decisions
+	attempts      context.Context // of the request's attempts; ends once the core has refused the request
+	cancelAttempt context.CancelFunc
+}
+
+// maxDecisions is the number of decisions that a request can receive at most: every Launch, and the Refusal.
+const maxDecisions = 8
+
+// register adds a request whose attempts end with ctx at the latest; the caller removes it with remove.
+func (f *inFlight) register(ctx context.Context) *requestInFlight {
+	r := &requestInFlight{decisions: make(chan any, maxDecisions)}
+	r.attempts, r.cancelAttempt = context.WithCancel(ctx)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.channels == nil {
-		f.channels = map[Ref]chan any{}
+	if f.requests == nil {
+		f.requests = map[Ref]*requestInFlight{}
 	}
 	f.next++
-	ref = f.next
-	f.channels[ref] = ch
-	return ref, ch, func() {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		delete(f.channels, ref)
-	}
+	r.ref = f.next
+	f.requests[r.ref] = r
+	return r
+}
+
+// remove removes a request that has ended.
+func (f *inFlight) remove(r *requestInFlight) {
+	r.cancelAttempt()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.requests, r.ref)
 }
 
-// Deliver passes a Launch or a Refusal to its request. It serves as the HandleOutput function of a host.
+// Deliver passes a Launch or a Refusal to its request. A Refusal interrupts an attempt in progress. It serves as the
+// HandleOutput function of a host.
 func (f *inFlight) Deliver(v any) {
 	var ref Ref
+	refused := false
 	switch v := v.(type) {
 	case Launch:
 		ref = v.Ref
 	case Refusal:
-		ref = v.Ref
+		ref, refused = v.Ref, true
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if decisions := f.channels[ref]; decisions != nil {
-		decisions <- v
+	r := f.requests[ref]
+	if r == nil {
+		return
+	}
+	r.decisions <- v
+	if refused {
+		r.cancelAttempt()
 	}
 }
 
@@ -47,5 +73,5 @@
 func (f *inFlight) InFlight() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.channels)
+	return len(f.requests)
 }
--- a/internal/router/ledger.go
+++ b/internal/router/ledger.go
@@ -37,6 +37,7 @@
 	Outcome Outcome
 	Kind    failure.Kind
 	Begun   bool
+	maySend bool // MaySend has permitted the attempt, so a part of it may have reached the server
 
 	Status      int           // HTTP status of the server's answer; zero if there was none
 	epoch       ident.Epoch   // epoch of the configuration under which the attempt was launched or, later, sent
--- a/internal/router/relay_exchange.go
+++ b/internal/router/relay_exchange.go
@@ -182,28 +182,28 @@
 // run passes the request to the decider and carries out its decisions until the request has ended.
 func (x *exchange) run() {
 	r := x.relay
-	ref, decisions, done := r.register()
+	ctx := x.req.Context()
+	inFlight := r.register(ctx)
 	finished := false
 	defer func() {
 		if !finished {
-			r.decider.Step(Quit{ref})
+			r.decider.Step(Quit{inFlight.ref})
 		}
-		done()
+		r.remove(inFlight)
 	}()
-	r.decider.Step(Call{Ref: ref, Route: x.req.URL.Path, Age: time.Since(x.arrived), Request: x.facts})
-	ctx := x.req.Context()
+	r.decider.Step(Call{Ref: inFlight.ref, Route: x.req.URL.Path, Age: time.Since(x.arrived), Request: x.facts})
 	for {
 		select {
 		case <-ctx.Done():
 			x.dropConnection()
-		case decision := <-decisions:
+		case decision := <-inFlight.decisions:
 			switch v := decision.(type) {
 			case Refusal:
 				finished = true
 				x.finishWithRefusal(v)
 				return
 			case Launch:
-				ended := x.runAttempt(ctx, v)
+				ended := x.runAttempt(inFlight.attempts, v)
 				finished = ended.Outcome == Done
 				r.decider.Step(ended)
 				if finished {
@@ -215,14 +215,14 @@
 }
 
 // runAttempt makes the attempt that the decider launched. It drops the client's connection if the attempt can no
-// longer lead to a complete response.
+// longer lead to a complete response. The end of ctx interrupts the attempt.
 func (x *exchange) runAttempt(ctx context.Context, v Launch) Ended {
 	if x.started && !x.resumable(v) {
 		x.abortResponse()
 	}
 	x.status, x.cause = 0, CauseNone
 	how, kind := x.attempt(ctx, v)
-	if how != Done && (x.clientDisconnected || ctx.Err() != nil) {
+	if how != Done && (x.clientDisconnected || x.req.Context().Err() != nil) {
 		x.dropConnection()
 	}
 	return Ended{Ref: v.Ref, N: v.N, Outcome: how, Kind: kind, Status: x.status, Cause: x.cause}
--- a/internal/router/relay_serve.go
+++ b/internal/router/relay_serve.go
@@ -111,7 +111,8 @@
 }
 
 // finish shuts the client server down: clients are directed to other routers for a while, then new requests are
-// refused and those in progress may finish.
+// refused and those in progress may finish. Those that have not finished by the end of the grace period get a final
+// answer of the router's own.
 func (o RelayServer) finish(clientServer *http.Server, ingress net.Listener, startClosing func()) {
 	ctx, cancel := context.WithTimeout(context.Background(), o.Grace)
 	defer cancel()
@@ -131,14 +132,22 @@
 	if clientServer.Shutdown(ctx) == nil {
 		return
 	}
-	_ = clientServer.Close() // cuts off the requests that are still in progress
+	o.Relay.decider.Step(GraceEnded{})
+	answered, cancel := context.WithTimeout(context.Background(), finalAnswerTimeout)
+	defer cancel()
+	if clientServer.Shutdown(answered) == nil {
+		return
+	}
+	_ = clientServer.Close() // cuts off answers under way, and requests that have not been read whole
 	closed, cancel := context.WithTimeout(context.Background(), forcedCloseTimeout)
 	defer cancel()
 	o.Relay.waitIdle(closed)
 }
 
-// forcedCloseTimeout is how long a shutdown waits for requests whose connections it has closed.
-const forcedCloseTimeout = 500 * time.Millisecond
+const (
+	finalAnswerTimeout = 400 * time.Millisecond // for the final answers at the end of the grace period
+	forcedCloseTimeout = 100 * time.Millisecond // for requests whose connections a shutdown has closed
+)
 
 // idlePoll is the interval at which a shutdown checks for requests in progress.
 const idlePoll = 10 * time.Millisecond
--- a/internal/router/relay_test.go
+++ b/internal/router/relay_test.go
@@ -1032,10 +1032,10 @@
 	require.NoError(t, c.Run())
 	t.Cleanup(c.Stop)
 	require.False(t, NewHostedDecider(c, core).MaySend(1, 1))
-	ref, ch, done := r.register()
-	defer done()
-	r.decider.Step(Call{Ref: ref, Request: fleetplan.Request{ID: "1", Horizon: -1}})
-	require.Equal(t, failure.PastDue, (<-ch).(Refusal).Kind)
+	inFlight := r.register(t.Context())
+	defer r.remove(inFlight)
+	r.decider.Step(Call{Ref: inFlight.ref, Request: fleetplan.Request{ID: "1", Horizon: -1}})
+	require.Equal(t, failure.PastDue, (<-inFlight.decisions).(Refusal).Kind)
 	r.Deliver("an unknown output")
 }
 
--- a/internal/router/request_trace.go
+++ b/internal/router/request_trace.go
@@ -24,6 +24,7 @@
 	CauseUnframed   Cause = "unframed"    // the body would end only with the connection
 	CauseEvents     Cause = "events"      // an event does not follow the previous one
 	CauseCaller     Cause = "caller"      // the client disconnected or accepts no data
+	CauseStop       Cause = "stop"        // the router's grace period ended during the attempt
 )
 
 // AttemptTrace describes the outcome of one attempt.
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -172,8 +172,9 @@
 		return
 	}
 	call.Credential = fleetplan.ReadBearer(r.Header.Values("Authorization"))
-	ref, decisions, done := f.register()
-	defer done()
+	inFlight := f.register(r.Context())
+	defer f.remove(inFlight)
+	ref := inFlight.ref
 	if f.recorder != nil {
 		f.recorder.Add(r.URL.Path, call)
 	}
@@ -183,13 +184,13 @@
 		select {
 		case <-r.Context().Done():
 			f.abandon(ref)
-		case decision := <-decisions:
+		case decision := <-inFlight.decisions:
 			switch v := decision.(type) {
 			case Refusal:
 				stream.writeRefusal(v)
 				return
 			case Launch:
-				how, kind := f.runAttempt(r.Context(), v, stream)
+				how, kind := f.runAttempt(inFlight.attempts, v, stream)
 				if stream.clientGone || r.Context().Err() != nil {
 					f.abandon(ref)
 				}
