A router without a hosting platform answers what is at its servers when its time to stop is over

Change: ServeUntilSignal takes hooks; TimeOver ends what is still in progress, which then has 1 s to be answered. The router steps GraceEnded there. Other programs have no such hook and end as before.

TestTimeOverAnswersRequestsStillAtServers shows that the router's hook gives a request at a server its 502.

--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -66,5 +66,5 @@
 		server.Locked(func(clock.Instant) { t = core.Counts() })
 		return t
 	}}), http.MethodGet)
-	return host.ServeUntilSignal(s.Admin, mux, ring, nil, 5*time.Second)
+	return host.ServeUntilSignal(s.Admin, mux, ring, host.StopHooks{}, 5*time.Second)
 }
--- a/internal/controller/host.go
+++ b/internal/controller/host.go
@@ -117,7 +117,7 @@
 		h.FollowSeeds(func(r protocol.SeedsChanged) { admin.process.Step(r) })
 	}
 	defer host.ServeOperators(ring, admin.routes(core), h.Bind(h.AdminAddr), h.Bind(h.MetricsAddr))()
-	err := host.ServeUntilSignal(h.Bind(h.ControlAddr), handler, ring, nil, 2*time.Second)
+	err := host.ServeUntilSignal(h.Bind(h.ControlAddr), handler, ring, host.StopHooks{}, 2*time.Second)
 	admin.stop(core)
 	return err
 }
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -129,7 +129,7 @@
 		return err
 	}
 	defer admin.process.Stop()
-	err := host.ServeUntilSignal(s.Admin, admin.routes(core), ring, nil, 10*time.Second)
+	err := host.ServeUntilSignal(s.Admin, admin.routes(core), ring, host.StopHooks{}, 10*time.Second)
 	admin.stop(core)
 	return err
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -585,9 +585,18 @@
 	return peers
 }
 
+// StopHooks are called in the course of a shutdown. Each of them may be nil.
+type StopHooks struct {
+	Begin    func() // called when the shutdown begins
+	TimeOver func() // called if requests are still in progress when their time is over; it must end them
+}
+
+// timeOverTimeout is the time in which the requests that StopHooks.TimeOver ends have to be answered.
+const timeOverTimeout = time.Second
+
 // ServeUntilSignal serves HTTP until the process receives SIGTERM or SIGINT, then waits up to within for requests in
 // progress.
-func ServeUntilSignal(addr string, handler http.Handler, ring *Log, before func(), within time.Duration) error {
+func ServeUntilSignal(addr string, handler http.Handler, ring *Log, hooks StopHooks, within time.Duration) error {
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return errors.Wrap(err, "listen")
@@ -606,12 +615,24 @@
 	case <-signals:
 	}
 	ring.Info("shutting down: waiting for requests in progress")
-	if before != nil {
-		before()
+	return shutDown(server, hooks, within)
+}
+
+// shutDown shuts a server down and waits up to within for requests in progress.
+func shutDown(server *http.Server, hooks StopHooks, within time.Duration) error {
+	if hooks.Begin != nil {
+		hooks.Begin()
 	}
-	ctx, stop := context.WithTimeout(context.Background(), within)
-	defer stop()
-	return server.Shutdown(ctx)
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	err := server.Shutdown(ctx)
+	if err == nil || hooks.TimeOver == nil {
+		return err
+	}
+	hooks.TimeOver()
+	answered, cancelAnswered := context.WithTimeout(context.Background(), timeOverTimeout)
+	defer cancelAnswered()
+	return server.Shutdown(answered)
 }
 
 type connAcceptedKey struct{}
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -103,7 +103,12 @@
 		return err
 	}
 	defer f.process.Stop()
-	return host.ServeUntilSignal(s.Listen, f.routes(), ring, func() { close(f.stop) }, time.Duration(s.StopMs)*time.Millisecond)
+	return host.ServeUntilSignal(s.Listen, f.routes(), ring, f.stopHooks(), time.Duration(s.StopMs)*time.Millisecond)
+}
+
+// stopHooks returns what a shutdown does at its begin, and with the requests that have not ended in time.
+func (f *frontend) stopHooks() host.StopHooks {
+	return host.StopHooks{Begin: func() { close(f.stop) }, TimeOver: func() { f.process.Step(GraceEnded{}) }}
 }
 
 func (f *frontend) routes() http.Handler {
--- a/internal/router/stop_test.go
+++ b/internal/router/stop_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -124,6 +125,26 @@
 	}
 }
 
+// The same at a router without a hosting platform.
+func TestTimeOverAnswersRequestsStillAtServers(t *testing.T) {
+	arrived, release := make(chan struct{}, 1), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		arrived <- struct{}{}
+		<-release
+	}))
+	defer server.Close()
+	defer close(release)
+	frontend, clients := newTestFrontend(t, server.URL, testTimeout)
+	answered := make(chan int, 1)
+	go func() {
+		status, _, _ := post(t, clients.URL+"/r", testCall)
+		answered <- status
+	}()
+	<-arrived
+	frontend.stopHooks().TimeOver()
+	require.Equal(t, failure.Responses[failure.Unclear].Status, <-answered)
+}
+
 // An attempt under way when the core refuses its request goes on, and the client waits for it.
 func TestRefusalInterruptsAttempt(t *testing.T) {
 	srv := newTestServer(t, func(s *testServer, _ int, _ net.Conn, br *bufio.Reader) {
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -160,7 +160,7 @@
 		inject(requests, core, newCore)
 		host.WriteJSON(w, 200, map[string]bool{"done": true})
 	}, http.MethodPost)
-	return host.ServeUntilSignal(settings.Listen, mux, ring, nil, 10*time.Minute)
+	return host.ServeUntilSignal(settings.Listen, mux, ring, host.StopHooks{}, 10*time.Minute)
 }
 
 // injectors maps the kinds of injected faults to their effects.
@@ -298,7 +298,7 @@
 		requests.process.Locked(func(clock.Instant) { t = core.Counts() })
 		host.WriteJSON(w, 200, t)
 	}, http.MethodGet)
-	return host.ServeUntilSignal(settings.Listen, mux, ring, nil, 10*time.Second)
+	return host.ServeUntilSignal(settings.Listen, mux, ring, host.StopHooks{}, 10*time.Second)
 }
 
 // PlatformSettings are the settings of a stand-in platform.
@@ -370,5 +370,5 @@
 		}
 		host.WriteJSON(w, 200, map[string]string{"state": state})
 	}, http.MethodPost)
-	return host.ServeUntilSignal(settings.Listen, mux, ring, nil, 5*time.Second)
+	return host.ServeUntilSignal(settings.Listen, mux, ring, host.StopHooks{}, 5*time.Second)
 }
