A request that cannot be ready in time is told so although a more valuable one waits before it

Change: while there is no replica, the pass goes through all of the queue, as it did already behind requests that may not be repeated.

TestTooLateIsToldBehindAnother failed before: no answer.

--- a/internal/router/guards_test.go
+++ b/internal/router/guards_test.go
@@ -59,6 +59,7 @@
 	{"only a router with a lease rejects a key as unknown, under random changes", "admission.go", "\t\tcase c.leased():\n", "\t\tcase true:\n", "TestKeysUnderDrawnChanges"},
 	{"a plan that no longer admits a request still limits it to one run", "admission.go", "m, _ := c.plan.Match(r.Call.Request.Query(r.Route)); m.Route", "m, why := c.plan.Match(r.Call.Request.Query(r.Route)); why == failure.None && m.Route", "TestRunsOnceAcrossAPlanWithoutItsKey"},
 	{"the number of attempts is limited", "ledger.go", "if m.again && r.sent() >= most {", "if m.again && r.sent() >= 1000 {", "TestTries"},
+	{"a request that is too late is told so behind another", "queue.go", "(!r.repeatable() || len(e.Replicas) == 0)", "!r.repeatable()", "TestTooLateIsToldBehindAnother"},
 	{"each server gets at most one attempt", "load_balancing.go", " || r.alreadyTried(p) {", " {", "TestNotTwiceToOneServer"},
 	{"a request earns retry credit once", "attempts.go", "case first && r.firstCounted:", "case false:", "TestEarnsOnce"},
 	{"a request body has one kind of framing", "relay_serve.go", "if h.hasTransferEncoding && (h.hasLength || !req.ProtoAtLeast(1, 1)) {", "if false {", "TestRelaySmuggling"},
--- a/internal/router/queue.go
+++ b/internal/router/queue.go
@@ -145,9 +145,9 @@
 		}
 		p := c.chooseReplica(e, r)
 		switch {
-		case p == nil && !r.repeatable():
+		case p == nil && (!r.repeatable() || len(e.Replicas) == 0):
 			r.setWaitCause(noReplicaCause(e), c.now)
-			i++ // the request waits for one particular server; later requests may use others
+			i++ // a later request may use other servers, or no replica may be ready in its time
 		case p == nil:
 			c.setWaitCauses(noReplicaCause(e), c.queues[k][i:])
 			return
