A request that no server is left for holds up none behind it

Cause: a pass over a queue ended at the first repeatable request for which no replica is chosen. That was taken for "no replica has room", but it also means that the request has tried those with room, that it is too large for the memory that is free, or that no server's memory is large enough for it. A request that waits for a newer configuration ended the pass as well.

Change: only "no replica can take any request" ends a pass (hasOpenReplica). What keeps one request from going concerns that one; it is passed over, with its own cause of waiting (new: "untried"). A large request that waits for memory still holds that memory back from smaller ones behind it, but at the servers that it may use only; one larger than every server holds back none.

Why it works: each request behind is now judged by what it needs itself, and the look that ends a pass early does not depend on any one request.

On TestTriedRequestHoldsUpNoOther and TestRequestForFullServerHoldsUpNoOther fail: no launch, expected s1.

--- a/internal/router/choice.go
+++ b/internal/router/choice.go
@@ -95,7 +95,7 @@
 			return nil
 		}
 	}
-	candidates, maxLoad := c.available(e, r, only)
+	candidates, maxLoad := c.available(e, only)
 	if len(candidates) == 0 {
 		return nil
 	}
@@ -119,6 +119,30 @@
 	return candidates[0]
 }
 
+// hasOpenReplica reports whether any replica of an entry may receive another request for its key.
+func (c *Core) hasOpenReplica(e *cacheEntry) bool {
+	isOpen := c.isAvailable
+	if c.o.StatelessServers {
+		isOpen = c.isOpen
+	}
+	for i := range e.Replicas {
+		p := &e.Replicas[i]
+		if isOpen(e, p, c.server(p.Server)) {
+			return true
+		}
+	}
+	return false
+}
+
+// isAvailable reports whether a replica may receive another request of this router for the entry's key.
+func (c *Core) isAvailable(e *cacheEntry, p *protocol.Replica, load *serverLoad) bool {
+	if c.excluded(p) || c.now < load.avoidUntil {
+		return false
+	}
+	limit, coldLimit := c.concurrencyLimits(e, p)
+	return load.inFlight < limit && load.inFlightByKey[e.Key] < coldLimit
+}
+
 // relativeLoad returns this router's requests in flight at a replica, divided by the server's slots.
 func (c *Core) relativeLoad(p *protocol.Replica) float64 {
 	return float64(c.server(p.Server).inFlight) / float64(max(1, p.Slots))
@@ -126,7 +150,7 @@
 
 // available returns the replicas that may receive another request of this router, limited to the replica only if it is
 // not nil, and the highest relative load at which a candidate keeps its affinity.
-func (c *Core) available(e *cacheEntry, r *request, only *protocol.Replica) (candidates []*protocol.Replica, maxLoad float64) {
+func (c *Core) available(e *cacheEntry, only *protocol.Replica) (candidates []*protocol.Replica, maxLoad float64) {
 	work, slots := 0, 0
 	for i := range e.Replicas {
 		p := &e.Replicas[i]
@@ -134,11 +158,7 @@
 		if only != nil && only != p {
 			continue
 		}
-		if c.excluded(p) || c.now < b.avoidUntil {
-			continue
-		}
-		limit, coldLimit := c.concurrencyLimits(e, p)
-		if b.inFlight >= limit || b.inFlightByKey[r.key] >= coldLimit {
+		if !c.isAvailable(e, p, b) {
 			continue
 		}
 		work += b.inFlight
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -140,6 +140,7 @@
 	inFlightByKey  map[ident.Key]int
 	avoidUntil     clock.Instant
 	failures       int
+	heldBackIn     uint64 // number of the last pass in which a request that waits for memory held the server back
 }
 
 // Core implements the router's decisions without I/O.
@@ -168,6 +169,7 @@
 	requests     map[Ref]*request
 	queues       map[ident.Key][]*request
 	queued       int
+	passes       uint64 // passes over a queue so far
 	arrivals     map[ident.Key]int
 	inFlight     map[ident.Key]int
 	servers      map[ident.Server]*serverLoad
--- a/internal/router/load_balancing.go
+++ b/internal/router/load_balancing.go
@@ -84,10 +84,10 @@
 	for i := range e.Replicas {
 		p := &e.Replicas[i]
 		load := c.server(p.Server)
-		if c.excluded(p) || c.now < load.avoidUntil || r.alreadyTried(p) {
+		if !c.isOpen(e, p, load) || r.alreadyTried(p) {
 			continue
 		}
-		if !c.hasRoom(r, p, load) {
+		if !c.hasMemory(r, load) {
 			continue
 		}
 		cost := float64(load.load())
@@ -164,18 +164,44 @@
 	return false
 }
 
-// hasRoom reports whether a server has a free slot and enough token memory for a request. A request larger than the
-// memory is permitted at an idle server.
-func (c *Core) hasRoom(r *request, p *protocol.Replica, load *serverLoad) bool {
-	service := c.plan.Services[r.key.Service()]
-	if service.Plain {
-		return load.load() < 3*max(1, p.Slots)
-	}
-	if load.inFlight >= p.Slots {
+// plainLoadFactor is the number of requests per slot, from all routers, that a server without models is given.
+const plainLoadFactor = 3
+
+// isOpen reports whether a replica can take a request for its entry, if that request has not tried its server and needs
+// no more memory than is free.
+func (c *Core) isOpen(e *cacheEntry, p *protocol.Replica, load *serverLoad) bool {
+	if c.excluded(p) || c.now < load.avoidUntil || load.heldBackIn == c.passes {
 		return false
 	}
+	if c.plan.Services[e.Key.Service()].Plain {
+		return load.load() < plainLoadFactor*max(1, p.Slots)
+	}
+	return load.inFlight < p.Slots
+}
+
+// hasMemory reports whether a server has enough token memory for a request. A request larger than the memory is
+// permitted at an idle server.
+func (c *Core) hasMemory(r *request, load *serverLoad) bool {
+	service := c.plan.Services[r.key.Service()]
 	taken := max(load.reservedTokens, load.load())
-	return service.TokenCapacity == 0 || taken == 0 || taken+r.maxTokens() <= service.TokenCapacity
+	return service.Plain || service.TokenCapacity == 0 || taken == 0 || taken+r.maxTokens() <= service.TokenCapacity
+}
+
+// holdBackMemory keeps the memory of the servers that a request could use, but for its size, from the requests behind
+// it for the rest of the pass. Otherwise smaller requests would take each part of the memory as it becomes free. Not
+// held back is memory for requests that may not be repeated, and for one larger than any server: it may wait for an idle
+// server until its deadline.
+func (c *Core) holdBackMemory(e *cacheEntry, r *request) {
+	if !c.o.StatelessServers || !r.repeatable() || r.maxTokens() > c.plan.Services[r.key.Service()].TokenCapacity {
+		return
+	}
+	for i := range e.Replicas {
+		p := &e.Replicas[i]
+		load := c.server(p.Server)
+		if c.isOpen(e, p, load) && !r.alreadyTried(p) && !c.hasMemory(r, load) {
+			load.heldBackIn = c.passes
+		}
+	}
 }
 
 // onFleetLoad updates the load of other routers from the totals of all routers in tokens.
--- a/internal/router/queue.go
+++ b/internal/router/queue.go
@@ -119,13 +119,16 @@
 	}
 }
 
-// serve launches the requests that wait for a key while the entry is usable and its servers have capacity.
+// serve launches the requests that wait for a key while the entry is usable and its servers have capacity. A request
+// that none of these servers can take is passed over, so that it does not hold up those behind it.
 func (c *Core) serve(k ident.Key) {
+	c.passes++
 	for i := 0; i < len(c.queues[k]); {
 		r, e := c.queues[k][i], c.entries[k]
 		if r.uncertain {
-			c.setWaitCauses(WaitPlan, c.queues[k][i:])
-			return
+			r.setWaitCause(WaitPlan, c.now)
+			i++
+			continue
 		}
 		if c.now >= r.queueDeadline {
 			c.finish(r, failure.Expired, 0)
@@ -143,14 +146,21 @@
 			c.finish(r, failure.NotReady, retryAfter)
 			continue
 		}
+		if len(e.Replicas) == 0 {
+			r.setWaitCause(WaitReady, c.now)
+			i++ // no replica may be ready in time for a later request
+			continue
+		}
+		if !c.hasOpenReplica(e) {
+			c.setWaitCauses(WaitRoom, c.queues[k][i:])
+			return
+		}
 		p := c.chooseReplica(e, r)
 		switch {
-		case p == nil && (!r.repeatable() || len(e.Replicas) == 0):
-			r.setWaitCause(noReplicaCause(e), c.now)
-			i++ // a later request may use other servers, or no replica may be ready in its time
 		case p == nil:
-			c.setWaitCauses(noReplicaCause(e), c.queues[k][i:])
-			return
+			r.setWaitCause(c.passedOverCause(e, r), c.now)
+			c.holdBackMemory(e, r)
+			i++
 		case r.unpaidSince != 0 && c.now.Sub(r.unpaidSince) < retryFundingTimeout && !c.spend(r.key.Service()):
 			r.setWaitCause(WaitRetry, c.now)
 			i++
--- a/internal/router/queue_test.go
+++ b/internal/router/queue_test.go
@@ -5,11 +5,134 @@
 
 	"github.com/stretchr/testify/require"
 
+	"tidedeck/internal/clock"
 	"tidedeck/internal/failure"
 	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/ident"
 	"tidedeck/internal/protocol"
 )
 
+// fail ends the given attempt with an outcome, after its last check if the outcome means that it was sent.
+func (b *testRouter) fail(ref Ref, n int, outcome Outcome) []any {
+	if outcome != Kept && outcome != Unsent {
+		require.True(b.t, b.MaySend(b.at, ref, n))
+	}
+	return b.Step(b.at, Ended{Ref: ref, N: n, Outcome: outcome, Kind: failure.Busy})
+}
+
+// avoidancePassed is longer than a server is avoided after one failure.
+const avoidancePassed = clock.Span(2e9)
+
+// A request that has tried every server of its service holds up all requests behind it, although a server has room.
+func TestTriedRequestHoldsUpNoOther(t *testing.T) {
+	for _, outcome := range []Outcome{Lost, Dropped, Unsent} {
+		for _, path := range []string{"/again/x", "/llm/x"} {
+			b := newHostedRouter(t, Options{RetryMargin: 100})
+			b.deliverEntry("web|", "s1")
+			b.deliverEntry("llm|m", "s1")
+			tried, l, _ := b.callPath(path, fleetplan.Request{Model: "m"})
+			require.Equal(t, ident.Server("s1"), l.Server)
+			b.fail(tried, l.N, outcome)
+			b.wait(avoidancePassed)
+			require.Contains(t, b.requests, tried, "it waits for another server")
+			for range 3 {
+				_, l, _ = b.callPath(path, fleetplan.Request{Model: "m"})
+				require.Equal(t, ident.Server("s1"), l.Server, "%s %s", outcome, path)
+			}
+			require.Equal(t, WaitUntried, b.requests[tried].waitCause)
+			_, l, _ = b.callPath(path, fleetplan.Request{Model: "m"})
+			again, launched := findOutput[Launch](b.deliverEntry(b.requests[tried].key, "s1", "s2"))
+			require.True(t, launched)
+			require.Equal(t, tried, again.Ref, "a server that it has not tried takes it")
+		}
+	}
+}
+
+// A request whose only untried server is full holds up requests behind it that a server which it has tried could take.
+func TestRequestForFullServerHoldsUpNoOther(t *testing.T) {
+	b := newHostedRouter(t, Options{RetryMargin: 100})
+	b.deliverItem(protocol.Update{Entry: &protocol.Entry{Key: "llm|m", Digest: 1, Replicas: []protocol.Replica{
+		{Server: "s1", Addr: "s1", Zone: "z", Slots: 4}, {Server: "s2", Addr: "s2", Zone: "z", Slots: 1}}}})
+	tried, l := Ref(0), Launch{}
+	for l.Server != "s1" {
+		tried, l, _ = b.callPath("/llm/x", fleetplan.Request{Model: "m"})
+	}
+	for b.server("s2").inFlight < 1 {
+		b.callPath("/llm/x", fleetplan.Request{Model: "m"})
+	}
+	b.fail(tried, l.N, Lost)
+	b.wait(avoidancePassed)
+	require.Equal(t, Waiting, b.requests[tried].stage)
+	_, l, _ = b.callPath("/llm/x", fleetplan.Request{Model: "m"})
+	require.Equal(t, ident.Server("s1"), l.Server)
+}
+
+// A large request that waits until a server has memory for it keeps a server's memory from requests that are to use
+// another one, or gives its place away to smaller requests behind it.
+func TestLargeRequestHoldsBackOnlyItsServers(t *testing.T) {
+	b := newLoadedRouter(t, 9, map[ident.Server]int{"s1": 5_000, "s2": 5_000, "s3": 5_000})
+	large, l, _ := b.callPath("/llm/x", fleetplan.Request{Model: "m", PromptTokens: 6_000})
+	require.Empty(t, l.Server)
+	_, l, _ = b.callPath("/llm/x", fleetplan.Request{Model: "m", PromptTokens: 100})
+	require.Empty(t, l.Server, "it is behind the large one, which waits for memory at each server")
+	require.Equal(t, WaitRoom, b.requests[large].waitCause)
+
+	b = newLoadedRouter(t, 9, nil)
+	large, l, _ = b.callPath("/llm/x", fleetplan.Request{Model: "m", PromptTokens: 6_000})
+	tried := l.Server
+	inUse := map[ident.Server]int{"s1": 5_000, "s2": 5_000, "s3": 5_000}
+	delete(inUse, tried)
+	b.deliver(protocol.RouterLease{Session: testSession, Until: b.at.Add(62e9), TokensInProgress: inUse})
+	b.setCredits(1)
+	b.fail(large, l.N, Lost)
+	b.wait(avoidancePassed)
+	require.Equal(t, WaitRoom, b.requests[large].waitCause)
+	_, l, _ = b.callPath("/llm/x", fleetplan.Request{Model: "m", PromptTokens: 100})
+	require.Equal(t, tried, l.Server, "the one server that the large one does not wait for")
+}
+
+// A request larger than the memory of any server holds up all requests behind it for as long as the servers are in use.
+func TestRequestLargerThanServersHoldsUpNoOther(t *testing.T) {
+	b := newLoadedRouter(t, 9, map[ident.Server]int{"s1": 1_000, "s2": 1_000, "s3": 1_000})
+	huge, l, _ := b.callPath("/llm/x", fleetplan.Request{Model: "m", PromptTokens: 20_000})
+	require.Empty(t, l.Server)
+	require.Equal(t, Waiting, b.requests[huge].stage)
+	_, l, _ = b.callPath("/llm/x", fleetplan.Request{Model: "m", PromptTokens: 100})
+	require.NotEmpty(t, l.Server)
+}
+
+// A request that the configuration in force does not allow, and that waits for a newer one, holds up requests behind it.
+func TestUncertainRequestHoldsUpNoOther(t *testing.T) {
+	lowestValue := func(p *fleetplan.Plan) {
+		for _, route := range p.Hosts["h"] {
+			route.Class.Value = 1
+		}
+	}
+	b := newHostedRouter(t, Options{ServersEnforcePlacement: true}, hostPlan(lowestValue), hostPlan(func(p *fleetplan.Plan) {
+		lowestValue(p)
+		delete(p.Hosts["h"], "/")
+	}))
+	b.deliverEntry("web|", "s1")
+	first, l, _ := b.callPath("/again/x", fleetplan.Request{})
+	for b.queued == 0 { // until all room of the server is taken
+		b.callPath("/again/x", fleetplan.Request{})
+	}
+	uncertain, _, _ := b.callPath("/x", fleetplan.Request{Horizon: 4e9})
+	b.at = b.at.Add(1e9)
+	behind, _, _ := b.callPath("/again/x", fleetplan.Request{})
+	b.Step(b.at, Quit{Ref: behind - 2})
+	newSession := testSession
+	newSession.Num++
+	b.deliver(protocol.RouterLease{Session: newSession, Partitioned: true}) // without a lease it sends by what it knows
+	b.deliverPlan(1)
+	require.True(t, b.requests[uncertain].uncertain)
+	require.Equal(t, []*request{b.requests[uncertain], b.requests[behind]}, b.queues["web|"])
+	launch, launched := findOutput[Launch](b.Step(b.at, Ended{Ref: first, N: l.N, Outcome: Done}))
+	require.True(t, launched)
+	require.Equal(t, behind, launch.Ref)
+	require.Equal(t, WaitPlan, b.requests[uncertain].waitCause)
+}
+
 // A request whose model cannot be ready in time waits until its deadline, because a more valuable one waits before it.
 func TestTooLateIsToldBehindAnother(t *testing.T) {
 	b := newHostedRouter(t, Options{}, hostPlan(func(p *fleetplan.Plan) {
--- a/internal/router/waits.go
+++ b/internal/router/waits.go
@@ -15,11 +15,16 @@
 	WaitReady WaitCause = "ready" // no replica is ready
 	WaitRoom  WaitCause = "room"  // every replica is full or avoided
 	WaitRetry WaitCause = "retry" // the retry budget does not permit another attempt yet
+
+	WaitUntried WaitCause = "untried" // only servers that the request has tried have room
 )
 
 // setWaitCause records the cause of waiting from now on and adds the time spent on the previous one. An empty cause
 // means that the request no longer waits.
 func (r *request) setWaitCause(cause WaitCause, now clock.Instant) {
+	if cause == r.waitCause {
+		return
+	}
 	if r.waitCause != "" {
 		if r.waitTimes == nil {
 			r.waitTimes = map[WaitCause]clock.Span{}
@@ -44,12 +49,15 @@
 	return WaitEntry
 }
 
-// noReplicaCause returns the reason why none of an entry's replicas was chosen.
-func noReplicaCause(e *cacheEntry) WaitCause {
-	if len(e.Replicas) == 0 {
-		return WaitReady
+// passedOverCause returns the reason why a request cannot use the replicas that have room.
+func (c *Core) passedOverCause(e *cacheEntry, r *request) WaitCause {
+	for i := range e.Replicas {
+		p := &e.Replicas[i]
+		if c.isOpen(e, p, c.server(p.Server)) && !r.alreadyTried(p) {
+			return WaitRoom // it lacks memory there
+		}
 	}
-	return WaitRoom
+	return WaitUntried
 }
 
 // waitsMs returns the request's waiting times by cause in milliseconds.
