A stop is looked at again once a request's body is complete

Cause: whether the router still takes requests was looked at with the head only, and a body may take seconds.

Change: it is asked again once the body is complete; 503, never ran.

TestStopRefusesRequestWhoseBodyOutlivesItsAcceptance failed before: the request was passed on and its client timed out.

A test's clients and servers now end when an assertion fails, so that a failure does not hang.

--- a/internal/host/shut_down_test.go
+++ b/internal/host/shut_down_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -13,12 +14,14 @@
 // A shutdown whose time is over cuts off requests that could still be answered.
 func TestShutDownEndsRequestsWhenItsTimeIsOver(t *testing.T) {
 	arrived, timeOver := make(chan struct{}), make(chan struct{})
+	endRequest := sync.OnceFunc(func() { close(timeOver) })
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		close(arrived)
 		<-timeOver
 		w.WriteHeader(http.StatusBadGateway)
 	}))
 	defer server.Close()
+	defer endRequest()
 	status := make(chan int, 1)
 	go func() {
 		defer close(status)
@@ -32,7 +35,7 @@
 	}()
 	<-arrived
 	began := false
-	hooks := StopHooks{Begin: func() { began = true }, TimeOver: func() { close(timeOver) }}
+	hooks := StopHooks{Begin: func() { began = true }, TimeOver: endRequest}
 	require.NoError(t, shutDown(server.Config, hooks, time.Millisecond))
 	require.True(t, began)
 	require.Equal(t, http.StatusBadGateway, <-status)
--- a/internal/router/relay_exchange.go
+++ b/internal/router/relay_exchange.go
@@ -79,16 +79,14 @@
 		return
 	}
 	x.facts = facts
-	if r.rejectNew.Load() {
-		x.traceRefusal(failure.Moved)
-		x.writeRefusal(failure.Moved, 0, true, nil)
+	if x.refuseDuringStop() {
 		return
 	}
 	reserved := &reservation{budget: &r.bodies}
 	defer reserved.release()
 	b := getBuffer()
 	defer putBuffer(b)
-	if !x.readBody(b, reserved) {
+	if !x.readBody(b, reserved) || x.refuseDuringStop() {
 		return
 	}
 	x.body = b.Bytes()
@@ -102,6 +100,18 @@
 	x.armDeadline() // for the end that net/http writes after a stream that may have paused for a long time
 }
 
+// refuseDuringStop refuses the request if the router no longer accepts new ones, and reports whether it did. It is
+// called before the body is read, which may take long, and again once it is complete: the grace period may end before a
+// server could answer.
+func (x *exchange) refuseDuringStop() bool {
+	if !x.relay.rejectNew.Load() {
+		return false
+	}
+	x.traceRefusal(failure.Moved)
+	x.writeRefusal(failure.Moved, 0, true, nil)
+	return true
+}
+
 // Limits on a request's body that apply where the plan sets none.
 const (
 	defaultMaxBodySize = 4 << 20
--- a/internal/router/stop_test.go
+++ b/internal/router/stop_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -72,6 +73,48 @@
 	}
 }
 
+// A planned stop passes on a request whose body ends late in the stop, and cuts it off before its server can answer.
+func TestStopRefusesRequestWhoseBodyOutlivesItsAcceptance(t *testing.T) {
+	unblock := make(chan struct{})
+	release := sync.OnceFunc(func() { close(unblock) })
+	srv := newTestServer(t, func(s *testServer, _ int, c net.Conn, br *bufio.Reader) {
+		for q := s.next(br); q != nil; q = s.next(br) {
+			if q.Header.Get("X-Try") == "1" {
+				<-unblock
+			}
+			_, _ = io.WriteString(c, sealedResponse(q.Header.Get("X-Try"), "good"))
+		}
+	})
+	t.Cleanup(release)
+	s := &scriptedDecider{addrs: []string{srv.addr()}}
+	b, _, stop, end := serveUntil(t, s, RelayServer{LameDuck: time.Millisecond, Grace: testTimeout})
+	head := func(id string) string {
+		return "POST /p HTTP/1.1\r\nHost: h\r\nX-Try: " + id + "\r\nContent-Length: 4\r\n\r\n"
+	}
+	atServer, slow, late := b.dial(t), b.dial(t), b.dial(t)
+	atServer.send(get("1")) // keeps the stop from ending
+	slow.send(head("2") + "ab")
+	require.Eventually(t, func() bool { return len(srv.requests()) == 1 && s.relay.bodies.used.Load() > 0 }, testTimeout, time.Millisecond)
+	close(stop)
+	require.Eventually(t, s.relay.rejectNew.Load, testTimeout, time.Millisecond)
+	slow.send("cd")
+	late.send(head("3"))
+	for name, c := range map[string]*client{"its body ends during the stop": slow, "its head arrives during the stop, its body not yet": late} {
+		answer, _, err := c.answer(http.MethodPost)
+		require.NoError(t, err, name)
+		require.Equal(t, failure.Responses[failure.Moved].Status, answer.StatusCode, name)
+		require.NotEmpty(t, answer.Header.Get("Retry-After"), name)
+		require.NoError(t, c.Close()) // net/http waits for the rest of a body
+	}
+	require.Len(t, srv.requests(), 1, "only the first is passed on")
+	release()
+	answer, _, err := atServer.answer(http.MethodGet)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, answer.StatusCode)
+	require.NoError(t, <-end)
+	s.requireOneEnd(t)
+}
+
 // The final answer at the end of the grace period claims that a request which may have run never ran, or the opposite.
 func TestGraceEndAnswersByWhatMayHaveRun(t *testing.T) {
 	for _, c := range []struct {
@@ -142,7 +185,12 @@
 	}()
 	<-arrived
 	frontend.stopHooks().TimeOver()
-	require.Equal(t, failure.Responses[failure.Unclear].Status, <-answered)
+	select {
+	case status := <-answered:
+		require.Equal(t, failure.Responses[failure.Unclear].Status, status)
+	case <-time.After(testTimeout):
+		require.Fail(t, "the request got no answer")
+	}
 }
 
 // An attempt under way when the core refuses its request goes on, and the client waits for it.
