A request is bound by every route that it had since it arrived

Cause: under each new configuration a waiting request takes its route anew. That its requests run once was kept only for one that might have run already, so what it was sent as was forgotten. A request at a server was bound by the configuration in force when its attempt ended, not by those between.

Change: noteRoute records at each admission, and for all requests at each new configuration, that a route permits one run; this is never taken back.

TestRunsOnceAlsoUnderARouteAddedWhileItWaits failed before in both cases: the launch was repeatable, or could be resumed.

--- a/internal/router/admission.go
+++ b/internal/router/admission.go
@@ -38,10 +38,10 @@
 	r.uncertain = c.plan == nil
 	if c.plan != nil {
 		m, why := c.plan.Match(r.Call.Request.Query(r.Route))
+		r.noteRoute(m.Route)
 		switch {
 		case why == failure.None:
 			r.class, r.key, r.route, r.keyed, r.tenant = m.Class, m.Key, m.Route, m.HasTenants, m.Tenant
-			r.runsOnce = r.mayHaveRun() && (r.runsOnce || m.Route != nil && !allowsRepeats(m.Route))
 		case c.leased():
 			return why
 		default:
@@ -59,15 +59,16 @@
 	return failure.None
 }
 
-// markRunsOnce prevents a request that may have run from running again if the plan in force matches it to a route whose
-// requests run once. A plan may add such a route while the request is in flight.
-func (c *Core) markRunsOnce(r *request) {
+// noteRoutes applies the routes of the plan in force to what the requests that have been launched may still do: a plan
+// may add a route whose requests run once while a request is at a server.
+func (c *Core) noteRoutes() {
 	if c.plan == nil {
 		return
 	}
-	// This also applies if the plan does not admit the request, because a later plan may admit it again.
-	if m, _ := c.plan.Match(r.Call.Request.Query(r.Route)); m.Route != nil && !allowsRepeats(m.Route) {
-		r.runsOnce = true
+	for _, r := range c.requests {
+		// This also applies if the plan does not admit the request, because a later plan may admit it again.
+		m, _ := c.plan.Match(r.Call.Request.Query(r.Route))
+		r.noteRoute(m.Route)
 	}
 }
 
--- /dev/null
+++ b/internal/router/admission_test.go
@@ -0,0 +1,53 @@
+package router
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"tidedeck/internal/failure"
+	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/ident"
+)
+
+// longerRoute returns a change of a plan that adds a route for a longer prefix.
+func longerRoute(prefix, service, mode string, resume bool) func(*fleetplan.Plan) {
+	return func(p *fleetplan.Plan) {
+		p.Hosts["h"][prefix] = &fleetplan.Route{Name: "longer", Host: "h", Prefix: prefix, Service: service, Mode: mode, Resume: resume,
+			MaxAttempts: 9, Class: fleetplan.Class{Value: 5, MaxWait: 5e9}}
+	}
+}
+
+// A request that was admitted as one that runs once runs twice after a route that permits repetitions was added while it
+// waited.
+func TestRunsOnceAlsoUnderARouteAddedWhileItWaits(t *testing.T) {
+	for _, c := range []struct {
+		name, path, key string
+		added           func(*fleetplan.Plan)
+		outcome         Outcome
+		kind            failure.Kind
+	}{
+		{"an idempotent route", "/once/x", "web|", longerRoute("/once/", "web", fleetplan.Idempotent, false), Lost, failure.Unclear},
+		{"a stream that may be resumed", "/llm/stream/x", "llm|m", longerRoute("/llm/stream/x/", "llm", fleetplan.Continuous, true), Split, failure.Cut},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newHostedRouter(t, Options{RetryMargin: 100}, hostPlan(nil), hostPlan(c.added))
+			ref, l, _ := b.callPath(c.path+"/y", fleetplan.Request{Model: "m"})
+			require.Empty(t, l.Server, "it waits, since there is no entry yet")
+			b.deliverPlan(1)
+			l, launched := findOutput[Launch](b.deliverEntry(ident.Key(c.key), "s1", "s2"))
+			require.True(t, launched)
+			require.False(t, l.Repeatable || l.Resume)
+			require.True(t, b.MaySend(b.at, ref, l.N))
+			if c.outcome == Split {
+				b.Step(b.at, Begun{Ref: ref, N: l.N})
+			}
+			out := b.Step(b.at, Ended{Ref: ref, N: l.N, Outcome: c.outcome})
+			_, launched = findOutput[Launch](out)
+			require.False(t, launched)
+			refusal, ok := findOutput[Refusal](out)
+			require.True(t, ok)
+			require.Equal(t, c.kind, refusal.Kind)
+		})
+	}
+}
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -137,9 +137,6 @@
 	}
 	load := c.releaseLoad(r, attempt)
 	c.recordOutcome(r, attempt, load)
-	if r.mayHaveRun() {
-		c.markRunsOnce(r)
-	}
 	step := r.nextStep(c.o.MaxAttempts)
 	switch {
 	case step.again && c.now >= r.queueDeadline:
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -392,6 +392,7 @@
 	c.tally.Plans++
 	c.note("configuration in force", protocol.Field{Name: "generation", Value: d.Gen}, protocol.Field{Name: "epoch", Value: d.Epoch},
 		protocol.Field{Name: "version", Value: c.PlanName()})
+	c.noteRoutes()
 	// Waiting requests that the new plan does not allow are rejected, immediately if the router has a lease.
 	c.readmitWaiting(true)
 }
--- a/internal/router/ledger.go
+++ b/internal/router/ledger.go
@@ -69,7 +69,7 @@
 	unpaidSince   clock.Instant // time since which a retry waits for the retry budget; zero if none does
 	uncertain     bool          // the plan in force does not allow the request, but may be outdated
 	firstCounted  bool          // the first arrival has been counted
-	runsOnce      bool          // a past or present route of the request permits only one run
+	runsOnce      bool          // a route of the request, under any configuration since it arrived, permits only one run
 	route         *fleetplan.Route
 	keyed         bool   // the admitting plan has tenants, so the caller's key must not reach servers
 	tenant        string // tenant according to that plan; empty if none
@@ -85,6 +85,14 @@
 	return r.Call.Request.Repeatable || !r.runsOnce && r.route != nil && allowsRepeats(r.route)
 }
 
+// noteRoute records what a route of the request, or none, permits. A request is bound by every route that it had since
+// it arrived: its caller may have sent it under any of them.
+func (r *request) noteRoute(route *fleetplan.Route) {
+	if route != nil && !allowsRepeats(route) {
+		r.runsOnce = true
+	}
+}
+
 // allowsRepeats reports whether the requests of a route may run more than once.
 func allowsRepeats(route *fleetplan.Route) bool {
 	return route.Mode == fleetplan.Idempotent || route.Resume
