A request that may have run ends when a route that permits no further run comes while it waits

Cause: readmit looked at what the configuration allows and at the time, not at what the request may still do under it.

Change: it ends at once, with 502 "unclear", or with a cut if its answer has begun and may not be resumed.

TestWaitingRetryEndsUnderAnAddedRouteThatRunsOnce (both cases) and TestWaitingRetryEndsWithoutALease failed before: no final answer. Two guards, run.

--- a/internal/router/admission.go
+++ b/internal/router/admission.go
@@ -89,12 +89,18 @@
 	}
 }
 
-// readmit takes a request's class and deadline from the plan again. It returns failure.Expired if the new deadline has
-// already passed, so that the request ends immediately.
+// readmit takes a request's class and deadline from the plan again. It returns why the request ends immediately: the new
+// deadline has already passed, or it may have run and a route permits no further run.
 func (c *Core) readmit(r *request) failure.Kind {
 	if why := c.admit(r); why != failure.None {
 		return why
 	}
+	switch {
+	case r.hasBegun() && !r.resumable():
+		return failure.Cut
+	case r.mayHaveRun() && !r.repeatable():
+		return failure.Unclear
+	}
 	if c.now >= r.queueDeadline {
 		return failure.Expired
 	}
--- a/internal/router/admission_test.go
+++ b/internal/router/admission_test.go
@@ -8,6 +8,7 @@
 	"tidedeck/internal/failure"
 	"tidedeck/internal/fleetplan"
 	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
 )
 
 // longerRoute returns a change of a plan that adds a route for a longer prefix.
@@ -51,3 +52,51 @@
 		})
 	}
 }
+
+// A request that may have run and waits for another server runs again although a route whose requests run once was added
+// for it meanwhile.
+func TestWaitingRetryEndsUnderAnAddedRouteThatRunsOnce(t *testing.T) {
+	for _, c := range []struct {
+		name, path, key string
+		added           func(*fleetplan.Plan)
+		begun           bool
+		kind            failure.Kind
+	}{
+		{"an effectful route", "/again/x", "web|", longerRoute("/again/x/", "web", fleetplan.Once, false), false, failure.Unclear},
+		{"a stream that may not be resumed", "/llm/resume/x", "llm|m", longerRoute("/llm/resume/x/", "llm", fleetplan.Continuous, false), true, failure.Cut},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newHostedRouter(t, Options{RetryMargin: 100}, hostPlan(nil), hostPlan(c.added))
+			b.deliverEntry(ident.Key(c.key), "s1")
+			ref, l, _ := b.callPath(c.path+"/y", fleetplan.Request{Model: "m"})
+			require.True(t, b.MaySend(b.at, ref, l.N))
+			outcome := Lost
+			if c.begun {
+				b.Step(b.at, Begun{Ref: ref, N: l.N})
+				outcome = Split
+			}
+			b.Step(b.at, Ended{Ref: ref, N: l.N, Outcome: outcome})
+			require.Equal(t, Waiting, b.requests[ref].stage)
+			refusal, ok := findOutput[Refusal](b.deliverPlan(1))
+			require.True(t, ok, "it may not be sent again, so it has its final answer at once")
+			require.Equal(t, Refusal{Ref: ref, Kind: c.kind}, refusal)
+			_, launched := findOutput[Launch](b.deliverEntry(ident.Key(c.key), "s1", "s2"))
+			require.False(t, launched)
+		})
+	}
+}
+
+// The same without a lease, under which nothing is refused by a configuration that may be outdated.
+func TestWaitingRetryEndsWithoutALease(t *testing.T) {
+	b := newHostedRouter(t, Options{RetryMargin: 100, ServersEnforcePlacement: true}, hostPlan(nil), hostPlan(longerRoute("/again/x/", "web", fleetplan.Once, false)))
+	b.deliverEntry("web|", "s1")
+	ref, l, _ := b.callPath("/again/x/y", fleetplan.Request{})
+	require.True(t, b.MaySend(b.at, ref, l.N))
+	b.Step(b.at, Ended{Ref: ref, N: l.N, Outcome: Lost})
+	newSession := testSession
+	newSession.Num++
+	b.deliver(protocol.RouterLease{Session: newSession, Partitioned: true})
+	refusal, ok := findOutput[Refusal](b.deliverPlan(1))
+	require.True(t, ok)
+	require.Equal(t, Refusal{Ref: ref, Kind: failure.Unclear}, refusal)
+}
--- a/internal/router/guards_test.go
+++ b/internal/router/guards_test.go
@@ -33,6 +33,8 @@
 	{"permission to send is checked immediately before sending", "relay_attempt.go", "if !r.decider.MaySend(v.Ref, v.N) {", "if r == nil {", "TestRelayNotSent"},
 	{"no retry of a request that may have run", "ledger.go", "Lost:    {{kind: failure.Unclear}, ", "Lost:    {{again: true}, ", "TestLedger|TestTries"},
 	{"no retry under an added route", "core.go", "\tc.noteRoutes()\n", "", "TestRepeatOnlyUnderBothRoutes"},
+	{"a waiting retry ends under an added route that runs once", "admission.go", "case r.mayHaveRun() && !r.repeatable():", "case false:", "TestWaitingRetryEndsUnderAnAddedRouteThatRunsOnce"},
+	{"a waiting stream ends under an added route that may not be resumed", "admission.go", "case r.hasBegun() && !r.resumable():", "case false:", "TestWaitingRetryEndsUnderAnAddedRouteThatRunsOnce"},
 	{"no retry under a route added while the request waited", "admission.go", "\t\tr.noteRoute(m.Route)\n\t\tswitch", "\t\tswitch", "TestRunsOnceAlsoUnderARouteAddedWhileItWaits"},
 	{"no refusal of a request that may have run", "queue.go", "if failure.Responses[k].NotExecuted && r.mayHaveRun() {", "if false {", "TestNoDropAfterLost"},
 	{"a rejection needs the not-executed header", "relay_answer.go", "case !success && promisesNotRun(resp.StatusCode):", "case false:", "TestRelayEnds"},
