A pass that nothing can leave takes no time for each waiting request

Change: the cause that holds for a whole queue is kept once (commonWaits), and written to each request only when it changes. No decision depends on causes.

--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -169,7 +169,8 @@
 	requests     map[Ref]*request
 	queues       map[ident.Key][]*request
 	queued       int
-	passes       uint64 // passes over a queue so far
+	commonWaits  map[ident.Key]WaitCause // the cause for which all requests of a queue wait, where the last pass recorded one
+	passes       uint64                  // passes over a queue so far
 	arrivals     map[ident.Key]int
 	inFlight     map[ident.Key]int
 	servers      map[ident.Server]*serverLoad
@@ -206,7 +207,7 @@
 // New returns a router core with the given options.
 func New(o Options) *Core {
 	c := &Core{
-		o: o.Defaults(), entries: map[ident.Key]*cacheEntry{}, requests: map[Ref]*request{}, queues: map[ident.Key][]*request{},
+		o: o.Defaults(), entries: map[ident.Key]*cacheEntry{}, requests: map[Ref]*request{}, queues: map[ident.Key][]*request{}, commonWaits: map[ident.Key]WaitCause{},
 		arrivals: map[ident.Key]int{}, inFlight: map[ident.Key]int{}, servers: map[ident.Server]*serverLoad{}, emptyZones: map[ident.Zone]bool{}, retryBudgets: map[string]*retryBudget{},
 		routers: 1, offeredLoad: map[ident.Key]float64{}, tokenTimes: newTokenTimes(), inflows: map[ident.Key]*inflow{}, randState: uint64(o.Inc),
 	}
--- a/internal/router/queue.go
+++ b/internal/router/queue.go
@@ -61,6 +61,9 @@
 	queue[i] = r
 	c.queues[r.key] = queue
 	c.queued++
+	if cause := c.commonWaits[r.key]; cause != "" {
+		r.setWaitCause(cause, c.now)
+	}
 }
 
 // remove removes a request from its queue.
@@ -75,6 +78,7 @@
 	}
 	if len(queue) == 0 {
 		delete(c.queues, r.key)
+		delete(c.commonWaits, r.key)
 		return
 	}
 	c.queues[r.key] = queue
@@ -126,7 +130,7 @@
 	for i := 0; i < len(c.queues[k]); {
 		r, e := c.queues[k][i], c.entries[k]
 		if r.uncertain {
-			r.setWaitCause(WaitPlan, c.now)
+			c.passOver(r, WaitPlan)
 			i++
 			continue
 		}
@@ -138,7 +142,7 @@
 			c.lookUp(k)
 		}
 		if !c.usable(e) {
-			c.setWaitCauses(c.unusableCause(), c.queues[k][i:])
+			c.endPass(k, i, c.unusableCause())
 			return
 		}
 		e.lastUsed = c.now
@@ -147,22 +151,22 @@
 			continue
 		}
 		if len(e.Replicas) == 0 {
-			r.setWaitCause(WaitReady, c.now)
+			c.passOver(r, WaitReady)
 			i++ // no replica may be ready in time for a later request
 			continue
 		}
 		if !c.hasOpenReplica(e) {
-			c.setWaitCauses(WaitRoom, c.queues[k][i:])
+			c.endPass(k, i, WaitRoom)
 			return
 		}
 		p := c.chooseReplica(e, r)
 		switch {
 		case p == nil:
-			r.setWaitCause(c.passedOverCause(e, r), c.now)
+			c.passOver(r, c.passedOverCause(e, r))
 			c.holdBackMemory(e, r)
 			i++
 		case r.unpaidSince != 0 && c.now.Sub(r.unpaidSince) < retryFundingTimeout && !c.spend(r.key.Service()):
-			r.setWaitCause(WaitRetry, c.now)
+			c.passOver(r, WaitRetry)
 			i++
 		default:
 			r.unpaidSince = 0
--- a/internal/router/queue_test.go
+++ b/internal/router/queue_test.go
@@ -1,6 +1,9 @@
 package router
 
 import (
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -149,3 +152,48 @@
 	require.True(t, ok)
 	require.Equal(t, Refusal{Ref: late, Kind: failure.NotReady, RetryAfter: 2e9}, refusal)
 }
+
+// The causes of waiting that a pass records for all requests at once differ from those that hold for each of them.
+func TestCommonWaitCauseIsThatOfEachRequest(t *testing.T) {
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		b := newLoadedRouter(t, 2, nil)
+		b.setCredits(1000)
+		seen := map[WaitCause]bool{}
+		for range 300 {
+			b.at = b.at.Add(clock.Span(random.IntN(100e6)))
+			b.randomStep(random)
+			for k, cause := range b.commonWaits {
+				require.NotEmpty(t, b.queues[k])
+				for _, r := range b.queues[k] {
+					require.Equal(t, cause, r.waitCause, "seed %d", seed)
+				}
+				seen[cause] = true
+			}
+		}
+		require.True(t, seen[WaitRoom], "seed %d", seed)
+	}
+}
+
+// randomStep gives the router one drawn event: a request, the end of an attempt, the end of a lease, or a new entry.
+func (b *testRouter) randomStep(random *rand.Rand) {
+	refs := slices.Sorted(maps.Keys(b.requests))
+	switch n := random.IntN(12); {
+	case n < 6 || len(refs) == 0:
+		path := []string{"/llm/x", "/llm/stream/x", "/llm/resume/x"}[random.IntN(3)]
+		b.callPath(path, fleetplan.Request{Model: "m", PromptTokens: random.IntN(6_000)})
+	case n < 9:
+		ref := refs[random.IntN(len(refs))]
+		attempt := len(b.requests[ref].attempts)
+		if b.requests[ref].stage == Attempting && b.MaySend(b.at, ref, attempt) {
+			outcome := []Outcome{Done, Done, Lost, Dropped, Unsent}[random.IntN(5)]
+			b.Step(b.at, Ended{Ref: ref, N: attempt, Outcome: outcome, Kind: failure.Busy})
+		}
+	case n < 10:
+		b.Step(b.at, Quit{Ref: refs[random.IntN(len(refs))]})
+	case n < 11:
+		b.deliverEntry("llm|m", []string{"s1", "s2", "s3"}[:random.IntN(4)]...)
+	default:
+		b.wait(clock.Span(random.IntN(200e6)))
+	}
+}
--- a/internal/router/waits.go
+++ b/internal/router/waits.go
@@ -1,6 +1,9 @@
 package router
 
-import "tidedeck/internal/clock"
+import (
+	"tidedeck/internal/clock"
+	"tidedeck/internal/ident"
+)
 
 // The causes of waiting are recorded for traces and have no influence on decisions.
 
@@ -34,11 +37,26 @@
 	r.waitCause, r.waitingSince = cause, now
 }
 
-// setWaitCauses records the cause of waiting for several requests.
-func (c *Core) setWaitCauses(cause WaitCause, queue []*request) {
-	for _, r := range queue {
+// passOver records why one request of a queue stays while those behind it may go.
+func (c *Core) passOver(r *request, cause WaitCause) {
+	r.setWaitCause(cause, c.now)
+	delete(c.commonWaits, r.key)
+}
+
+// endPass records why the requests of a queue from an index on stay. If that is all of them and the cause is still the
+// one of an earlier pass, there is nothing to record: a pass that nothing can leave takes no time for each request.
+func (c *Core) endPass(k ident.Key, from int, cause WaitCause) {
+	if from == 0 && c.commonWaits[k] == cause {
+		return
+	}
+	for _, r := range c.queues[k][from:] {
 		r.setWaitCause(cause, c.now)
 	}
+	if from == 0 {
+		c.commonWaits[k] = cause
+	} else {
+		delete(c.commonWaits, k)
+	}
 }
 
 // unusableCause returns the reason why an entry cannot be used.
