Soak: requests that work for seconds, with bodies that take seconds, beside all troubles

The soak's servers worked for 40 ms at most and its bodies took 0.2 s, so no request was at a server when a stop's grace period ended, and none outlived a decision at its head. Four more callers send effectful requests to a service with one server: up to 10 s of work, 12 s to live, half of them with a body that takes up to 6 s.

checkPlannedStops takes the time to live from each request, and of a paced request counts from its last byte; one that was never complete was not read whole and is passed over (LOST: "a process has read a whole request"). For all others the check is as it was.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -157,7 +157,7 @@
 	paths := [pathCount]string{pathIdempotent, pathEffectful, pathResumable, pathStream, pathPlain, pathMoving}
 	path := paths[c.random.IntN(len(paths))]
 	c.sentCount++
-	q := request{requestRecord: &requestRecord{id: fmt.Sprintf("c%d-%d-%d", c.run.options.Seed, c.number, c.sentCount), method: http.MethodPost, mode: modeByPath[path], path: path, key: fixedKey}}
+	q := request{requestRecord: &requestRecord{id: fmt.Sprintf("c%d-%d-%d", c.run.options.Seed, c.number, c.sentCount), method: http.MethodPost, mode: modeByPath[path], path: path, key: fixedKey, timeout: requestTimeout}}
 	if !c.fixedKeyOnly {
 		q.key = randomKey(c.random)
 		q.claimsTenant = c.random.Float64() < claimedTenantShare
@@ -197,7 +197,11 @@
 	if !c.keepsConn() && (c.random.Float64() < newConnShare || c.requestsOnConn >= maxRequestsPerConn) {
 		c.closeConn()
 	}
-	q := c.randomRequest()
+	c.send(c.randomRequest())
+}
+
+// send sends a request and records its outcome.
+func (c *caller) send(q request) {
 	if err := c.connect(); err != nil {
 		c.closeConn()
 		sleep(context.Background(), 50*time.Millisecond)
@@ -229,10 +233,10 @@
 }
 
 func (c *caller) write(q request) error {
-	_ = c.conn.SetDeadline(time.Now().Add(requestTimeout + answerSlack))
+	_ = c.conn.SetDeadline(time.Now().Add(q.timeout + answerSlack))
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n", q.method, q.target, requestHost,
-		peer.HeaderID, q.id, peer.HeaderRemaining, requestTimeout.Milliseconds(), len(q.content))
+		peer.HeaderID, q.id, peer.HeaderRemaining, q.timeout.Milliseconds(), len(q.content))
 	if q.model != "" {
 		fmt.Fprintf(&b, "%s: %s\r\n%s: %s\r\n%s: %s:%d\r\n", peer.HeaderModel, q.model, peer.HeaderTokens, peer.Tokens(promptTokens, answerTokens),
 			peer.HeaderPromptPrefix, q.body, promptTokens)
@@ -244,7 +248,7 @@
 		fmt.Fprintf(&b, "%s: %s\r\n", peer.HeaderTenant, fixedTenant)
 	}
 	b.WriteString("\r\n")
-	if !q.slowBody {
+	if !q.slowBody && !q.paced {
 		b.Write(q.content)
 		_, err := c.conn.Write(b.Bytes())
 		if err == nil && q.halfCloses {
@@ -255,6 +259,9 @@
 	if _, err := c.conn.Write(b.Bytes()); err != nil {
 		return err
 	}
+	if q.paced {
+		return c.writePaced(q)
+	}
 	piece := len(q.content)/slowBodyPieces + 1
 	for unsent := q.content; len(unsent) > 0; {
 		size := min(piece, len(unsent))
--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -41,6 +41,9 @@
 	mode                     string
 	router                   string // address of the router that received it
 	sentAt, endedAt          time.Time
+	timeout                  time.Duration
+	paced                    bool      // its body takes seconds
+	lastByteAt               time.Time // when the body of a paced request was complete; zero if it never was
 	result                   outcome
 	status                   int
 	detail                   string
@@ -164,6 +167,13 @@
 	c.requests[q.id] = q
 }
 
+// requestComplete records that the last byte of a paced request has been sent.
+func (c *checker) requestComplete(q *requestRecord) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	q.lastByteAt = time.Now()
+}
+
 // requestEnded records the outcome of a request. The caller does not write to q afterwards.
 func (c *checker) requestEnded(q *requestRecord, result outcome, status int, detail string) {
 	c.mu.Lock()
@@ -271,6 +281,8 @@
 		return service == plainService || service == otherService
 	case strings.HasPrefix(target, pathPlain):
 		return service == plainService
+	case strings.HasPrefix(target, pathSlow):
+		return service == slowService
 	}
 	return service == modelService
 }
@@ -345,10 +357,13 @@
 			if q.router != d.address || q.endedAt.IsZero() || q.endedAt.Before(d.from) || q.sentAt.After(d.from.Add(stopGrace)) || q.result != broken {
 				continue
 			}
-			if c.serverMisbehaved(q.id) || q.endedAt.Sub(q.sentAt) >= requestTimeout || !c.undisturbed(q.sentAt, q.endedAt, false) {
+			if c.serverMisbehaved(q.id) || q.endedAt.Sub(q.sentAt) >= q.timeout || !c.undisturbed(q.sentAt, q.endedAt, false) {
 				continue
 			}
-			if !c.reachedServer(q.id) && q.endedAt.Sub(q.sentAt) < lossSlack {
+			if q.paced && q.lastByteAt.IsZero() {
+				continue // it was never complete, so it was not read whole
+			}
+			if !c.reachedServer(q.id) && q.endedAt.Sub(q.completeAt()) < lossSlack {
 				continue // the request crossed the close of the connection and may not have been read
 			}
 			c.violateLocked("LOST", "%s, sent %v after %s at %s, was cut off %v later: %s", q.id, q.sentAt.Sub(d.from), d.description, d.address, q.endedAt.Sub(q.sentAt), q.detail)
@@ -356,6 +371,14 @@
 	}
 }
 
+// completeAt returns when the last byte of a request was sent, or its first one where that is all one write.
+func (q *requestRecord) completeAt() time.Time {
+	if q.paced {
+		return q.lastByteAt
+	}
+	return q.sentAt
+}
+
 // reachedServer reports whether a request arrived at any server.
 func (c *checker) reachedServer(id string) bool {
 	return len(c.executions[id]) > 0 || slices.ContainsFunc(c.arrivals, func(a arrival) bool { return a.id == id })
--- a/internal/soak/keys.go
+++ b/internal/soak/keys.go
@@ -44,7 +44,7 @@
 }
 
 // needsKey reports whether requests for a path need a tenant key.
-func needsKey(path string) bool { return path != pathPlain }
+func needsKey(path string) bool { return path != pathPlain && path != pathSlow }
 
 // randomHolder draws the tenant that holds movingKey; the empty string stands for none.
 func randomHolder(random *rand.Rand) string {
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -174,6 +174,7 @@
 			route(pathIdempotent, peer.Idempotent, modelService, true, false), route(pathEffectful, peer.Effectful, modelService, true, false),
 			route(pathResumable, peer.Continuous, modelService, true, true), route(pathStream, peer.Continuous, modelService, true, false),
 			route(pathPlain, peer.Idempotent, plainService, false, false), route(pathMoving, peer.Effectful, movingService, false, false),
+			slowRoute(),
 		},
 		Limits: peer.Limits{HeadBytes: 16384, BodyBytes: 4 << 20, HeadMs: 3000, IdleMs: 15000},
 	}
@@ -184,7 +185,7 @@
 	for i := range modelCount {
 		runtime.Models = append(runtime.Models, peer.ModelClass{Label: modelName(i), WeightMb: modelMb, LoadingS: loadDuration.Seconds(), DeltaMb: 40})
 	}
-	for _, s := range []string{modelService, plainService, otherService} {
+	for _, s := range []string{modelService, plainService, otherService, slowService} {
 		service := peer.Service{Label: s, Probe: peer.PathHealth, Connections: 400, Protocol: "h1"}
 		if s == modelService {
 			service.Runtime = runtime
--- a/internal/soak/options.go
+++ b/internal/soak/options.go
@@ -62,6 +62,10 @@
 	pathStream     = "/c/"
 	pathPlain      = "/w/"
 	pathMoving     = "/m/" // its service differs between configurations
+	pathSlow       = "/l/" // effectful; its requests take seconds
+
+	slowService        = "slow" // has one server
+	slowRequestTimeout = 12 * time.Second
 
 	modelCount       = 6
 	modelMb          = 10_000
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -132,7 +132,7 @@
 			return err
 		}
 	}
-	for _, service := range []string{plainService, plainService, otherService, otherService} {
+	for _, service := range []string{plainService, plainService, otherService, otherService, slowService} {
 		s := newServer(r.fleet, index, service, r.options.Seed)
 		index++
 		if err := r.addServer(s); err != nil {
@@ -180,6 +180,12 @@
 		c := &caller{run: r, number: i, random: rand.New(rand.NewPCG(r.options.Seed, 1000+uint64(i)))}
 		group.Go(func() { c.loop(ctx) })
 	}
+	if !r.options.SafetyOnly { // what becomes of slow requests is a matter of time bounds
+		for i := range slowCallerCount {
+			c := &caller{run: r, number: r.options.Callers + i, random: rand.New(rand.NewPCG(r.options.Seed, 2000+uint64(i)))}
+			group.Go(func() { c.loopSlow(ctx) })
+		}
+	}
 	for i := range operatorCount {
 		o := newOperator(r, i+1)
 		group.Go(func() { o.loop(ctx) })
@@ -190,7 +196,10 @@
 	group.Wait()
 }
 
-const operatorCount = 3
+const (
+	operatorCount   = 3
+	slowCallerCount = 4
+)
 
 // finish waits for recovery, checks acknowledged changes and final requests, and stops the fleet in an orderly way.
 func (r *soakRun) finish(ctx context.Context) {
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -426,9 +426,13 @@
 	return faults[i.random.IntN(len(faults))]
 }
 
-func (i *incarnation) randomWorkTime() time.Duration {
+// randomWorkTime draws how long a server works on a request for a path.
+func (i *incarnation) randomWorkTime(path string) time.Duration {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	if strings.HasPrefix(path, pathSlow) {
+		return time.Duration(i.random.Int64N(int64(slowWorkLimit)))
+	}
 	return time.Duration(5+i.random.IntN(35)) * time.Millisecond
 }
 
@@ -445,7 +449,7 @@
 
 // answerWhole answers a request that is not for a stream.
 func (i *incarnation) answerWhole(w http.ResponseWriter, r *http.Request, id string, f fault) {
-	sleep(r.Context(), i.randomWorkTime())
+	sleep(r.Context(), i.randomWorkTime(r.URL.Path))
 	text := answerText(id, i.id)
 	switch f {
 	case hang:
