Guards of a single run bite again: each of its three conditions has a test of its own

Cause: since readmit ends a request that may have run and may not run again, it catches what each of these lets through, so none was seen alone any more.

Change, in tests only: the ledger's own answer is looked at without the plan (TestLedgerAloneEndsALostRequest), and two tests have a route in force only while the request is at its server, with and without admitting it, which nothing but noteRoutes sees.

--- a/internal/router/admission_test.go
+++ b/internal/router/admission_test.go
@@ -100,3 +100,38 @@
 	require.True(t, ok)
 	require.Equal(t, Refusal{Ref: ref, Kind: failure.Unclear}, refusal)
 }
+
+// A request at a server runs again although a route whose requests run once was in force for a while meanwhile.
+func TestRepeatOnlyUnderEveryRouteMeanwhile(t *testing.T) {
+	b := newHostedRouter(t, Options{RetryMargin: 100}, hostPlan(nil), hostPlan(longerRoute("/again/x/", "web", fleetplan.Once, false)), hostPlan(nil))
+	b.deliverEntry("web|", "s1", "s2")
+	ref, l, _ := b.callPath("/again/x/y", fleetplan.Request{})
+	require.True(t, b.MaySend(b.at, ref, l.N))
+	b.deliverPlan(1)
+	b.deliverPlan(2)
+	out := b.Step(b.at, Ended{Ref: ref, N: l.N, Outcome: Lost})
+	_, again := findOutput[Launch](out)
+	require.False(t, again)
+	refusal, ok := findOutput[Refusal](out)
+	require.True(t, ok)
+	require.Equal(t, failure.Unclear, refusal.Kind)
+}
+
+// The same where the route in between did not admit the request, since no tenant held its key.
+func TestRepeatOnlyUnderEveryRouteThatDeniedItMeanwhile(t *testing.T) {
+	once := func(p *fleetplan.Plan) { p.Hosts["h"]["/again/"].Mode = fleetplan.Once }
+	b := newHostedRouter(t, Options{RetryMargin: 100}, keyedPlan(keyHolders{"k": "one"}, nil), keyedPlan(keyHolders{}, once), keyedPlan(keyHolders{"k": "one"}, nil))
+	b.deliverEntry("web|", "p", "q")
+	_, l, _ := b.callPath("/again/x", withKey(fleetplan.Request{}, "k"))
+	require.True(t, b.MaySend(b.at, l.Ref, l.N))
+	b.deliverPlan(1)
+	b.deliverPlan(2)
+	_, again := findOutput[Launch](b.Step(b.at, Ended{Ref: l.Ref, N: l.N, Outcome: Lost}))
+	require.False(t, again)
+}
+
+// The ledger lets a request go on that may have run and runs once, and leaves it to the look at the plan to end it.
+func TestLedgerAloneEndsALostRequest(t *testing.T) {
+	r := &request{attempts: []attemptRecord{{Outcome: Lost}}}
+	require.Equal(t, transition{kind: failure.Unclear}, r.nextStep(4))
+}
