--- a/internal/simulator/bites_test.go
+++ b/internal/simulator/bites_test.go
@@ -40,7 +40,7 @@
 		{"internal/controller/place.go", "if s.free() < m.Size {", "if false {"}, {"internal/controller/server.go", "over := s.room > 0 && s.used() > s.room", "over := false"}}},
 	{"keep within the store's budget", "blackout", "exceeded the store's budget", []edit{
 		{"internal/controller/place.go", "if budget <= 0 {", "if false {"}, {"internal/controller/place.go", "s.loading() > 0 {", "false {"}}},
-	{"cap cold servers", "crowd", "flooded while cold", []edit{{"internal/router/choice.go", "if b.inFlight >= limit || b.inFlightByKey[r.key] >= coldLimit {", "if limit+coldLimit < 0 {"}}},
+	{"cap cold servers", "crowd", "flooded while cold", []edit{{"internal/router/choice.go", "return load.inFlight < limit && load.inFlightByKey[e.Key] < coldLimit", "return limit+coldLimit >= 0"}}},
 	{"an emptied disk does not vote", "amnesia", "read gave epoch|confirmed twice|slipped back|bytes that were not sent", []edit{{"internal/controller/acceptor.go", "c.acceptor.inc = c.o.Inc", "c.acceptor.inc = 1"}}},
 	{"sync before an answer", "power", "routes under epoch 1|read gave epoch|bytes that were not sent|slipped back", []edit{
 		{"internal/controller/core.go", "c.continuations[c.token] = then", "then()\n\tc.continuations[c.token] = func() {}"}}},
@@ -58,12 +58,13 @@
 		{"internal/controller/server.go", `"live" && !c.empty[s.Zone] && !c.closed`, `"live" && !c.closed`},
 		{"internal/router/core.go", "return c.emptyZones[p.Zone] || !c.leased()", "return !c.leased()"}}},
 	{"repeat only repeatable requests", "storm", "may not be repeated", []edit{
-		{"internal/router/ledger.go", "Lost:    {{kind: failure.Unclear}, {again: true, pay: true}}", "Lost:    {{again: true}, {again: true}}"},
+		{"internal/router/ledger.go", "Lost:    {{kind: failure.Unclear}, {again: true, pay: true}}", "Lost:    {{again: true}, {again: true}}"}, {"internal/router/admission.go", "case r.mayHaveRun() && !r.repeatable():", "case false:"},
 		{"internal/router/allowance.go", "if sum < 1 {", "if sum < 0 {"}}},
 	{"keep within the retry allowance", "flap", "to [0-9]* first attempts", []edit{
 		{"internal/router/allowance.go", "if sum < 1 {", "if sum < 0 {"}, {"internal/router/core.go", "generic.SetDefault(&o.MaxAttempts, 4)", "generic.SetDefault(&o.MaxAttempts, 1000)"}}},
 	{"events of one server per answer", "storm", "came as number|two goes in one answer|after its end", []edit{
-		{"internal/router/ledger.go", "Split:   {{kind: failure.Cut}, {kind: failure.Cut}}", "Split:   {{again: true}, {again: true}}"}}},
+		{"internal/router/ledger.go", "Split:   {{kind: failure.Cut}, {kind: failure.Cut}}", "Split:   {{again: true}, {again: true}}"},
+		{"internal/router/admission.go", "case r.hasBegun() && !r.resumable():", "case false:"}, {"internal/router/admission.go", "case r.mayHaveRun() && !r.repeatable():", "case false:"}}},
 	{"route only what is allowed", "plans", "which no plan allows", []edit{
 		{"internal/router/admission.go", "case c.leased():\n\t\t\treturn why", "case why != failure.None && c.leased():"},
 		{"internal/router/admission.go", "return why\n}\n\n// admit", "_ = why\n\treturn failure.None\n}\n\n// admit"}}},
