Founders ask the routers for their copies twice a wait, not at each tick

What callers saw: on core machines of 0.3 cores a large fleet forms its core 12 s after the start, 2 s before traffic. Cause: tickForming sent a RecoveryQuery to every live agent at each tick, 40 times a second; the answers of 295 routers (9,700 messages a second at each of two founders) delayed the answers of the other seeds past the time for which they count as fresh, so that the set of founders broke off again and again. Change: at most two rounds of queries in the shortest wait, also when the set of founders changes meanwhile.

--- a/internal/controller/forming.go
+++ b/internal/controller/forming.go
@@ -43,9 +43,7 @@
 	if r.blankSince == 0 {
 		r.blankSince, r.agentCopy = c.now, nil
 	}
-	for _, m := range c.members.Alive("agent") {
-		c.send(m.Peer, protocol.RecoveryQuery{Round: uint64(r.blankSince)})
-	}
+	c.queryAgentCopies()
 	if c.now.Sub(r.blankSince) < set.wait {
 		return
 	}
@@ -53,6 +51,22 @@
 	c.proposeFirst(set.voters)
 }
 
+// copyQueriesPerWait is how often agents are asked for their copies during the shortest wait. The messages may be lost, and
+// the answers of all agents must not crowd out those of the other seeds.
+const copyQueriesPerWait = 2
+
+// queryAgentCopies asks all agents for their copies of the configuration, unless it has just done so.
+func (c *Core) queryAgentCopies() {
+	r := &c.register
+	if r.copiesQueriedAt != 0 && c.now.Sub(r.copiesQueriedAt) < c.o.FormAfter/copyQueriesPerWait {
+		return
+	}
+	r.copiesQueriedAt = c.now
+	for _, m := range c.members.Alive("agent") {
+		c.send(m.Peer, protocol.RecoveryQuery{Round: uint64(r.blankSince)})
+	}
+}
+
 // proposeFirst proposes the first value of a core. If agents hold a copy of a configuration, everything confirmed but
 // these copies is lost: the newest one is adopted, with an epoch far past any that the lost core may have reached.
 func (c *Core) proposeFirst(voters []protocol.Voter) {
--- a/internal/controller/forming_test.go
+++ b/internal/controller/forming_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 
@@ -8,6 +9,7 @@
 
 	"tidedeck/internal/clock"
 	"tidedeck/internal/failure"
+	"tidedeck/internal/generic"
 	"tidedeck/internal/ident"
 	"tidedeck/internal/protocol"
 )
@@ -300,3 +302,36 @@
 		require.Equal(t, x.founder, c.isFounder(), x)
 	}
 }
+
+// introduceAgents tells every node that the agents of n routers are alive.
+func introduceAgents(f *firstStart, n int) {
+	members := make([]protocol.Member, n)
+	for i := range members {
+		id := fmt.Sprintf("r%04d", i)
+		members[i] = protocol.Member{Peer: protocol.Peer{ID: ident.Node(id), Addr: id}, Role: "agent", Incarnation: ident.Incarnation(f.at), Status: "alive"}
+	}
+	for _, id := range generic.SortedKeys(f.nodes) {
+		f.step(id, protocol.Envelope{From: members[0].Peer, To: protocol.Peer{ID: ident.Node(id), Addr: id}, Body: protocol.ProbeAck{Gossip: members}})
+	}
+}
+
+// Guards against a first start whose founders drown in the routers' answers, because they ask every router at each tick.
+func TestFoundersAskRoutersForTheirCopyAFewTimes(t *testing.T) {
+	const routers, mostPerRouter = 295, 4
+	f := newFirstStart(t)
+	asked := map[string]int{}
+	f.dropsMessage = func(e protocol.Envelope) bool {
+		if _, ok := e.Body.(protocol.RecoveryQuery); ok {
+			asked[e.To.Addr]++
+		}
+		return false
+	}
+	for formed := false; !formed; {
+		introduceAgents(f, routers)
+		formed = f.until(200e6, func() bool { return f.nodes["a"].register.known != nil })
+	}
+	require.Len(t, asked, routers, "every router is asked")
+	for router, times := range asked {
+		require.LessOrEqual(t, times, mostPerRouter, router)
+	}
+}
--- a/internal/controller/register.go
+++ b/internal/controller/register.go
@@ -30,6 +30,7 @@
 	answered         clock.Instant // when a majority last answered, whether or not the read completed
 	states           map[ident.Node]stateReport
 	blankSince       clock.Instant // since when this node could form a core
+	copiesQueriedAt  clock.Instant // when the agents were last asked for their copies of the configuration
 	coreUnknownSince clock.Instant // since when this node knows of no core
 	formingWaitsFor  string        // what a node without a core waits for, as last logged
 	agentCopy        *protocol.Desired
