Agents send a core node no more renewals than it answers

Cause: a router whose leader was silent for 0.75 s renewed each 0.175 s in place of each 0.4 s, at whatever node, and again at the leader as soon as another node had named it. The later the answers, the more questions, and most answers came after the time that they grant. Change: at most two renewals of a router wait at one node; after each further one without an answer the node is given twice as long, up to 1.4 s; what counts as late follows the measured round trips. While no core node answers at all the pauses double as well. Renewals of a fleet are bounded at 500 a second, up to a pause of 0.8 s. A new configuration brings a renewal forward only if the lease ends soon: its acknowledgement is sent by itself.

--- a/internal/agent/contact.go
+++ b/internal/agent/contact.go
@@ -70,7 +70,7 @@
 // checkContact queries every core node after a period without answers, and marks this machine as partitioned after a
 // longer one.
 func (c *Core) checkContact() {
-	if c.contact.queryDue(c.now) {
+	if c.contact.queryDue(c.now) && (c.hasConfiguration() || c.now.Sub(c.contact.lastQueryAll) > maxHoldOffTimeouts*c.o.AnswerTimeout) {
 		c.queryAllCoreNodes()
 	}
 	if !c.contact.partitioned && c.contact.timedOut(c.now) {
@@ -78,6 +78,10 @@
 	}
 }
 
+// hasConfiguration reports whether the router has any configuration. Without one it sends nothing to servers, so that it is in no
+// hurry to learn whether it is partitioned: a system that starts for the first time has no core for some time.
+func (c *Core) hasConfiguration() bool { return c.gen != 0 || c.epoch != 0 }
+
 func (c *Core) setPartitioned(parted bool) {
 	c.contact.partitioned = parted
 	c.logEvent("contact with the core changed", protocol.Field{Name: "parted", Value: parted}, protocol.Field{Name: "way", Value: c.path.to.Addr}, protocol.Field{Name: "via", Value: c.path.via.ID},
--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"tidedeck/internal/clock"
 	"tidedeck/internal/generic"
@@ -60,6 +61,7 @@
 	advertisedCores    []protocol.Peer
 	pathIndex          int
 	newestDesired      *protocol.Desired
+	pacer              renewalPacer
 	stall              clock.StallDetector
 	tally              Tally
 }
@@ -88,7 +90,7 @@
 func New(o Options) *Core {
 	generic.SetDefault(&o.RenewInterval, 400e6)
 	generic.SetDefault(&o.AnswerTimeout, 350e6)
-	c := &Core{o: o, sentAt: map[uint64]clock.Instant{}, advertisedCores: o.Seeds, stall: clock.StallDetector{MinGap: minStall}}
+	c := &Core{o: o, sentAt: map[uint64]clock.Instant{}, advertisedCores: o.Seeds, pacer: newRenewalPacer(), stall: clock.StallDetector{MinGap: minStall}}
 	c.members = membership.New(membership.Options{
 		Self:  protocol.Member{Peer: o.Self, Role: "agent", Zone: o.Zone, Incarnation: o.Inc},
 		Seeds: o.Seeds, Rand: o.Rand,
@@ -170,8 +172,8 @@
 		if body.Incarnation == 0 {
 			return // a running router has a non-zero start number
 		}
-		if body.Gen != c.gen || body.Epoch != c.epoch {
-			c.nextRenewal = c.now // the leader waits for this acknowledgement
+		if (body.Gen != c.gen || body.Epoch != c.epoch) && c.leaseEnd.Sub(c.now) < c.renewInterval()+c.answerTimeout() {
+			c.nextRenewal = c.now // the leader cut the lease short until the router has this configuration
 		}
 		c.gen, c.epoch, c.tokensInProgress = body.Gen, body.Epoch, body.TokensInProgress
 		c.mergeKeyLoads(body.KeyLoads)
@@ -202,6 +204,7 @@
 	case protocol.Grant:
 		c.onGrant(e, body)
 	case protocol.NotOwner:
+		c.pacer.noteAnswer(e.From, body.Seq)
 		c.onNotOwner(body)
 	case protocol.Updates:
 		c.onUpdates(e, body)
@@ -229,6 +232,7 @@
 }
 
 func (c *Core) onGrant(e protocol.Envelope, grant protocol.Grant) {
+	c.pacer.noteAnswer(e.From, grant.Seq)
 	c.noteCoreAnswer()
 	if !c.acceptFromLeader(grant.Session, grant.Term) {
 		return
@@ -242,6 +246,7 @@
 	if !ok {
 		return
 	}
+	c.pacer.trip.Observe(c.now.Sub(sentAt))
 	for seq := range c.sentAt {
 		if seq <= grant.Seq {
 			delete(c.sentAt, seq)
@@ -293,6 +298,7 @@
 }
 
 func (c *Core) onUpdates(e protocol.Envelope, updates protocol.Updates) {
+	c.pacer.silent = 0
 	c.noteCoreAnswer()
 	if !c.acceptFromLeader(updates.Session, updates.Term) {
 		c.forwardStaleConfig(updates)
@@ -348,29 +354,44 @@
 	if c.now < c.nextRenewal {
 		return
 	}
-	if c.now.Sub(c.lastLeaderAnswer) > c.o.RenewInterval+c.o.AnswerTimeout && c.now.Sub(c.pathChangedAt) > c.o.AnswerTimeout {
+	if c.isLeaderLate() && c.now.Sub(c.pathChangedAt) > c.o.AnswerTimeout {
 		c.switchPath()
 	}
 	if c.path.via.ID != "" && c.now.Sub(c.directTriedAt) > relayDuration {
 		c.directTriedAt, c.path.via = c.now, protocol.Peer{} // retry the direct path, so that relaying lasts no longer than necessary
 	}
+	if c.holdsOff(c.path) {
+		return
+	}
 	c.nextRenewal = c.now.Add(c.renewInterval())
-	if c.now.Sub(c.lastLeaderAnswer) > c.o.RenewInterval+c.o.AnswerTimeout {
-		c.nextRenewal = c.now.Add(c.o.AnswerTimeout / 2)
+	if c.isLeaderLate() {
+		c.nextRenewal = c.now.Add(c.pauseWithoutLeader())
 	}
 	c.tally.Renews++
-	c.sendToCore(c.renewal())
+	renewal := c.renewal()
+	c.pacer.noteSent(c.path, renewal.Seq, c.now)
+	c.sendToCore(renewal)
 	c.keyLoads, c.tokenTimes = outstanding(c.keyLoads), nil // a sent map is not modified afterwards
 }
 
 // renewInterval returns the time until the next renewal.
 func (c *Core) renewInterval() clock.Span {
-	if !c.o.FastRenewal || c.routers == 0 {
+	switch bounded := clock.Span(c.routers) * clock.Span(time.Second) / maxFleetRenewals; {
+	case bounded > c.o.RenewInterval:
+		return min(bounded, c.o.RenewInterval*maxRenewStretch)
+	case !c.o.FastRenewal || c.routers == 0:
 		return c.o.RenewInterval
 	}
 	return min(c.o.RenewInterval, max(c.o.RenewInterval*3/8, c.o.RenewInterval/60*clock.Span(c.routers)))
 }
 
+const (
+	// maxFleetRenewals is how many renewals a second all routers together send while maxRenewStretch allows it.
+	maxFleetRenewals = 500
+	// maxRenewStretch bounds how much longer than RenewInterval a large fleet waits: a lease must outlast two renewals.
+	maxRenewStretch = 2
+)
+
 // mergeKeyLoads records the router's current load and adds the counts accumulated since the last renewal.
 func (c *Core) mergeKeyLoads(reported map[ident.Key]protocol.KeyLoad) {
 	merged := map[ident.Key]protocol.KeyLoad{}
--- a/internal/agent/gather_test.go
+++ b/internal/agent/gather_test.go
@@ -54,6 +54,7 @@
 				l = r.renewals()
 			}
 			require.Len(t, l, 1, c.name)
+			r.deliver(newPeer("a1"), protocol.Grant{Session: l[0].Session, Seq: l[0].Seq, Length: 2e9, Term: 1})
 			got := keyLoads{}
 			for k, u := range l[0].KeyLoads {
 				got[k] = u
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -70,8 +70,9 @@
 		answer.OwnerHint = protocol.Peer{}
 	}
 	renewal, renews := e.Body.(protocol.Renew)
+	answer.Seq = renewal.Seq
 	if known := c.register.known; renews && known != nil && c.register.knownSince != 0 && c.knowsDepartures() {
-		answer.Seq, answer.Gen, answer.Epoch = renewal.Seq, known.Gen, known.Epoch
+		answer.Gen, answer.Epoch = known.Gen, known.Epoch
 		answer.ConfigLease = max(0, c.o.RouterLease-c.now.Sub(c.register.knownSince))
 		answer.Leaving = c.leavingServers()
 	}
