--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sort"
 
 	"github.com/qmuntal/stateless"
@@ -147,27 +148,43 @@
 	}
 }
 
+// maxGossiped is the number of other members in a message.
+const maxGossiped = 8
+
+// gossip returns this process and the members whose states were gossiped least often.
 func (c *Core) gossip() []protocol.Member {
-	members := make([]*member, 0, len(c.members))
-	for _, m := range c.members {
-		members = append(members, m)
-	}
-	sort.Slice(members, func(i, j int) bool {
-		if members[i].gossiped != members[j].gossiped {
-			return members[i].gossiped < members[j].gossiped
-		}
-		return members[i].ID < members[j].ID
-	})
 	updates := []protocol.Member{c.o.Self}
-	for i := 0; i < len(members) && i < 8; i++ {
-		members[i].gossiped++
-		update := members[i].Member
-		update.Status = members[i].state
+	for _, m := range c.leastGossiped() {
+		m.gossiped++
+		update := m.Member
+		update.Status = m.state
 		updates = append(updates, update)
 	}
 	return updates
 }
 
+// leastGossiped returns up to maxGossiped members in the order in which they are gossiped.
+func (c *Core) leastGossiped() []*member {
+	first := make([]*member, 0, maxGossiped+1)
+	for _, m := range c.members {
+		if len(first) == maxGossiped && !m.gossipedBefore(first[maxGossiped-1]) {
+			continue
+		}
+		at := sort.Search(len(first), func(i int) bool { return m.gossipedBefore(first[i]) })
+		first = slices.Insert(first, at, m)
+		first = first[:min(len(first), maxGossiped)]
+	}
+	return first
+}
+
+// gossipedBefore reports whether a member is gossiped before another one.
+func (m *member) gossipedBefore(other *member) bool {
+	if m.gossiped != other.gossiped {
+		return m.gossiped < other.gossiped
+	}
+	return m.ID < other.ID
+}
+
 // SetSeeds replaces the seeds, because the initial seeds may all have stopped by the time they are needed again.
 func (c *Core) SetSeeds(seeds []protocol.Peer) { c.o.Seeds = seeds }
 
