An owner that is behind gives up looks at placement first

The pause after a look was 2 us for each visit, whatever else waited. Change: 6 us for each visit, and at least 0.5 s while the owner's ticks come late.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -178,6 +178,8 @@
 	newest             *protocol.Desired        // as sent to routers
 	newestBytes        *protocol.SharedEncoding // the same, encoded once for all routers
 	stall              clock.StallDetector      // stalls of this process
+	lag                tickLag
+	liveAgents         int // agents that were alive at the last tick
 }
 
 // Tally counts a core node's operations; its fields are published as metrics.
@@ -310,7 +312,9 @@
 		c.tally.Stalls++
 		c.logEvent("process stalled", field("ms", gap.Milliseconds()), field("owns", c.holdsLease()))
 	}
+	c.lag.observe(c.now)
 	c.emit(c.members.Tick(c.now)...)
+	c.liveAgents = c.members.CountAlive("agent")
 	c.tickRegister()
 	c.tickLeadership()
 	c.tickLinks()
--- a/internal/controller/weigh.go
+++ b/internal/controller/weigh.go
@@ -17,7 +17,9 @@
 	// pausePerVisit is the pause of placement for each server or replica that the last run examined. It leaves
 	// most of the leader's time to leases, acknowledgements and departing servers, whatever the size of the
 	// fleet.
-	pausePerVisit     = clock.Span(2e3)
+	pausePerVisit = clock.Span(6e3)
+	// pauseBehind is the least pause of placement while the leader is behind with its work.
+	pauseBehind       = clock.Span(500e6)
 	prefetchInterval  = 300e6 // interval between two loads ahead of demand
 	prefetchMinBudget = 2     // loads that the store must have free before one of them is used ahead of demand
 	reservedDivisor   = 3     // one in so many of the store's concurrent loads is reserved for bases without a replica
@@ -35,7 +37,7 @@
 
 // placeByCost runs placement if its pause is over.
 func (c *Core) placeByCost() {
-	if c.now.Sub(c.lastPlacement) < c.placementPause {
+	if c.now.Sub(c.lastPlacement) < c.placementPause || c.lag.isBehind() && c.now.Sub(c.lastPlacement) < pauseBehind {
 		return
 	}
 	before := c.tally.Visits
