A router has one message of requests for entries under way, and entries are acknowledged with the renewal

What callers saw: past some point an owner that is behind never comes back. Cause: a router asked for each missing entry by a message of its own, again each 0.4 s, answered or not; after lost leases that is more than the owner can read, and so the leases are lost again.

--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -50,6 +50,8 @@
 	term               ident.Term
 	fresh              bool
 	ackedNum           uint64
+	promptAckNum       uint64 // number up to which the leader waits for an acknowledgement
+	sentAckNum         uint64 // number that was last acknowledged by a message of its own
 	nextRenewal        clock.Instant
 	contact            coreContact   // whether any core node is reachable, independent of the current leader
 	configCurrentUntil clock.Instant // until when a core node has confirmed the router's configuration as current
@@ -62,6 +64,7 @@
 	pathIndex          int
 	newestDesired      *protocol.Desired
 	pacer              renewalPacer
+	entryRequests      entryRequests
 	stall              clock.StallDetector
 	tally              Tally
 }
@@ -138,7 +141,9 @@
 // beginSession starts a new session. The router has to revalidate all of its cached state.
 func (c *Core) beginSession(why string) {
 	c.session = protocol.Session{Node: c.o.Self.ID, AgentIncarnation: c.o.Life, RouterIncarnation: c.router, Num: c.session.Num + 1}
-	c.leaseEnd, c.term, c.fresh, c.ackedNum = 0, 0, true, 0
+	c.leaseEnd, c.term, c.fresh = 0, 0, true
+	c.ackedNum, c.promptAckNum, c.sentAckNum = 0, 0, 0
+	c.entryRequests.reset()
 	c.sentAt = map[uint64]clock.Instant{}
 	c.nextRenewal = c.now
 	c.tally.Sessions++
@@ -187,10 +192,9 @@
 			c.sendLease()
 		}
 	case protocol.EntryRequest:
-		// Before a leader has answered in this session, it does not know the session. It would reject the request as
-		// belonging to an unknown session, and the next session would start with the same request.
-		if body.Session == c.session && !c.fresh {
-			c.sendToCore(body)
+		if body.Session == c.session {
+			c.entryRequests.add(body)
+			c.sendEntryRequests()
 		}
 	case protocol.DroppedEntries:
 		if body.Session == c.session {
@@ -198,8 +202,7 @@
 		}
 	case protocol.Ack:
 		if body.Session == c.session {
-			c.ackedNum = max(c.ackedNum, body.Num)
-			c.sendToCore(body)
+			c.onAck(body)
 		}
 	case protocol.Grant:
 		c.onGrant(e, body)
@@ -304,10 +307,28 @@
 		c.forwardStaleConfig(updates)
 		return
 	}
-	for _, item := range updates.Items {
+	for i, item := range updates.Items {
 		c.rememberDesired(item.Desired)
+		if updates.LateAck {
+			continue
+		}
+		c.promptAckNum = max(c.promptAckNum, item.Num)
+		if i == 0 {
+			c.sentAckNum = min(c.sentAckNum, item.Num-1) // the leader has not received an earlier acknowledgement
+		}
 	}
+	c.entryRequests.noteReceived(updates.Items)
 	c.sendToRouter(updates)
+	c.sendEntryRequests()
+}
+
+// onAck passes the router's acknowledgement on if the leader waits for it. Otherwise the next renewal carries it.
+func (c *Core) onAck(ack protocol.Ack) {
+	c.ackedNum = max(c.ackedNum, ack.Num)
+	if c.promptAckNum > c.sentAckNum {
+		c.sentAckNum = ack.Num
+		c.sendToCore(ack)
+	}
 }
 
 // forwardStaleConfig forwards the configurations among updates whose session has ended, and drops the rest. A chosen
@@ -350,6 +371,7 @@
 	if c.leaseEnd != 0 && c.now > c.leaseEnd {
 		c.beginSession("lease expired") // the router revalidates its state in the new session
 	}
+	c.sendEntryRequests()
 	c.checkContact()
 	if c.now < c.nextRenewal {
 		return
--- /dev/null
+++ b/internal/controller/agent_fleet_test.go
@@ -0,0 +1,129 @@
+package controller
+
+import (
+	"math/rand/v2"
+
+	"tidedeck/internal/agent"
+	"tidedeck/internal/clock"
+	"tidedeck/internal/generic"
+	"tidedeck/internal/ident"
+	"tidedeck/internal/protocol"
+)
+
+// Routers whose leases are renewed by real agents, so that what an agent does while the core is behind is part of a test.
+
+const (
+	agentReportInterval = clock.Span(100e6) // interval of a router's reports to its agent
+	entryRetryInterval  = clock.Span(400e6) // time between two requests of a router for one entry
+)
+
+// attachAgent has an agent renew the lease of a router.
+func (r *router) attachAgent() {
+	self := protocol.Peer{ID: ident.Node(r.id), Addr: r.id}
+	r.agent = agent.New(agent.Options{
+		Self: self, Zone: "z", Inc: 1, Life: 1, Seeds: r.c.seeds, Router: protocol.Peer{Addr: localRouter},
+		Rand: rand.New(rand.NewPCG(uint64(len(r.c.routers)), 9)), FastRenewal: true,
+	})
+}
+
+// localRouter is the address at which an agent reaches its router.
+const localRouter = "local-router"
+
+// advanceAgent runs the router's timers and its agent's.
+func (r *router) advanceAgent() {
+	if r.c.at >= r.reportAt {
+		r.reportAt = r.c.at.Add(agentReportInterval)
+		known := r.c.newestKnown()
+		r.sendAll(r.toAgent(protocol.RouterReport{Incarnation: 1, Session: r.session, Gen: known.Gen, Epoch: known.Epoch, KeyLoads: copyOf(r.keyLoads)}))
+	}
+	for _, key := range generic.SortedKeys(r.keyLoads) {
+		if _, ok := r.entries[key]; !ok && r.c.at.Sub(r.asked[key]) > entryRetryInterval && r.session.Num > 0 {
+			r.asked[key] = r.c.at
+			r.sendAll(r.toAgent(protocol.EntryRequest{Session: r.session, Key: key, Waiting: r.keyLoads[key].Waiting, Value: 1}))
+		}
+	}
+	r.sendAll(r.deliverLocally(r.agent.Step(r.c.at, protocol.TimerTick{})))
+}
+
+// newestKnown returns the newest value that a node knows to be chosen.
+func (c *cluster) newestKnown() (newest protocol.Desired) {
+	for _, id := range generic.SortedKeys(c.nodes) {
+		if known := c.nodes[id].register.known; known != nil && known.Newer(&newest) {
+			newest = *known
+		}
+	}
+	return newest
+}
+
+func copyOf(loads map[ident.Key]protocol.KeyLoad) map[ident.Key]protocol.KeyLoad {
+	copied := make(map[ident.Key]protocol.KeyLoad, len(loads))
+	for key, load := range loads {
+		copied[key] = load
+	}
+	return copied
+}
+
+// sendAll passes the agent's messages to their recipients.
+func (r *router) sendAll(messages []protocol.Envelope) {
+	for _, e := range messages {
+		if r.c.partitioned[r.id] {
+			continue
+		}
+		if to := e.NextHop().Addr; r.c.nodes[to] != nil {
+			r.c.step(to, e)
+		}
+	}
+}
+
+// toAgent passes a message of the router to its agent and returns the messages for core nodes.
+func (r *router) toAgent(body any) []protocol.Envelope {
+	return r.deliverLocally(r.agent.Step(r.c.at, protocol.Envelope{From: protocol.Peer{Addr: localRouter}, Body: body}))
+}
+
+// stepAgent passes a core node's message to the agent and returns the messages for core nodes.
+func (r *router) stepAgent(e protocol.Envelope) []protocol.Envelope {
+	return r.deliverLocally(r.agent.Step(r.c.at, e))
+}
+
+// deliverLocally handles the agent's messages to its router and returns the others.
+func (r *router) deliverLocally(outputs []any) (others []protocol.Envelope) {
+	for _, o := range outputs {
+		e, ok := o.(protocol.Envelope)
+		switch {
+		case !ok:
+		case e.To.Addr != localRouter:
+			others = append(others, e)
+		default:
+			others = append(others, r.receive(e.Body)...)
+		}
+	}
+	return others
+}
+
+// receive handles a message of the agent.
+func (r *router) receive(body any) []protocol.Envelope {
+	switch b := body.(type) {
+	case protocol.RouterLease:
+		if b.Session != r.session {
+			r.session, r.heard, r.until = b.Session, 0, 0
+			r.entries, r.asked = map[ident.Key][]protocol.Replica{}, map[ident.Key]clock.Instant{}
+		}
+		r.until = max(r.until, b.Until)
+	case protocol.Updates:
+		if b.Session != r.session {
+			return nil
+		}
+		for _, i := range b.Items {
+			if i.Num != r.heard+1 {
+				continue
+			}
+			r.heard = i.Num
+			if i.Entry != nil {
+				r.entries[i.Entry.Key] = i.Entry.Replicas
+			}
+			delete(r.entries, i.Break)
+		}
+		return r.toAgent(protocol.Ack{Session: r.session, Num: r.heard})
+	}
+	return nil
+}
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"tidedeck/internal/agent"
 	"tidedeck/internal/clock"
 	"tidedeck/internal/fleetplan"
 	"tidedeck/internal/generic"
@@ -533,6 +534,8 @@
 	keyLoads     map[ident.Key]protocol.KeyLoad // reported with every renewal
 	withholdAcks bool                           // acknowledges no changes
 	grants       []protocol.Grant
+	agent        *agent.Core // renews the lease; nil if the router renews by itself
+	reportAt     clock.Instant
 }
 
 func (c *cluster) route(id string) *router {
@@ -556,6 +559,10 @@
 
 // advance renews the lease and requests missing entries as they are due.
 func (r *router) advance() {
+	if r.agent != nil {
+		r.advanceAgent()
+		return
+	}
 	if r.until != 0 && r.c.at > r.until {
 		r.resetSession()
 	}
@@ -585,6 +592,9 @@
 }
 
 func (r *router) take(e protocol.Envelope) []protocol.Envelope {
+	if r.agent != nil {
+		return r.stepAgent(e)
+	}
 	switch b := e.Body.(type) {
 	case protocol.Grant:
 		if b.Session == r.session {
--- a/internal/controller/entries.go
+++ b/internal/controller/entries.go
@@ -93,7 +93,7 @@
 	switch {
 	case e.digest == was:
 	case c.o.Unfenced && !e.unplaceable && containsAll(e.replicas, old):
-		c.extendCallbacks(k, e)
+		c.extendCallbacks(k, e, len(old) > 0)
 	default:
 		c.breakCallbacks(k, e)
 	}
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -30,6 +30,8 @@
 	callbackOrder    []ident.Key // oldest first; the oldest are shed first
 	tokensInProgress map[ident.Server]int
 	overflowed       bool
+	isDeferred       bool // it is in linkSet.deferred
+	isRemoved        bool
 
 	tokenTimes map[ident.Key]float64 // by base, as last sent to the router
 	slowest    float64
@@ -138,7 +140,7 @@
 	}
 	l.leaseEnd = max(l.leaseEnd, c.now.Add(c.withDrift(n)))
 	c.tally.Grants++
-	c.reply(l.replyTo, protocol.Grant{Session: l.session, Seq: l.pendingRenewal, Length: n, Term: c.leadership.term, Routers: max(len(c.links), c.members.CountAlive("agent")), TokensInProgress: c.tokensInProgressFor(l), TokenTimes: c.tokenTimesUpdate(l)})
+	c.reply(l.replyTo, protocol.Grant{Session: l.session, Seq: l.pendingRenewal, Length: n, Term: c.leadership.term, Routers: max(len(c.links), c.liveAgents), TokensInProgress: c.tokensInProgressFor(l), TokenTimes: c.tokenTimesUpdate(l)})
 	l.pendingRenewal = 0
 	return true
 }
@@ -163,33 +165,6 @@
 	return since, owes
 }
 
-// An unacknowledged change is sent again after minResendDelay. For a configuration, resendDelayPerByte is
-// added for each byte: a router with a tenth of a CPU core and 10 Mbit/s needs about that long to process it.
-const (
-	minResendDelay     = clock.Span(200e6)
-	resendDelayPerByte = clock.Span(1500)
-)
-
-// resendDelay returns how long to wait for an acknowledgement before sending again. It grows with the size of
-// the data, as repeats of a large plan would otherwise displace all other traffic.
-func (l *link) resendDelay() clock.Span {
-	n := 0
-	for _, i := range l.unacked {
-		if i.Desired != nil {
-			n += len(i.Desired.Plan)
-		}
-	}
-	return minResendDelay + clock.Span(n)*resendDelayPerByte
-}
-
-func (c *Core) queueItem(l *link, i protocol.Update) uint64 {
-	l.lastNum++
-	i.Num = l.lastNum
-	l.unacked = append(l.unacked, change{i, c.now})
-	c.linkSet.unsent[l] = true
-	return l.lastNum
-}
-
 func (c *Core) acknowledge(l *link, num uint64) {
 	if num <= l.ackedNum {
 		return
@@ -217,23 +192,39 @@
 	}
 }
 
-// onEntryRequest registers a callback and sends the entry, or only confirms that the router's copy is current.
+// onEntryRequest answers a router's requests for entries. While the servers are not known, all of them wait.
 func (c *Core) onEntryRequest(e protocol.Envelope) {
 	b := e.Body.(protocol.EntryRequest)
 	l := c.linkOf(e, b.Session)
 	if l == nil {
 		return
 	}
-	c.reportWaiting(b.Key, b.Waiting, b.Value)
+	requested := append([]protocol.RequestedEntry{{Key: b.Key, Digest: b.Digest, Waiting: b.Waiting, Value: b.Value}}, b.More...)
+	for _, r := range requested {
+		c.reportWaiting(r.Key, r.Waiting, r.Value)
+	}
 	if !c.serversKnown() {
 		if len(c.deferredWants) < 10_000 {
 			c.deferredWants = append(c.deferredWants, e)
 		}
 		return
 	}
+	for _, r := range requested {
+		c.answerEntryRequest(l, r)
+	}
+}
+
+// answerEntryRequest registers a callback and sends the entry, or only confirms that the router's copy is current.
+func (c *Core) answerEntryRequest(l *link, b protocol.RequestedEntry) {
 	c.tally.Wants++
-	if l.callbacks[b.Key] > l.ackedNum || l.overflowed {
-		return // the entry is on its way, or the link is overflowed and its lease will expire
+	if l.overflowed {
+		return // its lease will expire
+	}
+	if l.callbacks[b.Key] > l.ackedNum {
+		if c.now.Sub(l.sentAt) > minResendDelay {
+			c.resendUnacked(l) // the entry is on its way, and late
+		}
+		return
 	}
 	x := c.entryOf(b.Key)
 	i := c.wireEntry(b.Key, x)
@@ -295,11 +286,15 @@
 }
 
 // extendCallbacks sends an entry that gained replicas to every holder. The copies of the holders contain no
-// wrong replica, so no callback is broken, and no router has to ask again.
-func (c *Core) extendCallbacks(k ident.Key, e *entry) {
+// wrong replica, so no callback is broken, and no router has to ask again. A holder that had replicas before can wait.
+func (c *Core) extendCallbacks(k ident.Key, e *entry, hadReplicas bool) {
 	i, packed := c.wireEntry(k, e), &protocol.SharedEncoding{}
 	for _, l := range c.sortedLinks() {
-		if _, ok := l.callbacks[k]; ok && !l.overflowed {
+		switch _, ok := l.callbacks[k]; {
+		case !ok || l.overflowed:
+		case hadReplicas:
+			l.callbacks[k] = c.queueDeferred(l, protocol.Update{Entry: &i, Shared: packed})
+		default:
 			l.callbacks[k] = c.queueItem(l, protocol.Update{Entry: &i, Shared: packed})
 		}
 	}
@@ -395,12 +390,11 @@
 			c.removeLink(l)
 			continue
 		}
-		if len(l.unacked) > 0 && c.now.Sub(l.sentAt) > l.resendDelay() {
-			c.replaceStaleDesired(l)
-			l.sentNum = l.ackedNum // unacknowledged changes are sent again
-			c.linkSet.unsent[l] = true
+		if l.overdue(c.now) {
+			c.resendUnacked(l)
 		}
 	}
+	c.linkSet.releaseDeferred(c.now)
 	c.checkRollout()
 	for s, t := range c.endedSessions {
 		if c.now.Sub(t) > 60e9 {
@@ -416,33 +410,6 @@
 	}
 }
 
-// flush sends the changes that have not been sent yet on each link.
-func (c *Core) flush() {
-	if !c.holdsLease() {
-		return
-	}
-	for _, l := range c.linkSet.takeUnsent() {
-		c.countVisits(1)
-		if l.sentNum >= l.lastNum || len(l.unacked) == 0 {
-			continue
-		}
-		n := protocol.Updates{Session: l.session, Term: c.leadership.term}
-		for _, i := range l.unacked {
-			if i.Num > l.sentNum && len(n.Items) < maxItemsPerMessage {
-				n.Items = append(n.Items, i.Update)
-			}
-		}
-		l.sentNum, l.sentAt = n.Items[len(n.Items)-1].Num, c.now
-		c.reply(l.replyTo, n)
-		if l.sentNum < l.lastNum {
-			c.linkSet.unsent[l] = true // the rest follows with the next input
-		}
-	}
-}
-
-// maxItemsPerMessage limits the number of changes in one message.
-const maxItemsPerMessage = 128
-
 // MeasureCallbackMemory returns the bytes of memory that a node uses for each of n callbacks of one router.
 func MeasureCallbackMemory(c *Core, n int, heap func() uint64) float64 {
 	was := heap()
--- a/internal/controller/overload_test.go
+++ b/internal/controller/overload_test.go
@@ -9,6 +9,7 @@
 
 	"tidedeck/internal/clock"
 	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/generic"
 	"tidedeck/internal/ident"
 	"tidedeck/internal/protocol"
 )
@@ -205,3 +206,47 @@
 	require.LessOrEqual(t, large.renewal, small.renewal+largeFleet.requestedPerRouter, "renewal: %v, %v", small, large)
 	require.LessOrEqual(t, large.beacon, small.beacon, "announcement: %v, %v", small, large)
 }
+
+// lapses returns how many router leases expired with unacknowledged changes at any node.
+func (c *cluster) lapses() (n uint64) {
+	for _, node := range c.nodes {
+		n += node.tally.Lapses
+	}
+	return n
+}
+
+// slowestProcessor is the factor by which a machine may be slower than the core machines of a large deployment.
+const slowestProcessor = 4.0
+
+// newAgentFleet starts a large fleet whose leases are renewed by real agents and which serves its requests. Its core nodes
+// have limited CPU time: the share of a large deployment, divided by a factor.
+func newAgentFleet(t *testing.T, seed uint64, slower float64) (c *cluster, models []ident.Key) {
+	size := largeFleet
+	c, models = newLargeFleet(t, size)
+	for _, id := range generic.SortedKeys(c.routers) {
+		c.routers[id].attachAgent()
+	}
+	setRequests(c, models[:size.models*2/3], size, seed)
+	meanServed(c, size, 8e9)
+	c.limitProcessors(ownerCPUShare / slower)
+	return c, models
+}
+
+// Guards against an edge past which the fleet falls over and stays down: on slower core machines, too, it serves, takes a
+// shift of the requested models and a change of the configuration, and comes back by itself.
+func TestFleetServesOnSlowerCoreMachines(t *testing.T) {
+	skipWhenShort(t)
+	for _, slower := range []float64{1, 1.7, slowestProcessor} {
+		t.Run(fmt.Sprint(slower), func(t *testing.T) {
+			size := largeFleet
+			c, models := newAgentFleet(t, 1, slower)
+			before := meanServed(c, size, 4e9)
+			require.Greater(t, before, 0.95, "before any trouble")
+			setRequests(c, models[size.models/3:], size, 101)
+			during := meanServed(c, size, 8e9)
+			after := meanServed(c, size, 4e9)
+			t.Logf("slower %v: before %.3f, during the shift %.3f, after %.3f, lapses %d", slower, before, during, after, c.lapses())
+			require.Greater(t, after, 0.95*before, "after the shift")
+		})
+	}
+}
--- a/internal/protocol/desired.go
+++ b/internal/protocol/desired.go
@@ -66,7 +66,8 @@
 	header, err := wirejson.Marshal(struct {
 		Session Session
 		Duty    ident.Term
-	}{n.Session, n.Term}, wireOptions)
+		Late    bool `json:",omitempty"`
+	}{n.Session, n.Term, n.LateAck}, wireOptions)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -525,6 +525,7 @@
 type Updates struct {
 	Session Session
 	Term    ident.Term `json:"Duty"`
+	LateAck bool       `json:"Late,omitempty"` // the next renewal acknowledges them early enough
 	Items   []Update
 }
 
@@ -541,6 +542,15 @@
 	Digest  ident.Digest `json:"Mark"`
 	Waiting int
 	Value   int
+	More    []RequestedEntry `json:",omitempty"` // further entries that are requested
+}
+
+// RequestedEntry is a further entry of an EntryRequest.
+type RequestedEntry struct {
+	Key     ident.Key    `json:"k"`
+	Digest  ident.Digest `json:"m,omitempty"`
+	Waiting int          `json:"w,omitempty"`
+	Value   int          `json:"v,omitempty"`
 }
 
 // DroppedEntry identifies an entry that a router discarded and the number of its delivery.
