Routers receive a configuration as its difference from the one that they have

Cause: each change goes whole to every router, 64 KB a router at 1,400 routes, 19 MB for one changed limit, through the owner's link (0.7 s of 210 Mbit/s) and past all else that it sends. What is sent again is sent whole. An agent says in its renewals that it applies differences, so that older routers get the whole.

--- a/internal/agent/contact_test.go
+++ b/internal/agent/contact_test.go
@@ -174,3 +174,24 @@
 	r.deliver(newPeer("a2"), protocol.NotOwner{Session: n.Session, Seq: n.Seq, Majority: true})
 	require.False(t, r.lastLease().Partitioned)
 }
+
+// A configuration that comes as a difference from another one than the agent has is not passed on: the router must not
+// acknowledge it. The leader sends it whole when it sends it again.
+func TestDeltaFromAnotherConfigurationIsNotPassedOn(t *testing.T) {
+	first := &protocol.Desired{Gen: 1, Epoch: 3, Plan: []byte(`{"first": 1}`)}
+	second := &protocol.Desired{Gen: 1, Epoch: 4, Plan: []byte(`{"first": 2}`)}
+	delta, err := protocol.NewDesiredDelta(first, second)
+	require.NoError(t, err)
+	r := newLeasedHarness(t)
+	update := protocol.Updates{Session: r.Session(), Term: 1, Items: []protocol.Update{{Num: 1, Break: "m"}, {Num: 2, Delta: delta}, {Num: 3, Break: "n"}}}
+	r.deliver(newPeer("a1"), update)
+	passed, _, _ := lastSent[protocol.Updates](r)
+	require.Equal(t, update.Items[:1], passed.Items)
+	r.deliver(newPeer("a1"), protocol.Updates{Session: r.Session(), Term: 1, Items: []protocol.Update{{Num: 2, Desired: first}}})
+	r.deliver(newPeer("a1"), update)
+	passed, _, _ = lastSent[protocol.Updates](r)
+	require.Len(t, passed.Items, 3)
+	require.Equal(t, second, passed.Items[1].Desired)
+	require.Nil(t, passed.Items[1].Delta)
+	require.Equal(t, second, r.newestDesired)
+}
--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"tidedeck/internal/clock"
@@ -86,6 +87,8 @@
 	Vouched                                  uint64 // times that a core node confirmed the configuration without granting a lease
 	Sweeps                                   uint64 // times that all core nodes were queried at once
 	Stalls                                   uint64 // stalls of the process
+	DeltasApplied                            uint64 // configurations that came as a difference
+	DeltasRefused                            uint64 // the same, but this agent lacked their base
 	Unvouched                                uint64 // answers of core nodes that could not determine the newest configuration
 }
 
@@ -307,6 +310,7 @@
 		c.forwardStaleConfig(updates)
 		return
 	}
+	updates.Items = c.expandDeltas(updates.Items)
 	for i, item := range updates.Items {
 		c.rememberDesired(item.Desired)
 		if updates.LateAck {
@@ -322,6 +326,27 @@
 	c.sendEntryRequests()
 }
 
+// expandDeltas returns the updates with each desired state whole. It cuts them off before a state whose base this agent lacks:
+// the router must not acknowledge it, and the leader sends it whole when it sends it again.
+func (c *Core) expandDeltas(items []protocol.Update) []protocol.Update {
+	for i, item := range items {
+		if item.Delta == nil || item.Desired != nil {
+			continue
+		}
+		whole, err := item.Delta.Apply(c.newestDesired)
+		if err != nil {
+			c.tally.DeltasRefused++
+			c.logEvent("difference of configurations not applied", protocol.Field{Name: "error", Value: err.Error()}, protocol.Field{Name: "base_epoch", Value: item.Delta.BaseEpoch}, protocol.Field{Name: "epoch", Value: c.epoch})
+			return items[:i]
+		}
+		c.tally.DeltasApplied++
+		items = slices.Clone(items)
+		items[i].Desired, items[i].Delta = whole, nil
+		c.rememberDesired(whole)
+	}
+	return items
+}
+
 // onAck passes the router's acknowledgement on if the leader waits for it. Otherwise the next renewal carries it.
 func (c *Core) onAck(ack protocol.Ack) {
 	c.ackedNum = max(c.ackedNum, ack.Num)
@@ -335,6 +360,7 @@
 // configuration remains valid in any session, and a router to which delivery takes longer than a session lasts would
 // otherwise never receive it.
 func (c *Core) forwardStaleConfig(updates protocol.Updates) {
+	updates.Items = c.expandDeltas(updates.Items)
 	c.tally.StaleNews += uint64(len(updates.Items))
 	var late protocol.Updates // carries no session
 	for _, item := range updates.Items {
@@ -457,7 +483,7 @@
 		}
 	}
 	c.contact.noteRequest(c.now)
-	return protocol.Renew{Session: c.session, Seq: c.seq, NewSession: c.fresh, Gen: c.gen, Epoch: c.epoch, AckedNum: c.ackedNum, KeyLoads: c.keyLoads, TokensInProgress: c.tokensInProgress, TokenTimes: c.tokenTimes}
+	return protocol.Renew{Session: c.session, Seq: c.seq, NewSession: c.fresh, Gen: c.gen, Epoch: c.epoch, AckedNum: c.ackedNum, KeyLoads: c.keyLoads, TokensInProgress: c.tokensInProgress, TokenTimes: c.tokenTimes, AppliesDeltas: true}
 }
 
 // outstanding returns the waiting and running requests of a load report, without the counts of new arrivals.
--- a/internal/controller/agent_fleet_test.go
+++ b/internal/controller/agent_fleet_test.go
@@ -33,8 +33,11 @@
 func (r *router) advanceAgent() {
 	if r.c.at >= r.reportAt {
 		r.reportAt = r.c.at.Add(agentReportInterval)
-		known := r.c.newestKnown()
-		r.sendAll(r.toAgent(protocol.RouterReport{Incarnation: 1, Session: r.session, Gen: known.Gen, Epoch: known.Epoch, KeyLoads: copyOf(r.keyLoads)}))
+		report := protocol.RouterReport{Incarnation: 1, Session: r.session, KeyLoads: copyOf(r.keyLoads)}
+		if r.configuration != nil {
+			report.Gen, report.Epoch = r.configuration.Gen, r.configuration.Epoch
+		}
+		r.sendAll(r.toAgent(report))
 	}
 	for _, key := range generic.SortedKeys(r.keyLoads) {
 		if _, ok := r.entries[key]; !ok && r.c.at.Sub(r.asked[key]) > entryRetryInterval && r.session.Num > 0 {
@@ -45,16 +48,6 @@
 	r.sendAll(r.deliverLocally(r.agent.Step(r.c.at, protocol.TimerTick{})))
 }
 
-// newestKnown returns the newest value that a node knows to be chosen.
-func (c *cluster) newestKnown() (newest protocol.Desired) {
-	for _, id := range generic.SortedKeys(c.nodes) {
-		if known := c.nodes[id].register.known; known != nil && known.Newer(&newest) {
-			newest = *known
-		}
-	}
-	return newest
-}
-
 func copyOf(loads map[ident.Key]protocol.KeyLoad) map[ident.Key]protocol.KeyLoad {
 	copied := make(map[ident.Key]protocol.KeyLoad, len(loads))
 	for key, load := range loads {
@@ -110,7 +103,7 @@
 		}
 		r.until = max(r.until, b.Until)
 	case protocol.Updates:
-		if b.Session != r.session {
+		if b.Session != r.session || r.withholdAcks {
 			return nil
 		}
 		for _, i := range b.Items {
@@ -118,6 +111,9 @@
 				continue
 			}
 			r.heard = i.Num
+			if i.Desired != nil {
+				r.configuration = i.Desired
+			}
 			if i.Entry != nil {
 				r.entries[i.Entry.Key] = i.Entry.Replicas
 			}
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -520,22 +520,23 @@
 
 // router models a router's session and the entries it may send by.
 type router struct {
-	c            *cluster
-	id           string
-	session      protocol.Session
-	seq          uint64
-	heard        uint64
-	fresh        bool
-	sent         map[uint64]clock.Instant
-	until        clock.Instant
-	next         clock.Instant
-	entries      map[ident.Key][]protocol.Replica
-	asked        map[ident.Key]clock.Instant
-	keyLoads     map[ident.Key]protocol.KeyLoad // reported with every renewal
-	withholdAcks bool                           // acknowledges no changes
-	grants       []protocol.Grant
-	agent        *agent.Core // renews the lease; nil if the router renews by itself
-	reportAt     clock.Instant
+	c             *cluster
+	id            string
+	session       protocol.Session
+	seq           uint64
+	heard         uint64
+	fresh         bool
+	sent          map[uint64]clock.Instant
+	until         clock.Instant
+	next          clock.Instant
+	entries       map[ident.Key][]protocol.Replica
+	asked         map[ident.Key]clock.Instant
+	keyLoads      map[ident.Key]protocol.KeyLoad // reported with every renewal
+	withholdAcks  bool                           // acknowledges no changes
+	grants        []protocol.Grant
+	agent         *agent.Core // renews the lease; nil if the router renews by itself
+	reportAt      clock.Instant
+	configuration *protocol.Desired // the newest one received
 }
 
 func (c *cluster) route(id string) *router {
--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -177,7 +177,8 @@
 	versions           []version                // versions chosen during this node's term, oldest first
 	newest             *protocol.Desired        // as sent to routers
 	newestBytes        *protocol.SharedEncoding // the same, encoded once for all routers
-	stall              clock.StallDetector      // stalls of this process
+	deltas             configurationDeltas
+	stall              clock.StallDetector // stalls of this process
 	lag                tickLag
 	liveAgents         int // agents that were alive at the last tick
 }
--- a/internal/controller/link_send.go
+++ b/internal/controller/link_send.go
@@ -50,6 +50,7 @@
 // resendUnacked sends all unacknowledged changes again.
 func (c *Core) resendUnacked(l *link) {
 	c.replaceStaleDesired(l)
+	l.sendWhole(c.newest, c.newestBytes)
 	l.sentNum = l.ackedNum
 	c.linkSet.unsent[l] = true
 }
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -32,6 +32,7 @@
 	overflowed       bool
 	isDeferred       bool // it is in linkSet.deferred
 	isRemoved        bool
+	appliesDeltas    bool // the router's agent applies differences of configurations
 
 	tokenTimes map[ident.Key]float64 // by base, as last sent to the router
 	slowest    float64
@@ -113,6 +114,7 @@
 			c.recordArrivals(k, u)
 		}
 	}
+	l.appliesDeltas = b.AppliesDeltas
 	c.acknowledge(l, b.AckedNum)
 	l.markKnown(b.Gen, b.Epoch)
 	c.offerDesired(l)
--- a/internal/controller/rollout.go
+++ b/internal/controller/rollout.go
@@ -21,7 +21,7 @@
 // resetVersions restarts the version list at the beginning of a term. When the newest version was chosen is
 // unknown to a new leader, so a router that lacks it gets no lease.
 func (c *Core) resetVersions() {
-	c.versions, c.rollout = nil, rollout{}
+	c.versions, c.rollout, c.deltas = nil, rollout{}, configurationDeltas{}
 	if known := c.register.known; known != nil {
 		c.versions = append(c.versions, version{gen: known.Gen, epoch: known.Epoch})
 	}
@@ -50,6 +50,7 @@
 	known := c.register.known
 	if c.newest == nil || c.newest.Gen != known.Gen || c.newest.Epoch != known.Epoch {
 		d := *known
+		c.deltas.replace(c.newest)
 		c.newest, c.newestBytes = &d, &protocol.SharedEncoding{}
 	}
 	return c.newest
@@ -62,7 +63,11 @@
 	if known == nil || !l.lacks(known) || l.desiredPending() {
 		return
 	}
-	c.queueItem(l, protocol.Update{Desired: c.sharedDesired(), Shared: c.newestBytes})
+	update := protocol.Update{Desired: c.sharedDesired(), Shared: c.newestBytes}
+	if base := c.deltas.baseFor(l); base != nil {
+		update.Base, update.Shared = base, c.deltas.encodingFrom(base)
+	}
+	c.queueItem(l, update)
 }
 
 // replaceStaleDesired replaces an outdated desired state that is about to be sent again by the newest one.
--- a/internal/protocol/desired.go
+++ b/internal/protocol/desired.go
@@ -27,10 +27,15 @@
 
 // encode returns the encoding of value and computes it only once. A nil SharedEncoding caches nothing.
 func (p *SharedEncoding) encode(value any) ([]byte, error) {
+	return p.compute(func() ([]byte, error) { return wirejson.Marshal(value, wireOptions) })
+}
+
+// compute returns the result of a function and calls it only once.
+func (p *SharedEncoding) compute(encode func() ([]byte, error)) ([]byte, error) {
 	if p == nil {
-		p = &SharedEncoding{}
+		return encode()
 	}
-	p.once.Do(func() { p.encoded, p.err = wirejson.Marshal(value, wireOptions) })
+	p.once.Do(func() { p.encoded, p.err = encode() })
 	return p.encoded, p.err
 }
 
@@ -51,7 +56,15 @@
 		}
 		out = append(append(out, `,"b":`...), key...)
 	}
-	if i.Desired != nil {
+	switch {
+	case i.Desired == nil:
+	case i.Base != nil:
+		delta, err := i.Shared.compute(i.encodeDelta)
+		if err != nil {
+			return nil, err
+		}
+		out = append(append(out, `,"x":`...), delta...)
+	default:
 		desired, err := i.Shared.encode(i.Desired)
 		if err != nil {
 			return nil, err
@@ -61,6 +74,15 @@
 	return append(out, '}'), nil
 }
 
+// encodeDelta encodes the difference between the desired state and the one that the receiver has.
+func (i Update) encodeDelta() ([]byte, error) {
+	delta, err := NewDesiredDelta(i.Base, i.Desired)
+	if err != nil {
+		return nil, err
+	}
+	return wirejson.Marshal(delta, wireOptions)
+}
+
 // encode encodes the message as encoding/json would, but copies the items' encodings unchanged.
 func (n Updates) encode() ([]byte, error) {
 	header, err := wirejson.Marshal(struct {
--- a/internal/protocol/protocol.go
+++ b/internal/protocol/protocol.go
@@ -449,6 +449,7 @@
 	KeyLoads         map[ident.Key]KeyLoad `json:"Burden"`
 	TokensInProgress map[ident.Server]int  `json:"Seats"` // tokens that this router has in progress at each server
 	TokenTimes       map[ident.Key]float64 `json:"Paces"` // shortest time per token, in ns, observed since the last renewal, by base model
+	AppliesDeltas    bool                  `json:"Deltas,omitempty"`
 }
 
 // Grant extends the lease by Length, counted from the moment at which the router sent Renew Seq. A Length of zero extends
@@ -507,7 +508,9 @@
 	Desired *Desired        `json:"d,omitempty"`
 	Entry   *Entry          `json:"e,omitempty"`
 	Break   ident.Key       `json:"b,omitempty"`
-	Shared  *SharedEncoding `json:"-"` // encoding of the desired state or the entry, shared by all receivers
+	Delta   *DesiredDelta   `json:"x,omitempty"` // as received in place of Desired
+	Base    *Desired        `json:"-"`           // desired state that the receiver has; Desired is sent as its difference from it
+	Shared  *SharedEncoding `json:"-"`           // encoding of the desired state, the delta or the entry, shared by all receivers
 }
 
 // Entry is a placement entry. Its delivery registers a callback: the leader notifies the router before the entry
