--- a/internal/controller/plan.go
+++ b/internal/controller/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 
 	"tidedeck/internal/fleetplan"
 	"tidedeck/internal/generic"
@@ -12,6 +13,7 @@
 
 // applyDesired puts the newest desired state into force at this node.
 func (c *Core) applyDesired() {
+	earlier, emptied := c.plan, c.empty
 	c.plan, c.empty, c.windows, c.nextWindowUpdate = nil, map[ident.Zone]bool{}, nil, 0
 	value := c.register.known
 	if value == nil {
@@ -24,6 +26,9 @@
 	if len(value.Plan) > 0 {
 		c.plan, _ = c.o.ParsePlan(value.Plan)
 	}
+	if c.plan != nil && c.plan.PlacesAlike(earlier) && maps.Equal(c.empty, emptied) {
+		return // servers hold what they held, and entries stay as they are
+	}
 	if c.leadership.held {
 		for _, id := range generic.SortedKeys(c.servers) {
 			c.applyService(c.servers[id])
--- a/internal/fleetplan/plan.go
+++ b/internal/fleetplan/plan.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"reflect"
 	"slices"
 	"strings"
 
@@ -191,6 +192,17 @@
 // HostRoutes are the routes of a plan by host and prefix.
 type HostRoutes map[string]map[string]*Route
 
+// Same reports whether these are the routes of the same reading, so that they are certainly equal.
+func (h HostRoutes) Same(other HostRoutes) bool { return isSameMap(h, other) }
+
+// PlacesAlike reports whether the models and services of two plans come from the same reading, so that they are certainly equal.
+func (p *Plan) PlacesAlike(other *Plan) bool {
+	return other != nil && isSameMap(p.Models, other.Models) && isSameMap(p.Services, other.Services) && p.ConcurrentLoads == other.ConcurrentLoads
+}
+
+// isSameMap reports whether two values are one map.
+func isSameMap(a, b any) bool { return reflect.ValueOf(a).Pointer() == reflect.ValueOf(b).Pointer() }
+
 // Find returns the route of a host with the longest prefix that matches the path.
 func (h HostRoutes) Find(host, path string) *Route {
 	routes := h[host]
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -390,7 +390,7 @@
 	}
 	c.checkEpoch(c.gen, c.epoch, d)
 	c.desired = d
-	if c.plan != nil && c.plan != plan {
+	if c.plan != nil && c.plan != plan && !(plan != nil && plan.Hosts.Same(c.plan.Hosts)) {
 		c.history.add(c.plan.Hosts, c.now)
 	}
 	c.gen, c.epoch, c.plan, c.emptyZones = d.Gen, d.Epoch, plan, map[ident.Zone]bool{}
