Test: a core forms under hundreds of routers on slower core machines; looks rest longer

TestCoreFormsUnderHundredsOfRoutersOnSlowerCoreMachines: 295 routers with real agents, first start, owner's work counted.

--- a/internal/controller/agent_fleet_test.go
+++ b/internal/controller/agent_fleet_test.go
@@ -62,8 +62,11 @@
 		if r.c.partitioned[r.id] {
 			continue
 		}
-		if to := e.NextHop().Addr; r.c.nodes[to] != nil {
+		switch to := e.NextHop().Addr; {
+		case r.c.nodes[to] != nil:
 			r.c.step(to, e)
+		case r.c.routers[to] != nil && r.c.routers[to].agent != nil:
+			r.c.routers[to].sendAll(r.c.routers[to].stepAgent(e))
 		}
 	}
 }
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -203,7 +203,11 @@
 				put(to, v)
 			case c.routers[to] != nil:
 				for _, e := range c.routers[to].take(v) {
-					put(e.To.Addr, e)
+					if next := e.NextHop().Addr; c.nodes[next] != nil {
+						put(next, e)
+					} else {
+						c.routers[to].sendAll([]protocol.Envelope{e})
+					}
 				}
 			}
 		case protocol.Save:
--- a/internal/controller/overload_test.go
+++ b/internal/controller/overload_test.go
@@ -250,3 +250,21 @@
 		})
 	}
 }
+
+// Guards against a first start that takes the longer the more routers there are: hundreds of them ask for a leader before a
+// core has formed.
+func TestCoreFormsUnderHundredsOfRoutersOnSlowerCoreMachines(t *testing.T) {
+	skipWhenShort(t)
+	for _, slower := range []float64{1, 1.7, slowestProcessor} {
+		t.Run(fmt.Sprint(slower), func(t *testing.T) {
+			f := newFirstStart(t)
+			for i := range largeFleet.routers {
+				f.route(fmt.Sprintf("r%04d", i)).attachAgent()
+			}
+			f.limitProcessors(ownerCPUShare / slower)
+			began := f.at
+			require.True(t, f.until(formedWithin, func() bool { return f.owner() != "" }), "a leader")
+			t.Logf("a leader after %v", f.at.Sub(began))
+		})
+	}
+}
--- a/internal/controller/weigh.go
+++ b/internal/controller/weigh.go
@@ -17,7 +17,7 @@
 	// pausePerVisit is the pause of placement for each server or replica that the last run examined. It leaves
 	// most of the leader's time to leases, acknowledgements and departing servers, whatever the size of the
 	// fleet.
-	pausePerVisit = clock.Span(6e3)
+	pausePerVisit = clock.Span(12e3)
 	// pauseBehind is the least pause of placement while the leader is behind with its work.
 	pauseBehind       = clock.Span(500e6)
 	prefetchInterval  = 300e6 // interval between two loads ahead of demand
