--- a/internal/controller/overload_test.go
+++ b/internal/controller/overload_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"tidedeck/internal/clock"
+	"tidedeck/internal/failure"
 	"tidedeck/internal/fleetplan"
 	"tidedeck/internal/generic"
 	"tidedeck/internal/ident"
@@ -268,3 +269,48 @@
 		})
 	}
 }
+
+// Guards against routers that go on by an earlier configuration: no lease outlasts a newer one by more than a lease, however
+// slow the core machines are.
+func TestNoLeaseOutlastsAConfigurationOnSlowerCoreMachines(t *testing.T) {
+	skipWhenShort(t)
+	const lease, changes = clock.Span(2000e6), 20
+	for _, slower := range []float64{1, slowestProcessor, 2 * slowestProcessor} {
+		t.Run(fmt.Sprint(slower), func(t *testing.T) {
+			c, models := newAgentFleet(t, 1, slower)
+			setRequests(c, models[largeFleet.models/3:], largeFleet, 101)
+			acked := map[ident.Epoch]clock.Instant{}
+			for i := range changes {
+				raw := fmt.Sprint("change ", i)
+				c.plans[raw], _ = largePlan(largeFleet)
+				node := generic.SortedKeys(c.nodes)[i%len(c.nodes)]
+				got := c.admin(node, Admin{Op: "put", Raw: []byte(raw), Any: true, Change: raw})
+				for end := c.at.Add(400e6); c.at < end; {
+					c.run(20e6)
+					reportRequests(c, largeFleet)
+					if receipt := got(); receipt != nil && receipt.Kind == failure.None && acked[receipt.Epoch] == 0 {
+						acked[receipt.Epoch] = c.at
+					}
+					requireLeasesByNewest(t, c, acked, lease)
+				}
+			}
+			require.NotEmpty(t, acked)
+		})
+	}
+}
+
+// requireLeasesByNewest fails if a router holds a lease by a configuration although a newer one was acknowledged longer ago than
+// a lease lasts.
+func requireLeasesByNewest(t *testing.T, c *cluster, acked map[ident.Epoch]clock.Instant, lease clock.Span) {
+	for _, id := range generic.SortedKeys(c.routers) {
+		r := c.routers[id]
+		if c.at >= r.until || r.configuration == nil {
+			continue
+		}
+		for epoch, at := range acked {
+			if epoch > r.configuration.Epoch {
+				require.LessOrEqual(t, c.at.Sub(at), lease, "%s holds a lease by %d, and %d was acknowledged", id, r.configuration.Epoch, epoch)
+			}
+		}
+	}
+}
