A configuration that a router cannot apply is sent whole at once, and again beside other traffic

Cause: how late an acknowledgement is was counted from the last message on the link, whatever was in it, so that other changes put it off for ever; and an agent that had received a newer configuration than its router had applied could not apply the difference from the older one. Change: each change has its own time of sending; an agent keeps the configuration before the newest one as well, and asks for the whole with its next renewal if it lacks a base. Red: TestConfigurationIsSentAgainBesideOtherChanges.

--- a/internal/agent/contact_test.go
+++ b/internal/agent/contact_test.go
@@ -187,6 +187,9 @@
 	r.deliver(newPeer("a1"), update)
 	passed, _, _ := lastSent[protocol.Updates](r)
 	require.Equal(t, update.Items[:1], passed.Items)
+	r.advance(20e6)
+	renewal, _, _ := lastSent[protocol.Renew](r)
+	require.False(t, renewal.AppliesDeltas, "the next renewal asks for the whole")
 	r.deliver(newPeer("a1"), protocol.Updates{Session: r.Session(), Term: 1, Items: []protocol.Update{{Num: 2, Desired: first}}})
 	r.deliver(newPeer("a1"), update)
 	passed, _, _ = lastSent[protocol.Updates](r)
@@ -194,4 +197,8 @@
 	require.Equal(t, second, passed.Items[1].Desired)
 	require.Nil(t, passed.Items[1].Delta)
 	require.Equal(t, second, r.newestDesired)
+	require.True(t, r.renewal().AppliesDeltas)
+	third, err := protocol.NewDesiredDelta(first, &protocol.Desired{Gen: 1, Epoch: 5})
+	require.NoError(t, err)
+	require.Len(t, r.expandDeltas([]protocol.Update{{Num: 4, Delta: third}}), 1, "the router may still have the one before the newest")
 }
--- a/internal/agent/core.go
+++ b/internal/agent/core.go
@@ -64,6 +64,8 @@
 	advertisedCores    []protocol.Peer
 	pathIndex          int
 	newestDesired      *protocol.Desired
+	earlierDesired     *protocol.Desired // the newest one before it: the router may not have applied the newest one yet
+	wantsWhole         bool              // a difference could not be applied; no configuration has come since
 	pacer              renewalPacer
 	entryRequests      entryRequests
 	stall              clock.StallDetector
@@ -327,14 +329,19 @@
 }
 
 // expandDeltas returns the updates with each desired state whole. It cuts them off before a state whose base this agent lacks:
-// the router must not acknowledge it, and the leader sends it whole when it sends it again.
+// the router must not acknowledge it, and the next renewal asks the leader to send it whole.
 func (c *Core) expandDeltas(items []protocol.Update) []protocol.Update {
 	for i, item := range items {
 		if item.Delta == nil || item.Desired != nil {
 			continue
 		}
-		whole, err := item.Delta.Apply(c.newestDesired)
+		base := c.newestDesired
+		if !item.Delta.IsFor(base) {
+			base = c.earlierDesired
+		}
+		whole, err := item.Delta.Apply(base)
 		if err != nil {
+			c.wantsWhole, c.nextRenewal = true, c.now
 			c.tally.DeltasRefused++
 			c.logEvent("difference of configurations not applied", protocol.Field{Name: "error", Value: err.Error()}, protocol.Field{Name: "base_epoch", Value: item.Delta.BaseEpoch}, protocol.Field{Name: "epoch", Value: c.epoch})
 			return items[:i]
@@ -379,8 +386,12 @@
 
 // rememberDesired retains the newest desired state seen, for the recovery of a core that has lost all its disks.
 func (c *Core) rememberDesired(d *protocol.Desired) {
-	if d != nil && d.Newer(c.newestDesired) {
-		c.newestDesired = d
+	if d == nil {
+		return
+	}
+	c.wantsWhole = false
+	if d.Newer(c.newestDesired) {
+		c.earlierDesired, c.newestDesired = c.newestDesired, d
 	}
 }
 
@@ -483,7 +494,7 @@
 		}
 	}
 	c.contact.noteRequest(c.now)
-	return protocol.Renew{Session: c.session, Seq: c.seq, NewSession: c.fresh, Gen: c.gen, Epoch: c.epoch, AckedNum: c.ackedNum, KeyLoads: c.keyLoads, TokensInProgress: c.tokensInProgress, TokenTimes: c.tokenTimes, AppliesDeltas: true}
+	return protocol.Renew{Session: c.session, Seq: c.seq, NewSession: c.fresh, Gen: c.gen, Epoch: c.epoch, AckedNum: c.ackedNum, KeyLoads: c.keyLoads, TokensInProgress: c.tokensInProgress, TokenTimes: c.tokenTimes, AppliesDeltas: !c.wantsWhole}
 }
 
 // outstanding returns the waiting and running requests of a load report, without the counts of new arrivals.
--- a/internal/controller/agent_fleet_test.go
+++ b/internal/controller/agent_fleet_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"math/rand/v2"
+	"slices"
+
+	"github.com/stretchr/testify/require"
 
 	"tidedeck/internal/agent"
 	"tidedeck/internal/clock"
@@ -31,6 +34,7 @@
 
 // advanceAgent runs the router's timers and its agent's.
 func (r *router) advanceAgent() {
+	r.sendAll(r.takeInbox())
 	if r.c.at >= r.reportAt {
 		r.reportAt = r.c.at.Add(agentReportInterval)
 		report := protocol.RouterReport{Incarnation: 1, Session: r.session, KeyLoads: copyOf(r.keyLoads)}
@@ -78,10 +82,18 @@
 
 // stepAgent passes a core node's message to the agent and returns the messages for core nodes.
 func (r *router) stepAgent(e protocol.Envelope) []protocol.Envelope {
+	if updates, ok := e.Body.(protocol.Updates); ok && slices.ContainsFunc(updates.Items, func(i protocol.Update) bool { return i.Desired != nil }) {
+		packed, err := protocol.Pack(e)
+		require.NoError(r.c.t, err)
+		received, err := protocol.Unpack(packed)
+		require.NoError(r.c.t, err)
+		e.Body = received.Body // configurations as they arrive, not as the leader has them
+	}
 	return r.deliverLocally(r.agent.Step(r.c.at, e))
 }
 
-// deliverLocally handles the agent's messages to its router and returns the others.
+// deliverLocally handles the agent's messages to its router and returns the others. A router takes the messages in their order,
+// and some time for a configuration.
 func (r *router) deliverLocally(outputs []any) (others []protocol.Envelope) {
 	for _, o := range outputs {
 		e, ok := o.(protocol.Envelope)
@@ -90,10 +102,30 @@
 		case e.To.Addr != localRouter:
 			others = append(others, e)
 		default:
-			others = append(others, r.receive(e.Body)...)
+			r.busyUntil = max(r.busyUntil, r.c.at)
+			if updates, ok := e.Body.(protocol.Updates); ok && slices.ContainsFunc(updates.Items, func(i protocol.Update) bool { return i.Desired != nil }) {
+				r.busyUntil = r.busyUntil.Add(r.configurationTime)
+			}
+			r.inbox = append(r.inbox, delayedMessage{r.busyUntil, e.Body})
 		}
 	}
-	return others
+	return append(others, r.takeInbox()...)
+}
+
+// delayedMessage is a message that a router handles at a time.
+type delayedMessage struct {
+	at   clock.Instant
+	body any
+}
+
+// takeInbox handles the messages that are due.
+func (r *router) takeInbox() (answers []protocol.Envelope) {
+	for len(r.inbox) > 0 && r.inbox[0].at <= r.c.at {
+		body := r.inbox[0].body
+		r.inbox = r.inbox[1:]
+		answers = append(answers, r.receive(body)...)
+	}
+	return answers
 }
 
 // receive handles a message of the agent.
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -541,6 +541,10 @@
 	agent         *agent.Core // renews the lease; nil if the router renews by itself
 	reportAt      clock.Instant
 	configuration *protocol.Desired // the newest one received
+
+	inbox             []delayedMessage // messages of the agent that the router has not handled
+	busyUntil         clock.Instant    // until when the router handles earlier ones
+	configurationTime clock.Span       // time that a router takes for a configuration
 }
 
 func (c *cluster) route(id string) *router {
--- a/internal/controller/configuration_deltas.go
+++ b/internal/controller/configuration_deltas.go
@@ -58,3 +58,8 @@
 		}
 	}
 }
+
+// awaitsDelta reports whether a configuration that was sent as a difference is not acknowledged.
+func (l *link) awaitsDelta() bool {
+	return slices.ContainsFunc(l.unacked, func(i change) bool { return i.Desired != nil && i.Base != nil })
+}
--- a/internal/controller/configuration_deltas_test.go
+++ b/internal/controller/configuration_deltas_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -57,3 +58,23 @@
 		require.Nil(t, item.Base, "sent again: whole")
 	}
 }
+
+// Guards against a router that is stuck without a lease: a configuration that did not arrive is sent again, however many
+// other changes are sent meanwhile.
+func TestConfigurationIsSentAgainBesideOtherChanges(t *testing.T) {
+	n, s := newReadyOwner(t)
+	n.items(s)
+	n.putPlan(1)
+	first := n.items(s)
+	require.NotNil(t, first[0].Desired)
+	l := n.links[s]
+	limit := 2 * l.unacked[0].resendDelay()
+	for began := n.at; ; {
+		require.LessOrEqual(t, n.at.Sub(began), limit)
+		n.advance(50e6)
+		n.queueItem(l, protocol.Update{Break: "m"})
+		if slices.ContainsFunc(n.items(s), func(i protocol.Update) bool { return i.Num == first[0].Num }) {
+			return
+		}
+	}
+}
--- a/internal/controller/link_send.go
+++ b/internal/controller/link_send.go
@@ -26,28 +26,33 @@
 // needsPromptAck reports whether leases or orders wait for the acknowledgement of a change.
 func (i change) needsPromptAck() bool { return i.Break != "" || i.Desired != nil }
 
-// resendDelay returns how long to wait for an acknowledgement before sending again. It grows with the size of
+// resendDelay returns how long to wait for the acknowledgement of a change before sending it again. It grows with the size of
 // the data, as repeats of a large plan would otherwise displace all other traffic.
-func (l *link) resendDelay() clock.Span {
-	delay := lateAckResendDelay
-	plans := 0
-	for _, i := range l.unacked {
-		if i.needsPromptAck() {
-			delay = minResendDelay
-		}
-		if i.Desired != nil {
-			plans += len(i.Desired.Plan)
-		}
+func (i change) resendDelay() clock.Span {
+	switch {
+	case i.Desired != nil:
+		return minResendDelay + clock.Span(len(i.Desired.Plan))*resendDelayPerByte
+	case i.needsPromptAck():
+		return minResendDelay
 	}
-	return delay + clock.Span(plans)*resendDelayPerByte
+	return lateAckResendDelay
 }
 
-// overdue reports whether changes were sent and not acknowledged in time.
+// overdue reports whether a change was sent and not acknowledged in time. Those behind a configuration wait as long as it does.
 func (l *link) overdue(now clock.Instant) bool {
-	return l.sentNum > l.ackedNum && now.Sub(l.sentAt) > minResendDelay && now.Sub(l.sentAt) > l.resendDelay()
+	delay := clock.Span(0)
+	for _, i := range l.unacked {
+		if i.Num > l.sentNum {
+			return false
+		}
+		if delay = max(delay, i.resendDelay()); now.Sub(i.sentAt) > delay {
+			return true
+		}
+	}
+	return false
 }
 
-// resendUnacked sends all unacknowledged changes again.
+// resendUnacked sends all unacknowledged changes again, configurations whole.
 func (c *Core) resendUnacked(l *link) {
 	c.replaceStaleDesired(l)
 	l.sendWhole(c.newest, c.newestBytes)
@@ -81,7 +86,7 @@
 func (c *Core) appendItem(l *link, i protocol.Update) uint64 {
 	l.lastNum++
 	i.Num = l.lastNum
-	l.unacked = append(l.unacked, change{i, c.now})
+	l.unacked = append(l.unacked, change{Update: i, createdAt: c.now})
 	return l.lastNum
 }
 
@@ -96,8 +101,9 @@
 			continue
 		}
 		n := protocol.Updates{Session: l.session, Term: c.leadership.term, LateAck: true}
-		for _, i := range l.unacked {
-			if i.Num > l.sentNum && len(n.Items) < maxItemsPerMessage {
+		for x := range l.unacked {
+			if i := &l.unacked[x]; i.Num > l.sentNum && len(n.Items) < maxItemsPerMessage {
+				i.sentAt = c.now
 				n.Items = append(n.Items, i.Update)
 				n.LateAck = n.LateAck && !i.needsPromptAck()
 			}
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -43,6 +43,7 @@
 type change struct {
 	protocol.Update
 	createdAt clock.Instant
+	sentAt    clock.Instant // when it was last sent
 }
 
 // boundsLease reports whether the router's lease is limited until it acknowledges the change. This applies to
@@ -115,6 +116,9 @@
 		}
 	}
 	l.appliesDeltas = b.AppliesDeltas
+	if !b.AppliesDeltas && l.awaitsDelta() {
+		c.resendUnacked(l)
+	}
 	c.acknowledge(l, b.AckedNum)
 	l.markKnown(b.Gen, b.Epoch)
 	c.offerDesired(l)
--- a/internal/controller/links_test.go
+++ b/internal/controller/links_test.go
@@ -75,7 +75,7 @@
 	second := n.items(s)
 	require.Len(t, second, 1)
 	require.Equal(t, ident.Epoch(6), second[0].Desired.Epoch)
-	n.advance(2 * n.links[s].resendDelay())
+	n.advance(2 * n.links[s].unacked[0].resendDelay())
 	again := n.items(s)
 	require.NotEmpty(t, again, "unacknowledged changes are sent again")
 	require.Equal(t, second[0].Num, again[0].Num)
--- a/internal/controller/overload_test.go
+++ b/internal/controller/overload_test.go
@@ -280,6 +280,9 @@
 			c, models := newAgentFleet(t, 1, slower)
 			setRequests(c, models[largeFleet.models/3:], largeFleet, 101)
 			acked := map[ident.Epoch]clock.Instant{}
+			for i, id := range generic.SortedKeys(c.routers) {
+				c.routers[id].configurationTime = clock.Span(i) * 5e6
+			}
 			for i := range changes {
 				raw := fmt.Sprint("change ", i)
 				c.plans[raw], _ = largePlan(largeFleet)
