A relayed configuration keeps its difference

Cause: an agent that relays a message for another one reads and writes it; writing an update that had been received left the difference out, so that the router took a bare number, acknowledged it, and got a lease as if it had the configuration. Red: TestRelayedUpdatesAreTheSame.

--- a/internal/protocol/desired.go
+++ b/internal/protocol/desired.go
@@ -57,6 +57,12 @@
 		out = append(append(out, `,"b":`...), key...)
 	}
 	switch {
+	case i.Delta != nil: // received, and relayed
+		delta, err := wirejson.Marshal(i.Delta, wireOptions)
+		if err != nil {
+			return nil, err
+		}
+		out = append(append(out, `,"x":`...), delta...)
 	case i.Desired == nil:
 	case i.Base != nil:
 		delta, err := i.Shared.compute(i.encodeDelta)
--- a/internal/protocol/desired_delta_test.go
+++ b/internal/protocol/desired_delta_test.go
@@ -73,6 +73,27 @@
 	}
 }
 
+// Guards against routers that acknowledge a configuration that they have not received: an agent that relays a message for another
+// one reads and writes it, and must lose nothing.
+func TestRelayedUpdatesAreTheSame(t *testing.T) {
+	base := &Desired{Gen: 3, Epoch: 7, Plan: routePlan(20, 1)}
+	next := &Desired{Gen: 3, Epoch: 8, Plan: routePlan(20, 2)}
+	sent := Envelope{From: Peer{ID: "a", Addr: "a"}, To: Peer{ID: "r", Addr: "r"}, Body: Updates{Session: Session{Node: "r", Num: 2}, Term: 5, LateAck: true, Items: []Update{
+		{Num: 1, Desired: next, Base: base, Shared: &SharedEncoding{}}, {Num: 2, Desired: next}, {Num: 3, Break: "m"},
+		{Num: 4, Entry: &Entry{Key: "m", Digest: 1, Replicas: []Replica{{Server: "s"}}}}, {Num: 5},
+	}}}
+	packed, err := Pack(sent)
+	require.NoError(t, err)
+	received, err := Unpack(packed)
+	require.NoError(t, err)
+	require.NotNil(t, received.Body.(Updates).Items[0].Delta)
+	relayed, err := Pack(received)
+	require.NoError(t, err)
+	again, err := Unpack(relayed)
+	require.NoError(t, err)
+	require.Equal(t, received, again)
+}
+
 func FuzzDelta(f *testing.F) {
 	base := &Desired{Gen: 3, Epoch: 7, Plan: routePlan(5, 1)}
 	delta, err := NewDesiredDelta(base, &Desired{Gen: 3, Epoch: 8, Plan: routePlan(6, 2)})
