--- a/internal/controller/agent_fleet_test.go
+++ b/internal/controller/agent_fleet_test.go
@@ -141,19 +141,7 @@
 		if b.Session != r.session || r.withholdAcks {
 			return nil
 		}
-		for _, i := range b.Items {
-			if i.Num != r.heard+1 {
-				continue
-			}
-			r.heard = i.Num
-			if i.Desired != nil {
-				r.configuration = i.Desired
-			}
-			if i.Entry != nil {
-				r.entries[i.Entry.Key] = i.Entry.Replicas
-			}
-			delete(r.entries, i.Break)
-		}
+		r.applyUpdates(b.Items)
 		return r.toAgent(protocol.Ack{Session: r.session, Num: r.heard})
 	}
 	return nil
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -619,21 +619,29 @@
 		if b.Session != r.session || r.withholdAcks {
 			return nil
 		}
-		for _, i := range b.Items {
-			if i.Num != r.heard+1 {
-				continue
-			}
-			r.heard = i.Num
-			if i.Entry != nil {
-				r.entries[i.Entry.Key] = i.Entry.Replicas
-			}
-			delete(r.entries, i.Break)
-		}
+		r.applyUpdates(b.Items)
 		return []protocol.Envelope{r.mail(protocol.Ack{Session: r.session, Num: r.heard})}
 	}
 	return nil
 }
 
+// applyUpdates applies the updates that follow the last one.
+func (r *router) applyUpdates(items []protocol.Update) {
+	for _, i := range items {
+		if i.Num != r.heard+1 {
+			continue
+		}
+		r.heard = i.Num
+		if i.Desired != nil {
+			r.configuration = i.Desired
+		}
+		if i.Entry != nil {
+			r.entries[i.Entry.Key] = i.Entry.Replicas
+		}
+		delete(r.entries, i.Break)
+	}
+}
+
 // sends reports whether the router may send requests for a key to a server.
 func (r *router) sends(k ident.Key, s ident.Server) bool {
 	if r.c.at >= r.until {
