--- a/internal/localfleet/localfleet_test.go
+++ b/internal/localfleet/localfleet_test.go
@@ -67,6 +67,23 @@
 	}
 }
 
+// printedLogBytes is how much of the end of each log is printed, in bytes.
+const printedLogBytes = 2 << 10
+
+// printLogs prints the end of each process's log if the test has failed.
+func printLogs(t *testing.T, folder string) {
+	if !t.Failed() {
+		return
+	}
+	logs, err := filepath.Glob(filepath.Join(folder, "*.log"))
+	require.NoError(t, err)
+	for _, log := range logs {
+		raw, err := os.ReadFile(log)
+		require.NoError(t, err)
+		t.Logf("end of %s:\n%s", filepath.Base(log), raw[max(0, len(raw)-printedLogBytes):])
+	}
+}
+
 func startFleetWith(t *testing.T, name string, newFleet func(Shape, string, string, []byte) *Fleet) testFleet {
 	t.Helper()
 	raw, err := os.ReadFile("../../examples/" + name + ".json")
@@ -80,6 +97,7 @@
 	f := newFleet(Shapes[name], bins, t.TempDir(), raw)
 	t.Cleanup(f.Links.Close)
 	t.Cleanup(func() { noViolations(t, f.Dir) }) // runs after all processes have exited
+	t.Cleanup(func() { printLogs(t, f.Dir) })
 	for n := range f.ServerAddrs {
 		f.Processes[n].Args = append(f.Processes[n].Args, "--whole-ms", "100000") // nor on how soon a process is scheduled
 	}
@@ -252,6 +270,33 @@
 	require.Equal(t, report.Sent, report.Answers, "%v", report.Kinds)
 }
 
+// damagedBytes is how much of a journal is damaged, in bytes.
+const damagedBytes = 64
+
+func damageJournalBeginning(t *testing.T, folder string) {
+	damageJournal(t, folder, func(raw []byte) []byte { return raw[:min(len(raw), damagedBytes)] })
+}
+
+func damageJournalEnd(t *testing.T, folder string) {
+	damageJournal(t, folder, func(raw []byte) []byte { return raw[max(0, len(raw)-damagedBytes):] })
+}
+
+// damageJournal damages a part of the journal of a core node's state store.
+func damageJournal(t *testing.T, folder string, part func(raw []byte) []byte) {
+	t.Helper()
+	journals, err := filepath.Glob(filepath.Join(folder, "state", "*.log"))
+	require.NoError(t, err)
+	require.Len(t, journals, 1)
+	raw, err := os.ReadFile(journals[0])
+	require.NoError(t, err)
+	damaged := part(raw)
+	require.NotEmpty(t, damaged)
+	for i := range damaged {
+		damaged[i] ^= 0x5a
+	}
+	require.NoError(t, os.WriteFile(journals[0], raw, 0o644))
+}
+
 // A core node whose data folder was emptied or damaged is readmitted as a new voter, and then counts for a majority.
 func TestEmptiedCore(t *testing.T) {
 	r := startFleet(t, "padana")
@@ -275,26 +320,22 @@
 		}
 		return inc
 	}
-	for i, damage := range []func(dir string){
-		func(dir string) { require.NoError(t, os.RemoveAll(dir)) },
-		func(dir string) {
-			logs, err := filepath.Glob(filepath.Join(dir, "state", "*.log"))
-			require.NoError(t, err)
-			require.NotEmpty(t, logs)
-			raw, err := os.ReadFile(logs[0])
-			require.NoError(t, err)
-			for j := range min(len(raw), 64) {
-				raw[len(raw)-1-j] ^= 0x5a
-			}
-			require.NoError(t, os.WriteFile(logs[0], raw, 0o644))
-		},
+	for _, c := range []struct {
+		name   string
+		end    func(name string)
+		damage func(t *testing.T, folder string)
+	}{
+		{"folder emptied", r.Kill, func(t *testing.T, folder string) { require.NoError(t, os.RemoveAll(folder)) }},
+		{"journal damaged at its beginning", r.Kill, damageJournalBeginning},
+		// What was written last is confirmed for sure only after a planned stop: losing it is no damage otherwise.
+		{"journal damaged at its end", func(name string) { require.NoError(t, r.Stop(name)) }, damageJournalEnd},
 	} {
 		before := incarnation("controller-3")
 		require.NotZero(t, before)
-		r.Kill("controller-3")
-		damage(filepath.Join(r.Dir, "controller-3"))
+		c.end("controller-3")
+		c.damage(t, filepath.Join(r.Dir, "controller-3"))
 		require.NoError(t, r.Start("controller-3"))
-		r.until(fmt.Sprintf("controller-3 is readmitted, case %d", i), func() bool { after := incarnation("controller-3"); return after != 0 && after != before })
+		r.until(c.name+": controller-3 is readmitted", func() bool { after := incarnation("controller-3"); return after != 0 && after != before })
 	}
 	r.Kill("controller-1") // controller-3 is now needed for a majority
 	r.until("majority with controller-3 serves", func() bool { raw, _ := r.readPlan("controller-2"); return raw == string(r.Plan) })
