Two guards of the simulator bite again, in scenes that still have their trouble

Scene fence-apart cuts the owner off with all routers at drawn moments, so that no other core node tells them; in narrow-parse routers take longer to parse a configuration than it may take to be in force.

--- a/internal/simulator/bites_test.go
+++ b/internal/simulator/bites_test.go
@@ -44,7 +44,7 @@
 	{"an emptied disk does not vote", "amnesia", "read gave epoch|confirmed twice|slipped back|bytes that were not sent", []edit{{"internal/controller/acceptor.go", "c.acceptor.inc = c.o.Inc", "c.acceptor.inc = 1"}}},
 	{"sync before an answer", "power", "routes under epoch 1|read gave epoch|bytes that were not sent|slipped back", []edit{
 		{"internal/controller/core.go", "c.continuations[c.token] = then", "then()\n\tc.continuations[c.token] = func() {}"}}},
-	{"grant under a fresh read", "fence", "routes under epoch", []edit{{"internal/controller/links.go", "old := c.now.Sub(c.knownSince())", "old := clock.Span(0)"}}},
+	{"grant under a fresh read", "fence-apart", "routes under epoch", []edit{{"internal/controller/links.go", "old := c.now.Sub(c.knownSince())", "old := clock.Span(0)"}}},
 	{"grant after acknowledgement", "grow", "routes under epoch|held a promise", []edit{{"internal/controller/links.go", "if since, owes := c.unackedSince(l); owes {", "if since, owes := c.unackedSince(l); owes && false {"}}},
 	{"a majority for the leadership lease", "core", "two own the duty|two controllers", []edit{
 		{"internal/controller/duty.go", " || !d.vacant {", " {"}, {"internal/controller/reader.go", "q.claim && voterset.Majority(q.set, q.grantors)", "q.claim"}}},
--- a/internal/simulator/narrow_scenes.go
+++ b/internal/simulator/narrow_scenes.go
@@ -80,6 +80,12 @@
 			w.putChanges(10, 18, 0.3)
 			w.putChanges(28, 36, 0.12)
 		}},
+	{Name: "narrow-parse", Description: "routers take longer to parse a configuration than it may take to be in force", Duration: 60e9, MinAnswered: 0.3,
+		Configure: limitedOptions(ResourceLimits{RouterBandwidth: routerBandwidth / 2, CoreBandwidth: coreBandwidth, RouterParseTime: 1800e6}, nil),
+		Script: func(w *World) {
+			w.putChanges(10, 18, 0.7)
+			w.putChanges(28, 36, 0.3)
+		}},
 	{Name: "narrow-leave", Description: "like narrow-changes, while servers leave", Duration: 60e9, MinAnswered: 0.85,
 		Configure: limitedOptions(ResourceLimits{RouterBandwidth: routerBandwidth / 2, CoreBandwidth: coreBandwidth, RouterParseTime: 350e6}, nil),
 		Script: func(w *World) {
--- a/internal/simulator/narrow_test.go
+++ b/internal/simulator/narrow_test.go
@@ -36,7 +36,7 @@
 
 // narrowGuardCases disable guards of a router's leases where configurations arrive late.
 var narrowGuardCases = []guardCase{
-	{"narrow: a lease counts from what is lacked", "narrow-changes", "routes under epoch", []edit{
+	{"narrow: a lease counts from what is lacked", "narrow-parse", "routes under epoch", []edit{
 		{"internal/controller/rollout.go", "return v.since, true", "return c.now, true"}}},
 	{"narrow: no lease by what was there before the term", "narrow-owner", "routes under epoch", []edit{
 		{"internal/controller/rollout.go", "c.versions = append(c.versions, version{gen: known.Gen, epoch: known.Epoch})", "_ = known"},
--- a/internal/simulator/scenes.go
+++ b/internal/simulator/scenes.go
@@ -1022,6 +1022,17 @@
 				w.At(atSecond(t+5), w.Heal)
 			}
 		}},
+	{Name: "fence-apart", Description: "like fence, at drawn moments, and the routers reach no core node but the owner", Duration: 150e9, MinAnswered: 0.5,
+		Script: func(w *World) {
+			for i, t := 0, 12.0; t < 138; i, t = i+1, t+7 {
+				start := t + w.rand.Float64()
+				w.At(atSecond(start), func() {
+					other := w.isolateWithRouters(w.owner())
+					w.After(1e6, func() { w.PutPlan(other, WithName(w.options.Plan, fmt.Sprintf("past-%d", i), nil), 0, true, nil) })
+				})
+				w.At(atSecond(start+4.5), w.Heal)
+			}
+		}},
 	{Name: "windows", Description: "maintenance windows of a server and a zone are respected, and then wall clocks jump in both directions", Duration: 90e9, MinAnswered: 0.995, NoAborts: true,
 		Configure: func(o *Options) { o.Controller.DrainLead = 5e9 },
 		Script: func(w *World) {
