What all clients hold together is bounded at every listener

What callers saw: clients that sent heads without end, or nothing, took a process beyond its machine's memory or left it none of its descriptors; ordinary requests had no answer.

Cause: nothing bounded what all connections hold together. Each had bounds of its own or none: a head could have 1 MiB whatever the configuration allows, kept twice in buffers that double; `descriptors` was read and never used; buffers in the kernel grow to megabytes each; bodies and messages between nodes were read whole before anything is known of their sender.

Change: internal/connlimit, one mechanism for all listeners, with shares of `ramMb` and `descriptors`. It charges a connection for what its client makes the process keep, before it is kept. Who has sent no complete request has no claim on an answer and gives way, newcomers before idle ones, but an eighth of the places is for newcomers. Connections to servers have bounded receive buffers, and idle ones a bound on their number.

--- a/cmd/controller/main.go
+++ b/cmd/controller/main.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 
+	"tidedeck/internal/connlimit"
 	"tidedeck/internal/controller"
 	_ "tidedeck/internal/hangup" // ignores SIGHUP before other packages are initialized
 	"tidedeck/internal/host"
@@ -20,6 +21,7 @@
 		exitOn(controller.Host(controller.HostOptions{
 			ID: string(boot.Node), Zone: string(boot.Zone), Regions: boot.Zones, PeerAddr: boot.NodeAddr(0), ControlAddr: boot.Controller, AdminAddr: boot.NodeAddr(1),
 			Seeds: boot.SeedAddrs(0), FollowSeeds: followSeeds, Data: boot.DataDir, FirstStart: boot.FirstStart, LogOutput: flags.LogWriter(), MetricsAddr: flags.MetricsAddr(boot.IP), Bind: flags.ListenAddr, Losses: boot.MachineLosses,
+			Machine: connlimit.Machine{MemoryMB: boot.MemoryMB, Descriptors: boot.Descriptors},
 			Dialect: controller.Dialect{ServersPath: platform.PathServers, PlanPath: platform.PathConfiguration, ReadBeacon: platform.ReadBeacon,
 				ReadRevision: platform.ReadRevision, AnnounceReply: platform.AnnounceReply, ReadPlan: (&platform.PlanReader{}).Read, MergePatch: platform.MergePatch, Send: platform.Send},
 			Timing: controller.Timing{Apply: boot.Bounds.Apply, Drain: boot.Bounds.Drain, CatchUp: boot.Bounds.Convergence, Period: boot.Period,
--- a/cmd/router/main.go
+++ b/cmd/router/main.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 
+	"tidedeck/internal/connlimit"
 	_ "tidedeck/internal/hangup" // ignores SIGHUP before other packages are initialized
 	"tidedeck/internal/host"
 	"tidedeck/internal/protocol"
@@ -21,7 +22,7 @@
 		exitOn(router.RunHosted(router.HostOptions{
 			ID: string(boot.Node), Zone: string(boot.Zone), IngressAddr: boot.Ingress, ReadinessAddr: boot.Readiness,
 			AgentAddr: boot.NodeAddr(2), AdminAddr: boot.NodeAddr(3), Seeds: boot.SeedAddrs(0), FollowSeeds: followSeeds, LogOutput: flags.LogWriter(), MetricsAddr: flags.MetricsAddr(boot.IP), Bind: flags.ListenAddr,
-			Dialect: platform.Dialect{}, ReadPlan: (&platform.PlanReader{}).Read, Grace: bounds.StopTimeout, BodyBudget: int64(boot.MemoryMB) << 20 / bodyMemoryDivisor,
+			Dialect: platform.Dialect{}, ReadPlan: (&platform.PlanReader{}).Read, Grace: bounds.StopTimeout, Machine: connlimit.Machine{MemoryMB: boot.MemoryMB, Descriptors: boot.Descriptors}, BodyBudget: int64(boot.MemoryMB) << 20 / bodyMemoryDivisor,
 			RetryMargin: float64(bounds.RetryMargin) * freshMarginFraction, RestartRetryMargin: float64(bounds.RetryMargin) * (1 - freshMarginFraction), RetryWindow: bounds.RetryWindow, RetryFraction: bounds.RetryFraction, FirstStart: boot.FirstStart,
 		}))
 		return
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -8,6 +8,7 @@
 	"github.com/alexedwards/flow"
 
 	"tidedeck/internal/clock"
+	"tidedeck/internal/connlimit"
 	"tidedeck/internal/fleetplan"
 	"tidedeck/internal/host"
 	"tidedeck/internal/ident"
@@ -52,7 +53,7 @@
 		Seeds: host.SeedPeers(s.Seeds), Rand: host.NewRand(), RenewInterval: clock.Span(s.KeepMs) * 1e6,
 		Router: protocol.Peer{ID: "router", Addr: s.Router},
 	})
-	server := host.New(host.Options{Core: core, Listen: []string{bind, s.Near}, Advertised: s.Listen, TickInterval: 20 * time.Millisecond, Log: ring, HandleOutput: func(any) {}})
+	server := host.New(host.Options{Core: core, Listen: []string{bind, s.Near}, NodeLimits: connlimit.Machine{}.Limits(connlimit.Nodes), Advertised: s.Listen, TickInterval: 20 * time.Millisecond, Log: ring, HandleOutput: func(any) {}})
 	if err := server.Run(); err != nil {
 		return err
 	}
@@ -66,5 +67,5 @@
 		server.Locked(func(clock.Instant) { t = core.Counts() })
 		return t
 	}}), http.MethodGet)
-	return host.ServeUntilSignal(s.Admin, mux, ring, host.StopHooks{}, 5*time.Second)
+	return host.ServeUntilSignal(s.Admin, connlimit.Machine{}.Limits(connlimit.Operators), mux, ring, host.StopHooks{}, 5*time.Second)
 }
--- a/internal/controller/host.go
+++ b/internal/controller/host.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"tidedeck/internal/clock"
+	"tidedeck/internal/connlimit"
 	"tidedeck/internal/failure"
 	"tidedeck/internal/fleetplan"
 	"tidedeck/internal/host"
@@ -42,6 +43,7 @@
 	ControlAddr string                         // address for servers and operators
 	AdminAddr   string                         // address of the product's own interface for operators
 	MetricsAddr string                         // additional address for metrics; none if empty
+	Machine     connlimit.Machine              // what the process may use
 	Bind        func(advertised string) string // maps an advertised address to the one to listen on
 	Regions     map[ident.Zone]string          // region of each zone
 	Seeds       []string
@@ -104,7 +106,7 @@
 	core := New(hostedOptions(h))
 	admin := &adminServer{waiting: map[uint64]chan Receipt{}}
 	handler := &controlHandler{waiting: map[uint64]chan bool{}, admin: admin, options: h}
-	admin.process = host.New(host.Options{Core: core, Listen: []string{h.Bind(h.PeerAddr)}, Advertised: h.PeerAddr, DataDir: h.Data, TickInterval: 25 * time.Millisecond, DialTimeout: dialTimeout, Log: ring,
+	admin.process = host.New(host.Options{Core: core, Listen: []string{h.Bind(h.PeerAddr)}, NodeLimits: h.Machine.Limits(connlimit.Nodes), Advertised: h.PeerAddr, DataDir: h.Data, TickInterval: 25 * time.Millisecond, DialTimeout: dialTimeout, Log: ring,
 		OnMessage: h.preparsePlan, SendRequest: h.Dialect.Send, HandleOutput: func(o any) {
 			admin.handleOutput(o)
 			handler.handleOutput(o)
@@ -116,8 +118,8 @@
 	if h.FollowSeeds != nil {
 		h.FollowSeeds(func(r protocol.SeedsChanged) { admin.process.Step(r) })
 	}
-	defer host.ServeOperators(ring, admin.routes(core), h.Bind(h.AdminAddr), h.Bind(h.MetricsAddr))()
-	err := host.ServeUntilSignal(h.Bind(h.ControlAddr), handler, ring, host.StopHooks{}, 2*time.Second)
+	defer host.ServeOperators(ring, h.Machine.Limits(connlimit.Operators), admin.routes(core), h.Bind(h.AdminAddr), h.Bind(h.MetricsAddr))()
+	err := host.ServeUntilSignal(h.Bind(h.ControlAddr), h.Machine.Limits(connlimit.Control), handler, ring, host.StopHooks{}, 2*time.Second)
 	admin.stop(core)
 	return err
 }
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -11,6 +11,7 @@
 	"github.com/alexedwards/flow"
 
 	"tidedeck/internal/clock"
+	"tidedeck/internal/connlimit"
 	"tidedeck/internal/failure"
 	"tidedeck/internal/fleetplan"
 	"tidedeck/internal/host"
@@ -124,12 +125,12 @@
 		DrainLead: clock.Span(s.LeadMs) * 1e6, WallClock: time.Now,
 	})
 	admin := &adminServer{waiting: map[uint64]chan Receipt{}}
-	admin.process = host.New(host.Options{Core: core, Listen: []string{listen}, Advertised: s.Listen, DataDir: s.Data, TickInterval: 20 * time.Millisecond, Log: ring, HandleOutput: admin.handleOutput})
+	admin.process = host.New(host.Options{Core: core, Listen: []string{listen}, NodeLimits: connlimit.Machine{}.Limits(connlimit.Nodes), Advertised: s.Listen, DataDir: s.Data, TickInterval: 20 * time.Millisecond, Log: ring, HandleOutput: admin.handleOutput})
 	if err := admin.process.Run(); err != nil {
 		return err
 	}
 	defer admin.process.Stop()
-	err := host.ServeUntilSignal(s.Admin, admin.routes(core), ring, host.StopHooks{}, 10*time.Second)
+	err := host.ServeUntilSignal(s.Admin, connlimit.Machine{}.Limits(connlimit.Control), admin.routes(core), ring, host.StopHooks{}, 10*time.Second)
 	admin.stop(core)
 	return err
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -30,6 +30,7 @@
 	"golang.org/x/sys/unix"
 
 	"tidedeck/internal/clock"
+	"tidedeck/internal/connlimit"
 	"tidedeck/internal/failure"
 	"tidedeck/internal/fleetplan"
 	"tidedeck/internal/generic"
@@ -64,9 +65,10 @@
 // Options configures a Process.
 type Options struct {
 	Core         Core
-	Listen       []string // addresses on which other processes connect
-	Advertised   string   // the address advertised to other processes; outgoing connections use its IP
-	DataDir      string   // data folder; empty for a process without a disk
+	Listen       []string         // addresses on which other processes connect
+	NodeLimits   connlimit.Limits // limits on what these connections hold together
+	Advertised   string           // the address advertised to other processes; outgoing connections use its IP
+	DataDir      string           // data folder; empty for a process without a disk
 	TickInterval time.Duration
 	Log          *Log
 	HandleOutput func(out any)                                                                 // executes outputs that are specific to the program
@@ -94,6 +96,9 @@
 	times *workTimes
 }
 
+// unreadBytes is the size of the receive buffer of a connection to a server, in bytes.
+const unreadBytes = 64 << 10
+
 // New returns a Process that is not running yet.
 func New(o Options) *Process {
 	generic.SetDefault(&o.DialTimeout, 500*time.Millisecond)
@@ -102,7 +107,7 @@
 	c.requestCtx, c.abortRequests = context.WithCancel(c.ctx)
 	c.transport = newTransport(c.ctx, o.Advertised, o.DialTimeout, c.receive)
 	c.transport.localCores, c.transport.times = o.LocalCores, c.times
-	dial := Dialer(o.Advertised, o.DialTimeout).DialContext
+	dial := BoundUnread(Dialer(o.Advertised, o.DialTimeout), unreadBytes).DialContext
 	c.client = &http.Client{
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true, Proxy: nil, DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -145,7 +150,7 @@
 		c.Step(protocol.Start{Disk: values})
 	}
 	for _, addr := range c.options.Listen {
-		if err := c.transport.listen(addr); err != nil {
+		if err := c.transport.listen(addr, c.options.NodeLimits); err != nil {
 			return err
 		}
 	}
@@ -594,17 +599,18 @@
 // timeOverTimeout is the time in which the requests that StopHooks.TimeOver ends have to be answered.
 const timeOverTimeout = time.Second
 
-// ServeUntilSignal serves HTTP until the process receives SIGTERM or SIGINT, then waits up to within for requests in
-// progress.
-func ServeUntilSignal(addr string, handler http.Handler, ring *Log, hooks StopHooks, within time.Duration) error {
-	listener, err := net.Listen("tcp", addr)
+// ServeUntilSignal serves HTTP within the limits until the process receives SIGTERM or SIGINT, then waits up to within for
+// requests in progress.
+func ServeUntilSignal(addr string, limits connlimit.Limits, handler http.Handler, ring *Log, hooks StopHooks, within time.Duration) error {
+	listener, err := limits.Listen(context.Background(), net.ListenConfig{}, addr)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 30 * time.Second, MaxHeaderBytes: 64 << 10,
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: operatorHeaderTimeout, IdleTimeout: operatorIdleTimeout, MaxHeaderBytes: maxOperatorHead,
 		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
 			return context.WithValue(ctx, connAcceptedKey{}, Now())
 		}}
+	listener = limitServer(server, limits).Wrap(listener)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	served := make(chan error, 1)
@@ -698,11 +704,24 @@
 	if back == 0 {
 		back = response.RetryAfter
 	}
-	if back > 0 {
-		w.Header().Set("Retry-After", fmt.Sprint(int64((back+time.Second-1)/time.Second)))
-	}
+	setRetryAfter(w.Header(), back)
 	if response.Status == http.StatusUnauthorized {
 		w.Header().Set("WWW-Authenticate", fleetplan.BearerScheme)
 	}
 	WriteJSON(w, response.Status, ErrorBody{kind, response.NotExecuted, back.Milliseconds(), faults})
 }
+
+func setRetryAfter(header http.Header, back clock.Span) {
+	if back > 0 {
+		header.Set("Retry-After", fmt.Sprint(int64((back+time.Second-1)/time.Second)))
+	}
+}
+
+// RefusalOnConn returns the bytes of the error response for a kind, for a client whose request is not read.
+func RefusalOnConn(kind failure.Kind) []byte {
+	response := failure.Responses[kind]
+	header := http.Header{"Content-Type": {"application/json"}}
+	setRetryAfter(header, response.RetryAfter)
+	body, _ := json.Marshal(ErrorBody{Kind: kind, Dropped: response.NotExecuted, RetryAfterMs: response.RetryAfter.Milliseconds()})
+	return connlimit.Answer(response.Status, header, body)
+}
--- a/internal/host/hosted.go
+++ b/internal/host/hosted.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"context"
 	"io"
 	"math"
 	"net"
@@ -14,6 +15,8 @@
 	"syscall"
 	"time"
 
+	"tidedeck/internal/connlimit"
+	"tidedeck/internal/failure"
 	"tidedeck/internal/protocol"
 
 	"github.com/alecthomas/kong"
@@ -86,18 +89,18 @@
 	return flags, true
 }
 
-// ServeOperators serves an HTTP interface for operators at the given addresses. A failure to serve it is logged and
-// stops nothing else.
-func ServeOperators(ring *Log, handler http.Handler, addresses ...string) (stop func()) {
+// ServeOperators serves an HTTP interface for operators at the given addresses, each within the limits. A failure to serve it
+// is logged and stops nothing else.
+func ServeOperators(ring *Log, limits connlimit.Limits, handler http.Handler, addresses ...string) (stop func()) {
 	var servers []*http.Server
 	for _, address := range addresses {
 		if address == "" {
 			continue
 		}
-		server := &http.Server{Addr: address, ReadHeaderTimeout: operatorHeaderTimeout, Handler: handler}
+		server := &http.Server{ReadHeaderTimeout: operatorHeaderTimeout, IdleTimeout: operatorIdleTimeout, MaxHeaderBytes: maxOperatorHead, Handler: handler}
 		servers = append(servers, server)
 		go func() {
-			if err := server.ListenAndServe(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			if err := listenAndServe(server, address, limits); err != nil && !errors.Is(err, http.ErrServerClosed) {
 				ring.Info("cannot serve the operator interface", protocol.Field{Name: "address", Value: address}, protocol.Field{Name: "error", Value: err.Error()})
 			}
 		}()
@@ -109,8 +112,30 @@
 	}
 }
 
-// operatorHeaderTimeout is the timeout for reading a request's header on such an interface.
-const operatorHeaderTimeout = 10 * time.Second
+func listenAndServe(server *http.Server, address string, limits connlimit.Limits) error {
+	listener, err := limits.Listen(context.Background(), net.ListenConfig{}, address)
+	if err != nil {
+		return err
+	}
+	return server.Serve(limitServer(server, limits).Wrap(listener))
+}
+
+// Limits of an HTTP interface for operators and servers.
+const (
+	operatorHeaderTimeout = 10 * time.Second
+	operatorIdleTimeout   = 30 * time.Second
+	maxOperatorHead       = 64 << 10 // size of a request's head, in bytes
+	// operatorBodyCost is the memory that a byte of a request's body costs, in bytes: the buffer is copied as it grows.
+	operatorBodyCost = 3
+)
+
+// limitServer returns the limiter of the connections of such an interface.
+func limitServer(server *http.Server, limits connlimit.Limits) *connlimit.Limiter {
+	limiter := connlimit.New(connlimit.Config{Limits: limits, MaxHead: func() int { return maxOperatorHead }, BodyCost: operatorBodyCost,
+		HeadTooLong: RefusalOnConn(failure.HeadTooLong), Full: RefusalOnConn(failure.Full)})
+	limiter.Attach(server)
+	return limiter
+}
 
 // LimitResources limits the process to the memory and processors that its machine provides.
 func LimitResources(memoryMB, processors int) {
--- a/internal/host/receive.go
+++ b/internal/host/receive.go
@@ -9,6 +9,7 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcserver"
 
+	"tidedeck/internal/connlimit"
 	"tidedeck/internal/protocol"
 )
 
@@ -20,27 +21,31 @@
 	acceptRetryDelay = 100 * time.Millisecond
 )
 
-// listen accepts connections from other processes.
-func (t *transport) listen(addr string) error {
+// nodeInputCost is the memory that a byte of an incomplete message costs, in bytes: the buffers of drpc are copied as they
+// grow, and a message of several frames is assembled in another one.
+const nodeInputCost = 3
+
+// listen accepts connections from other processes, within the limits.
+func (t *transport) listen(addr string, limits connlimit.Limits) error {
 	// TCP keep-alive closes connections left open by a peer that lost power or is unreachable.
 	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3}}
-	listener, err := config.Listen(t.ctx, "tcp", addr)
+	listener, err := limits.Listen(t.ctx, config, addr)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
 	context.AfterFunc(t.ctx, func() { _ = listener.Close() })
-	go t.accept(listener)
+	go t.accept(listener, connlimit.New(connlimit.Config{Limits: limits, BodyCost: nodeInputCost}))
 	return nil
 }
 
-func (t *transport) accept(listener net.Listener) {
+func (t *transport) accept(listener net.Listener, limiter *connlimit.Limiter) {
 	for t.ctx.Err() == nil {
-		conn, err := listener.Accept()
+		conn, err := limiter.Accept(listener)
 		if err != nil {
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		r := &receiver{deliver: t.deliver, onStreamOpened: t.reopened, openTimeout: streamOpenTimeout, times: t.times}
+		r := &receiver{deliver: t.deliver, onStreamOpened: t.reopened, openTimeout: streamOpenTimeout, times: t.times, identified: conn.Trust}
 		go r.receive(t.ctx, conn)
 	}
 }
@@ -52,6 +57,7 @@
 	openTimeout    time.Duration
 	openTimer      *time.Timer // closes the connection if it has no stream for too long
 	times          *workTimes
+	identified     func() // called with the first complete envelope; may be nil
 }
 
 // receive reads a connection until it ends.
@@ -79,6 +85,9 @@
 		}
 		if first {
 			r.onStreamOpened(envelope.From.Addr, opened)
+			if r.identified != nil {
+				r.identified()
+			}
 		}
 		r.deliver(envelope)
 	}
--- a/internal/host/transport.go
+++ b/internal/host/transport.go
@@ -80,19 +80,28 @@
 // BoundUnacknowledged returns a copy of a dialer that sets TCP_USER_TIMEOUT on its connections: a connection whose
 // data remains unacknowledged for that long is closed.
 func BoundUnacknowledged(dialer *net.Dialer, limit time.Duration) *net.Dialer {
-	bounded := *dialer
+	return withOption(dialer, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
+}
+
+// BoundUnread returns a copy of a dialer whose connections keep no more bytes unread in the kernel than that. Otherwise a
+// server that sends faster than its answer is read could fill megabytes for each connection.
+func BoundUnread(dialer *net.Dialer, bytes int) *net.Dialer {
+	return withOption(dialer, unix.SOL_SOCKET, unix.SO_RCVBUF, bytes)
+}
+
+// withOption returns a copy of a dialer that sets an option on its sockets.
+func withOption(dialer *net.Dialer, level, option, value int) *net.Dialer {
+	changed := *dialer
 	inner := dialer.Control
-	bounded.Control = func(network, address string, c syscall.RawConn) error {
+	changed.Control = func(network, address string, c syscall.RawConn) error {
 		if inner != nil {
 			if err := inner(network, address, c); err != nil {
 				return err
 			}
 		}
-		return c.Control(func(fd uintptr) {
-			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
-		})
+		return c.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), level, option, value) })
 	}
-	return &bounded
+	return &changed
 }
 
 // reopened records that a peer opened a new stream to this process: the peer may have restarted or become reachable
--- a/internal/router/conn_pool.go
+++ b/internal/router/conn_pool.go
@@ -30,6 +30,8 @@
 	MaxIdlePerEndpoint int           // idle connections kept per endpoint; 8
 	UnackedTimeout     time.Duration // TCP_USER_TIMEOUT: a connection with data unacknowledged for this long is closed; 5 s
 	MaxHeadSize        int64         // maximum size of a response head, in bytes; 256 KiB
+	UnreadBytes        int           // size of a connection's receive buffer in the kernel, in bytes; 64 KiB
+	MaxIdle            int           // idle connections kept in all; 1,024
 }
 
 // Defaults returns the options with unset fields replaced by their defaults.
@@ -41,6 +43,8 @@
 	generic.SetDefault(&o.MaxIdlePerEndpoint, 8)
 	generic.SetDefault(&o.UnackedTimeout, 5*time.Second)
 	generic.SetDefault(&o.MaxHeadSize, 256<<10)
+	generic.SetDefault(&o.UnreadBytes, 64<<10)
+	generic.SetDefault(&o.MaxIdle, 1024)
 	return o
 }
 
@@ -173,6 +177,7 @@
 	options       ConnOptions
 	mu            sync.Mutex
 	idle          map[endpoint][]*conn // the most recently used connection is last
+	idleCount     int
 	reapTimer     *time.Timer
 	reapScheduled bool
 	closed        bool
@@ -182,7 +187,7 @@
 
 func newConnPool(o ConnOptions) *connPool {
 	o = o.Defaults()
-	o.Dialer = host.BoundUnacknowledged(o.Dialer, o.UnackedTimeout)
+	o.Dialer = host.BoundUnread(host.BoundUnacknowledged(o.Dialer, o.UnackedTimeout), o.UnreadBytes)
 	return &connPool{options: o, idle: map[endpoint][]*conn{}}
 }
 
@@ -247,6 +252,7 @@
 		return nil
 	}
 	c := idle[len(idle)-1]
+	p.idleCount--
 	idle[len(idle)-1] = nil
 	if idle = idle[:len(idle)-1]; len(idle) == 0 {
 		delete(p.idle, to)
@@ -270,7 +276,7 @@
 	var evicted *conn
 	idle := p.idle[c.endpoint]
 	switch {
-	case p.closed:
+	case p.closed, len(idle) < p.options.MaxIdlePerEndpoint && p.idleCount >= p.options.MaxIdle:
 		evicted = c
 	case len(idle) >= p.options.MaxIdlePerEndpoint:
 		evicted = idle[0]
@@ -278,6 +284,7 @@
 		idle[len(idle)-1] = c
 	default:
 		p.idle[c.endpoint] = append(idle, c)
+		p.idleCount++
 	}
 	if !p.closed && !p.reapScheduled {
 		p.reapScheduled = true
@@ -308,6 +315,7 @@
 				continue
 			}
 			expired = append(expired, c)
+			p.idleCount--
 		}
 		clear(idle[kept:])
 		if kept == 0 {
--- a/internal/router/guards_test.go
+++ b/internal/router/guards_test.go
@@ -60,7 +60,7 @@
 	{"no surplus response is read after HEAD", "relay_attempt.go", " || x.req.Method == http.MethodHead {", " {", "TestDoubtfulAnswers"},
 	{"a response is HTTP/1", "conn_pool.go", "if resp.ProtoMajor != 1 || resp.StatusCode < 100 || resp.StatusCode > maxStatusCode {", "if false {", "TestDoubtfulAnswers"},
 	{"a client that disconnects gets no end of response", "relay_exchange.go", "\t\t\tx.dropConnection()\n\t\tcase decision", "\t\t\treturn\n\t\tcase decision", "TestHalfClosedClientWaits"},
-	{"an HTTP/1.0 client sees a broken response", "relay_reply.go", "g.resetOnClose()", "_ = g", "TestOldClientSeesTheBreak"},
+	{"an HTTP/1.0 client sees a broken response", "relay_reply.go", "g.ResetOnClose()", "_ = g", "TestOldClientSeesTheBreak"},
 	{"only whole events of a resumable stream are forwarded", "relay_answer.go", "if v.Resume {\n\t\tforward", "if false {\n\t\tforward", "TestRelayStreamBreaks"},
 	{"a resumed stream continues after its last event", "relay_events.go", "case x.hasLastEvent && id != x.lastEvent+1:", "case false:", "TestRelayStreamBreaks"},
 	{"a resumed stream skips forwarded events", "relay_events.go", "case x.hasLastEvent && id <= x.lastEvent:", "case false:", "TestRelayStreamBreaks"},
--- a/internal/router/host.go
+++ b/internal/router/host.go
@@ -7,6 +7,7 @@
 
 	"tidedeck/internal/agent"
 	"tidedeck/internal/clock"
+	"tidedeck/internal/connlimit"
 	"tidedeck/internal/fleetplan"
 	"tidedeck/internal/host"
 	"tidedeck/internal/ident"
@@ -33,7 +34,8 @@
 	RetryMargin        float64    // retries that all routers together may make in each RetryWindow in addition to RetryFraction
 	RestartRetryMargin float64    // the same for restarted routers, in the first RetryWindow after their start
 	RetryWindow        clock.Span
-	FirstStart         bool    // the whole system starts for the first time
+	FirstStart         bool // the whole system starts for the first time
+	Machine            connlimit.Machine
 	BodyBudget         int64   // maximum total size of the request bodies held at once, in bytes; unlimited if zero
 	RetryFraction      float64 // retries allowed in any RetryWindow as a fraction of the first attempts at a service
 
@@ -127,10 +129,10 @@
 		}
 		return timeout
 	}
-	relay := NewRelay(RelayOptions{Dialect: h.Dialect, OnRefusal: requestLog.Add, BodyBudget: h.BodyBudget, BodyLimits: bodyLimits, Conns: ConnOptions{Dialer: host.Dialer(h.IngressAddr, serverDialTimeout)}})
+	relay := NewRelay(RelayOptions{Dialect: h.Dialect, OnRefusal: requestLog.Add, BodyBudget: h.BodyBudget, BodyLimits: bodyLimits, Conns: ConnOptions{Dialer: host.Dialer(h.IngressAddr, serverDialTimeout), MaxIdle: h.Machine.IdleConnections()}})
 	routerProcess = host.New(host.Options{Core: core, TickInterval: routerTickInterval, Log: ring, HandleOutput: requestLog.Intercept(relay.Deliver),
 		LocalCores: map[string]func(protocol.Envelope){localAgent: func(env protocol.Envelope) { agentProcess.Step(env) }}})
-	agentProcess = host.New(host.Options{Core: agentCore, Listen: []string{h.Bind(h.AgentAddr)}, Advertised: h.AgentAddr, TickInterval: agentTickInterval, DialTimeout: agentDialTimeout, Log: ring, HandleOutput: func(any) {},
+	agentProcess = host.New(host.Options{Core: agentCore, Listen: []string{h.Bind(h.AgentAddr)}, NodeLimits: h.Machine.Limits(connlimit.Nodes), Advertised: h.AgentAddr, TickInterval: agentTickInterval, DialTimeout: agentDialTimeout, Log: ring, HandleOutput: func(any) {},
 		LocalCores: map[string]func(protocol.Envelope){localRouter: func(env protocol.Envelope) {
 			h.parsePlansAhead(env)
 			routerProcess.Step(env)
@@ -154,7 +156,7 @@
 		})
 		return ok
 	}
-	defer host.ServeOperators(ring, operatorRoutes(requestLog, metrics(routerProcess, core, relay, requestLog)), h.Bind(h.AdminAddr), h.Bind(h.MetricsAddr))()
+	defer host.ServeOperators(ring, h.Machine.Limits(connlimit.Operators), operatorRoutes(requestLog, metrics(routerProcess, core, relay, requestLog)), h.Bind(h.AdminAddr), h.Bind(h.MetricsAddr))()
 	stop := host.StopSignal()
 	go func() {
 		<-stop
@@ -162,5 +164,5 @@
 		routerProcess.Step(protocol.Stop{})
 	}()
 	return ServeRelay(stop, RelayServer{Relay: relay, Ingress: h.Bind(h.IngressAddr), Readiness: h.Bind(h.ReadinessAddr), Ready: ready,
-		PlanIdleTimeout: idleTimeout, PlanHeadLimits: headLimits, LameDuck: h.LameDuck, Grace: forceCloseAfter(h.Grace)})
+		PlanIdleTimeout: idleTimeout, PlanHeadLimits: headLimits, LameDuck: h.LameDuck, Grace: forceCloseAfter(h.Grace), Machine: h.Machine})
 }
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"tidedeck/internal/clock"
+	"tidedeck/internal/connlimit"
 	"tidedeck/internal/generic"
 	"tidedeck/internal/host"
 )
@@ -89,6 +90,7 @@
 	bodies         bodyBudget
 	rejectNew      atomic.Bool          // set late in a shutdown: new requests are refused and sent to no server
 	requestSeconds prometheus.Histogram // time from a request's head to the end of its response
+	clientLimiter  atomic.Pointer[connlimit.Limiter]
 	inFlight
 	tallyMu sync.Mutex // guards tally
 	tally   RelayTally
@@ -114,6 +116,14 @@
 // SetDecider sets the Decider. It must be called before the first request arrives.
 func (r *Relay) SetDecider(d Decider) { r.decider = d }
 
+// ClientCounts returns the current counts of the clients' connections.
+func (r *Relay) ClientCounts() connlimit.Counts {
+	if l := r.clientLimiter.Load(); l != nil {
+		return l.Counts()
+	}
+	return connlimit.Counts{}
+}
+
 // Close closes the idle connections to servers.
 func (r *Relay) Close() { r.conns.close() }
 
--- a/internal/router/relay_exchange.go
+++ b/internal/router/relay_exchange.go
@@ -62,6 +62,7 @@
 	x.firstByte = x.arrived
 	if g := headGuardOf(req); g != nil {
 		x.firstByte = g.firstByte()
+		g.HeadComplete()
 		defer g.reset()
 	}
 	if !unambiguousFraming(req) {
@@ -94,6 +95,7 @@
 	}
 	if g := headGuardOf(req); g != nil {
 		g.readWhole()
+		g.Claim()
 	}
 	x.body = b.Bytes()
 	x.lastEvent, x.hasLastEvent = facts.LastEvent, facts.LastEvent > 0
--- a/internal/router/relay_reply.go
+++ b/internal/router/relay_reply.go
@@ -29,7 +29,7 @@
 // for complete. An HTTP/1.0 client recognizes the end of a response only by the close, so its connection is reset.
 func (x *exchange) dropConnection() {
 	if g := headGuardOf(x.req); g != nil && x.started && !x.req.ProtoAtLeast(1, 1) {
-		g.resetOnClose()
+		g.ResetOnClose()
 	}
 	panic(http.ErrAbortHandler)
 }
--- a/internal/router/relay_serve.go
+++ b/internal/router/relay_serve.go
@@ -11,7 +11,10 @@
 	"sync/atomic"
 	"time"
 
+	"tidedeck/internal/connlimit"
+	"tidedeck/internal/failure"
 	"tidedeck/internal/generic"
+	"tidedeck/internal/host"
 
 	"github.com/go-faster/errors"
 )
@@ -29,6 +32,7 @@
 	PlanIdleTimeout func() time.Duration // idle timeout that the plan in force announces to clients
 	LameDuck        time.Duration        // how long new requests are still served after the stop; 2.5 s
 	Grace           time.Duration        // total time for requests in progress to finish after the stop; 7 s
+	Machine         connlimit.Machine    // bounds what all clients hold together
 }
 
 // Defaults returns the options with unset fields replaced by their defaults.
@@ -55,11 +59,11 @@
 // progress.
 func ServeRelay(stop <-chan struct{}, o RelayServer) error {
 	o = o.Defaults()
-	ingress, err := net.Listen("tcp", o.Ingress)
+	ingress, err := o.Machine.Limits(connlimit.Clients).Listen(context.Background(), net.ListenConfig{}, o.Ingress)
 	if err != nil {
 		return errors.Wrap(err, "listen for clients")
 	}
-	readinessListener, err := net.Listen("tcp", o.Readiness)
+	readinessListener, err := o.Machine.Limits(connlimit.Readiness).Listen(context.Background(), net.ListenConfig{}, o.Readiness)
 	if err != nil {
 		_ = ingress.Close()
 		return errors.Wrap(err, "listen for readiness")
@@ -78,13 +82,14 @@
 		ConnState: func(c net.Conn, s http.ConnState) {
 			if g, ok := c.(*headGuard); ok && s == http.StateIdle {
 				g.idleNext.Store(true)
+				g.Release()
 			}
 		},
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, headGuardKey{}, c)
 		},
 	}
-	readinessServer := &http.Server{ReadHeaderTimeout: o.HeadTimeout, IdleTimeout: o.IdleTimeout, MaxHeaderBytes: 8 << 10, ErrorLog: discard,
+	readinessServer := &http.Server{ReadHeaderTimeout: o.HeadTimeout, IdleTimeout: o.IdleTimeout, MaxHeaderBytes: readinessHeadBytes, ErrorLog: discard,
 		Handler: readiness(o.Relay.options.Dialect.ReadinessPath(), func() bool {
 			select {
 			case <-stop:
@@ -93,11 +98,15 @@
 				return o.Ready()
 			}
 		})}
+	readinessLimiter := connlimit.New(connlimit.Config{Limits: o.Machine.Limits(connlimit.Readiness), MaxHead: func() int { return readinessHeadBytes }})
+	readinessLimiter.Attach(readinessServer)
+	clientLimiter := o.clientLimiter()
+	o.Relay.clientLimiter.Store(clientLimiter)
 	failed := make(chan error, 2)
 	go func() {
-		failed <- clientServer.Serve(headGuardListener{ingress, o.limits, o.HeadBytes})
+		failed <- clientServer.Serve(headGuardListener{ingress, clientLimiter, o.limits, o.HeadBytes})
 	}()
-	go func() { failed <- readinessServer.Serve(readinessListener) }()
+	go func() { failed <- readinessServer.Serve(readinessLimiter.Wrap(readinessListener)) }()
 	defer o.Relay.Close()
 	defer readinessServer.Close()
 	select {
@@ -175,8 +184,20 @@
 
 type headGuardKey struct{}
 
-// maxHeadBytes limits a request's head regardless of the plan.
-const maxHeadBytes = 1 << 20
+const (
+	maxHeadBytes       = 1 << 20 // limits a request's head regardless of the plan
+	readinessHeadBytes = 8 << 10 // limits the head of a readiness check
+)
+
+// clientLimiter returns the limiter of the connections of all clients.
+func (o RelayServer) clientLimiter() *connlimit.Limiter {
+	return connlimit.New(connlimit.Config{
+		Limits:      o.Machine.Limits(connlimit.Clients),
+		MaxHead:     func() int { return min(o.limits().headBytes, maxHeadBytes) },
+		HeadTooLong: host.RefusalOnConn(failure.HeadTooLong),
+		Full:        host.RefusalOnConn(failure.Full),
+	})
+}
 
 // HeadLimits are limits on the heads of requests.
 type HeadLimits struct {
@@ -205,13 +226,14 @@
 // headGuardListener wraps each accepted connection in a headGuard.
 type headGuardListener struct {
 	net.Listener
+	limiter      *connlimit.Limiter
 	limits       func() clientLimits
 	minHeadBytes int // size of a head that is always allowed, regardless of the plan
 }
 
 // Accept waits for a client's connection.
 func (l headGuardListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+	c, err := l.limiter.Accept(l.Listener)
 	if err != nil {
 		return nil, err
 	}
@@ -221,9 +243,9 @@
 // headGuard inspects a request's head for conflicting declarations of where its body ends. net/http picks one of
 // them and discards the other, so the bytes after the body could contain a smuggled request.
 type headGuard struct {
-	net.Conn
+	*connlimit.Conn
 	mu       sync.Mutex
-	line     []byte // start of an incomplete line
+	line     headLine // the line that is being read
 	observed observedHead
 
 	limits       func() clientLimits
@@ -249,13 +271,6 @@
 	return g.Conn.SetReadDeadline(t)
 }
 
-// resetOnClose makes the connection end with a reset.
-func (g *headGuard) resetOnClose() {
-	if c, ok := g.Conn.(*net.TCPConn); ok {
-		_ = c.SetLinger(0)
-	}
-}
-
 // observedHead is the information that a headGuard collects about a head.
 type observedHead struct {
 	bytes               int
@@ -289,35 +304,33 @@
 		i := bytes.IndexByte(b, '\n')
 		if i < 0 {
 			g.observed.bytes += len(b)
-			g.line = append(g.line, b...)
+			g.line.add(b)
 			return
 		}
 		g.observed.bytes += i + 1
-		line := b[:i]
-		if b = b[i+1:]; len(g.line) > 0 {
-			line = append(g.line, line...)
-			g.line = line[:0]
-		}
-		g.observeLine(bytes.TrimSuffix(line, []byte("\r")))
+		g.line.add(b[:i])
+		b = b[i+1:]
+		g.observeLine()
+		g.line = headLine{}
 	}
 }
 
-func (g *headGuard) observeLine(line []byte) {
+// observeLine inspects the line that has ended. Empty lines before the request line are not part of a request.
+func (g *headGuard) observeLine() {
 	h := &g.observed
-	switch h.lines++; {
-	case h.lines == 1:
-		h.validRequestLine = bytes.HasSuffix(line, []byte(" HTTP/1.1")) || bytes.HasSuffix(line, []byte(" HTTP/1.0"))
-	case len(line) == 0:
+	switch empty := g.line.isEmpty(); {
+	case empty && h.lines == 0:
+		return
+	case empty:
 		h.complete = true
-	case hasFieldName(line, "content-length"):
+	case h.lines == 0:
+		h.validRequestLine = g.line.hasSuffix(" HTTP/1.1") || g.line.hasSuffix(" HTTP/1.0")
+	case g.line.hasName("content-length"):
 		h.hasLength = true
-	case hasFieldName(line, "transfer-encoding"):
+	case g.line.hasName("transfer-encoding"):
 		h.hasTransferEncoding = true
 	}
-}
-
-func hasFieldName(line []byte, name string) bool {
-	return len(line) > len(name) && line[len(name)] == ':' && bytes.EqualFold(line[:len(name)], []byte(name))
+	h.lines++
 }
 
 // reset prepares for the next head.
@@ -325,7 +338,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.lastByteAt = g.firstByteOr(g.lastByteAt)
-	g.observed, g.line = observedHead{firstByteAt: g.nextByteAt}, g.line[:0]
+	g.observed, g.line = observedHead{firstByteAt: g.nextByteAt}, headLine{}
 	g.bodyRead, g.nextByteAt = false, time.Time{}
 }
 
--- a/internal/router/serve.go
+++ b/internal/router/serve.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"tidedeck/internal/clock"
+	"tidedeck/internal/connlimit"
 	"tidedeck/internal/failure"
 	"tidedeck/internal/fleetplan"
 	"tidedeck/internal/generic"
@@ -98,12 +99,12 @@
 		defer recorder.Close()
 		f.recorder = recorder
 	}
-	f.process = host.New(host.Options{Core: core, Listen: []string{s.Control}, TickInterval: 10 * time.Millisecond, Log: ring, HandleOutput: f.log.Intercept(f.Deliver)})
+	f.process = host.New(host.Options{Core: core, Listen: []string{s.Control}, NodeLimits: connlimit.Machine{}.Limits(connlimit.Nodes), TickInterval: 10 * time.Millisecond, Log: ring, HandleOutput: f.log.Intercept(f.Deliver)})
 	if err := f.process.Run(); err != nil {
 		return err
 	}
 	defer f.process.Stop()
-	return host.ServeUntilSignal(s.Listen, f.routes(), ring, f.stopHooks(), time.Duration(s.StopMs)*time.Millisecond)
+	return host.ServeUntilSignal(s.Listen, connlimit.Machine{}.Limits(connlimit.Clients), f.routes(), ring, f.stopHooks(), time.Duration(s.StopMs)*time.Millisecond)
 }
 
 // stopHooks returns what a shutdown does at its begin, and with the requests that have not ended in time.
@@ -149,7 +150,8 @@
 	collectors := []prometheus.Collector{c.WorkTimes(), host.StructMetrics{Name: "router_requests", Read: func() any { return endCounts{log.Counts()} }}}
 	if relay != nil {
 		collectors = append(collectors, relay.requestSeconds, host.StructMetrics{Name: "relay", Read: func() any { return relay.Counts() }},
-			host.StructMetrics{Name: "connections", Read: func() any { return relay.Counts().ConnTally }})
+			host.StructMetrics{Name: "connections", Read: func() any { return relay.Counts().ConnTally }},
+			host.StructMetrics{Name: "client_connections", Read: func() any { return relay.ClientCounts() }})
 	}
 	return host.MetricsHandler(append(collectors, host.StructMetrics{Name: "router", Read: func() (t any) {
 		c.Locked(func(clock.Instant) { t = core.Counts() })
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -11,6 +11,7 @@
 	"github.com/alexedwards/flow"
 
 	"tidedeck/internal/clock"
+	"tidedeck/internal/connlimit"
 	"tidedeck/internal/failure"
 	"tidedeck/internal/fleetplan"
 	"tidedeck/internal/host"
@@ -160,7 +161,7 @@
 		inject(requests, core, newCore)
 		host.WriteJSON(w, 200, map[string]bool{"done": true})
 	}, http.MethodPost)
-	return host.ServeUntilSignal(settings.Listen, mux, ring, host.StopHooks{}, 10*time.Minute)
+	return host.ServeUntilSignal(settings.Listen, connlimit.Limits{}, mux, ring, host.StopHooks{}, 10*time.Minute)
 }
 
 // injectors maps the kinds of injected faults to their effects.
@@ -298,7 +299,7 @@
 		requests.process.Locked(func(clock.Instant) { t = core.Counts() })
 		host.WriteJSON(w, 200, t)
 	}, http.MethodGet)
-	return host.ServeUntilSignal(settings.Listen, mux, ring, host.StopHooks{}, 10*time.Second)
+	return host.ServeUntilSignal(settings.Listen, connlimit.Limits{}, mux, ring, host.StopHooks{}, 10*time.Second)
 }
 
 // PlatformSettings are the settings of a stand-in platform.
@@ -370,5 +371,5 @@
 		}
 		host.WriteJSON(w, 200, map[string]string{"state": state})
 	}, http.MethodPost)
-	return host.ServeUntilSignal(settings.Listen, mux, ring, host.StopHooks{}, 5*time.Second)
+	return host.ServeUntilSignal(settings.Listen, connlimit.Limits{}, mux, ring, host.StopHooks{}, 5*time.Second)
 }
