The log of requests keeps the beginning of a name only

What callers saw: requests with IDs as long as a head allows filled the log of 2,048 requests with up to 130 MB. Cause: it was bounded in number, not in memory. Change: 256 bytes of an ID and of a key are kept, and a request is still found by the whole of its ID (TestLoggedNamesAreShort).

--- a/internal/router/request_log.go
+++ b/internal/router/request_log.go
@@ -3,12 +3,14 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
 	"tidedeck/internal/failure"
 	"tidedeck/internal/fleetplan"
 	"tidedeck/internal/host"
+	"tidedeck/internal/ident"
 	"tidedeck/internal/protocol"
 )
 
@@ -39,8 +41,20 @@
 	return &RequestLog{router: router, ring: ring, entries: make([]LoggedRequest, 0, size), counts: map[failure.Kind]uint64{}}
 }
 
+// maxLoggedBytes is how much of a client's text is kept: names may be as long as a head, and 2,048 of those take 130 MB.
+const maxLoggedBytes = 256
+
+// shortened returns the beginning of a client's text, without keeping the rest in memory.
+func shortened(text string) string {
+	if len(text) <= maxLoggedBytes {
+		return text
+	}
+	return strings.Clone(text[:maxLoggedBytes])
+}
+
 // Add adds a trace and, if the log is full, overwrites the oldest one.
 func (l *RequestLog) Add(t RequestTrace) {
+	t.ID, t.Key = shortened(t.ID), ident.Key(shortened(string(t.Key)))
 	entry := LoggedRequest{At: time.Now(), Router: l.router, RequestTrace: t}
 	l.mu.Lock()
 	l.counts[failure.Kind(t.End)]++
@@ -71,11 +85,12 @@
 	}
 }
 
-// find returns the traces of a request, newest first, or of all requests if id is empty.
+// find returns the traces of a request, newest first, or of all requests if id is empty. Only the beginning of an ID counts.
 func (l *RequestLog) find(id string, limit int) []LoggedRequest {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	found := []LoggedRequest{}
+	id = shortened(id)
 	for i := 1; i <= len(l.entries) && len(found) < limit; i++ {
 		entry := l.entries[(l.next+len(l.entries)-i)%len(l.entries)]
 		if id == "" || entry.ID == id {
--- a/internal/router/request_trace_test.go
+++ b/internal/router/request_trace_test.go
@@ -1,9 +1,11 @@
 package router
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,6 +14,8 @@
 	"tidedeck/internal/clock"
 	"tidedeck/internal/failure"
 	"tidedeck/internal/fleetplan"
+	"tidedeck/internal/host"
+	"tidedeck/internal/ident"
 )
 
 // The trace of a failed request, found by its ID, contains the configuration, the lease, the servers and their
@@ -153,3 +157,18 @@
 		})
 	}
 }
+
+// Clients choose what their requests name, and the log keeps thousands of requests: only the beginning of a name is kept, and
+// the request is still found by the whole of it.
+func TestLoggedNamesAreShort(t *testing.T) {
+	var lines bytes.Buffer
+	l := NewRequestLog("r1", host.NewLogWith(host.LogOptions{Name: "r1", JSONLines: &lines}), 3)
+	id := strings.Repeat("i", 60<<10)
+	l.Add(RequestTrace{ID: id, Key: ident.Key(strings.Repeat("k", 60<<10)), End: EndedRefused})
+	found := l.find(id, 1)
+	require.Len(t, found, 1)
+	require.Len(t, found[0].ID, maxLoggedBytes)
+	require.Len(t, string(found[0].Key), maxLoggedBytes)
+	require.NotEmpty(t, lines.String())
+	require.Less(t, lines.Len(), 4*maxLoggedBytes)
+}
