A document has limits on its values and faults, and one body is read at a time

What callers saw: configurations of 3 MB that are no plan, or a few words that stand for 499,000 adapters, took a core node to several times its machine's memory (faulty ones 8.2 GB on this machine, without limits on connections). Cause: a limit on the size of a body says nothing of the values that it is read into, each of which can take a hundred times its bytes.

--- a/internal/controller/host.go
+++ b/internal/controller/host.go
@@ -154,6 +154,14 @@
 	waiting   map[uint64]chan bool
 	admin     *adminServer
 	options   HostOptions
+	reading   sync.Mutex // held while a body is read into values, which take a multiple of its memory
+}
+
+// readInTurn reads one body at a time into values.
+func (h *controlHandler) readInTurn(read func()) {
+	h.reading.Lock()
+	defer h.reading.Unlock()
+	read()
 }
 
 // handleOutput passes the core's answer to an announcement to the waiting request.
@@ -192,16 +200,20 @@
 	}
 }
 
+// maxAnnouncementBytes is the size of an announcement: room for thousands of models and adapters.
+const maxAnnouncementBytes = 1 << 20
+
 // serveAnnouncement handles an announcement of a server: PUT for its state, DELETE if it is gone.
 func (h *controlHandler) serveAnnouncement(w http.ResponseWriter, r *http.Request, id string) {
 	b := protocol.Announcement{ListedServer: protocol.ListedServer{ID: ident.Server(id), State: "gone"}}
 	switch r.Method {
 	case http.MethodPut:
-		raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 1<<20))
+		raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
 		if err != nil {
 			return
 		}
-		if b, err = h.options.Dialect.ReadBeacon(id, raw); err != nil {
+		h.readInTurn(func() { b, err = h.options.Dialect.ReadBeacon(id, raw) })
+		if err != nil {
 			host.WriteError(w, failure.Malformed, 0, fleetplan.Faults{{Path: "$", Why: err.Error()}})
 			return
 		}
@@ -256,7 +268,13 @@
 	if !ok {
 		return
 	}
-	revision, err := h.options.Dialect.ReadRevision(raw)
+	var revision uint64
+	var err error
+	h.readInTurn(func() {
+		if revision, err = h.options.Dialect.ReadRevision(raw); err == nil && op == "put" {
+			h.options.parsePlan(raw) // only fills the cache: the core rejects a plan with faults
+		}
+	})
 	if err != nil {
 		host.WriteError(w, failure.Malformed, 0, fleetplan.Faults{{Path: "$", Why: err.Error()}})
 		return
@@ -266,9 +284,6 @@
 		host.WriteError(w, failure.Malformed, 0, fleetplan.Faults{{Path: "If-Match", Why: "wants the revision of the plan that the change is based on"}})
 		return
 	}
-	if op == "put" {
-		h.options.parsePlan(raw) // only fills the cache: the core rejects a plan with faults
-	}
 	digest := sha256.New()
 	_, _ = fmt.Fprintf(digest, "%s %d\n", op, base)
 	_, _ = digest.Write(raw)
--- a/internal/fleetplan/fleetplan.go
+++ b/internal/fleetplan/fleetplan.go
@@ -25,6 +25,13 @@
 // Faults is a list of validation errors.
 type Faults []Fault
 
+// add records a fault, unless there are many already.
+func (f *Faults) add(at *location, why string) {
+	if len(*f) < maxFaults {
+		*f = append(*f, Fault{at.String(), why})
+	}
+}
+
 // Error joins the faults with semicolons.
 func (f Faults) Error() string {
 	var b bytes.Buffer
@@ -37,7 +44,13 @@
 	return b.String()
 }
 
-const maxDepth = 32
+// Limits of a document. They are far beyond any plan (100 KB and 6,000 values for 578 models and 1,400 routes), and bound what
+// a document takes while it is read: a value can take a hundred times its bytes.
+const (
+	maxDepth  = 32
+	maxValues = 100_000 // values of all kinds, with those inside of others
+	maxFaults = 100     // faults reported
+)
 
 // location is the position of a value in a document. Paths are formatted only for faults, since a document has many
 // positions.
@@ -47,6 +60,9 @@
 	index  int // list index, if there is no key
 }
 
+// child returns the location of a key's value.
+func (p *location) child(key string) *location { return &location{parent: p, key: key, index: -1} }
+
 func (p *location) String() string {
 	switch {
 	case p == nil:
@@ -94,12 +110,16 @@
 type parser struct {
 	decoder *jsontext.Decoder
 	faults  *Faults
+	values  int // read so far
 }
 
 func (p *parser) value(at *location, level int) (any, error) {
 	if level > maxDepth {
 		return nil, fmt.Errorf("nested deeper than %d", maxDepth)
 	}
+	if p.values++; p.values > maxValues {
+		return nil, fmt.Errorf("more than %d values", maxValues)
+	}
 	token, err := p.decoder.ReadToken()
 	if err != nil {
 		return nil, err
@@ -127,9 +147,9 @@
 			return nil, err
 		}
 		key := token.String()
-		here := &location{parent: at, key: key, index: -1}
+		here := at.child(key)
 		if _, dup := object[key]; dup {
-			*p.faults = append(*p.faults, Fault{here.String(), "duplicate key"})
+			p.faults.add(here, "duplicate key")
 		}
 		if object[key], err = p.value(here, level+1); err != nil {
 			return nil, err
@@ -153,7 +173,7 @@
 }
 
 // Fault records a fault at this position.
-func (p Cursor) Fault(why string) { *p.faults = append(*p.faults, Fault{p.location.String(), why}) }
+func (p Cursor) Fault(why string) { p.faults.add(p.location, why) }
 
 // IsSet reports whether the position holds a value other than null.
 func (p Cursor) IsSet() bool { return p.present && p.value != nil }
@@ -176,7 +196,7 @@
 			known = known || allowed == k
 		}
 		if !known {
-			*p.faults = append(*p.faults, Fault{p.location.String() + "." + k, "unknown key"})
+			p.faults.add(p.location.child(k), "unknown key")
 		}
 	}
 	return p
@@ -200,7 +220,7 @@
 	}
 	for _, k := range generic.SortedKeys(object) {
 		if k == "" || len(k) > 128 {
-			*p.faults = append(*p.faults, Fault{p.location.String() + "." + k, "key must have 1 to 128 bytes"})
+			p.faults.add(p.location.child(k), "key must have 1 to 128 bytes")
 			continue
 		}
 		each(k, p.Field(k))
--- a/internal/fleetplan/fleetplan_test.go
+++ b/internal/fleetplan/fleetplan_test.go
@@ -136,3 +136,17 @@
 		require.Equal(t, c.models, len(p.Models)-n)
 	}
 }
+
+// A document takes memory in proportion to its values and faults, so both are limited.
+func TestLimitsOfADocument(t *testing.T) {
+	list := func(items int) []byte {
+		return []byte("[" + strings.TrimSuffix(strings.Repeat("{},", items), ",") + "]")
+	}
+	_, faults := ParseJSON(list(maxValues - 1))
+	require.Empty(t, *faults)
+	_, faults = ParseJSON(list(maxValues))
+	require.Contains(t, faults.Error(), fmt.Sprintf("more than %d values", maxValues))
+	p, faults := ParseJSON(list(2 * maxFaults))
+	p.EachItem(3*maxFaults, func(item Cursor) { item.Field("name").Text(true, 1) })
+	require.Len(t, *faults, maxFaults)
+}
