--- a/internal/fleetplan/merge_memo_test.go
+++ b/internal/fleetplan/merge_memo_test.go
@@ -35,5 +35,5 @@
 	for i := range memoSize {
 		_, _ = m.Apply([]byte{byte(i)}, []byte("+c"))
 	}
-	require.Len(t, m.entries, memoSize)
+	require.Len(t, m.recent.entries, memoSize)
 }
