Announced servers have a share of a core node's memory, half of it for servers that can be reached

What callers saw: announcements of servers that do not exist, with 20,000 models each, took a core node to 408 MB of 128 (2.7 GB on this machine, without limits on connections); with many small ones no further server could join once a limit was there (60 s without an acknowledgement). Cause: a core node keeps each server that announces itself, and nothing tells those that exist from the others. Change: an eighth of the memory is for announced servers, known ones may grow to twice that, a departure is always heard. Beyond half of it a new server must accept a connection within 300 ms, eight attempts at once.

--- a/internal/controller/core.go
+++ b/internal/controller/core.go
@@ -63,6 +63,7 @@
 	HandOver       bool                  // a stopping node's seat goes to a spare at once, not only after ReplaceAfter
 	NoForwarding   bool                  // changes are never forwarded to the leader
 	CoreExists     bool                  // the core already exists: an empty disk forms none
+	RegistryBytes  int64                 // memory for announced servers, beyond which no further ones are accepted; unlimited if 0
 	FirstStart     bool                  // the whole system starts for the first time: seeds with empty disks found the core
 }
 
@@ -185,16 +186,16 @@
 
 // Tally counts a core node's operations; its fields are published as metrics.
 type Tally struct {
-	Rounds, Conflicts, Changes, Reads, Repairs, Reigns      uint64
-	Grants, Withheld, Breaks, Acks, Lapses, Wants, Sames    uint64
-	Removals, Sheds, Loads, Unloads, Fences, Drained, Admit uint64
-	Moves, Evened, Odd                                      uint64
-	Doubts, Looks, Yields                                   uint64
-	Beacons, Enrolments, Leaves, LeavesUnheard              uint64
-	Orders, OrdersRefused, OrdersUnanswered, Reports        uint64
-	Confirms                                                uint64 // queries whether an order is done
-	Stalls                                                  uint64 // stalls of the process
-	Visits                                                  uint64 // servers, replicas and links examined by decisions
+	Rounds, Conflicts, Changes, Reads, Repairs, Reigns         uint64
+	Grants, Withheld, Breaks, Acks, Lapses, Wants, Sames       uint64
+	Removals, Sheds, Loads, Unloads, Fences, Drained, Admit    uint64
+	Moves, Evened, Odd                                         uint64
+	Doubts, Looks, Yields                                      uint64
+	Beacons, BeaconsRefused, Enrolments, Leaves, LeavesUnheard uint64
+	Orders, OrdersRefused, OrdersUnanswered, Reports           uint64
+	Confirms                                                   uint64 // queries whether an order is done
+	Stalls                                                     uint64 // stalls of the process
+	Visits                                                     uint64 // servers, replicas and links examined by decisions
 
 	RoundsPromised               uint64 // attempts under a reserved ballot
 	Forwards, ForwardsUnanswered uint64 // forwarded changes, and those proposed locally for lack of an outcome
--- a/internal/controller/enrol.go
+++ b/internal/controller/enrol.go
@@ -12,14 +12,17 @@
 
 // Announce passes a server's announcement to a core node.
 type Announce struct {
-	Token  uint64
-	Beacon protocol.Announcement
+	Token     uint64
+	Beacon    protocol.Announcement
+	Reachable bool // a connection to the server's address has been established
 }
 
-// Announced answers Announce. OK is false if a departure is not yet known to the leader and to a majority.
+// Announced answers Announce. OK is false if a departure is not yet known to the leader and to a majority, or if there is no
+// room for the server.
 type Announced struct {
-	Token uint64
-	OK    bool
+	Token       uint64
+	OK          bool
+	IfReachable bool // there is room for the server if a connection to its address can be established
 }
 
 // enrolled is a core node's record of a server that has announced itself.
@@ -230,6 +233,12 @@
 		return
 	}
 	known := c.enrolledServers[b.ID]
+	b, room := c.limitAnnouncement(known, a)
+	if room != hasRoom {
+		c.tally.BeaconsRefused++
+		c.out = append(c.out, Announced{Token: a.Token, IfReachable: room == roomIfReachable})
+		return
+	}
 	first := known == nil || known.State != b.State
 	if b.State == "gone" && known != nil {
 		b.ListedServer, b.Count = known.ListedServer, known.Count
--- a/internal/controller/host.go
+++ b/internal/controller/host.go
@@ -87,6 +87,9 @@
 // SilenceTimeout derives how long a server may be silent before it is polled.
 func (t Timing) SilenceTimeout() clock.Span { return t.Period*2 + t.Period/4 }
 
+// registryShare is the share of the memory for announced servers.
+const registryShare = 1. / 8
+
 // hostedOptions returns the options of a core that runs under a hosting platform.
 func hostedOptions(h HostOptions) Options {
 	return Options{
@@ -94,6 +97,7 @@
 		Seeds: host.SeedPeers(h.Seeds), Rand: host.NewRand(), WallClock: time.Now,
 		LeadershipLease: h.Timing.LeadershipLease(), ReadInterval: h.Timing.LeadershipLease() / 4, RouterLease: h.Timing.RouterLease(), ReplaceAfter: h.Timing.ReplaceAfter(), SilenceTimeout: h.Timing.SilenceTimeout(), RateWindow: h.Timing.Rate, Tenure: h.Timing.Tenure,
 		ParsePlan: h.Dialect.ReadPlan, MergePatch: h.Dialect.MergePatch, Enrolled: true, Unfenced: true, Preload: true, Voters: 2*h.Losses + 1, HandOver: true, CoreExists: !h.FirstStart, FirstStart: h.FirstStart, Regions: h.Regions,
+		RegistryBytes: h.Machine.Bytes(registryShare),
 	}
 }
 
@@ -105,7 +109,7 @@
 	h.Dialect.MergePatch = (&fleetplan.MergeMemo{Merge: h.Dialect.MergePatch}).Apply
 	core := New(hostedOptions(h))
 	admin := &adminServer{waiting: map[uint64]chan Receipt{}}
-	handler := &controlHandler{waiting: map[uint64]chan bool{}, admin: admin, options: h}
+	handler := &controlHandler{waiting: map[uint64]chan Announced{}, admin: admin, options: h, dialling: make(chan struct{}, maxReachabilityChecks)}
 	admin.process = host.New(host.Options{Core: core, Listen: []string{h.Bind(h.PeerAddr)}, NodeLimits: h.Machine.Limits(connlimit.Nodes), Advertised: h.PeerAddr, DataDir: h.Data, TickInterval: 25 * time.Millisecond, DialTimeout: dialTimeout, Log: ring,
 		OnMessage: h.preparsePlan, SendRequest: h.Dialect.Send, HandleOutput: func(o any) {
 			admin.handleOutput(o)
@@ -151,10 +155,33 @@
 type controlHandler struct {
 	mu        sync.Mutex // guards waiting and lastToken; locked after the host's mutex
 	lastToken uint64
-	waiting   map[uint64]chan bool
+	waiting   map[uint64]chan Announced
 	admin     *adminServer
 	options   HostOptions
-	reading   sync.Mutex // held while a body is read into values, which take a multiple of its memory
+	reading   sync.Mutex    // held while a body is read into values, which take a multiple of its memory
+	dialling  chan struct{} // has an element for each connection to a new server that is being established
+}
+
+// Bounds on looking whether a new server can be reached.
+const (
+	maxReachabilityChecks = 8 // at once
+	reachabilityTimeout   = 300 * time.Millisecond
+)
+
+// reachable reports whether a connection to a server can be established.
+func (h *controlHandler) reachable(ctx context.Context, addr string) bool {
+	select {
+	case h.dialling <- struct{}{}:
+	case <-ctx.Done():
+		return false
+	}
+	defer func() { <-h.dialling }()
+	conn, err := host.Dialer(h.options.PeerAddr, reachabilityTimeout).DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
 }
 
 // readInTurn reads one body at a time into values.
@@ -173,7 +200,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if ch := h.waiting[v.Token]; ch != nil {
-		ch <- v.OK
+		ch <- v
 		delete(h.waiting, v.Token)
 	}
 }
@@ -222,23 +249,14 @@
 		w.WriteHeader(http.StatusMethodNotAllowed)
 		return
 	}
-	reply := make(chan bool, 1)
-	h.mu.Lock()
-	h.lastToken++
-	token := h.lastToken
-	h.waiting[token] = reply
-	h.mu.Unlock()
-	h.admin.process.Step(Announce{Token: token, Beacon: b})
-	ok := false
-	select {
-	case ok = <-reply:
-	case <-r.Context().Done():
-		h.mu.Lock()
-		delete(h.waiting, token)
-		h.mu.Unlock()
+	answer := h.announce(r.Context(), Announce{Beacon: b})
+	if answer.IfReachable && h.reachable(r.Context(), b.Addr) {
+		answer = h.announce(r.Context(), Announce{Beacon: b, Reachable: true})
+	}
+	if r.Context().Err() != nil {
 		return
 	}
-	if !ok {
+	if !answer.OK {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -246,6 +264,26 @@
 	_, _ = w.Write(h.options.Dialect.AnnounceReply(""))
 }
 
+// announce passes an announcement to the core and waits for its answer. The answer is not OK if ctx ends before.
+func (h *controlHandler) announce(ctx context.Context, a Announce) Announced {
+	reply := make(chan Announced, 1)
+	h.mu.Lock()
+	h.lastToken++
+	a.Token = h.lastToken
+	h.waiting[a.Token] = reply
+	h.mu.Unlock()
+	h.admin.process.Step(a)
+	select {
+	case answer := <-reply:
+		return answer
+	case <-ctx.Done():
+		h.mu.Lock()
+		delete(h.waiting, a.Token)
+		h.mu.Unlock()
+		return Announced{}
+	}
+}
+
 // servePlan returns the newest plan.
 func (h *controlHandler) servePlan(w http.ResponseWriter) {
 	receipt := h.admin.request(Admin{Op: "get"})
