--- a/cmd/controller/main.go
+++ b/cmd/controller/main.go
@@ -17,7 +17,7 @@
 	if flags, ok := host.ParseHosted(os.Args[1:], "controller"); ok {
 		boot, err := platform.LoadSettings()
 		exitOn(err)
-		host.LimitResources(boot.MemoryMB, boot.Processors)
+		host.Resources{MemoryMB: boot.MemoryMB, Processors: boot.Processors, GCPercent: gcPercent}.Limit()
 		exitOn(controller.Host(controller.HostOptions{
 			ID: string(boot.Node), Zone: string(boot.Zone), Regions: boot.Zones, PeerAddr: boot.NodeAddr(0), ControlAddr: boot.Controller, AdminAddr: boot.NodeAddr(1),
 			Seeds: boot.SeedAddrs(0), FollowSeeds: followSeeds, Data: boot.DataDir, FirstStart: boot.FirstStart, LogOutput: flags.LogWriter(), MetricsAddr: flags.MetricsAddr(boot.IP), Bind: flags.ListenAddr, Losses: boot.MachineLosses,
@@ -34,6 +34,9 @@
 	exitOn(controller.Main(s))
 }
 
+// gcPercent is the garbage that may accumulate, in percent of the memory in use.
+const gcPercent = 50
+
 func followSeeds(step func(protocol.SeedsChanged)) {
 	host.WatchSeeds(platform.SettingsPath(), func() ([]string, error) { return platform.LoadSeedAddrs(0) }, step)
 }
--- a/cmd/router/main.go
+++ b/cmd/router/main.go
@@ -17,7 +17,7 @@
 	if flags, ok := host.ParseHosted(os.Args[1:], "router"); ok {
 		boot, err := platform.LoadSettings()
 		exitOn(err)
-		host.LimitResources(boot.MemoryMB, boot.Processors)
+		host.Resources{MemoryMB: boot.MemoryMB, Processors: boot.Processors, GCPercent: gcPercent}.Limit()
 		bounds := boot.Bounds
 		exitOn(router.RunHosted(router.HostOptions{
 			ID: string(boot.Node), Zone: string(boot.Zone), IngressAddr: boot.Ingress, ReadinessAddr: boot.Readiness,
@@ -32,6 +32,10 @@
 	exitOn(router.Main(s))
 }
 
+// gcPercent is the garbage that may accumulate, in percent of the memory in use. It is low, since a router uses little of its
+// processor and there are hundreds of them.
+const gcPercent = 20
+
 // freshMarginFraction is the fraction of the retry margin for routers whose earlier incarnations ended long ago; the
 // rest is for recently restarted routers.
 const freshMarginFraction = 0.6
--- a/internal/host/hosted.go
+++ b/internal/host/hosted.go
@@ -137,14 +137,21 @@
 	return limiter
 }
 
-// LimitResources limits the process to the memory and processors that its machine provides.
-func LimitResources(memoryMB, processors int) {
-	if memoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryMB) << 20 * 7 / 10)
+// Resources are what a process may use of its machine.
+type Resources struct {
+	MemoryMB   int // unlimited if 0
+	Processors int // all if 0
+	GCPercent  int // garbage that may accumulate before it is collected, in percent of the memory in use
+}
+
+// Limit limits the process to the resources.
+func (r Resources) Limit() {
+	if r.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(r.MemoryMB) << 20 * 7 / 10)
 	}
-	debug.SetGCPercent(50)
-	if processors > 0 {
-		runtime.GOMAXPROCS(processors)
+	debug.SetGCPercent(r.GCPercent)
+	if r.Processors > 0 {
+		runtime.GOMAXPROCS(r.Processors)
 	}
 }
 
