A store whose current manifest has a number that is yet to come is damaged

A damaged store was opened, a batch was written to it and confirmed, and after a power loss the store had no current manifest: confirmed data was lost.

Cause: goleveldb numbers files from a counter in the manifest. With a copy of the manifest under a higher number as the current one, the manifest that it writes next gets that same number, overwrites it, and is removed as the previous one.

Change: durableStorage refuses to create the manifest that is current, as damage, so the store is set aside before anything is taken from it.

--- a/internal/host/durable_storage.go
+++ b/internal/host/durable_storage.go
@@ -1,6 +1,11 @@
 package host
 
-import "github.com/syndtr/goleveldb/leveldb/storage"
+import (
+	"os"
+
+	"github.com/go-faster/errors"
+	"github.com/syndtr/goleveldb/leveldb/storage"
+)
 
 // durableStorage is a storage that syncs the names of new files together with the files, and syncs a manifest before
 // making it current. goleveldb does neither, so that a power loss could destroy a store right after it was opened, or
@@ -26,6 +31,9 @@
 
 // Create creates a file whose first sync also syncs the folder.
 func (s *durableStorage) Create(fd storage.FileDesc) (storage.Writer, error) {
+	if err := s.refuseCurrentManifest(fd); err != nil {
+		return nil, err
+	}
 	w, err := s.Storage.Create(fd)
 	if err != nil {
 		return nil, err
@@ -37,6 +45,23 @@
 	return file, nil
 }
 
+// refuseCurrentManifest returns errDamaged for the manifest that is current. Numbers of files rise, so it was not written under
+// that number; goleveldb would overwrite it and then remove it as the previous one.
+func (s *durableStorage) refuseCurrentManifest(fd storage.FileDesc) error {
+	if fd.Type != storage.TypeManifest {
+		return nil
+	}
+	switch current, err := s.GetMeta(); {
+	case errors.Is(err, os.ErrNotExist):
+		return nil
+	case err != nil:
+		return err
+	case current == fd:
+		return errors.Wrapf(errDamaged, "%v is current and has the number of a later one", fd)
+	}
+	return nil
+}
+
 // SetMeta makes a manifest current, after the manifest itself is durable.
 func (s *durableStorage) SetMeta(fd storage.FileDesc) error {
 	if file := s.notCurrent[fd]; file != nil {
