Controller: calls that wait for the core's answer share one table; soak: one place writes an announcement

The fraction of the room beyond which a server has to be reachable is named for that. No behaviour changes.

--- a/internal/controller/host.go
+++ b/internal/controller/host.go
@@ -108,8 +108,8 @@
 	h.Dialect.ReadPlan = plans.Plan
 	h.Dialect.MergePatch = (&fleetplan.MergeMemo{Merge: h.Dialect.MergePatch}).Apply
 	core := New(hostedOptions(h))
-	admin := &adminServer{waiting: map[uint64]chan Receipt{}}
-	handler := &controlHandler{waiting: map[uint64]chan Announced{}, admin: admin, options: h, dialling: make(chan struct{}, maxReachabilityChecks)}
+	admin := &adminServer{}
+	handler := &controlHandler{admin: admin, options: h, dialling: make(chan struct{}, maxReachabilityChecks)}
 	admin.process = host.New(host.Options{Core: core, Listen: []string{h.Bind(h.PeerAddr)}, NodeLimits: h.Machine.Limits(connlimit.Nodes), Advertised: h.PeerAddr, DataDir: h.Data, TickInterval: 25 * time.Millisecond, DialTimeout: dialTimeout, Log: ring,
 		OnMessage: h.preparsePlan, SendRequest: h.Dialect.Send, HandleOutput: func(o any) {
 			admin.handleOutput(o)
@@ -153,13 +153,11 @@
 
 // controlHandler serves HTTP requests of servers and of the platform's operators.
 type controlHandler struct {
-	mu        sync.Mutex // guards waiting and lastToken; locked after the host's mutex
-	lastToken uint64
-	waiting   map[uint64]chan Announced
-	admin     *adminServer
-	options   HostOptions
-	reading   sync.Mutex    // held while a body is read into values, which take a multiple of its memory
-	dialling  chan struct{} // has an element for each connection to a new server that is being established
+	calls    pendingCalls[Announced]
+	admin    *adminServer
+	options  HostOptions
+	reading  sync.Mutex    // held while a body is read into values, which take a multiple of its memory
+	dialling chan struct{} // has an element for each connection to a new server that is being established
 }
 
 // Bounds on looking whether a new server can be reached.
@@ -193,15 +191,8 @@
 
 // handleOutput passes the core's answer to an announcement to the waiting request.
 func (h *controlHandler) handleOutput(o any) {
-	v, ok := o.(Announced)
-	if !ok {
-		return
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if ch := h.waiting[v.Token]; ch != nil {
-		ch <- v
-		delete(h.waiting, v.Token)
+	if answer, ok := o.(Announced); ok {
+		h.calls.answer(answer.Token, answer)
 	}
 }
 
@@ -266,20 +257,14 @@
 
 // announce passes an announcement to the core and waits for its answer. The answer is not OK if ctx ends before.
 func (h *controlHandler) announce(ctx context.Context, a Announce) Announced {
-	reply := make(chan Announced, 1)
-	h.mu.Lock()
-	h.lastToken++
-	a.Token = h.lastToken
-	h.waiting[a.Token] = reply
-	h.mu.Unlock()
+	token, reply := h.calls.begin()
+	a.Token = token
 	h.admin.process.Step(a)
 	select {
 	case answer := <-reply:
 		return answer
 	case <-ctx.Done():
-		h.mu.Lock()
-		delete(h.waiting, a.Token)
-		h.mu.Unlock()
+		h.calls.abandon(token)
 		return Announced{}
 	}
 }
--- a/internal/controller/registry_limit.go
+++ b/internal/controller/registry_limit.go
@@ -17,8 +17,8 @@
 const (
 	// growthFactor is by how much known servers may exceed the limit at which new ones are refused: they need more as they load.
 	growthFactor = 2
-	// unprovenFraction is the fraction of the limit, one in so many, beyond which a new server has to be reachable.
-	unprovenFraction = 2
+	// reachableFraction is the fraction of the limit, one in so many, beyond which a new server has to be reachable.
+	reachableFraction = 2
 )
 
 // room tells whether there is memory for an announcement.
@@ -51,7 +51,7 @@
 	switch needed := c.registryBytes() + int64(enrolledServerBytes+len(b.ReadyKeys)*enrolledKeyBytes); {
 	case needed > c.o.RegistryBytes:
 		return b, noRoom
-	case a.Reachable || needed <= c.o.RegistryBytes/unprovenFraction:
+	case a.Reachable || needed <= c.o.RegistryBytes/reachableFraction:
 		return b, hasRoom
 	}
 	return b, roomIfReachable
--- a/internal/controller/registry_limit_test.go
+++ b/internal/controller/registry_limit_test.go
@@ -83,11 +83,11 @@
 		return answer
 	}
 	for n := range 3 * servers {
-		require.Equal(t, n >= servers/unprovenFraction, answerTo(fmt.Sprint("false", n), false).IfReachable)
+		require.Equal(t, n >= servers/reachableFraction, answerTo(fmt.Sprint("false", n), false).IfReachable)
 	}
-	require.Len(t, k.enrolledServers, servers/unprovenFraction)
+	require.Len(t, k.enrolledServers, servers/reachableFraction)
 	require.True(t, answerTo("false0", false).OK, "a known server goes on announcing itself")
-	for n := range servers - servers/unprovenFraction {
+	for n := range servers - servers/reachableFraction {
 		id := fmt.Sprint("true", n)
 		require.True(t, answerTo(id, false).IfReachable)
 		require.True(t, answerTo(id, true).OK)
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"os"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/alexedwards/flow"
@@ -58,28 +57,20 @@
 
 // adminServer serves operators' requests over HTTP and matches the core's receipts to them.
 type adminServer struct {
-	mu        sync.Mutex // guards waiting and lastToken; locked after the host's mutex
-	lastToken uint64
-	waiting   map[uint64]chan Receipt
-	process   *host.Process
+	calls   pendingCalls[Receipt]
+	process *host.Process
 }
 
 // request passes an operator's request to the core and waits for its receipt.
 func (s *adminServer) request(a Admin) Receipt {
-	reply := make(chan Receipt, 1)
-	s.mu.Lock()
-	s.lastToken++
-	a.Token = s.lastToken
-	s.waiting[a.Token] = reply
-	s.mu.Unlock()
+	token, reply := s.calls.begin()
+	a.Token = token
 	s.process.Step(a)
 	select {
 	case r := <-reply:
 		return r
 	case <-time.After(receiptTimeout):
-		s.mu.Lock()
-		delete(s.waiting, a.Token)
-		s.mu.Unlock()
+		s.calls.abandon(token)
 		return Receipt{Kind: failure.Unclear, Why: "the core did not answer in time"}
 	}
 }
@@ -102,15 +93,8 @@
 
 // handleOutput passes a receipt from the core to the waiting request.
 func (s *adminServer) handleOutput(o any) {
-	receipt, ok := o.(Receipt)
-	if !ok {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if reply := s.waiting[receipt.Token]; reply != nil {
-		reply <- receipt
-		delete(s.waiting, receipt.Token)
+	if receipt, ok := o.(Receipt); ok {
+		s.calls.answer(receipt.Token, receipt)
 	}
 }
 
@@ -124,7 +108,7 @@
 		RouterLease: clock.Span(s.HoldMs) * 1e6, LeadershipLease: clock.Span(s.DutyMs) * 1e6, ReplaceAfter: clock.Span(s.SpareMs) * 1e6,
 		DrainLead: clock.Span(s.LeadMs) * 1e6, WallClock: time.Now,
 	})
-	admin := &adminServer{waiting: map[uint64]chan Receipt{}}
+	admin := &adminServer{}
 	admin.process = host.New(host.Options{Core: core, Listen: []string{listen}, NodeLimits: connlimit.Machine{}.Limits(connlimit.Nodes), Advertised: s.Listen, DataDir: s.Data, TickInterval: 20 * time.Millisecond, Log: ring, HandleOutput: admin.handleOutput})
 	if err := admin.process.Run(); err != nil {
 		return err
--- a/internal/controller/serve_test.go
+++ b/internal/controller/serve_test.go
@@ -24,7 +24,7 @@
 	dir := t.TempDir()
 	v := protocol.Desired{Gen: 1, Epoch: 1, Plan: []byte(onePlan), VoterSet: 1, Voters: []protocol.Voter{voter("a", 5)}}
 	core := New(Options{Self: protocol.Peer{ID: "a", Addr: "a"}, Inc: 6, Platform: "127.0.0.1:1", Rand: host.NewRand()})
-	d := &adminServer{waiting: map[uint64]chan Receipt{}}
+	d := &adminServer{}
 	// A single-node core sends messages only to itself, so they are fed back as input.
 	loop := &loopback{core: core}
 	d.process = host.New(host.Options{Core: loop, TickInterval: time.Millisecond, Log: host.NewLog("a", io.Discard), DataDir: dir, HandleOutput: d.handleOutput})
--- a/internal/soak/crowd_kept_test.go
+++ b/internal/soak/crowd_kept_test.go
@@ -93,8 +93,13 @@
 	for n := range models {
 		a.Models = append(a.Models, peer.Model{Label: longName(client, n, 0)})
 	}
+	return announcementRequest(fmt.Sprintf("x%d-%d", client, number), a)
+}
+
+// announcementRequest returns the request by which a server announces itself.
+func announcementRequest(id string, a peer.Announcement) string {
 	raw, _ := json.Marshal(a)
-	return fmt.Sprintf("PUT %sx%d-%d HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", peer.PathServers, client, number, len(raw), raw)
+	return fmt.Sprintf("PUT %s%s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", peer.PathServers, id, len(raw), raw)
 }
 
 // announcements announces one server after another that does not exist.
@@ -112,8 +117,7 @@
 		server := number % repeatedAnnouncements
 		a := peer.Announcement{Service: modelService, Address: fmt.Sprintf("127.255.%d.%d:9", client, server+1), Zone: zones[0], Revision: "v1", Capacity: 1,
 			Condition: peer.Steady, Phase: "combined", Calls: uint64(number + 1)}
-		raw, _ := json.Marshal(a)
-		return fmt.Sprintf("PUT %sr%d-%d HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", peer.PathServers, client, server, len(raw), raw)
+		return announcementRequest(fmt.Sprintf("r%d-%d", client, server), a)
 	})
 }
 
